Lay out the workspace, the interfaces and the wire types

Cause: the parts are to be built side by side, which needs fixed borders first. Ruled out: one crate with modules (no enforced dependency direction); protoc in the build (a fresh machine lacks it). Conclusion: the split can start.

--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Administration interface: manifest changes, keys, status and audit trail.
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions on leases, quotas, shares, placement and maintenance, without I/O, clocks or threads.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Caller interface, admission queues and dispatch to targets.
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform and of the targets, with fault switches.
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pools, hosts, maintenance waves, moves and jobs on workers.
--- /dev/null
+++ b/crates/lacewingshore/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the lacewingshore program.
+
+fn main() {}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the load program.
+
+fn main() {}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,26 @@
+//! Ids, manifest, settings, error types and the event catalogue shared by every crate.
+//!
+//! Start with [`Manifest`], what operators ask for, and [`ServeSettings`], what one
+//! process is told of its surroundings. Nothing here does I/O. The words for hosts,
+//! pools and teams are mapped in `docs/GLOSSARY.md`.
+
+mod event;
+mod id;
+mod manifest;
+mod manifest_text;
+mod problem;
+mod settings;
+mod step_error;
+
+pub use event::{EventCode, EventInfo};
+pub use id::{
+    BootTime, ChangeId, DataCentreId, HostId, Incarnation, JobId, KeyId, MemberId, PoolId, RackId,
+    RequestId, Revision, ServiceId, TeamId, WorkspaceId,
+};
+pub use manifest::{
+    HostRole, Manifest, PoolSpec, ServiceSpec, TeamSpec, WindowSpec, WorkspaceSpec,
+};
+pub use manifest_text::{ManifestError, SectionTexts};
+pub use problem::{ProblemKind, RunFate};
+pub use settings::{PeerSetting, ServeSettings};
+pub use step_error::StepError;
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets and messages between entry hosts.
--- /dev/null
+++ b/crates/platform/src/boot_clock.rs
@@ -0,0 +1,34 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use model::BootTime;
+use rustix::time::{ClockId, clock_gettime};
+
+/// The clocks that the duties of an entry host read.
+pub trait Clock: Send + Sync {
+    /// Time since boot, suspended time included; never goes back.
+    fn boot_now(&self) -> BootTime;
+    /// Wall-clock time since the Unix epoch; may jump.
+    fn unix_now(&self) -> Duration;
+}
+
+/// The machine's own clocks.
+///
+/// Leases are counted on the boot clock. A monotonic clock stands still while the host is
+/// suspended, so a holder that slept would believe in a lease that others see as lapsed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl Clock for BootClock {
+    fn boot_now(&self) -> BootTime {
+        let time = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+        Duration::new(seconds, nanos)
+    }
+
+    fn unix_now(&self) -> Duration {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/proof/src/lib.rs
@@ -0,0 +1,1 @@
+//! History recording, checkers and the harness that runs the system in real processes.
--- /dev/null
+++ b/crates/share/src/lib.rs
@@ -0,0 +1,1 @@
+//! Slot leases that divide each pool among entry hosts and teams.
