Divide the slots of a pool by confirmed offers

Cause: executors have 8 slots for all entry hosts together, and shares must hold across the fleet within 6 KB/s of control traffic a node; a permit for each start costs a message for each request, and gossip alone cannot keep a slot from being used twice. Change: decide::share with a weighted max-min split, the order of teams on one host, and a broker that offers a slot again only after its holder confirmed a lower grant or its lease and a guard passed. decide::rendezvous names the broker.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,1 +1,8 @@
-//! Pure decisions on leases, quotas, shares, placement and maintenance, without I/O, clocks or threads.
+//! Pure decisions on leases, quotas, shares, placement and maintenance.
+//!
+//! Time, state and messages come in as values, and what to do comes out as values: nothing
+//! here reads a clock, starts a thread or opens a socket. `scripts/check` holds the crate
+//! to that. The design notes in `docs/design/` argue each mechanism.
+
+pub mod rendezvous;
+pub mod share;
--- /dev/null
+++ b/crates/decide/src/share/broker.rs
@@ -0,0 +1,493 @@
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use model::{BootTime, HostId, MemberId, PoolId, TeamId};
+
+use super::{ShareClaim, apportion, fair_split};
+
+/// Slots by target.
+pub type SlotMap = BTreeMap<HostId, u32>;
+
+// Demand falls slowly in the broker's eyes, so that slots do not follow every gap between
+// two requests.
+const DEMAND_DECAY: f64 = 0.6;
+// Below this a decayed demand counts as none.
+const DEMAND_FLOOR: f64 = 0.1;
+// Offers that a holder has not confirmed; a holder this far behind gets no new ones.
+const UNCONFIRMED_MAX: usize = 64;
+
+/// Times of a broker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BrokerOptions {
+    /// How long a holder may use a grant, counted from when it sent its demand.
+    pub lease: Duration,
+    /// Added to the lease before slots of a silent holder are given to others.
+    pub guard: Duration,
+    /// Guard that tests switch off to show that its checker notices.
+    pub switch: BrokerSwitch,
+}
+
+/// A guard that a test can switch off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BrokerSwitch {
+    /// All guards hold.
+    #[default]
+    None,
+    /// Slots are offered again before their holder confirmed the lower grant.
+    SkipConfirm,
+    /// A new broker offers slots before it knows what others hold.
+    SkipCaution,
+}
+
+impl Default for BrokerOptions {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(3),
+            guard: Duration::from_millis(500),
+            switch: BrokerSwitch::None,
+        }
+    }
+}
+
+/// One team's load on a pool at one entry host.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TeamLoad {
+    /// The team.
+    pub team: TeamId,
+    /// Requests in flight to targets.
+    pub running: u32,
+    /// Requests queued.
+    pub queued: u32,
+    /// Slot time used since the session began.
+    pub used: Duration,
+}
+
+/// What one entry host reports of one pool.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HolderDemand {
+    /// Load by team; replaces the last report.
+    pub teams: Vec<TeamLoad>,
+    /// Slots that the holder occupies beyond its grant, or holds from an earlier broker.
+    pub held: SlotMap,
+}
+
+/// What one entry host may use of one pool.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolOffer {
+    /// Slots by target.
+    pub targets: SlotMap,
+    /// Slots due to each team on this entry host, and the team's virtual time.
+    pub teams: Vec<(TeamId, u32, Duration)>,
+}
+
+/// Divides the slots of one pool among entry hosts.
+///
+/// A slot is offered to a holder only when no other holder may still believe in it: it
+/// confirmed a lower grant, or its lease and a guard have passed. So the offers in force
+/// never add up to more than a target's slots. See `docs/design/06-shares.md`.
+#[derive(Debug)]
+pub struct SlotBroker {
+    pool: PoolId,
+    options: BrokerOptions,
+    cautious_until: BootTime,
+    targets: SlotMap,
+    weights: BTreeMap<TeamId, f64>,
+    members: BTreeSet<MemberId>,
+    holders: BTreeMap<MemberId, HolderState>,
+    virtual_times: BTreeMap<TeamId, f64>,
+    backlogged: BTreeSet<TeamId>,
+    virtual_floor: f64,
+}
+
+#[derive(Debug, Default)]
+struct HolderState {
+    heard: BootTime,
+    // The newest round that was answered.
+    round: u64,
+    loads: BTreeMap<TeamId, LoadState>,
+    held: SlotMap,
+    // Offers from the newest confirmed one on, with the round each was made in.
+    offers: VecDeque<(u64, SlotMap)>,
+}
+
+#[derive(Debug, Default)]
+struct LoadState {
+    queued: u32,
+    demand: f64,
+    used: Duration,
+}
+
+impl SlotBroker {
+    /// A broker that begins at `now`, knowing nothing of what others hold.
+    pub fn new(pool: PoolId, now: BootTime, options: BrokerOptions) -> Self {
+        Self {
+            pool,
+            options,
+            cautious_until: now + options.lease + options.guard,
+            targets: SlotMap::new(),
+            weights: BTreeMap::new(),
+            members: BTreeSet::new(),
+            holders: BTreeMap::new(),
+            virtual_times: BTreeMap::new(),
+            backlogged: BTreeSet::new(),
+            virtual_floor: 0.0,
+        }
+    }
+
+    /// The pool.
+    pub fn pool(&self) -> &PoolId {
+        &self.pool
+    }
+
+    /// Replaces the targets that take new work and their slots.
+    pub fn set_targets(&mut self, targets: SlotMap) {
+        self.targets = targets;
+    }
+
+    /// Replaces the weights of the teams.
+    pub fn set_weights(&mut self, weights: BTreeMap<TeamId, f64>) {
+        self.weights = weights;
+    }
+
+    /// Replaces the member list, which ends the cautious phase once all have reported.
+    pub fn set_members(&mut self, members: BTreeSet<MemberId>) {
+        self.members = members;
+    }
+}
+
+/// What holders say.
+impl SlotBroker {
+    /// Takes a holder's first report of a session.
+    pub fn open(&mut self, now: BootTime, holder: &MemberId, round: u64, demand: HolderDemand) {
+        // What the holder brings along stays believed in until it confirms an offer of this
+        // session; a later report without it does not mean that it let go.
+        let offers = VecDeque::from([(0, demand.held.clone())]);
+        let state = HolderState {
+            heard: now,
+            round,
+            offers,
+            ..HolderState::default()
+        };
+        self.holders.insert(holder.clone(), state);
+        self.report(holder, demand);
+    }
+
+    /// Takes the demand of `round` with the newest round whose grant the holder applied.
+    ///
+    /// False for an unknown holder, and for a demand that a later one overtook: the holder
+    /// drops grants of rounds before its newest, so answering out of order would leave the
+    /// broker believing in an offer that the holder never applies.
+    pub fn confirm(&mut self, now: BootTime, holder: &MemberId, round: u64, applied: u64) -> bool {
+        let Some(state) = self.holders.get_mut(holder) else {
+            return false;
+        };
+        if round <= state.round {
+            return false;
+        }
+        state.round = round;
+        state.heard = now;
+        while let Some((round, _)) = state.offers.get(1)
+            && *round <= applied
+        {
+            state.offers.pop_front();
+        }
+        true
+    }
+
+    /// Replaces a holder's load.
+    pub fn report(&mut self, holder: &MemberId, demand: HolderDemand) {
+        let Some(state) = self.holders.get_mut(holder) else {
+            return;
+        };
+        state.held = demand.held;
+        let mut used_by_team = Vec::new();
+        let mut loads = BTreeMap::new();
+        for load in demand.teams {
+            let last = state.loads.remove(&load.team).unwrap_or_default();
+            used_by_team.push((load.team.clone(), load.used.saturating_sub(last.used)));
+            loads.insert(load.team.clone(), LoadState::next(&load, &last));
+        }
+        // A team that is left out has no load; its used time stays known.
+        for (team, last) in std::mem::take(&mut state.loads) {
+            let load = TeamLoad {
+                team: team.clone(),
+                used: last.used,
+                ..TeamLoad::default()
+            };
+            loads.insert(team, LoadState::next(&load, &last));
+        }
+        state.loads = loads;
+        for (team, used) in used_by_team {
+            self.charge(&team, used);
+        }
+        self.update_backlog();
+    }
+
+    /// Forgets holders that were silent for a lease and a guard.
+    ///
+    /// The holder's own clock ran from the sending of its demand, so it stopped using the
+    /// slots before this.
+    pub fn expire(&mut self, now: BootTime) {
+        let limit = self.options.lease + self.options.guard;
+        self.holders.retain(|_, state| now < state.heard + limit);
+    }
+}
+
+/// What the broker answers.
+impl SlotBroker {
+    /// The offer to `holder` in `round`; `None` for an unknown holder.
+    pub fn offer(&mut self, now: BootTime, holder: &MemberId, round: u64) -> Option<PoolOffer> {
+        let dues = self.dues();
+        let wanted = self.wanted_slots(holder, &dues);
+        let headroom = self.headroom(now, holder);
+        let state = self.holders.get_mut(holder)?;
+        if UNCONFIRMED_MAX <= state.offers.len() {
+            return None;
+        }
+        let (_, last) = state.offers.back()?;
+        let next = reshape(last, wanted, &headroom);
+        if *last != next {
+            state.offers.push_back((round, next.clone()));
+        }
+        Some(PoolOffer {
+            targets: next,
+            teams: self.team_uses(holder, &dues),
+        })
+    }
+
+    /// Slots of `target` that holders may believe in now; for checks.
+    pub fn believed(&self, target: &HostId) -> u32 {
+        self.holders
+            .values()
+            .map(|state| state.outstanding(target, self.options.switch))
+            .sum()
+    }
+
+    // Per team: the slots due across all holders.
+    fn dues(&self) -> BTreeMap<TeamId, TeamDue> {
+        let mut totals: BTreeMap<&TeamId, f64> = BTreeMap::new();
+        for state in self.holders.values() {
+            for (team, load) in &state.loads {
+                *totals.entry(team).or_default() += load.demand;
+            }
+        }
+        let claims: Vec<ShareClaim> = totals
+            .iter()
+            .map(|(team, &demand)| ShareClaim {
+                weight: self.weight(team),
+                demand,
+            })
+            .collect();
+        let parts = fair_split(f64::from(self.capacity()), &claims);
+        let dues = totals.into_iter().zip(parts);
+        dues.map(|((team, demand), slots)| (team.clone(), TeamDue { demand, slots }))
+            .collect()
+    }
+
+    fn wanted_slots(&self, holder: &MemberId, dues: &BTreeMap<TeamId, TeamDue>) -> u32 {
+        let used: f64 = dues.values().map(|due| due.slots).sum();
+        let spare = (f64::from(self.capacity()) - used).max(0.0);
+        let spare_each = spare / self.holders.len().max(1) as f64;
+        let parts: Vec<f64> = self
+            .holders
+            .values()
+            .map(|state| state.due_slots(dues).map(|(_, slots)| slots).sum::<f64>() + spare_each)
+            .collect();
+        let whole = apportion(&parts, 0);
+        let place = self.holders.keys().position(|other| other == holder);
+        place.map_or(0, |place| whole[place])
+    }
+
+    // Per target: the most that the holder may be offered beside what others believe in.
+    fn headroom(&self, now: BootTime, holder: &MemberId) -> SlotMap {
+        let cautious = self.is_cautious(now);
+        let free = |target: &HostId, slots: u32| {
+            let others: u32 = self
+                .holders
+                .iter()
+                .filter(|(other, _)| *other != holder)
+                .map(|(_, state)| state.outstanding(target, self.options.switch))
+                .sum();
+            let room = slots.saturating_sub(others);
+            if !cautious {
+                return room;
+            }
+            let own = self
+                .holders
+                .get(holder)
+                .map(|state| state.outstanding(target, self.options.switch));
+            room.min(own.unwrap_or_default())
+        };
+        self.targets
+            .iter()
+            .map(|(target, &slots)| (target.clone(), free(target, slots)))
+            .collect()
+    }
+
+    // A new broker does not know what holders were granted by the one before. Until every
+    // member reported what it holds, or all grants from before have lapsed, an offer could
+    // hand out a slot twice; so it only renews what holders report.
+    fn is_cautious(&self, now: BootTime) -> bool {
+        if self.options.switch == BrokerSwitch::SkipCaution || self.cautious_until <= now {
+            return false;
+        }
+        self.members.is_empty() || self.members.iter().any(|id| !self.holders.contains_key(id))
+    }
+
+    fn team_uses(
+        &self,
+        holder: &MemberId,
+        dues: &BTreeMap<TeamId, TeamDue>,
+    ) -> Vec<(TeamId, u32, Duration)> {
+        let Some(state) = self.holders.get(holder) else {
+            return Vec::new();
+        };
+        let use_of = |(team, slots): (&TeamId, f64)| {
+            let time = self
+                .virtual_times
+                .get(team)
+                .copied()
+                .unwrap_or(self.virtual_floor);
+            (
+                team.clone(),
+                slots.round() as u32,
+                Duration::from_secs_f64(time),
+            )
+        };
+        state.due_slots(dues).map(use_of).collect()
+    }
+}
+
+/// Virtual time.
+impl SlotBroker {
+    fn charge(&mut self, team: &TeamId, used: Duration) {
+        let weight = self.weight(team).max(f64::MIN_POSITIVE);
+        let floor = self.virtual_floor;
+        let time = self.virtual_times.entry(team.clone()).or_insert(floor);
+        *time += used.as_secs_f64() / weight;
+    }
+
+    // A team that queues again after a pause starts level with the least served one:
+    // without this it could save up the time it did not use and then shut others out.
+    fn update_backlog(&mut self) {
+        let queued: BTreeSet<TeamId> = self
+            .holders
+            .values()
+            .flat_map(|state| state.loads.iter())
+            .filter(|(_, load)| 0 < load.queued)
+            .map(|(team, _)| team.clone())
+            .collect();
+        let steady = queued.intersection(&self.backlogged);
+        let least = steady
+            .filter_map(|team| self.virtual_times.get(team))
+            .copied();
+        let least = least.fold(f64::INFINITY, f64::min);
+        if least.is_finite() {
+            self.virtual_floor = self.virtual_floor.max(least);
+        }
+        for team in queued.difference(&self.backlogged) {
+            let time = self.virtual_times.entry(team.clone()).or_default();
+            *time = time.max(self.virtual_floor);
+        }
+        self.backlogged = queued;
+    }
+
+    fn weight(&self, team: &TeamId) -> f64 {
+        self.weights.get(team).copied().unwrap_or_default()
+    }
+
+    fn capacity(&self) -> u32 {
+        self.targets.values().sum()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TeamDue {
+    demand: f64,
+    slots: f64,
+}
+
+impl HolderState {
+    // The most slots of `target` that the holder may believe in.
+    fn outstanding(&self, target: &HostId, switch: BrokerSwitch) -> u32 {
+        let held = self.held.get(target).copied().unwrap_or_default();
+        let offered = |offer: &(u64, SlotMap)| offer.1.get(target).copied().unwrap_or_default();
+        if switch == BrokerSwitch::SkipConfirm {
+            return self.offers.back().map_or(held, offered);
+        }
+        self.offers
+            .iter()
+            .map(offered)
+            .max()
+            .unwrap_or_default()
+            .max(held)
+    }
+
+    fn due_slots<'a>(
+        &'a self,
+        dues: &'a BTreeMap<TeamId, TeamDue>,
+    ) -> impl Iterator<Item = (&'a TeamId, f64)> {
+        self.loads.iter().filter_map(|(team, load)| {
+            let due = dues.get(team)?;
+            let part = if 0.0 < due.demand {
+                load.demand / due.demand
+            } else {
+                0.0
+            };
+            Some((team, due.slots * part))
+        })
+    }
+}
+
+impl LoadState {
+    fn next(load: &TeamLoad, last: &Self) -> Self {
+        let fresh = f64::from(load.running) + f64::from(load.queued);
+        let faded = last.demand * DEMAND_DECAY;
+        let faded = if faded < DEMAND_FLOOR { 0.0 } else { faded };
+        Self {
+            queued: load.queued,
+            demand: fresh.max(faded),
+            used: load.used.max(last.used),
+        }
+    }
+}
+
+// Moves `last` towards `wanted` slots in total within `headroom`, with few changes: takes
+// from where the holder has most, adds where most is free.
+fn reshape(last: &SlotMap, wanted: u32, headroom: &SlotMap) -> SlotMap {
+    let mut next: SlotMap = headroom
+        .iter()
+        .map(|(target, &room)| {
+            (
+                target.clone(),
+                last.get(target).copied().unwrap_or(0).min(room),
+            )
+        })
+        .collect();
+    let mut total: u32 = next.values().sum();
+    while wanted < total {
+        let Some((_, slots)) = next.iter_mut().max_by_key(|(_, slots)| **slots) else {
+            break;
+        };
+        *slots -= 1;
+        total -= 1;
+    }
+    while total < wanted {
+        let room_left = |target: &HostId, slots: u32| headroom[target] - slots;
+        let best = next
+            .iter_mut()
+            .max_by_key(|(target, slots)| room_left(target, **slots));
+        let Some((target, slots)) = best else {
+            break;
+        };
+        if room_left(target, *slots) == 0 {
+            break;
+        }
+        *slots += 1;
+        total += 1;
+    }
+    next.retain(|_, slots| 0 < *slots);
+    next
+}
--- /dev/null
+++ b/crates/decide/src/share/holder.rs
@@ -0,0 +1,150 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use model::{BootTime, PoolId};
+
+use super::PoolOffer;
+
+// Rounds in flight whose sending time is remembered; older answers are useless anyway.
+const ROUNDS_KEPT: usize = 64;
+
+/// Times of a holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HolderOptions {
+    /// How long a grant may be used, counted from when its demand was sent.
+    pub lease: Duration,
+}
+
+impl Default for HolderOptions {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(3),
+        }
+    }
+}
+
+/// One pool as the holder knows it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HeldPool {
+    /// The grant applied last.
+    pub offer: PoolOffer,
+    // Round in which the demand last changed.
+    changed: u64,
+}
+
+/// An entry host's side of a session with one broker.
+///
+/// Rounds are counted by the holder. A grant of an older round than the applied one is
+/// dropped, and the lease counts from when the demand of its round was sent, so that a
+/// delayed answer can't lengthen it.
+#[derive(Debug)]
+pub struct SlotHolder {
+    session: u64,
+    options: HolderOptions,
+    round: u64,
+    applied: u64,
+    sent: VecDeque<(u64, BootTime)>,
+    expires: BootTime,
+    pools: BTreeMap<PoolId, HeldPool>,
+}
+
+impl SlotHolder {
+    /// A session that has asked for nothing yet; `session` must be new to the broker.
+    pub fn new(session: u64, options: HolderOptions) -> Self {
+        Self {
+            session,
+            options,
+            round: 0,
+            applied: 0,
+            sent: VecDeque::new(),
+            expires: BootTime::ZERO,
+            pools: BTreeMap::new(),
+        }
+    }
+
+    /// The session's number.
+    pub fn session(&self) -> u64 {
+        self.session
+    }
+
+    /// When the grants of this session lapse.
+    pub fn expires(&self) -> BootTime {
+        self.expires
+    }
+
+    /// The newest round whose grant was applied.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// The pools of this session.
+    pub fn pools(&self) -> impl Iterator<Item = (&PoolId, &HeldPool)> {
+        self.pools.iter()
+    }
+
+    /// Takes a pool into the session, or notes that its demand changed.
+    pub fn touch(&mut self, pool: &PoolId) {
+        let next = self.round + 1;
+        self.pools.entry(pool.clone()).or_default().changed = next;
+    }
+
+    /// Drops a pool that another broker has now.
+    pub fn release(&mut self, pool: &PoolId) {
+        self.pools.remove(pool);
+    }
+
+    /// Begins a round at `now`: its number, and the pools whose demand the broker may lack.
+    pub fn ask(&mut self, now: BootTime) -> (u64, Vec<PoolId>) {
+        self.round += 1;
+        self.sent.push_back((self.round, now));
+        if ROUNDS_KEPT < self.sent.len() {
+            self.sent.pop_front();
+        }
+        let fresh = self
+            .pools
+            .iter()
+            .filter(|(_, held)| self.applied < held.changed);
+        let pools = fresh.map(|(pool, _)| pool.clone()).collect();
+        (self.round, pools)
+    }
+
+    /// Applies the grant of `round`; false if it is stale or of another session.
+    pub fn apply(&mut self, session: u64, round: u64, offers: Vec<(PoolId, PoolOffer)>) -> bool {
+        if session != self.session || round <= self.applied {
+            return false;
+        }
+        let Some(sent_at) = self.sent_at(round) else {
+            return false;
+        };
+        self.applied = round;
+        self.sent.retain(|(sent_round, _)| round < *sent_round);
+        self.expires = sent_at + self.options.lease;
+        for (pool, offer) in offers {
+            if let Some(held) = self.pools.get_mut(&pool) {
+                held.offer = offer;
+            }
+        }
+        true
+    }
+
+    fn sent_at(&self, round: u64) -> Option<BootTime> {
+        self.sent
+            .iter()
+            .find(|(sent_round, _)| *sent_round == round)
+            .map(|(_, at)| *at)
+    }
+}
+
+/// Change of broker.
+impl SlotHolder {
+    /// Keeps using what an earlier session held until its grants lapse.
+    ///
+    /// The first demand of this session reports these slots, so that the new broker counts
+    /// them; without this each change of broker would stop the pool for a moment.
+    pub fn adopt(&mut self, expires: BootTime, pool: &PoolId, targets: super::SlotMap) {
+        self.expires = self.expires.max(expires);
+        self.pools.entry(pool.clone()).or_default().offer.targets = targets;
+    }
+}
