Split the slot broker and let past demand fade

Change: terms and holder state in files of their own; demand fades with each round; each adopted pool lapses on its own; offers are made anew only after a change.

--- a/crates/decide/src/share/broker.rs
+++ b/crates/decide/src/share/broker.rs
@@ -5,83 +5,15 @@
 
 use model::{BootTime, HostId, MemberId, PoolId, TeamId};
 
-use super::{ShareClaim, apportion, fair_split};
-
-/// Slots by target.
-pub type SlotMap = BTreeMap<HostId, u32>;
+use super::{
+    ShareClaim, apportion, fair_split,
+    holder_state::{HolderState, LoadState, TeamDue, reshape},
+    terms::{BrokerOptions, BrokerSwitch, HolderDemand, PoolOffer, SlotMap, TeamLoad},
+};
 
-// Demand falls slowly in the broker's eyes, so that slots do not follow every gap between
-// two requests.
-const DEMAND_DECAY: f64 = 0.6;
-// Below this a decayed demand counts as none.
-const DEMAND_FLOOR: f64 = 0.1;
 // Offers that a holder has not confirmed; a holder this far behind gets no new ones.
 const UNCONFIRMED_MAX: usize = 64;
 
-/// Times of a broker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BrokerOptions {
-    /// How long a holder may use a grant, counted from when it sent its demand.
-    pub lease: Duration,
-    /// Added to the lease before slots of a silent holder are given to others.
-    pub guard: Duration,
-    /// Guard that tests switch off to show that its checker notices.
-    pub switch: BrokerSwitch,
-}
-
-/// A guard that a test can switch off.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum BrokerSwitch {
-    /// All guards hold.
-    #[default]
-    None,
-    /// Slots are offered again before their holder confirmed the lower grant.
-    SkipConfirm,
-    /// A new broker offers slots before it knows what others hold.
-    SkipCaution,
-}
-
-impl Default for BrokerOptions {
-    fn default() -> Self {
-        Self {
-            lease: Duration::from_secs(3),
-            guard: Duration::from_millis(500),
-            switch: BrokerSwitch::None,
-        }
-    }
-}
-
-/// One team's load on a pool at one entry host.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct TeamLoad {
-    /// The team.
-    pub team: TeamId,
-    /// Requests in flight to targets.
-    pub running: u32,
-    /// Requests queued.
-    pub queued: u32,
-    /// Slot time used since the session began.
-    pub used: Duration,
-}
-
-/// What one entry host reports of one pool.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct HolderDemand {
-    /// Load by team; replaces the last report.
-    pub teams: Vec<TeamLoad>,
-    /// Slots that the holder occupies beyond its grant, or holds from an earlier broker.
-    pub held: SlotMap,
-}
-
-/// What one entry host may use of one pool.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct PoolOffer {
-    /// Slots by target.
-    pub targets: SlotMap,
-    /// Slots due to each team on this entry host, and the team's virtual time.
-    pub teams: Vec<(TeamId, u32, Duration)>,
-}
-
 /// Divides the slots of one pool among entry hosts.
 ///
 /// A slot is offered to a holder only when no other holder may still believe in it: it
@@ -99,24 +31,8 @@
     virtual_times: BTreeMap<TeamId, f64>,
     backlogged: BTreeSet<TeamId>,
     virtual_floor: f64,
-}
-
-#[derive(Debug, Default)]
-struct HolderState {
-    heard: BootTime,
-    // The newest round that was answered.
-    round: u64,
-    loads: BTreeMap<TeamId, LoadState>,
-    held: SlotMap,
-    // Offers from the newest confirmed one on, with the round each was made in.
-    offers: VecDeque<(u64, SlotMap)>,
-}
-
-#[derive(Debug, Default)]
-struct LoadState {
-    queued: u32,
-    demand: f64,
-    used: Duration,
+    // Counts changes of anything that offers follow from.
+    epoch: u64,
 }
 
 impl SlotBroker {
@@ -133,6 +49,7 @@
             virtual_times: BTreeMap::new(),
             backlogged: BTreeSet::new(),
             virtual_floor: 0.0,
+            epoch: 1,
         }
     }
 
@@ -143,17 +60,26 @@
 
     /// Replaces the targets that take new work and their slots.
     pub fn set_targets(&mut self, targets: SlotMap) {
-        self.targets = targets;
+        if self.targets != targets {
+            self.targets = targets;
+            self.epoch += 1;
+        }
     }
 
     /// Replaces the weights of the teams.
     pub fn set_weights(&mut self, weights: BTreeMap<TeamId, f64>) {
-        self.weights = weights;
+        if self.weights != weights {
+            self.weights = weights;
+            self.epoch += 1;
+        }
     }
 
     /// Replaces the member list, which ends the cautious phase once all have reported.
     pub fn set_members(&mut self, members: BTreeSet<MemberId>) {
-        self.members = members;
+        if self.members != members {
+            self.members = members;
+            self.epoch += 1;
+        }
     }
 }
 
@@ -192,6 +118,10 @@
             && *round <= applied
         {
             state.offers.pop_front();
+            self.epoch += 1;
+        }
+        if state.fade() {
+            self.epoch += 1;
         }
         true
     }
@@ -201,6 +131,7 @@
         let Some(state) = self.holders.get_mut(holder) else {
             return;
         };
+        self.epoch += 1;
         state.held = demand.held;
         let mut used_by_team = Vec::new();
         let mut loads = BTreeMap::new();
@@ -246,6 +177,7 @@
         if UNCONFIRMED_MAX <= state.offers.len() {
             return None;
         }
+        state.seen_epoch = self.epoch;
         let (_, last) = state.offers.back()?;
         let next = reshape(last, wanted, &headroom);
         if *last != next {
@@ -257,6 +189,25 @@
         })
     }
 
+    /// True if an offer to `holder` could differ from the last one made to it, or if one
+    /// made after round `applied` is still to be confirmed.
+    pub fn has_news(&self, now: BootTime, holder: &MemberId, applied: u64) -> bool {
+        let Some(state) = self.holders.get(holder) else {
+            return false;
+        };
+        let unconfirmed = state
+            .offers
+            .back()
+            .is_some_and(|(round, _)| applied < *round);
+        let backlogged = state.loads.values().any(|load| 0 < load.queued);
+        unconfirmed || backlogged || state.seen_epoch < self.epoch || self.is_cautious(now)
+    }
+
+    /// True if the holder has reported in its session.
+    pub fn knows(&self, holder: &MemberId) -> bool {
+        self.holders.contains_key(holder)
+    }
+
     /// Slots of `target` that holders may believe in now; for checks.
     pub fn believed(&self, target: &HostId) -> u32 {
         self.holders
@@ -402,92 +353,3 @@
         self.targets.values().sum()
     }
 }
-
-#[derive(Clone, Copy, Debug)]
-struct TeamDue {
-    demand: f64,
-    slots: f64,
-}
-
-impl HolderState {
-    // The most slots of `target` that the holder may believe in.
-    fn outstanding(&self, target: &HostId, switch: BrokerSwitch) -> u32 {
-        let held = self.held.get(target).copied().unwrap_or_default();
-        let offered = |offer: &(u64, SlotMap)| offer.1.get(target).copied().unwrap_or_default();
-        if switch == BrokerSwitch::SkipConfirm {
-            return self.offers.back().map_or(held, offered);
-        }
-        self.offers
-            .iter()
-            .map(offered)
-            .max()
-            .unwrap_or_default()
-            .max(held)
-    }
-
-    fn due_slots<'a>(
-        &'a self,
-        dues: &'a BTreeMap<TeamId, TeamDue>,
-    ) -> impl Iterator<Item = (&'a TeamId, f64)> {
-        self.loads.iter().filter_map(|(team, load)| {
-            let due = dues.get(team)?;
-            let part = if 0.0 < due.demand {
-                load.demand / due.demand
-            } else {
-                0.0
-            };
-            Some((team, due.slots * part))
-        })
-    }
-}
-
-impl LoadState {
-    fn next(load: &TeamLoad, last: &Self) -> Self {
-        let fresh = f64::from(load.running) + f64::from(load.queued);
-        let faded = last.demand * DEMAND_DECAY;
-        let faded = if faded < DEMAND_FLOOR { 0.0 } else { faded };
-        Self {
-            queued: load.queued,
-            demand: fresh.max(faded),
-            used: load.used.max(last.used),
-        }
-    }
-}
-
-// Moves `last` towards `wanted` slots in total within `headroom`, with few changes: takes
-// from where the holder has most, adds where most is free.
-fn reshape(last: &SlotMap, wanted: u32, headroom: &SlotMap) -> SlotMap {
-    let mut next: SlotMap = headroom
-        .iter()
-        .map(|(target, &room)| {
-            (
-                target.clone(),
-                last.get(target).copied().unwrap_or(0).min(room),
-            )
-        })
-        .collect();
-    let mut total: u32 = next.values().sum();
-    while wanted < total {
-        let Some((_, slots)) = next.iter_mut().max_by_key(|(_, slots)| **slots) else {
-            break;
-        };
-        *slots -= 1;
-        total -= 1;
-    }
-    while total < wanted {
-        let room_left = |target: &HostId, slots: u32| headroom[target] - slots;
-        let best = next
-            .iter_mut()
-            .max_by_key(|(target, slots)| room_left(target, **slots));
-        let Some((target, slots)) = best else {
-            break;
-        };
-        if room_left(target, *slots) == 0 {
-            break;
-        }
-        *slots += 1;
-        total += 1;
-    }
-    next.retain(|_, slots| 0 < *slots);
-    next
-}
--- a/crates/decide/src/share/holder.rs
+++ b/crates/decide/src/share/holder.rs
@@ -5,7 +5,7 @@
 
 use model::{BootTime, PoolId};
 
-use super::PoolOffer;
+use super::{PoolOffer, SlotMap};
 
 // Rounds in flight whose sending time is remembered; older answers are useless anyway.
 const ROUNDS_KEPT: usize = 64;
@@ -32,6 +32,8 @@
     pub offer: PoolOffer,
     // Round in which the demand last changed.
     changed: u64,
+    // Until when slots of an earlier session may be used; none once this one made an offer.
+    adopted_until: Option<BootTime>,
 }
 
 /// An entry host's side of a session with one broker.
@@ -69,9 +71,11 @@
         self.session
     }
 
-    /// When the grants of this session lapse.
-    pub fn expires(&self) -> BootTime {
-        self.expires
+    /// When this session's grant on `pool` lapses.
+    pub fn expires(&self, pool: &PoolId) -> BootTime {
+        let held = self.pools.get(pool);
+        held.and_then(|held| held.adopted_until)
+            .unwrap_or(self.expires)
     }
 
     /// The newest round whose grant was applied.
@@ -124,6 +128,7 @@
         for (pool, offer) in offers {
             if let Some(held) = self.pools.get_mut(&pool) {
                 held.offer = offer;
+                held.adopted_until = None;
             }
         }
         true
@@ -142,9 +147,11 @@
     /// Keeps using what an earlier session held until its grants lapse.
     ///
     /// The first demand of this session reports these slots, so that the new broker counts
-    /// them; without this each change of broker would stop the pool for a moment.
-    pub fn adopt(&mut self, expires: BootTime, pool: &PoolId, targets: super::SlotMap) {
-        self.expires = self.expires.max(expires);
-        self.pools.entry(pool.clone()).or_default().offer.targets = targets;
+    /// them; without this each change of broker would stop the pool for a moment. They
+    /// lapse on their own: a grant of this session for other pools does not renew them.
+    pub fn adopt(&mut self, expires: BootTime, pool: &PoolId, targets: SlotMap) {
+        let held = self.pools.entry(pool.clone()).or_default();
+        held.offer.targets = targets;
+        held.adopted_until = Some(expires);
     }
 }
--- /dev/null
+++ b/crates/decide/src/share/holder_state.rs
@@ -0,0 +1,142 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use model::{BootTime, HostId, TeamId};
+
+use super::terms::{BrokerSwitch, SlotMap, TeamLoad};
+
+// Demand falls slowly in the broker's eyes, so that slots do not follow every gap between
+// two requests.
+const DEMAND_DECAY: f64 = 0.6;
+// Below this a decayed demand counts as none.
+const DEMAND_FLOOR: f64 = 0.1;
+
+#[derive(Debug, Default)]
+pub(super) struct HolderState {
+    pub(super) heard: BootTime,
+    // The epoch that the last offer was made in.
+    pub(super) seen_epoch: u64,
+    // The newest round that was answered.
+    pub(super) round: u64,
+    pub(super) loads: BTreeMap<TeamId, LoadState>,
+    pub(super) held: SlotMap,
+    // Offers from the newest confirmed one on, with the round each was made in.
+    pub(super) offers: VecDeque<(u64, SlotMap)>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct LoadState {
+    pub(super) queued: u32,
+    // Running and queued, as last reported.
+    pub(super) fresh: f64,
+    pub(super) demand: f64,
+    pub(super) used: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TeamDue {
+    pub(super) demand: f64,
+    pub(super) slots: f64,
+}
+
+impl HolderState {
+    // The most slots of `target` that the holder may believe in.
+    pub(super) fn outstanding(&self, target: &HostId, switch: BrokerSwitch) -> u32 {
+        let held = self.held.get(target).copied().unwrap_or_default();
+        let offered = |offer: &(u64, SlotMap)| offer.1.get(target).copied().unwrap_or_default();
+        if switch == BrokerSwitch::SkipConfirm {
+            return self.offers.back().map_or(held, offered);
+        }
+        self.offers
+            .iter()
+            .map(offered)
+            .max()
+            .unwrap_or_default()
+            .max(held)
+    }
+
+    pub(super) fn due_slots<'a>(
+        &'a self,
+        dues: &'a BTreeMap<TeamId, TeamDue>,
+    ) -> impl Iterator<Item = (&'a TeamId, f64)> {
+        self.loads.iter().filter_map(|(team, load)| {
+            let due = dues.get(team)?;
+            let part = if 0.0 < due.demand {
+                load.demand / due.demand
+            } else {
+                0.0
+            };
+            Some((team, due.slots * part))
+        })
+    }
+}
+
+impl HolderState {
+    // Lets the memory of past demand fade; true if any did.
+    pub(super) fn fade(&mut self) -> bool {
+        let mut faded = false;
+        for load in self.loads.values_mut() {
+            let floor = load.fresh;
+            if floor < load.demand {
+                load.demand = faded_demand(load.demand).max(floor);
+                faded = true;
+            }
+        }
+        faded
+    }
+}
+
+impl LoadState {
+    pub(super) fn next(load: &TeamLoad, last: &Self) -> Self {
+        let fresh = f64::from(load.running) + f64::from(load.queued);
+        Self {
+            queued: load.queued,
+            fresh,
+            demand: fresh.max(faded_demand(last.demand)),
+            used: load.used.max(last.used),
+        }
+    }
+}
+
+fn faded_demand(demand: f64) -> f64 {
+    let faded = demand * DEMAND_DECAY;
+    if faded < DEMAND_FLOOR { 0.0 } else { faded }
+}
+
+// Moves `last` towards `wanted` slots in total within `headroom`, with few changes: takes
+// from where the holder has most, adds where most is free.
+pub(super) fn reshape(last: &SlotMap, wanted: u32, headroom: &SlotMap) -> SlotMap {
+    let mut next: SlotMap = headroom
+        .iter()
+        .map(|(target, &room)| {
+            (
+                target.clone(),
+                last.get(target).copied().unwrap_or(0).min(room),
+            )
+        })
+        .collect();
+    let mut total: u32 = next.values().sum();
+    while wanted < total {
+        let Some((_, slots)) = next.iter_mut().max_by_key(|(_, slots)| **slots) else {
+            break;
+        };
+        *slots -= 1;
+        total -= 1;
+    }
+    while total < wanted {
+        let room_left = |target: &HostId, slots: u32| headroom[target] - slots;
+        let best = next
+            .iter_mut()
+            .max_by_key(|(target, slots)| room_left(target, **slots));
+        let Some((target, slots)) = best else {
+            break;
+        };
+        if room_left(target, *slots) == 0 {
+            break;
+        }
+        *slots += 1;
+        total += 1;
+    }
+    next.retain(|_, slots| 0 < *slots);
+    next
+}
--- a/crates/decide/src/share/mod.rs
+++ b/crates/decide/src/share/mod.rs
@@ -6,12 +6,13 @@
 
 mod broker;
 mod holder;
+mod holder_state;
 mod pick;
 mod split;
+mod terms;
 
-pub use broker::{
-    BrokerOptions, BrokerSwitch, HolderDemand, PoolOffer, SlotBroker, SlotMap, TeamLoad,
-};
+pub use broker::SlotBroker;
 pub use holder::{HeldPool, HolderOptions, SlotHolder};
 pub use pick::{PickOptions, TeamTurn, pick};
 pub use split::{ShareClaim, apportion, fair_split};
+pub use terms::{BrokerOptions, BrokerSwitch, HolderDemand, PoolOffer, SlotMap, TeamLoad};
--- a/crates/decide/tests/share.rs
+++ b/crates/decide/tests/share.rs
@@ -136,7 +136,7 @@
             // Holders notice the new broker, and begin a session that tells what they hold.
             for model in &mut models {
                 let held = held_slots(model, &pool, now);
-                let expires = model.holder.expires();
+                let expires = model.holder.expires(&pool);
                 let session = model.holder.session() + 1;
                 model.holder = SlotHolder::new(session, HolderOptions::default());
                 model.holder.touch(&pool);
@@ -263,7 +263,7 @@
 }
 
 fn held_slots(model: &HolderModel, pool: &PoolId, now: BootTime) -> BTreeMap<HostId, u32> {
-    if model.holder.expires() <= now {
+    if model.holder.expires(pool) <= now {
         return BTreeMap::new();
     }
     let held = model.holder.pools().find(|(id, _)| *id == pool);
