Lease slots to entry hosts by sessions with each pool's broker

Cause: the broker of decide::share needs threads, messages and a change of owner. Change: crate share. A host keeps one session with each broker, in which both leave out pools that did not change, so that an idle pool costs nothing on the wire. A broker that loses a pool ends its sessions, so that a holder that has not noticed can't renew the lost pool's slots through grants for others. Ruled out: a lease for each pool (313 pools renewed each second cost about 12 KB/s a node by message size alone, twice the ceiling for everything). Conclusion: the entry queues can be wired to it.

--- a/crates/decide/src/share/broker.rs
+++ b/crates/decide/src/share/broker.rs
@@ -109,7 +109,7 @@
         let Some(state) = self.holders.get_mut(holder) else {
             return false;
         };
-        if round <= state.round {
+        if state.closed || round <= state.round {
             return false;
         }
         state.round = round;
@@ -126,6 +126,16 @@
         true
     }
 
+    /// Notes that the holder began a session without this pool.
+    ///
+    /// It no longer asks here, but may use what it was granted until that lapses, so its
+    /// slots stay believed in.
+    pub fn close(&mut self, holder: &MemberId) {
+        if let Some(state) = self.holders.get_mut(holder) {
+            state.closed = true;
+        }
+    }
+
     /// Replaces a holder's load.
     pub fn report(&mut self, holder: &MemberId, demand: HolderDemand) {
         let Some(state) = self.holders.get_mut(holder) else {
@@ -174,13 +184,15 @@
         let wanted = self.wanted_slots(holder, &dues);
         let headroom = self.headroom(now, holder);
         let state = self.holders.get_mut(holder)?;
-        if UNCONFIRMED_MAX <= state.offers.len() {
+        if state.closed || UNCONFIRMED_MAX <= state.offers.len() {
             return None;
         }
         state.seen_epoch = self.epoch;
         let (_, last) = state.offers.back()?;
         let next = reshape(last, wanted, &headroom);
-        if *last != next {
+        // The first offer of a session is told even if it changes nothing: it is what
+        // renews the slots that the holder brought along.
+        if *last != next || state.is_fresh() {
             state.offers.push_back((round, next.clone()));
         }
         Some(PoolOffer {
@@ -189,23 +201,32 @@
         })
     }
 
-    /// True if an offer to `holder` could differ from the last one made to it, or if one
-    /// made after round `applied` is still to be confirmed.
-    pub fn has_news(&self, now: BootTime, holder: &MemberId, applied: u64) -> bool {
+    /// True if an offer to `holder` could differ from the last one made to it.
+    pub fn has_news(&self, now: BootTime, holder: &MemberId) -> bool {
         let Some(state) = self.holders.get(holder) else {
             return false;
         };
-        let unconfirmed = state
-            .offers
-            .back()
-            .is_some_and(|(round, _)| applied < *round);
-        let backlogged = state.loads.values().any(|load| 0 < load.queued);
-        unconfirmed || backlogged || state.seen_epoch < self.epoch || self.is_cautious(now)
+        state.seen_epoch < self.epoch || self.is_cautious(now)
+    }
+
+    /// True if the last offer to `holder` was made after round `applied`.
+    pub fn unconfirmed(&self, holder: &MemberId, applied: u64) -> bool {
+        let last = self
+            .holders
+            .get(holder)
+            .and_then(|state| state.offers.back());
+        last.is_some_and(|(round, _)| applied < *round)
+    }
+
+    /// True if requests queue at the holder, which then needs the teams' virtual times.
+    pub fn is_backlogged(&self, holder: &MemberId) -> bool {
+        let state = self.holders.get(holder);
+        state.is_some_and(|state| state.loads.values().any(|load| 0 < load.queued))
     }
 
     /// True if the holder has reported in its session.
     pub fn knows(&self, holder: &MemberId) -> bool {
-        self.holders.contains_key(holder)
+        self.holders.get(holder).is_some_and(|state| !state.closed)
     }
 
     /// Slots of `target` that holders may believe in now; for checks.
--- a/crates/decide/src/share/holder_state.rs
+++ b/crates/decide/src/share/holder_state.rs
@@ -16,6 +16,8 @@
     pub(super) heard: BootTime,
     // The epoch that the last offer was made in.
     pub(super) seen_epoch: u64,
+    // The holder's session goes on without this pool.
+    pub(super) closed: bool,
     // The newest round that was answered.
     pub(super) round: u64,
     pub(super) loads: BTreeMap<TeamId, LoadState>,
@@ -72,6 +74,11 @@
 }
 
 impl HolderState {
+    // True before the first offer of the session.
+    pub(super) fn is_fresh(&self) -> bool {
+        self.offers.iter().all(|(round, _)| *round == 0)
+    }
+
     // Lets the memory of past demand fade; true if any did.
     pub(super) fn fade(&mut self) -> bool {
         let mut faded = false;
--- a/crates/ports/src/slot.rs
+++ b/crates/ports/src/slot.rs
@@ -42,6 +42,8 @@
     pub pool: PoolId,
     /// Demand by team; teams without any are left out.
     pub teams: Vec<TeamDemand>,
+    /// Requests in flight by target; targets without any are left out.
+    pub in_flight: Vec<TargetSlots>,
 }
 
 /// One team's demand on a pool at this entry host.
--- /dev/null
+++ b/crates/share/src/broker_desk.rs
@@ -0,0 +1,164 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use decide::share::{BrokerOptions, SlotBroker, SlotMap};
+use model::{BootTime, MemberId, PoolId, TeamId};
+use wire::peer::{SlotDemand, SlotGrant};
+
+use crate::convert::{demand_from_wire, offer_to_wire};
+
+/// One pool as the desk needs it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DeskPool {
+    /// Slots of each target that takes new work.
+    pub targets: SlotMap,
+}
+
+/// The brokers of all pools that this entry host owns.
+#[derive(Debug)]
+pub struct BrokerDesk {
+    options: BrokerOptions,
+    brokers: BTreeMap<PoolId, SlotBroker>,
+    sessions: BTreeMap<MemberId, u64>,
+}
+
+impl BrokerDesk {
+    /// A desk that owns nothing yet.
+    pub fn new(options: BrokerOptions) -> Self {
+        Self {
+            options,
+            brokers: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+        }
+    }
+
+    /// Number of pools brokered here.
+    pub fn pool_count(&self) -> usize {
+        self.brokers.len()
+    }
+
+    /// Replaces the pools that this host brokers.
+    ///
+    /// When a pool goes to another host, all sessions end: a holder that has not noticed
+    /// must not have its slots of that pool renewed by grants for the others. It begins a
+    /// new session, in which the pool is no longer offered.
+    pub fn set_pools(&mut self, now: BootTime, pools: &BTreeMap<PoolId, DeskPool>) {
+        let before = self.brokers.len();
+        self.brokers.retain(|pool, _| pools.contains_key(pool));
+        if self.brokers.len() < before {
+            self.sessions.clear();
+        }
+        for (pool, desk_pool) in pools {
+            let broker = self
+                .brokers
+                .entry(pool.clone())
+                .or_insert_with(|| SlotBroker::new(pool.clone(), now, self.options));
+            broker.set_targets(desk_pool.targets.clone());
+        }
+    }
+
+    /// Replaces the weights of the teams and the members that may hold slots.
+    pub fn set_parties(&mut self, weights: &BTreeMap<TeamId, f64>, members: &BTreeSet<MemberId>) {
+        for broker in self.brokers.values_mut() {
+            broker.set_weights(weights.clone());
+            broker.set_members(members.clone());
+        }
+    }
+
+    /// Answers a demand; `None` for one that a later one overtook.
+    ///
+    /// A grant of session 0 tells the holder that its session is unknown here.
+    pub fn answer(
+        &mut self,
+        now: BootTime,
+        from: &MemberId,
+        demand: &SlotDemand,
+    ) -> Option<SlotGrant> {
+        let known = self.sessions.get(from).copied();
+        if known.is_some_and(|known| demand.session < known) {
+            return None;
+        }
+        let opening = known != Some(demand.session);
+        if opening && 0 < demand.applied {
+            return Some(SlotGrant {
+                round: demand.round,
+                ..SlotGrant::default()
+            });
+        }
+        self.sessions.insert(from.clone(), demand.session);
+        let reported = self.take_reports(now, from, demand, opening);
+        self.confirm_others(now, from, demand, opening, &reported);
+        Some(self.grant(now, from, demand))
+    }
+
+    /// Forgets holders that went silent.
+    pub fn expire(&mut self, now: BootTime) {
+        for broker in self.brokers.values_mut() {
+            broker.expire(now);
+        }
+    }
+
+    fn take_reports(
+        &mut self,
+        now: BootTime,
+        from: &MemberId,
+        demand: &SlotDemand,
+        opening: bool,
+    ) -> BTreeSet<PoolId> {
+        let mut reported = BTreeSet::new();
+        for pool in &demand.pools {
+            let id = PoolId::from(pool.pool.as_str());
+            let Some(broker) = self.brokers.get_mut(&id) else {
+                continue;
+            };
+            let load = demand_from_wire(pool);
+            if opening || !broker.knows(from) {
+                broker.open(now, from, demand.round, load);
+            } else if broker.confirm(now, from, demand.round, demand.applied) {
+                broker.report(from, load);
+            }
+            reported.insert(id);
+        }
+        reported
+    }
+
+    fn confirm_others(
+        &mut self,
+        now: BootTime,
+        from: &MemberId,
+        demand: &SlotDemand,
+        opening: bool,
+        reported: &BTreeSet<PoolId>,
+    ) {
+        for (pool, broker) in &mut self.brokers {
+            if reported.contains(pool) {
+                continue;
+            }
+            if opening {
+                broker.close(from);
+            } else {
+                broker.confirm(now, from, demand.round, demand.applied);
+            }
+        }
+    }
+
+    fn grant(&mut self, now: BootTime, from: &MemberId, demand: &SlotDemand) -> SlotGrant {
+        let mut pools = Vec::new();
+        for (pool, broker) in &mut self.brokers {
+            let fresh = broker.has_news(now, from) || broker.unconfirmed(from, demand.applied);
+            if !fresh && !broker.is_backlogged(from) {
+                continue;
+            }
+            let Some(offer) = broker.offer(now, from, demand.round) else {
+                continue;
+            };
+            if broker.unconfirmed(from, demand.applied) || broker.is_backlogged(from) {
+                pools.push(offer_to_wire(pool, &offer));
+            }
+        }
+        SlotGrant {
+            round: demand.round,
+            session: demand.session,
+            pools,
+        }
+    }
+}
--- /dev/null
+++ b/crates/share/src/service.rs
@@ -0,0 +1,323 @@
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    io,
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use crossbeam_channel::{Receiver, Sender, bounded, never, select};
+use decide::{
+    rendezvous,
+    share::{BrokerOptions, HolderOptions, SlotMap},
+};
+use model::{BootTime, HostRole, MemberId, PoolId, StepError, TeamId};
+use parking_lot::{Mutex, RwLock};
+use platform::Clock;
+use ports::{
+    ConfigSource, ForceConfig, InboundMessage, MemberSource, PeerLink, PoolDemand, SlotLease,
+    SlotSource, TargetSource, TargetState,
+};
+use wire::peer::{SlotDemand, SlotGrant, envelope::Body};
+
+use crate::{
+    broker_desk::{BrokerDesk, DeskPool},
+    session_book::SessionBook,
+};
+
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Times of the share service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShareTimes {
+    /// How often the duty looks for work.
+    pub tick: Duration,
+    /// Interval of demands to a broker.
+    pub interval: Duration,
+    /// Shortest time between two demands to a broker when requests begin to queue.
+    pub gap: Duration,
+    /// How long a grant may be used, counted from when its demand was sent.
+    pub lease: Duration,
+    /// Added to the lease before slots of a silent holder are given to others.
+    pub guard: Duration,
+}
+
+impl Default for ShareTimes {
+    fn default() -> Self {
+        Self {
+            tick: Duration::from_millis(25),
+            interval: Duration::from_millis(250),
+            gap: Duration::from_millis(50),
+            lease: Duration::from_secs(3),
+            guard: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What the share service works with.
+pub struct ShareOptions {
+    /// Sends to other entry hosts.
+    pub link: Arc<dyn PeerLink>,
+    /// Demands and grants from other entry hosts.
+    pub inbound: Receiver<InboundMessage>,
+    /// The member list.
+    pub members: Arc<dyn MemberSource>,
+    /// Pools, slots and weights.
+    pub config: Arc<dyn ConfigSource>,
+    /// Targets of the pools.
+    pub targets: Arc<dyn TargetSource>,
+    /// The boot clock.
+    pub clock: Arc<dyn Clock>,
+    /// Times.
+    pub times: ShareTimes,
+}
+
+/// Holds and brokers slot leases; see the crate's documentation.
+pub struct ShareService {
+    leases: Arc<RwLock<HashMap<PoolId, Arc<SlotLease>>>>,
+    reports: Arc<Mutex<BTreeMap<PoolId, PoolDemand>>>,
+    wake: Sender<()>,
+    stop: Option<Sender<()>>,
+    duty: Option<JoinHandle<()>>,
+}
+
+impl ShareService {
+    /// Starts the duty.
+    ///
+    /// # Errors
+    /// If the thread can't be started.
+    pub fn start(options: ShareOptions) -> Result<Arc<Self>, StepError> {
+        let leases = Arc::new(RwLock::new(HashMap::new()));
+        let reports = Arc::new(Mutex::new(BTreeMap::new()));
+        let (wake, woken) = bounded(1);
+        let (stop, stopped) = bounded(0);
+        let duty = ShareDuty::new(options, Arc::clone(&leases), Arc::clone(&reports));
+        let handle = spawn_duty(duty, woken, stopped)
+            .map_err(|error| StepError::new("start share duty", "", error))?;
+        Ok(Arc::new(Self {
+            leases,
+            reports,
+            wake,
+            stop: Some(stop),
+            duty: Some(handle),
+        }))
+    }
+}
+
+impl SlotSource for ShareService {
+    fn lease(&self, pool: &PoolId) -> Arc<SlotLease> {
+        self.leases.read().get(pool).cloned().unwrap_or_default()
+    }
+
+    fn report(&self, demand: PoolDemand) {
+        let queued = demand.teams.iter().any(|team| 0 < team.queued);
+        merge_report(&mut self.reports.lock(), demand);
+        if queued {
+            // A full channel means that the duty is about to look anyway.
+            let _ = self.wake.try_send(());
+        }
+    }
+}
+
+impl Drop for ShareService {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(duty) = self.duty.take() {
+            let _ = duty.join();
+        }
+    }
+}
+
+struct ShareDuty {
+    options: ShareOptions,
+    own: MemberId,
+    leases: Arc<RwLock<HashMap<PoolId, Arc<SlotLease>>>>,
+    reports: Arc<Mutex<BTreeMap<PoolId, PoolDemand>>>,
+    desk: BrokerDesk,
+    book: SessionBook,
+    refreshed: BootTime,
+}
+
+impl ShareDuty {
+    fn new(
+        options: ShareOptions,
+        leases: Arc<RwLock<HashMap<PoolId, Arc<SlotLease>>>>,
+        reports: Arc<Mutex<BTreeMap<PoolId, PoolDemand>>>,
+    ) -> Self {
+        let times = options.times;
+        let broker_options = BrokerOptions {
+            lease: times.lease,
+            guard: times.guard,
+            ..BrokerOptions::default()
+        };
+        let first_session = u64::try_from(options.clock.unix_now().as_millis()).unwrap_or(1);
+        Self {
+            own: options.members.own_id(),
+            leases,
+            reports,
+            desk: BrokerDesk::new(broker_options),
+            book: SessionBook::new(first_session, HolderOptions { lease: times.lease }),
+            refreshed: BootTime::ZERO,
+            options,
+        }
+    }
+
+    fn run(mut self, woken: &Receiver<()>, stopped: &Receiver<()>) {
+        let inbound = self.options.inbound.clone();
+        let mut inbound = &inbound;
+        let silent = never();
+        loop {
+            select! {
+                recv(stopped) -> _ => return,
+                recv(inbound) -> message => match message {
+                    Ok(message) => self.take_message(message),
+                    Err(_) => inbound = &silent,
+                },
+                recv(woken) -> _ => {}
+                default(self.options.times.tick) => {}
+            }
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.options.clock.boot_now();
+        if self.refreshed + self.options.times.interval <= now {
+            self.refreshed = now;
+            self.refresh(now);
+        }
+        let reports = std::mem::take(&mut *self.reports.lock());
+        for demand in reports.into_values() {
+            self.book.report(demand);
+        }
+        let times = self.options.times;
+        for (broker, demand) in self.book.due(now, times.interval, times.gap) {
+            self.send_demand(now, &broker, demand);
+        }
+    }
+
+    // Follows the member list, the configuration and the targets.
+    fn refresh(&mut self, now: BootTime) {
+        let config = self.options.config.current();
+        let members = self.options.members.members();
+        let fit = members
+            .iter()
+            .filter(|member| member.heard && !member.leaving);
+        let fit: Vec<MemberId> = fit.map(|member| member.member.clone()).collect();
+        let owners = pool_owners(&config, &fit);
+        let own_pools: BTreeMap<PoolId, DeskPool> = owners
+            .iter()
+            .filter(|(_, owner)| **owner == self.own)
+            .map(|(pool, _)| (pool.clone(), self.desk_pool(&config, pool)))
+            .collect();
+        self.desk.set_pools(now, &own_pools);
+        let listed: BTreeSet<MemberId> =
+            members.iter().map(|member| member.member.clone()).collect();
+        self.desk.set_parties(&team_weights(&config), &listed);
+        self.desk.expire(now);
+        self.book.set_owners(owners);
+        self.leases
+            .write()
+            .retain(|pool, _| config.manifest.pools.contains_key(pool));
+        metrics::gauge!("lws_share_brokered_pools").set(self.desk.pool_count() as f64);
+    }
+
+    fn desk_pool(&self, config: &ForceConfig, pool: &PoolId) -> DeskPool {
+        let slots = config.manifest.pools.get(pool).map_or(0, |spec| spec.slots);
+        let targets = self.options.targets.pool_targets(pool);
+        let serving = targets
+            .iter()
+            .filter(|target| target.state == TargetState::Serving);
+        let targets: SlotMap = serving.map(|target| (target.host.clone(), slots)).collect();
+        DeskPool { targets }
+    }
+
+    fn take_message(&mut self, message: InboundMessage) {
+        let now = self.options.clock.boot_now();
+        match message.body {
+            Body::SlotDemand(demand) => {
+                if let Some(grant) = self.desk.answer(now, &message.from, &demand) {
+                    self.send(&message.from, Body::SlotGrant(grant));
+                }
+            }
+            Body::SlotGrant(grant) => self.take_grant(&message.from, &grant),
+            _ => {}
+        }
+    }
+
+    fn send_demand(&mut self, now: BootTime, broker: &MemberId, demand: SlotDemand) {
+        if *broker != self.own {
+            self.send(broker, Body::SlotDemand(demand));
+            return;
+        }
+        if let Some(grant) = self.desk.answer(now, broker, &demand) {
+            self.take_grant(broker, &grant);
+        }
+    }
+
+    fn take_grant(&mut self, broker: &MemberId, grant: &SlotGrant) {
+        let changed = self.book.apply(broker, grant);
+        let mut leases = self.leases.write();
+        for pool in changed {
+            if let Some(lease) = self.book.lease(&pool) {
+                leases.insert(pool, lease);
+            }
+        }
+    }
+
+    // A lost message is made up for by the next round.
+    fn send(&self, to: &MemberId, body: Body) {
+        if let Err(error) = self.options.link.send(to, body) {
+            log::debug!("E0401 share-message-dropped peer={to} cause=\"{error}\"");
+        }
+    }
+}
+
+fn spawn_duty(
+    duty: ShareDuty,
+    woken: Receiver<()>,
+    stopped: Receiver<()>,
+) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name("share".to_owned())
+        .stack_size(STACK_BYTES)
+        .spawn(move || duty.run(&woken, &stopped))
+}
+
+fn pool_owners(config: &ForceConfig, fit: &[MemberId]) -> BTreeMap<PoolId, MemberId> {
+    let pools = config.manifest.pools.iter();
+    let executors = pools.filter(|(_, spec)| spec.role == HostRole::Executor);
+    executors
+        .filter_map(|(pool, _)| {
+            let owner = rendezvous::holder(pool, fit)?;
+            Some((pool.clone(), owner.clone()))
+        })
+        .collect()
+}
+
+fn team_weights(config: &ForceConfig) -> BTreeMap<TeamId, f64> {
+    let teams = config.manifest.teams.iter();
+    teams
+        .map(|(team, spec)| (team.clone(), f64::from(spec.share)))
+        .collect()
+}
+
+// Used time adds up until the duty has taken it; the rest is replaced.
+fn merge_report(reports: &mut BTreeMap<PoolId, PoolDemand>, mut demand: PoolDemand) {
+    if let Some(last) = reports.remove(&demand.pool) {
+        for team in last.teams {
+            if team.used_ms == 0 {
+                continue;
+            }
+            match demand.teams.iter_mut().find(|next| next.team == team.team) {
+                Some(next) => next.used_ms += team.used_ms,
+                None => demand.teams.push(ports::TeamDemand {
+                    team: team.team,
+                    used_ms: team.used_ms,
+                    ..ports::TeamDemand::default()
+                }),
+            }
+        }
+    }
+    reports.insert(demand.pool.clone(), demand);
+}
--- /dev/null
+++ b/crates/share/src/session_book.rs
@@ -0,0 +1,259 @@
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use decide::share::{HolderOptions, SlotHolder, SlotMap};
+use model::{BootTime, MemberId, PoolId, TeamId};
+use ports::{PoolDemand, SlotLease, TargetSlots, TeamUse};
+use wire::peer::{SlotDemand, SlotGrant};
+
+use crate::convert::{demand_to_wire, offer_from_wire};
+
+/// This entry host's sessions with the brokers of all pools.
+#[derive(Debug)]
+pub struct SessionBook {
+    options: HolderOptions,
+    next_session: u64,
+    owners: BTreeMap<PoolId, MemberId>,
+    sessions: BTreeMap<MemberId, SessionState>,
+    demands: BTreeMap<PoolId, PoolDemand>,
+    // Slot time used since the session of the pool began, in milliseconds.
+    used: BTreeMap<(PoolId, TeamId), u64>,
+}
+
+#[derive(Debug)]
+struct SessionState {
+    holder: SlotHolder,
+    asked: BootTime,
+    urgent: bool,
+}
+
+impl SessionBook {
+    /// A book without sessions; `first_session` must exceed those of earlier lives of this host.
+    pub fn new(first_session: u64, options: HolderOptions) -> Self {
+        Self {
+            options,
+            next_session: first_session,
+            owners: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            demands: BTreeMap::new(),
+            used: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the brokers of the pools.
+    ///
+    /// A broker that gains pools gets a new session, whose first demand tells what this
+    /// host holds, so that no slot is granted twice and none is lost in the change.
+    pub fn set_owners(&mut self, owners: BTreeMap<PoolId, MemberId>) {
+        if self.owners == owners {
+            return;
+        }
+        let gained: Vec<MemberId> = owners
+            .iter()
+            .filter(|(pool, owner)| self.owners.get(*pool) != Some(*owner))
+            .map(|(_, owner)| owner.clone())
+            .collect();
+        let held = self.held_pools();
+        for (pool, owner) in &self.owners {
+            let session = self.sessions.get_mut(owner);
+            if owners.get(pool) != Some(owner)
+                && let Some(session) = session
+            {
+                session.holder.release(pool);
+            }
+        }
+        self.owners = owners;
+        for broker in gained {
+            self.begin_session(&broker, &held);
+        }
+        let owners = &self.owners;
+        self.sessions
+            .retain(|broker, _| owners.values().any(|owner| owner == broker));
+    }
+
+    /// Replaces this host's demand on a pool; true if requests began to queue.
+    pub fn report(&mut self, demand: PoolDemand) -> bool {
+        for team in &demand.teams {
+            let key = (demand.pool.clone(), team.team.clone());
+            *self.used.entry(key).or_default() += team.used_ms;
+        }
+        let last = self.demands.get(&demand.pool);
+        let queued_before = last.is_some_and(is_queued);
+        let begins = is_queued(&demand) && !queued_before;
+        let changed = last.is_none_or(|last| *last != demand);
+        if let Some(owner) = self.owners.get(&demand.pool)
+            && let Some(session) = self.sessions.get_mut(owner)
+            && changed
+        {
+            session.holder.touch(&demand.pool);
+            session.urgent |= begins;
+        }
+        self.demands.insert(demand.pool.clone(), demand);
+        begins
+    }
+
+    /// The demands that are due at `now`: sessions that waited for `interval`, or for `gap`
+    /// if requests began to queue.
+    pub fn due(
+        &mut self,
+        now: BootTime,
+        interval: Duration,
+        gap: Duration,
+    ) -> Vec<(MemberId, SlotDemand)> {
+        let is_due = |session: &SessionState| {
+            let wait = if session.urgent { gap } else { interval };
+            session.asked + wait <= now
+        };
+        let brokers: Vec<MemberId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| is_due(session))
+            .map(|(broker, _)| broker.clone())
+            .collect();
+        let ask = |broker: MemberId| self.ask(now, &broker).map(|demand| (broker, demand));
+        brokers.into_iter().filter_map(ask).collect()
+    }
+
+    /// Applies a grant; returns the pools whose lease changed.
+    pub fn apply(&mut self, broker: &MemberId, grant: &SlotGrant) -> Vec<PoolId> {
+        let Some(session) = self.sessions.get_mut(broker) else {
+            return Vec::new();
+        };
+        if grant.session == 0 {
+            let held = self.held_pools();
+            self.begin_session(broker, &held);
+            return Vec::new();
+        }
+        let offers = grant
+            .pools
+            .iter()
+            .map(|pool| (pool.pool.as_str().into(), offer_from_wire(pool)));
+        if !session
+            .holder
+            .apply(grant.session, grant.round, offers.collect())
+        {
+            return Vec::new();
+        }
+        session
+            .holder
+            .pools()
+            .map(|(pool, _)| pool.clone())
+            .collect()
+    }
+
+    /// The lease held on a pool now, lapsed or not; `None` if it was never granted.
+    pub fn lease(&self, pool: &PoolId) -> Option<Arc<SlotLease>> {
+        let session = self.sessions.get(self.owners.get(pool)?)?;
+        let (_, held) = session.holder.pools().find(|(id, _)| *id == pool)?;
+        let targets = held.offer.targets.iter().map(|(host, &slots)| TargetSlots {
+            host: host.clone(),
+            slots,
+        });
+        let teams = held.offer.teams.iter().map(|(team, slots, time)| TeamUse {
+            team: team.clone(),
+            slots: *slots,
+            virtual_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+        });
+        Some(Arc::new(SlotLease {
+            pool: pool.clone(),
+            expires: session.holder.expires(pool),
+            targets: targets.collect(),
+            teams: teams.collect(),
+        }))
+    }
+
+    /// The pools that have a broker.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        self.owners.keys()
+    }
+
+    fn ask(&mut self, now: BootTime, broker: &MemberId) -> Option<SlotDemand> {
+        let session = self.sessions.get_mut(broker)?;
+        session.asked = now;
+        session.urgent = false;
+        let (round, fresh) = session.holder.ask(now);
+        let applied = session.holder.applied();
+        let number = session.holder.session();
+        let pools = fresh.iter().map(|pool| self.pool_demand(broker, pool));
+        Some(SlotDemand {
+            round,
+            applied,
+            session: number,
+            pools: pools.collect(),
+        })
+    }
+
+    fn pool_demand(&self, broker: &MemberId, pool: &PoolId) -> wire::peer::PoolDemand {
+        let mut demand = self.demands.get(pool).cloned().unwrap_or_default();
+        demand.pool = pool.clone();
+        for team in &mut demand.teams {
+            let key = (pool.clone(), team.team.clone());
+            team.used_ms = self.used.get(&key).copied().unwrap_or_default();
+        }
+        let opening = self
+            .sessions
+            .get(broker)
+            .is_some_and(|session| session.holder.applied() == 0);
+        let granted = self.granted(broker, pool);
+        let mut held = if opening {
+            granted.clone()
+        } else {
+            SlotMap::new()
+        };
+        for target in &demand.in_flight {
+            let allowed = granted.get(&target.host).copied().unwrap_or_default();
+            if allowed < target.slots {
+                held.insert(target.host.clone(), target.slots);
+            }
+        }
+        demand_to_wire(&demand, &held)
+    }
+
+    fn granted(&self, broker: &MemberId, pool: &PoolId) -> SlotMap {
+        let session = self.sessions.get(broker);
+        let held = session.and_then(|session| {
+            session
+                .holder
+                .pools()
+                .find(|(id, _)| *id == pool)
+                .map(|(_, held)| held)
+        });
+        held.map(|held| held.offer.targets.clone())
+            .unwrap_or_default()
+    }
+
+    fn begin_session(&mut self, broker: &MemberId, held: &BTreeMap<PoolId, (BootTime, SlotMap)>) {
+        self.next_session += 1;
+        let mut holder = SlotHolder::new(self.next_session, self.options);
+        for (pool, owner) in &self.owners {
+            if owner != broker {
+                continue;
+            }
+            holder.touch(pool);
+            self.used.retain(|(used_pool, _), _| used_pool != pool);
+            if let Some((expires, targets)) = held.get(pool) {
+                holder.adopt(*expires, pool, targets.clone());
+            }
+        }
+        let state = SessionState {
+            holder,
+            asked: BootTime::ZERO,
+            urgent: true,
+        };
+        self.sessions.insert(broker.clone(), state);
+    }
+
+    fn held_pools(&self) -> BTreeMap<PoolId, (BootTime, SlotMap)> {
+        let mut held_pools = BTreeMap::new();
+        for session in self.sessions.values() {
+            for (pool, held) in session.holder.pools() {
+                let expires = session.holder.expires(pool);
+                held_pools.insert(pool.clone(), (expires, held.offer.targets.clone()));
+            }
+        }
+        held_pools
+    }
+}
+
+fn is_queued(demand: &PoolDemand) -> bool {
+    demand.teams.iter().any(|team| 0 < team.queued)
+}
