Add peer: nng links between entry hosts

Cause: the shared state needs heartbeats and change tails between entry hosts. Ruled out: the library's local address for the bound port; its port field is in network byte order (a listener bound to 35987 showed as 37772), so the port comes from BoundPort. Change: PeerNode with one Pull0 listener and one Push0 dialer per peer, short bounded queues, routing by kind, unknown and broken messages counted and dropped.

--- /dev/null
+++ b/crates/peer/src/body_kind.rs
@@ -0,0 +1,49 @@
+use wire::peer::envelope::Body;
+
+/// What a message is about; each kind that arrives has a queue of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum BodyKind {
+    /// A heartbeat.
+    Beat,
+    /// What an entry host would use of a pool.
+    SlotDemand,
+    /// The answer of a pool's broker.
+    SlotGrant,
+    /// A question whether a request id may run.
+    ClaimRequest,
+    /// The answer to such a question.
+    ClaimReply,
+    /// Changes of the configuration, or a request for them.
+    ChangeTail,
+}
+
+impl BodyKind {
+    /// All kinds, in the order of [`BodyKind::index`].
+    pub const ALL: [Self; 6] = [
+        Self::Beat,
+        Self::SlotDemand,
+        Self::SlotGrant,
+        Self::ClaimRequest,
+        Self::ClaimReply,
+        Self::ChangeTail,
+    ];
+
+    /// The kind of a body.
+    #[must_use]
+    pub const fn of(body: &Body) -> Self {
+        match body {
+            Body::Beat(_) => Self::Beat,
+            Body::SlotDemand(_) => Self::SlotDemand,
+            Body::SlotGrant(_) => Self::SlotGrant,
+            Body::ClaimRequest(_) => Self::ClaimRequest,
+            Body::ClaimReply(_) => Self::ClaimReply,
+            Body::ChangeTail(_) => Self::ChangeTail,
+        }
+    }
+
+    /// Position in [`BodyKind::ALL`].
+    #[must_use]
+    pub const fn index(self) -> usize {
+        self as usize
+    }
+}
--- /dev/null
+++ b/crates/peer/src/inbound_router.rs
@@ -0,0 +1,69 @@
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use model::MemberId;
+use ports::InboundMessage;
+use prost::Message as _;
+use wire::peer::Envelope;
+
+use crate::BodyKind;
+
+/// Messages of one kind that may wait for their duty.
+///
+/// A duty that falls behind loses the newest messages: all of them are repeated or
+/// replaced by their senders, and memory stays bounded.
+const QUEUE_LENGTH: usize = 1024;
+
+/// Decodes messages and hands each to the queue of its kind.
+pub(crate) struct InboundRouter {
+    own: MemberId,
+    senders: Vec<Sender<InboundMessage>>,
+    receivers: Vec<Receiver<InboundMessage>>,
+}
+
+impl InboundRouter {
+    /// A router with an empty queue for each kind.
+    pub(crate) fn new(own: MemberId) -> Self {
+        let (senders, receivers) = BodyKind::ALL.iter().map(|_| bounded(QUEUE_LENGTH)).unzip();
+        Self {
+            own,
+            senders,
+            receivers,
+        }
+    }
+
+    /// The queue of `kind`.
+    pub(crate) fn receiver(&self, kind: BodyKind) -> Receiver<InboundMessage> {
+        self.receivers[kind.index()].clone()
+    }
+
+    /// Decodes `bytes` and queues the message, or counts why it was dropped.
+    pub(crate) fn route(&self, bytes: &[u8]) {
+        metrics::counter!("lws_peer_received_messages").increment(1);
+        metrics::counter!("lws_peer_received_bytes").increment(bytes.len() as u64);
+        let Ok(envelope) = Envelope::decode(bytes) else {
+            return self.drop_message("broken", "");
+        };
+        if envelope.from.is_empty() || envelope.from == self.own.as_str() {
+            return self.drop_message("misdirected", &envelope.from);
+        }
+        let Some(body) = envelope.body else {
+            return self.drop_message("unknown-body", &envelope.from);
+        };
+        let kind = BodyKind::of(&body);
+        let message = InboundMessage {
+            from: MemberId::from(envelope.from),
+            incarnation: envelope.incarnation,
+            body,
+        };
+        match self.senders[kind.index()].try_send(message) {
+            Ok(()) => {}
+            Err(TrySendError::Full(message) | TrySendError::Disconnected(message)) => {
+                self.drop_message("queue-full", &message.from);
+            }
+        }
+    }
+
+    fn drop_message(&self, reason: &'static str, from: &str) {
+        metrics::counter!("lws_peer_dropped_messages", "reason" => reason).increment(1);
+        log::debug!("E0201 peer-message-dropped from={from} reason={reason}");
+    }
+}
--- /dev/null
+++ b/crates/peer/src/outbound_link.rs
@@ -0,0 +1,85 @@
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use model::{MemberId, StepError};
+use nng::{
+    Dialer, DialerBuilder, Error, Message, Protocol, Socket,
+    options::{
+        Options, ReconnectMaxTime, ReconnectMinTime, SendBufferSize, transport::tcp::NoDelay,
+    },
+};
+use ports::LinkError;
+
+/// Messages that may wait while the peer can't be reached. A short queue, because what
+/// waits here is stale by the time the peer is back.
+const QUEUE_LENGTH: i32 = 64;
+
+/// First pause before nng dials again.
+const REDIAL_MIN: Duration = Duration::from_millis(50);
+
+/// Longest pause before nng dials again; well within a lease, so that a link that is
+/// whole again carries heartbeats before the lease runs out.
+const REDIAL_MAX: Duration = Duration::from_millis(400);
+
+/// The socket on which messages go to one peer.
+pub(crate) struct OutboundLink {
+    peer: MemberId,
+    address: String,
+    socket: Socket,
+    _dialer: Dialer,
+    sequence: AtomicU64,
+}
+
+impl OutboundLink {
+    /// Starts dialing `address`; nng goes on dialing until the link is dropped.
+    pub(crate) fn dial(peer: &MemberId, address: &str) -> Result<Self, StepError> {
+        let fail =
+            |error: Error| StepError::new("dial peer", format!("{peer} at {address}"), error);
+        let socket = Socket::new(Protocol::Push0).map_err(fail)?;
+        socket
+            .set_opt::<SendBufferSize>(QUEUE_LENGTH)
+            .map_err(fail)?;
+        let builder = DialerBuilder::new(&socket, &format!("tcp://{address}")).map_err(fail)?;
+        builder
+            .set_opt::<ReconnectMinTime>(Some(REDIAL_MIN))
+            .map_err(fail)?;
+        builder
+            .set_opt::<ReconnectMaxTime>(Some(REDIAL_MAX))
+            .map_err(fail)?;
+        builder.set_opt::<NoDelay>(true).map_err(fail)?;
+        let dialer = builder.start(true).map_err(|(_, error)| fail(error))?;
+        Ok(Self {
+            peer: peer.clone(),
+            address: address.to_owned(),
+            socket,
+            _dialer: dialer,
+            sequence: AtomicU64::new(0),
+        })
+    }
+
+    /// Where the link dials.
+    pub(crate) fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// The number of the next message.
+    pub(crate) fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Queues the encoded message without waiting.
+    pub(crate) fn send(&self, bytes: &[u8]) -> Result<(), LinkError> {
+        metrics::counter!("lws_peer_sent_messages").increment(1);
+        metrics::counter!("lws_peer_sent_bytes").increment(bytes.len() as u64);
+        match self.socket.try_send(Message::from(bytes)) {
+            Ok(()) => Ok(()),
+            Err((_, error)) => {
+                metrics::counter!("lws_peer_unsent_messages").increment(1);
+                log::debug!("E0202 peer-link-full peer={} cause={error}", self.peer);
+                Err(LinkError::Full(self.peer.clone()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/peer_node.rs
@@ -0,0 +1,239 @@
+use std::{
+    collections::BTreeMap,
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use crossbeam_channel::Receiver;
+use model::{Incarnation, MemberId, PeerSetting, StepError};
+use nng::{
+    Error, Listener, ListenerBuilder, Protocol, Socket,
+    options::{
+        LocalAddr, Options, RecvMaxSize, RecvTimeout,
+        transport::tcp::{BoundPort, NoDelay},
+    },
+};
+use parking_lot::{Mutex, RwLock};
+use ports::{InboundMessage, LinkError, PeerLink};
+use prost::Message as _;
+use wire::peer::{Envelope, envelope::Body};
+
+use crate::{BodyKind, inbound_router::InboundRouter, outbound_link::OutboundLink};
+
+/// Largest message that is taken in. The largest that is sent is a whole configuration,
+/// which the store's limit of a megabyte bounds.
+const MESSAGE_LIMIT: usize = 2 * 1024 * 1024;
+
+/// How often the receiving thread looks whether it should stop.
+const STOP_CHECK: Duration = Duration::from_millis(200);
+
+const THREAD_STACK: usize = 256 * 1024;
+
+/// This host's place among the entry hosts: one listening socket, one dialing socket per peer.
+///
+/// A link is one-way: answers come back over the link that the peer dials. So a peer that
+/// can't be dialled from here may still be heard, and nothing here assumes otherwise.
+pub struct PeerNode {
+    own: MemberId,
+    incarnation: AtomicU64,
+    address: String,
+    overrides: BTreeMap<MemberId, String>,
+    links: RwLock<BTreeMap<MemberId, Arc<OutboundLink>>>,
+    router: Arc<InboundRouter>,
+    socket: Socket,
+    stopping: Arc<AtomicBool>,
+    receiver: Mutex<Option<JoinHandle<()>>>,
+    _listener: Listener,
+}
+
+impl PeerNode {
+    /// Listens on `listen`, as `ip:port` with port 0 for a free one, and dials `peers`.
+    ///
+    /// # Errors
+    /// If the address can't be bound or a peer's address is malformed.
+    pub fn start(
+        own: MemberId,
+        incarnation: Incarnation,
+        listen: &str,
+        peers: Vec<PeerSetting>,
+    ) -> Result<Self, StepError> {
+        let fail = |error: Error| StepError::new("listen for peers", listen, error);
+        let socket = Socket::new(Protocol::Pull0).map_err(fail)?;
+        socket
+            .set_opt::<RecvTimeout>(Some(STOP_CHECK))
+            .map_err(fail)?;
+        let builder = ListenerBuilder::new(&socket, &format!("tcp://{listen}")).map_err(fail)?;
+        builder
+            .set_opt::<RecvMaxSize>(MESSAGE_LIMIT)
+            .map_err(fail)?;
+        builder.set_opt::<NoDelay>(true).map_err(fail)?;
+        let listener = builder.start().map_err(|(_, error)| fail(error))?;
+        let address = bound_address(&listener).map_err(fail)?;
+
+        let router = Arc::new(InboundRouter::new(own.clone()));
+        let stopping = Arc::new(AtomicBool::new(false));
+        let receiver = spawn_receiver(&socket, &router, &stopping)?;
+        let node = Self {
+            own,
+            incarnation: AtomicU64::new(incarnation),
+            address,
+            overrides: peers
+                .into_iter()
+                .map(|peer| (peer.member, peer.address))
+                .collect(),
+            links: RwLock::default(),
+            router,
+            socket,
+            stopping,
+            receiver: Mutex::new(Some(receiver)),
+            _listener: listener,
+        };
+        for (member, address) in node.overrides.clone() {
+            node.dial(&member, &address)?;
+        }
+        Ok(node)
+    }
+
+    /// The address on which peers are heard, with the port that was bound.
+    #[must_use]
+    pub fn peer_address(&self) -> &str {
+        &self.address
+    }
+
+    /// Which life of this host its messages carry.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation.load(Ordering::Acquire)
+    }
+
+    /// Begins another life, after the member list dropped the one before.
+    pub fn set_incarnation(&self, incarnation: Incarnation) {
+        self.incarnation.store(incarnation, Ordering::Release);
+    }
+
+    /// The queue of arriving messages of one kind; one duty reads it.
+    #[must_use]
+    pub fn inbound(&self, kind: BodyKind) -> Receiver<InboundMessage> {
+        self.router.receiver(kind)
+    }
+
+    /// Dials `member` at `address`, unless the settings named another address for it.
+    ///
+    /// # Errors
+    /// If the address is malformed.
+    pub fn set_peer(&self, member: &MemberId, address: &str) -> Result<(), StepError> {
+        let address = self.overrides.get(member).map_or(address, String::as_str);
+        if *member == self.own || address.is_empty() {
+            return Ok(());
+        }
+        let links = self.links.read();
+        if links.get(member).is_some_and(|l| l.address() == address) {
+            return Ok(());
+        }
+        drop(links);
+        self.dial(member, address)
+    }
+
+    /// Closes the link to a member that left; one named in the settings stays dialled,
+    /// since it is expected back.
+    pub fn remove_peer(&self, member: &MemberId) {
+        if !self.overrides.contains_key(member) {
+            self.links.write().remove(member);
+        }
+    }
+
+    /// Stops receiving and sending. Messages that nng took are still written out.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+        let receiver = self.receiver.lock().take();
+        if receiver.is_some_and(|r| r.join().is_err()) {
+            log::error!("E0203 peer-receiver-failed member={}", self.own);
+        }
+        self.links.write().clear();
+        self.socket.close();
+    }
+
+    fn dial(&self, member: &MemberId, address: &str) -> Result<(), StepError> {
+        let link = OutboundLink::dial(member, address)?;
+        log::info!("E0200 peer-dialled peer={member} address={address}");
+        self.links.write().insert(member.clone(), Arc::new(link));
+        Ok(())
+    }
+}
+
+impl PeerLink for PeerNode {
+    fn send(&self, to: &MemberId, body: Body) -> Result<(), LinkError> {
+        let Some(link) = self.links.read().get(to).cloned() else {
+            return Err(LinkError::NoLink(to.clone()));
+        };
+        let envelope = Envelope {
+            from: self.own.to_string(),
+            incarnation: self.incarnation(),
+            sequence: link.next_sequence(),
+            body: Some(body),
+        };
+        link.send(&envelope.encode_to_vec())
+    }
+
+    fn peers(&self) -> Vec<MemberId> {
+        self.links.read().keys().cloned().collect()
+    }
+}
+
+impl Drop for PeerNode {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl fmt::Debug for PeerNode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerNode")
+            .field("own", &self.own)
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The listening address with the port that was bound. The library's local address has its
+/// port in network byte order, so the port comes from an option of its own.
+fn bound_address(listener: &Listener) -> Result<String, Error> {
+    let port = listener.get_opt::<BoundPort>()?;
+    match listener.get_opt::<LocalAddr>()? {
+        nng::SocketAddr::Inet(address) => Ok(format!("{}:{port}", address.ip())),
+        nng::SocketAddr::Inet6(address) => Ok(format!("[{}]:{port}", address.ip())),
+        _ => Err(Error::AddressInvalid),
+    }
+}
+
+fn spawn_receiver(
+    socket: &Socket,
+    router: &Arc<InboundRouter>,
+    stopping: &Arc<AtomicBool>,
+) -> Result<JoinHandle<()>, StepError> {
+    let (socket, router, stopping) = (socket.clone(), router.clone(), stopping.clone());
+    thread::Builder::new()
+        .name("peer-receive".to_owned())
+        .stack_size(THREAD_STACK)
+        .spawn(move || receive_loop(&socket, &router, &stopping))
+        .map_err(|error| StepError::new("start thread", "peer-receive", error))
+}
+
+fn receive_loop(socket: &Socket, router: &InboundRouter, stopping: &AtomicBool) {
+    while !stopping.load(Ordering::Acquire) {
+        match socket.recv() {
+            Ok(message) => router.route(message.as_slice()),
+            Err(Error::TimedOut) => {}
+            Err(Error::Closed) => return,
+            Err(error) => {
+                log::warn!("E0204 peer-receive-failed cause={error}");
+                thread::sleep(STOP_CHECK);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/peer_node.rs
@@ -0,0 +1,125 @@
+//! Messages between entry hosts over real sockets.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use model::{MemberId, PeerSetting};
+use nng::{Protocol, Socket};
+use peer::{BodyKind, PeerNode};
+use ports::{LinkError, PeerLink};
+use wire::peer::{Beat, ChangeTail, envelope::Body};
+
+/// Generous: it bounds a failing run and decides nothing in a passing one.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn start(name: &str, incarnation: u64) -> PeerNode {
+    PeerNode::start(MemberId::from(name), incarnation, "127.0.0.1:0", Vec::new()).unwrap()
+}
+
+fn beat(count: u64) -> Body {
+    Body::Beat(Beat {
+        beat: count,
+        ..Beat::default()
+    })
+}
+
+#[test]
+fn send_routes_by_kind() {
+    let (a, b) = (start("a", 3), start("b", 1));
+    a.set_peer(&"b".into(), b.peer_address()).unwrap();
+    a.send(&"b".into(), beat(7)).unwrap();
+    a.send(&"b".into(), Body::ChangeTail(ChangeTail::default()))
+        .unwrap();
+    let message = b.inbound(BodyKind::Beat).recv_timeout(PATIENCE).unwrap();
+    assert_eq!(
+        (message.from.as_str(), message.incarnation, message.body),
+        ("a", 3, beat(7))
+    );
+    let tail = b.inbound(BodyKind::ChangeTail).recv_timeout(PATIENCE);
+    assert!(tail.is_ok());
+    assert!(b.inbound(BodyKind::Beat).is_empty());
+}
+
+#[test]
+fn send_unknown_peer_fails() {
+    let a = start("a", 1);
+    assert_eq!(
+        a.send(&"b".into(), beat(1)),
+        Err(LinkError::NoLink("b".into()))
+    );
+}
+
+// A peer is down for long: its callers see nothing, but the memory of this host would grow
+// with every heartbeat if messages to it were kept. The queue is short and refuses the rest.
+#[test]
+fn send_dead_peer_is_bounded() {
+    let a = start("a", 1);
+    let gone = start("b", 1).peer_address().to_owned();
+    a.set_peer(&"b".into(), &gone).unwrap();
+    let refused = (0..200).filter(|n| a.send(&"b".into(), beat(*n)).is_err());
+    assert!(refused.count() >= 100);
+}
+
+#[test]
+fn set_peer_settings_override_list() {
+    let (relay, listed) = (start("relay", 1), start("b", 1));
+    let peers = vec![PeerSetting {
+        member: "b".into(),
+        address: relay.peer_address().to_owned(),
+    }];
+    let a = PeerNode::start("a".into(), 1, "127.0.0.1:0", peers).unwrap();
+    a.set_peer(&"b".into(), listed.peer_address()).unwrap();
+    a.send(&"b".into(), beat(1)).unwrap();
+    assert!(relay.inbound(BodyKind::Beat).recv_timeout(PATIENCE).is_ok());
+}
+
+// During an upgrade a newer host sends a body that this one does not know, and a stray
+// process sends noise. Neither may stop the messages that follow them.
+#[test]
+fn receive_foreign_messages_are_dropped() {
+    let b = start("b", 1);
+    let raw = Socket::new(Protocol::Push0).unwrap();
+    raw.dial(&format!("tcp://{}", b.peer_address())).unwrap();
+    // from = "x", field 99 (length-delimited, empty): a body of a later schema.
+    let later = [0x0a, 0x01, b'x', 0x9a, 0x06, 0x00];
+    raw.send(&later[..]).unwrap();
+    raw.send(&[0xff_u8; 40][..]).unwrap();
+    let a = start("a", 1);
+    a.set_peer(&"b".into(), b.peer_address()).unwrap();
+    a.send(&"b".into(), beat(1)).unwrap();
+    let message = b.inbound(BodyKind::Beat).recv_timeout(PATIENCE).unwrap();
+    assert_eq!(message.from, "a");
+}
+
+// A host restarts on its address: peers must reach it again without being told.
+#[test]
+fn send_reconnects_after_restart() {
+    let a = start("a", 1);
+    let first = start("b", 1);
+    let address = first.peer_address().to_owned();
+    a.set_peer(&"b".into(), &address).unwrap();
+    a.send(&"b".into(), beat(1)).unwrap();
+    first
+        .inbound(BodyKind::Beat)
+        .recv_timeout(PATIENCE)
+        .unwrap();
+    drop(first);
+    let second = restart(&address);
+    let inbound = second.inbound(BodyKind::Beat);
+    let heard = (0..200).any(|n| {
+        let _ = a.send(&"b".into(), beat(n));
+        inbound.recv_timeout(Duration::from_millis(100)).is_ok()
+    });
+    assert!(heard);
+}
+
+fn restart(address: &str) -> PeerNode {
+    for _ in 0..100 {
+        if let Ok(node) = PeerNode::start("b".into(), 2, address, Vec::new()) {
+            return node;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("the address {address} stays taken");
+}
