Speak the platform's HTTP and stand in for it

Cause: every area needs a store and a host list to run against, and the proofs need faults struck at an exact call.

Ruled out: tiny_http for the stand-ins. It hides the connection, so that an answer can't be lost, cut short or refused above a connection limit; hyper, its nearest kin here, gives the connection to the stand-in.

--- /dev/null
+++ b/crates/platform/src/http_host_list.rs
@@ -0,0 +1,106 @@
+use std::time::Duration;
+
+use model::HostRole;
+use serde::Deserialize;
+
+use crate::{
+    HostEntry, HostList, HostListError,
+    http_caller::{CallError, CallPlan, HttpCaller},
+};
+
+/// Most bytes of the list that are read: some 20,000 hosts.
+const MAX_ANSWER: u64 = 8 * 1024 * 1024;
+
+/// The platform's host list over HTTP, as `docs/PLATFORM.md` describes it.
+#[derive(Debug)]
+pub struct HttpHostList {
+    caller: HttpCaller,
+    url: String,
+    timeout: Duration,
+}
+
+impl HttpHostList {
+    /// A client of the list at `base`, such as `http://10.0.0.1:7001`; a URL that ends in
+    /// `/v1/hosts` is taken as it is.
+    pub fn new(base: &str, timeout: Duration) -> Self {
+        let base = base.trim_end_matches('/').trim_end_matches("/v1/hosts");
+        Self {
+            caller: HttpCaller::new(),
+            url: format!("{base}/v1/hosts"),
+            timeout,
+        }
+    }
+}
+
+impl HostList for HttpHostList {
+    fn hosts(&self) -> Result<Vec<HostEntry>, HostListError> {
+        let plan = CallPlan {
+            method: "GET",
+            url: self.url.clone(),
+            if_version: None,
+            body: &[],
+            timeout: self.timeout,
+            max_answer: MAX_ANSWER,
+        };
+        let answer = self.caller.call(&plan).map_err(|error| match error {
+            CallError::NotSent(cause) | CallError::NoAnswer(cause) => HostListError(cause),
+        })?;
+        if answer.status != 200 {
+            return Err(HostListError(format!("status {}", answer.status)));
+        }
+        let rows: Vec<HostRow> = serde_json::from_slice(&answer.body)
+            .map_err(|error| HostListError(format!("unreadable answer: {error}")))?;
+        Ok(rows.into_iter().map(HostEntry::from).collect())
+    }
+}
+
+/// One host as the list writes it.
+#[derive(Debug, Deserialize)]
+struct HostRow {
+    host: String,
+    address: String,
+    role: RoleName,
+    #[serde(default)]
+    service: String,
+    #[serde(default)]
+    data_centre: String,
+    #[serde(default)]
+    rack: String,
+    #[serde(default)]
+    cores: u32,
+    #[serde(default)]
+    memory_mb: u64,
+    #[serde(default)]
+    accelerators: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// Role of a host as the list writes it.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RoleName {
+    Executor,
+    Worker,
+}
+
+impl From<HostRow> for HostEntry {
+    fn from(row: HostRow) -> Self {
+        let role = match row.role {
+            RoleName::Executor => HostRole::Executor,
+            RoleName::Worker => HostRole::Worker,
+        };
+        Self {
+            host: row.host.into(),
+            address: row.address,
+            role,
+            service: row.service.into(),
+            data_centre: row.data_centre.into(),
+            rack: row.rack.into(),
+            cores: row.cores,
+            memory_mb: row.memory_mb,
+            accelerators: row.accelerators,
+            leaving: row.leaving,
+        }
+    }
+}
