Read settings and manifests from INI, and declare log events

Cause: the crates need settings, a checked manifest and numbered events before they can meet. Ruled out: reading the whole text with rust-ini, because it forgets lines and takes a line without `=` for the start of the next line's key. Each line is given to it alone instead. Change: one table of keys per section drives reading, refusal and the docs; a manifest is checked as a whole and refused with section, key and line; event_catalogue! declares events.

--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -1,7 +1,19 @@
+//! Numbered log events: [`event_catalogue!`](crate::event_catalogue) declares the events
+//! of a crate, [`info`], [`warn`] and [`error`] write one line for each.
+//!
+//! ```
+//! mod event {
+//!     model::event_catalogue! {
+//!         MEMBER_JOINED = 301, "member-joined", "An entry host joined the member list.";
+//!     }
+//! }
+//! model::event::info(&event::MEMBER_JOINED, format_args!("member={} revision={}", "e1", 4));
+//! ```
+
 use std::fmt;
 
 /// One kind of event in the log; its number never changes. `docs/EVENTS.md` lists them all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EventCode(pub u16);
 
 /// What the catalogue says of an event.
@@ -15,8 +27,63 @@
     pub meaning: &'static str,
 }
 
+impl EventInfo {
+    /// An entry of a catalogue.
+    pub const fn new(number: u16, name: &'static str, meaning: &'static str) -> Self {
+        Self {
+            code: EventCode(number),
+            name,
+            meaning,
+        }
+    }
+}
+
 impl fmt::Display for EventCode {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "E{:04}", self.0)
     }
 }
+
+/// Logs an event of ordinary operation; `details` are `key=value` pairs.
+pub fn info(event: &EventInfo, details: fmt::Arguments<'_>) {
+    write_line(log::Level::Info, event, details);
+}
+
+/// Logs an event that an operator should know of; `details` are `key=value` pairs.
+pub fn warn(event: &EventInfo, details: fmt::Arguments<'_>) {
+    write_line(log::Level::Warn, event, details);
+}
+
+/// Logs an event that an operator should act on; `details` are `key=value` pairs.
+pub fn error(event: &EventInfo, details: fmt::Arguments<'_>) {
+    write_line(log::Level::Error, event, details);
+}
+
+/// Logs an event that is too frequent for ordinary operation.
+pub fn debug(event: &EventInfo, details: fmt::Arguments<'_>) {
+    write_line(log::Level::Debug, event, details);
+}
+
+fn write_line(level: log::Level, event: &EventInfo, details: fmt::Arguments<'_>) {
+    if level > log::max_level() {
+        return;
+    }
+    let code = event.code.to_string();
+    log::log!(target: &code, level, "{} {details}", event.name);
+}
+
+/// Declares the events of a crate as constants, and `ALL` with every one of them.
+///
+/// Each line reads `CONSTANT = number, "kebab-case-name", "Meaning.";`.
+#[macro_export]
+macro_rules! event_catalogue {
+    ($($constant:ident = $number:literal, $name:literal, $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $constant: $crate::EventInfo =
+                $crate::EventInfo::new($number, $name, $meaning);
+        )*
+        /// All events of this crate, for the catalogue.
+        pub const ALL: &[$crate::EventInfo] = &[$($constant),*];
+    };
+}
--- /dev/null
+++ b/crates/model/src/ini_text.rs
@@ -0,0 +1,154 @@
+use ini::{Ini, ParseOption};
+
+use crate::TextFault;
+
+/// Longest line that is read, in bytes.
+const MAX_LINE: usize = 4096;
+/// Longest text that is read, in bytes; a manifest at target size takes about 100 KB.
+const MAX_TEXT: usize = 512 * 1024;
+/// Most sections of a text; the search for duplicates takes time in their square.
+const MAX_SECTIONS: usize = 4096;
+/// Most keys of a section.
+const MAX_ENTRIES: usize = 64;
+
+/// One section of an INI text, with the lines that its parts stand on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct IniSection {
+    pub(crate) name: String,
+    pub(crate) line: usize,
+    pub(crate) entries: Vec<IniEntry>,
+}
+
+/// One `key = value` line.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct IniEntry {
+    pub(crate) key: String,
+    pub(crate) value: String,
+    pub(crate) line: usize,
+}
+
+impl IniSection {
+    /// Line of `key`, or of the section's header if the key is absent.
+    pub(crate) fn line_of(&self, key: &str) -> usize {
+        self.entries
+            .iter()
+            .find(|entry| entry.key == key)
+            .map_or(self.line, |entry| entry.line)
+    }
+}
+
+/// Reads INI text line by line, refusing duplicate sections and keys.
+///
+/// The library forgets the lines on which it found things, and takes a line without `=`
+/// for the beginning of the next line's key. Each line is therefore given to it alone.
+pub(crate) fn read_sections(text: &str) -> Result<Vec<IniSection>, TextFault> {
+    if text.len() > MAX_TEXT {
+        return Err(fault(
+            0,
+            format!("the text is larger than {MAX_TEXT} bytes"),
+        ));
+    }
+    let mut sections: Vec<IniSection> = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        read_line(&mut sections, index + 1, line)?;
+    }
+    Ok(sections)
+}
+
+fn read_line(sections: &mut Vec<IniSection>, number: usize, line: &str) -> Result<(), TextFault> {
+    let line = line.trim();
+    if line.len() > MAX_LINE {
+        return Err(fault(
+            number,
+            format!("the line is longer than {MAX_LINE} bytes"),
+        ));
+    }
+    if line.chars().any(|c| c.is_control() && c != '\t') {
+        return Err(fault(number, "the line holds a control character"));
+    }
+    if line.is_empty() || line.starts_with(';') || line.starts_with('#') {
+        return Ok(());
+    }
+    let options = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        ..ParseOption::default()
+    };
+    let parsed = Ini::load_from_str_opt(line, options)
+        .map_err(|_| fault(number, "expected `[section]`, `key = value` or a comment"))?;
+    if line.starts_with('[') {
+        return add_section(sections, number, line, &parsed);
+    }
+    for (key, value) in parsed.general_section() {
+        add_entry(sections, number, key, value)?;
+    }
+    Ok(())
+}
+
+fn add_section(
+    sections: &mut Vec<IniSection>,
+    number: usize,
+    line: &str,
+    parsed: &Ini,
+) -> Result<(), TextFault> {
+    let name = parsed.sections().flatten().next().unwrap_or_default();
+    if !line.ends_with(']') {
+        return Err(fault(number, "nothing may follow `]` on its line"));
+    }
+    if let Some(earlier) = sections.iter().find(|section| section.name == name) {
+        return Err(TextFault {
+            line: number,
+            section: name.to_owned(),
+            key: String::new(),
+            reason: format!("the section appears twice, first on line {}", earlier.line),
+        });
+    }
+    if sections.len() == MAX_SECTIONS {
+        return Err(fault(number, format!("more than {MAX_SECTIONS} sections")));
+    }
+    sections.push(IniSection {
+        name: name.to_owned(),
+        line: number,
+        entries: Vec::new(),
+    });
+    Ok(())
+}
+
+fn add_entry(
+    sections: &mut [IniSection],
+    number: usize,
+    key: &str,
+    value: &str,
+) -> Result<(), TextFault> {
+    let Some(section) = sections.last_mut() else {
+        return Err(fault(number, "a key must stand below a section"));
+    };
+    if let Some(earlier) = section.entries.iter().find(|entry| entry.key == key) {
+        return Err(TextFault {
+            line: number,
+            section: section.name.clone(),
+            key: key.to_owned(),
+            reason: format!("the key appears twice, first on line {}", earlier.line),
+        });
+    }
+    if section.entries.len() == MAX_ENTRIES {
+        return Err(fault(
+            number,
+            format!("more than {MAX_ENTRIES} keys in a section"),
+        ));
+    }
+    section.entries.push(IniEntry {
+        key: key.to_owned(),
+        value: value.trim().to_owned(),
+        line: number,
+    });
+    Ok(())
+}
+
+fn fault(line: usize, reason: impl Into<String>) -> TextFault {
+    TextFault {
+        line,
+        reason: reason.into(),
+        ..TextFault::default()
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,23 +4,30 @@
 //! process is told of its surroundings. Nothing here does I/O. The words for hosts,
 //! pools and teams are mapped in `docs/GLOSSARY.md`.
 
-mod event;
+pub mod event;
 mod id;
+mod ini_text;
+mod key_rule;
 mod manifest;
+mod manifest_check;
 mod manifest_text;
 mod problem;
 mod settings;
 mod step_error;
+mod text_fault;
+mod value_text;
 
 pub use event::{EventCode, EventInfo};
 pub use id::{
     BootTime, ChangeId, DataCentreId, HostId, Incarnation, JobId, KeyId, MemberId, PoolId, RackId,
     RequestId, Revision, ServiceId, TeamId, WorkspaceId,
 };
+pub use key_rule::KeyInfo;
 pub use manifest::{
     HostRole, Manifest, PoolSpec, ServiceSpec, TeamSpec, WindowSpec, WorkspaceSpec,
 };
 pub use manifest_text::{ManifestError, SectionTexts};
 pub use problem::{ProblemKind, RunFate};
-pub use settings::{PeerSetting, ServeSettings};
+pub use settings::{PeerSetting, ServeSettings, SettingsError};
 pub use step_error::StepError;
+pub use text_fault::{TextFault, text_of_bytes};
--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -31,6 +31,16 @@
     Worker,
 }
 
+impl HostRole {
+    /// Name of the role, as manifests and the host list write it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Executor => "executor",
+            Self::Worker => "worker",
+        }
+    }
+}
+
 /// One pool of hosts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolSpec {
--- a/crates/model/src/manifest_text.rs
+++ b/crates/model/src/manifest_text.rs
@@ -1,31 +1,146 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt::Write, ops::RangeInclusive, time::Duration};
 
-use crate::Manifest;
+use crate::{
+    KeyInfo, Manifest, PoolSpec, ServiceSpec, TeamSpec, TextFault, WindowSpec, WorkspaceSpec,
+    ini_text::{IniSection, read_sections},
+    key_rule::{KeyField, KeyRule, fill_section},
+    value_text::read_name,
+};
 
 /// The sections of a manifest as text, by section name such as `pool.coding`.
 pub type SectionTexts = BTreeMap<String, String>;
 
 /// Why a manifest was refused.
-#[derive(Clone, Debug, Default, PartialEq, Eq, thiserror::Error)]
-#[error("line {line}: [{section}] {key}: {reason}")]
-pub struct ManifestError {
-    /// Line of the text, from 1; 0 if the fault is not on one line.
-    pub line: usize,
-    /// Section at fault; empty if none.
-    pub section: String,
-    /// Key at fault; empty if none.
-    pub key: String,
-    /// What is wrong and what is allowed.
-    pub reason: String,
-}
+pub type ManifestError = TextFault;
+
+const MINUTE: Duration = Duration::from_secs(60);
+const DAY: Duration = Duration::from_secs(24 * 60 * 60);
+/// Range of a window's interval: minutes for trials, a year at most.
+const EVERY: RangeInclusive<Duration> = MINUTE..=Duration::from_secs(366 * 24 * 60 * 60);
+
+const DEPLOYMENT_RULES: &[KeyRule<Manifest>] = &[KeyRule::required(
+    "name",
+    KeyField::NameText(|manifest| &mut manifest.name),
+    "Name of the deployment.",
+)];
+
+const POOL_RULES: &[KeyRule<PoolSpec>] = &[
+    KeyRule::required(
+        "role",
+        KeyField::Role(|pool| &mut pool.role),
+        "Whether the hosts answer requests (executor) or run jobs (worker).",
+    ),
+    KeyRule::required(
+        "size",
+        KeyField::Count(1..=2_000, |pool| &mut pool.size),
+        "How many hosts the pool should have.",
+    ),
+    KeyRule::required(
+        "budget",
+        KeyField::Count(0..=2_000, |pool| &mut pool.budget),
+        "Availability budget: how many hosts must be in service at every moment.",
+    ),
+    KeyRule::optional(
+        "slots",
+        KeyField::Count(1..=1_024, |pool| &mut pool.slots),
+        "Requests or tasks that one host runs at once.",
+    ),
+    KeyRule::optional(
+        "connections",
+        KeyField::Count(1..=65_535, |pool| &mut pool.connections),
+        "Connections that one host allows across all entry hosts; no fewer than its slots.",
+    ),
+    KeyRule::optional(
+        "spare",
+        KeyField::Flag(|pool| &mut pool.spare),
+        "Whether the pool lends its hosts to the other pools of its role; one for each role.",
+    ),
+    KeyRule::optional(
+        "window",
+        KeyField::NameText(|pool| &mut pool.window),
+        "Maintenance window; left out, the hosts are not maintained.",
+    ),
+];
+
+const SERVICE_RULES: &[KeyRule<ServiceSpec>] = &[
+    KeyRule::required(
+        "pool",
+        KeyField::Name(|service| &mut service.pool),
+        "Pool whose executors answer the requests of the service.",
+    ),
+    KeyRule::optional(
+        "worker_pool",
+        KeyField::Name(|service| &mut service.worker_pool),
+        "Pool whose workers run the jobs of the service; left out, it takes no jobs.",
+    ),
+];
+
+const TEAM_RULES: &[KeyRule<TeamSpec>] = &[
+    KeyRule::required(
+        "share",
+        KeyField::Count(1..=1_000, |team| &mut team.share),
+        "Weight of the team when a pool is full.",
+    ),
+    KeyRule::required(
+        "limit",
+        KeyField::Count(1..=1_000_000, |team| &mut team.limit),
+        "Upper limit: most requests and tasks that the team may have running across the fleet.",
+    ),
+];
+
+const WINDOW_RULES: &[KeyRule<WindowSpec>] = &[
+    KeyRule::required(
+        "start",
+        KeyField::ClockTime(|window| &mut window.start),
+        "When the window opens each day.",
+    ),
+    KeyRule::required(
+        "length",
+        KeyField::Span(MINUTE..=DAY, |window| &mut window.length),
+        "How long it stays open; `24h` leaves it always open.",
+    ),
+    KeyRule::required(
+        "every",
+        KeyField::Span(EVERY, |window| &mut window.every),
+        "How often each host is maintained.",
+    ),
+    KeyRule::required(
+        "at_once",
+        KeyField::Count(1..=2_000, |window| &mut window.at_once),
+        "Most hosts of one pool that may be out for maintenance at once.",
+    ),
+];
+
+const WORKSPACE_RULES: &[KeyRule<WorkspaceSpec>] = &[
+    KeyRule::required(
+        "team",
+        KeyField::Name(|workspace| &mut workspace.team),
+        "Team that the workspace belongs to.",
+    ),
+    KeyRule::required(
+        "limit",
+        KeyField::Count(1..=1_000_000, |workspace| &mut workspace.limit),
+        "Most tasks that the workspace may have running; no more than the limit of its team.",
+    ),
+];
 
 impl Manifest {
-    /// Splits manifest text into its sections, each in a normal form.
+    /// Splits manifest text into its sections, each in a normal form: keys in order,
+    /// without comments, so that equal sections have equal text.
     ///
     /// # Errors
     /// The first fault of the text.
-    pub fn split(_text: &str) -> Result<SectionTexts, ManifestError> {
-        Ok(SectionTexts::new())
+    pub fn split(text: &str) -> Result<SectionTexts, ManifestError> {
+        let mut texts = SectionTexts::new();
+        for section in read_sections(text)? {
+            split_name(&section)?;
+            // An empty text stands for a removed section in the change log.
+            if section.entries.is_empty() {
+                return Err(at_section(&section, "the section has no keys"));
+            }
+            texts.insert(section.name.clone(), normal_text(&section));
+        }
+        Ok(texts)
     }
 
     /// Reads and checks a whole manifest from its sections.
@@ -33,7 +148,127 @@
     /// # Errors
     /// The first fault: an unknown key, a value out of range, a reference to nothing, or
     /// a budget that can't be met.
-    pub fn from_sections(_sections: &SectionTexts) -> Result<Self, ManifestError> {
-        Ok(Self::default())
+    pub fn from_sections(sections: &SectionTexts) -> Result<Self, ManifestError> {
+        let mut manifest = Self::default();
+        for (name, text) in sections {
+            let read = read_sections(&format!("[{name}]\n{text}"))
+                .map_err(|fault| TextFault { line: 0, ..fault })?;
+            for section in &read {
+                manifest.add_section(section)?;
+            }
+        }
+        manifest.check()?;
+        Ok(manifest)
+    }
+
+    /// Reads and checks manifest text; faults name their line.
+    ///
+    /// # Errors
+    /// As for [`Manifest::split`] and [`Manifest::from_sections`].
+    pub fn from_ini(text: &str) -> Result<(SectionTexts, Self), ManifestError> {
+        let texts = Self::split(text)?;
+        let manifest = Self::from_sections(&texts).map_err(|fault| locate(text, fault))?;
+        Ok((texts, manifest))
+    }
+
+    /// Shows sections as manifest text.
+    pub fn text_of(sections: &SectionTexts) -> String {
+        let mut text = String::new();
+        for (name, body) in sections {
+            let gap = if text.is_empty() { "" } else { "\n" };
+            let _ = write!(text, "{gap}[{name}]\n{body}");
+        }
+        text
+    }
+
+    /// Every key there is, for the docs.
+    pub fn keys() -> Vec<KeyInfo> {
+        let mut keys = Vec::new();
+        keys.extend(DEPLOYMENT_RULES.iter().map(|rule| rule.info("deployment")));
+        keys.extend(POOL_RULES.iter().map(|rule| rule.info("pool.NAME")));
+        keys.extend(SERVICE_RULES.iter().map(|rule| rule.info("service.NAME")));
+        keys.extend(TEAM_RULES.iter().map(|rule| rule.info("team.NAME")));
+        keys.extend(WINDOW_RULES.iter().map(|rule| rule.info("window.NAME")));
+        keys.extend(
+            WORKSPACE_RULES
+                .iter()
+                .map(|rule| rule.info("workspace.NAME")),
+        );
+        keys
+    }
+
+    fn add_section(&mut self, section: &IniSection) -> Result<(), ManifestError> {
+        let (kind, name) = split_name(section)?;
+        match kind {
+            "deployment" => fill_section(section, DEPLOYMENT_RULES, self)?,
+            "pool" => add_spec(section, POOL_RULES, name.into(), &mut self.pools)?,
+            "service" => add_spec(section, SERVICE_RULES, name.into(), &mut self.services)?,
+            "team" => add_spec(section, TEAM_RULES, name.into(), &mut self.teams)?,
+            "window" => add_spec(section, WINDOW_RULES, name.to_owned(), &mut self.windows)?,
+            _ => add_spec(section, WORKSPACE_RULES, name.into(), &mut self.workspaces)?,
+        }
+        Ok(())
+    }
+}
+
+fn add_spec<I: Ord, T: Default>(
+    section: &IniSection,
+    rules: &[KeyRule<T>],
+    id: I,
+    specs: &mut BTreeMap<I, T>,
+) -> Result<(), ManifestError> {
+    let mut spec = T::default();
+    fill_section(section, rules, &mut spec)?;
+    specs.insert(id, spec);
+    Ok(())
+}
+
+/// Splits `pool.coding` into its kind and its name.
+fn split_name(section: &IniSection) -> Result<(&str, &str), ManifestError> {
+    const KINDS: [&str; 5] = ["pool", "service", "team", "window", "workspace"];
+    if section.name == "deployment" {
+        return Ok(("deployment", ""));
+    }
+    let Some((kind, name)) = section.name.split_once('.') else {
+        return Err(at_section(section, UNKNOWN_SECTION));
+    };
+    if !KINDS.contains(&kind) {
+        return Err(at_section(section, UNKNOWN_SECTION));
+    }
+    read_name(name).map_err(|reason| at_section(section, &reason))?;
+    Ok((kind, name))
+}
+
+const UNKNOWN_SECTION: &str = "unknown section; known are deployment, pool.NAME, service.NAME, \
+                               team.NAME, window.NAME and workspace.NAME";
+
+fn normal_text(section: &IniSection) -> String {
+    let mut lines: Vec<String> = section
+        .entries
+        .iter()
+        .map(|entry| format!("{} = {}\n", entry.key, entry.value))
+        .collect();
+    lines.sort_unstable();
+    lines.concat()
+}
+
+/// Finds the line of a fault that was found in the sections of `text`.
+fn locate(text: &str, fault: TextFault) -> TextFault {
+    let sections = read_sections(text).unwrap_or_default();
+    let section = sections
+        .iter()
+        .find(|section| section.name == fault.section);
+    TextFault {
+        line: section.map_or(0, |section| section.line_of(&fault.key)),
+        ..fault
+    }
+}
+
+fn at_section(section: &IniSection, reason: &str) -> ManifestError {
+    ManifestError {
+        line: section.line,
+        section: section.name.clone(),
+        key: String::new(),
+        reason: reason.to_owned(),
     }
 }
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -1,6 +1,10 @@
 use std::time::Duration;
 
-use crate::{DataCentreId, MemberId};
+use crate::{
+    DataCentreId, KeyInfo, MemberId, TextFault,
+    ini_text::read_sections,
+    key_rule::{KeyField, KeyRule, fill_section},
+};
 
 /// What one entry host is told of its surroundings, see `docs/SETTINGS.md`.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +17,9 @@
     pub caller_address: String,
     /// Address on which operators are answered, as `ip:port`.
     pub admin_address: String,
+    /// Digest of the administration key that counts while no other is granted, as
+    /// `ID:SALT:DIGEST` with salt and digest in hex; empty for none.
+    pub bootstrap_key: String,
     /// Address on which other entry hosts are heard, as `ip:port`.
     pub peer_address: String,
     /// Other entry hosts known at start, with the address at which this host dials each.
@@ -58,6 +65,7 @@
             data_centre: DataCentreId::default(),
             caller_address: "127.0.0.1:0".to_owned(),
             admin_address: "127.0.0.1:0".to_owned(),
+            bootstrap_key: String::new(),
             peer_address: "127.0.0.1:0".to_owned(),
             peers: Vec::new(),
             store_url: String::new(),
@@ -74,3 +82,214 @@
         }
     }
 }
+
+/// Why settings were refused.
+pub type SettingsError = TextFault;
+
+type SettingRule = KeyRule<ServeSettings>;
+
+const fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const ENTRY_RULES: &[SettingRule] = &[
+    KeyRule::required(
+        "member",
+        KeyField::Name(|settings| &mut settings.member),
+        "Own id, unique among entry hosts; a replaced host may take over the id of the one it replaces.",
+    ),
+    KeyRule::required(
+        "data_centre",
+        KeyField::Name(|settings| &mut settings.data_centre),
+        "Data centre that this entry host stands in.",
+    ),
+    KeyRule::required(
+        "address",
+        KeyField::Address(|settings| &mut settings.caller_address),
+        "Address on which callers are answered; the balancer sends to it.",
+    ),
+];
+
+const ADMIN_RULES: &[SettingRule] = &[
+    KeyRule::required(
+        "address",
+        KeyField::Address(|settings| &mut settings.admin_address),
+        "Address on which operators are answered; keep it off the callers' network.",
+    ),
+    KeyRule::optional(
+        "bootstrap_key",
+        KeyField::KeyDigest(|settings| &mut settings.bootstrap_key),
+        "Digest of the administration key that counts while no administration key is granted.",
+    ),
+];
+
+const PEER_RULES: &[SettingRule] = &[
+    KeyRule::required(
+        "address",
+        KeyField::Address(|settings| &mut settings.peer_address),
+        "Address on which other entry hosts are heard, and at which they dial this one.",
+    ),
+    KeyRule::optional(
+        "known",
+        KeyField::Peers(|settings| &mut settings.peers),
+        "Other entry hosts with the address at which to dial each; overrides the member list.",
+    ),
+    KeyRule::optional(
+        "heartbeat_interval",
+        KeyField::Span(millis(50)..=millis(2_000), |settings| {
+            &mut settings.heartbeat_interval
+        }),
+        "Interval of heartbeats between entry hosts; at most a third of the lease length.",
+    ),
+    KeyRule::optional(
+        "lease_length",
+        KeyField::Span(millis(500)..=millis(10_000), |settings| {
+            &mut settings.lease_length
+        }),
+        "How long a serving lease lasts; a host that is cut off stops taking work within this time. The same on every entry host.",
+    ),
+];
+
+const PLATFORM_RULES: &[SettingRule] = &[
+    KeyRule::required(
+        "store_url",
+        KeyField::Url(|settings| &mut settings.store_url),
+        "Base URL of the configuration store.",
+    ),
+    KeyRule::required(
+        "host_list_url",
+        KeyField::Url(|settings| &mut settings.host_list_url),
+        "Base URL of the host list.",
+    ),
+    KeyRule::optional(
+        "store_timeout",
+        KeyField::Span(millis(50)..=millis(5_000), |settings| {
+            &mut settings.store_timeout
+        }),
+        "Longest wait for one answer of the store; shorter than the lease length.",
+    ),
+];
+
+const LOG_RULES: &[SettingRule] = &[
+    KeyRule::optional(
+        "level",
+        KeyField::Level(|settings| &mut settings.log_level),
+        "Least severe events that are logged.",
+    ),
+    KeyRule::optional(
+        "file",
+        KeyField::Path(|settings| &mut settings.log_file),
+        "File that the log is appended to; left out, the log goes to standard error.",
+    ),
+];
+
+const LIMIT_RULES: &[SettingRule] = &[
+    KeyRule::optional(
+        "max_deadline",
+        KeyField::Span(millis(100)..=millis(3_600_000), |settings| {
+            &mut settings.max_deadline
+        }),
+        "Longest deadline that a caller may ask for.",
+    ),
+    KeyRule::optional(
+        "max_body",
+        KeyField::Size(1_024..=67_108_864, |settings| &mut settings.max_body),
+        "Largest request body and answer, in bytes.",
+    ),
+    KeyRule::optional(
+        "max_connections",
+        KeyField::Size(8..=65_536, |settings| &mut settings.max_connections),
+        "Most connections of callers held at once.",
+    ),
+    KeyRule::optional(
+        "max_queue",
+        KeyField::Size(1..=1_000_000, |settings| &mut settings.max_queue),
+        "Most requests queued for one pool.",
+    ),
+];
+
+const SECTIONS: &[(&str, &[SettingRule])] = &[
+    ("entry", ENTRY_RULES),
+    ("admin", ADMIN_RULES),
+    ("peers", PEER_RULES),
+    ("platform", PLATFORM_RULES),
+    ("log", LOG_RULES),
+    ("limits", LIMIT_RULES),
+];
+
+impl ServeSettings {
+    /// Reads and checks settings, see `docs/SETTINGS.md`.
+    ///
+    /// # Errors
+    /// The first fault: a missing, unknown or repeated key, or a value out of range.
+    pub fn from_ini(text: &str) -> Result<Self, SettingsError> {
+        let sections = read_sections(text)?;
+        let mut settings = Self::default();
+        for section in &sections {
+            let known = SECTIONS.iter().find(|(name, _)| *name == section.name);
+            let Some((_, rules)) = known else {
+                return Err(unknown_section(&section.name, section.line));
+            };
+            fill_section(section, rules, &mut settings)?;
+        }
+        for (name, rules) in SECTIONS {
+            let is_present = sections.iter().any(|section| section.name == *name);
+            if !is_present && rules.iter().any(|rule| rule.required) {
+                return Err(fault(name, "", "the section is required"));
+            }
+        }
+        settings.check().map_err(|mut error| {
+            let section = sections
+                .iter()
+                .find(|section| section.name == error.section);
+            error.line = section.map_or(0, |section| section.line_of(&error.key));
+            error
+        })?;
+        Ok(settings)
+    }
+
+    /// Every setting there is, for the docs.
+    pub fn keys() -> Vec<KeyInfo> {
+        SECTIONS
+            .iter()
+            .flat_map(|(section, rules)| rules.iter().map(|rule| rule.info(section)))
+            .collect()
+    }
+
+    /// Checks what no single key shows.
+    fn check(&self) -> Result<(), SettingsError> {
+        // With fewer than three heartbeats a lease, one lost message ends the lease of a
+        // host that is well connected, and callers see refusals without a cause.
+        if self.heartbeat_interval * 3 > self.lease_length {
+            let reason = "must be at most a third of lease_length";
+            return Err(fault("peers", "heartbeat_interval", reason));
+        }
+        if self.store_timeout >= self.lease_length {
+            let reason = "must be shorter than lease_length of [peers]";
+            return Err(fault("platform", "store_timeout", reason));
+        }
+        if self.peers.iter().any(|peer| peer.member == self.member) {
+            return Err(fault("peers", "known", "names this entry host itself"));
+        }
+        Ok(())
+    }
+}
+
+fn unknown_section(name: &str, line: usize) -> SettingsError {
+    let known: Vec<&str> = SECTIONS.iter().map(|(name, _)| *name).collect();
+    SettingsError {
+        line,
+        section: name.to_owned(),
+        key: String::new(),
+        reason: format!("unknown section; known are {}", known.join(", ")),
+    }
+}
+
+fn fault(section: &str, key: &str, reason: &str) -> SettingsError {
+    SettingsError {
+        line: 0,
+        section: section.to_owned(),
+        key: key.to_owned(),
+        reason: reason.to_owned(),
+    }
+}
