--- /dev/null
+++ b/crates/lacewingshore/src/catalogue.rs
@@ -0,0 +1,18 @@
+use model::EventInfo;
+
+/// Events of the binary itself.
+pub mod event {
+    model::event_catalogue! {
+        PROCESS_STARTED = 1, "process-started", "An entry host's process started; carries its id, data centre and version.";
+        PROCESS_STOPPED = 2, "process-stopped", "The process ended after a graceful shutdown; nothing was cut off.";
+        PROCESS_FAILED = 3, "process-failed", "The process can't go on and ends; the cause is in the line. Mend it and start the process again.";
+    }
+}
+
+/// Events of every crate, in order of their numbers.
+pub fn all_events() -> Vec<EventInfo> {
+    let catalogues: [&[EventInfo]; 1] = [event::ALL];
+    let mut events = catalogues.concat();
+    events.sort_by_key(|info| info.code);
+    events
+}
--- /dev/null
+++ b/crates/lacewingshore/src/log_setup.rs
@@ -0,0 +1,54 @@
+use std::{fmt, time::SystemTime};
+
+use anyhow::Context;
+use log::LevelFilter;
+use model::ServeSettings;
+
+/// Sends the log to the sink that the settings name, one line an event.
+///
+/// # Errors
+/// If the log file can't be opened.
+pub fn start(settings: &ServeSettings) -> anyhow::Result<()> {
+    let dispatch = fern::Dispatch::new()
+        .level(settings.log_level)
+        // Libraries log each call they make; that would drown the events.
+        .level_for("ureq", LevelFilter::Warn)
+        .level_for("ureq_proto", LevelFilter::Warn)
+        .level_for("mio", LevelFilter::Warn)
+        .format(|out, message, record| {
+            let time = humantime::format_rfc3339_millis(SystemTime::now());
+            let level = record.level();
+            let event = record.target();
+            out.finish(format_args!(
+                "{time} {level:<5} {event} {}",
+                OneLine(message)
+            ));
+        });
+    let dispatch = match settings.log_file.as_str() {
+        "" => dispatch.chain(std::io::stderr()),
+        path => dispatch.chain(fern::log_file(path).with_context(|| format!("open log {path}"))?),
+    };
+    dispatch.apply().context("start the log")
+}
+
+/// Shows control characters escaped.
+///
+/// A caller's text in a line could otherwise forge further lines, and an operator would
+/// read events that never happened.
+struct OneLine<'a>(&'a fmt::Arguments<'a>);
+
+impl fmt::Display for OneLine<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = self.0.to_string();
+        if !text.contains(char::is_control) {
+            return f.write_str(&text);
+        }
+        for c in text.chars() {
+            match c.is_control() {
+                true => write!(f, "{}", c.escape_default())?,
+                false => write!(f, "{c}")?,
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod id;
 mod ini_text;
 mod key_rule;
+mod key_text;
 mod manifest;
 mod manifest_check;
 mod manifest_text;
@@ -23,6 +24,7 @@
     RequestId, Revision, ServiceId, TeamId, WorkspaceId,
 };
 pub use key_rule::KeyInfo;
+pub use key_text::{KEY_SALT_LEN, KeyText};
 pub use manifest::{
     HostRole, Manifest, PoolSpec, ServiceSpec, TeamSpec, WindowSpec, WorkspaceSpec,
 };
