--- /dev/null
+++ b/crates/decide/src/budget.rs
@@ -0,0 +1,15 @@
+//! The pool map and the availability budgets that hold on it.
+//!
+//! Start with [`FleetMap`], which says what pool each host belongs to, and
+//! [`PoolLedger`], which says whether a pool can spare a host now. A host has one entry
+//! in the map and an entry names one pool, so no host is ever in two pools. See
+//! `docs/design/07-fleet.md`.
+
+mod fleet_map;
+mod host_state;
+mod pool_ledger;
+
+pub use fleet_map::{FleetMap, MapChange, MapGap};
+pub use host_state::{HostFacts, HostState};
+pub use pool_ledger::{OutageRefusal, PoolLedger};
+pub use wire::fleet::{HostPhase, OutCause};
--- /dev/null
+++ b/crates/decide/src/budget/fleet_map.rs
@@ -0,0 +1,137 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{HostId, PoolId};
+use wire::fleet::{FleetChange, FleetRecord};
+
+use super::HostState;
+
+/// Which pool each host belongs to and which hosts are out, at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetMap {
+    /// Count of the changes that made it.
+    pub revision: u64,
+    /// The hosts. A key occurs once, so a host is in one pool.
+    pub hosts: BTreeMap<HostId, HostState>,
+}
+
+/// Hosts to replace in the map and hosts to remove from it, in one write.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MapChange {
+    /// New states; each replaces the older one.
+    pub hosts: BTreeMap<HostId, HostState>,
+    /// Hosts that leave the map.
+    pub removed: Vec<HostId>,
+}
+
+/// Why a map can't be brought up to a record: the record's tail begins later.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("pool map at revision {held} is older than the tail, the base is needed")]
+pub struct MapGap {
+    /// Revision of the map.
+    pub held: u64,
+}
+
+impl FleetMap {
+    /// Reads the value of a base key.
+    pub fn from_base(base: &FleetRecord) -> Self {
+        let hosts = base
+            .hosts
+            .iter()
+            .map(|record| (record.host.as_str().into(), HostState::from_record(record)))
+            .collect();
+        Self {
+            revision: base.revision,
+            hosts,
+        }
+    }
+
+    /// The value of the base key for this revision. Equal maps make equal bytes.
+    pub fn to_base(&self) -> FleetRecord {
+        FleetRecord {
+            revision: self.revision,
+            hosts: self
+                .hosts
+                .iter()
+                .map(|(host, state)| state.to_record(host))
+                .collect(),
+            ..FleetRecord::default()
+        }
+    }
+
+    /// Applies those changes of the head's tail that this map lacks.
+    ///
+    /// # Errors
+    /// If changes in between are missing, so that the base has to be read.
+    pub fn catch_up(&mut self, head: &FleetRecord) -> Result<(), MapGap> {
+        for change in &head.tail {
+            if change.revision <= self.revision {
+                continue;
+            }
+            if change.revision != self.revision + 1 {
+                return Err(MapGap {
+                    held: self.revision,
+                });
+            }
+            self.apply_record(change);
+        }
+        if self.revision < head.revision {
+            return Err(MapGap {
+                held: self.revision,
+            });
+        }
+        Ok(())
+    }
+
+    /// The map after `change`, one revision later.
+    pub fn with_change(&self, change: &MapChange) -> Self {
+        let mut map = self.clone();
+        map.revision += 1;
+        for host in &change.removed {
+            map.hosts.remove(host);
+        }
+        for (host, state) in &change.hosts {
+            map.hosts.insert(host.clone(), state.clone());
+        }
+        map
+    }
+
+    /// Hosts that belong to `pool`.
+    pub fn pool_hosts(&self, pool: &PoolId) -> impl Iterator<Item = (&HostId, &HostState)> {
+        self.hosts
+            .iter()
+            .filter(move |(_, state)| state.pool == *pool)
+    }
+
+    fn apply_record(&mut self, change: &FleetChange) {
+        self.revision = change.revision;
+        for host in &change.removed {
+            self.hosts.remove(host.as_str());
+        }
+        for record in &change.hosts {
+            self.hosts
+                .insert(record.host.as_str().into(), HostState::from_record(record));
+        }
+    }
+}
+
+impl MapChange {
+    /// True if it changes nothing.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty() && self.removed.is_empty()
+    }
+
+    /// The change as the head's tail records it.
+    pub fn to_record(&self, revision: u64, author: &str, now: Duration) -> FleetChange {
+        FleetChange {
+            revision,
+            author: author.to_owned(),
+            unix_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            hosts: self
+                .hosts
+                .iter()
+                .map(|(host, state)| state.to_record(host))
+                .collect(),
+            removed: self.removed.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/budget/pool_ledger.rs
@@ -0,0 +1,126 @@
+use std::collections::BTreeSet;
+
+use model::{DataCentreId, PoolId, PoolSpec, RackId};
+
+use super::{FleetMap, HostPhase, HostState, OutCause};
+
+/// What a pool has in service and what it lacks, counted on one revision of the map.
+///
+/// The count is taken on the map that the permit is written to with compare-and-swap.
+/// Counted anywhere else, two planners could each see the last spare host and take two.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolLedger {
+    /// Hosts that serve.
+    pub in_service: u32,
+    /// Hosts out for maintenance or on the way to another pool.
+    pub planned_out: u32,
+    /// Hosts that were to come back from maintenance and did not.
+    pub failed_returns: u32,
+    /// Racks that have a host out, with their data centres.
+    pub out_domains: BTreeSet<(DataCentreId, RackId)>,
+}
+
+/// Why a pool can't spare a host now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum OutageRefusal {
+    /// One host fewer would leave the pool below its budget and reserve.
+    #[error("at its availability budget")]
+    AtBudget,
+    /// As many hosts are out as the window allows.
+    #[error("as many out as the window allows")]
+    AtOnce,
+    /// Hosts of another failure domain are out.
+    #[error("another failure domain is out")]
+    OtherDomain,
+    /// A host did not come back from maintenance.
+    #[error("a host did not return from maintenance")]
+    FailedReturn,
+}
+
+impl PoolLedger {
+    /// Counts `pool` on `map`.
+    pub fn count(map: &FleetMap, pool: &PoolId) -> Self {
+        let mut ledger = Self::default();
+        for (_, state) in map.pool_hosts(pool) {
+            ledger.add(state);
+        }
+        ledger
+    }
+
+    /// Hosts that the pool keeps above its budget while hosts are out by plan.
+    ///
+    /// An unplanned loss can come at any moment of a planned outage. With one host in
+    /// reserve the first loss leaves the pool at its budget and not below it. A pool
+    /// with a single host to spare has no room for a reserve.
+    pub fn reserve(spec: &PoolSpec) -> u32 {
+        u32::from(spec.size >= spec.budget.saturating_add(2))
+    }
+
+    /// Most hosts that `spec` and a window let out at once.
+    pub fn most_out(spec: &PoolSpec, at_once: u32) -> u32 {
+        let slack = spec.size.saturating_sub(spec.budget);
+        at_once.min(slack.saturating_sub(Self::reserve(spec)))
+    }
+
+    /// Says whether `state`, a host in service, may go out for maintenance.
+    ///
+    /// # Errors
+    /// The first reason against it.
+    pub fn check_outage(
+        &self,
+        spec: &PoolSpec,
+        at_once: u32,
+        state: &HostState,
+    ) -> Result<(), OutageRefusal> {
+        if self.failed_returns > 0 {
+            return Err(OutageRefusal::FailedReturn);
+        }
+        if self.planned_out >= at_once {
+            return Err(OutageRefusal::AtOnce);
+        }
+        self.check_budget(spec)?;
+        let domain = domain_of(state);
+        if self.out_domains.iter().any(|other| *other != domain) {
+            return Err(OutageRefusal::OtherDomain);
+        }
+        Ok(())
+    }
+
+    /// Says whether the pool can lose one host in service by plan.
+    ///
+    /// # Errors
+    /// `AtBudget` if it can't.
+    pub fn check_budget(&self, spec: &PoolSpec) -> Result<(), OutageRefusal> {
+        let needed = spec.budget.saturating_add(Self::reserve(spec));
+        if self.in_service <= needed {
+            return Err(OutageRefusal::AtBudget);
+        }
+        Ok(())
+    }
+
+    /// Counts `state`, which was in service, as out by plan.
+    pub fn take_out(&mut self, state: &HostState) {
+        self.in_service = self.in_service.saturating_sub(1);
+        self.planned_out += 1;
+        self.out_domains.insert(domain_of(state));
+    }
+
+    fn add(&mut self, state: &HostState) {
+        self.failed_returns += u32::from(state.failed_return());
+        if state.in_service() {
+            self.in_service += 1;
+            return;
+        }
+        if state.phase == HostPhase::Retired {
+            return;
+        }
+        self.out_domains.insert(domain_of(state));
+        if matches!(state.cause, OutCause::Maintenance | OutCause::Move) {
+            self.planned_out += 1;
+        }
+    }
+}
+
+fn domain_of(state: &HostState) -> (DataCentreId, RackId) {
+    (state.facts.data_centre.clone(), state.facts.rack.clone())
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,1 +1,4 @@
 //! Pure decisions on leases, quotas, shares, placement and maintenance, without I/O, clocks or threads.
+
+pub mod budget;
+pub mod wave;
--- /dev/null
+++ b/crates/decide/src/wave.rs
@@ -0,0 +1,18 @@
+//! Maintenance: which hosts go out when, and how each comes back.
+//!
+//! Start with [`RoundPlan::make`], which turns what is known of the fleet into the next
+//! change of the pool map. It is called again and again with fresh sightings; whatever
+//! it needs to remember is in the map, so that another entry host can go on where one
+//! stopped. See `docs/design/07-fleet.md`.
+
+mod permit;
+mod pool_choice;
+mod progress;
+mod round_plan;
+mod sighting;
+mod window_clock;
+
+pub use pool_choice::PoolChoice;
+pub use round_plan::{RoundPlan, RoundView};
+pub use sighting::{FleetLimits, HealthSight, HostSighting};
+pub use window_clock::WindowClock;
--- /dev/null
+++ b/crates/decide/src/wave/permit.rs
@@ -0,0 +1,128 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{HostId, PoolId, PoolSpec, RackId, WindowSpec};
+
+use super::{FleetLimits, HealthSight, RoundView, WindowClock};
+use crate::budget::{FleetMap, HostPhase, HostState, OutCause, PoolLedger};
+
+/// Grants outages for maintenance, pool by pool, on the map that the round will write.
+pub(super) struct PermitDesk<'a> {
+    view: &'a RoundView<'a>,
+    map: &'a FleetMap,
+}
+
+/// What one pool was granted and what has to be probed before it can be granted more.
+#[derive(Default)]
+pub(super) struct PoolPermits {
+    /// Hosts that go out.
+    pub(super) granted: BTreeMap<HostId, HostState>,
+    /// Hosts in service whose health is not known.
+    pub(super) probes: Vec<HostId>,
+}
+
+impl<'a> PermitDesk<'a> {
+    pub(super) fn new(view: &'a RoundView<'a>, map: &'a FleetMap) -> Self {
+        Self { view, map }
+    }
+
+    /// True once so many hosts failed to return, anywhere, that no more may go out.
+    ///
+    /// A bad image or a broken rack shows as hosts that stay away after their reboot.
+    /// Each pool alone would notice after one host; the fleet notices here, before the
+    /// same fault takes one host of every pool.
+    pub(super) fn halted(&self) -> bool {
+        let failed = self.map.hosts.values().filter(|s| s.failed_return());
+        failed.count() >= self.view.limits.failed_returns as usize
+    }
+
+    pub(super) fn grant_pool(&self, pool: &PoolId, spec: &PoolSpec) -> PoolPermits {
+        let mut permits = PoolPermits::default();
+        let Some(window) = self.open_window(spec) else {
+            return permits;
+        };
+        let candidates = self.due_hosts(pool, window);
+        let mut ledger = PoolLedger::count(self.map, pool);
+        let allowed = |state| ledger.check_outage(spec, window.at_once, state).is_ok();
+        if !candidates.iter().any(|(_, state)| allowed(state)) {
+            return permits;
+        }
+        permits.probes = self.unproved_hosts(pool);
+        if !permits.probes.is_empty() {
+            return permits;
+        }
+        for (host, state) in candidates {
+            if ledger.check_outage(spec, window.at_once, state).is_err() {
+                continue;
+            }
+            ledger.take_out(state);
+            let out = state.entering(HostPhase::Draining, OutCause::Maintenance, self.view.now);
+            permits.granted.insert(host.clone(), out);
+        }
+        permits
+    }
+
+    fn open_window(&self, spec: &PoolSpec) -> Option<&'a WindowSpec> {
+        let window = self.view.manifest.windows.get(&spec.window)?;
+        let left = WindowClock::new(window).time_left(self.view.now)?;
+        (left >= self.view.limits.expected_outage.min(window.length)).then_some(window)
+    }
+
+    /// Hosts in service that are due, those of the most overdue rack first.
+    fn due_hosts(&self, pool: &PoolId, window: &WindowSpec) -> Vec<(&'a HostId, &'a HostState)> {
+        let clock = WindowClock::new(window);
+        let mut due: Vec<_> = self
+            .map
+            .pool_hosts(pool)
+            .filter(|(_, state)| {
+                state.in_service() && clock.is_due(state.maintained, self.view.now)
+            })
+            .collect();
+        let mut oldest: BTreeMap<&RackId, Duration> = BTreeMap::new();
+        for (_, state) in &due {
+            let rack_age = oldest.entry(&state.facts.rack).or_insert(state.maintained);
+            *rack_age = (*rack_age).min(state.maintained);
+        }
+        due.sort_by_key(|(host, state)| {
+            let rack = &state.facts.rack;
+            (oldest.get(rack).copied(), rack, state.maintained, *host)
+        });
+        due
+    }
+
+    /// Hosts counted as in service that have not lately answered that they are.
+    ///
+    /// The map learns of a loss late. A permit granted on the map alone could take the
+    /// last spare host while another is down already.
+    fn unproved_hosts(&self, pool: &PoolId) -> Vec<HostId> {
+        self.map
+            .pool_hosts(pool)
+            .filter(|(host, state)| {
+                let sighting = self.view.sightings.get(*host);
+                let health = sighting.map_or(HealthSight::Unknown, |sighting| sighting.health);
+                state.in_service() && !health.is_serving()
+            })
+            .map(|(host, _)| host.clone())
+            .collect()
+    }
+}
+
+/// The state of a draining host whose window is not open any more; `None` if it stays.
+///
+/// A host that has not been rebooted yet goes back to work. One that has finishes, as
+/// nothing is gained by stopping half-way.
+pub(super) fn recall(view: &RoundView<'_>, state: &HostState) -> Option<HostState> {
+    if state.phase != HostPhase::Draining || state.cause != OutCause::Maintenance {
+        return None;
+    }
+    let spec = view.manifest.pools.get(&state.pool)?;
+    let window = view.manifest.windows.get(&spec.window);
+    let open = window.is_some_and(|window| WindowClock::new(window).time_left(view.now).is_some());
+    (!open).then(|| state.entering(HostPhase::Checking, OutCause::Joining, view.now))
+}
+
+impl FleetLimits {
+    /// True if a retired host may be forgotten.
+    pub(super) fn retired_long_ago(&self, state: &HostState, now: Duration) -> bool {
+        state.phase == HostPhase::Retired && now >= state.since + self.keep_retired
+    }
+}
--- /dev/null
+++ b/crates/decide/src/wave/progress.rs
@@ -0,0 +1,145 @@
+use std::time::Duration;
+
+use model::PoolId;
+
+use super::{FleetLimits, HealthSight, HostSighting};
+use crate::budget::{HostPhase, HostState, OutCause};
+
+/// The next state of one host by what was seen of it; `None` if it stays as it is.
+///
+/// Only steps that take nothing from a pool's budget by choice are made here: losses,
+/// leavings, and the way of a host that is out already.
+pub(super) fn next_state(
+    state: &HostState,
+    sighting: &HostSighting,
+    limits: &FleetLimits,
+    now: Duration,
+) -> Option<HostState> {
+    let seen = Seen {
+        state,
+        sighting,
+        limits,
+        now,
+    };
+    seen.after_leaving()
+        .or_else(|| seen.after_loss())
+        .or_else(|| seen.after_progress())
+}
+
+struct Seen<'a> {
+    state: &'a HostState,
+    sighting: &'a HostSighting,
+    limits: &'a FleetLimits,
+    now: Duration,
+}
+
+impl Seen<'_> {
+    fn after_leaving(&self) -> Option<HostState> {
+        let leaving = self.sighting.leaving;
+        let known = self.state.cause == OutCause::Leaving;
+        match self.state.phase {
+            HostPhase::Retired => None,
+            HostPhase::Draining if known && self.gone() => {
+                self.enter(HostPhase::Retired, OutCause::Leaving)
+            }
+            HostPhase::Draining if known && self.sighting.is_staying() => {
+                self.enter(HostPhase::Checking, OutCause::Joining)
+            }
+            _ if leaving && !known => {
+                let mut next =
+                    self.state
+                        .entering(HostPhase::Draining, OutCause::Leaving, self.now);
+                next.next_pool = PoolId::default();
+                Some(next)
+            }
+            _ => None,
+        }
+    }
+
+    fn after_loss(&self) -> Option<HostState> {
+        let cause = self.state.cause;
+        match self.state.phase {
+            HostPhase::Serving | HostPhase::Draining
+                if cause != OutCause::Leaving && (self.gone() || self.failing()) =>
+            {
+                self.enter(HostPhase::Lost, OutCause::Loss)
+            }
+            HostPhase::Rebooting | HostPhase::Checking if self.overdue() => {
+                self.enter(HostPhase::Lost, cause)
+            }
+            HostPhase::Lost if self.forgotten() => self.enter(HostPhase::Retired, cause),
+            _ => None,
+        }
+    }
+
+    fn after_progress(&self) -> Option<HostState> {
+        let health = self.sighting.health;
+        let cause = self.state.cause;
+        match self.state.phase {
+            HostPhase::Draining if health.is_drained() => self.after_drain(),
+            HostPhase::Rebooting if health.is_serving() => self.enter(HostPhase::Checking, cause),
+            HostPhase::Checking if health.is_serving() && self.settled() => Some(self.returned()),
+            HostPhase::Lost if self.is_back() => self.enter(HostPhase::Checking, cause),
+            HostPhase::Retired if self.is_back() => {
+                self.enter(HostPhase::Checking, OutCause::Joining)
+            }
+            _ => None,
+        }
+    }
+
+    fn after_drain(&self) -> Option<HostState> {
+        match self.state.cause {
+            OutCause::Maintenance => self.enter(HostPhase::Rebooting, OutCause::Maintenance),
+            OutCause::Move => {
+                let mut next = self
+                    .state
+                    .entering(HostPhase::Checking, OutCause::Move, self.now);
+                next.pool = std::mem::take(&mut next.next_pool);
+                Some(next)
+            }
+            _ => None,
+        }
+    }
+
+    fn returned(&self) -> HostState {
+        let mut next = self
+            .state
+            .entering(HostPhase::Serving, OutCause::Unspecified, self.now);
+        if self.state.cause == OutCause::Maintenance {
+            next.maintained = self.now;
+        }
+        next
+    }
+
+    fn enter(&self, phase: HostPhase, cause: OutCause) -> Option<HostState> {
+        let mut next = self.state.entering(phase, cause, self.now);
+        if phase != HostPhase::Draining {
+            next.next_pool = PoolId::default();
+        }
+        Some(next)
+    }
+
+    fn forgotten(&self) -> bool {
+        self.now >= self.state.since + self.limits.forget_after
+    }
+
+    fn gone(&self) -> bool {
+        self.sighting.missing_for >= self.limits.list_lag
+    }
+
+    fn failing(&self) -> bool {
+        self.sighting.health == HealthSight::Failing
+    }
+
+    fn overdue(&self) -> bool {
+        self.now >= self.state.since + self.limits.return_limit
+    }
+
+    fn settled(&self) -> bool {
+        self.now >= self.state.since + self.limits.settle
+    }
+
+    fn is_back(&self) -> bool {
+        self.sighting.is_staying() && matches!(self.sighting.health, HealthSight::Answering { .. })
+    }
+}
--- /dev/null
+++ b/crates/decide/src/wave/round_plan.rs
@@ -0,0 +1,124 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{HostId, Manifest};
+
+use super::{
+    FleetLimits, HostSighting, PoolChoice,
+    permit::{PermitDesk, recall},
+    progress,
+};
+use crate::budget::{FleetMap, HostState, MapChange};
+
+/// What a planning round knows.
+#[derive(Clone, Copy, Debug)]
+pub struct RoundView<'a> {
+    /// Time since the Unix epoch.
+    pub now: Duration,
+    /// The pool map that the round's change will be written against.
+    pub map: &'a FleetMap,
+    /// The manifest in force.
+    pub manifest: &'a Manifest,
+    /// What was seen of each host.
+    pub sightings: &'a BTreeMap<HostId, HostSighting>,
+    /// True if the host list was read lately.
+    pub list_fresh: bool,
+    /// Times and counts by which hosts are judged.
+    pub limits: &'a FleetLimits,
+}
+
+/// The next change of the pool map.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RoundPlan {
+    /// What to write, with compare-and-swap against the map of the view.
+    pub change: MapChange,
+    /// Hosts whose health decides what may come next.
+    pub probes: Vec<HostId>,
+    /// True while hosts that failed to return keep all others from going out.
+    pub halted: bool,
+}
+
+impl RoundPlan {
+    /// Plans one round: what was lost, what came back, what joins, and last what may go out.
+    ///
+    /// The order matters: outages are granted on the map that holds the losses of the
+    /// same round, so a loss and a permit can't both use the last spare host.
+    pub fn make(view: &RoundView<'_>) -> Self {
+        if view.manifest.pools.is_empty() {
+            return Self::default();
+        }
+        let mut plan = Self::default();
+        plan.follow_hosts(view);
+        plan.join_hosts(view);
+        plan.grant_permits(view);
+        plan
+    }
+
+    fn follow_hosts(&mut self, view: &RoundView<'_>) {
+        let unseen = HostSighting::default();
+        for (host, state) in &view.map.hosts {
+            let sighting = view.sightings.get(host).unwrap_or(&unseen);
+            if sighting.facts.is_none() && view.limits.retired_long_ago(state, view.now) {
+                self.change.removed.push(host.clone());
+                continue;
+            }
+            if !state.in_service() {
+                self.probes.push(host.clone());
+            }
+            let next = progress::next_state(state, sighting, view.limits, view.now)
+                .or_else(|| recall(view, state));
+            let next = with_facts(next, state, sighting);
+            if let Some(next) = next {
+                self.change.hosts.insert(host.clone(), next);
+            }
+        }
+    }
+
+    fn join_hosts(&mut self, view: &RoundView<'_>) {
+        let mut map = view.map.with_change(&self.change);
+        for (host, sighting) in view.sightings {
+            let Some(facts) = &sighting.facts else {
+                continue;
+            };
+            if sighting.leaving || view.map.hosts.contains_key(host) {
+                continue;
+            }
+            let Some(pool) = PoolChoice::new(view.manifest, &map).pool_for(facts) else {
+                continue;
+            };
+            let state = HostState::joining(pool, facts.clone(), view.now);
+            map.hosts.insert(host.clone(), state.clone());
+            self.change.hosts.insert(host.clone(), state);
+        }
+    }
+
+    fn grant_permits(&mut self, view: &RoundView<'_>) {
+        let map = view.map.with_change(&self.change);
+        let desk = PermitDesk::new(view, &map);
+        self.halted = desk.halted();
+        if self.halted || !view.list_fresh {
+            return;
+        }
+        for (pool, spec) in &view.manifest.pools {
+            let permits = desk.grant_pool(pool, spec);
+            self.change.hosts.extend(permits.granted);
+            self.probes.extend(permits.probes);
+        }
+    }
+}
+
+/// Takes over what the host list now says of a host that is otherwise unchanged.
+fn with_facts(
+    next: Option<HostState>,
+    state: &HostState,
+    sighting: &HostSighting,
+) -> Option<HostState> {
+    let Some(facts) = &sighting.facts else {
+        return next;
+    };
+    if next.is_none() && *facts == state.facts {
+        return None;
+    }
+    let mut next = next.unwrap_or_else(|| state.clone());
+    next.facts = facts.clone();
+    Some(next)
+}
--- /dev/null
+++ b/crates/decide/src/wave/sighting.rs
@@ -0,0 +1,97 @@
+use std::time::Duration;
+
+use crate::budget::HostFacts;
+
+/// What this entry host has lately seen of one host.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostSighting {
+    /// What the host list says of it; `None` if the list does not show it.
+    pub facts: Option<HostFacts>,
+    /// True if the list shows that the platform takes the host away.
+    pub leaving: bool,
+    /// How long the list has not shown it; zero while it does.
+    pub missing_for: Duration,
+    /// What its health endpoint answered.
+    pub health: HealthSight,
+}
+
+impl HostSighting {
+    /// True if the list shows the host and does not say that it leaves.
+    pub fn is_staying(&self) -> bool {
+        self.facts.is_some() && !self.leaving
+    }
+}
+
+/// What the health endpoint of a host showed, unless that is long ago.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HealthSight {
+    /// Not asked lately.
+    #[default]
+    Unknown,
+    /// It answered.
+    Answering {
+        /// True if it takes no new work.
+        draining: bool,
+        /// Requests and tasks that it runs.
+        running: u32,
+    },
+    /// It did not answer several times in a row.
+    Failing,
+}
+
+impl HealthSight {
+    /// True if the host answered that it takes new work.
+    pub fn is_serving(self) -> bool {
+        matches!(
+            self,
+            Self::Answering {
+                draining: false,
+                ..
+            }
+        )
+    }
+
+    /// True if the host answered that it takes no new work and runs none.
+    pub fn is_drained(self) -> bool {
+        matches!(
+            self,
+            Self::Answering {
+                draining: true,
+                running: 0
+            }
+        )
+    }
+}
+
+/// Times and counts by which hosts are judged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetLimits {
+    /// How far the host list may lag; a host missing for longer is lost.
+    pub list_lag: Duration,
+    /// How long a lost host keeps its place in its pool.
+    pub forget_after: Duration,
+    /// How long the map remembers a host that was given up.
+    pub keep_retired: Duration,
+    /// Longest time from reboot to a passed health check.
+    pub return_limit: Duration,
+    /// Shortest time between coming back and serving.
+    pub settle: Duration,
+    /// Hosts of the whole fleet that may fail to return before no more go out.
+    pub failed_returns: u32,
+    /// Time a host is expected to be out, used to end waves within the window.
+    pub expected_outage: Duration,
+}
+
+impl Default for FleetLimits {
+    fn default() -> Self {
+        Self {
+            list_lag: Duration::from_secs(15),
+            forget_after: Duration::from_secs(3600),
+            keep_retired: Duration::from_secs(24 * 3600),
+            return_limit: Duration::from_secs(600),
+            settle: Duration::from_secs(2),
+            failed_returns: 3,
+            expected_outage: Duration::from_secs(300),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet_service.rs
@@ -0,0 +1,248 @@
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+};
+
+use arc_swap::ArcSwap;
+use decide::wave::FleetLimits;
+use model::{JobId, PoolId, ServiceId, StepError, TeamId};
+use parking_lot::Mutex;
+use platform::{Clock, HostList, KeyStore};
+use ports::{
+    AuditSink, ConfigSource, HostStatus, JobError, JobRequest, JobSink, JobView, MemberSource,
+    QuotaSource, StatusSource, TargetHost, TargetSource,
+};
+
+use crate::{
+    FleetTiming, HostPort, HttpPort, MapSnapshot, MapStore,
+    fleet_shared::{FleetShared, ListView},
+    host_watch::run_list_watch,
+    planner::Planner,
+    probe_pool::{ProbeBook, run_prober},
+    target_view::TargetView,
+};
+
+/// The one shard of the pool map, see `docs/design/07-fleet.md` on why one is enough.
+const SHARD: &str = "0";
+
+/// Threads that probe hosts.
+const PROBERS: usize = 6;
+
+/// Probes that may wait; more are dropped and come back in the next round.
+const PROBE_QUEUE: usize = 64;
+
+/// Stack of a thread of the fleet, in bytes.
+const STACK_SIZE: usize = 256 * 1024;
+
+/// What the fleet needs of its surroundings.
+#[derive(Clone)]
+pub struct FleetOptions {
+    /// The configuration store.
+    pub store: Arc<dyn KeyStore>,
+    /// The platform's host list.
+    pub hosts: Arc<dyn HostList>,
+    /// The manifest in force.
+    pub config: Arc<dyn ConfigSource>,
+    /// The entry hosts, which share out the duties.
+    pub members: Arc<dyn MemberSource>,
+    /// The machine's clocks.
+    pub clock: Arc<dyn Clock>,
+    /// Where changes of the pool map are noted.
+    pub audit: Option<Arc<dyn AuditSink>>,
+    /// Units of team limits, one for each running task.
+    pub quota: Arc<dyn QuotaSource>,
+    /// Calls to hosts; `None` for HTTP.
+    pub port: Option<Arc<dyn HostPort>>,
+    /// Intervals of the duties.
+    pub timing: FleetTiming,
+    /// Times and counts by which hosts are judged.
+    pub limits: FleetLimits,
+}
+
+impl FleetOptions {
+    /// Options with the usual intervals and limits, and hosts called over HTTP.
+    pub fn new(
+        store: Arc<dyn KeyStore>,
+        hosts: Arc<dyn HostList>,
+        config: Arc<dyn ConfigSource>,
+        members: Arc<dyn MemberSource>,
+        clock: Arc<dyn Clock>,
+        quota: Arc<dyn QuotaSource>,
+    ) -> Self {
+        Self {
+            store,
+            hosts,
+            config,
+            members,
+            clock,
+            audit: None,
+            quota,
+            port: None,
+            timing: FleetTiming::default(),
+            limits: FleetLimits::default(),
+        }
+    }
+
+    /// Notes changes of the pool map in `audit`.
+    #[must_use]
+    pub fn with_audit(mut self, audit: Arc<dyn AuditSink>) -> Self {
+        self.audit = Some(audit);
+        self
+    }
+
+    /// Calls hosts through `port`.
+    #[must_use]
+    pub fn with_port(mut self, port: Arc<dyn HostPort>) -> Self {
+        self.port = Some(port);
+        self
+    }
+
+    /// Uses other intervals.
+    #[must_use]
+    pub fn with_timing(mut self, timing: FleetTiming) -> Self {
+        self.timing = timing;
+        self
+    }
+
+    /// Uses other limits.
+    #[must_use]
+    pub fn with_limits(mut self, limits: FleetLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+}
+
+/// Pools, hosts and jobs of this entry host. Its threads end when it is dropped.
+pub struct FleetService {
+    shared: Arc<FleetShared>,
+}
+
+impl FleetService {
+    /// Starts the threads of the fleet.
+    ///
+    /// # Errors
+    /// If a thread can't be started. A store or a host list that is down is no error.
+    pub fn start(options: FleetOptions) -> Result<Arc<Self>, StepError> {
+        let service = Self {
+            shared: Arc::new(share_options(options)),
+        };
+        service.start_watches()?;
+        service.start_planner()?;
+        Ok(Arc::new(service))
+    }
+
+    /// Stops all threads soon; what hosts run goes on.
+    pub fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Release);
+    }
+
+    fn start_watches(&self) -> Result<(), StepError> {
+        let shared = Arc::clone(&self.shared);
+        spawn("fleet-list", move || run_list_watch(&shared))?;
+        let shared = Arc::clone(&self.shared);
+        spawn("fleet-map", move || run_map_watch(&shared))
+    }
+
+    fn start_planner(&self) -> Result<(), StepError> {
+        let book = Arc::new(ProbeBook::default());
+        let (sender, receiver) = crossbeam_channel::bounded(PROBE_QUEUE);
+        for _ in 0..PROBERS {
+            let (shared, book, queue) = (
+                Arc::clone(&self.shared),
+                Arc::clone(&book),
+                receiver.clone(),
+            );
+            spawn("fleet-probe", move || run_prober(&shared, &book, &queue))?;
+        }
+        let map_store = MapStore::new(Arc::clone(&self.shared.store), SHARD);
+        let planner = Planner::new(Arc::clone(&self.shared), map_store, book, sender);
+        spawn("fleet-plan", move || planner.run())
+    }
+}
+
+impl Drop for FleetService {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl TargetSource for FleetService {
+    fn pool_targets(&self, pool: &PoolId) -> Arc<Vec<TargetHost>> {
+        self.shared.targets.load().pool(pool)
+    }
+
+    fn service_targets(&self, service: &ServiceId) -> Arc<Vec<TargetHost>> {
+        let config = self.shared.config.current();
+        let Some(spec) = config.manifest.services.get(service) else {
+            return Arc::default();
+        };
+        self.pool_targets(&spec.pool)
+    }
+}
+
+impl StatusSource for FleetService {
+    fn hosts(&self) -> Vec<HostStatus> {
+        self.shared.targets.load().statuses()
+    }
+}
+
+impl JobSink for FleetService {
+    fn submit(&self, _request: JobRequest) -> Result<JobView, JobError> {
+        Err(JobError::StoreDown("jobs are not built yet".to_owned()))
+    }
+
+    fn view(&self, _team: &TeamId, _job: &JobId) -> Result<JobView, JobError> {
+        Err(JobError::NotFound)
+    }
+
+    fn cancel(&self, _team: &TeamId, _job: &JobId) -> Result<JobView, JobError> {
+        Err(JobError::NotFound)
+    }
+}
+
+fn share_options(options: FleetOptions) -> FleetShared {
+    let port = options.port.unwrap_or_else(|| Arc::new(HttpPort::new()));
+    FleetShared {
+        store: options.store,
+        hosts: options.hosts,
+        config: options.config,
+        members: options.members,
+        clock: options.clock,
+        audit: options.audit,
+        port,
+        timing: options.timing,
+        limits: options.limits,
+        snapshot: Mutex::new(MapSnapshot::default()),
+        list: ArcSwap::from_pointee(ListView::default()),
+        targets: ArcSwap::from_pointee(TargetView::default()),
+        stopping: AtomicBool::new(false),
+    }
+}
+
+/// Follows the pool map with one watch at a time, which the store counts as one call.
+fn run_map_watch(shared: &Arc<FleetShared>) {
+    let map_store = MapStore::new(Arc::clone(&shared.store), SHARD);
+    while !shared.is_stopping() {
+        let known = shared.snapshot.lock().clone();
+        match map_store.watch(&known, shared.timing.watch_patience) {
+            Ok(Some(snapshot)) => shared.adopt(snapshot),
+            Ok(None) => {}
+            Err(e) => {
+                log::debug!(target: "E0608", "pool-map-unread cause={e}");
+                shared.pause(shared.timing.list_interval);
+            }
+        }
+    }
+}
+
+fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> Result<(), StepError> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(STACK_SIZE)
+        .spawn(duty)
+        .map(|_| ())
+        .map_err(|e| StepError::new("start thread", name, e))
+}
--- /dev/null
+++ b/crates/fleet/src/fleet_shared.rs
@@ -0,0 +1,140 @@
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use decide::wave::{FleetLimits, HostSighting};
+use model::{BootTime, HostId};
+use parking_lot::Mutex;
+use platform::{Clock, HostEntry, HostList, KeyStore};
+use ports::{AuditSink, ConfigSource, MemberSource};
+
+use crate::{HostPort, MapSnapshot, target_view::TargetView};
+
+/// Longest sleep between two looks at the stop flag.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Intervals of the fleet's duties.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetTiming {
+    /// Time between two reads of the host list.
+    pub list_interval: Duration,
+    /// How long one watch on the pool map waits; each counts as a call to the store.
+    pub watch_patience: Duration,
+    /// Time between two planning rounds.
+    pub round_interval: Duration,
+    /// Age at which an answer of a health endpoint no longer counts.
+    pub health_age: Duration,
+    /// Time a new planner only watches, so that the one before has stopped acting.
+    pub takeover: Duration,
+    /// Age at which the host list no longer counts as fresh.
+    pub list_age: Duration,
+}
+
+impl Default for FleetTiming {
+    fn default() -> Self {
+        Self {
+            list_interval: Duration::from_secs(1),
+            watch_patience: Duration::from_secs(5),
+            round_interval: Duration::from_millis(500),
+            health_age: Duration::from_secs(4),
+            takeover: Duration::from_secs(3),
+            list_age: Duration::from_secs(5),
+        }
+    }
+}
+
+/// The host list as this entry host last read it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ListView {
+    /// When the newest whole list was asked for; `None` before the first.
+    pub(crate) read_at: Option<BootTime>,
+    /// Its entries.
+    pub(crate) entries: BTreeMap<HostId, HostEntry>,
+    /// When each host that is not listed was first found missing.
+    pub(crate) missing: BTreeMap<HostId, BootTime>,
+}
+
+/// What the threads of the fleet share.
+pub(crate) struct FleetShared {
+    pub(crate) store: Arc<dyn KeyStore>,
+    pub(crate) hosts: Arc<dyn HostList>,
+    pub(crate) config: Arc<dyn ConfigSource>,
+    pub(crate) members: Arc<dyn MemberSource>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) audit: Option<Arc<dyn AuditSink>>,
+    pub(crate) port: Arc<dyn HostPort>,
+    pub(crate) timing: FleetTiming,
+    pub(crate) limits: FleetLimits,
+    pub(crate) snapshot: Mutex<MapSnapshot>,
+    pub(crate) list: ArcSwap<ListView>,
+    pub(crate) targets: ArcSwap<TargetView>,
+    pub(crate) stopping: AtomicBool,
+}
+
+impl FleetShared {
+    /// Sleeps for `time`, or less if the service stops; false once it does.
+    pub(crate) fn pause(&self, time: Duration) -> bool {
+        let until = self.clock.boot_now() + time;
+        while !self.stopping.load(Ordering::Acquire) {
+            let left = until.saturating_sub(self.clock.boot_now());
+            if left.is_zero() {
+                return true;
+            }
+            thread::sleep(left.min(STOP_CHECK));
+        }
+        false
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Takes over `snapshot` unless a newer one is held, and renews the targets.
+    pub(crate) fn adopt(&self, snapshot: MapSnapshot) {
+        {
+            let mut held = self.snapshot.lock();
+            if snapshot.version < held.version {
+                return;
+            }
+            *held = snapshot;
+        }
+        self.renew_targets();
+    }
+
+    /// Computes the targets of all pools from the map and the host list.
+    pub(crate) fn renew_targets(&self) {
+        let held = self.snapshot.lock();
+        let list = self.list.load();
+        let view = TargetView::build(&held.map, &list, &self.limits, self.clock.boot_now());
+        self.targets.store(Arc::new(view));
+    }
+
+    /// True if the host list was read lately.
+    pub(crate) fn list_fresh(&self) -> bool {
+        let Some(read_at) = self.list.load().read_at else {
+            return false;
+        };
+        self.clock.boot_now().saturating_sub(read_at) <= self.timing.list_age
+    }
+
+    /// What the host list says of each host of the map and of hosts that are new.
+    pub(crate) fn sightings(&self) -> BTreeMap<HostId, HostSighting> {
+        let now = self.clock.boot_now();
+        let list = self.list.load();
+        let held = self.snapshot.lock();
+        let mut sightings = BTreeMap::new();
+        for host in held.map.hosts.keys().chain(list.entries.keys()) {
+            sightings
+                .entry(host.clone())
+                .or_insert_with(|| list.sighting(host, now));
+        }
+        sightings
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/host_watch.rs
@@ -0,0 +1,109 @@
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use decide::{budget::HostFacts, wave::HostSighting};
+use model::{BootTime, HostId};
+use platform::HostEntry;
+
+use crate::fleet_shared::{FleetShared, ListView};
+
+/// Reads the host list again and again.
+pub(crate) fn run_list_watch(shared: &Arc<FleetShared>) {
+    loop {
+        read_list(shared);
+        if !shared.pause(shared.timing.list_interval) {
+            return;
+        }
+    }
+}
+
+/// Reads the list once. A list that can't be read changes nothing: hosts are not lost
+/// because the list is.
+fn read_list(shared: &FleetShared) {
+    let asked_at = shared.clock.boot_now();
+    match shared.hosts.hosts() {
+        Ok(entries) => {
+            let known: Vec<HostId> = shared.snapshot.lock().map.hosts.keys().cloned().collect();
+            let view = shared.list.load().after_read(entries, &known, asked_at);
+            shared.list.store(Arc::new(view));
+            shared.renew_targets();
+        }
+        Err(e) => {
+            metrics::counter!("lws_fleet_list_errors").increment(1);
+            log::warn!(target: "E0601", "host-list-unread cause={e}");
+        }
+    }
+}
+
+impl ListView {
+    /// The view after the list was read with `entries`; `known` are hosts of the pool map.
+    ///
+    /// A host's absence is counted from reads only. While the list is down no time is
+    /// added, and the first read after an outage does not make a host lost at once.
+    pub(crate) fn after_read(
+        &self,
+        entries: Vec<HostEntry>,
+        known: &[HostId],
+        asked_at: BootTime,
+    ) -> Self {
+        let entries: BTreeMap<HostId, HostEntry> = entries
+            .into_iter()
+            .map(|entry| (entry.host.clone(), entry))
+            .collect();
+        let unread = self
+            .read_at
+            .map_or(Duration::ZERO, |read_at| asked_at.saturating_sub(read_at));
+        let gap = unread.saturating_sub(Self::LONGEST_GAP);
+        let missing = known
+            .iter()
+            .filter(|host| !entries.contains_key(*host))
+            .map(|host| {
+                let since = self
+                    .missing
+                    .get(host)
+                    .map_or(asked_at, |since| *since + gap);
+                (host.clone(), since)
+            })
+            .collect();
+        Self {
+            read_at: Some(asked_at),
+            entries,
+            missing,
+        }
+    }
+
+    /// What the list says of `host`.
+    pub(crate) fn sighting(&self, host: &HostId, now: BootTime) -> HostSighting {
+        let entry = self.entries.get(host);
+        HostSighting {
+            facts: entry.map(facts_of),
+            leaving: entry.is_some_and(|entry| entry.leaving),
+            missing_for: self.missing_for(host, now),
+            ..HostSighting::default()
+        }
+    }
+
+    /// How long the list has not shown `host`, up to the newest read.
+    pub(crate) fn missing_for(&self, host: &HostId, now: BootTime) -> Duration {
+        let Some(since) = self.missing.get(host) else {
+            return Duration::ZERO;
+        };
+        let read_at = self.read_at.unwrap_or(now);
+        read_at.saturating_sub(*since)
+    }
+
+    /// Time between two reads that counts in full towards an absence.
+    const LONGEST_GAP: Duration = Duration::from_secs(3);
+}
+
+fn facts_of(entry: &HostEntry) -> HostFacts {
+    HostFacts {
+        address: entry.address.clone(),
+        role: entry.role,
+        service: entry.service.clone(),
+        data_centre: entry.data_centre.clone(),
+        rack: entry.rack.clone(),
+        cores: entry.cores,
+        memory_mb: entry.memory_mb,
+        accelerators: entry.accelerators,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/planner.rs
@@ -0,0 +1,184 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use crossbeam_channel::Sender;
+use decide::{
+    budget::MapChange,
+    wave::{HostSighting, RoundPlan, RoundView},
+};
+use model::{BootTime, HostId};
+
+use crate::{
+    duty_owner::owns_duty,
+    fleet_audit::audit_changes,
+    fleet_shared::FleetShared,
+    map_store::{CommitOutcome, MapSnapshot, MapStore},
+    probe_pool::{ProbeBook, ProbeTask},
+};
+
+/// Name of the planning duty, for choosing its owner.
+const DUTY: &str = "fleet-planner";
+
+/// Plans outages and returns while this entry host has the duty.
+pub(crate) struct Planner {
+    shared: Arc<FleetShared>,
+    map_store: MapStore,
+    book: Arc<ProbeBook>,
+    probes: Sender<ProbeTask>,
+    owned_since: Option<BootTime>,
+    must_read: bool,
+    /// The map up to which changes were handed to the audit trail.
+    audited: Option<MapSnapshot>,
+}
+
+impl Planner {
+    pub(crate) fn new(
+        shared: Arc<FleetShared>,
+        map_store: MapStore,
+        book: Arc<ProbeBook>,
+        probes: Sender<ProbeTask>,
+    ) -> Self {
+        Self {
+            shared,
+            map_store,
+            book,
+            probes,
+            owned_since: None,
+            must_read: true,
+            audited: None,
+        }
+    }
+
+    /// Plans round after round until the service stops.
+    pub(crate) fn run(mut self) {
+        while self.shared.pause(self.shared.timing.round_interval) {
+            if self.has_duty() {
+                self.plan_round();
+            }
+        }
+    }
+
+    /// True once this host has had the duty for a while.
+    ///
+    /// The pause lets the planner before finish calls that are on their way to hosts.
+    fn has_duty(&mut self) -> bool {
+        if !owns_duty(self.shared.members.as_ref(), DUTY) {
+            self.owned_since = None;
+            return false;
+        }
+        let now = self.shared.clock.boot_now();
+        let Some(since) = self.owned_since else {
+            log::info!(target: "E0606", "planner-began member={}", self.shared.members.own_id());
+            self.owned_since = Some(now);
+            self.must_read = true;
+            self.audited = None;
+            self.book.clear();
+            return false;
+        };
+        now.saturating_sub(since) >= self.shared.timing.takeover
+    }
+
+    fn plan_round(&mut self) {
+        if self.must_read && !self.read_map() {
+            self.probe_hosts(Vec::new());
+            return;
+        }
+        let sightings = self.sightings();
+        let plan = self.make_plan(&sightings);
+        if plan.halted {
+            log::warn!(target: "E0607", "maintenance-halted hosts failed to return");
+        }
+        metrics::gauge!("lws_fleet_halted").set(f64::from(u8::from(plan.halted)));
+        if !plan.change.is_empty() {
+            self.commit(&plan.change);
+        }
+        self.probe_hosts(plan.probes);
+    }
+
+    fn make_plan(&self, sightings: &BTreeMap<HostId, HostSighting>) -> RoundPlan {
+        let config = self.shared.config.current();
+        let map = self.shared.snapshot.lock().map.clone();
+        RoundPlan::make(&RoundView {
+            now: self.shared.clock.unix_now(),
+            map: &map,
+            manifest: &config.manifest,
+            sightings,
+            list_fresh: self.shared.list_fresh(),
+            limits: &self.shared.limits,
+        })
+    }
+
+    fn sightings(&self) -> BTreeMap<HostId, HostSighting> {
+        let now = self.shared.clock.boot_now();
+        let mut sightings = self.shared.sightings();
+        for (host, sighting) in &mut sightings {
+            sighting.health = self.book.health(host, now, self.shared.timing.health_age);
+        }
+        sightings
+    }
+
+    /// Reads the map before anything is written; false if the store does not answer.
+    fn read_map(&mut self) -> bool {
+        let known = self.shared.snapshot.lock().clone();
+        match self.map_store.read(&known) {
+            Ok(snapshot) => {
+                self.take_over(snapshot);
+                self.must_read = false;
+                true
+            }
+            Err(e) => {
+                log::warn!(target: "E0608", "pool-map-unread cause={e}");
+                false
+            }
+        }
+    }
+
+    fn commit(&mut self, change: &MapChange) {
+        let known = self.shared.snapshot.lock().clone();
+        let author = self.shared.members.own_id();
+        let now = self.shared.clock.unix_now();
+        match self.map_store.commit(&known, change, &author, now) {
+            Ok(CommitOutcome::Done(snapshot)) => {
+                metrics::counter!("lws_fleet_map_writes").increment(1);
+                log::info!(
+                    target: "E0609",
+                    "pool-map-changed revision={} hosts={}",
+                    snapshot.map.revision,
+                    change.hosts.len() + change.removed.len()
+                );
+                self.take_over(snapshot);
+            }
+            Ok(CommitOutcome::Conflict | CommitOutcome::Unknown) => self.must_read = true,
+            Err(e) => {
+                self.must_read = true;
+                log::warn!(target: "E0610", "pool-map-unwritten cause={e}");
+            }
+        }
+    }
+
+    fn take_over(&mut self, snapshot: MapSnapshot) {
+        if let Some(audited) = &self.audited {
+            audit_changes(&self.shared, audited, &snapshot);
+        }
+        self.audited = Some(snapshot.clone());
+        self.shared.adopt(snapshot);
+    }
+
+    /// Queues probes of the hosts that are out and of those that `wanted` names.
+    fn probe_hosts(&self, wanted: Vec<HostId>) {
+        let held = self.shared.snapshot.lock().map.clone();
+        let known: BTreeSet<HostId> = held.hosts.keys().cloned().collect();
+        self.book.retain(&known);
+        let wanted: BTreeSet<HostId> = wanted.into_iter().collect();
+        let tasks = held
+            .hosts
+            .into_iter()
+            .filter(|(host, state)| !state.in_service() || wanted.contains(host))
+            .map(|(host, state)| ProbeTask { host, state })
+            .collect();
+        let now = self.shared.clock.boot_now();
+        self.book.queue_due(tasks, &self.probes, now);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/probe_pool.rs
@@ -0,0 +1,223 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use crossbeam_channel::{Receiver, Sender, TrySendError};
+use decide::{
+    budget::{HostPhase, HostState},
+    wave::HealthSight,
+};
+use model::{BootTime, HostId};
+use parking_lot::Mutex;
+
+use crate::{HealthReport, fleet_shared::FleetShared};
+
+/// Failures in a row after which a host counts as failing.
+const FAILING_AFTER: u32 = 3;
+
+/// Longest time between a host's answer that it is drained and the call that reboots it.
+const REBOOT_WINDOW: Duration = Duration::from_millis(300);
+
+/// Time between the first two calls that reboot one host; doubled after each.
+const REBOOT_SPACING: Duration = Duration::from_secs(5);
+
+/// One host to probe, and to push on in its phase.
+#[derive(Clone, Debug)]
+pub(crate) struct ProbeTask {
+    pub(crate) host: HostId,
+    pub(crate) state: HostState,
+}
+
+/// What probes found, by host.
+#[derive(Default)]
+pub(crate) struct ProbeBook {
+    notes: Mutex<BTreeMap<HostId, ProbeNote>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ProbeNote {
+    asked_at: BootTime,
+    report: Option<HealthReport>,
+    failures: u32,
+    queued: bool,
+    reboots: u32,
+    rebooted_at: BootTime,
+}
+
+impl ProbeBook {
+    /// What is known of a host's health, unless that is older than `age`.
+    pub(crate) fn health(&self, host: &HostId, now: BootTime, age: Duration) -> HealthSight {
+        let notes = self.notes.lock();
+        let Some(note) = notes.get(host) else {
+            return HealthSight::Unknown;
+        };
+        if note.failures >= FAILING_AFTER {
+            return HealthSight::Failing;
+        }
+        let fresh = now.saturating_sub(note.asked_at) <= age;
+        match note.report {
+            Some(report) if fresh => HealthSight::Answering {
+                draining: report.draining,
+                running: report.running,
+            },
+            _ => HealthSight::Unknown,
+        }
+    }
+
+    /// Forgets hosts that are not in `hosts`.
+    pub(crate) fn retain(&self, hosts: &BTreeSet<HostId>) {
+        self.notes.lock().retain(|host, _| hosts.contains(host));
+    }
+
+    /// Forgets everything, so that a new planner judges by its own probes.
+    pub(crate) fn clear(&self) {
+        self.notes.lock().clear();
+    }
+
+    /// Queues those of `tasks` whose turn it is, the longest overdue first.
+    pub(crate) fn queue_due(
+        &self,
+        mut tasks: Vec<ProbeTask>,
+        sender: &Sender<ProbeTask>,
+        now: BootTime,
+    ) {
+        let mut notes = self.notes.lock();
+        let overdue = |notes: &BTreeMap<HostId, ProbeNote>, task: &ProbeTask| {
+            let note = notes.get(&task.host).copied().unwrap_or_default();
+            let due_at = note.asked_at + probe_interval(task.state.phase);
+            (!note.queued).then(|| now.checked_sub(due_at)).flatten()
+        };
+        tasks.retain(|task| overdue(&notes, task).is_some());
+        tasks.sort_by_key(|task| std::cmp::Reverse(overdue(&notes, task)));
+        for task in tasks {
+            let host = task.host.clone();
+            match sender.try_send(task) {
+                Ok(()) => notes.entry(host).or_default().queued = true,
+                Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => return,
+            }
+        }
+    }
+
+    fn note_answer(&self, host: &HostId, asked_at: BootTime, report: Option<HealthReport>) {
+        let mut notes = self.notes.lock();
+        let note = notes.entry(host.clone()).or_default();
+        note.queued = false;
+        note.asked_at = asked_at;
+        note.report = report;
+        note.failures = match report {
+            Some(_) => 0,
+            None => note.failures.saturating_add(1),
+        };
+    }
+
+    /// True if a host may be told to reboot now; counts the call.
+    fn claim_reboot(&self, host: &HostId, began: BootTime, now: BootTime) -> bool {
+        let mut notes = self.notes.lock();
+        let note = notes.entry(host.clone()).or_default();
+        if note.rebooted_at < began {
+            note.reboots = 0;
+        }
+        let spacing = REBOOT_SPACING * 2_u32.saturating_pow(note.reboots.saturating_sub(1).min(6));
+        if note.reboots > 0 && now < note.rebooted_at + spacing {
+            return false;
+        }
+        note.reboots += 1;
+        note.rebooted_at = now;
+        true
+    }
+}
+
+/// Probes hosts from the queue until it closes.
+pub(crate) fn run_prober(
+    shared: &Arc<FleetShared>,
+    book: &Arc<ProbeBook>,
+    queue: &Receiver<ProbeTask>,
+) {
+    while let Ok(task) = queue.recv() {
+        if shared.is_stopping() {
+            return;
+        }
+        probe(shared, book, &task);
+    }
+}
+
+fn probe(shared: &FleetShared, book: &ProbeBook, task: &ProbeTask) {
+    let asked_at = shared.clock.boot_now();
+    let answer = shared.port.health(&task.state.facts.address);
+    if let Err(e) = &answer {
+        log::debug!(target: "E0603", "health-unread host={} cause={e}", task.host);
+    }
+    let report = answer.ok();
+    book.note_answer(&task.host, asked_at, report);
+    let Some(report) = report else {
+        return;
+    };
+    push_on(shared, book, task, report, asked_at);
+}
+
+/// Makes the call that brings a host on in its phase, as far as its answer shows the need.
+fn push_on(
+    shared: &FleetShared,
+    book: &ProbeBook,
+    task: &ProbeTask,
+    report: HealthReport,
+    asked_at: BootTime,
+) {
+    let address = &task.state.facts.address;
+    let outcome = match task.state.phase {
+        HostPhase::Draining if !report.draining => shared.port.drain(address),
+        HostPhase::Checking if report.draining => shared.port.undrain(address),
+        HostPhase::Rebooting if report.draining && report.running == 0 => {
+            reboot(shared, book, task, asked_at);
+            return;
+        }
+        _ => return,
+    };
+    if let Err(e) = outcome {
+        log::warn!(target: "E0604", "host-call-failed host={} cause={e}", task.host);
+    }
+}
+
+/// Reboots a host that has just answered that it is drained.
+///
+/// Two planners may both hold the host for rebooting. The second call would hit a host
+/// that is back at work and cut off what it runs. So the call goes out only while the
+/// answer is young and the map still says that the host is to be rebooted; a host that
+/// came back is not offered work until it has settled, which is longer than that.
+fn reboot(shared: &FleetShared, book: &ProbeBook, task: &ProbeTask, asked_at: BootTime) {
+    let now = shared.clock.boot_now();
+    if now.saturating_sub(asked_at) > REBOOT_WINDOW || !still_rebooting(shared, task) {
+        return;
+    }
+    let in_phase = shared.clock.unix_now().saturating_sub(task.state.since);
+    if !book.claim_reboot(&task.host, now.saturating_sub(in_phase), now) {
+        return;
+    }
+    log::info!(target: "E0605", "host-rebooted host={} pool={}", task.host, task.state.pool);
+    metrics::counter!("lws_fleet_reboots").increment(1);
+    if let Err(e) = shared.port.reboot(&task.state.facts.address) {
+        log::warn!(target: "E0604", "host-call-failed host={} cause={e}", task.host);
+    }
+}
+
+fn still_rebooting(shared: &FleetShared, task: &ProbeTask) -> bool {
+    let held = shared.snapshot.lock();
+    held.map
+        .hosts
+        .get(&task.host)
+        .is_some_and(|state| state.phase == HostPhase::Rebooting && state.since == task.state.since)
+}
+
+/// Time between two probes of a host.
+fn probe_interval(phase: HostPhase) -> Duration {
+    match phase {
+        HostPhase::Draining | HostPhase::Rebooting | HostPhase::Checking => {
+            Duration::from_millis(500)
+        }
+        HostPhase::Lost => Duration::from_secs(5),
+        HostPhase::Retired | HostPhase::Quarantined => Duration::from_secs(60),
+        HostPhase::Serving | HostPhase::Unspecified => Duration::from_secs(1),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/target_view.rs
@@ -0,0 +1,119 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use decide::{
+    budget::{FleetMap, HostPhase, HostState, OutCause},
+    wave::{FleetLimits, HostSighting},
+};
+use model::{BootTime, HostId, PoolId};
+use ports::{HostStatus, TargetHost, TargetState};
+
+use crate::fleet_shared::ListView;
+
+/// The targets of every pool, as the map and the host list together show them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TargetView {
+    pools: BTreeMap<PoolId, Arc<Vec<TargetHost>>>,
+    phases: BTreeMap<HostId, (PoolId, HostPhase)>,
+    empty: Arc<Vec<TargetHost>>,
+}
+
+impl TargetView {
+    pub(crate) fn build(
+        map: &FleetMap,
+        list: &ListView,
+        limits: &FleetLimits,
+        now: BootTime,
+    ) -> Self {
+        let mut pools: BTreeMap<PoolId, Vec<TargetHost>> = BTreeMap::new();
+        let mut phases = BTreeMap::new();
+        for (host, state) in &map.hosts {
+            phases.insert(host.clone(), (state.pool.clone(), state.phase));
+            if state.phase == HostPhase::Retired {
+                continue;
+            }
+            let sighting = list.sighting(host, now);
+            let target = target_of(host, state, &sighting, limits);
+            pools.entry(state.pool.clone()).or_default().push(target);
+        }
+        let pools = pools
+            .into_iter()
+            .map(|(pool, targets)| (pool, Arc::new(targets)))
+            .collect();
+        Self {
+            pools,
+            phases,
+            empty: Arc::default(),
+        }
+    }
+
+    pub(crate) fn pool(&self, pool: &PoolId) -> Arc<Vec<TargetHost>> {
+        let targets = self.pools.get(pool).unwrap_or(&self.empty);
+        Arc::clone(targets)
+    }
+
+    pub(crate) fn statuses(&self) -> Vec<HostStatus> {
+        self.phases
+            .iter()
+            .map(|(host, (pool, phase))| HostStatus {
+                host: host.clone(),
+                pool: pool.clone(),
+                phase: phase_name(*phase).to_owned(),
+                running: 0,
+            })
+            .collect()
+    }
+}
+
+fn target_of(
+    host: &HostId,
+    state: &HostState,
+    sighting: &HostSighting,
+    limits: &FleetLimits,
+) -> TargetHost {
+    let facts = sighting.facts.as_ref().unwrap_or(&state.facts);
+    TargetHost {
+        host: host.clone(),
+        address: facts.address.clone(),
+        pool: state.pool.clone(),
+        data_centre: facts.data_centre.clone(),
+        rack: facts.rack.clone(),
+        state: target_state(state, sighting, limits),
+    }
+}
+
+/// Whether work may be sent to a host.
+///
+/// The own reading of the host list can only make it stricter: a host that the list shows
+/// as leaving gets no new work from here even if the planner has not written that down.
+/// A host that only the planner lost sight of is still offered. The planner may be the
+/// one that is cut off, and a whole data centre would go out of service everywhere;
+/// whoever can't reach the host notices when dispatching.
+fn target_state(state: &HostState, sighting: &HostSighting, limits: &FleetLimits) -> TargetState {
+    if sighting.missing_for >= limits.list_lag {
+        return TargetState::Out;
+    }
+    match state.phase {
+        HostPhase::Serving if sighting.leaving => TargetState::Draining,
+        HostPhase::Serving => TargetState::Serving,
+        HostPhase::Lost | HostPhase::Checking
+            if state.cause == OutCause::Loss && sighting.is_staying() =>
+        {
+            TargetState::Serving
+        }
+        HostPhase::Draining => TargetState::Draining,
+        _ => TargetState::Out,
+    }
+}
+
+fn phase_name(phase: HostPhase) -> &'static str {
+    match phase {
+        HostPhase::Unspecified => "unknown",
+        HostPhase::Serving => "serving",
+        HostPhase::Draining => "draining",
+        HostPhase::Rebooting => "rebooting",
+        HostPhase::Checking => "checking",
+        HostPhase::Lost => "lost",
+        HostPhase::Retired => "retired",
+        HostPhase::Quarantined => "quarantined",
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/common/fake_fleet.rs
@@ -0,0 +1,217 @@
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use fleet::{HealthReport, HostPort};
+use model::{HostId, HostRole, Incarnation, Manifest, MemberId, StepError, TeamId};
+use parking_lot::Mutex;
+use platform::{HostEntry, HostList, HostListError};
+use ports::{ConfigSource, ForceConfig, MemberInfo, MemberSource, QuotaPermit, QuotaSource};
+
+/// Waits for `condition`; the test fails if it never holds.
+pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let until = Instant::now() + Duration::from_secs(30);
+    while !condition() {
+        assert!(Instant::now() < until, "never happened: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// One stand-in host.
+#[derive(Clone, Debug)]
+pub struct FakeHost {
+    pub entry: HostEntry,
+    pub draining: bool,
+    pub running: u32,
+    pub down: bool,
+    pub reboots: u32,
+    /// Work that ran when the host was rebooted: always wrong.
+    pub cut: u32,
+    pub down_until: Option<Instant>,
+    /// A reboot that it does not come back from.
+    pub never_returns: bool,
+}
+
+/// Hosts and their list.
+#[derive(Default)]
+pub struct FakeFleet {
+    pub hosts: Mutex<BTreeMap<HostId, FakeHost>>,
+    pub list_down: AtomicBool,
+    pub reboot_time: Duration,
+}
+
+impl FakeFleet {
+    /// Adds `count` hosts, four to a rack.
+    pub fn add(&self, prefix: &str, role: HostRole, service: &str, count: usize) {
+        let mut hosts = self.hosts.lock();
+        for index in 0..count {
+            let host: HostId = format!("{prefix}-{index:02}").into();
+            let entry = HostEntry {
+                host: host.clone(),
+                address: host.to_string(),
+                role,
+                service: service.into(),
+                data_centre: "dc1".into(),
+                rack: format!("{prefix}-r{}", index / 4).into(),
+                cores: 16,
+                memory_mb: 32 * 1024,
+                accelerators: 0,
+                leaving: false,
+            };
+            hosts.insert(host, FakeHost::new(entry));
+        }
+    }
+
+    pub fn with_host<T>(&self, host: &str, f: impl FnOnce(&mut FakeHost) -> T) -> T {
+        f(self.hosts.lock().get_mut(host).expect("host exists"))
+    }
+
+    fn answer<T>(&self, address: &str, f: impl FnOnce(&mut FakeHost) -> T) -> Result<T, StepError> {
+        let mut hosts = self.hosts.lock();
+        let Some(host) = hosts.get_mut(address) else {
+            return Err(StepError::new("call", address, "no such host"));
+        };
+        if host.down_until.is_some_and(|until| Instant::now() >= until) {
+            host.down_until = None;
+            host.down = host.never_returns;
+        }
+        if host.down {
+            return Err(StepError::new("call", address, "refused"));
+        }
+        Ok(f(host))
+    }
+}
+
+impl FakeHost {
+    fn new(entry: HostEntry) -> Self {
+        Self {
+            entry,
+            draining: false,
+            running: 0,
+            down: false,
+            reboots: 0,
+            cut: 0,
+            down_until: None,
+            never_returns: false,
+        }
+    }
+}
+
+impl HostPort for FakeFleet {
+    fn health(&self, address: &str) -> Result<HealthReport, StepError> {
+        self.answer(address, |host| HealthReport {
+            draining: host.draining,
+            running: host.running,
+        })
+    }
+
+    fn drain(&self, address: &str) -> Result<(), StepError> {
+        self.answer(address, |host| host.draining = true)
+    }
+
+    fn undrain(&self, address: &str) -> Result<(), StepError> {
+        self.answer(address, |host| host.draining = false)
+    }
+
+    fn reboot(&self, address: &str) -> Result<(), StepError> {
+        let reboot_time = self.reboot_time;
+        self.answer(address, |host| {
+            host.reboots += 1;
+            host.cut += host.running;
+            host.running = 0;
+            host.draining = false;
+            host.down = true;
+            host.down_until = Some(Instant::now() + reboot_time);
+        })
+    }
+}
+
+impl HostList for FakeFleet {
+    fn hosts(&self) -> Result<Vec<HostEntry>, HostListError> {
+        if self.list_down.load(Ordering::SeqCst) {
+            return Err(HostListError("switched off".to_owned()));
+        }
+        let hosts = self.hosts.lock();
+        Ok(hosts.values().map(|host| host.entry.clone()).collect())
+    }
+}
+
+/// A configuration that the test sets.
+pub struct FixedConfig(pub Mutex<Arc<ForceConfig>>);
+
+impl FixedConfig {
+    pub fn new(manifest: Manifest) -> Arc<Self> {
+        let config = ForceConfig {
+            revision: 1,
+            manifest,
+            ..ForceConfig::default()
+        };
+        Arc::new(Self(Mutex::new(Arc::new(config))))
+    }
+
+    pub fn change(&self, f: impl FnOnce(&mut Manifest)) {
+        let mut held = self.0.lock();
+        let mut config = ForceConfig::clone(&held);
+        config.revision += 1;
+        f(&mut config.manifest);
+        *held = Arc::new(config);
+    }
+}
+
+impl ConfigSource for FixedConfig {
+    fn current(&self) -> Arc<ForceConfig> {
+        Arc::clone(&self.0.lock())
+    }
+}
+
+/// A member list that the test sets, seen by one member.
+pub struct FixedMembers {
+    pub own: MemberId,
+    pub list: Arc<Mutex<Arc<Vec<MemberInfo>>>>,
+}
+
+impl FixedMembers {
+    pub fn alone(own: &str) -> Arc<Self> {
+        let info = MemberInfo {
+            member: own.into(),
+            incarnation: 1,
+            heard: true,
+            ..MemberInfo::default()
+        };
+        Arc::new(Self {
+            own: own.into(),
+            list: Arc::new(Mutex::new(Arc::new(vec![info]))),
+        })
+    }
+}
+
+impl MemberSource for FixedMembers {
+    fn own_id(&self) -> MemberId {
+        self.own.clone()
+    }
+
+    fn own_incarnation(&self) -> Incarnation {
+        1
+    }
+
+    fn members(&self) -> Arc<Vec<MemberInfo>> {
+        Arc::clone(&self.list.lock())
+    }
+}
+
+/// Hands out as many units as asked for.
+pub struct FreeQuota;
+
+impl QuotaSource for FreeQuota {
+    fn try_take(&self, _team: &TeamId) -> Option<QuotaPermit> {
+        Some(QuotaPermit::new(|| {}))
+    }
+
+    fn note_waiting(&self, _team: &TeamId, _waiting: u32) {}
+}
