--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,5 +4,7 @@
 //! here reads a clock, starts a thread or opens a socket. `scripts/check` holds the crate
 //! to that. The design notes in `docs/design/` argue each mechanism.
 
+pub mod budget;
 pub mod rendezvous;
 pub mod share;
+pub mod wave;
