Count slots of removed members and of earlier brokers

Cause: two faults found by tests of several share services joined in memory. (1) After a member was removed from the list, a new broker took its pool as fully reported and leased up to twice the slots, while the removed host still believed in its own. (2) A demand that reached a host before it knew itself as broker was taken as known, and its sender waited for slots for ever. Ruled out: message loss (the in-memory link loses none) and clock differences (one clock). Change: brokers wait for members listed within the last lease and guard; a process younger than that assumes an unknown holder; sessions end whenever a broker's pools change; young members broker no pools while there are older ones. A cold start of all entry hosts costs one lease.

--- a/crates/share/src/broker_desk.rs
+++ b/crates/share/src/broker_desk.rs
@@ -38,15 +38,15 @@
 
     /// Replaces the pools that this host brokers.
     ///
-    /// When a pool goes to another host, all sessions end: a holder that has not noticed
-    /// must not have its slots of that pool renewed by grants for the others. It begins a
-    /// new session, in which the pool is no longer offered.
+    /// When a pool comes or goes, all sessions end, and holders begin new ones. A holder
+    /// that has not noticed a loss must not have its slots of that pool renewed by grants
+    /// for the others; and one that asked for a pool before this host brokered it believes
+    /// its demand known, so it would wait for slots for ever.
     pub fn set_pools(&mut self, now: BootTime, pools: &BTreeMap<PoolId, DeskPool>) {
-        let before = self.brokers.len();
-        self.brokers.retain(|pool, _| pools.contains_key(pool));
-        if self.brokers.len() < before {
+        if !self.brokers.keys().eq(pools.keys()) {
             self.sessions.clear();
         }
+        self.brokers.retain(|pool, _| pools.contains_key(pool));
         for (pool, desk_pool) in pools {
             let broker = self
                 .brokers
--- a/crates/share/src/service.rs
+++ b/crates/share/src/service.rs
@@ -11,12 +11,12 @@
     rendezvous,
     share::{BrokerOptions, HolderOptions, SlotMap},
 };
-use model::{BootTime, HostRole, MemberId, PoolId, StepError, TeamId};
+use model::{BootTime, HostRole, Incarnation, MemberId, PoolId, StepError, TeamId};
 use parking_lot::{Mutex, RwLock};
 use platform::Clock;
 use ports::{
-    ConfigSource, ForceConfig, InboundMessage, MemberSource, PeerLink, PoolDemand, SlotLease,
-    SlotSource, TargetSource, TargetState,
+    ConfigSource, ForceConfig, InboundMessage, MemberInfo, MemberSource, PeerLink, PoolDemand,
+    SlotLease, SlotSource, TargetSource, TargetState,
 };
 use wire::peer::{SlotDemand, SlotGrant, envelope::Body};
 
@@ -26,6 +26,8 @@
 };
 
 const STACK_BYTES: usize = 256 * 1024;
+// Not a valid member id, so no member is taken for it.
+const UNKNOWN_HOLDER: &str = "?";
 
 /// Times of the share service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -135,7 +137,12 @@
     reports: Arc<Mutex<BTreeMap<PoolId, PoolDemand>>>,
     desk: BrokerDesk,
     book: SessionBook,
+    started: BootTime,
     refreshed: BootTime,
+    // Which life of each member was first seen when.
+    ages: BTreeMap<MemberId, (Incarnation, BootTime)>,
+    // Members that may hold slots, with the time each was last listed.
+    holders: BTreeMap<MemberId, BootTime>,
 }
 
 impl ShareDuty {
@@ -157,7 +164,10 @@
             reports,
             desk: BrokerDesk::new(broker_options),
             book: SessionBook::new(first_session, HolderOptions { lease: times.lease }),
+            started: options.clock.boot_now(),
             refreshed: BootTime::ZERO,
+            ages: BTreeMap::new(),
+            holders: BTreeMap::new(),
             options,
         }
     }
@@ -200,10 +210,8 @@
     fn refresh(&mut self, now: BootTime) {
         let config = self.options.config.current();
         let members = self.options.members.members();
-        let fit = members
-            .iter()
-            .filter(|member| member.heard && !member.leaving);
-        let fit: Vec<MemberId> = fit.map(|member| member.member.clone()).collect();
+        self.note_holders(now, &members);
+        let fit = self.fit_brokers(now, &members);
         let owners = pool_owners(&config, &fit);
         let own_pools: BTreeMap<PoolId, DeskPool> = owners
             .iter()
@@ -211,9 +219,8 @@
             .map(|(pool, _)| (pool.clone(), self.desk_pool(&config, pool)))
             .collect();
         self.desk.set_pools(now, &own_pools);
-        let listed: BTreeSet<MemberId> =
-            members.iter().map(|member| member.member.clone()).collect();
-        self.desk.set_parties(&team_weights(&config), &listed);
+        let may_hold: BTreeSet<MemberId> = self.holders.keys().cloned().collect();
+        self.desk.set_parties(&team_weights(&config), &may_hold);
         self.desk.expire(now);
         self.book.set_owners(owners);
         self.leases
@@ -222,6 +229,59 @@
         metrics::gauge!("lws_share_brokered_pools").set(self.desk.pool_count() as f64);
     }
 
+    // A member that was removed may use its slots until they lapse, so brokers wait for its
+    // report as if it were listed. A process younger than that cannot know who was removed
+    // before it began, and counts an unknown holder that never reports.
+    fn note_holders(&mut self, now: BootTime, members: &[MemberInfo]) {
+        for member in members {
+            self.holders.insert(member.member.clone(), now);
+        }
+        let lapse = self.options.times.lease + self.options.times.guard;
+        if now < self.started + lapse {
+            self.holders
+                .insert(MemberId::const_new(UNKNOWN_HOLDER), self.started);
+        }
+        self.holders.retain(|_, listed| now < *listed + lapse);
+    }
+
+    // A broker that has just started grants nothing new until all earlier grants have
+    // lapsed, so a young member gets no pools while there are older ones.
+    fn fit_brokers(&mut self, now: BootTime, members: &[MemberInfo]) -> Vec<MemberId> {
+        self.ages
+            .retain(|id, _| members.iter().any(|member| member.member == *id));
+        for member in members {
+            let age = self
+                .ages
+                .entry(member.member.clone())
+                .or_insert((member.incarnation, now));
+            if age.0 != member.incarnation {
+                *age = (member.incarnation, now);
+            }
+        }
+        let lapse = self.options.times.lease + self.options.times.guard;
+        let own_is_young = now < self.started + lapse;
+        let is_settled = |member: &&MemberInfo| {
+            if own_is_young {
+                return member.member != self.own;
+            }
+            let age = self.ages.get(&member.member);
+            age.is_some_and(|(_, seen)| *seen + lapse <= now)
+        };
+        let usable = || {
+            members
+                .iter()
+                .filter(|member| member.heard && !member.leaving)
+        };
+        let settled: Vec<MemberId> = usable()
+            .filter(is_settled)
+            .map(|member| member.member.clone())
+            .collect();
+        if !settled.is_empty() {
+            return settled;
+        }
+        usable().map(|member| member.member.clone()).collect()
+    }
+
     fn desk_pool(&self, config: &ForceConfig, pool: &PoolId) -> DeskPool {
         let slots = config.manifest.pools.get(pool).map_or(0, |spec| spec.slots);
         let targets = self.options.targets.pool_targets(pool);
