Settle lost answers of the store, and don't hammer it

Cause: the store loses answers after a write took effect and has long outages.

Ruled out: repeating until it answers. The repetition meets its own version, and the 409 would be told as "nothing was written". Handing each lost answer to the caller is true but puts the same code into every writer.

Change: RetryStore repeats with full jitter, reads a record back after a lost answer and settles by comparing bytes; a circuit probes a down store once a pause; a ceiling bounds calls a second. When settling is sound is argued in docs/design/08-platform.md.

Conclusion: members can wrap their store in RetryStore without changing their code.

--- a/crates/platform/src/http_store.rs
+++ b/crates/platform/src/http_store.rs
@@ -21,7 +21,7 @@
 ///
 /// Each call is made once and ends within the timeout. `Unavailable` is answered only when
 /// the store did nothing: no connection was made, or it said 503. Whatever goes wrong after
-/// that is `Unknown`. The retrying wrapper repeats what may be repeated.
+/// that is `Unknown`. [`crate::RetryStore`] repeats what may be repeated.
 #[derive(Debug)]
 pub struct HttpStore {
     caller: HttpCaller,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,20 +3,27 @@
 //!
 //! Start with [`KeyStore`] and [`HostList`]: a deployment on another platform implements
 //! these two traits. [`HttpStore`] and [`HttpHostList`] speak the HTTP protocol of
-//! `docs/PLATFORM.md`.
+//! `docs/PLATFORM.md`; [`RetryStore`] repeats calls and settles lost answers, as argued in
+//! `docs/design/08-platform.md`.
 
 mod boot_clock;
+mod call_pace;
 mod hex_text;
 mod host_list;
 mod http_caller;
 mod http_host_list;
 mod http_store;
 mod key_store;
+mod retry_store;
+mod store_circuit;
 mod store_counts;
 
 pub use boot_clock::{BootClock, Clock};
+pub use call_pace::CallPace;
 pub use host_list::{HostEntry, HostList, HostListError};
 pub use http_host_list::HttpHostList;
 pub use http_store::HttpStore;
 pub use key_store::{KeyStore, StoreError, StoreVersion, StoredValue};
+pub use retry_store::{RetrySettings, RetryStore};
+pub use store_circuit::{CircuitVerdict, StoreCircuit};
 pub use store_counts::{CallKind, StoreCounts};
