--- /dev/null
+++ b/crates/decide/src/share/mod.rs
@@ -0,0 +1,18 @@
+//! Shares of a pool: which team goes next, and which entry host gets which slots.
+//!
+//! Start with [`pick`], the order inside one entry host, and [`SlotBroker`], which divides
+//! the slots of one pool among entry hosts. [`SlotHolder`] is the broker's counterpart on
+//! each entry host. `docs/design/06-shares.md` weighs the ways and measures them.
+
+mod broker;
+mod holder;
+mod holder_state;
+mod pick;
+mod split;
+mod terms;
+
+pub use broker::SlotBroker;
+pub use holder::{HeldPool, HolderOptions, SlotHolder};
+pub use pick::{PickOptions, TeamTurn, pick};
+pub use split::{ShareClaim, apportion, fair_split};
+pub use terms::{BrokerOptions, BrokerSwitch, HolderDemand, PoolOffer, SlotMap, TeamLoad};
