--- /dev/null
+++ b/crates/decide/src/eject.rs
@@ -0,0 +1,79 @@
+//! Which targets get no requests because they fail everything.
+//!
+//! Start with [`TargetHealth`]; `docs/design/04-at-most-once.md` has the reasons.
+
+use std::time::Duration;
+
+use model::BootTime;
+
+/// Failures in a row after which a target counts as failing everything.
+const FAILURES: u32 = 5;
+/// How long the first ejection lasts; it doubles with each one in a row.
+const FIRST_EJECTION: Duration = Duration::from_secs(1);
+/// How long an ejection lasts at most.
+const LONGEST_EJECTION: Duration = Duration::from_secs(60);
+
+/// How a target did lately, as one entry host saw it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TargetHealth {
+    failures: u32,
+    ejections: u32,
+    ejected_until: BootTime,
+    probing: bool,
+}
+
+/// How much work a target may get.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetUse {
+    /// All that its slots allow.
+    Full,
+    /// One request at a time, to see whether it is back.
+    Probe,
+    /// None.
+    Ejected,
+}
+
+impl TargetHealth {
+    /// Notes that the target answered.
+    pub fn note_success(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Notes that the target failed a request. `may_eject` says whether the pool can spare
+    /// it: ejecting must never leave fewer targets than the pool's budget, because a fault
+    /// that all targets share would otherwise empty the pool.
+    ///
+    /// True if this failure ejected the target.
+    pub fn note_failure(&mut self, now: BootTime, may_eject: bool) -> bool {
+        self.failures = self.failures.saturating_add(1);
+        let due = self.probing || self.failures >= FAILURES;
+        if !due || !may_eject || now < self.ejected_until {
+            return false;
+        }
+        let doublings = self.ejections.min(16);
+        let length = FIRST_EJECTION
+            .saturating_mul(1 << doublings)
+            .min(LONGEST_EJECTION);
+        self.ejected_until = now + length;
+        self.ejections += 1;
+        self.probing = true;
+        true
+    }
+
+    /// How much work the target may get now.
+    pub fn allowed(&self, now: BootTime) -> TargetUse {
+        if now < self.ejected_until {
+            TargetUse::Ejected
+        } else if self.probing {
+            TargetUse::Probe
+        } else {
+            TargetUse::Full
+        }
+    }
+}
+
+/// Whether a pool with `in_use` targets, none of them ejected, can spare one more.
+pub fn can_spare(in_use: usize, budget: u32) -> bool {
+    let budget = usize::try_from(budget).unwrap_or(usize::MAX).max(1);
+    in_use > budget
+}
--- /dev/null
+++ b/crates/entry/src/admission/pool_desk.rs
@@ -0,0 +1,144 @@
+use std::{sync::Arc, time::Duration};
+
+use decide::retry::RetryBudget;
+use model::{BootTime, TeamId};
+use ports::{ForceConfig, SlotLease, TargetHost};
+
+use super::{demand_meter::DemandMeter, pool_queue::PoolQueue, target_table::PoolView};
+use crate::work::CallerRequest;
+
+/// Retries that a pool may save up.
+const RETRY_BURST: u32 = 16;
+/// Part of a new measurement in the running mean of service times.
+const SERVICE_GAIN: f64 = 0.1;
+/// Ended requests before the mean of service times is trusted.
+const SERVICE_SAMPLES: u32 = 8;
+
+/// Everything the admission thread keeps of one pool.
+pub(crate) struct PoolDesk {
+    /// Its queue.
+    pub queue: PoolQueue,
+    /// Its use and demand.
+    pub meter: DemandMeter,
+    /// Its retries.
+    pub retries: RetryBudget,
+    service: Duration,
+    samples: u32,
+    lease: Option<Arc<SlotLease>>,
+}
+
+impl Default for PoolDesk {
+    fn default() -> Self {
+        Self {
+            queue: PoolQueue::default(),
+            meter: DemandMeter::default(),
+            retries: RetryBudget::new(RETRY_BURST),
+            service: Duration::ZERO,
+            samples: 0,
+            lease: None,
+        }
+    }
+}
+
+impl PoolDesk {
+    /// Notes how long a target took for a request.
+    pub fn note_service(&mut self, elapsed: Duration) {
+        self.samples = self.samples.saturating_add(1);
+        if self.samples == 1 {
+            self.service = elapsed;
+            return;
+        }
+        self.service = self.service.mul_f64(1.0 - SERVICE_GAIN) + elapsed.mul_f64(SERVICE_GAIN);
+    }
+
+    /// Notes the lease now held; a renewed one has counted what was started before.
+    pub fn note_lease(&mut self, lease: &Arc<SlotLease>) {
+        let known = self
+            .lease
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, lease));
+        if !known {
+            self.queue.settle_charges();
+            self.lease = Some(Arc::clone(lease));
+        }
+    }
+
+    /// Slot time that a start is expected to use, in milliseconds.
+    pub fn cost_ms(&self) -> u64 {
+        u64::try_from(self.service.as_millis())
+            .unwrap_or(u64::MAX)
+            .max(1)
+    }
+
+    /// How long `work` would wait, by recent service times and the slots that its team may
+    /// count on; `None` while nothing is known.
+    ///
+    /// Those slots are the team's due or what it runs, whichever is more: a team alone in
+    /// the pool gets more than its due.
+    pub fn expected_wait(
+        &self,
+        work: &CallerRequest,
+        lease: &SlotLease,
+        now: BootTime,
+    ) -> Option<Duration> {
+        let slots = slot_sum(lease);
+        if self.samples < SERVICE_SAMPLES || slots == 0 || now >= lease.expires {
+            return None;
+        }
+        if self.meter.total_running() < slots && self.queue.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let due = lease
+            .teams
+            .iter()
+            .find(|used| used.team == work.team)
+            .map_or(0, |used| used.slots);
+        let mine = due.max(self.meter.running(&work.team)).clamp(1, slots);
+        let (queued, urgent) = self.queue.team_len(&work.team);
+        let ahead = if work.urgent { urgent } else { queued };
+        Some(self.service.mul_f64(ahead as f64 / f64::from(mine)))
+    }
+
+    /// How long what is queued will take.
+    pub fn drain_time(&self, lease: &SlotLease) -> Duration {
+        let slots = slot_sum(lease).max(1);
+        self.service
+            .mul_f64(self.queue.len() as f64 / f64::from(slots))
+    }
+}
+
+fn slot_sum(lease: &SlotLease) -> u32 {
+    lease.targets.iter().map(|target| target.slots).sum()
+}
+
+/// What the other areas say of one pool at one moment.
+pub(crate) struct PoolParts {
+    /// Its targets.
+    pub targets: Arc<Vec<TargetHost>>,
+    /// The slots that this entry host may use.
+    pub lease: Arc<SlotLease>,
+    /// Connections that this entry host may hold to each target.
+    pub connections: u32,
+    /// How many hosts the pool must keep in service.
+    pub budget: u32,
+    /// The configuration in force.
+    pub config: Arc<ForceConfig>,
+}
+
+impl PoolParts {
+    /// The parts that the choice of a target needs.
+    pub fn view(&self) -> PoolView<'_> {
+        PoolView {
+            targets: &self.targets,
+            lease: &self.lease,
+            connections: self.connections,
+            budget: self.budget,
+        }
+    }
+
+    /// Weight of `team` when the pool is full.
+    pub fn weight(&self, team: &TeamId) -> u64 {
+        let spec = self.config.manifest.teams.get(team);
+        u64::from(spec.map_or(1, |spec| spec.share).max(1))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/admission/target_table.rs
@@ -0,0 +1,227 @@
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use decide::eject::{TargetHealth, TargetUse, can_spare};
+use model::{BootTime, DataCentreId, HostId};
+use parking_lot::Mutex;
+use ports::{SlotLease, TargetHost, TargetState};
+
+use crate::dispatch::TargetLane;
+
+/// How long a lane may stay unused before its connection is closed. Short, because a
+/// target that closes it at the moment of use leaves the fate of a request unknown.
+const LANE_IDLE: Duration = Duration::from_secs(4);
+/// How long a target that refused work is left alone, first and at most.
+const FIRST_REST: Duration = Duration::from_millis(50);
+const LONGEST_REST: Duration = Duration::from_secs(1);
+
+/// Requests in flight by target, as other areas may read them.
+pub(crate) type RunningCounts = Arc<Mutex<HashMap<HostId, u32>>>;
+
+/// What this entry host has in flight to each target, and how each target does.
+pub(crate) struct TargetTable {
+    entries: HashMap<HostId, TargetEntry>,
+    counts: RunningCounts,
+    data_centre: DataCentreId,
+    connect_timeout: Duration,
+}
+
+#[derive(Default)]
+struct TargetEntry {
+    in_flight: u32,
+    lanes: Vec<IdleLane>,
+    health: TargetHealth,
+    rest: Duration,
+    rests_until: BootTime,
+}
+
+struct IdleLane {
+    lane: TargetLane,
+    since: BootTime,
+}
+
+/// A pool as the choice of a target needs it.
+pub(crate) struct PoolView<'a> {
+    /// Its targets.
+    pub targets: &'a [TargetHost],
+    /// The slots that this entry host may use.
+    pub lease: &'a SlotLease,
+    /// Connections that this entry host may hold to each target.
+    pub connections: u32,
+    /// How many hosts the pool must keep in service.
+    pub budget: u32,
+}
+
+impl TargetTable {
+    /// An empty table for an entry host in `data_centre`.
+    pub fn new(
+        data_centre: DataCentreId,
+        connect_timeout: Duration,
+        counts: RunningCounts,
+    ) -> Self {
+        Self {
+            entries: HashMap::new(),
+            counts,
+            data_centre,
+            connect_timeout,
+        }
+    }
+
+    /// The target with the most room; among equals one in the own data centre, then the
+    /// one that `tie` falls on.
+    pub fn choose<'a>(
+        &self,
+        view: &PoolView<'a>,
+        tie: usize,
+        now: BootTime,
+    ) -> Option<&'a TargetHost> {
+        if now >= view.lease.expires {
+            return None;
+        }
+        let count = view.targets.len().max(1);
+        let open = view
+            .targets
+            .iter()
+            .enumerate()
+            .filter_map(|(index, target)| {
+                let room = self.room(view, target, now);
+                (room > 0).then_some((index, target, room))
+            });
+        let best = open.max_by_key(|(index, target, room)| {
+            let near = target.data_centre == self.data_centre;
+            (*room, near, (index + tie) % count)
+        });
+        best.map(|(_, target, _)| target)
+    }
+
+    /// Takes a slot of `target` and a lane to it.
+    pub fn start(&mut self, target: &TargetHost) -> TargetLane {
+        let entry = self.entries.entry(target.host.clone()).or_default();
+        entry.in_flight += 1;
+        self.counts
+            .lock()
+            .insert(target.host.clone(), entry.in_flight);
+        let kept = entry
+            .lanes
+            .pop()
+            .filter(|idle| idle.lane.address == target.address);
+        match kept {
+            Some(idle) => idle.lane,
+            None => TargetLane::new(target.host.clone(), &target.address, self.connect_timeout),
+        }
+    }
+
+    /// Gives a slot back.
+    pub fn end(&mut self, host: &HostId) {
+        let Some(entry) = self.entries.get_mut(host) else {
+            return;
+        };
+        entry.in_flight = entry.in_flight.saturating_sub(1);
+        let mut counts = self.counts.lock();
+        if entry.in_flight == 0 {
+            counts.remove(host);
+        } else {
+            counts.insert(host.clone(), entry.in_flight);
+        }
+    }
+
+    /// Keeps a lane for the next request to its target.
+    pub fn keep_lane(&mut self, lane: TargetLane, now: BootTime) {
+        let entry = self.entries.entry(lane.host.clone()).or_default();
+        entry.lanes.push(IdleLane { lane, since: now });
+    }
+
+    /// Closes lanes that were idle for long, and forgets targets that nothing is known of.
+    pub fn sweep(&mut self, now: BootTime) {
+        for entry in self.entries.values_mut() {
+            entry
+                .lanes
+                .retain(|idle| now.saturating_sub(idle.since) < LANE_IDLE);
+        }
+        self.entries.retain(|_, entry| {
+            entry.in_flight > 0
+                || !entry.lanes.is_empty()
+                || entry.health != TargetHealth::default()
+                || now < entry.rests_until
+        });
+    }
+
+    /// Notes that a target answered.
+    pub fn note_success(&mut self, host: &HostId) {
+        let entry = self.entries.entry(host.clone()).or_default();
+        entry.health.note_success();
+        entry.rest = Duration::ZERO;
+    }
+
+    /// Notes that a target failed a request.
+    pub fn note_failure(&mut self, view: &PoolView<'_>, host: &HostId, now: BootTime) {
+        let in_use = view
+            .targets
+            .iter()
+            .filter(|target| target.state == TargetState::Serving && !self.is_ejected(target, now))
+            .count();
+        let may_eject = can_spare(in_use, view.budget);
+        let entry = self.entries.entry(host.clone()).or_default();
+        // The connections may lead to a life of the target that is gone.
+        entry.lanes.clear();
+        if entry.health.note_failure(now, may_eject) {
+            metrics::counter!("lws_targets_ejected").increment(1);
+            log::warn!("E0520 target-ejected host={host}");
+        }
+    }
+
+    /// Notes that a target refused new work: it drains, or its slots are taken. It is left
+    /// alone for a moment that grows to a second while it goes on refusing, so that a
+    /// draining target is spared and one that was only full is not left idle for long.
+    pub fn note_refusal(&mut self, host: &HostId, now: BootTime) {
+        let entry = self.entries.entry(host.clone()).or_default();
+        entry.rest = (entry.rest * 2).clamp(FIRST_REST, LONGEST_REST);
+        entry.rests_until = now + entry.rest;
+    }
+
+    fn room(&self, view: &PoolView<'_>, target: &TargetHost, now: BootTime) -> u32 {
+        let in_flight = self
+            .entries
+            .get(&target.host)
+            .map_or(0, |entry| entry.in_flight);
+        self.allowed(view, target, now).saturating_sub(in_flight)
+    }
+
+    fn allowed(&self, view: &PoolView<'_>, target: &TargetHost, now: BootTime) -> u32 {
+        if target.state != TargetState::Serving {
+            return 0;
+        }
+        let leased = view
+            .lease
+            .targets
+            .iter()
+            .find(|slots| slots.host == target.host)
+            .map_or(0, |slots| slots.slots)
+            .min(view.connections);
+        let Some(entry) = self.entries.get(&target.host) else {
+            return leased;
+        };
+        if now < entry.rests_until {
+            return 0;
+        }
+        match entry.health.allowed(now) {
+            TargetUse::Full => leased,
+            TargetUse::Probe => leased.min(1),
+            TargetUse::Ejected => 0,
+        }
+    }
+
+    fn is_ejected(&self, target: &TargetHost, now: BootTime) -> bool {
+        self.entries
+            .get(&target.host)
+            .is_some_and(|entry| entry.health.allowed(now) != TargetUse::Full)
+    }
+}
+
+/// Connections that one entry host may hold to a target that allows `connections` in all.
+///
+/// Each of `members` entry hosts keeps to its part without asking the others, so the sum
+/// stays within what the target allows.
+pub(crate) fn connection_part(connections: u32, members: usize) -> u32 {
+    let members = u32::try_from(members).unwrap_or(u32::MAX).max(1);
+    (connections / members).max(1)
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,22 @@
+//! The caller port: connections, limits, keys and routes.
+//!
+//! Start with [`CallerPort`]. One thread serves all connections, since a thread for each
+//! would let slow senders decide how much memory the process takes; see
+//! `docs/design/03-callers.md`. Nothing here blocks: work is handed on over bounded
+//! channels and its outcome awaited.
+
+mod body_budget;
+mod caller_port;
+mod caller_stream;
+mod connection_count;
+mod job_desk;
+mod key_check;
+mod request_head;
+mod respond;
+mod routes;
+
+pub(crate) use body_budget::{BodyBudget, BodyShare};
+pub(crate) use caller_port::{CallerPort, PortPhase, serve_port};
+pub(crate) use connection_count::ConnectionCount;
+pub(crate) use job_desk::JobDesk;
+pub(crate) use key_check::key_stands;
--- /dev/null
+++ b/crates/entry/src/caller/caller_stream.rs
@@ -0,0 +1,119 @@
+use std::{
+    future::Future,
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep},
+};
+
+/// A caller's connection that gives up on a caller who takes its answer too slowly.
+///
+/// A caller that stops reading would hold its answer in memory for as long as it likes.
+/// While a write waits, the caller must take some bytes in each window; then the memory of
+/// an answer is held for a bounded time. A caller that reads and sends nothing is bounded
+/// by the head timeout instead.
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    window: Duration,
+    floor: usize,
+    taken: usize,
+    stall: Option<Pin<Box<Sleep>>>,
+}
+
+impl CallerStream {
+    /// Demands that `floor` bytes be taken in each `window` while a write waits.
+    pub fn new(stream: TcpStream, window: Duration, floor: usize) -> Self {
+        Self {
+            stream,
+            window,
+            floor,
+            taken: 0,
+            stall: None,
+        }
+    }
+
+    fn note(
+        &mut self,
+        cx: &mut Context<'_>,
+        poll: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        match poll {
+            Poll::Ready(Ok(count)) => {
+                self.taken += count;
+                if self.taken >= self.floor {
+                    self.taken = 0;
+                    self.stall = None;
+                }
+                Poll::Ready(Ok(count))
+            }
+            Poll::Ready(Err(cause)) => Poll::Ready(Err(cause)),
+            Poll::Pending => self.wait(cx),
+        }
+    }
+
+    fn wait(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        if self.stall.is_none() {
+            self.taken = 0;
+        }
+        let window = self.window;
+        let stall = self
+            .stall
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(Instant::now() + window)));
+        ready!(stall.as_mut().poll(cx));
+        metrics::counter!("lws_callers_stalled").increment(1);
+        Poll::Ready(Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "the caller does not take its answer",
+        )))
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note(cx, poll)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The last bytes of an answer are with the kernel: the window of this answer ends.
+        self.stall = None;
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note(cx, poll)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller/key_check.rs
@@ -0,0 +1,102 @@
+use std::time::Duration;
+
+use model::{KeyId, ProblemKind, TeamId};
+use ports::ForceConfig;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use wire::state::KeyRecord;
+
+use crate::{CallerProblem, work::KeyStamp};
+
+/// A key that was found good, and the team that it admits work for.
+pub(crate) struct KeyPass {
+    /// Team whose work the key admits.
+    pub team: TeamId,
+    /// What is checked again before the work goes out.
+    pub stamp: KeyStamp,
+}
+
+/// Checks the header `Authorization` against the keys in force.
+///
+/// The secret is compared as a salted digest in constant time, and an unknown key costs
+/// the same digest, so that answer times tell nothing of which key ids exist.
+pub(crate) fn check_key(
+    config: &ForceConfig,
+    authorization: Option<&str>,
+    unix_now: Duration,
+) -> Result<KeyPass, CallerProblem> {
+    let Some(text) = authorization else {
+        return Err(refused("header Authorization is missing"));
+    };
+    let Some((key, secret)) = split_bearer(text) else {
+        return Err(refused("Authorization must be `Bearer KEYID.SECRET`"));
+    };
+    let key = KeyId::from(key);
+    let unknown = KeyRecord::default();
+    let record = config.keys.get(&key);
+    let known = digest_matches(record.unwrap_or(&unknown), secret);
+    let Some(record) = record.filter(|_| known) else {
+        return Err(refused("the key is not known, or was withdrawn"));
+    };
+    if record.admin || record.team.is_empty() {
+        return Err(refused("an administration key admits no work"));
+    }
+    if has_expired(record, unix_now) {
+        return Err(refused("the key has expired"));
+    }
+    Ok(KeyPass {
+        team: TeamId::from(record.team.as_str()),
+        stamp: KeyStamp {
+            key,
+            digest: record.digest.clone(),
+        },
+    })
+}
+
+/// Whether a key that admitted a request still stands in the configuration now in force.
+///
+/// A key withdrawn while its request is queued must not start it.
+pub(crate) fn key_stands(
+    config: &ForceConfig,
+    team: &TeamId,
+    stamp: &KeyStamp,
+    unix_now: Duration,
+) -> Result<(), CallerProblem> {
+    let stands = config.keys.get(&stamp.key).is_some_and(|record| {
+        !record.admin
+            && record.team == team.as_str()
+            && record.digest == stamp.digest
+            && !has_expired(record, unix_now)
+    });
+    if stands {
+        Ok(())
+    } else {
+        Err(refused(
+            "the key was withdrawn or expired while the request waited",
+        ))
+    }
+}
+
+fn split_bearer(text: &str) -> Option<(&str, &str)> {
+    let (scheme, token) = text.split_once(' ')?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return None;
+    }
+    let (key, secret) = token.trim().split_once('.')?;
+    (!key.is_empty() && !secret.is_empty()).then_some((key, secret))
+}
+
+fn digest_matches(record: &KeyRecord, secret: &str) -> bool {
+    let mut hasher = Sha256::new();
+    hasher.update(&record.salt);
+    hasher.update(secret.as_bytes());
+    hasher.finalize().ct_eq(record.digest.as_slice()).into()
+}
+
+fn has_expired(record: &KeyRecord, unix_now: Duration) -> bool {
+    record.expires_unix_ms != 0 && unix_now >= Duration::from_millis(record.expires_unix_ms)
+}
+
+fn refused(detail: &str) -> CallerProblem {
+    CallerProblem::not_run(ProblemKind::KeyRefused, detail)
+}
--- /dev/null
+++ b/crates/entry/src/caller/request_head.rs
@@ -0,0 +1,122 @@
+use std::time::Duration;
+
+use hyper::{
+    HeaderMap,
+    header::{CONTENT_TYPE, HeaderName},
+};
+use model::{ProblemKind, RequestId};
+
+use crate::CallerProblem;
+
+/// Longest request id.
+const MAX_ID: usize = 128;
+
+/// What the headers of a request ask for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RequestHead {
+    /// Header `Request-Id`.
+    pub request: Option<RequestId>,
+    /// Header `Deadline-Ms`: how long an answer is of use.
+    pub patience: Option<Duration>,
+    /// Header `Idempotent`.
+    pub idempotent: bool,
+    /// Header `Urgent`.
+    pub urgent: bool,
+    /// Header `Content-Type`.
+    pub content_type: Option<String>,
+}
+
+impl RequestHead {
+    /// Reads the headers.
+    ///
+    /// # Errors
+    /// The first header that can't be read, with what it may hold.
+    pub fn read(headers: &HeaderMap, max_deadline: Duration) -> Result<Self, CallerProblem> {
+        Ok(Self {
+            request: read_id(headers)?,
+            patience: read_patience(headers, max_deadline)?,
+            idempotent: read_flag(headers, "idempotent")?,
+            urgent: read_flag(headers, "urgent")?,
+            content_type: headers
+                .get(CONTENT_TYPE)
+                .and_then(|value| value.to_str().ok())
+                .map(str::to_owned),
+        })
+    }
+}
+
+/// A header as text; `None` if it is absent.
+pub(crate) fn header_text<'a>(
+    headers: &'a HeaderMap,
+    name: &'static str,
+) -> Result<Option<&'a str>, CallerProblem> {
+    let name = HeaderName::from_static(name);
+    let mut values = headers.get_all(&name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    // Two values could be read as different requests by different hosts.
+    if values.next().is_some() {
+        return Err(bad(format!("header {name} is given twice")));
+    }
+    let Ok(text) = value.to_str() else {
+        return Err(bad(format!("header {name} is not plain ASCII text")));
+    };
+    Ok(Some(text.trim()))
+}
+
+fn read_id(headers: &HeaderMap) -> Result<Option<RequestId>, CallerProblem> {
+    let Some(text) = header_text(headers, "request-id")? else {
+        return Ok(None);
+    };
+    let fits = (1..=MAX_ID).contains(&text.len())
+        && text
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"._:-".contains(&byte));
+    if !fits {
+        return Err(bad(format!(
+            "Request-Id must have 1 to {MAX_ID} characters out of letters, digits and ._:-"
+        )));
+    }
+    Ok(Some(RequestId::from(text)))
+}
+
+fn read_patience(
+    headers: &HeaderMap,
+    max_deadline: Duration,
+) -> Result<Option<Duration>, CallerProblem> {
+    let Some(text) = header_text(headers, "deadline-ms")? else {
+        return Ok(None);
+    };
+    let range = format!("from 1 to {}", max_deadline.as_millis());
+    if text
+        .trim_start_matches('-')
+        .bytes()
+        .all(|byte| byte == b'0')
+        || text.starts_with('-')
+    {
+        return Err(CallerProblem::not_run(
+            ProblemKind::Deadline,
+            format!("the deadline has passed; Deadline-Ms may be {range}"),
+        ));
+    }
+    let patience = text.parse().ok().map(Duration::from_millis);
+    match patience {
+        Some(patience) if patience <= max_deadline => Ok(Some(patience)),
+        _ => Err(bad(format!("Deadline-Ms must be a whole number {range}"))),
+    }
+}
+
+fn read_flag(headers: &HeaderMap, name: &'static str) -> Result<bool, CallerProblem> {
+    match header_text(headers, name)? {
+        None => Ok(false),
+        Some(text) if text.eq_ignore_ascii_case("true") => Ok(true),
+        Some(text) if text.eq_ignore_ascii_case("false") => Ok(false),
+        Some(_) => Err(bad(format!("header {name} must be true or false"))),
+    }
+}
+
+/// A refusal of a malformed request.
+pub(crate) fn bad(detail: impl Into<String>) -> CallerProblem {
+    CallerProblem::not_run(ProblemKind::BadRequest, detail)
+}
--- /dev/null
+++ b/crates/entry/src/claim/claim_desk.rs
@@ -0,0 +1,253 @@
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+use decide::claim::{ClaimAsker, ClaimGrant, ClaimLedger, MintedId};
+use model::{ProblemKind, RequestId, StepError, TeamId};
+use parking_lot::Mutex;
+use ports::{ClaimSource, ClaimVerdict, InboundMessage, MemberSource, PeerLink};
+use wire::peer::{ClaimReply, ClaimRequest, ClaimVerdict as WireVerdict, envelope::Body};
+
+use crate::CallerProblem;
+
+/// Stack of the claim thread, in bytes.
+const CLAIM_STACK: usize = 128 * 1024;
+/// How often a claim is asked before the home counts as silent.
+const CLAIM_ASKS: u32 = 2;
+
+/// Mints request ids, answers claims on them, and claims ids of other entry hosts.
+pub struct ClaimDesk {
+    members: Arc<dyn MemberSource>,
+    link: Arc<dyn PeerLink>,
+    ledger: Mutex<ClaimLedger>,
+    calls: AtomicU64,
+    waiting: Mutex<HashMap<u64, Sender<ClaimVerdict>>>,
+}
+
+impl ClaimDesk {
+    /// A desk that keeps at most `open_ids` minted ids open.
+    pub fn new(members: Arc<dyn MemberSource>, link: Arc<dyn PeerLink>, open_ids: usize) -> Self {
+        Self {
+            members,
+            link,
+            ledger: Mutex::new(ClaimLedger::new(open_ids)),
+            calls: AtomicU64::new(1),
+            waiting: Mutex::default(),
+        }
+    }
+
+    /// Starts the thread that answers claims; it ends when `inbound` disconnects.
+    ///
+    /// # Errors
+    /// If the thread can't be started.
+    pub fn start(self: &Arc<Self>, inbound: Receiver<InboundMessage>) -> Result<(), StepError> {
+        let desk = Arc::clone(self);
+        thread::Builder::new()
+            .name("entry-claim".to_owned())
+            .stack_size(CLAIM_STACK)
+            .spawn(move || {
+                for message in inbound {
+                    desk.receive(&message);
+                }
+            })
+            .map(drop)
+            .map_err(|cause| StepError::new("start claim thread", "", cause))
+    }
+
+    /// A fresh id that `team` may use once.
+    pub(crate) fn mint_for(&self, team: &TeamId) -> RequestId {
+        let counter = self.ledger.lock().mint(team);
+        self.own_id(counter)
+    }
+
+    /// A fresh id whose only run is the one under way here.
+    pub(crate) fn mint_spent(&self) -> RequestId {
+        let counter = self.ledger.lock().mint_spent();
+        self.own_id(counter)
+    }
+
+    /// The id that a request runs under, and whether it must be claimed first.
+    ///
+    /// A caller's own name for a non-idempotent request is refused: no entry host could
+    /// say whether another one has run it.
+    pub(crate) fn admit_id(
+        &self,
+        given: Option<RequestId>,
+        idempotent: bool,
+    ) -> Result<(RequestId, bool), CallerProblem> {
+        let Some(request) = given else {
+            return Ok((self.mint_spent(), false));
+        };
+        if idempotent {
+            return Ok((request, false));
+        }
+        if MintedId::parse(&request).is_none() {
+            return Err(CallerProblem::not_run(
+                ProblemKind::BadRequest,
+                "the Request-Id of a non-idempotent request must come from \
+                 POST /v1/request-ids; or leave it out, or say Idempotent: true",
+            ));
+        }
+        Ok((request, true))
+    }
+
+    fn own_id(&self, counter: u64) -> RequestId {
+        MintedId {
+            home: self.members.own_id(),
+            incarnation: self.members.own_incarnation(),
+            counter,
+        }
+        .to_request()
+    }
+
+    fn is_own(&self, minted: &MintedId) -> bool {
+        minted.home == self.members.own_id() && minted.incarnation == self.members.own_incarnation()
+    }
+
+    /// A home that left the list or started anew has forgotten the id: nobody can vouch.
+    fn is_member(&self, minted: &MintedId) -> bool {
+        self.members
+            .members()
+            .iter()
+            .any(|info| info.member == minted.home && info.incarnation == minted.incarnation)
+    }
+
+    fn next_asker(&self) -> ClaimAsker {
+        ClaimAsker {
+            member: self.members.own_id(),
+            incarnation: self.members.own_incarnation(),
+            call: self.calls.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    fn claim_here(&self, counter: u64, team: &TeamId, asker: &ClaimAsker) -> ClaimVerdict {
+        match self.ledger.lock().claim(counter, team, asker) {
+            ClaimGrant::First => ClaimVerdict::First,
+            ClaimGrant::Taken => ClaimVerdict::Taken,
+        }
+    }
+
+    fn claim_remote(
+        &self,
+        minted: &MintedId,
+        team: &TeamId,
+        call: u64,
+        patience: Duration,
+    ) -> ClaimVerdict {
+        let (sender, receiver) = bounded(1);
+        self.waiting.lock().insert(call, sender);
+        let verdict = self.ask_home(minted, team, call, patience, &receiver);
+        self.waiting.lock().remove(&call);
+        verdict
+    }
+
+    /// Asks twice, because one message can be lost while a link reconnects; the home
+    /// recognizes the repeated call and gives the same answer.
+    fn ask_home(
+        &self,
+        minted: &MintedId,
+        team: &TeamId,
+        call: u64,
+        patience: Duration,
+        receiver: &Receiver<ClaimVerdict>,
+    ) -> ClaimVerdict {
+        let until = Instant::now() + patience;
+        for ask in 1..=CLAIM_ASKS {
+            let body = Body::ClaimRequest(ClaimRequest {
+                call,
+                request: minted.to_request().into(),
+                team: team.to_string(),
+            });
+            // A link that is full or missing now may carry the second question.
+            let _ = self.link.send(&minted.home, body);
+            let left = until.saturating_duration_since(Instant::now());
+            let wait = left / (CLAIM_ASKS - ask + 1);
+            if let Ok(verdict) = receiver.recv_timeout(wait) {
+                return verdict;
+            }
+        }
+        metrics::counter!("lws_claims_unanswered").increment(1);
+        ClaimVerdict::Unknown
+    }
+
+    fn receive(&self, message: &InboundMessage) {
+        match &message.body {
+            Body::ClaimRequest(request) => self.answer_claim(message, request),
+            Body::ClaimReply(reply) => self.settle_claim(reply),
+            _ => {}
+        }
+    }
+
+    fn answer_claim(&self, message: &InboundMessage, request: &ClaimRequest) {
+        let asker = ClaimAsker {
+            member: message.from.clone(),
+            incarnation: message.incarnation,
+            call: request.call,
+        };
+        let minted = MintedId::parse(&RequestId::from(request.request.as_str()));
+        let verdict = match minted {
+            Some(minted) if self.is_own(&minted) => {
+                self.claim_here(minted.counter, &request.team.as_str().into(), &asker)
+            }
+            _ => ClaimVerdict::Unknown,
+        };
+        let reply = ClaimReply {
+            call: request.call,
+            verdict: encode(verdict).into(),
+        };
+        // A lost reply costs the asker a repeated question, and then a cautious answer.
+        let _ = self.link.send(&message.from, Body::ClaimReply(reply));
+    }
+
+    fn settle_claim(&self, reply: &ClaimReply) {
+        let waiting = self.waiting.lock();
+        let Some(sender) = waiting.get(&reply.call) else {
+            return;
+        };
+        // A second reply to the same call says the same; only the first is read.
+        let _ = sender.try_send(decode(reply.verdict()));
+    }
+}
+
+impl ClaimSource for ClaimDesk {
+    fn mint(&self, team: &TeamId) -> RequestId {
+        self.mint_for(team)
+    }
+
+    fn claim(&self, request: &RequestId, team: &TeamId, patience: Duration) -> ClaimVerdict {
+        let Some(minted) = MintedId::parse(request) else {
+            return ClaimVerdict::Unknown;
+        };
+        let asker = self.next_asker();
+        if self.is_own(&minted) {
+            return self.claim_here(minted.counter, team, &asker);
+        }
+        if !self.is_member(&minted) {
+            return ClaimVerdict::Unknown;
+        }
+        self.claim_remote(&minted, team, asker.call, patience)
+    }
+}
+
+fn encode(verdict: ClaimVerdict) -> WireVerdict {
+    match verdict {
+        ClaimVerdict::First => WireVerdict::First,
+        ClaimVerdict::Taken => WireVerdict::Taken,
+        ClaimVerdict::Unknown => WireVerdict::Unknown,
+    }
+}
+
+fn decode(verdict: WireVerdict) -> ClaimVerdict {
+    match verdict {
+        WireVerdict::First => ClaimVerdict::First,
+        WireVerdict::Taken => ClaimVerdict::Taken,
+        WireVerdict::Unspecified | WireVerdict::Unknown => ClaimVerdict::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,14 @@
+//! Sending requests to targets, each on a thread and a connection of its own.
+//!
+//! Start with [`DispatchPool`]. A [`TargetLane`] is one connection to one target; the
+//! admission thread hands it out with a request and gets it back with the report, so the
+//! number of lanes bounds the connections a target sees.
+
+mod dispatch_pool;
+mod run_attempt;
+mod send_guard;
+mod target_lane;
+
+pub(crate) use dispatch_pool::{DispatchJob, DispatchPool};
+pub(crate) use run_attempt::{AttemptEnd, AttemptReport, AttemptRunner};
+pub(crate) use target_lane::TargetLane;
--- /dev/null
+++ b/crates/entry/src/dispatch/dispatch_pool.rs
@@ -0,0 +1,141 @@
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+use ports::QuotaPermit;
+
+use super::{AttemptReport, AttemptRunner, TargetLane};
+use crate::work::CallerRequest;
+
+/// Stack of a dispatch thread, in bytes.
+const DISPATCH_STACK: usize = 256 * 1024;
+/// How long a dispatch thread waits for work before it ends.
+const IDLE_PATIENCE: Duration = Duration::from_secs(20);
+
+/// One request to be sent on one lane.
+pub(crate) struct DispatchJob {
+    /// The request.
+    pub request: Box<CallerRequest>,
+    /// The connection to its target.
+    pub lane: TargetLane,
+    /// The unit of the team's limit that it uses.
+    pub permit: QuotaPermit,
+}
+
+/// Threads that wait for targets, started when needed and ended when idle.
+pub(crate) struct DispatchPool {
+    capacity: usize,
+    runner: Arc<AttemptRunner>,
+    jobs: (Sender<DispatchJob>, Receiver<DispatchJob>),
+    reports: Sender<AttemptReport>,
+    threads: Arc<AtomicUsize>,
+    busy: usize,
+}
+
+impl DispatchPool {
+    /// A pool of at most `capacity` threads that send their reports to the receiver.
+    pub fn new(capacity: usize, runner: Arc<AttemptRunner>) -> (Self, Receiver<AttemptReport>) {
+        let (reports, receiver) = bounded(capacity);
+        let pool = Self {
+            capacity,
+            runner,
+            jobs: bounded(capacity),
+            reports,
+            threads: Arc::new(AtomicUsize::new(0)),
+            busy: 0,
+        };
+        (pool, receiver)
+    }
+
+    /// Whether a job would start at once.
+    pub fn has_room(&self) -> bool {
+        self.busy < self.capacity
+    }
+
+    /// Jobs under way.
+    pub fn busy(&self) -> usize {
+        self.busy
+    }
+
+    /// Starts a job; gives it back if no thread can be had.
+    pub fn start(&mut self, job: DispatchJob) -> Result<(), Box<DispatchJob>> {
+        if !self.has_room() {
+            return Err(Box::new(job));
+        }
+        if let Err(refused) = self.jobs.0.try_send(job) {
+            return Err(Box::new(refused.into_inner()));
+        }
+        self.busy += 1;
+        // Counted after the job is in the channel: an idle thread that ends just now has
+        // either seen the job or is no longer counted here.
+        let threads = self.threads.load(Ordering::Acquire);
+        if threads >= self.busy || self.spawn() || threads > 0 {
+            return Ok(());
+        }
+        match self.jobs.1.try_recv() {
+            Ok(job) => {
+                self.busy -= 1;
+                Err(Box::new(job))
+            }
+            Err(_) => Ok(()),
+        }
+    }
+
+    /// Notes that the report of a job was taken.
+    pub fn settle(&mut self) {
+        self.busy = self.busy.saturating_sub(1);
+    }
+
+    fn spawn(&self) -> bool {
+        let runner = Arc::clone(&self.runner);
+        let jobs = self.jobs.1.clone();
+        let reports = self.reports.clone();
+        let threads = Arc::clone(&self.threads);
+        threads.fetch_add(1, Ordering::AcqRel);
+        let spawned = thread::Builder::new()
+            .name("entry-dispatch".to_owned())
+            .stack_size(DISPATCH_STACK)
+            .spawn(move || run_jobs(&runner, &jobs, &reports, &threads));
+        if let Err(cause) = &spawned {
+            self.threads.fetch_sub(1, Ordering::AcqRel);
+            log::error!("E0512 dispatch-thread-missing cause=\"{cause}\"");
+        }
+        spawned.is_ok()
+    }
+}
+
+fn run_jobs(
+    runner: &AttemptRunner,
+    jobs: &Receiver<DispatchJob>,
+    reports: &Sender<AttemptReport>,
+    threads: &AtomicUsize,
+) {
+    loop {
+        let Ok(job) = jobs.recv_timeout(IDLE_PATIENCE) else {
+            threads.fetch_sub(1, Ordering::AcqRel);
+            // A job may have been queued for this thread while it made up its mind.
+            match jobs.try_recv() {
+                Ok(job) => {
+                    threads.fetch_add(1, Ordering::AcqRel);
+                    run_job(runner, job, reports);
+                    continue;
+                }
+                Err(_) => return,
+            }
+        };
+        run_job(runner, job, reports);
+    }
+}
+
+fn run_job(runner: &AttemptRunner, job: DispatchJob, reports: &Sender<AttemptReport>) {
+    let report = runner.run(job);
+    // The channel holds as many reports as there are jobs, so this never waits; it fails
+    // only once the admission thread has ended.
+    let _ = reports.send(report);
+}
--- /dev/null
+++ b/crates/entry/src/dispatch/target_lane.rs
@@ -0,0 +1,105 @@
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use model::{HostId, RequestId};
+use ureq::{
+    Agent, Body,
+    config::Config,
+    http::{Response, header::CONTENT_TYPE},
+    unversioned::resolver::DefaultResolver,
+};
+
+use super::send_guard::{GuardedConnector, SendCheck, SendGuard, SendProgress};
+
+/// What goes to a target.
+pub(crate) struct LaneRequest<'a> {
+    /// Id that the target must echo.
+    pub request: &'a RequestId,
+    /// Team that the target is told.
+    pub team: &'a str,
+    /// What the target is told of repeating the request.
+    pub idempotent: bool,
+    /// Header `Content-Type`, if the caller sent one.
+    pub content_type: Option<&'a str>,
+    /// The body.
+    pub body: &'a Bytes,
+    /// Time left until the deadline.
+    pub patience: Duration,
+}
+
+/// One connection to one target, kept open between requests.
+///
+/// Each lane holds an agent of its own, so that no two requests share a connection and the
+/// lanes handed out bound the connections that the target sees.
+pub(crate) struct TargetLane {
+    /// The target.
+    pub host: HostId,
+    /// Its address; a lane to another address is of no more use.
+    pub address: String,
+    url: String,
+    agent: Agent,
+    guard: SendGuard,
+}
+
+impl TargetLane {
+    /// A lane to `address`; it connects with its first request.
+    pub fn new(host: HostId, address: &str, connect_timeout: Duration) -> Self {
+        let guard = SendGuard::default();
+        let config = Config::builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            .proxy(None)
+            .timeout_connect(Some(connect_timeout))
+            .max_idle_connections(1)
+            .max_idle_connections_per_host(1)
+            .user_agent("lacewingshore")
+            .build();
+        let connector = GuardedConnector::new(guard.clone());
+        Self {
+            host,
+            address: address.to_owned(),
+            url: format!("http://{address}/v1/run"),
+            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
+            guard,
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer; `check` runs right before the
+    /// first byte goes out.
+    ///
+    /// # Errors
+    /// The library's error; [`TargetLane::progress`] says how far the request came.
+    pub fn send(
+        &self,
+        request: &LaneRequest<'_>,
+        check: SendCheck,
+    ) -> Result<Response<Body>, ureq::Error> {
+        self.guard.arm(check);
+        let left = request.patience.as_millis().max(1).to_string();
+        let mut builder = self
+            .agent
+            .post(&self.url)
+            .header("request-id", request.request.as_str())
+            .header("deadline-ms", &left)
+            .header("team", request.team)
+            .header("idempotent", flag(request.idempotent));
+        if let Some(text) = request.content_type {
+            builder = builder.header(CONTENT_TYPE, text);
+        }
+        builder
+            .config()
+            .timeout_global(Some(request.patience))
+            .build()
+            .send(request.body.as_ref())
+    }
+
+    /// How far the last request came.
+    pub fn progress(&self) -> SendProgress {
+        self.guard.progress()
+    }
+}
+
+fn flag(value: bool) -> &'static str {
+    if value { "true" } else { "false" }
+}
--- /dev/null
+++ b/crates/entry/src/entry_server.rs
@@ -0,0 +1,288 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+use model::{HostId, ServeSettings, StepError};
+use parking_lot::Mutex;
+use platform::Clock;
+use ports::{
+    ConfigSource, HostStatus, InboundMessage, JobSink, MemberSource, PeerLink, QuotaSource,
+    ServingGate, SlotSource, StatusSource, TargetSource,
+};
+use tokio::{net::TcpListener, runtime::Builder, sync::watch};
+
+use crate::{
+    ClaimDesk, EntryTuning,
+    admission::{
+        AdmissionConfig, AdmissionInbox, AdmissionLoop, LoopCommand, RunningCounts, TargetTable,
+    },
+    caller::{BodyBudget, CallerPort, ConnectionCount, JobDesk, PortPhase, serve_port},
+    dispatch::{AttemptRunner, DispatchPool},
+};
+
+/// Requests on their way from the caller port to the admission thread.
+const ADMISSION_RING: usize = 1024;
+/// Stack of the duty threads, in bytes.
+const DUTY_STACK: usize = 1024 * 1024;
+/// How long callers may take their last answers after the work is done.
+const CLOSE_PATIENCE: Duration = Duration::from_secs(5);
+
+/// What an entry server works with.
+pub struct EntryConfig {
+    /// Addresses, limits and the own id.
+    pub settings: ServeSettings,
+    /// Bounds that settings do not name.
+    pub tuning: EntryTuning,
+    /// The configuration in force.
+    pub config: Arc<dyn ConfigSource>,
+    /// Whether this host may take new work.
+    pub gate: Arc<dyn ServingGate>,
+    /// Units of team limits.
+    pub quotas: Arc<dyn QuotaSource>,
+    /// Targets of each pool.
+    pub targets: Arc<dyn TargetSource>,
+    /// Slots that this host may use.
+    pub slots: Arc<dyn SlotSource>,
+    /// The entry hosts.
+    pub members: Arc<dyn MemberSource>,
+    /// Takes jobs.
+    pub jobs: Arc<dyn JobSink>,
+    /// Sends claims to other entry hosts.
+    pub link: Arc<dyn PeerLink>,
+    /// Claims and their replies from other entry hosts; other messages are ignored.
+    pub inbound: Receiver<InboundMessage>,
+    /// The clocks.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// The caller interface of one entry host, with its queues and its dispatch to targets.
+///
+/// Dropping it without [`EntryServer::shutdown`] refuses what is queued and cuts what runs.
+pub struct EntryServer {
+    caller_address: SocketAddr,
+    clock: Arc<dyn Clock>,
+    claims: Arc<ClaimDesk>,
+    counts: RunningCounts,
+    leaving: Arc<AtomicBool>,
+    phase: watch::Sender<PortPhase>,
+    commands: Sender<LoopCommand>,
+    threads: Mutex<DutyThreads>,
+}
+
+#[derive(Default)]
+struct DutyThreads {
+    admission: Option<JoinHandle<()>>,
+    port: Option<JoinHandle<()>>,
+}
+
+impl EntryServer {
+    /// Opens the caller port and starts every duty.
+    ///
+    /// # Errors
+    /// If the caller address can't be bound or a thread can't be started.
+    pub fn start(config: EntryConfig) -> Result<Self, StepError> {
+        let claims = Arc::new(ClaimDesk::new(
+            Arc::clone(&config.members),
+            Arc::clone(&config.link),
+            config.tuning.open_ids,
+        ));
+        claims.start(config.inbound.clone())?;
+        let leaving = Arc::new(AtomicBool::new(false));
+        let counts = RunningCounts::default();
+        let budget = BodyBudget::new(config.tuning.body_memory);
+        let (work_sender, requests) = bounded(ADMISSION_RING);
+        let (commands, command_receiver) = bounded(4);
+        let port = CallerPort {
+            tuning: config.tuning.clone(),
+            max_body: config.settings.max_body,
+            max_deadline: config.settings.max_deadline,
+            config: Arc::clone(&config.config),
+            gate: Arc::clone(&config.gate),
+            targets: Arc::clone(&config.targets),
+            clock: Arc::clone(&config.clock),
+            claims: Arc::clone(&claims),
+            jobs: JobDesk::start(&config.jobs, config.tuning.job_threads)?,
+            admission: work_sender,
+            budget,
+            connections: ConnectionCount::new(
+                config.settings.max_connections,
+                config.tuning.address_connections,
+            ),
+            leaving: Arc::clone(&leaving),
+        };
+        let (phase, phase_receiver) = watch::channel(PortPhase::Open);
+        let (caller_address, port_thread) =
+            start_port(port, &config.settings.caller_address, phase_receiver)?;
+        let (dispatch, reports) = start_dispatch(&config, &claims);
+        let inbox = AdmissionInbox {
+            requests,
+            reports,
+            commands: command_receiver,
+        };
+        let table = TargetTable::new(
+            config.settings.data_centre.clone(),
+            config.tuning.connect_timeout,
+            Arc::clone(&counts),
+        );
+        let clock = Arc::clone(&config.clock);
+        let admission = start_admission(config, inbox, dispatch, table)?;
+        log::info!("E0500 caller-port-open address={caller_address}");
+        Ok(Self {
+            caller_address,
+            clock,
+            claims,
+            counts,
+            leaving,
+            phase,
+            commands,
+            threads: Mutex::new(DutyThreads {
+                admission: Some(admission),
+                port: Some(port_thread),
+            }),
+        })
+    }
+
+    /// The address on which callers are answered.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Mints and claims request ids.
+    pub fn claims(&self) -> Arc<ClaimDesk> {
+        Arc::clone(&self.claims)
+    }
+
+    /// Requests that this host has in flight to a target, or may have.
+    pub fn running(&self, host: &HostId) -> u32 {
+        self.counts.lock().get(host).copied().unwrap_or_default()
+    }
+
+    /// Shuts down gracefully, and returns when it is done.
+    ///
+    /// New requests are refused from now on, and readiness says so. What is queued may
+    /// still start during the first half of `patience` and is refused after that; what
+    /// runs may end until `patience` is over. Call it before [`ServingGate::leave`], which
+    /// keeps anything from starting.
+    pub fn shutdown(&self, patience: Duration) {
+        if self.leaving.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        log::info!(
+            "E0501 caller-port-leaving patience_ms={}",
+            patience.as_millis()
+        );
+        let now = self.clock.boot_now();
+        let finish = LoopCommand::Finish {
+            refuse_at: now + patience / 2,
+            end_at: now + patience,
+        };
+        // A full ring means that a finish is already on its way.
+        let _ = self.commands.try_send(finish);
+        let mut threads = self.threads.lock();
+        if let Some(admission) = threads.admission.take() {
+            // A panic of the thread was logged where it arose.
+            let _ = admission.join();
+        }
+        let _ = self.phase.send(PortPhase::Closing);
+        let until = Instant::now() + CLOSE_PATIENCE;
+        while threads
+            .port
+            .as_ref()
+            .is_some_and(|port| !port.is_finished())
+            && Instant::now() < until
+        {
+            thread::sleep(Duration::from_millis(2));
+        }
+        let _ = self.phase.send(PortPhase::Closed);
+        if let Some(port) = threads.port.take() {
+            let _ = port.join();
+        }
+    }
+}
+
+impl Drop for EntryServer {
+    fn drop(&mut self) {
+        self.shutdown(Duration::ZERO);
+    }
+}
+
+impl StatusSource for EntryServer {
+    fn hosts(&self) -> Vec<HostStatus> {
+        let counts = self.counts.lock();
+        let statuses = counts.iter().map(|(host, running)| HostStatus {
+            host: host.clone(),
+            running: *running,
+            ..HostStatus::default()
+        });
+        statuses.collect()
+    }
+}
+
+fn start_port(
+    port: CallerPort,
+    address: &str,
+    phase: watch::Receiver<PortPhase>,
+) -> Result<(SocketAddr, JoinHandle<()>), StepError> {
+    let step = |cause| StepError::new("open caller port", address, cause);
+    let listener = std::net::TcpListener::bind(address).map_err(step)?;
+    listener.set_nonblocking(true).map_err(step)?;
+    let local = listener.local_addr().map_err(step)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(step)?;
+    let entered = runtime.enter();
+    let listener = TcpListener::from_std(listener).map_err(step)?;
+    drop(entered);
+    let thread = thread::Builder::new()
+        .name("entry-callers".to_owned())
+        .stack_size(DUTY_STACK)
+        .spawn(move || runtime.block_on(serve_port(Arc::new(port), listener, phase)))
+        .map_err(step)?;
+    Ok((local, thread))
+}
+
+fn start_dispatch(
+    config: &EntryConfig,
+    claims: &Arc<ClaimDesk>,
+) -> (DispatchPool, Receiver<crate::dispatch::AttemptReport>) {
+    let runner = AttemptRunner {
+        claims: Arc::clone(claims),
+        config: Arc::clone(&config.config),
+        gate: Arc::clone(&config.gate),
+        clock: Arc::clone(&config.clock),
+        claim_patience: config.tuning.claim_patience,
+        max_answer: config.settings.max_body,
+        budget: BodyBudget::new(config.tuning.answer_memory),
+    };
+    DispatchPool::new(config.tuning.max_dispatch, Arc::new(runner))
+}
+
+fn start_admission(
+    config: EntryConfig,
+    inbox: AdmissionInbox,
+    dispatch: DispatchPool,
+    table: TargetTable,
+) -> Result<JoinHandle<()>, StepError> {
+    let parts = AdmissionConfig {
+        config: config.config,
+        quotas: config.quotas,
+        targets: config.targets,
+        slots: config.slots,
+        members: config.members,
+        clock: config.clock,
+        max_queue: config.settings.max_queue,
+    };
+    thread::Builder::new()
+        .name("entry-admission".to_owned())
+        .stack_size(DUTY_STACK)
+        .spawn(move || AdmissionLoop::new(parts, inbox, dispatch, table).run())
+        .map_err(|cause| StepError::new("start admission thread", "", cause))
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,21 @@
 //! Caller interface, admission queues and dispatch to targets.
+//!
+//! Start with [`EntryServer::start`]: it opens the caller port and runs every duty of
+//! this crate. A request passes the caller port (`caller`), waits in the queue of its
+//! pool (`admission`), and goes to a target on a dispatch thread (`dispatch`). The
+//! interface is described in `docs/API.md`, the reasons in `docs/design/03-callers.md`
+//! and `docs/design/04-at-most-once.md`.
+
+mod admission;
+mod caller;
+mod claim;
+mod dispatch;
+mod entry_server;
+mod entry_tuning;
+mod problem;
+mod work;
+
+pub use claim::ClaimDesk;
+pub use entry_server::{EntryConfig, EntryServer};
+pub use entry_tuning::EntryTuning;
+pub use problem::CallerProblem;
--- /dev/null
+++ b/crates/entry/tests/request_path.rs
@@ -0,0 +1,52 @@
+//! A request from its caller to a target and back.
+
+mod support;
+
+use support::{BenchSetup, EntryBench, RawTarget, TEAM};
+
+#[test]
+fn request_whole_answer() {
+    let target = RawTarget::echo();
+    let bench = EntryBench::start(&[&target]);
+    let reply = bench.caller().ask(b"glue, 12 pallets");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(reply.text(), "glue, 12 pallets");
+    assert_eq!(reply.request, "e1.1.1");
+    let calls = target.calls.lock();
+    assert_eq!(calls[0].path, "/v1/run");
+    assert_eq!(calls[0].team, TEAM);
+    assert_eq!(calls[0].request, reply.request);
+    assert!(calls[0].deadline_ms <= 10_000);
+}
+
+#[test]
+fn request_many_in_turn() {
+    let target = RawTarget::echo();
+    let setup = BenchSetup {
+        slots: 1,
+        ..BenchSetup::default()
+    };
+    let bench = EntryBench::start_with(&[&target], setup);
+    let caller = bench.caller();
+    for number in 0..50 {
+        let body = format!("request {number}");
+        assert_eq!(caller.ask(body.as_bytes()).text(), body);
+    }
+    assert_eq!(target.call_count(), 50);
+}
+
+#[test]
+fn readiness_follows_gate() {
+    let target = RawTarget::echo();
+    let bench = EntryBench::start(&[&target]);
+    let caller = bench.caller();
+    assert_eq!(caller.get("/livez").status, 200);
+    assert_eq!(caller.get("/readyz").status, 200);
+    *bench.gate.0.lock() = Some(ports::NotServing::LeaseLapsed);
+    assert_eq!(caller.get("/readyz").status, 503);
+    assert_eq!(caller.get("/livez").status, 200);
+    let reply = caller.ask(b"x");
+    assert_eq!((reply.status, reply.fate().as_str()), (503, "not-run"));
+    assert!(reply.retry_after.is_some());
+    assert_eq!(target.call_count(), 0);
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,17 @@
+//! Stand-ins for the ports of an entry server, and a target that misbehaves on demand.
+#![allow(
+    dead_code,
+    unused_imports,
+    missing_docs,
+    reason = "each test file uses a part of it"
+)]
+
+mod entry_bench;
+mod http_call;
+mod port_stubs;
+mod raw_target;
+
+pub use entry_bench::{BenchSetup, EntryBench, KEY, OTHER_KEY, OTHER_TEAM, SERVICE, TEAM};
+pub use http_call::{CallReply, Caller, raw_exchange};
+pub use port_stubs::{ClaimLink, JobStub, LinkMesh, QuotaStub, SlotStub, TargetStub};
+pub use raw_target::{RawTarget, TargetCall, TargetReply};
--- /dev/null
+++ b/crates/entry/tests/support/port_stubs.rs
@@ -0,0 +1,255 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::Sender;
+use model::{HostId, JobId, MemberId, PoolId, ServiceId, TeamId};
+use parking_lot::Mutex;
+use platform::{BootClock, Clock};
+use ports::{
+    ConfigSource, ForceConfig, InboundMessage, JobError, JobRequest, JobSink, JobView, LinkError,
+    MemberInfo, MemberSource, NotServing, PeerLink, PoolDemand, QuotaPermit, QuotaSource,
+    ServingGate, SlotLease, SlotSource, TargetHost, TargetSlots, TargetSource, TargetState,
+    TeamUse,
+};
+use wire::peer::envelope::Body;
+
+pub struct ConfigStub(pub ArcSwap<ForceConfig>);
+
+impl ConfigSource for ConfigStub {
+    fn current(&self) -> Arc<ForceConfig> {
+        self.0.load_full()
+    }
+}
+
+#[derive(Default)]
+pub struct GateStub(pub Mutex<Option<NotServing>>);
+
+impl ServingGate for GateStub {
+    fn check(&self) -> Result<(), NotServing> {
+        match self.0.lock().clone() {
+            None => Ok(()),
+            Some(cause) => Err(cause),
+        }
+    }
+    fn leave(&self) {
+        *self.0.lock() = Some(NotServing::Leaving);
+    }
+}
+
+/// Counts units in use and refuses above a limit.
+#[derive(Default)]
+pub struct QuotaStub {
+    pub limits: Mutex<HashMap<TeamId, u32>>,
+    pub used: Arc<Mutex<HashMap<TeamId, u32>>>,
+    pub most_used: Mutex<HashMap<TeamId, u32>>,
+    pub waiting: Mutex<HashMap<TeamId, u32>>,
+}
+
+impl QuotaStub {
+    pub fn used_by(&self, team: &str) -> u32 {
+        self.used.lock().get(team).copied().unwrap_or_default()
+    }
+}
+
+impl QuotaSource for QuotaStub {
+    fn try_take(&self, team: &TeamId) -> Option<QuotaPermit> {
+        let limit = self.limits.lock().get(team).copied().unwrap_or(u32::MAX);
+        let mut used = self.used.lock();
+        let mine = used.entry(team.clone()).or_default();
+        if *mine >= limit {
+            return None;
+        }
+        *mine += 1;
+        let mut most = self.most_used.lock();
+        let peak = most.entry(team.clone()).or_default();
+        *peak = (*peak).max(*mine);
+        let used = Arc::clone(&self.used);
+        let team = team.clone();
+        Some(QuotaPermit::new(move || {
+            if let Some(mine) = used.lock().get_mut(&team) {
+                *mine -= 1;
+            }
+        }))
+    }
+    fn note_waiting(&self, team: &TeamId, waiting: u32) {
+        self.waiting.lock().insert(team.clone(), waiting);
+    }
+}
+
+#[derive(Default)]
+pub struct TargetStub(pub ArcSwap<Vec<TargetHost>>);
+
+impl TargetStub {
+    pub fn set_state(&self, host: &str, state: TargetState) {
+        let mut targets = self.0.load().as_ref().clone();
+        for target in targets.iter_mut().filter(|target| target.host == host) {
+            target.state = state;
+        }
+        self.0.store(Arc::new(targets));
+    }
+}
+
+impl TargetSource for TargetStub {
+    fn pool_targets(&self, _pool: &PoolId) -> Arc<Vec<TargetHost>> {
+        self.0.load_full()
+    }
+    fn service_targets(&self, _service: &ServiceId) -> Arc<Vec<TargetHost>> {
+        self.0.load_full()
+    }
+}
+
+/// Leases that never expire.
+#[derive(Default)]
+pub struct SlotStub {
+    pub slots: Mutex<BTreeMap<HostId, u32>>,
+    pub teams: Mutex<Vec<TeamUse>>,
+    pub reports: Mutex<Vec<PoolDemand>>,
+    lease: ArcSwap<SlotLease>,
+}
+
+impl SlotStub {
+    /// Puts a changed lease in force.
+    pub fn renew(&self, pool: &str) {
+        let targets = self
+            .slots
+            .lock()
+            .iter()
+            .map(|(host, slots)| TargetSlots {
+                host: host.clone(),
+                slots: *slots,
+            })
+            .collect();
+        self.lease.store(Arc::new(SlotLease {
+            pool: pool.into(),
+            expires: BootClock.boot_now() + Duration::from_secs(3600),
+            targets,
+            teams: self.teams.lock().clone(),
+        }));
+    }
+}
+
+impl SlotSource for SlotStub {
+    fn lease(&self, _pool: &PoolId) -> Arc<SlotLease> {
+        self.lease.load_full()
+    }
+    fn report(&self, demand: PoolDemand) {
+        self.reports.lock().push(demand);
+    }
+}
+
+pub struct MemberStub {
+    pub own: MemberId,
+    pub incarnation: u64,
+    pub list: ArcSwap<Vec<MemberInfo>>,
+}
+
+impl MemberSource for MemberStub {
+    fn own_id(&self) -> MemberId {
+        self.own.clone()
+    }
+    fn own_incarnation(&self) -> u64 {
+        self.incarnation
+    }
+    fn members(&self) -> Arc<Vec<MemberInfo>> {
+        self.list.load_full()
+    }
+}
+
+/// Carries messages between entry servers of one test.
+#[derive(Default)]
+pub struct LinkMesh {
+    pub inboxes: Mutex<HashMap<MemberId, Sender<InboundMessage>>>,
+    /// Messages to drop, counted down.
+    pub lose: AtomicU32,
+    pub sent: AtomicU64,
+}
+
+pub struct ClaimLink {
+    pub mesh: Arc<LinkMesh>,
+    pub own: MemberId,
+    pub incarnation: u64,
+}
+
+impl PeerLink for ClaimLink {
+    fn send(&self, to: &MemberId, body: Body) -> Result<(), LinkError> {
+        self.mesh.sent.fetch_add(1, Ordering::AcqRel);
+        let lost = self
+            .mesh
+            .lose
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| {
+                left.checked_sub(1)
+            })
+            .is_ok();
+        if lost {
+            return Ok(());
+        }
+        let inboxes = self.mesh.inboxes.lock();
+        let Some(inbox) = inboxes.get(to) else {
+            return Err(LinkError::NoLink(to.clone()));
+        };
+        let message = InboundMessage {
+            from: self.own.clone(),
+            incarnation: self.incarnation,
+            body,
+        };
+        inbox
+            .try_send(message)
+            .map_err(|_| LinkError::Full(to.clone()))
+    }
+    fn peers(&self) -> Vec<MemberId> {
+        Vec::new()
+    }
+}
+
+/// Records jobs, or fails as told.
+#[derive(Default)]
+pub struct JobStub {
+    pub jobs: Mutex<Vec<JobRequest>>,
+    pub fail: Mutex<Option<JobError>>,
+}
+
+impl JobStub {
+    fn find(&self, team: &TeamId, job: &JobId, phase: &str) -> Result<JobView, JobError> {
+        if let Some(cause) = self.fail.lock().clone() {
+            return Err(cause);
+        }
+        let jobs = self.jobs.lock();
+        let found = jobs
+            .iter()
+            .find(|known| known.team == *team && *job == format!("job-{}", known.request));
+        let Some(found) = found else {
+            return Err(JobError::NotFound);
+        };
+        Ok(JobView {
+            job: job.clone(),
+            team: found.team.clone(),
+            phase: phase.to_owned(),
+            ..JobView::default()
+        })
+    }
+}
+
+impl JobSink for JobStub {
+    fn submit(&self, request: JobRequest) -> Result<JobView, JobError> {
+        if let Some(cause) = self.fail.lock().clone() {
+            return Err(cause);
+        }
+        let job = JobId::from(format!("job-{}", request.request));
+        let team = request.team.clone();
+        self.jobs.lock().push(request);
+        self.find(&team, &job, "queued")
+    }
+    fn view(&self, team: &TeamId, job: &JobId) -> Result<JobView, JobError> {
+        self.find(team, job, "queued")
+    }
+    fn cancel(&self, team: &TeamId, job: &JobId) -> Result<JobView, JobError> {
+        self.find(team, job, "cancelled")
+    }
+}
--- a/crates/ports/src/claim.rs
+++ b/crates/ports/src/claim.rs
@@ -15,8 +15,8 @@
 
 /// Mints request ids and settles which entry host may run one.
 pub trait ClaimSource: Send + Sync {
-    /// A fresh id whose home is this entry host.
-    fn mint(&self) -> RequestId;
+    /// A fresh id for `team`, whose home is this entry host.
+    fn mint(&self, team: &TeamId) -> RequestId;
     /// Claims `request` for `team` at the host that minted it, waiting at most `patience`.
     fn claim(&self, request: &RequestId, team: &TeamId, patience: Duration) -> ClaimVerdict;
 }
