--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,9 @@
 //! to that. The design notes in `docs/design/` argue each mechanism.
 
 pub mod budget;
+pub mod claim;
+pub mod eject;
 pub mod rendezvous;
+pub mod retry;
 pub mod share;
 pub mod wave;
