--- /dev/null
+++ b/crates/load/src/load_report.rs
@@ -0,0 +1,218 @@
+use std::{collections::BTreeMap, fmt::Write as _, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::{
+    load_args::LoadArgs,
+    load_run::{EndKind, RequestOutcome},
+    stream_plan::StreamPlan,
+};
+
+/// What one run of the load showed.
+#[derive(Debug, Serialize)]
+pub struct LoadReport {
+    /// `direct` for executors called without the system, `through` for entry hosts.
+    pub mode: &'static str,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Seconds that the figures cover.
+    pub seconds: f64,
+    /// One row for each stream, then one for all.
+    pub streams: Vec<StreamReport>,
+}
+
+/// What one stream showed.
+#[derive(Debug, Default, Serialize)]
+pub struct StreamReport {
+    /// The team, or `all`.
+    pub team: String,
+    /// Requests sent.
+    pub sent: u64,
+    /// Right answers.
+    pub answered: u64,
+    /// Answers that were not the right ones.
+    pub mismatched: u64,
+    /// Requests that got no whole HTTP answer.
+    pub lost: u64,
+    /// Refusals by problem and fate.
+    pub refused: BTreeMap<String, u64>,
+    /// Right answers a second.
+    pub answered_per_second: f64,
+    /// Latency of right answers from when the request was due, in milliseconds.
+    pub p50_ms: f64,
+    /// The same, 99th percentile.
+    pub p99_ms: f64,
+    /// The same, greatest.
+    pub max_ms: f64,
+    /// The same for urgent requests only, 99th percentile.
+    pub urgent_p99_ms: f64,
+    /// The same for urgent requests only, greatest.
+    pub urgent_max_ms: f64,
+    /// Part of all slot time that went to this team.
+    pub share_got: f64,
+    /// Part due to this team by weight, if all teams want more than their share.
+    pub share_due: f64,
+}
+
+impl LoadReport {
+    /// Sums up the outcomes that were due after the warm-up and ended within the load.
+    pub fn new(
+        mode: &'static str,
+        args: &LoadArgs,
+        streams: &[StreamPlan],
+        outcomes: &[RequestOutcome],
+    ) -> Self {
+        let from = Duration::from_secs_f64(args.warm_up);
+        let seconds = args.seconds - args.warm_up;
+        let counted: Vec<&RequestOutcome> = outcomes
+            .iter()
+            .filter(|outcome| from <= outcome.planned.due)
+            .collect();
+        let weight: f64 = streams.iter().map(|stream| stream.share).sum();
+        let slot_time = |stream: usize| {
+            let answered = |outcome: &&RequestOutcome| {
+                outcome.planned.stream == stream
+                    && outcome.end == EndKind::Answered
+                    && from <= outcome.ended
+                    && outcome.ended <= args.length()
+            };
+            let count = outcomes.iter().filter(answered).count();
+            count as f64 * streams[stream].service.as_secs_f64()
+        };
+        let total: f64 = (0..streams.len()).map(slot_time).sum();
+        let mut rows = Vec::new();
+        for (index, stream) in streams.iter().enumerate() {
+            let own = counted
+                .iter()
+                .copied()
+                .filter(|outcome| outcome.planned.stream == index);
+            let mut row = StreamReport::new(&stream.team, seconds, own);
+            row.share_got = if 0.0 < total {
+                slot_time(index) / total
+            } else {
+                0.0
+            };
+            row.share_due = stream.share / weight;
+            rows.push(row);
+        }
+        rows.push(StreamReport::new("all", seconds, counted.iter().copied()));
+        Self {
+            mode,
+            seed: args.seed,
+            seconds,
+            streams: rows,
+        }
+    }
+
+    /// The report as an aligned table.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<8} {:<12} {:>7} {:>8} {:>6} {:>5} {:>8} {:>8} {:>8} {:>8} {:>9} {:>7} {:>7}\n",
+            self.mode,
+            "team",
+            "sent",
+            "answered",
+            "wrong",
+            "lost",
+            "refused",
+            "per_s",
+            "p50_ms",
+            "p99_ms",
+            "urgent99",
+            "got",
+            "due"
+        );
+        for row in &self.streams {
+            let refused: u64 = row.refused.values().sum();
+            let _ = writeln!(
+                text,
+                "{:<8} {:<12} {:>7} {:>8} {:>6} {:>5} {:>8} {:>8.1} {:>8.2} {:>8.2} {:>9.2} {:>6.2}% {:>6.2}%",
+                "",
+                row.team,
+                row.sent,
+                row.answered,
+                row.mismatched,
+                row.lost,
+                refused,
+                row.answered_per_second,
+                row.p50_ms,
+                row.p99_ms,
+                row.urgent_p99_ms,
+                row.share_got * 100.0,
+                row.share_due * 100.0
+            );
+            for (problem, count) in &row.refused {
+                let _ = writeln!(text, "{:<21} refused {problem}: {count}", "");
+            }
+        }
+        text
+    }
+}
+
+impl StreamReport {
+    fn new<'a>(
+        team: &str,
+        seconds: f64,
+        outcomes: impl Iterator<Item = &'a RequestOutcome>,
+    ) -> Self {
+        let mut report = Self {
+            team: team.to_owned(),
+            ..Self::default()
+        };
+        let mut all = LatencyTable::default();
+        let mut urgent = LatencyTable::default();
+        for outcome in outcomes {
+            report.sent += 1;
+            match &outcome.end {
+                EndKind::Answered => {
+                    report.answered += 1;
+                    all.add(outcome);
+                    if outcome.planned.urgent {
+                        urgent.add(outcome);
+                    }
+                }
+                EndKind::Mismatched => report.mismatched += 1,
+                EndKind::Lost => report.lost += 1,
+                EndKind::Refused { problem, fate } => {
+                    *report
+                        .refused
+                        .entry(format!("{problem} {fate}"))
+                        .or_default() += 1;
+                }
+            }
+        }
+        report.answered_per_second = report.answered as f64 / seconds.max(f64::EPSILON);
+        report.p50_ms = all.at(0.5);
+        report.p99_ms = all.at(0.99);
+        report.max_ms = all.at(1.0);
+        report.urgent_p99_ms = urgent.at(0.99);
+        report.urgent_max_ms = urgent.at(1.0);
+        report
+    }
+}
+
+#[derive(Default)]
+struct LatencyTable {
+    histogram: Option<Histogram<u64>>,
+}
+
+impl LatencyTable {
+    fn add(&mut self, outcome: &RequestOutcome) {
+        let latency = outcome.ended.saturating_sub(outcome.planned.due);
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        if self.histogram.is_none() {
+            self.histogram = Histogram::new(3).ok();
+        }
+        if let Some(histogram) = &mut self.histogram {
+            histogram.saturating_record(micros);
+        }
+    }
+
+    fn at(&self, quantile: f64) -> f64 {
+        let Some(histogram) = &self.histogram else {
+            return 0.0;
+        };
+        histogram.value_at_quantile(quantile) as f64 / 1000.0
+    }
+}
