--- /dev/null
+++ b/crates/decide/src/config.rs
@@ -0,0 +1,11 @@
+//! The configuration: how changes apply, when they conflict, and what the store keeps.
+//!
+//! Start with [`ConfigState`], the whole configuration at one revision, and
+//! [`plan_change`], which turns an operator's change into the record to write.
+//! `docs/design/02-configuration.md` holds the argument.
+
+mod plan;
+mod state;
+
+pub use plan::{ChangePlan, ConfigLimits, ConfigWrite, PlanInput, plan_change};
+pub use state::{CatchUp, ConfigFault, ConfigState};
--- /dev/null
+++ b/crates/decide/src/config/state.rs
@@ -0,0 +1,253 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use model::{ChangeId, KeyId, Revision};
+use sha2::{Digest, Sha256};
+use wire::state::{Change, ChangeMark, ConfigBase, ConfigRecord, KeyRecord, SectionEdit};
+
+/// Change ids that are remembered beyond the tail.
+const MARK_LENGTH: usize = 1024;
+
+/// Why a change or a record can't be taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigFault {
+    /// The change does not follow on the revision held.
+    #[error("change {found} does not follow revision {held}")]
+    Gap {
+        /// Revision held.
+        held: Revision,
+        /// Revision of the change.
+        found: Revision,
+    },
+    /// Two configurations of the same revision differ: the store or a host is corrupt.
+    #[error("revision {0} has two different hashes")]
+    Diverged(Revision),
+    /// The record refers to a base that is needed and not at hand.
+    #[error("the base {0} is needed")]
+    BaseNeeded(String),
+}
+
+/// What a record from the store or a peer brought.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CatchUp {
+    /// Nothing new.
+    Same,
+    /// The record is older than what is held: a stale watch, or a store that went back.
+    Stale,
+    /// A newer configuration.
+    Newer(ConfigState),
+}
+
+/// The whole configuration at one revision.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigState {
+    /// Count of changes.
+    pub revision: Revision,
+    /// Hash of sections and keys.
+    pub hash: u64,
+    /// Sections of the manifest as text, by name.
+    pub sections: BTreeMap<String, String>,
+    /// Granted keys.
+    pub keys: BTreeMap<KeyId, KeyRecord>,
+    marks: VecDeque<(ChangeId, Revision)>,
+}
+
+impl ConfigState {
+    /// The configuration that a base holds.
+    #[must_use]
+    pub fn from_base(base: &ConfigBase) -> Self {
+        let sections = base.sections.iter();
+        let keys = base.keys.iter();
+        let marks = base.marks.iter();
+        let mut state = Self {
+            revision: base.revision,
+            hash: 0,
+            sections: sections
+                .map(|edit| (edit.section.clone(), edit.text.clone()))
+                .collect(),
+            keys: keys
+                .map(|key| (KeyId::from(key.key_id.as_str()), key.clone()))
+                .collect(),
+            marks: marks
+                .map(|mark| (ChangeId::from(mark.change_id.as_str()), mark.revision))
+                .collect(),
+        };
+        state.hash = state.digest();
+        state
+    }
+
+    /// The base that holds this configuration.
+    #[must_use]
+    pub fn to_base(&self) -> ConfigBase {
+        let sections = self.sections.iter().map(|(section, text)| SectionEdit {
+            section: section.clone(),
+            text: text.clone(),
+        });
+        let marks = self.marks.iter().map(|(change_id, revision)| ChangeMark {
+            change_id: change_id.to_string(),
+            revision: *revision,
+        });
+        ConfigBase {
+            revision: self.revision,
+            sections: sections.collect(),
+            keys: self.keys.values().cloned().collect(),
+            marks: marks.collect(),
+        }
+    }
+
+    /// The revision that a change id made, if it is still remembered.
+    #[must_use]
+    pub fn revision_of(&self, change_id: &str) -> Option<Revision> {
+        let mark = self.marks.iter().rev().find(|(id, _)| id == change_id);
+        mark.map(|(_, revision)| *revision)
+    }
+
+    /// Applies the next change.
+    ///
+    /// # Errors
+    /// If the change does not follow, or its hash is not that of the result.
+    pub fn apply(&mut self, change: &Change) -> Result<(), ConfigFault> {
+        if change.revision != self.revision + 1 {
+            return Err(ConfigFault::Gap {
+                held: self.revision,
+                found: change.revision,
+            });
+        }
+        let mut next = self.clone();
+        next.edit(change);
+        if next.hash != change.hash {
+            return Err(ConfigFault::Diverged(change.revision));
+        }
+        *self = next;
+        Ok(())
+    }
+
+    /// Completes a drafted change with the revision and the hash that it makes.
+    #[must_use]
+    pub fn draft(&self, mut change: Change) -> (Change, Self) {
+        let mut next = self.clone();
+        change.revision = self.revision + 1;
+        next.edit(&change);
+        change.hash = next.hash;
+        (change, next)
+    }
+
+    /// Applies those of `changes` that follow, in order.
+    ///
+    /// # Errors
+    /// See [`ConfigFault`].
+    pub fn apply_tail(&self, changes: &[Change]) -> Result<CatchUp, ConfigFault> {
+        let newest = changes.last().map_or(0, |change| change.revision);
+        if newest <= self.revision {
+            return Ok(CatchUp::Same);
+        }
+        let mut next = self.clone();
+        let missing = changes.iter().filter(|c| c.revision > self.revision);
+        for change in missing {
+            next.apply(change)?;
+        }
+        Ok(CatchUp::Newer(next))
+    }
+
+    /// Follows a record; `base` is the base that it names, if it was read.
+    ///
+    /// A record older than what is held is never followed. The failure this guards against:
+    /// a watch or a peer delivers an old value after a newer one, and a withdrawn key works
+    /// again on that host.
+    ///
+    /// # Errors
+    /// `BaseNeeded` if the tail does not reach back far enough.
+    pub fn follow(
+        &self,
+        record: &ConfigRecord,
+        base: Option<&ConfigBase>,
+    ) -> Result<CatchUp, ConfigFault> {
+        if record.revision < self.revision {
+            return Ok(CatchUp::Stale);
+        }
+        if record.revision == self.revision {
+            if record.revision > 0 && record.hash != self.hash {
+                return Err(ConfigFault::Diverged(record.revision));
+            }
+            return Ok(CatchUp::Same);
+        }
+        let next = match self.apply_tail(&record.tail) {
+            Ok(CatchUp::Newer(next)) => next,
+            Ok(_) | Err(ConfigFault::Gap { .. }) => Self::from_record(record, base)?,
+            Err(fault) => return Err(fault),
+        };
+        if (next.revision, next.hash) != (record.revision, record.hash) {
+            return Err(ConfigFault::Diverged(record.revision));
+        }
+        Ok(CatchUp::Newer(next))
+    }
+
+    fn from_record(record: &ConfigRecord, base: Option<&ConfigBase>) -> Result<Self, ConfigFault> {
+        let Some(base) = base.filter(|base| base.revision == record.base_revision) else {
+            return Err(ConfigFault::BaseNeeded(record.base_key.clone()));
+        };
+        let state = Self::from_base(base);
+        match state.apply_tail(&record.tail)? {
+            CatchUp::Newer(next) => Ok(next),
+            _ => Ok(state),
+        }
+    }
+
+    fn edit(&mut self, change: &Change) {
+        for edit in &change.sections {
+            if edit.text.is_empty() {
+                self.sections.remove(&edit.section);
+            } else {
+                self.sections
+                    .insert(edit.section.clone(), edit.text.clone());
+            }
+        }
+        for edit in &change.keys {
+            let key = KeyId::from(edit.key_id.as_str());
+            match edit.record.clone().filter(|_| !edit.withdrawn) {
+                Some(record) => drop(self.keys.insert(key, record)),
+                None => drop(self.keys.remove(&key)),
+            }
+        }
+        self.revision = change.revision;
+        self.hash = self.digest();
+        let id = ChangeId::from(change.change_id.as_str());
+        self.marks.push_back((id, change.revision));
+        if self.marks.len() > MARK_LENGTH {
+            self.marks.pop_front();
+        }
+    }
+
+    /// 64 bits of SHA-256 over sections and keys in order of their names.
+    fn digest(&self) -> u64 {
+        let mut hasher = Sha256::new();
+        for (section, text) in &self.sections {
+            feed(&mut hasher, section.as_bytes());
+            feed(&mut hasher, text.as_bytes());
+        }
+        feed(&mut hasher, &[]);
+        for (key, record) in &self.keys {
+            feed(&mut hasher, key.as_bytes());
+            feed_key(&mut hasher, record);
+        }
+        let digest = hasher.finalize();
+        digest[..8]
+            .iter()
+            .fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+    }
+}
+
+/// Feeds the fields one by one: hosts of a later schema hash what hosts of this one see.
+fn feed_key(hasher: &mut Sha256, record: &KeyRecord) {
+    feed(hasher, record.team.as_bytes());
+    feed(hasher, &[u8::from(record.admin)]);
+    feed(hasher, &record.salt);
+    feed(hasher, &record.digest);
+    feed(hasher, &record.granted_unix_ms.to_be_bytes());
+    feed(hasher, &record.expires_unix_ms.to_be_bytes());
+}
+
+/// Feeds a part with its length, so that no two lists of parts look alike.
+fn feed(hasher: &mut Sha256, part: &[u8]) {
+    hasher.update((part.len() as u64).to_be_bytes());
+    hasher.update(part);
+}
--- /dev/null
+++ b/crates/decide/src/member.rs
@@ -0,0 +1,279 @@
+//! The member list: who may vouch for whom, and what makes a quorum while the list changes.
+//!
+//! Start with [`MemberList`]. Every function maps a list to its successor; the caller writes
+//! it by compare-and-swap. `docs/design/01-membership.md` argues why any two quorums in use
+//! share a member.
+
+use std::collections::BTreeMap;
+
+use model::{Incarnation, MemberId, Revision};
+use wire::state::{Member, MemberRecord};
+
+/// How many members must vouch, of `count` in the list.
+#[must_use]
+pub const fn majority(count: usize) -> usize {
+    count / 2 + 1
+}
+
+/// The member list at one revision.
+///
+/// It holds the members and the *settled* members: those of the last list that a quorum was
+/// known to hold. A quorum is a majority of both. So the list may change at any time and by
+/// any number of steps: a quorum of the new list always meets one of the settled list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct MemberList {
+    record: MemberRecord,
+}
+
+/// Why the list may not be changed now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ListRefusal {
+    /// A newer life of the member is listed.
+    #[error("a newer life {0} is listed")]
+    NewerLife(Incarnation),
+    /// The change is already in the list.
+    #[error("nothing to change")]
+    Unchanged,
+    /// No quorum is known to hold the list.
+    #[error("member list {0} is not known to a quorum")]
+    NoQuorum(Revision),
+}
+
+impl MemberList {
+    /// The list that `record` holds.
+    #[must_use]
+    pub fn new(record: MemberRecord) -> Self {
+        Self { record }
+    }
+
+    /// The record as the store keeps it.
+    #[must_use]
+    pub fn record(&self) -> &MemberRecord {
+        &self.record
+    }
+
+    /// Count of changes of the list.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.record.revision
+    }
+
+    /// Whoever holds this list must hold a configuration of at least this revision.
+    #[must_use]
+    pub fn config_floor(&self) -> Revision {
+        self.record.config_floor
+    }
+
+    /// The members.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        &self.record.members
+    }
+
+    /// The member with this id.
+    #[must_use]
+    pub fn find(&self, member: &str) -> Option<&Member> {
+        self.record.members.iter().find(|m| m.id == member)
+    }
+
+    /// True if this very life of the member is listed.
+    #[must_use]
+    pub fn contains(&self, member: &str, incarnation: Incarnation) -> bool {
+        self.find(member)
+            .is_some_and(|m| m.incarnation == incarnation)
+    }
+
+    /// True if the members are the settled ones.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.record.settled.is_empty()
+    }
+}
+
+/// Quorums.
+impl MemberList {
+    /// True if the lives for which `agrees` holds make a quorum.
+    pub fn has_quorum(&self, agrees: impl Fn(&Member) -> bool) -> bool {
+        let stamp = |member: &Member| agrees(member).then_some(());
+        self.quorum_value(stamp).is_some()
+    }
+
+    /// The largest value that a quorum reaches, where `value` gives that of one life.
+    pub fn quorum_value<V: Ord>(&self, value: impl Fn(&Member) -> Option<V>) -> Option<V> {
+        let members = majority_value(self.members().iter(), &value)?;
+        if self.is_settled() {
+            return Some(members);
+        }
+        let settled: Vec<_> = self.settled_lives().collect();
+        if settled.is_empty() {
+            return Some(members);
+        }
+        let settled = majority_value(settled.into_iter(), &value)?;
+        Some(members.min(settled))
+    }
+
+    /// The settled lives that may still vouch. One whose id or address a listed member has
+    /// taken over has ended: both belong to one process at a time.
+    fn settled_lives(&self) -> impl Iterator<Item = &Member> {
+        self.record.settled.iter().filter(|old| {
+            !self.members().iter().any(|new| {
+                new.id == old.id && new.incarnation > old.incarnation
+                    || new.id != old.id && new.peer_address == old.peer_address
+            })
+        })
+    }
+
+    /// The list without the lives that are known to have ended. They vouch for nobody, so a
+    /// majority of the others shares a member with every quorum that may still form.
+    #[must_use]
+    pub fn without_gone(&self, acks: &ListAcks) -> Self {
+        let mut living = self.clone();
+        living.record.members.retain(|m| !acks.is_gone(m));
+        if !self.is_settled() {
+            living.record.settled.retain(|m| !acks.is_gone(m));
+        }
+        living
+    }
+
+    /// True once a quorum holds at least this revision of the list.
+    #[must_use]
+    pub fn is_known(&self, acks: &ListAcks) -> bool {
+        let living = self.without_gone(acks);
+        living.has_quorum(|member| acks.revision_of(member) >= self.revision())
+    }
+}
+
+/// Changes of the list. Each takes the list's newest state and `floor`, the configuration
+/// revision that the caller read from the store after it had read the list.
+impl MemberList {
+    /// The list with the next incarnation handed out; its members and revision stay.
+    #[must_use]
+    pub fn with_next_incarnation(&self) -> (Self, Incarnation) {
+        let mut next = self.clone();
+        next.record.last_incarnation += 1;
+        let incarnation = next.record.last_incarnation;
+        (next, incarnation)
+    }
+
+    /// Adds a member, or replaces an older life of it.
+    ///
+    /// # Errors
+    /// See [`ListRefusal`].
+    pub fn join(&self, member: Member, floor: Revision) -> Result<Self, ListRefusal> {
+        match self.find(&member.id) {
+            Some(listed) if listed.incarnation > member.incarnation => {
+                return Err(ListRefusal::NewerLife(listed.incarnation));
+            }
+            Some(listed) if *listed == member => return Err(ListRefusal::Unchanged),
+            _ => {}
+        }
+        let mut next = self.successor(floor);
+        next.record.last_incarnation = next.record.last_incarnation.max(member.incarnation);
+        next.record.members.retain(|m| m.id != member.id);
+        next.record.members.push(member);
+        next.record.members.sort_by(|a, b| a.id.cmp(&b.id));
+        Ok(next)
+    }
+
+    /// Removes this life of a member.
+    ///
+    /// # Errors
+    /// If it is not listed.
+    pub fn remove(
+        &self,
+        member: &str,
+        incarnation: Incarnation,
+        floor: Revision,
+    ) -> Result<Self, ListRefusal> {
+        if !self.contains(member, incarnation) {
+            return Err(ListRefusal::Unchanged);
+        }
+        let mut next = self.successor(floor);
+        next.record.members.retain(|m| m.id != member);
+        Ok(next)
+    }
+
+    /// Settles the list, once a quorum is known to hold it.
+    ///
+    /// # Errors
+    /// See [`ListRefusal`].
+    pub fn settle(&self, acks: &ListAcks, floor: Revision) -> Result<Self, ListRefusal> {
+        if self.is_settled() {
+            return Err(ListRefusal::Unchanged);
+        }
+        if !self.is_known(acks) {
+            return Err(ListRefusal::NoQuorum(self.revision()));
+        }
+        let mut next = self.successor(floor);
+        next.record.settled.clear();
+        Ok(next)
+    }
+
+    /// The next revision. Its settled members are those settled before; the very first list
+    /// has none before it and is settled as it is.
+    fn successor(&self, floor: Revision) -> Self {
+        let mut next = self.clone();
+        next.record.revision += 1;
+        next.record.config_floor = next.record.config_floor.max(floor);
+        if self.is_settled() {
+            next.record.settled.clone_from(&self.record.members);
+        }
+        next
+    }
+}
+
+/// Which revision each life of a member is known to hold, and which lives have ended.
+#[derive(Clone, Debug, Default)]
+pub struct ListAcks {
+    held: BTreeMap<(MemberId, Incarnation), Revision>,
+    gone: BTreeMap<MemberId, Incarnation>,
+}
+
+impl ListAcks {
+    /// Notes that this life of `member` holds at least `revision`.
+    pub fn note_held(&mut self, member: &MemberId, incarnation: Incarnation, revision: Revision) {
+        let held = self.held.entry((member.clone(), incarnation)).or_default();
+        *held = (*held).max(revision);
+    }
+
+    /// Notes that this life of `member` and those before it have ended: they neither serve
+    /// nor vouch any more.
+    pub fn note_gone(&mut self, member: &MemberId, incarnation: Incarnation) {
+        let gone = self.gone.entry(member.clone()).or_default();
+        *gone = (*gone).max(incarnation);
+    }
+
+    /// True if this life has ended for certain.
+    #[must_use]
+    pub fn is_gone(&self, member: &Member) -> bool {
+        let gone = self.gone.get(member.id.as_str());
+        gone.is_some_and(|incarnation| *incarnation >= member.incarnation)
+    }
+
+    /// Forgets lives that `list` does not name, so that memory stays bounded.
+    pub fn forget_unlisted(&mut self, list: &MemberList) {
+        let names = |id: &str, incarnation| {
+            let settled = list.record().settled.iter();
+            let mut lives = list.members().iter().chain(settled);
+            lives.any(|m| m.id == id && m.incarnation == incarnation)
+        };
+        self.held.retain(|(id, life), _| names(id, *life));
+        self.gone.retain(|id, life| names(id, *life));
+    }
+
+    fn revision_of(&self, member: &Member) -> Revision {
+        let life = (MemberId::from(member.id.as_str()), member.incarnation);
+        self.held.get(&life).copied().unwrap_or_default()
+    }
+}
+
+fn majority_value<'a, V: Ord>(
+    members: impl Iterator<Item = &'a Member>,
+    value: &impl Fn(&Member) -> Option<V>,
+) -> Option<V> {
+    let values: Vec<Option<V>> = members.map(value).collect();
+    let needed = majority(values.len());
+    let mut reached: Vec<V> = values.into_iter().flatten().collect();
+    reached.sort_unstable_by(|a, b| b.cmp(a));
+    reached.into_iter().nth(needed - 1)
+}
--- /dev/null
+++ b/crates/member/src/change_submit.rs
@@ -0,0 +1,215 @@
+use std::{thread, time::Duration};
+
+use decide::{
+    config::{ChangePlan, ConfigLimits, ConfigState, ConfigWrite, PlanInput, plan_change},
+    member::MemberList,
+};
+use model::{BootTime, Revision};
+use platform::{StoreError, StoreVersion};
+use ports::{ChangeError, ChangeOutcome, ChangeRequest};
+use prost::Message as _;
+use wire::state::{ConfigRecord, MemberRecord};
+
+use crate::{
+    shared_state::SharedState,
+    store_key::{CONFIG, CONFIG_BASES, MEMBERS, config_base, read_record},
+};
+
+/// How long a change is tried before the operator is told that it is pending.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// Pause before a store that did not answer is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Distance of looks at who holds the revision.
+const ACK_POLL: Duration = Duration::from_millis(3);
+
+/// Takes one change from an operator through the store until it is accepted.
+pub(crate) struct ChangeSubmit<'a> {
+    shared: &'a SharedState,
+    request: &'a ChangeRequest,
+    until: BootTime,
+    /// True once a write was sent whose outcome is not known: from then on the operator
+    /// must not be told that nothing was recorded.
+    unsettled: bool,
+}
+
+impl<'a> ChangeSubmit<'a> {
+    pub(crate) fn new(shared: &'a SharedState, request: &'a ChangeRequest) -> Self {
+        Self {
+            shared,
+            request,
+            until: shared.now() + PATIENCE,
+            unsettled: false,
+        }
+    }
+
+    /// Records the change and waits until it is accepted.
+    pub(crate) fn run(mut self) -> Result<ChangeOutcome, ChangeError> {
+        if self.request.change_id.is_empty() {
+            return Err(ChangeError::Invalid("the change has no id".to_owned()));
+        }
+        loop {
+            if let Some(outcome) = self.attempt()? {
+                self.await_acceptance(outcome.revision)?;
+                return Ok(outcome);
+            }
+            if self.shared.now() >= self.until {
+                return Err(self.unrecorded("too many changes at once, or no answer of the store"));
+            }
+        }
+    }
+
+    /// One read and one write. `None` asks for another attempt on what the store then holds.
+    fn attempt(&mut self) -> Result<Option<ChangeOutcome>, ChangeError> {
+        let (version, record, state) = match self.read_newest() {
+            Ok(newest) => newest,
+            Err(error @ StoreError::Rejected(_)) => return Err(self.unrecorded(&error.to_string())),
+            Err(error) if self.unsettled => {
+                log::debug!("E0331 change-outcome-unread cause={error}");
+                thread::sleep(RETRY_PAUSE);
+                return Ok(None);
+            }
+            Err(error) => return Err(self.unrecorded(&error.to_string())),
+        };
+        match plan_change(&state, &record, &self.input(), &ConfigLimits::default()) {
+            ChangePlan::Repeated(revision) => Ok(Some(ChangeOutcome {
+                revision,
+                repeated: !self.unsettled,
+            })),
+            ChangePlan::Conflict {
+                base,
+                newest,
+                touched,
+            } => Err(ChangeError::Conflict {
+                base,
+                newest,
+                touched,
+            }),
+            ChangePlan::Invalid(reason) => Err(ChangeError::Invalid(reason)),
+            ChangePlan::Write(write) => self.write(version, *write),
+        }
+    }
+
+    fn read_newest(&self) -> Result<(StoreVersion, ConfigRecord, ConfigState), StoreError> {
+        let (version, record) = read_record::<ConfigRecord>(self.shared.store(), CONFIG)?;
+        self.shared.follow_config(&record)?;
+        let state = self.shared.holder.state();
+        if state.revision != record.revision {
+            return Err(StoreError::Unavailable(format!(
+                "the store shows revision {}, revision {} is in force",
+                record.revision, state.revision
+            )));
+        }
+        Ok((version, record, state))
+    }
+
+    fn write(
+        &mut self,
+        version: StoreVersion,
+        mut write: ConfigWrite,
+    ) -> Result<Option<ChangeOutcome>, ChangeError> {
+        if let Some(base) = &write.base {
+            let suffix = format!("{}-{:x}", self.shared.own, self.shared.now().as_nanos());
+            let key = config_base(base.revision, &suffix);
+            let outcome = self.shared.store().swap(&key, 0, &base.encode_to_vec());
+            // An unanswered base is abandoned: no record names it.
+            if let Err(error) = outcome {
+                return Err(self.unrecorded(&error.to_string()));
+            }
+            write.record.base_key = key;
+        }
+        let bytes = write.record.encode_to_vec();
+        match self.shared.store().swap(CONFIG, version, &bytes) {
+            Ok(_) => {
+                let followed = self.shared.follow_config(&write.record);
+                if let Err(error) = followed {
+                    return Err(ChangeError::Pending(error.to_string()));
+                }
+                if write.base.is_some() {
+                    self.remove_old_bases(&write.record);
+                }
+                Ok(Some(ChangeOutcome {
+                    revision: write.next.revision,
+                    repeated: false,
+                }))
+            }
+            Err(StoreError::Conflict { .. }) => Ok(None),
+            Err(StoreError::Unknown(error)) => {
+                // The write may land later than a read that misses it. The next attempt
+                // writes on the same version again, so that at most one of the two lands.
+                log::info!(
+                    "E0330 change-outcome-unknown change={} cause={error}",
+                    self.request.change_id
+                );
+                self.unsettled = true;
+                thread::sleep(RETRY_PAUSE);
+                Ok(None)
+            }
+            Err(error) => Err(self.unrecorded(&error.to_string())),
+        }
+    }
+
+    /// Waits until a majority of the member list holds the revision.
+    ///
+    /// The list is read after the change was recorded: a list that is written later carries
+    /// the change in its floor, or is one step from this one and shares its majorities.
+    fn await_acceptance(&self, revision: Revision) -> Result<(), ChangeError> {
+        let pending = |cause: &str| ChangeError::Pending(format!("revision {revision}: {cause}"));
+        let list = loop {
+            match read_record::<MemberRecord>(self.shared.store(), MEMBERS) {
+                Ok((_, record)) => break MemberList::new(record),
+                Err(_) if self.shared.now() < self.until => thread::sleep(RETRY_PAUSE),
+                Err(error) => return Err(pending(&error.to_string())),
+            }
+        };
+        loop {
+            if self.is_accepted(&list, revision) {
+                return Ok(());
+            }
+            if self.shared.now() >= self.until {
+                return Err(pending("a majority of entry hosts has not confirmed it"));
+            }
+            thread::sleep(ACK_POLL);
+        }
+    }
+
+    fn is_accepted(&self, list: &MemberList, revision: Revision) -> bool {
+        let living = list.without_gone(&self.shared.acks.lock());
+        self.shared.lease.lock().quorum_holds(&living, revision)
+    }
+
+    /// Removes bases older than the one now named. Newer ones may belong to an operator who
+    /// is about to name them.
+    fn remove_old_bases(&self, record: &ConfigRecord) {
+        let store = self.shared.store();
+        let Ok(bases) = store.list(CONFIG_BASES) else {
+            return;
+        };
+        let oldest = config_base(record.base_revision, "");
+        for (key, stored) in bases.iter().filter(|(key, _)| *key < oldest) {
+            if let Err(error) = store.remove(key, stored.version) {
+                log::debug!("E0332 config-base-kept key={key} cause={error}");
+            }
+        }
+    }
+
+    fn input(&self) -> PlanInput<'_> {
+        let unix_ms = self.shared.options.clock.unix_now().as_millis();
+        PlanInput {
+            change_id: &self.request.change_id,
+            author: &self.request.author,
+            unix_ms: u64::try_from(unix_ms).unwrap_or(u64::MAX),
+            base: self.request.base,
+            sections: &self.request.sections,
+            keys: &self.request.keys,
+        }
+    }
+
+    fn unrecorded(&self, cause: &str) -> ChangeError {
+        if self.unsettled {
+            return ChangeError::Pending(cause.to_owned());
+        }
+        ChangeError::Unavailable(cause.to_owned())
+    }
+}
--- /dev/null
+++ b/crates/member/src/config_holder.rs
@@ -0,0 +1,169 @@
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use decide::config::{CatchUp, ConfigFault, ConfigState};
+use model::{Manifest, Revision};
+use parking_lot::Mutex;
+use platform::{KeyStore, StoreError};
+use ports::ForceConfig;
+use prost::Message as _;
+use wire::{
+    peer::ChangeTail,
+    state::{Change, ConfigBase, ConfigRecord},
+};
+
+use crate::store_key::{decode_record, read_record};
+
+/// Changes kept for peers that are behind; longer than the store's tail, so that a host
+/// which missed the last minutes before a store outage can still be helped.
+const TAIL_LENGTH: usize = 256;
+
+/// Holds the configuration in force and only ever moves it forward.
+pub(crate) struct ConfigHolder {
+    held: Mutex<HeldConfig>,
+    force: ArcSwap<ForceConfig>,
+}
+
+#[derive(Default)]
+struct HeldConfig {
+    state: ConfigState,
+    tail: Vec<Change>,
+}
+
+impl ConfigHolder {
+    pub(crate) fn new() -> Self {
+        Self {
+            held: Mutex::default(),
+            force: ArcSwap::default(),
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn force(&self) -> Arc<ForceConfig> {
+        self.force.load_full()
+    }
+
+    /// The whole configuration, to plan a change on.
+    pub(crate) fn state(&self) -> ConfigState {
+        self.held.lock().state.clone()
+    }
+
+    /// Follows a record that the store delivered; true if it was newer.
+    pub(crate) fn follow(
+        &self,
+        store: &dyn KeyStore,
+        record: &ConfigRecord,
+    ) -> Result<bool, StoreError> {
+        let held = self.state();
+        let outcome = match held.follow(record, None) {
+            Err(ConfigFault::BaseNeeded(key)) => {
+                let (_, base) = read_record::<ConfigBase>(store, &key)?;
+                held.follow(record, Some(&base))
+            }
+            outcome => outcome,
+        };
+        match outcome {
+            Ok(CatchUp::Newer(next)) => Ok(self.adopt(next, &record.tail)),
+            Ok(CatchUp::Same) => Ok(false),
+            Ok(CatchUp::Stale) => {
+                metrics::counter!("lws_config_stale_records").increment(1);
+                log::warn!(
+                    "E0303 config-record-stale held={} found={}",
+                    held.revision,
+                    record.revision
+                );
+                Ok(false)
+            }
+            Err(fault) => Err(self.reject(&fault)),
+        }
+    }
+
+    /// Follows what a peer sent; true if it was newer.
+    pub(crate) fn follow_tail(&self, tail: &ChangeTail) -> Result<bool, StoreError> {
+        let mut changes = Vec::new();
+        for bytes in &tail.changes {
+            changes.push(decode_record::<Change>("peer tail", bytes)?);
+        }
+        let mut next = self.state();
+        let held = next.revision;
+        if !tail.base.is_empty() {
+            let base = ConfigState::from_base(&decode_record("peer base", &tail.base)?);
+            if base.revision > next.revision {
+                next = base;
+            }
+        }
+        match next.apply_tail(&changes) {
+            Ok(CatchUp::Newer(newer)) => next = newer,
+            Ok(_) => {}
+            Err(fault) => return Err(self.reject(&fault)),
+        }
+        Ok(next.revision > held && self.adopt(next, &changes))
+    }
+
+    /// What a peer that holds `revision` lacks.
+    pub(crate) fn tail_since(&self, revision: Revision) -> ChangeTail {
+        let held = self.held.lock();
+        let reaches = held
+            .tail
+            .first()
+            .is_some_and(|c| c.revision <= revision + 1);
+        if !reaches {
+            return ChangeTail {
+                base: held.state.to_base().encode_to_vec(),
+                ..ChangeTail::default()
+            };
+        }
+        let missing = held.tail.iter().filter(|c| c.revision > revision);
+        ChangeTail {
+            base_revision: revision,
+            changes: missing.map(prost::Message::encode_to_vec).collect(),
+            ..ChangeTail::default()
+        }
+    }
+
+    /// Puts a newer configuration in force; false if another thread was ahead.
+    fn adopt(&self, next: ConfigState, tail: &[Change]) -> bool {
+        let mut held = self.held.lock();
+        if next.revision <= held.state.revision {
+            return false;
+        }
+        let known = held.state.revision;
+        held.tail
+            .extend(tail.iter().filter(|c| c.revision > known).cloned());
+        let first = held.tail.len().saturating_sub(TAIL_LENGTH);
+        held.tail.drain(..first);
+        self.force.store(Arc::new(self.in_force(&next)));
+        log::info!(
+            "E0301 config-in-force revision={} hash={:016x}",
+            next.revision,
+            next.hash
+        );
+        metrics::gauge!("lws_config_revision").set(next.revision as f64);
+        held.state = next;
+        true
+    }
+
+    /// Sections that this version can't read leave its manifest as it was; keys still follow.
+    fn in_force(&self, state: &ConfigState) -> ForceConfig {
+        let manifest = Manifest::from_sections(&state.sections).unwrap_or_else(|error| {
+            log::error!(
+                "E0304 config-manifest-unreadable revision={} cause={error}",
+                state.revision
+            );
+            self.force.load().manifest.clone()
+        });
+        ForceConfig {
+            revision: state.revision,
+            hash: state.hash,
+            manifest,
+            sections: state.sections.clone(),
+            keys: state.keys.clone(),
+        }
+    }
+
+    fn reject(&self, fault: &ConfigFault) -> StoreError {
+        metrics::counter!("lws_config_faults").increment(1);
+        log::error!("E0305 config-fault cause={fault}");
+        StoreError::Rejected(fault.to_string())
+    }
+}
--- /dev/null
+++ b/crates/member/src/incarnation.rs
@@ -0,0 +1,36 @@
+use decide::member::MemberList;
+use model::{Incarnation, StepError};
+use platform::{KeyStore, StoreError};
+use prost::Message as _;
+use wire::state::MemberRecord;
+
+use crate::store_key::{MEMBERS, read_record, store_fault};
+
+/// Attempts against other hosts that start at the same moment.
+const ATTEMPTS: usize = 50;
+
+/// Takes the next incarnation number from the store.
+///
+/// The number comes from a counter in the member list and not from a clock: a host that is
+/// replaced by a machine whose clock is behind would otherwise look older than its
+/// predecessor, and its beats would be taken for leftovers. A write whose answer is lost
+/// costs a number and nothing else.
+///
+/// # Errors
+/// If the store can't be reached; a host can't start without it.
+pub fn claim_incarnation(store: &dyn KeyStore) -> Result<Incarnation, StepError> {
+    let mut last = StoreError::Unavailable("not tried".to_owned());
+    for _ in 0..ATTEMPTS {
+        let (version, record) = read_record::<MemberRecord>(store, MEMBERS)
+            .map_err(|error| store_fault("read member list", error))?;
+        let (next, incarnation) = MemberList::new(record).with_next_incarnation();
+        match store.swap(MEMBERS, version, &next.record().encode_to_vec()) {
+            Ok(_) => return Ok(incarnation),
+            Err(error @ StoreError::Rejected(_)) => {
+                return Err(store_fault("claim incarnation", error));
+            }
+            Err(error) => last = error,
+        }
+    }
+    Err(store_fault("claim incarnation", last))
+}
--- /dev/null
+++ b/crates/member/src/member_service.rs
@@ -0,0 +1,170 @@
+use std::{
+    fmt,
+    sync::Arc,
+    thread::{self, JoinHandle},
+};
+
+use model::{Incarnation, MemberId, StepError, TeamId};
+use parking_lot::Mutex;
+use peer::BodyKind;
+use ports::{
+    ChangeError, ChangeOutcome, ChangeRequest, ChangeSink, ConfigSource, ForceConfig, MemberInfo,
+    MemberSource, MemberStatus, NotServing, QuotaPermit, QuotaSource, ServingGate, StatusSource,
+    TeamStatus,
+};
+
+use crate::{
+    MemberOptions, beat_duty::BeatDuty, change_submit::ChangeSubmit, shared_state::SharedState,
+    store_duty::StoreDuty, watch_duty::WatchDuty,
+};
+
+const THREAD_STACK: usize = 512 * 1024;
+
+/// Runs the duties that keep member list, lease, configuration and quotas of one entry host.
+///
+/// It offers [`MemberSource`], [`ServingGate`], [`ConfigSource`], [`QuotaSource`],
+/// [`ChangeSink`] and [`StatusSource`].
+pub struct MemberService {
+    shared: Arc<SharedState>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl MemberService {
+    /// Starts the duties and returns at once; [`ServingGate::check`] says when the host has
+    /// joined and serves.
+    ///
+    /// # Errors
+    /// If a thread can't be started.
+    pub fn start(options: MemberOptions) -> Result<Arc<Self>, StepError> {
+        let node = options.node.clone();
+        let shared = Arc::new(SharedState::new(options));
+        let beat_duty = BeatDuty::new(
+            shared.clone(),
+            node.inbound(BodyKind::Beat),
+            node.inbound(BodyKind::ChangeTail),
+        );
+        let watch_duty = WatchDuty::new(shared.clone());
+        let store_duty = StoreDuty::new(shared.clone());
+        let threads = vec![
+            spawn("member-beat", move || beat_duty.run())?,
+            spawn("member-watch", move || watch_duty.run())?,
+            spawn("member-store", move || store_duty.run())?,
+        ];
+        Ok(Arc::new(Self {
+            shared,
+            threads: Mutex::new(threads),
+        }))
+    }
+
+    /// Takes this host out of the member list and ends the duties. Call it once nothing runs
+    /// any more; with the store down the host stays listed, and others remove it later.
+    pub fn stop(&self) {
+        self.shared.set_leaving();
+        self.shared.set_stopping();
+        for thread in std::mem::take(&mut *self.threads.lock()) {
+            // The watch ends with its patience; nothing depends on it any more.
+            if thread.thread().name() == Some("member-watch") {
+                continue;
+            }
+            if thread.join().is_err() {
+                log::error!("E0321 member-duty-failed");
+            }
+        }
+    }
+}
+
+impl MemberSource for MemberService {
+    fn own_id(&self) -> MemberId {
+        self.shared.own.clone()
+    }
+
+    fn own_incarnation(&self) -> Incarnation {
+        self.shared.incarnation()
+    }
+
+    fn members(&self) -> Arc<Vec<MemberInfo>> {
+        self.shared.members.load_full()
+    }
+}
+
+impl ServingGate for MemberService {
+    fn check(&self) -> Result<(), NotServing> {
+        self.shared.check()
+    }
+
+    fn leave(&self) {
+        self.shared.set_leaving();
+    }
+}
+
+impl ConfigSource for MemberService {
+    fn current(&self) -> Arc<ForceConfig> {
+        self.shared.holder.force()
+    }
+}
+
+impl QuotaSource for MemberService {
+    fn try_take(&self, team: &TeamId) -> Option<QuotaPermit> {
+        self.shared.quota.try_take(team)
+    }
+
+    fn note_waiting(&self, team: &TeamId, waiting: u32) {
+        self.shared.quota.note_waiting(team, waiting);
+    }
+}
+
+impl ChangeSink for MemberService {
+    fn submit(&self, request: &ChangeRequest) -> Result<ChangeOutcome, ChangeError> {
+        ChangeSubmit::new(&self.shared, request).run()
+    }
+}
+
+impl StatusSource for MemberService {
+    fn members(&self) -> Vec<MemberStatus> {
+        let infos = self.shared.members.load_full();
+        let lease = self.shared.lease.lock();
+        let own_revision = self.shared.holder.force().revision;
+        let status = infos.iter().map(|info| MemberStatus {
+            member: info.member.clone(),
+            incarnation: info.incarnation,
+            config_revision: if info.member == self.shared.own {
+                own_revision
+            } else {
+                let view = lease.peers().get(&info.member);
+                view.map_or(0, |view| view.config_revision)
+            },
+            heard: info.heard,
+            leaving: info.leaving,
+        });
+        status.collect()
+    }
+
+    fn teams(&self) -> Vec<TeamStatus> {
+        self.shared.quota.status()
+    }
+}
+
+impl Drop for MemberService {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl fmt::Debug for MemberService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MemberService")
+            .field("own", &self.shared.own)
+            .finish_non_exhaustive()
+    }
+}
+
+fn spawn(
+    name: &'static str,
+    duty: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>, StepError> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(THREAD_STACK)
+        .spawn(duty)
+        .map_err(|error| StepError::new("start thread", name, error))
+}
--- /dev/null
+++ b/crates/member/src/shared_state.rs
@@ -0,0 +1,222 @@
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::{Receiver, Sender, bounded};
+use decide::{
+    lease::{LeaseMachine, LeaseOptions, LeaseRefusal},
+    member::{ListAcks, MemberList},
+};
+use model::{BootTime, Incarnation, MemberId};
+use parking_lot::Mutex;
+use platform::{KeyStore, StoreError};
+use ports::{MemberInfo, NotServing};
+use wire::state::{ConfigRecord, Member};
+
+use crate::{MemberOptions, config_holder::ConfigHolder, quota_book::QuotaBook};
+
+/// What the duties of the service share.
+pub(crate) struct SharedState {
+    pub options: MemberOptions,
+    pub own: MemberId,
+    pub lease: Mutex<LeaseMachine>,
+    pub acks: Mutex<ListAcks>,
+    pub holder: ConfigHolder,
+    pub quota: QuotaBook,
+    pub members: ArcSwap<Vec<MemberInfo>>,
+    leaving: AtomicBool,
+    stopping: AtomicBool,
+    beat_wake: (Sender<()>, Receiver<()>),
+    store_wake: (Sender<()>, Receiver<()>),
+}
+
+impl SharedState {
+    pub(crate) fn new(options: MemberOptions) -> Self {
+        let own = options.settings.member.clone();
+        let lease_options = LeaseOptions {
+            length: options.settings.lease_length,
+            ..LeaseOptions::default()
+        };
+        let incarnation = options.node.incarnation();
+        Self {
+            lease: Mutex::new(LeaseMachine::new(lease_options, own.clone(), incarnation)),
+            quota: QuotaBook::new(own.clone()),
+            own,
+            options,
+            acks: Mutex::default(),
+            holder: ConfigHolder::new(),
+            members: ArcSwap::default(),
+            leaving: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            beat_wake: bounded(1),
+            store_wake: bounded(1),
+        }
+    }
+
+    pub(crate) fn now(&self) -> BootTime {
+        self.options.clock.boot_now()
+    }
+
+    pub(crate) fn store(&self) -> &dyn KeyStore {
+        self.options.store.as_ref()
+    }
+
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.options.node.incarnation()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+        self.wake_beats();
+        self.wake_store();
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+        self.lease.lock().set_leaving();
+        self.wake_beats();
+    }
+
+    /// Sends beats at once, so that peers learn of a change before the next interval.
+    pub(crate) fn wake_beats(&self) {
+        let _ = self.beat_wake.0.try_send(());
+    }
+
+    /// Has the store read at once.
+    pub(crate) fn wake_store(&self) {
+        let _ = self.store_wake.0.try_send(());
+    }
+
+    pub(crate) fn beat_wakes(&self) -> Receiver<()> {
+        self.beat_wake.1.clone()
+    }
+
+    /// Waits for a reason to read the store, at most `patience`.
+    pub(crate) fn await_store_wake(&self, patience: Duration) {
+        let _ = self.store_wake.1.recv_timeout(patience);
+    }
+
+    /// Whether new work may start now.
+    pub(crate) fn check(&self) -> Result<(), NotServing> {
+        if self.is_leaving() {
+            return Err(NotServing::Leaving);
+        }
+        let now = self.now();
+        self.lease
+            .lock()
+            .check(now)
+            .map_err(|refusal| match refusal {
+                LeaseRefusal::NotListed => NotServing::Starting,
+                LeaseRefusal::Lapsed => NotServing::LeaseLapsed,
+                LeaseRefusal::Behind => NotServing::ConfigBehind,
+            })
+    }
+
+    /// Follows a configuration record from the store and tells the peers.
+    pub(crate) fn follow_config(&self, record: &ConfigRecord) -> Result<(), StoreError> {
+        if self.holder.follow(self.store(), record)? {
+            self.publish_config();
+        }
+        Ok(())
+    }
+
+    /// Has the lease and the quotas use the configuration now in force.
+    pub(crate) fn publish_config(&self) {
+        let force = self.holder.force();
+        self.lease.lock().set_config(force.revision, force.hash);
+        self.quota.set_limits(&force);
+        self.wake_beats();
+    }
+
+    /// Takes a newer member list, once the configuration that it asks for is held.
+    pub(crate) fn follow_list(&self, list: &MemberList) {
+        if list.config_floor() > self.holder.force().revision {
+            return;
+        }
+        let mut lease = self.lease.lock();
+        if list.revision() <= lease.list().revision() {
+            return;
+        }
+        lease.set_list(list.clone());
+        drop(lease);
+        log::info!(
+            "E0300 member-list revision={} members={}",
+            list.revision(),
+            list.members().len()
+        );
+        self.acks.lock().forget_unlisted(list);
+        self.link_peers(list);
+        self.quota.set_members(list);
+        self.publish_members();
+        self.wake_beats();
+    }
+
+    /// Rebuilds what other areas see of the members.
+    pub(crate) fn publish_members(&self) {
+        let now = self.now();
+        let length = self.options.settings.lease_length;
+        let lease = self.lease.lock();
+        let infos = lease.list().members().iter().map(|member| {
+            let view = lease.peers().get(member.id.as_str());
+            let view = view.filter(|view| view.incarnation == member.incarnation);
+            let heard_at = view.and_then(|view| view.heard_at);
+            let is_own = member.id == self.own.as_str();
+            MemberInfo {
+                member: MemberId::from(member.id.as_str()),
+                incarnation: member.incarnation,
+                caller_address: member.caller_address.clone(),
+                data_centre: member.data_centre.as_str().into(),
+                heard: is_own || heard_at.is_some_and(|at| now.saturating_sub(at) < length),
+                leaving: if is_own {
+                    self.is_leaving()
+                } else {
+                    view.is_some_and(|view| view.leaving)
+                },
+            }
+        });
+        let infos: Vec<_> = infos.collect();
+        if **self.members.load() != infos {
+            self.members.store(Arc::new(infos));
+        }
+    }
+
+    /// This host as the member list should name it.
+    pub(crate) fn own_member(&self) -> Member {
+        Member {
+            id: self.own.to_string(),
+            incarnation: self.incarnation(),
+            peer_address: self.options.node.peer_address().to_owned(),
+            caller_address: self.options.caller_address.clone(),
+            data_centre: self.options.settings.data_centre.to_string(),
+            leaving: false,
+        }
+    }
+
+    fn link_peers(&self, list: &MemberList) {
+        let node = &self.options.node;
+        for member in list.members() {
+            let id = MemberId::from(member.id.as_str());
+            if let Err(error) = node.set_peer(&id, &member.peer_address) {
+                log::error!("E0306 member-unreachable cause={error}");
+            }
+        }
+        for peer in ports::PeerLink::peers(node.as_ref()) {
+            if list.find(&peer).is_none() {
+                node.remove_peer(&peer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/store_duty.rs
@@ -0,0 +1,277 @@
+use std::{sync::Arc, time::Duration};
+
+use decide::{
+    lease::LeaseMachine,
+    member::{ListRefusal, MemberList},
+};
+use model::{BootTime, Incarnation, MemberId, StepError};
+use platform::{StoreError, StoreVersion};
+use prost::Message as _;
+use wire::state::{ConfigRecord, MemberRecord};
+
+use crate::{
+    incarnation::claim_incarnation,
+    shared_state::SharedState,
+    store_key::{CONFIG, MEMBERS, read_record, store_fault},
+};
+
+/// How often the duty looks whether there is something to do.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// How often the store is read although nothing asks for it, so that a lost hint heals.
+const IDLE_READ: Duration = Duration::from_secs(15);
+
+/// Distance of reads that only hints ask for.
+const HINT_DISTANCE: Duration = Duration::from_millis(100);
+
+/// Reads list and configuration from the store when the lease or a hint asks for it, and
+/// keeps the member list: joins, rejoins, removes members that are gone.
+pub(crate) struct StoreDuty {
+    shared: Arc<SharedState>,
+    read_at: Option<BootTime>,
+    failing: bool,
+}
+
+impl StoreDuty {
+    pub(crate) fn new(shared: Arc<SharedState>) -> Self {
+        Self {
+            shared,
+            read_at: None,
+            failing: false,
+        }
+    }
+
+    /// Runs until the service stops, then takes this host out of the list.
+    pub(crate) fn run(mut self) {
+        while !self.shared.is_stopping() {
+            if self.is_due() {
+                let outcome = self.round();
+                self.report(outcome);
+            }
+            self.shared.await_store_wake(ROUND);
+        }
+        if let Err(error) = self.leave_list() {
+            log::warn!("E0311 member-leave-failed cause={error}");
+        }
+    }
+
+    /// Reads are due while a majority does not renew the lease, after hints, and rarely.
+    fn is_due(&self) -> bool {
+        let now = self.shared.now();
+        let since_read = self.read_at.map(|at| now.saturating_sub(at));
+        let Some(since_read) = since_read else {
+            return true;
+        };
+        if since_read < HINT_DISTANCE {
+            return false;
+        }
+        let lease = self.shared.lease.lock();
+        let length = self.shared.options.settings.lease_length;
+        let quorum_age = lease.quorum_at().map(|at| now.saturating_sub(at));
+        let renewed = quorum_age.is_some_and(|age| age < length / 2);
+        !lease.is_listed()
+            || lease.is_behind()
+            || !renewed && since_read >= length / 4
+            || since_read >= IDLE_READ
+            || !lease.list().is_settled() && since_read >= self.settle_distance(&lease)
+            || !lease.lost_members(now).is_empty() && since_read >= length
+    }
+
+    /// How long this host waits between attempts to settle the list: its place in the list
+    /// decides, so that one host mostly does it.
+    fn settle_distance(&self, lease: &LeaseMachine) -> Duration {
+        let members = lease.list().members();
+        let place = members
+            .iter()
+            .position(|m| m.id == self.shared.own.as_str());
+        let place = u32::try_from(place.unwrap_or(members.len())).unwrap_or(u32::MAX);
+        ROUND.saturating_mul(1 + 4 * place)
+    }
+
+    fn round(&mut self) -> Result<(), StepError> {
+        let sent = self.shared.now();
+        self.read_at = Some(sent);
+        let (version, list) = self.read_all(sent)?;
+        let incarnation = self.shared.incarnation();
+        if !list.contains(&self.shared.own, incarnation) {
+            return self.join(version, &list);
+        }
+        if self.remove_lost(version, &list)? {
+            return Ok(());
+        }
+        self.settle(version, &list)
+    }
+
+    /// Reads the list and then the configuration, in this order: the configuration read is
+    /// at least that of the list's floor, and a list written from here may name it as floor.
+    fn read_all(&self, sent: BootTime) -> Result<(StoreVersion, MemberList), StepError> {
+        let store = self.shared.store();
+        let (version, record) = read_record::<MemberRecord>(store, MEMBERS)
+            .map_err(|error| store_fault("read member list", error))?;
+        let (_, config) = read_record::<ConfigRecord>(store, CONFIG)
+            .map_err(|error| store_fault("read configuration", error))?;
+        self.shared
+            .follow_config(&config)
+            .map_err(|error| store_fault("follow configuration", error))?;
+        if config.revision < self.shared.holder.force().revision {
+            // A store that went back proves nothing fresh.
+            let error = StoreError::Rejected(format!("revision {} is old", config.revision));
+            return Err(store_fault("read configuration", error));
+        }
+        let list = MemberList::new(record);
+        self.shared.follow_list(&list);
+        self.note_own_list();
+        let mut lease = self.shared.lease.lock();
+        if lease.list().revision() >= list.revision() {
+            lease.read_store(sent);
+        }
+        Ok((version, list))
+    }
+
+    fn note_own_list(&self) {
+        let revision = self.shared.lease.lock().list().revision();
+        self.shared
+            .acks
+            .lock()
+            .note_held(&self.shared.own, self.shared.incarnation(), revision);
+    }
+
+    /// Joins the list. A listed newer life means that another process has this id; an older
+    /// one is this host before its restart. A host that was listed and is no more begins a
+    /// new life, because the grants of the old one may have been given away.
+    fn join(&self, version: StoreVersion, list: &MemberList) -> Result<(), StepError> {
+        if self.shared.is_leaving() {
+            return Ok(());
+        }
+        if self.shared.lease.lock().was_listed() {
+            self.begin_life()?;
+            return Ok(());
+        }
+        let floor = self.shared.holder.force().revision;
+        let next = match list.join(self.shared.own_member(), floor) {
+            Ok(next) => next,
+            Err(ListRefusal::NewerLife(incarnation)) => {
+                log::error!("E0312 member-id-taken incarnation={incarnation}");
+                return Ok(());
+            }
+            Err(refusal) => {
+                log::debug!("E0313 member-join-waits cause={refusal}");
+                return Ok(());
+            }
+        };
+        self.write_list(version, &next, "join member list")?;
+        log::info!(
+            "E0310 member-joined incarnation={} revision={}",
+            self.shared.incarnation(),
+            next.revision()
+        );
+        Ok(())
+    }
+
+    fn begin_life(&self) -> Result<(), StepError> {
+        let incarnation = claim_incarnation(self.shared.store())?;
+        log::warn!("E0314 member-life-began incarnation={incarnation}");
+        self.shared.options.node.set_incarnation(incarnation);
+        self.shared.lease.lock().begin_life(incarnation);
+        self.shared.quota.begin_life(incarnation);
+        Ok(())
+    }
+
+    /// Removes one member that is lost; true if there was one.
+    fn remove_lost(&self, version: StoreVersion, list: &MemberList) -> Result<bool, StepError> {
+        let now = self.shared.now();
+        let lost = self.shared.lease.lock().lost_members(now);
+        let Some(member) = lost.iter().find_map(|id| list.find(id)) else {
+            return Ok(false);
+        };
+        let (id, incarnation) = (MemberId::from(member.id.as_str()), member.incarnation);
+        self.remove(version, list, &id, incarnation, "remove lost member")?;
+        Ok(true)
+    }
+
+    /// Settles the list. Any member may; the first of the list goes ahead, the others only
+    /// step in when it does not, so that they do not write all at once.
+    fn settle(&self, version: StoreVersion, list: &MemberList) -> Result<(), StepError> {
+        let acks = self.shared.acks.lock().clone();
+        let floor = self.shared.holder.force().revision;
+        let Ok(next) = list.settle(&acks, floor) else {
+            return Ok(());
+        };
+        self.write_list(version, &next, "settle member list")
+    }
+
+    /// Takes this host out of the list: it has stopped serving, so it needs no majority.
+    fn leave_list(&self) -> Result<(), StepError> {
+        let own = &self.shared.own;
+        let incarnation = self.shared.incarnation();
+        self.shared.acks.lock().note_gone(own, incarnation);
+        for _ in 0..5 {
+            let (version, list) = self.read_all(BootTime::ZERO)?;
+            if !list.contains(own, incarnation) {
+                return Ok(());
+            }
+            match self.remove(version, &list, own, incarnation, "leave member list") {
+                Ok(()) => return Ok(()),
+                Err(error) => log::debug!("E0311 member-leave-failed cause={error}"),
+            }
+        }
+        Ok(())
+    }
+
+    fn remove(
+        &self,
+        version: StoreVersion,
+        list: &MemberList,
+        member: &MemberId,
+        incarnation: Incarnation,
+        step: &'static str,
+    ) -> Result<(), StepError> {
+        let floor = self.shared.holder.force().revision;
+        let Ok(next) = list.remove(member, incarnation, floor) else {
+            return Ok(());
+        };
+        self.write_list(version, &next, step)?;
+        log::info!(
+            "E0316 member-removed member={member} incarnation={incarnation} revision={}",
+            next.revision()
+        );
+        Ok(())
+    }
+
+    /// Writes the list. What a lost answer left is found by the next read.
+    fn write_list(
+        &self,
+        version: StoreVersion,
+        next: &MemberList,
+        step: &'static str,
+    ) -> Result<(), StepError> {
+        let bytes = next.record().encode_to_vec();
+        match self.shared.store().swap(MEMBERS, version, &bytes) {
+            Ok(_) => {
+                self.shared.follow_list(next);
+                self.note_own_list();
+                Ok(())
+            }
+            Err(StoreError::Conflict { .. }) => {
+                self.shared.wake_store();
+                Ok(())
+            }
+            Err(error) => Err(store_fault(step, error)),
+        }
+    }
+
+    fn report(&mut self, outcome: Result<(), StepError>) {
+        match outcome {
+            Ok(()) if self.failing => {
+                self.failing = false;
+                log::info!("E0317 store-back");
+            }
+            Ok(()) => {}
+            Err(error) if self.failing => log::debug!("E0318 store-failing cause={error}"),
+            Err(error) => {
+                self.failing = true;
+                log::warn!("E0318 store-failing cause={error}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/store_key.rs
@@ -0,0 +1,46 @@
+//! Names of the keys that this crate keeps in the store, and how their values are read.
+
+use model::{Revision, StepError};
+use platform::{KeyStore, StoreError, StoreVersion};
+use prost::Message;
+
+/// Key of the member list.
+pub(crate) const MEMBERS: &str = "members";
+/// Key of the newest configuration.
+pub(crate) const CONFIG: &str = "config";
+/// Prefix of the bases that the configuration builds on.
+pub(crate) const CONFIG_BASES: &str = "config/base/";
+
+/// The key of a new base. The suffix keeps two operators who race for the same revision
+/// from writing the same key.
+pub(crate) fn config_base(revision: Revision, suffix: &str) -> String {
+    format!("{CONFIG_BASES}{revision:020}-{suffix}")
+}
+
+/// Reads a record; an absent key is an empty record at version 0.
+pub(crate) fn read_record<M: Message + Default>(
+    store: &dyn KeyStore,
+    key: &str,
+) -> Result<(StoreVersion, M), StoreError> {
+    let Some(stored) = store.read(key)? else {
+        return Ok((0, M::default()));
+    };
+    Ok((stored.version, decode_record(key, &stored.value)?))
+}
+
+/// Decodes a record. One that can't be decoded is never followed: the host goes on with
+/// what it holds, and the fault is loud.
+pub(crate) fn decode_record<M: Message + Default>(
+    key: &str,
+    bytes: &[u8],
+) -> Result<M, StoreError> {
+    M::decode(bytes).map_err(|error| {
+        log::error!("E0302 store-record-broken key={key} cause={error}");
+        StoreError::Rejected(format!("record {key}: {error}"))
+    })
+}
+
+/// Wraps a fault of the store with the step at which it arose.
+pub(crate) fn store_fault(step: &'static str, error: StoreError) -> StepError {
+    StepError::new(step, "store", error)
+}
--- /dev/null
+++ b/crates/member/src/watch_duty.rs
@@ -0,0 +1,58 @@
+use std::{sync::Arc, thread, time::Duration};
+
+use platform::{StoreError, StoreVersion};
+
+use crate::{
+    shared_state::SharedState,
+    store_key::{CONFIG, decode_record},
+};
+
+/// How long one watch waits. It only speeds changes up: a host whose watch hangs or lies
+/// learns of them from its peers' beats, and its lease never rests on a watch.
+const WATCH_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Pauses after failed watches grow between these.
+const PAUSE_MIN: Duration = Duration::from_millis(100);
+const PAUSE_MAX: Duration = Duration::from_secs(1);
+
+/// Waits for changes of the configuration: the one watch of an entry host.
+pub(crate) struct WatchDuty {
+    shared: Arc<SharedState>,
+    version: StoreVersion,
+}
+
+impl WatchDuty {
+    pub(crate) fn new(shared: Arc<SharedState>) -> Self {
+        Self { shared, version: 0 }
+    }
+
+    /// Runs until the service stops.
+    pub(crate) fn run(mut self) {
+        let mut pause = PAUSE_MIN;
+        while !self.shared.is_stopping() {
+            match self.watch_once() {
+                Ok(()) => pause = PAUSE_MIN,
+                Err(error) => {
+                    log::debug!("E0309 config-watch-failed cause={error}");
+                    thread::sleep(pause);
+                    pause = PAUSE_MAX.min(pause * 2);
+                }
+            }
+        }
+    }
+
+    fn watch_once(&mut self) -> Result<(), StoreError> {
+        let watched = self
+            .shared
+            .store()
+            .watch(CONFIG, self.version, WATCH_PATIENCE)?;
+        let Some(stored) = watched else {
+            return Ok(());
+        };
+        // A version below the last one is a stale answer; asking for what follows it would
+        // deliver the same answer for ever.
+        self.version = self.version.max(stored.version);
+        self.shared
+            .follow_config(&decode_record(CONFIG, &stored.value)?)
+    }
+}
--- /dev/null
+++ b/crates/member/tests/common/mod.rs
@@ -0,0 +1,214 @@
+//! A store in memory with fault switches, and entry hosts that share it.
+
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use member::{MemberOptions, MemberService, claim_incarnation};
+use model::{MemberId, ServeSettings};
+use parking_lot::{Condvar, Mutex};
+use peer::PeerNode;
+use platform::{BootClock, KeyStore, StoreError, StoreVersion, StoredValue};
+use ports::ServingGate;
+
+/// Generous: it bounds a failing run and decides nothing in a passing one.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreFaults {
+    /// Every call is refused.
+    pub down: bool,
+    /// This many writes take effect and their answers are lost.
+    pub lose_answers: u32,
+    /// Watches never deliver anything.
+    pub watch_hangs: bool,
+}
+
+#[derive(Default)]
+struct StoreState {
+    keys: BTreeMap<String, StoredValue>,
+    faults: StoreFaults,
+    calls: u64,
+    writes: u64,
+}
+
+/// A linearizable store in memory.
+#[derive(Default)]
+pub struct MemoryStore {
+    state: Mutex<StoreState>,
+    changed: Condvar,
+}
+
+impl MemoryStore {
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.state.lock().faults = faults;
+        self.changed.notify_all();
+    }
+
+    pub fn writes(&self) -> u64 {
+        self.state.lock().writes
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.state.lock().calls
+    }
+}
+
+impl StoreState {
+    fn begin(&mut self) -> Result<(), StoreError> {
+        self.calls += 1;
+        if self.faults.down {
+            return Err(StoreError::Unavailable("switched off".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn version(&self, key: &str) -> StoreVersion {
+        self.keys.get(key).map_or(0, |stored| stored.version)
+    }
+
+    fn end_write(&mut self) -> Result<(), StoreError> {
+        self.writes += 1;
+        if self.faults.lose_answers > 0 {
+            self.faults.lose_answers -= 1;
+            return Err(StoreError::Unknown("answer lost".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+impl KeyStore for MemoryStore {
+    fn read(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        let mut state = self.state.lock();
+        state.begin()?;
+        Ok(state.keys.get(key).cloned())
+    }
+
+    fn swap(
+        &self,
+        key: &str,
+        expect: StoreVersion,
+        value: &[u8],
+    ) -> Result<StoreVersion, StoreError> {
+        let mut state = self.state.lock();
+        state.begin()?;
+        let current = state.version(key);
+        if current != expect {
+            return Err(StoreError::Conflict { current });
+        }
+        let stored = StoredValue {
+            version: current + 1,
+            value: value.to_vec(),
+        };
+        state.keys.insert(key.to_owned(), stored);
+        self.changed.notify_all();
+        state.end_write()?;
+        Ok(current + 1)
+    }
+
+    fn remove(&self, key: &str, expect: StoreVersion) -> Result<(), StoreError> {
+        let mut state = self.state.lock();
+        state.begin()?;
+        let current = state.version(key);
+        if current != expect {
+            return Err(StoreError::Conflict { current });
+        }
+        state.keys.remove(key);
+        state.end_write()
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        after: StoreVersion,
+        patience: Duration,
+    ) -> Result<Option<StoredValue>, StoreError> {
+        let deadline = Instant::now() + patience;
+        let mut state = self.state.lock();
+        state.begin()?;
+        loop {
+            let hangs = state.faults.watch_hangs;
+            if state.version(key) > after && !hangs {
+                return Ok(state.keys.get(key).cloned());
+            }
+            if self.changed.wait_until(&mut state, deadline).timed_out() {
+                return Ok(None);
+            }
+        }
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<(String, StoredValue)>, StoreError> {
+        let mut state = self.state.lock();
+        state.begin()?;
+        let keys = state.keys.iter().filter(|(key, _)| key.starts_with(prefix));
+        Ok(keys.map(|(k, v)| (k.clone(), v.clone())).collect())
+    }
+}
+
+/// One entry host without callers.
+pub struct TestHost {
+    pub node: Arc<PeerNode>,
+    pub service: Arc<MemberService>,
+}
+
+impl TestHost {
+    pub fn start(store: &Arc<MemoryStore>, name: &str) -> Self {
+        let incarnation = claim_incarnation(store.as_ref()).unwrap();
+        let member = MemberId::from(name);
+        let node = PeerNode::start(member.clone(), incarnation, "127.0.0.1:0", Vec::new()).unwrap();
+        let node = Arc::new(node);
+        let settings = ServeSettings {
+            member,
+            ..ServeSettings::default()
+        };
+        let service = MemberService::start(MemberOptions {
+            settings,
+            caller_address: "127.0.0.1:1".to_owned(),
+            node: node.clone(),
+            store: store.clone(),
+            clock: Arc::new(BootClock),
+            audit: None,
+        })
+        .unwrap();
+        Self { node, service }
+    }
+
+    pub fn start_many(store: &Arc<MemoryStore>, count: usize) -> Vec<Self> {
+        let hosts: Vec<_> = (1..=count)
+            .map(|n| Self::start(store, &format!("e{n}")))
+            .collect();
+        for host in &hosts {
+            host.await_serving();
+            let full = || ports::MemberSource::members(&*host.service).len() == count;
+            await_that("every host is listed", full);
+        }
+        hosts
+    }
+
+    pub fn serves(&self) -> bool {
+        self.service.check().is_ok()
+    }
+
+    pub fn await_serving(&self) {
+        await_that("the host serves", || self.serves());
+    }
+
+    /// Ends the host without a word, as a kill would.
+    pub fn kill(self) {
+        self.node.stop();
+        std::mem::forget(self.service);
+    }
+}
+
+pub fn await_that(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
