Answer operators over HTTP and keep an audit trail in the store

Cause: operators need manifest, keys, status and audit on every entry host, also while some callers send slowly, and a trail that survives the loss of every entry host. Ruled out: tiny_http on this port. It reads bodies without a timeout, and on dropping a call it allocates and reads what Content-Length announced, so anyone could stop the workers or the process. hyper, its nearest kin here, holds all connections on one bounded thread. Ruled out: auditing a change when it is accepted; a host that dies right then leaves no entry. Entries come from the change log, and the head remembers the newest audited revision. Change: AdminServer (manifest, keys, status, audit, livez, readyz, metrics), AuditKeeper, AuditStore with sealed pages, a hash chain and an anchor for dropped ones; wire gains AuditHead.

--- /dev/null
+++ b/crates/admin/src/audit/audit_keeper.rs
@@ -0,0 +1,355 @@
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
+use model::{Incarnation, MemberId, StepError, event as log_event};
+use parking_lot::Mutex;
+use platform::{Clock, KeyStore};
+use ports::{AuditNote, AuditSink, ConfigSource, MemberSource};
+use prost::Message;
+use wire::state::{ConfigBase, ConfigRecord};
+
+use super::{AuditBatch, AuditDraft, AuditStore, ConfigHistory};
+use crate::event;
+
+/// Key of the change log.
+const CONFIG_KEY: &str = "config";
+/// Name of the duty to audit the change log, for choosing its holder.
+const AUDIT_DUTY: &str = "audit";
+/// Notes that may wait for the store.
+const QUEUE_NOTES: usize = 1024;
+/// Most entries of one write.
+const BATCH_ENTRIES: usize = 64;
+/// How long notes gather before they are written.
+const ROUND: Duration = Duration::from_secs(1);
+const STACK_BYTES: usize = 512 * 1024;
+
+/// What the keeper needs to audit the change log as well.
+pub struct ConfigWatch {
+    /// Tells when there are new revisions.
+    pub config: Arc<dyn ConfigSource>,
+    /// Tells which entry host audits the change log.
+    pub members: Arc<dyn MemberSource>,
+}
+
+/// Writes the audit trail: a thread that batches notes, and that turns new changes of the
+/// change log into entries while this entry host holds that duty.
+pub struct AuditKeeper {
+    notes: Sender<AuditNote>,
+    shared: Arc<KeeperState>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+/// What the keeper's thread shares with its owner.
+struct KeeperState {
+    dropped: AtomicU64,
+    stopped: AtomicBool,
+    watch: Mutex<Option<ConfigWatch>>,
+}
+
+impl AuditKeeper {
+    /// Starts the keeper's thread.
+    ///
+    /// # Errors
+    /// If the thread can't be started.
+    pub fn start(
+        store: Arc<dyn KeyStore>,
+        clock: Arc<dyn Clock>,
+        member: MemberId,
+        incarnation: Incarnation,
+    ) -> Result<Self, StepError> {
+        let (sender, receiver) = bounded(QUEUE_NOTES);
+        let shared = Arc::new(KeeperState {
+            dropped: AtomicU64::new(0),
+            stopped: AtomicBool::new(false),
+            watch: Mutex::new(None),
+        });
+        let round = KeeperRound {
+            trail: AuditStore::new(Arc::clone(&store)),
+            store,
+            clock,
+            member,
+            incarnation,
+            batch: 0,
+            pending: None,
+            waiting: Vec::new(),
+            history: None,
+            shared: Arc::clone(&shared),
+        };
+        let thread = thread::Builder::new()
+            .name("audit-keeper".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || round.run(&receiver))
+            .map_err(|error| StepError::new("start audit keeper", "", error))?;
+        Ok(Self {
+            notes: sender,
+            shared,
+            thread: Mutex::new(Some(thread)),
+        })
+    }
+
+    /// From now on the keeper audits the change log too.
+    pub fn watch_config(&self, watch: ConfigWatch) {
+        *self.shared.watch.lock() = Some(watch);
+    }
+
+    /// Writes what waits, if the store answers, and ends the thread.
+    pub fn stop(&self) {
+        self.shared.stopped.store(true, Ordering::Release);
+        if let Some(thread) = self.thread.lock().take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl AuditSink for AuditKeeper {
+    fn record(&self, note: AuditNote) {
+        // While the store is down notes wait. Beyond the queue's bound memory goes before
+        // completeness; the trail then says how many are missing.
+        if let Err(TrySendError::Full(_)) = self.notes.try_send(note) {
+            self.shared.dropped.fetch_add(1, Ordering::Relaxed);
+            metrics::counter!("lws_audit_notes_dropped").increment(1);
+        }
+    }
+}
+
+impl Drop for AuditKeeper {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// The state of the keeper's thread.
+struct KeeperRound {
+    trail: AuditStore,
+    store: Arc<dyn KeyStore>,
+    clock: Arc<dyn Clock>,
+    member: MemberId,
+    incarnation: Incarnation,
+    batch: u64,
+    pending: Option<AuditBatch>,
+    waiting: Vec<AuditDraft>,
+    history: Option<ConfigHistory>,
+    shared: Arc<KeeperState>,
+}
+
+impl KeeperRound {
+    fn run(mut self, notes: &Receiver<AuditNote>) {
+        let mut is_delayed = false;
+        loop {
+            let is_stopped = self.shared.stopped.load(Ordering::Acquire);
+            self.gather(notes);
+            let outcome = self.write_notes().and_then(|()| self.write_changes());
+            match outcome {
+                Ok(()) => is_delayed = false,
+                Err(error) if !is_delayed => {
+                    is_delayed = true;
+                    log_event::warn(&event::AUDIT_DELAYED, format_args!("cause=\"{error}\""));
+                }
+                Err(_) => {}
+            }
+            if is_stopped {
+                return;
+            }
+        }
+    }
+
+    /// Takes notes for a round, or until stopped.
+    fn gather(&mut self, notes: &Receiver<AuditNote>) {
+        /// How soon the thread sees that it is stopped.
+        const STEP: Duration = Duration::from_millis(100);
+        let deadline = Instant::now() + ROUND;
+        while self.waiting.len() < BATCH_ENTRIES && Instant::now() < deadline {
+            match notes.recv_timeout(STEP) {
+                Ok(note) => self.waiting.push(self.draft(note)),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            if self.shared.stopped.load(Ordering::Acquire) {
+                break;
+            }
+        }
+        while self.waiting.len() < BATCH_ENTRIES {
+            let Ok(note) = notes.try_recv() else {
+                break;
+            };
+            self.waiting.push(self.draft(note));
+        }
+    }
+
+    fn draft(&self, note: AuditNote) -> AuditDraft {
+        AuditDraft {
+            unix_ms: self.unix_ms(),
+            author: note.author,
+            change_id: note.change_id,
+            subject: note.subject,
+            difference: note.difference,
+            revision_before: note.revision_before,
+            revision_after: note.revision_after,
+        }
+    }
+
+    fn write_notes(&mut self) -> Result<(), StepError> {
+        self.write_pending()?;
+        let dropped = self.shared.dropped.swap(0, Ordering::Relaxed);
+        if self.waiting.is_empty() && dropped == 0 {
+            return Ok(());
+        }
+        let mut drafts = std::mem::take(&mut self.waiting);
+        if dropped > 0 {
+            log_event::error(&event::AUDIT_DROPPED, format_args!("notes={dropped}"));
+            drafts.push(self.own_draft(format!("{dropped} notes were dropped")));
+        }
+        self.append(drafts, 0)
+    }
+
+    /// Audits new changes of the change log, if this entry host holds the duty.
+    ///
+    /// The entries are made from the log itself and not when a change is accepted: an
+    /// entry host that dies right after accepting one would leave no entry otherwise. The
+    /// head remembers the newest audited revision, so two holders write each change once.
+    fn write_changes(&mut self) -> Result<(), StepError> {
+        if !self.has_news() {
+            return Ok(());
+        }
+        let (_, head) = self.trail.read_head()?;
+        let Some(record) = self.read::<ConfigRecord>(CONFIG_KEY)? else {
+            return Ok(());
+        };
+        if head.config_revision >= record.revision {
+            self.follow(&record, head.config_revision)?;
+            return Ok(());
+        }
+        let mut drafts = Vec::new();
+        let oldest = record
+            .tail
+            .first()
+            .map_or(record.revision, |change| change.revision - 1);
+        if head.config_revision < oldest {
+            let first = head.config_revision + 1;
+            log_event::error(
+                &event::AUDIT_GAP,
+                format_args!("first={first} last={oldest}"),
+            );
+            let mut draft = self.own_draft(format!("revisions {first} to {oldest} left the log"));
+            draft.revision_after = oldest;
+            drafts.push(draft);
+        }
+        drafts.extend(self.follow(&record, head.config_revision)?);
+        for part in drafts.chunks(BATCH_ENTRIES) {
+            let newest = part.last().map_or(0, |draft| draft.revision_after);
+            self.append(part.to_vec(), newest)?;
+        }
+        Ok(())
+    }
+
+    /// True if the log has changes that this entry host should audit and has not followed.
+    fn has_news(&self) -> bool {
+        let watch = self.shared.watch.lock();
+        let Some(watch) = watch.as_ref() else {
+            return false;
+        };
+        let members = watch.members.members();
+        let heard = members
+            .iter()
+            .filter(|member| member.heard && !member.leaving)
+            .map(|member| &member.member);
+        if decide::rendezvous::holder(AUDIT_DUTY, heard) != Some(&self.member) {
+            return false;
+        }
+        let followed = self.history.as_ref().map_or(0, ConfigHistory::revision);
+        watch.config.current().revision > followed
+    }
+
+    fn follow(
+        &mut self,
+        record: &ConfigRecord,
+        audited: u64,
+    ) -> Result<Vec<AuditDraft>, StepError> {
+        let is_behind = self
+            .history
+            .as_ref()
+            .is_none_or(|history| history.revision() < record.base_revision);
+        if is_behind {
+            let base = match record.base_key.as_str() {
+                "" => ConfigBase::default(),
+                key => self
+                    .read(key)?
+                    .ok_or_else(|| StepError::new("read configuration base", key, "absent"))?,
+            };
+            self.history = Some(ConfigHistory::from_base(&base));
+        }
+        let history = self.history.get_or_insert_default();
+        // A write that fails leaves these changes unaudited. The history must not have
+        // moved on then, or the next round would show no difference for them.
+        let mut next = history.clone();
+        let drafts = next.follow(record, audited);
+        if drafts.is_empty() {
+            *history = next;
+        }
+        Ok(drafts)
+    }
+
+    fn read<M: Message + Default>(&self, key: &str) -> Result<Option<M>, StepError> {
+        let stored = self
+            .store
+            .read(key)
+            .map_err(|error| StepError::new("read change log", key, error))?;
+        let Some(stored) = stored else {
+            return Ok(None);
+        };
+        M::decode(stored.value.as_slice())
+            .map(Some)
+            .map_err(|error| StepError::new("decode change log", key, error))
+    }
+
+    fn append(&mut self, drafts: Vec<AuditDraft>, config_revision: u64) -> Result<(), StepError> {
+        self.write_pending()?;
+        self.batch += 1;
+        self.pending = Some(AuditBatch {
+            member: self.member.to_string(),
+            incarnation: self.incarnation,
+            batch: self.batch,
+            config_revision,
+            drafts,
+        });
+        self.write_pending()
+    }
+
+    /// Writes the batch under way, if there is one.
+    ///
+    /// A batch whose write failed may have taken effect. It is repeated as it was until the
+    /// store answers: with further entries in it, the head would show it as written and
+    /// those entries would be lost.
+    fn write_pending(&mut self) -> Result<(), StepError> {
+        let Some(batch) = &self.pending else {
+            return Ok(());
+        };
+        self.trail.append(batch)?;
+        let entries = batch.drafts.len();
+        self.pending = None;
+        metrics::counter!("lws_audit_entries").increment(entries as u64);
+        log_event::debug(&event::AUDIT_WRITTEN, format_args!("entries={entries}"));
+        Ok(())
+    }
+
+    fn own_draft(&self, difference: String) -> AuditDraft {
+        AuditDraft {
+            unix_ms: self.unix_ms(),
+            author: self.member.to_string(),
+            subject: "audit".to_owned(),
+            difference,
+            ..AuditDraft::default()
+        }
+    }
+
+    fn unix_ms(&self) -> u64 {
+        u64::try_from(self.clock.unix_now().as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/admin/src/audit/mod.rs
@@ -0,0 +1,14 @@
+//! The audit trail: who changed what, in the store, chained by digests.
+//!
+//! [`AuditKeeper`] writes it, [`AuditStore`] keeps it and [`verify_chain`] shows
+//! tampering. `docs/design/06-audit.md` argues the layout.
+
+mod audit_chain;
+mod audit_keeper;
+mod audit_store;
+mod config_history;
+
+pub use audit_chain::{AuditDraft, ChainFault, append_entry, entry_digest, verify_chain};
+pub use audit_keeper::{AuditKeeper, ConfigWatch};
+pub use audit_store::{AuditBatch, AuditStore};
+pub use config_history::ConfigHistory;
