--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -8,6 +8,8 @@
 mod demand_meter;
 mod pool_desk;
 mod pool_queue;
+mod settle_work;
+mod start_work;
 mod target_table;
 
 pub(crate) use admission_loop::{AdmissionConfig, AdmissionInbox, AdmissionLoop, LoopCommand};
--- a/crates/entry/src/admission/admission_loop.rs
+++ b/crates/entry/src/admission/admission_loop.rs
@@ -1,22 +1,22 @@
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     sync::Arc,
     time::Duration,
 };
 
 use crossbeam_channel::{Receiver, select};
-use decide::retry::RetryWait;
-use model::{BootTime, HostId, PoolId, ProblemKind, TeamId};
+use model::{BootTime, PoolId, ProblemKind, TeamId};
 use platform::Clock;
-use ports::{ConfigSource, MemberSource, QuotaPermit, QuotaSource, SlotSource, TargetSource};
+use ports::{ConfigSource, MemberSource, PoolDemand, QuotaSource, SlotSource, TargetSource};
 
 use super::{
-    pool_desk::{PoolDesk, PoolParts},
-    target_table::{TargetTable, connection_part},
+    pool_desk::PoolDesk,
+    settle_work::{HeldWork, expired},
+    target_table::TargetTable,
 };
 use crate::{
     CallerProblem,
-    dispatch::{AttemptEnd, AttemptReport, DispatchJob, DispatchPool},
+    dispatch::{AttemptReport, DispatchPool},
     work::CallerRequest,
 };
 
@@ -71,27 +71,21 @@
 }
 
 /// Owns the queues, the use of targets and the retries.
+///
+/// Its work is in three parts: taking requests in and ending them here, starting them in
+/// `start_work`, and what follows from an ended attempt in `settle_work`.
 pub(crate) struct AdmissionLoop {
-    config: AdmissionConfig,
+    pub(super) config: AdmissionConfig,
     inbox: AdmissionInbox,
-    dispatch: DispatchPool,
-    desks: BTreeMap<PoolId, PoolDesk>,
-    table: TargetTable,
-    held: Vec<HeldWork>,
-    waiting: HashMap<TeamId, u32>,
-    finish: Option<LoopCommand>,
+    pub(super) dispatch: DispatchPool,
+    pub(super) desks: BTreeMap<PoolId, PoolDesk>,
+    pub(super) table: TargetTable,
+    pub(super) held: Vec<HeldWork>,
+    pub(super) waiting: HashMap<TeamId, u32>,
+    pub(super) finish: Option<LoopCommand>,
     swept: BootTime,
     culled: BootTime,
-    turn: usize,
-}
-
-/// A slot and a unit of a team's limit whose request may still run on its target.
-struct HeldWork {
-    until: BootTime,
-    pool: PoolId,
-    team: TeamId,
-    host: HostId,
-    _permit: QuotaPermit,
+    pub(super) turn: usize,
 }
 
 impl AdmissionLoop {
@@ -185,7 +179,7 @@
             );
             let problem =
                 CallerProblem::not_run(ProblemKind::Deadline, detail).with_retry_after(wait);
-            work.reply.send(Err(problem));
+            work.refuse(problem);
             return;
         }
         desk.meter.note_queue();
@@ -197,121 +191,7 @@
                 "the queue of the pool is full, and this team fills the most of it",
             )
             .with_retry_after(wait);
-            surplus.reply.send(Err(problem));
-        }
-    }
-
-    fn settle(&mut self, report: AttemptReport) {
-        let now = self.config.clock.boot_now();
-        self.dispatch.settle();
-        let AttemptReport {
-            request,
-            host,
-            lane,
-            permit,
-            end,
-            elapsed,
-        } = report;
-        if let Some(lane) = lane {
-            self.table.keep_lane(lane, now);
-        }
-        self.note_health(&request, &host, &end, now);
-        match end {
-            AttemptEnd::Answered { .. } => {
-                self.release(&request.pool, &request.team, &host, now);
-                let desk = self.desks.entry(request.pool.clone()).or_default();
-                desk.note_service(elapsed);
-            }
-            AttemptEnd::Refused(problem) => {
-                self.release(&request.pool, &request.team, &host, now);
-                answer(*request, problem);
-            }
-            AttemptEnd::NotRun { detail, .. } => {
-                self.release(&request.pool, &request.team, &host, now);
-                let problem = CallerProblem::not_run(ProblemKind::NoTarget, detail)
-                    .with_retry_after(Duration::from_secs(1));
-                self.retry(request, problem, now);
-            }
-            AttemptEnd::Unknown { detail } => {
-                self.hold(&request, host, permit, now);
-                let problem = CallerProblem::may_have_run(ProblemKind::TargetFailed, detail);
-                if request.idempotent {
-                    self.retry(request, problem, now);
-                } else {
-                    // Its fate won't become known, so the caller is told at once.
-                    answer(*request, problem);
-                }
-            }
-        }
-    }
-
-    fn note_health(
-        &mut self,
-        request: &CallerRequest,
-        host: &HostId,
-        end: &AttemptEnd,
-        now: BootTime,
-    ) {
-        let failed = match end {
-            AttemptEnd::Answered { failed } => *failed,
-            AttemptEnd::NotRun { refused: true, .. } => {
-                self.table.note_refusal(host, now);
-                return;
-            }
-            AttemptEnd::NotRun { .. } | AttemptEnd::Unknown { .. } => true,
-            AttemptEnd::Refused(_) => return,
-        };
-        if !failed {
-            self.table.note_success(host);
-            return;
-        }
-        let parts = self.pool_parts(&request.pool);
-        self.table.note_failure(&parts.view(), host, now);
-    }
-
-    /// Sends a request again if its pool can afford it, and refuses it at once otherwise.
-    fn retry(&mut self, mut request: Box<CallerRequest>, problem: CallerProblem, now: BootTime) {
-        let desk = self.desks.entry(request.pool.clone()).or_default();
-        request.attempts += 1;
-        let wait = RetryWait::default().wait(request.attempts, rand::random());
-        if now + wait >= request.deadline || !desk.retries.take() {
-            metrics::counter!("lws_retries_refused").increment(1);
-            answer(*request, problem);
-            return;
-        }
-        metrics::counter!("lws_retries").increment(1);
-        desk.queue.push_retry(request, now + wait);
-        desk.meter.note_queue();
-    }
-
-    /// Keeps slot and permit of a request whose fate is unknown: it may run until its
-    /// deadline, and giving them to another one could put the team above its limit.
-    fn hold(&mut self, request: &CallerRequest, host: HostId, permit: QuotaPermit, now: BootTime) {
-        if now >= request.deadline {
-            self.release(&request.pool, &request.team, &host, now);
-            return;
-        }
-        self.held.push(HeldWork {
-            until: request.deadline,
-            pool: request.pool.clone(),
-            team: request.team.clone(),
-            host,
-            _permit: permit,
-        });
-    }
-
-    fn release(&mut self, pool: &PoolId, team: &TeamId, host: &HostId, now: BootTime) {
-        self.table.end(host);
-        let desk = self.desks.entry(pool.clone()).or_default();
-        desk.meter.note_end(team, now);
-    }
-
-    fn release_held(&mut self, now: BootTime) {
-        let (over, kept) = self.held.drain(..).partition(|held| now >= held.until);
-        self.held = kept;
-        let over: Vec<HeldWork> = over;
-        for held in over {
-            self.release(&held.pool, &held.team, &held.host, now);
+            surplus.refuse(problem);
         }
     }
 
@@ -330,109 +210,24 @@
                 continue;
             }
             desk.meter.note_queue();
-            for work in gone {
+            for mut work in gone {
                 let limited = self.waiting.contains_key(&work.team);
-                answer(work, expired(limited));
-            }
-        }
-    }
-
-    fn start_waiting(&mut self, now: BootTime) {
-        let refuse = self.finish.is_some_and(|command| {
-            let LoopCommand::Finish { refuse_at, .. } = command;
-            now >= refuse_at
-        });
-        if refuse {
-            self.refuse_queued("this entry host shuts down");
-            return;
-        }
-        let mut blocked = BTreeSet::new();
-        let pools: Vec<PoolId> = self
-            .desks
-            .iter()
-            .filter(|(_, desk)| !desk.queue.is_empty())
-            .map(|(pool, _)| pool.clone())
-            .collect();
-        for pool in pools {
-            self.start_pool(&pool, &mut blocked, now);
-        }
-        self.note_waiting(&blocked);
-    }
-
-    /// Starts requests of one pool until its slots, its teams' limits or the queue end.
-    fn start_pool(&mut self, pool: &PoolId, blocked: &mut BTreeSet<TeamId>, now: BootTime) {
-        let parts = self.pool_parts(pool);
-        let view = parts.view();
-        let Some(desk) = self.desks.get_mut(pool) else {
-            return;
-        };
-        desk.queue.wake_retries(now);
-        desk.note_lease(&parts.lease);
-        let cost = desk.cost_ms();
-        while self.dispatch.has_room() {
-            let Some(target) = self.table.choose(&view, self.turn, now) else {
-                return;
-            };
-            let running = |team: &TeamId| desk.meter.running(team);
-            let Some(team) = desk.queue.pick(&parts.lease, running, blocked, now) else {
-                return;
-            };
-            let Some(permit) = self.config.quotas.try_take(&team) else {
-                blocked.insert(team);
-                continue;
-            };
-            let weight = parts.weight(&team);
-            let Some(request) = desk.queue.pop(&team, cost / weight) else {
-                return;
-            };
-            self.turn = self.turn.wrapping_add(1);
-            desk.meter.note_start(&team, now);
-            metrics::histogram!("lws_queue_seconds")
-                .record(now.saturating_sub(request.arrived).as_secs_f64());
-            let lane = self.table.start(target);
-            let job = DispatchJob {
-                request,
-                lane,
-                permit,
-            };
-            if let Err(job) = self.dispatch.start(job) {
-                self.table.end(&target.host);
-                desk.meter.note_end(&team, now);
-                desk.queue.unpop(job.request, cost / weight);
-                return;
-            }
-        }
-    }
-
-    /// Tells the quotas how many starts wait for a unit, so that grants move here.
-    fn note_waiting(&mut self, blocked: &BTreeSet<TeamId>) {
-        let mut waiting = HashMap::new();
-        for team in blocked {
-            let queued: usize = self
-                .desks
-                .values()
-                .map(|desk| desk.queue.team_len(team).0)
-                .sum();
-            waiting.insert(team.clone(), u32::try_from(queued).unwrap_or(u32::MAX));
-        }
-        for team in self.waiting.keys() {
-            if !waiting.contains_key(team) {
-                self.config.quotas.note_waiting(team, 0);
+                work.refuse(expired(limited));
             }
         }
-        for (team, count) in &waiting {
-            if self.waiting.get(team) != Some(count) {
-                self.config.quotas.note_waiting(team, *count);
-            }
-        }
-        self.waiting = waiting;
     }
 
     fn report_demand(&mut self, now: BootTime) {
         for (pool, desk) in &mut self.desks {
-            if let Some(demand) = desk.meter.due_report(pool, &desk.queue, now) {
-                self.config.slots.report(demand);
-            }
+            let Some(teams) = desk.meter.due_report(&desk.queue, now) else {
+                continue;
+            };
+            let targets = self.config.targets.pool_targets(pool);
+            self.config.slots.report(PoolDemand {
+                pool: pool.clone(),
+                teams,
+                in_flight: self.table.in_flight(&targets),
+            });
         }
         if now.saturating_sub(self.swept) >= Duration::from_secs(1) {
             self.swept = now;
@@ -452,46 +247,13 @@
         (idle && self.inbox.requests.is_empty()) || now >= end_at
     }
 
-    fn refuse_queued(&mut self, detail: &str) {
+    pub(super) fn refuse_queued(&mut self, detail: &str) {
         for desk in self.desks.values_mut() {
-            for work in desk.queue.take_out(|_| true) {
+            for mut work in desk.queue.take_out(|_| true) {
                 let problem = CallerProblem::not_run(ProblemKind::NotServing, detail)
                     .with_retry_after(Duration::from_secs(1));
-                answer(work, problem);
+                work.refuse(problem);
             }
         }
     }
-
-    fn pool_parts(&self, pool: &PoolId) -> PoolParts {
-        let config = self.config.config.current();
-        let spec = config.manifest.pools.get(pool);
-        let members = self.config.members.members().len();
-        PoolParts {
-            targets: self.config.targets.pool_targets(pool),
-            lease: self.config.slots.lease(pool),
-            connections: connection_part(spec.map_or(1, |spec| spec.connections), members),
-            budget: spec.map_or(1, |spec| spec.budget),
-            config,
-        }
-    }
-}
-
-fn answer(mut request: CallerRequest, problem: CallerProblem) {
-    request.reply.send(Err(problem));
-}
-
-/// What a caller is told whose request waited until its deadline.
-fn expired(limited: bool) -> CallerProblem {
-    let (kind, detail) = if limited {
-        (
-            ProblemKind::TeamLimit,
-            "the team ran as much as its upper limit allows until the deadline",
-        )
-    } else {
-        (
-            ProblemKind::Deadline,
-            "no slot became free before the deadline",
-        )
-    };
-    CallerProblem::not_run(kind, detail).with_retry_after(Duration::from_secs(1))
 }
--- a/crates/entry/src/admission/demand_meter.rs
+++ b/crates/entry/src/admission/demand_meter.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
-use model::{BootTime, PoolId, TeamId};
-use ports::{PoolDemand, TeamDemand};
+use model::{BootTime, TeamId};
+use ports::TeamDemand;
 
 use super::pool_queue::PoolQueue;
 
@@ -21,7 +21,12 @@
 #[derive(Default)]
 struct TeamMeter {
     running: u32,
-    used: Duration,
+    /// Slot time used since the team was first seen.
+    total: Duration,
+    /// What of `total` the reports have told.
+    reported: Duration,
+    /// What of `total` the lease now held has counted in.
+    counted: Duration,
     since: BootTime,
 }
 
@@ -36,6 +41,26 @@
         self.teams.values().map(|meter| meter.running).sum()
     }
 
+    /// Slot time of `team` that the lease now held has not counted in, with the time that
+    /// what runs is still expected to take.
+    ///
+    /// Charging what runs ahead keeps one team from taking every slot that is free at the
+    /// same moment.
+    pub fn uncounted(&self, team: &TeamId, service: Duration, now: BootTime) -> Duration {
+        let Some(meter) = self.teams.get(team) else {
+            return Duration::ZERO;
+        };
+        let running = now.saturating_sub(meter.since) + service;
+        meter.total.saturating_sub(meter.counted) + running * meter.running
+    }
+
+    /// Notes that a lease arrived, which counts in what was reported before.
+    pub fn note_lease(&mut self) {
+        for meter in self.teams.values_mut() {
+            meter.counted = meter.reported;
+        }
+    }
+
     /// Notes that something was queued or left the queue.
     pub fn note_queue(&mut self) {
         self.changed = true;
@@ -57,13 +82,8 @@
         self.changed = true;
     }
 
-    /// The demand, if it is time to report it.
-    pub fn due_report(
-        &mut self,
-        pool: &PoolId,
-        queue: &PoolQueue,
-        now: BootTime,
-    ) -> Option<PoolDemand> {
+    /// The demand by team, if it is time to report it.
+    pub fn due_report(&mut self, queue: &PoolQueue, now: BootTime) -> Option<Vec<TeamDemand>> {
         let since = now.saturating_sub(self.reported);
         let busy = self.total_running() > 0 || !queue.is_empty();
         let due = (self.changed && since >= CHANGE_INTERVAL) || (busy && since >= STEADY_INTERVAL);
@@ -72,21 +92,18 @@
         }
         self.changed = false;
         self.reported = now;
-        Some(self.measure(pool, queue, now))
+        Some(self.measure(queue, now))
     }
 
-    fn measure(&mut self, pool: &PoolId, queue: &PoolQueue, now: BootTime) -> PoolDemand {
+    fn measure(&mut self, queue: &PoolQueue, now: BootTime) -> Vec<TeamDemand> {
         for team in queue.waiting_teams() {
             self.teams.entry(team.clone()).or_default();
         }
-        let mut demand = PoolDemand {
-            pool: pool.clone(),
-            teams: Vec::new(),
-        };
+        let mut demands = Vec::new();
         for (team, meter) in &mut self.teams {
             meter.advance(now);
             let (queued, urgent) = queue.team_len(team);
-            demand.teams.push(TeamDemand {
+            demands.push(TeamDemand {
                 team: team.clone(),
                 running: meter.running,
                 queued: u32::try_from(queued).unwrap_or(u32::MAX),
@@ -96,20 +113,22 @@
         }
         self.teams
             .retain(|team, meter| meter.running > 0 || queue.team_len(team).0 > 0);
-        demand
+        demands.retain(|team| team.running > 0 || team.queued > 0 || team.used_ms > 0);
+        demands
     }
 }
 
 impl TeamMeter {
     fn advance(&mut self, now: BootTime) {
-        self.used += now.saturating_sub(self.since) * self.running;
+        self.total += now.saturating_sub(self.since) * self.running;
         self.since = now;
     }
 
     fn take_used(&mut self) -> u64 {
-        let whole = u64::try_from(self.used.as_millis()).unwrap_or(u64::MAX);
+        let used = self.total.saturating_sub(self.reported);
+        let whole = u64::try_from(used.as_millis()).unwrap_or(u64::MAX);
         // The rest below a millisecond stays for the next report.
-        self.used = self.used.saturating_sub(Duration::from_millis(whole));
+        self.reported += Duration::from_millis(whole);
         whole
     }
 }
--- a/crates/entry/src/admission/pool_desk.rs
+++ b/crates/entry/src/admission/pool_desk.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use decide::retry::RetryBudget;
+use decide::{retry::RetryBudget, share::TeamTurn};
 use model::{BootTime, TeamId};
 use ports::{ForceConfig, SlotLease, TargetHost};
 
@@ -51,6 +51,11 @@
         self.service = self.service.mul_f64(1.0 - SERVICE_GAIN) + elapsed.mul_f64(SERVICE_GAIN);
     }
 
+    /// Mean time that targets took for a request lately.
+    pub fn service_time(&self) -> Duration {
+        self.service
+    }
+
     /// Notes the lease now held; a renewed one has counted what was started before.
     pub fn note_lease(&mut self, lease: &Arc<SlotLease>) {
         let known = self
@@ -58,16 +63,30 @@
             .as_ref()
             .is_some_and(|known| Arc::ptr_eq(known, lease));
         if !known {
-            self.queue.settle_charges();
+            self.meter.note_lease();
             self.lease = Some(Arc::clone(lease));
         }
     }
 
-    /// Slot time that a start is expected to use, in milliseconds.
-    pub fn cost_ms(&self) -> u64 {
-        u64::try_from(self.service.as_millis())
-            .unwrap_or(u64::MAX)
-            .max(1)
+    /// The teams that have something queued, as `decide::share::pick` wants to see them.
+    pub fn turns(&self, parts: &PoolParts, now: BootTime) -> Vec<TeamTurn> {
+        let turn = |team: &TeamId| TeamTurn {
+            team: team.clone(),
+            virtual_time: self.virtual_time(parts, team, now),
+            queued: u32::try_from(self.queue.team_len(team).0).unwrap_or(u32::MAX),
+            urgent_wait: self.queue.urgent_wait(team, now),
+            blocked: false,
+        };
+        self.queue.waiting_teams().map(turn).collect()
+    }
+
+    /// Virtual time of a team: what the lease says, and what was used here since.
+    pub fn virtual_time(&self, parts: &PoolParts, team: &TeamId, now: BootTime) -> Duration {
+        let told = parts.lease.teams.iter().find(|used| used.team == *team);
+        let told = told.map_or(Duration::ZERO, |used| {
+            Duration::from_millis(used.virtual_ms)
+        });
+        told + self.meter.uncounted(team, self.service, now) / parts.weight(team)
     }
 
     /// How long `work` would wait, by recent service times and the slots that its team may
@@ -137,8 +156,8 @@
     }
 
     /// Weight of `team` when the pool is full.
-    pub fn weight(&self, team: &TeamId) -> u64 {
+    pub fn weight(&self, team: &TeamId) -> u32 {
         let spec = self.config.manifest.teams.get(team);
-        u64::from(spec.map_or(1, |spec| spec.share).max(1))
+        spec.map_or(1, |spec| spec.share).max(1)
     }
 }
--- a/crates/entry/src/admission/pool_queue.rs
+++ b/crates/entry/src/admission/pool_queue.rs
@@ -1,17 +1,12 @@
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
 use model::{BootTime, TeamId};
-use ports::{SlotLease, TeamUse};
 
 use crate::work::CallerRequest;
 
-/// How long an urgent request waits in turn before its team goes first. Well under the
-/// 1.6 s that urgent work may wait, since the slot it gets must become free as well.
-const URGENT_PATIENCE: Duration = Duration::from_millis(300);
-
 /// The requests that wait for a slot of one pool, in a queue for each team.
 #[derive(Default)]
 pub(crate) struct PoolQueue {
@@ -24,8 +19,6 @@
 struct TeamQueue {
     urgent: VecDeque<Box<CallerRequest>>,
     normal: VecDeque<Box<CallerRequest>>,
-    /// Slot time started here since the lease was renewed, over weight, in milliseconds.
-    started_ms: u64,
 }
 
 struct DelayedRequest {
@@ -120,59 +113,31 @@
         self.delayed = kept;
         taken.extend(out.into_iter().map(|delayed: DelayedRequest| *delayed.work));
         self.length -= taken.len();
-        self.teams
-            .retain(|_, queue| queue.len() > 0 || queue.started_ms > 0);
+        self.teams.retain(|_, queue| queue.len() > 0);
         taken
     }
 
-    /// Which team starts next, out of those not in `blocked`.
-    ///
-    /// A team that runs less than its due goes before one that runs more; among those the
-    /// one with the least virtual time, and then the longest wait. A team whose urgent
-    /// request has waited long goes first of all; it pays, because its virtual time grows
-    /// with what it starts.
-    pub fn pick(
-        &self,
-        lease: &SlotLease,
-        running: impl Fn(&TeamId) -> u32,
-        blocked: &BTreeSet<TeamId>,
-        now: BootTime,
-    ) -> Option<TeamId> {
-        let candidates = self
-            .teams
-            .iter()
-            .filter(|(team, queue)| queue.len() > 0 && !blocked.contains(*team));
-        let best = candidates.min_by_key(|(team, queue)| {
-            let used = lease.teams.iter().find(|used| used.team == **team);
-            let due = used.map_or(0, |used: &TeamUse| used.slots);
-            let virtual_ms = used.map_or(0, |used| used.virtual_ms) + queue.started_ms;
-            let hurry = queue.urgent_wait(now) >= URGENT_PATIENCE;
-            (
-                !hurry,
-                running(team) >= due,
-                virtual_ms,
-                queue.oldest_arrival(),
-            )
-        });
-        best.map(|(team, _)| team.clone())
+    /// How long the oldest urgent request of `team` has waited; `None` without one.
+    pub fn urgent_wait(&self, team: &TeamId, now: BootTime) -> Option<Duration> {
+        let queue = self.teams.get(team)?;
+        let first = queue.urgent.front()?;
+        Some(now.saturating_sub(first.arrived))
     }
 
-    /// Takes the next request of `team`, and charges the team `cost_ms` of virtual time.
-    pub fn pop(&mut self, team: &TeamId, cost_ms: u64) -> Option<Box<CallerRequest>> {
+    /// Takes the next request of `team`, urgent ones first.
+    pub fn pop(&mut self, team: &TeamId) -> Option<Box<CallerRequest>> {
         let queue = self.teams.get_mut(team)?;
         let work = queue
             .urgent
             .pop_front()
             .or_else(|| queue.normal.pop_front())?;
-        queue.started_ms += cost_ms;
         self.length -= 1;
         Some(work)
     }
 
     /// Puts a request that could not start back where it was taken from.
-    pub fn unpop(&mut self, work: Box<CallerRequest>, cost_ms: u64) {
+    pub fn unpop(&mut self, work: Box<CallerRequest>) {
         let queue = self.teams.entry(work.team.clone()).or_default();
-        queue.started_ms = queue.started_ms.saturating_sub(cost_ms);
         if work.urgent {
             queue.urgent.push_front(work);
         } else {
@@ -180,36 +145,12 @@
         }
         self.length += 1;
     }
-
-    /// Forgets charges that a renewed lease counts by itself.
-    pub fn settle_charges(&mut self) {
-        for queue in self.teams.values_mut() {
-            queue.started_ms = 0;
-        }
-    }
 }
 
 impl TeamQueue {
     fn len(&self) -> usize {
         self.urgent.len() + self.normal.len()
     }
-
-    fn urgent_wait(&self, now: BootTime) -> Duration {
-        self.urgent
-            .front()
-            .map(|work| now.saturating_sub(work.arrived))
-            .unwrap_or_default()
-    }
-
-    fn oldest_arrival(&self) -> BootTime {
-        let urgent = self.urgent.front().map(|work| work.arrived);
-        let normal = self.normal.front().map(|work| work.arrived);
-        urgent
-            .into_iter()
-            .chain(normal)
-            .min()
-            .unwrap_or(BootTime::MAX)
-    }
 }
 
 fn take_from(
--- /dev/null
+++ b/crates/entry/src/admission/settle_work.rs
@@ -0,0 +1,165 @@
+use std::time::Duration;
+
+use decide::retry::RetryWait;
+use model::{BootTime, HostId, PoolId, ProblemKind, TeamId};
+use ports::QuotaPermit;
+
+use super::admission_loop::AdmissionLoop;
+use crate::{
+    CallerProblem,
+    dispatch::{AttemptEnd, AttemptReport},
+    work::CallerRequest,
+};
+
+/// How much longer than its deadline a request of unknown fate counts as running, at least
+/// and at most; between them it is the mean service time of its pool.
+const SHORTEST_GRACE: Duration = Duration::from_millis(100);
+const LONGEST_GRACE: Duration = Duration::from_secs(5);
+
+/// A slot and a unit of a team's limit whose request may still run on its target.
+pub(super) struct HeldWork {
+    until: BootTime,
+    pool: PoolId,
+    team: TeamId,
+    host: HostId,
+    _permit: QuotaPermit,
+}
+
+/// What follows from ended attempts.
+impl AdmissionLoop {
+    /// Draws the consequences of an ended attempt.
+    pub(super) fn settle(&mut self, report: AttemptReport) {
+        let now = self.config.clock.boot_now();
+        self.dispatch.settle();
+        let AttemptReport {
+            mut request,
+            host,
+            lane,
+            permit,
+            end,
+            elapsed,
+        } = report;
+        if let Some(lane) = lane {
+            let part = self.pool_parts(&request.pool).connections;
+            self.table.keep_lane(lane, part, now);
+        }
+        self.note_health(&request, &host, &end, now);
+        match end {
+            AttemptEnd::Answered { .. } => {
+                self.release(&request.pool, &request.team, &host, now);
+                let desk = self.desks.entry(request.pool.clone()).or_default();
+                desk.note_service(elapsed);
+            }
+            AttemptEnd::Refused(problem) => {
+                self.release(&request.pool, &request.team, &host, now);
+                request.refuse(problem);
+            }
+            AttemptEnd::NotRun { detail, .. } => {
+                self.release(&request.pool, &request.team, &host, now);
+                let problem = CallerProblem::not_run(ProblemKind::NoTarget, detail)
+                    .with_retry_after(Duration::from_secs(1));
+                self.retry(request, problem, now);
+            }
+            AttemptEnd::Unknown { detail } => {
+                self.hold(&request, host, permit, now);
+                request.may_have_run = true;
+                let problem = CallerProblem::may_have_run(ProblemKind::TargetFailed, detail);
+                if request.idempotent {
+                    self.retry(request, problem, now);
+                } else {
+                    // Its fate won't become known, so the caller is told at once.
+                    request.refuse(problem);
+                }
+            }
+        }
+    }
+
+    fn note_health(
+        &mut self,
+        request: &CallerRequest,
+        host: &HostId,
+        end: &AttemptEnd,
+        now: BootTime,
+    ) {
+        let failed = match end {
+            AttemptEnd::Answered { failed } => *failed,
+            AttemptEnd::NotRun { refused: true, .. } => {
+                self.table.note_refusal(host, now);
+                return;
+            }
+            AttemptEnd::NotRun { .. } | AttemptEnd::Unknown { .. } => true,
+            AttemptEnd::Refused(_) => return,
+        };
+        if !failed {
+            self.table.note_success(host);
+            return;
+        }
+        let parts = self.pool_parts(&request.pool);
+        let answered = matches!(end, AttemptEnd::Answered { .. });
+        self.table.note_failure(&parts.view(), host, answered, now);
+    }
+
+    /// Sends a request again if its pool can afford it, and refuses it at once otherwise.
+    fn retry(&mut self, mut request: Box<CallerRequest>, problem: CallerProblem, now: BootTime) {
+        let desk = self.desks.entry(request.pool.clone()).or_default();
+        request.attempts += 1;
+        let wait = RetryWait::default().wait(request.attempts, rand::random());
+        if now + wait >= request.deadline || !desk.retries.take() {
+            metrics::counter!("lws_retries_refused").increment(1);
+            request.refuse(problem);
+            return;
+        }
+        metrics::counter!("lws_retries").increment(1);
+        desk.queue.push_retry(request, now + wait);
+        desk.meter.note_queue();
+    }
+
+    /// Keeps slot and permit of a request whose fate is unknown: it may run until its
+    /// deadline, and giving them to another one could put the team above its limit.
+    ///
+    /// Targets know the deadline, but one that has just started the request may not look
+    /// at it again, so the usual service time is waited out as well.
+    fn hold(&mut self, request: &CallerRequest, host: HostId, permit: QuotaPermit, now: BootTime) {
+        let desk = self.desks.entry(request.pool.clone()).or_default();
+        let grace = desk.service_time().clamp(SHORTEST_GRACE, LONGEST_GRACE);
+        self.held.push(HeldWork {
+            until: request.deadline.max(now) + grace,
+            pool: request.pool.clone(),
+            team: request.team.clone(),
+            host,
+            _permit: permit,
+        });
+    }
+
+    fn release(&mut self, pool: &PoolId, team: &TeamId, host: &HostId, now: BootTime) {
+        self.table.end(host);
+        let desk = self.desks.entry(pool.clone()).or_default();
+        desk.meter.note_end(team, now);
+    }
+
+    /// Gives back what was held for requests that are surely over now.
+    pub(super) fn release_held(&mut self, now: BootTime) {
+        let (over, kept) = self.held.drain(..).partition(|held| now >= held.until);
+        self.held = kept;
+        let over: Vec<HeldWork> = over;
+        for held in over {
+            self.release(&held.pool, &held.team, &held.host, now);
+        }
+    }
+}
+
+/// What a caller is told whose request waited until its deadline.
+pub(super) fn expired(limited: bool) -> CallerProblem {
+    let (kind, detail) = if limited {
+        (
+            ProblemKind::TeamLimit,
+            "the team ran as much as its upper limit allows until the deadline",
+        )
+    } else {
+        (
+            ProblemKind::Deadline,
+            "no slot became free before the deadline",
+        )
+    };
+    CallerProblem::not_run(kind, detail).with_retry_after(Duration::from_secs(1))
+}
--- a/crates/entry/src/admission/target_table.rs
+++ b/crates/entry/src/admission/target_table.rs
@@ -1,11 +1,14 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use decide::eject::{TargetHealth, TargetUse, can_spare};
-use model::{BootTime, DataCentreId, HostId};
+use model::{
+    BootTime, DataCentreId, HostId,
+    event::{info, warn},
+};
 use parking_lot::Mutex;
-use ports::{SlotLease, TargetHost, TargetState};
+use ports::{SlotLease, TargetHost, TargetSlots, TargetState};
 
-use crate::dispatch::TargetLane;
+use crate::{dispatch::TargetLane, event};
 
 /// How long a lane may stay unused before its connection is closed. Short, because a
 /// target that closes it at the moment of use leaves the fate of a request unknown.
@@ -124,10 +127,26 @@
         }
     }
 
-    /// Keeps a lane for the next request to its target.
-    pub fn keep_lane(&mut self, lane: TargetLane, now: BootTime) {
+    /// Keeps a lane for the next request to its target, unless the target then has more
+    /// than `part` connections from here: the part shrinks when an entry host joins.
+    pub fn keep_lane(&mut self, lane: TargetLane, part: u32, now: BootTime) {
         let entry = self.entries.entry(lane.host.clone()).or_default();
-        entry.lanes.push(IdleLane { lane, since: now });
+        let others = entry.in_flight.saturating_sub(1) as usize + entry.lanes.len();
+        if others < part as usize {
+            entry.lanes.push(IdleLane { lane, since: now });
+        }
+    }
+
+    /// Requests in flight to each of `targets` that has any.
+    pub fn in_flight(&self, targets: &[TargetHost]) -> Vec<TargetSlots> {
+        let entries = targets.iter().filter_map(|target| {
+            let entry = self.entries.get(&target.host)?;
+            (entry.in_flight > 0).then(|| TargetSlots {
+                host: target.host.clone(),
+                slots: entry.in_flight,
+            })
+        });
+        entries.collect()
     }
 
     /// Closes lanes that were idle for long, and forgets targets that nothing is known of.
@@ -152,8 +171,14 @@
         entry.rest = Duration::ZERO;
     }
 
-    /// Notes that a target failed a request.
-    pub fn note_failure(&mut self, view: &PoolView<'_>, host: &HostId, now: BootTime) {
+    /// Notes that a target failed a request, by an answer or without one.
+    pub fn note_failure(
+        &mut self,
+        view: &PoolView<'_>,
+        host: &HostId,
+        answered: bool,
+        now: BootTime,
+    ) {
         let in_use = view
             .targets
             .iter()
@@ -161,11 +186,13 @@
             .count();
         let may_eject = can_spare(in_use, view.budget);
         let entry = self.entries.entry(host.clone()).or_default();
-        // The connections may lead to a life of the target that is gone.
-        entry.lanes.clear();
+        if !answered {
+            // The connections may lead to a life of the target that is gone.
+            entry.lanes.clear();
+        }
         if entry.health.note_failure(now, may_eject) {
             metrics::counter!("lws_targets_ejected").increment(1);
-            log::warn!("E0520 target-ejected host={host}");
+            warn(&event::TARGET_EJECTED, format_args!("host={host}"));
         }
     }
 
@@ -176,6 +203,10 @@
         let entry = self.entries.entry(host.clone()).or_default();
         entry.rest = (entry.rest * 2).clamp(FIRST_REST, LONGEST_REST);
         entry.rests_until = now + entry.rest;
+        info(
+            &event::TARGET_REFUSED,
+            format_args!("host={host} rest_ms={}", entry.rest.as_millis()),
+        );
     }
 
     fn room(&self, view: &PoolView<'_>, target: &TargetHost, now: BootTime) -> u32 {
--- a/crates/entry/src/caller/caller_port.rs
+++ b/crates/entry/src/caller/caller_port.rs
@@ -12,6 +12,7 @@
 use crossbeam_channel::Sender;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use model::event::debug;
 use platform::Clock;
 use ports::{ConfigSource, NotServing, ServingGate, TargetSource};
 use tokio::{
@@ -26,7 +27,7 @@
     connection_count::{ConnectionCount, ConnectionTicket},
     routes,
 };
-use crate::{ClaimDesk, EntryTuning, work::CallerRequest};
+use crate::{ClaimDesk, EntryTuning, event, work::CallerRequest};
 
 /// Largest request head, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
@@ -183,7 +184,10 @@
         }
     };
     if let Err(cause) = ended {
-        log::debug!("E0502 caller-connection-ended peer={peer} cause=\"{cause}\"");
+        debug(
+            &event::CONNECTION_ENDED,
+            format_args!("peer={peer} cause=\"{cause}\""),
+        );
     }
     drop(ticket);
 }
--- a/crates/entry/src/caller/key_check.rs
+++ b/crates/entry/src/caller/key_check.rs
@@ -1,8 +1,7 @@
 use std::time::Duration;
 
-use model::{KeyId, ProblemKind, TeamId};
+use model::{KeyText, ProblemKind, TeamId};
 use ports::ForceConfig;
-use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 use wire::state::KeyRecord;
 
@@ -28,13 +27,12 @@
     let Some(text) = authorization else {
         return Err(refused("header Authorization is missing"));
     };
-    let Some((key, secret)) = split_bearer(text) else {
+    let Some(text) = read_bearer(text) else {
         return Err(refused("Authorization must be `Bearer KEYID.SECRET`"));
     };
-    let key = KeyId::from(key);
     let unknown = KeyRecord::default();
-    let record = config.keys.get(&key);
-    let known = digest_matches(record.unwrap_or(&unknown), secret);
+    let record = config.keys.get(&text.key_id);
+    let known = digest_matches(record.unwrap_or(&unknown), &text);
     let Some(record) = record.filter(|_| known) else {
         return Err(refused("the key is not known, or was withdrawn"));
     };
@@ -47,7 +45,7 @@
     Ok(KeyPass {
         team: TeamId::from(record.team.as_str()),
         stamp: KeyStamp {
-            key,
+            key: text.key_id,
             digest: record.digest.clone(),
         },
     })
@@ -77,20 +75,17 @@
     }
 }
 
-fn split_bearer(text: &str) -> Option<(&str, &str)> {
+fn read_bearer(text: &str) -> Option<KeyText> {
     let (scheme, token) = text.split_once(' ')?;
     if !scheme.eq_ignore_ascii_case("bearer") {
         return None;
     }
-    let (key, secret) = token.trim().split_once('.')?;
-    (!key.is_empty() && !secret.is_empty()).then_some((key, secret))
+    KeyText::parse(token.trim())
 }
 
-fn digest_matches(record: &KeyRecord, secret: &str) -> bool {
-    let mut hasher = Sha256::new();
-    hasher.update(&record.salt);
-    hasher.update(secret.as_bytes());
-    hasher.finalize().ct_eq(record.digest.as_slice()).into()
+fn digest_matches(record: &KeyRecord, text: &KeyText) -> bool {
+    let digest = text.digest(&record.salt);
+    digest.ct_eq(record.digest.as_slice()).into()
 }
 
 fn has_expired(record: &KeyRecord, unix_now: Duration) -> bool {
--- a/crates/entry/src/caller/request_head.rs
+++ b/crates/entry/src/caller/request_head.rs
@@ -89,12 +89,10 @@
         return Ok(None);
     };
     let range = format!("from 1 to {}", max_deadline.as_millis());
-    if text
-        .trim_start_matches('-')
-        .bytes()
-        .all(|byte| byte == b'0')
-        || text.starts_with('-')
-    {
+    let digits = text.strip_prefix('-').unwrap_or(text);
+    let whole = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit());
+    let past = digits != text || digits.bytes().all(|byte| byte == b'0');
+    if whole && past {
         return Err(CallerProblem::not_run(
             ProblemKind::Deadline,
             format!("the deadline has passed; Deadline-Ms may be {range}"),
@@ -102,7 +100,7 @@
     }
     let patience = text.parse().ok().map(Duration::from_millis);
     match patience {
-        Some(patience) if patience <= max_deadline => Ok(Some(patience)),
+        Some(patience) if whole && patience <= max_deadline => Ok(Some(patience)),
         _ => Err(bad(format!("Deadline-Ms must be a whole number {range}"))),
     }
 }
--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -165,6 +165,7 @@
         urgent: head.urgent,
         claim,
         attempts: 0,
+        may_have_run: false,
         content_type: head.content_type,
         body: share.attach(body),
         reply,
--- a/crates/entry/src/dispatch/dispatch_pool.rs
+++ b/crates/entry/src/dispatch/dispatch_pool.rs
@@ -8,10 +8,11 @@
 };
 
 use crossbeam_channel::{Receiver, Sender, bounded};
+use model::event::error;
 use ports::QuotaPermit;
 
 use super::{AttemptReport, AttemptRunner, TargetLane};
-use crate::work::CallerRequest;
+use crate::{event, work::CallerRequest};
 
 /// Stack of a dispatch thread, in bytes.
 const DISPATCH_STACK: usize = 256 * 1024;
@@ -104,7 +105,7 @@
             .spawn(move || run_jobs(&runner, &jobs, &reports, &threads));
         if let Err(cause) = &spawned {
             self.threads.fetch_sub(1, Ordering::AcqRel);
-            log::error!("E0512 dispatch-thread-missing cause=\"{cause}\"");
+            error(&event::THREAD_MISSING, format_args!("cause=\"{cause}\""));
         }
         spawned.is_ok()
     }
--- a/crates/entry/src/dispatch/run_attempt.rs
+++ b/crates/entry/src/dispatch/run_attempt.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, thread, time::Duration};
 
 use hyper::body::Bytes;
-use model::{HostId, ProblemKind};
+use model::{HostId, ProblemKind, event::warn};
 use platform::Clock;
 use ports::{ClaimSource, ClaimVerdict, ConfigSource, QuotaPermit, ServingGate};
 use ureq::{Body, http::Response};
@@ -14,6 +14,7 @@
 use crate::{
     CallerProblem, ClaimDesk,
     caller::{BodyBudget, BodyShare, key_stands},
+    event,
     work::{CallerRequest, TargetAnswer},
 };
 
@@ -177,10 +178,10 @@
         let crossed = echo.as_deref().is_some_and(|echo| echo != target_id);
         if crossed || (echo.is_none() && status == 200) {
             metrics::counter!("lws_answers_mismatched").increment(1);
-            log::warn!(
-                "E0510 answer-mismatched request={target_id} host={} echo={}",
-                lane.host,
-                echo.unwrap_or_default()
+            let echo = echo.unwrap_or_default();
+            warn(
+                &event::ANSWER_MISMATCHED,
+                format_args!("request={target_id} host={} echo={echo}", lane.host),
             );
             return AttemptEnd::Unknown {
                 detail: "the target sent the answer of another request".to_owned(),
@@ -268,9 +269,9 @@
 /// An answer that ended early must not pass for a whole one.
 fn cut_answer(lane: &TargetLane, cause: &str) -> AttemptEnd {
     metrics::counter!("lws_answers_truncated").increment(1);
-    log::warn!(
-        "E0511 answer-truncated host={} cause=\"{cause}\"",
-        lane.host
+    warn(
+        &event::ANSWER_TRUNCATED,
+        format_args!("host={} cause=\"{cause}\"", lane.host),
     );
     AttemptEnd::Unknown {
         detail: format!("the answer of {} broke off: {cause}", lane.host),
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -9,7 +9,7 @@
 };
 
 use crossbeam_channel::{Receiver, Sender, bounded};
-use model::{HostId, ServeSettings, StepError};
+use model::{HostId, ServeSettings, StepError, event::info};
 use parking_lot::Mutex;
 use platform::Clock;
 use ports::{
@@ -25,6 +25,7 @@
     },
     caller::{BodyBudget, CallerPort, ConnectionCount, JobDesk, PortPhase, serve_port},
     dispatch::{AttemptRunner, DispatchPool},
+    event,
 };
 
 /// Requests on their way from the caller port to the admission thread.
@@ -133,7 +134,10 @@
         );
         let clock = Arc::clone(&config.clock);
         let admission = start_admission(config, inbox, dispatch, table)?;
-        log::info!("E0500 caller-port-open address={caller_address}");
+        info(
+            &event::CALLER_PORT_OPEN,
+            format_args!("address={caller_address}"),
+        );
         Ok(Self {
             caller_address,
             clock,
@@ -174,9 +178,9 @@
         if self.leaving.swap(true, Ordering::AcqRel) {
             return;
         }
-        log::info!(
-            "E0501 caller-port-leaving patience_ms={}",
-            patience.as_millis()
+        info(
+            &event::CALLER_PORT_LEAVING,
+            format_args!("patience_ms={}", patience.as_millis()),
         );
         let now = self.clock.boot_now();
         let finish = LoopCommand::Finish {
@@ -204,6 +208,8 @@
         if let Some(port) = threads.port.take() {
             let _ = port.join();
         }
+        let cut: u32 = self.counts.lock().values().sum();
+        info(&event::CALLER_PORT_CLOSED, format_args!("cut={cut}"));
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod entry_server;
 mod entry_tuning;
+pub mod event;
 mod problem;
 mod work;
 
--- a/crates/entry/src/work.rs
+++ b/crates/entry/src/work.rs
@@ -1,6 +1,6 @@
 use decide::claim::MintedId;
 use hyper::body::Bytes;
-use model::{BootTime, KeyId, PoolId, RequestId, TeamId};
+use model::{BootTime, KeyId, PoolId, RequestId, RunFate, TeamId};
 use tokio::sync::oneshot;
 
 use crate::CallerProblem;
@@ -49,8 +49,10 @@
     pub urgent: bool,
     /// Whether its id must be claimed at the host that minted it; false once it is.
     pub claim: bool,
-    /// Attempts sent so far.
+    /// Attempts made so far.
     pub attempts: u32,
+    /// True once an attempt ended that a target may have run.
+    pub may_have_run: bool,
     /// Header `Content-Type`, if the caller sent one.
     pub content_type: Option<String>,
     /// The body, whole.
@@ -70,6 +72,17 @@
         }
         RequestId::from(format!("{}:{}", self.team, self.request))
     }
+
+    /// Hands the caller its problem.
+    ///
+    /// What refuses a request now knows nothing of its earlier attempts; if one of them may
+    /// have run, then "not run" would be false.
+    pub fn refuse(&mut self, mut problem: CallerProblem) {
+        if self.may_have_run && problem.fate == RunFate::NotRun {
+            problem.fate = RunFate::MayHaveRun;
+        }
+        self.reply.send(Err(problem));
+    }
 }
 
 /// The one place that the outcome of a request goes to.
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -3,6 +3,7 @@
     dead_code,
     unused_imports,
     missing_docs,
+    clippy::unwrap_used,
     reason = "each test file uses a part of it"
 )]
 
--- /dev/null
+++ b/crates/entry/tests/target_failures.rs
@@ -0,0 +1,311 @@
+//! Targets that fail, lie or go away: whole answers only, true refusals, no second run.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use model::PoolSpec;
+use ports::{NotServing, TargetState};
+use rstest::rstest;
+use support::{BenchSetup, EntryBench, RawTarget, SERVICE, TEAM, TargetCall, TargetReply};
+
+/// A target that does `fault` once and answers rightly from then on.
+fn faulty_once(fault: fn(&TargetCall) -> TargetReply) -> RawTarget {
+    let calls = AtomicUsize::new(0);
+    RawTarget::start(move |call| {
+        if calls.fetch_add(1, Ordering::AcqRel) == 0 {
+            return fault(call);
+        }
+        TargetReply::Answer(call.body.clone())
+    })
+}
+
+fn crossed(_: &TargetCall) -> TargetReply {
+    TargetReply::Crossed(b"another caller's quote".to_vec(), "e1.1.999".to_owned())
+}
+
+fn truncated(call: &TargetCall) -> TargetReply {
+    TargetReply::Truncated(call.body.clone(), call.body.len() + 10)
+}
+
+fn hangup(_: &TargetCall) -> TargetReply {
+    TargetReply::Hangup
+}
+
+/// A target mixes up two answers, breaks one off, or dies with a request. The caller of a
+/// non-idempotent request is told at once that it may have run: the target had it, and a
+/// second run could bill a franchisee twice.
+#[rstest]
+#[case::crossed(crossed)]
+#[case::truncated(truncated)]
+#[case::hangup(hangup)]
+fn non_idempotent_not_retried(#[case] fault: fn(&TargetCall) -> TargetReply) {
+    let target = faulty_once(fault);
+    let bench = EntryBench::start(&[&target]);
+    let begun = Instant::now();
+    let reply = bench.caller().with("deadline-ms", "50000").ask(b"order");
+    assert_eq!((reply.status, reply.fate().as_str()), (504, "may-have-run"));
+    assert!(begun.elapsed() < Duration::from_secs(20), "held back");
+    assert_eq!(target.call_count(), 1);
+}
+
+/// The same faults strike an idempotent request: it is sent again, and the caller gets the
+/// whole answer to its own request.
+#[rstest]
+#[case::crossed(crossed)]
+#[case::truncated(truncated)]
+#[case::hangup(hangup)]
+fn idempotent_retried(#[case] fault: fn(&TargetCall) -> TargetReply) {
+    let target = faulty_once(fault);
+    let bench = EntryBench::start(&[&target]);
+    let caller = bench.caller().with("idempotent", "true");
+    let reply = caller.with("request-id", "quote-1").ask(b"quote");
+    assert_eq!((reply.status, reply.text().as_str()), (200, "quote"));
+    assert_eq!(reply.request, "quote-1");
+    assert_eq!(target.call_count(), 2);
+    // Two teams may use the same id at a time, so targets see the team in it.
+    assert_eq!(target.calls.lock()[0].request, format!("{TEAM}:quote-1"));
+}
+
+/// An idempotent request is lost once, waits for its retry, and its key is withdrawn
+/// meanwhile. Its first attempt may have run, so the refusal must not say "not run".
+#[test]
+fn refusal_remembers_first_attempt() {
+    let bench_slot: Arc<parking_lot::Mutex<Option<Arc<EntryBench>>>> = Arc::default();
+    let seen = Arc::clone(&bench_slot);
+    let target = RawTarget::start(move |_| {
+        if let Some(bench) = seen.lock().as_ref() {
+            bench.change(|config| {
+                config.keys.remove("k1");
+            });
+        }
+        TargetReply::Hangup
+    });
+    let bench = Arc::new(EntryBench::start(&[&target]));
+    *bench_slot.lock() = Some(Arc::clone(&bench));
+    let reply = bench.caller().with("idempotent", "true").ask(b"quote");
+    assert_eq!(reply.problem(), "key-refused");
+    assert_eq!(reply.fate(), "may-have-run");
+    assert_eq!(target.call_count(), 1);
+    bench_slot.lock().take();
+}
+
+#[test]
+fn connect_refused_goes_elsewhere() {
+    let gone = RawTarget::echo();
+    gone.stop();
+    let target = RawTarget::echo();
+    let bench = EntryBench::start(&[&gone, &target]);
+    for number in 0..8 {
+        let body = format!("order {number}");
+        let reply = bench.caller().ask(body.as_bytes());
+        assert_eq!((reply.status, reply.text()), (200, body));
+    }
+    assert_eq!(target.call_count(), 8);
+}
+
+#[test]
+fn all_targets_gone_not_run() {
+    let gone = RawTarget::echo();
+    gone.stop();
+    let bench = EntryBench::start(&[&gone]);
+    let reply = bench.caller().with("deadline-ms", "30000").ask(b"order");
+    assert_eq!((reply.status, reply.problem().as_str()), (503, "no-target"));
+    assert_eq!(reply.fate(), "not-run");
+    assert!(reply.retry_after.is_some());
+}
+
+#[test]
+fn not_run_answer_goes_elsewhere() {
+    let busy = RawTarget::start(|_| TargetReply::NotRun);
+    let target = RawTarget::echo();
+    let bench = EntryBench::start(&[&busy, &target]);
+    for number in 0..5 {
+        let reply = bench.caller().ask(format!("order {number}").as_bytes());
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    assert_eq!(target.call_count(), 5);
+    assert!(busy.call_count() < 5, "a refusing target is left alone");
+}
+
+#[rstest]
+#[case::missing(404)]
+#[case::failed(500)]
+#[case::teapot(418)]
+fn service_status_passes(#[case] status: u16) {
+    let target = RawTarget::start(move |_| TargetReply::Status(status, b"said so".to_vec()));
+    let bench = EntryBench::start(&[&target]);
+    let reply = bench.caller().ask(b"x");
+    assert_eq!((reply.status, reply.text().as_str()), (status, "said so"));
+    assert_eq!(target.call_count(), 1);
+}
+
+#[rstest]
+#[case::draining(TargetState::Draining)]
+#[case::out(TargetState::Out)]
+fn leaving_target_spared(#[case] state: TargetState) {
+    let leaving = RawTarget::echo();
+    let target = RawTarget::echo();
+    let bench = EntryBench::start(&[&leaving, &target]);
+    bench.targets.set_state("t0", state);
+    for _ in 0..10 {
+        assert_eq!(bench.caller().ask(b"x").status, 200);
+    }
+    assert_eq!((leaving.call_count(), target.call_count()), (0, 10));
+}
+
+/// A target accepts connections and fails every request at once, so it is always the one
+/// with the most room and would draw all traffic. It is ejected, while the pool's budget
+/// allows it.
+#[test]
+fn failing_target_ejected() {
+    let failing = RawTarget::start(|_| TargetReply::Hangup);
+    let target = RawTarget::echo();
+    let setup = BenchSetup {
+        pool: PoolSpec {
+            budget: 1,
+            ..PoolSpec::default()
+        },
+        ..BenchSetup::default()
+    };
+    let bench = EntryBench::start_with(&[&failing, &target], setup);
+    let caller = bench.caller().with("deadline-ms", "300");
+    let mut failed = 0;
+    for _ in 0..100 {
+        if caller.ask(b"x").status != 200 {
+            failed += 1;
+        }
+    }
+    assert!(
+        failed <= 10,
+        "{failed} of 100 requests went to the failing target"
+    );
+}
+
+/// All targets of a pool fail for a moment. Without a budget each request would be sent
+/// again and again, just when the pool has least to spare.
+#[test]
+fn retries_within_budget() {
+    let target = RawTarget::start(|_| TargetReply::Hangup);
+    let bench = EntryBench::start(&[&target]);
+    let caller = bench
+        .caller()
+        .with("idempotent", "true")
+        .with("deadline-ms", "200");
+    for _ in 0..100 {
+        caller.ask(b"x");
+    }
+    let extra = target.call_count().saturating_sub(100);
+    assert!(extra <= 16 + 10, "{extra} retries for 100 requests");
+}
+
+/// The serving lease lapses while a request waits for its slot: the host may have been cut
+/// off and its teams' units given to others, so the request must not go out any more.
+#[test]
+fn gate_checked_before_bytes() {
+    let target = RawTarget::start(|call| {
+        thread::sleep(Duration::from_millis(300));
+        TargetReply::Answer(call.body.clone())
+    });
+    let setup = BenchSetup {
+        slots: 1,
+        ..BenchSetup::default()
+    };
+    let bench = EntryBench::start_with(&[&target], setup);
+    let caller = bench.caller();
+    let first = thread::spawn(move || caller.ask(b"first"));
+    while target.call_count() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    let caller = bench.caller();
+    let second = thread::spawn(move || caller.ask(b"second"));
+    thread::sleep(Duration::from_millis(50));
+    *bench.gate.0.lock() = Some(NotServing::LeaseLapsed);
+    assert_eq!(first.join().unwrap().status, 200);
+    let second = second.join().unwrap();
+    assert_eq!((second.status, second.fate().as_str()), (503, "not-run"));
+    assert_eq!(target.call_count(), 1);
+}
+
+/// An operator withdraws a key while a request that it admitted is queued.
+#[test]
+fn key_withdrawn_while_queued() {
+    let target = RawTarget::start(|call| {
+        thread::sleep(Duration::from_millis(300));
+        TargetReply::Answer(call.body.clone())
+    });
+    let setup = BenchSetup {
+        slots: 1,
+        ..BenchSetup::default()
+    };
+    let bench = EntryBench::start_with(&[&target], setup);
+    let caller = bench.caller().with_key(support::OTHER_KEY);
+    let first = thread::spawn(move || caller.ask(b"first"));
+    while target.call_count() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    let caller = bench.caller();
+    let second = thread::spawn(move || caller.ask(b"second"));
+    thread::sleep(Duration::from_millis(50));
+    bench.change(|config| {
+        config.keys.remove("k1");
+    });
+    assert_eq!(first.join().unwrap().status, 200);
+    let second = second.join().unwrap();
+    assert_eq!((second.status, second.fate().as_str()), (401, "not-run"));
+    assert_eq!(target.call_count(), 1);
+}
+
+/// A target goes silent with a request. The caller is told at its deadline that it may have
+/// run; the team's unit and the target's slot stay taken as long as it may run.
+#[test]
+fn unknown_fate_holds_unit() {
+    let target = RawTarget::start(|_| TargetReply::Hangup);
+    let bench = EntryBench::start(&[&target]);
+    let reply = bench.caller().with("deadline-ms", "1500").ask(b"order");
+    assert_eq!(reply.fate(), "may-have-run");
+    assert_eq!(bench.quotas.used_by(TEAM), 1);
+    assert_eq!(bench.server.running(&"t0".into()), 1);
+    let until = Instant::now() + Duration::from_secs(20);
+    while bench.quotas.used_by(TEAM) > 0 && Instant::now() < until {
+        thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(bench.quotas.used_by(TEAM), 0);
+    assert_eq!(bench.server.running(&"t0".into()), 0);
+}
+
+#[test]
+fn silent_target_told_at_deadline() {
+    let target = RawTarget::start(|_| TargetReply::Silence(Duration::from_secs(30)));
+    let bench = EntryBench::start(&[&target]);
+    let begun = Instant::now();
+    let reply = bench.caller().with("deadline-ms", "300").ask(b"order");
+    assert_eq!((reply.status, reply.fate().as_str()), (504, "may-have-run"));
+    assert!(begun.elapsed() < Duration::from_secs(20));
+}
+
+#[test]
+fn answer_too_large_refused() {
+    let target = RawTarget::start(|_| TargetReply::Answer(vec![b'x'; 5000]));
+    let mut setup = BenchSetup::default();
+    setup.settings.max_body = 1000;
+    let bench = EntryBench::start_with(&[&target], setup);
+    let reply = bench.caller().ask(b"x");
+    assert_eq!((reply.status, reply.fate().as_str()), (504, "ran"));
+}
+
+#[test]
+fn pool_without_targets_refused() {
+    let bench = EntryBench::start(&[]);
+    let reply = bench
+        .caller()
+        .post(&format!("/v1/services/{SERVICE}/requests"), b"x");
+    assert_eq!((reply.status, reply.problem().as_str()), (503, "no-target"));
+}
