--- a/crates/lacewingshore/src/catalogue.rs
+++ b/crates/lacewingshore/src/catalogue.rs
@@ -5,6 +5,8 @@
     model::event_catalogue! {
         PROCESS_STARTED = 1, "process-started", "An entry host's process started; carries its id, data centre and version.";
         PROCESS_STOPPED = 2, "process-stopped", "The process ended after a graceful shutdown; nothing was cut off.";
+        PROCESS_STOPPING = 4, "process-stopping", "The process was told to stop and shuts down gracefully.";
+        START_WAITS = 5, "start-waits", "The process can't reach the store and waits; it serves once the store answers.";
         PROCESS_FAILED = 3, "process-failed", "The process can't go on and ends; the cause is in the line. Mend it and start the process again.";
     }
 }
--- a/crates/peer/src/body_kind.rs
+++ b/crates/peer/src/body_kind.rs
@@ -46,4 +46,15 @@
     pub const fn index(self) -> usize {
         self as usize
     }
+
+    /// The kind whose queue this one shares: a question and its answer go to the same duty,
+    /// in the order in which they arrived.
+    #[must_use]
+    pub const fn queue(self) -> Self {
+        match self {
+            Self::SlotGrant => Self::SlotDemand,
+            Self::ClaimReply => Self::ClaimRequest,
+            other => other,
+        }
+    }
 }
--- a/crates/peer/src/inbound_router.rs
+++ b/crates/peer/src/inbound_router.rs
@@ -22,7 +22,8 @@
 impl InboundRouter {
     /// A router with an empty queue for each kind.
     pub(crate) fn new(own: MemberId) -> Self {
-        let (senders, receivers) = BodyKind::ALL.iter().map(|_| bounded(QUEUE_LENGTH)).unzip();
+        let (senders, receivers): (Vec<_>, Vec<_>) =
+            BodyKind::ALL.iter().map(|_| bounded(QUEUE_LENGTH)).unzip();
         Self {
             own,
             senders,
@@ -30,9 +31,9 @@
         }
     }
 
-    /// The queue of `kind`.
+    /// The queue of `kind`, which kinds that one duty answers share.
     pub(crate) fn receiver(&self, kind: BodyKind) -> Receiver<InboundMessage> {
-        self.receivers[kind.index()].clone()
+        self.receivers[kind.queue().index()].clone()
     }
 
     /// Decodes `bytes` and queues the message, or counts why it was dropped.
@@ -54,7 +55,7 @@
             incarnation: envelope.incarnation,
             body,
         };
-        match self.senders[kind.index()].try_send(message) {
+        match self.senders[kind.queue().index()].try_send(message) {
             Ok(()) => {}
             Err(TrySendError::Full(message) | TrySendError::Disconnected(message)) => {
                 self.drop_message("queue-full", &message.from);
