--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,5 +1,16 @@
-//! Pure decisions on leases, quotas, shares, placement and maintenance, without I/O, clocks or threads.
+//! Pure decisions on leases, quotas, shares, placement and maintenance.
+//!
+//! Time, state and messages come in as values, and what to do comes out as values: nothing
+//! here reads a clock, starts a thread or opens a socket. `scripts/check` holds the crate
+//! to that. The design notes in `docs/design/` argue each mechanism.
 
+pub mod budget;
+pub mod claim;
 pub mod config;
+pub mod eject;
 pub mod lease;
 pub mod member;
+pub mod rendezvous;
+pub mod retry;
+pub mod share;
+pub mod wave;
