Number the events of peer and member; learn of joiners from their beats

Cause: a host whose list renews itself (a list of one) saw a joiner only at the idle read: three hosts took 15.2 s to list each other. Change: a beat of any sender that holds a newer list has the store read. Events go through the catalogue of model. Views of unlisted peers are dropped and capped.

--- a/crates/decide/src/lease.rs
+++ b/crates/decide/src/lease.rs
@@ -16,6 +16,9 @@
 
 use peer_view::PeerVouch;
 
+/// Senders of beats that are kept in view, against strays that make up names.
+const PEER_LIMIT: usize = 256;
+
 /// A guard that a test takes away, to show that its checker notices. Sources use `None`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LeaseMutation {
@@ -112,6 +115,8 @@
         if list.revision() >= self.list.revision() {
             self.list = list;
             self.was_listed |= self.is_listed();
+            let list = &self.list;
+            self.peers.retain(|member, _| list.find(member).is_some());
             self.promote_vouches();
         }
     }
@@ -166,6 +171,9 @@
     /// Takes a beat of `incarnation` of `from` that arrived at `now`.
     pub fn hear(&mut self, from: &MemberId, incarnation: Incarnation, beat: &Beat, now: BootTime) {
         let mutation = self.options.mutation;
+        if self.peers.len() >= PEER_LIMIT && !self.peers.contains_key(from) {
+            return;
+        }
         let own_life = beat.echo_incarnation == self.incarnation;
         let view = self.peers.entry(from.clone()).or_default();
         if incarnation < view.incarnation {
@@ -241,13 +249,15 @@
         Err(LeaseRefusal::Lapsed)
     }
 
-    /// True if a listed peer holds a newer configuration or member list.
+    /// True if a peer holds a newer member list, or a listed one a newer configuration.
+    ///
+    /// The word of an unlisted peer counts here: it may have joined just now, which the
+    /// list held here can't show.
     #[must_use]
     pub fn is_behind(&self) -> bool {
-        self.listed_peers().any(|(_, view)| {
-            view.config_revision > self.config_revision
-                || view.member_revision > self.list.revision()
-        })
+        let newer_list = |view: &PeerView| view.member_revision > self.list.revision();
+        let newer_config = |view: &PeerView| view.config_revision > self.config_revision;
+        self.peers.values().any(newer_list) || self.listed_peers().any(|(_, v)| newer_config(v))
     }
 
     /// True if this life of the host is in the list.
--- a/crates/member/src/beat_duty.rs
+++ b/crates/member/src/beat_duty.rs
@@ -5,12 +5,12 @@
 
 use crossbeam_channel::{Receiver, select, tick};
 use decide::member::MemberList;
-use model::{BootTime, MemberId};
+use model::{BootTime, MemberId, event as log_event};
 use ports::{InboundMessage, PeerLink};
 use prost::Message as _;
 use wire::peer::{Beat, ChangeTail, envelope::Body};
 
-use crate::{shared_state::SharedState, store_key::decode_record};
+use crate::{event, shared_state::SharedState, store_key::decode_record};
 
 /// Beats that are sent out of turn keep this distance, so that a burst of changes does not
 /// multiply them.
@@ -134,12 +134,12 @@
         let force = self.shared.holder.force();
         if beat.config_revision == force.revision && beat.config_hash != force.hash {
             metrics::counter!("lws_config_faults").increment(1);
-            log::error!(
-                "E0307 config-diverged peer={} revision={} own_hash={:016x} peer_hash={:016x}",
-                message.from,
-                force.revision,
-                force.hash,
-                beat.config_hash
+            log_event::error(
+                &event::CONFIG_DIVERGED,
+                format_args!(
+                    "peer={} revision={} own_hash={:016x} peer_hash={:016x}",
+                    message.from, force.revision, force.hash, beat.config_hash
+                ),
             );
         }
     }
@@ -183,9 +183,9 @@
             Ok(true) => self.shared.publish_config(),
             Ok(false) => {}
             Err(error) => {
-                log::warn!(
-                    "E0308 peer-tail-refused peer={} cause={error}",
-                    message.from
+                log_event::warn(
+                    &event::PEER_TAIL_REFUSED,
+                    format_args!("peer={} cause={error}", message.from),
                 );
             }
         }
--- a/crates/member/src/change_submit.rs
+++ b/crates/member/src/change_submit.rs
@@ -4,13 +4,14 @@
     config::{ChangePlan, ConfigLimits, ConfigState, ConfigWrite, PlanInput, plan_change},
     member::MemberList,
 };
-use model::{BootTime, Revision};
+use model::{BootTime, Revision, event as log_event};
 use platform::{StoreError, StoreVersion};
 use ports::{ChangeError, ChangeOutcome, ChangeRequest};
 use prost::Message as _;
 use wire::state::{ConfigRecord, MemberRecord};
 
 use crate::{
+    event,
     shared_state::SharedState,
     store_key::{CONFIG, CONFIG_BASES, MEMBERS, config_base, read_record},
 };
@@ -66,7 +67,7 @@
             Ok(newest) => newest,
             Err(error @ StoreError::Rejected(_)) => return Err(self.unrecorded(&error.to_string())),
             Err(error) if self.unsettled => {
-                log::debug!("E0331 change-outcome-unread cause={error}");
+                log_event::debug(&event::CHANGE_OUTCOME_UNREAD, format_args!("cause={error}"));
                 thread::sleep(RETRY_PAUSE);
                 return Ok(None);
             }
@@ -138,9 +139,9 @@
             Err(StoreError::Unknown(error)) => {
                 // The write may land later than a read that misses it. The next attempt
                 // writes on the same version again, so that at most one of the two lands.
-                log::info!(
-                    "E0330 change-outcome-unknown change={} cause={error}",
-                    self.request.change_id
+                log_event::info(
+                    &event::CHANGE_OUTCOME_UNKNOWN,
+                    format_args!("change={} cause={error}", self.request.change_id),
                 );
                 self.unsettled = true;
                 thread::sleep(RETRY_PAUSE);
@@ -189,7 +190,10 @@
         let oldest = config_base(record.base_revision, "");
         for (key, stored) in bases.iter().filter(|(key, _)| *key < oldest) {
             if let Err(error) = store.remove(key, stored.version) {
-                log::debug!("E0332 config-base-kept key={key} cause={error}");
+                log_event::debug(
+                    &event::CONFIG_BASE_KEPT,
+                    format_args!("key={key} cause={error}"),
+                );
             }
         }
     }
--- a/crates/member/src/config_holder.rs
+++ b/crates/member/src/config_holder.rs
@@ -2,7 +2,7 @@
 
 use arc_swap::ArcSwap;
 use decide::config::{CatchUp, ConfigFault, ConfigState};
-use model::{Manifest, Revision};
+use model::{Manifest, Revision, event as log_event};
 use parking_lot::Mutex;
 use platform::{KeyStore, StoreError};
 use ports::ForceConfig;
@@ -12,7 +12,10 @@
     state::{Change, ConfigBase, ConfigRecord},
 };
 
-use crate::store_key::{decode_record, read_record};
+use crate::{
+    event,
+    store_key::{decode_record, read_record},
+};
 
 /// Changes kept for peers that are behind; longer than the store's tail, so that a host
 /// which missed the last minutes before a store outage can still be helped.
@@ -67,10 +70,9 @@
             Ok(CatchUp::Same) => Ok(false),
             Ok(CatchUp::Stale) => {
                 metrics::counter!("lws_config_stale_records").increment(1);
-                log::warn!(
-                    "E0303 config-record-stale held={} found={}",
-                    held.revision,
-                    record.revision
+                log_event::warn(
+                    &event::CONFIG_RECORD_STALE,
+                    format_args!("held={} found={}", held.revision, record.revision),
                 );
                 Ok(false)
             }
@@ -133,10 +135,9 @@
         let first = held.tail.len().saturating_sub(TAIL_LENGTH);
         held.tail.drain(..first);
         self.force.store(Arc::new(self.in_force(&next)));
-        log::info!(
-            "E0301 config-in-force revision={} hash={:016x}",
-            next.revision,
-            next.hash
+        log_event::info(
+            &event::CONFIG_IN_FORCE,
+            format_args!("revision={} hash={:016x}", next.revision, next.hash),
         );
         metrics::gauge!("lws_config_revision").set(next.revision as f64);
         held.state = next;
@@ -146,9 +147,9 @@
     /// Sections that this version can't read leave its manifest as it was; keys still follow.
     fn in_force(&self, state: &ConfigState) -> ForceConfig {
         let manifest = Manifest::from_sections(&state.sections).unwrap_or_else(|error| {
-            log::error!(
-                "E0304 config-manifest-unreadable revision={} cause={error}",
-                state.revision
+            log_event::error(
+                &event::CONFIG_MANIFEST_UNREADABLE,
+                format_args!("revision={} cause={error}", state.revision),
             );
             self.force.load().manifest.clone()
         });
@@ -163,7 +164,7 @@
 
     fn reject(&self, fault: &ConfigFault) -> StoreError {
         metrics::counter!("lws_config_faults").increment(1);
-        log::error!("E0305 config-fault cause={fault}");
+        log_event::error(&event::CONFIG_FAULT, format_args!("cause={fault}"));
         StoreError::Rejected(fault.to_string())
     }
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -5,6 +5,8 @@
 //! messages. The reasons are in `docs/design/01-membership.md`,
 //! `docs/design/02-configuration.md` and `docs/design/05-quotas.md`.
 
+pub mod event;
+
 mod beat_duty;
 mod change_submit;
 mod config_holder;
--- a/crates/member/src/member_service.rs
+++ b/crates/member/src/member_service.rs
@@ -4,7 +4,7 @@
     thread::{self, JoinHandle},
 };
 
-use model::{Incarnation, MemberId, StepError, TeamId};
+use model::{Incarnation, MemberId, StepError, TeamId, event as log_event};
 use parking_lot::Mutex;
 use peer::BodyKind;
 use ports::{
@@ -14,8 +14,8 @@
 };
 
 use crate::{
-    MemberOptions, beat_duty::BeatDuty, change_submit::ChangeSubmit, shared_state::SharedState,
-    store_duty::StoreDuty, watch_duty::WatchDuty,
+    MemberOptions, beat_duty::BeatDuty, change_submit::ChangeSubmit, event,
+    shared_state::SharedState, store_duty::StoreDuty, watch_duty::WatchDuty,
 };
 
 const THREAD_STACK: usize = 512 * 1024;
@@ -67,7 +67,7 @@
                 continue;
             }
             if thread.join().is_err() {
-                log::error!("E0321 member-duty-failed");
+                log_event::error(&event::MEMBER_DUTY_FAILED, format_args!(""));
             }
         }
     }
--- a/crates/member/src/quota_book.rs
+++ b/crates/member/src/quota_book.rs
@@ -1,10 +1,12 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use decide::member::MemberList;
-use model::{Incarnation, MemberId, TeamId};
+use model::{Incarnation, MemberId, TeamId, event as log_event};
 use parking_lot::Mutex;
 use ports::{ForceConfig, QuotaPermit, TeamStatus};
 
+use crate::event;
+
 /// Units of team limits that this host may use. For now each member may use an equal part.
 pub(crate) struct QuotaBook {
     own: MemberId,
@@ -22,7 +24,10 @@
     }
 
     pub(crate) fn begin_life(&self, _incarnation: Incarnation) {
-        log::debug!("E0320 quota-life-began member={}", self.own);
+        log_event::debug(
+            &event::QUOTA_LIFE_BEGAN,
+            format_args!("member={}", self.own),
+        );
     }
 
     pub(crate) fn set_members(&self, list: &MemberList) {
--- a/crates/member/src/shared_state.rs
+++ b/crates/member/src/shared_state.rs
@@ -12,13 +12,13 @@
     lease::{LeaseMachine, LeaseOptions, LeaseRefusal},
     member::{ListAcks, MemberList},
 };
-use model::{BootTime, Incarnation, MemberId};
+use model::{BootTime, Incarnation, MemberId, event as log_event};
 use parking_lot::Mutex;
 use platform::{KeyStore, StoreError};
 use ports::{MemberInfo, NotServing};
 use wire::state::{ConfigRecord, Member};
 
-use crate::{MemberOptions, config_holder::ConfigHolder, quota_book::QuotaBook};
+use crate::{MemberOptions, config_holder::ConfigHolder, event, quota_book::QuotaBook};
 
 /// What the duties of the service share.
 pub(crate) struct SharedState {
@@ -152,10 +152,13 @@
         }
         lease.set_list(list.clone());
         drop(lease);
-        log::info!(
-            "E0300 member-list revision={} members={}",
-            list.revision(),
-            list.members().len()
+        log_event::info(
+            &event::MEMBER_LIST,
+            format_args!(
+                "revision={} members={}",
+                list.revision(),
+                list.members().len()
+            ),
         );
         self.acks.lock().forget_unlisted(list);
         self.link_peers(list);
@@ -210,7 +213,7 @@
         for member in list.members() {
             let id = MemberId::from(member.id.as_str());
             if let Err(error) = node.set_peer(&id, &member.peer_address) {
-                log::error!("E0306 member-unreachable cause={error}");
+                log_event::error(&event::MEMBER_UNREACHABLE, format_args!("cause={error}"));
             }
         }
         for peer in ports::PeerLink::peers(node.as_ref()) {
--- a/crates/member/src/store_duty.rs
+++ b/crates/member/src/store_duty.rs
@@ -4,12 +4,13 @@
     lease::LeaseMachine,
     member::{ListRefusal, MemberList},
 };
-use model::{BootTime, Incarnation, MemberId, StepError};
+use model::{BootTime, Incarnation, MemberId, StepError, event as log_event};
 use platform::{StoreError, StoreVersion};
 use prost::Message as _;
 use wire::state::{ConfigRecord, MemberRecord};
 
 use crate::{
+    event,
     incarnation::claim_incarnation,
     shared_state::SharedState,
     store_key::{CONFIG, MEMBERS, read_record, store_fault},
@@ -51,7 +52,7 @@
             self.shared.await_store_wake(ROUND);
         }
         if let Err(error) = self.leave_list() {
-            log::warn!("E0311 member-leave-failed cause={error}");
+            log_event::warn(&event::MEMBER_LEAVE_FAILED, format_args!("cause={error}"));
         }
     }
 
@@ -151,26 +152,35 @@
         let next = match list.join(self.shared.own_member(), floor) {
             Ok(next) => next,
             Err(ListRefusal::NewerLife(incarnation)) => {
-                log::error!("E0312 member-id-taken incarnation={incarnation}");
+                log_event::error(
+                    &event::MEMBER_ID_TAKEN,
+                    format_args!("incarnation={incarnation}"),
+                );
                 return Ok(());
             }
             Err(refusal) => {
-                log::debug!("E0313 member-join-waits cause={refusal}");
+                log_event::debug(&event::MEMBER_JOIN_WAITS, format_args!("cause={refusal}"));
                 return Ok(());
             }
         };
         self.write_list(version, &next, "join member list")?;
-        log::info!(
-            "E0310 member-joined incarnation={} revision={}",
-            self.shared.incarnation(),
-            next.revision()
+        log_event::info(
+            &event::MEMBER_JOINED,
+            format_args!(
+                "incarnation={} revision={}",
+                self.shared.incarnation(),
+                next.revision()
+            ),
         );
         Ok(())
     }
 
     fn begin_life(&self) -> Result<(), StepError> {
         let incarnation = claim_incarnation(self.shared.store())?;
-        log::warn!("E0314 member-life-began incarnation={incarnation}");
+        log_event::warn(
+            &event::MEMBER_LIFE_BEGAN,
+            format_args!("incarnation={incarnation}"),
+        );
         self.shared.options.node.set_incarnation(incarnation);
         self.shared.lease.lock().begin_life(incarnation);
         self.shared.quota.begin_life(incarnation);
@@ -212,7 +222,9 @@
             }
             match self.remove(version, &list, own, incarnation, "leave member list") {
                 Ok(()) => return Ok(()),
-                Err(error) => log::debug!("E0311 member-leave-failed cause={error}"),
+                Err(error) => {
+                    log_event::debug(&event::MEMBER_LEAVE_FAILED, format_args!("cause={error}"));
+                }
             }
         }
         Ok(())
@@ -231,9 +243,12 @@
             return Ok(());
         };
         self.write_list(version, &next, step)?;
-        log::info!(
-            "E0316 member-removed member={member} incarnation={incarnation} revision={}",
-            next.revision()
+        log_event::info(
+            &event::MEMBER_REMOVED,
+            format_args!(
+                "member={member} incarnation={incarnation} revision={}",
+                next.revision()
+            ),
         );
         Ok(())
     }
@@ -264,13 +279,15 @@
         match outcome {
             Ok(()) if self.failing => {
                 self.failing = false;
-                log::info!("E0317 store-back");
+                log_event::info(&event::STORE_BACK, format_args!(""));
             }
             Ok(()) => {}
-            Err(error) if self.failing => log::debug!("E0318 store-failing cause={error}"),
+            Err(error) if self.failing => {
+                log_event::debug(&event::STORE_FAILING, format_args!("cause={error}"));
+            }
             Err(error) => {
                 self.failing = true;
-                log::warn!("E0318 store-failing cause={error}");
+                log_event::warn(&event::STORE_FAILING, format_args!("cause={error}"));
             }
         }
     }
--- a/crates/member/src/store_key.rs
+++ b/crates/member/src/store_key.rs
@@ -1,9 +1,11 @@
 //! Names of the keys that this crate keeps in the store, and how their values are read.
 
-use model::{Revision, StepError};
+use model::{Revision, StepError, event as log_event};
 use platform::{KeyStore, StoreError, StoreVersion};
 use prost::Message;
 
+use crate::event;
+
 /// Key of the member list.
 pub(crate) const MEMBERS: &str = "members";
 /// Key of the newest configuration.
@@ -35,7 +37,10 @@
     bytes: &[u8],
 ) -> Result<M, StoreError> {
     M::decode(bytes).map_err(|error| {
-        log::error!("E0302 store-record-broken key={key} cause={error}");
+        log_event::error(
+            &event::STORE_RECORD_BROKEN,
+            format_args!("key={key} cause={error}"),
+        );
         StoreError::Rejected(format!("record {key}: {error}"))
     })
 }
--- a/crates/member/src/watch_duty.rs
+++ b/crates/member/src/watch_duty.rs
@@ -1,8 +1,10 @@
+use model::event as log_event;
 use std::{sync::Arc, thread, time::Duration};
 
 use platform::{StoreError, StoreVersion};
 
 use crate::{
+    event,
     shared_state::SharedState,
     store_key::{CONFIG, decode_record},
 };
@@ -33,7 +35,7 @@
             match self.watch_once() {
                 Ok(()) => pause = PAUSE_MIN,
                 Err(error) => {
-                    log::debug!("E0309 config-watch-failed cause={error}");
+                    log_event::debug(&event::CONFIG_WATCH_FAILED, format_args!("cause={error}"));
                     thread::sleep(pause);
                     pause = PAUSE_MAX.min(pause * 2);
                 }
--- a/crates/peer/src/inbound_router.rs
+++ b/crates/peer/src/inbound_router.rs
@@ -1,5 +1,7 @@
+use crate::event;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use model::MemberId;
+use model::event as log_event;
 use ports::InboundMessage;
 use prost::Message as _;
 use wire::peer::Envelope;
@@ -64,6 +66,9 @@
 
     fn drop_message(&self, reason: &'static str, from: &str) {
         metrics::counter!("lws_peer_dropped_messages", "reason" => reason).increment(1);
-        log::debug!("E0201 peer-message-dropped from={from} reason={reason}");
+        log_event::debug(
+            &event::PEER_MESSAGE_DROPPED,
+            format_args!("from={from} reason={reason}"),
+        );
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,8 @@
 //! delivery is not guaranteed, which is why everything above survives loss, delay and
 //! repetition. The reasons are in `docs/design/01-membership.md`.
 
+pub mod event;
+
 mod body_kind;
 mod inbound_router;
 mod outbound_link;
--- a/crates/peer/src/outbound_link.rs
+++ b/crates/peer/src/outbound_link.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use model::{MemberId, StepError};
+use model::{MemberId, StepError, event as log_event};
 use nng::{
     Dialer, DialerBuilder, Error, Message, Protocol, Socket,
     options::{
@@ -12,6 +12,8 @@
 };
 use ports::LinkError;
 
+use crate::event;
+
 /// Messages that may wait while the peer can't be reached. A short queue, because what
 /// waits here is stale by the time the peer is back.
 const QUEUE_LENGTH: i32 = 64;
@@ -77,7 +79,10 @@
             Ok(()) => Ok(()),
             Err((_, error)) => {
                 metrics::counter!("lws_peer_unsent_messages").increment(1);
-                log::debug!("E0202 peer-link-full peer={} cause={error}", self.peer);
+                log_event::debug(
+                    &event::PEER_LINK_FULL,
+                    format_args!("peer={} cause={error}", self.peer),
+                );
                 Err(LinkError::Full(self.peer.clone()))
             }
         }
--- a/crates/peer/src/peer_node.rs
+++ b/crates/peer/src/peer_node.rs
@@ -10,7 +10,7 @@
 };
 
 use crossbeam_channel::Receiver;
-use model::{Incarnation, MemberId, PeerSetting, StepError};
+use model::{Incarnation, MemberId, PeerSetting, StepError, event as log_event};
 use nng::{
     Error, Listener, ListenerBuilder, Protocol, Socket,
     options::{
@@ -23,7 +23,7 @@
 use prost::Message as _;
 use wire::peer::{Envelope, envelope::Body};
 
-use crate::{BodyKind, inbound_router::InboundRouter, outbound_link::OutboundLink};
+use crate::{BodyKind, event, inbound_router::InboundRouter, outbound_link::OutboundLink};
 
 /// Largest message that is taken in. The largest that is sent is a whole configuration,
 /// which the store's limit of a megabyte bounds.
@@ -152,7 +152,10 @@
         self.stopping.store(true, Ordering::Release);
         let receiver = self.receiver.lock().take();
         if receiver.is_some_and(|r| r.join().is_err()) {
-            log::error!("E0203 peer-receiver-failed member={}", self.own);
+            log_event::error(
+                &event::PEER_RECEIVER_FAILED,
+                format_args!("member={}", self.own),
+            );
         }
         self.links.write().clear();
         self.socket.close();
@@ -160,7 +163,10 @@
 
     fn dial(&self, member: &MemberId, address: &str) -> Result<(), StepError> {
         let link = OutboundLink::dial(member, address)?;
-        log::info!("E0200 peer-dialled peer={member} address={address}");
+        log_event::info(
+            &event::PEER_DIALLED,
+            format_args!("peer={member} address={address}"),
+        );
         self.links.write().insert(member.clone(), Arc::new(link));
         Ok(())
     }
@@ -231,7 +237,7 @@
             Err(Error::TimedOut) => {}
             Err(Error::Closed) => return,
             Err(error) => {
-                log::warn!("E0204 peer-receive-failed cause={error}");
+                log_event::warn(&event::PEER_RECEIVE_FAILED, format_args!("cause={error}"));
                 thread::sleep(STOP_CHECK);
             }
         }
