--- a/crates/decide/src/config/plan.rs
+++ b/crates/decide/src/config/plan.rs
@@ -98,7 +98,11 @@
         keys: input.keys.to_vec(),
         ..Change::default()
     });
-    if let Err(error) = Manifest::from_sections(&next.sections) {
+    // A change of keys alone is not held up by the manifest: administration keys come
+    // before the first manifest, and a withdrawal must pass whatever the sections hold.
+    if !input.sections.is_empty()
+        && let Err(error) = Manifest::from_sections(&next.sections)
+    {
         return ChangePlan::Invalid(error.to_string());
     }
     write_plan(record, change, next, limits)
--- a/crates/member/src/config_holder.rs
+++ b/crates/member/src/config_holder.rs
@@ -146,7 +146,11 @@
 
     /// Sections that this version can't read leave its manifest as it was; keys still follow.
     fn in_force(&self, state: &ConfigState) -> ForceConfig {
-        let manifest = Manifest::from_sections(&state.sections).unwrap_or_else(|error| {
+        let read = match state.sections.is_empty() {
+            true => Ok(Manifest::default()),
+            false => Manifest::from_sections(&state.sections),
+        };
+        let manifest = read.unwrap_or_else(|error| {
             log_event::error(
                 &event::CONFIG_MANIFEST_UNREADABLE,
                 format_args!("revision={} cause={error}", state.revision),
