--- a/crates/fake/src/executor_fake.rs
+++ b/crates/fake/src/executor_fake.rs
@@ -14,8 +14,8 @@
 /// A stand-in of an executor: slots, connections, drain and reboot as in `docs/PLATFORM.md`.
 ///
 /// A body may say how long it takes and how large its answer is, see [`crate::WorkOrder`]; the
-/// answer is [`expected_answer`]. `GET /fake/runs` tells each run, `GET /fake/counts` what
-/// was refused, `POST /fake/faults` sets faults. A run goes on when its caller goes away,
+/// answer is [`expected_answer`]. `GET /fake/runs` tells each run, `GET /fake/drains` each
+/// drain, `GET /fake/counts` what was refused, `POST /fake/faults` sets faults. A run goes on when its caller goes away,
 /// as on a real executor.
 #[derive(Debug)]
 pub struct ExecutorFake {
@@ -125,6 +125,7 @@
                 None => FakeReply::status(400),
             },
             ("GET", "/fake/runs") => FakeReply::json(&state.runs),
+            ("GET", "/fake/drains") => FakeReply::json(&state.drains),
             ("GET", "/fake/counts") => FakeReply::json(&state.counts),
             _ => FakeReply::status(404),
         }
--- a/crates/fake/src/executor_state.rs
+++ b/crates/fake/src/executor_state.rs
@@ -94,12 +94,23 @@
     pub while_draining: u64,
     /// Requests whose deadline had passed.
     pub past_deadline: u64,
-    /// Time of the last drain call, in nanoseconds of the boot clock; 0 for never.
-    pub drained_ns: u64,
     /// Reboots.
     pub reboots: u64,
 }
 
+/// One drain, from the call until the executor serves again; times are nanoseconds of the
+/// boot clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct DrainRecord {
+    /// When it was asked to drain.
+    pub begin_ns: u64,
+    /// When it was asked to serve again, or came back from a reboot; 0 if it still drains.
+    pub end_ns: u64,
+    /// When a request last arrived in between; 0 for never.
+    pub last_attempt_ns: u64,
+}
+
 /// One admitted run and the faults that strike it.
 #[derive(Debug)]
 pub(crate) struct RunPlan {
@@ -120,6 +131,7 @@
     pub(crate) running: usize,
     pub(crate) runs: Vec<RunRecord>,
     pub(crate) counts: ExecutorCounts,
+    pub(crate) drains: Vec<DrainRecord>,
     faults: ExecutorFaults,
     fault_dice: FaultDice,
     service_dice: FaultDice,
@@ -135,6 +147,7 @@
             running: 0,
             runs: Vec::new(),
             counts: ExecutorCounts::default(),
+            drains: Vec::new(),
             faults: ExecutorFaults::default(),
             fault_dice: FaultDice::new(0),
             service_dice,
@@ -161,12 +174,23 @@
     }
 
     pub(crate) fn set_draining(&mut self, draining: bool) {
-        if draining && !self.draining {
-            self.counts.drained_ns = boot_nanos();
+        match (self.draining, draining) {
+            (false, true) => self.drains.push(DrainRecord {
+                begin_ns: boot_nanos(),
+                ..DrainRecord::default()
+            }),
+            (true, false) => self.end_drain(boot_nanos()),
+            _ => {}
         }
         self.draining = draining;
     }
 
+    fn end_drain(&mut self, at_ns: u64) {
+        if let Some(drain) = self.drains.last_mut() {
+            drain.end_ns = at_ns;
+        }
+    }
+
     /// Cuts what runs, stays away for a while and comes back serving.
     pub(crate) fn reboot(&mut self) {
         let now = boot_nanos();
@@ -175,16 +199,22 @@
             run.cut = true;
         }
         self.running = 0;
-        self.draining = false;
         self.counts.reboots += 1;
         let pause = u64::try_from(self.settings.reboot.as_nanos()).unwrap_or(u64::MAX);
         self.up_again_ns = now.saturating_add(pause);
+        if self.draining {
+            self.end_drain(self.up_again_ns);
+        }
+        self.draining = false;
     }
 
     /// Takes a slot for the call; `None` if it is refused without having run.
     pub(crate) fn begin(&mut self, call: &HttpCall) -> Option<RunPlan> {
         if self.draining {
             self.counts.while_draining += 1;
+            if let Some(drain) = self.drains.last_mut() {
+                drain.last_attempt_ns = boot_nanos();
+            }
             return None;
         }
         if call.header_number("Deadline-Ms") == Some(0) {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -22,7 +22,9 @@
 
 pub use boot_time::boot_nanos;
 pub use executor_fake::ExecutorFake;
-pub use executor_state::{ExecutorCounts, ExecutorFaults, ExecutorSettings, RunRecord};
+pub use executor_state::{
+    DrainRecord, ExecutorCounts, ExecutorFaults, ExecutorSettings, RunRecord,
+};
 pub use fake_reply::FakeReply;
 pub use fake_server::{CallHandler, FakeServer, ReplyFuture};
 pub use fault_dice::{FaultDice, FaultRate};
--- a/crates/fake/src/store_fake.rs
+++ b/crates/fake/src/store_fake.rs
@@ -193,7 +193,7 @@
         let Some(key) = call.key() else {
             return FakeReply::status(404);
         };
-        match self.state.lock().read(key) {
+        match self.state.lock().read(&call.view, key) {
             Some((version, value)) => valued(version, value),
             None => FakeReply::status(404),
         }
--- a/crates/fake/src/store_state.rs
+++ b/crates/fake/src/store_state.rs
@@ -34,6 +34,9 @@
     pub watch_hang: bool,
     /// Watches show nothing and end in time.
     pub watch_stale: bool,
+    /// Reads of one key that show the value before the newest; no platform does this, it
+    /// is for showing that a checker sees it.
+    pub stale_reads: FaultRate,
     /// Most reads, listings and watches a second; 0 for no ceiling.
     pub reads_per_s: u64,
     /// Most writes and removals a second; 0 for no ceiling.
@@ -94,6 +97,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreState {
     keys: BTreeMap<String, (u64, Vec<u8>)>,
+    replaced: BTreeMap<String, (u64, Vec<u8>)>,
     newest: u64,
     faults: BTreeMap<String, FaultState>,
     window: RateWindow,
@@ -116,15 +120,17 @@
     }
 
     pub(crate) fn loses_answer(&mut self, view: &str) -> bool {
+        let state = self.fault_state(view);
+        state.is_some_and(|state| state.faults.lose_writes.strikes(&mut state.dice))
+    }
+
+    fn fault_state(&mut self, view: &str) -> Option<&mut FaultState> {
         let name = if self.faults.contains_key(view) {
             view
         } else {
             ""
         };
-        let Some(state) = self.faults.get_mut(name) else {
-            return false;
-        };
-        state.faults.lose_writes.strikes(&mut state.dice)
+        self.faults.get_mut(name)
     }
 
     /// Counts the call; false if a ceiling refuses it.
@@ -160,7 +166,11 @@
         admitted
     }
 
-    pub(crate) fn read(&self, key: &str) -> Option<(u64, Vec<u8>)> {
+    pub(crate) fn read(&mut self, view: &str, key: &str) -> Option<(u64, Vec<u8>)> {
+        let state = self.fault_state(view);
+        if state.is_some_and(|state| state.faults.stale_reads.strikes(&mut state.dice)) {
+            return self.replaced.get(key).cloned();
+        }
         self.keys.get(key).cloned()
     }
 
@@ -198,14 +208,15 @@
             return Err(WriteRefusal::Conflict(before));
         }
         self.newest += 1;
-        match value {
+        let replaced = match value {
             Some(value) => {
-                self.keys
-                    .insert(key.to_owned(), (self.newest, value.to_vec()));
-            }
-            None => {
-                self.keys.remove(key);
+                let stored = (self.newest, value.to_vec());
+                self.keys.insert(key.to_owned(), stored)
             }
+            None => self.keys.remove(key),
+        };
+        if let Some(replaced) = replaced {
+            self.replaced.insert(key.to_owned(), replaced);
         }
         self.note(StoreWrite::new(view, key, before, self.newest, value));
         Ok(self.newest)
--- a/crates/fake/tests/executor_fake.rs
+++ b/crates/fake/tests/executor_fake.rs
@@ -125,6 +125,11 @@
     assert_eq!(refused.status(), 503);
     assert_eq!(refused.headers()["Not-Run"], "true");
     assert!(fake.runs().is_empty());
+    assert_eq!(fake.counts().while_draining, 1);
+    let drains = agent.get(format!("{url}/fake/drains")).call().unwrap();
+    let text = drains.into_body().read_to_string().unwrap();
+    let drains: Vec<DrainRecord> = serde_json::from_str(&text).unwrap();
+    assert!(drains[0].end_ns == 0 && drains[0].last_attempt_ns >= drains[0].begin_ns);
     agent.post(format!("{url}/v1/reboot")).send_empty().unwrap();
     while agent.get(format!("{url}/v1/health")).call().is_ok() {
         thread::sleep(Duration::from_millis(5));
