--- a/crates/fake/tests/executor_fake.rs
+++ b/crates/fake/tests/executor_fake.rs
@@ -4,7 +4,10 @@
 
 use std::{thread, time::Duration};
 
-use fake::{ExecutorFake, ExecutorFaults, ExecutorSettings, FaultRate, WorkOrder, expected_answer};
+use fake::{
+    DrainRecord, ExecutorFake, ExecutorFaults, ExecutorSettings, FaultRate, WorkOrder,
+    expected_answer,
+};
 use ureq::{Agent, Body, http::Response};
 
 fn agent() -> Agent {
