--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,12 @@
 //! to that. The design notes in `docs/design/` argue each mechanism.
 
 pub mod budget;
+pub mod claim;
+pub mod config;
+pub mod eject;
+pub mod lease;
+pub mod member;
 pub mod rendezvous;
+pub mod retry;
 pub mod share;
 pub mod wave;
--- /dev/null
+++ b/crates/entry/src/admission/pool_queue.rs
@@ -0,0 +1,167 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use model::{BootTime, TeamId};
+
+use crate::work::CallerRequest;
+
+/// The requests that wait for a slot of one pool, in a queue for each team.
+#[derive(Default)]
+pub(crate) struct PoolQueue {
+    teams: BTreeMap<TeamId, TeamQueue>,
+    delayed: Vec<DelayedRequest>,
+    length: usize,
+}
+
+#[derive(Default)]
+struct TeamQueue {
+    urgent: VecDeque<Box<CallerRequest>>,
+    normal: VecDeque<Box<CallerRequest>>,
+}
+
+struct DelayedRequest {
+    due: BootTime,
+    work: Box<CallerRequest>,
+}
+
+impl PoolQueue {
+    /// Requests queued, those that wait for a retry included.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Requests of `team` queued, and how many of them are urgent.
+    pub fn team_len(&self, team: &TeamId) -> (usize, usize) {
+        self.teams
+            .get(team)
+            .map(|queue| (queue.len(), queue.urgent.len()))
+            .unwrap_or_default()
+    }
+
+    /// Teams that have something queued.
+    pub fn waiting_teams(&self) -> impl Iterator<Item = &TeamId> {
+        self.teams
+            .iter()
+            .filter(|(_, queue)| queue.len() > 0)
+            .map(|(team, _)| team)
+    }
+
+    /// Queues a request. If that makes more than `most`, gives back the newest one of the
+    /// team that queues most, so that a team that floods the pool crowds out only itself.
+    pub fn push(&mut self, work: Box<CallerRequest>, most: usize) -> Option<Box<CallerRequest>> {
+        let queue = self.teams.entry(work.team.clone()).or_default();
+        if work.urgent {
+            queue.urgent.push_back(work);
+        } else {
+            queue.normal.push_back(work);
+        }
+        self.length += 1;
+        if self.length <= most {
+            return None;
+        }
+        let longest = self.teams.values_mut().max_by_key(|queue| queue.len())?;
+        let surplus = longest
+            .normal
+            .pop_back()
+            .or_else(|| longest.urgent.pop_back())?;
+        self.length -= 1;
+        Some(surplus)
+    }
+
+    /// Queues a request that goes first in its team once `due` has come.
+    pub fn push_retry(&mut self, work: Box<CallerRequest>, due: BootTime) {
+        self.length += 1;
+        self.delayed.push(DelayedRequest { due, work });
+    }
+
+    /// Moves retries whose time has come to the front of their teams.
+    pub fn wake_retries(&mut self, now: BootTime) {
+        let mut index = 0;
+        while index < self.delayed.len() {
+            if self.delayed[index].due > now {
+                index += 1;
+                continue;
+            }
+            let work = self.delayed.swap_remove(index).work;
+            let queue = self.teams.entry(work.team.clone()).or_default();
+            if work.urgent {
+                queue.urgent.push_front(work);
+            } else {
+                queue.normal.push_front(work);
+            }
+        }
+    }
+
+    /// Takes out every request that `gone` says is of no more use.
+    pub fn take_out(&mut self, mut gone: impl FnMut(&CallerRequest) -> bool) -> Vec<CallerRequest> {
+        let mut taken = Vec::new();
+        for queue in self.teams.values_mut() {
+            take_from(&mut queue.urgent, &mut gone, &mut taken);
+            take_from(&mut queue.normal, &mut gone, &mut taken);
+        }
+        let (out, kept) = self
+            .delayed
+            .drain(..)
+            .partition(|delayed| gone(&delayed.work));
+        self.delayed = kept;
+        taken.extend(out.into_iter().map(|delayed: DelayedRequest| *delayed.work));
+        self.length -= taken.len();
+        self.teams.retain(|_, queue| queue.len() > 0);
+        taken
+    }
+
+    /// How long the oldest urgent request of `team` has waited; `None` without one.
+    pub fn urgent_wait(&self, team: &TeamId, now: BootTime) -> Option<Duration> {
+        let queue = self.teams.get(team)?;
+        let first = queue.urgent.front()?;
+        Some(now.saturating_sub(first.arrived))
+    }
+
+    /// Takes the next request of `team`, urgent ones first.
+    pub fn pop(&mut self, team: &TeamId) -> Option<Box<CallerRequest>> {
+        let queue = self.teams.get_mut(team)?;
+        let work = queue
+            .urgent
+            .pop_front()
+            .or_else(|| queue.normal.pop_front())?;
+        self.length -= 1;
+        Some(work)
+    }
+
+    /// Puts a request that could not start back where it was taken from.
+    pub fn unpop(&mut self, work: Box<CallerRequest>) {
+        let queue = self.teams.entry(work.team.clone()).or_default();
+        if work.urgent {
+            queue.urgent.push_front(work);
+        } else {
+            queue.normal.push_front(work);
+        }
+        self.length += 1;
+    }
+}
+
+impl TeamQueue {
+    fn len(&self) -> usize {
+        self.urgent.len() + self.normal.len()
+    }
+}
+
+fn take_from(
+    queue: &mut VecDeque<Box<CallerRequest>>,
+    gone: &mut impl FnMut(&CallerRequest) -> bool,
+    taken: &mut Vec<CallerRequest>,
+) {
+    if !queue.iter().any(|work| gone(work)) {
+        return;
+    }
+    let (out, kept): (VecDeque<_>, VecDeque<_>) = queue.drain(..).partition(|work| gone(work));
+    *queue = kept;
+    taken.extend(out.into_iter().map(|work| *work));
+}
