Run the system in real processes under test

Cause: the promises have to be shown in processes that are killed, paused and cut off. Change: a harness that starts entry hosts and stand-ins as processes, reaps them when dropped, writes their settings, puts links that can be cut between them, and drives callers and operators whose view goes into the history. Entry hosts keep their addresses over restarts; ports come from below the range that the system hands out.

--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! Start with [`HistoryLog`], which records what callers and operators see, and with the
 //! types that implement [`HistoryCheck`]: each looks for one broken promise in a
-//! [`History`] and reads nothing else. `docs/PROOF.md` says which check stands for which
+//! [`History`] and reads nothing else. [`TestFleet`] runs the system in real processes,
+//! [`CallerCrew`] and [`FleetOperator`] work on it. `docs/PROOF.md` says which check stands for which
 //! promise, and what is not proved.
 
 mod check;
+mod harness;
 mod hex_text;
 mod history;
 mod history_log;
@@ -16,6 +18,11 @@
     OnceCheck, PoolCheck, RefusalCheck, RegisterOp, RevisionCheck, RevisionOp, RevisionSpec,
     RevisionState, WholeCheck, is_linearizable,
 };
+pub use harness::{
+    BinaryKind, CallerCrew, CrewPlan, CrewTally, EntryPlace, EntryProcess, FleetOperator,
+    FleetPlan, FleetTarget, JsonClient, LiveProcess, RequestCall, RequestClient, RequestReply,
+    StatusAnswer, TeamKey, TestFleet, await_true, free_port,
+};
 pub use hex_text::decode_hex;
 pub use history::{
     BootNanos, ChangeEffect, ChangeOp, ChangeResult, ForceOp, History, HostDrain, HostRun, OpSpan,
