Operate a deployment from the command line

Change: manifest check, apply, show and diff; key grant, withdraw, list and mint; status; audit, which checks the chain itself; demo, which changes a running fleet and sums up. Keys are minted by the command, so that a secret never travels and a lost answer can't lose it. A change keeps its id over all tries and entry hosts; once one try may have been made, no later refusal is reported as nothing done.

--- /dev/null
+++ b/crates/lacewingshore/src/client.rs
@@ -0,0 +1,247 @@
+use std::{
+    fs, thread,
+    time::{Duration, Instant},
+};
+
+use admin::{AdminProblem, ProblemCode};
+use anyhow::Context;
+use serde::de::DeserializeOwned;
+
+use crate::{args::Arguments, exit::CommandError};
+
+/// Longest wait for one answer; accepting a change takes some seconds at most.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a change that is not accepted yet is repeated.
+const PATIENCE: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(500);
+/// Largest answer that is read; a status of the target fleet takes a few hundred KB.
+const MAX_ANSWER: u64 = 16 * 1024 * 1024;
+
+/// One call to the administration interface.
+#[derive(Clone, Debug, Default)]
+pub struct AdminRequest {
+    /// HTTP method.
+    pub method: &'static str,
+    /// Path with its query.
+    pub path: String,
+    /// Id of the change; empty for a reading call.
+    pub change_id: String,
+    /// Revision that the change was made against.
+    pub base_revision: Option<u64>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl AdminRequest {
+    /// A call that only reads.
+    pub fn read(path: impl Into<String>) -> Self {
+        Self {
+            method: "GET",
+            path: path.into(),
+            ..Self::default()
+        }
+    }
+
+    /// A call that changes something under a change id.
+    pub fn change(method: &'static str, path: impl Into<String>, change_id: &str) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            change_id: change_id.to_owned(),
+            ..Self::default()
+        }
+    }
+}
+
+/// Calls the administration interface of any of several entry hosts.
+pub struct AdminClient {
+    urls: Vec<String>,
+    key: String,
+    agent: ureq::Agent,
+}
+
+/// How one try of a call failed.
+enum TryError {
+    /// Another entry host, or another time, may do.
+    Again(CommandError),
+    /// Nothing will help.
+    Final(CommandError),
+}
+
+impl AdminClient {
+    /// Takes the addresses and the key from the arguments or the environment.
+    pub fn new(arguments: &Arguments) -> Result<Self, CommandError> {
+        let urls = arguments
+            .admin
+            .clone()
+            .or_else(|| std::env::var("LACEWINGSHORE_ADMIN").ok())
+            .context("name an entry host with --admin or LACEWINGSHORE_ADMIN")?;
+        let key = match &arguments.key_file {
+            Some(path) => fs::read_to_string(path)
+                .with_context(|| format!("read the key from {}", path.display()))?,
+            None => std::env::var("LACEWINGSHORE_KEY")
+                .context("give a key with --key-file or LACEWINGSHORE_KEY")?,
+        };
+        let urls: Vec<&str> = urls.split(',').map(str::trim).collect();
+        Ok(Self::with_key(&urls, key.trim()))
+    }
+
+    /// A client of `urls` with `key`.
+    pub fn with_key(urls: &[&str], key: &str) -> Self {
+        let agent = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(ANSWER_TIMEOUT))
+            .timeout_connect(Some(Duration::from_secs(2)))
+            .build()
+            .into();
+        Self {
+            urls: urls
+                .iter()
+                .map(|url| url.trim_end_matches('/').to_owned())
+                .collect(),
+            key: key.to_owned(),
+            agent,
+        }
+    }
+
+    /// The addresses of the entry hosts.
+    pub fn urls(&self) -> &[String] {
+        &self.urls
+    }
+
+    /// Reads from the first entry host that answers.
+    pub fn read_text(&self, path: &str) -> Result<(String, u64), CommandError> {
+        let request = AdminRequest::read(path);
+        let mut last = no_url();
+        for url in &self.urls {
+            match self.try_call(url, &request) {
+                Ok(answer) => return Ok(answer),
+                Err(TryError::Again(error)) => last = error,
+                Err(TryError::Final(error)) => return Err(error),
+            }
+        }
+        Err(last)
+    }
+
+    /// Reads JSON from the first entry host that answers.
+    pub fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, CommandError> {
+        parse(&self.read_text(path)?.0)
+    }
+
+    /// Reads JSON from one entry host.
+    pub fn read_from<T: DeserializeOwned>(&self, url: &str, path: &str) -> Result<T, CommandError> {
+        match self.try_call(url, &AdminRequest::read(path)) {
+            Ok((text, _)) => parse(&text),
+            Err(TryError::Again(error) | TryError::Final(error)) => Err(error),
+        }
+    }
+
+    /// Makes a change and returns once it is accepted.
+    ///
+    /// An answer may be lost after the change took effect. Each try carries the same change
+    /// id, so that the change is made once whichever try gets through.
+    pub fn change<T: DeserializeOwned>(&self, request: &AdminRequest) -> Result<T, CommandError> {
+        let start = Instant::now();
+        let mut last = no_url();
+        loop {
+            for url in &self.urls {
+                match self.try_call(url, request) {
+                    Ok((text, _)) => return parse(&text),
+                    Err(TryError::Again(error)) => last = worse(last, error),
+                    Err(TryError::Final(error)) => return Err(error),
+                }
+            }
+            if start.elapsed() > PATIENCE {
+                return Err(last);
+            }
+            thread::sleep(PAUSE);
+        }
+    }
+
+    fn try_call(&self, url: &str, request: &AdminRequest) -> Result<(String, u64), TryError> {
+        let mut call = ureq::http::Request::builder()
+            .method(request.method)
+            .uri(format!("{url}{}", request.path))
+            .header("Authorization", format!("Bearer {}", self.key));
+        if !request.change_id.is_empty() {
+            call = call.header("Change-Id", &request.change_id);
+        }
+        if let Some(base) = request.base_revision {
+            call = call.header("Base-Revision", base);
+        }
+        let call = call
+            .body(request.body.clone())
+            .with_context(|| format!("call {url}"))
+            .map_err(|error| TryError::Final(error.into()))?;
+        let mut answer = match self.agent.run(call) {
+            Ok(answer) => answer,
+            Err(error) => return Err(TryError::Again(lost(url, request, &error))),
+        };
+        let status = answer.status().as_u16();
+        let revision = answer
+            .headers()
+            .get("Revision")
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0);
+        let text = answer
+            .body_mut()
+            .with_config()
+            .limit(MAX_ANSWER)
+            .read_to_string()
+            .map_err(|error| TryError::Again(lost(url, request, &error)))?;
+        match status {
+            200 => Ok((text, revision)),
+            _ => Err(refusal(url, status, &text)),
+        }
+    }
+}
+
+/// An answer that did not come: a change may have been made.
+fn lost(url: &str, request: &AdminRequest, error: &ureq::Error) -> CommandError {
+    if request.change_id.is_empty() {
+        return CommandError::Unavailable(format!("{url}: {error}"));
+    }
+    CommandError::Pending(format!(
+        "{url}: {error}; not known to be accepted, repeat with --change-id {}",
+        request.change_id
+    ))
+}
+
+fn refusal(url: &str, status: u16, text: &str) -> TryError {
+    let Ok(problem) = serde_json::from_str::<AdminProblem>(text) else {
+        let error = anyhow::anyhow!("{url}: status {status} without a readable body");
+        return TryError::Final(error.into());
+    };
+    let mut detail = format!("{url}: {}", problem.detail);
+    if !problem.touched.is_empty() {
+        detail += &format!("; changed in between: {}", problem.touched.join(", "));
+    }
+    match problem.kind {
+        ProblemCode::KeyRefused => TryError::Final(CommandError::KeyRefused(detail)),
+        ProblemCode::Conflict => TryError::Final(CommandError::Conflict(detail)),
+        ProblemCode::Pending => TryError::Again(CommandError::Pending(detail)),
+        ProblemCode::Unavailable | ProblemCode::Busy | ProblemCode::SlowSender => {
+            TryError::Again(CommandError::Unavailable(detail))
+        }
+        ProblemCode::Invalid
+        | ProblemCode::TooLarge
+        | ProblemCode::BadRequest
+        | ProblemCode::NotFound => TryError::Final(CommandError::Invalid(detail)),
+    }
+}
+
+/// Once one try may have made the change, no later refusal can say that nothing was done.
+fn worse(last: CommandError, next: CommandError) -> CommandError {
+    match last {
+        CommandError::Pending(_) => last,
+        _ => next,
+    }
+}
+
+fn no_url() -> CommandError {
+    CommandError::Unavailable("no entry host was named".to_owned())
+}
+
+fn parse<T: DeserializeOwned>(text: &str) -> Result<T, CommandError> {
+    Ok(serde_json::from_str(text).context("read the answer")?)
+}
--- /dev/null
+++ b/crates/lacewingshore/src/command/audit.rs
@@ -0,0 +1,116 @@
+use admin::{
+    audit::verify_chain,
+    view::{AuditView, EntryView},
+};
+use serde_json::json;
+use wire::state::AuditEntry;
+
+use crate::{
+    args::{Arguments, AuditArguments},
+    client::AdminClient,
+    command::{print_json, show_time},
+    exit::CommandError,
+    table::TextTable,
+};
+
+/// Times that a trail is read anew because it moved while it was read.
+const MAX_READS: usize = 5;
+
+/// Shows the audit trail and checks its chain here, not trusting the entry host.
+pub fn run(arguments: &Arguments, audit: &AuditArguments) -> Result<(), CommandError> {
+    let client = AdminClient::new(arguments)?;
+    let (view, entries) = read_trail(&client)?;
+    let chain: Vec<AuditEntry> = entries.iter().map(EntryView::entry).collect();
+    let mut faults: Vec<String> = match verify_chain(&view.head(), &chain) {
+        Ok(()) => Vec::new(),
+        Err(faults) => faults.iter().map(ToString::to_string).collect(),
+    };
+    if let Some(expected) = &audit.expect {
+        faults.extend(check_expected(expected, &entries)?);
+    }
+    let shown = entries.len().saturating_sub(audit.last);
+    let newest = entries.get(shown..).unwrap_or_default();
+    if audit.json {
+        print_json(&json!({
+            "entries": newest, "sequence": view.sequence, "digest": view.digest, "faults": faults,
+        }))?;
+    } else {
+        print_entries(newest);
+        println!(
+            "\n{} entries kept, newest {}:{}",
+            entries.len(),
+            view.sequence,
+            view.digest
+        );
+    }
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(CommandError::Tampered(format!(
+        "the audit trail was tampered with:\n  {}",
+        faults.join("\n  ")
+    )))
+}
+
+/// Reads the whole trail as of one moment.
+///
+/// While it is read, entries may move from the head into a page, and the oldest page may be
+/// dropped. The pages are those that the head named, so only a dropped one calls for
+/// another read.
+fn read_trail(client: &AdminClient) -> Result<(AuditView, Vec<EntryView>), CommandError> {
+    for _ in 0..MAX_READS {
+        let view: AuditView = client.read("/v1/audit")?;
+        let mut entries = Vec::new();
+        let mut is_whole = true;
+        for page in view.first_page..view.next_page {
+            match client.read::<AuditView>(&format!("/v1/audit?page={page}")) {
+                Ok(part) => entries.extend(part.entries),
+                Err(CommandError::Invalid(_)) => is_whole = false,
+                Err(error) => return Err(error),
+            }
+        }
+        if is_whole {
+            entries.extend(view.entries.iter().cloned());
+            return Ok((view, entries));
+        }
+        let after: AuditView = client.read("/v1/audit")?;
+        if after.first_page == view.first_page {
+            let reason = "the audit trail was tampered with: a page is missing".to_owned();
+            return Err(CommandError::Tampered(reason));
+        }
+    }
+    Err(CommandError::Unavailable(
+        "the audit trail moves faster than it is read".to_owned(),
+    ))
+}
+
+/// A trail that was rewritten from some entry on has a whole chain. Only a digest noted
+/// elsewhere shows that.
+fn check_expected(expected: &str, entries: &[EntryView]) -> Result<Option<String>, CommandError> {
+    let wrong = || CommandError::Invalid(format!("--expect: `{expected}` is not SEQUENCE:DIGEST"));
+    let (sequence, digest) = expected.split_once(':').ok_or_else(wrong)?;
+    let sequence: u64 = sequence.parse().map_err(|_| wrong())?;
+    let found = entries.iter().find(|entry| entry.sequence == sequence);
+    Ok(match found {
+        Some(entry) if entry.digest == digest => None,
+        Some(_) => Some(format!("entry {sequence} is not the one that was noted")),
+        None => Some(format!(
+            "entry {sequence} is not in the trail; it may be dropped for age"
+        )),
+    })
+}
+
+fn print_entries(entries: &[EntryView]) {
+    let mut table = TextTable::new(&["NR", "TIME", "AUTHOR", "SUBJECT", "REVISION", "DIFFERENCE"]);
+    for entry in entries {
+        table.add(vec![
+            entry.sequence.to_string(),
+            show_time(entry.unix_ms),
+            entry.author.clone(),
+            entry.subject.clone(),
+            format!("{}>{}", entry.revision_before, entry.revision_after),
+            entry.difference.clone(),
+        ]);
+    }
+    table.print();
+}
--- /dev/null
+++ b/crates/lacewingshore/src/command/demo/load_result.rs
@@ -0,0 +1,150 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    path::PathBuf,
+};
+
+use anyhow::Context;
+use serde::Deserialize;
+
+use crate::{command::read_text, exit::CommandError, table::TextTable};
+
+/// Longest list of runs that is read, in bytes.
+const MAX_RUNS: u64 = 256 * 1024 * 1024;
+
+/// What callers and targets saw of the load.
+#[derive(Debug, Default)]
+pub struct LoadResult {
+    streams: Vec<StreamResult>,
+    /// Runs that the targets record.
+    runs: usize,
+    /// Requests that are not idempotent and were run more than once.
+    doubled: usize,
+}
+
+/// The part of a report of the load tool that is shown.
+#[derive(Debug, Default, Deserialize)]
+struct LoadReport {
+    mode: String,
+    streams: Vec<StreamResult>,
+}
+
+/// One team's requests.
+#[derive(Debug, Default, Deserialize)]
+struct StreamResult {
+    team: String,
+    sent: u64,
+    answered: u64,
+    mismatched: u64,
+    lost: u64,
+    refused: BTreeMap<String, u64>,
+    p50_ms: f64,
+    p99_ms: f64,
+    urgent_p99_ms: f64,
+    share_got: f64,
+    share_due: f64,
+}
+
+/// One run that a stand-in executor records.
+#[derive(Debug, Deserialize)]
+struct RunRecord {
+    request: String,
+    idempotent: bool,
+}
+
+impl LoadResult {
+    /// Reads the reports of the load tool, and the runs that the stand-ins at `runs` list.
+    pub fn read(reports: &[PathBuf], runs: &str) -> Result<Self, CommandError> {
+        let mut result = Self::default();
+        for path in reports {
+            let text = read_text(path)?;
+            let modes: Vec<LoadReport> =
+                serde_json::from_str(&text).with_context(|| format!("read {}", path.display()))?;
+            let through = modes.into_iter().filter(|report| report.mode == "through");
+            let streams = through.flat_map(|report| report.streams);
+            result
+                .streams
+                .extend(streams.filter(|stream| stream.team != "all"));
+        }
+        result.count_runs(runs)?;
+        Ok(result)
+    }
+
+    /// Prints a row for each team, and the refusals by reason.
+    pub fn print(&self) {
+        let mut table = TextTable::new(&[
+            "TEAM", "SENT", "FINISHED", "REFUSED", "LOST", "WRONG", "P50 MS", "P99 MS", "URGENT99",
+            "SHARE", "DUE",
+        ]);
+        for stream in &self.streams {
+            let refused: u64 = stream.refused.values().sum();
+            table.add(vec![
+                stream.team.clone(),
+                stream.sent.to_string(),
+                stream.answered.to_string(),
+                refused.to_string(),
+                stream.lost.to_string(),
+                stream.mismatched.to_string(),
+                format!("{:.1}", stream.p50_ms),
+                format!("{:.1}", stream.p99_ms),
+                format!("{:.1}", stream.urgent_p99_ms),
+                format!("{:.1}%", stream.share_got * 100.0),
+                format!("{:.1}%", stream.share_due * 100.0),
+            ]);
+        }
+        table.print();
+        let mut reasons: BTreeMap<&str, u64> = BTreeMap::new();
+        for (reason, count) in self.streams.iter().flat_map(|stream| &stream.refused) {
+            *reasons.entry(reason).or_default() += count;
+        }
+        for (reason, count) in reasons {
+            println!("refused as {reason}: {count}");
+        }
+        println!(
+            "runs on the targets: {}, run twice: {}",
+            self.runs, self.doubled
+        );
+    }
+
+    /// What callers must never see.
+    pub fn broken(&self) -> Vec<String> {
+        let lost: u64 = self.streams.iter().map(|stream| stream.lost).sum();
+        let wrong: u64 = self.streams.iter().map(|stream| stream.mismatched).sum();
+        let counts = [
+            (lost, "requests got no answer"),
+            (wrong, "answers were not whole or not the caller's own"),
+            (self.doubled as u64, "requests ran twice"),
+        ];
+        let broken = counts.iter().filter(|(count, _)| *count > 0);
+        broken
+            .map(|(count, text)| format!("{count} {text}"))
+            .collect()
+    }
+
+    fn count_runs(&mut self, targets: &str) -> Result<(), CommandError> {
+        let mut counts: HashMap<String, usize> = HashMap::new();
+        for url in targets
+            .split(',')
+            .map(str::trim)
+            .filter(|url| !url.is_empty())
+        {
+            let text = ureq::get(format!("{url}/fake/runs"))
+                .call()
+                .and_then(|mut answer| {
+                    answer
+                        .body_mut()
+                        .with_config()
+                        .limit(MAX_RUNS)
+                        .read_to_string()
+                })
+                .with_context(|| format!("read the runs of {url}"))?;
+            let runs: Vec<RunRecord> =
+                serde_json::from_str(&text).with_context(|| format!("read the runs of {url}"))?;
+            self.runs += runs.len();
+            for run in runs.into_iter().filter(|run| !run.idempotent) {
+                *counts.entry(run.request).or_default() += 1;
+            }
+        }
+        self.doubled = counts.values().filter(|count| **count > 1).count();
+        Ok(())
+    }
+}
--- a/crates/lacewingshore/src/command/mod.rs
+++ b/crates/lacewingshore/src/command/mod.rs
@@ -1,11 +1,21 @@
 //! The commands, one module each.
 
+pub mod audit;
+pub mod demo;
 pub mod events;
+pub mod key;
+pub mod manifest;
 pub mod serve;
+pub mod status;
 
-use std::{fs, path::Path};
+use std::{
+    fs,
+    path::Path,
+    time::{Duration, UNIX_EPOCH},
+};
 
 use anyhow::Context;
+use serde::Serialize;
 
 use crate::exit::CommandError;
 
@@ -26,3 +36,25 @@
         model::text_of_bytes(&bytes).map_err(|fault| CommandError::invalid_text(path, &fault))?;
     Ok(text.to_owned())
 }
+
+/// An id for a change, by which repeating it is harmless.
+fn mint_change_id() -> String {
+    format!("c{:016x}", rand::random::<u64>())
+}
+
+fn print_json<T: Serialize>(value: &T) -> Result<(), CommandError> {
+    let text = serde_json::to_string_pretty(value).context("write JSON")?;
+    println!("{text}");
+    Ok(())
+}
+
+fn show_time(unix_ms: u64) -> String {
+    let time = UNIX_EPOCH.checked_add(Duration::from_millis(unix_ms));
+    match time.filter(|_| unix_ms < MAX_SHOWN_MS) {
+        Some(time) => humantime::format_rfc3339_seconds(time).to_string(),
+        None => "far future".to_owned(),
+    }
+}
+
+/// End of the year 9999, beyond which times have no usual form.
+const MAX_SHOWN_MS: u64 = 253_402_300_799_000;
--- a/crates/lacewingshore/src/exit.rs
+++ b/crates/lacewingshore/src/exit.rs
@@ -14,6 +14,21 @@
     /// A file or a change was refused as invalid: exit code 3.
     #[error("{0}")]
     Invalid(String),
+    /// Another change came first: exit code 4.
+    #[error("{0}")]
+    Conflict(String),
+    /// The change is not accepted yet: exit code 5.
+    #[error("{0}")]
+    Pending(String),
+    /// No entry host answered, or none serves: exit code 6.
+    #[error("{0}")]
+    Unavailable(String),
+    /// The key was refused: exit code 7.
+    #[error("{0}")]
+    KeyRefused(String),
+    /// The audit trail was tampered with: exit code 8.
+    #[error("{0}")]
+    Tampered(String),
 }
 
 impl CommandError {
@@ -36,6 +51,11 @@
         ExitCode::from(match self {
             Self::Failed(_) => 1,
             Self::Invalid(_) => 3,
+            Self::Conflict(_) => 4,
+            Self::Pending(_) => 5,
+            Self::Unavailable(_) => 6,
+            Self::KeyRefused(_) => 7,
+            Self::Tampered(_) => 8,
         })
     }
 }
--- a/crates/lacewingshore/src/main.rs
+++ b/crates/lacewingshore/src/main.rs
@@ -6,10 +6,12 @@
 
 mod args;
 mod catalogue;
+mod client;
 mod command;
 mod exit;
 mod log_setup;
 mod serve;
+mod table;
 
 use std::process::ExitCode;
 
@@ -21,16 +23,21 @@
         Ok(arguments) => arguments,
         Err(code) => return code,
     };
-    let Err(error) = run(arguments.command) else {
+    let Err(error) = run(&arguments) else {
         return ExitCode::SUCCESS;
     };
     error.report();
     error.exit_code()
 }
 
-fn run(command: Command) -> Result<(), CommandError> {
-    match command {
-        Command::Serve(arguments) => command::serve::run(&arguments),
-        Command::Events(arguments) => command::events::run(&arguments),
+fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    match &arguments.command {
+        Command::Serve(serve) => command::serve::run(serve),
+        Command::Manifest(manifest) => command::manifest::run(arguments, &manifest.command),
+        Command::Key(key) => command::key::run(arguments, &key.command),
+        Command::Status(status) => command::status::run(arguments, status),
+        Command::Audit(audit) => command::audit::run(arguments, audit),
+        Command::Events(events) => command::events::run(events),
+        Command::Demo(demo) => command::demo::run(arguments, demo),
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,7 @@
 mod key_rule;
 mod key_text;
 mod manifest;
+mod manifest_advice;
 mod manifest_check;
 mod manifest_text;
 mod problem;
@@ -28,6 +29,7 @@
 pub use manifest::{
     HostRole, Manifest, PoolSpec, ServiceSpec, TeamSpec, WindowSpec, WorkspaceSpec,
 };
+pub use manifest_advice::ManifestAdvice;
 pub use manifest_text::{ManifestError, SectionTexts};
 pub use problem::{ProblemKind, RunFate};
 pub use settings::{PeerSetting, ServeSettings, SettingsError};
--- a/crates/model/tests/manifest.rs
+++ b/crates/model/tests/manifest.rs
@@ -212,3 +212,20 @@
         }
     }
 }
+
+#[rstest]
+#[case::none(0, &["losing a rack of 4 leaves 4 hosts, fewer than the budget of 6"])]
+#[case::fifth(20, &["losing a rack of 4 leaves 2 hosts, fewer than the budget of 6", "with 6 hosts none can be maintained within a budget of 6"])]
+#[case::third(33, &["without 3 of its hosts the pool has 5, fewer than its budget of 6"])]
+fn advice_shrink(#[case] percent: u32, #[case] expected: &[&str]) {
+    let (_, manifest) = Manifest::from_ini(MANIFEST).expect("a valid manifest");
+    let advice: Vec<String> = manifest
+        .advice(percent)
+        .into_iter()
+        .filter(|advice| advice.section == "pool.quote")
+        .map(|advice| advice.text)
+        .collect();
+    for text in expected {
+        assert!(advice.iter().any(|advice| advice == text), "{advice:?}");
+    }
+}
