Split team limits by grants in the store and move them to demand

Cause: the even split per host was not safe while the member list changes, and left the limit unusable where demand sits on one host. Ruled out: givers writing the record (six writers race on one key for one shift); a limit that may be used while the grants still are those of another one (a host that missed a higher limit in between started work beside those still running it: found on paper, closed by pausing until the record follows the limit in force). Change: decide::quota. A host asks the others, they put units aside and stop using them, it writes one compare-and-swap for all; a promise counts only at the version it was made at. Units of ended hosts come back after lease + guard + the longest deadline. Found by the schedules: a host with an old member list took a newly joined holder for gone and gave its grant away while it ran work; grants now carry the list revision that names their holder.

--- a/crates/decide/src/config/state.rs
+++ b/crates/decide/src/config/state.rs
@@ -2,7 +2,9 @@
 
 use model::{ChangeId, KeyId, Revision};
 use sha2::{Digest, Sha256};
-use wire::state::{Change, ChangeMark, ConfigBase, ConfigRecord, KeyRecord, SectionEdit};
+use wire::state::{
+    Change, ChangeMark, ConfigBase, ConfigRecord, KeyRecord, SectionEdit, SectionMark,
+};
 
 /// Change ids that are remembered beyond the tail.
 const MARK_LENGTH: usize = 1024;
@@ -48,6 +50,7 @@
     pub sections: BTreeMap<String, String>,
     /// Granted keys.
     pub keys: BTreeMap<KeyId, KeyRecord>,
+    touched: BTreeMap<String, Revision>,
     marks: VecDeque<(ChangeId, Revision)>,
 }
 
@@ -64,6 +67,11 @@
             sections: sections
                 .map(|edit| (edit.section.clone(), edit.text.clone()))
                 .collect(),
+            touched: base
+                .touched
+                .iter()
+                .map(|mark| (mark.section.clone(), mark.revision))
+                .collect(),
             keys: keys
                 .map(|key| (KeyId::from(key.key_id.as_str()), key.clone()))
                 .collect(),
@@ -82,6 +90,10 @@
             section: section.clone(),
             text: text.clone(),
         });
+        let touched = self.touched.iter().map(|(section, revision)| SectionMark {
+            section: section.clone(),
+            revision: *revision,
+        });
         let marks = self.marks.iter().map(|(change_id, revision)| ChangeMark {
             change_id: change_id.to_string(),
             revision: *revision,
@@ -91,9 +103,16 @@
             sections: sections.collect(),
             keys: self.keys.values().cloned().collect(),
             marks: marks.collect(),
+            touched: touched.collect(),
         }
     }
 
+    /// The revision of the change that last touched a section.
+    #[must_use]
+    pub fn touched_at(&self, section: &str) -> Revision {
+        self.touched.get(section).copied().unwrap_or_default()
+    }
+
     /// The revision that a change id made, if it is still remembered.
     #[must_use]
     pub fn revision_of(&self, change_id: &str) -> Option<Revision> {
@@ -196,9 +215,11 @@
         for edit in &change.sections {
             if edit.text.is_empty() {
                 self.sections.remove(&edit.section);
+                self.touched.remove(&edit.section);
             } else {
                 self.sections
                     .insert(edit.section.clone(), edit.text.clone());
+                self.touched.insert(edit.section.clone(), change.revision);
             }
         }
         for edit in &change.keys {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod eject;
 pub mod lease;
 pub mod member;
+pub mod quota;
 pub mod rendezvous;
 pub mod retry;
 pub mod share;
--- /dev/null
+++ b/crates/decide/src/quota/grant_record.rs
@@ -0,0 +1,68 @@
+//! Operations on the record of a team: each keeps the sum of the grants within the limit.
+
+use model::{Incarnation, Revision};
+use wire::state::{QuotaGrant, QuotaRecord};
+
+use super::TeamLimit;
+
+/// Units of all grants.
+pub(crate) fn granted_sum(record: &QuotaRecord) -> u32 {
+    let units = record.grants.iter().map(|grant| grant.units);
+    units.fold(0, u32::saturating_add)
+}
+
+/// Units that no one holds.
+pub(crate) fn free_units(record: &QuotaRecord) -> u32 {
+    record.limit.saturating_sub(granted_sum(record))
+}
+
+/// Units of one life of a member.
+pub(crate) fn units_of(record: &QuotaRecord, member: &str, incarnation: Incarnation) -> u32 {
+    let grant = record
+        .grants
+        .iter()
+        .find(|g| g.member == member && g.incarnation == incarnation);
+    grant.map_or(0, |grant| grant.units)
+}
+
+/// Sets the units of one life, which the member list names at `revision`; zero removes its
+/// grant.
+pub(crate) fn set_units(
+    record: &mut QuotaRecord,
+    member: &str,
+    incarnation: Incarnation,
+    units: u32,
+    revision: Revision,
+) {
+    let is_same = |grant: &QuotaGrant| grant.member == member && grant.incarnation == incarnation;
+    if units == 0 {
+        record.grants.retain(|grant| !is_same(grant));
+        return;
+    }
+    if let Some(grant) = record.grants.iter_mut().find(|grant| is_same(grant)) {
+        grant.units = units;
+        return;
+    }
+    record.grants.push(QuotaGrant {
+        member: member.to_owned(),
+        incarnation,
+        units,
+        member_revision: revision,
+    });
+    record.grants.sort_by(|a, b| a.member.cmp(&b.member));
+}
+
+/// Follows the limit of the configuration at `revision`, once the grants fit into it.
+pub(crate) fn follow_limit(record: &mut QuotaRecord, limit: TeamLimit, revision: Revision) {
+    let is_new = record.config_revision < limit.since;
+    if is_new && granted_sum(record) <= limit.limit {
+        record.limit = limit.limit;
+        record.config_revision = revision;
+    }
+}
+
+/// True if the record keeps its promise.
+pub(crate) fn is_within_limit(record: &QuotaRecord) -> bool {
+    let units = record.grants.iter().map(|grant| u64::from(grant.units));
+    units.sum::<u64>() <= u64::from(record.limit)
+}
--- /dev/null
+++ b/crates/decide/src/quota/machine.rs
@@ -0,0 +1,176 @@
+use std::collections::BTreeMap;
+
+use model::{BootTime, Incarnation, MemberId, Revision, TeamId};
+use wire::state::QuotaRecord;
+
+use super::{QuotaMutation, QuotaOptions, team::TeamQuota, token_bucket::TokenBucket};
+use crate::member::MemberList;
+
+/// A team's upper limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TeamLimit {
+    /// Most units that the team may have in use across the fleet.
+    pub limit: u32,
+    /// Revision of the configuration that set it.
+    pub since: Revision,
+}
+
+/// Holds the quota grants of one entry host.
+#[derive(Debug)]
+pub struct QuotaMachine {
+    pub(super) options: QuotaOptions,
+    pub(super) own: MemberId,
+    pub(super) incarnation: Incarnation,
+    pub(super) config_revision: Revision,
+    pub(super) list: MemberList,
+    /// When lives that records still name were first seen out of a settled list.
+    pub(super) ended: BTreeMap<(MemberId, Incarnation), BootTime>,
+    pub(super) teams: BTreeMap<TeamId, TeamQuota>,
+    pub(super) writes: TokenBucket,
+    pub(super) asks: TokenBucket,
+    pub(super) is_leaving: bool,
+}
+
+impl QuotaMachine {
+    /// A machine that holds nothing.
+    #[must_use]
+    pub fn new(options: QuotaOptions, own: MemberId, incarnation: Incarnation) -> Self {
+        Self {
+            options,
+            own,
+            incarnation,
+            config_revision: 0,
+            list: MemberList::default(),
+            ended: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            writes: TokenBucket::new(options.writes_per_second, options.write_burst),
+            asks: TokenBucket::new(options.asks_per_second, options.ask_burst),
+            is_leaving: false,
+        }
+    }
+
+    /// Begins another life, which holds no grants; what runs goes on being counted.
+    pub fn begin_life(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+        for team in self.teams.values_mut() {
+            team.release = None;
+            team.offers.clear();
+        }
+    }
+
+    /// Takes the limits of the configuration at `revision`.
+    pub fn set_limits(&mut self, revision: Revision, limits: &BTreeMap<TeamId, TeamLimit>) {
+        if revision < self.config_revision {
+            return;
+        }
+        self.config_revision = revision;
+        for name in limits.keys() {
+            self.teams.entry(name.clone()).or_default();
+        }
+        for (name, team) in &mut self.teams {
+            let limit = limits.get(name).copied().unwrap_or(TeamLimit {
+                limit: 0,
+                since: if team.limit.limit == 0 {
+                    team.limit.since
+                } else {
+                    revision
+                },
+            });
+            // A host that missed the record may hold a grant in it without knowing, and the
+            // team would wait for ever until that grant is lowered.
+            let had_limit = team.limit.limit > 0;
+            team.read_due |= had_limit && limit.since > team.limit.since;
+            team.limit = limit;
+            team.config_revision = revision;
+        }
+        self.teams
+            .retain(|_, team| team.limit.limit > 0 || team.running > 0 || team.known);
+    }
+
+    /// Takes a newer member list at `now`.
+    ///
+    /// A life counts as ended only once a settled list lacks it: then a quorum holds that
+    /// list, and the life can't renew its serving lease on members that don't.
+    pub fn set_members(&mut self, list: &MemberList, now: BootTime) {
+        self.list = list.clone();
+        self.note_ended(now);
+    }
+
+    /// From now on unused grants are handed back.
+    pub fn set_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Takes one unit, if the grant has one free.
+    pub fn try_take(&mut self, team: &TeamId) -> bool {
+        let (own, life, mutation) = (&self.own, self.incarnation, self.options.mutation);
+        let Some(quota) = self.teams.get_mut(team) else {
+            return false;
+        };
+        if quota.running >= quota.ceiling(own, life, mutation) {
+            quota.missed = true;
+            return false;
+        }
+        quota.running += 1;
+        true
+    }
+
+    /// Gives one unit back.
+    pub fn give_back(&mut self, team: &TeamId) {
+        if let Some(quota) = self.teams.get_mut(team) {
+            quota.running = quota.running.saturating_sub(1);
+        }
+    }
+
+    /// Notes how many starts wait.
+    pub fn note_waiting(&mut self, team: &TeamId, waiting: u32) {
+        if let Some(quota) = self.teams.get_mut(team) {
+            quota.waiting = waiting;
+        }
+    }
+
+    /// Units in use of a team, and units that may be in use.
+    #[must_use]
+    pub fn usage(&self, team: &TeamId) -> (u32, u32) {
+        let mutation = self.options.mutation;
+        self.teams.get(team).map_or((0, 0), |quota| {
+            let ceiling = quota.ceiling(&self.own, self.incarnation, mutation);
+            (quota.running, ceiling)
+        })
+    }
+
+    /// Takes a record read from the store; version 0 and an empty record if it is absent.
+    pub fn take_read(
+        &mut self,
+        team: &TeamId,
+        version: Revision,
+        record: QuotaRecord,
+        now: BootTime,
+    ) {
+        if let Some(quota) = self.teams.get_mut(team) {
+            quota.read_due = false;
+            quota.take_record(version, record);
+            self.note_ended(now);
+        }
+    }
+
+    /// Notes lives that records name and a settled list lacks.
+    ///
+    /// A list older than the grant proves nothing: the life may have joined since, and its
+    /// grant would be given away while it still runs work.
+    pub(super) fn note_ended(&mut self, now: BootTime) {
+        if !self.list.is_settled() {
+            return;
+        }
+        for grant in self.teams.values().flat_map(|team| &team.record.grants) {
+            let is_older = self.list.revision() < grant.member_revision;
+            if is_older && self.options.mutation != QuotaMutation::TrustOldList {
+                continue;
+            }
+            if !self.list.contains(&grant.member, grant.incarnation) {
+                let life = (MemberId::from(grant.member.as_str()), grant.incarnation);
+                self.ended.entry(life).or_insert(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/quota/options.rs
@@ -0,0 +1,77 @@
+use std::time::Duration;
+
+/// A guard that a test takes away, to show that its checker notices. Sources use `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum QuotaMutation {
+    /// Every guard is in place.
+    #[default]
+    None,
+    /// A giver goes on using the units that it released.
+    RaiseBeforeLower,
+    /// Units of a host that left the list are free at once.
+    ReclaimAtOnce,
+    /// A host counts as gone if any list lacks it, one older than its grant included.
+    TrustOldList,
+    /// Released units are taken whatever version of the record they were released at.
+    IgnoreVersion,
+    /// A raise counts while its write has no answer yet.
+    TrustUnanswered,
+    /// Work starts under the old grants after the limit was lowered.
+    IgnoreLowered,
+}
+
+/// How grants are moved.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaOptions {
+    /// How long a host that left the list may still believe in its serving lease.
+    pub lease_length: Duration,
+    /// Added to it for the rates of two clocks.
+    pub guard: Duration,
+    /// The longest that work may run which a host started.
+    pub max_deadline: Duration,
+    /// Distance of questions for the same team; it doubles while they bring nothing.
+    pub ask_distance: Duration,
+    /// The longest such distance.
+    pub ask_distance_max: Duration,
+    /// How long answers to a question are collected before the record is written.
+    pub collect: Duration,
+    /// Writes a second that this host may do over time.
+    pub writes_per_second: u32,
+    /// Writes that it may do at once.
+    pub write_burst: u32,
+    /// Teams a second that this host may ask about over time.
+    pub asks_per_second: u32,
+    /// Teams that it may ask about at once.
+    pub ask_burst: u32,
+    /// Which guard a test takes away.
+    pub mutation: QuotaMutation,
+}
+
+impl Default for QuotaOptions {
+    fn default() -> Self {
+        Self {
+            lease_length: Duration::from_secs(2),
+            guard: Duration::from_millis(500),
+            max_deadline: Duration::from_secs(60),
+            ask_distance: Duration::from_millis(100),
+            ask_distance_max: Duration::from_millis(3200),
+            collect: Duration::from_millis(50),
+            writes_per_second: 4,
+            write_burst: 32,
+            asks_per_second: 8,
+            ask_burst: 32,
+            mutation: QuotaMutation::None,
+        }
+    }
+}
+
+impl QuotaOptions {
+    /// How long after it left the list a host's units stay taken.
+    #[must_use]
+    pub fn reclaim_after(&self) -> Duration {
+        if self.mutation == QuotaMutation::ReclaimAtOnce {
+            return Duration::ZERO;
+        }
+        self.lease_length + self.guard + self.max_deadline
+    }
+}
--- /dev/null
+++ b/crates/decide/src/quota/talk.rs
@@ -0,0 +1,147 @@
+//! What entry hosts say to each other about units.
+
+use model::{BootTime, Incarnation, MemberId, TeamId};
+use prost::Message as _;
+use wire::{
+    peer::{QuotaAsk, QuotaNote, QuotaRelease},
+    state::QuotaRecord,
+};
+
+use super::{
+    QuotaAction, QuotaMachine, QuotaMutation,
+    team::{TeamQuota, UnitRelease, UnitWish},
+};
+
+impl QuotaMachine {
+    /// Takes a note of another host.
+    pub fn hear_note(&mut self, note: &QuotaNote, now: BootTime) {
+        let team = TeamId::from(note.team.as_str());
+        let Ok(record) = QuotaRecord::decode(note.record.as_slice()) else {
+            return;
+        };
+        if let Some(quota) = self.teams.get_mut(&team) {
+            quota.take_record(note.version, record);
+            self.note_ended(now);
+        }
+    }
+
+    /// Takes units that another host put aside for this one.
+    pub fn hear_release(&mut self, from: &MemberId, life: Incarnation, release: &QuotaRelease) {
+        let mutation = self.options.mutation;
+        let Some(quota) = self.teams.get_mut(release.team.as_str()) else {
+            return;
+        };
+        if release.version == quota.version || mutation == QuotaMutation::IgnoreVersion {
+            let offer = (life, release.version, release.units);
+            quota.offers.insert(from.clone(), offer);
+        } else if release.version > quota.version {
+            quota.read_due = true;
+        }
+    }
+
+    /// Answers a question of another host.
+    pub fn hear_ask(&mut self, from: &MemberId, ask: &QuotaAsk, now: BootTime) -> Vec<QuotaAction> {
+        let (own, life, mutation) = (self.own.clone(), self.incarnation, self.options.mutation);
+        let Some(quota) = self.teams.get_mut(ask.team.as_str()) else {
+            return Vec::new();
+        };
+        if !quota.known || quota.version < ask.version {
+            quota.read_due = true;
+            return Vec::new();
+        }
+        if quota.version > ask.version {
+            return vec![QuotaAction::Note(from.clone(), note_of(&ask.team, quota))];
+        }
+        quota.note_peak(now);
+        let ceiling = quota.ceiling(&own, life, mutation);
+        put_aside(quota, ceiling, from, ask, now);
+        if let Some(action) = send_release(quota, &ask.team, &own, life) {
+            return vec![action];
+        }
+        quota.wish = Some(UnitWish {
+            from: from.clone(),
+            ask: ask.clone(),
+            at: now,
+        });
+        let nothing = QuotaRelease {
+            team: ask.team.clone(),
+            version: quota.version,
+            units: 0,
+        };
+        vec![QuotaAction::Release(from.clone(), nothing)]
+    }
+}
+
+/// What a giver can spare: what it did not need lately, or, where both hosts need more, what
+/// it holds beyond its part by need.
+fn units_to_give(quota: &TeamQuota, ceiling: u32, ask: &QuotaAsk) -> u32 {
+    let spare = ceiling.saturating_sub(quota.peak());
+    if spare > 0 {
+        return spare.min(ask.units);
+    }
+    let both = u64::from(ceiling) + u64::from(ask.ceiling);
+    let needs = u64::from(quota.need()) + u64::from(ask.need);
+    let part = (both * u64::from(quota.need())).div_ceil(needs.max(1));
+    let part = u32::try_from(part).unwrap_or(u32::MAX);
+    let excess = ceiling.saturating_sub(part);
+    if excess <= part / 4 {
+        return 0;
+    }
+    excess.min(ask.units)
+}
+
+/// Puts units aside for `to`, if any can be spared. From here on they are not used here.
+pub(super) fn put_aside(
+    quota: &mut TeamQuota,
+    ceiling: u32,
+    to: &MemberId,
+    ask: &QuotaAsk,
+    now: BootTime,
+) {
+    if quota.release.is_some() || quota.open_write.is_some() || quota.is_unsettled() {
+        return;
+    }
+    let units = units_to_give(quota, ceiling, ask);
+    if units == 0 {
+        return;
+    }
+    quota.wish = None;
+    quota.release = Some(UnitRelease {
+        to: to.clone(),
+        version: quota.version,
+        units,
+        sent: false,
+        since: now,
+    });
+}
+
+/// Sends units put aside, once what runs fits into the rest.
+pub(super) fn send_release(
+    quota: &mut TeamQuota,
+    team: &str,
+    own: &str,
+    life: Incarnation,
+) -> Option<QuotaAction> {
+    let granted = quota.granted(own, life);
+    let running = quota.running;
+    let release = quota.release.as_mut()?;
+    if release.sent || running > granted.saturating_sub(release.units) {
+        return None;
+    }
+    release.sent = true;
+    let message = QuotaRelease {
+        team: team.to_owned(),
+        version: release.version,
+        units: release.units,
+    };
+    Some(QuotaAction::Release(release.to.clone(), message))
+}
+
+/// The note that tells another host what the store holds.
+pub(super) fn note_of(team: &str, quota: &TeamQuota) -> QuotaNote {
+    QuotaNote {
+        team: team.to_owned(),
+        version: quota.version,
+        record: quota.record.encode_to_vec(),
+    }
+}
--- a/crates/member/src/config_holder.rs
+++ b/crates/member/src/config_holder.rs
@@ -1,8 +1,11 @@
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use arc_swap::ArcSwap;
-use decide::config::{CatchUp, ConfigFault, ConfigState};
-use model::{Manifest, Revision, event as log_event};
+use decide::{
+    config::{CatchUp, ConfigFault, ConfigState},
+    quota::TeamLimit,
+};
+use model::{Manifest, Revision, TeamId, event as log_event};
 use parking_lot::Mutex;
 use platform::{KeyStore, StoreError};
 use ports::ForceConfig;
@@ -51,6 +54,20 @@
         self.held.lock().state.clone()
     }
 
+    /// The limits of the teams, and the revision of the configuration that holds them.
+    pub(crate) fn limits(&self) -> (Revision, BTreeMap<TeamId, TeamLimit>) {
+        let held = self.held.lock();
+        let force = self.force();
+        let teams = force.manifest.teams.iter().map(|(team, spec)| {
+            let limit = TeamLimit {
+                limit: spec.limit,
+                since: held.state.touched_at(&format!("team.{team}")),
+            };
+            (team.clone(), limit)
+        });
+        (held.state.revision, teams.collect())
+    }
+
     /// Follows a record that the store delivered; true if it was newer.
     pub(crate) fn follow(
         &self,
--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -37,8 +37,8 @@
         "The store answers again.";
     STORE_FAILING = 318, "store-failing",
         "The store does not answer or refuses; service goes on while a quorum of members is heard.";
-    QUOTA_LIFE_BEGAN = 320, "quota-life-began",
-        "The quota grants of an earlier life were given up.";
+    QUOTA_CALL_FAILED = 320, "quota-call-failed",
+        "A call of the store for a team's quota record failed; it is repeated if still needed.";
     MEMBER_DUTY_FAILED = 321, "member-duty-failed",
         "A thread of the member service ended by a fault. Restart the process and report it.";
     CHANGE_OUTCOME_UNKNOWN = 330, "change-outcome-unknown",
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -14,6 +14,8 @@
 mod member_options;
 mod member_service;
 mod quota_book;
+mod quota_duty;
+mod quota_store_duty;
 mod shared_state;
 mod store_duty;
 mod store_key;
--- a/crates/member/src/member_service.rs
+++ b/crates/member/src/member_service.rs
@@ -4,6 +4,7 @@
     thread::{self, JoinHandle},
 };
 
+use crossbeam_channel::bounded;
 use model::{Incarnation, MemberId, StepError, TeamId, event as log_event};
 use parking_lot::Mutex;
 use peer::BodyKind;
@@ -14,10 +15,20 @@
 };
 
 use crate::{
-    MemberOptions, beat_duty::BeatDuty, change_submit::ChangeSubmit, event,
-    shared_state::SharedState, store_duty::StoreDuty, watch_duty::WatchDuty,
+    MemberOptions,
+    beat_duty::BeatDuty,
+    change_submit::ChangeSubmit,
+    event,
+    quota_duty::QuotaDuty,
+    quota_store_duty::{QuotaStoreDuty, hand_back},
+    shared_state::SharedState,
+    store_duty::StoreDuty,
+    watch_duty::WatchDuty,
 };
 
+/// Calls of the store that may wait for the quotas' turn.
+const CALL_QUEUE: usize = 256;
+
 const THREAD_STACK: usize = 512 * 1024;
 
 /// Runs the duties that keep member list, lease, configuration and quotas of one entry host.
@@ -45,10 +56,15 @@
         );
         let watch_duty = WatchDuty::new(shared.clone());
         let store_duty = StoreDuty::new(shared.clone());
+        let (calls, call_queue) = bounded(CALL_QUEUE);
+        let quota_duty = QuotaDuty::new(shared.clone(), node.inbound(BodyKind::QuotaTalk), calls);
+        let quota_store_duty = QuotaStoreDuty::new(shared.clone(), call_queue);
         let threads = vec![
             spawn("member-beat", move || beat_duty.run())?,
             spawn("member-watch", move || watch_duty.run())?,
             spawn("member-store", move || store_duty.run())?,
+            spawn("member-quota", move || quota_duty.run())?,
+            spawn("member-quota-store", move || quota_store_duty.run())?,
         ];
         Ok(Arc::new(Self {
             shared,
@@ -60,6 +76,9 @@
     /// any more; with the store down the host stays listed, and others remove it later.
     pub fn stop(&self) {
         self.shared.set_leaving();
+        if !self.threads.lock().is_empty() {
+            hand_back(&self.shared);
+        }
         self.shared.set_stopping();
         for thread in std::mem::take(&mut *self.threads.lock()) {
             // The watch ends with its patience; nothing depends on it any more.
@@ -140,7 +159,7 @@
     }
 
     fn teams(&self) -> Vec<TeamStatus> {
-        self.shared.quota.status()
+        self.shared.quota.status(&self.shared.holder.force())
     }
 }
 
--- a/crates/member/src/quota_book.rs
+++ b/crates/member/src/quota_book.rs
@@ -1,78 +1,89 @@
 use std::{collections::BTreeMap, sync::Arc};
 
-use decide::member::MemberList;
-use model::{Incarnation, MemberId, TeamId, event as log_event};
+use crossbeam_channel::{Receiver, Sender, bounded};
+use decide::{
+    member::MemberList,
+    quota::{QuotaMachine, QuotaOptions, TeamLimit},
+};
+use model::{BootTime, Incarnation, MemberId, Revision, ServeSettings, TeamId};
 use parking_lot::Mutex;
 use ports::{ForceConfig, QuotaPermit, TeamStatus};
 
-use crate::event;
-
-/// Units of team limits that this host may use. For now each member may use an equal part.
+/// Hands out units of the grants that this host holds.
 pub(crate) struct QuotaBook {
-    own: MemberId,
-    teams: Arc<Mutex<BTreeMap<TeamId, TeamStatus>>>,
-    members: Mutex<usize>,
+    machine: Arc<Mutex<QuotaMachine>>,
+    wake: (Sender<()>, Receiver<()>),
 }
 
 impl QuotaBook {
-    pub(crate) fn new(own: MemberId) -> Self {
+    pub(crate) fn new(settings: &ServeSettings, own: MemberId, incarnation: Incarnation) -> Self {
+        let options = QuotaOptions {
+            lease_length: settings.lease_length,
+            max_deadline: settings.max_deadline,
+            ..QuotaOptions::default()
+        };
+        let machine = QuotaMachine::new(options, own, incarnation);
         Self {
-            own,
-            teams: Arc::default(),
-            members: Mutex::new(0),
+            machine: Arc::new(Mutex::new(machine)),
+            wake: bounded(1),
         }
     }
 
-    pub(crate) fn begin_life(&self, _incarnation: Incarnation) {
-        log_event::debug(
-            &event::QUOTA_LIFE_BEGAN,
-            format_args!("member={}", self.own),
-        );
+    pub(crate) fn machine(&self) -> &Mutex<QuotaMachine> {
+        &self.machine
     }
 
-    pub(crate) fn set_members(&self, list: &MemberList) {
-        *self.members.lock() = list.members().len();
-        self.split();
+    pub(crate) fn begin_life(&self, incarnation: Incarnation) {
+        self.machine.lock().begin_life(incarnation);
     }
 
-    pub(crate) fn set_limits(&self, force: &ForceConfig) {
-        let mut teams = self.teams.lock();
-        teams.retain(|team, _| force.manifest.teams.contains_key(team));
-        for (team, spec) in &force.manifest.teams {
-            let status = teams.entry(team.clone()).or_default();
-            status.team = team.clone();
-            status.share = spec.share;
-            status.limit = spec.limit;
-        }
-        drop(teams);
-        self.split();
+    pub(crate) fn set_members(&self, list: &MemberList, now: BootTime) {
+        self.machine.lock().set_members(list, now);
+    }
+
+    pub(crate) fn set_limits(&self, revision: Revision, limits: &BTreeMap<TeamId, TeamLimit>) {
+        self.machine.lock().set_limits(revision, limits);
+        self.wake();
     }
 
     pub(crate) fn try_take(&self, team: &TeamId) -> Option<QuotaPermit> {
-        let mut teams = self.teams.lock();
-        let status = teams.get_mut(team)?;
-        if status.running >= status.granted {
+        if !self.machine.lock().try_take(team) {
+            self.wake();
             return None;
         }
-        status.running += 1;
-        let (teams, team) = (self.teams.clone(), team.clone());
-        Some(QuotaPermit::new(move || {
-            if let Some(status) = teams.lock().get_mut(&team) {
-                status.running = status.running.saturating_sub(1);
-            }
-        }))
+        let (machine, team) = (self.machine.clone(), team.clone());
+        Some(QuotaPermit::new(move || machine.lock().give_back(&team)))
     }
 
-    pub(crate) fn note_waiting(&self, _team: &TeamId, _waiting: u32) {}
+    pub(crate) fn note_waiting(&self, team: &TeamId, waiting: u32) {
+        self.machine.lock().note_waiting(team, waiting);
+        if waiting > 0 {
+            self.wake();
+        }
+    }
 
-    pub(crate) fn status(&self) -> Vec<TeamStatus> {
-        self.teams.lock().values().cloned().collect()
+    /// What operators see of the teams of `force`.
+    pub(crate) fn status(&self, force: &ForceConfig) -> Vec<TeamStatus> {
+        let machine = self.machine.lock();
+        let teams = force.manifest.teams.iter().map(|(team, spec)| {
+            let (running, granted) = machine.usage(team);
+            TeamStatus {
+                team: team.clone(),
+                share: spec.share,
+                limit: spec.limit,
+                granted,
+                running,
+            }
+        });
+        teams.collect()
     }
 
-    fn split(&self) {
-        let members = u32::try_from(*self.members.lock()).unwrap_or(u32::MAX);
-        for status in self.teams.lock().values_mut() {
-            status.granted = status.limit.checked_div(members).unwrap_or_default();
-        }
+    /// Wakes whoever waits at [`QuotaBook::wakes`].
+    pub(crate) fn wake(&self) {
+        let _ = self.wake.0.try_send(());
+    }
+
+    pub(crate) fn wakes(&self) -> Receiver<()> {
+        self.wake.1.clone()
     }
 }
--- /dev/null
+++ b/crates/member/src/quota_duty.rs
@@ -0,0 +1,136 @@
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crossbeam_channel::{Receiver, Sender, select, tick};
+use decide::quota::{QuotaAction, WriteOutcome};
+use model::MemberId;
+use ports::{InboundMessage, PeerLink};
+use wire::peer::{QuotaTalk, envelope::Body};
+
+use crate::{quota_store_duty::QuotaCall, shared_state::SharedState};
+
+/// Distance of the rounds in which units are moved.
+const ROUND: Duration = Duration::from_millis(25);
+
+/// Rounds out of turn keep this distance, so that each refused start does not cost one.
+const WAKE_DISTANCE: Duration = Duration::from_millis(4);
+
+/// Moves units of team limits: talks with the other hosts and has the records written.
+pub(crate) struct QuotaDuty {
+    shared: Arc<SharedState>,
+    talks: Receiver<InboundMessage>,
+    calls: Sender<QuotaCall>,
+    ticked_at: Instant,
+}
+
+impl QuotaDuty {
+    pub(crate) fn new(
+        shared: Arc<SharedState>,
+        talks: Receiver<InboundMessage>,
+        calls: Sender<QuotaCall>,
+    ) -> Self {
+        Self {
+            shared,
+            talks,
+            calls,
+            ticked_at: Instant::now(),
+        }
+    }
+
+    /// Runs until the service stops.
+    pub(crate) fn run(mut self) {
+        let rounds = tick(ROUND);
+        let wakes = self.shared.quota.wakes();
+        while !self.shared.is_stopping() {
+            select! {
+                recv(rounds) -> _ => self.tick(),
+                recv(wakes) -> _ => {
+                    std::thread::sleep(WAKE_DISTANCE.saturating_sub(self.ticked_at.elapsed()));
+                    self.tick();
+                },
+                recv(self.talks) -> message => if let Ok(message) = message {
+                    self.hear(&message);
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.ticked_at = Instant::now();
+        let now = self.shared.now();
+        let actions = self.shared.quota.machine().lock().tick(now);
+        self.perform(actions);
+    }
+
+    fn hear(&self, message: &InboundMessage) {
+        let Body::QuotaTalk(talk) = &message.body else {
+            return;
+        };
+        let now = self.shared.now();
+        let mut machine = self.shared.quota.machine().lock();
+        for note in &talk.notes {
+            machine.hear_note(note, now);
+        }
+        for release in &talk.releases {
+            machine.hear_release(&message.from, message.incarnation, release);
+        }
+        let asks = talk.asks.iter();
+        let mut actions: Vec<QuotaAction> = asks
+            .flat_map(|ask| machine.hear_ask(&message.from, ask, now))
+            .collect();
+        actions.extend(machine.tick(now));
+        drop(machine);
+        self.perform(actions);
+    }
+
+    fn perform(&self, actions: Vec<QuotaAction>) {
+        let mut talks = BTreeMap::new();
+        for action in actions {
+            if let Some(call) = sort_action(action, &mut talks) {
+                self.call_store(call);
+            }
+        }
+        send_talks(&self.shared, talks);
+    }
+
+    /// Hands a call to the duty that talks to the store. While that is stuck in a slow store
+    /// and its queue is full, the call counts as not done, which it is.
+    fn call_store(&self, call: QuotaCall) {
+        let Err(refused) = self.calls.try_send(call) else {
+            return;
+        };
+        if let QuotaCall::Write(write) = refused.into_inner() {
+            let now = self.shared.now();
+            let mut machine = self.shared.quota.machine().lock();
+            machine.end_write(&write.team, WriteOutcome::NotDone, now);
+        }
+    }
+}
+
+/// Sorts messages by their receiver; a call of the store is returned.
+pub(crate) fn sort_action(
+    action: QuotaAction,
+    talks: &mut BTreeMap<MemberId, QuotaTalk>,
+) -> Option<QuotaCall> {
+    match action {
+        QuotaAction::Read(team) => return Some(QuotaCall::Read(team)),
+        QuotaAction::Write(write) => return Some(QuotaCall::Write(write)),
+        QuotaAction::Ask(to, ask) => talks.entry(to).or_default().asks.push(ask),
+        QuotaAction::Release(to, release) => {
+            talks.entry(to).or_default().releases.push(release);
+        }
+        QuotaAction::Note(to, note) => talks.entry(to).or_default().notes.push(note),
+    }
+    None
+}
+
+/// Sends one message to each receiver. A lost one costs time: questions are repeated, and
+/// units put aside in vain are fenced off by the next write.
+pub(crate) fn send_talks(shared: &SharedState, talks: BTreeMap<MemberId, QuotaTalk>) {
+    for (to, talk) in talks {
+        let _ = shared.options.node.send(&to, Body::QuotaTalk(talk));
+    }
+}
--- a/crates/member/src/shared_state.rs
+++ b/crates/member/src/shared_state.rs
@@ -15,7 +15,7 @@
 use model::{BootTime, Incarnation, MemberId, event as log_event};
 use parking_lot::Mutex;
 use platform::{KeyStore, StoreError};
-use ports::{MemberInfo, NotServing};
+use ports::{AuditNote, MemberInfo, NotServing};
 use wire::state::{ConfigRecord, Member};
 
 use crate::{MemberOptions, config_holder::ConfigHolder, event, quota_book::QuotaBook};
@@ -45,7 +45,7 @@
         let incarnation = options.node.incarnation();
         Self {
             lease: Mutex::new(LeaseMachine::new(lease_options, own.clone(), incarnation)),
-            quota: QuotaBook::new(own.clone()),
+            quota: QuotaBook::new(&options.settings, own.clone(), incarnation),
             own,
             options,
             acks: Mutex::default(),
@@ -137,7 +137,8 @@
     pub(crate) fn publish_config(&self) {
         let force = self.holder.force();
         self.lease.lock().set_config(force.revision, force.hash);
-        self.quota.set_limits(&force);
+        let (revision, limits) = self.holder.limits();
+        self.quota.set_limits(revision, &limits);
         self.wake_beats();
     }
 
@@ -162,7 +163,7 @@
         );
         self.acks.lock().forget_unlisted(list);
         self.link_peers(list);
-        self.quota.set_members(list);
+        self.quota.set_members(list, self.now());
         self.publish_members();
         self.wake_beats();
     }
@@ -196,6 +197,13 @@
         }
     }
 
+    /// Notes something for the audit trail.
+    pub(crate) fn audit(&self, note: AuditNote) {
+        if let Some(sink) = &self.options.audit {
+            sink.record(note);
+        }
+    }
+
     /// This host as the member list should name it.
     pub(crate) fn own_member(&self) -> Member {
         Member {
--- a/crates/member/src/store_key.rs
+++ b/crates/member/src/store_key.rs
@@ -1,6 +1,6 @@
 //! Names of the keys that this crate keeps in the store, and how their values are read.
 
-use model::{Revision, StepError, event as log_event};
+use model::{Revision, StepError, TeamId, event as log_event};
 use platform::{KeyStore, StoreError, StoreVersion};
 use prost::Message;
 
@@ -19,6 +19,11 @@
     format!("{CONFIG_BASES}{revision:020}-{suffix}")
 }
 
+/// The key of a team's quota record.
+pub(crate) fn quota_key(team: &TeamId) -> String {
+    format!("quota/{team}")
+}
+
 /// Reads a record; an absent key is an empty record at version 0.
 pub(crate) fn read_record<M: Message + Default>(
     store: &dyn KeyStore,
--- a/crates/peer/src/body_kind.rs
+++ b/crates/peer/src/body_kind.rs
@@ -15,17 +15,20 @@
     ClaimReply,
     /// Changes of the configuration, or a request for them.
     ChangeTail,
+    /// Units of team limits on the move.
+    QuotaTalk,
 }
 
 impl BodyKind {
     /// All kinds, in the order of [`BodyKind::index`].
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Beat,
         Self::SlotDemand,
         Self::SlotGrant,
         Self::ClaimRequest,
         Self::ClaimReply,
         Self::ChangeTail,
+        Self::QuotaTalk,
     ];
 
     /// The kind of a body.
@@ -38,6 +41,7 @@
             Body::ClaimRequest(_) => Self::ClaimRequest,
             Body::ClaimReply(_) => Self::ClaimReply,
             Body::ChangeTail(_) => Self::ChangeTail,
+            Body::QuotaTalk(_) => Self::QuotaTalk,
         }
     }
 
