--- a/crates/model/src/manifest_text.rs
+++ b/crates/model/src/manifest_text.rs
@@ -143,13 +143,17 @@
         Ok(texts)
     }
 
-    /// Reads and checks a whole manifest from its sections.
+    /// Reads and checks a whole manifest from its sections. No sections at all make an
+    /// empty manifest: a deployment that was given none yet.
     ///
     /// # Errors
     /// The first fault: an unknown key, a value out of range, a reference to nothing, or
     /// a budget that can't be met.
     pub fn from_sections(sections: &SectionTexts) -> Result<Self, ManifestError> {
         let mut manifest = Self::default();
+        if sections.is_empty() {
+            return Ok(manifest);
+        }
         for (name, text) in sections {
             let read = read_sections(&format!("[{name}]\n{text}"))
                 .map_err(|fault| TextFault { line: 0, ..fault })?;
@@ -167,6 +171,13 @@
     /// As for [`Manifest::split`] and [`Manifest::from_sections`].
     pub fn from_ini(text: &str) -> Result<(SectionTexts, Self), ManifestError> {
         let texts = Self::split(text)?;
+        if texts.is_empty() {
+            return Err(TextFault {
+                section: "deployment".to_owned(),
+                reason: "the section is required".to_owned(),
+                ..TextFault::default()
+            });
+        }
         let manifest = Self::from_sections(&texts).map_err(|fault| locate(text, fault))?;
         Ok((texts, manifest))
     }
--- a/crates/model/tests/manifest.rs
+++ b/crates/model/tests/manifest.rs
@@ -46,6 +46,14 @@
     );
 }
 
+#[test]
+fn from_sections_none() {
+    // A fresh deployment has no manifest, and operators grant their first key in it.
+    let manifest = Manifest::from_sections(&model::SectionTexts::new());
+    assert_eq!(manifest, Ok(Manifest::default()));
+    assert!(Manifest::from_ini("; nothing\n").is_err());
+}
+
 #[test]
 fn text_of_round_trip() {
     let sections = Manifest::split(MANIFEST).expect("valid text");
