Give the load tool's latencies room to be recorded

Cause: every latency in a report read 0.0 ms. The histogram was made without bounds, and saturating_record clamps to the two microseconds it begins with instead of growing. Change: the histogram reaches an hour from the start.

--- a/crates/load/src/load_report.rs
+++ b/crates/load/src/load_report.rs
@@ -9,6 +9,10 @@
     stream_plan::StreamPlan,
 };
 
+/// Longest latency that is told apart, in microseconds. A recorder without a bound starts
+/// with room for a few microseconds, and saturating records never make it grow.
+const LONGEST_MICROS: u64 = 3_600_000_000;
+
 /// What one run of the load showed.
 #[derive(Debug, Serialize)]
 pub struct LoadReport {
@@ -202,7 +206,7 @@
         let latency = outcome.ended.saturating_sub(outcome.planned.due);
         let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
         if self.histogram.is_none() {
-            self.histogram = Histogram::new(3).ok();
+            self.histogram = Histogram::new_with_bounds(1, LONGEST_MICROS, 3).ok();
         }
         if let Some(histogram) = &mut self.histogram {
             histogram.saturating_record(micros);
