--- a/crates/lacewingshore/src/command/demo/load_result.rs
+++ b/crates/lacewingshore/src/command/demo/load_result.rs
@@ -4,6 +4,7 @@
 };
 
 use anyhow::Context;
+use decide::share::{ShareClaim, fair_split};
 use serde::Deserialize;
 
 use crate::{command::read_text, exit::CommandError, table::TextTable};
@@ -75,7 +76,7 @@
             "TEAM", "SENT", "FINISHED", "REFUSED", "LOST", "WRONG", "P50 MS", "P99 MS", "URGENT99",
             "SHARE", "DUE",
         ]);
-        for stream in &self.streams {
+        for (stream, due) in self.streams.iter().zip(self.due()) {
             let refused: u64 = stream.refused.values().sum();
             table.add(vec![
                 stream.team.clone(),
@@ -88,7 +89,7 @@
                 format!("{:.1}", stream.p99_ms),
                 format!("{:.1}", stream.urgent_p99_ms),
                 format!("{:.1}%", stream.share_got * 100.0),
-                format!("{:.1}%", stream.share_due * 100.0),
+                format!("{:.1}%", due * 100.0),
             ]);
         }
         table.print();
@@ -120,6 +121,23 @@
             .collect()
     }
 
+    /// The part of all finished requests that is due to each team by weight, no team being
+    /// due more than it asked for.
+    fn due(&self) -> Vec<f64> {
+        let finished: u64 = self.streams.iter().map(|stream| stream.answered).sum();
+        let claims: Vec<ShareClaim> = self
+            .streams
+            .iter()
+            .map(|stream| ShareClaim {
+                demand: stream.sent as f64,
+                weight: stream.share_due,
+            })
+            .collect();
+        let parts = fair_split(finished as f64, &claims);
+        let whole = finished.max(1) as f64;
+        parts.into_iter().map(|part| part / whole).collect()
+    }
+
     fn count_runs(&mut self, targets: &str) -> Result<(), CommandError> {
         let mut counts: HashMap<String, usize> = HashMap::new();
         for url in targets
