Give each load stream threads of its own

Cause: one queue for all streams let a slow team hold back the others, so that a saturated pool looked evenly shared (50.2 % against 66.7 % due), and a histogram that did not grow showed latencies as zero. Change: a queue and threads for each stream; the histogram resizes.

--- a/crates/load/src/load_args.rs
+++ b/crates/load/src/load_args.rs
@@ -34,7 +34,7 @@
     /// deadline of each request in milliseconds (default 10000)
     #[argh(option, default = "10_000")]
     pub deadline_ms: u64,
-    /// most requests in flight at once (default 256)
+    /// most requests of one stream in flight at once (default 256); beyond it they wait here
     #[argh(option, default = "256")]
     pub threads: usize,
     /// seed of the arrivals (default 1)
--- a/crates/load/src/load_report.rs
+++ b/crates/load/src/load_report.rs
@@ -205,7 +205,8 @@
             self.histogram = Histogram::new(3).ok();
         }
         if let Some(histogram) = &mut self.histogram {
-            histogram.saturating_record(micros);
+            // An auto-resizing histogram takes any value that fits in memory.
+            let _ = histogram.record(micros);
         }
     }
 
--- a/crates/load/src/load_run.rs
+++ b/crates/load/src/load_run.rs
@@ -80,24 +80,29 @@
     ensure!(0 < args.threads, "--threads must be above 0");
     let sender = Arc::new(Sender::new(args, streams, urls, direct));
     let plan = plan_requests(args, streams);
-    let (queue, work) = bounded(plan.len().max(1));
     let outcomes = Arc::new(Mutex::new(Vec::with_capacity(plan.len())));
     let start = Instant::now();
     let mut threads = Vec::new();
-    for _ in 0..args.threads.min(plan.len()) {
-        let sender = Arc::clone(&sender);
-        let work = work.clone();
-        let outcomes = Arc::clone(&outcomes);
-        let duty = move || send_all(&sender, &work, start, &outcomes);
-        threads.push(thread::Builder::new().stack_size(STACK_BYTES).spawn(duty)?);
+    let mut queues = Vec::new();
+    // Threads of its own for each stream: a team that waits long must not hold back another.
+    for _ in streams {
+        let (queue, work) = bounded(plan.len().max(1));
+        queues.push(queue);
+        for _ in 0..args.threads.min(plan.len()) {
+            let sender = Arc::clone(&sender);
+            let work = work.clone();
+            let outcomes = Arc::clone(&outcomes);
+            let duty = move || send_all(&sender, &work, start, &outcomes);
+            threads.push(thread::Builder::new().stack_size(STACK_BYTES).spawn(duty)?);
+        }
     }
     for (number, planned) in plan.into_iter().enumerate() {
         thread::sleep(planned.due.saturating_sub(start.elapsed()));
-        if queue.send((number, planned)).is_err() {
+        if queues[planned.stream].send((number, planned)).is_err() {
             break;
         }
     }
-    drop(queue);
+    drop(queues);
     for thread in threads {
         let _ = thread.join();
     }
