--- /dev/null
+++ b/crates/entry/src/admission/demand_meter.rs
@@ -0,0 +1,134 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{BootTime, TeamId};
+use ports::TeamDemand;
+
+use super::pool_queue::PoolQueue;
+
+/// Shortest time between two reports of a pool whose demand changes.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two reports of a pool whose demand stays.
+const STEADY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Measures what each team uses of one pool here, and says when to report it.
+#[derive(Default)]
+pub(crate) struct DemandMeter {
+    teams: BTreeMap<TeamId, TeamMeter>,
+    changed: bool,
+    reported: BootTime,
+}
+
+#[derive(Default)]
+struct TeamMeter {
+    running: u32,
+    /// Slot time used since the team was first seen.
+    total: Duration,
+    /// What of `total` the reports have told.
+    reported: Duration,
+    /// What of `total` the lease now held has counted in.
+    counted: Duration,
+    since: BootTime,
+}
+
+impl DemandMeter {
+    /// Slots that `team` holds here.
+    pub fn running(&self, team: &TeamId) -> u32 {
+        self.teams.get(team).map_or(0, |meter| meter.running)
+    }
+
+    /// Slots held here.
+    pub fn total_running(&self) -> u32 {
+        self.teams.values().map(|meter| meter.running).sum()
+    }
+
+    /// Slot time of `team` that the lease now held has not counted in, with the time that
+    /// what runs is still expected to take.
+    ///
+    /// Charging what runs ahead keeps one team from taking every slot that is free at the
+    /// same moment.
+    pub fn uncounted(&self, team: &TeamId, service: Duration, now: BootTime) -> Duration {
+        let Some(meter) = self.teams.get(team) else {
+            return Duration::ZERO;
+        };
+        let running = now.saturating_sub(meter.since) + service;
+        meter.total.saturating_sub(meter.counted) + running * meter.running
+    }
+
+    /// Notes that a lease arrived, which counts in what was reported before.
+    pub fn note_lease(&mut self) {
+        for meter in self.teams.values_mut() {
+            meter.counted = meter.reported;
+        }
+    }
+
+    /// Notes that something was queued or left the queue.
+    pub fn note_queue(&mut self) {
+        self.changed = true;
+    }
+
+    /// Notes that `team` took a slot.
+    pub fn note_start(&mut self, team: &TeamId, now: BootTime) {
+        let meter = self.teams.entry(team.clone()).or_default();
+        meter.advance(now);
+        meter.running += 1;
+        self.changed = true;
+    }
+
+    /// Notes that `team` gave a slot back.
+    pub fn note_end(&mut self, team: &TeamId, now: BootTime) {
+        let meter = self.teams.entry(team.clone()).or_default();
+        meter.advance(now);
+        meter.running = meter.running.saturating_sub(1);
+        self.changed = true;
+    }
+
+    /// The demand by team, if it is time to report it.
+    pub fn due_report(&mut self, queue: &PoolQueue, now: BootTime) -> Option<Vec<TeamDemand>> {
+        let since = now.saturating_sub(self.reported);
+        let busy = self.total_running() > 0 || !queue.is_empty();
+        let due = (self.changed && since >= CHANGE_INTERVAL) || (busy && since >= STEADY_INTERVAL);
+        if !due {
+            return None;
+        }
+        self.changed = false;
+        self.reported = now;
+        Some(self.measure(queue, now))
+    }
+
+    fn measure(&mut self, queue: &PoolQueue, now: BootTime) -> Vec<TeamDemand> {
+        for team in queue.waiting_teams() {
+            self.teams.entry(team.clone()).or_default();
+        }
+        let mut demands = Vec::new();
+        for (team, meter) in &mut self.teams {
+            meter.advance(now);
+            let (queued, urgent) = queue.team_len(team);
+            demands.push(TeamDemand {
+                team: team.clone(),
+                running: meter.running,
+                queued: u32::try_from(queued).unwrap_or(u32::MAX),
+                urgent: u32::try_from(urgent).unwrap_or(u32::MAX),
+                used_ms: meter.take_used(),
+            });
+        }
+        self.teams
+            .retain(|team, meter| meter.running > 0 || queue.team_len(team).0 > 0);
+        demands.retain(|team| team.running > 0 || team.queued > 0 || team.used_ms > 0);
+        demands
+    }
+}
+
+impl TeamMeter {
+    fn advance(&mut self, now: BootTime) {
+        self.total += now.saturating_sub(self.since) * self.running;
+        self.since = now;
+    }
+
+    fn take_used(&mut self) -> u64 {
+        let used = self.total.saturating_sub(self.reported);
+        let whole = u64::try_from(used.as_millis()).unwrap_or(u64::MAX);
+        // The rest below a millisecond stays for the next report.
+        self.reported += Duration::from_millis(whole);
+        whole
+    }
+}
--- a/crates/lacewingshore/src/main.rs
+++ b/crates/lacewingshore/src/main.rs
@@ -1,3 +1,43 @@
-//! Placeholder of the lacewingshore program.
+//! The lacewingshore program: one binary for entry hosts and for operators.
+//!
+//! Start with [`args`], the commands. `serve` runs an entry host and is wired in
+//! [`serve`]; every other command is a client of the administration interface, or works
+//! offline. Exit codes are in [`exit`] and in `docs/GETTING-STARTED.md`.
 
-fn main() {}
+mod args;
+mod catalogue;
+mod client;
+mod command;
+mod exit;
+mod log_setup;
+mod serve;
+mod table;
+
+use std::process::ExitCode;
+
+use args::{Arguments, Command};
+use exit::CommandError;
+
+fn main() -> ExitCode {
+    let arguments = match Arguments::from_process() {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    let Err(error) = run(&arguments) else {
+        return ExitCode::SUCCESS;
+    };
+    error.report();
+    error.exit_code()
+}
+
+fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    match &arguments.command {
+        Command::Serve(serve) => command::serve::run(serve),
+        Command::Manifest(manifest) => command::manifest::run(arguments, &manifest.command),
+        Command::Key(key) => command::key::run(arguments, &key.command),
+        Command::Status(status) => command::status::run(arguments, status),
+        Command::Audit(audit) => command::audit::run(arguments, audit),
+        Command::Events(events) => command::events::run(events),
+        Command::Demo(demo) => command::demo::run(arguments, demo),
+    }
+}
