--- a/crates/fleet/tests/common/fake_fleet.rs
+++ b/crates/fleet/tests/common/fake_fleet.rs
@@ -12,7 +12,10 @@
 use model::{HostId, HostRole, Incarnation, Manifest, MemberId, StepError, TeamId};
 use parking_lot::Mutex;
 use platform::{HostEntry, HostList, HostListError};
-use ports::{ConfigSource, ForceConfig, MemberInfo, MemberSource, QuotaPermit, QuotaSource};
+use ports::{
+    AuditNote, AuditSink, ConfigSource, ForceConfig, MemberInfo, MemberSource, QuotaPermit,
+    QuotaSource,
+};
 
 /// Waits for `condition`; the test fails if it never holds.
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
@@ -205,6 +208,16 @@
     }
 }
 
+/// Keeps the notes that the audit trail would get.
+#[derive(Default)]
+pub struct NoteBook(pub Mutex<Vec<AuditNote>>);
+
+impl AuditSink for NoteBook {
+    fn record(&self, note: AuditNote) {
+        self.0.lock().push(note);
+    }
+}
+
 /// Hands out as many units as asked for.
 pub struct FreeQuota;
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -2,7 +2,9 @@
 #![allow(dead_code, clippy::expect_used)]
 
 mod fake_fleet;
+mod fleet_scene;
 mod memory_store;
 
-pub use fake_fleet::{FakeFleet, FixedConfig, FixedMembers, FreeQuota, wait_for};
+pub use fake_fleet::{FakeFleet, FixedConfig, FixedMembers, FreeQuota, NoteBook, wait_for};
+pub use fleet_scene::{FleetScene, eight_hosts, serving_hosts, short_limits, window_manifest};
 pub use memory_store::MemoryStore;
--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -4,181 +4,194 @@
 
 mod common;
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::atomic::Ordering, time::Duration};
 
-use common::{FakeFleet, FixedConfig, FixedMembers, FreeQuota, MemoryStore, wait_for};
-use decide::{
-    budget::{FleetMap, HostPhase},
-    wave::FleetLimits,
-};
-use fleet::{FleetOptions, FleetService, FleetTiming};
-use model::{HostRole, Manifest, PoolSpec, ServiceSpec, WindowSpec};
-use platform::BootClock;
-use ports::{StatusSource, TargetSource, TargetState};
-use prost::Message;
-use wire::fleet::FleetRecord;
+use common::{FleetScene, eight_hosts, serving_hosts, short_limits, wait_for, window_manifest};
+use decide::budget::HostPhase;
+use ports::StatusSource;
 
-const DAY: Duration = Duration::from_secs(24 * 3600);
-
-fn manifest(window: &str) -> Manifest {
-    let mut manifest = Manifest::default();
-    let pool = PoolSpec {
-        size: 8,
-        budget: 5,
-        window: window.to_owned(),
-        ..PoolSpec::default()
-    };
-    manifest.pools.insert("quotes".into(), pool);
-    let service = ServiceSpec {
-        pool: "quotes".into(),
-        ..ServiceSpec::default()
-    };
-    manifest.services.insert("quote".into(), service);
-    let window = WindowSpec {
-        start: Duration::ZERO,
-        length: DAY,
-        every: Duration::from_millis(1),
-        at_once: 2,
-    };
-    manifest.windows.insert("always".to_owned(), window);
-    manifest
+#[test]
+fn join_hosts_become_targets() {
+    let scene = FleetScene::start(window_manifest(""), eight_hosts());
+    wait_for("eight targets", || scene.serving() == 8);
+    assert_eq!(scene.services.lock()[0].hosts().len(), 8);
 }
 
-fn timing() -> FleetTiming {
-    FleetTiming {
-        list_interval: Duration::from_millis(50),
-        watch_patience: Duration::from_millis(500),
-        round_interval: Duration::from_millis(20),
-        takeover: Duration::from_millis(50),
-        ..FleetTiming::default()
+#[test]
+fn wave_reboots_every_host_within_budget() {
+    // Operators open a window; each host is rebooted while callers keep getting answers.
+    // Hosts run work when they are told to drain, and a reboot before that ended would
+    // cut it off.
+    let scene = FleetScene::start(window_manifest(""), eight_hosts());
+    wait_for("eight targets", || scene.serving() == 8);
+    for host in scene.fleet.hosts.lock().values_mut() {
+        host.running = 2;
     }
+    scene.open_window();
+    wait_for("all rebooted", || {
+        scene.finish_work();
+        scene.all_rebooted()
+    });
+    assert!(scene.nothing_cut());
+    scene.assert_budget(5);
 }
 
-fn limits() -> FleetLimits {
-    FleetLimits {
-        settle: Duration::from_millis(200),
-        ..FleetLimits::default()
+#[test]
+fn wave_two_planners_cut_nothing() {
+    // Two entry hosts lose sight of each other, and both plan the same pool. If both took
+    // a host out, or one rebooted what the other had brought back, callers would see
+    // refused or lost work.
+    let scene = FleetScene::start(window_manifest(""), eight_hosts());
+    scene.add_member("e2");
+    wait_for("eight targets", || scene.serving() == 8);
+    for host in scene.fleet.hosts.lock().values_mut() {
+        host.running = 2;
     }
+    scene.open_window();
+    wait_for("all rebooted", || {
+        scene.finish_work();
+        scene.all_rebooted()
+    });
+    assert!(scene.nothing_cut());
+    scene.assert_budget(5);
 }
 
-struct Scene {
-    store: Arc<MemoryStore>,
-    fleet: Arc<FakeFleet>,
-    config: Arc<FixedConfig>,
-    service: Arc<FleetService>,
+#[test]
+fn wave_lost_answers_are_audited_once() {
+    // The store applies writes whose answers are lost. The planner must find out what
+    // took effect, go on from there, and miss nothing in the audit trail.
+    let scene = FleetScene::start(window_manifest(""), eight_hosts());
+    wait_for("eight targets", || scene.serving() == 8);
+    scene.store.lose_answers.store(6, Ordering::SeqCst);
+    scene.open_window();
+    wait_for("all rebooted", || scene.all_rebooted());
+    scene.set_window("");
+    wait_for("eight targets again", || scene.serving() == 8);
+    scene.assert_budget(5);
+    assert_eq!(scene.store.lose_answers.load(Ordering::SeqCst), 0);
+    wait_for("all changes noted", || {
+        let notes = scene.notes.0.lock();
+        let noted: BTreeSet<u64> = notes.iter().map(|note| note.revision_after).collect();
+        // The first changes joined the hosts, before the planner had read the map.
+        noted.len() as u64 >= scene.map().revision - 1
+    });
+    let notes = scene.notes.0.lock();
+    let ids: BTreeSet<&str> = notes.iter().map(|note| note.change_id.as_str()).collect();
+    assert_eq!(ids.len(), notes.len(), "a change was noted twice");
 }
 
-impl Scene {
-    fn start(manifest: Manifest, fleet: FakeFleet) -> Self {
-        Self::with_limits(manifest, fleet, limits())
-    }
-
-    fn with_limits(manifest: Manifest, fleet: FakeFleet, limits: FleetLimits) -> Self {
-        let store = Arc::new(MemoryStore::default());
-        let fleet = Arc::new(fleet);
-        let config = FixedConfig::new(manifest);
-        let service = start_member(&store, &fleet, &config, limits);
-        Self {
-            store,
-            fleet,
-            config,
-            service,
-        }
-    }
-
-    fn serving(&self) -> usize {
-        let targets = self.service.service_targets(&"quote".into());
-        let serving = targets.iter().filter(|t| t.state == TargetState::Serving);
-        serving.count()
-    }
-
-    /// Every map that the store ever held.
-    fn maps(&self) -> Vec<FleetMap> {
-        let mut map = FleetMap::default();
-        let heads = self.store.history("fleet/0");
-        let heads = heads.iter().filter(|(key, _)| key == "fleet/0");
-        heads
-            .map(|(_, value)| {
-                let head = FleetRecord::decode(value.as_slice()).expect("a record");
-                map.catch_up(&head).expect("no gap in the history");
-                map.clone()
-            })
-            .collect()
+#[test]
+fn wave_store_down_grants_nothing_and_finishes() {
+    // The store goes down in the middle of a wave. Whoever drains goes on draining, no
+    // other host goes out, and when the store is back the wave goes on.
+    let scene = FleetScene::start(window_manifest(""), eight_hosts());
+    wait_for("eight targets", || scene.serving() == 8);
+    for host in scene.fleet.hosts.lock().values_mut() {
+        host.running = 1;
     }
-}
-
-fn start_member(
-    store: &Arc<MemoryStore>,
-    fleet: &Arc<FakeFleet>,
-    config: &Arc<FixedConfig>,
-    limits: FleetLimits,
-) -> Arc<FleetService> {
-    let options = FleetOptions::new(
-        store.clone(),
-        fleet.clone(),
-        config.clone(),
-        FixedMembers::alone("e1"),
-        Arc::new(BootClock),
-        Arc::new(FreeQuota),
-    )
-    .with_port(fleet.clone())
-    .with_timing(timing())
-    .with_limits(limits);
-    FleetService::start(options).expect("threads start")
-}
-
-fn eight_hosts() -> FakeFleet {
-    let fleet = FakeFleet {
-        reboot_time: Duration::from_millis(50),
-        ..FakeFleet::default()
+    scene.open_window();
+    let draining = || {
+        let hosts = scene.fleet.hosts.lock();
+        hosts.values().filter(|host| host.draining).count()
     };
-    fleet.add("q", HostRole::Executor, "quote", 8);
-    fleet
+    wait_for("two hosts drain", || draining() == 2);
+    scene.store.down.store(true, Ordering::SeqCst);
+    scene.finish_work();
+    let revision = scene.map().revision;
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(scene.map().revision, revision);
+    assert!(draining() <= 2);
+    assert_eq!(scene.serving(), 6);
+    scene.store.down.store(false, Ordering::SeqCst);
+    wait_for("all rebooted", || {
+        scene.finish_work();
+        scene.all_rebooted()
+    });
+    assert!(scene.nothing_cut());
+    scene.assert_budget(5);
 }
 
 #[test]
-fn join_hosts_become_targets() {
-    let scene = Scene::start(manifest(""), eight_hosts());
+fn wave_stops_when_host_stays_away() {
+    // A reboot leaves a host dead. The rest of its pool must stay in service: whatever
+    // broke the first host may break the next.
+    let mut limits = short_limits();
+    limits.return_limit = Duration::from_secs(3);
+    let scene = FleetScene::with_limits(window_manifest(""), eight_hosts(), limits);
     wait_for("eight targets", || scene.serving() == 8);
-    assert_eq!(scene.service.hosts().len(), 8);
+    for host in scene.fleet.hosts.lock().values_mut() {
+        host.never_returns = true;
+    }
+    scene.open_window();
+    wait_for("two hosts given up", || {
+        let map = scene.map();
+        map.hosts
+            .values()
+            .filter(|host| host.failed_return())
+            .count()
+            == 2
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    let rebooted: u32 = scene
+        .fleet
+        .hosts
+        .lock()
+        .values()
+        .map(|host| host.reboots)
+        .sum();
+    assert_eq!(rebooted, 2, "the pool lets two out at once");
+    assert_eq!(serving_hosts(&scene.map()), 6);
 }
 
 #[test]
-fn wave_every_host_reboots_once_within_budget() {
-    // Operators open a window; each host is rebooted while callers keep getting answers.
-    // Hosts run work when they are told to drain, and a reboot before that ended would
-    // cut it off.
-    let scene = Scene::start(manifest(""), eight_hosts());
+fn wave_closed_window_returns_draining_hosts() {
+    // An operator takes the window away while hosts drain. They go back to work; none is
+    // rebooted afterwards.
+    let scene = FleetScene::start(window_manifest(""), eight_hosts());
     wait_for("eight targets", || scene.serving() == 8);
     for host in scene.fleet.hosts.lock().values_mut() {
-        host.running = 2;
+        host.running = 1;
     }
-    scene.config.change(|manifest| {
-        let pool = manifest.pools.get_mut("quotes").expect("pool");
-        pool.window = "always".to_owned();
+    scene.open_window();
+    wait_for("two hosts drain", || {
+        let hosts = scene.fleet.hosts.lock();
+        hosts.values().filter(|host| host.draining).count() == 2
     });
-    let all_rebooted = || {
-        let mut hosts = scene.fleet.hosts.lock();
-        for host in hosts.values_mut().filter(|host| host.draining) {
-            host.running = host.running.saturating_sub(1);
-        }
-        hosts.values().all(|host| host.reboots > 0)
-    };
-    wait_for("all rebooted", all_rebooted);
-    assert!(scene.fleet.hosts.lock().values().all(|host| host.cut == 0));
-    for map in scene.maps().iter().skip_while(|map| count(map) < 8) {
-        assert!(count(map) >= 5, "revision {} below budget", map.revision);
-    }
+    scene.set_window("");
+    wait_for("eight targets again", || scene.serving() == 8);
+    let hosts = scene.fleet.hosts.lock();
+    assert!(
+        hosts
+            .values()
+            .all(|host| host.reboots == 0 && !host.draining)
+    );
+}
+
+#[test]
+fn wave_goes_on_with_next_planner() {
+    // The entry host that plans is replaced between writing that a host is to be rebooted
+    // and the end of its return. The next one has only the map and the hosts to go by.
+    let scene = FleetScene::start(window_manifest(""), eight_hosts());
+    wait_for("eight targets", || scene.serving() == 8);
+    scene.open_window();
+    wait_for("a host is to be rebooted", || {
+        let map = scene.map();
+        map.hosts
+            .values()
+            .any(|host| host.phase == HostPhase::Rebooting)
+    });
+    scene.stop_first();
+    scene.add_member("e2");
+    wait_for("all rebooted", || scene.all_rebooted());
+    assert!(scene.nothing_cut());
+    scene.assert_budget(5);
 }
 
 #[test]
 fn leaving_host_gets_no_new_work() {
     // The platform takes a host away. Its callers must not see it as a target any more,
     // even if the store is down and nothing can be written about it.
-    let scene = Scene::start(manifest(""), eight_hosts());
+    let scene = FleetScene::start(window_manifest(""), eight_hosts());
     wait_for("eight targets", || scene.serving() == 8);
     scene.store.down.store(true, Ordering::SeqCst);
     scene
@@ -186,10 +199,3 @@
         .with_host("q-03", |host| host.entry.leaving = true);
     wait_for("seven targets", || scene.serving() == 7);
 }
-
-fn count(map: &FleetMap) -> usize {
-    let serving = map.hosts.values();
-    serving
-        .filter(|host| host.phase == HostPhase::Serving)
-        .count()
-}
