--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,7 +6,10 @@
 
 pub mod budget;
 pub mod claim;
+pub mod config;
 pub mod eject;
+pub mod lease;
+pub mod member;
 pub mod rendezvous;
 pub mod retry;
 pub mod share;
--- a/crates/peer/src/inbound_router.rs
+++ b/crates/peer/src/inbound_router.rs
@@ -1,5 +1,7 @@
+use crate::event;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use model::MemberId;
+use model::event as log_event;
 use ports::InboundMessage;
 use prost::Message as _;
 use wire::peer::Envelope;
@@ -22,7 +24,8 @@
 impl InboundRouter {
     /// A router with an empty queue for each kind.
     pub(crate) fn new(own: MemberId) -> Self {
-        let (senders, receivers) = BodyKind::ALL.iter().map(|_| bounded(QUEUE_LENGTH)).unzip();
+        let (senders, receivers): (Vec<_>, Vec<_>) =
+            BodyKind::ALL.iter().map(|_| bounded(QUEUE_LENGTH)).unzip();
         Self {
             own,
             senders,
@@ -30,9 +33,9 @@
         }
     }
 
-    /// The queue of `kind`.
+    /// The queue of `kind`, which kinds that one duty answers share.
     pub(crate) fn receiver(&self, kind: BodyKind) -> Receiver<InboundMessage> {
-        self.receivers[kind.index()].clone()
+        self.receivers[kind.queue().index()].clone()
     }
 
     /// Decodes `bytes` and queues the message, or counts why it was dropped.
@@ -54,7 +57,7 @@
             incarnation: envelope.incarnation,
             body,
         };
-        match self.senders[kind.index()].try_send(message) {
+        match self.senders[kind.queue().index()].try_send(message) {
             Ok(()) => {}
             Err(TrySendError::Full(message) | TrySendError::Disconnected(message)) => {
                 self.drop_message("queue-full", &message.from);
@@ -64,6 +67,9 @@
 
     fn drop_message(&self, reason: &'static str, from: &str) {
         metrics::counter!("lws_peer_dropped_messages", "reason" => reason).increment(1);
-        log::debug!("E0201 peer-message-dropped from={from} reason={reason}");
+        log_event::debug(
+            &event::PEER_MESSAGE_DROPPED,
+            format_args!("from={from} reason={reason}"),
+        );
     }
 }
