--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -1,4 +1,5 @@
 //! What a caller is told that sends something wrong: a clear error, and nothing is run.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -1,4 +1,5 @@
 //! At most once across entry hosts: a caller that repeats a request elsewhere.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/entry/tests/floods.rs
+++ b/crates/entry/tests/floods.rs
@@ -1,4 +1,5 @@
 //! Floods, slow senders and many large answers: bounded memory, and nobody starves.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/entry/tests/queues.rs
+++ b/crates/entry/tests/queues.rs
@@ -1,4 +1,5 @@
 //! Queues, shares, limits and early refusals under more demand than slots.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/entry/tests/request_path.rs
+++ b/crates/entry/tests/request_path.rs
@@ -1,4 +1,5 @@
 //! A request from its caller to a target and back.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -1,4 +1,5 @@
 //! A graceful shutdown cuts off no request.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/entry/tests/target_failures.rs
+++ b/crates/entry/tests/target_failures.rs
@@ -1,4 +1,5 @@
 //! Targets that fail, lie or go away: whole answers only, true refusals, no second run.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
