Tell all members when a team's record follows a new limit

Cause: a host that waited for a lowered limit to fit never read the record again and its callers waited for ever (try_take_lowered_limit_waits hung for 30 s). Change: the writer notes the record to all members, and a host that waits reads it now and then in case the note is lost.

--- a/crates/decide/src/quota/options.rs
+++ b/crates/decide/src/quota/options.rs
@@ -54,7 +54,7 @@
             guard: Duration::from_millis(500),
             max_deadline: Duration::from_secs(60),
             ask_distance: Duration::from_millis(100),
-            ask_distance_max: Duration::from_millis(3200),
+            ask_distance_max: Duration::from_millis(800),
             collect: Duration::from_millis(50),
             writes_per_second: 4,
             write_burst: 32,
--- a/crates/decide/src/quota/round.rs
+++ b/crates/decide/src/quota/round.rs
@@ -80,8 +80,11 @@
             return Vec::new();
         };
         let members = self.list.members().iter();
+        let follows_limit = before.config_revision < quota.record.config_revision;
         let concerned = members.filter(|m| m.id != self.own.as_str()).filter(|m| {
-            units_of(before, &m.id, m.incarnation) != units_of(&quota.record, &m.id, m.incarnation)
+            follows_limit
+                || units_of(before, &m.id, m.incarnation)
+                    != units_of(&quota.record, &m.id, m.incarnation)
         });
         concerned
             .map(|m| QuotaAction::Note(MemberId::from(m.id.as_str()), note_of(team, quota)))
@@ -106,6 +109,10 @@
         let unread = !quota.known && quota.need() > 0;
         let read_distance = options.ask_distance * READ_DISTANCE;
         let read_lately = quota.read_at.is_some_and(|at| now < at + read_distance);
+        // Whoever waits for others to fit into a lowered limit may miss that they did.
+        let poll_distance = options.ask_distance_max.max(read_distance);
+        let polled_lately = quota.read_at.is_some_and(|at| now < at + poll_distance);
+        let unread = unread || quota.is_unsettled() && quota.need() > 0 && !polled_lately;
         if (unread || quota.read_due) && !read_lately {
             quota.read_at = Some(now);
             actions.push(QuotaAction::Read(name.clone()));
