--- /dev/null
+++ b/crates/decide/tests/lease_machine.rs
@@ -0,0 +1,234 @@
+//! The serving lease step by step.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use decide::{
+    lease::{LeaseMachine, LeaseMutation, LeaseOptions, LeaseRefusal},
+    member::{ListAcks, ListRefusal, MemberList},
+};
+use model::MemberId;
+use rstest::rstest;
+use wire::{
+    peer::Beat,
+    state::{Member, MemberRecord},
+};
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(100_000 + ms)
+}
+
+fn member(id: &str, incarnation: u64) -> Member {
+    Member {
+        id: id.to_owned(),
+        incarnation,
+        peer_address: id.to_owned(),
+        ..Member::default()
+    }
+}
+
+fn list(revision: u64, members: &[(&str, u64)]) -> MemberList {
+    let members = members.iter().map(|(id, life)| member(id, *life));
+    MemberList::new(MemberRecord {
+        revision,
+        members: members.collect(),
+        ..MemberRecord::default()
+    })
+}
+
+/// Host `a` in a list with `b` and `c`, configuration 5.
+fn machine(mutation: LeaseMutation) -> LeaseMachine {
+    let options = LeaseOptions {
+        mutation,
+        ..LeaseOptions::default()
+    };
+    let mut lease = LeaseMachine::new(options, "a".into(), 1);
+    lease.set_config(5, 5);
+    lease.set_list(list(7, &[("a", 1), ("b", 2), ("c", 3)]));
+    lease
+}
+
+/// Sends a beat to `b` at `sent` and has it answered at `heard`.
+fn answered(lease: &mut LeaseMachine, sent: u64, heard: u64, answer: &Beat) {
+    let b = MemberId::from("b");
+    lease.tick(at(sent));
+    let question = lease.next_beat(&b, at(sent));
+    let answer = Beat {
+        echo: question.beat,
+        echo_incarnation: 1,
+        ..answer.clone()
+    };
+    lease.hear(&b, 2, &answer, at(heard));
+}
+
+fn beat(count: u64, members: u64, config: u64) -> Beat {
+    Beat {
+        beat: count,
+        member_revision: members,
+        config_revision: config,
+        ..Beat::default()
+    }
+}
+
+#[test]
+fn check_majority_renews() {
+    let mut lease = machine(LeaseMutation::None);
+    assert_eq!(lease.check(at(0)), Err(LeaseRefusal::Lapsed));
+    answered(&mut lease, 0, 100, &beat(1, 7, 5));
+    assert_eq!(lease.check(at(1999)), Ok(()));
+    assert_eq!(lease.check(at(2000)), Err(LeaseRefusal::Lapsed));
+}
+
+// A host's question is answered 1.5 s late. Counted from the answer, the host would serve
+// 1.5 s longer than the others believe, with a key that was withdrawn meanwhile.
+#[rstest]
+#[case::guarded(LeaseMutation::None, false)]
+#[case::mutated(LeaseMutation::CountFromReceipt, true)]
+fn check_late_answer_counts_from_question(#[case] mutation: LeaseMutation, #[case] serves: bool) {
+    let mut lease = machine(mutation);
+    answered(&mut lease, 0, 1500, &beat(1, 7, 5));
+    lease.tick(at(2500));
+    assert_eq!(lease.check(at(2500)).is_ok(), serves);
+}
+
+// A peer knows a newer configuration. Its word must not renew the lease of a host that
+// lacks it: an operator may already have been told that everyone has it.
+#[rstest]
+#[case::guarded(LeaseMutation::None, Err(LeaseRefusal::Behind))]
+#[case::mutated(LeaseMutation::SkipRevision, Ok(()))]
+fn check_newer_configuration_waits(
+    #[case] mutation: LeaseMutation,
+    #[case] verdict: Result<(), LeaseRefusal>,
+) {
+    let mut lease = machine(mutation);
+    answered(&mut lease, 0, 10, &beat(1, 7, 6));
+    assert_eq!(lease.check(at(20)), verdict);
+    lease.set_config(6, 6);
+    assert_eq!(lease.check(at(20)), Ok(()));
+}
+
+// The list changed while this host was cut off, perhaps to one without it. Counting by the
+// old list, it would serve beside a new quorum that it does not meet.
+#[rstest]
+#[case::guarded(LeaseMutation::None, Err(LeaseRefusal::Behind))]
+#[case::mutated(LeaseMutation::SkipList, Ok(()))]
+fn check_newer_list_waits(
+    #[case] mutation: LeaseMutation,
+    #[case] verdict: Result<(), LeaseRefusal>,
+) {
+    let mut lease = machine(mutation);
+    answered(&mut lease, 0, 10, &beat(1, 8, 5));
+    assert_eq!(lease.check(at(20)), verdict);
+    lease.set_list(list(8, &[("b", 2), ("c", 3)]));
+    assert_eq!(lease.check(at(20)), Err(LeaseRefusal::NotListed));
+}
+
+// A peer answers a beat of this host's last life, whose count happens to be in use again.
+// The answer says nothing about now.
+#[rstest]
+#[case::guarded(LeaseMutation::None, false)]
+#[case::mutated(LeaseMutation::AnyLife, true)]
+fn check_echo_of_last_life_does_not_count(#[case] mutation: LeaseMutation, #[case] serves: bool) {
+    let mut lease = machine(mutation);
+    let b = MemberId::from("b");
+    lease.tick(at(0));
+    lease.next_beat(&b, at(0));
+    let answer = Beat {
+        echo: 1,
+        echo_incarnation: 0,
+        ..beat(1, 7, 5)
+    };
+    lease.hear(&b, 2, &answer, at(10));
+    assert_eq!(lease.check(at(20)).is_ok(), serves);
+}
+
+// A host sleeps for longer than its lease and wakes with answers waiting in its sockets.
+#[test]
+fn check_pause_ends_lease() {
+    let mut lease = machine(LeaseMutation::None);
+    answered(&mut lease, 0, 10, &beat(1, 7, 5));
+    assert_eq!(lease.check(at(9000)), Err(LeaseRefusal::Lapsed));
+    let b = MemberId::from("b");
+    let waiting = Beat {
+        echo: 1,
+        echo_incarnation: 1,
+        ..beat(2, 7, 5)
+    };
+    lease.hear(&b, 2, &waiting, at(9001));
+    lease.tick(at(9001));
+    assert_eq!(lease.check(at(9001)), Err(LeaseRefusal::Lapsed));
+}
+
+#[test]
+fn check_store_read_renews() {
+    let mut lease = machine(LeaseMutation::None);
+    lease.read_store(at(0));
+    assert_eq!(lease.check(at(1999)), Ok(()));
+    assert_eq!(lease.check(at(2000)), Err(LeaseRefusal::Lapsed));
+}
+
+// Only one host hears nothing of a member; dropping the member on its word alone would drop
+// a healthy host whenever a single link is cut.
+#[test]
+fn lost_members_need_majority() {
+    let mut lease = machine(LeaseMutation::None);
+    let c = MemberId::from("c");
+    lease.next_beat(&c, at(0));
+    answered(&mut lease, 20_000, 20_010, &beat(1, 7, 5));
+    assert_eq!(lease.silent_members(at(20_020)), ["c"]);
+    assert!(lease.lost_members(at(20_020)).is_empty());
+    let agreeing = Beat {
+        silent: vec!["c".to_owned()],
+        ..beat(2, 7, 5)
+    };
+    answered(&mut lease, 20_100, 20_110, &agreeing);
+    assert_eq!(lease.lost_members(at(20_120)), ["c"]);
+}
+
+#[test]
+fn quorum_needs_settled_members_too() {
+    let first = list(1, &[("a", 1), ("b", 2), ("c", 3)]);
+    let grown = first.join(member("d", 4), 0).unwrap();
+    let grown = grown.join(member("e", 5), 0).unwrap();
+    let grown = grown.join(member("f", 6), 0).unwrap();
+    let agree = |names: &'static [&str]| move |m: &Member| names.contains(&m.id.as_str());
+    assert!(!grown.has_quorum(agree(&["c", "d", "e", "f"])));
+    assert!(grown.has_quorum(agree(&["b", "c", "d", "e"])));
+}
+
+#[test]
+fn quorum_gone_members_leave_the_count() {
+    let full = list(1, &[("a", 1), ("b", 2), ("c", 3), ("d", 4), ("e", 5)]);
+    let mut acks = ListAcks::default();
+    for (id, life) in [("a", 1), ("b", 2), ("c", 3)] {
+        acks.note_gone(&id.into(), life);
+    }
+    let living = full.without_gone(&acks);
+    assert!(living.has_quorum(|m| m.id == "d" || m.id == "e"));
+    assert!(!full.has_quorum(|m| m.id == "d" || m.id == "e"));
+}
+
+#[test]
+fn settle_waits_for_quorum() {
+    let first = list(1, &[("a", 1)]);
+    let grown = first.join(member("b", 2), 9).unwrap();
+    assert_eq!((grown.config_floor(), grown.is_settled()), (9, false));
+    let mut acks = ListAcks::default();
+    acks.note_held(&"a".into(), 1, grown.revision());
+    assert_eq!(
+        grown.settle(&acks, 9),
+        Err(ListRefusal::NoQuorum(grown.revision()))
+    );
+    acks.note_held(&"b".into(), 2, grown.revision());
+    assert!(grown.settle(&acks, 9).unwrap().is_settled());
+}
+
+#[test]
+fn join_older_life_is_refused() {
+    let first = list(1, &[("a", 4)]);
+    assert_eq!(
+        first.join(member("a", 3), 0),
+        Err(ListRefusal::NewerLife(4))
+    );
+}
