--- /dev/null
+++ b/crates/lacewingshore/tests/proof_common/mod.rs
@@ -0,0 +1,252 @@
+//! What every proof in real processes shares: a fleet with a manifest and keys, and the
+//! checks that hold for any history.
+
+#![allow(dead_code, reason = "each proof uses its part")]
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use fake::WorkOrder;
+use proof::{
+    CallerCrew, ChangeResult, CrewPlan, DrainCheck, EntryPlace, FleetPlan, ForceCheck, GrantCheck,
+    HistoryCheck, KeyCheck, LimitCheck, MemberCheck, OnceCheck, PoolCheck, RefusalCheck,
+    RequestCall, RequestClient, RequestOutcome, RevisionCheck, TeamKey, TestFleet, WholeCheck,
+    await_true,
+};
+
+/// Longest wait for an event that must come.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+/// Time within which an accepted change must be in force: two seconds, and half a second
+/// for requests that were already on their way to a target.
+pub const FORCE_WITHIN: Duration = Duration::from_millis(2500);
+/// Time after which a draining target must get no work.
+pub const QUIET_WITHIN: Duration = Duration::from_secs(3);
+
+/// Proofs take turns: they measure times, and load of one would show in another.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// A fleet that serves, with two teams and a key for each.
+pub struct ProofBed {
+    /// The fleet.
+    pub fleet: TestFleet,
+    /// A key of `weights` and one of `coding`.
+    pub keys: Vec<TeamKey>,
+    /// Revision of the manifest.
+    pub revision: u64,
+    seed: u64,
+    _turn: MutexGuard<'static, ()>,
+}
+
+/// Upper limits of the two teams.
+pub type TeamLimits = [(&'static str, u32); 2];
+
+/// Limits that never bind.
+pub const WIDE_LIMITS: TeamLimits = [("weights", 200), ("coding", 200)];
+
+/// A manifest with one pool of executors and two teams.
+pub fn manifest(executors: usize, limits: &TeamLimits) -> String {
+    let budget = executors.saturating_sub(1).max(1);
+    let mut text = format!(
+        "[deployment]\nname = proof\n\
+         [pool.quotes]\nrole = executor\nsize = {executors}\nbudget = {budget}\n\
+         [service.quotes]\npool = quotes\n"
+    );
+    for (team, limit) in limits {
+        text += &format!("[team.{team}]\nshare = 1\nlimit = {limit}\n");
+    }
+    text
+}
+
+impl ProofBed {
+    /// Starts a fleet with limits that don't bind.
+    pub fn start(seed: u64, plan: &FleetPlan) -> Self {
+        Self::with_limits(seed, plan, &WIDE_LIMITS)
+    }
+
+    /// Starts a fleet.
+    pub fn with_limits(seed: u64, plan: &FleetPlan, limits: &TeamLimits) -> Self {
+        Self::with_manifest(seed, plan, &manifest(plan.executors, limits), limits)
+    }
+
+    /// Starts a fleet with a manifest of its own.
+    pub fn with_manifest(seed: u64, plan: &FleetPlan, text: &str, limits: &TeamLimits) -> Self {
+        // A proof that failed says nothing against the next one.
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+        println!("seed {seed}");
+        let mut fleet = TestFleet::start(plan).unwrap();
+        let place = &fleet.entries[0].place;
+        fleet.operator.grant_self(place, "grant-operator").unwrap();
+        let operator = &fleet.operator;
+        let outcome = operator.apply(place, "manifest", Some(1), text, limits);
+        let ChangeResult::Accepted { revision, .. } = outcome else {
+            panic!(
+                "the first manifest was not accepted: {outcome:?}\n{}",
+                fleet.logs()
+            );
+        };
+        let keys = limits
+            .iter()
+            .map(|(team, _)| operator.grant(place, &format!("grant-{team}"), team))
+            .collect::<Result<Vec<_>, _>>()
+            .unwrap();
+        let bed = Self {
+            fleet,
+            keys,
+            revision,
+            seed,
+            _turn: turn,
+        };
+        for entry in &bed.fleet.entries {
+            bed.expect_answer(&entry.place);
+        }
+        bed
+    }
+
+    /// Waits until an entry host answers a request with a right answer.
+    pub fn expect_answer(&self, place: &EntryPlace) {
+        let client = RequestClient::default();
+        let call = self.call("probe");
+        let answers = await_true(PATIENCE, || {
+            client.call(place, &call).outcome == RequestOutcome::Answer { is_right: true }
+        });
+        assert!(
+            answers,
+            "{} does not answer\n{}",
+            place.member,
+            self.fleet.logs()
+        );
+    }
+
+    /// A short idempotent request of the first team.
+    pub fn call(&self, nonce: &str) -> RequestCall {
+        let order = WorkOrder {
+            nonce: nonce.to_owned(),
+            ..WorkOrder::default()
+        };
+        RequestCall {
+            service: "quotes".to_owned(),
+            key: self.keys[0].clone(),
+            request: None,
+            deadline: Duration::from_secs(2),
+            idempotent: true,
+            body: order.body(0),
+        }
+    }
+
+    /// Where the entry host with this index listens.
+    pub fn place(&self, index: usize) -> &EntryPlace {
+        &self.fleet.entries[index].place
+    }
+
+    /// Kills an entry host at once and starts it again after `pause`.
+    pub fn replace(&mut self, index: usize, pause: Duration) {
+        let entry = &mut self.fleet.entries[index];
+        entry.kill().unwrap();
+        thread::sleep(pause);
+        entry.start().unwrap();
+    }
+
+    /// Pauses an entry host for a while.
+    pub fn pause(&self, index: usize, pause: Duration) {
+        let process = self.fleet.entries[index].process.as_ref().unwrap();
+        process.pause().unwrap();
+        thread::sleep(pause);
+        process.resume().unwrap();
+    }
+
+    /// A plan for callers of both teams.
+    pub fn crew_plan(&self) -> CrewPlan {
+        CrewPlan {
+            seed: self.seed,
+            keys: self.keys.clone(),
+            ..CrewPlan::default()
+        }
+    }
+
+    /// Sets callers of both teams to work, and waits until they get answers.
+    pub fn crew(&self) -> CallerCrew {
+        self.crew_with(self.crew_plan())
+    }
+
+    /// Sets callers to work, and waits until they get answers.
+    pub fn crew_with(&self, plan: CrewPlan) -> CallerCrew {
+        let crew = CallerCrew::start(plan, self.fleet.places(), &self.fleet.log);
+        self.expect_answers(&crew, 20);
+        crew
+    }
+
+    /// Waits for answers of the crew.
+    pub fn expect_answers(&self, crew: &CallerCrew, more: u64) {
+        let came = crew.await_answers(more, PATIENCE);
+        assert!(
+            came,
+            "no answers: {:?}\n{}",
+            crew.tally(),
+            self.fleet.logs()
+        );
+    }
+
+    /// Collects the history and runs every check that holds for any history.
+    pub fn expect_sound(&self) {
+        let history = self.fleet.collect().unwrap();
+        println!(
+            "history: {} requests, {} runs, {} changes, {} looks, {} writes",
+            history.requests.len(),
+            history.runs.len(),
+            history.changes.len(),
+            history.forces.len(),
+            history.writes.len(),
+        );
+        assert!(!history.runs.is_empty(), "nothing ran");
+        let hosts = self
+            .fleet
+            .targets
+            .iter()
+            .map(|target| target.row.host.clone());
+        let pools = PoolCheck {
+            budgets: BTreeMap::from([("quotes".to_owned(), self.budget())]),
+            pool_of: hosts.map(|host| (host, "quotes".to_owned())).collect(),
+        };
+        let keys = KeyCheck {
+            stops_within: FORCE_WITHIN,
+        };
+        let limits = LimitCheck {
+            force_within: FORCE_WITHIN,
+        };
+        let force = ForceCheck {
+            force_within: FORCE_WITHIN,
+        };
+        let drains = DrainCheck {
+            quiet_within: QUIET_WITHIN,
+        };
+        let checks: [&dyn HistoryCheck; 11] = [
+            &OnceCheck,
+            &WholeCheck,
+            &RefusalCheck,
+            &keys,
+            &limits,
+            &drains,
+            &force,
+            &pools,
+            &GrantCheck,
+            &MemberCheck,
+            &RevisionCheck,
+        ];
+        let violations = self.fleet.log.violations(self.seed, &checks);
+        let shown: Vec<String> = violations.iter().take(5).map(ToString::to_string).collect();
+        assert!(
+            violations.is_empty(),
+            "{} violations: {shown:#?}\n{}",
+            violations.len(),
+            self.fleet.logs()
+        );
+    }
+
+    fn budget(&self) -> u32 {
+        u32::try_from(self.fleet.targets.len().saturating_sub(1).max(1)).unwrap()
+    }
+}
--- /dev/null
+++ b/crates/lacewingshore/tests/proof_store.rs
@@ -0,0 +1,197 @@
+//! The store is down, slow, loses answers or hangs, and operators race each other.
+
+#![allow(clippy::unwrap_used, reason = "tests end on what should not fail")]
+
+mod proof_common;
+
+use std::{thread, time::Duration};
+
+use fake::{FaultRate, StoreFaults};
+use proof::{ChangeResult, FleetPlan, await_true};
+use proof_common::{PATIENCE, ProofBed, TeamLimits, manifest};
+
+fn withdraw(bed: &ProofBed, index: usize, change_id: &str) -> ChangeResult {
+    let key = &bed.keys[1].key_id;
+    bed.fleet
+        .operator
+        .withdraw(bed.place(index), change_id, key)
+}
+
+fn expect_withdrawn(bed: &ProofBed, index: usize, change_id: &str) {
+    let accepted = await_true(PATIENCE, || {
+        matches!(
+            withdraw(bed, index, change_id),
+            ChangeResult::Accepted { .. }
+        )
+    });
+    assert!(accepted, "not withdrawn\n{}", bed.fleet.logs());
+}
+
+#[test]
+fn store_down_long() {
+    // The store is away for ten lease lengths. Callers go on being served. An operator who
+    // withdraws a key is told that it is not accepted, and the key works on; once the store
+    // is back the same change is accepted and the key stops.
+    let bed = ProofBed::start(21, &FleetPlan::default());
+    let crew = bed.crew();
+    let down = StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    };
+    bed.fleet.set_store(None, &down).unwrap();
+    for member in ["e1", "e2", "e3"] {
+        bed.fleet.set_store(Some(member), &down).unwrap();
+    }
+    for round in 0..5 {
+        thread::sleep(Duration::from_secs(4));
+        bed.expect_answers(&crew, 40);
+        if round == 2 {
+            let outcome = withdraw(&bed, 0, "withdraw");
+            let accepted = matches!(outcome, ChangeResult::Accepted { .. });
+            assert!(!accepted, "accepted without a store: {outcome:?}");
+        }
+    }
+    for entry in &bed.fleet.entries {
+        assert!(
+            bed.fleet.operator.is_ready(&entry.place),
+            "{}",
+            bed.fleet.logs()
+        );
+    }
+    let up = StoreFaults::default();
+    for member in ["e1", "e2", "e3"] {
+        bed.fleet.set_store(Some(member), &up).unwrap();
+    }
+    expect_withdrawn(&bed, 1, "withdraw");
+    thread::sleep(Duration::from_secs(4));
+    crew.finish();
+    bed.expect_sound();
+}
+
+#[test]
+fn store_slow() {
+    // Each call of the store takes 400 ms, close to the time that clients wait. Service
+    // must not hang on it, and changes must still come through.
+    let bed = ProofBed::start(22, &FleetPlan::default());
+    let crew = bed.crew();
+    let slow = StoreFaults {
+        slow_ms: 400,
+        ..StoreFaults::default()
+    };
+    bed.fleet.set_store(None, &slow).unwrap();
+    expect_withdrawn(&bed, 2, "withdraw");
+    thread::sleep(Duration::from_secs(4));
+    bed.expect_answers(&crew, 100);
+    crew.finish();
+    bed.expect_sound();
+}
+
+#[test]
+fn store_answers_lost() {
+    // The store takes each write and loses half of its answers. The operator repeats each
+    // change under its id until it is accepted; each must be made once, at one revision.
+    let bed = ProofBed::start(23, &FleetPlan::default());
+    let crew = bed.crew();
+    let lossy = StoreFaults {
+        lose_writes: FaultRate::by_chance(0.5),
+        seed: 23,
+        ..StoreFaults::default()
+    };
+    bed.fleet.set_store(None, &lossy).unwrap();
+    for round in 0..6_u32 {
+        let limits: TeamLimits = [("weights", 100 + round), ("coding", 100 + round)];
+        let (text, id) = (manifest(3, &limits), format!("round-{round}"));
+        let mut asked = 0;
+        let operator = &bed.fleet.operator;
+        let accepted = await_true(PATIENCE, || {
+            let place = bed.place(asked % 3);
+            asked += 1;
+            let outcome = operator.apply(place, &id, None, &text, &limits);
+            matches!(outcome, ChangeResult::Accepted { .. })
+        });
+        assert!(accepted, "round {round}\n{}", bed.fleet.logs());
+    }
+    bed.expect_answers(&crew, 60);
+    crew.finish();
+    bed.expect_sound();
+}
+
+#[test]
+fn operators_race() {
+    // Two operators apply different manifests against the same revision at the same time,
+    // through different entry hosts. One wins and the other is told of the conflict; if
+    // both were accepted, one change would silently undo the other.
+    let bed = ProofBed::start(24, &FleetPlan::default());
+    let crew = bed.crew();
+    let first = bed.fleet.operator.status(bed.place(0)).unwrap().revision;
+    for round in 0..6_u32 {
+        let base = first + u64::from(round);
+        let outcomes: Vec<ChangeResult> = thread::scope(|scope| {
+            let bed = &bed;
+            let racers: Vec<_> = (0..2_u32)
+                .map(|racer| scope.spawn(move || race(bed, round, racer, base)))
+                .collect();
+            racers
+                .into_iter()
+                .map(|racer| racer.join().unwrap())
+                .collect()
+        });
+        let won = |outcome: &&ChangeResult| matches!(outcome, ChangeResult::Accepted { .. });
+        assert_eq!(
+            outcomes.iter().filter(won).count(),
+            1,
+            "{outcomes:?}\n{}",
+            bed.fleet.logs()
+        );
+        let lost = |outcome: &&ChangeResult| matches!(outcome, ChangeResult::Conflict { .. });
+        assert_eq!(
+            outcomes.iter().filter(lost).count(),
+            1,
+            "{outcomes:?}\n{}",
+            bed.fleet.logs()
+        );
+    }
+    crew.finish();
+    bed.expect_sound();
+}
+
+fn race(bed: &ProofBed, round: u32, racer: u32, base: u64) -> ChangeResult {
+    let units = 100 + 10 * round + racer;
+    let limits: TeamLimits = [("weights", units), ("coding", units)];
+    let (text, id) = (manifest(3, &limits), format!("race-{round}-{racer}"));
+    let place = bed.place(racer as usize);
+    // A host that has not seen the base yet conflicts as well, which says nothing of the race.
+    let current = await_true(PATIENCE, || {
+        let status = bed.fleet.operator.status(place);
+        status.is_ok_and(|status| status.revision >= base)
+    });
+    assert!(
+        current,
+        "{} lacks {base}\n{}",
+        place.member,
+        bed.fleet.logs()
+    );
+    bed.fleet
+        .operator
+        .apply(place, &id, Some(base), &text, &limits)
+}
+
+#[test]
+fn watch_hangs() {
+    // One entry host's watches never answer again, while its other calls do. A key is
+    // withdrawn through another host. The lagging host must learn of it all the same, from
+    // its peers or by reading, before the key may count as stopped.
+    let bed = ProofBed::start(25, &FleetPlan::default());
+    let crew = bed.crew();
+    let hung = StoreFaults {
+        watch_hang: true,
+        ..StoreFaults::default()
+    };
+    bed.fleet.set_store(Some("e2"), &hung).unwrap();
+    thread::sleep(Duration::from_secs(2));
+    expect_withdrawn(&bed, 0, "withdraw");
+    thread::sleep(Duration::from_secs(5));
+    bed.expect_answers(&crew, 20);
+    crew.finish();
+    bed.expect_sound();
+}
--- /dev/null
+++ b/crates/lacewingshore/tests/proof_work.rs
@@ -0,0 +1,145 @@
+//! Limits, single runs and graceful shutdown under faults that come together.
+
+#![allow(clippy::unwrap_used, reason = "tests end on what should not fail")]
+
+mod proof_common;
+
+use std::{thread, time::Duration};
+
+use fake::{ExecutorFaults, FaultRate};
+use proof::{CrewPlan, FleetPlan};
+use proof_common::{PATIENCE, ProofBed, TeamLimits, manifest};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const TIGHT_LIMITS: TeamLimits = [("weights", 5), ("coding", 3)];
+
+#[test]
+fn limit_under_kills_and_pauses() {
+    // Both teams want far more than their limits, from all entry hosts at once. Hosts are
+    // killed and paused beyond their leases at random. Whoever takes over a lost host's
+    // quota before the work that it started has ended exceeds the limit.
+    let seed = 31;
+    let mut bed = ProofBed::with_limits(seed, &FleetPlan::default(), &TIGHT_LIMITS);
+    let plan = CrewPlan {
+        callers: 30,
+        service_time: Duration::from_millis(300),
+        pause: Duration::from_millis(5),
+        deadline: Duration::from_secs(3),
+        ..bed.crew_plan()
+    };
+    let crew = bed.crew_with(plan);
+    let mut rng = StdRng::seed_from_u64(seed);
+    for _ in 0..4 {
+        let index = rng.random_range(0..3);
+        if rng.random_bool(0.5) {
+            bed.replace(index, Duration::from_millis(rng.random_range(0..800)));
+        } else {
+            bed.pause(index, Duration::from_millis(rng.random_range(2500..4500)));
+        }
+        bed.expect_answers(&crew, 15);
+    }
+    crew.finish();
+    bed.expect_sound();
+}
+
+#[test]
+fn once_answers_lost_and_hosts_killed() {
+    // A fifth of all answers is lost after the run, and entry hosts die meanwhile. Callers
+    // retry the same id through other entry hosts. An order must not be placed twice.
+    let mut bed = ProofBed::start(32, &FleetPlan::default());
+    for index in 0..3 {
+        let faults = ExecutorFaults {
+            lose_answers: FaultRate::by_chance(0.2),
+            seed: index as u64,
+            ..ExecutorFaults::default()
+        };
+        bed.fleet.set_target(index, &faults).unwrap();
+    }
+    let plan = CrewPlan {
+        callers: 20,
+        idempotent: 0.1,
+        deadline: Duration::from_secs(2),
+        ..bed.crew_plan()
+    };
+    let crew = bed.crew_with(plan);
+    for index in 0..3 {
+        bed.expect_answers(&crew, 100);
+        bed.replace(index, Duration::from_millis(100));
+    }
+    bed.expect_answers(&crew, 100);
+    crew.finish();
+    bed.expect_sound();
+}
+
+#[test]
+fn shutdown_cuts_nothing() {
+    // An entry host is told to stop while requests of half a second run through it. Each
+    // gets its answer, new ones are refused as not run, and the process ends by itself.
+    let mut bed = ProofBed::start(33, &FleetPlan::default());
+    let plan = CrewPlan {
+        service_time: Duration::from_millis(250),
+        ..bed.crew_plan()
+    };
+    let crew = bed.crew_with(plan);
+    for index in 0..3 {
+        let entry = &mut bed.fleet.entries[index];
+        let mut process = entry.process.take().unwrap();
+        process.terminate().unwrap();
+        let status = process.wait_exit(PATIENCE).unwrap();
+        assert!(status.success(), "{status}");
+        entry.start().unwrap();
+        bed.fleet.await_serving(PATIENCE).unwrap();
+        let place = bed.place(index).clone();
+        bed.expect_answer(&place);
+    }
+    let tally = crew.finish();
+    assert_eq!(tally.unclear, 0, "{tally:?}\n{}", bed.fleet.logs());
+    bed.expect_sound();
+}
+
+#[test]
+fn wave_cuts_nothing() {
+    // Every executor is drained and rebooted, one after the other, while callers work. No
+    // request may be cut off by a reboot, and at most one executor of three may be out.
+    let plan = FleetPlan::default();
+    let limits = proof_common::WIDE_LIMITS;
+    let window = "window = always\n[service.quotes]";
+    let text = manifest(3, &limits).replace("[service.quotes]", window)
+        + "[window.always]\nstart = 00:00\nlength = 24h\nevery = 56d\nat_once = 1\n";
+    let bed = ProofBed::with_manifest(34, &plan, &text, &limits);
+    let crew = bed.crew();
+    let done = proof::await_true(Duration::from_secs(90), || {
+        let history = bed.fleet.collect().unwrap();
+        let ended = history.drains.iter().filter(|drain| drain.end_ns != 0);
+        ended.count() >= 3
+    });
+    assert!(done, "the wave did not end\n{}", bed.fleet.logs());
+    bed.expect_answers(&crew, 50);
+    let tally = crew.finish();
+    assert_eq!(tally.unclear, 0, "{tally:?}");
+    bed.expect_sound();
+}
+
+#[test]
+fn host_list_shows_leaving() {
+    // The platform takes an executor away: the lagging list shows it as leaving. It must
+    // get no new work from three seconds after the list shows it.
+    let mut bed = ProofBed::start(35, &FleetPlan::default());
+    let crew = bed.crew();
+    bed.fleet.targets[0].row.leaving = true;
+    bed.fleet.list_targets().unwrap();
+    let shown_ns = fake::boot_nanos();
+    thread::sleep(Duration::from_secs(6));
+    bed.expect_answers(&crew, 50);
+    let tally = crew.finish();
+    assert_eq!(tally.unclear, 0, "{tally:?}");
+    let quiet_ns = shown_ns + 3_000_000_000;
+    let history = bed.fleet.collect().unwrap();
+    let late = history
+        .runs
+        .iter()
+        .filter(|run| run.host == "x1" && run.run.start_ns > quiet_ns)
+        .count();
+    assert_eq!(late, 0, "started on a leaving host\n{}", bed.fleet.logs());
+    bed.expect_sound();
+}
--- a/crates/proof/src/harness/fleet_operator.rs
+++ b/crates/proof/src/harness/fleet_operator.rs
@@ -168,6 +168,40 @@
         })
     }
 
+    /// Grants an administration key and uses it from now on, so that the first one, which
+    /// every use of is logged as a warning, is no longer needed.
+    ///
+    /// # Errors
+    /// If the grant was not accepted.
+    pub fn grant_self(&mut self, entry: &EntryPlace, change_id: &str) -> Result<()> {
+        let timer = OpTimer::begin();
+        let call = ChangeCall {
+            method: "POST",
+            path: "/v1/keys".to_owned(),
+            change_id,
+            base: None,
+            body: b"{\"admin\":true}".to_vec(),
+            effect: ChangeEffect::Other,
+        };
+        let answer = self.call(entry, &call);
+        let Ok(CallAnswer::Accepted(accepted)) = answer else {
+            bail!("grant {change_id} was not accepted: {answer:?}");
+        };
+        self.log.note_change(ChangeOp {
+            span: timer.end(),
+            entry: entry.member.clone(),
+            change_id: change_id.to_owned(),
+            base: None,
+            effect: ChangeEffect::Other,
+            outcome: ChangeResult::Accepted {
+                revision: accepted.revision,
+                repeated: accepted.repeated,
+            },
+        });
+        self.key = KeyText::parse(&accepted.key).context("not a key")?;
+        Ok(())
+    }
+
     /// Withdraws a key and says what came of it.
     pub fn withdraw(&self, entry: &EntryPlace, change_id: &str, key_id: &str) -> ChangeResult {
         let call = ChangeCall {
