--- a/crates/admin/src/audit/mod.rs
+++ b/crates/admin/src/audit/mod.rs
@@ -1,7 +1,7 @@
 //! The audit trail: who changed what, in the store, chained by digests.
 //!
 //! [`AuditKeeper`] writes it, [`AuditStore`] keeps it and [`verify_chain`] shows
-//! tampering. `docs/design/06-audit.md` argues the layout.
+//! tampering. `docs/design/11-audit.md` argues the layout.
 
 mod audit_chain;
 mod audit_keeper;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,8 @@
 //! carries them out. The decisions are in `decide::budget` and `decide::wave`; here they
 //! meet the store, the host list and the hosts. See `docs/design/07-fleet.md`.
 
+pub mod event;
+
 mod duty_owner;
 mod fleet_audit;
 mod fleet_service;
--- a/crates/lacewingshore/src/catalogue.rs
+++ b/crates/lacewingshore/src/catalogue.rs
@@ -13,7 +13,16 @@
 
 /// Events of every crate, in order of their numbers.
 pub fn all_events() -> Vec<EventInfo> {
-    let catalogues: [&[EventInfo]; 1] = [event::ALL];
+    let catalogues = [
+        event::ALL,
+        platform::event::ALL,
+        peer::event::ALL,
+        member::event::ALL,
+        share::event::ALL,
+        entry::event::ALL,
+        fleet::event::ALL,
+        admin::event::ALL,
+    ];
     let mut events = catalogues.concat();
     events.sort_by_key(|info| info.code);
     events
--- a/crates/lacewingshore/src/log_setup.rs
+++ b/crates/lacewingshore/src/log_setup.rs
@@ -17,12 +17,17 @@
         .level_for("mio", LevelFilter::Warn)
         .format(|out, message, record| {
             let time = humantime::format_rfc3339_millis(SystemTime::now());
-            let level = record.level();
-            let event = record.target();
-            out.finish(format_args!(
-                "{time} {level:<5} {event} {}",
-                OneLine(message)
-            ));
+            let level = record.level().as_str().to_lowercase();
+            let target = record.target();
+            let text = OneLine(message);
+            match is_event(target) {
+                true => out.finish(format_args!(
+                    "time={time} level={level} event={target} name={text}"
+                )),
+                false => out.finish(format_args!(
+                    "time={time} level={level} source={target} text=\"{text}\""
+                )),
+            }
         });
     let dispatch = match settings.log_file.as_str() {
         "" => dispatch.chain(std::io::stderr()),
@@ -31,6 +36,12 @@
     dispatch.apply().context("start the log")
 }
 
+/// Events have their number as the target; everything else comes from libraries.
+fn is_event(target: &str) -> bool {
+    let number = target.strip_prefix('E').unwrap_or_default();
+    number.len() == 4 && number.bytes().all(|byte| byte.is_ascii_digit())
+}
+
 /// Shows control characters escaped.
 ///
 /// A caller's text in a line could otherwise forge further lines, and an operator would
--- /dev/null
+++ b/crates/lacewingshore/tests/operate.rs
@@ -0,0 +1,226 @@
+//! An operator and one entry host in processes of their own, with stand-ins of the platform.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    process::{Child, Command, Output, Stdio},
+};
+
+use fake::{HostListFake, StoreFake};
+use tempfile::TempDir;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_lacewingshore");
+const MANIFEST: &str = "\
+[deployment]
+name = trial
+[pool.quote]
+role = executor
+size = 8
+budget = 6
+[service.quotes]
+pool = quote
+[team.sales]
+share = 1
+limit = 10
+";
+
+/// A running entry host; ended when dropped.
+struct Bench {
+    host: Child,
+    admin: String,
+    dir: TempDir,
+    _store: StoreFake,
+    _hosts: HostListFake,
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        let _ = self.host.kill();
+        let _ = self.host.wait();
+    }
+}
+
+impl Bench {
+    fn start() -> anyhow::Result<Self> {
+        let store = StoreFake::start("127.0.0.1:0")?;
+        let hosts = HostListFake::start("127.0.0.1:0")?;
+        let dir = tempfile::tempdir()?;
+        let minted = Command::new(BINARY)
+            .args(["key", "mint", "--json"])
+            .output()?;
+        let minted: serde_json::Value = serde_json::from_slice(&minted.stdout)?;
+        let text = |name: &str| minted[name].as_str().unwrap_or_default().to_owned();
+        fs::write(dir.path().join("key"), text("key"))?;
+        let settings = format!(
+            "[entry]\nmember = e1\ndata_centre = north\naddress = 127.0.0.1:0\n\
+             [admin]\naddress = 127.0.0.1:0\nbootstrap_key = {}\n\
+             [peers]\naddress = 127.0.0.1:0\n\
+             [platform]\nstore_url = {}\nhost_list_url = {}\n\
+             [log]\nfile = {}\n",
+            text("bootstrap_key"),
+            store.url(),
+            hosts.url(),
+            dir.path().join("log").display()
+        );
+        let file = dir.path().join("entry.ini");
+        fs::write(&file, settings)?;
+        let mut host = Command::new(BINARY)
+            .args(["serve", "--settings"])
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let mut line = String::new();
+        if let Some(output) = host.stdout.take() {
+            BufReader::new(output).read_line(&mut line)?;
+        }
+        let admin = line
+            .split_whitespace()
+            .find_map(|word| word.strip_prefix("admin="));
+        Ok(Self {
+            host,
+            admin: format!("http://{}", admin.unwrap_or_default()),
+            dir,
+            _store: store,
+            _hosts: hosts,
+        })
+    }
+
+    fn run(&self, arguments: &[&str]) -> Output {
+        let output = Command::new(BINARY)
+            .env("LACEWINGSHORE_ADMIN", &self.admin)
+            .arg("--key-file")
+            .arg(self.dir.path().join("key"))
+            .args(arguments)
+            .output();
+        match output {
+            Ok(output) => output,
+            Err(error) => panic!("{BINARY}: {error}"),
+        }
+    }
+
+    /// Standard output of a command that has to succeed.
+    fn done(&self, arguments: &[&str]) -> String {
+        let output = self.run(arguments);
+        let shown = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{arguments:?}: {shown}");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.dir.path().join(name);
+        let _ = fs::write(&path, text);
+        path.to_string_lossy().into_owned()
+    }
+}
+
+#[test]
+fn operate_one_host() {
+    let bench = Bench::start().expect("an entry host");
+    let operator = bench.done(&["key", "grant", "--operator"]);
+    assert_eq!(
+        bench.run(&["key", "list"]).status.code(),
+        Some(7),
+        "the bootstrap key is used up"
+    );
+    bench.write("key", &operator);
+
+    let manifest = bench.write("manifest.ini", MANIFEST);
+    assert!(
+        bench
+            .done(&["manifest", "apply", &manifest])
+            .contains("revision 2 is in force")
+    );
+    assert!(
+        bench
+            .done(&["manifest", "apply", &manifest])
+            .contains("nothing to change")
+    );
+    assert!(
+        bench
+            .done(&["manifest", "show"])
+            .contains("[team.sales]\nlimit = 10")
+    );
+
+    let changed = bench.write("changed.ini", &MANIFEST.replace("limit = 10", "limit = 20"));
+    let difference = bench.done(&["manifest", "diff", &changed]);
+    assert_eq!(
+        difference,
+        "against revision 2\n[team.sales]\n- limit = 10\n+ limit = 20\n"
+    );
+    let stale = bench.run(&["manifest", "apply", &changed, "--base", "1"]);
+    assert_eq!(
+        stale.status.code(),
+        Some(4),
+        "{}",
+        String::from_utf8_lossy(&stale.stderr)
+    );
+    let apply = [
+        "manifest",
+        "apply",
+        &changed,
+        "--base",
+        "2",
+        "--change-id",
+        "release-1",
+    ];
+    assert!(bench.done(&apply).contains("revision 3 is in force"));
+    assert!(
+        bench.done(&apply).contains("revision 3 is in force"),
+        "repeating is harmless"
+    );
+
+    let invalid = bench.write("invalid.ini", &MANIFEST.replace("share = 1", "share = 0"));
+    let refused = bench.run(&["manifest", "apply", &invalid]);
+    assert_eq!(refused.status.code(), Some(3));
+
+    let key = bench.done(&["key", "grant", "--team", "sales", "--expires", "30d"]);
+    let key_id = key.split('.').next().unwrap_or_default();
+    assert!(bench.done(&["key", "list"]).contains(key_id));
+    assert!(
+        bench
+            .done(&["key", "withdraw", key_id])
+            .contains("is withdrawn")
+    );
+    assert!(!bench.done(&["key", "list"]).contains(key_id));
+    let unknown = bench.run(&["key", "withdraw", "k000"]);
+    assert_eq!(unknown.status.code(), Some(3));
+
+    let status = bench.done(&["status"]);
+    assert!(status.contains("deployment trial"), "{status}");
+    assert!(status.contains("BELOW BUDGET"), "{status}");
+    let json: serde_json::Value =
+        serde_json::from_str(&bench.done(&["status", "--json"])).expect("JSON");
+    assert_eq!(json["status"]["teams"][0]["limit"], 20);
+}
+
+#[test]
+fn audit_of_an_operators_day() {
+    // What an operator did is in the trail, with the difference, and the chain is whole. A
+    // digest noted before still fits; one that does not fit ends with exit code 8.
+    let bench = Bench::start().expect("an entry host");
+    let manifest = bench.write("manifest.ini", MANIFEST);
+    bench.done(&["manifest", "apply", &manifest]);
+    let changed = bench.write("changed.ini", &MANIFEST.replace("limit = 10", "limit = 20"));
+    bench.done(&["manifest", "apply", &changed]);
+    let mut trail = String::new();
+    for _ in 0..300 {
+        trail = bench.done(&["audit"]);
+        if trail.contains("+limit = 20") {
+            break;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(100));
+    }
+    assert!(trail.contains("-limit = 10; +limit = 20;"), "{trail}");
+    let newest = trail
+        .split_whitespace()
+        .last()
+        .unwrap_or_default()
+        .to_owned();
+    bench.done(&["audit", "--expect", &newest]);
+    let (sequence, _) = newest.split_once(':').unwrap_or_default();
+    let other = format!("{sequence}:{}", "00".repeat(32));
+    assert_eq!(
+        bench.run(&["audit", "--expect", &other]).status.code(),
+        Some(8)
+    );
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,8 @@
 //! `docs/PLATFORM.md`; [`RetryStore`] repeats calls and settles lost answers, as argued in
 //! `docs/design/08-platform.md`.
 
+pub mod event;
+
 mod boot_clock;
 mod call_pace;
 mod hex_text;
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -6,6 +6,8 @@
 //! granted slots for a few seconds. `docs/design/06-shares.md` says why this is safe and
 //! what it costs.
 
+pub mod event;
+
 mod broker_desk;
 mod convert;
 mod service;
--- a/crates/share/src/service.rs
+++ b/crates/share/src/service.rs
@@ -11,7 +11,9 @@
     rendezvous,
     share::{BrokerOptions, HolderOptions, SlotMap},
 };
-use model::{BootTime, HostRole, Incarnation, MemberId, PoolId, StepError, TeamId};
+use model::{
+    BootTime, HostRole, Incarnation, MemberId, PoolId, StepError, TeamId, event as log_event,
+};
 use parking_lot::{Mutex, RwLock};
 use platform::Clock;
 use ports::{
@@ -22,6 +24,7 @@
 
 use crate::{
     broker_desk::{BrokerDesk, DeskPool},
+    event,
     session_book::SessionBook,
 };
 
@@ -328,7 +331,10 @@
     // A lost message is made up for by the next round.
     fn send(&self, to: &MemberId, body: Body) {
         if let Err(error) = self.options.link.send(to, body) {
-            log::debug!("E0401 share-message-dropped peer={to} cause=\"{error}\"");
+            log_event::debug(
+                &event::MESSAGE_DROPPED,
+                format_args!("peer={to} cause=\"{error}\""),
+            );
         }
     }
 }
