List the metrics, and fold their samples while nobody reads them

Cause: the recorder keeps each sample of a histogram until the metrics are read or told to fold; with lws_queue_seconds recorded for each request, memory grew with traffic on a host that is not scraped.

--- a/crates/admin/src/admin_server.rs
+++ b/crates/admin/src/admin_server.rs
@@ -11,6 +11,7 @@
     admin_auth::AdminAuth,
     audit::ConfigWatch,
     event,
+    metrics_keeper::MetricsKeeper,
     route::AdminRouter,
     server::{AdminCall, AdminReply, HttpPort, PortHandler, Verb, WorkLane},
 };
@@ -46,6 +47,7 @@
     port: Option<HttpPort>,
     address: SocketAddr,
     desk: Option<Arc<AdminDesk>>,
+    metrics: Option<MetricsKeeper>,
 }
 
 impl AdminServer {
@@ -64,6 +66,7 @@
             Arc::clone(&config.clock),
             &config.bootstrap_key,
         );
+        let metrics = MetricsKeeper::start(config.metrics.clone())?;
         let router = Arc::new(AdminRouter::new(config));
         let answer: Arc<dyn Fn(&AdminCall) -> AdminReply + Send + Sync> = {
             let router = Arc::clone(&router);
@@ -82,6 +85,7 @@
             port: Some(port),
             address,
             desk: Some(desk),
+            metrics: Some(metrics),
         })
     }
 
@@ -100,6 +104,9 @@
             desk.reads.stop();
             desk.changes.stop();
         }
+        if let Some(metrics) = self.metrics.take() {
+            metrics.stop();
+        }
     }
 }
 
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -12,6 +12,7 @@
 mod admin_auth;
 mod admin_problem;
 mod admin_server;
+mod metrics_keeper;
 mod route;
 mod server;
 
--- a/crates/lacewingshore/tests/docs.rs
+++ b/crates/lacewingshore/tests/docs.rs
@@ -158,6 +158,33 @@
     assert_eq!(&found, name, "{number} in {}", file.display());
 }
 
+/// The page lists the metrics that the sources record, and no others.
+#[test]
+fn metrics_page_complete() {
+    let mut files = Vec::new();
+    find_files(&root().join("crates"), "rs", &mut files);
+    files.retain(|file| file.components().any(|part| part.as_os_str() == "src"));
+    let names_in = |text: &str, quote: char| -> Vec<String> {
+        let parts = text.split(quote).skip(1).step_by(2);
+        let names = parts.filter(|part| {
+            part.starts_with("lws_") && part.chars().all(|c| c.is_ascii_lowercase() || c == '_')
+        });
+        names.map(str::to_owned).collect()
+    };
+    let lines: Vec<String> = files
+        .iter()
+        .flat_map(|file| read(file).lines().map(str::to_owned).collect::<Vec<_>>())
+        .collect();
+    let mut recorded: Vec<String> = lines.iter().flat_map(|line| names_in(line, '"')).collect();
+    let page = read(&root().join("docs/METRICS.md"));
+    let mut listed: Vec<String> = page.lines().flat_map(|line| names_in(line, '`')).collect();
+    for names in [&mut recorded, &mut listed] {
+        names.sort_unstable();
+        names.dedup();
+    }
+    assert_eq!(listed, recorded);
+}
+
 /// Commands on the pages are commands of the binary, with options that it knows.
 #[test]
 fn commands_known() {
