Show audit and withdrawals under loss and outage with real processes

Cause: nothing showed yet that the trail survives the loss of every entry host, or what an operator is told when the store is down. Change: tests with a real entry host: killed right after it accepted a change, its successor has the change in the trail once; a withdrawal during an outage of the store is not reported as done, and the same change id does it once later; a dead first address is passed over. Found by them: an entry host that has just started refused an operator; reading calls now wait a moment for it. A command that withdraws its own key is no longer told of a refused key if the answer was lost.

--- a/crates/lacewingshore/src/args.rs
+++ b/crates/lacewingshore/src/args.rs
@@ -21,6 +21,10 @@
     #[argh(option, arg_name = "file")]
     pub key_file: Option<PathBuf>,
 
+    /// seconds for which a change is repeated that is not accepted yet (default 30)
+    #[argh(option, default = "30")]
+    pub patience: u64,
+
     #[argh(subcommand)]
     pub command: Command,
 }
--- a/crates/lacewingshore/src/client.rs
+++ b/crates/lacewingshore/src/client.rs
@@ -11,8 +11,9 @@
 
 /// Longest wait for one answer; accepting a change takes some seconds at most.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
-/// How long a change that is not accepted yet is repeated.
-const PATIENCE: Duration = Duration::from_secs(30);
+/// How long a reading call is repeated while no entry host serves.
+const READ_PATIENCE: Duration = Duration::from_secs(3);
+/// Pause between two tries of a change that is not accepted yet.
 const PAUSE: Duration = Duration::from_millis(500);
 /// Largest answer that is read; a status of the target fleet takes a few hundred KB.
 const MAX_ANSWER: u64 = 16 * 1024 * 1024;
@@ -57,6 +58,7 @@
 pub struct AdminClient {
     urls: Vec<String>,
     key: String,
+    patience: Duration,
     agent: ureq::Agent,
 }
 
@@ -83,25 +85,19 @@
                 .context("give a key with --key-file or LACEWINGSHORE_KEY")?,
         };
         let urls: Vec<&str> = urls.split(',').map(str::trim).collect();
-        Ok(Self::with_key(&urls, key.trim()))
-    }
-
-    /// A client of `urls` with `key`.
-    pub fn with_key(urls: &[&str], key: &str) -> Self {
         let agent = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(ANSWER_TIMEOUT))
             .timeout_connect(Some(Duration::from_secs(2)))
             .build()
             .into();
-        Self {
-            urls: urls
-                .iter()
-                .map(|url| url.trim_end_matches('/').to_owned())
-                .collect(),
-            key: key.to_owned(),
+        let urls = urls.iter().map(|url| url.trim_end_matches('/').to_owned());
+        Ok(Self {
+            urls: urls.collect(),
+            key: key.trim().to_owned(),
+            patience: Duration::from_secs(arguments.patience),
             agent,
-        }
+        })
     }
 
     /// The addresses of the entry hosts.
@@ -109,18 +105,10 @@
         &self.urls
     }
 
-    /// Reads from the first entry host that answers.
+    /// Reads from the first entry host that answers; one that has just started is given a
+    /// moment to join.
     pub fn read_text(&self, path: &str) -> Result<(String, u64), CommandError> {
-        let request = AdminRequest::read(path);
-        let mut last = no_url();
-        for url in &self.urls {
-            match self.try_call(url, &request) {
-                Ok(answer) => return Ok(answer),
-                Err(TryError::Again(error)) => last = error,
-                Err(TryError::Final(error)) => return Err(error),
-            }
-        }
-        Err(last)
+        self.repeat(&AdminRequest::read(path), READ_PATIENCE.min(self.patience))
     }
 
     /// Reads JSON from the first entry host that answers.
@@ -141,17 +129,26 @@
     /// An answer may be lost after the change took effect. Each try carries the same change
     /// id, so that the change is made once whichever try gets through.
     pub fn change<T: DeserializeOwned>(&self, request: &AdminRequest) -> Result<T, CommandError> {
+        parse(&self.repeat(request, self.patience)?.0)
+    }
+
+    /// Tries each entry host in turn, again and again, until one answers.
+    fn repeat(
+        &self,
+        request: &AdminRequest,
+        patience: Duration,
+    ) -> Result<(String, u64), CommandError> {
         let start = Instant::now();
-        let mut last = no_url();
+        let mut last = CommandError::Unavailable("no entry host was named".to_owned());
         loop {
             for url in &self.urls {
                 match self.try_call(url, request) {
-                    Ok((text, _)) => return parse(&text),
+                    Ok(answer) => return Ok(answer),
                     Err(TryError::Again(error)) => last = worse(last, error),
-                    Err(TryError::Final(error)) => return Err(error),
+                    Err(TryError::Final(error)) => return Err(settle(last, error)),
                 }
             }
-            if start.elapsed() > PATIENCE {
+            if start.elapsed() >= patience {
                 return Err(last);
             }
             thread::sleep(PAUSE);
@@ -238,8 +235,16 @@
     }
 }
 
-fn no_url() -> CommandError {
-    CommandError::Unavailable("no entry host was named".to_owned())
+/// The outcome when a later try is refused for good.
+///
+/// An operator may withdraw the key that the command itself presents. If that took effect
+/// and its answer was lost, the next try is refused for the key, which must not read as if
+/// the withdrawal had failed.
+fn settle(last: CommandError, refusal: CommandError) -> CommandError {
+    match (&last, &refusal) {
+        (CommandError::Pending(_), CommandError::KeyRefused(_)) => last,
+        _ => refusal,
+    }
 }
 
 fn parse<T: DeserializeOwned>(text: &str) -> Result<T, CommandError> {
--- a/crates/lacewingshore/tests/docs.rs
+++ b/crates/lacewingshore/tests/docs.rs
@@ -47,9 +47,16 @@
         fs::write(path, fresh).unwrap_or_default();
         return;
     }
-    assert_eq!(
-        found, table,
-        "run with LACEWINGSHORE_WRITE_DOCS=1 to write docs/{page}"
+    let differ = |one: &str, other: &str| -> Vec<String> {
+        let lines = one
+            .lines()
+            .filter(|line| !other.lines().any(|found| found == *line));
+        lines.map(str::to_owned).collect()
+    };
+    let (missing, stale) = (differ(table, found), differ(found, table));
+    assert!(
+        found == table,
+        "docs/{page} is stale; LACEWINGSHORE_WRITE_DOCS=1 writes it\nmissing: {missing:#?}\nstale: {stale:#?}"
     );
 }
 
@@ -177,12 +184,17 @@
         .collect();
     let mut recorded: Vec<String> = lines.iter().flat_map(|line| names_in(line, '"')).collect();
     let page = read(&root().join("docs/METRICS.md"));
-    let mut listed: Vec<String> = page.lines().flat_map(|line| names_in(line, '`')).collect();
-    for names in [&mut recorded, &mut listed] {
-        names.sort_unstable();
-        names.dedup();
+    let listed: Vec<String> = page.lines().flat_map(|line| names_in(line, '`')).collect();
+    recorded.sort_unstable();
+    recorded.dedup();
+    for name in &listed {
+        assert!(
+            recorded.contains(name),
+            "docs/METRICS.md lists {name}, which nothing records"
+        );
     }
-    assert_eq!(listed, recorded);
+    recorded.retain(|name| !listed.contains(name));
+    assert_eq!(recorded, Vec::<String>::new(), "not in docs/METRICS.md");
 }
 
 /// Commands on the pages are commands of the binary, with options that it knows.
--- a/crates/lacewingshore/tests/operate.rs
+++ b/crates/lacewingshore/tests/operate.rs
@@ -3,10 +3,13 @@
 use std::{
     fs,
     io::{BufRead, BufReader},
+    path::Path,
     process::{Child, Command, Output, Stdio},
+    thread,
+    time::Duration,
 };
 
-use fake::{HostListFake, StoreFake};
+use fake::{HostListFake, StoreFake, StoreFaults};
 use tempfile::TempDir;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_lacewingshore");
@@ -24,19 +27,46 @@
 limit = 10
 ";
 
+/// Starts an entry host; returns it with the address that operators reach.
+fn start_host(settings: &Path) -> anyhow::Result<(Child, String)> {
+    let mut host = Command::new(BINARY)
+        .args(["serve", "--settings"])
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let mut line = String::new();
+    if let Some(output) = host.stdout.take() {
+        BufReader::new(output).read_line(&mut line)?;
+    }
+    let admin = line
+        .split_whitespace()
+        .find_map(|word| word.strip_prefix("admin="));
+    Ok((host, format!("http://{}", admin.unwrap_or_default())))
+}
+
+/// Runs `is_true` until it holds; the other side has its own time.
+fn eventually(what: &str, mut is_true: impl FnMut() -> bool) {
+    for _ in 0..300 {
+        if is_true() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!("never: {what}");
+}
+
 /// A running entry host; ended when dropped.
 struct Bench {
     host: Child,
     admin: String,
     dir: TempDir,
-    _store: StoreFake,
+    store: StoreFake,
     _hosts: HostListFake,
 }
 
 impl Drop for Bench {
     fn drop(&mut self) {
-        let _ = self.host.kill();
-        let _ = self.host.wait();
+        self.kill();
     }
 }
 
@@ -64,27 +94,29 @@
         );
         let file = dir.path().join("entry.ini");
         fs::write(&file, settings)?;
-        let mut host = Command::new(BINARY)
-            .args(["serve", "--settings"])
-            .arg(&file)
-            .stdout(Stdio::piped())
-            .spawn()?;
-        let mut line = String::new();
-        if let Some(output) = host.stdout.take() {
-            BufReader::new(output).read_line(&mut line)?;
-        }
-        let admin = line
-            .split_whitespace()
-            .find_map(|word| word.strip_prefix("admin="));
+        let (host, admin) = start_host(&file)?;
         Ok(Self {
             host,
-            admin: format!("http://{}", admin.unwrap_or_default()),
+            admin,
             dir,
-            _store: store,
+            store,
             _hosts: hosts,
         })
     }
 
+    fn kill(&mut self) {
+        let _ = self.host.kill();
+        let _ = self.host.wait();
+    }
+
+    /// Starts the entry host anew, with nothing but its settings.
+    fn restart(&mut self) -> anyhow::Result<()> {
+        self.kill();
+        let file = self.dir.path().join("entry.ini");
+        (self.host, self.admin) = start_host(&file)?;
+        Ok(())
+    }
+
     fn run(&self, arguments: &[&str]) -> Output {
         let output = Command::new(BINARY)
             .env("LACEWINGSHORE_ADMIN", &self.admin)
@@ -203,13 +235,10 @@
     let changed = bench.write("changed.ini", &MANIFEST.replace("limit = 10", "limit = 20"));
     bench.done(&["manifest", "apply", &changed]);
     let mut trail = String::new();
-    for _ in 0..300 {
+    eventually("the change is audited", || {
         trail = bench.done(&["audit"]);
-        if trail.contains("+limit = 20") {
-            break;
-        }
-        std::thread::sleep(std::time::Duration::from_millis(100));
-    }
+        trail.contains("+limit = 20")
+    });
     assert!(trail.contains("-limit = 10; +limit = 20;"), "{trail}");
     let newest = trail
         .split_whitespace()
@@ -224,3 +253,80 @@
         Some(8)
     );
 }
+
+#[test]
+fn audit_after_loss_of_every_host() {
+    // A change is accepted, and the only entry host dies before it could write to the audit
+    // trail. Its successor has nothing but the store, and the change is in the trail.
+    let mut bench = Bench::start().expect("an entry host");
+    let manifest = bench.write("manifest.ini", MANIFEST);
+    let apply = [
+        "manifest",
+        "apply",
+        &manifest,
+        "--change-id",
+        "the-last-change",
+    ];
+    bench.done(&apply);
+    bench.restart().expect("another life");
+    let mut trail = serde_json::Value::Null;
+    eventually("the change is audited", || {
+        let output = bench.run(&["audit", "--json"]);
+        trail = serde_json::from_slice(&output.stdout).unwrap_or_default();
+        trail.to_string().contains("the-last-change")
+    });
+    let entries = trail["entries"].as_array().cloned().unwrap_or_default();
+    let is_change = |entry: &&serde_json::Value| entry["change_id"] == "the-last-change";
+    assert_eq!(entries.iter().filter(is_change).count(), 1);
+    assert_eq!(trail["faults"], serde_json::json!([]));
+    assert!(bench.done(&["manifest", "show"]).contains("[team.sales]"));
+}
+
+#[test]
+fn withdraw_while_store_is_down() {
+    // An operator withdraws a key while the store is down. Nothing can be recorded, so the
+    // command must not say that the key is withdrawn. With the store back, the same change id
+    // withdraws it once.
+    let bench = Bench::start().expect("an entry host");
+    let manifest = bench.write("manifest.ini", MANIFEST);
+    bench.done(&["manifest", "apply", &manifest]);
+    let key = bench.done(&["key", "grant", "--team", "sales"]);
+    let key_id = key.split('.').next().unwrap_or_default();
+    bench.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    let withdraw = [
+        "--patience",
+        "1",
+        "key",
+        "withdraw",
+        key_id,
+        "--change-id",
+        "w-1",
+    ];
+    let output = bench.run(&withdraw);
+    let code = output.status.code();
+    assert!(code == Some(5) || code == Some(6), "{code:?}");
+    bench.store.set_faults(StoreFaults::default());
+    eventually("the key is withdrawn", || {
+        bench.run(&withdraw).status.success()
+    });
+    assert!(!bench.done(&["key", "list"]).contains(key_id));
+    bench.done(&withdraw);
+}
+
+#[test]
+fn first_address_is_dead() {
+    // The first entry host that an operator names is gone; the command goes on to the next.
+    let mut bench = Bench::start().expect("an entry host");
+    bench.admin = format!("http://127.0.0.1:1,{}", bench.admin);
+    let manifest = bench.write("manifest.ini", MANIFEST);
+    bench.done(&["manifest", "apply", &manifest]);
+    let status = bench.done(&["status"]);
+    assert!(
+        status.contains("no answer from http://127.0.0.1:1"),
+        "{status}"
+    );
+    assert!(status.contains("deployment trial"), "{status}");
+}
