--- a/crates/entry/src/admission/admission_loop.rs
+++ b/crates/entry/src/admission/admission_loop.rs
@@ -172,10 +172,11 @@
         let desk = self.desks.entry(work.pool.clone()).or_default();
         let lease = self.config.slots.lease(&work.pool);
         if let Some(wait) = desk.expected_wait(&work, &lease, now)
-            && now + wait > work.deadline
+            && Duration::ZERO < wait
+            && work.deadline < now + wait + desk.needed_time()
         {
             let detail = format!(
-                "the request would wait about {} ms, longer than its deadline",
+                "the request would wait about {} ms, too long for its deadline",
                 wait.as_millis()
             );
             let problem =
@@ -204,9 +205,12 @@
         }
         self.culled = now;
         for desk in self.desks.values_mut() {
-            let gone = desk
-                .queue
-                .take_out(|work| now >= work.deadline || work.reply.is_abandoned());
+            let outlook = desk.outlook();
+            let gone = desk.queue.take_out(|work| {
+                outlook.waited_too_long(work, now)
+                    || now >= work.deadline
+                    || work.reply.is_abandoned()
+            });
             if gone.is_empty() {
                 continue;
             }
--- a/crates/entry/src/admission/settle_work.rs
+++ b/crates/entry/src/admission/settle_work.rs
@@ -158,7 +158,7 @@
     } else {
         (
             ProblemKind::Deadline,
-            "no slot became free before the deadline",
+            "no slot became free in time for the deadline",
         )
     };
     CallerProblem::not_run(kind, detail).with_retry_after(Duration::from_secs(1))
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -6,10 +6,12 @@
 //! channels and its outcome awaited.
 
 mod body_budget;
+mod body_reader;
 mod caller_port;
 mod caller_stream;
 mod connection_count;
 mod job_desk;
+mod job_routes;
 mod key_check;
 mod request_head;
 mod respond;
--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -1,22 +1,17 @@
 use std::time::Duration;
 
 use crossbeam_channel::TrySendError;
-use http_body_util::{BodyExt, combinators::BoxBody};
-use hyper::{
-    Method, Request,
-    body::{Body, Bytes, Incoming},
-    header::CONTENT_LENGTH,
-};
-use model::{BootTime, JobId, PoolId, ProblemKind, RequestId, ServiceId};
-use ports::{ForceConfig, JobRequest, NotServing};
+use hyper::{Method, Request, body::Incoming};
+use model::{BootTime, PoolId, ProblemKind, RequestId, ServiceId};
+use ports::{ForceConfig, NotServing};
 use serde::Serialize;
 
 use super::{
-    body_budget::BodyShare,
+    body_reader::read_body,
     caller_port::CallerPort,
-    job_desk::JobCall,
+    job_routes::{answer_job, answer_submit},
     key_check::{KeyPass, check_key},
-    request_head::{RequestHead, bad, header_text},
+    request_head::{RequestHead, header_text},
     respond::{CallerResponse, respond_answer, respond_json, respond_problem, respond_text},
 };
 use crate::{
@@ -177,7 +172,8 @@
     Ok(PreparedRequest { work, outcome })
 }
 
-fn check_caller<B>(
+/// The team whose key came with a request.
+pub(super) fn check_caller<B>(
     port: &CallerPort,
     config: &ForceConfig,
     request: &Request<B>,
@@ -207,178 +203,6 @@
     Ok(spec.pool.clone())
 }
 
-async fn read_body(
-    port: &CallerPort,
-    request: Request<Incoming>,
-    share: &mut BodyShare,
-    patience: Duration,
-) -> Result<Bytes, CallerProblem> {
-    let announced = announced_length(&request)?;
-    if announced > port.max_body {
-        return Err(too_large(port.max_body));
-    }
-    let limit = port.tuning.body_timeout.min(patience);
-    let body = request.into_body().boxed();
-    let reading = collect_body(body, announced, port.max_body, share);
-    match tokio::time::timeout(limit, reading).await {
-        Ok(outcome) => outcome,
-        Err(_) => Err(CallerProblem::not_run(
-            ProblemKind::SlowSender,
-            format!("the body did not arrive within {} ms", limit.as_millis()),
-        )),
-    }
-}
-
-fn announced_length<B>(request: &Request<B>) -> Result<usize, CallerProblem> {
-    let Some(value) = request.headers().get(CONTENT_LENGTH) else {
-        return Ok(0);
-    };
-    let length = value.to_str().ok().and_then(|text| text.parse().ok());
-    length.ok_or_else(|| bad("Content-Length is not a number"))
-}
-
-async fn collect_body(
-    mut body: BoxBody<Bytes, hyper::Error>,
-    announced: usize,
-    max_body: usize,
-    share: &mut BodyShare,
-) -> Result<Bytes, CallerProblem> {
-    // Untouched memory costs nothing, and growing would copy the body a few times.
-    let mut bytes = Vec::with_capacity(announced);
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return Err(bad("the body ended before its announced length"));
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if bytes.len() + data.len() > max_body {
-            return Err(too_large(max_body));
-        }
-        if !share.grow(data.len()) {
-            return Err(CallerProblem::not_run(
-                ProblemKind::QueueFull,
-                "no memory left for bodies of this team",
-            )
-            .with_retry_after(Duration::from_secs(1)));
-        }
-        bytes.extend_from_slice(&data);
-    }
-    if !body.is_end_stream() || bytes.len() < announced {
-        return Err(bad("the body ended before its announced length"));
-    }
-    Ok(Bytes::from(bytes))
-}
-
-fn too_large(max_body: usize) -> CallerProblem {
-    CallerProblem::not_run(
-        ProblemKind::TooLarge,
-        format!("a body may have at most {max_body} bytes"),
-    )
-}
-
-async fn answer_submit(
-    port: &CallerPort,
-    service: ServiceId,
-    request: Request<Incoming>,
-) -> Result<CallerResponse, CallerProblem> {
-    let config = port.config.current();
-    let pass = check_caller(port, &config, &request)?;
-    port.check_serving()?;
-    let job = read_job(port, &config, service, &pass, request.headers())?;
-    let mut share = port.budget.share(&pass.team);
-    let payload = read_body(port, request, &mut share, port.max_deadline).await?;
-    // The key may have been withdrawn while the body arrived.
-    super::key_stands(
-        &port.config.current(),
-        &pass.team,
-        &pass.stamp,
-        port.clock.unix_now(),
-    )?;
-    port.check_serving()?;
-    let job = JobRequest {
-        payload: payload.to_vec(),
-        ..job
-    };
-    let view = port.jobs.run(JobCall::Submit(Box::new(job))).await?;
-    Ok(respond_json(202, &view))
-}
-
-fn read_job(
-    port: &CallerPort,
-    config: &ForceConfig,
-    service: ServiceId,
-    pass: &KeyPass,
-    headers: &hyper::HeaderMap,
-) -> Result<JobRequest, CallerProblem> {
-    let head = RequestHead::read(headers, port.max_deadline)?;
-    let Some(spec) = config.manifest.services.get(&service) else {
-        return Err(CallerProblem::not_run(
-            ProblemKind::NotFound,
-            format!("no service {service}"),
-        ));
-    };
-    if spec.worker_pool.is_empty() {
-        return Err(bad(format!("service {service} runs no jobs")));
-    }
-    let workspace = header_text(headers, "workspace")?.unwrap_or_default();
-    let owner = config.manifest.workspaces.get(workspace);
-    if !workspace.is_empty() && owner.is_none_or(|spec| spec.team != pass.team) {
-        return Err(bad(format!("the team has no workspace {workspace}")));
-    }
-    let request = head.request.unwrap_or_else(|| port.claims.mint_spent());
-    Ok(JobRequest {
-        request,
-        team: pass.team.clone(),
-        service,
-        workspace: workspace.into(),
-        payload: Vec::new(),
-        cores: read_number(headers, "cores", 1, 1024)?,
-        memory_mb: u64::from(read_number(headers, "memory-mb", 256, 16 * 1024 * 1024)?),
-        accelerators: read_number(headers, "accelerators", 0, 64)?,
-        run_time: Duration::from_millis(u64::from(read_number(
-            headers,
-            "run-time-ms",
-            60_000,
-            u32::MAX,
-        )?)),
-        idempotent: head.idempotent,
-    })
-}
-
-fn read_number(
-    headers: &hyper::HeaderMap,
-    name: &'static str,
-    default: u32,
-    max: u32,
-) -> Result<u32, CallerProblem> {
-    let Some(text) = header_text(headers, name)? else {
-        return Ok(default);
-    };
-    match text.parse() {
-        Ok(number) if number <= max => Ok(number),
-        _ => Err(bad(format!(
-            "header {name} must be a whole number from 0 to {max}"
-        ))),
-    }
-}
-
-async fn answer_job<B>(
-    port: &CallerPort,
-    request: &Request<B>,
-    job: JobId,
-    cancel: bool,
-) -> Result<CallerResponse, CallerProblem> {
-    let pass = check_caller(port, &port.config.current(), request)?;
-    let call = if cancel {
-        JobCall::Cancel(pass.team, job)
-    } else {
-        JobCall::View(pass.team, job)
-    };
-    let view = port.jobs.run(call).await?;
-    Ok(respond_json(200, &view))
-}
-
 fn count_problem(problem: &CallerProblem) {
     let kind = serde_json::to_value(problem.kind)
         .ok()
--- a/crates/entry/tests/floods.rs
+++ b/crates/entry/tests/floods.rs
@@ -201,6 +201,8 @@
     let bench = EntryBench::start_with(&[&target], setup);
     let mut stream = TcpStream::connect(bench.server.caller_address()).unwrap();
     stream.write_all((head(KEY, 1) + "x").as_bytes()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    assert_eq!(stream.peek(&mut [0]).unwrap(), 1);
     // The team's part of the memory holds one such answer; this one waits for it.
     let reply = bench.caller().with("deadline-ms", "30000").ask(b"y");
     assert_eq!((reply.status, reply.body.len()), (200, 4 * 1024 * 1024));
