--- a/crates/entry/tests/floods.rs
+++ b/crates/entry/tests/floods.rs
@@ -190,13 +190,17 @@
     assert_eq!(reply.status, 200, "{}", reply.text());
 }
 
+/// More than the buffers of both sockets take in, so that a caller who doesn't read shows.
+const LARGE: usize = 24 * 1024 * 1024;
+
 /// A caller asks for a large answer and never reads it. Its connection ends, and with it
 /// the memory of its answer.
 #[test]
 fn slow_reader_cut() {
-    let target = RawTarget::start(|_| TargetReply::Answer(vec![b'x'; 4 * 1024 * 1024]));
+    let target = RawTarget::start(|_| TargetReply::Answer(vec![b'x'; LARGE]));
     let mut setup = BenchSetup::default();
-    setup.tuning.answer_memory = 6 * 1024 * 1024;
+    setup.settings.max_body = LARGE;
+    setup.tuning.answer_memory = LARGE * 3 / 2;
     setup.tuning.write_window = Duration::from_secs(1);
     let bench = EntryBench::start_with(&[&target], setup);
     let mut stream = TcpStream::connect(bench.server.caller_address()).unwrap();
@@ -205,11 +209,11 @@
     assert_eq!(stream.peek(&mut [0]).unwrap(), 1);
     // The team's part of the memory holds one such answer; this one waits for it.
     let reply = bench.caller().with("deadline-ms", "30000").ask(b"y");
-    assert_eq!((reply.status, reply.body.len()), (200, 4 * 1024 * 1024));
+    assert_eq!((reply.status, reply.body.len()), (200, LARGE));
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
     let mut rest = Vec::new();
     let _ = stream.read_to_end(&mut rest);
-    assert!(rest.len() < 4 * 1024 * 1024);
+    assert!(rest.len() < LARGE);
 }
 
 fn exchange_livez(stream: &mut TcpStream) {
