Take a claim's verdict only from the life of the home that minted the id

Cause: replies were matched by call number alone. Numbers began at 1 in each life, so a delayed reply to the life before could grant a question of this one: an order could run twice. Change: numbers begin at random, and sender and incarnation of a reply must be the home's. Test: reply_of_another_host fails without the check.

--- a/crates/entry/src/claim/claim_desk.rs
+++ b/crates/entry/src/claim/claim_desk.rs
@@ -28,7 +28,13 @@
     link: Arc<dyn PeerLink>,
     ledger: Mutex<ClaimLedger>,
     calls: AtomicU64,
-    waiting: Mutex<HashMap<u64, Sender<ClaimVerdict>>>,
+    waiting: Mutex<HashMap<u64, WaitingClaim>>,
+}
+
+/// A claim whose home was asked.
+struct WaitingClaim {
+    minted: MintedId,
+    verdict: Sender<ClaimVerdict>,
 }
 
 impl ClaimDesk {
@@ -38,7 +44,9 @@
             members,
             link,
             ledger: Mutex::new(ClaimLedger::new(open_ids)),
-            calls: AtomicU64::new(1),
+            // A reply to the life before this one may still be on its way; beginning anew
+            // at 1 could match it to a question of this life.
+            calls: AtomicU64::new(rand::random::<u64>() >> 8),
             waiting: Mutex::default(),
         }
     }
@@ -142,7 +150,11 @@
         patience: Duration,
     ) -> ClaimVerdict {
         let (sender, receiver) = bounded(1);
-        self.waiting.lock().insert(call, sender);
+        let waiting = WaitingClaim {
+            minted: minted.clone(),
+            verdict: sender,
+        };
+        self.waiting.lock().insert(call, waiting);
         let verdict = self.ask_home(minted, team, call, patience, &receiver);
         self.waiting.lock().remove(&call);
         verdict
@@ -180,7 +192,7 @@
     fn receive(&self, message: &InboundMessage) {
         match &message.body {
             Body::ClaimRequest(request) => self.answer_claim(message, request),
-            Body::ClaimReply(reply) => self.settle_claim(reply),
+            Body::ClaimReply(reply) => self.settle_claim(message, reply),
             _ => {}
         }
     }
@@ -206,13 +218,19 @@
         let _ = self.link.send(&message.from, Body::ClaimReply(reply));
     }
 
-    fn settle_claim(&self, reply: &ClaimReply) {
+    fn settle_claim(&self, message: &InboundMessage, reply: &ClaimReply) {
         let waiting = self.waiting.lock();
-        let Some(sender) = waiting.get(&reply.call) else {
+        let Some(claim) = waiting.get(&reply.call) else {
             return;
         };
+        let minted = &claim.minted;
+        let from_home = message.from == minted.home && message.incarnation == minted.incarnation;
+        if !from_home {
+            metrics::counter!("lws_claim_replies_dropped").increment(1);
+            return;
+        }
         // A second reply to the same call says the same; only the first is read.
-        let _ = sender.try_send(decode(reply.verdict()));
+        let _ = claim.verdict.try_send(decode(reply.verdict()));
     }
 }
 
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -9,7 +9,9 @@
     time::Duration,
 };
 
+use ports::InboundMessage;
 use support::{BenchSetup, EntryBench, LinkMesh, RawTarget};
+use wire::peer::{ClaimReply, ClaimVerdict, envelope::Body};
 
 const MEMBERS: [(&str, u64); 3] = [("e1", 1), ("e2", 1), ("e3", 1)];
 
@@ -163,3 +165,44 @@
     assert_eq!(owner.status, 200);
     assert_eq!(target.call_count(), 1);
 }
+
+/// While the home is cut off, replies that are not its own arrive: from another host, and
+/// from an earlier life of the home. Neither may let the order run.
+#[test]
+fn reply_of_another_host() {
+    let target = RawTarget::echo();
+    let mesh: Arc<LinkMesh> = Arc::default();
+    let home = host(&target, &mesh, 0);
+    let other = host(&target, &mesh, 1);
+    let id = home.caller().mint();
+    let (inbox, questions) = crossbeam_channel::bounded(16);
+    mesh.inboxes.lock().insert("e1".into(), inbox);
+    let answers = mesh.inboxes.lock()["e2"].clone();
+    let forging = thread::spawn(move || {
+        let mut forged = 0;
+        while let Ok(question) = questions.recv_timeout(Duration::from_secs(5)) {
+            let Body::ClaimRequest(request) = question.body else {
+                continue;
+            };
+            for (from, incarnation) in [("e3", 1), ("e1", 0), ("e1", 2)] {
+                let reply = ClaimReply {
+                    call: request.call,
+                    verdict: ClaimVerdict::First.into(),
+                };
+                let message = InboundMessage {
+                    from: from.into(),
+                    incarnation,
+                    body: Body::ClaimReply(reply),
+                };
+                answers.send(message).unwrap();
+                forged += 1;
+            }
+        }
+        forged
+    });
+    let reply = other.caller().with("request-id", &id).ask(b"order");
+    assert_eq!((reply.status, reply.fate().as_str()), (409, "may-have-run"));
+    mesh.inboxes.lock().remove("e1");
+    assert!(forging.join().unwrap() >= 3);
+    assert_eq!(target.call_count(), 0);
+}
