--- a/crates/entry/src/admission/start_work.rs
+++ b/crates/entry/src/admission/start_work.rs
@@ -65,7 +65,7 @@
             let Some(mut request) = desk.queue.pop(&turn.team) else {
                 return;
             };
-            if desk.waited_too_long(&request, now) {
+            if desk.outlook().waited_too_long(&request, now) {
                 turn.queued -= 1;
                 turn.urgent_wait = desk.queue.urgent_wait(&turn.team, now);
                 request.refuse(expired(false));
