--- a/crates/decide/src/share/broker.rs
+++ b/crates/decide/src/share/broker.rs
@@ -224,6 +224,22 @@
         state.is_some_and(|state| state.loads.values().any(|load| 0 < load.queued))
     }
 
+    /// Holders other than `holder` that were offered more than they are due now.
+    ///
+    /// They give slots back only when they ask again, which an idle one does rarely.
+    pub fn over_served(&self, holder: &MemberId) -> Vec<MemberId> {
+        let dues = self.dues();
+        let offered = |state: &HolderState| -> u32 {
+            let last = state.offers.back();
+            last.map_or(0, |(_, targets)| targets.values().sum())
+        };
+        let others = self.holders.iter().filter(|(id, _)| *id != holder);
+        others
+            .filter(|(id, state)| self.wanted_slots(id, &dues) < offered(state))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     /// True if the holder has reported in its session.
     pub fn knows(&self, holder: &MemberId) -> bool {
         self.holders.get(holder).is_some_and(|state| !state.closed)
--- a/crates/decide/src/share/holder.rs
+++ b/crates/decide/src/share/holder.rs
@@ -88,6 +88,17 @@
         self.pools.iter()
     }
 
+    /// Slots of all targets of all pools.
+    pub fn slot_sum(&self) -> u32 {
+        let pools = self.pools.values();
+        pools.flat_map(|held| held.offer.targets.values()).sum()
+    }
+
+    /// True if the broker may lack the demand of a pool.
+    pub fn has_fresh(&self) -> bool {
+        self.pools.values().any(|held| self.applied < held.changed)
+    }
+
     /// Takes a pool into the session, or notes that its demand changed.
     pub fn touch(&mut self, pool: &PoolId) {
         let next = self.round + 1;
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -72,7 +72,7 @@
             host_list_url: String::new(),
             log_level: log::LevelFilter::Info,
             log_file: String::new(),
-            heartbeat_interval: Duration::from_millis(400),
+            heartbeat_interval: Duration::from_millis(500),
             lease_length: Duration::from_secs(2),
             store_timeout: Duration::from_millis(800),
             max_deadline: Duration::from_secs(60),
--- a/crates/peer/src/inbound_router.rs
+++ b/crates/peer/src/inbound_router.rs
@@ -1,10 +1,10 @@
 use crate::event;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
-use model::MemberId;
 use model::event as log_event;
+use model::{Incarnation, MemberId};
 use ports::InboundMessage;
 use prost::Message as _;
-use wire::peer::Envelope;
+use wire::peer::{Envelope, envelope::Body};
 
 use crate::BodyKind;
 
@@ -48,13 +48,21 @@
         if envelope.from.is_empty() || envelope.from == self.own.as_str() {
             return self.drop_message("misdirected", &envelope.from);
         }
-        let Some(body) = envelope.body else {
-            return self.drop_message("unknown-body", &envelope.from);
+        let from = MemberId::from(envelope.from);
+        let bodies = envelope.earlier.into_iter().map(|earlier| earlier.body);
+        for body in bodies.chain([envelope.body]) {
+            self.queue(&from, envelope.incarnation, body);
+        }
+    }
+
+    fn queue(&self, from: &MemberId, incarnation: Incarnation, body: Option<Body>) {
+        let Some(body) = body else {
+            return self.drop_message("unknown-body", from);
         };
         let kind = BodyKind::of(&body);
         let message = InboundMessage {
-            from: MemberId::from(envelope.from),
-            incarnation: envelope.incarnation,
+            from: from.clone(),
+            incarnation,
             body,
         };
         match self.senders[kind.queue().index()].try_send(message) {
--- a/crates/peer/src/outbound_link.rs
+++ b/crates/peer/src/outbound_link.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::VecDeque,
     sync::atomic::{AtomicU64, Ordering},
     time::Duration,
 };
@@ -10,7 +11,10 @@
         Options, ReconnectMaxTime, ReconnectMinTime, SendBufferSize, transport::tcp::NoDelay,
     },
 };
+use parking_lot::Mutex;
 use ports::LinkError;
+use prost::Message as _;
+use wire::peer::{Envelope, envelope::Body};
 
 use crate::event;
 
@@ -18,6 +22,9 @@
 /// waits here is stale by the time the peer is back.
 const QUEUE_LENGTH: i32 = 64;
 
+/// Messages that may wait for another one to go along with; the oldest are dropped.
+const WAITING_MAX: usize = 32;
+
 /// First pause before nng dials again.
 const REDIAL_MIN: Duration = Duration::from_millis(50);
 
@@ -32,6 +39,7 @@
     socket: Socket,
     _dialer: Dialer,
     sequence: AtomicU64,
+    waiting: Mutex<VecDeque<Envelope>>,
 }
 
 impl OutboundLink {
@@ -58,6 +66,7 @@
             socket,
             _dialer: dialer,
             sequence: AtomicU64::new(0),
+            waiting: Mutex::default(),
         })
     }
 
@@ -66,13 +75,26 @@
         &self.address
     }
 
-    /// The number of the next message.
-    pub(crate) fn next_sequence(&self) -> u64 {
-        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    /// Keeps `body` until the next message goes out.
+    pub(crate) fn send_along(&self, body: Body) {
+        let mut waiting = self.waiting.lock();
+        if WAITING_MAX <= waiting.len() {
+            waiting.pop_front();
+        }
+        waiting.push_back(Envelope {
+            body: Some(body),
+            ..Envelope::default()
+        });
+    }
+
+    /// Queues `envelope`, with what waited for it, and returns at once.
+    pub(crate) fn send(&self, mut envelope: Envelope) -> Result<(), LinkError> {
+        envelope.sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        envelope.earlier = std::mem::take(&mut *self.waiting.lock()).into();
+        self.send_bytes(&envelope.encode_to_vec())
     }
 
-    /// Queues the encoded message without waiting.
-    pub(crate) fn send(&self, bytes: &[u8]) -> Result<(), LinkError> {
+    fn send_bytes(&self, bytes: &[u8]) -> Result<(), LinkError> {
         metrics::counter!("lws_peer_sent_messages").increment(1);
         metrics::counter!("lws_peer_sent_bytes").increment(bytes.len() as u64);
         match self.socket.try_send(Message::from(bytes)) {
--- a/crates/peer/src/peer_node.rs
+++ b/crates/peer/src/peer_node.rs
@@ -20,7 +20,6 @@
 };
 use parking_lot::{Mutex, RwLock};
 use ports::{InboundMessage, LinkError, PeerLink};
-use prost::Message as _;
 use wire::peer::{Envelope, envelope::Body};
 
 use crate::{BodyKind, event, inbound_router::InboundRouter, outbound_link::OutboundLink};
@@ -177,13 +176,19 @@
         let Some(link) = self.links.read().get(to).cloned() else {
             return Err(LinkError::NoLink(to.clone()));
         };
-        let envelope = Envelope {
+        link.send(Envelope {
             from: self.own.to_string(),
             incarnation: self.incarnation(),
-            sequence: link.next_sequence(),
             body: Some(body),
-        };
-        link.send(&envelope.encode_to_vec())
+            ..Envelope::default()
+        })
+    }
+
+    fn send_along(&self, to: &MemberId, body: Body) -> Result<(), LinkError> {
+        let links = self.links.read();
+        let link = links.get(to).ok_or_else(|| LinkError::NoLink(to.clone()))?;
+        link.send_along(body);
+        Ok(())
     }
 
     fn peers(&self) -> Vec<MemberId> {
--- a/crates/ports/src/link.rs
+++ b/crates/ports/src/link.rs
@@ -30,6 +30,16 @@
     /// # Errors
     /// See [`LinkError`]; success does not mean delivery.
     fn send(&self, to: &MemberId, body: Body) -> Result<(), LinkError>;
+    /// Queues `body` to go with the next message to `to`, which is a heartbeat at the latest.
+    ///
+    /// A message of a few bytes costs several times its size in headers; one that can wait
+    /// for a heartbeat interval costs nothing but its bytes.
+    ///
+    /// # Errors
+    /// As for [`PeerLink::send`].
+    fn send_along(&self, to: &MemberId, body: Body) -> Result<(), LinkError> {
+        self.send(to, body)
+    }
     /// Members that a link exists to, self excluded.
     fn peers(&self) -> Vec<MemberId>;
 }
--- a/crates/share/src/broker_desk.rs
+++ b/crates/share/src/broker_desk.rs
@@ -6,6 +6,15 @@
 
 use crate::convert::{demand_from_wire, offer_to_wire};
 
+/// What the desk says to a demand.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DeskAnswer {
+    /// The grant.
+    pub grant: SlotGrant,
+    /// Holders that should ask again at once, because they hold more than their due.
+    pub nudges: BTreeMap<MemberId, SlotGrant>,
+}
+
 /// One pool as the desk needs it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct DeskPool {
@@ -72,22 +81,47 @@
         now: BootTime,
         from: &MemberId,
         demand: &SlotDemand,
-    ) -> Option<SlotGrant> {
+    ) -> Option<DeskAnswer> {
         let known = self.sessions.get(from).copied();
         if known.is_some_and(|known| demand.session < known) {
             return None;
         }
         let opening = known != Some(demand.session);
         if opening && 0 < demand.applied {
-            return Some(SlotGrant {
+            let grant = SlotGrant {
                 round: demand.round,
                 ..SlotGrant::default()
+            };
+            return Some(DeskAnswer {
+                grant,
+                ..DeskAnswer::default()
             });
         }
         self.sessions.insert(from.clone(), demand.session);
         let reported = self.take_reports(now, from, demand, opening);
         self.confirm_others(now, from, demand, opening, &reported);
-        Some(self.grant(now, from, demand))
+        let grant = self.grant(now, from, demand);
+        let nudges = self.nudges(from);
+        Some(DeskAnswer { grant, nudges })
+    }
+
+    // A grant of round 0 asks its holder to ask again.
+    fn nudges(&self, from: &MemberId) -> BTreeMap<MemberId, SlotGrant> {
+        let backlogged = self
+            .brokers
+            .values()
+            .filter(|broker| broker.is_backlogged(from));
+        let holders = backlogged.flat_map(|broker| broker.over_served(from));
+        holders
+            .filter_map(|holder| {
+                let session = *self.sessions.get(&holder)?;
+                let grant = SlotGrant {
+                    session,
+                    ..SlotGrant::default()
+                };
+                Some((holder, grant))
+            })
+            .collect()
     }
 
     /// Forgets holders that went silent.
--- a/crates/share/src/service.rs
+++ b/crates/share/src/service.rs
@@ -37,10 +37,14 @@
 pub struct ShareTimes {
     /// How often the duty looks for work.
     pub tick: Duration,
-    /// Interval of demands to a broker.
+    /// Interval of demands to a broker while something changes or queues.
     pub interval: Duration,
+    /// Interval of demands that only renew what is held.
+    pub idle_interval: Duration,
     /// Shortest time between two demands to a broker when requests begin to queue.
     pub gap: Duration,
+    /// Shortest time between two requests to a holder to ask again.
+    pub nudge_gap: Duration,
     /// How long a grant may be used, counted from when its demand was sent.
     pub lease: Duration,
     /// Added to the lease before slots of a silent holder are given to others.
@@ -52,7 +56,9 @@
         Self {
             tick: Duration::from_millis(25),
             interval: Duration::from_millis(250),
+            idle_interval: Duration::from_millis(800),
             gap: Duration::from_millis(50),
+            nudge_gap: Duration::from_millis(100),
             lease: Duration::from_secs(3),
             guard: Duration::from_millis(500),
         }
@@ -144,6 +150,8 @@
     refreshed: BootTime,
     // Which life of each member was first seen when.
     ages: BTreeMap<MemberId, (Incarnation, BootTime)>,
+    // When each holder was last asked to ask again.
+    nudged: BTreeMap<MemberId, BootTime>,
     // Members that may hold slots, with the time each was last listed.
     holders: BTreeMap<MemberId, BootTime>,
 }
@@ -170,6 +178,7 @@
             started: options.clock.boot_now(),
             refreshed: BootTime::ZERO,
             ages: BTreeMap::new(),
+            nudged: BTreeMap::new(),
             holders: BTreeMap::new(),
             options,
         }
@@ -204,7 +213,7 @@
             self.book.report(demand);
         }
         let times = self.options.times;
-        for (broker, demand) in self.book.due(now, times.interval, times.gap) {
+        for (broker, demand) in self.book.due(now, &times) {
             self.send_demand(now, &broker, demand);
         }
     }
@@ -299,8 +308,10 @@
         let now = self.options.clock.boot_now();
         match message.body {
             Body::SlotDemand(demand) => {
-                if let Some(grant) = self.desk.answer(now, &message.from, &demand) {
-                    self.send(&message.from, Body::SlotGrant(grant));
+                if let Some(answer) = self.desk.answer(now, &message.from, &demand) {
+                    let is_renewal = demand.pools.is_empty() && answer.grant.pools.is_empty();
+                    self.send(&message.from, Body::SlotGrant(answer.grant), is_renewal);
+                    self.send_nudges(now, answer.nudges);
                 }
             }
             Body::SlotGrant(grant) => self.take_grant(&message.from, &grant),
@@ -310,11 +321,28 @@
 
     fn send_demand(&mut self, now: BootTime, broker: &MemberId, demand: SlotDemand) {
         if *broker != self.own {
-            self.send(broker, Body::SlotDemand(demand));
+            let is_renewal = demand.pools.is_empty() && 0 < demand.applied;
+            self.send(broker, Body::SlotDemand(demand), is_renewal);
             return;
         }
-        if let Some(grant) = self.desk.answer(now, broker, &demand) {
-            self.take_grant(broker, &grant);
+        if let Some(answer) = self.desk.answer(now, broker, &demand) {
+            self.take_grant(broker, &answer.grant);
+            self.send_nudges(now, answer.nudges);
+        }
+    }
+
+    fn send_nudges(&mut self, now: BootTime, nudges: BTreeMap<MemberId, SlotGrant>) {
+        for (holder, grant) in nudges {
+            let nudged = self.nudged.entry(holder.clone()).or_default();
+            if now < *nudged + self.options.times.nudge_gap {
+                continue;
+            }
+            *nudged = now;
+            if holder == self.own {
+                self.take_grant(&holder, &grant);
+            } else {
+                self.send(&holder, Body::SlotGrant(grant), false);
+            }
         }
     }
 
@@ -328,9 +356,16 @@
         }
     }
 
-    // A lost message is made up for by the next round.
-    fn send(&self, to: &MemberId, body: Body) {
-        if let Err(error) = self.options.link.send(to, body) {
+    // A lost message is made up for by the next round. One that only renews goes along with
+    // a heartbeat: for an idle pool messages of their own would cost more than all else.
+    fn send(&self, to: &MemberId, body: Body, is_renewal: bool) {
+        let link = &self.options.link;
+        let sent = if is_renewal {
+            link.send_along(to, body)
+        } else {
+            link.send(to, body)
+        };
+        if let Err(error) = sent {
             log_event::debug(
                 &event::MESSAGE_DROPPED,
                 format_args!("peer={to} cause=\"{error}\""),
--- a/crates/share/src/session_book.rs
+++ b/crates/share/src/session_book.rs
@@ -1,11 +1,14 @@
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc};
 
 use decide::share::{HolderOptions, SlotHolder, SlotMap};
 use model::{BootTime, MemberId, PoolId, TeamId};
 use ports::{PoolDemand, SlotLease, TargetSlots, TeamUse};
 use wire::peer::{SlotDemand, SlotGrant};
 
-use crate::convert::{demand_to_wire, offer_from_wire};
+use crate::{
+    ShareTimes,
+    convert::{demand_to_wire, offer_from_wire},
+};
 
 /// This entry host's sessions with the brokers of all pools.
 #[derive(Debug)]
@@ -23,6 +26,7 @@
 struct SessionState {
     holder: SlotHolder,
     asked: BootTime,
+    // Requests began to queue since the last demand, or slots are to be given back.
     urgent: bool,
 }
 
@@ -91,22 +95,22 @@
         begins
     }
 
-    /// The demands that are due at `now`: sessions that waited for `interval`, or for `gap`
-    /// if requests began to queue.
-    pub fn due(
-        &mut self,
-        now: BootTime,
-        interval: Duration,
-        gap: Duration,
-    ) -> Vec<(MemberId, SlotDemand)> {
-        let is_due = |session: &SessionState| {
-            let wait = if session.urgent { gap } else { interval };
+    /// The demands that are due at `now`.
+    pub fn due(&mut self, now: BootTime, times: &ShareTimes) -> Vec<(MemberId, SlotDemand)> {
+        let is_due = |broker: &MemberId, session: &SessionState| {
+            let wait = if session.urgent {
+                times.gap
+            } else if session.holder.has_fresh() || self.is_backlogged(broker) {
+                times.interval
+            } else {
+                times.idle_interval
+            };
             session.asked + wait <= now
         };
         let brokers: Vec<MemberId> = self
             .sessions
             .iter()
-            .filter(|(_, session)| is_due(session))
+            .filter(|(broker, session)| is_due(broker, session))
             .map(|(broker, _)| broker.clone())
             .collect();
         let ask = |broker: MemberId| self.ask(now, &broker).map(|demand| (broker, demand));
@@ -123,6 +127,11 @@
             self.begin_session(broker, &held);
             return Vec::new();
         }
+        if grant.round == 0 {
+            session.urgent |= grant.session == session.holder.session();
+            return Vec::new();
+        }
+        let slots_before = session.holder.slot_sum();
         let offers = grant
             .pools
             .iter()
@@ -133,6 +142,8 @@
         {
             return Vec::new();
         }
+        // Others wait for slots that were given back until this is confirmed.
+        session.urgent |= session.holder.slot_sum() < slots_before;
         session
             .holder
             .pools()
@@ -166,6 +177,12 @@
         self.owners.keys()
     }
 
+    fn is_backlogged(&self, broker: &MemberId) -> bool {
+        let queued = self.demands.values().filter(|demand| is_queued(demand));
+        let mut owners = queued.filter_map(|demand| self.owners.get(&demand.pool));
+        owners.any(|owner| owner == broker)
+    }
+
     fn ask(&mut self, now: BootTime, broker: &MemberId) -> Option<SlotDemand> {
         let session = self.sessions.get_mut(broker)?;
         session.asked = now;
