Let callers keep an id once its fate is unclear

Cause: the proofs' callers asked for a new id when a retry was refused as not run, although an earlier attempt under the old id was unclear. Change: a new id only while every attempt was refused as not run; the history keeps the ids that callers gave; a crew without answers shows what it was told last.

--- a/crates/lacewingshore/tests/proof_common/mod.rs
+++ b/crates/lacewingshore/tests/proof_common/mod.rs
@@ -190,6 +190,16 @@
         );
     }
 
+    /// What callers were told last, with how often.
+    fn last_outcomes(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for op in self.fleet.log.history().requests.iter().rev().take(2_000) {
+            let text = format!("{} {} {:?}", op.entry, op.key_id, op.outcome);
+            *counts.entry(text).or_default() += 1;
+        }
+        counts
+    }
+
     /// Collects the history and runs every check that holds for any history.
     pub fn expect_sound(&self) {
         let history = self.fleet.collect().unwrap();
--- a/crates/proof/src/harness/caller_crew.rs
+++ b/crates/proof/src/harness/caller_crew.rs
@@ -70,8 +70,9 @@
 /// Callers that go on until they are told to stop, retry as the interface allows, and
 /// record what they see.
 ///
-/// After a refusal that says "not run" a caller asks for a new id. After anything unclear it
-/// retries a non-idempotent request under the same id only, through another entry host.
+/// As long as every attempt was refused as "not run", a caller asks for a new id for the
+/// next one. After anything unclear it retries a non-idempotent request under the same id
+/// only, through another entry host.
 #[derive(Debug)]
 pub struct CallerCrew {
     stop: Arc<AtomicBool>,
@@ -194,6 +195,7 @@
             body: order.body(size),
         };
         let mut entry = self.pick();
+        let mut is_unclear = false;
         for _ in 0..plan.attempts {
             // Without an id of its own a non-idempotent request can't be retried, so that
             // callers who mean to retry ask for one first.
@@ -212,8 +214,12 @@
                     fate: RunFate::NotRun,
                     ..
                 }
-                | RequestOutcome::NotConnected => call.request = None,
-                RequestOutcome::Refused { .. } | RequestOutcome::Nothing => {}
+                | RequestOutcome::NotConnected => {
+                    if !is_unclear {
+                        call.request = None;
+                    }
+                }
+                RequestOutcome::Refused { .. } | RequestOutcome::Nothing => is_unclear = true,
             }
             self.pause();
             entry = self.pick();
@@ -238,6 +244,7 @@
         self.shared.log.note_request(RequestOp {
             span,
             entry: entry.member.clone(),
+            request: call.request.clone().unwrap_or_default(),
             nonce: nonce.to_owned(),
             key_id: call.key.key_id.clone(),
             idempotent: call.idempotent,
--- a/crates/proof/src/history.rs
+++ b/crates/proof/src/history.rs
@@ -21,6 +21,8 @@
     pub span: OpSpan,
     /// Entry host that was asked.
     pub entry: String,
+    /// Request id that the caller gave; empty if it gave none.
+    pub request: String,
     /// Mark in the body: the same for all attempts to have one piece of work done.
     pub nonce: String,
     /// Id of the key that came with it.
--- a/crates/proof/tests/checks.rs
+++ b/crates/proof/tests/checks.rs
@@ -37,6 +37,7 @@
     RequestOp {
         span: span(from, to),
         entry: "e1".to_owned(),
+        request: String::new(),
         nonce: nonce.to_owned(),
         key_id: "k1".to_owned(),
         idempotent: false,
