--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -19,6 +19,8 @@
 mod store_fake;
 mod store_state;
 mod work_order;
+mod worker_fake;
+mod worker_state;
 
 pub use boot_time::boot_nanos;
 pub use executor_fake::ExecutorFake;
@@ -34,3 +36,5 @@
 pub use store_fake::{StoreCalls, StoreFake, ViewCalls};
 pub use store_state::{StoreFaults, StoreHistory, StoreWrite};
 pub use work_order::{WorkOrder, digest_bytes, expected_answer};
+pub use worker_fake::WorkerFake;
+pub use worker_state::{StartRecord, TaskOrder, TaskReport, WorkerFaults, WorkerSettings};
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -1,6 +1,7 @@
 //! One stand-in in a process of its own; prints `ready ADDRESS` once it listens.
 
 mod executor_command;
+mod worker_command;
 
 use std::io::{Read, Write, stdin, stdout};
 
@@ -8,7 +9,7 @@
 use argh::FromArgs;
 use fake::{FakeServer, HostListFake, RelayFake, StoreFake};
 
-use crate::executor_command::ExecutorCommand;
+use crate::{executor_command::ExecutorCommand, worker_command::WorkerCommand};
 
 /// Stand-ins of the platform and of the targets, for tests and the demo.
 #[derive(Debug, FromArgs)]
@@ -28,6 +29,7 @@
     Hosts(HostsCommand),
     Executor(ExecutorCommand),
     Relay(RelayCommand),
+    Worker(WorkerCommand),
 }
 
 /// The configuration store.
@@ -76,6 +78,10 @@
             let fake = command.start()?;
             serve(fake.server(), args.until_eof)
         }
+        FakeCommand::Worker(command) => {
+            let fake = command.start()?;
+            serve(fake.server(), args.until_eof)
+        }
         FakeCommand::Relay(command) => {
             let fake = RelayFake::start(&command.listen)?;
             serve(fake.server(), args.until_eof)
