--- a/crates/entry/examples/idle_connections.rs
+++ b/crates/entry/examples/idle_connections.rs
@@ -21,6 +21,12 @@
 
 fn main() {
     println!("server, idle connections, threads, resident KB, one request ms");
+    let target = RawTarget::echo();
+    let mut setup = BenchSetup::default();
+    setup.settings.max_connections = 4096;
+    setup.tuning.address_percent = 100;
+    let bench = EntryBench::start_with(&[&target], setup);
+    measure("caller port", bench.server.caller_address());
     let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
     let address = server.server_addr().to_ip().unwrap();
     thread::spawn(move || {
@@ -29,12 +35,6 @@
         }
     });
     measure("tiny_http", address);
-    let target = RawTarget::echo();
-    let mut setup = BenchSetup::default();
-    setup.settings.max_connections = 4096;
-    setup.tuning.address_connections = 4096;
-    let bench = EntryBench::start_with(&[&target], setup);
-    measure("caller port", bench.server.caller_address());
 }
 
 fn measure(name: &str, address: SocketAddr) {
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -114,7 +114,7 @@
             budget,
             connections: ConnectionCount::new(
                 config.settings.max_connections,
-                config.tuning.address_connections,
+                (config.settings.max_connections * config.tuning.address_percent / 100).max(1),
             ),
             leaving: Arc::clone(&leaving),
         };
--- a/crates/entry/src/entry_tuning.rs
+++ b/crates/entry/src/entry_tuning.rs
@@ -5,9 +5,10 @@
 /// The defaults fit the sizes of today; `docs/design/03-callers.md` says why.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntryTuning {
-    /// Most connections from one source address. Generous, because many callers may
-    /// stand behind one address, and still below the total, so that one can't take all.
-    pub address_connections: usize,
+    /// Most connections from one source address, in percent of all. Generous, because
+    /// many callers may stand behind one address, such as a balancer's, and still below
+    /// the total, so that one can't take all.
+    pub address_percent: usize,
     /// Longest wait for a whole request head, idle time between requests included.
     pub head_timeout: Duration,
     /// Longest time from the request head to the end of the body.
@@ -37,7 +38,7 @@
 impl Default for EntryTuning {
     fn default() -> Self {
         Self {
-            address_connections: 1024,
+            address_percent: 75,
             head_timeout: Duration::from_secs(15),
             body_timeout: Duration::from_secs(10),
             write_window: Duration::from_secs(10),
--- a/crates/entry/tests/floods.rs
+++ b/crates/entry/tests/floods.rs
@@ -140,7 +140,8 @@
     let target = RawTarget::echo();
     let mut setup = BenchSetup::default();
     setup.settings.caller_address = "0.0.0.0:0".to_owned();
-    setup.tuning.address_connections = 5;
+    setup.settings.max_connections = 10;
+    setup.tuning.address_percent = 50;
     let bench = EntryBench::start_with(&[&target], setup);
     let port = bench.server.caller_address().port();
     let held: Vec<TcpStream> = (0..5)
