Give the slot of a dead target back at once

Cause: a target that died with requests of a minute each kept its slots taken on the entry host for that minute, although it was back after a second. Ruled out: giving the team's unit back as well; the work may still run, and the limit is a promise. Asking the target's health: a count above zero says nothing of whose work it is. Change: only a silent target keeps its slot; the unit and the running count that drains look at are kept in every case. Tests: slot_back_after_hangup, slot_kept_while_silent.

--- a/crates/entry/src/admission/settle_work.rs
+++ b/crates/entry/src/admission/settle_work.rs
@@ -16,12 +16,14 @@
 const SHORTEST_GRACE: Duration = Duration::from_millis(100);
 const LONGEST_GRACE: Duration = Duration::from_secs(5);
 
-/// A slot and a unit of a team's limit whose request may still run on its target.
+/// A unit of a team's limit, and maybe a slot, whose request may still run on its target.
 pub(super) struct HeldWork {
     until: BootTime,
     pool: PoolId,
     team: TeamId,
     host: HostId,
+    /// Whether it keeps a slot.
+    slot: bool,
     _permit: QuotaPermit,
 }
 
@@ -60,8 +62,8 @@
                     .with_retry_after(Duration::from_secs(1));
                 self.retry(request, problem, now);
             }
-            AttemptEnd::Unknown { detail } => {
-                self.hold(&request, host, permit, now);
+            AttemptEnd::Unknown { detail, silent } => {
+                self.hold(&request, host, permit, silent, now);
                 request.may_have_run = true;
                 let problem = CallerProblem::may_have_run(ProblemKind::TargetFailed, detail);
                 if request.idempotent {
@@ -114,19 +116,35 @@
         desk.meter.note_queue();
     }
 
-    /// Keeps slot and permit of a request whose fate is unknown: it may run until its
-    /// deadline, and giving them to another one could put the team above its limit.
+    /// Keeps the permit of a request whose fate is unknown: it may run until its deadline,
+    /// and giving the permit to another one could put the team above its limit. Targets
+    /// know the deadline, but one that has just started the request may not look at it
+    /// again, so the usual service time is waited out as well.
     ///
-    /// Targets know the deadline, but one that has just started the request may not look
-    /// at it again, so the usual service time is waited out as well.
-    fn hold(&mut self, request: &CallerRequest, host: HostId, permit: QuotaPermit, now: BootTime) {
+    /// A silent target is taken to be at work, so the slot is kept as long. One that closed
+    /// the connection or answered something else has most likely ended the request; it
+    /// refuses what it has no slot for, while keeping the slot would leave a target
+    /// that died and came back idle until the last deadline.
+    fn hold(
+        &mut self,
+        request: &CallerRequest,
+        host: HostId,
+        permit: QuotaPermit,
+        silent: bool,
+        now: BootTime,
+    ) {
         let desk = self.desks.entry(request.pool.clone()).or_default();
         let grace = desk.service_time().clamp(SHORTEST_GRACE, LONGEST_GRACE);
+        if !silent {
+            desk.meter.note_end(&request.team, now);
+            self.table.linger(&host);
+        }
         self.held.push(HeldWork {
             until: request.deadline.max(now) + grace,
             pool: request.pool.clone(),
             team: request.team.clone(),
             host,
+            slot: silent,
             _permit: permit,
         });
     }
@@ -143,7 +161,11 @@
         self.held = kept;
         let over: Vec<HeldWork> = over;
         for held in over {
-            self.release(&held.pool, &held.team, &held.host, now);
+            if held.slot {
+                self.release(&held.pool, &held.team, &held.host, now);
+            } else {
+                self.table.end_lingering(&held.host);
+            }
         }
     }
 }
--- a/crates/entry/src/admission/target_table.rs
+++ b/crates/entry/src/admission/target_table.rs
@@ -31,6 +31,8 @@
 #[derive(Default)]
 struct TargetEntry {
     in_flight: u32,
+    /// Requests without a slot that may run all the same.
+    lingering: u32,
     lanes: Vec<IdleLane>,
     health: TargetHealth,
     rest: Duration,
@@ -100,9 +102,7 @@
     pub fn start(&mut self, target: &TargetHost) -> TargetLane {
         let entry = self.entries.entry(target.host.clone()).or_default();
         entry.in_flight += 1;
-        self.counts
-            .lock()
-            .insert(target.host.clone(), entry.in_flight);
+        publish(&self.counts, &target.host, entry);
         let kept = entry
             .lanes
             .pop()
@@ -119,12 +119,23 @@
             return;
         };
         entry.in_flight = entry.in_flight.saturating_sub(1);
-        let mut counts = self.counts.lock();
-        if entry.in_flight == 0 {
-            counts.remove(host);
-        } else {
-            counts.insert(host.clone(), entry.in_flight);
-        }
+        publish(&self.counts, host, entry);
+    }
+
+    /// Gives a slot back whose request may still run on the target.
+    pub fn linger(&mut self, host: &HostId) {
+        let entry = self.entries.entry(host.clone()).or_default();
+        entry.in_flight = entry.in_flight.saturating_sub(1);
+        entry.lingering += 1;
+    }
+
+    /// Notes that such a request is surely over.
+    pub fn end_lingering(&mut self, host: &HostId) {
+        let Some(entry) = self.entries.get_mut(host) else {
+            return;
+        };
+        entry.lingering = entry.lingering.saturating_sub(1);
+        publish(&self.counts, host, entry);
     }
 
     /// Keeps a lane for the next request to its target, unless the target then has more
@@ -157,7 +168,7 @@
                 .retain(|idle| now.saturating_sub(idle.since) < LANE_IDLE);
         }
         self.entries.retain(|_, entry| {
-            entry.in_flight > 0
+            entry.in_flight + entry.lingering > 0
                 || !entry.lanes.is_empty()
                 || entry.health != TargetHealth::default()
                 || now < entry.rests_until
@@ -248,6 +259,16 @@
     }
 }
 
+fn publish(counts: &RunningCounts, host: &HostId, entry: &TargetEntry) {
+    let running = entry.in_flight + entry.lingering;
+    let mut counts = counts.lock();
+    if running == 0 {
+        counts.remove(host);
+    } else {
+        counts.insert(host.clone(), running);
+    }
+}
+
 /// Connections that one entry host may hold to a target that allows `connections` in all.
 ///
 /// Each of `members` entry hosts keeps to its part without asking the others, so the sum
--- a/crates/entry/src/dispatch/run_attempt.rs
+++ b/crates/entry/src/dispatch/run_attempt.rs
@@ -40,6 +40,8 @@
     Unknown {
         /// What happened.
         detail: String,
+        /// True if the target was silent until the deadline, rather than gone or wrong.
+        silent: bool,
     },
     /// The request must not run here at all.
     Refused(CallerProblem),
@@ -185,6 +187,7 @@
             );
             return AttemptEnd::Unknown {
                 detail: "the target sent the answer of another request".to_owned(),
+                silent: false,
             };
         }
         if status == 503 && header(&response, "not-run").is_some_and(|text| text == "true") {
@@ -260,6 +263,7 @@
         },
         SendProgress::Sent => AttemptEnd::Unknown {
             detail: format!("{} had the request and did not answer: {cause}", lane.host),
+            silent: matches!(cause, ureq::Error::Timeout(_)),
         },
     }
 }
@@ -273,6 +277,7 @@
     );
     AttemptEnd::Unknown {
         detail: format!("the answer of {} broke off: {cause}", lane.host),
+        silent: false,
     }
 }
 
--- a/crates/entry/tests/target_failures.rs
+++ b/crates/entry/tests/target_failures.rs
@@ -303,6 +303,53 @@
     assert_eq!(bench.server.running(&"t0".into()), 0);
 }
 
+/// A target dies with a request that had a minute left, and is back at once. Its only slot
+/// must not stay idle for that minute.
+#[test]
+fn slot_back_after_hangup() {
+    let target = faulty_once(hangup);
+    let setup = BenchSetup {
+        slots: 1,
+        ..BenchSetup::default()
+    };
+    let bench = EntryBench::start_with(&[&target], setup);
+    let first = bench.caller().with("deadline-ms", "60000").ask(b"order");
+    assert_eq!(first.fate(), "may-have-run");
+    let second = bench.caller().with("deadline-ms", "20000").ask(b"next");
+    assert_eq!(second.status, 200);
+    // The unit stays taken, and whoever drains the target sees that something may run.
+    assert_eq!(bench.quotas.used_by(TEAM), 1);
+    assert_eq!(bench.server.running(&"t0".into()), 1);
+}
+
+/// A target may work on a request a little beyond its deadline. Until that time has passed,
+/// no other request is sent into the same slot.
+#[test]
+fn slot_kept_while_silent() {
+    let second_at = Arc::new(parking_lot::Mutex::new(None));
+    let noted = Arc::clone(&second_at);
+    let calls = AtomicUsize::new(0);
+    let target = RawTarget::start(move |call| {
+        if calls.fetch_add(1, Ordering::AcqRel) == 0 {
+            return TargetReply::Silence(Duration::from_secs(2));
+        }
+        *noted.lock() = Some(Instant::now());
+        TargetReply::Answer(call.body.clone())
+    });
+    let setup = BenchSetup {
+        slots: 1,
+        ..BenchSetup::default()
+    };
+    let bench = EntryBench::start_with(&[&target], setup);
+    let begun = Instant::now();
+    let first = bench.caller().with("deadline-ms", "500").ask(b"order");
+    assert_eq!(first.fate(), "may-have-run");
+    assert_eq!(bench.caller().ask(b"next").status, 200);
+    let second_at = second_at.lock().unwrap();
+    // The deadline and the shortest grace, both counted from after `begun`.
+    assert!(second_at - begun >= Duration::from_millis(600));
+}
+
 #[test]
 fn silent_target_told_at_deadline() {
     let target = RawTarget::start(|_| TargetReply::Silence(Duration::from_secs(30)));
