--- /dev/null
+++ b/crates/entry/src/caller/body_reader.rs
@@ -0,0 +1,86 @@
+use std::time::Duration;
+
+use http_body_util::{BodyExt, combinators::BoxBody};
+use hyper::{
+    Request,
+    body::{Body, Bytes, Incoming},
+    header::CONTENT_LENGTH,
+};
+use model::ProblemKind;
+
+use super::{body_budget::BodyShare, caller_port::CallerPort, request_head::bad};
+use crate::CallerProblem;
+
+/// Reads a whole body within its size, its time and its share of memory.
+///
+/// The time is for the whole body and not for each byte, so that a sender can't hold its
+/// connection and memory by sending one byte now and then.
+pub(super) async fn read_body(
+    port: &CallerPort,
+    request: Request<Incoming>,
+    share: &mut BodyShare,
+    patience: Duration,
+) -> Result<Bytes, CallerProblem> {
+    let announced = announced_length(&request)?;
+    if announced > port.max_body {
+        return Err(too_large(port.max_body));
+    }
+    let limit = port.tuning.body_timeout.min(patience);
+    let body = request.into_body().boxed();
+    let reading = collect_body(body, announced, port.max_body, share);
+    match tokio::time::timeout(limit, reading).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(CallerProblem::not_run(
+            ProblemKind::SlowSender,
+            format!("the body did not arrive within {} ms", limit.as_millis()),
+        )),
+    }
+}
+
+fn announced_length<B>(request: &Request<B>) -> Result<usize, CallerProblem> {
+    let Some(value) = request.headers().get(CONTENT_LENGTH) else {
+        return Ok(0);
+    };
+    let length = value.to_str().ok().and_then(|text| text.parse().ok());
+    length.ok_or_else(|| bad("Content-Length is not a number"))
+}
+
+async fn collect_body(
+    mut body: BoxBody<Bytes, hyper::Error>,
+    announced: usize,
+    max_body: usize,
+    share: &mut BodyShare,
+) -> Result<Bytes, CallerProblem> {
+    // Untouched memory costs nothing, and growing would copy the body a few times.
+    let mut bytes = Vec::with_capacity(announced);
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(bad("the body ended before its announced length"));
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > max_body {
+            return Err(too_large(max_body));
+        }
+        if !share.grow(data.len()) {
+            return Err(CallerProblem::not_run(
+                ProblemKind::QueueFull,
+                "no memory left for bodies of this team",
+            )
+            .with_retry_after(Duration::from_secs(1)));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    if !body.is_end_stream() || bytes.len() < announced {
+        return Err(bad("the body ended before its announced length"));
+    }
+    Ok(Bytes::from(bytes))
+}
+
+fn too_large(max_body: usize) -> CallerProblem {
+    CallerProblem::not_run(
+        ProblemKind::TooLarge,
+        format!("a body may have at most {max_body} bytes"),
+    )
+}
