Let members that are proven gone leave the count

Cause: when most entry hosts end at once, no quorum forms and no change is accepted for ever. Ruled out: silence as proof, since hosts behind a cut may go on serving each other. Change: a silent member whose listed address refuses connections three times running has ended; it leaves quorums and the list.

--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -33,6 +33,8 @@
         "This host had been removed from the member list and joins it again under a new incarnation.";
     MEMBER_REMOVED = 316, "member-removed",
         "A member that is gone was removed from the list.";
+    MEMBER_GONE = 319, "member-gone",
+        "A silent member refuses connections at its address: its process ended, and it leaves the count.";
     STORE_BACK = 317, "store-back",
         "The store answers again.";
     STORE_FAILING = 318, "store-failing",
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -13,6 +13,7 @@
 mod incarnation;
 mod member_options;
 mod member_service;
+mod probe_duty;
 mod quota_book;
 mod quota_duty;
 mod quota_store_duty;
--- a/crates/member/src/member_service.rs
+++ b/crates/member/src/member_service.rs
@@ -19,6 +19,7 @@
     beat_duty::BeatDuty,
     change_submit::ChangeSubmit,
     event,
+    probe_duty::ProbeDuty,
     quota_duty::QuotaDuty,
     quota_store_duty::{QuotaStoreDuty, hand_back},
     shared_state::SharedState,
@@ -56,6 +57,7 @@
         );
         let watch_duty = WatchDuty::new(shared.clone());
         let store_duty = StoreDuty::new(shared.clone());
+        let probe_duty = ProbeDuty::new(shared.clone());
         let (calls, call_queue) = bounded(CALL_QUEUE);
         let quota_duty = QuotaDuty::new(shared.clone(), node.inbound(BodyKind::QuotaTalk), calls);
         let quota_store_duty = QuotaStoreDuty::new(shared.clone(), call_queue);
@@ -63,6 +65,7 @@
             spawn("member-beat", move || beat_duty.run())?,
             spawn("member-watch", move || watch_duty.run())?,
             spawn("member-store", move || store_duty.run())?,
+            spawn("member-probe", move || probe_duty.run())?,
             spawn("member-quota", move || quota_duty.run())?,
             spawn("member-quota-store", move || quota_store_duty.run())?,
         ];
--- a/crates/member/src/shared_state.rs
+++ b/crates/member/src/shared_state.rs
@@ -197,6 +197,26 @@
         }
     }
 
+    /// Lives in the list, or in the settled one, that were not heard for longer than a lease
+    /// and are not known to have ended.
+    pub(crate) fn silent_lives(&self) -> Vec<Member> {
+        let now = self.now();
+        let length = self.options.settings.lease_length;
+        let lease = self.lease.lock();
+        let acks = self.acks.lock();
+        let record = lease.list().record();
+        let lives = record.members.iter().chain(&record.settled);
+        let silent = lives.filter(|member| {
+            let view = lease.peers().get(member.id.as_str());
+            let view = view.filter(|view| view.incarnation == member.incarnation);
+            let heard_at = view.and_then(|view| view.heard_at).unwrap_or_default();
+            member.id != self.own.as_str()
+                && now.saturating_sub(heard_at) > length
+                && !acks.is_gone(member)
+        });
+        silent.cloned().collect()
+    }
+
     /// Notes something for the audit trail.
     pub(crate) fn audit(&self, note: AuditNote) {
         if let Some(sink) = &self.options.audit {
--- a/crates/member/src/store_duty.rs
+++ b/crates/member/src/store_duty.rs
@@ -6,6 +6,7 @@
 };
 use model::{BootTime, Incarnation, MemberId, StepError, event as log_event};
 use platform::{StoreError, StoreVersion};
+use ports::AuditNote;
 use prost::Message as _;
 use wire::state::{ConfigRecord, MemberRecord};
 
@@ -75,7 +76,13 @@
             || !renewed && since_read >= length / 4
             || since_read >= IDLE_READ
             || !lease.list().is_settled() && since_read >= self.settle_distance(&lease)
-            || !lease.lost_members(now).is_empty() && since_read >= length
+            || self.has_lost(&lease, now) && since_read >= length / 4
+    }
+
+    fn has_lost(&self, lease: &LeaseMachine, now: BootTime) -> bool {
+        let acks = self.shared.acks.lock();
+        !lease.lost_members(now).is_empty()
+            || lease.list().members().iter().any(|m| acks.is_gone(m))
     }
 
     /// How long this host waits between attempts to settle the list: its place in the list
@@ -164,6 +171,7 @@
             }
         };
         self.write_list(version, &next, "join member list")?;
+        self.audit(&self.shared.own, self.shared.incarnation(), "joined", &next);
         log_event::info(
             &event::MEMBER_JOINED,
             format_args!(
@@ -191,7 +199,9 @@
     fn remove_lost(&self, version: StoreVersion, list: &MemberList) -> Result<bool, StepError> {
         let now = self.shared.now();
         let lost = self.shared.lease.lock().lost_members(now);
-        let Some(member) = lost.iter().find_map(|id| list.find(id)) else {
+        let acks = self.shared.acks.lock().clone();
+        let mut members = list.members().iter();
+        let Some(member) = members.find(|m| acks.is_gone(m) || lost.contains(&m.id)) else {
             return Ok(false);
         };
         let (id, incarnation) = (MemberId::from(member.id.as_str()), member.incarnation);
@@ -243,6 +253,7 @@
             return Ok(());
         };
         self.write_list(version, &next, step)?;
+        self.audit(member, incarnation, "removed", &next);
         log_event::info(
             &event::MEMBER_REMOVED,
             format_args!(
@@ -275,6 +286,21 @@
         }
     }
 
+    /// Notes a change of the list. If the write lost its race, another host's note follows.
+    fn audit(&self, member: &MemberId, incarnation: Incarnation, change: &str, list: &MemberList) {
+        if self.shared.lease.lock().list().revision() < list.revision() {
+            return;
+        }
+        self.shared.audit(AuditNote {
+            author: self.shared.own.to_string(),
+            change_id: format!("members-{}", list.revision()),
+            subject: format!("member {member}"),
+            difference: format!("{change} incarnation={incarnation}"),
+            revision_before: list.revision() - 1,
+            revision_after: list.revision(),
+        });
+    }
+
     fn report(&mut self, outcome: Result<(), StepError>) {
         match outcome {
             Ok(()) if self.failing => {
--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -4,7 +4,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -150,14 +153,63 @@
     }
 }
 
+/// One host's way to the store; it ends with the host.
+struct HostStore {
+    store: Arc<MemoryStore>,
+    is_dead: Arc<AtomicBool>,
+}
+
+impl HostStore {
+    fn reach(&self) -> Result<&MemoryStore, StoreError> {
+        if self.is_dead.load(Ordering::Acquire) {
+            return Err(StoreError::Unavailable("the host is dead".to_owned()));
+        }
+        Ok(&self.store)
+    }
+}
+
+impl KeyStore for HostStore {
+    fn read(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        self.reach()?.read(key)
+    }
+
+    fn swap(
+        &self,
+        key: &str,
+        expect: StoreVersion,
+        value: &[u8],
+    ) -> Result<StoreVersion, StoreError> {
+        self.reach()?.swap(key, expect, value)
+    }
+
+    fn remove(&self, key: &str, expect: StoreVersion) -> Result<(), StoreError> {
+        self.reach()?.remove(key, expect)
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        after: StoreVersion,
+        patience: Duration,
+    ) -> Result<Option<StoredValue>, StoreError> {
+        self.reach()?.watch(key, after, patience)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<(String, StoredValue)>, StoreError> {
+        self.reach()?.list(prefix)
+    }
+}
+
 /// One entry host without callers.
 pub struct TestHost {
+    is_dead: Arc<AtomicBool>,
     pub node: Arc<PeerNode>,
     pub service: Arc<MemberService>,
 }
 
 impl TestHost {
     pub fn start(store: &Arc<MemoryStore>, name: &str) -> Self {
+        let is_dead = Arc::new(AtomicBool::new(false));
         let incarnation = claim_incarnation(store.as_ref()).unwrap();
         let member = MemberId::from(name);
         let node = PeerNode::start(member.clone(), incarnation, "127.0.0.1:0", Vec::new()).unwrap();
@@ -170,12 +222,19 @@
             settings,
             caller_address: "127.0.0.1:1".to_owned(),
             node: node.clone(),
-            store: store.clone(),
+            store: Arc::new(HostStore {
+                store: store.clone(),
+                is_dead: is_dead.clone(),
+            }),
             clock: Arc::new(BootClock),
             audit: None,
         })
         .unwrap();
-        Self { node, service }
+        Self {
+            is_dead,
+            node,
+            service,
+        }
     }
 
     pub fn start_many(store: &Arc<MemoryStore>, count: usize) -> Vec<Self> {
@@ -200,6 +259,7 @@
 
     /// Ends the host without a word, as a kill would.
     pub fn kill(self) {
+        self.is_dead.store(true, Ordering::Release);
         self.node.stop();
         std::mem::forget(self.service);
     }
--- a/crates/member/tests/member_service.rs
+++ b/crates/member/tests/member_service.rs
@@ -156,3 +156,21 @@
     last.service.stop();
     await_that("the list has two", || hosts[0].service.members().len() == 2);
 }
+
+// Three of four hosts end at once, killed, and never come back. The one left serves on store
+// reads; operators must not wait for ever for the three to confirm their changes.
+#[test]
+fn submit_after_majority_died_is_accepted() {
+    let store = Arc::new(MemoryStore::default());
+    let mut hosts = TestHost::start_many(&store, 4);
+    for _ in 0..3 {
+        hosts.pop().unwrap().kill();
+    }
+    await_that("a change is accepted", || {
+        hosts[0].service.submit(&grant("k1", None)).is_ok()
+    });
+    hosts[0].await_serving();
+    await_that("the dead are off the list", || {
+        hosts[0].service.members().len() == 1
+    });
+}
