Measure the shared state; offer released units again

Change: a holder that is asked again by the same host repeats its promise; units put aside in vain are voided by a write as soon as another host wishes for them. PeerNode counts what it sends.

--- a/crates/decide/src/quota/round.rs
+++ b/crates/decide/src/quota/round.rs
@@ -196,14 +196,19 @@
         let held = units_of(&record, &self.own, self.incarnation);
         let aside = quota.release.as_ref().map_or(0, |release| release.units);
         let usable = held.saturating_sub(aside);
-        if quota.need() <= usable || quota.limit.limit == 0 {
-            return follows_limit.then_some(record);
-        }
+        let is_needed = quota.need() > usable && quota.limit.limit > 0;
         if let Some(release) = &quota.release {
-            // Needed here again and never taken: a write of the same record voids it.
+            // Never taken, and needed here or elsewhere: a write of the same record voids it.
             let patience = self.options.ask_distance * RELEASE_PATIENCE;
             let is_unclaimed = now.saturating_sub(release.since) > patience;
-            return (is_unclaimed || follows_limit).then_some(record);
+            let is_wished = quota
+                .open_wish(now)
+                .is_some_and(|wish| wish.from != release.to);
+            let is_voided = is_unclaimed && (is_needed || is_wished);
+            return (is_voided || follows_limit).then_some(record);
+        }
+        if !is_needed {
+            return follows_limit.then_some(record);
         }
         let slack = (quota.limit.limit / SLACK_DIVISOR).max(1);
         let mut wanted = (quota.need() - usable).saturating_add(slack);
--- a/crates/decide/src/quota/talk.rs
+++ b/crates/decide/src/quota/talk.rs
@@ -55,6 +55,10 @@
         quota.note_peak(now);
         let ceiling = quota.ceiling(&own, life, mutation);
         put_aside(quota, ceiling, from, ask, now);
+        if let Some(release) = quota.release.as_mut().filter(|r| r.to == *from) {
+            // Asked again: the promise was lost, or the asker forgot it.
+            release.sent = false;
+        }
         if let Some(action) = send_release(quota, &ask.team, &own, life) {
             return vec![action];
         }
--- a/crates/member/src/store_duty.rs
+++ b/crates/member/src/store_duty.rs
@@ -170,7 +170,9 @@
                 return Ok(());
             }
         };
-        self.write_list(version, &next, "join member list")?;
+        if !self.write_list(version, &next, "join member list")? {
+            return Ok(());
+        }
         self.audit(&self.shared.own, self.shared.incarnation(), "joined", &next);
         log_event::info(
             &event::MEMBER_JOINED,
@@ -217,7 +219,8 @@
         let Ok(next) = list.settle(&acks, floor) else {
             return Ok(());
         };
-        self.write_list(version, &next, "settle member list")
+        self.write_list(version, &next, "settle member list")?;
+        Ok(())
     }
 
     /// Takes this host out of the list: it has stopped serving, so it needs no majority.
@@ -252,7 +255,9 @@
         let Ok(next) = list.remove(member, incarnation, floor) else {
             return Ok(());
         };
-        self.write_list(version, &next, step)?;
+        if !self.write_list(version, &next, step)? {
+            return Ok(());
+        }
         self.audit(member, incarnation, "removed", &next);
         log_event::info(
             &event::MEMBER_REMOVED,
@@ -264,33 +269,31 @@
         Ok(())
     }
 
-    /// Writes the list. What a lost answer left is found by the next read.
+    /// Writes the list; false if another host was first. What a lost answer left is found by
+    /// the next read.
     fn write_list(
         &self,
         version: StoreVersion,
         next: &MemberList,
         step: &'static str,
-    ) -> Result<(), StepError> {
+    ) -> Result<bool, StepError> {
         let bytes = next.record().encode_to_vec();
         match self.shared.store().swap(MEMBERS, version, &bytes) {
             Ok(_) => {
                 self.shared.follow_list(next);
                 self.note_own_list();
-                Ok(())
+                Ok(true)
             }
             Err(StoreError::Conflict { .. }) => {
                 self.shared.wake_store();
-                Ok(())
+                Ok(false)
             }
             Err(error) => Err(store_fault(step, error)),
         }
     }
 
-    /// Notes a change of the list. If the write lost its race, another host's note follows.
+    /// Notes a change of the list for the audit trail.
     fn audit(&self, member: &MemberId, incarnation: Incarnation, change: &str, list: &MemberList) {
-        if self.shared.lease.lock().list().revision() < list.revision() {
-            return;
-        }
         self.shared.audit(AuditNote {
             author: self.shared.own.to_string(),
             change_id: format!("members-{}", list.revision()),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,4 +13,4 @@
 mod peer_node;
 
 pub use body_kind::BodyKind;
-pub use peer_node::PeerNode;
+pub use peer_node::{PeerNode, PeerTraffic};
--- a/crates/peer/src/outbound_link.rs
+++ b/crates/peer/src/outbound_link.rs
@@ -39,6 +39,7 @@
     socket: Socket,
     _dialer: Dialer,
     sequence: AtomicU64,
+    sent_bytes: AtomicU64,
     waiting: Mutex<VecDeque<Envelope>>,
 }
 
@@ -66,6 +67,7 @@
             socket,
             _dialer: dialer,
             sequence: AtomicU64::new(0),
+            sent_bytes: AtomicU64::new(0),
             waiting: Mutex::default(),
         })
     }
@@ -75,6 +77,14 @@
         &self.address
     }
 
+    /// Messages and bytes handed to nng so far.
+    pub(crate) fn sent(&self) -> (u64, u64) {
+        (
+            self.sequence.load(Ordering::Relaxed),
+            self.sent_bytes.load(Ordering::Relaxed),
+        )
+    }
+
     /// Keeps `body` until the next message goes out.
     pub(crate) fn send_along(&self, body: Body) {
         let mut waiting = self.waiting.lock();
@@ -95,6 +105,8 @@
     }
 
     fn send_bytes(&self, bytes: &[u8]) -> Result<(), LinkError> {
+        self.sent_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         metrics::counter!("lws_peer_sent_messages").increment(1);
         metrics::counter!("lws_peer_sent_bytes").increment(bytes.len() as u64);
         match self.socket.try_send(Message::from(bytes)) {
--- a/crates/peer/src/peer_node.rs
+++ b/crates/peer/src/peer_node.rs
@@ -33,6 +33,15 @@
 
 const THREAD_STACK: usize = 256 * 1024;
 
+/// What a node sent and received since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerTraffic {
+    /// Messages handed to links.
+    pub sent_messages: u64,
+    /// Bytes of those messages, without the framing of the transport.
+    pub sent_bytes: u64,
+}
+
 /// This host's place among the entry hosts: one listening socket, one dialing socket per peer.
 ///
 /// A link is one-way: answers come back over the link that the peer dials. So a peer that
@@ -146,6 +155,19 @@
         }
     }
 
+    /// What was sent over the links that are open now.
+    #[must_use]
+    pub fn traffic(&self) -> PeerTraffic {
+        let links = self.links.read();
+        let sums = links.values().map(|link| link.sent());
+        sums.fold(PeerTraffic::default(), |sum, (messages, bytes)| {
+            PeerTraffic {
+                sent_messages: sum.sent_messages + messages,
+                sent_bytes: sum.sent_bytes + bytes,
+            }
+        })
+    }
+
     /// Stops receiving and sending. Messages that nng took are still written out.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
