Ask for units of a limit by the slots that could use them

Cause: with limits near what the slots allow (20 units, 16 slots due), a host asked for units by the length of its queue, drew more than its slots could use, and starts stopped elsewhere: 197 answers/s of 240 and 43.4 % for a team due 33.3 %, urgent p99 1,934 ms. Ruled out: the slot leases (with a limit of 100 the same build gave 231.6/s and 33.37 %). Change: waiting starts are counted up to the slots due to the team on the host. Also, a test read a unit's return before it could have happened; it now waits for it.

--- a/crates/entry/src/admission/pool_desk.rs
+++ b/crates/entry/src/admission/pool_desk.rs
@@ -139,6 +139,22 @@
         self.service.mul_f64(SERVICE_MARGIN)
     }
 
+    /// Starts of `team` that its slots here would allow, if its limit did.
+    ///
+    /// Units of the limit go to hosts by this number. By the length of the queue a host
+    /// with many requests and few slots would draw units that it can't use, and starts
+    /// elsewhere would stop for want of them.
+    pub fn useful_starts(&self, team: &TeamId, lease: &SlotLease) -> u32 {
+        let (queued, _) = self.queue.team_len(team);
+        if queued == 0 {
+            return 0;
+        }
+        let due = lease.teams.iter().find(|used| used.team == *team);
+        let due = due.map_or(slot_sum(lease), |used| used.slots);
+        let usable = due.saturating_sub(self.meter.running(team)).max(1);
+        usable.min(u32::try_from(queued).unwrap_or(u32::MAX))
+    }
+
     /// How long what is queued will take.
     pub fn drain_time(&self, lease: &SlotLease) -> Duration {
         let slots = slot_sum(lease).max(1);
--- a/crates/entry/src/admission/start_work.rs
+++ b/crates/entry/src/admission/start_work.rs
@@ -96,12 +96,12 @@
     fn note_waiting(&mut self, blocked: &BTreeSet<TeamId>) {
         let mut waiting = HashMap::new();
         for team in blocked {
-            let queued: usize = self
+            let starts: u32 = self
                 .desks
-                .values()
-                .map(|desk| desk.queue.team_len(team).0)
+                .iter()
+                .map(|(pool, desk)| desk.useful_starts(team, &self.config.slots.lease(pool)))
                 .sum();
-            waiting.insert(team.clone(), u32::try_from(queued).unwrap_or(u32::MAX));
+            waiting.insert(team.clone(), starts);
         }
         for team in self.waiting.keys() {
             if !waiting.contains_key(team) {
--- a/crates/entry/tests/queues.rs
+++ b/crates/entry/tests/queues.rs
@@ -212,6 +212,24 @@
     });
 }
 
+/// A team's requests stop at one entry host for want of units, while another host holds
+/// units that it can't use: it has a long queue and few slots, and asked by its queue.
+#[test]
+fn waiting_counts_what_slots_allow() {
+    let target = slow_target(Duration::from_millis(20));
+    let bench = EntryBench::start(&[&target]);
+    bench.quotas.limits.lock().insert(TEAM.into(), 0);
+    let calls: Vec<_> = (0..40).map(|_| ask_later(bench.caller(), "x")).collect();
+    wait_for("queue", || queued(&bench, TEAM) == 40);
+    wait_for("waiting note", || {
+        bench.quotas.waiting.lock().get(TEAM).copied() == Some(8)
+    });
+    bench.quotas.limits.lock().insert(TEAM.into(), 8);
+    for call in calls {
+        assert_eq!(call.join().unwrap().status, 200);
+    }
+}
+
 #[test]
 fn limit_until_deadline() {
     let target = RawTarget::echo();
--- a/crates/entry/tests/target_failures.rs
+++ b/crates/entry/tests/target_failures.rs
@@ -317,7 +317,12 @@
     assert_eq!(first.fate(), "may-have-run");
     let second = bench.caller().with("deadline-ms", "20000").ask(b"next");
     assert_eq!(second.status, 200);
-    // The unit stays taken, and whoever drains the target sees that something may run.
+    // The second request's unit comes back just after its answer. The first one's stays
+    // taken, and whoever drains the target sees that something may run.
+    let until = Instant::now() + Duration::from_secs(20);
+    while bench.quotas.used_by(TEAM) > 1 && Instant::now() < until {
+        thread::sleep(Duration::from_millis(2));
+    }
     assert_eq!(bench.quotas.used_by(TEAM), 1);
     assert_eq!(bench.server.running(&"t0".into()), 1);
 }
