--- /dev/null
+++ b/crates/entry/src/caller/job_routes.rs
@@ -0,0 +1,120 @@
+use std::time::Duration;
+
+use hyper::{HeaderMap, Request, body::Incoming};
+use model::{JobId, ProblemKind, ServiceId};
+use ports::{ForceConfig, JobRequest};
+
+use super::{
+    body_reader::read_body,
+    caller_port::CallerPort,
+    job_desk::JobCall,
+    key_check::{KeyPass, key_stands},
+    request_head::{RequestHead, bad, header_text},
+    respond::{CallerResponse, respond_json},
+    routes::check_caller,
+};
+use crate::CallerProblem;
+
+/// Submits a job.
+pub(super) async fn answer_submit(
+    port: &CallerPort,
+    service: ServiceId,
+    request: Request<Incoming>,
+) -> Result<CallerResponse, CallerProblem> {
+    let config = port.config.current();
+    let pass = check_caller(port, &config, &request)?;
+    port.check_serving()?;
+    let job = read_job(port, &config, service, &pass, request.headers())?;
+    let mut share = port.budget.share(&pass.team);
+    let payload = read_body(port, request, &mut share, port.max_deadline).await?;
+    // The key may have been withdrawn while the body arrived.
+    key_stands(
+        &port.config.current(),
+        &pass.team,
+        &pass.stamp,
+        port.clock.unix_now(),
+    )?;
+    port.check_serving()?;
+    let job = JobRequest {
+        payload: payload.to_vec(),
+        ..job
+    };
+    let view = port.jobs.run(JobCall::Submit(Box::new(job))).await?;
+    Ok(respond_json(202, &view))
+}
+
+fn read_job(
+    port: &CallerPort,
+    config: &ForceConfig,
+    service: ServiceId,
+    pass: &KeyPass,
+    headers: &HeaderMap,
+) -> Result<JobRequest, CallerProblem> {
+    let head = RequestHead::read(headers, port.max_deadline)?;
+    let Some(spec) = config.manifest.services.get(&service) else {
+        return Err(CallerProblem::not_run(
+            ProblemKind::NotFound,
+            format!("no service {service}"),
+        ));
+    };
+    if spec.worker_pool.is_empty() {
+        return Err(bad(format!("service {service} runs no jobs")));
+    }
+    let workspace = header_text(headers, "workspace")?.unwrap_or_default();
+    let owner = config.manifest.workspaces.get(workspace);
+    if !workspace.is_empty() && owner.is_none_or(|spec| spec.team != pass.team) {
+        return Err(bad(format!("the team has no workspace {workspace}")));
+    }
+    let request = head.request.unwrap_or_else(|| port.claims.mint_spent());
+    Ok(JobRequest {
+        request,
+        team: pass.team.clone(),
+        service,
+        workspace: workspace.into(),
+        payload: Vec::new(),
+        cores: read_number(headers, "cores", 1, 1024)?,
+        memory_mb: u64::from(read_number(headers, "memory-mb", 256, 16 * 1024 * 1024)?),
+        accelerators: read_number(headers, "accelerators", 0, 64)?,
+        run_time: Duration::from_millis(u64::from(read_number(
+            headers,
+            "run-time-ms",
+            60_000,
+            u32::MAX,
+        )?)),
+        idempotent: head.idempotent,
+    })
+}
+
+fn read_number(
+    headers: &HeaderMap,
+    name: &'static str,
+    default: u32,
+    max: u32,
+) -> Result<u32, CallerProblem> {
+    let Some(text) = header_text(headers, name)? else {
+        return Ok(default);
+    };
+    match text.parse() {
+        Ok(number) if number <= max => Ok(number),
+        _ => Err(bad(format!(
+            "header {name} must be a whole number from 0 to {max}"
+        ))),
+    }
+}
+
+/// Looks a job up, or cancels it.
+pub(super) async fn answer_job<B>(
+    port: &CallerPort,
+    request: &Request<B>,
+    job: JobId,
+    cancel: bool,
+) -> Result<CallerResponse, CallerProblem> {
+    let pass = check_caller(port, &port.config.current(), request)?;
+    let call = if cancel {
+        JobCall::Cancel(pass.team, job)
+    } else {
+        JobCall::View(pass.team, job)
+    };
+    let view = port.jobs.run(call).await?;
+    Ok(respond_json(200, &view))
+}
