--- a/crates/decide/src/job/job_state.rs
+++ b/crates/decide/src/job/job_state.rs
@@ -41,6 +41,8 @@
     pub phase: JobPhase,
     /// Attempts so far, the current one included.
     pub attempt: u32,
+    /// Attempts that ran and failed, or may have run and were cut off.
+    pub failures: u32,
     /// Worker of the current attempt; empty while none has it.
     pub worker: HostId,
     /// Which life of the worker the attempt was recorded for.
@@ -151,6 +153,7 @@
             spec: Arc::new(spec),
             phase,
             attempt: record.attempt,
+            failures: record.failures,
             worker: record.worker.into(),
             worker_boot: record.worker_boot,
             failed_on: record.failed_on.into_iter().map(HostId::from).collect(),
@@ -193,6 +196,7 @@
             ended_unix_ms: whole_millis(self.ended),
             service: spec.service.to_string(),
             cancelling: self.cancelling,
+            failures: self.failures,
         }
     }
 }
--- a/crates/decide/src/job/task_sight.rs
+++ b/crates/decide/src/job/task_sight.rs
@@ -49,8 +49,8 @@
     pub lease_guard: Duration,
     /// Distinct healthy workers on which a job fails before it is parked.
     pub park_after: usize,
-    /// Most attempts of a job.
-    pub most_attempts: u32,
+    /// Most attempts that fail or are cut off.
+    pub most_failures: u32,
     /// First back-off; doubles with each attempt.
     pub first_backoff: Duration,
     /// Longest back-off.
@@ -63,7 +63,7 @@
             lease: Duration::from_secs(30),
             lease_guard: Duration::from_secs(10),
             park_after: 3,
-            most_attempts: 20,
+            most_failures: 10,
             first_backoff: Duration::from_millis(500),
             longest_backoff: Duration::from_secs(60),
         }
@@ -116,6 +116,7 @@
         policy: &JobPolicy,
     ) -> (Self, StepAction) {
         let mut next = self.clone();
+        next.failures += 1;
         if !facts.worker_suspect && !next.failed_on.contains(&next.worker) {
             next.failed_on.push(next.worker.clone());
         }
@@ -147,7 +148,10 @@
             let text = format!("may have run: {reason}");
             return self.ended(JobPhase::Unknown, &text, facts);
         }
-        self.again(facts, policy)
+        let mut next = self.clone();
+        next.failures += 1;
+        reason.clone_into(&mut next.reason);
+        next.again(facts, policy)
     }
 
     /// After a worker said that it does not know the task.
@@ -194,8 +198,8 @@
     }
 
     fn again(&self, facts: &SightFacts, policy: &JobPolicy) -> (Self, StepAction) {
-        if self.attempt >= policy.most_attempts {
-            let text = format!("{} attempts, the last: {}", self.attempt, self.reason);
+        if self.failures >= policy.most_failures {
+            let text = format!("{} failures, the last: {}", self.failures, self.reason);
             return self.ended(JobPhase::Failed, &text, facts);
         }
         let mut next = self.in_phase(JobPhase::Queued);
--- a/crates/fleet/src/fleet_service.rs
+++ b/crates/fleet/src/fleet_service.rs
@@ -7,7 +7,7 @@
 };
 
 use arc_swap::ArcSwap;
-use decide::wave::FleetLimits;
+use decide::{job::JobPolicy, wave::FleetLimits};
 use model::{JobId, PoolId, ServiceId, StepError, TeamId};
 use parking_lot::Mutex;
 use platform::{Clock, HostList, KeyStore};
@@ -17,9 +17,12 @@
 };
 
 use crate::{
-    FleetTiming, HostPort, HttpPort, MapSnapshot, MapStore,
+    FleetTiming, HostPort, HttpPort, HttpWorker, JobTiming, MapSnapshot, MapStore, WorkerPort,
     fleet_shared::{FleetShared, ListView},
     host_watch::run_list_watch,
+    job_call::run_caller,
+    job_desk::JobDesk,
+    job_keeper::JobKeeper,
     planner::Planner,
     probe_pool::{ProbeBook, run_prober},
     target_view::TargetView,
@@ -34,6 +37,12 @@
 /// Probes that may wait; more are dropped and come back in the next round.
 const PROBE_QUEUE: usize = 64;
 
+/// Threads that call workers.
+const CALLERS: usize = 6;
+
+/// Calls to workers that may wait; more are made in a later turn.
+const CALL_QUEUE: usize = 1024;
+
 /// Stack of a thread of the fleet, in bytes.
 const STACK_SIZE: usize = 256 * 1024;
 
@@ -56,8 +65,14 @@
     pub quota: Arc<dyn QuotaSource>,
     /// Calls to hosts; `None` for HTTP.
     pub port: Option<Arc<dyn HostPort>>,
+    /// Calls to workers; `None` for HTTP.
+    pub workers: Option<Arc<dyn WorkerPort>>,
     /// Intervals of the duties.
     pub timing: FleetTiming,
+    /// Intervals of job holders.
+    pub job_timing: JobTiming,
+    /// How often and how soon jobs are tried again.
+    pub job_policy: JobPolicy,
     /// Times and counts by which hosts are judged.
     pub limits: FleetLimits,
 }
@@ -81,6 +96,9 @@
             audit: None,
             quota,
             port: None,
+            workers: None,
+            job_timing: JobTiming::default(),
+            job_policy: JobPolicy::default(),
             timing: FleetTiming::default(),
             limits: FleetLimits::default(),
         }
@@ -100,6 +118,21 @@
         self
     }
 
+    /// Calls workers through `workers`.
+    #[must_use]
+    pub fn with_workers(mut self, workers: Arc<dyn WorkerPort>) -> Self {
+        self.workers = Some(workers);
+        self
+    }
+
+    /// Uses other intervals and another policy for jobs.
+    #[must_use]
+    pub fn with_jobs(mut self, timing: JobTiming, policy: JobPolicy) -> Self {
+        self.job_timing = timing;
+        self.job_policy = policy;
+        self
+    }
+
     /// Uses other intervals.
     #[must_use]
     pub fn with_timing(mut self, timing: FleetTiming) -> Self {
@@ -118,6 +151,7 @@
 /// Pools, hosts and jobs of this entry host. Its threads end when it is dropped.
 pub struct FleetService {
     shared: Arc<FleetShared>,
+    desk: Arc<JobDesk>,
 }
 
 impl FleetService {
@@ -126,11 +160,16 @@
     /// # Errors
     /// If a thread can't be started. A store or a host list that is down is no error.
     pub fn start(options: FleetOptions) -> Result<Arc<Self>, StepError> {
+        let workers = options.workers.clone();
+        let workers = workers.unwrap_or_else(|| Arc::new(HttpWorker::new()));
+        let shared = Arc::new(share_options(options));
         let service = Self {
-            shared: Arc::new(share_options(options)),
+            desk: Arc::new(JobDesk::new(Arc::clone(&shared))),
+            shared,
         };
         service.start_watches()?;
         service.start_planner()?;
+        service.start_jobs(&workers)?;
         Ok(Arc::new(service))
     }
 
@@ -163,6 +202,29 @@
     }
 }
 
+impl FleetService {
+    fn start_jobs(&self, workers: &Arc<dyn WorkerPort>) -> Result<(), StepError> {
+        let (sender, receiver) = crossbeam_channel::bounded(CALL_QUEUE);
+        for _ in 0..CALLERS {
+            let (workers, queue) = (Arc::clone(workers), receiver.clone());
+            let clock = Arc::clone(&self.shared.clock);
+            let lease = self.shared.job_policy.lease;
+            spawn("fleet-call", move || {
+                run_caller(&workers, &clock, lease, &queue);
+            })?;
+        }
+        let keeper = || {
+            let (shared, desk) = (Arc::clone(&self.shared), Arc::clone(&self.desk));
+            JobKeeper::new(shared, desk, sender.clone())
+        };
+        let (own, takeovers) = (keeper(), keeper());
+        let desk = Arc::clone(&self.desk);
+        spawn("fleet-cancel", move || desk.run_cancels())?;
+        spawn("fleet-jobs", move || own.run_own())?;
+        spawn("fleet-takeover", move || takeovers.run_takeovers())
+    }
+}
+
 impl Drop for FleetService {
     fn drop(&mut self) {
         self.stop();
@@ -190,16 +252,16 @@
 }
 
 impl JobSink for FleetService {
-    fn submit(&self, _request: JobRequest) -> Result<JobView, JobError> {
-        Err(JobError::StoreDown("jobs are not built yet".to_owned()))
+    fn submit(&self, request: JobRequest) -> Result<JobView, JobError> {
+        self.desk.submit(request)
     }
 
-    fn view(&self, _team: &TeamId, _job: &JobId) -> Result<JobView, JobError> {
-        Err(JobError::NotFound)
+    fn view(&self, team: &TeamId, job: &JobId) -> Result<JobView, JobError> {
+        self.desk.view(team, job)
     }
 
-    fn cancel(&self, _team: &TeamId, _job: &JobId) -> Result<JobView, JobError> {
-        Err(JobError::NotFound)
+    fn cancel(&self, team: &TeamId, job: &JobId) -> Result<JobView, JobError> {
+        self.desk.cancel(team, job)
     }
 }
 
@@ -212,7 +274,13 @@
         members: options.members,
         clock: options.clock,
         audit: options.audit,
+        quota: options.quota,
         port,
+        job_timing: options.job_timing,
+        job_policy: options.job_policy,
+        own_log: Mutex::default(),
+        late_permits: Mutex::default(),
+        finished_logs: Mutex::default(),
         timing: options.timing,
         limits: options.limits,
         snapshot: Mutex::new(MapSnapshot::default()),
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -9,13 +9,17 @@
 };
 
 use arc_swap::ArcSwap;
-use decide::wave::{FleetLimits, HostSighting};
-use model::{BootTime, HostId};
+use decide::{
+    budget::{HostFacts, HostPhase},
+    job::JobPolicy,
+    wave::{FleetLimits, HostSighting},
+};
+use model::{BootTime, HostId, PoolId};
 use parking_lot::Mutex;
 use platform::{Clock, HostEntry, HostList, KeyStore};
-use ports::{AuditSink, ConfigSource, MemberSource};
+use ports::{AuditSink, ConfigSource, MemberSource, QuotaPermit, QuotaSource, TargetState};
 
-use crate::{HostPort, MapSnapshot, target_view::TargetView};
+use crate::{HostPort, JobTiming, MapSnapshot, target_view::TargetView};
 
 /// Longest sleep between two looks at the stop flag.
 const STOP_CHECK: Duration = Duration::from_millis(50);
@@ -69,7 +73,16 @@
     pub(crate) members: Arc<dyn MemberSource>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) audit: Option<Arc<dyn AuditSink>>,
+    pub(crate) quota: Arc<dyn QuotaSource>,
     pub(crate) port: Arc<dyn HostPort>,
+    pub(crate) job_timing: JobTiming,
+    pub(crate) job_policy: JobPolicy,
+    /// Log into which jobs are accepted here; empty before there is one.
+    pub(crate) own_log: Mutex<String>,
+    /// Units of team limits that are free only after a time.
+    pub(crate) late_permits: Mutex<Vec<(BootTime, QuotaPermit)>>,
+    /// Logs taken over here that hold no jobs any more.
+    pub(crate) finished_logs: Mutex<BTreeSet<String>>,
     pub(crate) timing: FleetTiming,
     pub(crate) limits: FleetLimits,
     pub(crate) snapshot: Mutex<MapSnapshot>,
@@ -116,6 +129,12 @@
         self.targets.store(Arc::new(view));
     }
 
+    /// Gives back units of team limits whose time has come.
+    pub(crate) fn free_permits(&self) {
+        let now = self.clock.boot_now();
+        self.late_permits.lock().retain(|(until, _)| now < *until);
+    }
+
     /// True if the host list was read lately.
     pub(crate) fn list_fresh(&self) -> bool {
         let Some(read_at) = self.list.load().read_at else {
@@ -138,3 +157,36 @@
         sightings
     }
 }
+
+impl FleetShared {
+    /// Where a host listens, by the host list or else the pool map.
+    pub(crate) fn host_address(&self, host: &HostId) -> Option<String> {
+        if let Some(entry) = self.list.load().entries.get(host) {
+            return Some(entry.address.clone());
+        }
+        let held = self.snapshot.lock();
+        let state = held.map.hosts.get(host)?;
+        Some(state.facts.address.clone())
+    }
+
+    /// True for a host that was given up, and will not answer for its tasks again.
+    pub(crate) fn is_host_gone(&self, host: &HostId) -> bool {
+        let held = self.snapshot.lock();
+        let state = held.map.hosts.get(host);
+        held.version > 0 && state.is_none_or(|state| state.phase == HostPhase::Retired)
+    }
+
+    /// The workers of a pool, and whether each takes new work.
+    pub(crate) fn pool_workers(&self, pool: &PoolId) -> Vec<(HostId, HostFacts, bool)> {
+        let targets = self.targets.load().pool(pool);
+        let held = self.snapshot.lock();
+        let facts = |host: &HostId| held.map.hosts.get(host).map(|state| state.facts.clone());
+        targets
+            .iter()
+            .filter_map(|target| {
+                let serving = target.state == TargetState::Serving;
+                Some((target.host.clone(), facts(&target.host)?, serving))
+            })
+            .collect()
+    }
+}
--- a/crates/fleet/src/host_watch.rs
+++ b/crates/fleet/src/host_watch.rs
@@ -10,6 +10,7 @@
 pub(crate) fn run_list_watch(shared: &Arc<FleetShared>) {
     loop {
         read_list(shared);
+        shared.free_permits();
         if !shared.pause(shared.timing.list_interval) {
             return;
         }
--- /dev/null
+++ b/crates/fleet/src/job_call.rs
@@ -0,0 +1,98 @@
+use std::{sync::Arc, time::Duration};
+
+use crossbeam_channel::{Receiver, Sender};
+use decide::{
+    job::{JobState, TaskSight},
+    placement::{JobSize, WorkerUsage},
+};
+use model::{BootTime, HostId};
+use platform::Clock;
+
+use crate::{WorkerPort, WorkerReport};
+
+/// A call to a worker, made on a thread of the call pool.
+pub(crate) struct WorkerCall {
+    pub(crate) worker: HostId,
+    pub(crate) address: String,
+    pub(crate) kind: CallKind,
+    /// Where the answer goes.
+    pub(crate) reply: Sender<CallReply>,
+}
+
+pub(crate) enum CallKind {
+    Start { job: Box<JobState>, first: bool },
+    Renew { tasks: Vec<String> },
+    Stop { task: String },
+    Usage,
+}
+
+/// The answer to a call.
+pub(crate) struct CallReply {
+    pub(crate) worker: HostId,
+    pub(crate) asked_at: BootTime,
+    pub(crate) kind: ReplyKind,
+}
+
+pub(crate) enum ReplyKind {
+    /// What a worker said to a start or to a stop.
+    Task {
+        task: String,
+        sight: TaskSight,
+    },
+    /// What it said to a renewal of these tasks; `None` if it did not answer.
+    Renewed {
+        tasks: Vec<String>,
+        report: Option<WorkerReport>,
+    },
+    Usage(Option<WorkerUsage>),
+}
+
+/// Makes calls from the queue until it closes.
+pub(crate) fn run_caller(
+    port: &Arc<dyn WorkerPort>,
+    clock: &Arc<dyn Clock>,
+    lease: Duration,
+    queue: &Receiver<WorkerCall>,
+) {
+    while let Ok(call) = queue.recv() {
+        let asked_at = clock.boot_now();
+        let kind = make_call(port.as_ref(), &call, lease, asked_at);
+        let reply = CallReply {
+            worker: call.worker,
+            asked_at,
+            kind,
+        };
+        // A holder that is gone needs no answer.
+        let _ = call.reply.send(reply);
+    }
+}
+
+fn make_call(
+    port: &dyn WorkerPort,
+    call: &WorkerCall,
+    lease: Duration,
+    asked_at: BootTime,
+) -> ReplyKind {
+    match &call.kind {
+        CallKind::Start { job, first } => ReplyKind::Task {
+            task: job.task_id(),
+            sight: port.start(&call.address, job, lease, *first),
+        },
+        CallKind::Renew { tasks } => ReplyKind::Renewed {
+            tasks: tasks.clone(),
+            report: port.renew(&call.address, tasks, lease).ok(),
+        },
+        CallKind::Stop { task } => ReplyKind::Task {
+            task: task.clone(),
+            sight: port.stop(&call.address, task).unwrap_or(TaskSight::Silent),
+        },
+        CallKind::Usage => {
+            let usage = port.usage(&call.address).ok();
+            ReplyKind::Usage(usage.map(|(boot, used)| usage_of(boot, used, asked_at)))
+        }
+    }
+}
+
+fn usage_of(boot: String, used: JobSize, asked: BootTime) -> WorkerUsage {
+    WorkerUsage { boot, used, asked }
+}
--- /dev/null
+++ b/crates/fleet/src/job_desk.rs
@@ -0,0 +1,221 @@
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crossbeam_channel::{Sender, TrySendError};
+use decide::job::JobState;
+use model::{JobId, TeamId};
+use parking_lot::Mutex;
+use ports::{JobError, JobRequest, JobSink, JobView};
+use prost::Message;
+use wire::fleet::JobCancels;
+
+use crate::{
+    JobLog,
+    fleet_shared::FleetShared,
+    held_job::{JobBoard, view_of},
+    job_holder::{JobOrder, ReplySender},
+};
+
+/// Largest payload of a job, in bytes; one page of records holds several.
+const MOST_PAYLOAD: usize = 256 * 1024;
+/// Longest wait for a holder's answer.
+const ANSWER_TIME: Duration = Duration::from_secs(8);
+/// How long what was read of another holder's log is shown.
+const FOREIGN_AGE: Duration = Duration::from_secs(1);
+/// Most cancellations that wait for one holder.
+const MOST_CANCELS: usize = 20_000;
+/// Shortest time between two writes of cancellations.
+const CANCEL_INTERVAL: Duration = Duration::from_millis(100);
+/// Tries at writing cancellations while others write too.
+const CANCEL_TRIES: u32 = 8;
+
+/// Orders to the holders in this process, by log.
+pub(crate) type HolderRoutes = Mutex<BTreeMap<String, Sender<JobOrder>>>;
+
+/// Where callers' operations on jobs arrive.
+pub(crate) struct JobDesk {
+    pub(crate) shared: Arc<FleetShared>,
+    pub(crate) routes: HolderRoutes,
+    pub(crate) board: JobBoard,
+    foreign: Mutex<BTreeMap<String, ForeignLog>>,
+    cancels: Mutex<BTreeMap<String, CancelWave>>,
+}
+
+struct ForeignLog {
+    read_at: Instant,
+    jobs: BTreeMap<JobId, JobState>,
+}
+
+/// Cancellations for one log, each with whoever waits for it.
+type CancelWave = Vec<(JobId, Sender<Result<(), JobError>>)>;
+
+impl JobDesk {
+    pub(crate) fn new(shared: Arc<FleetShared>) -> Self {
+        Self {
+            shared,
+            routes: Mutex::default(),
+            board: JobBoard::default(),
+            foreign: Mutex::default(),
+            cancels: Mutex::default(),
+        }
+    }
+
+    fn route(&self, log: &str) -> Option<Sender<JobOrder>> {
+        self.routes.lock().get(log).cloned()
+    }
+
+    fn order(
+        &self,
+        log: &str,
+        order: impl FnOnce(ReplySender) -> JobOrder,
+    ) -> Result<JobView, JobError> {
+        let Some(route) = self.route(log) else {
+            return Err(JobError::StoreDown("no job log yet".to_owned()));
+        };
+        let (reply, answer) = crossbeam_channel::bounded(1);
+        match route.try_send(order(reply)) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => return Err(JobError::QueueFull),
+            Err(TrySendError::Disconnected(_)) => {
+                return Err(JobError::StoreDown("the job log was lost".to_owned()));
+            }
+        }
+        match answer.recv_timeout(ANSWER_TIME) {
+            Ok(outcome) => outcome,
+            Err(_) => Err(JobError::Unknown("no answer in time".to_owned())),
+        }
+    }
+
+    /// A job of a log that this process does not hold, as the store has it.
+    fn foreign_job(&self, team: &TeamId, job: &JobId) -> Result<JobState, JobError> {
+        let log = log_of(job).ok_or(JobError::NotFound)?;
+        let mut foreign = self.foreign.lock();
+        foreign.retain(|_, log| log.read_at.elapsed() < FOREIGN_AGE);
+        if !foreign.contains_key(log) {
+            let records = JobLog::peek(Arc::clone(&self.shared.store), log)
+                .map_err(|e| JobError::StoreDown(e.to_string()))?;
+            let states = records.into_iter().map(JobState::from_record);
+            let read = ForeignLog {
+                read_at: Instant::now(),
+                jobs: states
+                    .map(|state| (state.spec.job.clone(), state))
+                    .collect(),
+            };
+            foreign.insert(log.to_owned(), read);
+        }
+        let found = foreign.get(log).and_then(|log| log.jobs.get(job));
+        found
+            .filter(|state| state.spec.team == *team)
+            .cloned()
+            .ok_or(JobError::NotFound)
+    }
+
+    /// Has a cancellation written for another holder.
+    fn cancel_foreign(&self, job: &JobId) -> Result<(), JobError> {
+        let log = log_of(job).ok_or(JobError::NotFound)?.to_owned();
+        let (reply, answer) = crossbeam_channel::bounded(1);
+        {
+            let mut cancels = self.cancels.lock();
+            let wave = cancels.entry(log).or_default();
+            if wave.len() >= MOST_CANCELS {
+                return Err(JobError::QueueFull);
+            }
+            wave.push((job.clone(), reply));
+        }
+        match answer.recv_timeout(ANSWER_TIME) {
+            Ok(outcome) => outcome,
+            Err(_) => Err(JobError::Unknown("no answer in time".to_owned())),
+        }
+    }
+
+    /// Writes the cancellations that wait, all for one log in one write.
+    pub(crate) fn run_cancels(&self) {
+        while self.shared.pause(CANCEL_INTERVAL) {
+            let waves = std::mem::take(&mut *self.cancels.lock());
+            for (log, wave) in waves {
+                let jobs: Vec<JobId> = wave.iter().map(|(job, _)| job.clone()).collect();
+                let outcome = self.write_cancels(&log, &jobs);
+                for (_, reply) in wave {
+                    // Whoever gave up waiting asks again.
+                    let _ = reply.send(outcome.clone());
+                }
+            }
+        }
+    }
+
+    fn write_cancels(&self, log: &str, waiting: &[JobId]) -> Result<(), JobError> {
+        let key = format!("job-cancels/{log}");
+        let store = &self.shared.store;
+        let down = |e: platform::StoreError| JobError::StoreDown(e.to_string());
+        for _ in 0..CANCEL_TRIES {
+            let found = store.read(&key).map_err(down)?;
+            let version = found.as_ref().map_or(0, |found| found.version);
+            let bytes = found.map_or_else(Vec::new, |found| found.value);
+            let mut cancels = JobCancels::decode(bytes.as_slice()).unwrap_or_default();
+            cancels.jobs.extend(waiting.iter().map(ToString::to_string));
+            if cancels.jobs.len() > MOST_CANCELS {
+                return Err(JobError::QueueFull);
+            }
+            match store.swap(&key, version, &cancels.encode_to_vec()) {
+                Ok(_) => return Ok(()),
+                Err(platform::StoreError::Conflict { .. }) => {}
+                Err(platform::StoreError::Unknown(e)) => return Err(JobError::Unknown(e)),
+                Err(e) => return Err(down(e)),
+            }
+        }
+        Err(JobError::Unknown(
+            "others write cancellations too".to_owned(),
+        ))
+    }
+}
+
+impl JobSink for JobDesk {
+    fn submit(&self, request: JobRequest) -> Result<JobView, JobError> {
+        if request.payload.len() > MOST_PAYLOAD {
+            let text = format!("the payload has {} bytes", request.payload.len());
+            return Err(JobError::Invalid(format!("{text}, at most {MOST_PAYLOAD}")));
+        }
+        let config = self.shared.config.current();
+        let service = config.manifest.services.get(&request.service);
+        let pool = service.map(|service| service.worker_pool.clone());
+        let Some(pool) = pool.filter(|pool| !pool.is_empty()) else {
+            let text = format!("service {} runs no jobs", request.service);
+            return Err(JobError::Invalid(text));
+        };
+        let log = self.shared.own_log.lock().clone();
+        self.order(&log, |reply| JobOrder::Submit {
+            request: Box::new(request),
+            pool,
+            reply,
+        })
+    }
+
+    fn view(&self, team: &TeamId, job: &JobId) -> Result<JobView, JobError> {
+        if let Some(state) = self.board.lock().get(job) {
+            if state.spec.team == *team {
+                return Ok(view_of(state));
+            }
+            return Err(JobError::NotFound);
+        }
+        self.foreign_job(team, job).map(|state| view_of(&state))
+    }
+
+    fn cancel(&self, team: &TeamId, job: &JobId) -> Result<JobView, JobError> {
+        let log = log_of(job).ok_or(JobError::NotFound)?;
+        if self.route(log).is_some() {
+            let (team, job) = (team.clone(), job.clone());
+            return self.order(log, |reply| JobOrder::Cancel { team, job, reply });
+        }
+        let state = self.foreign_job(team, job)?;
+        self.cancel_foreign(job)?;
+        Ok(view_of(&state))
+    }
+}
+
+/// Log that a job was accepted into, which its id names.
+fn log_of(job: &JobId) -> Option<&str> {
+    job.rsplit_once('-').map(|(log, _)| log)
+}
--- /dev/null
+++ b/crates/fleet/src/job_flush.rs
@@ -0,0 +1,181 @@
+use std::time::Duration;
+
+use decide::job::JobPhase;
+use model::JobId;
+use ports::JobError;
+use wire::fleet::JobRecord;
+
+use crate::{
+    AppendOutcome, event,
+    held_job::view_of,
+    job_holder::{JobHolder, ReplySender},
+};
+
+/// Most bytes of records in one page; the store takes a megabyte.
+const MOST_BYTES: usize = 700 * 1024;
+/// Time between two tries while the store takes no writes.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a submission waits for a write whose answer is lost.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// A write that was begun, with what it settles.
+pub(crate) struct PendingFlush {
+    records: Vec<JobRecord>,
+    states: Vec<(JobId, u32)>,
+    answers: Vec<(JobId, ReplySender)>,
+    began: Duration,
+    /// True once a try went unanswered: the page may be there.
+    unsettled: bool,
+}
+
+impl JobHolder {
+    /// Records what changed, in one write for all of it.
+    ///
+    /// Writes wait for the interval, so that the number of calls to the store depends on
+    /// the number of entry hosts and not on the number of jobs.
+    pub(crate) fn flush_if_due(&mut self) {
+        let since = self.shared.clock.boot_now().saturating_sub(self.flushed_at);
+        let wait = match &self.pending {
+            Some(_) => RETRY_INTERVAL,
+            None => self.timing.flush_interval,
+        };
+        let work = self.pending.is_some() || !self.dirty.is_empty();
+        if !work || since < wait {
+            self.answer_unchanged();
+            return;
+        }
+        self.flushed_at = self.shared.clock.boot_now();
+        let flush = match self.pending.take() {
+            Some(pending) => pending,
+            None => self.collect(),
+        };
+        self.write(flush);
+    }
+
+    fn collect(&mut self) -> PendingFlush {
+        let mut flush = PendingFlush {
+            records: Vec::new(),
+            states: Vec::new(),
+            answers: Vec::new(),
+            began: self.shared.clock.boot_now(),
+            unsettled: false,
+        };
+        let mut bytes = 0;
+        let carried = self.log.oldest_jobs().unwrap_or_default();
+        let dirty: Vec<JobId> = self.dirty.iter().cloned().chain(carried).collect();
+        for job in dirty {
+            let Some(held) = self.jobs.get(&job) else {
+                self.dirty.remove(&job);
+                continue;
+            };
+            if bytes >= MOST_BYTES {
+                break;
+            }
+            let record = held.state.to_record();
+            bytes += record.payload.len() + 256;
+            flush.records.push(record);
+            flush.states.push((job.clone(), held.state.attempt));
+            self.dirty.remove(&job);
+        }
+        let (now, later) = std::mem::take(&mut self.answers)
+            .into_iter()
+            .partition(|(job, _)| flush.states.iter().any(|(flushed, _)| flushed == job));
+        flush.answers = now;
+        self.answers = later;
+        flush
+    }
+
+    fn write(&mut self, mut flush: PendingFlush) {
+        metrics::counter!("lws_job_page_writes").increment(1);
+        match self.log.append(flush.records.clone()) {
+            AppendOutcome::Done => self.settle_flush(flush),
+            AppendOutcome::Fenced => {
+                model::event::warn(
+                    &event::JOB_LOG_LOST,
+                    format_args!("log={}", self.log.name()),
+                );
+                self.fenced = true;
+                for (_, reply) in flush.answers {
+                    let lost = JobError::Unknown("the job log was taken over".to_owned());
+                    let _ = reply.send(Err(lost));
+                }
+            }
+            AppendOutcome::Failed(e) if !flush.unsettled => self.undo_flush(flush, &e.to_string()),
+            AppendOutcome::Failed(e) | AppendOutcome::Unsettled(e) => {
+                model::event::warn(&event::JOB_PAGE_UNSETTLED, format_args!("cause={e}"));
+                flush.unsettled = true;
+                self.give_up_waiting(&mut flush);
+                self.pending = Some(flush);
+            }
+        }
+    }
+
+    fn settle_flush(&mut self, flush: PendingFlush) {
+        let mut board = self.board.lock();
+        for (job, attempt) in &flush.states {
+            let Some(held) = self.jobs.get_mut(job) else {
+                continue;
+            };
+            board.insert(job.clone(), held.state.clone());
+            held.recorded_attempt = *attempt;
+            if held.state.phase == JobPhase::Starting && held.sent_attempt != held.state.attempt {
+                self.unsent.insert(job.clone());
+            }
+        }
+        for (job, reply) in flush.answers {
+            let view = board.get(&job).map(view_of);
+            let _ = reply.send(view.ok_or(JobError::NotFound));
+        }
+        drop(board);
+        self.log.drop_oldest();
+    }
+
+    /// After a write that certainly took no effect: new jobs are refused, and all other
+    /// changes wait for the next write.
+    fn undo_flush(&mut self, flush: PendingFlush, cause: &str) {
+        model::event::warn(&event::JOB_PAGE_UNWRITTEN, format_args!("cause={cause}"));
+        for (job, reply) in flush.answers {
+            let _ = reply.send(Err(JobError::StoreDown(cause.to_owned())));
+            if !self.board.lock().contains_key(&job) {
+                self.withdraw(&job);
+            }
+        }
+        for (job, _) in flush.states {
+            if self.jobs.contains_key(&job) {
+                self.dirty.insert(job);
+            }
+        }
+    }
+
+    fn give_up_waiting(&self, flush: &mut PendingFlush) {
+        if self.shared.clock.boot_now().saturating_sub(flush.began) < PATIENCE {
+            return;
+        }
+        for (_, reply) in flush.answers.drain(..) {
+            let _ = reply.send(Err(JobError::Unknown(
+                "no answer from the store".to_owned(),
+            )));
+        }
+    }
+
+    /// Answers those whose job needs no write, such as one that had ended already.
+    fn answer_unchanged(&mut self) {
+        if self.answers.is_empty() {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.answers);
+        for (job, reply) in waiting {
+            if self.dirty.contains(&job) || self.is_pending(&job) {
+                self.answers.push((job, reply));
+                continue;
+            }
+            let view = self.board.lock().get(&job).map(view_of);
+            let _ = reply.send(view.ok_or(JobError::NotFound));
+        }
+    }
+
+    fn is_pending(&self, job: &JobId) -> bool {
+        let pending = self.pending.as_ref();
+        pending.is_some_and(|flush| flush.states.iter().any(|(flushed, _)| flushed == job))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/job_keeper.rs
@@ -0,0 +1,220 @@
+use std::{collections::BTreeMap, sync::Arc, thread};
+
+use crossbeam_channel::{Receiver, Sender};
+use decide::{job::JobState, rendezvous};
+use model::{BootTime, MemberId, StepError};
+use platform::StoreVersion;
+use prost::Message;
+use wire::fleet::{JobLogEntry, JobLogIndex};
+
+use crate::{
+    JobLog, event,
+    fleet_shared::FleetShared,
+    job_call::WorkerCall,
+    job_desk::JobDesk,
+    job_holder::{JobHolder, JobOrder},
+};
+
+/// Key of the index of job logs.
+const INDEX_KEY: &str = "job-logs";
+/// Orders that may wait for one holder.
+const ORDER_QUEUE: usize = 4096;
+/// Stack of a holder's thread, in bytes.
+const STACK_SIZE: usize = 512 * 1024;
+
+/// Keeps this entry host's own job log going, and takes over those of others that are gone.
+///
+/// Each life of an entry host has a log of its own. The index in the store names every log
+/// that may hold jobs, so that all entry hosts may be replaced at once and the next ones
+/// still find them.
+pub(crate) struct JobKeeper {
+    pub(crate) shared: Arc<FleetShared>,
+    pub(crate) desk: Arc<JobDesk>,
+    pub(crate) calls: Sender<WorkerCall>,
+    unheard: BTreeMap<String, BootTime>,
+}
+
+impl JobKeeper {
+    pub(crate) fn new(
+        shared: Arc<FleetShared>,
+        desk: Arc<JobDesk>,
+        calls: Sender<WorkerCall>,
+    ) -> Self {
+        Self {
+            shared,
+            desk,
+            calls,
+            unheard: BTreeMap::new(),
+        }
+    }
+
+    /// Holds own logs, a new one whenever the one before was taken over.
+    pub(crate) fn run_own(&self) {
+        let mut generation = 0;
+        while !self.shared.is_stopping() {
+            let own = self.holder_name();
+            let name = format!("{}.{generation}", own.replace('@', "."));
+            if let Err(e) = self.enter_index(&name, &own) {
+                model::event::debug(&event::JOB_INDEX_UNREAD, format_args!("cause={e}"));
+                self.shared.pause(self.shared.timing.list_interval / 2);
+                continue;
+            }
+            let log = JobLog::create(Arc::clone(&self.shared.store), &name, &own);
+            let inbox = self.open_route(&name);
+            self.shared.own_log.lock().clone_from(&name);
+            self.holder(log).run(&inbox);
+            self.desk.routes.lock().remove(&name);
+            generation += 1;
+        }
+    }
+
+    /// Looks again and again for logs whose holder is gone.
+    pub(crate) fn run_takeovers(mut self) {
+        while self.shared.pause(self.shared.job_timing.watch_interval) {
+            if let Err(e) = self.take_over_lost() {
+                model::event::debug(&event::JOB_INDEX_UNREAD, format_args!("cause={e}"));
+            }
+        }
+    }
+}
+
+impl JobKeeper {
+    fn take_over_lost(&mut self) -> Result<(), StepError> {
+        self.leave_index()?;
+        let (_, index) = self.read_index()?;
+        let now = self.shared.clock.boot_now();
+        for entry in index.logs {
+            if self.is_heard(&entry.holder) || self.desk.routes.lock().contains_key(&entry.log) {
+                self.unheard.remove(&entry.log);
+                continue;
+            }
+            let since = *self.unheard.entry(entry.log.clone()).or_insert(now);
+            let long = now.saturating_sub(since) >= self.shared.job_timing.takeover_after;
+            if long && self.has_duty(&entry.log) {
+                self.take_over(&entry.log)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes one log over and holds its jobs on a thread of its own.
+    ///
+    /// The holder may be alive and only unheard. Its next write fails, and it stops.
+    fn take_over(&self, name: &str) -> Result<(), StepError> {
+        let own = self.holder_name();
+        self.enter_index(name, &own)?;
+        let (log, records) = JobLog::take_over(Arc::clone(&self.shared.store), name, &own)?;
+        let states: Vec<JobState> = records.into_iter().map(JobState::from_record).collect();
+        model::event::info(
+            &event::JOB_LOG_TAKEN,
+            format_args!("log={name} jobs={}", states.len()),
+        );
+        metrics::counter!("lws_job_takeovers").increment(1);
+        let inbox = self.open_route(name);
+        let mut holder = self.holder(log);
+        let (desk, log_name) = (Arc::clone(&self.desk), name.to_owned());
+        thread::Builder::new()
+            .name("fleet-adopted".to_owned())
+            .stack_size(STACK_SIZE)
+            .spawn(move || {
+                holder.inherit(states);
+                holder.run(&inbox);
+                desk.routes.lock().remove(&log_name);
+            })
+            .map(|_| ())
+            .map_err(|e| StepError::new("start thread", name, e))
+    }
+
+    fn holder(&self, log: JobLog) -> JobHolder {
+        JobHolder::new(
+            Arc::clone(&self.shared),
+            log,
+            Arc::clone(&self.desk.board),
+            self.calls.clone(),
+        )
+    }
+
+    fn open_route(&self, name: &str) -> Receiver<JobOrder> {
+        let (sender, receiver) = crossbeam_channel::bounded(ORDER_QUEUE);
+        self.desk.routes.lock().insert(name.to_owned(), sender);
+        receiver
+    }
+
+    fn holder_name(&self) -> String {
+        let members = &self.shared.members;
+        format!("{}@{}", members.own_id(), members.own_incarnation())
+    }
+
+    fn is_heard(&self, holder: &str) -> bool {
+        let members = self.shared.members.members();
+        let name = |id: &MemberId, incarnation| format!("{id}@{incarnation}");
+        holder == self.holder_name()
+            || members
+                .iter()
+                .any(|info| info.heard && name(&info.member, info.incarnation) == holder)
+    }
+
+    fn has_duty(&self, log: &str) -> bool {
+        let members = self.shared.members.members();
+        let heard = members.iter().filter(|info| info.heard && !info.leaving);
+        let duty = format!("job-log/{log}");
+        let holder = rendezvous::holder(&duty, heard.map(|info| &info.member));
+        holder == Some(&self.shared.members.own_id())
+    }
+
+    fn read_index(&self) -> Result<(StoreVersion, JobLogIndex), StepError> {
+        let step = |cause: String| StepError::new("read job logs", INDEX_KEY, cause);
+        let found = self
+            .shared
+            .store
+            .read(INDEX_KEY)
+            .map_err(|e| step(e.to_string()))?;
+        let Some(found) = found else {
+            return Ok((0, JobLogIndex::default()));
+        };
+        let index = JobLogIndex::decode(found.value.as_slice()).map_err(|e| step(e.to_string()))?;
+        Ok((found.version, index))
+    }
+
+    /// Writes down that `holder` holds the log `name`, before anything is written to it.
+    fn enter_index(&self, name: &str, holder: &str) -> Result<(), StepError> {
+        self.change_index(|logs| {
+            logs.retain(|entry| entry.log != name);
+            logs.push(JobLogEntry {
+                log: name.to_owned(),
+                holder: holder.to_owned(),
+            });
+        })
+    }
+
+    /// Takes logs out of the index that hold no jobs any more.
+    fn leave_index(&self) -> Result<(), StepError> {
+        let finished = self.shared.finished_logs.lock().clone();
+        if finished.is_empty() {
+            return Ok(());
+        }
+        self.change_index(|logs| logs.retain(|entry| !finished.contains(&entry.log)))?;
+        self.shared
+            .finished_logs
+            .lock()
+            .retain(|log| !finished.contains(log));
+        Ok(())
+    }
+
+    fn change_index(&self, change: impl FnOnce(&mut Vec<JobLogEntry>)) -> Result<(), StepError> {
+        let (version, mut index) = self.read_index()?;
+        change(&mut index.logs);
+        self.shared
+            .store
+            .swap(INDEX_KEY, version, &index.encode_to_vec())
+            .map(|_| ())
+            .map_err(|e| StepError::new("write job logs", INDEX_KEY, e))
+    }
+}
+
+impl FleetShared {
+    /// True for a log that this process began.
+    pub(crate) fn is_own_log(&self, name: &str) -> bool {
+        *self.own_log.lock() == name
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/job_settle.rs
@@ -0,0 +1,231 @@
+use std::collections::BTreeMap;
+
+use decide::job::{JobPhase, JobState, PhaseKind, SightFacts, StepAction, TaskSight};
+use model::{BootTime, HostId, JobId};
+
+use crate::{
+    WorkerReport, event,
+    job_call::{CallKind, CallReply, ReplyKind},
+    job_holder::JobHolder,
+};
+
+/// Tasks renewed in one call.
+const RENEWED_AT_ONCE: usize = 500;
+/// Answers taken in one go.
+const REPLIES_AT_ONCE: usize = 512;
+
+impl JobHolder {
+    pub(crate) fn take_replies(&mut self) {
+        for _ in 0..REPLIES_AT_ONCE {
+            let Ok(reply) = self.replies.try_recv() else {
+                return;
+            };
+            let CallReply {
+                worker,
+                asked_at,
+                kind,
+            } = reply;
+            match kind {
+                ReplyKind::Task { task, sight } => {
+                    self.settle(&worker, &task, &sight, "", asked_at);
+                }
+                ReplyKind::Renewed { tasks, report } => {
+                    self.settle_report(&worker, &tasks, report, asked_at);
+                }
+                ReplyKind::Usage(Some(usage)) => {
+                    for book in self.books.values_mut() {
+                        book.note_usage(&worker, usage.clone());
+                    }
+                }
+                ReplyKind::Usage(None) => {}
+            }
+        }
+    }
+
+    fn settle_report(
+        &mut self,
+        worker: &HostId,
+        tasks: &[String],
+        report: Option<WorkerReport>,
+        asked_at: BootTime,
+    ) {
+        let Some(report) = report else {
+            for task in tasks {
+                self.settle(worker, task, &TaskSight::Silent, "", asked_at);
+            }
+            return;
+        };
+        for (task, sight) in &report.tasks {
+            self.settle(worker, task, sight, &report.boot, asked_at);
+        }
+    }
+
+    /// Moves a job on by what its worker said of the current attempt; answers for other
+    /// attempts come late and are dropped.
+    fn settle(
+        &mut self,
+        worker: &HostId,
+        task: &str,
+        sight: &TaskSight,
+        boot: &str,
+        asked_at: BootTime,
+    ) {
+        let Some((job, _)) = task.rsplit_once('.') else {
+            return;
+        };
+        let job: JobId = job.into();
+        let Some(held) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let current = held.state.kind() == PhaseKind::Placed
+            && held.state.task_id() == task
+            && held.state.worker == *worker;
+        // A renewal that went out before the start proves nothing of it.
+        if !current || asked_at < held.asked_at && *sight == TaskSight::Unknown {
+            return;
+        }
+        if *sight == TaskSight::Silent {
+            held.silent_since.get_or_insert(asked_at);
+        } else {
+            held.silent_since = None;
+        }
+        let sight = self.gone_or(worker, sight);
+        self.apply(&job, &sight, boot);
+    }
+
+    /// Silence of a worker that is not in the pool map any more is for good.
+    fn gone_or(&self, worker: &HostId, sight: &TaskSight) -> TaskSight {
+        if *sight != TaskSight::Silent {
+            return sight.clone();
+        }
+        if self.shared.is_host_gone(worker) {
+            return TaskSight::Gone;
+        }
+        TaskSight::Silent
+    }
+
+    fn apply(&mut self, job: &JobId, sight: &TaskSight, boot: &str) {
+        let Some(held) = self.jobs.get(job) else {
+            return;
+        };
+        let before = held.state.clone();
+        let facts = self.sight_facts(job, &before, boot);
+        let (next, action) = before.after_sight(sight, &facts, &self.policy);
+        self.note_outcome(&before, &next, sight);
+        if next != before {
+            let record = next.phase != JobPhase::Running;
+            self.set_state(job, next.clone(), record);
+        }
+        match action {
+            StepAction::Wait => {}
+            StepAction::Resend => {
+                self.send_start(&next, false);
+            }
+            StepAction::Stop => {
+                let kind = CallKind::Stop {
+                    task: next.task_id(),
+                };
+                self.queue_call(&next.worker, kind);
+            }
+        }
+    }
+
+    fn sight_facts(&mut self, job: &JobId, state: &JobState, boot: &str) -> SightFacts {
+        self.jitter = self
+            .jitter
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let now = self.shared.clock.boot_now();
+        let silent_since = self.jobs.get(job).and_then(|held| held.silent_since);
+        let book = self.books.get(&state.spec.pool);
+        SightFacts {
+            now: self.shared.clock.unix_now(),
+            boot: boot.to_owned(),
+            silent_for: silent_since.map_or_else(Default::default, |at| now.saturating_sub(at)),
+            worker_suspect: book.is_some_and(|book| book.is_suspect(&state.worker)),
+            jitter: self.jitter >> 33,
+        }
+    }
+
+    /// Learns about workers from how an attempt ended.
+    fn note_outcome(&mut self, before: &JobState, next: &JobState, sight: &TaskSight) {
+        let now = self.shared.clock.boot_now();
+        let Some(book) = self.books.get_mut(&before.spec.pool) else {
+            return;
+        };
+        match sight {
+            TaskSight::Done => book.note_success(&before.worker),
+            TaskSight::Failed(_) => {
+                let was_suspect = book.is_suspect(&before.worker);
+                let job = &before.spec.job;
+                book.note_failure(&before.worker, job, &before.failed_on, now);
+                if !was_suspect && book.is_suspect(&before.worker) {
+                    model::event::warn(
+                        &event::WORKER_SUSPECT,
+                        format_args!("worker={}", before.worker),
+                    );
+                }
+            }
+            _ => {}
+        }
+        if next.phase == JobPhase::Parked {
+            model::event::warn(
+                &event::JOB_PARKED,
+                format_args!("job={} reason={}", next.spec.job, next.reason),
+            );
+        }
+    }
+
+    /// Renews the leases of all tasks, one call for each worker.
+    pub(crate) fn renew_leases(&mut self) {
+        let now = self.shared.clock.boot_now();
+        if now.saturating_sub(self.renewed_at) < self.timing.renew_interval {
+            return;
+        }
+        self.renewed_at = now;
+        let mut by_worker: BTreeMap<HostId, Vec<String>> = BTreeMap::new();
+        for job in self.placed.clone() {
+            if !self.may_renew(&job) {
+                continue;
+            }
+            let Some(held) = self.jobs.get(&job) else {
+                continue;
+            };
+            let tasks = by_worker.entry(held.state.worker.clone()).or_default();
+            tasks.push(held.state.task_id());
+        }
+        for (worker, tasks) in by_worker {
+            for part in tasks.chunks(RENEWED_AT_ONCE) {
+                let kind = CallKind::Renew {
+                    tasks: part.to_vec(),
+                };
+                self.queue_call(&worker, kind);
+            }
+        }
+    }
+
+    /// True if a task's lease may be renewed: it was sent, and this holder has a unit of
+    /// the team's limit for it.
+    ///
+    /// A task that was taken over runs on the unit of the holder before, which others
+    /// may use once the task must have ended. Renewed without a unit of its own it would
+    /// run beyond that, and the team could have more running than its limit.
+    fn may_renew(&mut self, job: &JobId) -> bool {
+        let Some(held) = self.jobs.get_mut(job) else {
+            return false;
+        };
+        if held.sent_attempt != held.state.attempt {
+            return false;
+        }
+        if held.permit.is_none() {
+            let team = held.state.spec.team.clone();
+            held.permit = self.shared.quota.try_take(&team);
+            if held.permit.is_none() {
+                self.shared.quota.note_waiting(&team, 1);
+            }
+        }
+        // Once the lease has lapsed the worker has stopped it, and asking revives nothing.
+        let lapsed = self.started_at + self.policy.lease + self.policy.lease_guard;
+        held.permit.is_some() || self.shared.clock.boot_now() >= lapsed
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/job_start.rs
@@ -0,0 +1,253 @@
+use std::{collections::BTreeSet, time::Duration};
+
+use crossbeam_channel::TrySendError;
+use decide::{
+    job::{JobPhase, JobState, PhaseKind},
+    placement::{JobSize, PlaceRefusal},
+};
+use model::{HostId, HostRole, JobId, PoolId, TeamId};
+use prost::Message;
+use wire::fleet::JobCancels;
+
+use crate::{
+    event,
+    job_call::{CallKind, WorkerCall},
+    job_holder::JobHolder,
+};
+
+/// Jobs of one team looked at in one pass.
+const LOOKED_AT: usize = 64;
+
+impl JobHolder {
+    /// Places waiting jobs, each team as many as its share in turn.
+    ///
+    /// Placing only marks the job as starting. It is sent once that is recorded: if this
+    /// holder died in between, nobody would know that a worker may have the task, and a
+    /// non-idempotent job would be started again.
+    pub(crate) fn start_jobs(&mut self) {
+        if self.pending.is_some() {
+            return;
+        }
+        let config = self.shared.config.current();
+        let mut full: BTreeSet<PoolId> = BTreeSet::new();
+        let teams: Vec<TeamId> = self.queues.keys().cloned().collect();
+        for team in teams {
+            let share = config
+                .manifest
+                .teams
+                .get(&team)
+                .map_or(1, |spec| spec.share);
+            self.start_team(&team, share.max(1), &mut full);
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
+    }
+
+    fn start_team(&mut self, team: &TeamId, share: u32, full: &mut BTreeSet<PoolId>) {
+        let now = self.shared.clock.unix_now();
+        let Some(queue) = self.queues.get(team) else {
+            return;
+        };
+        let looked_at: Vec<JobId> = queue
+            .iter()
+            .take(LOOKED_AT)
+            .map(|(_, job)| job.clone())
+            .collect();
+        let mut started = 0;
+        for job in looked_at {
+            let Some(held) = self.jobs.get(&job) else {
+                continue;
+            };
+            let state = held.state.clone();
+            if started >= share || now < state.next_try || full.contains(&state.spec.pool) {
+                continue;
+            }
+            let worker = match self.choose_worker(&state) {
+                Ok(worker) => worker,
+                Err(PlaceRefusal::NoRoom) => {
+                    full.insert(state.spec.pool.clone());
+                    continue;
+                }
+                Err(PlaceRefusal::NeverFits) => {
+                    self.park_unfit(&job, &state);
+                    continue;
+                }
+            };
+            let Some(permit) = self.shared.quota.try_take(team) else {
+                let waiting = self.queues.get(team).map_or(0, BTreeSet::len);
+                let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+                self.shared.quota.note_waiting(team, waiting);
+                return;
+            };
+            if let Some(held) = self.jobs.get_mut(&job) {
+                held.permit = Some(permit);
+            }
+            self.place(&job, &state, &worker);
+            started += 1;
+        }
+    }
+
+    fn choose_worker(&self, state: &JobState) -> Result<HostId, PlaceRefusal> {
+        let Some(book) = self.books.get(&state.spec.pool) else {
+            return Err(PlaceRefusal::NoRoom);
+        };
+        let now = self.shared.clock.boot_now();
+        // The declared size decides whether it can ever fit, the corrected one where.
+        let corrected = self.corrected_size(state);
+        match book.choose(corrected, &state.failed_on, now) {
+            Err(PlaceRefusal::NeverFits) => {
+                book.choose(declared_size(state), &state.failed_on, now)
+            }
+            other => other,
+        }
+    }
+
+    fn corrected_size(&self, state: &JobState) -> JobSize {
+        let spec = &state.spec;
+        self.sizes
+            .corrected(&spec.team, &spec.service, declared_size(state))
+    }
+
+    fn place(&mut self, job: &JobId, state: &JobState, worker: &HostId) {
+        let now = self.shared.clock.boot_now();
+        let size = self.corrected_size(state);
+        let Some(book) = self.books.get_mut(&state.spec.pool) else {
+            return;
+        };
+        book.note_placed(worker, job, size, now);
+        let boot = book.boot_of(worker).unwrap_or_default().to_owned();
+        self.set_state(job, state.starting(worker, &boot), true);
+    }
+
+    /// Parks a job that no worker of its pool could take, once the pool is surely known.
+    fn park_unfit(&mut self, job: &JobId, state: &JobState) {
+        let now = self.shared.clock.unix_now();
+        if now < state.spec.accepted + self.policy.lease {
+            return;
+        }
+        let size = declared_size(state);
+        let reason = format!(
+            "no worker of {} has {} processors, {} MB and {} accelerators",
+            state.spec.pool, size.cores, size.memory_mb, size.accelerators
+        );
+        model::event::warn(
+            &event::JOB_PARKED,
+            format_args!("job={job} reason={reason}"),
+        );
+        self.set_state(job, state.ending(JobPhase::Parked, &reason, now), true);
+    }
+
+    /// Sends what is recorded as starting.
+    pub(crate) fn send_recorded(&mut self) {
+        for job in std::mem::take(&mut self.unsent) {
+            let Some(held) = self.jobs.get(&job) else {
+                continue;
+            };
+            let state = held.state.clone();
+            let due = state.phase == JobPhase::Starting
+                && held.recorded_attempt == state.attempt
+                && held.sent_attempt != state.attempt;
+            if !due {
+                continue;
+            }
+            if !self.send_start(&state, true) {
+                self.unsent.insert(job);
+                continue;
+            }
+            if let Some(held) = self.jobs.get_mut(&job) {
+                held.sent_attempt = state.attempt;
+                held.asked_at = self.shared.clock.boot_now();
+            }
+        }
+    }
+
+    /// Queues the call that starts a task; false if the queue is full.
+    pub(crate) fn send_start(&self, state: &JobState, first: bool) -> bool {
+        let kind = CallKind::Start {
+            job: Box::new(state.clone()),
+            first,
+        };
+        self.queue_call(&state.worker, kind)
+    }
+
+    pub(crate) fn queue_call(&self, worker: &HostId, kind: CallKind) -> bool {
+        let address = self.shared.host_address(worker);
+        let Some(address) = address else {
+            return true;
+        };
+        let call = WorkerCall {
+            worker: worker.clone(),
+            address,
+            kind,
+            reply: self.reply_sender.clone(),
+        };
+        !matches!(self.calls.try_send(call), Err(TrySendError::Full(_)))
+    }
+
+    /// Looks at workers, their use, and cancellations that other members wrote down.
+    pub(crate) fn watch_surroundings(&mut self) {
+        let now = self.shared.clock.boot_now();
+        if now.saturating_sub(self.usage_at) >= self.timing.usage_interval || self.lacks_books() {
+            self.usage_at = now;
+            self.refresh_workers();
+        }
+        if now.saturating_sub(self.watched_at) >= self.timing.watch_interval {
+            self.watched_at = now;
+            self.read_cancels();
+        }
+    }
+
+    fn lacks_books(&self) -> bool {
+        let first = |queue: &BTreeSet<(Duration, JobId)>| queue.first().map(|(_, job)| job.clone());
+        let mut jobs = self.queues.values().filter_map(first);
+        jobs.any(|job| {
+            let held = self.jobs.get(&job);
+            held.is_some_and(|held| !self.books.contains_key(&held.state.spec.pool))
+        })
+    }
+
+    fn refresh_workers(&mut self) {
+        let live = self
+            .jobs
+            .values()
+            .filter(|held| held.state.kind() != PhaseKind::Ended);
+        let pools: BTreeSet<PoolId> = live.map(|held| held.state.spec.pool.clone()).collect();
+        for pool in pools {
+            let workers = self.shared.pool_workers(&pool);
+            for (host, facts, serving) in &workers {
+                if *serving && facts.role == HostRole::Worker {
+                    self.queue_call(host, CallKind::Usage);
+                }
+            }
+            let book = self.books.entry(pool).or_default();
+            book.set_workers(workers);
+        }
+    }
+
+    /// Applies cancellations that other members wrote down, and empties the list.
+    fn read_cancels(&mut self) {
+        let key = format!("job-cancels/{}", self.log.name());
+        let Ok(Some(found)) = self.shared.store.read(&key) else {
+            return;
+        };
+        let Ok(cancels) = JobCancels::decode(found.value.as_slice()) else {
+            return;
+        };
+        if cancels.jobs.is_empty() {
+            return;
+        }
+        for job in &cancels.jobs {
+            self.cancel_job(&job.as_str().into());
+        }
+        // Left in place it is applied again, which is harmless.
+        let empty = JobCancels::default().encode_to_vec();
+        let _ = self.shared.store.swap(&key, found.version, &empty);
+    }
+}
+
+pub(crate) fn declared_size(state: &JobState) -> JobSize {
+    JobSize {
+        cores: state.spec.cores,
+        memory_mb: state.spec.memory_mb,
+        accelerators: state.spec.accelerators,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/worker_port.rs
@@ -0,0 +1,268 @@
+use std::{fmt::Write, io::ErrorKind, time::Duration};
+
+use decide::{
+    job::{JobState, TaskSight},
+    placement::JobSize,
+};
+use model::StepError;
+use serde::{Deserialize, Serialize};
+
+/// Longest wait for an answer of a worker.
+const WORKER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a worker says of several tasks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WorkerReport {
+    /// Which life of the worker answered.
+    pub boot: String,
+    /// State of each task.
+    pub tasks: Vec<(String, TaskSight)>,
+}
+
+/// Calls to workers that concern tasks.
+pub trait WorkerPort: Send + Sync {
+    /// Sends the task of the current attempt. `first` says that it was not sent before;
+    /// only then does a refused connection prove that the worker does not have it.
+    fn start(&self, address: &str, job: &JobState, lease: Duration, first: bool) -> TaskSight;
+    /// Renews the leases of tasks and asks for their states.
+    ///
+    /// # Errors
+    /// If the worker does not answer in time.
+    fn renew(
+        &self,
+        address: &str,
+        tasks: &[String],
+        lease: Duration,
+    ) -> Result<WorkerReport, StepError>;
+    /// Stops a task, and keeps it from starting later.
+    ///
+    /// # Errors
+    /// As for [`WorkerPort::renew`].
+    fn stop(&self, address: &str, task: &str) -> Result<TaskSight, StepError>;
+    /// Reads what the worker's tasks use, and which life of it this is.
+    ///
+    /// # Errors
+    /// As for [`WorkerPort::renew`].
+    fn usage(&self, address: &str) -> Result<(String, JobSize), StepError>;
+}
+
+/// The workers' HTTP interface, see `docs/PLATFORM.md`.
+pub struct HttpWorker {
+    agent: ureq::Agent,
+}
+
+#[derive(Serialize)]
+struct StartBody<'a> {
+    task: String,
+    boot: &'a str,
+    team: &'a str,
+    cores: u32,
+    memory_mb: u64,
+    accelerators: u32,
+    lease_ms: u128,
+    idempotent: bool,
+    payload: String,
+}
+
+#[derive(Serialize)]
+struct RenewBody<'a> {
+    tasks: &'a [String],
+    lease_ms: u128,
+}
+
+#[derive(Serialize)]
+struct TaskBody<'a> {
+    task: &'a str,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct TaskAnswer {
+    task: String,
+    state: String,
+    reason: String,
+}
+
+#[derive(Deserialize)]
+struct RenewAnswer {
+    boot: String,
+    tasks: Vec<TaskAnswer>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct UsageAnswer {
+    boot: String,
+    cores: u32,
+    memory_mb: u64,
+    accelerators: u32,
+}
+
+impl HttpWorker {
+    /// A port with its own connections.
+    pub fn new() -> Self {
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(WORKER_TIMEOUT))
+            .http_status_as_error(false)
+            .max_idle_connections_per_host(1)
+            .build();
+        Self {
+            agent: config.into(),
+        }
+    }
+
+    fn post<B: Serialize>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &B,
+    ) -> Result<(u16, bool, String), CallFault> {
+        let text = serde_json::to_string(body).map_err(|e| CallFault::Silent(e.to_string()))?;
+        let answer = self
+            .agent
+            .post(format!("http://{address}{path}"))
+            .content_type("application/json")
+            .send(text);
+        let mut answer = answer.map_err(CallFault::from)?;
+        let not_run = answer.headers().get("Not-Run").is_some_and(|v| v == "true");
+        let text = answer
+            .body_mut()
+            .read_to_string()
+            .map_err(CallFault::from)?;
+        Ok((answer.status().as_u16(), not_run, text))
+    }
+
+    fn post_json<B: Serialize, A: for<'a> Deserialize<'a>>(
+        &self,
+        step: &'static str,
+        address: &str,
+        path: &str,
+        body: &B,
+    ) -> Result<A, StepError> {
+        let (status, _, text) = self
+            .post(address, path, body)
+            .map_err(|fault| StepError::new(step, address, fault.text()))?;
+        if status != 200 {
+            return Err(StepError::new(step, address, format!("status {status}")));
+        }
+        serde_json::from_str(&text).map_err(|e| StepError::new(step, address, e))
+    }
+}
+
+impl Default for HttpWorker {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl WorkerPort for HttpWorker {
+    fn start(&self, address: &str, job: &JobState, lease: Duration, first: bool) -> TaskSight {
+        let body = StartBody {
+            task: job.task_id(),
+            boot: &job.worker_boot,
+            team: &job.spec.team,
+            cores: job.spec.cores,
+            memory_mb: job.spec.memory_mb,
+            accelerators: job.spec.accelerators,
+            lease_ms: lease.as_millis(),
+            idempotent: job.spec.idempotent,
+            payload: encode_hex(&job.spec.payload),
+        };
+        match self.post(address, "/v1/tasks", &body) {
+            Ok((200, _, text)) => serde_json::from_str::<TaskAnswer>(&text)
+                .map_or(TaskSight::Silent, |answer| answer.sight()),
+            Ok((_, true, reason)) => TaskSight::NotRun(reason),
+            Err(CallFault::Refused) if first => TaskSight::NotRun("connection refused".to_owned()),
+            _ => TaskSight::Silent,
+        }
+    }
+
+    fn renew(
+        &self,
+        address: &str,
+        tasks: &[String],
+        lease: Duration,
+    ) -> Result<WorkerReport, StepError> {
+        let body = RenewBody {
+            tasks,
+            lease_ms: lease.as_millis(),
+        };
+        let answer: RenewAnswer = self.post_json("renew tasks", address, "/v1/renew", &body)?;
+        let tasks = answer.tasks.into_iter();
+        Ok(WorkerReport {
+            boot: answer.boot,
+            tasks: tasks
+                .map(|task| (task.task.clone(), task.sight()))
+                .collect(),
+        })
+    }
+
+    fn stop(&self, address: &str, task: &str) -> Result<TaskSight, StepError> {
+        let body = TaskBody { task };
+        let answer: TaskAnswer = self.post_json("stop task", address, "/v1/stop", &body)?;
+        Ok(answer.sight())
+    }
+
+    fn usage(&self, address: &str) -> Result<(String, JobSize), StepError> {
+        let wrap = |e: ureq::Error| StepError::new("read usage", address, e);
+        let url = format!("http://{address}/v1/usage");
+        let mut answer = self.agent.get(url).call().map_err(wrap)?;
+        let text = answer.body_mut().read_to_string().map_err(wrap)?;
+        let usage: UsageAnswer =
+            serde_json::from_str(&text).map_err(|e| StepError::new("read usage", address, e))?;
+        let size = JobSize {
+            cores: usage.cores,
+            memory_mb: usage.memory_mb,
+            accelerators: usage.accelerators,
+        };
+        Ok((usage.boot, size))
+    }
+}
+
+impl TaskAnswer {
+    fn sight(&self) -> TaskSight {
+        match self.state.as_str() {
+            "running" => TaskSight::Running,
+            "done" => TaskSight::Done,
+            "failed" => TaskSight::Failed(self.reason.clone()),
+            "stopped" => TaskSight::Stopped,
+            "unknown" => TaskSight::Unknown,
+            "refused" => TaskSight::NotRun(self.reason.clone()),
+            _ => TaskSight::Silent,
+        }
+    }
+}
+
+/// Why a call brought no answer.
+enum CallFault {
+    /// No connection was made.
+    Refused,
+    /// Anything else: the worker may have handled the call.
+    Silent(String),
+}
+
+impl CallFault {
+    fn text(self) -> String {
+        match self {
+            Self::Refused => "connection refused".to_owned(),
+            Self::Silent(text) => text,
+        }
+    }
+}
+
+impl From<ureq::Error> for CallFault {
+    fn from(error: ureq::Error) -> Self {
+        match &error {
+            ureq::Error::Io(e) if e.kind() == ErrorKind::ConnectionRefused => Self::Refused,
+            _ => Self::Silent(error.to_string()),
+        }
+    }
+}
+
+fn encode_hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
