--- a/crates/entry/src/admission/admission_loop.rs
+++ b/crates/entry/src/admission/admission_loop.rs
@@ -205,9 +205,12 @@
         }
         self.culled = now;
         for desk in self.desks.values_mut() {
-            let gone = desk
-                .queue
-                .take_out(|work| now >= work.deadline || work.reply.is_abandoned());
+            let outlook = desk.outlook();
+            let gone = desk.queue.take_out(|work| {
+                outlook.waited_too_long(work, now)
+                    || now >= work.deadline
+                    || work.reply.is_abandoned()
+            });
             if gone.is_empty() {
                 continue;
             }
--- a/crates/entry/src/admission/pool_desk.rs
+++ b/crates/entry/src/admission/pool_desk.rs
@@ -11,6 +11,9 @@
 const RETRY_BURST: u32 = 16;
 /// Part of a new measurement in the running mean of service times.
 const SERVICE_GAIN: f64 = 0.1;
+/// What a start is charged while nothing is known of service times, so that one team does
+/// not take all free slots then.
+const SHORTEST_SERVICE: Duration = Duration::from_millis(1);
 /// Service times above the mean that a deadline should leave room for.
 const SERVICE_MARGIN: f64 = 1.25;
 /// Ended requests before the mean of service times is trusted.
@@ -88,7 +91,8 @@
         let told = told.map_or(Duration::ZERO, |used| {
             Duration::from_millis(used.virtual_ms)
         });
-        told + self.meter.uncounted(team, self.service, now) / parts.weight(team)
+        let service = self.service.max(SHORTEST_SERVICE);
+        told + self.meter.uncounted(team, service, now) / parts.weight(team)
     }
 
     /// How long `work` would wait, by recent service times and the slots that its team may
@@ -120,17 +124,11 @@
         Some(self.service.mul_f64(ahead as f64 / f64::from(mine)))
     }
 
-    /// Whether `work`, started now, is likely to outlast its deadline only because it waited.
-    ///
-    /// A target would run it, and its caller would be told that it may have run: the slot is
-    /// spent and nobody gains. Under overload a queue in order of arrival brings every
-    /// request to a slot in this state, so it is refused instead, while that is still
-    /// truthful. A request whose whole span is shorter than the mean service time is tried:
-    /// the mean may come from other callers.
-    pub fn waited_too_long(&self, work: &CallerRequest, now: BootTime) -> bool {
-        let needed = self.needed_time();
-        let span = work.deadline.saturating_sub(work.arrived);
-        needed <= span && work.deadline < now + needed
+    /// How long requests are likely to take now.
+    pub fn outlook(&self) -> PoolOutlook {
+        PoolOutlook {
+            needed: self.needed_time(),
+        }
     }
 
     /// Time that a request needs on a target, with a margin; zero while nothing is known.
@@ -149,6 +147,27 @@
     }
 }
 
+/// What recent service times say of the requests that wait.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PoolOutlook {
+    needed: Duration,
+}
+
+impl PoolOutlook {
+    /// Whether `work`, started now, is likely to outlast its deadline only because it waited.
+    ///
+    /// A target would run it, and its caller would be told that it may have run: the slot is
+    /// spent and nobody gains. Under overload a queue in order of arrival brings every
+    /// request to a slot in this state, so it is refused instead, while that is still
+    /// truthful. A request whose whole span is shorter than the mean service time is tried:
+    /// the mean may come from other callers.
+    pub fn waited_too_long(&self, work: &CallerRequest, now: BootTime) -> bool {
+        let needed = self.needed;
+        let span = work.deadline.saturating_sub(work.arrived);
+        needed <= span && work.deadline < now + needed
+    }
+}
+
 fn slot_sum(lease: &SlotLease) -> u32 {
     lease.targets.iter().map(|target| target.slots).sum()
 }
