Hold every outcome against the targets' records under a storm of faults

Change: a seeded test with three entry hosts, four stand-ins that cross, cut, lose and delay answers, drain and reboot, and 16 callers that repeat their requests anywhere. It checks at most once, whole answers, true refusals, connections and team limits.

--- /dev/null
+++ b/crates/entry/tests/fault_storm.rs
@@ -0,0 +1,227 @@
+//! Three entry hosts, four failing targets and callers that repeat what they did not get:
+//! each outcome that a caller was told is held against the targets' own records.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use fake::{
+    ExecutorFake, ExecutorFaults, ExecutorSettings, FaultRate, RunRecord, WorkOrder,
+    expected_answer,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+use support::{BenchSetup, CallReply, Caller, EntryBench, OTHER_KEY, OTHER_TEAM, TEAM};
+
+const HOSTS: usize = 3;
+const TARGETS: usize = 4;
+const CALLERS: u64 = 16;
+const REQUESTS: u64 = 25;
+/// Units of each team's limit at each entry host.
+const UNITS: u32 = 2;
+
+/// What one caller was told of one request, over all its repetitions.
+struct Told {
+    nonce: String,
+    idempotent: bool,
+    replies: Vec<CallReply>,
+    expected: Vec<u8>,
+}
+
+/// Packing lines wait for quotes and orders while targets cross, cut, lose and delay
+/// answers, drain and reboot. Callers repeat through whatever entry host comes next. No
+/// order is placed twice, no one gets another's answer, and "not run" is true.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+fn fault_storm_history(#[case] seed: u64) {
+    let executors: Vec<ExecutorFake> = (0..TARGETS).map(|index| executor(seed, index)).collect();
+    let hosts = entry_hosts(&executors);
+    let over = Arc::new(AtomicBool::new(false));
+    let addresses: Vec<String> = executors.iter().map(ExecutorFake::address).collect();
+    let chaos = {
+        let over = Arc::clone(&over);
+        thread::spawn(move || upset(seed, &addresses, &over))
+    };
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let ports: Vec<Caller> = hosts.iter().map(EntryBench::caller).collect();
+            thread::spawn(move || call_all(seed, caller, &ports))
+        })
+        .collect();
+    let told: Vec<Told> = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().unwrap())
+        .collect();
+    over.store(true, Ordering::Release);
+    chaos.join().unwrap();
+    // What was lost may still run until its deadline.
+    thread::sleep(Duration::from_secs(1));
+    let runs: Vec<RunRecord> = executors.iter().flat_map(ExecutorFake::runs).collect();
+    check_outcomes(&told, &runs);
+    check_limits(&runs);
+    let surplus: u64 = executors
+        .iter()
+        .map(|executor| executor.counts().over_connections)
+        .sum();
+    assert_eq!(surplus, 0, "connections beyond what a target allows");
+}
+
+fn executor(seed: u64, index: usize) -> ExecutorFake {
+    let settings = ExecutorSettings {
+        reboot: Duration::from_millis(200),
+        ..ExecutorSettings::default()
+    };
+    let executor = ExecutorFake::start("127.0.0.1:0", settings).unwrap();
+    executor.set_faults(ExecutorFaults {
+        lose_answers: FaultRate::by_chance(0.05),
+        cross_answers: FaultRate::by_chance(0.05),
+        truncate_answers: FaultRate::by_chance(0.05),
+        late_answers: FaultRate::by_chance(0.02),
+        late_ms: 1500,
+        seed: seed * 100 + index as u64,
+        ..ExecutorFaults::default()
+    });
+    executor
+}
+
+fn entry_hosts(executors: &[ExecutorFake]) -> Vec<EntryBench> {
+    let addresses: Vec<String> = executors.iter().map(ExecutorFake::address).collect();
+    let mesh = Arc::default();
+    let host = |own| {
+        let setup = BenchSetup {
+            slots: 2,
+            members: vec![("e1", 1), ("e2", 1), ("e3", 1)],
+            own,
+            mesh: Arc::clone(&mesh),
+            ..BenchSetup::default()
+        };
+        let bench = EntryBench::start_at(&addresses, setup);
+        for team in [TEAM, OTHER_TEAM] {
+            bench.quotas.limits.lock().insert(team.into(), UNITS);
+        }
+        bench
+    };
+    (0..HOSTS).map(host).collect()
+}
+
+/// Drains and reboots targets in turn.
+fn upset(seed: u64, addresses: &[String], over: &AtomicBool) {
+    let mut dice = StdRng::seed_from_u64(seed);
+    while !over.load(Ordering::Acquire) {
+        let address = &addresses[dice.random_range(0..addresses.len())];
+        let call = if dice.random_bool(0.5) {
+            "drain"
+        } else {
+            "reboot"
+        };
+        // A target that is away refuses the call, as it does others.
+        let _ = ureq::post(format!("http://{address}/v1/{call}")).send_empty();
+        thread::sleep(Duration::from_millis(dice.random_range(50..300)));
+        let _ = ureq::post(format!("http://{address}/v1/undrain")).send_empty();
+    }
+}
+
+fn call_all(seed: u64, caller: u64, ports: &[Caller]) -> Vec<Told> {
+    let mut dice = StdRng::seed_from_u64(seed * 1000 + caller);
+    (0..REQUESTS)
+        .map(|number| call_one(&mut dice, &format!("{caller}-{number}"), ports))
+        .collect()
+}
+
+fn call_one(dice: &mut StdRng, nonce: &str, ports: &[Caller]) -> Told {
+    let idempotent = dice.random_bool(0.4);
+    let order = WorkOrder {
+        service: Some(Duration::from_millis(dice.random_range(1..30))),
+        answer: Some(dice.random_range(1..20_000)),
+        nonce: nonce.to_owned(),
+    };
+    let body = order.body(0);
+    let mut port = || ports[dice.random_range(0..ports.len())].clone();
+    let key = if nonce.len().is_multiple_of(2) {
+        support::KEY
+    } else {
+        OTHER_KEY
+    };
+    let id = port().with_key(key).mint();
+    let mut replies = Vec::new();
+    for _ in 0..3 {
+        let caller = port()
+            .with_key(key)
+            .with("request-id", &id)
+            .with("deadline-ms", "1000")
+            .with("idempotent", if idempotent { "true" } else { "false" });
+        let reply = caller.ask(&body);
+        let done = reply.status == 200;
+        replies.push(reply);
+        if done {
+            break;
+        }
+    }
+    Told {
+        nonce: nonce.to_owned(),
+        idempotent,
+        replies,
+        expected: expected_answer(&body),
+    }
+}
+
+fn check_outcomes(told: &[Told], runs: &[RunRecord]) {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for run in runs {
+        *counts.entry(&run.nonce).or_default() += 1;
+    }
+    let mut answered = 0;
+    for told in told {
+        let nonce = &told.nonce;
+        let runs = counts.get(nonce.as_str()).copied().unwrap_or_default();
+        if !told.idempotent {
+            assert!(runs <= 1, "{nonce} ran {runs} times");
+        }
+        for reply in &told.replies {
+            if reply.status == 200 {
+                answered += 1;
+                assert!(reply.body == told.expected, "{nonce} got a wrong answer");
+                assert!(runs >= 1, "{nonce} was answered and did not run");
+            }
+        }
+        let never = |reply: &CallReply| reply.status != 200 && reply.fate() == "not-run";
+        if told.replies.iter().all(never) {
+            assert_eq!(runs, 0, "{nonce} was told not-run only");
+        }
+    }
+    // A storm that answers nobody would prove nothing.
+    assert!(
+        answered * 2 > told.len(),
+        "{answered} of {} answered",
+        told.len()
+    );
+}
+
+/// No team ran more at a moment than its units at all entry hosts.
+fn check_limits(runs: &[RunRecord]) {
+    let most = i32::try_from(HOSTS).unwrap() * i32::try_from(UNITS).unwrap();
+    for team in [TEAM, OTHER_TEAM] {
+        let mut steps: Vec<(u64, i32)> = runs
+            .iter()
+            .filter(|run| run.team == team)
+            .flat_map(|run| [(run.start_ns, 1), (run.end_ns.max(run.start_ns), -1)])
+            .collect();
+        steps.sort_unstable();
+        let mut running = 0;
+        for (_, step) in steps {
+            running += step;
+            assert!(running <= most, "{team} ran {running} at once");
+        }
+    }
+}
