--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -5,12 +5,10 @@
 
 use std::time::Duration;
 
-/// Thousandths of a retry that each first attempt earns: retries stay under a tenth.
-const EARNED: u32 = 100;
-/// Thousandths of a retry that one retry costs.
-const COST: u32 = 1000;
+/// Hundredths of a retry that one retry costs.
+const COST: u32 = 100;
 
-/// Keeps the retries of one pool below a tenth of its first attempts.
+/// Keeps the retries of one pool below a part of its first attempts.
 ///
 /// Without it a pool that fails for a moment gets each request several times, just when it
 /// has least to spare, and can't come back. The budget is earned by traffic and not by
@@ -18,19 +16,25 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RetryBudget {
     earned: u32,
+    each: u32,
     most: u32,
 }
 
 impl RetryBudget {
-    /// A budget that saves up at most `burst` retries, and begins full.
-    pub fn new(burst: u32) -> Self {
+    /// A budget that earns `percent` of a retry with each first attempt, saves up at most
+    /// `burst` retries, and begins full.
+    pub fn new(percent: u32, burst: u32) -> Self {
         let most = burst.max(1).saturating_mul(COST);
-        Self { earned: most, most }
+        Self {
+            earned: most,
+            each: percent,
+            most,
+        }
     }
 
     /// Notes a first attempt.
     pub fn note_first(&mut self) {
-        self.earned = (self.earned + EARNED).min(self.most);
+        self.earned = self.earned.saturating_add(self.each).min(self.most);
     }
 
     /// Takes one retry; false if there is none left.
--- a/crates/decide/tests/retry.rs
+++ b/crates/decide/tests/retry.rs
@@ -9,11 +9,11 @@
 use proptest::prelude::*;
 
 proptest! {
-    /// However first attempts and failures come, retries stay under a tenth of the first
+    /// However first attempts and failures come, retries stay under their part of the first
     /// attempts and the burst.
     #[test]
-    fn budget_bounds_retries(outcomes in prop::collection::vec(any::<bool>(), 1..2000), burst in 1_u32..20) {
-        let mut budget = RetryBudget::new(burst);
+    fn budget_bounds_retries(outcomes in prop::collection::vec(any::<bool>(), 1..2000), burst in 1_u32..20, percent in 0_u32..30) {
+        let mut budget = RetryBudget::new(percent, burst);
         let (mut first, mut retries) = (0_u32, 0_u32);
         for failed in outcomes {
             budget.note_first();
@@ -21,7 +21,7 @@
             while failed && budget.take() {
                 retries += 1;
             }
-            prop_assert!(retries <= burst + first / 10);
+            prop_assert!(retries <= burst + first * percent / 100);
         }
     }
 
--- a/crates/entry/src/admission/admission_loop.rs
+++ b/crates/entry/src/admission/admission_loop.rs
@@ -5,12 +5,13 @@
 };
 
 use crossbeam_channel::{Receiver, select};
+use decide::retry::RetryBudget;
 use model::{BootTime, PoolId, ProblemKind, TeamId};
 use platform::Clock;
 use ports::{ConfigSource, MemberSource, PoolDemand, QuotaSource, SlotSource, TargetSource};
 
 use super::{
-    pool_desk::PoolDesk,
+    pool_desk::{PoolDesk, desk_of},
     settle_work::{HeldWork, expired},
     target_table::TargetTable,
 };
@@ -45,6 +46,8 @@
     pub clock: Arc<dyn Clock>,
     /// Most requests queued for one pool.
     pub max_queue: usize,
+    /// The retry budget that a pool begins with.
+    pub retries: RetryBudget,
 }
 
 /// What the server asks of the admission thread.
@@ -169,7 +172,7 @@
 
     fn admit(&mut self, mut work: Box<CallerRequest>) {
         let now = self.config.clock.boot_now();
-        let desk = self.desks.entry(work.pool.clone()).or_default();
+        let desk = desk_of(&mut self.desks, &self.config.retries, &work.pool);
         let lease = self.config.slots.lease(&work.pool);
         if let Some(wait) = desk.expected_wait(&work, &lease, now)
             && Duration::ZERO < wait
--- a/crates/entry/src/admission/pool_desk.rs
+++ b/crates/entry/src/admission/pool_desk.rs
@@ -1,14 +1,12 @@
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use decide::{retry::RetryBudget, share::TeamTurn};
-use model::{BootTime, TeamId};
+use model::{BootTime, PoolId, TeamId};
 use ports::{ForceConfig, SlotLease, TargetHost};
 
 use super::{demand_meter::DemandMeter, pool_queue::PoolQueue, target_table::PoolView};
 use crate::work::CallerRequest;
 
-/// Retries that a pool may save up.
-const RETRY_BURST: u32 = 16;
 /// Part of a new measurement in the running mean of service times.
 const SERVICE_GAIN: f64 = 0.1;
 /// What a start is charged while nothing is known of service times, so that one team does
@@ -32,20 +30,19 @@
     lease: Option<Arc<SlotLease>>,
 }
 
-impl Default for PoolDesk {
-    fn default() -> Self {
+impl PoolDesk {
+    /// The desk of a pool that nothing is known of.
+    pub fn new(retries: RetryBudget) -> Self {
         Self {
             queue: PoolQueue::default(),
             meter: DemandMeter::default(),
-            retries: RetryBudget::new(RETRY_BURST),
+            retries,
             service: Duration::ZERO,
             samples: 0,
             lease: None,
         }
     }
-}
 
-impl PoolDesk {
     /// Notes how long a target took for a request.
     pub fn note_service(&mut self, elapsed: Duration) {
         self.samples = self.samples.saturating_add(1);
@@ -147,6 +144,17 @@
     }
 }
 
+/// The desk of `pool`, a new one with the budget `retries` if there is none.
+pub(crate) fn desk_of<'a>(
+    desks: &'a mut BTreeMap<PoolId, PoolDesk>,
+    retries: &RetryBudget,
+    pool: &PoolId,
+) -> &'a mut PoolDesk {
+    desks
+        .entry(pool.clone())
+        .or_insert_with(|| PoolDesk::new(retries.clone()))
+}
+
 /// What recent service times say of the requests that wait.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PoolOutlook {
--- a/crates/entry/src/admission/settle_work.rs
+++ b/crates/entry/src/admission/settle_work.rs
@@ -4,7 +4,7 @@
 use model::{BootTime, HostId, PoolId, ProblemKind, TeamId};
 use ports::QuotaPermit;
 
-use super::admission_loop::AdmissionLoop;
+use super::{admission_loop::AdmissionLoop, pool_desk::desk_of};
 use crate::{
     CallerProblem,
     dispatch::{AttemptEnd, AttemptReport},
@@ -49,7 +49,7 @@
         match end {
             AttemptEnd::Answered { .. } => {
                 self.release(&request.pool, &request.team, &host, now);
-                let desk = self.desks.entry(request.pool.clone()).or_default();
+                let desk = desk_of(&mut self.desks, &self.config.retries, &request.pool);
                 desk.note_service(elapsed);
             }
             AttemptEnd::Refused(problem) => {
@@ -103,7 +103,7 @@
 
     /// Sends a request again if its pool can afford it, and refuses it at once otherwise.
     fn retry(&mut self, mut request: Box<CallerRequest>, problem: CallerProblem, now: BootTime) {
-        let desk = self.desks.entry(request.pool.clone()).or_default();
+        let desk = desk_of(&mut self.desks, &self.config.retries, &request.pool);
         request.attempts += 1;
         let wait = RetryWait::default().wait(request.attempts, rand::random());
         if now + wait >= request.deadline || !desk.retries.take() {
@@ -133,7 +133,7 @@
         silent: bool,
         now: BootTime,
     ) {
-        let desk = self.desks.entry(request.pool.clone()).or_default();
+        let desk = desk_of(&mut self.desks, &self.config.retries, &request.pool);
         let grace = desk.service_time().clamp(SHORTEST_GRACE, LONGEST_GRACE);
         if !silent {
             desk.meter.note_end(&request.team, now);
@@ -151,7 +151,7 @@
 
     fn release(&mut self, pool: &PoolId, team: &TeamId, host: &HostId, now: BootTime) {
         self.table.end(host);
-        let desk = self.desks.entry(pool.clone()).or_default();
+        let desk = desk_of(&mut self.desks, &self.config.retries, pool);
         desk.meter.note_end(team, now);
     }
 
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -9,6 +9,7 @@
 };
 
 use crossbeam_channel::{Receiver, Sender, bounded};
+use decide::retry::RetryBudget;
 use model::{HostId, ServeSettings, StepError, event::info};
 use parking_lot::Mutex;
 use platform::Clock;
@@ -285,6 +286,7 @@
         members: config.members,
         clock: config.clock,
         max_queue: config.settings.max_queue,
+        retries: RetryBudget::new(config.tuning.retry_percent, config.tuning.retry_burst),
     };
     thread::Builder::new()
         .name("entry-admission".to_owned())
--- a/crates/entry/src/entry_tuning.rs
+++ b/crates/entry/src/entry_tuning.rs
@@ -27,6 +27,10 @@
     pub max_dispatch: usize,
     /// Longest wait for a connection to a target.
     pub connect_timeout: Duration,
+    /// Retries that a pool may have, in percent of its first attempts.
+    pub retry_percent: u32,
+    /// Retries that a pool may save up.
+    pub retry_burst: u32,
     /// Longest wait for the home of a request id.
     pub claim_patience: Duration,
     /// Most minted request ids that wait for their use.
@@ -48,6 +52,8 @@
             default_deadline: Duration::from_secs(10),
             max_dispatch: 512,
             connect_timeout: Duration::from_millis(500),
+            retry_percent: 10,
+            retry_burst: 16,
             claim_patience: Duration::from_millis(400),
             open_ids: 65_536,
             job_threads: 32,
--- /dev/null
+++ b/crates/entry/tests/random_bytes.rs
@@ -0,0 +1,83 @@
+//! Whatever bytes come in at the caller port, it answers or closes, and goes on serving.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::{sync::OnceLock, time::Duration};
+
+use proptest::prelude::*;
+use support::{BenchSetup, EntryBench, KEY, RawTarget, SERVICE, raw_exchange};
+
+struct Port {
+    bench: EntryBench,
+    _target: RawTarget,
+}
+
+fn port() -> &'static Port {
+    static PORT: OnceLock<Port> = OnceLock::new();
+    PORT.get_or_init(|| {
+        let target = RawTarget::echo();
+        let mut setup = BenchSetup::default();
+        setup.settings.max_body = 10_000;
+        setup.tuning.head_timeout = Duration::from_millis(100);
+        setup.tuning.body_timeout = Duration::from_millis(100);
+        Port {
+            bench: EntryBench::start_with(&[&target], setup),
+            _target: target,
+        }
+    })
+}
+
+/// Sends the bytes, and checks that the port still serves a good request.
+fn send(bytes: &[u8]) -> String {
+    let bench = &port().bench;
+    let patience = Duration::from_secs(30);
+    let text = raw_exchange(bench.server.caller_address(), bytes, patience);
+    assert_eq!(bench.caller().ask(b"still here").text(), "still here");
+    text
+}
+
+fn good_request() -> Vec<u8> {
+    format!(
+        "POST /v1/services/{SERVICE}/requests HTTP/1.1\r\nHost: e1\r\n\
+         Authorization: Bearer {KEY}\r\nDeadline-Ms: 1000\r\nIdempotent: true\r\n\
+         Content-Length: 5\r\nConnection: close\r\n\r\nquote"
+    )
+    .into_bytes()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+
+    #[test]
+    fn random_bytes(bytes in prop::collection::vec(any::<u8>(), 0..2000)) {
+        send(&bytes);
+    }
+
+    /// A good request with a few bytes changed, put in or cut out: where an answer comes
+    /// back it is a whole one, and a refusal is a problem with its fate.
+    #[test]
+    fn damaged_request(
+        edits in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>(), 0..3_u8), 1..6),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let mut bytes = good_request();
+        for (place, byte, edit) in edits {
+            let place = place.index(bytes.len());
+            match edit {
+                0 => bytes[place] = byte,
+                1 => bytes.insert(place, byte),
+                _ => drop(bytes.remove(place)),
+            }
+        }
+        let keep = bytes.len() - cut.index(bytes.len()) / 8;
+        bytes.truncate(keep);
+        let text = send(&bytes);
+        if let Some((head, body)) = text.split_once("\r\n\r\n")
+            && head.contains("content-type: application/json")
+        {
+            let problem: serde_json::Value = serde_json::from_str(body).unwrap();
+            prop_assert!(problem["fate"].is_string(), "{}", text);
+        }
+    }
+}
--- a/crates/entry/tests/target_failures.rs
+++ b/crates/entry/tests/target_failures.rs
@@ -256,9 +256,12 @@
     assert_eq!(target.call_count(), 1);
 }
 
-/// An operator withdraws a key while a request that it admitted is queued.
-#[test]
-fn key_withdrawn_while_queued() {
+/// An operator withdraws a key while a request that it admitted is queued, or grants
+/// another secret under the same id.
+#[rstest]
+#[case::withdrawn(None)]
+#[case::granted_anew(Some("secret-new"))]
+fn key_withdrawn_while_queued(#[case] anew: Option<&str>) {
     let target = RawTarget::start(|call| {
         thread::sleep(Duration::from_millis(300));
         TargetReply::Answer(call.body.clone())
@@ -278,6 +281,10 @@
     thread::sleep(Duration::from_millis(50));
     bench.change(|config| {
         config.keys.remove("k1");
+        if let Some(secret) = anew {
+            let record = support::key_record("k1", secret, TEAM, Duration::ZERO);
+            config.keys.insert("k1".into(), record);
+        }
     });
     assert_eq!(first.join().unwrap().status, 200);
     let second = second.join().unwrap();
