--- a/crates/entry/src/admission/pool_desk.rs
+++ b/crates/entry/src/admission/pool_desk.rs
@@ -1,14 +1,12 @@
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use decide::{retry::RetryBudget, share::TeamTurn};
-use model::{BootTime, TeamId};
+use model::{BootTime, PoolId, TeamId};
 use ports::{ForceConfig, SlotLease, TargetHost};
 
 use super::{demand_meter::DemandMeter, pool_queue::PoolQueue, target_table::PoolView};
 use crate::work::CallerRequest;
 
-/// Retries that a pool may save up.
-const RETRY_BURST: u32 = 16;
 /// Part of a new measurement in the running mean of service times.
 const SERVICE_GAIN: f64 = 0.1;
 /// What a start is charged while nothing is known of service times, so that one team does
@@ -32,20 +30,19 @@
     lease: Option<Arc<SlotLease>>,
 }
 
-impl Default for PoolDesk {
-    fn default() -> Self {
+impl PoolDesk {
+    /// The desk of a pool that nothing is known of.
+    pub fn new(retries: RetryBudget) -> Self {
         Self {
             queue: PoolQueue::default(),
             meter: DemandMeter::default(),
-            retries: RetryBudget::new(RETRY_BURST),
+            retries,
             service: Duration::ZERO,
             samples: 0,
             lease: None,
         }
     }
-}
 
-impl PoolDesk {
     /// Notes how long a target took for a request.
     pub fn note_service(&mut self, elapsed: Duration) {
         self.samples = self.samples.saturating_add(1);
@@ -139,6 +136,22 @@
         self.service.mul_f64(SERVICE_MARGIN)
     }
 
+    /// Starts of `team` that its slots here would allow, if its limit did.
+    ///
+    /// Units of the limit go to hosts by this number. By the length of the queue a host
+    /// with many requests and few slots would draw units that it can't use, and starts
+    /// elsewhere would stop for want of them.
+    pub fn useful_starts(&self, team: &TeamId, lease: &SlotLease) -> u32 {
+        let (queued, _) = self.queue.team_len(team);
+        if queued == 0 {
+            return 0;
+        }
+        let due = lease.teams.iter().find(|used| used.team == *team);
+        let due = due.map_or(slot_sum(lease), |used| used.slots);
+        let usable = due.saturating_sub(self.meter.running(team)).max(1);
+        usable.min(u32::try_from(queued).unwrap_or(u32::MAX))
+    }
+
     /// How long what is queued will take.
     pub fn drain_time(&self, lease: &SlotLease) -> Duration {
         let slots = slot_sum(lease).max(1);
@@ -147,6 +160,17 @@
     }
 }
 
+/// The desk of `pool`, a new one with the budget `retries` if there is none.
+pub(crate) fn desk_of<'a>(
+    desks: &'a mut BTreeMap<PoolId, PoolDesk>,
+    retries: &RetryBudget,
+    pool: &PoolId,
+) -> &'a mut PoolDesk {
+    desks
+        .entry(pool.clone())
+        .or_insert_with(|| PoolDesk::new(retries.clone()))
+}
+
 /// What recent service times say of the requests that wait.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PoolOutlook {
