Mark claims of incarnations; bound the hand-back; say farewell

Cause: the store client takes a record with its own bytes for its own write after a lost answer, and two hosts that claim a number at once wrote equal bytes: both could have got the same incarnation. A stop during a store outage tried every team's record in turn. A member that left told nobody, so the others saw it at their next probe or idle read. Change: a random mark in the claim; handing back ends after 2 s; a last beat after leaving.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -146,10 +146,12 @@
 /// Changes of the list. Each takes the list's newest state and `floor`, the configuration
 /// revision that the caller read from the store after it had read the list.
 impl MemberList {
-    /// The list with the next incarnation handed out; its members and revision stay.
+    /// The list with the next incarnation handed out; its members and revision stay. `mark`
+    /// is unique to the caller, who can so tell its own write from another's.
     #[must_use]
-    pub fn with_next_incarnation(&self) -> (Self, Incarnation) {
+    pub fn with_next_incarnation(&self, mark: &[u8]) -> (Self, Incarnation) {
         let mut next = self.clone();
+        next.record.claim_mark = mark.to_vec();
         next.record.last_incarnation += 1;
         let incarnation = next.record.last_incarnation;
         (next, incarnation)
--- a/crates/decide/tests/lease_schedule.rs
+++ b/crates/decide/tests/lease_schedule.rs
@@ -115,7 +115,7 @@
             self.next_name += 1;
             MemberId::from(format!("e{}", self.next_name))
         });
-        let (list, life) = self.store_list.1.with_next_incarnation();
+        let (list, life) = self.store_list.1.with_next_incarnation(&[]);
         self.store_list = (self.store_list.0 + 1, list);
         let mutation = match self.mutation {
             Mutation::Lease(mutation) => mutation,
--- a/crates/member/src/quota_store_duty.rs
+++ b/crates/member/src/quota_store_duty.rs
@@ -18,6 +18,9 @@
 /// How often the duty looks whether it should stop.
 const STOP_CHECK: Duration = Duration::from_millis(200);
 
+/// How long handing back may hold up the end of the process.
+const HAND_BACK_PATIENCE: Duration = Duration::from_secs(2);
+
 /// A call of the store that the quotas need.
 #[derive(Debug)]
 pub(crate) enum QuotaCall {
@@ -56,6 +59,11 @@
     let now = shared.now();
     let actions = shared.quota.machine().lock().tick(now);
     for action in actions {
+        // With the store down or slow the grants stay as they are; others take them over
+        // once nothing of this host can run any more.
+        if shared.now().saturating_sub(now) > HAND_BACK_PATIENCE {
+            return;
+        }
         if let QuotaAction::Write(write) = action {
             perform_call(shared, QuotaCall::Write(write));
         }
--- a/crates/member/src/store_duty.rs
+++ b/crates/member/src/store_duty.rs
@@ -6,9 +6,12 @@
 };
 use model::{BootTime, Incarnation, MemberId, StepError, event as log_event};
 use platform::{StoreError, StoreVersion};
-use ports::AuditNote;
+use ports::{AuditNote, PeerLink as _};
 use prost::Message as _;
-use wire::state::{ConfigRecord, MemberRecord};
+use wire::{
+    peer::envelope::Body,
+    state::{ConfigRecord, MemberRecord},
+};
 
 use crate::{
     event,
@@ -234,7 +237,10 @@
                 return Ok(());
             }
             match self.remove(version, &list, own, incarnation, "leave member list") {
-                Ok(()) => return Ok(()),
+                Ok(()) => {
+                    self.say_farewell(&list);
+                    return Ok(());
+                }
                 Err(error) => {
                     log_event::debug(&event::MEMBER_LEAVE_FAILED, format_args!("cause={error}"));
                 }
@@ -243,6 +249,17 @@
         Ok(())
     }
 
+    /// A last beat tells the others that the list changed; after it none comes from here.
+    fn say_farewell(&self, list: &MemberList) {
+        let now = self.shared.now();
+        let own = self.shared.own.as_str();
+        for member in list.members().iter().filter(|m| m.id != own) {
+            let peer = MemberId::from(member.id.as_str());
+            let beat = self.shared.lease.lock().next_beat(&peer, now);
+            let _ = self.shared.options.node.send(&peer, Body::Beat(beat));
+        }
+    }
+
     fn remove(
         &self,
         version: StoreVersion,
