Say "not run" of an order only where that is known

Ruled out: a second claim granted (the target ran the id once). Change: a refusal under an id that the caller gave says "not run" only if the claim was granted to this attempt or the id is known at its home to be open; else "may have run", with the advice to ask again under the same id. This holds for refused keys too. Measured: repeat_refused_leaves_doubt fails without the change and passes with it; the other 9 tests of claims pass in both. A first use that is refused at a host other than the id's home is in doubt too; repeating it is harmless.

--- a/crates/decide/src/claim.rs
+++ b/crates/decide/src/claim.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// True while nobody has claimed the id, so that it was never run.
+    pub fn is_open(&self, counter: u64) -> bool {
+        self.open.contains_key(&counter)
+    }
+
     /// How many ids are open.
     pub fn open_count(&self) -> usize {
         self.open.len()
--- a/crates/entry/src/caller/request_head.rs
+++ b/crates/entry/src/caller/request_head.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use decide::claim::MintedId;
 use hyper::{
     HeaderMap,
     header::{CONTENT_TYPE, HeaderName},
@@ -43,6 +44,13 @@
                 .map(str::to_owned),
         })
     }
+
+    /// The id of a request that must run once at most and may be a repetition.
+    pub fn given_order(headers: &HeaderMap) -> Option<RequestId> {
+        let request = read_id(headers).ok()??;
+        let idempotent = read_flag(headers, "idempotent").unwrap_or_default();
+        (!idempotent && MintedId::parse(&request).is_some()).then_some(request)
+    }
 }
 
 /// A header as text; `None` if it is absent.
--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -91,9 +91,14 @@
     request: Request<Incoming>,
 ) -> CallerResponse {
     let arrived = port.clock.boot_now();
+    let given = RequestHead::given_order(request.headers());
+    let state_fate = |problem| match &given {
+        Some(given) => port.claims.state_fate(given, problem),
+        None => problem,
+    };
     let prepared = match prepare(port, service, request, arrived).await {
         Ok(prepared) => prepared,
-        Err(problem) => return finish(None, Err(problem)),
+        Err(problem) => return finish(None, Err(state_fate(problem))),
     };
     let PreparedRequest { work, outcome } = prepared;
     let id = work.request.clone();
@@ -112,7 +117,7 @@
             metrics::counter!("lws_requests_answered").increment(1);
             respond_answer(&id, answer)
         }
-        Err(problem) => finish(Some(&id), Err(problem)),
+        Err(problem) => finish(Some(&id), Err(state_fate(problem))),
     }
 }
 
--- a/crates/entry/src/claim/claim_desk.rs
+++ b/crates/entry/src/claim/claim_desk.rs
@@ -10,7 +10,7 @@
 
 use crossbeam_channel::{Receiver, Sender, bounded};
 use decide::claim::{ClaimAsker, ClaimGrant, ClaimLedger, MintedId};
-use model::{ProblemKind, RequestId, StepError, TeamId};
+use model::{ProblemKind, RequestId, RunFate, StepError, TeamId};
 use parking_lot::Mutex;
 use ports::{ClaimSource, ClaimVerdict, InboundMessage, MemberSource, PeerLink};
 use wire::peer::{ClaimReply, ClaimRequest, ClaimVerdict as WireVerdict, envelope::Body};
@@ -106,6 +106,27 @@
         Ok((request, true))
     }
 
+    /// States the fate of a request that was refused under an id which its caller gave.
+    ///
+    /// A caller repeats an order whose answer was lost, and the repetition is refused before
+    /// its claim. "Not run" would be true of the repetition and false of the order, and a
+    /// caller who believes it orders again under a new id. So it is said only where the
+    /// claim was granted to this attempt, or the id is known here to be open still.
+    pub(crate) fn state_fate(&self, given: &RequestId, problem: CallerProblem) -> CallerProblem {
+        let is_known = problem.fate != RunFate::NotRun || problem.claimed;
+        if is_known || self.is_open_here(given) {
+            return problem;
+        }
+        problem.into_doubt()
+    }
+
+    fn is_open_here(&self, request: &RequestId) -> bool {
+        let Some(minted) = MintedId::parse(request) else {
+            return false;
+        };
+        self.is_own(&minted) && self.ledger.lock().is_open(minted.counter)
+    }
+
     fn own_id(&self, counter: u64) -> RequestId {
         MintedId {
             home: self.members.own_id(),
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -17,6 +17,10 @@
     /// When asking again is worth it, in milliseconds; absent if it is not.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// True once this attempt alone may run the request's id, so that what it says of
+    /// itself holds for the work.
+    #[serde(skip)]
+    pub claimed: bool,
 }
 
 impl CallerProblem {
@@ -41,12 +45,21 @@
         self
     }
 
+    /// Takes back that the work was not run: only this attempt was not.
+    pub(crate) fn into_doubt(mut self) -> Self {
+        self.fate = RunFate::MayHaveRun;
+        self.detail += "; this attempt did not run, but an earlier one with the same \
+                        Request-Id may have: ask again with that id";
+        self
+    }
+
     fn new(kind: ProblemKind, fate: RunFate, detail: impl Into<String>) -> Self {
         Self {
             kind,
             fate,
             detail: detail.into(),
             retry_after_ms: None,
+            claimed: false,
         }
     }
 }
--- a/crates/entry/src/work.rs
+++ b/crates/entry/src/work.rs
@@ -81,6 +81,7 @@
         if self.may_have_run && problem.fate == RunFate::NotRun {
             problem.fate = RunFate::MayHaveRun;
         }
+        problem.claimed = !self.claim;
         self.reply.send(Err(problem));
     }
 }
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -206,3 +206,49 @@
     assert!(forging.join().unwrap() >= 3);
     assert_eq!(target.call_count(), 0);
 }
+
+/// A franchisee doubles an order: its answer was lost, the repetition under the same id was
+/// refused before its claim with "not run", and so the caller ordered anew. The refusal
+/// was true of the repetition only. At the id's home too, and for a refused key.
+#[test]
+fn repeat_refused_leaves_doubt() {
+    let target = RawTarget::echo();
+    let mesh = Arc::default();
+    let hosts: Vec<EntryBench> = (0..2).map(|own| host(&target, &mesh, own)).collect();
+    let id = hosts[0].caller().mint();
+    assert_eq!(
+        hosts[1]
+            .caller()
+            .with("request-id", &id)
+            .ask(b"order")
+            .status,
+        200
+    );
+    for bench in &hosts {
+        bench.slots.slots.lock().insert("t0".into(), 0);
+        bench.renew_slots();
+        let again = bench
+            .caller()
+            .with("request-id", &id)
+            .with("deadline-ms", "300");
+        assert_eq!(again.ask(b"order").fate(), "may-have-run");
+        let refused = bench.caller().with_key("k1.wrong").with("request-id", &id);
+        assert_eq!(refused.ask(b"order").fate(), "may-have-run");
+    }
+    assert_eq!(target.call_count(), 1);
+}
+
+/// The first use of an id is refused at its home: nobody has claimed it, so it was not run.
+#[test]
+fn first_use_refused_is_not_run() {
+    let target = RawTarget::echo();
+    let bench = host(&target, &Arc::default(), 0);
+    let id = bench.caller().mint();
+    bench.slots.slots.lock().insert("t0".into(), 0);
+    bench.renew_slots();
+    let refused = bench
+        .caller()
+        .with("request-id", &id)
+        .with("deadline-ms", "300");
+    assert_eq!(refused.ask(b"order").fate(), "not-run");
+}
