--- a/crates/member/src/beat_duty.rs
+++ b/crates/member/src/beat_duty.rs
@@ -175,6 +175,9 @@
         let Body::ChangeTail(tail) = &message.body else {
             return;
         };
+        if !self.shared.is_listed(message) {
+            return;
+        }
         if tail.request {
             self.answer_tail(&message.from, tail);
             return;
--- a/crates/member/src/quota_duty.rs
+++ b/crates/member/src/quota_duty.rs
@@ -69,6 +69,9 @@
         let Body::QuotaTalk(talk) = &message.body else {
             return;
         };
+        if !self.shared.is_listed(message) {
+            return;
+        }
         let now = self.shared.now();
         let mut machine = self.shared.quota.machine().lock();
         for note in &talk.notes {
--- a/crates/member/src/shared_state.rs
+++ b/crates/member/src/shared_state.rs
@@ -15,7 +15,7 @@
 use model::{BootTime, Incarnation, MemberId, event as log_event};
 use parking_lot::Mutex;
 use platform::{KeyStore, StoreError};
-use ports::{AuditNote, MemberInfo, NotServing};
+use ports::{AuditNote, InboundMessage, MemberInfo, NotServing};
 use wire::state::{ConfigRecord, Member};
 
 use crate::{MemberOptions, config_holder::ConfigHolder, event, quota_book::QuotaBook};
@@ -125,6 +125,14 @@
             })
     }
 
+    /// True if the message comes from a listed life of a member. What others say of records
+    /// is not followed: a life that was replaced may be behind, and a stray process may say
+    /// anything.
+    pub(crate) fn is_listed(&self, message: &InboundMessage) -> bool {
+        let lease = self.lease.lock();
+        lease.list().contains(&message.from, message.incarnation)
+    }
+
     /// Follows a configuration record from the store and tells the peers.
     pub(crate) fn follow_config(&self, record: &ConfigRecord) -> Result<(), StoreError> {
         if self.holder.follow(self.store(), record)? {
