--- a/crates/decide/src/quota.rs
+++ b/crates/decide/src/quota.rs
@@ -7,6 +7,7 @@
 mod action;
 mod grant_record;
 mod machine;
+mod next_record;
 mod options;
 mod round;
 mod talk;
--- a/crates/decide/src/quota/round.rs
+++ b/crates/decide/src/quota/round.rs
@@ -1,25 +1,18 @@
 //! What an entry host reads, asks and writes, round by round.
 
 use model::{BootTime, MemberId, TeamId};
-use wire::{peer::QuotaAsk, state::QuotaRecord};
+use wire::state::QuotaRecord;
 
 use super::{
-    QuotaAction, QuotaMachine, QuotaMutation, QuotaWrite, WriteOutcome,
-    grant_record::{follow_limit, free_units, granted_sum, is_within_limit, set_units, units_of},
+    QuotaAction, QuotaMachine, QuotaOptions, QuotaWrite, WriteOutcome,
+    grant_record::{granted_sum, is_within_limit, units_of},
     talk::{note_of, put_aside, send_release},
     team::{OpenWrite, TeamQuota},
 };
 
-/// A release that nobody took is fenced off after this many question distances.
-const RELEASE_PATIENCE: u32 = 10;
-
 /// Distance of reads of one team's record, in question distances.
 const READ_DISTANCE: u32 = 2;
 
-/// Part of the limit that is asked for beyond the need, or an eighth of the need if that is
-/// more, so that a rising need does not cost a write for each unit.
-const SLACK_DIVISOR: u32 = 32;
-
 impl QuotaMachine {
     /// What is to be done at `now`; called every few tens of milliseconds.
     pub fn tick(&mut self, now: BootTime) -> Vec<QuotaAction> {
@@ -97,8 +90,7 @@
     }
 
     fn tick_team(&mut self, name: &TeamId, now: BootTime, actions: &mut Vec<QuotaAction>) {
-        let (own, life) = (self.own.clone(), self.incarnation);
-        let options = self.options;
+        let (own, life, options) = (self.own.clone(), self.incarnation, self.options);
         let Some(quota) = self.teams.get_mut(name) else {
             return;
         };
@@ -112,14 +104,7 @@
         if quota.open_write.as_ref().is_some_and(|w| w.in_flight) {
             return;
         }
-        let unread = !quota.known && quota.need() > 0;
-        let read_distance = options.ask_distance * READ_DISTANCE;
-        let read_lately = quota.read_at.is_some_and(|at| now < at + read_distance);
-        // Whoever waits for others to fit into a lowered limit may miss that they did.
-        let poll_distance = options.ask_distance_max.max(read_distance);
-        let polled_lately = quota.read_at.is_some_and(|at| now < at + poll_distance);
-        let unread = unread || quota.is_unsettled() && quota.need() > 0 && !polled_lately;
-        if (unread || quota.read_due) && !read_lately {
+        if is_read_due(quota, now, &options) {
             quota.read_at = Some(now);
             actions.push(QuotaAction::Read(name.clone()));
             return;
@@ -128,6 +113,7 @@
             return;
         }
         if let Some(write) = &mut quota.open_write {
+            // The answer was lost; the same write again settles it either way.
             write.in_flight = true;
             actions.push(QuotaAction::Write(QuotaWrite {
                 team: name.clone(),
@@ -136,10 +122,9 @@
             }));
             return;
         }
-        if !self.list.contains(&own, life) {
-            return;
-        }
-        if let Some(record) = self.next_record(name, now, actions) {
+        if self.list.contains(&own, life)
+            && let Some(record) = self.next_record(name, now, actions)
+        {
             self.write(name, record, now, actions);
         }
         if let Some(quota) = self.teams.get_mut(name) {
@@ -147,206 +132,6 @@
         }
     }
 
-    /// The record to write for a team, if there is a reason to write one.
-    fn next_record(
-        &mut self,
-        name: &TeamId,
-        now: BootTime,
-        actions: &mut Vec<QuotaAction>,
-    ) -> Option<QuotaRecord> {
-        let (own, life) = (self.own.clone(), self.incarnation);
-        let quota = self.teams.get(name)?;
-        let mut record = quota.record.clone();
-        if self.is_leaving && quota.need() == 0 && quota.granted(&own, life) > 0 {
-            set_units(&mut record, &own, life, 0, 0);
-            return Some(record);
-        }
-        if quota.version == 0 {
-            let is_wanted = quota.need() > 0 && quota.limit.limit > 0;
-            return is_wanted.then(|| self.first_record(name, quota));
-        }
-        self.drop_ended(&mut record, now);
-        if quota.is_unsettled() {
-            let is_settled = self.settle_limit(quota, &mut record);
-            let gives_up = units_of(&record, &own, life) < quota.granted(&own, life);
-            if !is_settled || quota.need() == 0 {
-                return gives_up.then_some(record);
-            }
-        }
-        self.raised_record(name, record, now, actions)
-    }
-
-    /// Has the record follow the limit in force; false if the grants don't fit into it yet.
-    /// Then this host keeps only what runs.
-    fn settle_limit(&self, quota: &TeamQuota, record: &mut QuotaRecord) -> bool {
-        if granted_sum(record) > quota.limit.limit {
-            let held = units_of(record, &self.own, self.incarnation);
-            let kept = quota.running.min(held);
-            set_units(record, &self.own, self.incarnation, kept, 0);
-        }
-        follow_limit(record, quota.limit, quota.config_revision);
-        record.config_revision >= quota.limit.since
-    }
-
-    /// The record with more units for this host: from those that nobody holds, from lives
-    /// that ended long ago, and from what other hosts put aside.
-    fn raised_record(
-        &mut self,
-        name: &TeamId,
-        mut record: QuotaRecord,
-        now: BootTime,
-        actions: &mut Vec<QuotaAction>,
-    ) -> Option<QuotaRecord> {
-        let quota = self.teams.get(name)?;
-        let follows_limit = record.config_revision > quota.record.config_revision;
-        let held = units_of(&record, &self.own, self.incarnation);
-        let aside = quota.release.as_ref().map_or(0, |release| release.units);
-        let usable = held.saturating_sub(aside);
-        let is_needed = quota.need() > usable && quota.limit.limit > 0;
-        if let Some(release) = &quota.release {
-            // Never taken, and needed here or elsewhere: a write of the same record voids it.
-            let patience = self.options.ask_distance * RELEASE_PATIENCE;
-            let is_unclaimed = now.saturating_sub(release.since) > patience;
-            let is_wished = quota
-                .open_wish(now)
-                .is_some_and(|wish| wish.from != release.to);
-            let is_voided = is_unclaimed && (is_needed || is_wished);
-            return (is_voided || follows_limit).then_some(record);
-        }
-        if !is_needed {
-            return follows_limit.then_some(record);
-        }
-        let slack = quota.limit.limit.max(quota.need().saturating_mul(4)) / SLACK_DIVISOR;
-        let slack = slack.max(1);
-        let mut wanted = (quota.need() - usable).saturating_add(slack);
-        let mut taken = wanted.min(free_units(&record));
-        wanted -= taken;
-        if wanted > 0 && self.is_collected(name, now) {
-            taken += self.take_offers(name, wanted, &mut record);
-        }
-        if taken == 0 {
-            self.ask_others(name, wanted, now, actions);
-            return follows_limit.then_some(record);
-        }
-        let revision = self.list.revision();
-        set_units(
-            &mut record,
-            &self.own,
-            self.incarnation,
-            held + taken,
-            revision,
-        );
-        Some(record)
-    }
-
-    /// The first record of a team: equal parts for all members, the rest for this host.
-    fn first_record(&self, name: &TeamId, quota: &TeamQuota) -> QuotaRecord {
-        let members = self.list.members();
-        let revision = self.list.revision();
-        let count = u32::try_from(members.len()).unwrap_or(u32::MAX).max(1);
-        let mut record = QuotaRecord {
-            team: name.to_string(),
-            limit: quota.limit.limit,
-            config_revision: quota.config_revision,
-            grants: Vec::new(),
-        };
-        for member in members {
-            let units = quota.limit.limit / count;
-            set_units(&mut record, &member.id, member.incarnation, units, revision);
-        }
-        let rest = free_units(&record);
-        let held = units_of(&record, &self.own, self.incarnation);
-        set_units(
-            &mut record,
-            &self.own,
-            self.incarnation,
-            held + rest,
-            revision,
-        );
-        record
-    }
-
-    /// Frees the grants of lives that ended so long ago that nothing of theirs runs.
-    fn drop_ended(&self, record: &mut QuotaRecord, now: BootTime) {
-        let after = self.options.reclaim_after();
-        record.grants.retain(|grant| {
-            let life = (MemberId::from(grant.member.as_str()), grant.incarnation);
-            let is_listed = self.list.contains(&grant.member, grant.incarnation);
-            let ended_at = self.ended.get(&life).filter(|_| !is_listed);
-            ended_at.is_none_or(|at| now.saturating_sub(*at) < after)
-        });
-    }
-
-    /// True once the others answered the last question, or had the time to.
-    fn is_collected(&self, name: &TeamId, now: BootTime) -> bool {
-        self.teams.get(name).is_some_and(|quota| {
-            let Some(asked_at) = quota.asked_at else {
-                return false;
-            };
-            let answered = quota.offers.len() >= quota.asked;
-            let waited = now.saturating_sub(asked_at) >= self.options.collect;
-            (answered || waited) && quota.offers.values().any(|(_, _, units)| *units > 0)
-        })
-    }
-
-    fn take_offers(&mut self, name: &TeamId, wanted: u32, record: &mut QuotaRecord) -> u32 {
-        let mutation = self.options.mutation;
-        let Some(quota) = self.teams.get_mut(name) else {
-            return 0;
-        };
-        let mut taken = 0;
-        for (member, (life, version, units)) in std::mem::take(&mut quota.offers) {
-            if version != quota.version && mutation != QuotaMutation::IgnoreVersion {
-                continue;
-            }
-            let held = units_of(record, &member, life);
-            let part = units.min(wanted - taken).min(held);
-            set_units(record, &member, life, held - part, 0);
-            taken += part;
-        }
-        taken
-    }
-
-    fn ask_others(
-        &mut self,
-        name: &TeamId,
-        wanted: u32,
-        now: BootTime,
-        actions: &mut Vec<QuotaAction>,
-    ) {
-        let (own, life, options) = (self.own.clone(), self.incarnation, self.options);
-        let Some(quota) = self.teams.get_mut(name) else {
-            return;
-        };
-        let distance = quota.ask_distance.max(options.ask_distance);
-        if quota.asked_at.is_some_and(|at| now < at + distance) || !self.asks.take(now) {
-            return;
-        }
-        if quota.asked_at.is_some() {
-            quota.ask_distance = (distance * 2).min(options.ask_distance_max);
-        }
-        quota.offers.clear();
-        quota.asked_at = Some(now);
-        quota.asked = 0;
-        let ceiling = quota.ceiling(&own, life, options.mutation);
-        for grant in &quota.record.grants {
-            let is_other = grant.member != own.as_str();
-            if !is_other || !self.list.contains(&grant.member, grant.incarnation) {
-                continue;
-            }
-            quota.asked += 1;
-            let ask = QuotaAsk {
-                team: name.to_string(),
-                version: quota.version,
-                units: wanted.min(grant.units),
-                need: quota.need(),
-                ceiling,
-            };
-            let to = MemberId::from(grant.member.as_str());
-            actions.push(QuotaAction::Ask(to, ask));
-        }
-    }
-
     fn write(
         &mut self,
         name: &TeamId,
@@ -374,3 +159,17 @@
         }));
     }
 }
+
+/// True if the team's record should be read from the store now.
+fn is_read_due(quota: &TeamQuota, now: BootTime, options: &QuotaOptions) -> bool {
+    let read_within = |distance| quota.read_at.is_some_and(|at| now < at + distance);
+    let distance = options.ask_distance * READ_DISTANCE;
+    if read_within(distance) {
+        return false;
+    }
+    let is_unknown = !quota.known && quota.need() > 0;
+    // Whoever waits for others to fit into a lowered limit may miss that they did.
+    let waits_for_limit = quota.is_unsettled() && quota.need() > 0;
+    let is_polled = waits_for_limit && !read_within(distance.max(options.ask_distance_max));
+    quota.read_due || is_unknown || is_polled
+}
--- a/crates/member/src/config_holder.rs
+++ b/crates/member/src/config_holder.rs
@@ -93,6 +93,10 @@
                 );
                 Ok(false)
             }
+            // The base went away between the two reads: a newer record names another.
+            Err(ConfigFault::BaseNeeded(key)) => {
+                Err(StoreError::Unavailable(format!("the base {key} is gone")))
+            }
             Err(fault) => Err(self.reject(&fault)),
         }
     }
