Show that a raced claim of an incarnation needs its mark

Cause: the guard against two hosts with one incarnation had no test. Change: a store that lets another host claim first and loses the answer. Without the mark both hosts get number 1 (left: 1, right: 1); with it they differ.

--- /dev/null
+++ b/crates/member/tests/incarnation.rs
@@ -0,0 +1,82 @@
+//! Incarnation numbers from the store.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use common::MemoryStore;
+use member::claim_incarnation;
+use platform::{BootClock, KeyStore, RetryStore, StoreError, StoreVersion, StoredValue};
+
+/// Before the first write of one host arrives, another host claims; and the answer to the
+/// first write is lost.
+struct RacedStore {
+    store: MemoryStore,
+    other_claim: AtomicU64,
+}
+
+impl KeyStore for RacedStore {
+    fn read(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        self.store.read(key)
+    }
+
+    fn swap(
+        &self,
+        key: &str,
+        expect: StoreVersion,
+        value: &[u8],
+    ) -> Result<StoreVersion, StoreError> {
+        if self.other_claim.load(Ordering::Acquire) == 0 {
+            let claim = claim_incarnation(&self.store).unwrap();
+            self.other_claim.store(claim, Ordering::Release);
+            return Err(StoreError::Unknown("answer lost".to_owned()));
+        }
+        self.store.swap(key, expect, value)
+    }
+
+    fn remove(&self, key: &str, expect: StoreVersion) -> Result<(), StoreError> {
+        self.store.remove(key, expect)
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        after: StoreVersion,
+        patience: Duration,
+    ) -> Result<Option<StoredValue>, StoreError> {
+        self.store.watch(key, after, patience)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<(String, StoredValue)>, StoreError> {
+        self.store.list(prefix)
+    }
+}
+
+// Two hosts start at the same moment and the store loses an answer. The store client settles
+// a lost answer by the bytes that it finds, and both hosts wanted to write the same number:
+// with one incarnation each would count the other's word and quota as its own.
+#[test]
+fn claim_incarnation_raced_is_distinct() {
+    let raced = Arc::new(RacedStore {
+        store: MemoryStore::default(),
+        other_claim: AtomicU64::new(0),
+    });
+    let client = RetryStore::new(raced.clone(), Arc::new(BootClock));
+    let claim = claim_incarnation(&client).unwrap();
+    assert_ne!(claim, raced.other_claim.load(Ordering::Acquire));
+}
+
+#[test]
+fn claim_incarnation_counts_up() {
+    let store = MemoryStore::default();
+    assert_eq!(claim_incarnation(&store).unwrap(), 1);
+    assert_eq!(claim_incarnation(&store).unwrap(), 2);
+}
