Watch old values, cut hosts and long runs in proofs

Cause: of ten mutations tried on the product, three survived the proofs: an answer called not-run (a second guard holds), a reboot before the drain's end (runs were shorter than the steps of a drain) and a shutdown without patience (a second guard). Change: long runs during the wave; status of all hosts is looked at while one is cut off and over replacements; a store fault whose watches show the value before the newest; peaks are printed, so that a limit that was never reached shows.

--- a/crates/fake/src/store_fake.rs
+++ b/crates/fake/src/store_fake.rs
@@ -215,20 +215,23 @@
             if faults.down {
                 return FakeReply::status(503);
             }
-            if !faults.watch_stale
-                && !faults.watch_hang
-                && let Some((version, value)) = newer
-            {
+            let blind = faults.watch_stale || faults.watch_hang || faults.watch_old;
+            if !blind && let Some((version, value)) = newer {
                 return valued(version, value);
             }
             if tokio::time::timeout_at(deadline, written).await.is_err() {
                 break;
             }
         }
-        if self.state.lock().faults(&call.view).watch_hang {
+        let faults = self.state.lock().faults(&call.view);
+        if faults.watch_hang {
             return std::future::pending().await;
         }
-        FakeReply::status(204)
+        let old = self.state.lock().replaced(key);
+        match old.filter(|_| faults.watch_old) {
+            Some((version, value)) => valued(version, value),
+            None => FakeReply::status(204),
+        }
     }
 
     fn write(&self, call: &StoreCall) -> FakeReply {
--- a/crates/fake/src/store_state.rs
+++ b/crates/fake/src/store_state.rs
@@ -34,6 +34,9 @@
     pub watch_hang: bool,
     /// Watches show nothing and end in time.
     pub watch_stale: bool,
+    /// Watches end in time and then show the value before the newest, as a replica does
+    /// that was asked by mistake.
+    pub watch_old: bool,
     /// Reads of one key that show the value before the newest; no platform does this, it
     /// is for showing that a checker sees it.
     pub stale_reads: FaultRate,
@@ -179,6 +182,10 @@
         (*version > after).then(|| (*version, value.clone()))
     }
 
+    pub(crate) fn replaced(&self, key: &str) -> Option<(u64, Vec<u8>)> {
+        self.replaced.get(key).cloned()
+    }
+
     pub(crate) fn list(&self, prefix: &str) -> Vec<ListRow> {
         self.keys
             .range(prefix.to_owned()..)
--- a/crates/lacewingshore/tests/proof_common/mod.rs
+++ b/crates/lacewingshore/tests/proof_common/mod.rs
@@ -5,7 +5,10 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Condvar, Mutex, PoisonError},
+    sync::{
+        Condvar, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -14,7 +17,7 @@
 use model::RunFate;
 use proof::{
     CallerCrew, ChangeResult, CrewPlan, CrewTally, DrainCheck, EntryPlace, FleetPlan, ForceCheck,
-    GrantCheck, HistoryCheck, KeyCheck, LimitCheck, MemberCheck, OnceCheck, PoolCheck,
+    GrantCheck, History, HistoryCheck, KeyCheck, LimitCheck, MemberCheck, OnceCheck, PoolCheck,
     RefusalCheck, RequestCall, RequestClient, RequestOutcome, RevisionCheck, TeamKey, TestFleet,
     WholeCheck, await_true,
 };
@@ -27,12 +30,23 @@
 /// Time after which a draining target must get no work.
 pub const QUIET_WITHIN: Duration = Duration::from_secs(3);
 
+/// Pause between two looks at one entry host.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
 /// Proofs that run side by side; they mostly wait, and more would load each other.
 const SIDE_BY_SIDE: usize = 2;
 
 static RUNNING: Mutex<usize> = Mutex::new(0);
 static ENDED: Condvar = Condvar::new();
 
+/// Ends lookers.
+struct StopGuard<'a>(&'a AtomicBool);
+
+impl Drop for StopGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Leave to run a proof, given back when dropped.
 struct ProofTurn;
 
@@ -183,6 +197,54 @@
         process.resume().unwrap();
     }
 
+    /// Looks at every entry host all the time while `work` goes on, so that the history
+    /// tells what was in force where. A host that is down or cut off answers nothing, which
+    /// is no observation.
+    pub fn while_looking(&mut self, work: impl FnOnce(&mut Self)) {
+        let stop = AtomicBool::new(false);
+        let places = self.fleet.places();
+        let operator = self.fleet.operator.clone();
+        thread::scope(|scope| {
+            for place in &places {
+                let (operator, stop) = (&operator, &stop);
+                scope.spawn(move || {
+                    while !stop.load(Ordering::Relaxed) {
+                        let _ = operator.status(place);
+                        thread::sleep(LOOK_PAUSE);
+                    }
+                });
+            }
+            // Ends the lookers also when the work panics.
+            let _guard = StopGuard(&stop);
+            work(self);
+        });
+    }
+
+    /// Changes the limits to wide ones that differ by round, until that is accepted.
+    pub fn change_limits(&self, round: usize) {
+        let units = 100 + u32::try_from(round).unwrap();
+        let limits: TeamLimits = [("weights", units), ("coding", units)];
+        let (text, id) = (manifest(3, &limits), format!("round-{round}"));
+        let place = self.place((round + 1) % 3);
+        let operator = &self.fleet.operator;
+        let accepted = await_true(PATIENCE, || {
+            let outcome = operator.apply(place, &id, None, &text, &limits);
+            matches!(outcome, ChangeResult::Accepted { .. })
+        });
+        assert!(accepted, "round {round}\n{}", self.fleet.logs());
+    }
+
+    /// Withdraws the key of the second team through one entry host, until that is accepted.
+    pub fn expect_withdrawn(&self, index: usize) {
+        let key = &self.keys[1].key_id;
+        let operator = &self.fleet.operator;
+        let withdrawn = await_true(PATIENCE, || {
+            let outcome = operator.withdraw(self.place(index), "withdraw", key);
+            matches!(outcome, ChangeResult::Accepted { .. })
+        });
+        assert!(withdrawn, "not withdrawn\n{}", self.fleet.logs());
+    }
+
     /// A plan for callers of both teams.
     pub fn crew_plan(&self) -> CrewPlan {
         CrewPlan {
@@ -252,6 +314,7 @@
             history.writes.len(),
         );
         assert!(!history.runs.is_empty(), "nothing ran");
+        println!("most at once: {:?}", most_at_once(&history));
         let hosts = self
             .fleet
             .targets
@@ -308,3 +371,23 @@
         RequestOutcome::Nothing => true,
     }
 }
+
+/// Most runs at once, by team.
+pub fn most_at_once(history: &History) -> BTreeMap<String, usize> {
+    let mut most = BTreeMap::new();
+    for run in &history.runs {
+        let at = run.run.start_ns;
+        let others = history
+            .runs
+            .iter()
+            .filter(|other| other.run.team == run.run.team);
+        let running = others
+            .filter(|other| {
+                other.run.start_ns <= at && (other.run.end_ns == 0 || at < other.run.end_ns)
+            })
+            .count();
+        let known = most.entry(run.run.team.clone()).or_insert(0);
+        *known = running.max(*known);
+    }
+    most
+}
--- a/crates/lacewingshore/tests/proof_hosts.rs
+++ b/crates/lacewingshore/tests/proof_hosts.rs
@@ -4,11 +4,7 @@
 
 mod proof_common;
 
-use std::{
-    sync::atomic::{AtomicBool, Ordering},
-    thread,
-    time::Duration,
-};
+use std::{thread, time::Duration};
 
 use fake::LinkMode;
 use proof::{ChangeResult, CrewPlan, FleetPlan, await_true};
@@ -61,12 +57,7 @@
         matches!(outcome, ChangeResult::Accepted { .. })
     });
     assert!(accepted, "not accepted\n{}", bed.fleet.logs());
-    let key = &bed.keys[1].key_id;
-    let withdrawn = await_true(PATIENCE, || {
-        let outcome = operator.withdraw(bed.place(2), "withdraw", key);
-        matches!(outcome, ChangeResult::Accepted { .. })
-    });
-    assert!(withdrawn, "not withdrawn\n{}", bed.fleet.logs());
+    bed.expect_withdrawn(2);
     thread::sleep(Duration::from_secs(4));
     paused.resume().unwrap();
     bed.expect_answers(&crew, 60);
@@ -85,22 +76,23 @@
         with_relay: true,
         ..FleetPlan::default()
     };
-    let bed = ProofBed::start(13, &plan);
+    let mut bed = ProofBed::start(13, &plan);
     let crew = bed.crew();
-    bed.fleet.isolate("e3", LinkMode::Silent).unwrap();
-    let operator = &bed.fleet.operator;
-    let withdrawn = await_true(PATIENCE, || {
-        let outcome = operator.withdraw(bed.place(0), "withdraw", &bed.keys[1].key_id);
-        matches!(outcome, ChangeResult::Accepted { .. })
+    let mut stopped = false;
+    bed.while_looking(|bed| {
+        bed.fleet.isolate("e3", LinkMode::Silent).unwrap();
+        bed.expect_withdrawn(0);
+        let lone = bed.place(2);
+        let operator = &bed.fleet.operator;
+        stopped = await_true(Duration::from_secs(10), || !operator.is_ready(lone));
+        bed.expect_answers(&crew, 100);
+        thread::sleep(Duration::from_secs(3));
+        bed.fleet.isolate("e3", LinkMode::Open).unwrap();
+        bed.expect_answer(lone);
     });
-    assert!(withdrawn, "not withdrawn\n{}", bed.fleet.logs());
-    let lone = bed.place(2);
-    assert!(await_true(PATIENCE, || !operator.is_ready(lone)));
-    bed.expect_answers(&crew, 100);
-    bed.fleet.isolate("e3", LinkMode::Open).unwrap();
-    bed.expect_answer(lone);
     crew.finish();
     bed.expect_sound();
+    assert!(stopped, "e3 went on serving\n{}", bed.fleet.logs());
 }
 
 #[test]
@@ -110,20 +102,9 @@
     // without one accepted long before, would undo an operator's change for its callers.
     let mut bed = ProofBed::start(14, &FleetPlan::default());
     let crew = bed.crew();
-    let stop = AtomicBool::new(false);
-    let places = bed.fleet.places();
-    let operator = bed.fleet.operator.clone();
-    thread::scope(|scope| {
-        let looker = scope.spawn(|| {
-            while !stop.load(Ordering::Relaxed) {
-                for place in &places {
-                    let _ = operator.status(place);
-                }
-                thread::sleep(Duration::from_millis(50));
-            }
-        });
+    bed.while_looking(|bed| {
         for round in 0..4_usize {
-            change_limits(&bed, round);
+            bed.change_limits(round);
             if round < 3 {
                 bed.replace(round, Duration::from_millis(200));
                 bed.fleet.await_serving(PATIENCE).unwrap();
@@ -136,23 +117,9 @@
             entry.start().unwrap();
         }
         bed.fleet.await_serving(PATIENCE).unwrap();
-        change_limits(&bed, 4);
+        bed.change_limits(4);
         bed.expect_answers(&crew, 20);
-        stop.store(true, Ordering::Relaxed);
-        looker.join().unwrap();
     });
     crew.finish();
     bed.expect_sound();
 }
-
-fn change_limits(bed: &ProofBed, round: usize) {
-    let units = 100 + u32::try_from(round).unwrap();
-    let limits: TeamLimits = [("weights", units), ("coding", units)];
-    let (text, id) = (manifest(3, &limits), format!("round-{round}"));
-    let place = bed.place((round + 1) % 3);
-    let accepted = await_true(PATIENCE, || {
-        let outcome = bed.fleet.operator.apply(place, &id, None, &text, &limits);
-        matches!(outcome, ChangeResult::Accepted { .. })
-    });
-    assert!(accepted, "round {round}\n{}", bed.fleet.logs());
-}
--- a/crates/lacewingshore/tests/proof_store.rs
+++ b/crates/lacewingshore/tests/proof_store.rs
@@ -17,16 +17,6 @@
         .withdraw(bed.place(index), change_id, key)
 }
 
-fn expect_withdrawn(bed: &ProofBed, index: usize, change_id: &str) {
-    let accepted = await_true(PATIENCE, || {
-        matches!(
-            withdraw(bed, index, change_id),
-            ChangeResult::Accepted { .. }
-        )
-    });
-    assert!(accepted, "not withdrawn\n{}", bed.fleet.logs());
-}
-
 #[test]
 fn store_down_long() {
     // The store is away for ten lease lengths. Callers go on being served. An operator who
@@ -62,7 +52,7 @@
     for member in ["e1", "e2", "e3"] {
         bed.fleet.set_store(Some(member), &up).unwrap();
     }
-    expect_withdrawn(&bed, 1, "withdraw");
+    bed.expect_withdrawn(1);
     thread::sleep(Duration::from_secs(4));
     crew.finish();
     bed.expect_sound();
@@ -79,7 +69,7 @@
         ..StoreFaults::default()
     };
     bed.fleet.set_store(None, &slow).unwrap();
-    expect_withdrawn(&bed, 2, "withdraw");
+    bed.expect_withdrawn(2);
     thread::sleep(Duration::from_secs(4));
     bed.expect_answers(&crew, 100);
     crew.finish();
@@ -189,9 +179,34 @@
     };
     bed.fleet.set_store(Some("e2"), &hung).unwrap();
     thread::sleep(Duration::from_secs(2));
-    expect_withdrawn(&bed, 0, "withdraw");
+    bed.expect_withdrawn(0);
     thread::sleep(Duration::from_secs(5));
     bed.expect_answers(&crew, 20);
     crew.finish();
     bed.expect_sound();
 }
+
+#[test]
+fn watch_shows_old_values() {
+    // Watches of two entry hosts answer with the value before the newest one, as a replica
+    // does that lags. A host that followed them would put back a limit that the operator
+    // has changed, and its callers would see the configuration flip.
+    let mut bed = ProofBed::start(26, &FleetPlan::default());
+    let crew = bed.crew();
+    let old = StoreFaults {
+        watch_old: true,
+        ..StoreFaults::default()
+    };
+    bed.fleet.set_store(Some("e2"), &old).unwrap();
+    bed.fleet.set_store(Some("e3"), &old).unwrap();
+    bed.while_looking(|bed| {
+        for round in 0..4 {
+            bed.change_limits(round);
+            thread::sleep(Duration::from_secs(1));
+        }
+        thread::sleep(Duration::from_secs(3));
+    });
+    bed.expect_answers(&crew, 20);
+    crew.finish();
+    bed.expect_sound();
+}
--- a/crates/lacewingshore/tests/proof_work.rs
+++ b/crates/lacewingshore/tests/proof_work.rs
@@ -108,7 +108,13 @@
     let text = manifest(3, &limits).replace("[service.quotes]", window)
         + "[window.always]\nstart = 00:00\nlength = 24h\nevery = 4s\nat_once = 1\n";
     let bed = ProofBed::with_manifest(34, &plan, &text, &limits);
-    let crew = bed.crew();
+    // Runs as long as the steps of a drain, so that a reboot too early would meet some.
+    let crew = bed.crew_with(CrewPlan {
+        callers: 16,
+        service_time: Duration::from_secs(2),
+        deadline: Duration::from_secs(10),
+        ..bed.crew_plan()
+    });
     let done = proof::await_true(Duration::from_secs(90), || {
         let history = bed.fleet.collect().unwrap();
         let ended = history.drains.iter().filter(|drain| drain.end_ns != 0);
