--- a/crates/lacewingshore/src/args.rs
+++ b/crates/lacewingshore/src/args.rs
@@ -252,6 +252,14 @@
     #[argh(option, arg_name = "urls")]
     pub runs: String,
 
+    /// service that gets a batch of jobs
+    #[argh(option)]
+    pub service: String,
+
+    /// file with the key that the jobs are submitted with
+    #[argh(option, arg_name = "file")]
+    pub job_key: PathBuf,
+
     /// report that the load tool writes when it ends; may be repeated
     #[argh(option, arg_name = "file")]
     pub load: Vec<PathBuf>,
