Keep grants of team limits in an audit trail of their own

Cause: grants follow demand. In 24 s of the demo with three teams, 50 of 102 entries were grants; at 110 teams they would push operators' changes out of the bounded trail within hours. Ruled out: not auditing grants; operators ask why a team could not start. The lane of drafts to a trail is a type of its own.

--- a/crates/admin/examples/audit_cost.rs
+++ b/crates/admin/examples/audit_cost.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use admin::audit::{AuditBatch, AuditDraft, AuditStore};
+use admin::audit::{AuditBatch, AuditDraft, AuditStore, TrailName};
 use parking_lot::Mutex;
 use platform::{KeyStore, StoreError, StoreVersion, StoredValue};
 
@@ -92,7 +92,7 @@
     println!("changes  calls/change  bytes/change  store KB  us/change");
     for changes in [500u64, 1_000, 2_000, 4_000, 8_000] {
         let store = Arc::new(CountingStore::default());
-        let trail = AuditStore::new(Arc::clone(&store) as Arc<dyn KeyStore>);
+        let trail = AuditStore::new(Arc::clone(&store) as Arc<dyn KeyStore>, TrailName::Changes);
         let start = Instant::now();
         for revision in 1..=changes {
             trail.append(&AuditBatch {
--- a/crates/admin/src/audit/audit_keeper.rs
+++ b/crates/admin/src/audit/audit_keeper.rs
@@ -15,7 +15,7 @@
 use prost::Message;
 use wire::state::{ConfigBase, ConfigRecord};
 
-use super::{AuditBatch, AuditDraft, AuditStore, ConfigHistory};
+use super::{AuditDraft, AuditStore, ConfigHistory, TrailName, trail_lane::TrailLane};
 use crate::event;
 
 /// Key of the change log.
@@ -24,10 +24,12 @@
 const AUDIT_DUTY: &str = "audit";
 /// Notes that may wait for the store.
 const QUEUE_NOTES: usize = 1024;
-/// Most entries of one write.
-const BATCH_ENTRIES: usize = 64;
 /// How long notes gather before they are written.
 const ROUND: Duration = Duration::from_secs(2);
+/// How long notes on grants gather; they are many, and of each team the last one counts.
+const GRANT_ROUND: Duration = Duration::from_secs(10);
+/// How notes on grants begin.
+const GRANT_SUBJECT: &str = "grant ";
 const STACK_BYTES: usize = 512 * 1024;
 
 /// What the keeper needs to audit the change log as well.
@@ -53,6 +55,13 @@
     watch: Mutex<Option<ConfigWatch>>,
 }
 
+impl KeeperState {
+    fn count_dropped(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("lws_audit_notes_dropped").increment(1);
+    }
+}
+
 impl AuditKeeper {
     /// Starts the keeper's thread.
     ///
@@ -70,15 +79,16 @@
             stopped: AtomicBool::new(false),
             watch: Mutex::new(None),
         });
+        let lane = |trail, interval| {
+            let trail = AuditStore::new(Arc::clone(&store), trail);
+            TrailLane::new(trail, member.clone(), incarnation, interval)
+        };
         let round = KeeperRound {
-            trail: AuditStore::new(Arc::clone(&store)),
+            changes: lane(TrailName::Changes, ROUND),
+            grants: lane(TrailName::Grants, GRANT_ROUND).with_merging(),
             store,
             clock,
             member,
-            incarnation,
-            batch: 0,
-            pending: None,
-            waiting: Vec::new(),
             history: None,
             shared: Arc::clone(&shared),
         };
@@ -113,8 +123,7 @@
         // While the store is down notes wait. Beyond the queue's bound memory goes before
         // completeness; the trail then says how many are missing.
         if let Err(TrySendError::Full(_)) = self.notes.try_send(note) {
-            self.shared.dropped.fetch_add(1, Ordering::Relaxed);
-            metrics::counter!("lws_audit_notes_dropped").increment(1);
+            self.shared.count_dropped();
         }
     }
 }
@@ -127,14 +136,11 @@
 
 /// The state of the keeper's thread.
 struct KeeperRound {
-    trail: AuditStore,
+    changes: TrailLane,
+    grants: TrailLane,
     store: Arc<dyn KeyStore>,
     clock: Arc<dyn Clock>,
     member: MemberId,
-    incarnation: Incarnation,
-    batch: u64,
-    pending: Option<AuditBatch>,
-    waiting: Vec<AuditDraft>,
     history: Option<ConfigHistory>,
     shared: Arc<KeeperState>,
 }
@@ -145,8 +151,7 @@
         loop {
             let is_stopped = self.shared.stopped.load(Ordering::Acquire);
             self.gather(notes);
-            let outcome = self.write_notes().and_then(|()| self.write_changes());
-            match outcome {
+            match self.write(is_stopped) {
                 Ok(()) => is_delayed = false,
                 Err(error) if !is_delayed => {
                     is_delayed = true;
@@ -165,48 +170,49 @@
         /// How soon the thread sees that it is stopped.
         const STEP: Duration = Duration::from_millis(100);
         let deadline = Instant::now() + ROUND;
-        while self.waiting.len() < BATCH_ENTRIES && Instant::now() < deadline {
+        while Instant::now() < deadline && !self.shared.stopped.load(Ordering::Acquire) {
             match notes.recv_timeout(STEP) {
-                Ok(note) => self.waiting.push(self.draft(note)),
+                Ok(note) => self.take(note),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => break,
             }
-            if self.shared.stopped.load(Ordering::Acquire) {
-                break;
-            }
         }
-        while self.waiting.len() < BATCH_ENTRIES {
-            let Ok(note) = notes.try_recv() else {
-                break;
-            };
-            self.waiting.push(self.draft(note));
+        while let Ok(note) = notes.try_recv() {
+            self.take(note);
         }
     }
 
-    fn draft(&self, note: AuditNote) -> AuditDraft {
-        AuditDraft {
-            unix_ms: self.unix_ms(),
+    fn take(&mut self, note: AuditNote) {
+        let lane = match note.subject.starts_with(GRANT_SUBJECT) {
+            true => &mut self.grants,
+            false => &mut self.changes,
+        };
+        let draft = AuditDraft {
+            unix_ms: unix_ms(self.clock.as_ref()),
             author: note.author,
             change_id: note.change_id,
             subject: note.subject,
             difference: note.difference,
             revision_before: note.revision_before,
             revision_after: note.revision_after,
+        };
+        if !lane.add(draft) {
+            self.shared.count_dropped();
         }
     }
 
-    fn write_notes(&mut self) -> Result<(), StepError> {
-        self.write_pending()?;
+    fn write(&mut self, is_stopped: bool) -> Result<(), StepError> {
         let dropped = self.shared.dropped.swap(0, Ordering::Relaxed);
-        if self.waiting.is_empty() && dropped == 0 {
-            return Ok(());
-        }
-        let mut drafts = std::mem::take(&mut self.waiting);
         if dropped > 0 {
             log_event::error(&event::AUDIT_DROPPED, format_args!("notes={dropped}"));
-            drafts.push(self.own_draft(format!("{dropped} notes were dropped")));
+            let draft = self.own_draft(format!("{dropped} notes were dropped"));
+            if !self.changes.add(draft) {
+                self.shared.dropped.fetch_add(dropped, Ordering::Relaxed);
+            }
         }
-        self.append(drafts, 0)
+        self.changes.flush(true)?;
+        self.write_changes()?;
+        self.grants.flush(is_stopped)
     }
 
     /// Audits new changes of the change log, if this entry host holds the duty.
@@ -241,17 +247,14 @@
         // next round has to find the same differences again.
         let mut history = self.history_before(&record)?;
         drafts.extend(history.follow(&record, audited));
-        for part in drafts.chunks(BATCH_ENTRIES) {
-            let newest = part.last().map_or(0, |draft| draft.revision_after);
-            self.append(part.to_vec(), newest)?;
-        }
+        self.changes.append_changes(&drafts)?;
         self.history = Some(history);
         Ok(())
     }
 
     /// The newest revision with an entry, as far as this writer knows.
     fn audited_revision(&self) -> Result<u64, StepError> {
-        self.trail.peek(|head| head.config_revision)
+        self.changes.trail.peek(|head| head.config_revision)
     }
 
     /// True if the log has changes that this entry host should audit and has not followed.
@@ -300,47 +303,17 @@
             .map_err(|error| StepError::new("decode change log", key, error))
     }
 
-    fn append(&mut self, drafts: Vec<AuditDraft>, config_revision: u64) -> Result<(), StepError> {
-        self.write_pending()?;
-        self.batch += 1;
-        self.pending = Some(AuditBatch {
-            member: self.member.to_string(),
-            incarnation: self.incarnation,
-            batch: self.batch,
-            config_revision,
-            drafts,
-        });
-        self.write_pending()
-    }
-
-    /// Writes the batch under way, if there is one.
-    ///
-    /// A batch whose write failed may have taken effect. It is repeated as it was until the
-    /// store answers: with further entries in it, the head would show it as written and
-    /// those entries would be lost.
-    fn write_pending(&mut self) -> Result<(), StepError> {
-        let Some(batch) = &self.pending else {
-            return Ok(());
-        };
-        self.trail.append(batch)?;
-        let entries = batch.drafts.len();
-        self.pending = None;
-        metrics::counter!("lws_audit_entries").increment(entries as u64);
-        log_event::debug(&event::AUDIT_WRITTEN, format_args!("entries={entries}"));
-        Ok(())
-    }
-
     fn own_draft(&self, difference: String) -> AuditDraft {
         AuditDraft {
-            unix_ms: self.unix_ms(),
+            unix_ms: unix_ms(self.clock.as_ref()),
             author: self.member.to_string(),
             subject: "audit".to_owned(),
             difference,
             ..AuditDraft::default()
         }
     }
+}
 
-    fn unix_ms(&self) -> u64 {
-        u64::try_from(self.clock.unix_now().as_millis()).unwrap_or(u64::MAX)
-    }
+fn unix_ms(clock: &dyn Clock) -> u64 {
+    u64::try_from(clock.unix_now().as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/admin/src/audit/audit_store.rs
+++ b/crates/admin/src/audit/audit_store.rs
@@ -8,8 +8,6 @@
 
 use super::{AuditDraft, append_entry};
 
-/// Key of the head.
-const HEAD_KEY: &str = "audit/head";
 /// Entries in the head at which the oldest of them are sealed into a page.
 const TAIL_MAX: usize = 48;
 /// Entries of a sealed page.
@@ -36,19 +34,43 @@
     pub drafts: Vec<AuditDraft>,
 }
 
-/// The audit trail in the configuration store.
+/// The trails that are kept.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TrailName {
+    /// What operators, members and hosts changed.
+    #[default]
+    Changes,
+    /// How team limits were divided among entry hosts. They move with demand, and would
+    /// push everything else out of a trail that they share.
+    Grants,
+}
+
+impl TrailName {
+    const fn prefix(self) -> &'static str {
+        match self {
+            Self::Changes => "audit",
+            Self::Grants => "audit/grants",
+        }
+    }
+}
+
+/// One audit trail in the configuration store.
 pub struct AuditStore {
     store: Arc<dyn KeyStore>,
+    trail: TrailName,
+    head_key: String,
     /// The head as this writer left it, which it need not read again while nobody else
     /// writes. An outdated one costs a conflict and nothing more.
     known: Mutex<Option<(StoreVersion, AuditHead)>>,
 }
 
 impl AuditStore {
-    /// A trail kept in `store`.
-    pub fn new(store: Arc<dyn KeyStore>) -> Self {
+    /// The trail of that name, kept in `store`.
+    pub fn new(store: Arc<dyn KeyStore>, trail: TrailName) -> Self {
         Self {
             store,
+            trail,
+            head_key: format!("{}/head", trail.prefix()),
             known: Mutex::new(None),
         }
     }
@@ -68,19 +90,28 @@
                 return Ok(());
             }
             let (next, dropped) = self.next_head(head, batch)?;
-            match self.store.swap(HEAD_KEY, version, &next.encode_to_vec()) {
+            match self
+                .store
+                .swap(&self.head_key, version, &next.encode_to_vec())
+            {
                 Ok(version) => {
                     *self.known.lock() = Some((version, next));
                     self.remove_pages(&dropped);
                     return Ok(());
                 }
                 Err(StoreError::Conflict { .. } | StoreError::Unknown(_)) => {}
-                Err(error) => return Err(StepError::new("write audit head", HEAD_KEY, error)),
+                Err(error) => {
+                    return Err(StepError::new(
+                        "write audit head",
+                        self.head_key.as_str(),
+                        error,
+                    ));
+                }
             }
         }
         Err(StepError::new(
             "write audit head",
-            HEAD_KEY,
+            self.head_key.as_str(),
             "the head is busy",
         ))
     }
@@ -111,13 +142,13 @@
     pub fn read_head(&self) -> Result<(StoreVersion, AuditHead), StepError> {
         let stored = self
             .store
-            .read(HEAD_KEY)
-            .map_err(|error| StepError::new("read audit head", HEAD_KEY, error))?;
+            .read(&self.head_key)
+            .map_err(|error| StepError::new("read audit head", self.head_key.as_str(), error))?;
         let Some(stored) = stored else {
             return Ok((0, AuditHead::default()));
         };
         let head = AuditHead::decode(stored.value.as_slice())
-            .map_err(|error| StepError::new("decode audit head", HEAD_KEY, error))?;
+            .map_err(|error| StepError::new("decode audit head", self.head_key.as_str(), error))?;
         Ok((stored.version, head))
     }
 
@@ -126,7 +157,7 @@
     /// # Errors
     /// If the store can't be read.
     pub fn read_page(&self, page: u64) -> Result<Option<Vec<AuditEntry>>, StepError> {
-        let key = page_key(page);
+        let key = self.page_key(page);
         let stored = self
             .store
             .read(&key)
@@ -141,6 +172,10 @@
 }
 
 impl AuditStore {
+    fn page_key(&self, page: u64) -> String {
+        format!("{}/page-{page:08}", self.trail.prefix())
+    }
+
     /// The head after `batch`, with the numbers of the pages that it drops.
     fn next_head(
         &self,
@@ -171,7 +206,7 @@
     /// repeats entries of the head. The tail only grows until the head names the page, so
     /// the page is a beginning of the tail, whoever wrote it.
     fn seal_page(&self, head: &mut AuditHead) -> Result<(), StepError> {
-        let key = page_key(head.next_page);
+        let key = self.page_key(head.next_page);
         let count = PAGE_ENTRIES.min(head.tail.len());
         let sealed: Vec<AuditEntry> = head.tail.drain(..count).collect();
         let page = AuditPage { entries: sealed };
@@ -208,7 +243,7 @@
     /// Removes pages that the head no longer names; one that stays only takes up room.
     fn remove_pages(&self, pages: &[u64]) {
         for page in pages {
-            let key = page_key(*page);
+            let key = self.page_key(*page);
             if let Ok(Some(stored)) = self.store.read(&key) {
                 let _ = self.store.remove(&key, stored.version);
             }
@@ -216,10 +251,6 @@
     }
 }
 
-fn page_key(page: u64) -> String {
-    format!("audit/page-{page:08}")
-}
-
 fn has_batch(head: &AuditHead, batch: &AuditBatch) -> bool {
     head.writers.iter().any(|writer| {
         writer.member == batch.member
--- a/crates/admin/src/audit/mod.rs
+++ b/crates/admin/src/audit/mod.rs
@@ -7,8 +7,9 @@
 mod audit_keeper;
 mod audit_store;
 mod config_history;
+mod trail_lane;
 
 pub use audit_chain::{AuditDraft, ChainFault, append_entry, entry_digest, verify_chain};
 pub use audit_keeper::{AuditKeeper, ConfigWatch};
-pub use audit_store::{AuditBatch, AuditStore};
+pub use audit_store::{AuditBatch, AuditStore, TrailName};
 pub use config_history::ConfigHistory;
--- a/crates/admin/src/route/audit_route.rs
+++ b/crates/admin/src/route/audit_route.rs
@@ -17,11 +17,19 @@
             )
         };
         let page = call.number("page")?;
-        let (_, head) = self.trail.read_head().map_err(unread)?;
+        let trail = match call.text("trail") {
+            "" => &self.changes,
+            "grants" => &self.grants,
+            other => {
+                let detail = format!("there is no trail {other:?}; `grants` is one");
+                return Err(AdminProblem::new(ProblemCode::NotFound, detail));
+            }
+        };
+        let (_, head) = trail.read_head().map_err(unread)?;
         let Some(page) = page else {
             return Ok(AdminReply::json(200, &AuditView::new(&head, &head.tail)));
         };
-        let Some(entries) = self.trail.read_page(page).map_err(unread)? else {
+        let Some(entries) = trail.read_page(page).map_err(unread)? else {
             let detail = format!("there is no page {page}; it may have been dropped for age");
             return Err(AdminProblem::new(ProblemCode::NotFound, detail));
         };
--- a/crates/admin/src/route/mod.rs
+++ b/crates/admin/src/route/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     AdminConfig, AdminProblem, ProblemCode,
-    audit::AuditStore,
+    audit::{AuditStore, TrailName},
     event,
     server::{AdminCall, AdminReply, Verb},
 };
@@ -20,13 +20,18 @@
 /// Answers calls from the areas that the interface shows and changes.
 pub(crate) struct AdminRouter {
     config: AdminConfig,
-    trail: AuditStore,
+    changes: AuditStore,
+    grants: AuditStore,
 }
 
 impl AdminRouter {
     pub(crate) fn new(config: AdminConfig) -> Self {
-        let trail = AuditStore::new(Arc::clone(&config.store));
-        Self { config, trail }
+        let trail = |name| AuditStore::new(Arc::clone(&config.store), name);
+        Self {
+            changes: trail(TrailName::Changes),
+            grants: trail(TrailName::Grants),
+            config,
+        }
     }
 
     /// Answers the paths that need no key; none of them waits.
--- a/crates/admin/src/server/admin_call.rs
+++ b/crates/admin/src/server/admin_call.rs
@@ -38,19 +38,25 @@
 }
 
 impl AdminCall {
-    /// The value of a query parameter that is a number.
-    pub(crate) fn number(&self, name: &str) -> Result<Option<u64>, AdminProblem> {
-        let pairs = self
+    /// The value of a query parameter; empty if it is left out.
+    pub(crate) fn text(&self, name: &str) -> &str {
+        let mut pairs = self
             .query
             .split('&')
             .filter_map(|pair| pair.split_once('='));
-        let Some((_, value)) = pairs.into_iter().find(|(key, _)| *key == name) else {
-            return Ok(None);
-        };
-        value.parse().map(Some).map_err(|_| {
-            let detail = format!("the parameter {name} is not a number");
-            AdminProblem::new(ProblemCode::BadRequest, detail)
-        })
+        let found = pairs.find(|(key, _)| *key == name);
+        found.map_or("", |(_, value)| value)
+    }
+
+    /// The value of a query parameter that is a number.
+    pub(crate) fn number(&self, name: &str) -> Result<Option<u64>, AdminProblem> {
+        match self.text(name) {
+            "" => Ok(None),
+            text => text.parse().map(Some).map_err(|_| {
+                let detail = format!("the parameter {name} is not a number");
+                AdminProblem::new(ProblemCode::BadRequest, detail)
+            }),
+        }
     }
 }
 
--- a/crates/admin/tests/audit.rs
+++ b/crates/admin/tests/audit.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use admin::audit::{AuditBatch, AuditDraft, AuditStore, ChainFault, verify_chain};
+use admin::audit::{AuditBatch, AuditDraft, AuditStore, ChainFault, TrailName, verify_chain};
 use common::{LoneHost, MemoryStore, WriteFault, eventually, start};
 use platform::KeyStore;
 use ports::{AuditNote, AuditSink};
@@ -42,7 +42,7 @@
 
 fn new_trail() -> (Arc<MemoryStore>, AuditStore) {
     let store = Arc::new(MemoryStore::default());
-    let trail = AuditStore::new(store.clone() as Arc<dyn KeyStore>);
+    let trail = AuditStore::new(store.clone() as Arc<dyn KeyStore>, TrailName::Changes);
     (store, trail)
 }
 
@@ -203,7 +203,10 @@
         bench.call("POST", "/v1/keys", &["Change-Id: c2"], grant).0,
         200
     );
-    let trail = AuditStore::new(bench.host.store.clone() as Arc<dyn KeyStore>);
+    let trail = AuditStore::new(
+        bench.host.store.clone() as Arc<dyn KeyStore>,
+        TrailName::Changes,
+    );
     eventually("both changes are audited", || {
         read_trail(&trail).1.len() >= 2
     });
@@ -251,7 +254,10 @@
     }
     std::thread::sleep(std::time::Duration::from_millis(300));
     *bench.host.store.down.lock() = false;
-    let trail = AuditStore::new(bench.host.store.clone() as Arc<dyn KeyStore>);
+    let trail = AuditStore::new(
+        bench.host.store.clone() as Arc<dyn KeyStore>,
+        TrailName::Changes,
+    );
     eventually("all notes are written", || {
         read_trail(&trail).1.len() >= 200
     });
@@ -262,3 +268,33 @@
     assert_eq!(subjects, expected);
     assert_eq!(verify_chain(&head, &entries), Ok(()));
 }
+
+#[test]
+fn grants_apart_and_merged() {
+    // Grants of team limits move with demand, several a second. They have a trail of their
+    // own, one entry for each team in ten seconds, so that they push out no operator's change.
+    let bench = start(LoneHost::with_manifest(MANIFEST)).expect("the interface starts");
+    for revision in 1..=50 {
+        for team in ["sales", "stock"] {
+            bench.audit.record(AuditNote {
+                subject: format!("grant {team}"),
+                change_id: format!("quota-{team}-{revision}"),
+                revision_before: revision - 1,
+                revision_after: revision,
+                ..AuditNote::default()
+            });
+        }
+    }
+    bench.audit.stop();
+    let store = bench.host.store.clone() as Arc<dyn KeyStore>;
+    let changes = AuditStore::new(Arc::clone(&store), TrailName::Changes);
+    assert!(read_trail(&changes).1.is_empty());
+    let grants = AuditStore::new(store, TrailName::Grants);
+    let (head, entries) = read_trail(&grants);
+    assert_eq!(verify_chain(&head, &entries), Ok(()));
+    let spans: Vec<(u64, u64)> = entries
+        .iter()
+        .map(|entry| (entry.revision_before, entry.revision_after))
+        .collect();
+    assert_eq!(spans, [(0, 50), (0, 50)]);
+}
--- a/crates/lacewingshore/src/args.rs
+++ b/crates/lacewingshore/src/args.rs
@@ -213,6 +213,10 @@
     #[argh(option, default = "50")]
     pub last: usize,
 
+    /// the trail of how team limits were divided, in place of the one of changes
+    #[argh(switch)]
+    pub grants: bool,
+
     /// entry that the trail must hold, as SEQUENCE:DIGEST from an earlier run
     #[argh(option, arg_name = "entry")]
     pub expect: Option<String>,
--- a/crates/lacewingshore/src/command/audit.rs
+++ b/crates/lacewingshore/src/command/audit.rs
@@ -19,7 +19,7 @@
 /// Shows the audit trail and checks its chain here, not trusting the entry host.
 pub fn run(arguments: &Arguments, audit: &AuditArguments) -> Result<(), CommandError> {
     let client = AdminClient::new(arguments)?;
-    let (view, entries) = read_trail(&client)?;
+    let (view, entries) = read_trail(&client, audit.grants)?;
     let chain: Vec<AuditEntry> = entries.iter().map(EntryView::entry).collect();
     let mut faults: Vec<String> = match verify_chain(&view.head(), &chain) {
         Ok(()) => Vec::new(),
@@ -57,13 +57,18 @@
 /// While it is read, entries may move from the head into a page, and the oldest page may be
 /// dropped. The pages are those that the head named, so only a dropped one calls for
 /// another read.
-fn read_trail(client: &AdminClient) -> Result<(AuditView, Vec<EntryView>), CommandError> {
+fn read_trail(
+    client: &AdminClient,
+    grants: bool,
+) -> Result<(AuditView, Vec<EntryView>), CommandError> {
+    let trail = if grants { "grants" } else { "" };
+    let head = format!("/v1/audit?trail={trail}");
     for _ in 0..MAX_READS {
-        let view: AuditView = client.read("/v1/audit")?;
+        let view: AuditView = client.read(&head)?;
         let mut entries = Vec::new();
         let mut is_whole = true;
         for page in view.first_page..view.next_page {
-            match client.read::<AuditView>(&format!("/v1/audit?page={page}")) {
+            match client.read::<AuditView>(&format!("{head}&page={page}")) {
                 Ok(part) => entries.extend(part.entries),
                 Err(CommandError::Invalid(_)) => is_whole = false,
                 Err(error) => return Err(error),
@@ -73,7 +78,7 @@
             entries.extend(view.entries.iter().cloned());
             return Ok((view, entries));
         }
-        let after: AuditView = client.read("/v1/audit")?;
+        let after: AuditView = client.read(&head)?;
         if after.first_page == view.first_page {
             let reason = "the audit trail was tampered with: a page is missing".to_owned();
             return Err(CommandError::Tampered(reason));
