Let holders learn of ended jobs before a worker reboots

Cause: in scripts/demo 6 and 7 of 60 accepted jobs ended as unknown, 'its worker restarted', although they were done: a worker counts as drained once nothing runs on it, was rebooted within half a second and forgot its tasks, while holders ask for outcomes every two seconds. Ruled out: counting unsettled tasks in the worker's health; that is the platform's protocol. Ruled out: asking all holders before a reboot; any of them may be gone. Change: a drained worker waits five seconds in its rebooting phase before the call. It costs a rollout five seconds for each worker. This touches the fleet's file and is for its owner to judge.

--- a/crates/fleet/src/probe_pool.rs
+++ b/crates/fleet/src/probe_pool.rs
@@ -9,7 +9,7 @@
     budget::{HostPhase, HostState},
     wave::{HealthSight, PhaseStay},
 };
-use model::{BootTime, HostId};
+use model::{BootTime, HostId, HostRole};
 use parking_lot::Mutex;
 
 use crate::{HealthReport, fleet_shared::FleetShared};
@@ -19,6 +19,12 @@
 
 /// Longest time between a host's answer that it is drained and the call that reboots it.
 const REBOOT_WINDOW: Duration = Duration::from_millis(300);
+/// How long a drained worker waits for its reboot.
+///
+/// A worker forgets its tasks when it reboots. Holders of jobs learn of an end when they next
+/// renew, every two seconds: a job that ended right before the reboot would be shown as
+/// `unknown` although it was done.
+const OUTCOME_WAIT: Duration = Duration::from_secs(5);
 
 /// Time between the first two calls that reboot one host; doubled after each.
 const REBOOT_SPACING: Duration = Duration::from_secs(5);
@@ -210,6 +216,9 @@
         return;
     }
     let in_phase = shared.clock.unix_now().saturating_sub(task.state.since);
+    if task.state.facts.role == HostRole::Worker && in_phase < OUTCOME_WAIT {
+        return;
+    }
     if !book.claim_reboot(&task.host, now.saturating_sub(in_phase), now) {
         return;
     }
