--- a/crates/admin/src/admin_server.rs
+++ b/crates/admin/src/admin_server.rs
@@ -13,7 +13,7 @@
     event,
     metrics_keeper::MetricsKeeper,
     route::AdminRouter,
-    server::{AdminCall, AdminReply, HttpPort, PortHandler, Verb, WorkLane},
+    server::{AdminCall, AdminReply, HttpPort, HttpVerb, PortHandler, WorkLane},
 };
 
 /// What the administration interface is built from.
@@ -125,7 +125,7 @@
 }
 
 impl PortHandler for AdminDesk {
-    fn open(&self, verb: Verb, path: &str) -> Option<AdminReply> {
+    fn open(&self, verb: HttpVerb, path: &str) -> Option<AdminReply> {
         self.router.answer_open(verb, path)
     }
 
@@ -140,8 +140,8 @@
 
     fn submit(&self, call: AdminCall) -> Result<oneshot::Receiver<AdminReply>, AdminProblem> {
         match call.verb {
-            Verb::Get => self.reads.submit(call),
-            Verb::Put | Verb::Post | Verb::Delete => self.changes.submit(call),
+            HttpVerb::Get => self.reads.submit(call),
+            HttpVerb::Put | HttpVerb::Post | HttpVerb::Delete => self.changes.submit(call),
         }
     }
 }
--- a/crates/admin/src/route/mod.rs
+++ b/crates/admin/src/route/mod.rs
@@ -14,7 +14,7 @@
     AdminConfig, AdminProblem, ProblemCode,
     audit::{AuditStore, TrailName},
     event,
-    server::{AdminCall, AdminReply, Verb},
+    server::{AdminCall, AdminReply, HttpVerb},
 };
 
 /// Answers calls from the areas that the interface shows and changes.
@@ -35,11 +35,13 @@
     }
 
     /// Answers the paths that need no key; none of them waits.
-    pub(crate) fn answer_open(&self, verb: Verb, path: &str) -> Option<AdminReply> {
+    pub(crate) fn answer_open(&self, verb: HttpVerb, path: &str) -> Option<AdminReply> {
         match (verb, path) {
-            (Verb::Get, "/livez") => Some(AdminReply::text(200, "live\n")),
-            (Verb::Get, "/readyz") => Some(self.readiness()),
-            (Verb::Get, "/metrics") => Some(AdminReply::text(200, self.config.metrics.render())),
+            (HttpVerb::Get, "/livez") => Some(AdminReply::text(200, "live\n")),
+            (HttpVerb::Get, "/readyz") => Some(self.readiness()),
+            (HttpVerb::Get, "/metrics") => {
+                Some(AdminReply::text(200, self.config.metrics.render()))
+            }
             _ => None,
         }
     }
@@ -51,13 +53,13 @@
     fn try_answer(&self, call: &AdminCall) -> Result<AdminReply, AdminProblem> {
         self.check_gate()?;
         match (call.verb, call.path.as_str()) {
-            (Verb::Get, "/v1/manifest") => Ok(self.show_manifest()),
-            (Verb::Put, "/v1/manifest") => self.apply_manifest(call),
-            (Verb::Get, "/v1/keys") => Ok(self.list_keys()),
-            (Verb::Post, "/v1/keys") => self.grant_key(call),
-            (Verb::Get, "/v1/status") => Ok(self.show_status()),
-            (Verb::Get, "/v1/audit") => self.show_audit(call),
-            (Verb::Delete, path) => match path.strip_prefix("/v1/keys/") {
+            (HttpVerb::Get, "/v1/manifest") => Ok(self.show_manifest()),
+            (HttpVerb::Put, "/v1/manifest") => self.apply_manifest(call),
+            (HttpVerb::Get, "/v1/keys") => Ok(self.list_keys()),
+            (HttpVerb::Post, "/v1/keys") => self.grant_key(call),
+            (HttpVerb::Get, "/v1/status") => Ok(self.show_status()),
+            (HttpVerb::Get, "/v1/audit") => self.show_audit(call),
+            (HttpVerb::Delete, path) => match path.strip_prefix("/v1/keys/") {
                 Some(key_id) => self.withdraw_key(call, key_id),
                 None => Err(not_found()),
             },
--- a/crates/admin/src/server/admin_call.rs
+++ b/crates/admin/src/server/admin_call.rs
@@ -5,14 +5,14 @@
 
 /// The HTTP methods that the interface knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Verb {
+pub(crate) enum HttpVerb {
     Get,
     Put,
     Post,
     Delete,
 }
 
-impl Verb {
+impl HttpVerb {
     pub(crate) fn parse(method: &str) -> Option<Self> {
         match method {
             "GET" => Some(Self::Get),
@@ -27,7 +27,7 @@
 /// One call of an operator, read whole.
 #[derive(Clone, Debug)]
 pub(crate) struct AdminCall {
-    pub(crate) verb: Verb,
+    pub(crate) verb: HttpVerb,
     pub(crate) path: String,
     pub(crate) query: String,
     /// Id of the administration key; empty on the open paths.
--- a/crates/admin/src/server/http_port.rs
+++ b/crates/admin/src/server/http_port.rs
@@ -22,7 +22,7 @@
     time::timeout,
 };
 
-use super::{AdminCall, AdminReply, Verb};
+use super::{AdminCall, AdminReply, HttpVerb};
 use crate::{AdminProblem, ProblemCode};
 
 /// Connections held at once.
@@ -47,7 +47,7 @@
 /// What the port hands calls to.
 pub(crate) trait PortHandler: Send + Sync {
     /// Answers the open paths, which need no key, without waiting.
-    fn open(&self, verb: Verb, path: &str) -> Option<AdminReply>;
+    fn open(&self, verb: HttpVerb, path: &str) -> Option<AdminReply>;
     /// The id of the administration key that a header presents.
     fn author(&self, authorization: &str, peer: SocketAddr) -> Option<KeyId>;
     /// Queues a call that was read whole.
@@ -172,7 +172,7 @@
         request: Request<Incoming>,
         peer: SocketAddr,
     ) -> Result<AdminReply, AdminProblem> {
-        let Some(verb) = Verb::parse(request.method().as_str()) else {
+        let Some(verb) = HttpVerb::parse(request.method().as_str()) else {
             return Err(bad_request("only GET, PUT, POST and DELETE are known"));
         };
         if let Some(reply) = self.handler.open(verb, request.uri().path()) {
@@ -197,7 +197,7 @@
             base_revision: header_number(headers, "Base-Revision")?,
             body: Vec::new(),
         };
-        if verb != Verb::Get {
+        if verb != HttpVerb::Get {
             call.body = self.read_body(request.into_body()).await?;
         }
         let reply = self.handler.submit(call)?;
--- a/crates/admin/src/server/work_lane.rs
+++ b/crates/admin/src/server/work_lane.rs
@@ -16,7 +16,7 @@
 const QUEUE: usize = 32;
 const STACK_BYTES: usize = 512 * 1024;
 
-type Answer = dyn Fn(&AdminCall) -> AdminReply + Send + Sync;
+type AnswerCall = dyn Fn(&AdminCall) -> AdminReply + Send + Sync;
 
 /// Threads that answer one kind of call.
 ///
@@ -28,7 +28,7 @@
 }
 
 impl WorkLane {
-    pub(crate) fn start(name: &str, answer: &Arc<Answer>) -> Result<Self, StepError> {
+    pub(crate) fn start(name: &str, answer: &Arc<AnswerCall>) -> Result<Self, StepError> {
         let (calls, receiver) = bounded::<(AdminCall, oneshot::Sender<AdminReply>)>(QUEUE);
         let mut threads = Vec::with_capacity(WORKERS);
         for index in 0..WORKERS {
--- a/crates/lacewingshore/src/args.rs
+++ b/crates/lacewingshore/src/args.rs
@@ -11,7 +11,7 @@
 /// 3 invalid file or change, 4 conflict with another change, 5 not accepted yet, 6 no entry
 /// host serves, 7 key refused, 8 audit trail tampered with.
 #[derive(FromArgs)]
-pub struct Arguments {
+pub struct CliArguments {
     /// administration address of an entry host as http://ip:port; several are separated by
     /// commas and tried in turn
     #[argh(option, arg_name = "urls")]
@@ -26,12 +26,12 @@
     pub patience: u64,
 
     #[argh(subcommand)]
-    pub command: Command,
+    pub command: CliCommand,
 }
 
 #[derive(FromArgs)]
 #[argh(subcommand)]
-pub enum Command {
+pub enum CliCommand {
     Serve(ServeArguments),
     Manifest(ManifestArguments),
     Key(KeyArguments),
@@ -273,7 +273,7 @@
     pub seconds: u64,
 }
 
-impl Arguments {
+impl CliArguments {
     /// Reads the command line; help and usage errors are printed and end the process.
     #[allow(clippy::print_stderr)]
     pub fn from_process() -> Result<Self, ExitCode> {
--- a/crates/lacewingshore/src/client.rs
+++ b/crates/lacewingshore/src/client.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use serde::de::DeserializeOwned;
 
-use crate::{args::Arguments, exit::CommandError};
+use crate::{args::CliArguments, exit::CommandError};
 
 /// Longest wait for one answer; accepting a change takes some seconds at most.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
@@ -72,7 +72,7 @@
 
 impl AdminClient {
     /// Takes the addresses and the key from the arguments or the environment.
-    pub fn new(arguments: &Arguments) -> Result<Self, CommandError> {
+    pub fn new(arguments: &CliArguments) -> Result<Self, CommandError> {
         let urls = arguments
             .admin
             .clone()
--- a/crates/lacewingshore/src/command/audit.rs
+++ b/crates/lacewingshore/src/command/audit.rs
@@ -6,7 +6,7 @@
 use wire::state::AuditEntry;
 
 use crate::{
-    args::{Arguments, AuditArguments},
+    args::{AuditArguments, CliArguments},
     client::AdminClient,
     command::{print_json, show_time},
     exit::CommandError,
@@ -17,7 +17,7 @@
 const MAX_READS: usize = 5;
 
 /// Shows the audit trail and checks its chain here, not trusting the entry host.
-pub fn run(arguments: &Arguments, audit: &AuditArguments) -> Result<(), CommandError> {
+pub fn run(arguments: &CliArguments, audit: &AuditArguments) -> Result<(), CommandError> {
     let client = AdminClient::new(arguments)?;
     let (view, entries) = read_trail(&client, audit.grants)?;
     let chain: Vec<AuditEntry> = entries.iter().map(EntryView::entry).collect();
--- a/crates/lacewingshore/src/command/demo/mod.rs
+++ b/crates/lacewingshore/src/command/demo/mod.rs
@@ -20,7 +20,7 @@
 use model::KeyText;
 
 use crate::{
-    args::{Arguments, DemoArguments},
+    args::{CliArguments, DemoArguments},
     client::AdminClient,
     command::read_text,
     exit::CommandError,
@@ -37,7 +37,7 @@
 const END_PATIENCE: Duration = Duration::from_secs(60);
 
 /// Operates a running fleet through its main job.
-pub fn run(arguments: &Arguments, demo: &DemoArguments) -> Result<(), CommandError> {
+pub fn run(arguments: &CliArguments, demo: &DemoArguments) -> Result<(), CommandError> {
     let client = AdminClient::new(arguments)?;
     let manifest = read_text(&demo.manifest)?;
     let key = read_text(&demo.withdraw)?;
--- a/crates/lacewingshore/src/command/key.rs
+++ b/crates/lacewingshore/src/command/key.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     args::{
-        Arguments, KeyCommand, KeyGrantArguments, KeyListArguments, KeyMintArguments,
+        CliArguments, KeyCommand, KeyGrantArguments, KeyListArguments, KeyMintArguments,
         KeyWithdrawArguments,
     },
     client::{AdminClient, AdminRequest},
@@ -19,7 +19,7 @@
 };
 
 /// Runs a key command.
-pub fn run(arguments: &Arguments, command: &KeyCommand) -> Result<(), CommandError> {
+pub fn run(arguments: &CliArguments, command: &KeyCommand) -> Result<(), CommandError> {
     match command {
         KeyCommand::Grant(grant) => run_grant(&AdminClient::new(arguments)?, grant),
         KeyCommand::Withdraw(withdraw) => run_withdraw(&AdminClient::new(arguments)?, withdraw),
--- a/crates/lacewingshore/src/command/manifest.rs
+++ b/crates/lacewingshore/src/command/manifest.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     args::{
-        Arguments, ManifestApplyArguments, ManifestCheckArguments, ManifestCommand,
+        CliArguments, ManifestApplyArguments, ManifestCheckArguments, ManifestCommand,
         ManifestDiffArguments,
     },
     client::{AdminClient, AdminRequest},
@@ -14,7 +14,7 @@
 };
 
 /// Runs a manifest command.
-pub fn run(arguments: &Arguments, command: &ManifestCommand) -> Result<(), CommandError> {
+pub fn run(arguments: &CliArguments, command: &ManifestCommand) -> Result<(), CommandError> {
     match command {
         ManifestCommand::Check(check) => run_check(check),
         ManifestCommand::Apply(apply) => run_apply(&AdminClient::new(arguments)?, apply),
--- a/crates/lacewingshore/src/command/status.rs
+++ b/crates/lacewingshore/src/command/status.rs
@@ -2,7 +2,7 @@
 use serde_json::json;
 
 use crate::{
-    args::{Arguments, StatusArguments},
+    args::{CliArguments, StatusArguments},
     client::AdminClient,
     command::print_json,
     exit::CommandError,
@@ -10,7 +10,7 @@
 };
 
 /// Shows entry hosts, pools, hosts and teams.
-pub fn run(arguments: &Arguments, status: &StatusArguments) -> Result<(), CommandError> {
+pub fn run(arguments: &CliArguments, status: &StatusArguments) -> Result<(), CommandError> {
     let client = AdminClient::new(arguments)?;
     let (view, silent) = read_status(&client)?;
     if status.json {
--- a/crates/lacewingshore/src/main.rs
+++ b/crates/lacewingshore/src/main.rs
@@ -15,11 +15,11 @@
 
 use std::process::ExitCode;
 
-use args::{Arguments, Command};
+use args::{CliArguments, CliCommand};
 use exit::CommandError;
 
 fn main() -> ExitCode {
-    let arguments = match Arguments::from_process() {
+    let arguments = match CliArguments::from_process() {
         Ok(arguments) => arguments,
         Err(code) => return code,
     };
@@ -30,14 +30,14 @@
     error.exit_code()
 }
 
-fn run(arguments: &Arguments) -> Result<(), CommandError> {
+fn run(arguments: &CliArguments) -> Result<(), CommandError> {
     match &arguments.command {
-        Command::Serve(serve) => command::serve::run(serve),
-        Command::Manifest(manifest) => command::manifest::run(arguments, &manifest.command),
-        Command::Key(key) => command::key::run(arguments, &key.command),
-        Command::Status(status) => command::status::run(arguments, status),
-        Command::Audit(audit) => command::audit::run(arguments, audit),
-        Command::Events(events) => command::events::run(events),
-        Command::Demo(demo) => command::demo::run(arguments, demo),
+        CliCommand::Serve(serve) => command::serve::run(serve),
+        CliCommand::Manifest(manifest) => command::manifest::run(arguments, &manifest.command),
+        CliCommand::Key(key) => command::key::run(arguments, &key.command),
+        CliCommand::Status(status) => command::status::run(arguments, status),
+        CliCommand::Audit(audit) => command::audit::run(arguments, audit),
+        CliCommand::Events(events) => command::events::run(events),
+        CliCommand::Demo(demo) => command::demo::run(arguments, demo),
     }
 }
