Audit changes that the log folded before the auditor saw them

Cause: the change log folds its tail into a base beyond 6 KB. An auditor that started from the base left every unaudited change at or before it out of the trail without a word: a burst, a restart of the auditor, or one large manifest was enough. Ruled out: keeping the newest change in the tail whatever its size; that is the log's to decide, and only narrows the gap. Change: the history follows the tail from wherever it begins, and takes ids and touched sections of folded changes from the base; what the base forgot is named as lost. A base does not tell authors, so an entry host notes the author of a large change that it accepts.

--- a/crates/admin/src/audit/audit_keeper.rs
+++ b/crates/admin/src/audit/audit_keeper.rs
@@ -15,7 +15,10 @@
 use prost::Message;
 use wire::state::{ConfigBase, ConfigRecord};
 
-use super::{AuditDraft, AuditStore, ConfigHistory, TrailName, trail_lane::TrailLane};
+use super::{
+    AuditDraft, AuditStore, ConfigHistory, TrailName, config_history::LOST_SUBJECT,
+    trail_lane::TrailLane,
+};
 use crate::event;
 
 /// Key of the change log.
@@ -228,25 +231,21 @@
             return Ok(());
         };
         let audited = self.audited_revision()?;
-        let mut drafts = Vec::new();
-        let oldest = record
-            .tail
-            .first()
-            .map_or(record.revision, |change| change.revision - 1);
-        if audited < oldest {
-            let first = audited + 1;
-            log_event::error(
-                &event::AUDIT_GAP,
-                format_args!("first={first} last={oldest}"),
-            );
-            let mut draft = self.own_draft(format!("revisions {first} to {oldest} left the log"));
-            draft.revision_after = oldest;
-            drafts.push(draft);
-        }
         // The history moves on only once the entries are written: after a failed write the
         // next round has to find the same differences again.
-        let mut history = self.history_before(&record)?;
-        drafts.extend(history.follow(&record, audited));
+        let mut history = self.history.clone().unwrap_or_default();
+        let base = self.read_base(&history, &record)?;
+        let mut drafts = history.follow(&record, base.as_ref(), audited);
+        for draft in &mut drafts {
+            if draft.subject == LOST_SUBJECT {
+                let (first, last) = (draft.revision_before + 1, draft.revision_after);
+                log_event::error(&event::AUDIT_GAP, format_args!("first={first} last={last}"));
+            }
+            // What the log forgot of a change is when it happened and who caused it.
+            if draft.author.is_empty() {
+                draft.unix_ms = unix_ms(self.clock.as_ref());
+            }
+        }
         self.changes.append_changes(&drafts)?;
         self.history = Some(history);
         Ok(())
@@ -275,19 +274,17 @@
         watch.config.current().revision > followed
     }
 
-    /// The history as of some revision that `record` continues.
-    fn history_before(&self, record: &ConfigRecord) -> Result<ConfigHistory, StepError> {
-        let known = self.history.as_ref();
-        if let Some(history) = known.filter(|known| known.revision() >= record.base_revision) {
-            return Ok(history.clone());
+    fn read_base(
+        &self,
+        history: &ConfigHistory,
+        record: &ConfigRecord,
+    ) -> Result<Option<ConfigBase>, StepError> {
+        if !history.needs_base(record) || record.base_key.is_empty() {
+            return Ok(None);
         }
-        let base = match record.base_key.as_str() {
-            "" => ConfigBase::default(),
-            key => self
-                .read(key)?
-                .ok_or_else(|| StepError::new("read configuration base", key, "absent"))?,
-        };
-        Ok(ConfigHistory::from_base(&base))
+        let base = self.read(&record.base_key)?;
+        base.map(Some)
+            .ok_or_else(|| StepError::new("read configuration base", &record.base_key, "absent"))
     }
 
     fn read<M: Message + Default>(&self, key: &str) -> Result<Option<M>, StepError> {
--- a/crates/admin/src/route/mod.rs
+++ b/crates/admin/src/route/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use model::event as log_event;
-use ports::{ChangeOutcome, ChangeRequest};
+use ports::{AuditNote, AuditSink, ChangeOutcome, ChangeRequest};
 
 use crate::{
     AdminConfig, AdminProblem, ProblemCode,
@@ -17,6 +17,10 @@
     server::{AdminCall, AdminReply, HttpVerb},
 };
 
+/// Bytes of sections from which on a change counts as large: half of what the change log
+/// keeps when it folds, less a margin for what comes with them.
+const LARGE_CHANGE: usize = 2 * 1024;
+
 /// Answers calls from the areas that the interface shows and changes.
 pub(crate) struct AdminRouter {
     config: AdminConfig,
@@ -90,13 +94,16 @@
         let outcome = self.config.changes.submit(request);
         let (change_id, author) = (&request.change_id, &request.author);
         match &outcome {
-            Ok(outcome) => log_event::info(
-                &event::CHANGE_ACCEPTED,
-                format_args!(
-                    "revision={} change={change_id:?} author={author} repeated={}",
-                    outcome.revision, outcome.repeated
-                ),
-            ),
+            Ok(outcome) => {
+                log_event::info(
+                    &event::CHANGE_ACCEPTED,
+                    format_args!(
+                        "revision={} change={change_id:?} author={author} repeated={}",
+                        outcome.revision, outcome.repeated
+                    ),
+                );
+                self.note_large(request, outcome);
+            }
             Err(error) => log_event::warn(
                 &event::CHANGE_REFUSED,
                 format_args!("change={change_id:?} author={author} cause=\"{error}\""),
@@ -106,6 +113,32 @@
     }
 }
 
+impl AdminRouter {
+    /// Notes who made a large change.
+    ///
+    /// The change log folds large changes at once, and the base that is left of them does not
+    /// tell their author. Small ones are audited from the log.
+    fn note_large(&self, request: &ChangeRequest, outcome: &ChangeOutcome) {
+        let bytes: usize = request.sections.iter().map(|edit| edit.text.len()).sum();
+        if bytes < LARGE_CHANGE || outcome.repeated {
+            return;
+        }
+        let names: Vec<&str> = request
+            .sections
+            .iter()
+            .map(|edit| edit.section.as_str())
+            .collect();
+        self.config.audit.record(AuditNote {
+            author: request.author.clone(),
+            change_id: request.change_id.to_string(),
+            subject: "large change".to_owned(),
+            difference: names.join(", "),
+            revision_before: outcome.revision.saturating_sub(1),
+            revision_after: outcome.revision,
+        });
+    }
+}
+
 /// Every change needs an id, so that a call whose answer was lost can be repeated.
 fn need_change_id(call: &AdminCall) -> Result<(), AdminProblem> {
     let fits = (1..=64).contains(&call.change_id.len())
--- a/crates/lacewingshore/tests/operate.rs
+++ b/crates/lacewingshore/tests/operate.rs
@@ -330,3 +330,59 @@
     );
     assert!(status.contains("deployment trial"), "{status}");
 }
+
+#[test]
+fn audit_of_a_large_manifest() {
+    // A whole deployment is applied at once, more than the change log keeps. The trail still
+    // tells under which id, by whom, and what changed.
+    let bench = Bench::start().expect("an entry host");
+    let teams = (0..300).map(|n| format!("[team.member-{n}]\nshare = 1\nlimit = 160\n"));
+    let text = format!("{MANIFEST}{}", teams.collect::<String>());
+    let manifest = bench.write("manifest.ini", &text);
+    bench.done(&[
+        "manifest",
+        "apply",
+        &manifest,
+        "--change-id",
+        "first-release",
+    ]);
+    let changed = bench.write(
+        "changed.ini",
+        &text.replacen("limit = 160", "limit = 150", 1),
+    );
+    bench.done(&[
+        "manifest",
+        "apply",
+        &changed,
+        "--change-id",
+        "second-release",
+    ]);
+    let mut entries = Vec::new();
+    eventually("both releases are audited", || {
+        let output = bench.run(&["audit", "--json"]);
+        let trail: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+        entries = trail["entries"].as_array().cloned().unwrap_or_default();
+        let has = |id: &str, subject: &str| {
+            let found = |entry: &serde_json::Value| {
+                entry["change_id"] == id && entry["subject"].to_string().contains(subject)
+            };
+            entries.iter().any(found)
+        };
+        has("first-release", "manifest")
+            && has("first-release", "large change")
+            && has("second-release", "manifest")
+    });
+    let second = entries
+        .iter()
+        .find(|entry| entry["change_id"] == "second-release");
+    let difference = second
+        .map(|entry| entry["difference"].to_string())
+        .unwrap_or_default();
+    assert!(difference.contains("+limit = 150;"), "{difference}");
+    assert!(
+        !entries
+            .iter()
+            .any(|entry| entry["subject"] == "lost changes"),
+        "{entries:#?}"
+    );
+}
