Tell a start for another life of a worker apart from a refused one

A seeded model of holders, workers and late messages found a double run: a worker that had run a task restarted, a copy of the start came, was refused as meant for the life before, and the refusal was later told as not run. Such a start is now answered 409 and not remembered, and counts as not run only if the task was never sent before.

--- a/crates/fake/src/worker_fake.rs
+++ b/crates/fake/src/worker_fake.rs
@@ -187,6 +187,9 @@
     let Some(order) = call.json::<TaskOrder>() else {
         return FakeReply::status(400);
     };
+    if state.is_for_other_life(&order) {
+        return FakeReply::status(409);
+    }
     let outcome = state.start(order);
     if state.loses_start() {
         return FakeReply::lost();
--- a/crates/fleet/src/worker_port.rs
+++ b/crates/fleet/src/worker_port.rs
@@ -172,6 +172,10 @@
             Ok((200, _, text)) => serde_json::from_str::<TaskAnswer>(&text)
                 .map_or(TaskSight::Silent, |answer| answer.sight()),
             Ok((_, true, reason)) => TaskSight::NotRun(reason),
+            // Another life answers. Only if the task was never sent before is it sure
+            // that the life it was meant for did not run it either.
+            Ok((409, ..)) if first => TaskSight::NotRun("its worker restarted".to_owned()),
+            Ok((409, ..)) => TaskSight::Unknown,
             Err(CallFault::Refused) if first => TaskSight::NotRun("connection refused".to_owned()),
             _ => TaskSight::Silent,
         }
