--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod job;
 pub mod lease;
 pub mod member;
+pub mod moves;
 pub mod placement;
 pub mod quota;
 pub mod rendezvous;
