--- a/crates/entry/tests/target_failures.rs
+++ b/crates/entry/tests/target_failures.rs
@@ -256,9 +256,12 @@
     assert_eq!(target.call_count(), 1);
 }
 
-/// An operator withdraws a key while a request that it admitted is queued.
-#[test]
-fn key_withdrawn_while_queued() {
+/// An operator withdraws a key while a request that it admitted is queued, or grants
+/// another secret under the same id.
+#[rstest]
+#[case::withdrawn(None)]
+#[case::granted_anew(Some("secret-new"))]
+fn key_withdrawn_while_queued(#[case] anew: Option<&str>) {
     let target = RawTarget::start(|call| {
         thread::sleep(Duration::from_millis(300));
         TargetReply::Answer(call.body.clone())
@@ -278,6 +281,10 @@
     thread::sleep(Duration::from_millis(50));
     bench.change(|config| {
         config.keys.remove("k1");
+        if let Some(secret) = anew {
+            let record = support::key_record("k1", secret, TEAM, Duration::ZERO);
+            config.keys.insert("k1".into(), record);
+        }
     });
     assert_eq!(first.join().unwrap().status, 200);
     let second = second.join().unwrap();
@@ -317,7 +324,12 @@
     assert_eq!(first.fate(), "may-have-run");
     let second = bench.caller().with("deadline-ms", "20000").ask(b"next");
     assert_eq!(second.status, 200);
-    // The unit stays taken, and whoever drains the target sees that something may run.
+    // The second request's unit comes back just after its answer. The first one's stays
+    // taken, and whoever drains the target sees that something may run.
+    let until = Instant::now() + Duration::from_secs(20);
+    while bench.quotas.used_by(TEAM) > 1 && Instant::now() < until {
+        thread::sleep(Duration::from_millis(2));
+    }
     assert_eq!(bench.quotas.used_by(TEAM), 1);
     assert_eq!(bench.server.running(&"t0".into()), 1);
 }
