Lend spare workers to pools that lost hosts

A pool that lost a host had no slack for the next loss until the platform replaced it. Workers of the spare pool, and hosts beyond a pool's size, now set out for pools that lack some; a host that returns stays until another pool needs it.

--- a/crates/decide/src/wave.rs
+++ b/crates/decide/src/wave.rs
@@ -5,6 +5,7 @@
 //! it needs to remember is in the map, so that another entry host can go on where one
 //! stopped. See `docs/design/07-fleet.md`.
 
+mod lend;
 mod permit;
 mod pool_choice;
 mod progress;
--- a/crates/decide/src/wave/round_plan.rs
+++ b/crates/decide/src/wave/round_plan.rs
@@ -3,7 +3,7 @@
 use model::{HostId, Manifest};
 
 use super::{
-    FleetLimits, HostSighting, PoolChoice,
+    FleetLimits, HostSighting, PoolChoice, lend,
     permit::{PermitDesk, recall},
     progress, rehome,
 };
@@ -95,6 +95,10 @@
     fn rehome_hosts(&mut self, view: &RoundView<'_>) {
         let map = view.map.with_change(&self.change);
         self.change.hosts.extend(rehome::rehome_hosts(view, &map));
+        if view.list_fresh {
+            let map = view.map.with_change(&self.change);
+            self.change.hosts.extend(lend::lend_spares(view, &map));
+        }
     }
 
     fn grant_permits(&mut self, view: &RoundView<'_>) {
