--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -20,6 +20,7 @@
 mod store_state;
 mod work_order;
 mod worker_fake;
+mod worker_record;
 mod worker_state;
 
 pub use boot_time::boot_nanos;
@@ -37,4 +38,4 @@
 pub use store_state::{StoreFaults, StoreHistory, StoreWrite};
 pub use work_order::{WorkOrder, digest_bytes, expected_answer};
 pub use worker_fake::WorkerFake;
-pub use worker_state::{StartRecord, TaskOrder, TaskReport, WorkerFaults, WorkerSettings};
+pub use worker_record::{StartRecord, TaskOrder, TaskReport, WorkerFaults, WorkerSettings};
--- a/crates/fleet/src/job_flush.rs
+++ b/crates/fleet/src/job_flush.rs
@@ -6,9 +6,7 @@
 use wire::fleet::JobRecord;
 
 use crate::{
-    AppendOutcome, event,
-    held_job::view_of,
-    job_holder::{JobHolder, ReplySender},
+    AppendOutcome, event, held_job::view_of, job_holder::JobHolder, job_order::ReplySender,
 };
 
 /// Most bytes of records in one page; the store takes a megabyte.
--- a/crates/fleet/src/job_holder.rs
+++ b/crates/fleet/src/job_holder.rs
@@ -6,32 +6,25 @@
 
 use crossbeam_channel::{Receiver, Sender};
 use decide::{
-    job::{JobPolicy, JobSpec, JobState, PhaseKind},
+    job::{JobPolicy, JobState, PhaseKind},
     placement::{SizeBook, WorkerBook},
 };
 use model::{BootTime, JobId, PoolId, TeamId};
-use ports::{JobError, JobRequest, JobView};
+use ports::JobError;
 
 use crate::{
     JobLog,
     fleet_shared::FleetShared,
-    held_job::{HeldJob, JobBoard, view_of},
+    held_job::{HeldJob, JobBoard},
     job_call::{CallReply, WorkerCall},
     job_flush::PendingFlush,
+    job_order::{JobOrder, ReplySender},
 };
 
-/// Longest wait for orders between two looks at everything else.
-const TICK: Duration = Duration::from_millis(20);
-/// Orders taken in one go.
-const ORDERS_AT_ONCE: usize = 1024;
 /// Answers of workers that may wait; callers wait beyond that.
 const REPLY_QUEUE: usize = 1024;
-/// Jobs held at once, beyond which submissions are refused.
-const MOST_JOBS: usize = 20_000;
 /// Jobs that ended and can still be looked up, however lately they ended.
 const MOST_ENDED: usize = 5_000;
-/// Payload bytes held at once, beyond which submissions are refused.
-const MOST_PAYLOAD: usize = 24 * 1024 * 1024;
 
 /// Intervals of a job holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,23 +56,6 @@
     }
 }
 
-/// Answers one submission or cancellation.
-pub(crate) type ReplySender = Sender<Result<JobView, JobError>>;
-
-/// An order to the holder.
-pub(crate) enum JobOrder {
-    Submit {
-        request: Box<JobRequest>,
-        pool: PoolId,
-        reply: ReplySender,
-    },
-    Cancel {
-        team: TeamId,
-        job: JobId,
-        reply: ReplySender,
-    },
-}
-
 /// Holds the jobs of one log: records, starts, renews and settles them.
 pub(crate) struct JobHolder {
     pub(crate) shared: Arc<FleetShared>,
@@ -110,9 +86,9 @@
     pub(crate) renewed_at: BootTime,
     pub(crate) fenced: bool,
     pub(crate) jitter: u64,
-    requests: BTreeMap<(TeamId, String), JobId>,
-    counter: u64,
-    payload: usize,
+    pub(crate) requests: BTreeMap<(TeamId, String), JobId>,
+    pub(crate) counter: u64,
+    pub(crate) payload: usize,
 }
 
 impl JobHolder {
@@ -215,7 +191,7 @@
         }
     }
 
-    fn release(&mut self, was: &JobState) {
+    pub(crate) fn release(&mut self, was: &JobState) {
         if let Some(book) = self.books.get_mut(&was.spec.pool) {
             book.note_released(&was.worker, &was.spec.job);
         }
@@ -230,7 +206,7 @@
         self.jobs.is_empty() && self.dirty.is_empty() && self.pending.is_none()
     }
 
-    fn index(&mut self, job: &JobId, state: &JobState) {
+    pub(crate) fn index(&mut self, job: &JobId, state: &JobState) {
         match state.kind() {
             PhaseKind::Waiting => {
                 let queue = self.queues.entry(state.spec.team.clone()).or_default();
@@ -245,7 +221,7 @@
         }
     }
 
-    fn unindex(&mut self, job: &JobId, state: &JobState) {
+    pub(crate) fn unindex(&mut self, job: &JobId, state: &JobState) {
         match state.kind() {
             PhaseKind::Waiting => {
                 if let Some(queue) = self.queues.get_mut(&state.spec.team) {
@@ -261,107 +237,6 @@
         }
     }
 
-    fn take_orders(&mut self, inbox: &Receiver<JobOrder>) {
-        let Ok(first) = inbox.recv_timeout(TICK) else {
-            return;
-        };
-        let rest: Vec<JobOrder> = inbox.try_iter().take(ORDERS_AT_ONCE).collect();
-        for order in std::iter::once(first).chain(rest) {
-            match order {
-                JobOrder::Submit {
-                    request,
-                    pool,
-                    reply,
-                } => self.accept(*request, pool, reply),
-                JobOrder::Cancel { team, job, reply } => self.cancel(&team, &job, &reply),
-            }
-        }
-    }
-
-    /// Queues a submission; it is answered once it is recorded.
-    fn accept(&mut self, request: JobRequest, pool: PoolId, reply: ReplySender) {
-        let key = (request.team.clone(), request.request.to_string());
-        if let Some(job) = self.requests.get(&key) {
-            self.answer_repeat(&job.clone(), reply);
-            return;
-        }
-        if self.jobs.len().saturating_sub(self.ended.len()) >= MOST_JOBS
-            || self.payload >= MOST_PAYLOAD
-        {
-            let _ = reply.send(Err(JobError::QueueFull));
-            return;
-        }
-        self.counter += 1;
-        let job: JobId = format!("{}-{}", self.log.name(), self.counter).into();
-        let state = JobState::queued(JobSpec {
-            job: job.clone(),
-            request: request.request,
-            team: request.team,
-            service: request.service,
-            pool,
-            payload: request.payload,
-            cores: request.cores,
-            memory_mb: request.memory_mb,
-            accelerators: request.accelerators,
-            run_time: request.run_time,
-            idempotent: request.idempotent,
-            accepted: self.shared.clock.unix_now(),
-        });
-        self.payload += state.spec.payload.len();
-        self.note_request(&state);
-        self.index(&job, &state);
-        self.jobs.insert(job.clone(), HeldJob::new(state));
-        self.dirty.insert(job.clone());
-        self.answers.push((job, reply));
-    }
-
-    /// Answers a repeated submission, once the first is recorded.
-    fn answer_repeat(&mut self, job: &JobId, reply: ReplySender) {
-        let recorded = self.board.lock().get(job).map(view_of);
-        match recorded {
-            Some(view) => {
-                let _ = reply.send(Ok(view));
-            }
-            None => self.answers.push((job.clone(), reply)),
-        }
-    }
-
-    fn cancel(&mut self, team: &TeamId, job: &JobId, reply: &ReplySender) {
-        let known = self.jobs.get(job);
-        if known.is_none_or(|held| held.state.spec.team != *team) {
-            let _ = reply.send(Err(JobError::NotFound));
-            return;
-        }
-        self.cancel_job(job);
-        self.answers.push((job.clone(), reply.clone()));
-    }
-
-    /// Cancels a job of this log; one that a worker has is stopped there.
-    pub(crate) fn cancel_job(&mut self, job: &JobId) {
-        let Some(held) = self.jobs.get(job) else {
-            return;
-        };
-        let now = self.shared.clock.unix_now();
-        let next = held.state.cancelled(now);
-        self.set_state(job, next, true);
-    }
-
-    fn note_request(&mut self, state: &JobState) {
-        let key = (state.spec.team.clone(), state.spec.request.to_string());
-        self.requests.insert(key, state.spec.job.clone());
-    }
-
-    /// Takes back a job that could not be recorded.
-    pub(crate) fn withdraw(&mut self, job: &JobId) {
-        let Some(held) = self.jobs.remove(job) else {
-            return;
-        };
-        self.unindex(job, &held.state);
-        self.release(&held.state);
-        self.dirty.remove(job);
-        self.drop_request(&held.state);
-    }
-
     fn forget_ended(&mut self) {
         let now = self.shared.clock.unix_now();
         while let Some((at, job)) = self.ended.first().cloned() {
@@ -378,12 +253,6 @@
         }
     }
 
-    fn drop_request(&mut self, state: &JobState) {
-        self.payload = self.payload.saturating_sub(state.spec.payload.len());
-        let key = (state.spec.team.clone(), state.spec.request.to_string());
-        self.requests.remove(&key);
-    }
-
     /// Answers whoever still waits, and leaves nothing behind on the board.
     fn close(mut self) {
         for (_, reply) in self.answers.drain(..) {
--- a/crates/fleet/src/job_keeper.rs
+++ b/crates/fleet/src/job_keeper.rs
@@ -8,11 +8,8 @@
 use wire::fleet::{JobLogEntry, JobLogIndex};
 
 use crate::{
-    JobLog, event,
-    fleet_shared::FleetShared,
-    job_call::WorkerCall,
-    job_desk::JobDesk,
-    job_holder::{JobHolder, JobOrder},
+    JobLog, event, fleet_shared::FleetShared, job_call::WorkerCall, job_desk::JobDesk,
+    job_holder::JobHolder, job_order::JobOrder,
 };
 
 /// Key of the index of job logs.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod job_holder;
 mod job_keeper;
 mod job_log;
+mod job_order;
 mod job_settle;
 mod job_start;
 mod map_store;
