Send nothing with stale headers, and try targets that failed after the others

Cause: (1) headers tell a target the time left, as of before the connect. A slow connect or a pause of the process made a late request look fresh, so it could run after its deadline, when its team's unit is someone else's. (2) A target that refuses connections is always free, so while the pool's budget forbade its ejection it drew request after request until the retry budget was spent: connect_refused_goes_elsewhere failed once in about 15 runs. Change: after 0.25 s between headers and first byte the attempt counts as not run and is made anew; connects wait 0.25 s at most. A failed target is tried after the others for a growing time, which takes nothing out of use.

--- a/crates/decide/src/eject.rs
+++ b/crates/decide/src/eject.rs
@@ -10,6 +10,10 @@
 const FAILURES: u32 = 5;
 /// How long the first ejection lasts; it doubles with each one in a row.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
+/// How long a failed target is tried after the others, doubling with each failure in a row.
+const FIRST_SUSPICION: Duration = Duration::from_millis(100);
+/// How long it is tried after the others at most.
+const LONGEST_SUSPICION: Duration = Duration::from_secs(5);
 /// How long an ejection lasts at most.
 const LONGEST_EJECTION: Duration = Duration::from_secs(60);
 
@@ -20,6 +24,7 @@
     ejections: u32,
     ejected_until: BootTime,
     probing: bool,
+    suspect_until: BootTime,
 }
 
 /// How much work a target may get.
@@ -46,20 +51,23 @@
     /// True if this failure ejected the target.
     pub fn note_failure(&mut self, now: BootTime, may_eject: bool) -> bool {
         self.failures = self.failures.saturating_add(1);
+        self.suspect_until = now + doubled(FIRST_SUSPICION, self.failures - 1, LONGEST_SUSPICION);
         let due = self.probing || self.failures >= FAILURES;
         if !due || !may_eject || now < self.ejected_until {
             return false;
         }
-        let doublings = self.ejections.min(16);
-        let length = FIRST_EJECTION
-            .saturating_mul(1 << doublings)
-            .min(LONGEST_EJECTION);
-        self.ejected_until = now + length;
+        self.ejected_until = now + doubled(FIRST_EJECTION, self.ejections, LONGEST_EJECTION);
         self.ejections += 1;
         self.probing = true;
         true
     }
 
+    /// Whether the target failed so lately that others should be tried first. No bound of
+    /// the pool limits this, since it takes no target out of use.
+    pub fn is_suspect(&self, now: BootTime) -> bool {
+        now < self.suspect_until
+    }
+
     /// How much work the target may get now.
     pub fn allowed(&self, now: BootTime) -> TargetUse {
         if now < self.ejected_until {
@@ -72,6 +80,10 @@
     }
 }
 
+fn doubled(first: Duration, doublings: u32, longest: Duration) -> Duration {
+    first.saturating_mul(1 << doublings.min(16)).min(longest)
+}
+
 /// Whether a pool with `in_use` targets, none of them ejected, can spare one more.
 pub fn can_spare(in_use: usize, budget: u32) -> bool {
     let budget = usize::try_from(budget).unwrap_or(usize::MAX).max(1);
--- a/crates/entry/src/admission/settle_work.rs
+++ b/crates/entry/src/admission/settle_work.rs
@@ -7,13 +7,13 @@
 use super::{admission_loop::AdmissionLoop, pool_desk::desk_of};
 use crate::{
     CallerProblem,
-    dispatch::{AttemptEnd, AttemptReport},
+    dispatch::{AttemptEnd, AttemptReport, TargetBlame},
     work::CallerRequest,
 };
 
 /// How much longer than its deadline a request of unknown fate counts as running, at least
 /// and at most; between them it is the mean service time of its pool.
-const SHORTEST_GRACE: Duration = Duration::from_millis(100);
+const SHORTEST_GRACE: Duration = Duration::from_millis(300);
 const LONGEST_GRACE: Duration = Duration::from_secs(5);
 
 /// A unit of a team's limit, and maybe a slot, whose request may still run on its target.
@@ -85,11 +85,15 @@
     ) {
         let failed = match end {
             AttemptEnd::Answered { failed } => *failed,
-            AttemptEnd::NotRun { refused: true, .. } => {
-                self.table.note_refusal(host, now);
-                return;
-            }
-            AttemptEnd::NotRun { .. } | AttemptEnd::Unknown { .. } => true,
+            AttemptEnd::NotRun { blame, .. } => match blame {
+                TargetBlame::None => return,
+                TargetBlame::Refused => {
+                    self.table.note_refusal(host, now);
+                    return;
+                }
+                TargetBlame::Unreachable => true,
+            },
+            AttemptEnd::Unknown { .. } => true,
             AttemptEnd::Refused(_) => return,
         };
         if !failed {
--- a/crates/entry/src/admission/target_table.rs
+++ b/crates/entry/src/admission/target_table.rs
@@ -71,8 +71,8 @@
         }
     }
 
-    /// The target with the most room; among equals one in the own data centre, then the
-    /// one that `tie` falls on.
+    /// The target with the most room, out of those that did not just fail if there are any;
+    /// among equals one in the own data centre, then the one that `tie` falls on.
     pub fn choose<'a>(
         &self,
         view: &PoolView<'a>,
@@ -93,7 +93,8 @@
             });
         let best = open.max_by_key(|(index, target, room)| {
             let near = target.data_centre == self.data_centre;
-            (*room, near, (index + tie) % count)
+            let sound = !self.is_suspect(target, now);
+            (sound, *room, near, (index + tie) % count)
         });
         best.map(|(_, target, _)| target)
     }
@@ -252,6 +253,12 @@
         }
     }
 
+    fn is_suspect(&self, target: &TargetHost, now: BootTime) -> bool {
+        self.entries
+            .get(&target.host)
+            .is_some_and(|entry| entry.health.is_suspect(now))
+    }
+
     fn is_ejected(&self, target: &TargetHost, now: BootTime) -> bool {
         self.entries
             .get(&target.host)
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -10,5 +10,5 @@
 mod target_lane;
 
 pub(crate) use dispatch_pool::{DispatchJob, DispatchPool};
-pub(crate) use run_attempt::{AttemptEnd, AttemptReport, AttemptRunner};
+pub(crate) use run_attempt::{AttemptEnd, AttemptReport, AttemptRunner, TargetBlame};
 pub(crate) use target_lane::TargetLane;
--- a/crates/entry/src/dispatch/run_attempt.rs
+++ b/crates/entry/src/dispatch/run_attempt.rs
@@ -1,14 +1,14 @@
 use std::{sync::Arc, thread, time::Duration};
 
 use hyper::body::Bytes;
-use model::{HostId, ProblemKind, event::warn};
+use model::{BootTime, HostId, ProblemKind, event::warn};
 use platform::Clock;
 use ports::{ClaimSource, ClaimVerdict, ConfigSource, QuotaPermit, ServingGate};
 use ureq::{Body, http::Response};
 
 use super::{
     dispatch_pool::DispatchJob,
-    send_guard::{SendCheck, SendProgress},
+    send_guard::{SendCheck, SendProgress, SendVeto},
     target_lane::{LaneRequest, TargetLane},
 };
 use crate::{
@@ -18,6 +18,8 @@
     work::{CallerRequest, TargetAnswer},
 };
 
+/// How old the headers of a request may be when its first byte goes out.
+const STALE_AFTER: Duration = Duration::from_millis(250);
 /// How often memory for an answer is asked for.
 const MEMORY_TICK: Duration = Duration::from_millis(2);
 
@@ -33,8 +35,8 @@
     NotRun {
         /// What happened.
         detail: String,
-        /// True if the target refused new work, rather than being out of reach.
-        refused: bool,
+        /// What it says of the target.
+        blame: TargetBlame,
     },
     /// The target may have run the request, and may be running it still.
     Unknown {
@@ -47,6 +49,17 @@
     Refused(CallerProblem),
 }
 
+/// What an attempt that did not run says of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TargetBlame {
+    /// Nothing: the fault is on this side.
+    None,
+    /// It takes no new work now.
+    Refused,
+    /// It can't be reached.
+    Unreachable,
+}
+
 /// What the admission thread hears of an attempt.
 pub(crate) struct AttemptReport {
     /// The request, unless the caller has its outcome.
@@ -130,7 +143,8 @@
     }
 
     fn send(&self, request: &mut CallerRequest, lane: &TargetLane) -> AttemptEnd {
-        let left = request.deadline.saturating_sub(self.clock.boot_now());
+        let composed = self.clock.boot_now();
+        let left = request.deadline.saturating_sub(composed);
         if left.is_zero() {
             return AttemptEnd::Refused(deadline_passed());
         }
@@ -143,7 +157,7 @@
             body: &request.body,
             patience: left,
         };
-        let response = match lane.send(&sending, self.check(request)) {
+        let response = match lane.send(&sending, self.check(request, composed)) {
             Ok(response) => response,
             Err(cause) => return explain(lane, &cause),
         };
@@ -151,7 +165,11 @@
     }
 
     /// What must hold at the moment the first byte goes out.
-    fn check(&self, request: &CallerRequest) -> SendCheck {
+    ///
+    /// The target is told the time left as of `composed`. If a slow connect or a pause of
+    /// this process came after that, the target would take the request for fresher than it
+    /// is and might run it after its deadline, when its unit is given to another one.
+    fn check(&self, request: &CallerRequest, composed: BootTime) -> SendCheck {
         let gate = Arc::clone(&self.gate);
         let config = Arc::clone(&self.config);
         let clock = Arc::clone(&self.clock);
@@ -161,9 +179,12 @@
         Box::new(move || {
             key_stands(&config.current(), &team, &stamp, clock.unix_now())?;
             if clock.boot_now() >= deadline {
-                return Err(deadline_passed());
+                return Err(deadline_passed().into());
             }
             gate.check()?;
+            if clock.boot_now().saturating_sub(composed) > STALE_AFTER {
+                return Err(SendVeto::Stale);
+            }
             Ok(())
         })
     }
@@ -193,7 +214,7 @@
         if status == 503 && header(&response, "not-run").is_some_and(|text| text == "true") {
             return AttemptEnd::NotRun {
                 detail: "the target takes no new work".to_owned(),
-                refused: true,
+                blame: TargetBlame::Refused,
             };
         }
         self.read_answer(request, lane, response)
@@ -256,10 +277,14 @@
 /// What a failed exchange says about the fate of its request.
 fn explain(lane: &TargetLane, cause: &ureq::Error) -> AttemptEnd {
     match lane.progress() {
-        SendProgress::Refused(problem) => AttemptEnd::Refused(problem),
+        SendProgress::Vetoed(SendVeto::Final(problem)) => AttemptEnd::Refused(problem),
+        SendProgress::Vetoed(SendVeto::Stale) => AttemptEnd::NotRun {
+            detail: "the request was held up on this entry host".to_owned(),
+            blame: TargetBlame::None,
+        },
         SendProgress::Unsent => AttemptEnd::NotRun {
             detail: format!("no connection to {}: {cause}", lane.host),
-            refused: false,
+            blame: TargetBlame::Unreachable,
         },
         SendProgress::Sent => AttemptEnd::Unknown {
             detail: format!("{} had the request and did not answer: {cause}", lane.host),
--- a/crates/entry/src/dispatch/send_guard.rs
+++ b/crates/entry/src/dispatch/send_guard.rs
@@ -11,7 +11,22 @@
 use crate::CallerProblem;
 
 /// Asked after the last wait, right before the first byte of a request goes out.
-pub(crate) type SendCheck = Box<dyn FnOnce() -> Result<(), CallerProblem> + Send>;
+pub(crate) type SendCheck = Box<dyn FnOnce() -> Result<(), SendVeto> + Send>;
+
+/// Why a request must not go out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum SendVeto {
+    /// It must not run at all.
+    Final(CallerProblem),
+    /// It waited so long that its headers are no longer true; another attempt may run.
+    Stale,
+}
+
+impl<P: Into<CallerProblem>> From<P> for SendVeto {
+    fn from(problem: P) -> Self {
+        Self::Final(problem.into())
+    }
+}
 
 /// Watches the first byte of each request on one connection.
 ///
@@ -27,7 +42,7 @@
 #[derive(Default)]
 struct SendState {
     check: Option<SendCheck>,
-    refused: Option<CallerProblem>,
+    vetoed: Option<SendVeto>,
     sent: bool,
 }
 
@@ -36,8 +51,8 @@
 pub(crate) enum SendProgress {
     /// No byte went out.
     Unsent,
-    /// The check refused; no byte went out.
-    Refused(CallerProblem),
+    /// The check forbade it; no byte went out.
+    Vetoed(SendVeto),
     /// Bytes may have reached the target.
     Sent,
 }
@@ -47,7 +62,7 @@
     pub fn arm(&self, check: SendCheck) {
         *self.state.lock() = SendState {
             check: Some(check),
-            refused: None,
+            vetoed: None,
             sent: false,
         };
     }
@@ -55,8 +70,8 @@
     /// How far the request came that the guard was last armed for.
     pub fn progress(&self) -> SendProgress {
         let state = self.state.lock();
-        match (&state.refused, state.sent) {
-            (Some(problem), _) => SendProgress::Refused(problem.clone()),
+        match (&state.vetoed, state.sent) {
+            (Some(veto), _) => SendProgress::Vetoed(veto.clone()),
             (None, true) => SendProgress::Sent,
             (None, false) => SendProgress::Unsent,
         }
@@ -71,8 +86,8 @@
             Some(check) => check(),
             None => return Err(unarmed()),
         };
-        if let Err(problem) = checked {
-            state.refused = Some(problem);
+        if let Err(veto) = checked {
+            state.vetoed = Some(veto);
             return Err(unarmed());
         }
         state.sent = true;
--- a/crates/entry/src/entry_tuning.rs
+++ b/crates/entry/src/entry_tuning.rs
@@ -25,7 +25,8 @@
     pub default_deadline: Duration,
     /// Most requests in flight to targets.
     pub max_dispatch: usize,
-    /// Longest wait for a connection to a target.
+    /// Longest wait for a connection to a target. A lost packet of the connect is sent again
+    /// after a second only, so waiting longer gains nothing over another target.
     pub connect_timeout: Duration,
     /// Retries that a pool may have, in percent of its first attempts.
     pub retry_percent: u32,
@@ -51,7 +52,7 @@
             answer_memory: 384 * 1024 * 1024,
             default_deadline: Duration::from_secs(10),
             max_dispatch: 512,
-            connect_timeout: Duration::from_millis(500),
+            connect_timeout: Duration::from_millis(250),
             retry_percent: 10,
             retry_burst: 16,
             claim_patience: Duration::from_millis(400),
--- a/crates/entry/tests/support/entry_bench.rs
+++ b/crates/entry/tests/support/entry_bench.rs
@@ -34,6 +34,7 @@
     pub own: usize,
     pub mesh: Arc<LinkMesh>,
     pub pool: PoolSpec,
+    pub clock: Arc<dyn Clock>,
 }
 
 impl Default for BenchSetup {
@@ -46,6 +47,7 @@
             own: 0,
             mesh: Arc::default(),
             pool: PoolSpec::default(),
+            clock: Arc::new(BootClock),
         }
     }
 }
@@ -136,7 +138,7 @@
             jobs: bench.jobs.clone(),
             link: Arc::new(link),
             inbound,
-            clock: Arc::new(BootClock),
+            clock: setup.clock,
         });
         bench.with_server(server.unwrap())
     }
