--- a/crates/member/src/store_duty.rs
+++ b/crates/member/src/store_duty.rs
@@ -6,6 +6,7 @@
 };
 use model::{BootTime, Incarnation, MemberId, StepError, event as log_event};
 use platform::{StoreError, StoreVersion};
+use ports::AuditNote;
 use prost::Message as _;
 use wire::state::{ConfigRecord, MemberRecord};
 
@@ -75,7 +76,13 @@
             || !renewed && since_read >= length / 4
             || since_read >= IDLE_READ
             || !lease.list().is_settled() && since_read >= self.settle_distance(&lease)
-            || !lease.lost_members(now).is_empty() && since_read >= length
+            || self.has_lost(&lease, now) && since_read >= length / 4
+    }
+
+    fn has_lost(&self, lease: &LeaseMachine, now: BootTime) -> bool {
+        let acks = self.shared.acks.lock();
+        !lease.lost_members(now).is_empty()
+            || lease.list().members().iter().any(|m| acks.is_gone(m))
     }
 
     /// How long this host waits between attempts to settle the list: its place in the list
@@ -163,7 +170,10 @@
                 return Ok(());
             }
         };
-        self.write_list(version, &next, "join member list")?;
+        if !self.write_list(version, &next, "join member list")? {
+            return Ok(());
+        }
+        self.audit(&self.shared.own, self.shared.incarnation(), "joined", &next);
         log_event::info(
             &event::MEMBER_JOINED,
             format_args!(
@@ -191,7 +201,9 @@
     fn remove_lost(&self, version: StoreVersion, list: &MemberList) -> Result<bool, StepError> {
         let now = self.shared.now();
         let lost = self.shared.lease.lock().lost_members(now);
-        let Some(member) = lost.iter().find_map(|id| list.find(id)) else {
+        let acks = self.shared.acks.lock().clone();
+        let mut members = list.members().iter();
+        let Some(member) = members.find(|m| acks.is_gone(m) || lost.contains(&m.id)) else {
             return Ok(false);
         };
         let (id, incarnation) = (MemberId::from(member.id.as_str()), member.incarnation);
@@ -207,7 +219,8 @@
         let Ok(next) = list.settle(&acks, floor) else {
             return Ok(());
         };
-        self.write_list(version, &next, "settle member list")
+        self.write_list(version, &next, "settle member list")?;
+        Ok(())
     }
 
     /// Takes this host out of the list: it has stopped serving, so it needs no majority.
@@ -242,7 +255,10 @@
         let Ok(next) = list.remove(member, incarnation, floor) else {
             return Ok(());
         };
-        self.write_list(version, &next, step)?;
+        if !self.write_list(version, &next, step)? {
+            return Ok(());
+        }
+        self.audit(member, incarnation, "removed", &next);
         log_event::info(
             &event::MEMBER_REMOVED,
             format_args!(
@@ -253,28 +269,41 @@
         Ok(())
     }
 
-    /// Writes the list. What a lost answer left is found by the next read.
+    /// Writes the list; false if another host was first. What a lost answer left is found by
+    /// the next read.
     fn write_list(
         &self,
         version: StoreVersion,
         next: &MemberList,
         step: &'static str,
-    ) -> Result<(), StepError> {
+    ) -> Result<bool, StepError> {
         let bytes = next.record().encode_to_vec();
         match self.shared.store().swap(MEMBERS, version, &bytes) {
             Ok(_) => {
                 self.shared.follow_list(next);
                 self.note_own_list();
-                Ok(())
+                Ok(true)
             }
             Err(StoreError::Conflict { .. }) => {
                 self.shared.wake_store();
-                Ok(())
+                Ok(false)
             }
             Err(error) => Err(store_fault(step, error)),
         }
     }
 
+    /// Notes a change of the list for the audit trail.
+    fn audit(&self, member: &MemberId, incarnation: Incarnation, change: &str, list: &MemberList) {
+        self.shared.audit(AuditNote {
+            author: self.shared.own.to_string(),
+            change_id: format!("members-{}", list.revision()),
+            subject: format!("member {member}"),
+            difference: format!("{change} incarnation={incarnation}"),
+            revision_before: list.revision() - 1,
+            revision_after: list.revision(),
+        });
+    }
+
     fn report(&mut self, outcome: Result<(), StepError>) {
         match outcome {
             Ok(()) if self.failing => {
