Eject a target again when its probe fails, whatever the budget

Cause: a target on probe does not count as in use, but ejecting it again asked the budget as if it did. With two targets and a budget of one, the failing one stayed on probe and, being fast to fail, took 68 of 160 requests. Change: a failed probe ejects again without asking. Test: failing_target_ejected_under_load (68 before, at most 40 allowed); the property test of the budget still holds. The stub of a target now returns from stop() once connections are refused: a connection that slipped in was rightly told may-have-run, and all_targets_gone_not_run failed once in six runs.

--- a/crates/decide/src/eject.rs
+++ b/crates/decide/src/eject.rs
@@ -52,8 +52,9 @@
     pub fn note_failure(&mut self, now: BootTime, may_eject: bool) -> bool {
         self.failures = self.failures.saturating_add(1);
         self.suspect_until = now + doubled(FIRST_SUSPICION, self.failures - 1, LONGEST_SUSPICION);
-        let due = self.probing || self.failures >= FAILURES;
-        if !due || !may_eject || now < self.ejected_until {
+        // A target on probe does not count as in use, so ejecting it again takes nothing out.
+        let due = self.probing || (may_eject && self.failures >= FAILURES);
+        if !due || now < self.ejected_until {
             return false;
         }
         self.ejected_until = now + doubled(FIRST_EJECTION, self.ejections, LONGEST_EJECTION);
--- a/crates/decide/tests/retry.rs
+++ b/crates/decide/tests/retry.rs
@@ -69,6 +69,7 @@
         assert!(!health.note_failure(now, true));
     }
     assert_eq!(health.allowed(now), TargetUse::Full);
+    assert!(!health.clone().note_failure(now, false));
     assert!(health.note_failure(now, true));
     let mut last = Duration::ZERO;
     for _ in 0..4 {
@@ -80,7 +81,10 @@
         assert!(now - begun > last);
         last = now - begun;
         assert_eq!(health.allowed(now), TargetUse::Probe);
-        assert!(health.note_failure(now, true));
+        assert!(
+            health.note_failure(now, false),
+            "a probe that fails ejects again"
+        );
     }
     while health.allowed(now) == TargetUse::Ejected {
         now += Duration::from_millis(10);
--- a/crates/entry/tests/support/raw_target.rs
+++ b/crates/entry/tests/support/raw_target.rs
@@ -90,10 +90,13 @@
         self.calls.lock().len()
     }
 
-    /// Stops listening: connections are refused from now on.
+    /// Stops listening, and returns once connections are refused.
     pub fn stop(&self) {
         self.stop.store(true, Ordering::Release);
-        let _ = TcpStream::connect(self.address);
+        // Each connection wakes the listener, and the first one ends it.
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
     }
 
     fn share(&self, behaviour: Arc<Behaviour>) -> TargetShare {
--- a/crates/entry/tests/target_failures.rs
+++ b/crates/entry/tests/target_failures.rs
@@ -193,6 +193,28 @@
     );
 }
 
+/// The sound target is busy, so trying it first does not help: what waits would go to the
+/// failing one, which is always free and fails a request in no time.
+#[test]
+fn failing_target_ejected_under_load() {
+    let failing = RawTarget::start(failed);
+    let target = RawTarget::start(|call| {
+        thread::sleep(Duration::from_millis(10));
+        TargetReply::Answer(call.body.clone())
+    });
+    let bench = EntryBench::start_with(&[&failing, &target], budget_of(1));
+    bench.slots.slots.lock().insert("t1".into(), 1);
+    bench.renew_slots();
+    let calls: Vec<_> = (0..8)
+        .map(|_| {
+            let caller = bench.caller();
+            thread::spawn(move || (0..20).filter(|_| caller.ask(b"x").status == 500).count())
+        })
+        .collect();
+    let failed: usize = calls.into_iter().map(|call| call.join().unwrap()).sum();
+    assert!(failed <= 40, "{failed} of 160 went to the failing target");
+}
+
 /// The same fault strikes every target of the pool, as after a bad release. Ejecting them
 /// would leave the pool below its budget, so they stay in use.
 #[test]
