Tell callers that keep connections before the port closes

Change: while an entry host leaves, each answer ends its connection, the port answers on for a second at least, and connections waiting in the listener are served before it closes. Test: shutdown_tells_kept_connections fails without either of the first two.

--- a/crates/entry/src/caller/caller_port.rs
+++ b/crates/entry/src/caller/caller_port.rs
@@ -106,10 +106,15 @@
     // Every connection task holds a sender; the receiver ends when the last one is gone.
     let (alive, mut gone) = tokio::sync::mpsc::channel::<()>(1);
     let refusals = ConnectionCount::new(MAX_REFUSALS, MAX_REFUSALS);
-    while *phase.borrow_and_update() == PortPhase::Open {
+    loop {
+        let open = *phase.borrow_and_update() == PortPhase::Open;
+        // Connections that wait in the listener would be reset with it, so they are taken in
+        // before it closes.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            _ = phase.changed() => continue,
+            _ = phase.changed(), if open => continue,
+            () = std::future::ready(()), if !open => break,
         };
         let Ok((stream, peer)) = accepted else {
             // Out of file descriptors or the like: wait instead of spinning.
@@ -172,6 +177,9 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    if *phase.borrow_and_update() != PortPhase::Open {
+        connection.as_mut().graceful_shutdown();
+    }
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -1,7 +1,11 @@
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use crossbeam_channel::TrySendError;
-use hyper::{Method, Request, body::Incoming};
+use hyper::{
+    Method, Request,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
 use model::{BootTime, PoolId, ProblemKind, RequestId, ServiceId};
 use ports::{ForceConfig, NotServing};
 use serde::Serialize;
@@ -29,7 +33,19 @@
 }
 
 /// Answers one HTTP request.
+///
+/// While this host leaves, each answer ends its connection: a caller that kept it open
+/// could send its next request just as it is closed, and would not know that request's fate.
 pub(crate) async fn answer(port: &CallerPort, request: Request<Incoming>) -> CallerResponse {
+    let mut response = route(port, request).await;
+    if port.leaving.load(Ordering::Acquire) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn route(port: &CallerPort, request: Request<Incoming>) -> CallerResponse {
     let path = request.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     match (request.method().clone(), parts.as_slice()) {
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -33,6 +33,10 @@
 const ADMISSION_RING: usize = 1024;
 /// Stack of the duty threads, in bytes.
 const DUTY_STACK: usize = 1024 * 1024;
+/// How long the port answers on after a shutdown began, at least. Callers that keep their
+/// connections are told by an answer that theirs ends; only one that was silent for this
+/// long can still send a request just as its connection is closed.
+const LEAVE_LINGER: Duration = Duration::from_secs(1);
 /// How long callers may take their last answers after the work is done.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -183,6 +187,7 @@
             &event::CALLER_PORT_LEAVING,
             format_args!("patience_ms={}", patience.as_millis()),
         );
+        let linger_until = Instant::now() + patience.min(LEAVE_LINGER);
         let now = self.clock.boot_now();
         let finish = LoopCommand::Finish {
             refuse_at: now + patience / 2,
@@ -195,6 +200,7 @@
             // A panic of the thread was logged where it arose.
             let _ = admission.join();
         }
+        thread::sleep(linger_until.saturating_duration_since(Instant::now()));
         let _ = self.phase.send(PortPhase::Closing);
         let until = Instant::now() + CLOSE_PATIENCE;
         while threads
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -123,3 +123,65 @@
     drop(bench);
     assert!(TcpStream::connect(address).is_err());
 }
+
+/// Callers keep their connections and send one request after another while the host shuts
+/// down. None may meet a connection that closes under its request: the caller would not
+/// know whether its order was placed.
+#[test]
+fn shutdown_tells_kept_connections() {
+    let target = RawTarget::echo();
+    let bench = EntryBench::start(&[&target]);
+    let address = bench.server.caller_address();
+    let callers: Vec<_> = (0..8)
+        .map(|_| thread::spawn(move || keep_asking(address)))
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    bench.server.shutdown(Duration::from_secs(10));
+    for caller in callers {
+        let (answered, refused) = caller.join().unwrap();
+        assert!(answered > 0 && refused > 0, "{answered} {refused}");
+    }
+}
+
+/// Sends requests on a kept connection until the port is closed to new ones.
+fn keep_asking(address: std::net::SocketAddr) -> (u32, u32) {
+    let (mut answered, mut refused) = (0, 0);
+    let head = format!(
+        "POST /v1/services/{}/requests HTTP/1.1\r\nHost: e1\r\n\
+         Authorization: Bearer {}\r\nContent-Length: 5\r\n\r\norder",
+        support::SERVICE,
+        support::KEY
+    );
+    'connect: while let Ok(mut stream) = TcpStream::connect(address) {
+        stream
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        for request in 0.. {
+            let sent = stream.write_all(head.as_bytes());
+            let mut answer = [0; 4096];
+            let count = sent
+                .and_then(|()| stream.read(&mut answer))
+                .unwrap_or_default();
+            if count == 0 && request == 0 {
+                // Connected in the moment in which the port closed.
+                continue 'connect;
+            }
+            assert!(count > 0, "the connection closed under a request");
+            let text = String::from_utf8_lossy(&answer[..count]).into_owned();
+            if text.starts_with("HTTP/1.1 200") {
+                answered += 1;
+            } else {
+                assert!(
+                    text.starts_with("HTTP/1.1 503") && text.contains("not-run"),
+                    "{text}"
+                );
+                refused += 1;
+            }
+            if text.to_ascii_lowercase().contains("connection: close") {
+                thread::sleep(Duration::from_millis(20));
+                continue 'connect;
+            }
+        }
+    }
+    (answered, refused)
+}
