--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -4,7 +4,7 @@
 //! it by compare-and-swap. `docs/design/01-membership.md` argues why any two quorums in use
 //! share a member.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use model::{Incarnation, MemberId, Revision};
 use wire::state::{Member, MemberRecord};
@@ -118,7 +118,7 @@
         self.record.settled.iter().filter(|old| {
             !self.members().iter().any(|new| {
                 new.id == old.id && new.incarnation > old.incarnation
-                    || new.id != old.id && new.peer_address == old.peer_address
+                    || new.id != old.id && has_address_of(new, old)
             })
         })
     }
@@ -146,10 +146,12 @@
 /// Changes of the list. Each takes the list's newest state and `floor`, the configuration
 /// revision that the caller read from the store after it had read the list.
 impl MemberList {
-    /// The list with the next incarnation handed out; its members and revision stay.
+    /// The list with the next incarnation handed out; its members and revision stay. `mark`
+    /// is unique to the caller, who can so tell its own write from another's.
     #[must_use]
-    pub fn with_next_incarnation(&self) -> (Self, Incarnation) {
+    pub fn with_next_incarnation(&self, mark: &[u8]) -> (Self, Incarnation) {
         let mut next = self.clone();
+        next.record.claim_mark = mark.to_vec();
         next.record.last_incarnation += 1;
         let incarnation = next.record.last_incarnation;
         (next, incarnation)
@@ -267,6 +269,12 @@
     }
 }
 
+/// True if both name the same address of a host; the wildcard address names none.
+fn has_address_of(new: &Member, old: &Member) -> bool {
+    let address = old.peer_address.parse::<SocketAddr>();
+    new.peer_address == old.peer_address && address.is_ok_and(|a| !a.ip().is_unspecified())
+}
+
 fn majority_value<'a, V: Ord>(
     members: impl Iterator<Item = &'a Member>,
     value: &impl Fn(&Member) -> Option<V>,
--- a/crates/member/src/store_duty.rs
+++ b/crates/member/src/store_duty.rs
@@ -6,9 +6,12 @@
 };
 use model::{BootTime, Incarnation, MemberId, StepError, event as log_event};
 use platform::{StoreError, StoreVersion};
-use ports::AuditNote;
+use ports::{AuditNote, PeerLink as _};
 use prost::Message as _;
-use wire::state::{ConfigRecord, MemberRecord};
+use wire::{
+    peer::envelope::Body,
+    state::{ConfigRecord, MemberRecord},
+};
 
 use crate::{
     event,
@@ -121,10 +124,14 @@
         self.shared
             .follow_config(&config)
             .map_err(|error| store_fault("follow configuration", error))?;
-        if config.revision < self.shared.holder.force().revision {
+        let held = self.shared.lease.lock().list().revision();
+        if config.revision < self.shared.holder.force().revision || record.revision < held {
             // A store that went back proves nothing fresh.
-            let error = StoreError::Rejected(format!("revision {} is old", config.revision));
-            return Err(store_fault("read configuration", error));
+            let error = StoreError::Rejected(format!(
+                "old revisions: configuration {}, members {}",
+                config.revision, record.revision
+            ));
+            return Err(store_fault("read list and configuration", error));
         }
         let list = MemberList::new(record);
         self.shared.follow_list(&list);
@@ -234,7 +241,10 @@
                 return Ok(());
             }
             match self.remove(version, &list, own, incarnation, "leave member list") {
-                Ok(()) => return Ok(()),
+                Ok(()) => {
+                    self.say_farewell(&list);
+                    return Ok(());
+                }
                 Err(error) => {
                     log_event::debug(&event::MEMBER_LEAVE_FAILED, format_args!("cause={error}"));
                 }
@@ -243,6 +253,17 @@
         Ok(())
     }
 
+    /// A last beat tells the others that the list changed; after it none comes from here.
+    fn say_farewell(&self, list: &MemberList) {
+        let now = self.shared.now();
+        let own = self.shared.own.as_str();
+        for member in list.members().iter().filter(|m| m.id != own) {
+            let peer = MemberId::from(member.id.as_str());
+            let beat = self.shared.lease.lock().next_beat(&peer, now);
+            let _ = self.shared.options.node.send(&peer, Body::Beat(beat));
+        }
+    }
+
     fn remove(
         &self,
         version: StoreVersion,
