--- /dev/null
+++ b/crates/lacewingshore/tests/proof_jobs.rs
@@ -0,0 +1,223 @@
+//! Jobs in real processes: every entry host is lost at once while workers run them.
+
+#![allow(clippy::unwrap_used, reason = "tests end on what should not fail")]
+
+mod proof_common;
+
+use std::{collections::BTreeMap, thread, time::Duration};
+
+use fake::{HostRow, StoreFaults, WorkOrder, WorkerFake, WorkerSettings};
+use proof::{EntryPlace, FleetPlan, await_true};
+use proof_common::{PATIENCE, ProofBed, TeamLimits, manifest};
+use serde_json::Value;
+
+const LIMITS: TeamLimits = [("weights", 60), ("coding", 60)];
+const WORKERS: usize = 3;
+const ENDED: [&str; 5] = ["done", "failed", "cancelled", "parked", "unknown"];
+
+/// A fleet with workers beside its executors.
+struct JobBed {
+    bed: ProofBed,
+    workers: Vec<WorkerFake>,
+    agent: ureq::Agent,
+}
+
+impl JobBed {
+    fn start(seed: u64) -> Self {
+        let plan = FleetPlan::default();
+        let text = manifest(plan.executors, &LIMITS)
+            .replace("pool = quotes\n", "pool = quotes\nworker_pool = batches\n")
+            + "[pool.batches]\nrole = worker\nsize = 3\nbudget = 2\n";
+        let bed = ProofBed::with_manifest(seed, &plan, &text, &LIMITS);
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(Duration::from_secs(10)))
+            .build();
+        let start = |_| WorkerFake::start("127.0.0.1:0", WorkerSettings::default()).unwrap();
+        let jobs = Self {
+            bed,
+            workers: (0..WORKERS).map(start).collect(),
+            agent: config.into(),
+        };
+        jobs.list_workers();
+        jobs
+    }
+
+    fn list_workers(&self) {
+        let executors = self
+            .bed
+            .fleet
+            .targets
+            .iter()
+            .map(|target| target.row.clone());
+        let workers = self
+            .workers
+            .iter()
+            .enumerate()
+            .map(|(index, worker)| HostRow {
+                host: format!("w{index}"),
+                address: worker.address(),
+                role: "worker".to_owned(),
+                data_centre: "north".to_owned(),
+                rack: format!("wr{index}"),
+                cores: 16,
+                memory_mb: 32_768,
+                ..HostRow::default()
+            });
+        let rows: Vec<HostRow> = executors.chain(workers).collect();
+        let url = format!("{}/fake/hosts", self.bed.place(0).host_list_url);
+        let body = serde_json::to_string(&rows).unwrap();
+        assert_eq!(self.agent.post(url).send(body).unwrap().status(), 200);
+    }
+
+    /// Submits a job until it is known to be recorded; returns its id.
+    fn submit(
+        &self,
+        place: &EntryPlace,
+        request: &str,
+        idempotent: bool,
+        work: Duration,
+    ) -> String {
+        let order = WorkOrder {
+            service: Some(work),
+            nonce: request.to_owned(),
+            ..WorkOrder::default()
+        };
+        let mut job = String::new();
+        let accepted = await_true(PATIENCE, || {
+            let url = format!("{}/v1/services/quotes/jobs", place.caller_url());
+            let call = self
+                .agent
+                .post(url)
+                .header("Authorization", format!("Bearer {}", self.bed.keys[0].text))
+                .header("Idempotent", idempotent.to_string())
+                .header("Request-Id", request);
+            let Some(answer) = call.send(order.body(0)).ok().and_then(read_json) else {
+                return false;
+            };
+            answer["job"]
+                .as_str()
+                .unwrap_or_default()
+                .clone_into(&mut job);
+            !job.is_empty()
+        });
+        assert!(
+            accepted,
+            "{request} is not accepted\n{}",
+            self.bed.fleet.logs()
+        );
+        job
+    }
+
+    fn phase(&self, place: &EntryPlace, job: &str) -> String {
+        let url = format!("{}/v1/jobs/{job}", place.caller_url());
+        let call = self
+            .agent
+            .get(url)
+            .header("Authorization", format!("Bearer {}", self.bed.keys[0].text));
+        let answer = call.call().ok().and_then(read_json).unwrap_or_default();
+        answer["phase"].as_str().unwrap_or_default().to_owned()
+    }
+
+    fn expect_ended(&self, place: &EntryPlace, jobs: &[(String, bool)]) -> BTreeMap<String, usize> {
+        let mut phases = BTreeMap::new();
+        for (job, _) in jobs {
+            let mut phase = String::new();
+            let ended = await_true(PATIENCE * 2, || {
+                phase = self.phase(place, job);
+                thread::sleep(Duration::from_millis(20));
+                ENDED.contains(&phase.as_str())
+            });
+            assert!(ended, "{job} is {phase}\n{}", self.bed.fleet.logs());
+            *phases.entry(phase).or_default() += 1;
+        }
+        phases
+    }
+
+    /// Starts of each job, by the workers' own records.
+    fn starts(&self) -> BTreeMap<String, usize> {
+        let mut starts = BTreeMap::new();
+        for start in self.workers.iter().flat_map(WorkerFake::starts) {
+            let job = start.task.rsplit_once('.').unwrap().0.to_owned();
+            *starts.entry(job).or_default() += 1;
+        }
+        starts
+    }
+}
+
+fn read_json(mut answer: ureq::http::Response<ureq::Body>) -> Option<Value> {
+    let text = answer.body_mut().read_to_string().ok()?;
+    serde_json::from_str(&text).ok()
+}
+
+#[test]
+fn jobs_outlive_all_entry_hosts() {
+    // Every entry host loses power at once, with jobs waiting, starting and running. The
+    // next ones know nothing but what the store and the workers tell them. A lost batch
+    // sends field staff back to respondents; one that ran twice publishes wrong numbers.
+    let mut jobs = JobBed::start(31);
+    let mut submitted = Vec::new();
+    for index in 0..60 {
+        let place = jobs.bed.place(index % 3);
+        let idempotent = index % 2 == 0;
+        let work = Duration::from_millis(1500);
+        let job = jobs.submit(place, &format!("batch-{index}"), idempotent, work);
+        submitted.push((job, idempotent));
+    }
+    let entries = &mut jobs.bed.fleet.entries;
+    for entry in entries.iter_mut() {
+        entry.kill().unwrap();
+    }
+    for entry in entries.iter_mut() {
+        entry.start().unwrap();
+    }
+    let phases = jobs.expect_ended(jobs.bed.place(0), &submitted);
+    let starts = jobs.starts();
+    println!("{phases:?}, {} jobs started", starts.len());
+    for (job, idempotent) in &submitted {
+        let count = starts.get(job).copied().unwrap_or_default();
+        assert!(*idempotent || count <= 1, "{job} started {count} times");
+    }
+    let undone = submitted.len() - phases.get("done").copied().unwrap_or_default();
+    assert_eq!(
+        phases.get("unknown").copied().unwrap_or_default(),
+        undone,
+        "{phases:?}"
+    );
+}
+
+#[test]
+fn jobs_refused_while_store_is_down() {
+    // The store refuses every call. A job that is refused as not run must never run; one
+    // that was accepted before goes on.
+    let jobs = JobBed::start(32);
+    let place = jobs.bed.place(0);
+    let work = Duration::from_millis(800);
+    let before = jobs.submit(place, "before", false, work);
+    let down = StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    };
+    jobs.bed.fleet.set_store(None, &down).unwrap();
+    let url = format!("{}/v1/services/quotes/jobs", place.caller_url());
+    let call = jobs
+        .agent
+        .post(url)
+        .header("Authorization", format!("Bearer {}", jobs.bed.keys[0].text))
+        .header("Request-Id", "during");
+    let answer = call.send("work us=1000 nonce=during").unwrap();
+    assert_eq!(answer.status(), 503);
+    let answer = read_json(answer).unwrap();
+    println!("{answer}");
+    let refused = answer["fate"] == "not-run";
+    jobs.bed
+        .fleet
+        .set_store(None, &StoreFaults::default())
+        .unwrap();
+    let after = jobs.submit(place, "after", false, work);
+    jobs.expect_ended(place, &[(before.clone(), false), (after.clone(), false)]);
+    let starts = jobs.starts();
+    assert_eq!(starts.get(&before), Some(&1));
+    assert_eq!(starts.get(&after), Some(&1));
+    assert!(!refused || starts.len() == 2, "a job told as not run ran");
+}
