Remove old bases of the pool map at the version they have

Ruled out: readers of the old base (it is removed only after the head names the new one, and a reader that meets the gap reads the head again). Change: the version is read before the removal; the tests' store counts over all keys.

--- a/crates/fleet/src/map_store.rs
+++ b/crates/fleet/src/map_store.rs
@@ -175,7 +175,15 @@
         if before.base_key.is_empty() || before.base_key == after.base_key {
             return;
         }
-        if let Err(e) = self.store.remove(&before.base_key, 1) {
+        // The version is read, not guessed: platforms count versions in different ways.
+        let removed = self
+            .store
+            .read(&before.base_key)
+            .and_then(|found| match found {
+                Some(found) => self.store.remove(&before.base_key, found.version),
+                None => Ok(()),
+            });
+        if let Err(e) = removed {
             log::debug!(target: "E0602", "old-base-kept key={} cause={e}", before.base_key);
         }
     }
--- a/crates/fleet/tests/common/memory_store.rs
+++ b/crates/fleet/tests/common/memory_store.rs
@@ -12,6 +12,7 @@
 pub struct MemoryStore {
     keys: Mutex<BTreeMap<String, StoredValue>>,
     changed: Condvar,
+    versions: AtomicU64,
     history: Mutex<Vec<(String, Vec<u8>)>>,
     /// All calls fail without effect while set.
     pub down: AtomicBool,
@@ -85,8 +86,11 @@
         if value.len() > 1_000_000 {
             return Err(StoreError::Rejected("value too large".to_owned()));
         }
+        // One count for all keys, as some platforms have it: the first version of a key is
+        // any number.
+        let version = self.versions.fetch_add(1, Ordering::SeqCst) + 1;
         let stored = StoredValue {
-            version: current + 1,
+            version,
             value: value.to_vec(),
         };
         keys.insert(key.to_owned(), stored);
@@ -96,7 +100,7 @@
         drop(keys);
         self.changed.notify_all();
         self.lose_answer()?;
-        Ok(current + 1)
+        Ok(version)
     }
 
     fn remove(&self, key: &str, expect: StoreVersion) -> Result<(), StoreError> {
