Measure team limits under wavering demand

Change: example shared_state moves the demand of 110 teams every half second; rounds out of turn keep 10 ms, not 4 ms.

--- a/crates/member/examples/shared_state.rs
+++ b/crates/member/examples/shared_state.rs
@@ -7,6 +7,7 @@
 mod common;
 
 use std::{
+    collections::VecDeque,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -22,6 +23,7 @@
 const SHIFTS: usize = 20;
 const TEAMS: usize = 110;
 const LIMIT: usize = 64;
+const HOLD_SPAN: Duration = Duration::from_millis(100);
 
 fn main() {
     for count in [3, 7] {
@@ -131,6 +133,7 @@
     );
     drop(held);
     measure_teams(store, hosts);
+    measure_wavering(store, hosts);
 }
 
 /// All teams want units on all hosts at once, and then their demand moves on.
@@ -165,6 +168,39 @@
     }
 }
 
+/// The worst ordinary load: the demand of each team moves to another host every half second.
+fn measure_wavering(store: &MemoryStore, hosts: &[TestHost]) {
+    let (writes, traffic, cpu) = (store.writes(), sum_traffic(hosts), cpu_time());
+    let begin = Instant::now();
+    let (mut held, mut wanted, mut started) = (VecDeque::new(), 0_u64, 0_u64);
+    while begin.elapsed() < IDLE_SPAN {
+        let turn = (begin.elapsed().as_millis() / 500) as usize;
+        for n in 0..TEAMS {
+            let team = TeamId::from(format!("team-{n:03}"));
+            let host = &hosts[(n * 5 + turn * 3) % hosts.len()];
+            wanted += 1;
+            if let Some(permit) = host.service.try_take(&team) {
+                started += 1;
+                held.push_back((Instant::now(), permit));
+            }
+        }
+        while held.front().is_some_and(|(at, _)| at.elapsed() > HOLD_SPAN) {
+            held.pop_front();
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    let seconds = begin.elapsed().as_secs_f64();
+    let nodes = hosts.len() as f64;
+    println!(
+        "wavering, {nodes} hosts, {TEAMS} teams: {:.1} writes/s by all, {:.0} bytes/s sent per node, \
+         {:.1} % of a core per node with its callers, {:.1} % of the starts at once",
+        (store.writes() - writes) as f64 / seconds,
+        (sum_traffic(hosts).1 - traffic.1) as f64 / seconds / nodes,
+        (cpu_time() - cpu).as_secs_f64() / seconds / nodes * 100.0,
+        started as f64 / wanted as f64 * 100.0,
+    );
+}
+
 fn usage(host: &TestHost, team: &TeamId) -> (u32, u32) {
     let teams = ports::StatusSource::teams(&*host.service);
     let status = teams.into_iter().find(|status| status.team == *team);
--- a/crates/member/src/quota_duty.rs
+++ b/crates/member/src/quota_duty.rs
@@ -16,7 +16,7 @@
 const ROUND: Duration = Duration::from_millis(25);
 
 /// Rounds out of turn keep this distance, so that each refused start does not cost one.
-const WAKE_DISTANCE: Duration = Duration::from_millis(4);
+const WAKE_DISTANCE: Duration = Duration::from_millis(10);
 
 /// Moves units of team limits: talks with the other hosts and has the records written.
 pub(crate) struct QuotaDuty {
