Hold refusals to the request id

Change: the check also finds a refusal as not run of an id that has run before, with hand-made histories for both outcomes. A proof of shutdown judges each attempt by the runs within it, since an id that can't be looked up is now called unclear.

--- a/crates/lacewingshore/tests/proof_common/mod.rs
+++ b/crates/lacewingshore/tests/proof_common/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code, reason = "each proof uses its part")]
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::{
         Condvar, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -277,18 +277,24 @@
         );
     }
 
-    /// No request may have been cut off: whatever ran has its answer, and no caller is told
-    /// that its work may have run.
+    /// No request may have been cut off: no run may have started within an attempt that got
+    /// no clear answer.
     ///
     /// A request that crosses the closing of its connection never reaches the entry host;
-    /// HTTP has no way to tell the caller so. These are counted and printed.
+    /// HTTP has no way to tell the caller so. And of an id that could not be looked up, an
+    /// entry host says that it may have run. Such attempts ran nothing and are printed.
     pub fn expect_uncut(&self, tally: CrewTally) {
         let history = self.fleet.collect().unwrap();
-        let ran: BTreeSet<&str> = history.runs.iter().map(|run| &*run.run.nonce).collect();
         let unclear = history.requests.iter().filter(|op| is_unclear(&op.outcome));
-        let (cut, crossed): (Vec<_>, Vec<_>) = unclear
-            .partition(|op| ran.contains(&*op.nonce) || op.outcome != RequestOutcome::Nothing);
-        println!("{tally:?}, {} crossed a closing connection", crossed.len());
+        let (cut, not_begun): (Vec<_>, Vec<_>) = unclear.partition(|op| {
+            let within = op.span.invoke_ns..=op.span.response_ns;
+            let mut runs = history.runs.iter();
+            runs.any(|run| run.run.nonce == op.nonce && within.contains(&run.run.start_ns))
+        });
+        println!(
+            "{tally:?}, {} unclear attempts ran nothing",
+            not_begun.len()
+        );
         assert!(cut.is_empty(), "{tally:?} {cut:#?}\n{}", self.fleet.logs());
     }
 
--- a/crates/lacewingshore/tests/proof_path.rs
+++ b/crates/lacewingshore/tests/proof_path.rs
@@ -42,6 +42,6 @@
     let crew = bed.crew_with(plan);
     bed.expect_answers(&crew, 300);
     let tally = crew.finish();
-    assert!(tally.unclear > 0, "no fault struck: {tally:?}");
     bed.expect_sound();
+    assert!(tally.unclear > 0, "no fault struck: {tally:?}");
 }
--- a/crates/proof/src/check/refusal_check.rs
+++ b/crates/proof/src/check/refusal_check.rs
@@ -6,8 +6,11 @@
 
 /// A refusal that says the work was not run is true.
 ///
-/// A caller may retry after such a refusal, so that a run is explained by any attempt with
-/// the same mark that began before the run started and was not refused that way.
+/// It is read in two ways. By attempt: a caller may retry after such a refusal, so that a
+/// run is explained by any attempt with the same mark that began before the run started and
+/// was not refused that way. By request id: a non-idempotent request that a caller names by
+/// an id must not be called "not run" once a target has run that id in an earlier attempt,
+/// since the caller would then order anew.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RefusalCheck;
 
@@ -33,17 +36,40 @@
                 ));
             }
         }
+        findings.extend(denied_runs(history));
         findings
     }
 }
 
+/// Refusals as not run of an id that had run already.
+fn denied_runs(history: &History) -> Vec<String> {
+    let mut starts = BTreeMap::<&str, BootNanos>::new();
+    for run in &history.runs {
+        let first = starts.entry(&run.run.request).or_insert(BootNanos::MAX);
+        *first = run.run.start_ns.min(*first);
+    }
+    let denied = history.requests.iter().filter(|op| {
+        let ran = starts.get(op.request.as_str());
+        !op.idempotent && says_not_run(op) && ran.is_some_and(|at| *at < op.span.response_ns)
+    });
+    denied
+        .map(|op| {
+            format!(
+                "{} was called not run by {}, but it ran",
+                op.request, op.entry
+            )
+        })
+        .collect()
+}
+
+fn says_not_run(op: &RequestOp) -> bool {
+    let RequestOutcome::Refused { fate, .. } = &op.outcome else {
+        return false;
+    };
+    *fate == RunFate::NotRun
+}
+
 fn explains(op: &RequestOp, start_ns: BootNanos) -> bool {
-    let not_run = matches!(
-        op.outcome,
-        RequestOutcome::Refused {
-            fate: RunFate::NotRun,
-            ..
-        } | RequestOutcome::NotConnected
-    );
+    let not_run = says_not_run(op) || op.outcome == RequestOutcome::NotConnected;
     !not_run && op.span.invoke_ns <= start_ns
 }
--- a/crates/proof/tests/checks.rs
+++ b/crates/proof/tests/checks.rs
@@ -152,6 +152,24 @@
     assert_eq!(RefusalCheck.findings(&history).is_empty(), is_true);
 }
 
+#[rstest]
+#[case::after_it_ran(5, false, false)]
+#[case::before_it_ran(9, false, true)]
+#[case::idempotent(5, true, true)]
+fn refusal_check_ids(#[case] start: u64, #[case] idempotent: bool, #[case] is_true: bool) {
+    let mut second = attempt("n1", 7, 8, refused(RunFate::NotRun));
+    second.request = "e1.1.1".to_owned();
+    second.idempotent = idempotent;
+    let mut ran = run("x1", "n1", start, start + 1);
+    ran.run.request = "e1.1.1".to_owned();
+    let history = History {
+        requests: vec![attempt("n1", 4, 6, RequestOutcome::Nothing), second],
+        runs: vec![ran],
+        ..History::default()
+    };
+    assert_eq!(RefusalCheck.findings(&history).is_empty(), is_true);
+}
+
 #[rstest]
 #[case::in_time(12, "weights", true)]
 #[case::too_late(14, "weights", false)]
