Give the note on the administration interface a number of its own

Cause: two design notes had the number 10. Ruled out: a new number for the note on moves, which other notes name. Change: the note is number 12 and all names of it follow; the page test also finds a page that is named from beside it.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`AdminServer`] answers operators over HTTP and [`AuditKeeper`] writes the audit trail.
 //! The types in [`view`] and [`AdminProblem`] are the JSON bodies, shared with the
-//! commands of the binary. `docs/design/10-admin-interface.md` says what bounds it.
+//! commands of the binary. `docs/design/12-admin-interface.md` says what bounds it.
 
 pub mod audit;
 pub mod event;
--- a/crates/admin/src/server/http_port.rs
+++ b/crates/admin/src/server/http_port.rs
@@ -59,7 +59,7 @@
 /// It stands on `hyper` and not on `tiny_http`, which reads bodies without a timeout, and on
 /// dropping a call allocates and reads what the sender announced: any caller could stop
 /// the workers with a few slow bodies, or the process with one large `Content-Length`. See
-/// `docs/design/10-admin-interface.md`.
+/// `docs/design/12-admin-interface.md`.
 pub(crate) struct HttpPort {
     address: SocketAddr,
     stop: watch::Sender<bool>,
--- a/crates/lacewingshore/tests/docs.rs
+++ b/crates/lacewingshore/tests/docs.rs
@@ -289,7 +289,8 @@
             .flat_map(|line| line.split('`').skip(1).step_by(2));
         for name in names.filter(|name| name.ends_with(".md")) {
             let is_name = !name.contains([' ', '*', 'N']) || name == "EVENTS.md";
-            let places = [root().join(name), root().join("docs").join(name)];
+            let beside = file.with_file_name(name);
+            let places = [root().join(name), root().join("docs").join(name), beside];
             let is_there = places.iter().any(|place| place.exists());
             assert!(is_there || !is_name, "{} names {name}", file.display());
         }
