Tell the loser of a race of its conflict

Ruled out: waiting in the caller; the operator would have to guess what 503 means. The proof races 40 rounds in place of 6.

--- a/crates/lacewingshore/tests/proof_store.rs
+++ b/crates/lacewingshore/tests/proof_store.rs
@@ -114,7 +114,7 @@
     let bed = ProofBed::start(24, &FleetPlan::default());
     let crew = bed.crew();
     let first = bed.fleet.operator.status(bed.place(0)).unwrap().revision;
-    for round in 0..6_u32 {
+    for round in 0..40_u32 {
         let base = first + u64::from(round);
         let outcomes: Vec<ChangeResult> = thread::scope(|scope| {
             let bed = &bed;
--- a/crates/member/src/change_submit.rs
+++ b/crates/member/src/change_submit.rs
@@ -92,17 +92,27 @@
         }
     }
 
+    /// The newest record, with the state that it makes.
+    ///
+    /// A peer may tell of a newer change between the read and the comparison. The record
+    /// is then read again; taking that for a fault of the store would tell the loser of a
+    /// race that the store is unavailable, where a conflict is what happened.
     fn read_newest(&self) -> Result<(StoreVersion, ConfigRecord, ConfigState), StoreError> {
-        let (version, record) = read_record::<ConfigRecord>(self.shared.store(), CONFIG)?;
-        self.shared.follow_config(&record)?;
-        let state = self.shared.holder.state();
-        if state.revision != record.revision {
-            return Err(StoreError::Unavailable(format!(
-                "the store shows revision {}, revision {} is in force",
-                record.revision, state.revision
-            )));
+        loop {
+            let (version, record) = read_record::<ConfigRecord>(self.shared.store(), CONFIG)?;
+            self.shared.follow_config(&record)?;
+            let state = self.shared.holder.state();
+            if state.revision == record.revision {
+                return Ok((version, record, state));
+            }
+            if state.revision < record.revision || self.shared.now() >= self.until {
+                return Err(StoreError::Unavailable(format!(
+                    "the store shows revision {}, revision {} is in force",
+                    record.revision, state.revision
+                )));
+            }
+            thread::sleep(RETRY_PAUSE);
         }
-        Ok((version, record, state))
     }
 
     fn write(
