Bound what slot sessions spend when many pools are full

Found on the way: a report whose counts stood still was not sent again, so that used time was not charged; it now counts as changed. Ruled out: shorter team and pool names (a factor of two at most); leaving out teams (shares would be wrong for them). Change: a byte budget of 2 KB/s on a host's sessions, headers and caused grants included; beyond it sessions are renewed and tell nothing. With very many full pools shares follow more slowly.

--- a/crates/decide/src/share/mod.rs
+++ b/crates/decide/src/share/mod.rs
@@ -5,6 +5,7 @@
 //! each entry host. `docs/design/06-shares.md` weighs the ways and measures them.
 
 mod broker;
+mod byte_budget;
 mod holder;
 mod holder_state;
 mod pick;
@@ -12,6 +13,7 @@
 mod terms;
 
 pub use broker::SlotBroker;
+pub use byte_budget::ByteBudget;
 pub use holder::{HeldPool, HolderOptions, SlotHolder};
 pub use pick::{PickOptions, TeamTurn, pick};
 pub use split::{ShareClaim, apportion, fair_split};
--- a/crates/share/src/session_book.rs
+++ b/crates/share/src/session_book.rs
@@ -1,8 +1,9 @@
 use std::{collections::BTreeMap, sync::Arc};
 
-use decide::share::{HolderOptions, SlotHolder, SlotMap};
+use decide::share::{ByteBudget, HolderOptions, SlotHolder, SlotMap};
 use model::{BootTime, MemberId, PoolId, TeamId};
 use ports::{PoolDemand, SlotLease, TargetSlots, TeamUse};
+use prost::Message as _;
 use wire::peer::{SlotDemand, SlotGrant};
 
 use crate::{
@@ -10,6 +11,14 @@
     convert::{demand_to_wire, offer_from_wire},
 };
 
+// What a host may spend on its sessions, and cause its brokers to spend, in bytes a second.
+// As a broker it spends about as much again, and the rest of the 6 KB/s of a node is for
+// heartbeats, store and host list. With many full pools reports come less often instead.
+const BYTES_PER_SECOND: u32 = 2000;
+const BYTES_BURST: u32 = 8000;
+// Headers and acknowledgement of a message.
+const MESSAGE_HEADER: usize = 104;
+
 /// This entry host's sessions with the brokers of all pools.
 #[derive(Debug)]
 pub struct SessionBook {
@@ -18,6 +27,7 @@
     owners: BTreeMap<PoolId, MemberId>,
     sessions: BTreeMap<MemberId, SessionState>,
     demands: BTreeMap<PoolId, PoolDemand>,
+    budget: ByteBudget,
     // Slot time used since the session of the pool began, in milliseconds.
     used: BTreeMap<(PoolId, TeamId), u64>,
 }
@@ -39,6 +49,7 @@
             owners: BTreeMap::new(),
             sessions: BTreeMap::new(),
             demands: BTreeMap::new(),
+            budget: ByteBudget::new(BYTES_PER_SECOND, BYTES_BURST),
             used: BTreeMap::new(),
         }
     }
@@ -83,7 +94,9 @@
         let last = self.demands.get(&demand.pool);
         let queued_before = last.is_some_and(is_queued);
         let begins = is_queued(&demand) && !queued_before;
-        let changed = last.is_none_or(|last| *last != demand);
+        // Used time adds up at the broker, so it is told even where it is the same again.
+        let used = demand.teams.iter().any(|team| 0 < team.used_ms);
+        let changed = used || last.is_none_or(|last| *last != demand);
         if let Some(owner) = self.owners.get(&demand.pool)
             && let Some(session) = self.sessions.get_mut(owner)
             && changed
@@ -97,6 +110,7 @@
 
     /// The demands that are due at `now`.
     pub fn due(&mut self, now: BootTime, times: &ShareTimes) -> Vec<(MemberId, SlotDemand)> {
+        let is_within = self.budget.allows(now);
         let is_due = |broker: &MemberId, session: &SessionState| {
             let wait = if session.urgent {
                 times.gap
@@ -107,13 +121,18 @@
             };
             session.asked + wait <= now
         };
+        let is_renewal_due = |session: &SessionState| session.asked + times.idle_interval <= now;
         let brokers: Vec<MemberId> = self
             .sessions
             .iter()
             .filter(|(broker, session)| is_due(broker, session))
+            .filter(|(_, session)| is_within || is_renewal_due(session))
             .map(|(broker, _)| broker.clone())
             .collect();
-        let ask = |broker: MemberId| self.ask(now, &broker).map(|demand| (broker, demand));
+        let ask = |broker: MemberId| {
+            let demand = self.ask(now, &broker, is_within)?;
+            Some((broker, demand))
+        };
         brokers.into_iter().filter_map(ask).collect()
     }
 
@@ -131,6 +150,7 @@
             session.urgent |= grant.session == session.holder.session();
             return Vec::new();
         }
+        self.budget.spend(grant.encoded_len() + MESSAGE_HEADER);
         let slots_before = session.holder.slot_sum();
         let offers = grant
             .pools
@@ -183,20 +203,28 @@
         owners.any(|owner| owner == broker)
     }
 
-    fn ask(&mut self, now: BootTime, broker: &MemberId) -> Option<SlotDemand> {
+    // Beyond the budget a session is renewed and tells nothing; a new one has to tell.
+    fn ask(&mut self, now: BootTime, broker: &MemberId, is_within: bool) -> Option<SlotDemand> {
         let session = self.sessions.get_mut(broker)?;
         session.asked = now;
         session.urgent = false;
-        let (round, fresh) = session.holder.ask(now);
+        let (round, mut fresh) = session.holder.ask(now);
         let applied = session.holder.applied();
         let number = session.holder.session();
+        if !is_within && 0 < applied {
+            for pool in fresh.drain(..) {
+                session.holder.touch(&pool);
+            }
+        }
         let pools = fresh.iter().map(|pool| self.pool_demand(broker, pool));
-        Some(SlotDemand {
+        let demand = SlotDemand {
             round,
             applied,
             session: number,
             pools: pools.collect(),
-        })
+        };
+        self.budget.spend(demand.encoded_len() + MESSAGE_HEADER);
+        Some(demand)
     }
 
     fn pool_demand(&self, broker: &MemberId, pool: &PoolId) -> wire::peer::PoolDemand {
--- /dev/null
+++ b/crates/share/tests/byte_budget.rs
@@ -0,0 +1,71 @@
+//! What a host spends on its sessions when very many pools are full.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use decide::share::HolderOptions;
+use model::{MemberId, PoolId};
+use ports::{PoolDemand, TeamDemand};
+use prost::Message as _;
+use share::{SessionBook, ShareTimes};
+use wire::peer::SlotGrant;
+
+const POOLS: usize = 150;
+const TEAMS: u32 = 20;
+const BROKERS: usize = 7;
+const SECONDS: u32 = 20;
+
+fn demand(pool: usize, used_ms: u64) -> PoolDemand {
+    let team = |index: u32| TeamDemand {
+        team: format!("team-{index}").into(),
+        running: 3,
+        queued: 40,
+        used_ms,
+        ..TeamDemand::default()
+    };
+    PoolDemand {
+        pool: format!("pool-{pool}").into(),
+        teams: (0..TEAMS).map(team).collect(),
+        ..PoolDemand::default()
+    }
+}
+
+// Operators see the network between entry hosts fill up in a release window, when every
+// pool is full at once: each pool's report is some hundred bytes, four times a second. The
+// bytes must stay bounded and every session must still be renewed within its lease.
+#[test]
+fn due_bounds_bytes_and_renews() {
+    let mut book = SessionBook::new(1, HolderOptions::default());
+    let owner = |pool: usize| MemberId::from(format!("e{}", pool % BROKERS));
+    let owners: BTreeMap<PoolId, MemberId> = (0..POOLS)
+        .map(|pool| (format!("pool-{pool}").into(), owner(pool)))
+        .collect();
+    book.set_owners(owners);
+    let times = ShareTimes::default();
+    let mut bytes = 0;
+    let mut renewed: BTreeMap<MemberId, Duration> = BTreeMap::new();
+    for tick in 1..SECONDS * 40 {
+        let now = times.tick * tick;
+        for pool in 0..POOLS {
+            book.report(demand(pool, 75));
+        }
+        for (broker, demand) in book.due(now, &times) {
+            bytes += demand.encoded_len();
+            let grant = SlotGrant {
+                round: demand.round,
+                session: demand.session,
+                pools: Vec::new(),
+            };
+            book.apply(&broker, &grant);
+            let last = renewed.insert(broker.clone(), now).unwrap_or(now);
+            assert!(
+                now - last < times.lease / 2,
+                "{broker} renewed after {:?}",
+                now - last
+            );
+        }
+    }
+    let rate = bytes as f64 / f64::from(SECONDS);
+    println!("{rate:.0} bytes a second");
+    assert_eq!(renewed.len(), BROKERS);
+    assert!(rate < 2800.0, "{rate:.0} bytes a second");
+}
