Split what the share service reads from configuration and reports

Change: brokers and weights of pools, and the merging of reports, are modules of their own; nothing else changes.

--- /dev/null
+++ b/crates/share/src/demand_merge.rs
@@ -0,0 +1,26 @@
+use std::collections::BTreeMap;
+
+use model::PoolId;
+use ports::{PoolDemand, TeamDemand};
+
+/// Replaces the report on a pool by a newer one.
+///
+/// Used time adds up until the duty has taken it; the rest is replaced.
+pub(crate) fn merge_report(reports: &mut BTreeMap<PoolId, PoolDemand>, mut demand: PoolDemand) {
+    if let Some(last) = reports.remove(&demand.pool) {
+        for team in last.teams {
+            if team.used_ms == 0 {
+                continue;
+            }
+            match demand.teams.iter_mut().find(|next| next.team == team.team) {
+                Some(next) => next.used_ms += team.used_ms,
+                None => demand.teams.push(TeamDemand {
+                    team: team.team,
+                    used_ms: team.used_ms,
+                    ..TeamDemand::default()
+                }),
+            }
+        }
+    }
+    reports.insert(demand.pool.clone(), demand);
+}
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -10,6 +10,8 @@
 
 mod broker_desk;
 mod convert;
+mod demand_merge;
+mod pool_terms;
 mod service;
 mod session_book;
 
--- a/crates/share/src/service.rs
+++ b/crates/share/src/service.rs
@@ -7,13 +7,8 @@
 };
 
 use crossbeam_channel::{Receiver, Sender, bounded, never, select};
-use decide::{
-    rendezvous,
-    share::{BrokerOptions, HolderOptions, SlotMap},
-};
-use model::{
-    BootTime, HostRole, Incarnation, MemberId, PoolId, StepError, TeamId, event as log_event,
-};
+use decide::share::{BrokerOptions, HolderOptions, SlotMap};
+use model::{BootTime, Incarnation, MemberId, PoolId, StepError, event as log_event};
 use parking_lot::{Mutex, RwLock};
 use platform::Clock;
 use ports::{
@@ -24,7 +19,9 @@
 
 use crate::{
     broker_desk::{BrokerDesk, DeskPool},
+    demand_merge::merge_report,
     event,
+    pool_terms::{pool_owners, team_weights},
     session_book::SessionBook,
 };
 
@@ -384,41 +381,3 @@
         .stack_size(STACK_BYTES)
         .spawn(move || duty.run(&woken, &stopped))
 }
-
-fn pool_owners(config: &ForceConfig, fit: &[MemberId]) -> BTreeMap<PoolId, MemberId> {
-    let pools = config.manifest.pools.iter();
-    let executors = pools.filter(|(_, spec)| spec.role == HostRole::Executor);
-    executors
-        .filter_map(|(pool, _)| {
-            let owner = rendezvous::holder(pool, fit)?;
-            Some((pool.clone(), owner.clone()))
-        })
-        .collect()
-}
-
-fn team_weights(config: &ForceConfig) -> BTreeMap<TeamId, f64> {
-    let teams = config.manifest.teams.iter();
-    teams
-        .map(|(team, spec)| (team.clone(), f64::from(spec.share)))
-        .collect()
-}
-
-// Used time adds up until the duty has taken it; the rest is replaced.
-fn merge_report(reports: &mut BTreeMap<PoolId, PoolDemand>, mut demand: PoolDemand) {
-    if let Some(last) = reports.remove(&demand.pool) {
-        for team in last.teams {
-            if team.used_ms == 0 {
-                continue;
-            }
-            match demand.teams.iter_mut().find(|next| next.team == team.team) {
-                Some(next) => next.used_ms += team.used_ms,
-                None => demand.teams.push(ports::TeamDemand {
-                    team: team.team,
-                    used_ms: team.used_ms,
-                    ..ports::TeamDemand::default()
-                }),
-            }
-        }
-    }
-    reports.insert(demand.pool.clone(), demand);
-}
