Learn outcomes of tasks that may not be renewed

A holder that took jobs over and had no units of the team's limit neither renewed their tasks nor heard of their end until the leases were surely over, 40 s. It now asks for their states without renewing, and sends no start again without a unit.

--- a/crates/fleet/examples/job_calls.rs
+++ b/crates/fleet/examples/job_calls.rs
@@ -112,6 +112,10 @@
         })
     }
 
+    fn look(&self, address: &str, tasks: &[String]) -> Result<WorkerReport, StepError> {
+        self.renew(address, tasks, Duration::ZERO)
+    }
+
     fn stop(&self, _address: &str, _task: &str) -> Result<TaskSight, StepError> {
         Ok(TaskSight::Stopped)
     }
--- a/crates/fleet/src/job_call.rs
+++ b/crates/fleet/src/job_call.rs
@@ -22,6 +22,7 @@
 pub(crate) enum CallKind {
     Start { job: Box<JobState>, first: bool },
     Renew { tasks: Vec<String> },
+    Look { tasks: Vec<String> },
     Stop { task: String },
     Usage,
 }
@@ -39,7 +40,7 @@
         task: String,
         sight: TaskSight,
     },
-    /// What it said to a renewal of these tasks; `None` if it did not answer.
+    /// What it said to a renewal of these tasks, or to the question for them; `None` if it did not answer.
     Renewed {
         tasks: Vec<String>,
         report: Option<WorkerReport>,
@@ -82,6 +83,10 @@
             tasks: tasks.clone(),
             report: port.renew(&call.address, tasks, lease).ok(),
         },
+        CallKind::Look { tasks } => ReplyKind::Renewed {
+            tasks: tasks.clone(),
+            report: port.look(&call.address, tasks).ok(),
+        },
         CallKind::Stop { task } => ReplyKind::Task {
             task: task.clone(),
             sight: port.stop(&call.address, task).unwrap_or(TaskSight::Silent),
--- a/crates/fleet/src/job_holder.rs
+++ b/crates/fleet/src/job_holder.rs
@@ -80,7 +80,6 @@
     pub(crate) calls: Sender<WorkerCall>,
     pub(crate) reply_sender: Sender<CallReply>,
     pub(crate) replies: Receiver<CallReply>,
-    pub(crate) started_at: BootTime,
     pub(crate) watched_at: BootTime,
     pub(crate) usage_at: BootTime,
     pub(crate) renewed_at: BootTime,
@@ -99,7 +98,6 @@
         calls: Sender<WorkerCall>,
     ) -> Self {
         let (reply_sender, replies) = crossbeam_channel::bounded(REPLY_QUEUE);
-        let now = shared.clock.boot_now();
         Self {
             timing: shared.job_timing,
             policy: shared.job_policy,
@@ -120,7 +118,6 @@
             calls,
             reply_sender,
             replies,
-            started_at: now,
             watched_at: BootTime::ZERO,
             usage_at: BootTime::ZERO,
             renewed_at: BootTime::ZERO,
--- a/crates/fleet/src/job_settle.rs
+++ b/crates/fleet/src/job_settle.rs
@@ -118,9 +118,7 @@
         }
         match action {
             StepAction::Wait => {}
-            StepAction::Resend => {
-                self.send_start(&next, false);
-            }
+            StepAction::Resend => self.resend(job, &next),
             StepAction::Stop => {
                 let kind = CallKind::Stop {
                     task: next.task_id(),
@@ -130,6 +128,15 @@
         }
     }
 
+    /// Sends a recorded start again, on a unit of the team's limit: the one that it was
+    /// recorded with may be in use elsewhere if another holder took it.
+    fn resend(&self, job: &JobId, state: &JobState) {
+        let held = self.jobs.get(job);
+        if held.is_some_and(|held| held.permit.is_some()) {
+            self.send_start(state, false);
+        }
+    }
+
     fn sight_facts(&mut self, job: &JobId, state: &JobState, boot: &str) -> SightFacts {
         self.jitter = self
             .jitter
@@ -176,28 +183,32 @@
         }
     }
 
-    /// Renews the leases of all tasks, one call for each worker.
+    /// Renews the leases of all tasks, one call for each worker, and asks for those that
+    /// must not be renewed.
     pub(crate) fn renew_leases(&mut self) {
         let now = self.shared.clock.boot_now();
         if now.saturating_sub(self.renewed_at) < self.timing.renew_interval {
             return;
         }
         self.renewed_at = now;
-        let mut by_worker: BTreeMap<HostId, Vec<String>> = BTreeMap::new();
+        let mut by_worker: BTreeMap<(HostId, bool), Vec<String>> = BTreeMap::new();
         for job in self.placed.clone() {
-            if !self.may_renew(&job) {
-                continue;
-            }
+            let renewed = self.may_renew(&job);
             let Some(held) = self.jobs.get(&job) else {
                 continue;
             };
-            let tasks = by_worker.entry(held.state.worker.clone()).or_default();
-            tasks.push(held.state.task_id());
+            if held.sent_attempt == held.state.attempt {
+                let key = (held.state.worker.clone(), renewed);
+                by_worker.entry(key).or_default().push(held.state.task_id());
+            }
         }
-        for (worker, tasks) in by_worker {
+        for ((worker, renewed), tasks) in by_worker {
             for part in tasks.chunks(RENEWED_AT_ONCE) {
-                let kind = CallKind::Renew {
-                    tasks: part.to_vec(),
+                let tasks = part.to_vec();
+                let kind = if renewed {
+                    CallKind::Renew { tasks }
+                } else {
+                    CallKind::Look { tasks }
                 };
                 self.queue_call(&worker, kind);
             }
@@ -224,8 +235,6 @@
                 self.shared.quota.note_waiting(&team, 1);
             }
         }
-        // Once the lease has lapsed the worker has stopped it, and asking revives nothing.
-        let lapsed = self.started_at + self.policy.lease + self.policy.lease_guard;
-        held.permit.is_some() || self.shared.clock.boot_now() >= lapsed
+        held.permit.is_some()
     }
 }
--- a/crates/fleet/src/worker_port.rs
+++ b/crates/fleet/src/worker_port.rs
@@ -34,6 +34,11 @@
         tasks: &[String],
         lease: Duration,
     ) -> Result<WorkerReport, StepError>;
+    /// Asks for the states of tasks without renewing their leases.
+    ///
+    /// # Errors
+    /// As for [`WorkerPort::renew`].
+    fn look(&self, address: &str, tasks: &[String]) -> Result<WorkerReport, StepError>;
     /// Stops a task, and keeps it from starting later.
     ///
     /// # Errors
@@ -201,6 +206,24 @@
         })
     }
 
+    fn look(&self, address: &str, tasks: &[String]) -> Result<WorkerReport, StepError> {
+        let wrap = |e: ureq::Error| StepError::new("read tasks", address, e);
+        let url = format!("http://{address}/v1/tasks");
+        let mut answer = self.agent.get(url).call().map_err(wrap)?;
+        let text = answer.body_mut().read_to_string().map_err(wrap)?;
+        let known: RenewAnswer =
+            serde_json::from_str(&text).map_err(|e| StepError::new("read tasks", address, e))?;
+        let sight = |task: &String| {
+            let found = known.tasks.iter().find(|known| known.task == *task);
+            let sight = found.map_or(TaskSight::Unknown, TaskAnswer::sight);
+            (task.clone(), sight)
+        };
+        Ok(WorkerReport {
+            tasks: tasks.iter().map(sight).collect(),
+            boot: known.boot,
+        })
+    }
+
     fn stop(&self, address: &str, task: &str) -> Result<TaskSight, StepError> {
         let body = TaskBody { task };
         let answer: TaskAnswer = self.post_json("stop task", address, "/v1/stop", &body)?;
--- a/crates/fleet/tests/jobs.rs
+++ b/crates/fleet/tests/jobs.rs
@@ -119,6 +119,29 @@
     assert!(starts.values().all(|count| *count == 1), "{starts:?}");
 }
 
+#[test]
+fn holder_lost_outcome_needs_no_unit() {
+    // An entry host dies, and the units of the team's limit that it held are not free yet.
+    // Its tasks end meanwhile. The next holder must say so at once, though it may renew
+    // nothing and start nothing for want of units.
+    let scene = JobScene::new(1);
+    scene.set_quota(2);
+    let first = scene.start(FixedMembers::with_others("e1", &["e2"]));
+    let watching = FixedMembers::with_others("e2", &["e1"]);
+    let second = scene.start(Arc::clone(&watching));
+    let views = ["r1", "r2"].map(|name| {
+        let request = job_request(name, "work us=800000 nonce=1", false);
+        submit(first.as_ref(), &request)
+    });
+    wait_for("both run", || scene.starts().len() == 2);
+    first.stop();
+    watching.lose("e1");
+    for view in &views {
+        assert_eq!(wait_phase(second.as_ref(), view, ENDED).phase, "done");
+    }
+    assert_eq!(scene.starts().len(), 2);
+}
+
 #[test]
 fn holder_unheard_stops_at_next_write() {
     // An entry host is cut off from the others, but not from the store. Another takes its
