--- a/crates/entry/src/admission/settle_work.rs
+++ b/crates/entry/src/admission/settle_work.rs
@@ -7,13 +7,13 @@
 use super::{admission_loop::AdmissionLoop, pool_desk::desk_of};
 use crate::{
     CallerProblem,
-    dispatch::{AttemptEnd, AttemptReport},
+    dispatch::{AttemptEnd, AttemptReport, TargetBlame},
     work::CallerRequest,
 };
 
 /// How much longer than its deadline a request of unknown fate counts as running, at least
 /// and at most; between them it is the mean service time of its pool.
-const SHORTEST_GRACE: Duration = Duration::from_millis(100);
+const SHORTEST_GRACE: Duration = Duration::from_millis(300);
 const LONGEST_GRACE: Duration = Duration::from_secs(5);
 
 /// A unit of a team's limit, and maybe a slot, whose request may still run on its target.
@@ -56,18 +56,20 @@
                 self.release(&request.pool, &request.team, &host, now);
                 request.refuse(problem);
             }
-            AttemptEnd::NotRun { detail, .. } => {
+            AttemptEnd::NotRun { detail, blame } => {
                 self.release(&request.pool, &request.team, &host, now);
                 let problem = CallerProblem::not_run(ProblemKind::NoTarget, detail)
                     .with_retry_after(Duration::from_secs(1));
-                self.retry(request, problem, now);
+                // What never left this host costs its pool nothing, so it needs no budget.
+                let free = blame == TargetBlame::None;
+                self.retry(request, problem, free, now);
             }
             AttemptEnd::Unknown { detail, silent } => {
                 self.hold(&request, host, permit, silent, now);
                 request.may_have_run = true;
                 let problem = CallerProblem::may_have_run(ProblemKind::TargetFailed, detail);
                 if request.idempotent {
-                    self.retry(request, problem, now);
+                    self.retry(request, problem, false, now);
                 } else {
                     // Its fate won't become known, so the caller is told at once.
                     request.refuse(problem);
@@ -85,11 +87,15 @@
     ) {
         let failed = match end {
             AttemptEnd::Answered { failed } => *failed,
-            AttemptEnd::NotRun { refused: true, .. } => {
-                self.table.note_refusal(host, now);
-                return;
-            }
-            AttemptEnd::NotRun { .. } | AttemptEnd::Unknown { .. } => true,
+            AttemptEnd::NotRun { blame, .. } => match blame {
+                TargetBlame::None => return,
+                TargetBlame::Refused => {
+                    self.table.note_refusal(host, now);
+                    return;
+                }
+                TargetBlame::Unreachable => true,
+            },
+            AttemptEnd::Unknown { .. } => true,
             AttemptEnd::Refused(_) => return,
         };
         if !failed {
@@ -101,12 +107,19 @@
         self.table.note_failure(&parts.view(), host, answered, now);
     }
 
-    /// Sends a request again if its pool can afford it, and refuses it at once otherwise.
-    fn retry(&mut self, mut request: Box<CallerRequest>, problem: CallerProblem, now: BootTime) {
+    /// Sends a request again if its pool can afford it or it is `free`, and refuses it at
+    /// once otherwise.
+    fn retry(
+        &mut self,
+        mut request: Box<CallerRequest>,
+        problem: CallerProblem,
+        free: bool,
+        now: BootTime,
+    ) {
         let desk = desk_of(&mut self.desks, &self.config.retries, &request.pool);
         request.attempts += 1;
         let wait = RetryWait::default().wait(request.attempts, rand::random());
-        if now + wait >= request.deadline || !desk.retries.take() {
+        if now + wait >= request.deadline || !(free || desk.retries.take()) {
             metrics::counter!("lws_retries_refused").increment(1);
             request.refuse(problem);
             return;
