Measure what replacing all entry hosts costs

Cause: the capacity page owes the worst case beside the ordinary hour. Ruled out: reading counters over the restart (they begin anew with the process). Conclusion: ready.

--- a/crates/measure/src/bench_fleet.rs
+++ b/crates/measure/src/bench_fleet.rs
@@ -108,6 +108,34 @@
         Ok(NodeCost::mean(&costs))
     }
 
+    /// Kills all entry hosts and starts them again: how long until all serve, and the mean
+    /// cost of an entry host in the first `length`.
+    ///
+    /// # Errors
+    /// If a process can't be killed, started or read.
+    pub fn replace_all(&mut self, length: Duration) -> Result<(Duration, NodeCost)> {
+        for entry in &mut self.entries {
+            entry.kill()?;
+        }
+        let start = Instant::now();
+        for entry in &mut self.entries {
+            entry.start()?;
+        }
+        for entry in &self.entries {
+            let ready = await_true(PATIENCE, || self.operator.is_ready(&entry.place));
+            ensure!(ready, "{} does not serve", entry.place.member);
+        }
+        let serving = start.elapsed();
+        thread::sleep(length.saturating_sub(start.elapsed()));
+        let begin = NodeReading::at_start(start);
+        let costs: Vec<NodeCost> = self
+            .read()?
+            .iter()
+            .map(|after| after.since(&begin))
+            .collect();
+        Ok((serving, NodeCost::mean(&costs)))
+    }
+
     fn settle(&mut self) -> Result<()> {
         for entry in &self.entries {
             let ready = await_true(PATIENCE, || self.operator.is_ready(&entry.place));
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -23,6 +23,7 @@
 #[argh(subcommand)]
 enum MeasureCommand {
     Sizes(SizesCommand),
+    Replace(ReplaceCommand),
 }
 
 /// Control cost of an entry host by size.
@@ -40,9 +41,19 @@
     pub json: Option<String>,
 }
 
+/// Cost of replacing all entry hosts at once at the target size.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "replace")]
+struct ReplaceCommand {
+    /// seconds from the start that are measured (default 15)
+    #[argh(option, default = "15.0")]
+    seconds: f64,
+}
+
 fn main() -> Result<()> {
     let args: MeasureArgs = argh::from_env();
     match args.command {
         MeasureCommand::Sizes(command) => size_table::run(&command),
+        MeasureCommand::Replace(command) => size_table::run_replace(command.seconds),
     }
 }
--- a/crates/measure/src/node_meter.rs
+++ b/crates/measure/src/node_meter.rs
@@ -66,6 +66,17 @@
         })
     }
 
+    /// What a process has spent when it starts.
+    pub fn at_start(taken: Instant) -> Self {
+        Self {
+            taken,
+            cpu_seconds: 0.0,
+            memory_mb: 0.0,
+            threads: 0,
+            counters: BTreeMap::new(),
+        }
+    }
+
     /// The cost since `before`.
     pub fn since(&self, before: &Self) -> NodeCost {
         let seconds = (self.taken - before.taken).as_secs_f64();
--- a/crates/measure/src/size_table.rs
+++ b/crates/measure/src/size_table.rs
@@ -19,11 +19,7 @@
 /// # Errors
 /// If a deployment does not come up.
 pub fn run(command: &SizesCommand) -> Result<()> {
-    println!(
-        "| {:<16} | members | pools | hosts | teams | changes/s | cpu % | memory MB | threads | peer out B/s | peer in B/s | msgs/s | store B/s | list B/s | all B/s | on the wire B/s | writes/s | reads/s |",
-        "row"
-    );
-    println!("|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
+    print_head();
     let mut rows = Vec::new();
     for size in sizes()
         .into_iter()
@@ -40,6 +36,36 @@
     Ok(())
 }
 
+/// Replaces all entry hosts at the target size at once, and prints what that costs.
+///
+/// # Errors
+/// If a deployment does not come up, or not again.
+pub fn run_replace(seconds: f64) -> Result<()> {
+    let size = target();
+    let mut fleet = BenchFleet::start(&size)?;
+    let (serving, cost) = fleet.replace_all(Duration::from_secs_f64(seconds))?;
+    println!(
+        "all serve again after {:.2} s; in the first {seconds} s:",
+        serving.as_secs_f64()
+    );
+    print_head();
+    print_row(
+        &BenchSize {
+            name: "replaced".to_owned(),
+            ..size
+        },
+        &cost,
+    );
+    Ok(())
+}
+
+fn target() -> BenchSize {
+    let target = BenchSize::new("target", 7)
+        .with_fleet(313, 1200)
+        .with_teams(110);
+    target.with_changes(TARGET_CHANGES)
+}
+
 fn sizes() -> Vec<BenchSize> {
     let mut sizes = Vec::new();
     for members in [2, 3, 5, 7] {
@@ -57,13 +83,18 @@
     for changes in [0.5, 1.0, 2.0, 4.0] {
         sizes.push(BenchSize::new(&format!("changes-{changes}"), 3).with_changes(changes));
     }
-    let target = BenchSize::new("target", 7)
-        .with_fleet(313, 1200)
-        .with_teams(110);
-    sizes.push(target.with_changes(TARGET_CHANGES));
+    sizes.push(target());
     sizes
 }
 
+fn print_head() {
+    println!(
+        "| {:<16} | members | pools | hosts | teams | changes/s | cpu % | memory MB | threads | peer out B/s | peer in B/s | msgs/s | store B/s | list B/s | all B/s | on the wire B/s | writes/s | reads/s |",
+        "row"
+    );
+    println!("|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
+}
+
 fn print_row(size: &BenchSize, cost: &NodeCost) {
     println!(
         "| {:<16} | {} | {} | {} | {} | {:.3} | {:.2} | {:.1} | {} | {:.0} | {:.0} | {:.1} | {:.0} | {:.0} | {:.0} | {:.0} | {:.2} | {:.2} |",
