Let a new life inherit the vote of the one it replaces

Ruled out: leaving the vote out of the count at the reader, since it comes back to nobody once the new life is removed too. Change: the join hands the vote on in the record itself.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -104,25 +104,10 @@
         if self.is_settled() {
             return Some(members);
         }
-        let settled: Vec<_> = self.settled_lives().collect();
-        if settled.is_empty() {
-            return Some(members);
-        }
-        let settled = majority_value(settled.into_iter(), &value)?;
+        let settled = majority_value(self.record.settled.iter(), &value)?;
         Some(members.min(settled))
     }
 
-    /// The settled lives that may still vouch. One whose id or address a listed member has
-    /// taken over has ended: both belong to one process at a time.
-    fn settled_lives(&self) -> impl Iterator<Item = &Member> {
-        self.record.settled.iter().filter(|old| {
-            !self.members().iter().any(|new| {
-                new.id == old.id && new.incarnation > old.incarnation
-                    || new.id != old.id && has_address_of(new, old)
-            })
-        })
-    }
-
     /// The list without the lives that are known to have ended. They vouch for nobody, so a
     /// majority of the others shares a member with every quorum that may still form.
     #[must_use]
@@ -170,6 +155,7 @@
             _ => {}
         }
         let mut next = self.successor(floor);
+        next.inherit_votes(&member);
         next.record.last_incarnation = next.record.last_incarnation.max(member.incarnation);
         next.record.members.retain(|m| m.id != member.id);
         next.record.members.push(member);
@@ -211,6 +197,21 @@
         Ok(next)
     }
 
+    /// Hands `member` the votes of settled lives whose id or address it has taken over. They
+    /// have ended, since both belong to one process at a time.
+    ///
+    /// A vote must not just lapse. The failure this guards against: the only settled member
+    /// restarts, others join, and make a quorum without it; cut off, it takes itself for a
+    /// quorum of the list that it joined, and goes on serving with a withdrawn key.
+    fn inherit_votes(&mut self, member: &Member) {
+        for settled in &mut self.record.settled {
+            let is_same_id = settled.id == member.id && settled.incarnation < member.incarnation;
+            if is_same_id || settled.id != member.id && has_address_of(member, settled) {
+                settled.clone_from(member);
+            }
+        }
+    }
+
     /// The next revision. Its settled members are those settled before; the very first list
     /// has none before it and is settled as it is.
     fn successor(&self, floor: Revision) -> Self {
--- a/crates/decide/tests/lease_machine.rs
+++ b/crates/decide/tests/lease_machine.rs
@@ -232,3 +232,20 @@
         Err(ListRefusal::NewerLife(4))
     );
 }
+
+// The only settled member restarts, and two others join. If its vote had lapsed with its old
+// life, the two would make a quorum without it, and it would go on serving alone, cut off,
+// with a key that the two withdrew.
+#[test]
+fn join_inherits_vote_of_old_life() {
+    let first = list(1, &[("a", 1)]);
+    let again = first.join(member("a", 2), 0).unwrap();
+    let grown = again.join(member("b", 3), 0).unwrap();
+    let grown = grown.join(member("c", 4), 0).unwrap();
+    assert!(!grown.has_quorum(|m| m.id == "b" || m.id == "c"));
+    assert!(grown.has_quorum(|m| m.id == "a" || m.id == "c"));
+    let mut acks = ListAcks::default();
+    acks.note_gone(&"a".into(), 1);
+    let living = grown.without_gone(&acks);
+    assert!(!living.has_quorum(|m| m.id == "b" || m.id == "c"));
+}
