--- a/crates/fleet/examples/job_calls.rs
+++ b/crates/fleet/examples/job_calls.rs
@@ -1,4 +1,5 @@
-//! Prints how many calls to the store a job takes, and how long its acceptance waits.
+//! Prints how many calls to the store a job takes, how long its acceptance waits, and how
+//! long it takes to take a log over.
 //!
 //! Seven entry hosts in one process submit jobs at a given rate to workers that end each
 //! at once; the store is in memory and takes 3 ms for a call. Run it with
@@ -19,12 +20,13 @@
 };
 
 use decide::{
-    job::{JobState, TaskSight},
+    job::{JobSpec, JobState, TaskSight},
     placement::JobSize,
     wave::FleetLimits,
 };
 use fleet::{
-    FleetOptions, FleetService, FleetTiming, HealthReport, HostPort, WorkerPort, WorkerReport,
+    FleetOptions, FleetService, FleetTiming, HealthReport, HostPort, JobLog, WorkerPort,
+    WorkerReport,
 };
 use memory_store::MemoryStore;
 use model::{HostRole, Incarnation, Manifest, MemberId, PoolSpec, ServiceSpec, StepError, TeamId};
@@ -187,6 +189,39 @@
     for rate in [50, 500] {
         measure(rate);
     }
+    println!();
+    println!("| jobs in the log | pages | take-over ms |");
+    println!("|---|---|---|");
+    for jobs in [1_000, 5_000, 20_000] {
+        measure_takeover(jobs);
+    }
+}
+
+/// Times how long it takes to read a log and to fence its holder.
+fn measure_takeover(jobs: u64) {
+    let store: Arc<dyn KeyStore> = Arc::new(SlowStore(MemoryStore::default()));
+    let mut log = JobLog::create(Arc::clone(&store), "e1.1.0", "e1@1");
+    let mut pages = 0;
+    for page in 0..jobs / 100 {
+        let record = |index: u64| {
+            let request = request(page, index);
+            let mut state = JobState::queued(JobSpec {
+                job: format!("e1.1.0-{page}-{index}").into(),
+                team: request.team,
+                payload: request.payload,
+                ..JobSpec::default()
+            });
+            state.attempt = 1;
+            state.to_record()
+        };
+        log.append((0..100).map(record).collect());
+        pages += 1;
+    }
+    let began = Instant::now();
+    let (_, records) = JobLog::take_over(store, "e1.1.0", "e2@1").expect("taken over");
+    let states: Vec<JobState> = records.into_iter().map(JobState::from_record).collect();
+    let took = began.elapsed().as_millis();
+    println!("| {} | {pages} | {took} |", states.len());
 }
 
 fn measure(rate: u64) {
