--- a/crates/fleet/src/worker_port.rs
+++ b/crates/fleet/src/worker_port.rs
@@ -34,6 +34,11 @@
         tasks: &[String],
         lease: Duration,
     ) -> Result<WorkerReport, StepError>;
+    /// Asks for the states of tasks without renewing their leases.
+    ///
+    /// # Errors
+    /// As for [`WorkerPort::renew`].
+    fn look(&self, address: &str, tasks: &[String]) -> Result<WorkerReport, StepError>;
     /// Stops a task, and keeps it from starting later.
     ///
     /// # Errors
@@ -172,6 +177,10 @@
             Ok((200, _, text)) => serde_json::from_str::<TaskAnswer>(&text)
                 .map_or(TaskSight::Silent, |answer| answer.sight()),
             Ok((_, true, reason)) => TaskSight::NotRun(reason),
+            // Another life answers. Only if the task was never sent before is it sure
+            // that the life it was meant for did not run it either.
+            Ok((409, ..)) if first => TaskSight::NotRun("its worker restarted".to_owned()),
+            Ok((409, ..)) => TaskSight::Unknown,
             Err(CallFault::Refused) if first => TaskSight::NotRun("connection refused".to_owned()),
             _ => TaskSight::Silent,
         }
@@ -197,6 +206,24 @@
         })
     }
 
+    fn look(&self, address: &str, tasks: &[String]) -> Result<WorkerReport, StepError> {
+        let wrap = |e: ureq::Error| StepError::new("read tasks", address, e);
+        let url = format!("http://{address}/v1/tasks");
+        let mut answer = self.agent.get(url).call().map_err(wrap)?;
+        let text = answer.body_mut().read_to_string().map_err(wrap)?;
+        let known: RenewAnswer =
+            serde_json::from_str(&text).map_err(|e| StepError::new("read tasks", address, e))?;
+        let sight = |task: &String| {
+            let found = known.tasks.iter().find(|known| known.task == *task);
+            let sight = found.map_or(TaskSight::Unknown, TaskAnswer::sight);
+            (task.clone(), sight)
+        };
+        Ok(WorkerReport {
+            tasks: tasks.iter().map(sight).collect(),
+            boot: known.boot,
+        })
+    }
+
     fn stop(&self, address: &str, task: &str) -> Result<TaskSight, StepError> {
         let body = TaskBody { task };
         let answer: TaskAnswer = self.post_json("stop task", address, "/v1/stop", &body)?;
