Claim the request id of a job before it is recorded

Behind a balancer a caller whose answer was lost can't choose the host, so a batch ran twice. Change: a non-idempotent submission under a given id needs a minted id and claims it at its home, as requests do; where the job is known it is the answer, elsewhere the refusal says that it may have been accepted. Refusals before the claim say so too. A lookup of a job by request id over all logs is left to do.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -20,5 +20,5 @@
 pub(crate) use body_budget::{BodyBudget, BodyShare};
 pub(crate) use caller_port::{CallerPort, PortPhase, serve_port};
 pub(crate) use connection_count::ConnectionCount;
-pub(crate) use job_desk::JobDesk;
+pub(crate) use job_desk::{JobDesk, JobRunner};
 pub(crate) use key_check::key_stands;
--- a/crates/entry/src/caller/job_desk.rs
+++ b/crates/entry/src/caller/job_desk.rs
@@ -2,10 +2,10 @@
 
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use model::{JobId, ProblemKind, StepError, TeamId};
-use ports::{JobError, JobRequest, JobSink, JobView};
+use ports::{ClaimSource as _, ClaimVerdict, JobError, JobRequest, JobSink, JobView};
 use tokio::sync::oneshot;
 
-use crate::CallerProblem;
+use crate::{CallerProblem, ClaimDesk};
 
 /// Job operations that wait for a thread.
 const WAITING_JOBS: usize = 256;
@@ -15,8 +15,8 @@
 /// One operation on a job.
 #[derive(Debug)]
 pub(crate) enum JobCall {
-    /// Record a job.
-    Submit(Box<JobRequest>),
+    /// Record a job; with `true` only if its request id can be claimed.
+    Submit(Box<JobRequest>, bool),
     /// Look a job up.
     View(TeamId, JobId),
     /// Cancel a job.
@@ -25,7 +25,7 @@
 
 struct JobTicket {
     call: JobCall,
-    reply: oneshot::Sender<Result<JobView, JobError>>,
+    reply: oneshot::Sender<Result<JobView, CallerProblem>>,
 }
 
 /// Hands job operations to threads, because recording a job waits for the store.
@@ -39,15 +39,15 @@
 
 impl JobDesk {
     /// Starts the threads; they end once every clone of the desk is dropped.
-    pub fn start(sink: &Arc<dyn JobSink>, threads: usize) -> Result<Self, StepError> {
+    pub fn start(runner: &JobRunner, threads: usize) -> Result<Self, StepError> {
         let (sender, receiver) = bounded(WAITING_JOBS);
         for index in 0..threads.max(1) {
-            let sink = Arc::clone(sink);
+            let runner = runner.clone();
             let receiver: Receiver<JobTicket> = receiver.clone();
             thread::Builder::new()
                 .name(format!("entry-job-{index}"))
                 .stack_size(JOB_STACK)
-                .spawn(move || run_tickets(&sink, &receiver))
+                .spawn(move || runner.run_all(&receiver))
                 .map_err(|cause| StepError::new("start job thread", "", cause))?;
         }
         Ok(Self { tickets: sender })
@@ -63,8 +63,7 @@
             }
         }
         match outcome.await {
-            Ok(Ok(view)) => Ok(view),
-            Ok(Err(cause)) => Err(explain(&cause)),
+            Ok(outcome) => outcome,
             Err(_) => Err(explain(&JobError::Unknown(
                 "the operation was dropped".to_owned(),
             ))),
@@ -72,15 +71,55 @@
     }
 }
 
-fn run_tickets(sink: &Arc<dyn JobSink>, receiver: &Receiver<JobTicket>) {
-    for ticket in receiver {
-        let outcome = match ticket.call {
-            JobCall::Submit(request) => sink.submit(*request),
-            JobCall::View(team, job) => sink.view(&team, &job),
-            JobCall::Cancel(team, job) => sink.cancel(&team, &job),
-        };
-        // The caller may have gone away; the job stands or not all the same.
-        let _ = ticket.reply.send(outcome);
+/// What the job threads work with.
+#[derive(Clone)]
+pub(crate) struct JobRunner {
+    /// Where jobs are recorded.
+    pub sink: Arc<dyn JobSink>,
+    /// Settles whether a request id may be used.
+    pub claims: Arc<ClaimDesk>,
+    /// Longest wait for the home of a request id.
+    pub claim_patience: Duration,
+}
+
+impl JobRunner {
+    fn run_all(&self, receiver: &Receiver<JobTicket>) {
+        for ticket in receiver {
+            let outcome = match ticket.call {
+                JobCall::Submit(request, claim) => self.submit(*request, claim),
+                JobCall::View(team, job) => self.sink.view(&team, &job).map_err(|e| explain(&e)),
+                JobCall::Cancel(team, job) => {
+                    self.sink.cancel(&team, &job).map_err(|e| explain(&e))
+                }
+            };
+            // The caller may have gone away; the job stands or not all the same.
+            let _ = ticket.reply.send(outcome);
+        }
+    }
+
+    /// Records a job under an id that its caller gave only if the id can be claimed.
+    ///
+    /// A caller whose answer was lost submits again, and the balancer sends that to another
+    /// entry host, whose log does not have the job. Without the claim it would be a second
+    /// job. Where the job is known, it is the answer.
+    fn submit(&self, request: JobRequest, claim: bool) -> Result<JobView, CallerProblem> {
+        if claim {
+            let (id, team) = (&request.request, &request.team);
+            let verdict = self.claims.claim(id, team, self.claim_patience);
+            if verdict != ClaimVerdict::First {
+                return self.sink.find(team, id).ok_or_else(|| {
+                    CallerProblem::may_have_run(
+                        ProblemKind::Duplicate,
+                        "the Request-Id was used before, or its home can't be asked: \
+                         the job may have been accepted through another entry host",
+                    )
+                });
+            }
+        }
+        self.sink.submit(request).map_err(|cause| CallerProblem {
+            claimed: claim,
+            ..explain(&cause)
+        })
     }
 }
 
--- a/crates/entry/src/caller/job_routes.rs
+++ b/crates/entry/src/caller/job_routes.rs
@@ -20,11 +20,24 @@
     port: &CallerPort,
     service: ServiceId,
     request: Request<Incoming>,
+) -> Result<CallerResponse, CallerProblem> {
+    let given = RequestHead::given_order(request.headers());
+    let outcome = submit(port, service, request).await;
+    outcome.map_err(|problem| match given {
+        Some(given) => port.claims.state_fate(&given, problem),
+        None => problem,
+    })
+}
+
+async fn submit(
+    port: &CallerPort,
+    service: ServiceId,
+    request: Request<Incoming>,
 ) -> Result<CallerResponse, CallerProblem> {
     let config = port.config.current();
     let pass = check_caller(port, &config, &request)?;
     port.check_serving()?;
-    let job = read_job(port, &config, service, &pass, request.headers())?;
+    let (job, claim) = read_job(port, &config, service, &pass, request.headers())?;
     let mut share = port.budget.share(&pass.team);
     let payload = read_body(port, request, &mut share, port.max_deadline).await?;
     // The key may have been withdrawn while the body arrived.
@@ -39,7 +52,7 @@
         payload: payload.to_vec(),
         ..job
     };
-    let view = port.jobs.run(JobCall::Submit(Box::new(job))).await?;
+    let view = port.jobs.run(JobCall::Submit(Box::new(job), claim)).await?;
     Ok(respond_json(202, &view))
 }
 
@@ -49,7 +62,7 @@
     service: ServiceId,
     pass: &KeyPass,
     headers: &HeaderMap,
-) -> Result<JobRequest, CallerProblem> {
+) -> Result<(JobRequest, bool), CallerProblem> {
     let head = RequestHead::read(headers, port.max_deadline)?;
     let Some(spec) = config.manifest.services.get(&service) else {
         return Err(CallerProblem::not_run(
@@ -65,8 +78,8 @@
     if !workspace.is_empty() && owner.is_none_or(|spec| spec.team != pass.team) {
         return Err(bad(format!("the team has no workspace {workspace}")));
     }
-    let request = head.request.unwrap_or_else(|| port.claims.mint_spent());
-    Ok(JobRequest {
+    let (request, claim) = port.claims.admit_id(head.request, head.idempotent)?;
+    let job = JobRequest {
         request,
         team: pass.team.clone(),
         service,
@@ -82,7 +95,8 @@
             u32::MAX,
         )?)),
         idempotent: head.idempotent,
-    })
+    };
+    Ok((job, claim))
 }
 
 fn read_number(
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -24,7 +24,7 @@
     admission::{
         AdmissionConfig, AdmissionInbox, AdmissionLoop, LoopCommand, RunningCounts, TargetTable,
     },
-    caller::{BodyBudget, CallerPort, ConnectionCount, JobDesk, PortPhase, serve_port},
+    caller::{BodyBudget, CallerPort, ConnectionCount, JobDesk, JobRunner, PortPhase, serve_port},
     dispatch::{AttemptRunner, DispatchPool},
     event,
 };
@@ -105,6 +105,11 @@
         let budget = BodyBudget::new(config.tuning.body_memory);
         let (work_sender, requests) = bounded(ADMISSION_RING);
         let (commands, command_receiver) = bounded(4);
+        let runner = JobRunner {
+            sink: Arc::clone(&config.jobs),
+            claims: Arc::clone(&claims),
+            claim_patience: config.tuning.claim_patience,
+        };
         let port = CallerPort {
             tuning: config.tuning.clone(),
             max_body: config.settings.max_body,
@@ -114,7 +119,7 @@
             targets: Arc::clone(&config.targets),
             clock: Arc::clone(&config.clock),
             claims: Arc::clone(&claims),
-            jobs: JobDesk::start(&config.jobs, config.tuning.job_threads)?,
+            jobs: JobDesk::start(&runner, config.tuning.job_threads)?,
             admission: work_sender,
             budget,
             connections: ConnectionCount::new(
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -252,3 +252,33 @@
         .with("deadline-ms", "300");
     assert_eq!(refused.ask(b"order").fate(), "not-run");
 }
+
+/// A member's batch is recorded and its answer lost; the caller submits it again, and the
+/// balancer sends that to another entry host. Run twice, it would put wrong estimates out.
+#[test]
+fn job_again_through_another_host() {
+    let target = RawTarget::echo();
+    let mesh = Arc::default();
+    let hosts: Vec<EntryBench> = (0..3).map(|own| host(&target, &mesh, own)).collect();
+    let path = format!("/v1/services/{}/jobs", support::SERVICE);
+    let id = hosts[0].caller().mint();
+    let submit = |own: usize| {
+        let caller = hosts[own].caller().with("request-id", &id);
+        caller.post(&path, b"batch")
+    };
+    assert_eq!(submit(1).status, 202);
+    for own in [0, 2, 1, 2] {
+        let again = submit(own);
+        assert_eq!((again.status, again.fate().as_str()), (409, "may-have-run"));
+    }
+    let recorded: usize = hosts.iter().map(|bench| bench.jobs.jobs.lock().len()).sum();
+    assert_eq!(recorded, 1);
+    *hosts[2].jobs.fail.lock() = Some(ports::JobError::QueueFull);
+    let refused = hosts[2]
+        .caller()
+        .with_key("k1.wrong")
+        .with("request-id", &id);
+    assert_eq!(refused.post(&path, b"batch").fate(), "may-have-run");
+    let foreign = hosts[0].caller().with("request-id", "batch-7");
+    assert_eq!(foreign.post(&path, b"batch").status, 400);
+}
--- a/crates/fleet/src/fleet_service.rs
+++ b/crates/fleet/src/fleet_service.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use decide::{job::JobPolicy, wave::FleetLimits};
-use model::{JobId, PoolId, ServiceId, StepError, TeamId};
+use model::{JobId, PoolId, RequestId, ServiceId, StepError, TeamId};
 use parking_lot::Mutex;
 use platform::{Clock, HostList, KeyStore};
 use ports::{
@@ -256,6 +256,10 @@
         self.desk.submit(request)
     }
 
+    fn find(&self, team: &TeamId, request: &RequestId) -> Option<JobView> {
+        self.desk.find(team, request)
+    }
+
     fn view(&self, team: &TeamId, job: &JobId) -> Result<JobView, JobError> {
         self.desk.view(team, job)
     }
--- a/crates/fleet/src/job_desk.rs
+++ b/crates/fleet/src/job_desk.rs
@@ -6,7 +6,7 @@
 
 use crossbeam_channel::{Sender, TrySendError};
 use decide::job::JobState;
-use model::{JobId, TeamId};
+use model::{JobId, RequestId, TeamId};
 use parking_lot::Mutex;
 use ports::{JobError, JobRequest, JobSink, JobView};
 use prost::Message;
@@ -193,6 +193,13 @@
         })
     }
 
+    fn find(&self, team: &TeamId, request: &RequestId) -> Option<JobView> {
+        let board = self.board.lock();
+        let is_wanted =
+            |state: &&JobState| state.spec.team == *team && state.spec.request == *request;
+        board.values().find(is_wanted).map(view_of)
+    }
+
     fn view(&self, team: &TeamId, job: &JobId) -> Result<JobView, JobError> {
         if let Some(state) = self.board.lock().get(job) {
             if state.spec.team == *team {
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -72,6 +72,10 @@
     /// # Errors
     /// See [`JobError`].
     fn submit(&self, request: JobRequest) -> Result<JobView, JobError>;
+    /// The job that this entry host accepted under `request`, if it still holds it.
+    fn find(&self, _team: &TeamId, _request: &RequestId) -> Option<JobView> {
+        None
+    }
     /// Looks a job of `team` up.
     ///
     /// # Errors
