--- a/crates/decide/tests/lease_schedule.rs
+++ b/crates/decide/tests/lease_schedule.rs
@@ -502,3 +502,12 @@
     println!("{mutation:?}: caught by seed {caught:?}");
     assert!(caught.is_some(), "{mutation:?} was not caught");
 }
+
+/// Schedules that once broke the promise.
+#[rstest::rstest]
+#[case::vote_lapsed_with_old_life(10_283_846_278_672_498_115)]
+#[case::vote_lapsed_later(7_578_252_375_247_209_915)]
+fn lease_found_schedule_holds(#[case] seed: u64) {
+    let outcome = Simulation::new(seed, Mutation::None).run();
+    assert!(outcome.is_ok(), "{outcome:?}");
+}
