Let the demo's jobs get their ids from the entry host

Cause: callers may no longer choose the Request-Id of work that is not idempotent, so all 60 jobs of the demo were refused, and the demo still said that every promise was kept. Change: jobs are submitted without an id; the last refusal is shown, and a demo without any accepted job fails. Left: the curl line for jobs in docs/API.md sends an id of its own and is refused.

--- a/crates/lacewingshore/src/command/demo/job_batch.rs
+++ b/crates/lacewingshore/src/command/demo/job_batch.rs
@@ -18,6 +18,8 @@
     jobs: Vec<JobView>,
     sent: usize,
     refused: usize,
+    /// What the last refusal said.
+    refusal: String,
 }
 
 /// The part of a job that the demo looks at.
@@ -48,6 +50,7 @@
             jobs: Vec::new(),
             sent: 0,
             refused: 0,
+            refusal: String::new(),
         }
     }
 
@@ -103,6 +106,9 @@
             self.refused,
             phases.join(", ")
         );
+        if self.refused > 0 {
+            println!("  last refusal: {}", self.refusal);
+        }
         for job in self.jobs.iter().filter(|job| !job.reason.is_empty()) {
             println!("  job {} {}: {}", job.job, job.phase, job.reason);
         }
@@ -110,6 +116,9 @@
 
     /// Jobs that were accepted and did not end as done.
     pub fn broken(&self) -> Option<String> {
+        if self.jobs.is_empty() {
+            return Some("no job was accepted".to_owned());
+        }
         let unfinished = self.jobs.iter().filter(|job| job.phase != "done").count();
         (unfinished > 0).then(|| format!("{unfinished} accepted jobs were not finished"))
     }
@@ -125,13 +134,18 @@
             .agent
             .post(url)
             .header("Authorization", &self.bearer)
-            .header("Request-Id", format!("demo-{}", self.sent))
             .header("Run-Time-Ms", RUN_MS.to_string())
             .header("Memory-Mb", "512")
             .send(format!("work us={}\n", RUN_MS * 1000));
-        match read_job(call) {
-            Some(job) => self.jobs.push(job),
-            None => self.refused += 1,
+        match call {
+            Ok(mut answer) if !answer.status().is_success() => {
+                self.refused += 1;
+                self.refusal = answer.body_mut().read_to_string().unwrap_or_default();
+            }
+            answer => match read_job(answer) {
+                Some(job) => self.jobs.push(job),
+                None => self.refused += 1,
+            },
         }
     }
 
