Ask a rebooting stand-in for its runs again

Cause: scripts/demo failed in two of four runs: it read the runs of an executor that the wave was rebooting, and was refused the connection. Change: the runs are asked for until the stand-in is back, ten seconds at most.

--- a/crates/lacewingshore/src/command/demo/load_result.rs
+++ b/crates/lacewingshore/src/command/demo/load_result.rs
@@ -1,6 +1,8 @@
 use std::{
     collections::{BTreeMap, HashMap},
     path::PathBuf,
+    thread,
+    time::Duration,
 };
 
 use anyhow::Context;
@@ -145,16 +147,7 @@
             .map(str::trim)
             .filter(|url| !url.is_empty())
         {
-            let text = ureq::get(format!("{url}/fake/runs"))
-                .call()
-                .and_then(|mut answer| {
-                    answer
-                        .body_mut()
-                        .with_config()
-                        .limit(MAX_RUNS)
-                        .read_to_string()
-                })
-                .with_context(|| format!("read the runs of {url}"))?;
+            let text = read_runs(url)?;
             let runs: Vec<RunRecord> =
                 serde_json::from_str(&text).with_context(|| format!("read the runs of {url}"))?;
             self.runs += runs.len();
@@ -166,3 +159,25 @@
         Ok(())
     }
 }
+
+/// Reads the runs of one stand-in; one that reboots in the wave is asked again.
+fn read_runs(url: &str) -> Result<String, CommandError> {
+    const TRIES: usize = 40;
+    let read = || {
+        ureq::get(format!("{url}/fake/runs"))
+            .call()
+            .and_then(|mut answer| {
+                let body = answer.body_mut().with_config();
+                body.limit(MAX_RUNS).read_to_string()
+            })
+    };
+    let mut answer = read();
+    for _ in 0..TRIES {
+        if answer.is_ok() {
+            break;
+        }
+        thread::sleep(Duration::from_millis(250));
+        answer = read();
+    }
+    Ok(answer.with_context(|| format!("read the runs of {url}"))?)
+}
