--- a/crates/entry/src/admission/pool_queue.rs
+++ b/crates/entry/src/admission/pool_queue.rs
@@ -54,7 +54,7 @@
     }
 
     /// Queues a request. If that makes more than `most`, gives back the newest one of the
-    /// team that queues most, so that a team that floods the pool crowds out only itself.
+    /// team that queues most, so that a team that floods the pool delays only itself.
     pub fn push(&mut self, work: Box<CallerRequest>, most: usize) -> Option<Box<CallerRequest>> {
         let queue = self.teams.entry(work.team.clone()).or_default();
         if work.urgent {
--- a/crates/lacewingshore/tests/proof_store.rs
+++ b/crates/lacewingshore/tests/proof_store.rs
@@ -1,4 +1,4 @@
-//! The store is down, slow, loses answers or hangs, and operators race each other.
+//! The store is down, slow, loses answers or hangs, and operators make conflicting changes.
 
 #![allow(clippy::unwrap_used, reason = "tests end on what should not fail")]
 
