Name the crate of the own store's clients store

Cause: the folder platform/ is to hold the adapter of the users' platform, and the crate of the clients of the own store and host list had that name. Ruled out: a longer name for the adapter; the folder's name is agreed with the users. Change: crates/platform becomes crates/store; no behaviour changes.

--- a/crates/admin/examples/audit_cost.rs
+++ b/crates/admin/examples/audit_cost.rs
@@ -11,7 +11,7 @@
 
 use admin::audit::{AuditBatch, AuditDraft, AuditStore, TrailName};
 use parking_lot::Mutex;
-use platform::{KeyStore, StoreError, StoreVersion, StoredValue};
+use store::{KeyStore, StoreError, StoreVersion, StoredValue};
 
 /// A store in memory that counts.
 #[derive(Default)]
--- a/crates/admin/src/admin_auth.rs
+++ b/crates/admin/src/admin_auth.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use model::{KeyId, KeyText, event as log_event};
-use platform::Clock;
 use ports::ConfigSource;
+use store::Clock;
 use subtle::ConstantTimeEq;
 use wire::state::KeyRecord;
 
--- a/crates/admin/src/admin_server.rs
+++ b/crates/admin/src/admin_server.rs
@@ -2,8 +2,8 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::{KeyId, StepError, event as log_event};
-use platform::{Clock, KeyStore};
 use ports::{ChangeSink, ConfigSource, MemberSource, ServingGate, StatusSource};
+use store::{Clock, KeyStore};
 use tokio::sync::oneshot;
 
 use crate::{
--- a/crates/admin/src/audit/audit_keeper.rs
+++ b/crates/admin/src/audit/audit_keeper.rs
@@ -10,9 +10,9 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
 use model::{Incarnation, MemberId, StepError, event as log_event};
 use parking_lot::Mutex;
-use platform::{Clock, KeyStore};
 use ports::{AuditNote, AuditSink, ConfigSource, MemberSource};
 use prost::Message;
+use store::{Clock, KeyStore};
 use wire::state::{ConfigBase, ConfigRecord};
 
 use super::{
--- a/crates/admin/src/audit/audit_store.rs
+++ b/crates/admin/src/audit/audit_store.rs
@@ -2,8 +2,8 @@
 
 use model::StepError;
 use parking_lot::Mutex;
-use platform::{KeyStore, StoreError, StoreVersion};
 use prost::Message;
+use store::{KeyStore, StoreError, StoreVersion};
 use wire::state::{AuditEntry, AuditHead, AuditPage, AuditWriter};
 
 use super::{AuditDraft, append_entry};
--- a/crates/admin/tests/audit.rs
+++ b/crates/admin/tests/audit.rs
@@ -6,8 +6,8 @@
 
 use admin::audit::{AuditBatch, AuditDraft, AuditStore, ChainFault, TrailName, verify_chain};
 use common::{LoneHost, MemoryStore, WriteFault, eventually, start};
-use platform::KeyStore;
 use ports::{AuditNote, AuditSink};
+use store::KeyStore;
 use wire::state::{AuditEntry, AuditHead, AuditPage};
 
 fn batch(member: &str, number: u64, texts: &[&str]) -> AuditBatch {
--- a/crates/admin/tests/common/mod.rs
+++ b/crates/admin/tests/common/mod.rs
@@ -14,12 +14,12 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use model::{Incarnation, Manifest, MemberId};
 use parking_lot::Mutex;
-use platform::{BootClock, KeyStore, StoreError, StoreVersion, StoredValue};
 use ports::{
     ChangeError, ChangeOutcome, ChangeRequest, ChangeSink, ConfigSource, ForceConfig, MemberInfo,
     MemberSource, NotServing, ServingGate,
 };
 use prost::Message;
+use store::{BootClock, KeyStore, StoreError, StoreVersion, StoredValue};
 use wire::state::{Change, ConfigRecord};
 
 /// What the store does to the next write.
--- a/crates/entry/src/admission/admission_loop.rs
+++ b/crates/entry/src/admission/admission_loop.rs
@@ -7,8 +7,8 @@
 use crossbeam_channel::{Receiver, select};
 use decide::retry::RetryBudget;
 use model::{BootTime, PoolId, ProblemKind, TeamId};
-use platform::Clock;
 use ports::{ConfigSource, MemberSource, PoolDemand, QuotaSource, SlotSource, TargetSource};
+use store::Clock;
 
 use super::{
     pool_desk::{PoolDesk, desk_of},
--- a/crates/entry/src/caller/caller_port.rs
+++ b/crates/entry/src/caller/caller_port.rs
@@ -13,8 +13,8 @@
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use model::event::debug;
-use platform::Clock;
 use ports::{ConfigSource, NotServing, ServingGate, TargetSource};
+use store::Clock;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
--- a/crates/entry/src/dispatch/run_attempt.rs
+++ b/crates/entry/src/dispatch/run_attempt.rs
@@ -2,8 +2,8 @@
 
 use hyper::body::Bytes;
 use model::{BootTime, HostId, ProblemKind, event::warn};
-use platform::Clock;
 use ports::{ClaimSource, ClaimVerdict, ConfigSource, QuotaPermit, ServingGate};
+use store::Clock;
 use ureq::{Body, http::Response};
 
 use super::{
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -12,11 +12,11 @@
 use decide::retry::RetryBudget;
 use model::{HostId, ServeSettings, StepError, event::info};
 use parking_lot::Mutex;
-use platform::Clock;
 use ports::{
     ConfigSource, HostStatus, InboundMessage, JobSink, MemberSource, PeerLink, QuotaSource,
     ServingGate, SlotSource, StatusSource, TargetSource,
 };
+use store::Clock;
 use tokio::{net::TcpListener, runtime::Builder, sync::watch};
 
 use crate::{
--- a/crates/entry/tests/support/entry_bench.rs
+++ b/crates/entry/tests/support/entry_bench.rs
@@ -4,9 +4,9 @@
 use crossbeam_channel::bounded;
 use entry::{EntryConfig, EntryServer, EntryTuning};
 use model::{Manifest, PoolSpec, ServeSettings, ServiceSpec, TeamSpec};
-use platform::{BootClock, Clock};
 use ports::{ForceConfig, MemberInfo, TargetHost};
 use sha2::{Digest, Sha256};
+use store::{BootClock, Clock};
 use wire::state::KeyRecord;
 
 use super::{
--- a/crates/entry/tests/support/port_stubs.rs
+++ b/crates/entry/tests/support/port_stubs.rs
@@ -11,13 +11,13 @@
 use crossbeam_channel::Sender;
 use model::{HostId, JobId, MemberId, PoolId, ServiceId, TeamId};
 use parking_lot::Mutex;
-use platform::{BootClock, Clock};
 use ports::{
     ConfigSource, ForceConfig, InboundMessage, JobError, JobRequest, JobSink, JobView, LinkError,
     MemberInfo, MemberSource, NotServing, PeerLink, PoolDemand, QuotaPermit, QuotaSource,
     ServingGate, SlotLease, SlotSource, TargetHost, TargetSlots, TargetSource, TargetState,
     TeamUse,
 };
+use store::{BootClock, Clock};
 use wire::peer::envelope::Body;
 
 pub struct ConfigStub(pub ArcSwap<ForceConfig>);
--- a/crates/fake/tests/host_list_fake.rs
+++ b/crates/fake/tests/host_list_fake.rs
@@ -6,7 +6,7 @@
 
 use fake::{HostListFake, HostListFaults, HostRow};
 use model::HostRole;
-use platform::{HostList, HttpHostList};
+use store::{HostList, HttpHostList};
 
 #[test]
 fn hosts_show_after_lag() {
--- a/crates/fleet/examples/job_calls.rs
+++ b/crates/fleet/examples/job_calls.rs
@@ -30,13 +30,13 @@
 };
 use memory_store::MemoryStore;
 use model::{HostRole, Incarnation, Manifest, MemberId, PoolSpec, ServiceSpec, StepError, TeamId};
-use platform::{
-    BootClock, HostEntry, HostList, HostListError, KeyStore, StoreError, StoreVersion, StoredValue,
-};
 use ports::{
     ConfigSource, ForceConfig, JobRequest, JobSink, MemberInfo, MemberSource, QuotaPermit,
     QuotaSource,
 };
+use store::{
+    BootClock, HostEntry, HostList, HostListError, KeyStore, StoreError, StoreVersion, StoredValue,
+};
 
 const HOLDERS: u64 = 7;
 const STORE_DELAY: Duration = Duration::from_millis(3);
--- a/crates/fleet/src/fleet_service.rs
+++ b/crates/fleet/src/fleet_service.rs
@@ -10,11 +10,11 @@
 use decide::{job::JobPolicy, wave::FleetLimits};
 use model::{JobId, PoolId, RequestId, ServiceId, StepError, TeamId};
 use parking_lot::Mutex;
-use platform::{Clock, HostList, KeyStore};
 use ports::{
     AuditSink, ConfigSource, HostStatus, JobError, JobRequest, JobSink, JobView, MemberSource,
     QuotaSource, StatusSource, TargetHost, TargetSource,
 };
+use store::{Clock, HostList, KeyStore};
 
 use crate::{
     FleetTiming, HostPort, HttpPort, HttpWorker, JobTiming, MapSnapshot, MapStore, WorkerPort,
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -16,8 +16,8 @@
 };
 use model::{BootTime, HostId, PoolId};
 use parking_lot::Mutex;
-use platform::{Clock, HostEntry, HostList, KeyStore};
 use ports::{AuditSink, ConfigSource, MemberSource, QuotaPermit, QuotaSource, TargetState};
+use store::{Clock, HostEntry, HostList, KeyStore};
 
 use crate::{HostPort, JobTiming, MapSnapshot, target_view::TargetView};
 
--- a/crates/fleet/src/host_watch.rs
+++ b/crates/fleet/src/host_watch.rs
@@ -2,7 +2,7 @@
 
 use decide::{budget::HostFacts, wave::HostSighting};
 use model::{BootTime, HostId};
-use platform::HostEntry;
+use store::HostEntry;
 
 use crate::fleet_shared::{FleetShared, ListView};
 
--- a/crates/fleet/src/job_call.rs
+++ b/crates/fleet/src/job_call.rs
@@ -6,7 +6,7 @@
     placement::{JobSize, WorkerUsage},
 };
 use model::{BootTime, HostId};
-use platform::Clock;
+use store::Clock;
 
 use crate::{WorkerPort, WorkerReport};
 
--- a/crates/fleet/src/job_desk.rs
+++ b/crates/fleet/src/job_desk.rs
@@ -149,7 +149,7 @@
     fn write_cancels(&self, log: &str, waiting: &[JobId]) -> Result<(), JobError> {
         let key = format!("job-cancels/{log}");
         let store = &self.shared.store;
-        let down = |e: platform::StoreError| JobError::StoreDown(e.to_string());
+        let down = |e: store::StoreError| JobError::StoreDown(e.to_string());
         for _ in 0..CANCEL_TRIES {
             let found = store.read(&key).map_err(down)?;
             let version = found.as_ref().map_or(0, |found| found.version);
@@ -161,8 +161,8 @@
             }
             match store.swap(&key, version, &cancels.encode_to_vec()) {
                 Ok(_) => return Ok(()),
-                Err(platform::StoreError::Conflict { .. }) => {}
-                Err(platform::StoreError::Unknown(e)) => return Err(JobError::Unknown(e)),
+                Err(store::StoreError::Conflict { .. }) => {}
+                Err(store::StoreError::Unknown(e)) => return Err(JobError::Unknown(e)),
                 Err(e) => return Err(down(e)),
             }
         }
--- a/crates/fleet/src/job_keeper.rs
+++ b/crates/fleet/src/job_keeper.rs
@@ -3,8 +3,8 @@
 use crossbeam_channel::{Receiver, Sender};
 use decide::{job::JobState, rendezvous};
 use model::{BootTime, MemberId, StepError};
-use platform::StoreVersion;
 use prost::Message;
+use store::StoreVersion;
 use wire::fleet::{JobLogEntry, JobLogIndex};
 
 use crate::{
--- a/crates/fleet/src/job_log.rs
+++ b/crates/fleet/src/job_log.rs
@@ -1,8 +1,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use model::{JobId, StepError};
-use platform::{KeyStore, StoreError};
 use prost::Message;
+use store::{KeyStore, StoreError};
 use wire::fleet::{JobPage, JobRecord};
 
 /// Pages beyond which each write also carries on what still counts in the oldest page.
--- a/crates/fleet/src/map_store.rs
+++ b/crates/fleet/src/map_store.rs
@@ -2,8 +2,8 @@
 
 use decide::budget::{FleetMap, MapChange};
 use model::StepError;
-use platform::{KeyStore, StoreError, StoreVersion};
 use prost::Message;
+use store::{KeyStore, StoreError, StoreVersion};
 use wire::fleet::{FleetChange, FleetRecord};
 
 /// Bytes of the head's tail above which a new base is written.
--- a/crates/fleet/tests/common/fake_fleet.rs
+++ b/crates/fleet/tests/common/fake_fleet.rs
@@ -11,11 +11,11 @@
 use fleet::{HealthReport, HostPort};
 use model::{HostId, HostRole, Incarnation, Manifest, MemberId, StepError, TeamId};
 use parking_lot::Mutex;
-use platform::{HostEntry, HostList, HostListError};
 use ports::{
     AuditNote, AuditSink, ConfigSource, ForceConfig, MemberInfo, MemberSource, QuotaPermit,
     QuotaSource,
 };
+use store::{HostEntry, HostList, HostListError};
 
 /// Waits for `condition`; the test fails if it never holds.
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
--- a/crates/fleet/tests/common/fleet_scene.rs
+++ b/crates/fleet/tests/common/fleet_scene.rs
@@ -7,9 +7,9 @@
 use fleet::{FleetOptions, FleetService, FleetTiming};
 use model::{HostRole, Manifest, PoolSpec, ServiceSpec, WindowSpec};
 use parking_lot::Mutex;
-use platform::BootClock;
 use ports::{TargetSource, TargetState};
 use prost::Message;
+use store::BootClock;
 use wire::fleet::FleetRecord;
 
 use super::{FakeFleet, FixedConfig, FixedMembers, FreeQuota, MemoryStore, NoteBook};
--- a/crates/fleet/tests/common/job_scene.rs
+++ b/crates/fleet/tests/common/job_scene.rs
@@ -8,8 +8,8 @@
 use fake::{StartRecord, WorkerFake, WorkerSettings};
 use fleet::{FleetOptions, FleetService, FleetTiming, JobTiming};
 use model::{HostRole, Manifest, PoolSpec, ServiceSpec, TeamId, TeamSpec};
-use platform::BootClock;
 use ports::{JobError, JobRequest, JobSink, JobView, QuotaPermit, QuotaSource, TargetSource};
+use store::BootClock;
 
 use super::{FakeFleet, FixedConfig, FixedMembers, MemoryStore, wait_for};
 
--- a/crates/fleet/tests/common/memory_store.rs
+++ b/crates/fleet/tests/common/memory_store.rs
@@ -5,7 +5,7 @@
 };
 
 use parking_lot::{Condvar, Mutex};
-use platform::{KeyStore, StoreError, StoreVersion, StoredValue};
+use store::{KeyStore, StoreError, StoreVersion, StoredValue};
 
 /// A store in memory that records every write and can fail in the ways a real one does.
 #[derive(Default)]
--- a/crates/fleet/tests/map_store.rs
+++ b/crates/fleet/tests/map_store.rs
@@ -8,7 +8,7 @@
 use common::MemoryStore;
 use decide::budget::{HostFacts, HostState, MapChange};
 use fleet::{CommitOutcome, MapSnapshot, MapStore};
-use platform::KeyStore;
+use store::KeyStore;
 
 fn change(turn: u64) -> MapChange {
     let host = format!("h{}", turn % 40);
--- a/crates/lacewingshore/src/catalogue.rs
+++ b/crates/lacewingshore/src/catalogue.rs
@@ -15,7 +15,7 @@
 pub fn all_events() -> Vec<EventInfo> {
     let catalogues = [
         event::ALL,
-        platform::event::ALL,
+        store::event::ALL,
         peer::event::ALL,
         member::event::ALL,
         share::event::ALL,
--- a/crates/lacewingshore/src/serve.rs
+++ b/crates/lacewingshore/src/serve.rs
@@ -19,13 +19,13 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use model::{Incarnation, ServeSettings, event as log_event};
 use peer::{BodyKind, PeerNode};
-use platform::{BootClock, Clock, HttpHostList, HttpStore, KeyStore, RetryStore};
 use ports::ServingGate as _;
 use share::{ShareOptions, ShareService, ShareTimes};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
+use store::{BootClock, Clock, HttpHostList, HttpStore, KeyStore, RetryStore};
 
 use crate::catalogue::event;
 
--- a/crates/member/src/change_submit.rs
+++ b/crates/member/src/change_submit.rs
@@ -5,9 +5,9 @@
     member::MemberList,
 };
 use model::{BootTime, Revision, event as log_event};
-use platform::{StoreError, StoreVersion};
 use ports::{ChangeError, ChangeOutcome, ChangeRequest};
 use prost::Message as _;
+use store::{StoreError, StoreVersion};
 use wire::state::{ConfigRecord, MemberRecord};
 
 use crate::{
--- a/crates/member/src/config_holder.rs
+++ b/crates/member/src/config_holder.rs
@@ -7,9 +7,9 @@
 };
 use model::{Manifest, Revision, TeamId, event as log_event};
 use parking_lot::Mutex;
-use platform::{KeyStore, StoreError};
 use ports::ForceConfig;
 use prost::Message as _;
+use store::{KeyStore, StoreError};
 use wire::{
     peer::ChangeTail,
     state::{Change, ConfigBase, ConfigRecord},
--- a/crates/member/src/incarnation.rs
+++ b/crates/member/src/incarnation.rs
@@ -1,7 +1,7 @@
 use decide::member::MemberList;
 use model::{Incarnation, StepError};
-use platform::{KeyStore, StoreError};
 use prost::Message as _;
+use store::{KeyStore, StoreError};
 use wire::state::MemberRecord;
 
 use crate::store_key::{MEMBERS, read_record, store_fault};
--- a/crates/member/src/member_options.rs
+++ b/crates/member/src/member_options.rs
@@ -2,8 +2,8 @@
 
 use model::ServeSettings;
 use peer::PeerNode;
-use platform::{Clock, KeyStore};
 use ports::AuditSink;
+use store::{Clock, KeyStore};
 
 /// What a [`crate::MemberService`] is given.
 #[derive(Clone)]
--- a/crates/member/src/quota_store_duty.rs
+++ b/crates/member/src/quota_store_duty.rs
@@ -3,9 +3,9 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use decide::quota::{QuotaAction, QuotaWrite, WriteOutcome};
 use model::{TeamId, event as log_event};
-use platform::StoreError;
 use ports::AuditNote;
 use prost::Message as _;
+use store::StoreError;
 use wire::state::QuotaRecord;
 
 use crate::{
--- a/crates/member/src/shared_state.rs
+++ b/crates/member/src/shared_state.rs
@@ -14,8 +14,8 @@
 };
 use model::{BootTime, Incarnation, MemberId, event as log_event};
 use parking_lot::Mutex;
-use platform::{KeyStore, StoreError};
 use ports::{AuditNote, InboundMessage, MemberInfo, NotServing};
+use store::{KeyStore, StoreError};
 use wire::state::{ConfigRecord, Member};
 
 use crate::{MemberOptions, config_holder::ConfigHolder, event, quota_book::QuotaBook};
--- a/crates/member/src/store_duty.rs
+++ b/crates/member/src/store_duty.rs
@@ -5,9 +5,9 @@
     member::{ListRefusal, MemberList},
 };
 use model::{BootTime, Incarnation, MemberId, StepError, event as log_event};
-use platform::{StoreError, StoreVersion};
 use ports::{AuditNote, PeerLink as _};
 use prost::Message as _;
+use store::{StoreError, StoreVersion};
 use wire::{
     peer::envelope::Body,
     state::{ConfigRecord, MemberRecord},
--- a/crates/member/src/store_key.rs
+++ b/crates/member/src/store_key.rs
@@ -1,8 +1,8 @@
 //! Names of the keys that this crate keeps in the store, and how their values are read.
 
 use model::{Revision, StepError, TeamId, event as log_event};
-use platform::{KeyStore, StoreError, StoreVersion};
 use prost::Message;
+use store::{KeyStore, StoreError, StoreVersion};
 
 use crate::event;
 
--- a/crates/member/src/watch_duty.rs
+++ b/crates/member/src/watch_duty.rs
@@ -1,7 +1,7 @@
 use model::event as log_event;
 use std::{sync::Arc, thread, time::Duration};
 
-use platform::{StoreError, StoreVersion};
+use store::{StoreError, StoreVersion};
 
 use crate::{
     event,
--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -15,8 +15,8 @@
 use model::{MemberId, ServeSettings};
 use parking_lot::{Condvar, Mutex};
 use peer::PeerNode;
-use platform::{BootClock, KeyStore, StoreError, StoreVersion, StoredValue};
 use ports::ServingGate;
+use store::{BootClock, KeyStore, StoreError, StoreVersion, StoredValue};
 
 /// Generous: it bounds a failing run and decides nothing in a passing one.
 pub const PATIENCE: Duration = Duration::from_secs(30);
--- a/crates/member/tests/incarnation.rs
+++ b/crates/member/tests/incarnation.rs
@@ -14,7 +14,7 @@
 
 use common::MemoryStore;
 use member::claim_incarnation;
-use platform::{BootClock, KeyStore, RetryStore, StoreError, StoreVersion, StoredValue};
+use store::{BootClock, KeyStore, RetryStore, StoreError, StoreVersion, StoredValue};
 
 /// Before the first write of one host arrives, another host claims; and the answer to the
 /// first write is lost.
--- a/crates/proof/tests/store_register.rs
+++ b/crates/proof/tests/store_register.rs
@@ -5,11 +5,9 @@
 use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
 
 use fake::{FaultRate, StoreFake, StoreFaults};
-use platform::{
-    BootClock, HttpStore, KeyStore, RetrySettings, RetryStore, StoreError, StoredValue,
-};
 use proof::{KeyRegisterSpec, OpSpan, OpTimer, RegisterOp, is_linearizable};
 use rstest::rstest;
+use store::{BootClock, HttpStore, KeyStore, RetrySettings, RetryStore, StoreError, StoredValue};
 
 const CLIENTS: u64 = 3;
 const SWAPS: u64 = 12;
--- a/crates/share/src/service.rs
+++ b/crates/share/src/service.rs
@@ -10,11 +10,11 @@
 use decide::share::{BrokerOptions, HolderOptions, SlotMap};
 use model::{BootTime, Incarnation, MemberId, PoolId, StepError, event as log_event};
 use parking_lot::{Mutex, RwLock};
-use platform::Clock;
 use ports::{
     ConfigSource, ForceConfig, InboundMessage, MemberInfo, MemberSource, PeerLink, PoolDemand,
     SlotLease, SlotSource, TargetSource, TargetState,
 };
+use store::Clock;
 use wire::peer::{SlotDemand, SlotGrant, envelope::Body};
 
 use crate::{
--- a/crates/share/tests/share_service.rs
+++ b/crates/share/tests/share_service.rs
@@ -12,12 +12,12 @@
 use crossbeam_channel::{Sender, bounded};
 use model::{HostRole, Incarnation, MemberId, PoolId, PoolSpec, ServiceId, TeamSpec};
 use parking_lot::Mutex;
-use platform::{BootClock, Clock};
 use ports::{
     ConfigSource, ForceConfig, InboundMessage, LinkError, MemberInfo, MemberSource, PeerLink,
     PoolDemand, SlotSource, TargetHost, TargetSource, TargetState, TeamDemand,
 };
 use share::{ShareOptions, ShareService, ShareTimes};
+use store::{BootClock, Clock};
 use wire::peer::envelope::Body;
 
 const PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/platform/tests/http_host_list.rs
+++ b/crates/store/tests/http_host_list.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fake::{HostListFake, HostRow};
-use platform::{HostList, HttpHostList};
+use store::{HostList, HttpHostList};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/crates/platform/tests/http_store.rs
+++ b/crates/store/tests/http_store.rs
@@ -9,7 +9,7 @@
 };
 
 use fake::{FaultRate, StoreFake, StoreFaults};
-use platform::{CallKind, HttpStore, KeyStore, StoreError};
+use store::{CallKind, HttpStore, KeyStore, StoreError};
 
 const TIMEOUT: Duration = Duration::from_millis(300);
 
--- a/crates/platform/tests/retry_store.rs
+++ b/crates/store/tests/retry_store.rs
@@ -6,11 +6,11 @@
 
 use fake::{FaultRate, StoreFake, StoreFaults};
 use parking_lot::Mutex;
-use platform::{
+use proptest::prelude::*;
+use store::{
     BootClock, CallKind, CallPace, CircuitVerdict, HttpStore, KeyStore, RetrySettings, RetryStore,
     StoreCircuit, StoreError, StoreVersion, StoredValue,
 };
-use proptest::prelude::*;
 
 /// What happens to one call of a [`ScriptStore`].
 #[derive(Clone, Copy, Debug)]
