--- /dev/null
+++ b/crates/cell/src/caller_front.rs
@@ -0,0 +1,277 @@
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use compact_str::CompactString;
+use decide::work::record_of_plan;
+use link::{CallClient, CallFault};
+use model::{
+    event as log_event,
+    work::{FleetTerms, JobPlan},
+};
+use ports::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress, PortFuture};
+use store::{BootClock, Clock};
+use tokio::time::{Instant, timeout_at};
+use wire::work::{AnswerKind, JobPhase, JobRecord, OwnerAnswer, OwnerCall, owner_call::Ask};
+
+use crate::{
+    cell_options::CellOptions,
+    event,
+    fleet_view::FleetView,
+    metric, owner_desk,
+    owner_view::OwnerView,
+    peer_port::{TermSlot, ask_owner},
+};
+
+/// Part of a caller's patience that is kept for its answer's way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Longest wait for one answer of the owner before it is asked anew over a new connection:
+/// one that went silent would otherwise cost the caller all its time.
+const ASK_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause before the owner is asked again.
+const ASK_PAUSE: Duration = Duration::from_millis(20);
+/// Patience of a caller that does not say how long it waits.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
+/// Longest patience that is believed.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(60);
+
+/// Answers callers, by asking the owner of the cell.
+pub(crate) struct CallerFront {
+    pub(crate) options: Rc<CellOptions>,
+    pub(crate) view: Rc<FleetView>,
+    pub(crate) owners: Rc<OwnerView>,
+    pub(crate) slot: TermSlot,
+    pub(crate) client: CallClient,
+    pub(crate) draining: Rc<Cell<bool>>,
+}
+
+/// What is known of one call on its way to the owner.
+struct AskState {
+    deadline: Instant,
+    begun: Instant,
+    /// Whether the call may have taken effect at an owner that did not answer.
+    unsure: bool,
+    owner: CompactString,
+}
+
+impl CallerDesk for CallerFront {
+    fn prefix_length(&self, host: &str, path: &str) -> Option<usize> {
+        let terms = self.view.terms()?;
+        Some(terms.queue_at(host, path)?.prefix.len())
+    }
+
+    fn answer(&self, call: CallerCall) -> PortFuture<CallerAnswer> {
+        let front = self.share();
+        Box::pin(async move {
+            let begun = Instant::now();
+            let (answer, owner) = front.serve(&call).await;
+            front.note(&call, &answer, &owner, begun);
+            answer
+        })
+    }
+
+    fn ready(&self) -> bool {
+        !self.draining.get() && self.view.terms().is_some()
+    }
+}
+
+impl CallerFront {
+    fn share(&self) -> Rc<Self> {
+        Rc::new(Self {
+            options: self.options.clone(),
+            view: self.view.clone(),
+            owners: self.owners.clone(),
+            slot: self.slot.clone(),
+            client: self.client.clone(),
+            draining: self.draining.clone(),
+        })
+    }
+
+    async fn serve(&self, call: &CallerCall) -> (CallerAnswer, CompactString) {
+        let unasked = |answer| (answer, CompactString::default());
+        let Some(terms) = self.view.terms() else {
+            return unasked(CallerAnswer::Refused(self.options.retry_after));
+        };
+        let Some(queue) = terms.queue_at(&call.host, &call.path) else {
+            return unasked(CallerAnswer::NoQueue);
+        };
+        let workspace = terms.workspace_of_key(&call.key);
+        if workspace.is_none() && !queue.public {
+            return unasked(CallerAnswer::KeyRefused);
+        }
+        let workspace = workspace
+            .map(|space| space.name.clone())
+            .unwrap_or_default();
+        let ask = match &call.wish {
+            CallerWish::Submit(job, plan) => {
+                if let Err(fault) = plan.check() {
+                    return unasked(CallerAnswer::Invalid(fault.to_string()));
+                }
+                Ask::Submit(self.record(job, plan, queue, &workspace))
+            }
+            CallerWish::Look(job) => Ask::Look(job.to_string()),
+            CallerWish::Cancel(job) => Ask::Cancel(job.to_string()),
+            CallerWish::Pending => Ask::Pending(queue.name.to_string()),
+        };
+        self.ask(ask, call.patience).await
+    }
+
+    fn record(
+        &self,
+        job: &str,
+        plan: &JobPlan,
+        queue: &model::work::QueueTerms,
+        workspace: &str,
+    ) -> JobRecord {
+        let accepted = BootClock.unix_now().as_millis();
+        JobRecord {
+            job: job.to_owned(),
+            queue: queue.name.to_string(),
+            pool: queue.pool.to_string(),
+            workspace: workspace.to_owned(),
+            accepted_unix_ms: u64::try_from(accepted).unwrap_or(u64::MAX),
+            ..record_of_plan(plan)
+        }
+    }
+
+    /// Asks the owner, whoever that is by then, until it answers or the caller has to be told
+    /// something. Asking again is harmless: ids make all calls idempotent.
+    async fn ask(&self, ask: Ask, patience: Duration) -> (CallerAnswer, CompactString) {
+        let patience = if patience.is_zero() {
+            DEFAULT_PATIENCE
+        } else {
+            patience
+        };
+        let patience = patience.min(LONGEST_PATIENCE);
+        let begun = Instant::now();
+        let mut state = AskState {
+            deadline: begun + patience.saturating_sub(ANSWER_MARGIN),
+            begun,
+            unsure: false,
+            owner: CompactString::default(),
+        };
+        loop {
+            if let Some(answer) = self.ask_once(&ask, &mut state).await {
+                return (answer, state.owner);
+            }
+            let now = Instant::now();
+            let waited = now.duration_since(state.begun);
+            if !state.unsure && waited >= self.options.owner_patience {
+                return (CallerAnswer::Refused(self.options.retry_after), state.owner);
+            }
+            if now + ASK_PAUSE >= state.deadline {
+                return (CallerAnswer::Unknown, state.owner);
+            }
+            let pause = now + ASK_PAUSE;
+            // A new owner is asked at once.
+            let _ = timeout_at(pause, self.owners.changed.notified()).await;
+        }
+    }
+
+    /// Asks once; `None` if there is no answer to give yet.
+    async fn ask_once(&self, ask: &Ask, state: &mut AskState) -> Option<CallerAnswer> {
+        let left = state.deadline.saturating_duration_since(Instant::now());
+        let call = OwnerCall {
+            ask: Some(ask.clone()),
+            patience_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        };
+        let own = self.slot.borrow().clone();
+        if let Some(term) = own.filter(|term| !term.is_over()) {
+            state.owner = self.options.member.clone();
+            let answer = owner_desk::answer_call(&term, call).await;
+            return self.read_answer(&answer, state);
+        }
+        let owner = self.owners.owner()?;
+        if owner.member == self.options.member || owner.address.is_empty() {
+            return None;
+        }
+        state.owner = owner.member.clone();
+        let timeout = ASK_TIMEOUT.min(left);
+        match ask_owner(&self.client, &owner.address, &call, timeout).await {
+            Ok(answer) => self.read_answer(&answer, state),
+            Err(CallFault::NotSent(error)) => {
+                log::debug!("{error}");
+                None
+            }
+            Err(CallFault::Unanswered(error)) => {
+                log::debug!("{error}");
+                state.unsure |= matches!(ask, Ask::Submit(_) | Ask::Cancel(_));
+                None
+            }
+        }
+    }
+
+    fn read_answer(&self, answer: &OwnerAnswer, state: &mut AskState) -> Option<CallerAnswer> {
+        match answer.kind() {
+            AnswerKind::NotOwner => None,
+            AnswerKind::Accepted => Some(CallerAnswer::Accepted),
+            AnswerKind::Found => Some(CallerAnswer::Found(progress_of(answer.phase()))),
+            AnswerKind::Counted => Some(CallerAnswer::Counted(answer.pending)),
+            AnswerKind::NotFound => Some(CallerAnswer::NoJob),
+            // An earlier owner may have recorded what this one refuses.
+            AnswerKind::Refused if state.unsure => Some(CallerAnswer::Unknown),
+            AnswerKind::Refused => {
+                let wait = Duration::from_millis(answer.retry_after_ms);
+                Some(CallerAnswer::Refused(wait))
+            }
+            AnswerKind::Unknown => {
+                state.unsure = true;
+                None
+            }
+        }
+    }
+
+    fn note(&self, call: &CallerCall, answer: &CallerAnswer, owner: &str, begun: Instant) {
+        let (wish, job) = match &call.wish {
+            CallerWish::Submit(job, _) => ("submit", job.as_str()),
+            CallerWish::Look(job) => ("look", job.as_str()),
+            CallerWish::Cancel(job) => ("cancel", job.as_str()),
+            CallerWish::Pending => ("pending", ""),
+        };
+        let (name, refused) = name_of(answer);
+        let took = begun.elapsed();
+        metrics::counter!(metric::CALLS, "wish" => wish, "answer" => name).increment(1);
+        metric::time(metric::CALL_SECONDS, took);
+        let revision = self
+            .view
+            .terms()
+            .map_or(0, |terms: std::sync::Arc<FleetTerms>| terms.revision);
+        let details = format_args!(
+            "wish={wish} job={job} path={} answer={name} owner={owner} terms={revision} took_ms={}",
+            call.path,
+            took.as_millis()
+        )
+        .to_string();
+        if refused {
+            log_event::warn(&event::CALL_REFUSED, format_args!("{details}"));
+        } else {
+            log_event::info(&event::CALL_ANSWERED, format_args!("{details}"));
+        }
+    }
+}
+
+fn name_of(answer: &CallerAnswer) -> (&'static str, bool) {
+    match answer {
+        CallerAnswer::Accepted => ("accepted", false),
+        CallerAnswer::Found(JobProgress::Queued) => ("queued", false),
+        CallerAnswer::Found(JobProgress::Running) => ("running", false),
+        CallerAnswer::Found(JobProgress::Completed) => ("completed", false),
+        CallerAnswer::Found(JobProgress::Failed) => ("failed", false),
+        CallerAnswer::Found(JobProgress::Cancelled) => ("cancelled", false),
+        CallerAnswer::Counted(_) => ("counted", false),
+        CallerAnswer::KeyRefused => ("key-refused", true),
+        CallerAnswer::NoQueue => ("no-queue", true),
+        CallerAnswer::NoJob => ("no-job", false),
+        CallerAnswer::Invalid(_) => ("invalid", true),
+        CallerAnswer::Refused(_) => ("refused", true),
+        CallerAnswer::Unknown => ("unknown", true),
+    }
+}
+
+fn progress_of(phase: JobPhase) -> JobProgress {
+    match phase {
+        JobPhase::Queued => JobProgress::Queued,
+        JobPhase::Running => JobProgress::Running,
+        JobPhase::Completed => JobProgress::Completed,
+        JobPhase::Failed => JobProgress::Failed,
+        JobPhase::Cancelled => JobProgress::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/cell/src/fleet_view.rs
@@ -0,0 +1,135 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+};
+
+use model::{
+    event as log_event,
+    work::{FleetTerms, MaintenanceWave, WaveId},
+};
+use ports::{FleetCodec, StoreEvent, StoreItem};
+use tokio::sync::Notify;
+
+use crate::{event, prefix_watch::PrefixSink};
+
+/// What operators ask for, as far as this process has heard.
+pub(crate) struct FleetView {
+    codec: Rc<dyn FleetCodec>,
+    terms: RefCell<Option<Arc<FleetTerms>>>,
+    waves: RefCell<BTreeMap<WaveId, MaintenanceWave>>,
+    /// Counts the changes.
+    pub(crate) version: Cell<u64>,
+    /// Told of each change.
+    pub(crate) changed: Notify,
+}
+
+impl FleetView {
+    pub(crate) fn new(codec: Rc<dyn FleetCodec>) -> Self {
+        Self {
+            codec,
+            terms: RefCell::default(),
+            waves: RefCell::default(),
+            version: Cell::new(0),
+            changed: Notify::new(),
+        }
+    }
+
+    /// The terms in force; `None` before the first were read.
+    pub(crate) fn terms(&self) -> Option<Arc<FleetTerms>> {
+        self.terms.borrow().clone()
+    }
+
+    /// The waves that operators ask for.
+    pub(crate) fn waves(&self) -> Vec<MaintenanceWave> {
+        self.waves.borrow().values().cloned().collect()
+    }
+
+    fn take(&self, item: &StoreItem) {
+        if item.key == self.codec.terms_key() {
+            match self.codec.read_terms(&item.value) {
+                Ok(terms) => self.put_in_force(terms),
+                Err(error) => unreadable(item, &error),
+            }
+        } else if let Some(wave) = self.codec.wave_of_key(&item.key) {
+            match self.codec.read_wave(&item.value) {
+                Ok(read) => self.add_wave(wave, read),
+                Err(error) => unreadable(item, &error),
+            }
+        }
+    }
+
+    /// Puts terms in force, unless they are older than those that are: a lagging answer of the
+    /// store must not bring back a key or a queue that operators have taken away.
+    fn put_in_force(&self, terms: FleetTerms) {
+        let held = self
+            .terms
+            .borrow()
+            .as_ref()
+            .map_or(0, |terms| terms.revision);
+        if terms.revision <= held {
+            if terms.revision < held {
+                log_event::warn(
+                    &event::TERMS_STALE,
+                    format_args!("revision={} in_force={held}", terms.revision),
+                );
+            }
+            return;
+        }
+        log_event::info(
+            &event::TERMS_IN_FORCE,
+            format_args!(
+                "revision={} before={held} queues={} workspaces={}",
+                terms.revision,
+                terms.queues.len(),
+                terms.workspaces.len()
+            ),
+        );
+        *self.terms.borrow_mut() = Some(Arc::new(terms));
+        self.bump();
+    }
+
+    fn add_wave(&self, wave: WaveId, read: MaintenanceWave) {
+        log_event::info(
+            &event::WAVE_SEEN,
+            format_args!("wave={wave} hosts={} cap={}", read.hosts.len(), read.cap),
+        );
+        self.waves.borrow_mut().insert(wave, read);
+        self.bump();
+    }
+
+    fn bump(&self) {
+        self.version.set(self.version.get() + 1);
+        self.changed.notify_waiters();
+    }
+}
+
+impl PrefixSink for FleetView {
+    fn reset(&self, items: Vec<StoreItem>) {
+        items.iter().for_each(|item| self.take(item));
+    }
+
+    fn change(&self, event: StoreEvent) {
+        match event {
+            StoreEvent::Written(item) => self.take(&item),
+            // Operators replace terms and never remove them.
+            StoreEvent::Removed(key) => {
+                if let Some(wave) = self.codec.wave_of_key(&key) {
+                    self.waves.borrow_mut().remove(&wave);
+                    self.bump();
+                }
+            }
+        }
+    }
+}
+
+fn unreadable(item: &StoreItem, error: &str) {
+    log_event::warn(
+        &event::ENTRY_UNREADABLE,
+        format_args!(
+            "key={} revision={} cause=\"{error}\"",
+            item.key, item.revision
+        ),
+    );
+}
--- /dev/null
+++ b/crates/cell/src/job_log.rs
@@ -0,0 +1,268 @@
+use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
+
+use decide::work::RecordOrder;
+use model::{BootTime, event as log_event};
+use ports::{StoreChange, StoreFault, StoreOutcome, StoreWrite};
+use prost::Message;
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{Instant, sleep, timeout},
+};
+use wire::work::{LogPage, log_entry::Event};
+
+use crate::{event, log_reader::page_key, metric, term::Term};
+
+/// Largest page, in bytes; the store takes values of up to a megabyte.
+const PAGE_BYTES: usize = 256 << 10;
+/// How long an entry that somebody waits for is tried while the store refuses calls. Waiting
+/// longer would keep a caller from going elsewhere with work that is surely not recorded.
+const REFUSED_PATIENCE: Duration = Duration::from_millis(150);
+/// Pause after a failed write.
+const FAULT_PAUSE: Duration = Duration::from_millis(25);
+
+/// What became of an entry that somebody waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RecordOutcome {
+    /// It is stored.
+    Stored,
+    /// It is not stored and never will be.
+    Refused,
+}
+
+/// An entry that is to be written.
+struct PendingRecord {
+    order: RecordOrder,
+    since: BootTime,
+    done: Option<oneshot::Sender<RecordOutcome>>,
+}
+
+/// Entries that wait for their page.
+///
+/// One write is under way at a time, and carries all that has come together since the last.
+#[derive(Default)]
+pub(crate) struct JobLog {
+    pending: RefCell<VecDeque<PendingRecord>>,
+    urgent: Notify,
+    any: Notify,
+    /// Told after each page.
+    pub(crate) stored: Notify,
+    /// Whether the last write failed, so that new work is refused at once.
+    failing: std::cell::Cell<bool>,
+}
+
+impl JobLog {
+    /// Adds an entry that nobody waits for.
+    pub(crate) fn add(&self, order: RecordOrder, now: BootTime) {
+        let urgent = order.urgent;
+        self.pending.borrow_mut().push_back(PendingRecord {
+            order,
+            since: now,
+            done: None,
+        });
+        self.any.notify_one();
+        if urgent {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// Adds an entry and tells what became of it; a closed channel means that nobody knows.
+    pub(crate) fn add_awaited(
+        &self,
+        order: RecordOrder,
+        now: BootTime,
+    ) -> oneshot::Receiver<RecordOutcome> {
+        let (done, outcome) = oneshot::channel();
+        self.pending.borrow_mut().push_back(PendingRecord {
+            order,
+            since: now,
+            done: Some(done),
+        });
+        self.any.notify_one();
+        self.urgent.notify_one();
+        outcome
+    }
+
+    /// True if everything has been written.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pending.borrow().is_empty()
+    }
+
+    /// True while writes fail.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failing.get()
+    }
+}
+
+/// Writes the log of a term, until the term is over.
+pub(crate) async fn write_log(term: Rc<Term>, first_page: u64) {
+    let mut page = first_page;
+    loop {
+        wait_for_entries(&term).await;
+        let Some(wrote) = write_page(&term, page).await else {
+            return;
+        };
+        if wrote {
+            page += 1;
+        }
+    }
+}
+
+async fn wait_for_entries(term: &Term) {
+    let log = &term.log;
+    while log.pending.borrow().is_empty() {
+        log.any.notified().await;
+    }
+    let urgent = log
+        .pending
+        .borrow()
+        .iter()
+        .any(|record| record.order.urgent);
+    if !urgent {
+        // A timeout is the ordinary case: nobody waits for these entries.
+        let _ = timeout(term.options.record_pause, log.urgent.notified()).await;
+    }
+}
+
+/// Writes the next page; `None` once the term is over, false if there was nothing to write.
+async fn write_page(term: &Term, page: u64) -> Option<bool> {
+    let mut unsure = false;
+    let mut taken: Vec<PendingRecord> = Vec::new();
+    loop {
+        if !unsure {
+            // Nothing of the last attempt can be in the store, so the page may still change.
+            refuse_old(term, &mut taken);
+            take_records(term, &mut taken);
+        }
+        if taken.is_empty() {
+            return Some(false);
+        }
+        let started = Instant::now();
+        let outcome = term.ports.store.change(change_of(term, page, &taken)).await;
+        metric::time(metric::RECORD_SECONDS, started.elapsed());
+        match outcome {
+            Ok(StoreOutcome::Done(_)) => {
+                settle(term, page, taken);
+                return Some(true);
+            }
+            Ok(StoreOutcome::Conflict(items)) => {
+                // Only the owner writes pages, so a page that is there is the one whose
+                // answer was lost.
+                let owner = items
+                    .iter()
+                    .find(|item| item.key == term.options.owner_key());
+                let ours = owner.is_some_and(|item| item.revision == term.token);
+                if ours && unsure {
+                    settle(term, page, taken);
+                    return Some(true);
+                }
+                term.end(if ours { "page taken" } else { "succeeded" });
+                return None;
+            }
+            Ok(StoreOutcome::LeaseEnded) => {
+                term.end("lease ended");
+                return None;
+            }
+            Err(error) => {
+                unsure |= !matches!(error, StoreFault::Refused(_));
+                note_fault(term, page, &error, unsure);
+                sleep(FAULT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// The change that writes a page: only while the writer's entry as owner stands, so that what
+/// an earlier owner sent can't land after its successor has read the log.
+fn change_of(term: &Term, page: u64, taken: &[PendingRecord]) -> StoreChange {
+    let key = page_key(&term.options, page);
+    let entries = taken
+        .iter()
+        .map(|record| record.order.entry.clone())
+        .collect();
+    StoreChange {
+        expect: vec![(term.options.owner_key(), term.token), (key.clone(), 0)],
+        writes: vec![StoreWrite {
+            key,
+            value: LogPage { entries }.encode_to_vec(),
+            lease: None,
+        }],
+        removes: Vec::new(),
+    }
+}
+
+fn take_records(term: &Term, taken: &mut Vec<PendingRecord>) {
+    let mut pending = term.log.pending.borrow_mut();
+    let size = |record: &PendingRecord| record.order.entry.encoded_len();
+    let mut bytes: usize = taken.iter().map(size).sum();
+    while let Some(next) = pending.front() {
+        bytes += size(next);
+        if bytes > PAGE_BYTES && !taken.is_empty() {
+            return;
+        }
+        taken.extend(pending.pop_front());
+    }
+}
+
+/// Refuses what somebody waits for and could not be written for some time.
+fn refuse_old(term: &Term, taken: &mut Vec<PendingRecord>) {
+    let now = term.now().boot;
+    let mut kept = Vec::with_capacity(taken.len());
+    for mut record in std::mem::take(taken) {
+        let old = now.saturating_sub(record.since) >= REFUSED_PATIENCE;
+        match record.done.take_if(|_| old) {
+            Some(done) => {
+                // The caller may have gone.
+                let _ = done.send(RecordOutcome::Refused);
+            }
+            None => kept.push(record),
+        }
+    }
+    *taken = kept;
+}
+
+fn settle(term: &Term, page: u64, taken: Vec<PendingRecord>) {
+    term.log.failing.set(false);
+    metrics::counter!(metric::LOG_WRITES, "outcome" => "stored").increment(1);
+    let now = term.now();
+    let mut desk = term.desk.borrow_mut();
+    for record in taken {
+        match &record.order.entry.event {
+            Some(Event::Accepted(job)) => {
+                desk.accept(job, now);
+                log_event::info(
+                    &event::JOB_RECORDED,
+                    format_args!(
+                        "job={} queue={} workspace={} page={page} waited_ms={}",
+                        job.job,
+                        job.queue,
+                        job.workspace,
+                        now.boot.saturating_sub(record.since).as_millis()
+                    ),
+                );
+            }
+            Some(Event::Cancelled(job)) => {
+                desk.cancel(&job.as_str().into(), now);
+                log_event::info(&event::JOB_CANCELLED, format_args!("job={job} page={page}"));
+            }
+            _ => {}
+        }
+        desk.recorded(&record.order, now);
+        if let Some(done) = record.done {
+            // The caller may have gone; the entry counts all the same.
+            let _ = done.send(RecordOutcome::Stored);
+        }
+    }
+    drop(desk);
+    term.log.stored.notify_waiters();
+    term.wake.notify_one();
+}
+
+fn note_fault(term: &Term, page: u64, error: &StoreFault, unsure: bool) {
+    metrics::counter!(metric::LOG_WRITES, "outcome" => "failed").increment(1);
+    if !term.log.failing.replace(true) {
+        log_event::warn(
+            &event::RECORD_FAILED,
+            format_args!("page={page} cause=\"{error}\" unsure={unsure} next=retry"),
+        );
+    }
+}
--- /dev/null
+++ b/crates/cell/src/lib.rs
@@ -0,0 +1,30 @@
+//! Ownership of a cell of the fleet, its job log and the orders to its targets.
+//!
+//! Start with [`CellHost`], everything that one process of the system does. Every process
+//! answers callers; one of them owns the cell by a lease of the store and decides for it in a
+//! [`Term`](term::Term). What it decides is in `decide::work`; here are the event loop, the
+//! log in the store and the calls. The design is argued in `docs/design/13-platform.md`.
+
+pub mod event;
+
+mod caller_front;
+mod cell_host;
+mod cell_options;
+mod election;
+mod fleet_view;
+mod host_duty;
+mod job_log;
+mod log_reader;
+mod metric;
+mod metrics_port;
+mod owner_desk;
+mod owner_view;
+mod peer_port;
+mod prefix_watch;
+mod record_note;
+mod target_lane;
+mod target_watch;
+mod term;
+
+pub use cell_host::{CellHost, CellPorts};
+pub use cell_options::CellOptions;
--- /dev/null
+++ b/crates/cell/src/metrics_port.rs
@@ -0,0 +1,22 @@
+use std::rc::Rc;
+
+use link::{HttpReply, HttpRequest, HttpService, ReplyFuture};
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// Serves the metrics of the process as text, on any path.
+pub(crate) struct MetricsPort {
+    pub(crate) handle: PrometheusHandle,
+}
+
+impl HttpService for MetricsPort {
+    fn answer(&self, _request: HttpRequest) -> ReplyFuture {
+        let text = self.handle.render();
+        Box::pin(async move { HttpReply::json(200, text) })
+    }
+}
+
+impl MetricsPort {
+    pub(crate) fn service(handle: PrometheusHandle) -> Rc<dyn HttpService> {
+        Rc::new(Self { handle })
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner_desk.rs
@@ -0,0 +1,163 @@
+use std::{rc::Rc, time::Duration};
+
+use decide::work::RecordOrder;
+use model::BootTime;
+use tokio::time::{Instant, timeout_at};
+use wire::work::{
+    AnswerKind, JobPhase, JobRecord, LogEntry, OwnerAnswer, OwnerCall, log_entry::Event,
+    owner_call::Ask,
+};
+
+use crate::{job_log::RecordOutcome, term::Term};
+
+/// Answers, as the owner, what a host that serves callers asks.
+pub(crate) async fn answer_call(term: &Rc<Term>, call: OwnerCall) -> OwnerAnswer {
+    let deadline = Instant::now() + Duration::from_millis(call.patience_ms);
+    if !term.is_ready() && !wait_ready(term, deadline).await {
+        return answer(AnswerKind::NotOwner);
+    }
+    match call.ask {
+        Some(Ask::Submit(record)) => submit(term, record, deadline).await,
+        Some(Ask::Look(job)) => look(term, &job),
+        Some(Ask::Cancel(job)) => cancel(term, &job, deadline).await,
+        Some(Ask::Pending(queue)) => OwnerAnswer {
+            pending: term.desk.borrow().pending(&queue),
+            ..answer(AnswerKind::Counted)
+        },
+        // A question of a newer version.
+        None => refused(term),
+    }
+}
+
+/// Waits until the log has been read: that takes milliseconds, and asking again costs more.
+async fn wait_ready(term: &Rc<Term>, deadline: Instant) -> bool {
+    let ready = term.became_ready.notified();
+    if !term.is_ready() && !term.is_over() {
+        // Whether it became ready or the time is up shows below.
+        let _ = timeout_at(deadline, ready).await;
+    }
+    term.is_ready()
+}
+
+/// Accepts a job. The same id again is the same job, whoever asks and however often.
+async fn submit(term: &Rc<Term>, record: JobRecord, deadline: Instant) -> OwnerAnswer {
+    if term
+        .desk
+        .borrow()
+        .board
+        .jobs
+        .contains_key(record.job.as_str())
+    {
+        return answer(AnswerKind::Accepted);
+    }
+    if term.submitting.borrow().contains(&record.job) {
+        return join_submit(term, &record.job, deadline).await;
+    }
+    if !term.is_certain() || term.log.is_failing() {
+        return refused(term);
+    }
+    let job = record.job.clone();
+    term.submitting.borrow_mut().insert(job.clone());
+    let outcome = term
+        .log
+        .add_awaited(awaited(Event::Accepted(record)), boot(term));
+    let forget = term.clone();
+    // The entry is written whether or not the caller stays, so it is followed to its end.
+    let followed = tokio::task::spawn_local(async move {
+        let outcome = outcome.await;
+        forget.submitting.borrow_mut().remove(&job);
+        outcome
+    });
+    match timeout_at(deadline, followed).await {
+        Ok(Ok(Ok(RecordOutcome::Stored))) => answer(AnswerKind::Accepted),
+        Ok(Ok(Ok(RecordOutcome::Refused))) => refused(term),
+        _ => answer(AnswerKind::Unknown),
+    }
+}
+
+/// Waits for a job that another call is handing in.
+async fn join_submit(term: &Rc<Term>, job: &str, deadline: Instant) -> OwnerAnswer {
+    loop {
+        let stored = term.log.stored.notified();
+        if term.desk.borrow().board.jobs.contains_key(job) {
+            return answer(AnswerKind::Accepted);
+        }
+        if !term.submitting.borrow().contains(job) {
+            return refused(term);
+        }
+        if timeout_at(deadline, stored).await.is_err() || term.is_over() {
+            return answer(AnswerKind::Unknown);
+        }
+    }
+}
+
+fn look(term: &Rc<Term>, job: &str) -> OwnerAnswer {
+    if let Some(phase) = term.desk.borrow().progress(job) {
+        return found(phase);
+    }
+    if term.is_certain() {
+        answer(AnswerKind::NotFound)
+    } else {
+        // A successor may have accepted it meanwhile.
+        refused(term)
+    }
+}
+
+async fn cancel(term: &Rc<Term>, job: &str, deadline: Instant) -> OwnerAnswer {
+    let phase = term.desk.borrow().progress(job);
+    match phase {
+        None if !term.is_certain() => return refused(term),
+        None if term.submitting.borrow().contains(job) => {
+            // It is being recorded by a call that its caller has given up on.
+            let _ = join_submit(term, job, deadline).await;
+        }
+        None => return answer(AnswerKind::NotFound),
+        Some(JobPhase::Queued | JobPhase::Running) => {}
+        Some(ended) => return found(ended),
+    }
+    if !term.is_certain() || term.log.is_failing() {
+        return refused(term);
+    }
+    let entry = awaited(Event::Cancelled(job.to_owned()));
+    let outcome = term.log.add_awaited(entry, boot(term));
+    match timeout_at(deadline, outcome).await {
+        Ok(Ok(RecordOutcome::Stored)) => found(JobPhase::Cancelled),
+        Ok(Ok(RecordOutcome::Refused)) => refused(term),
+        _ => answer(AnswerKind::Unknown),
+    }
+}
+
+fn awaited(event: Event) -> RecordOrder {
+    RecordOrder {
+        entry: LogEntry { event: Some(event) },
+        origin: None,
+        job: None,
+        urgent: true,
+    }
+}
+
+fn boot(term: &Term) -> BootTime {
+    term.now().boot
+}
+
+fn answer(kind: AnswerKind) -> OwnerAnswer {
+    OwnerAnswer {
+        kind: kind.into(),
+        ..OwnerAnswer::default()
+    }
+}
+
+fn found(phase: JobPhase) -> OwnerAnswer {
+    OwnerAnswer {
+        phase: phase.into(),
+        ..answer(AnswerKind::Found)
+    }
+}
+
+fn refused(term: &Term) -> OwnerAnswer {
+    let wait = u64::try_from(term.options.retry_after.as_millis()).unwrap_or(u64::MAX);
+    OwnerAnswer {
+        retry_after_ms: wait,
+        ..answer(AnswerKind::Refused)
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner_view.rs
@@ -0,0 +1,105 @@
+use std::cell::RefCell;
+
+use compact_str::CompactString;
+use model::{MemberId, event as log_event};
+use ports::{StoreEvent, StoreItem, StoreRevision};
+use prost::Message;
+use tokio::sync::Notify;
+use wire::work::OwnerRecord;
+
+use crate::{event, prefix_watch::PrefixSink};
+
+/// Who owns the cell, as the store says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct OwnerEntry {
+    /// Its name.
+    pub(crate) member: MemberId,
+    /// Where it answers peers.
+    pub(crate) address: CompactString,
+    /// Revision of the entry, which is the owner's token.
+    pub(crate) token: StoreRevision,
+}
+
+/// Follows the store's entry of the owner.
+#[derive(Default)]
+pub(crate) struct OwnerView {
+    key: CompactString,
+    owner: RefCell<Option<OwnerEntry>>,
+    /// Whether the entry has been read at all.
+    known: std::cell::Cell<bool>,
+    /// Told of each change.
+    pub(crate) changed: Notify,
+}
+
+impl OwnerView {
+    pub(crate) fn new(key: CompactString) -> Self {
+        Self {
+            key,
+            ..Self::default()
+        }
+    }
+
+    /// The owner; `None` if there is none.
+    pub(crate) fn owner(&self) -> Option<OwnerEntry> {
+        self.owner.borrow().clone()
+    }
+
+    /// True if it is known that there is no owner.
+    pub(crate) fn is_vacant(&self) -> bool {
+        self.known.get() && self.owner.borrow().is_none()
+    }
+
+    /// Takes the entry as it was read or written; `None` if there is none.
+    pub(crate) fn set(&self, item: Option<&StoreItem>) {
+        let entry = item.and_then(owner_of);
+        self.known.set(true);
+        if *self.owner.borrow() == entry {
+            return;
+        }
+        match &entry {
+            Some(owner) => log_event::info(
+                &event::OWNER_SEEN,
+                format_args!(
+                    "owner={} address={} token={}",
+                    owner.member, owner.address, owner.token
+                ),
+            ),
+            None => log_event::info(&event::OWNER_GONE, format_args!("")),
+        }
+        *self.owner.borrow_mut() = entry;
+        self.changed.notify_waiters();
+    }
+}
+
+/// Reads an owner's entry; an entry that can't be read is no owner to ask, and lapses.
+pub(crate) fn owner_of(item: &StoreItem) -> Option<OwnerEntry> {
+    let record = match OwnerRecord::decode(item.value.as_slice()) {
+        Ok(record) => record,
+        Err(error) => {
+            log_event::warn(
+                &event::ENTRY_UNREADABLE,
+                format_args!("key={} cause=\"{error}\"", item.key),
+            );
+            OwnerRecord::default()
+        }
+    };
+    Some(OwnerEntry {
+        member: record.member.into(),
+        address: record.address.into(),
+        token: item.revision,
+    })
+}
+
+impl PrefixSink for OwnerView {
+    fn reset(&self, items: Vec<StoreItem>) {
+        self.set(items.iter().find(|item| item.key == self.key));
+    }
+
+    fn change(&self, event: StoreEvent) {
+        match event {
+            StoreEvent::Written(item) if item.key == self.key => self.set(Some(&item)),
+            StoreEvent::Removed(key) if key == self.key => self.set(None),
+            StoreEvent::Written(_) | StoreEvent::Removed(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/peer_port.rs
@@ -0,0 +1,64 @@
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use hyper::Method;
+use link::{CallClient, CallFault, HttpCall, HttpReply, HttpRequest, HttpService, ReplyFuture};
+use prost::Message;
+use wire::work::{AnswerKind, OwnerAnswer, OwnerCall};
+
+use crate::{owner_desk, term::Term};
+
+/// Path that the owner answers peers at.
+const OWNER_PATH: &str = "/owner";
+
+/// The term that this process runs, while it owns the cell.
+pub(crate) type TermSlot = Rc<RefCell<Option<Rc<Term>>>>;
+
+/// Answers the other processes of the system.
+pub(crate) struct PeerPort {
+    pub(crate) slot: TermSlot,
+}
+
+impl HttpService for PeerPort {
+    fn answer(&self, request: HttpRequest) -> ReplyFuture {
+        let term = self.slot.borrow().clone();
+        Box::pin(async move {
+            let call = match OwnerCall::decode(request.body) {
+                Ok(call) if request.uri.path() == OWNER_PATH => call,
+                Ok(_) => return HttpReply::status(404),
+                Err(error) => {
+                    log::warn!("unreadable message of a peer: {error}");
+                    return HttpReply::status(400);
+                }
+            };
+            let answer = match term {
+                Some(term) => owner_desk::answer_call(&term, call).await,
+                None => OwnerAnswer {
+                    kind: AnswerKind::NotOwner.into(),
+                    ..OwnerAnswer::default()
+                },
+            };
+            HttpReply::json(200, answer.encode_to_vec())
+        })
+    }
+}
+
+/// Asks another process as the owner.
+///
+/// # Errors
+/// [`CallFault::NotSent`] if it can't have seen the call.
+pub(crate) async fn ask_owner(
+    client: &CallClient,
+    address: &str,
+    call: &OwnerCall,
+    timeout: Duration,
+) -> Result<OwnerAnswer, CallFault> {
+    let request = HttpCall::new("ask owner", address, Method::POST, OWNER_PATH, timeout)
+        .with_body(call.encode_to_vec());
+    let reply = client.call(request).await?;
+    let unreadable =
+        |cause: String| CallFault::Unanswered(model::StepError::new("ask owner", address, cause));
+    if reply.status != 200 {
+        return Err(unreadable(format!("status {}", reply.status)));
+    }
+    OwnerAnswer::decode(reply.body).map_err(|error| unreadable(error.to_string()))
+}
--- /dev/null
+++ b/crates/cell/src/prefix_watch.rs
@@ -0,0 +1,83 @@
+use std::{rc::Rc, time::Duration};
+
+use model::event as log_event;
+use ports::{LeaseStore, StoreEvent, StoreFault, StoreItem, StoreRevision};
+use tokio::time::sleep;
+
+use crate::event;
+
+/// Pause after a failed call; a store that is down is asked this often.
+const FAULT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Hears what happens below a prefix.
+pub(crate) trait PrefixSink {
+    /// All keys that there are; what was known before and isn't among them is gone.
+    fn reset(&self, items: Vec<StoreItem>);
+    /// One change.
+    fn change(&self, event: StoreEvent);
+}
+
+/// Keeps a sink in step with the keys below a prefix, for ever.
+///
+/// Where the store has dropped the history that the watch needs, everything is read anew.
+pub(crate) async fn watch_prefix(
+    store: Rc<dyn LeaseStore>,
+    prefix: &str,
+    patience: Duration,
+    sink: &dyn PrefixSink,
+) {
+    loop {
+        let mut revision = match read_all(&*store, prefix).await {
+            Ok((items, revision)) => {
+                sink.reset(items);
+                revision
+            }
+            Err(error) => {
+                log::debug!("list {prefix}: {error}");
+                sleep(FAULT_PAUSE).await;
+                continue;
+            }
+        };
+        loop {
+            match store.watch(prefix, revision, patience).await {
+                Ok(changes) => {
+                    revision = revision.max(changes.as_of);
+                    changes
+                        .events
+                        .into_iter()
+                        .for_each(|event| sink.change(event));
+                }
+                Err(StoreFault::HistoryGone) => {
+                    log_event::info(
+                        &event::WATCH_RESET,
+                        format_args!("prefix={prefix} revision={revision}"),
+                    );
+                    break;
+                }
+                Err(error) => {
+                    log::debug!("watch {prefix}: {error}");
+                    sleep(FAULT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Reads all keys below a prefix. The revision is the one of the first page, so that a watch
+/// from there misses nothing that changed while the others were read.
+pub(crate) async fn read_all(
+    store: &dyn LeaseStore,
+    prefix: &str,
+) -> Result<(Vec<StoreItem>, StoreRevision), StoreFault> {
+    let mut page = store.list(prefix, "").await?;
+    let revision = page.as_of;
+    let mut items = page.items;
+    while page.more {
+        let Some(last) = items.last().map(|item| item.key.clone()) else {
+            break;
+        };
+        page = store.list(prefix, &last).await?;
+        items.append(&mut page.items);
+    }
+    Ok((items, revision))
+}
--- /dev/null
+++ b/crates/cell/src/record_note.rs
@@ -0,0 +1,73 @@
+use std::collections::VecDeque;
+
+use decide::work::DeskEvent;
+use model::event::{self as log_event, EventInfo};
+
+use crate::{event, metric};
+
+/// Writes a log line for each decision and each change of belief of the desk.
+pub(crate) fn log_events(events: VecDeque<DeskEvent>) {
+    for desk_event in events {
+        log_one(&desk_event);
+    }
+}
+
+fn log_one(desk_event: &DeskEvent) {
+    match desk_event {
+        DeskEvent::Placed(task, attempt, target) => {
+            run_line(&event::TASK_PLACED, task, *attempt, target, "");
+        }
+        DeskEvent::Adopted(task, attempt, target) => {
+            run_line(&event::TASK_ADOPTED, task, *attempt, target, "");
+        }
+        DeskEvent::Unwanted(task, attempt, target) => {
+            run_line(&event::TASK_UNWANTED, task, *attempt, target, "");
+        }
+        DeskEvent::Unsure(task, attempt, target) => {
+            run_line(&event::TASK_UNSURE, task, *attempt, target, "");
+        }
+        DeskEvent::Vanished(task, attempt, target) => {
+            run_line(&event::TASK_VANISHED, task, *attempt, target, "");
+        }
+        DeskEvent::Ended(task, attempt, target, how) => {
+            metrics::counter!(metric::ENDS, "how" => *how).increment(1);
+            run_line(&event::TASK_ENDED, task, *attempt, target, how);
+        }
+        DeskEvent::StartRefused(task, attempt, target, why) => {
+            run_line(&event::TASK_REFUSED, task, *attempt, target, why);
+        }
+        DeskEvent::JobEnded(job, how) => {
+            log_event::info(&event::JOB_ENDED, format_args!("job={job} how={how}"));
+        }
+        DeskEvent::TargetRaised(target) => {
+            log_event::info(&event::TARGET_RAISED, format_args!("target={target}"));
+        }
+        DeskEvent::TargetLost(target, why, runs) => log_event::warn(
+            &event::TARGET_LOST,
+            format_args!("target={target} why={why} runs={runs}"),
+        ),
+        DeskEvent::TargetSilent(target) => {
+            log_event::warn(&event::TARGET_SILENT, format_args!("target={target}"));
+        }
+    }
+}
+
+fn run_line(
+    info: &EventInfo,
+    task: &model::work::TaskKey,
+    attempt: u64,
+    target: &model::HostId,
+    how: &str,
+) {
+    if how.is_empty() {
+        log_event::info(
+            info,
+            format_args!("task={task} attempt={attempt} target={target}"),
+        );
+    } else {
+        log_event::info(
+            info,
+            format_args!("task={task} attempt={attempt} target={target} how={how}"),
+        );
+    }
+}
--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -10,7 +10,7 @@
 
 const PROTO_DIR: &str = "crates/wire/proto";
 const OUTPUT_DIR: &str = "crates/wire/src/generated";
-const PACKAGES: [&str; 3] = ["peer", "state", "fleet"];
+const PACKAGES: [&str; 4] = ["peer", "state", "fleet", "work"];
 
 fn main() -> Result<()> {
     let check_only = std::env::args().any(|arg| arg == "--check");
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod retry;
 pub mod share;
 pub mod wave;
+pub mod work;
--- /dev/null
+++ b/crates/decide/src/work/desk_advice.rs
@@ -0,0 +1,96 @@
+use std::{cmp::Reverse, time::Duration};
+
+use compact_str::CompactString;
+use model::{HostId, work::TaskKey};
+
+use super::{DeskOrder, DeskTime, StepState, WorkDesk, desk_start::WaitingStep};
+
+/// Targets that are asked about at once; each costs the service time, and it takes a hundred.
+const ADVISED_AT_ONCE: u32 = 16;
+/// Least time between two questions about one step.
+const ADVICE_PAUSE: Duration = Duration::from_millis(500);
+
+/// A ticket is not used in the last part of its time: the start has to arrive within it.
+const ADVICE_MARGIN: Duration = Duration::from_millis(100);
+
+impl WorkDesk {
+    /// Takes the tickets for a step; none if the question failed.
+    pub fn advised(&mut self, key: &TaskKey, tickets: Vec<(HostId, CompactString)>, now: DeskTime) {
+        let Some(job) = self.board.jobs.get(&key.job) else {
+            return;
+        };
+        let queue = self.terms.queue(&job.queue);
+        let valid = queue
+            .and_then(|queue| queue.advice)
+            .unwrap_or_default()
+            .valid;
+        let until = now.boot + valid.saturating_sub(ADVICE_MARGIN);
+        let granted = tickets
+            .into_iter()
+            .map(|(id, ticket)| (id, (ticket, until)))
+            .collect();
+        if let Some(step) = self.advised_step(key) {
+            step.tickets = granted;
+            self.stale = true;
+        }
+    }
+
+    fn set_asked(&mut self, key: &TaskKey, now: DeskTime) {
+        if let Some(step) = self.advised_step(key) {
+            step.tickets.clear();
+            step.asked = now.boot;
+        }
+    }
+
+    fn advised_step(&mut self, key: &TaskKey) -> Option<&mut StepState> {
+        let job = self.board.jobs.get_mut(&key.job)?;
+        let occurrence = job.occurrences.get_mut(&key.occurrence)?;
+        occurrence.steps.get_mut(key.step as usize)
+    }
+
+    /// True if the step has to wait for advice; asks for it.
+    pub(super) fn wants_advice(&mut self, waiting: &WaitingStep, now: DeskTime) -> bool {
+        let Some(job) = self.board.jobs.get(&waiting.job) else {
+            return false;
+        };
+        let Some(advice) = self.terms.queue(&job.queue).and_then(|queue| queue.advice) else {
+            return false;
+        };
+        let pool = job.pool.clone();
+        let Some(state) = self.step_state(waiting) else {
+            return true;
+        };
+        if state.tickets.values().any(|(_, until)| now.boot < *until) {
+            return false;
+        }
+        // A step is not asked about again before the answer to its last question is overdue.
+        let patience = advice.fixed + advice.per_target * ADVISED_AT_ONCE * 4;
+        let asked = !state.asked.is_zero();
+        if asked && now.boot.saturating_sub(state.asked) < patience.max(ADVICE_PAUSE) {
+            return true;
+        }
+        let usable = self
+            .targets
+            .values()
+            .filter(|target| target.entry.pool == pool && target.takes_tasks(now.boot));
+        let mut usable: Vec<_> = usable.collect();
+        usable.sort_by_key(|target| Reverse(target.free().cpu));
+        let ids: Vec<HostId> = usable
+            .iter()
+            .take(ADVISED_AT_ONCE as usize)
+            .map(|target| target.entry.target.clone())
+            .collect();
+        if ids.is_empty() {
+            return true;
+        }
+        let key = TaskKey {
+            job: waiting.job.clone(),
+            occurrence: waiting.occurrence,
+            step: waiting.step,
+            index: 0,
+        };
+        self.set_asked(&key, now);
+        self.orders.push(DeskOrder::Advise(key, ids));
+        true
+    }
+}
--- /dev/null
+++ b/crates/decide/src/work/desk_answer.rs
@@ -0,0 +1,140 @@
+use model::{
+    HostId,
+    work::{AttemptNumber, OrderAnswer, StartAnswer, StartRefusal, TaskKey},
+};
+
+use super::{DeskEvent, DeskOrder, DeskTime, PlacePhase, WorkDesk, target_state::RunKey};
+
+impl WorkDesk {
+    /// Takes the answer to a start.
+    pub fn started(
+        &mut self,
+        id: &HostId,
+        task: &TaskKey,
+        attempt: AttemptNumber,
+        answer: StartAnswer,
+        now: DeskTime,
+    ) {
+        let run: RunKey = (task.clone(), attempt);
+        if !self.is_starting(id, &run) {
+            // A look has told before what became of it.
+            return;
+        }
+        match answer {
+            StartAnswer::Started { .. } => {
+                self.set_phase(id, &run, PlacePhase::Running, now);
+                self.pace_new(id, &run);
+                if let Some(target) = self.targets.get_mut(id) {
+                    target.answered = target.answered.max(now.boot);
+                }
+            }
+            StartAnswer::Refused(refusal) => self.start_refused(id, &run, refusal, now),
+            StartAnswer::NotSent(_) => {
+                self.note(refused(&run, id, "not-sent"));
+                self.release(id, &run);
+                self.pause_target(id, now);
+                self.note_silence(id, now);
+            }
+            StartAnswer::Unanswered(_) => {
+                self.note(DeskEvent::Unsure(task.clone(), attempt, id.clone()));
+                self.set_phase(id, &run, PlacePhase::Unsure, now);
+                self.pause_target(id, now);
+                self.note_silence(id, now);
+                self.orders.push(DeskOrder::Look(id.clone()));
+            }
+        }
+    }
+
+    /// Takes the answer to a stop.
+    pub fn stopped(
+        &mut self,
+        id: &HostId,
+        task: &TaskKey,
+        attempt: AttemptNumber,
+        answer: OrderAnswer,
+        now: DeskTime,
+    ) {
+        let run: RunKey = (task.clone(), attempt);
+        match answer {
+            OrderAnswer::Done => {
+                self.stops.remove(&(id.clone(), run.clone()));
+                self.set_phase(id, &run, PlacePhase::Stopping(true), now);
+            }
+            OrderAnswer::Fenced => self.orders.push(DeskOrder::Resign(id.clone())),
+            OrderAnswer::OtherLife => self.lose_target(id, "replaced", now),
+            OrderAnswer::Refused(_) | OrderAnswer::NotSent(_) | OrderAnswer::Unanswered(_) => {
+                self.note_silence(id, now);
+            }
+        }
+    }
+
+    fn is_starting(&self, id: &HostId, run: &RunKey) -> bool {
+        let (key, attempt) = run;
+        let job = self.board.jobs.get(&key.job);
+        let task = job.and_then(|job| job.task(key.occurrence, key.step, key.index));
+        task.and_then(|task| task.place.as_ref())
+            .is_some_and(|place| {
+                place.target == *id
+                    && place.attempt == *attempt
+                    && place.phase == PlacePhase::Starting
+            })
+    }
+
+    fn start_refused(&mut self, id: &HostId, run: &RunKey, refusal: StartRefusal, now: DeskTime) {
+        let name = match refusal {
+            StartRefusal::Fenced => "fenced",
+            StartRefusal::OldAttempt => "old-attempt",
+            StartRefusal::Late => "late",
+            StartRefusal::NoRoom => "no-room",
+            StartRefusal::NoTicket => "no-ticket",
+            StartRefusal::Unhealthy => "unhealthy",
+            StartRefusal::OtherLife => "other-life",
+            StartRefusal::Malformed => "malformed",
+        };
+        self.note(refused(run, id, name));
+        self.release(id, run);
+        match refusal {
+            StartRefusal::Fenced => self.orders.push(DeskOrder::Resign(id.clone())),
+            StartRefusal::OtherLife => self.lose_target(id, "replaced", now),
+            StartRefusal::NoTicket => self.drop_tickets(&run.0),
+            StartRefusal::Late => {
+                // The clock is not what it was taken for; the next look reads it anew.
+                if let Some(target) = self.targets.get_mut(id) {
+                    target.life.clock = None;
+                    target.life.raised = false;
+                }
+                self.orders.push(DeskOrder::Look(id.clone()));
+            }
+            StartRefusal::OldAttempt => {}
+            StartRefusal::NoRoom | StartRefusal::Unhealthy | StartRefusal::Malformed => {
+                self.pause_target(id, now);
+                self.orders.push(DeskOrder::Look(id.clone()));
+            }
+        }
+    }
+
+    fn release(&mut self, id: &HostId, run: &RunKey) {
+        self.unclaim(id, run);
+        self.vacate_place(id, run);
+    }
+
+    fn pause_target(&mut self, id: &HostId, now: DeskTime) {
+        let tuning = self.tuning;
+        if let Some(target) = self.targets.get_mut(id) {
+            target.pause(&tuning, now.boot);
+        }
+    }
+
+    fn drop_tickets(&mut self, key: &TaskKey) {
+        let job = self.board.jobs.get_mut(&key.job);
+        let occurrence = job.and_then(|job| job.occurrences.get_mut(&key.occurrence));
+        let step = occurrence.and_then(|state| state.steps.get_mut(key.step as usize));
+        if let Some(step) = step {
+            step.tickets.clear();
+        }
+    }
+}
+
+fn refused(run: &RunKey, id: &HostId, name: &'static str) -> DeskEvent {
+    DeskEvent::StartRefused(run.0.clone(), run.1, id.clone(), name)
+}
--- /dev/null
+++ b/crates/decide/src/work/desk_end.rs
@@ -0,0 +1,270 @@
+use model::{
+    HostId,
+    work::{EndKind, EndSight, TaskKey},
+};
+use wire::work::{TaskEnd, log_entry::Event};
+
+use super::{
+    DeskEvent, DeskOrder, DeskTime, EndOrigin, PlacePhase, WorkDesk, WorkPhase,
+    target_state::RunKey,
+};
+
+impl WorkDesk {
+    /// Handles an end that a target lists for the first time.
+    pub(super) fn apply_end(&mut self, id: &HostId, end: &EndSight, now: DeskTime) {
+        let run: RunKey = (end.task.clone(), end.attempt);
+        self.unclaim(id, &run);
+        self.vacate_place(id, &run);
+        let name = match end.kind {
+            EndKind::Done => "done",
+            EndKind::Failed => "failed",
+            EndKind::Stopped => "stopped",
+            EndKind::Lapsed => "lapsed",
+            EndKind::Broken => "broken",
+            EndKind::Alone => "alone",
+        };
+        self.note(DeskEvent::Ended(
+            end.task.clone(),
+            end.attempt,
+            id.clone(),
+            name,
+        ));
+        self.keep_checkpoint(end);
+        let Some(life) = self.targets.get(id).map(|target| target.life.number) else {
+            return;
+        };
+        let origin = EndOrigin {
+            target: id.clone(),
+            life,
+            number: end.number,
+        };
+        match end.kind {
+            EndKind::Done => self.end_done(end, origin, now),
+            EndKind::Failed => self.end_failed(end, origin, now),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+        self.stale = true;
+    }
+
+    /// An entry about an end has been stored, so the target may forget the end.
+    pub(super) fn settle_end(&mut self, origin: &EndOrigin) {
+        if let Some(target) = self.targets.get_mut(&origin.target)
+            && target.life.number == origin.life
+        {
+            target.life.unstored.remove(&origin.number);
+        }
+    }
+
+    /// Stops all that runs of a job that has ended.
+    pub(super) fn stop_job(&mut self, job: &str, now: DeskTime) {
+        let mut stops = Vec::new();
+        for (id, target) in &self.targets {
+            let of_job = target.claims.keys().filter(|run| run.0.job == job);
+            stops.extend(of_job.map(|run| (id.clone(), run.clone())));
+        }
+        for (id, run) in stops {
+            self.stop_run(&id, &run, now);
+        }
+    }
+
+    /// Orders the stop of a run, also of one that may not have reached its target yet.
+    pub(super) fn stop_run(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
+        self.set_phase(id, run, PlacePhase::Stopping(false), now);
+        let order = model::work::StopOrder {
+            task: run.0.clone(),
+            attempt: run.1,
+            token: self.token,
+        };
+        self.stops.insert((id.clone(), run.clone()), now.boot);
+        self.orders.push(DeskOrder::Stop(id.clone(), order));
+    }
+
+    /// Sets what is known of a run, if its task is taken to be there.
+    pub(super) fn set_phase(
+        &mut self,
+        id: &HostId,
+        run: &RunKey,
+        phase: PlacePhase,
+        now: DeskTime,
+    ) {
+        let (key, attempt) = run;
+        let job = self.board.jobs.get_mut(&key.job);
+        let task = job.and_then(|job| job.task_mut(key.occurrence, key.step, key.index));
+        if let Some(place) = task.and_then(|task| task.place.as_mut())
+            && place.target == *id
+            && place.attempt == *attempt
+        {
+            place.phase = phase;
+            place.since = now.boot;
+        }
+    }
+
+    /// The task of a run waits again, or is done, if it was taken to be there.
+    pub(super) fn vacate_place(&mut self, id: &HostId, run: &RunKey) {
+        let (key, attempt) = run;
+        self.stops.remove(&(id.clone(), run.clone()));
+        let Some(job) = self.board.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(occurrence) = job.occurrences.get_mut(&key.occurrence) else {
+            return;
+        };
+        let Some(step) = occurrence.steps.get_mut(key.step as usize) else {
+            return;
+        };
+        let Some(task) = step.tasks.get_mut(key.index as usize) else {
+            return;
+        };
+        let there = |place: &super::TaskPlace| place.target == *id && place.attempt == *attempt;
+        if task.place.as_ref().is_some_and(there) {
+            task.place = None;
+            step.placed = step.placed.saturating_sub(1);
+            self.stale = true;
+        }
+    }
+
+    fn end_done(&mut self, end: &EndSight, origin: EndOrigin, now: DeskTime) {
+        let open = self
+            .board
+            .jobs
+            .get(&end.task.job)
+            .is_some_and(|job| job.phase == WorkPhase::Open);
+        if !open || !self.board.mark_done(&end.task, now.boot) {
+            return;
+        }
+        if let Some(target) = self.targets.get_mut(&origin.target) {
+            target.faults = 0;
+        }
+        self.record_end(end, true, origin);
+        self.stop_copies(&end.task, now);
+        let job = &end.task.job;
+        let completed = |job: &super::WorkJob| job.phase == WorkPhase::Completed;
+        if self.board.jobs.get(job).is_some_and(completed) {
+            self.note(DeskEvent::JobEnded(job.clone(), "completed"));
+        }
+    }
+
+    fn end_failed(&mut self, end: &EndSight, origin: EndOrigin, now: DeskTime) {
+        let tuning = self.tuning;
+        let Some(job) = self.board.jobs.get_mut(&end.task.job) else {
+            return;
+        };
+        if job.phase != WorkPhase::Open {
+            return;
+        }
+        let step = job.plan.steps.get(end.task.step as usize);
+        let lasting = step.is_some_and(|step| step.long_running);
+        let counted = if step.is_some_and(|step| step.gang) {
+            0
+        } else {
+            end.task.index
+        };
+        let key = &end.task;
+        if let Some(own) = job.task_mut(key.occurrence, key.step, key.index) {
+            own.failed_on.push(origin.target.clone());
+        }
+        let Some(task) = job.task_mut(key.occurrence, key.step, counted) else {
+            return;
+        };
+        if task.done || task.failed_attempts.contains(&end.attempt) {
+            return;
+        }
+        task.failed_attempts.push(end.attempt);
+        let failures = task.failed_attempts.len();
+        let target = origin.target.clone();
+        if lasting {
+            // A serving task may fail at any time by itself, and is only restarted.
+            return;
+        }
+        let most = self
+            .terms
+            .queue(&job.queue)
+            .map_or(u32::MAX, |queue| queue.max_attempts);
+        if let Some(target) = self.targets.get_mut(&target) {
+            target.note_failure(&tuning, now.boot);
+        }
+        self.record_end(end, false, origin);
+        if failures >= most as usize {
+            self.fail_job(&end.task.job.clone(), now);
+        }
+    }
+
+    fn fail_job(&mut self, job: &model::JobId, now: DeskTime) {
+        self.board.end_job(job, WorkPhase::Failed, now.boot);
+        self.note(DeskEvent::JobEnded(job.clone(), "failed"));
+        self.record(Event::Failed(job.to_string()), None, Some(job));
+        self.stop_job(job, now);
+    }
+
+    fn record_end(&mut self, end: &EndSight, done: bool, origin: EndOrigin) {
+        if let Some(target) = self.targets.get_mut(&origin.target) {
+            target.life.unstored.insert(origin.number);
+        }
+        let job = end.task.job.clone();
+        let ended = TaskEnd {
+            job: job.to_string(),
+            occurrence: end.task.occurrence,
+            step: end.task.step,
+            index: end.task.index,
+            done,
+            checkpoint: end.checkpoint.to_string(),
+            attempt: end.attempt,
+        };
+        self.record(Event::Ended(ended), Some(origin), Some(&job));
+    }
+
+    /// Stops what may still run of a task that is done; of a gang its members end together.
+    fn stop_copies(&mut self, key: &TaskKey, now: DeskTime) {
+        let gang = |job: &super::WorkJob| {
+            let step = job.plan.steps.get(key.step as usize);
+            step.is_some_and(|step| step.gang)
+        };
+        if self.board.jobs.get(&key.job).is_some_and(gang) {
+            return;
+        }
+        let mut copies = Vec::new();
+        for (id, target) in &self.targets {
+            let same = target.claims.keys().filter(|run| run.0 == *key);
+            copies.extend(same.map(|run| (id.clone(), run.clone())));
+        }
+        for (id, run) in copies {
+            self.stop_run(&id, &run, now);
+        }
+    }
+
+    fn keep_checkpoint(&mut self, end: &EndSight) {
+        if end.checkpoint.is_empty() {
+            return;
+        }
+        self.set_checkpoint(&end.task, &end.checkpoint);
+    }
+
+    /// Keeps the newest checkpoint of a task; one of a gang counts for all its members.
+    pub(super) fn set_checkpoint(
+        &mut self,
+        key: &TaskKey,
+        checkpoint: &compact_str::CompactString,
+    ) {
+        let Some(job) = self.board.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let gang = job
+            .plan
+            .steps
+            .get(key.step as usize)
+            .is_some_and(|step| step.gang);
+        let Some(occurrence) = job.occurrences.get_mut(&key.occurrence) else {
+            return;
+        };
+        let Some(step) = occurrence.steps.get_mut(key.step as usize) else {
+            return;
+        };
+        if gang {
+            step.tasks
+                .iter_mut()
+                .for_each(|task| task.checkpoint = checkpoint.clone());
+        } else if let Some(task) = step.tasks.get_mut(key.index as usize) {
+            task.checkpoint = checkpoint.clone();
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/work/desk_order.rs
@@ -0,0 +1,75 @@
+use model::{
+    HostId, JobId,
+    work::{AttemptNumber, PaceOrder, StartOrder, StopOrder, TaskKey},
+};
+use wire::work::LogEntry;
+
+/// Something the desk wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DeskOrder {
+    /// Start a task on a target.
+    Start(HostId, StartOrder),
+    /// Stop a run on a target.
+    Stop(HostId, StopOrder),
+    /// Set a run's share of time.
+    Pace(HostId, PaceOrder),
+    /// Look at a target now, beside the look that may be waiting there.
+    Look(HostId),
+    /// Write to the job log.
+    Record(RecordOrder),
+    /// A target refused an order because a newer owner has given some: stop deciding.
+    Resign(HostId),
+    /// Ask which targets may run a step.
+    Advise(TaskKey, Vec<HostId>),
+}
+
+/// An entry for the job log, and the end on a target that it settles.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RecordOrder {
+    /// The entry.
+    pub entry: LogEntry,
+    /// The end that may be observed once the entry is stored.
+    pub origin: Option<EndOrigin>,
+    /// Job whose state is shown only once the entry is stored.
+    pub job: Option<JobId>,
+    /// Whether somebody waits for it; others may be stored together a little later.
+    pub urgent: bool,
+}
+
+/// One end of one life of a target.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EndOrigin {
+    /// The target.
+    pub target: HostId,
+    /// Counts the lives of the target that this desk has seen.
+    pub life: u64,
+    /// Number of the end.
+    pub number: u64,
+}
+
+/// A change of belief or a decision, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DeskEvent {
+    /// A task was placed.
+    Placed(TaskKey, AttemptNumber, HostId),
+    /// A run was found that the desk did not start; it is taken over.
+    Adopted(TaskKey, AttemptNumber, HostId),
+    /// A run that nobody wants was found; it is stopped.
+    Unwanted(TaskKey, AttemptNumber, HostId),
+    /// A run ended.
+    Ended(TaskKey, AttemptNumber, HostId, &'static str),
+    /// A start or a stop was not answered; what became of it is asked.
+    Unsure(TaskKey, AttemptNumber, HostId),
+    /// A start was refused.
+    StartRefused(TaskKey, AttemptNumber, HostId, &'static str),
+    /// A run that should be there is not.
+    Vanished(TaskKey, AttemptNumber, HostId),
+    /// A job ended.
+    JobEnded(JobId, &'static str),
+    /// A target may be used.
+    TargetRaised(HostId),
+    /// A target's life ended; everything on it is over.
+    TargetLost(HostId, &'static str, usize),
+    /// A target stopped answering.
+    TargetSilent(HostId),
+}
--- /dev/null
+++ b/crates/decide/src/work/desk_start.rs
@@ -0,0 +1,316 @@
+use model::{
+    HostId, JobId, WorkspaceId,
+    work::{HostRoom, StartOrder, TaskKey},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{
+    DeskEvent, DeskOrder, DeskTime, PlacePhase, TaskPlace, WorkDesk,
+    objective::{StartRank, rank},
+    pick::pick_target,
+    target_state::RunKey,
+};
+
+/// Numbers of starts that one term may give to one task before the next term's begin. A task
+/// that lasts and fails twice a second uses them up in an hour; the next token is larger by
+/// the entries that were written in that hour, so its numbers still begin above.
+const STARTS_A_TERM: u64 = 10_000;
+/// Starts that are planned at once; the rest follows with the next answer. It bounds the time
+/// for which the event loop hears nothing else.
+const STARTS_A_PLAN: usize = 256;
+
+/// Tasks of one step that wait.
+pub(super) struct WaitingStep {
+    pub(super) rank: StartRank,
+    pub(super) job: JobId,
+    pub(super) occurrence: u32,
+    pub(super) step: u32,
+}
+
+impl WorkDesk {
+    /// Starts what can be started; cheap if nothing has changed since the last time.
+    pub fn plan(&mut self, now: DeskTime) {
+        if !std::mem::take(&mut self.stale) {
+            return;
+        }
+        let blocked = self.blocked_pools();
+        let usage = self.usage_in_doubt(&blocked);
+        let mut steps = self.waiting_steps(&blocked, now);
+        steps.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
+        let mut left = STARTS_A_PLAN;
+        for waiting in steps {
+            left = left.saturating_sub(self.start_step(&waiting, &usage, now));
+            if left == 0 {
+                self.stale = true;
+                return;
+            }
+        }
+    }
+
+    /// Pools in which a task of an earlier owner may run on a target that has not been reached.
+    ///
+    /// Starts are not recorded, so any waiting task of such a pool may be the one that runs
+    /// there. Once the target was looked at, or its granted time has lapsed, it is known.
+    fn blocked_pools(&self) -> BTreeSet<model::PoolId> {
+        let unknown = self
+            .targets
+            .values()
+            .filter(|target| target.inherited && !target.life.raised);
+        unknown.map(|target| target.entry.pool.clone()).collect()
+    }
+
+    /// What workspaces may have running on targets that have not been reached.
+    fn usage_in_doubt(&self, blocked: &BTreeSet<model::PoolId>) -> BTreeMap<WorkspaceId, HostRoom> {
+        let mut usage: BTreeMap<WorkspaceId, HostRoom> = BTreeMap::new();
+        if blocked.is_empty() {
+            return usage;
+        }
+        let open = self
+            .board
+            .open
+            .iter()
+            .filter_map(|id| self.board.jobs.get(id));
+        for job in open.filter(|job| job.inherited && blocked.contains(&job.pool)) {
+            for occurrence in job.occurrences.values() {
+                for (state, plan) in occurrence.steps.iter().zip(&job.plan.steps) {
+                    let used = usage.entry(job.workspace.clone()).or_default();
+                    *used = used.plus(plan.need.times(u64::from(state.waiting())));
+                }
+            }
+        }
+        usage
+    }
+
+    fn waiting_steps(&self, blocked: &BTreeSet<model::PoolId>, now: DeskTime) -> Vec<WaitingStep> {
+        let mut steps = Vec::new();
+        let open = self
+            .board
+            .open
+            .iter()
+            .filter_map(|id| self.board.jobs.get(id));
+        for job in open {
+            if job.inherited && blocked.contains(&job.pool) {
+                continue;
+            }
+            let queue = self.terms.queue(&job.queue);
+            for (&number, occurrence) in &job.occurrences {
+                let rank = rank(job, occurrence.due, queue, now.boot);
+                for (step, state) in occurrence.steps.iter().enumerate() {
+                    let busy = (state.done + state.placed) as usize >= state.tasks.len();
+                    if busy || !occurrence.is_ready(&job.plan, step) {
+                        continue;
+                    }
+                    steps.push(WaitingStep {
+                        rank,
+                        job: job.id.clone(),
+                        occurrence: number,
+                        step: u32::try_from(step).unwrap_or(u32::MAX),
+                    });
+                }
+            }
+        }
+        steps
+    }
+
+    /// Starts tasks of a step as far as there is room; returns how many.
+    fn start_step(
+        &mut self,
+        waiting: &WaitingStep,
+        doubt: &BTreeMap<WorkspaceId, HostRoom>,
+        now: DeskTime,
+    ) -> usize {
+        let Some(job) = self.board.jobs.get(&waiting.job) else {
+            return 0;
+        };
+        let Some(plan) = job.plan.steps.get(waiting.step as usize).cloned() else {
+            return 0;
+        };
+        if self.wants_advice(waiting, now) {
+            return 0;
+        }
+        let Some(state) = self.step_state(waiting) else {
+            return 0;
+        };
+        let free = |task: &super::TaskState| !task.done && task.place.is_none();
+        let indices: Vec<u32> = (0..)
+            .zip(&state.tasks)
+            .filter(|(_, task)| free(task))
+            .map(|(index, _)| index)
+            .collect();
+        if plan.gang && indices.len() != state.tasks.len() {
+            // A gang starts whole: its members that are still about have to end first.
+            return 0;
+        }
+        let placed = self.place_tasks(waiting, &plan, &indices, doubt, now);
+        if plan.gang && placed.len() < indices.len() {
+            for (id, run) in placed {
+                self.unclaim(&id, &run);
+                self.vacate_place(&id, &run);
+            }
+            return 0;
+        }
+        for (id, run) in &placed {
+            self.send_start(id, run, now);
+        }
+        placed.len()
+    }
+
+    /// Gives tasks their targets, without an order yet.
+    fn place_tasks(
+        &mut self,
+        waiting: &WaitingStep,
+        plan: &model::work::StepPlan,
+        indices: &[u32],
+        doubt: &BTreeMap<WorkspaceId, HostRoom>,
+        now: DeskTime,
+    ) -> Vec<(HostId, RunKey)> {
+        let mut placed = Vec::new();
+        let Some(job) = self.board.jobs.get(&waiting.job) else {
+            return placed;
+        };
+        let (pool, workspace) = (job.pool.clone(), job.workspace.clone());
+        let attempt = self.next_attempt(waiting);
+        let limit = self
+            .terms
+            .workspace(&workspace)
+            .map(|space| space.limit)
+            .unwrap_or_default();
+        for &index in indices {
+            let usage = self.usage.get(&workspace).copied().unwrap_or_default();
+            let usage = usage.plus(doubt.get(&workspace).copied().unwrap_or_default());
+            if !usage.plus(plan.need).within_limit(limit) {
+                break;
+            }
+            let Some(id) = self.pick(waiting, plan, index, &pool, now) else {
+                break;
+            };
+            let key = TaskKey {
+                job: waiting.job.clone(),
+                occurrence: waiting.occurrence,
+                step: waiting.step,
+                index,
+            };
+            let number = match (plan.gang, self.task_attempt(&key)) {
+                (true, _) => attempt,
+                (false, last) => self.attempt_after(last),
+            };
+            let run = (key, number);
+            self.claim(&id, run.clone());
+            self.put(&id, &run, now);
+            placed.push((id, run));
+        }
+        placed
+    }
+
+    fn pick(
+        &self,
+        waiting: &WaitingStep,
+        plan: &model::work::StepPlan,
+        index: u32,
+        pool: &model::PoolId,
+        now: DeskTime,
+    ) -> Option<HostId> {
+        let state = self.step_state(waiting)?;
+        let task = state.tasks.get(index as usize)?;
+        let guarded = self.terms.pool(pool).is_some_and(|pool| pool.guards_room);
+        let of_pool = self
+            .targets
+            .values()
+            .filter(|target| target.entry.pool == *pool);
+        let best = pick_target(plan, state, task, of_pool, guarded, now.boot)?;
+        Some(best.entry.target.clone())
+    }
+
+    fn put(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
+        let (key, attempt) = run;
+        let Some(job) = self.board.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(occurrence) = job.occurrences.get_mut(&key.occurrence) else {
+            return;
+        };
+        let Some(step) = occurrence.steps.get_mut(key.step as usize) else {
+            return;
+        };
+        let Some(task) = step.tasks.get_mut(key.index as usize) else {
+            return;
+        };
+        task.last_attempt = *attempt;
+        task.place = Some(TaskPlace {
+            target: id.clone(),
+            attempt: *attempt,
+            phase: PlacePhase::Starting,
+            since: now.boot,
+            percent: 0,
+            load: 0,
+        });
+        step.placed += 1;
+    }
+
+    fn send_start(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
+        let (key, attempt) = run;
+        let Some(job) = self.board.jobs.get_mut(&key.job) else {
+            return;
+        };
+        job.begun = true;
+        let payload = job.plan.payload.clone();
+        let task = job.task(key.occurrence, key.step, key.index);
+        let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_default();
+        let ticket = job
+            .occurrences
+            .get(&key.occurrence)
+            .and_then(|occurrence| occurrence.steps.get(key.step as usize))
+            .and_then(|step| step.tickets.get(id))
+            .map(|(ticket, _)| ticket.clone())
+            .unwrap_or_default();
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.granted = now.boot;
+        let clock = target.clock_at(now.boot).unwrap_or_default();
+        let order = StartOrder {
+            task: key.clone(),
+            attempt: *attempt,
+            payload,
+            until: clock + self.tuning.grant,
+            token: self.token,
+            checkpoint,
+            ticket,
+        };
+        self.note(DeskEvent::Placed(key.clone(), *attempt, id.clone()));
+        self.orders.push(DeskOrder::Start(id.clone(), order));
+    }
+
+    pub(super) fn step_by(
+        &self,
+        job: &str,
+        occurrence: u32,
+        step: u32,
+    ) -> Option<&super::StepState> {
+        let occurrence = self.board.jobs.get(job)?.occurrences.get(&occurrence)?;
+        occurrence.steps.get(step as usize)
+    }
+
+    pub(super) fn step_state(&self, waiting: &WaitingStep) -> Option<&super::StepState> {
+        self.step_by(&waiting.job, waiting.occurrence, waiting.step)
+    }
+
+    fn task_attempt(&self, key: &TaskKey) -> u64 {
+        let job = self.board.jobs.get(&key.job);
+        let task = job.and_then(|job| job.task(key.occurrence, key.step, key.index));
+        task.map_or(0, |task| task.last_attempt)
+    }
+
+    /// A number for a start that is above all that any owner has given to the task: the token
+    /// of the term makes the high part, so that none has to be recorded.
+    fn attempt_after(&self, last: u64) -> u64 {
+        (self.token * STARTS_A_TERM).max(last) + 1
+    }
+
+    fn next_attempt(&self, waiting: &WaitingStep) -> u64 {
+        let state = self.step_state(waiting);
+        let tasks = state.iter().flat_map(|state| &state.tasks);
+        let last = tasks.map(|task| task.last_attempt).max();
+        self.attempt_after(last.unwrap_or_default())
+    }
+}
--- /dev/null
+++ b/crates/decide/src/work/desk_tick.rs
@@ -0,0 +1,106 @@
+use model::{BootTime, HostId, JobId};
+use wire::work::log_entry::Event;
+
+use super::{DeskTime, WorkDesk, WorkPhase};
+
+impl WorkDesk {
+    /// Does what is due by time alone. To be called several times a second.
+    pub fn tick(&mut self, now: DeskTime) {
+        self.open_occurrences(now);
+        self.repeat_stops(now);
+        self.write_off(now);
+        self.drop_targets();
+        self.board
+            .forget(now.boot.saturating_sub(self.tuning.shown));
+    }
+
+    /// Takes a cancelling in that has been stored.
+    pub fn cancel(&mut self, job: &JobId, now: DeskTime) {
+        self.board.end_job(job, WorkPhase::Cancelled, now.boot);
+        self.stop_job(job, now);
+        self.stale = true;
+    }
+
+    fn open_occurrences(&mut self, now: DeskTime) {
+        for id in &self.board.open {
+            let Some(job) = self.board.jobs.get_mut(id) else {
+                continue;
+            };
+            let before = job.opened;
+            job.open_due(now.unix, now.boot, self.tuning.early);
+            self.stale |= job.opened != before;
+        }
+    }
+
+    fn repeat_stops(&mut self, now: DeskTime) {
+        let pause = self.tuning.stop_again;
+        let due = self
+            .stops
+            .iter()
+            .filter(|(_, sent)| now.boot.saturating_sub(**sent) >= pause);
+        let due: Vec<_> = due.map(|(stop, _)| stop.clone()).collect();
+        for (id, run) in due {
+            let target = self.targets.get(&id);
+            if !target.is_some_and(|target| target.claims.contains_key(&run)) {
+                self.stops.remove(&(id, run));
+            } else if target.is_some_and(|target| !target.silent) {
+                self.stop_run(&id, &run, now);
+            }
+        }
+    }
+
+    /// Gives up the runs of targets whose granted time has certainly lapsed without an answer.
+    fn write_off(&mut self, now: DeskTime) {
+        let lapsed: Vec<HostId> = self
+            .targets
+            .values()
+            .filter(|target| target.silent || (target.inherited && !target.life.raised))
+            .filter(|target| now.boot >= self.lapse_of(target))
+            .map(|target| target.entry.target.clone())
+            .collect();
+        for id in lapsed {
+            let Some(target) = self.targets.get_mut(&id) else {
+                continue;
+            };
+            target.inherited = false;
+            target.life.raised = false;
+            if target.claims.is_empty() {
+                self.stale = true;
+                continue;
+            }
+            let born = target.life.born;
+            self.end_life(&id, born, "lapsed", now);
+        }
+    }
+
+    /// When all that was granted on a target has lapsed.
+    ///
+    /// A predecessor that was cut off from the store may go on for a bounded time. It hears
+    /// from the first target that this owner has reached that it has been succeeded; only
+    /// while few have been reached has the whole of that time to pass.
+    fn lapse_of(&self, target: &super::TargetState) -> BootTime {
+        let lapse = target.lapses(&self.tuning);
+        if !target.inherited || target.life.raised {
+            return lapse;
+        }
+        let inherited = || self.targets.values().filter(|target| target.inherited);
+        let reached = inherited().filter(|target| target.life.raised).count();
+        if reached * 2 >= inherited().count() {
+            lapse + self.tuning.silence
+        } else {
+            lapse + self.tuning.alone
+        }
+    }
+
+    fn drop_targets(&mut self) {
+        let needless = self.targets.values().filter(|target| !target.is_needed());
+        let ids: Vec<HostId> = needless.map(|target| target.entry.target.clone()).collect();
+        for id in ids {
+            self.targets.remove(&id);
+            self.paces.remove(&id);
+            if self.board.used.remove(id.as_str()).is_some() {
+                self.record(Event::Released(id.to_string()), None, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/work/job_board.rs
@@ -0,0 +1,190 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use model::{BootTime, JobId, work::TaskKey};
+use wire::work::{JobRecord, LogEntry, TargetUse, TaskEnd, log_entry::Event};
+
+use super::{WorkJob, WorkPhase, plan_of_record};
+
+/// Oldest age that a job read from the log is given; clocks of day may be far apart.
+const OLDEST: Duration = Duration::from_secs(3600);
+
+/// All jobs that the log tells of.
+#[derive(Clone, Debug, Default)]
+pub struct JobBoard {
+    /// The jobs.
+    pub jobs: BTreeMap<JobId, WorkJob>,
+    /// Jobs that have something left to do.
+    pub open: BTreeSet<JobId>,
+    /// Targets on which tasks may run.
+    pub used: BTreeMap<String, TargetUse>,
+    /// Hosts of waves whose maintenance began.
+    pub maintained: BTreeSet<(u64, String)>,
+}
+
+impl JobBoard {
+    /// Takes an entry of the log in, on reading it back or once it is stored.
+    ///
+    /// `unix` and `boot` are the present times.
+    pub fn apply(&mut self, entry: &LogEntry, unix: Duration, boot: BootTime) {
+        match &entry.event {
+            Some(Event::Accepted(record)) => self.accept(record, unix, boot),
+            Some(Event::Ended(end)) => self.end_task(end, boot),
+            Some(Event::Cancelled(job)) => self.end_job(job, WorkPhase::Cancelled, boot),
+            Some(Event::Failed(job)) => self.end_job(job, WorkPhase::Failed, boot),
+            Some(Event::Used(used)) => {
+                self.used.insert(used.target.clone(), used.clone());
+            }
+            Some(Event::Released(target)) => {
+                self.used.remove(target);
+            }
+            Some(Event::Wave(progress)) => {
+                self.maintained
+                    .insert((progress.wave, progress.host.clone()));
+            }
+            Some(Event::Occurrence(end)) => self.end_occurrence(&end.job, end.occurrence, boot),
+            // An entry of a newer version.
+            None => {}
+        }
+    }
+
+    /// Takes a new job in; the same id again changes nothing.
+    pub fn accept(&mut self, record: &JobRecord, unix: Duration, boot: BootTime) {
+        let id = JobId::from(record.job.as_str());
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let accepted = Duration::from_millis(record.accepted_unix_ms);
+        let age = unix.saturating_sub(accepted).min(OLDEST);
+        let job = WorkJob {
+            id: id.clone(),
+            plan: Arc::new(plan_of_record(record)),
+            queue: record.queue.as_str().into(),
+            pool: record.pool.as_str().into(),
+            workspace: record.workspace.as_str().into(),
+            accepted,
+            arrived: boot.saturating_sub(age),
+            ..WorkJob::default()
+        };
+        self.open.insert(id.clone());
+        self.jobs.insert(id, job);
+    }
+
+    /// Marks a task done, with all of its gang; false if it was done before.
+    pub fn mark_done(&mut self, key: &TaskKey, boot: BootTime) -> bool {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return false;
+        };
+        let gang = job
+            .plan
+            .steps
+            .get(key.step as usize)
+            .is_some_and(|step| step.gang);
+        let Some(occurrence) = job.occurrences.get_mut(&key.occurrence) else {
+            return false;
+        };
+        let Some(step) = occurrence.steps.get_mut(key.step as usize) else {
+            return false;
+        };
+        let Some(task) = step.tasks.get_mut(key.index as usize) else {
+            return false;
+        };
+        if task.done {
+            return false;
+        }
+        if gang {
+            step.tasks.iter_mut().for_each(|task| task.done = true);
+            step.done = u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
+        } else {
+            task.done = true;
+            step.done += 1;
+        }
+        if occurrence.is_done() {
+            self.end_occurrence(&key.job.clone(), key.occurrence, boot);
+        }
+        true
+    }
+
+    /// Ends a job, unless it has ended.
+    pub fn end_job(&mut self, id: &str, phase: WorkPhase, boot: BootTime) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.phase != WorkPhase::Open {
+            return;
+        }
+        job.phase = phase;
+        job.ended = boot;
+        self.open.remove(id);
+    }
+
+    /// Removes jobs that ended before a time and hold nothing.
+    pub fn forget(&mut self, before: BootTime) -> Vec<JobId> {
+        let old = |job: &&WorkJob| {
+            job.phase != WorkPhase::Open && job.ended < before && job.unstored == 0
+        };
+        let ids: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(old)
+            .map(|job| job.id.clone())
+            .collect();
+        for id in &ids {
+            self.jobs.remove(id);
+        }
+        ids
+    }
+
+    fn end_task(&mut self, end: &TaskEnd, boot: BootTime) {
+        let key = TaskKey {
+            job: end.job.as_str().into(),
+            occurrence: end.occurrence,
+            step: end.step,
+            index: end.index,
+        };
+        // Ends are only ever recorded of occurrences that were open.
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.open_until(key.occurrence, boot);
+        }
+        if end.done {
+            self.mark_done(&key, boot);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(key.occurrence, key.step, key.index)
+            && !task.failed_attempts.contains(&end.attempt)
+        {
+            task.failed_attempts.push(end.attempt);
+        }
+    }
+
+    fn end_occurrence(&mut self, id: &str, occurrence: u32, boot: BootTime) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.open_until(occurrence, boot);
+        if job.occurrences.remove(&occurrence).is_none() {
+            return;
+        }
+        job.finished += 1;
+        if job.is_done() {
+            self.end_job(id, WorkPhase::Completed, boot);
+        }
+    }
+}
+
+impl WorkJob {
+    /// Opens the occurrences up to one that the log tells of.
+    fn open_until(&mut self, occurrence: u32, boot: BootTime) {
+        while self.opened <= occurrence && self.opened < self.plan.occurrences() {
+            let state = super::OccurrenceState::new(&self.plan, boot);
+            self.occurrences.insert(self.opened, state);
+            self.opened += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/work/job_record.rs
@@ -0,0 +1,83 @@
+use std::time::Duration;
+
+use model::work::{HostRoom, JobPlan, RepeatPlan, StepPlan};
+use wire::work::{JobRecord, StepRecord};
+
+/// What the log keeps of a plan; ids and times are the caller's to fill in.
+pub fn record_of_plan(plan: &JobPlan) -> JobRecord {
+    let repeat = plan.repeat.unwrap_or_default();
+    JobRecord {
+        payload: plan.payload.to_string(),
+        steps: plan.steps.iter().map(record_of_step).collect(),
+        repeat_count: repeat.count,
+        first_unix_ms: millis(repeat.first),
+        period_ms: millis(repeat.period),
+        ..JobRecord::default()
+    }
+}
+
+/// The plan that a record of the log holds.
+pub fn plan_of_record(record: &JobRecord) -> JobPlan {
+    let repeat = RepeatPlan {
+        count: record.repeat_count,
+        first: Duration::from_millis(record.first_unix_ms),
+        period: Duration::from_millis(record.period_ms),
+    };
+    JobPlan {
+        payload: record.payload.as_str().into(),
+        steps: record.steps.iter().map(step_of_record).collect(),
+        repeat: (record.repeat_count > 0).then_some(repeat),
+    }
+}
+
+fn record_of_step(step: &StepPlan) -> StepRecord {
+    StepRecord {
+        count: step.count,
+        cpu: step.need.cpu,
+        memory_mb: step.need.memory_mb,
+        gpu: step.need.gpu,
+        estimate_ms: millis(step.estimate),
+        after: step.after.clone(),
+        saves_progress: step.saves_progress,
+        gang: step.gang,
+        same_rack: step.same_rack,
+        required_label: step.required_label.to_string(),
+        affinity: step.affinity.to_string(),
+        anti_affinity: step.anti_affinity,
+        speculative: step.speculative,
+        long_running: step.long_running,
+        image: step.image.to_string(),
+        tail_target_ms: millis(step.tail_target),
+        fills: step.fills,
+        may_miss: step.may_miss,
+    }
+}
+
+fn step_of_record(record: &StepRecord) -> StepPlan {
+    StepPlan {
+        count: record.count,
+        need: HostRoom {
+            cpu: record.cpu,
+            memory_mb: record.memory_mb,
+            gpu: record.gpu,
+        },
+        estimate: Duration::from_millis(record.estimate_ms),
+        after: record.after.clone(),
+        saves_progress: record.saves_progress,
+        gang: record.gang,
+        same_rack: record.same_rack,
+        required_label: record.required_label.as_str().into(),
+        affinity: record.affinity.as_str().into(),
+        anti_affinity: record.anti_affinity,
+        speculative: record.speculative,
+        long_running: record.long_running,
+        image: record.image.as_str().into(),
+        tail_target: Duration::from_millis(record.tail_target_ms),
+        fills: record.fills,
+        may_miss: record.may_miss,
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/decide/src/work/mod.rs
@@ -0,0 +1,33 @@
+//! Decisions of the owner of a cell: which task starts where and when, what becomes of an
+//! end, and which orders are in doubt.
+//!
+//! Start with [`WorkDesk`]. It is told of accepted jobs, of targets and of what they say, and
+//! it returns orders; the crate `cell` carries them out. Ownership, fencing and the job log
+//! are argued in `docs/design/13-platform.md`.
+
+mod desk_advice;
+mod desk_answer;
+mod desk_end;
+mod desk_order;
+mod desk_sight;
+mod desk_start;
+mod desk_tick;
+mod desk_tuning;
+mod job_board;
+mod job_record;
+mod objective;
+mod pace;
+mod pick;
+mod target_state;
+mod work_desk;
+mod work_job;
+
+pub use desk_order::{DeskEvent, DeskOrder, EndOrigin, RecordOrder};
+pub use desk_tuning::DeskTuning;
+pub use job_board::JobBoard;
+pub use job_record::{plan_of_record, record_of_plan};
+pub use target_state::{TargetLife, TargetState};
+pub use work_desk::{DeskTime, WorkDesk};
+pub use work_job::{
+    OccurrenceState, PlacePhase, StepState, TaskPlace, TaskState, WorkJob, WorkPhase,
+};
--- /dev/null
+++ b/crates/decide/src/work/pick.rs
@@ -0,0 +1,83 @@
+use std::cmp::Reverse;
+
+use model::{BootTime, HostId, work::StepPlan};
+
+use super::{StepState, TargetState, TaskState};
+
+/// What decides for a target, best first.
+type PickScore = (bool, bool, bool, u64, Reverse<u64>);
+
+/// The best target for a task among those of its pool; `None` if none will do.
+///
+/// A target where the task has failed is taken only if all others are worse off: a failure
+/// may be the target's fault, and two attempts on one broken target would fail the job.
+pub fn pick_target<'a>(
+    plan: &StepPlan,
+    step: &StepState,
+    task: &TaskState,
+    targets: impl Iterator<Item = &'a TargetState>,
+    guarded: bool,
+    now: BootTime,
+) -> Option<&'a TargetState> {
+    targets
+        .filter(|target| target.takes_tasks(now))
+        .filter(|target| suits(plan, step, target, guarded, now))
+        .min_by_key(|target| score(plan, step, task, target))
+}
+
+/// True if a target may run a task of the step at all, now.
+fn suits(
+    plan: &StepPlan,
+    step: &StepState,
+    target: &TargetState,
+    guarded: bool,
+    now: BootTime,
+) -> bool {
+    let labelled =
+        plan.required_label.is_empty() || target.entry.labels.contains(&plan.required_label);
+    let room = if guarded {
+        target.entry.capacity
+    } else {
+        target.free()
+    };
+    let apart =
+        plan.anti_affinity == 0 || siblings(step, &target.entry.target) < plan.anti_affinity;
+    let allowed = step.tickets.is_empty()
+        || step
+            .tickets
+            .get(&target.entry.target)
+            .is_some_and(|(_, until)| now < *until);
+    labelled && apart && allowed && plan.footprint().fits(room)
+}
+
+/// Tasks of the step that are, or may be, on a target.
+fn siblings(step: &StepState, target: &HostId) -> u32 {
+    let there = |task: &&TaskState| {
+        task.place
+            .as_ref()
+            .is_some_and(|place| place.target == *target)
+    };
+    u32::try_from(step.tasks.iter().filter(there).count()).unwrap_or(u32::MAX)
+}
+
+fn score(plan: &StepPlan, step: &StepState, task: &TaskState, target: &TargetState) -> PickScore {
+    let failed = task.failed_on.contains(&target.entry.target);
+    let far = !plan.affinity.is_empty() && plan.affinity != target.entry.rack;
+    let apart = plan.same_rack && off_rack(step, target);
+    let free = target.free().cpu;
+    // Tasks that last are spread, so that one host's end takes few of them; so are tasks that
+    // fill, which need what others leave. All others are packed, so that large ones find room.
+    if plan.long_running || plan.fills {
+        let together = u64::from(siblings(step, &target.entry.target));
+        (failed, far, apart, together, Reverse(free))
+    } else {
+        (failed, far, apart, free, Reverse(0))
+    }
+}
+
+/// True if the step has a task on another rack than the target's.
+fn off_rack(step: &StepState, target: &TargetState) -> bool {
+    let placed = step.tasks.iter().filter_map(|task| task.place.as_ref());
+    let mut racks = placed.map(|place| place.target.clone()).peekable();
+    racks.peek().is_some() && racks.all(|other| other != target.entry.target)
+}
--- /dev/null
+++ b/crates/decide/src/work/target_state.rs
@@ -0,0 +1,177 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use model::{
+    BootTime, WorkspaceId,
+    work::{AttemptNumber, HostRoom, TargetEntry, TargetMode, TaskKey},
+};
+
+use super::DeskTuning;
+
+/// A target's steady clock may be this much slow, in thousandths, as the platform says.
+const CLOCK_SLACK: u32 = 20;
+
+/// One run on a target, by task and number of the start.
+pub type RunKey = (TaskKey, AttemptNumber);
+
+/// What a run takes, for as long as it may be there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunClaim {
+    /// Part of the target's room.
+    pub room: HostRoom,
+    /// Part of the workspace's limit.
+    pub need: HostRoom,
+    /// The workspace.
+    pub workspace: WorkspaceId,
+}
+
+/// What is known of the life that a target lives.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TargetLife {
+    /// Counts the lives that this desk has seen.
+    pub number: u64,
+    /// When it began, as the target says; zero if unknown.
+    pub born: Duration,
+    /// The target's clock, and when it was read.
+    pub clock: Option<(Duration, BootTime)>,
+    /// Whether the target has seen this owner's token.
+    pub raised: bool,
+    /// Highest number of an end that has been handled.
+    pub seen: u64,
+    /// Ends that have been handled and not observed, those of them with an entry that is not
+    /// stored yet.
+    pub unstored: BTreeSet<u64>,
+    /// What `observed` was in the last look that was answered.
+    pub told: u64,
+}
+
+/// A target as the owner sees it.
+#[derive(Clone, Debug, Default)]
+pub struct TargetState {
+    /// What the host list says.
+    pub entry: TargetEntry,
+    /// Whether the host list has it.
+    pub listed: bool,
+    /// Whether the log says that tasks may be on it.
+    pub recorded: bool,
+    /// Whether a predecessor may have started tasks on it.
+    pub inherited: bool,
+    /// Its life.
+    pub life: TargetLife,
+    /// What may be there.
+    pub claims: BTreeMap<RunKey, RunClaim>,
+    /// Room that the claims take together.
+    pub used: HostRoom,
+    /// Last answer; zero for none.
+    pub answered: BootTime,
+    /// Last call that renewed and may still be under way.
+    pub granted: BootTime,
+    /// Whether it is known to be silent.
+    pub silent: bool,
+    /// Gets no new tasks before this time.
+    pub paused_until: BootTime,
+    /// Refusals and failures in a row.
+    pub faults: u32,
+    /// Keeps it free of new tasks, for its maintenance or a move.
+    pub vacated: bool,
+}
+
+impl TargetState {
+    /// A target that the host list has begun to show.
+    pub fn new(entry: TargetEntry, now: BootTime) -> Self {
+        Self {
+            life: TargetLife {
+                number: 1,
+                born: entry.born,
+                ..TargetLife::default()
+            },
+            entry,
+            listed: true,
+            answered: now,
+            ..Self::default()
+        }
+    }
+
+    /// Room that is left.
+    pub fn free(&self) -> HostRoom {
+        self.entry.capacity.minus(self.used)
+    }
+
+    /// True if a task may be started there now.
+    pub fn takes_tasks(&self, now: BootTime) -> bool {
+        self.listed
+            && self.recorded
+            && self.life.raised
+            && !self.silent
+            && !self.vacated
+            && self.entry.mode == TargetMode::Ready
+            && now >= self.paused_until
+    }
+
+    /// The target's clock at a time, at least.
+    pub fn clock_at(&self, now: BootTime) -> Option<Duration> {
+        let (clock, read) = self.life.clock?;
+        let passed = now.saturating_sub(read);
+        Some(clock + passed - passed * CLOCK_SLACK / 1000)
+    }
+
+    /// When everything that was granted so far has certainly lapsed.
+    pub fn lapses(&self, tuning: &DeskTuning) -> BootTime {
+        let longest = tuning.lease_limit + tuning.lease_limit * CLOCK_SLACK / 1000;
+        self.granted + longest + tuning.lapse_margin
+    }
+
+    /// Highest number up to which all ends are handled and stored.
+    pub fn observable(&self) -> u64 {
+        match self.life.unstored.first() {
+            Some(&first) => first - 1,
+            None => self.life.seen,
+        }
+    }
+
+    /// Takes room for a run.
+    pub fn claim(&mut self, run: RunKey, claim: RunClaim) {
+        self.used = self.used.plus(claim.room);
+        if let Some(old) = self.claims.insert(run, claim) {
+            self.used = self.used.minus(old.room);
+        }
+    }
+
+    /// Gives the room of a run back; `None` if it held none.
+    pub fn unclaim(&mut self, run: &RunKey) -> Option<RunClaim> {
+        let claim = self.claims.remove(run)?;
+        self.used = self.used.minus(claim.room);
+        Some(claim)
+    }
+
+    /// Begins another life, of which nothing is known. Returns what the old one held.
+    pub fn reborn(&mut self, born: Duration) -> Vec<(RunKey, RunClaim)> {
+        self.life = TargetLife {
+            number: self.life.number + 1,
+            born,
+            ..TargetLife::default()
+        };
+        self.used = HostRoom::default();
+        std::mem::take(&mut self.claims).into_iter().collect()
+    }
+
+    /// Counts a failed run. One says little, since tasks fail by their own fault too; several
+    /// in a row without a success between make the target pause.
+    pub fn note_failure(&mut self, tuning: &DeskTuning, now: BootTime) {
+        if self.faults == 0 {
+            self.faults = 1;
+        } else {
+            self.pause(tuning, now);
+        }
+    }
+
+    /// Pauses after a refusal or a failure, longer with each in a row.
+    pub fn pause(&mut self, tuning: &DeskTuning, now: BootTime) {
+        let doublings = self.faults.min(8);
+        let pause = tuning.pause * 2_u32.pow(doublings);
+        self.faults += 1;
+        self.paused_until = now + pause.min(tuning.longest_pause);
+    }
+}
--- /dev/null
+++ b/crates/decide/src/work/work_desk.rs
@@ -0,0 +1,328 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use model::{
+    BootTime, HostId, JobId, WorkspaceId,
+    work::{FencingToken, FleetTerms, HostRoom, TargetEntry, TaskKey},
+};
+use wire::work::{JobPhase, JobRecord, LogEntry, TargetUse, log_entry::Event};
+
+use super::{
+    DeskEvent, DeskOrder, DeskTuning, EndOrigin, JobBoard, RecordOrder, TargetState, WorkPhase,
+    target_state::{RunClaim, RunKey},
+};
+
+/// Events that are kept for the log until they are taken; more are dropped, and counted.
+const MOST_EVENTS: usize = 4096;
+
+/// The present, on both clocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DeskTime {
+    /// Time since boot; leases and pauses count on it.
+    pub boot: BootTime,
+    /// Time since the Unix epoch; occurrences are due on it, and it may jump.
+    pub unix: Duration,
+}
+
+/// Decides for one cell, for one term of ownership.
+///
+/// A term begins with the jobs of the log ([`WorkDesk::replay`]) and with looking at every
+/// target that tasks may be on. It ends with the process's ownership; a new term begins anew.
+#[derive(Clone, Debug, Default)]
+pub struct WorkDesk {
+    pub(super) tuning: DeskTuning,
+    pub(super) token: FencingToken,
+    pub(super) terms: Arc<FleetTerms>,
+    /// The jobs.
+    pub board: JobBoard,
+    /// The targets.
+    pub targets: BTreeMap<HostId, TargetState>,
+    pub(super) usage: BTreeMap<WorkspaceId, HostRoom>,
+    pub(super) orders: Vec<DeskOrder>,
+    pub(super) events: VecDeque<DeskEvent>,
+    /// Events that were dropped because nobody took them in time.
+    pub events_dropped: u64,
+    /// Occurrences and starts may be due: planning has something to do.
+    pub(super) stale: bool,
+    /// Stops that have not been answered, with the time of their last sending.
+    pub(super) stops: BTreeMap<(HostId, RunKey), BootTime>,
+    /// Share of time that tasks which fill have on a target; 100 if absent.
+    pub(super) paces: BTreeMap<HostId, u8>,
+}
+
+impl WorkDesk {
+    /// The desk of a new term.
+    pub fn new(tuning: DeskTuning, token: FencingToken) -> Self {
+        Self {
+            tuning,
+            token,
+            ..Self::default()
+        }
+    }
+
+    /// Takes an entry of the log in while it is read.
+    pub fn replay(&mut self, entry: &LogEntry, now: DeskTime) {
+        self.board.apply(entry, now.unix, now.boot);
+    }
+
+    /// Ends the reading of the log. Targets that a predecessor used are to be looked at, also
+    /// those that the host list no longer has: their tasks may still run.
+    pub fn begin(&mut self, now: DeskTime) {
+        for job in self.board.jobs.values_mut() {
+            job.inherited = true;
+            job.begun |= job.phase != WorkPhase::Open;
+        }
+        for used in self.board.used.values() {
+            let entry = TargetEntry {
+                target: used.target.as_str().into(),
+                address: used.address.as_str().into(),
+                pool: used.pool.as_str().into(),
+                ..TargetEntry::default()
+            };
+            let target = TargetState {
+                listed: false,
+                recorded: true,
+                inherited: true,
+                granted: now.boot,
+                ..TargetState::new(entry, now.boot)
+            };
+            self.targets.insert(used.target.as_str().into(), target);
+        }
+        self.stale = true;
+    }
+
+    /// Token of this term.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Sets what operators ask for.
+    pub fn set_terms(&mut self, terms: Arc<FleetTerms>) {
+        for job in self.board.jobs.values_mut() {
+            if let Some(queue) = terms.queue(&job.queue) {
+                job.pool = queue.pool.clone();
+            }
+        }
+        self.terms = terms;
+        self.stale = true;
+    }
+
+    /// Takes what the host list says of a target.
+    pub fn list_target(&mut self, entry: TargetEntry, now: DeskTime) {
+        let id = entry.target.clone();
+        self.end_lives_at(&entry, now);
+        let Some(target) = self.targets.get_mut(&id) else {
+            let recorded = self.board.used.contains_key(id.as_str());
+            let target = TargetState {
+                recorded,
+                ..TargetState::new(entry, now.boot)
+            };
+            self.targets.insert(id.clone(), target);
+            self.record_use(&id);
+            self.stale = true;
+            return;
+        };
+        let reborn =
+            !entry.born.is_zero() && !target.life.born.is_zero() && entry.born > target.life.born;
+        let born = entry.born;
+        let moved = target.recorded && target.entry.pool != entry.pool;
+        target.entry = entry;
+        if !target.listed {
+            target.listed = true;
+            target.answered = now.boot;
+        }
+        if moved {
+            target.recorded = false;
+        }
+        let recorded = target.recorded;
+        if reborn {
+            self.end_life(&id, born, "reborn", now);
+        }
+        if !recorded {
+            self.record_use(&id);
+        }
+        self.stale = true;
+    }
+
+    /// The host list no longer has a target.
+    pub fn unlist_target(&mut self, id: &HostId) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.listed = false;
+        }
+    }
+
+    /// Targets that the host list has.
+    pub fn listed(&self) -> Vec<HostId> {
+        let listed = self.targets.values().filter(|target| target.listed);
+        listed.map(|target| target.entry.target.clone()).collect()
+    }
+
+    /// Takes a job in that has been stored.
+    pub fn accept(&mut self, record: &JobRecord, now: DeskTime) {
+        self.board.accept(record, now.unix, now.boot);
+        self.stale = true;
+    }
+
+    /// What callers are told of a job.
+    pub fn progress(&self, id: &str) -> Option<JobPhase> {
+        let job = self.board.jobs.get(id)?;
+        let running = if job.begun {
+            JobPhase::Running
+        } else {
+            JobPhase::Queued
+        };
+        Some(match job.phase {
+            WorkPhase::Open => running,
+            WorkPhase::Completed if job.unstored == 0 => JobPhase::Completed,
+            WorkPhase::Failed if job.unstored == 0 => JobPhase::Failed,
+            WorkPhase::Completed | WorkPhase::Failed => JobPhase::Running,
+            WorkPhase::Cancelled => JobPhase::Cancelled,
+        })
+    }
+
+    /// How many jobs of a queue have not begun.
+    pub fn pending(&self, queue: &str) -> u64 {
+        let open = self
+            .board
+            .open
+            .iter()
+            .filter_map(|id| self.board.jobs.get(id));
+        open.filter(|job| job.queue == queue && !job.begun).count() as u64
+    }
+
+    /// What is to be done, oldest first.
+    pub fn take_orders(&mut self) -> Vec<DeskOrder> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// What is to be logged, oldest first.
+    pub fn take_events(&mut self) -> VecDeque<DeskEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// An entry of the log has been stored.
+    pub fn recorded(&mut self, order: &RecordOrder, now: DeskTime) {
+        if let Some(origin) = &order.origin {
+            self.settle_end(origin);
+        }
+        if let Some(job) = order
+            .job
+            .as_ref()
+            .and_then(|job| self.board.jobs.get_mut(job))
+        {
+            job.unstored = job.unstored.saturating_sub(1);
+        }
+        match &order.entry.event {
+            Some(Event::Used(used)) => {
+                self.board.apply(&order.entry, now.unix, now.boot);
+                if let Some(target) = self.targets.get_mut(used.target.as_str()) {
+                    target.recorded = true;
+                    self.stale = true;
+                }
+            }
+            Some(Event::Released(_) | Event::Wave(_)) => {
+                self.board.apply(&order.entry, now.unix, now.boot);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn note(&mut self, event: DeskEvent) {
+        if self.events.len() >= MOST_EVENTS {
+            self.events_dropped += 1;
+            return;
+        }
+        self.events.push_back(event);
+    }
+
+    pub(super) fn record(&mut self, event: Event, origin: Option<EndOrigin>, job: Option<&JobId>) {
+        let mut urgent = origin.is_none();
+        if let Some(job) = job.and_then(|job| self.board.jobs.get_mut(job)) {
+            job.unstored += 1;
+            urgent |= job.phase != WorkPhase::Open;
+        }
+        self.orders.push(DeskOrder::Record(RecordOrder {
+            entry: LogEntry { event: Some(event) },
+            origin,
+            job: job.cloned(),
+            urgent,
+        }));
+    }
+
+    /// Takes room and a part of the workspace's limit for a run.
+    pub(super) fn claim(&mut self, id: &HostId, run: RunKey) {
+        let claim = self.claim_of(&run.0);
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.claims.contains_key(&run) {
+            return;
+        }
+        let usage = self.usage.entry(claim.workspace.clone()).or_default();
+        *usage = usage.plus(claim.need);
+        target.claim(run, claim);
+    }
+
+    /// Gives back what a run took; nothing of it can be on the target any more.
+    pub(super) fn unclaim(&mut self, id: &HostId, run: &RunKey) {
+        let Some(claim) = self
+            .targets
+            .get_mut(id)
+            .and_then(|target| target.unclaim(run))
+        else {
+            return;
+        };
+        self.release_usage(&claim);
+        self.stale = true;
+    }
+
+    pub(super) fn release_usage(&mut self, claim: &RunClaim) {
+        if let Some(usage) = self.usage.get_mut(&claim.workspace) {
+            *usage = usage.minus(claim.need);
+        }
+    }
+
+    fn claim_of(&self, key: &TaskKey) -> RunClaim {
+        let Some(job) = self.board.jobs.get(&key.job) else {
+            return RunClaim::default();
+        };
+        let Some(step) = job.plan.steps.get(key.step as usize) else {
+            return RunClaim::default();
+        };
+        RunClaim {
+            room: step.footprint(),
+            need: step.need,
+            workspace: job.workspace.clone(),
+        }
+    }
+
+    /// Writes down that tasks may be on a target, before the first is started there. After a
+    /// failure of this process, its successor would otherwise not know of a target that has
+    /// left the host list while its tasks run on.
+    fn record_use(&mut self, id: &HostId) {
+        let Some(target) = self.targets.get(id).filter(|target| !target.recorded) else {
+            return;
+        };
+        let used = TargetUse {
+            target: id.to_string(),
+            address: target.entry.address.to_string(),
+            pool: target.entry.pool.to_string(),
+        };
+        self.record(Event::Used(used), None, None);
+    }
+
+    /// Ends the lives of other targets at the address of a new one: one address, one target.
+    fn end_lives_at(&mut self, entry: &TargetEntry, now: DeskTime) {
+        let elsewhere = |other: &&TargetState| {
+            other.entry.address == entry.address && other.entry.target != entry.target
+        };
+        let replaced = self.targets.values().filter(elsewhere);
+        let ids: Vec<HostId> = replaced.map(|other| other.entry.target.clone()).collect();
+        for id in ids {
+            self.lose_target(&id, "replaced", now);
+        }
+    }
+}
--- a/crates/lacewingshore/src/args.rs
+++ b/crates/lacewingshore/src/args.rs
@@ -33,6 +33,7 @@
 #[argh(subcommand)]
 pub enum CliCommand {
     Serve(ServeArguments),
+    Cell(CellArguments),
     Manifest(ManifestArguments),
     Key(KeyArguments),
     Status(StatusArguments),
@@ -54,6 +55,20 @@
     pub check: bool,
 }
 
+/// Run a process of a cell on a platform with a store of leases, until SIGTERM.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cell")]
+pub struct CellArguments {
+    /// settings of this process, see docs/SETTINGS.md; left out, the file that
+    /// LACEWINGSHORE_SETTINGS names
+    #[argh(option, arg_name = "file")]
+    pub settings: Option<PathBuf>,
+
+    /// check the settings, say so and exit
+    #[argh(switch)]
+    pub check: bool,
+}
+
 /// Check, apply, show or compare the manifest, see docs/MANIFEST.md.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "manifest")]
--- a/crates/lacewingshore/src/catalogue.rs
+++ b/crates/lacewingshore/src/catalogue.rs
@@ -22,6 +22,7 @@
         entry::event::ALL,
         fleet::event::ALL,
         admin::event::ALL,
+        cell::event::ALL,
     ];
     let mut events = catalogues.concat();
     events.sort_by_key(|info| info.code);
--- /dev/null
+++ b/crates/lacewingshore/src/cell_serve.rs
@@ -0,0 +1,166 @@
+//! The wiring of one process of a cell on the users' platform.
+//!
+//! [`run`] runs everything on one event loop: on a quarter of a core, threads that wake each
+//! other for every call would cost three times as much; see `docs/design/13-platform.md`.
+
+use std::{net::SocketAddr, path::PathBuf, rc::Rc, sync::Arc, time::Duration};
+
+use anyhow::{Context, Result};
+use cell::{CellHost, CellOptions, CellPorts};
+use decide::work::DeskTuning;
+use link::{CallClient, ServerLimits, ShutdownSignal, serve_http};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use model::{CellSettings, event as log_event};
+use platform::{CallerPort, PlatformPorts, ReadyPort};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::{JoinHandle, LocalSet},
+    time::interval,
+};
+
+use crate::{command::cell::read_settings, line_sink::LineSink};
+
+/// How often dropped log lines are told.
+const DROPS_EVERY: Duration = Duration::from_secs(1);
+
+/// Runs a process of a cell until it is told to stop, and shuts it down gracefully.
+pub fn run(settings: CellSettings, path: PathBuf, lines: Arc<LineSink>) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("start the event loop")?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, path, lines))
+}
+
+async fn serve(settings: CellSettings, path: PathBuf, lines: Arc<LineSink>) -> Result<()> {
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .context("install metrics")?;
+    let mut stop = signal(SignalKind::terminate()).context("hear SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("hear SIGINT")?;
+    let client = CallClient::default();
+    let options = options_of(&settings)?;
+    let host = CellHost::new(options, ports_of(&settings, &client), client);
+    host.start(metrics);
+    let callers = open_doors(&settings, &host)?;
+    tokio::task::spawn_local(tell_drops(lines));
+    tokio::task::spawn_local(hear_reloads(settings, path));
+    tokio::select! {
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let served = async move {
+        if let Err(error) = callers.await {
+            log::error!("the callers' server ended: {error}");
+        }
+    };
+    host.stop(served).await;
+    Ok(())
+}
+
+/// Serves callers, and the balancer that asks whether to send them here.
+fn open_doors(settings: &CellSettings, host: &CellHost) -> Result<JoinHandle<()>> {
+    let desk = host.desk();
+    let ready = Rc::new(ReadyPort::new(desk.clone()));
+    // Readiness is told until the process ends.
+    let never = ShutdownSignal::default();
+    let ready_address = address_of(&settings.ready_address)?;
+    let limits = ServerLimits::default();
+    tokio::task::spawn_local(async move {
+        report(
+            serve_http(ready_address, ready, limits, never).await,
+            "readiness",
+        );
+    });
+    let callers = Rc::new(CallerPort::new(desk));
+    let caller_address = address_of(&settings.caller_address)?;
+    let stopping = host.stopping();
+    Ok(tokio::task::spawn_local(async move {
+        report(
+            serve_http(caller_address, callers, limits, stopping).await,
+            "callers",
+        );
+    }))
+}
+
+fn ports_of(settings: &CellSettings, client: &CallClient) -> CellPorts {
+    let PlatformPorts {
+        store,
+        codec,
+        targets,
+        hosts,
+        advice,
+    } = PlatformPorts::new(
+        client,
+        &settings.store_address,
+        &settings.control_address,
+        &settings.advice_address,
+    );
+    CellPorts {
+        store,
+        codec,
+        targets,
+        hosts,
+        advice,
+    }
+}
+
+fn options_of(settings: &CellSettings) -> Result<CellOptions> {
+    let peers = address_of(&settings.peer_address)?;
+    let metrics = address_of(&settings.metrics_address)?;
+    let mut options = CellOptions::new(settings.member.clone(), peers, metrics);
+    let default = DeskTuning::default();
+    options.desk = DeskTuning {
+        lease_limit: settings.task_lease,
+        grant: default.grant.min(settings.task_lease),
+        ..default
+    };
+    options.host_order_pause = settings.host_order_pause;
+    Ok(options)
+}
+
+/// Reads the settings again when told to. Only addresses stand there, and they change with a
+/// restart; so a change is told and waits for one.
+async fn hear_reloads(settings: CellSettings, path: PathBuf) {
+    let mut reload = match signal(SignalKind::hangup()) {
+        Ok(reload) => reload,
+        Err(error) => {
+            log::error!("SIGHUP can't be heard: {error}");
+            return;
+        }
+    };
+    while reload.recv().await.is_some() {
+        match read_settings(&path) {
+            Ok(read) => log_event::info(
+                &cell::event::SETTINGS_RELOADED,
+                format_args!("needs_restart={}", read != settings),
+            ),
+            Err(error) => log_event::warn(
+                &cell::event::SETTINGS_RELOADED,
+                format_args!("kept=old cause=\"{error}\""),
+            ),
+        }
+    }
+}
+
+async fn tell_drops(lines: Arc<LineSink>) {
+    let mut ticks = interval(DROPS_EVERY);
+    loop {
+        ticks.tick().await;
+        if let Some(dropped) = lines.take_dropped() {
+            metrics::counter!("cell_log_lines_dropped_total").increment(dropped);
+            log_event::warn(&cell::event::LINES_DROPPED, format_args!("lines={dropped}"));
+        }
+    }
+}
+
+fn address_of(text: &str) -> Result<SocketAddr> {
+    text.parse().with_context(|| format!("read address {text}"))
+}
+
+fn report(served: std::io::Result<()>, what: &str) {
+    if let Err(error) = served {
+        log::error!("the server of {what} ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/lacewingshore/src/command/cell.rs
@@ -0,0 +1,52 @@
+use std::path::PathBuf;
+
+use model::{CellSettings, event as log_event};
+
+use crate::{
+    args::CellArguments, catalogue::event, cell_serve, command::read_text, exit::CommandError,
+    log_setup,
+};
+
+/// Names the settings file where the command line doesn't.
+const SETTINGS_VARIABLE: &str = "LACEWINGSHORE_SETTINGS";
+
+/// Runs a process of a cell, or only checks its settings.
+pub fn run(arguments: &CellArguments) -> Result<(), CommandError> {
+    let path = settings_path(arguments)?;
+    let settings = read_settings(&path)?;
+    if arguments.check {
+        println!("{}: the settings are valid", path.display());
+        return Ok(());
+    }
+    let lines = log_setup::start_bounded(settings.log_level)?;
+    log_event::info(
+        &event::PROCESS_STARTED,
+        format_args!(
+            "member={} data_centre={} version={}",
+            settings.member,
+            settings.data_centre,
+            env!("CARGO_PKG_VERSION")
+        ),
+    );
+    let outcome = cell_serve::run(settings, path, lines.clone());
+    match &outcome {
+        Ok(()) => log_event::info(&event::PROCESS_STOPPED, format_args!("")),
+        Err(error) => log_event::error(&event::PROCESS_FAILED, format_args!("cause=\"{error:#}\"")),
+    }
+    lines.flush();
+    Ok(outcome?)
+}
+
+/// Reads and checks a settings file.
+pub fn read_settings(path: &std::path::Path) -> Result<CellSettings, CommandError> {
+    let text = read_text(path)?;
+    CellSettings::from_ini(&text).map_err(|fault| CommandError::invalid_text(path, &fault))
+}
+
+fn settings_path(arguments: &CellArguments) -> Result<PathBuf, CommandError> {
+    let named = arguments.settings.clone();
+    let path = named.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+    path.ok_or_else(|| {
+        CommandError::Invalid(format!("no --settings, and {SETTINGS_VARIABLE} is not set"))
+    })
+}
--- a/crates/lacewingshore/src/command/mod.rs
+++ b/crates/lacewingshore/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one module each.
 
 pub mod audit;
+pub mod cell;
 pub mod demo;
 pub mod events;
 pub mod key;
--- a/crates/lacewingshore/src/log_setup.rs
+++ b/crates/lacewingshore/src/log_setup.rs
@@ -1,16 +1,42 @@
-use std::{fmt, time::SystemTime};
+use std::{fmt, sync::Arc, time::SystemTime};
 
 use anyhow::Context;
 use log::LevelFilter;
 use model::ServeSettings;
 
+use crate::line_sink::LineSink;
+
 /// Sends the log to the sink that the settings name, one line an event.
 ///
 /// # Errors
 /// If the log file can't be opened.
 pub fn start(settings: &ServeSettings) -> anyhow::Result<()> {
-    let dispatch = fern::Dispatch::new()
-        .level(settings.log_level)
+    let dispatch = line_format(settings.log_level);
+    let dispatch = match settings.log_file.as_str() {
+        "" => dispatch.chain(std::io::stderr()),
+        path => dispatch.chain(fern::log_file(path).with_context(|| format!("open log {path}"))?),
+    };
+    dispatch.apply().context("start the log")
+}
+
+/// Sends the log to standard output through a sink that never blocks.
+///
+/// # Errors
+/// If the sink can't be started.
+pub fn start_bounded(level: LevelFilter) -> anyhow::Result<Arc<LineSink>> {
+    let sink = Arc::new(LineSink::start().context("start the log's thread")?);
+    let lines = sink.clone();
+    let output = fern::Output::call(move |record| lines.push(record.args().to_string()));
+    line_format(level)
+        .chain(output)
+        .apply()
+        .context("start the log")?;
+    Ok(sink)
+}
+
+fn line_format(level: LevelFilter) -> fern::Dispatch {
+    fern::Dispatch::new()
+        .level(level)
         // Libraries log each call they make; that would drown the events.
         .level_for("ureq", LevelFilter::Warn)
         .level_for("ureq_proto", LevelFilter::Warn)
@@ -28,12 +54,7 @@
                     "time={time} level={level} source={target} text=\"{text}\""
                 )),
             }
-        });
-    let dispatch = match settings.log_file.as_str() {
-        "" => dispatch.chain(std::io::stderr()),
-        path => dispatch.chain(fern::log_file(path).with_context(|| format!("open log {path}"))?),
-    };
-    dispatch.apply().context("start the log")
+        })
 }
 
 /// Events have their number as the target; everything else comes from libraries.
--- a/crates/lacewingshore/src/main.rs
+++ b/crates/lacewingshore/src/main.rs
@@ -1,14 +1,16 @@
 //! The lacewingshore program: one binary for entry hosts and for operators.
 //!
 //! Start with [`args`], the commands. `serve` runs an entry host and is wired in
-//! [`serve`]; every other command is a client of the administration interface, or works
+//! [`serve`], `cell` a process on the users' platform, wired in [`cell_serve`]; every other command is a client of the administration interface, or works
 //! offline. Exit codes are in [`exit`] and in `docs/GETTING-STARTED.md`.
 
 mod args;
 mod catalogue;
+mod cell_serve;
 mod client;
 mod command;
 mod exit;
+mod line_sink;
 mod log_setup;
 mod serve;
 mod table;
@@ -33,6 +35,7 @@
 fn run(arguments: &CliArguments) -> Result<(), CommandError> {
     match &arguments.command {
         CliCommand::Serve(serve) => command::serve::run(serve),
+        CliCommand::Cell(cell) => command::cell::run(cell),
         CliCommand::Manifest(manifest) => command::manifest::run(arguments, &manifest.command),
         CliCommand::Key(key) => command::key::run(arguments, &key.command),
         CliCommand::Status(status) => command::status::run(arguments, status),
--- /dev/null
+++ b/crates/link/src/call_client.rs
@@ -0,0 +1,192 @@
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request,
+    client::conn::http1::{self, SendRequest},
+    header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+};
+use hyper_util::rt::TokioIo;
+use model::StepError;
+use tokio::{net::TcpStream, time::timeout_at};
+
+use crate::{CallFault, HttpCall, HttpReply};
+
+/// Longest wait for a connection. Hosts are at most a few milliseconds apart; a lost opening
+/// packet is sent again after a second, and another connection is faster than that.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Kept connections that carried nothing for so long are not used again: callers close theirs
+/// after 15 s, and a request that meets the closing has to be repeated.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Largest answer that is read, in bytes; the store answers at most a megabyte a page, which
+/// its text encoding makes larger by a third.
+const MAX_ANSWER: usize = 4 << 20;
+
+type LinkSender = SendRequest<Full<Bytes>>;
+
+/// Calls peers over kept connections.
+///
+/// A connection may go silent for good while new ones work. So whenever a call times out, its
+/// connection and all idle ones to that peer are dropped, and the next call opens a new one.
+#[derive(Clone, Default)]
+pub struct CallClient {
+    idle: Rc<RefCell<HashMap<CompactString, Vec<IdleLink>>>>,
+}
+
+struct IdleLink {
+    sender: LinkSender,
+    since: Instant,
+}
+
+impl CallClient {
+    /// Sends a call and waits for its whole answer.
+    ///
+    /// # Errors
+    /// [`CallFault::NotSent`] if the peer can't have seen the call, otherwise
+    /// [`CallFault::Unanswered`].
+    pub async fn call(&self, call: HttpCall) -> Result<HttpReply, CallFault> {
+        let deadline = tokio::time::Instant::now() + call.timeout;
+        let mut request = request_of(&call)?;
+        while let Some(mut sender) = self.take_idle(&call.address) {
+            match timeout_at(deadline, sender.try_send_request(request)).await {
+                Err(_) => return Err(self.silent(&call)),
+                Ok(Ok(response)) => return self.finish(&call, sender, response, deadline).await,
+                Ok(Err(mut fault)) => match fault.take_message() {
+                    // The kept connection was closed before the request left.
+                    Some(unsent) => request = unsent,
+                    None => return Err(unanswered(&call, fault.into_error())),
+                },
+            }
+        }
+        let mut sender = connect(&call, deadline).await?;
+        match timeout_at(deadline, sender.try_send_request(request)).await {
+            Err(_) => Err(self.silent(&call)),
+            Ok(Ok(response)) => self.finish(&call, sender, response, deadline).await,
+            Ok(Err(mut fault)) => match fault.take_message() {
+                Some(_) => Err(not_sent(&call, fault.into_error())),
+                None => Err(unanswered(&call, fault.into_error())),
+            },
+        }
+    }
+
+    /// Drops the idle connections to a peer that has gone.
+    pub fn forget(&self, address: &str) {
+        self.idle.borrow_mut().remove(address);
+    }
+
+    fn take_idle(&self, address: &str) -> Option<LinkSender> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(address)?;
+        while let Some(link) = links.pop() {
+            if link.since.elapsed() < IDLE_LIMIT && !link.sender.is_closed() {
+                return Some(link.sender);
+            }
+        }
+        None
+    }
+
+    async fn finish(
+        &self,
+        call: &HttpCall,
+        sender: LinkSender,
+        response: hyper::Response<hyper::body::Incoming>,
+        deadline: tokio::time::Instant,
+    ) -> Result<HttpReply, CallFault> {
+        let status = response.status().as_u16();
+        let retry_after = response
+            .headers()
+            .get(RETRY_AFTER)
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .map(Duration::from_secs);
+        let body = Limited::new(response.into_body(), MAX_ANSWER);
+        let body = match timeout_at(deadline, body.collect()).await {
+            Err(_) => return Err(self.silent(call)),
+            Ok(Err(error)) => return Err(unanswered(call, error)),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        self.keep(&call.address, sender);
+        Ok(HttpReply {
+            status,
+            body,
+            retry_after,
+        })
+    }
+
+    fn keep(&self, address: &CompactString, sender: LinkSender) {
+        if sender.is_closed() {
+            return;
+        }
+        let link = IdleLink {
+            sender,
+            since: Instant::now(),
+        };
+        let mut idle = self.idle.borrow_mut();
+        idle.entry(address.clone()).or_default().push(link);
+    }
+
+    fn silent(&self, call: &HttpCall) -> CallFault {
+        self.forget(&call.address);
+        unanswered(call, "timed out")
+    }
+}
+
+async fn connect(call: &HttpCall, deadline: tokio::time::Instant) -> Result<LinkSender, CallFault> {
+    let limit = deadline.min(tokio::time::Instant::now() + CONNECT_TIMEOUT);
+    let stream = match timeout_at(limit, TcpStream::connect(call.address.as_str())).await {
+        Err(_) => return Err(not_sent(call, "timed out while connecting")),
+        Ok(Err(error)) => return Err(not_sent(call, error)),
+        Ok(Ok(stream)) => stream,
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("nodelay to {}: {error}", call.address);
+    }
+    let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(|error| not_sent(call, error))?;
+    tokio::task::spawn_local(async move {
+        // The call that uses the connection reports the error.
+        if let Err(error) = connection.await {
+            log::trace!("connection ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+fn request_of(call: &HttpCall) -> Result<Request<Full<Bytes>>, CallFault> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call
+        .path
+        .parse()
+        .map_err(|error: hyper::http::uri::InvalidUri| not_sent(call, error))?;
+    let host = HeaderValue::from_str(&call.address).map_err(|error| not_sent(call, error))?;
+    let headers = request.headers_mut();
+    headers.extend(call.headers.clone());
+    headers.entry(HOST).or_insert(host);
+    if !call.body.is_empty() {
+        headers
+            .entry(CONTENT_TYPE)
+            .or_insert(HeaderValue::from_static("application/json"));
+    }
+    Ok(request)
+}
+
+fn not_sent(
+    call: &HttpCall,
+    cause: impl Into<Box<dyn std::error::Error + Send + Sync>>,
+) -> CallFault {
+    CallFault::NotSent(StepError::new(call.step, call.address.as_str(), cause))
+}
+
+fn unanswered(
+    call: &HttpCall,
+    cause: impl Into<Box<dyn std::error::Error + Send + Sync>>,
+) -> CallFault {
+    CallFault::Unanswered(StepError::new(call.step, call.address.as_str(), cause))
+}
--- /dev/null
+++ b/crates/link/src/http_server.rs
@@ -0,0 +1,186 @@
+use std::{
+    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, pin::Pin, rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, Uri,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{Instant, timeout},
+};
+
+use crate::{HttpReply, ShutdownSignal};
+
+/// Pause after a failed accept, which happens when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for the body of a request once its head was read.
+const BODY_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What a request is answered with, once it is known.
+pub type ReplyFuture = Pin<Box<dyn Future<Output = HttpReply>>>;
+
+/// Answers requests.
+pub trait HttpService {
+    /// Answers one request; the whole body has been read.
+    fn answer(&self, request: HttpRequest) -> ReplyFuture;
+}
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct HttpRequest {
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// When the head had been read.
+    pub arrived: Instant,
+}
+
+/// What a server bears.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Most connections at once; further ones are closed at once.
+    pub connections: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest wait for the head of a request on a new connection.
+    pub header_timeout: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 2048,
+            body_bytes: 256 << 10,
+            header_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Serves one listening address until the shutdown begins, then lets each connection finish
+/// the answer that it carries, and returns when all have ended.
+///
+/// # Errors
+/// If the address can't be bound.
+pub async fn serve_http(
+    address: SocketAddr,
+    service: Rc<dyn HttpService>,
+    limits: ServerLimits,
+    shutdown: ShutdownSignal,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = tokio::select! {
+            () = shutdown.wait() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accept on {address}: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.get() >= limits.connections {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (open, service, shutdown) = (open.clone(), service.clone(), shutdown.clone());
+        tokio::task::spawn_local(async move {
+            serve_connection(stream, service, limits, shutdown).await;
+            open.set(open.get() - 1);
+        });
+    }
+    drop(listener);
+    while open.get() > 0 {
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+    Ok(())
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    service: Rc<dyn HttpService>,
+    limits: ServerLimits,
+    shutdown: ShutdownSignal,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("nodelay on an accepted connection: {error}");
+    }
+    let answer = service_fn(move |request| answer_one(service.clone(), limits, request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .serve_connection(TokioIo::new(stream), answer);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = shutdown.wait() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::trace!("connection ended: {error}");
+    }
+}
+
+async fn answer_one(
+    service: Rc<dyn HttpService>,
+    limits: ServerLimits,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, limits.body_bytes).collect();
+    let reply = match timeout(BODY_TIMEOUT, body).await {
+        Err(_) => HttpReply::status(408),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => HttpReply::status(413),
+        Ok(Err(_)) => HttpReply::status(400),
+        Ok(Ok(body)) => {
+            let request = HttpRequest {
+                method: head.method,
+                uri: head.uri,
+                headers: head.headers,
+                body: body.to_bytes(),
+                arrived,
+            };
+            service.answer(request).await
+        }
+    };
+    Ok(response_of(reply))
+}
+
+fn response_of(reply: HttpReply) -> Response<Full<Bytes>> {
+    let json = !reply.body.is_empty();
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() =
+        hyper::StatusCode::from_u16(reply.status).unwrap_or(hyper::StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    if json {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    if let Some(wait) = reply.retry_after {
+        // The header counts whole seconds; rounding down would send callers back too early.
+        let seconds = wait.as_millis().div_ceil(1000).max(1);
+        if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/model/src/cell_settings.rs
@@ -0,0 +1,158 @@
+use std::time::Duration;
+
+use crate::{
+    DataCentreId, KeyInfo, MemberId, TextFault,
+    key_rule::{KeyField, KeyRule},
+    settings_text::read_settings,
+};
+
+/// What one process of a cell is told of its surroundings, see `docs/SETTINGS.md`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CellSettings {
+    /// Own id, unique among the processes of the system.
+    pub member: MemberId,
+    /// Own data centre.
+    pub data_centre: DataCentreId,
+    /// Address on which callers are answered, as `ip:port`.
+    pub caller_address: String,
+    /// Address on which the balancer asks for readiness.
+    pub ready_address: String,
+    /// Address on which other processes of the system are answered.
+    pub peer_address: String,
+    /// Address on which metrics are served.
+    pub metrics_address: String,
+    /// Address of the platform's store.
+    pub store_address: String,
+    /// Address of the control of the fleet's hosts.
+    pub control_address: String,
+    /// Address of the advice service; empty for none.
+    pub advice_address: String,
+    /// Longest time for which a target lets tasks run without a renewal.
+    pub task_lease: Duration,
+    /// Time within which two holders' orders to one host conflict.
+    pub host_order_pause: Duration,
+    /// Least severe events that are logged.
+    pub log_level: log::LevelFilter,
+}
+
+impl Default for CellSettings {
+    fn default() -> Self {
+        Self {
+            member: MemberId::default(),
+            data_centre: DataCentreId::default(),
+            caller_address: String::new(),
+            ready_address: String::new(),
+            peer_address: String::new(),
+            metrics_address: String::new(),
+            store_address: String::new(),
+            control_address: String::new(),
+            advice_address: String::new(),
+            task_lease: Duration::from_secs(6),
+            host_order_pause: Duration::from_secs(3),
+            log_level: log::LevelFilter::Info,
+        }
+    }
+}
+
+type CellRule = KeyRule<CellSettings>;
+
+const ENTRY_RULES: &[CellRule] = &[
+    KeyRule::required(
+        "member",
+        KeyField::Name(|settings| &mut settings.member),
+        "Own id, unique among the processes of the system.",
+    ),
+    KeyRule::required(
+        "data_centre",
+        KeyField::Name(|settings| &mut settings.data_centre),
+        "Data centre that this process stands in.",
+    ),
+    KeyRule::required(
+        "address",
+        KeyField::Address(|settings| &mut settings.caller_address),
+        "Address on which callers are answered.",
+    ),
+    KeyRule::required(
+        "ready_address",
+        KeyField::Address(|settings| &mut settings.ready_address),
+        "Address on which the balancer asks whether callers may be sent here.",
+    ),
+    KeyRule::required(
+        "peer_address",
+        KeyField::Address(|settings| &mut settings.peer_address),
+        "Address on which the other processes of the system are answered.",
+    ),
+    KeyRule::required(
+        "metrics_address",
+        KeyField::Address(|settings| &mut settings.metrics_address),
+        "Address on which metrics are served, on any path.",
+    ),
+];
+
+const PLATFORM_RULES: &[CellRule] = &[
+    KeyRule::required(
+        "store_address",
+        KeyField::Address(|settings| &mut settings.store_address),
+        "Address of the platform's store.",
+    ),
+    KeyRule::required(
+        "control_address",
+        KeyField::Address(|settings| &mut settings.control_address),
+        "Address of the control of the fleet's hosts.",
+    ),
+    KeyRule::optional(
+        "advice_address",
+        KeyField::Address(|settings| &mut settings.advice_address),
+        "Address of the service that says which targets may run a step; left out where no queue needs it.",
+    ),
+];
+
+const TIME_RULES: &[CellRule] = &[
+    KeyRule::optional(
+        "task_lease",
+        KeyField::Span(
+            Duration::from_secs(1)..=Duration::from_secs(600),
+            |settings| &mut settings.task_lease,
+        ),
+        "Longest time for which a target lets tasks run without a renewal; the platform sets it.",
+    ),
+    KeyRule::optional(
+        "host_order_pause",
+        KeyField::Span(
+            Duration::from_millis(100)..=Duration::from_secs(60),
+            |settings| &mut settings.host_order_pause,
+        ),
+        "A new owner waits this long before its first order to a host, so that orders of two owners can't cross.",
+    ),
+];
+
+const LOG_RULES: &[CellRule] = &[KeyRule::optional(
+    "level",
+    KeyField::Level(|settings| &mut settings.log_level),
+    "Least severe events that are logged, on standard output.",
+)];
+
+const SECTIONS: &[(&str, &[CellRule])] = &[
+    ("entry", ENTRY_RULES),
+    ("platform", PLATFORM_RULES),
+    ("times", TIME_RULES),
+    ("log", LOG_RULES),
+];
+
+impl CellSettings {
+    /// Reads and checks settings, see `docs/SETTINGS.md`.
+    ///
+    /// # Errors
+    /// The first fault: a missing, unknown or repeated key, or a value out of range.
+    pub fn from_ini(text: &str) -> Result<Self, TextFault> {
+        Ok(read_settings(text, SECTIONS)?.0)
+    }
+
+    /// Every setting there is, for the docs.
+    pub fn keys() -> Vec<KeyInfo> {
+        SECTIONS
+            .iter()
+            .flat_map(|(section, rules)| rules.iter().map(|rule| rule.info(section)))
+            .collect()
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,6 +4,7 @@
 //! process is told of its surroundings. Nothing here does I/O. The words for hosts,
 //! pools and teams are mapped in `docs/GLOSSARY.md`.
 
+mod cell_settings;
 pub mod event;
 mod id;
 mod ini_text;
@@ -15,10 +16,13 @@
 mod manifest_text;
 mod problem;
 mod settings;
+mod settings_text;
 mod step_error;
 mod text_fault;
 mod value_text;
+pub mod work;
 
+pub use cell_settings::CellSettings;
 pub use event::{EventCode, EventInfo};
 pub use id::{
     BootTime, ChangeId, DataCentreId, HostId, Incarnation, JobId, KeyId, MemberId, PoolId, RackId,
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     DataCentreId, KeyInfo, MemberId, TextFault,
-    ini_text::read_sections,
-    key_rule::{KeyField, KeyRule, fill_section},
+    key_rule::{KeyField, KeyRule},
+    settings_text::{read_settings, section_fault},
 };
 
 /// What one entry host is told of its surroundings, see `docs/SETTINGS.md`.
@@ -223,21 +223,7 @@
     /// # Errors
     /// The first fault: a missing, unknown or repeated key, or a value out of range.
     pub fn from_ini(text: &str) -> Result<Self, SettingsError> {
-        let sections = read_sections(text)?;
-        let mut settings = Self::default();
-        for section in &sections {
-            let known = SECTIONS.iter().find(|(name, _)| *name == section.name);
-            let Some((_, rules)) = known else {
-                return Err(unknown_section(&section.name, section.line));
-            };
-            fill_section(section, rules, &mut settings)?;
-        }
-        for (name, rules) in SECTIONS {
-            let is_present = sections.iter().any(|section| section.name == *name);
-            if !is_present && rules.iter().any(|rule| rule.required) {
-                return Err(fault(name, "", "the section is required"));
-            }
-        }
+        let (settings, sections) = read_settings(text, SECTIONS)?;
         settings.check().map_err(|mut error| {
             let section = sections
                 .iter()
@@ -262,34 +248,19 @@
         // host that is well connected, and callers see refusals without a cause.
         if self.heartbeat_interval * 3 > self.lease_length {
             let reason = "must be at most a third of lease_length";
-            return Err(fault("peers", "heartbeat_interval", reason));
+            return Err(section_fault("peers", "heartbeat_interval", reason));
         }
         if self.store_timeout >= self.lease_length {
             let reason = "must be shorter than lease_length of [peers]";
-            return Err(fault("platform", "store_timeout", reason));
+            return Err(section_fault("platform", "store_timeout", reason));
         }
         if self.peers.iter().any(|peer| peer.member == self.member) {
-            return Err(fault("peers", "known", "names this entry host itself"));
+            return Err(section_fault(
+                "peers",
+                "known",
+                "names this entry host itself",
+            ));
         }
         Ok(())
     }
 }
-
-fn unknown_section(name: &str, line: usize) -> SettingsError {
-    let known: Vec<&str> = SECTIONS.iter().map(|(name, _)| *name).collect();
-    SettingsError {
-        line,
-        section: name.to_owned(),
-        key: String::new(),
-        reason: format!("unknown section; known are {}", known.join(", ")),
-    }
-}
-
-fn fault(section: &str, key: &str, reason: &str) -> SettingsError {
-    SettingsError {
-        line: 0,
-        section: section.to_owned(),
-        key: key.to_owned(),
-        reason: reason.to_owned(),
-    }
-}
--- /dev/null
+++ b/crates/model/src/settings_text.rs
@@ -0,0 +1,54 @@
+use crate::{
+    TextFault,
+    ini_text::{IniSection, read_sections},
+    key_rule::{KeyRule, fill_section},
+};
+
+/// The sections of a settings file with their rules.
+pub(crate) type SectionRules<T> = [(&'static str, &'static [KeyRule<T>])];
+
+/// Reads settings of which each section is known and each required one present; returns the
+/// sections too, for faults that no single key shows.
+pub(crate) fn read_settings<T: Default>(
+    text: &str,
+    rules: &SectionRules<T>,
+) -> Result<(T, Vec<IniSection>), TextFault> {
+    let sections = read_sections(text)?;
+    let mut settings = T::default();
+    for section in &sections {
+        let known = rules.iter().find(|(name, _)| *name == section.name);
+        let Some((_, keys)) = known else {
+            return Err(unknown_section(rules, section));
+        };
+        fill_section(section, keys, &mut settings)?;
+    }
+    for (name, keys) in rules {
+        let is_present = sections.iter().any(|section| section.name == *name);
+        if !is_present && keys.iter().any(|rule| rule.required) {
+            return Err(section_fault(name, "", "the section is required"));
+        }
+    }
+    Ok((settings, sections))
+}
+
+/// A fault of a section, or of a key in it, whose line is not known yet.
+pub(crate) fn section_fault(section: &str, key: &str, reason: &str) -> TextFault {
+    TextFault {
+        line: 0,
+        section: section.to_owned(),
+        key: key.to_owned(),
+        reason: reason.to_owned(),
+    }
+}
+
+fn unknown_section<T>(rules: &SectionRules<T>, section: &IniSection) -> TextFault {
+    let known: Vec<&str> = rules.iter().map(|(name, _)| *name).collect();
+    TextFault {
+        line: section.line,
+        ..section_fault(
+            &section.name,
+            "",
+            &format!("unknown section; known are {}", known.join(", ")),
+        )
+    }
+}
--- /dev/null
+++ b/crates/model/src/work/host_room.rs
@@ -0,0 +1,55 @@
+/// Processors, memory and accelerators, of a host or of what runs on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostRoom {
+    /// Thousandths of a processor core.
+    pub cpu: u64,
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub gpu: u64,
+}
+
+impl HostRoom {
+    /// Both together.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu + other.cpu,
+            memory_mb: self.memory_mb + other.memory_mb,
+            gpu: self.gpu + other.gpu,
+        }
+    }
+
+    /// What is left of this without `other`; never below zero.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            gpu: self.gpu.saturating_sub(other.gpu),
+        }
+    }
+
+    /// This, `count` times.
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        Self {
+            cpu: self.cpu * count,
+            memory_mb: self.memory_mb * count,
+            gpu: self.gpu * count,
+        }
+    }
+
+    /// True if it goes into `room`.
+    pub fn fits(self, room: Self) -> bool {
+        self.cpu <= room.cpu && self.memory_mb <= room.memory_mb && self.gpu <= room.gpu
+    }
+
+    /// True if it stays below a limit of which zero parts mean none.
+    pub fn within_limit(self, limit: Self) -> bool {
+        let below = |used: u64, limit: u64| limit == 0 || used <= limit;
+        below(self.cpu, limit.cpu)
+            && below(self.memory_mb, limit.memory_mb)
+            && below(self.gpu, limit.gpu)
+    }
+}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -4,28 +4,43 @@
 //! the crates depend on this one and not on each other. `ARCHITECTURE.md` shows which
 //! crate offers which.
 
+mod advice_port;
 mod audit;
+mod caller_desk;
 mod change;
 mod claim;
 mod config;
+mod fleet_codec;
 mod gate;
+mod host_control;
 mod job;
+mod lease_store;
 mod link;
 mod member;
 mod quota;
 mod slot;
 mod status;
 mod target;
+mod target_port;
 
+pub use advice_port::{AdvicePort, AdviceTicket};
 pub use audit::{AuditNote, AuditSink};
+pub use caller_desk::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress};
 pub use change::{ChangeError, ChangeOutcome, ChangeRequest, ChangeSink};
 pub use claim::{ClaimSource, ClaimVerdict};
 pub use config::{ConfigSource, ForceConfig};
+pub use fleet_codec::FleetCodec;
 pub use gate::{NotServing, ServingGate};
+pub use host_control::HostControl;
 pub use job::{JobError, JobRequest, JobSink, JobView};
+pub use lease_store::{
+    LeaseId, LeaseStore, PortFuture, StoreChange, StoreChanges, StoreEvent, StoreFault, StoreItem,
+    StoreOutcome, StorePage, StoreRevision, StoreWrite,
+};
 pub use link::{InboundMessage, LinkError, PeerLink};
 pub use member::{MemberInfo, MemberSource};
 pub use quota::{QuotaPermit, QuotaSource};
 pub use slot::{PoolDemand, SlotLease, SlotSource, TargetSlots, TeamDemand, TeamUse};
 pub use status::{HostStatus, MemberStatus, StatusSource, TeamStatus};
 pub use target::{TargetHost, TargetSource, TargetState};
+pub use target_port::TargetPort;
--- /dev/null
+++ b/crates/ports/src/target_port.rs
@@ -0,0 +1,18 @@
+use model::work::{
+    LookAnswer, LookOrder, OrderAnswer, PaceOrder, StartAnswer, StartOrder, StopOrder,
+    TargetAddress,
+};
+
+use crate::PortFuture;
+
+/// Gives orders to targets.
+pub trait TargetPort {
+    /// Starts a task.
+    fn start(&self, target: &TargetAddress, order: StartOrder) -> PortFuture<StartAnswer>;
+    /// Stops a run.
+    fn stop(&self, target: &TargetAddress, order: StopOrder) -> PortFuture<OrderAnswer>;
+    /// Sets a run's share of time.
+    fn pace(&self, target: &TargetAddress, order: PaceOrder) -> PortFuture<OrderAnswer>;
+    /// Renews and asks.
+    fn look(&self, target: &TargetAddress, order: LookOrder) -> PortFuture<LookAnswer>;
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,3 +15,7 @@
 #[allow(missing_docs, clippy::all)]
 #[path = "generated/fleet.rs"]
 pub mod fleet;
+
+#[allow(missing_docs, clippy::all)]
+#[path = "generated/work.rs"]
+pub mod work;
