Open the occurrences that a predecessor had opened before judging its runs and ends

Cause: a new owner opens occurrences at its first tick, and looked at targets before. Runs of unopened occurrences were taken for stray ones and stopped (AVAIL), and ends of theirs were taken for known ones, so that done tasks ran again (TWICE). Ruled out: ends lost by the old owner's observation; the log showed them listed again. Change: a run or an end opens its occurrence; the look and the end share the board's rule. Tests: work_takeover, of which successor_adopts_runs and successor_counts_unstored_end failed.

--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -14,6 +14,10 @@
     pub(super) fn apply_end(&mut self, id: &HostId, end: &EndSight, now: DeskTime) {
         let run: RunKey = (end.task.clone(), end.attempt);
         self.unclaim(id, &run);
+        if let Some(job) = self.board.jobs.get_mut(&end.task.job) {
+            // As for a run: what a predecessor found due is due.
+            job.open_until(end.task.occurrence, now.boot);
+        }
         self.vacate_place(id, &run);
         let name = match end.kind {
             EndKind::Done => "done",
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -144,6 +144,9 @@
         };
         job.begun = true;
         let open = job.phase == WorkPhase::Open;
+        // A predecessor found the occurrence due, perhaps by a clock that is ahead of this one;
+        // taking its run for a stray one would stop work that is wanted.
+        job.open_until(run.task.occurrence, now.boot);
         let task = job.task_mut(run.task.occurrence, run.task.step, run.task.index);
         let Some(task) = task.filter(|task| open && !task.done) else {
             self.stop_unwanted(id, &key, now);
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -179,8 +179,8 @@
 }
 
 impl WorkJob {
-    /// Opens the occurrences up to one that the log tells of.
-    fn open_until(&mut self, occurrence: u32, boot: BootTime) {
+    /// Opens the occurrences up to one that the log or a target tells of.
+    pub(super) fn open_until(&mut self, occurrence: u32, boot: BootTime) {
         while self.opened <= occurrence && self.opened < self.plan.occurrences() {
             let state = super::OccurrenceState::new(&self.plan, boot);
             self.occurrences.insert(self.opened, state);
--- /dev/null
+++ b/crates/decide/tests/desk/mod.rs
@@ -0,0 +1,6 @@
+//! A desk with orders that the test answers by hand.
+#![allow(dead_code)]
+
+mod scene;
+
+pub use scene::{DeskScene, POOL, QUEUE, SPACE, ended, plan, running, step, target};
--- /dev/null
+++ b/crates/decide/tests/desk/scene.rs
@@ -0,0 +1,229 @@
+use std::{sync::Arc, time::Duration};
+
+use decide::work::{DeskOrder, DeskTime, DeskTuning, WorkDesk, record_of_plan};
+use model::{
+    HostId,
+    work::{
+        EndKind, EndSight, FleetTerms, HostRoom, JobPlan, LookAnswer, PoolTerms, QueueTerms,
+        RunSight, StartAnswer, StartOrder, StepPlan, TargetEntry, TargetSight, TaskKey,
+        WorkspaceTerms,
+    },
+};
+use wire::work::{JobRecord, LogEntry, log_entry::Event};
+
+/// A desk with one pool, one queue and one workspace, and a clock that the test moves.
+pub struct DeskScene {
+    pub desk: WorkDesk,
+    pub now: DeskTime,
+    /// Starts that the desk ordered and that have not been answered.
+    pub starts: Vec<(HostId, StartOrder)>,
+    /// Other orders.
+    pub others: Vec<DeskOrder>,
+    /// Entries that were stored.
+    pub stored: Vec<LogEntry>,
+}
+
+pub const POOL: &str = "pool";
+pub const QUEUE: &str = "queue";
+pub const SPACE: &str = "space";
+
+impl DeskScene {
+    pub fn new(token: u64) -> Self {
+        let mut scene = Self {
+            desk: WorkDesk::new(DeskTuning::default(), token),
+            now: DeskTime {
+                boot: Duration::from_secs(1000),
+                unix: Duration::from_secs(1_000_000),
+            },
+            starts: Vec::new(),
+            others: Vec::new(),
+            stored: Vec::new(),
+        };
+        scene.desk.set_terms(Arc::new(terms()));
+        scene
+    }
+
+    /// A new term that reads what the present one has stored.
+    pub fn successor(&self, token: u64) -> Self {
+        let mut scene = Self::new(token);
+        scene.now = self.now;
+        scene.stored = self.stored.clone();
+        for entry in &self.stored {
+            scene.desk.replay(entry, scene.now);
+        }
+        scene.desk.begin(scene.now);
+        scene
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.now.boot += time;
+        self.now.unix += time;
+        self.desk.tick(self.now);
+        self.run();
+    }
+
+    /// Plans and takes the orders; entries are stored at once.
+    pub fn run(&mut self) {
+        loop {
+            self.desk.plan(self.now);
+            let orders = self.desk.take_orders();
+            if orders.is_empty() {
+                return;
+            }
+            for order in orders {
+                match order {
+                    DeskOrder::Record(record) => {
+                        self.stored.push(record.entry.clone());
+                        self.desk.recorded(&record, self.now);
+                    }
+                    DeskOrder::Start(id, start) => self.starts.push((id, start)),
+                    other => self.others.push(other),
+                }
+            }
+        }
+    }
+
+    pub fn list(&mut self, id: &str, cpu: u64) {
+        self.desk.list_target(target(id, cpu), self.now);
+        self.run();
+    }
+
+    /// Looks at a target that runs nothing and ended nothing.
+    pub fn raise(&mut self, id: &str) {
+        self.see(id, Vec::new(), Vec::new());
+    }
+
+    pub fn see(&mut self, id: &str, running: Vec<RunSight>, ended: Vec<EndSight>) {
+        self.now.boot += Duration::from_millis(1);
+        let sent = self.now.boot;
+        self.now.boot += Duration::from_millis(1);
+        let sight = TargetSight {
+            clock: self.now.boot,
+            born: Duration::from_secs(1),
+            running,
+            ended,
+        };
+        self.desk
+            .saw(&id.into(), sent, 0, LookAnswer::Seen(sight), self.now);
+        self.run();
+    }
+
+    pub fn submit(&mut self, job: &str, plan: &JobPlan) {
+        let record = JobRecord {
+            job: job.to_owned(),
+            queue: QUEUE.to_owned(),
+            pool: POOL.to_owned(),
+            workspace: SPACE.to_owned(),
+            accepted_unix_ms: u64::try_from(self.now.unix.as_millis()).unwrap(),
+            ..record_of_plan(plan)
+        };
+        self.stored.push(LogEntry {
+            event: Some(Event::Accepted(record.clone())),
+        });
+        self.desk.accept(&record, self.now);
+        self.desk.tick(self.now);
+        self.run();
+    }
+
+    /// Answers all starts with success; returns them.
+    pub fn start_all(&mut self) -> Vec<(HostId, StartOrder)> {
+        let starts = std::mem::take(&mut self.starts);
+        for (id, start) in &starts {
+            let answer = StartAnswer::Started {
+                clock: self.now.boot,
+            };
+            self.desk
+                .started(id, &start.task, start.attempt, answer, self.now);
+        }
+        self.run();
+        starts
+    }
+
+    pub fn stops(&self) -> usize {
+        let stop = |order: &&DeskOrder| matches!(order, DeskOrder::Stop(..));
+        self.others.iter().filter(stop).count()
+    }
+}
+
+pub fn target(id: &str, cpu: u64) -> TargetEntry {
+    TargetEntry {
+        target: id.into(),
+        address: format!("{id}:80").into(),
+        pool: POOL.into(),
+        rack: "rack".into(),
+        labels: vec!["kind".into(), "rack".into()],
+        capacity: HostRoom {
+            cpu,
+            memory_mb: 10_000,
+            gpu: 0,
+        },
+        born: Duration::from_secs(1),
+        ..TargetEntry::default()
+    }
+}
+
+pub fn step(count: u32, cpu: u64) -> StepPlan {
+    StepPlan {
+        count,
+        need: HostRoom {
+            cpu,
+            memory_mb: 100,
+            gpu: 0,
+        },
+        estimate: Duration::from_secs(1),
+        ..StepPlan::default()
+    }
+}
+
+pub fn plan(steps: Vec<StepPlan>) -> JobPlan {
+    JobPlan {
+        payload: "text".into(),
+        steps,
+        repeat: None,
+    }
+}
+
+pub fn running(start: &StartOrder) -> RunSight {
+    RunSight {
+        task: start.task.clone(),
+        attempt: start.attempt,
+        percent: 10,
+        ..RunSight::default()
+    }
+}
+
+pub fn ended(number: u64, task: &TaskKey, attempt: u64, kind: EndKind) -> EndSight {
+    EndSight {
+        number,
+        task: task.clone(),
+        attempt,
+        kind,
+        checkpoint: Default::default(),
+    }
+}
+
+fn terms() -> FleetTerms {
+    FleetTerms {
+        revision: 1,
+        queues: vec![QueueTerms {
+            name: QUEUE.into(),
+            pool: POOL.into(),
+            max_attempts: 2,
+            slack_factor: 2.0,
+            ..QueueTerms::default()
+        }],
+        pools: vec![PoolTerms {
+            name: POOL.into(),
+            ..PoolTerms::default()
+        }],
+        workspaces: vec![WorkspaceTerms {
+            name: SPACE.into(),
+            limit: HostRoom {
+                cpu: 8000,
+                ..HostRoom::default()
+            },
+            ..WorkspaceTerms::default()
+        }],
+        max_body: 1 << 20,
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/work_takeover.rs
@@ -0,0 +1,111 @@
+//! What a successor makes of the work that its predecessor has left.
+
+mod desk;
+
+use std::time::Duration;
+
+use desk::{DeskScene, ended, plan, running, step};
+use model::work::EndKind;
+
+/// A caller sees its job run on though the owner was killed. The successor reads the log, looks
+/// at the target and finds the run; taking it for a stray one would stop it and start it again.
+#[test]
+fn successor_adopts_runs() {
+    let mut first = DeskScene::new(1);
+    first.list("t1", 4000);
+    first.raise("t1");
+    first.submit("a", &plan(vec![step(2, 1000)]));
+    let starts = first.start_all();
+    assert_eq!(starts.len(), 2);
+
+    let mut second = first.successor(9);
+    second.list("t1", 4000);
+    second.see(
+        "t1",
+        starts.iter().map(|(_, start)| running(start)).collect(),
+        Vec::new(),
+    );
+    second.pass(Duration::from_millis(50));
+    assert_eq!(second.stops(), 0);
+    assert!(second.starts.is_empty());
+}
+
+/// A caller's batch must not run twice. The owner is killed while a task runs on a target that
+/// its successor can't reach and that has left the host list; the successor waits until the
+/// task's time has lapsed before it starts it elsewhere.
+#[test]
+fn successor_waits_for_unreached_target() {
+    let mut first = DeskScene::new(1);
+    first.list("t1", 4000);
+    first.raise("t1");
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    assert_eq!(first.start_all().len(), 1);
+
+    let mut second = first.successor(9);
+    second.list("t2", 4000);
+    second.raise("t2");
+    second.pass(Duration::from_secs(5));
+    assert!(second.starts.is_empty(), "it may still run on t1");
+    second.pass(Duration::from_secs(12));
+    assert_eq!(second.starts.len(), 1);
+    assert_eq!(second.starts[0].0, "t2");
+}
+
+/// A job that the successor itself accepted can't run anywhere yet, and need not wait for a
+/// target that was not reached.
+#[test]
+fn successor_starts_new_jobs() {
+    let mut first = DeskScene::new(1);
+    first.list("t1", 4000);
+    first.raise("t1");
+
+    let mut second = first.successor(9);
+    second.list("t2", 4000);
+    second.raise("t2");
+    second.submit("b", &plan(vec![step(1, 1000)]));
+    assert_eq!(second.starts.len(), 1);
+}
+
+/// An end that the predecessor recorded is listed again, since the target was not told. Counting
+/// it twice would fail a job that has an attempt left.
+#[test]
+fn successor_counts_failure_once() {
+    let mut first = DeskScene::new(1);
+    first.list("t1", 4000);
+    first.raise("t1");
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = first.start_all();
+    let (_, start) = &starts[0];
+    let end = ended(1, &start.task, start.attempt, EndKind::Failed);
+    first.see("t1", Vec::new(), vec![end.clone()]);
+
+    let mut second = first.successor(9);
+    second.list("t1", 4000);
+    second.see("t1", Vec::new(), vec![end]);
+    second.pass(Duration::from_millis(50));
+    assert_eq!(second.starts.len(), 1, "one attempt is left");
+}
+
+/// A batch runs twice though it was done once. The owner can't reach the store, so it can't
+/// record the end of a task; its successor finds the end on the target in its first look, and
+/// has to count it.
+#[test]
+fn successor_counts_unstored_end() {
+    let mut first = DeskScene::new(1);
+    first.list("t1", 4000);
+    first.raise("t1");
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = first.start_all();
+    let (_, start) = &starts[0];
+
+    let mut second = first.successor(9);
+    second.list("t1", 4000);
+    let end = ended(1, &start.task, start.attempt, EndKind::Done);
+    second.see("t1", Vec::new(), vec![end]);
+    second.pass(Duration::from_millis(50));
+    assert!(second.starts.is_empty());
+    assert_eq!(
+        second.desk.progress("a"),
+        Some(wire::work::JobPhase::Completed)
+    );
+}
