Move hosts to the pool whose turn it is, and maintain waves

More hosts kept everywhere: there are none beyond what other pools leave idle. Change: decide::work::DemandMeter foresees two seconds of demand from the trend of arrivals; HostPlanner gives switched-off and idle hosts to pools that lack room, switches off what is idle, and empties hosts of a wave before their maintenance; tasks that last leave a host one of a step at a time. The owner's ticks no longer starve under load (a lasting task stayed on a target that was gone for 10 s in place of 6).

--- a/crates/cell/src/job_log.rs
+++ b/crates/cell/src/job_log.rs
@@ -1,6 +1,6 @@
 use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
 
-use decide::work::RecordOrder;
+use decide::work::{RecordOrder, plan_of_record};
 use model::{BootTime, event as log_event};
 use ports::{StoreChange, StoreFault, StoreOutcome, StoreWrite};
 use prost::Message;
@@ -8,7 +8,7 @@
     sync::{Notify, oneshot},
     time::{Instant, sleep, timeout},
 };
-use wire::work::{LogPage, log_entry::Event};
+use wire::work::{JobRecord, LogPage, StepRecord, log_entry::Event};
 
 use crate::{event, log_reader::page_key, metric, term::Term};
 
@@ -229,13 +229,19 @@
         match &record.order.entry.event {
             Some(Event::Accepted(job)) => {
                 desk.accept(job, now);
+                let work = plan_of_record(job).work();
+                let mut hosts = term.hosts.borrow_mut();
+                hosts
+                    .meter
+                    .arrived(&job.pool.as_str().into(), work, now.boot);
                 log_event::info(
                     &event::JOB_RECORDED,
                     format_args!(
-                        "job={} queue={} workspace={} page={page} waited_ms={}",
+                        "job={} queue={} workspace={} steps={} page={page} waited_ms={}",
                         job.job,
                         job.queue,
                         job.workspace,
+                        steps_text(job),
                         now.boot.saturating_sub(record.since).as_millis()
                     ),
                 );
@@ -257,6 +263,34 @@
     term.wake.notify_one();
 }
 
+/// The steps of a job in one word: tasks, thousandths of a core, estimate in milliseconds, and
+/// a letter for what matters beyond these.
+fn steps_text(job: &JobRecord) -> String {
+    let step = |step: &StepRecord| {
+        let letters = [
+            (step.long_running, 'l'),
+            (step.fills, 'f'),
+            (step.gang, 'g'),
+            (step.saves_progress, 's'),
+            (step.speculative, 'c'),
+        ];
+        let set = letters
+            .iter()
+            .filter(|(set, _)| *set)
+            .map(|(_, letter)| *letter);
+        let letters: String = set.collect();
+        let apart = match step.anti_affinity {
+            0 => String::new(),
+            most => format!("a{most}"),
+        };
+        format!(
+            "{}x{}c{}ms{letters}{apart}",
+            step.count, step.cpu, step.estimate_ms
+        )
+    };
+    job.steps.iter().map(step).collect::<Vec<_>>().join("+")
+}
+
 fn note_fault(term: &Term, page: u64, error: &StoreFault, unsure: bool) {
     metrics::counter!(metric::LOG_WRITES, "outcome" => "failed").increment(1);
     if !term.log.failing.replace(true) {
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -7,12 +7,15 @@
     rc::Rc,
 };
 
-use decide::work::{DeskOrder, DeskTime, WorkDesk};
+use decide::work::{DeskOrder, DeskTime, HostPlanner, WorkDesk};
 use link::ShutdownSignal;
 use model::{BootTime, HostId, event as log_event, work::FencingToken};
 use ports::LeaseId;
 use store::{BootClock, Clock};
-use tokio::{sync::Notify, time::sleep};
+use tokio::{
+    sync::Notify,
+    time::{MissedTickBehavior, interval, sleep},
+};
 
 use crate::{
     cell_host::CellPorts,
@@ -41,14 +44,13 @@
     pub(crate) token: FencingToken,
     lease: LeaseId,
     pub(crate) desk: RefCell<WorkDesk>,
+    pub(crate) hosts: RefCell<HostPlanner>,
     pub(crate) log: JobLog,
     /// Jobs that are being recorded.
     pub(crate) submitting: RefCell<HashSet<String>>,
     pub(crate) lanes: RefCell<HashMap<HostId, Rc<TargetLane>>>,
     /// Tells the driver that something has changed.
     pub(crate) wake: Notify,
-    /// When this term began.
-    pub(crate) began: BootTime,
     over: ShutdownSignal,
     ready: Cell<bool>,
     /// Told once the log has been read.
@@ -76,11 +78,11 @@
             token,
             lease,
             desk: RefCell::new(desk),
+            hosts: RefCell::default(),
             log: JobLog::default(),
             submitting: RefCell::default(),
             lanes: RefCell::default(),
             wake: Notify::new(),
-            began: BootClock.boot_now(),
             over: ShutdownSignal::default(),
             ready: Cell::new(false),
             became_ready: Notify::new(),
@@ -207,11 +209,16 @@
     /// Lets the desk plan whenever something has changed.
     async fn drive(self: Rc<Self>) {
         let mut terms_seen = 0;
+        // The ticks go on by themselves: a sleep begun anew after each event would never end
+        // while events come in more often, and what time alone brings would not happen.
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let ticked = tokio::select! {
+                biased;
+                _ = ticks.tick() => true,
                 () = self.wake.notified() => false,
                 () = self.view.changed.notified() => false,
-                () = sleep(TICK) => true,
             };
             let version = self.view.version.get();
             if version != terms_seen {
--- /dev/null
+++ b/crates/decide/src/work/demand_meter.rs
@@ -0,0 +1,82 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{BootTime, PoolId};
+
+/// Time over which the present rate of arrivals is averaged. Shorter follows single jobs, which
+/// ask for up to a hundred core-seconds each.
+const FAST: f64 = 0.8;
+/// Time over which the rate is averaged that the present one is compared with.
+const SLOW: f64 = 2.5;
+/// How far ahead demand is foreseen: a host takes about two seconds from the order until its
+/// first task.
+const AHEAD: f64 = 2.0;
+/// Room beyond the foreseen demand, as a factor: tasks do not fill hosts without gaps.
+const SPARE: f64 = 1.2;
+/// How long a peak of demand is remembered before hosts are given back. Giving a host away and
+/// taking it back costs two moves, as much as 2.3 s of an idle host at the prices measured.
+const HOLD: Duration = Duration::from_millis(2500);
+
+/// Foresees how many cores a pool will need.
+///
+/// The pattern it answers: demand that rises and falls by turns within some seconds, each pool
+/// in its time asking for several times its mean. Turns may come once a day, so that nothing
+/// can be learned of their order; what shows in time is that arrivals rise.
+#[derive(Clone, Debug, Default)]
+pub struct DemandMeter {
+    pools: BTreeMap<PoolId, PoolDemand>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PoolDemand {
+    fast: f64,
+    slow: f64,
+    updated: BootTime,
+    wanted: f64,
+    /// The highest need of the last while, and when it was seen.
+    peak: f64,
+    peak_at: BootTime,
+}
+
+impl DemandMeter {
+    /// Notes the work of a job that was handed in, in core-seconds.
+    pub fn arrived(&mut self, pool: &PoolId, work: f64, now: BootTime) {
+        let demand = self.pools.entry(pool.clone()).or_default();
+        demand.decay(now);
+        demand.fast += work / FAST;
+        demand.slow += work / SLOW;
+    }
+
+    /// Notes what a pool needs at present, in cores: for tasks at work and for those that
+    /// could start. `lasting` is the part of tasks that go on.
+    pub fn observe(&mut self, pool: &PoolId, present: f64, lasting: f64, now: BootTime) {
+        let demand = self.pools.entry(pool.clone()).or_default();
+        demand.decay(now);
+        let trend = (demand.fast - demand.slow) / (SLOW - FAST);
+        let foreseen = (demand.fast + trend * AHEAD).max(0.0);
+        demand.wanted = (present.max(foreseen) + lasting) * SPARE;
+        let lapsed = now.saturating_sub(demand.peak_at) > HOLD;
+        if demand.wanted >= demand.peak || lapsed {
+            demand.peak = demand.wanted;
+            demand.peak_at = now;
+        }
+    }
+
+    /// Cores that a pool should have soon.
+    pub fn wanted(&self, pool: &PoolId) -> f64 {
+        self.pools.get(pool).map_or(0.0, |demand| demand.wanted)
+    }
+
+    /// Cores below which nothing is given back.
+    pub fn kept(&self, pool: &PoolId) -> f64 {
+        self.pools.get(pool).map_or(0.0, |demand| demand.peak)
+    }
+}
+
+impl PoolDemand {
+    fn decay(&mut self, now: BootTime) {
+        let passed = now.saturating_sub(self.updated).as_secs_f64();
+        self.updated = now;
+        self.fast *= (-passed / FAST).exp();
+        self.slow *= (-passed / SLOW).exp();
+    }
+}
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -69,15 +69,22 @@
     }
 
     fn is_starting(&self, id: &HostId, run: &RunKey) -> bool {
+        self.phase_of(id, run) == Some(PlacePhase::Starting)
+    }
+
+    /// True if a task is known to run on a target under this number.
+    pub(super) fn is_running(&self, id: &HostId, run: &RunKey) -> bool {
+        self.phase_of(id, run) == Some(PlacePhase::Running)
+    }
+
+    /// What is known of a run; `None` if no task is taken to be it.
+    fn phase_of(&self, id: &HostId, run: &RunKey) -> Option<PlacePhase> {
         let (key, attempt) = run;
-        let job = self.board.jobs.get(&key.job);
-        let task = job.and_then(|job| job.task(key.occurrence, key.step, key.index));
-        task.and_then(|task| task.place.as_ref())
-            .is_some_and(|place| {
-                place.target == *id
-                    && place.attempt == *attempt
-                    && place.phase == PlacePhase::Starting
-            })
+        let job = self.board.jobs.get(&key.job)?;
+        let task = job.task(key.occurrence, key.step, key.index)?;
+        let place = task.place.as_ref()?;
+        let same = place.target == *id && place.attempt == *attempt;
+        same.then_some(place.phase)
     }
 
     fn start_refused(&mut self, id: &HostId, run: &RunKey, refusal: StartRefusal, now: DeskTime) {
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -1,7 +1,12 @@
-use model::{BootTime, HostId, JobId};
+use std::collections::BTreeSet;
+
+use model::{BootTime, HostId, JobId, work::TargetMode};
 use wire::work::log_entry::Event;
 
-use super::{DeskTime, WorkDesk, WorkPhase};
+use super::{DeskTime, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey};
+
+/// What a target says of a task that lasts and is at work, in percent.
+const AT_WORK: u8 = 100;
 
 impl WorkDesk {
     /// Does what is due by time alone. To be called several times a second.
@@ -9,6 +14,7 @@
         self.open_occurrences(now);
         self.repeat_stops(now);
         self.write_off(now);
+        self.evacuate(now);
         self.drop_targets();
         self.board
             .forget(now.boot.saturating_sub(self.tuning.shown));
@@ -21,7 +27,7 @@
         self.stale = true;
     }
 
-    fn open_occurrences(&mut self, now: DeskTime) {
+    pub(super) fn open_occurrences(&mut self, now: DeskTime) {
         for id in &self.board.open {
             let Some(job) = self.board.jobs.get_mut(id) else {
                 continue;
@@ -73,6 +79,60 @@
         }
     }
 
+    /// Stops the tasks that last on targets that are leaving or kept free, so that they run
+    /// elsewhere before the target is gone. Other tasks may well end before that.
+    fn evacuate(&mut self, now: DeskTime) {
+        let mut stops = Vec::new();
+        for target in self.targets.values() {
+            let leaving = target.entry.mode == TargetMode::Draining;
+            if !leaving && !target.vacated {
+                continue;
+            }
+            let id = &target.entry.target;
+            let lasting = target.claims.keys().filter(|run| {
+                let lasts = self.step_of(&run.0).is_some_and(|step| step.long_running);
+                lasts && self.is_running(id, run)
+            });
+            stops.extend(lasting.map(|run| (id.clone(), run.clone(), leaving)));
+        }
+        for (id, run, leaving) in stops {
+            if leaving || self.may_stop(&run) {
+                self.stop_run(&id, &run, now);
+            }
+        }
+    }
+
+    /// True if a task that lasts may be stopped by our own doing: fewer of its step are away
+    /// than may be. Asked anew before each stop, so that two of one step never go together.
+    fn may_stop(&self, run: &RunKey) -> bool {
+        let (key, _) = run;
+        let Some(step) = self.step_of(key) else {
+            return true;
+        };
+        let Some(state) = self.step_by(&key.job, key.occurrence, key.step) else {
+            return true;
+        };
+        let at_work = |task: &super::TaskState| {
+            task.place
+                .as_ref()
+                .is_some_and(|place| place.phase == PlacePhase::Running && place.percent >= AT_WORK)
+        };
+        let others = (0..)
+            .zip(&state.tasks)
+            .filter(|(index, _)| *index != key.index);
+        let away = others.filter(|(_, task)| !at_work(task)).count();
+        away < step.may_miss.max(1) as usize
+    }
+
+    /// Keeps the named targets free of new tasks, and no others.
+    pub(super) fn keep_free(&mut self, ids: &BTreeSet<HostId>) {
+        for (id, target) in &mut self.targets {
+            let vacated = ids.contains(id);
+            self.stale |= target.vacated && !vacated;
+            target.vacated = vacated;
+        }
+    }
+
     /// When all that was granted on a target has lapsed.
     ///
     /// A predecessor that was cut off from the store may go on for a bounded time. It hears
--- /dev/null
+++ b/crates/decide/src/work/host_moves.rs
@@ -0,0 +1,241 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{BootTime, HostId, PoolId, work::HostCondition};
+
+use super::{HostOrder, HostPlanner, WorkDesk, WorkPhase, host_planner::HostView};
+
+/// Idle time after which a host that its pool does not need is switched off. A move costs as
+/// much as 1.1 s of a host at the prices measured, and it may be needed back.
+const IDLE_OFF: Duration = Duration::from_millis(1500);
+/// Idle time after which another pool that lacks hosts may have one.
+const IDLE_LEND: Duration = Duration::from_millis(100);
+/// Hosts that a pool keeps at least: its first task of a turn should find room at once.
+const KEPT_HOSTS: usize = 2;
+
+/// Hosts of one pool, in cores.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolRoom {
+    cores: f64,
+    hosts: usize,
+}
+
+impl HostPlanner {
+    /// Gives hosts to pools that lack room, and switches off what no pool needs.
+    pub(super) fn plan_moves(&mut self, desk: &WorkDesk, now: BootTime) {
+        self.observe_pools(desk, now);
+        let standby = standby_pool(desk);
+        let mut rooms = self.rooms();
+        let pools: Vec<PoolId> = desk
+            .terms
+            .pools
+            .iter()
+            .filter(|pool| !pool.standby)
+            .map(|pool| pool.name.clone())
+            .collect();
+        for pool in &pools {
+            self.fill_pool(pool, standby.as_ref(), &mut rooms, now);
+        }
+        if let Some(standby) = &standby {
+            self.switch_off(&pools, standby, &mut rooms, now);
+        }
+    }
+
+    /// Cores that a pool lacks; below zero if it has some to spare.
+    pub(super) fn shortage(&self, pool: &PoolId) -> f64 {
+        let room = self.rooms().get(pool).copied().unwrap_or_default();
+        self.meter.wanted(pool) - room.cores
+    }
+
+    fn fill_pool(
+        &mut self,
+        pool: &PoolId,
+        standby: Option<&PoolId>,
+        rooms: &mut BTreeMap<PoolId, PoolRoom>,
+        now: BootTime,
+    ) {
+        loop {
+            let room = rooms.get(pool).copied().unwrap_or_default();
+            if room.cores >= self.meter.wanted(pool) {
+                return;
+            }
+            let Some(host) = self.lender(pool, standby, rooms, now) else {
+                return;
+            };
+            self.shift(&host, pool, rooms);
+        }
+    }
+
+    /// A host that another pool can spare: one that is switched off, otherwise an idle one.
+    fn lender(
+        &self,
+        pool: &PoolId,
+        standby: Option<&PoolId>,
+        rooms: &BTreeMap<PoolId, PoolRoom>,
+        now: BootTime,
+    ) -> Option<HostId> {
+        let free = |view: &&HostView| {
+            view.fleet.pool != *pool
+                && is_free(view, now)
+                && !self
+                    .refused_moves
+                    .contains(&(view.fleet.host.clone(), pool.clone()))
+        };
+        let mut best: Option<(bool, f64, &HostView)> = None;
+        for view in self.hosts.values().filter(free) {
+            let off = standby == Some(&view.fleet.pool);
+            let idle = view
+                .idle_since
+                .map_or(Duration::ZERO, |since| now.saturating_sub(since));
+            if !off && (idle < IDLE_LEND || !self.can_spare(view, rooms)) {
+                continue;
+            }
+            let spare = self.spare(&view.fleet.pool, rooms);
+            let better = best.is_none_or(|(was_off, most, _)| (off, spare) > (was_off, most));
+            if better {
+                best = Some((off, spare, view));
+            }
+        }
+        best.map(|(_, _, view)| view.fleet.host.clone())
+    }
+
+    fn switch_off(
+        &mut self,
+        pools: &[PoolId],
+        standby: &PoolId,
+        rooms: &mut BTreeMap<PoolId, PoolRoom>,
+        now: BootTime,
+    ) {
+        let idle = |view: &HostView| {
+            is_free(view, now)
+                && pools.contains(&view.fleet.pool)
+                && view
+                    .idle_since
+                    .is_some_and(|since| now.saturating_sub(since) >= IDLE_OFF)
+                && !self
+                    .refused_moves
+                    .contains(&(view.fleet.host.clone(), standby.clone()))
+        };
+        let hosts: Vec<HostId> = self
+            .hosts
+            .values()
+            .filter(|view| idle(view))
+            .map(|view| view.fleet.host.clone())
+            .collect();
+        for host in hosts {
+            let Some(view) = self.hosts.get(&host) else {
+                continue;
+            };
+            let room = rooms.get(&view.fleet.pool).copied().unwrap_or_default();
+            let left = room.cores - cores(view);
+            if left >= self.meter.kept(&view.fleet.pool) && room.hosts > KEPT_HOSTS {
+                self.shift(&host, standby, rooms);
+            }
+        }
+    }
+
+    fn shift(&mut self, host: &HostId, to: &PoolId, rooms: &mut BTreeMap<PoolId, PoolRoom>) {
+        let Some(view) = self.hosts.get(host) else {
+            return;
+        };
+        let size = cores(view);
+        if let Some(room) = rooms.get_mut(&view.fleet.pool) {
+            room.cores -= size;
+            room.hosts = room.hosts.saturating_sub(1);
+        }
+        let room = rooms.entry(to.clone()).or_default();
+        room.cores += size;
+        room.hosts += 1;
+        self.begin_errand(host, HostOrder::Move(host.clone(), to.clone()));
+    }
+
+    fn can_spare(&self, view: &HostView, rooms: &BTreeMap<PoolId, PoolRoom>) -> bool {
+        let room = rooms.get(&view.fleet.pool).copied().unwrap_or_default();
+        room.hosts > KEPT_HOSTS && self.spare(&view.fleet.pool, rooms) >= cores(view)
+    }
+
+    fn spare(&self, pool: &PoolId, rooms: &BTreeMap<PoolId, PoolRoom>) -> f64 {
+        let room = rooms.get(pool).copied().unwrap_or_default();
+        room.cores - self.meter.wanted(pool)
+    }
+
+    /// What each pool has or will have, moves under way included.
+    fn rooms(&self) -> BTreeMap<PoolId, PoolRoom> {
+        let mut rooms: BTreeMap<PoolId, PoolRoom> = BTreeMap::new();
+        for view in self.hosts.values() {
+            let pool = match view.errand.as_ref().map(|errand| &errand.order) {
+                Some(HostOrder::Move(_, pool)) => pool,
+                Some(HostOrder::Maintain(..)) | None => &view.fleet.pool,
+            };
+            let gone = view.fleet.condition == HostCondition::Down && view.errand.is_none();
+            if gone {
+                continue;
+            }
+            let room = rooms.entry(pool.clone()).or_default();
+            room.cores += cores(view);
+            room.hosts += 1;
+        }
+        rooms
+    }
+
+    fn observe_pools(&mut self, desk: &WorkDesk, now: BootTime) {
+        for pool in &desk.terms.pools {
+            let (present, lasting) = desk.pool_need(&pool.name);
+            self.meter.observe(&pool.name, present, lasting, now);
+        }
+    }
+}
+
+impl WorkDesk {
+    /// Cores that the open jobs of a pool need: for what runs or could start now, and, apart,
+    /// for tasks that last.
+    fn pool_need(&self, pool: &PoolId) -> (f64, f64) {
+        let (mut present, mut lasting) = (0, 0);
+        let open = self
+            .board
+            .open
+            .iter()
+            .filter_map(|id| self.board.jobs.get(id));
+        for job in open.filter(|job| job.pool == *pool && job.phase == WorkPhase::Open) {
+            for occurrence in job.occurrences.values() {
+                for (number, state) in occurrence.steps.iter().enumerate() {
+                    if state.is_done() || !occurrence.is_ready(&job.plan, number) {
+                        continue;
+                    }
+                    let step = &job.plan.steps[number];
+                    let left = u64::from(step.count.saturating_sub(state.done));
+                    let cpu = step.footprint().cpu * left;
+                    if step.long_running {
+                        lasting += cpu;
+                    } else {
+                        present += cpu;
+                    }
+                }
+            }
+        }
+        (thousandths(present), thousandths(lasting))
+    }
+}
+
+fn standby_pool(desk: &WorkDesk) -> Option<PoolId> {
+    let standby = desk.terms.pools.iter().find(|pool| pool.standby);
+    standby.map(|pool| pool.name.clone())
+}
+
+fn is_free(view: &HostView, now: BootTime) -> bool {
+    view.errand.is_none()
+        && view.fleet.condition == HostCondition::Up
+        && view.idle_since.is_some()
+        && now >= view.not_before
+}
+
+fn cores(view: &HostView) -> f64 {
+    thousandths(view.fleet.capacity.cpu)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "cores of a pool are far below 2^52"
+)]
+pub(super) fn thousandths(cpu: u64) -> f64 {
+    cpu as f64 / 1000.0
+}
--- /dev/null
+++ b/crates/decide/src/work/host_planner.rs
@@ -0,0 +1,277 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use model::{
+    BootTime, HostId, PoolId,
+    work::{FleetHost, HostCondition, HostOrderAnswer, MaintenanceWave, WaveId},
+};
+
+use super::{DemandMeter, WorkDesk};
+
+/// Pause after an order that was refused because the host was busy.
+const BUSY_PAUSE: Duration = Duration::from_millis(700);
+/// Pause after an order that was not answered or refused for now.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Time after which a host that was ordered is believed to be back though the list has not
+/// shown it, so that a list that lags for ever does not block its wave.
+const BACK_LIMIT: Duration = Duration::from_secs(10);
+
+/// An order to a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostOrder {
+    /// Move it to a pool.
+    Move(HostId, PoolId),
+    /// Take it down for the maintenance of a wave.
+    Maintain(HostId, WaveId),
+}
+
+impl HostOrder {
+    /// The host that it is for.
+    pub fn host(&self) -> &HostId {
+        match self {
+            Self::Move(host, _) | Self::Maintain(host, _) => host,
+        }
+    }
+}
+
+/// Decides which hosts are moved and maintained, and when.
+///
+/// No order ends work: a host is kept free of new tasks first, and ordered once it is empty.
+#[derive(Clone, Debug, Default)]
+pub struct HostPlanner {
+    /// The hosts as they were listed last.
+    pub(super) hosts: BTreeMap<HostId, HostView>,
+    pub(super) waves: BTreeMap<WaveId, WaveView>,
+    /// What the pools need.
+    pub meter: DemandMeter,
+    pub(super) refused_moves: BTreeSet<(HostId, PoolId)>,
+}
+
+/// What is known of a host.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HostView {
+    pub(super) fleet: FleetHost,
+    pub(super) errand: Option<HostErrand>,
+    /// Since when nothing has run on it; `None` while something does.
+    pub(super) idle_since: Option<BootTime>,
+    pub(super) not_before: BootTime,
+}
+
+/// What a host is being used for.
+#[derive(Clone, Debug)]
+pub(super) struct HostErrand {
+    pub(super) order: HostOrder,
+    pub(super) state: ErrandState,
+    /// Its life as a target before the order.
+    pub(super) target: HostId,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ErrandState {
+    /// It is being emptied.
+    Emptying,
+    /// The order is under way, or was not answered and may still be carried out.
+    Sent,
+    /// The order was carried out at this time.
+    Done(BootTime),
+}
+
+/// What is known of a wave.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WaveView {
+    pub(super) wave: MaintenanceWave,
+    pub(super) seen: BootTime,
+    pub(super) done: BTreeSet<HostId>,
+    pub(super) shown: Option<bool>,
+}
+
+impl HostPlanner {
+    /// Takes the list of hosts that was asked for at `asked`.
+    pub fn take_list(&mut self, hosts: Vec<FleetHost>, asked: BootTime) {
+        let present: BTreeSet<HostId> = hosts.iter().map(|host| host.host.clone()).collect();
+        self.hosts.retain(|host, _| present.contains(host));
+        for fleet in hosts {
+            let view = self.hosts.entry(fleet.host.clone()).or_default();
+            view.fleet = fleet;
+            let Some(errand) = &view.errand else {
+                continue;
+            };
+            let ErrandState::Done(at) = errand.state else {
+                continue;
+            };
+            // A host that is switched off has no life as a target, before and after.
+            let another = view.fleet.target != errand.target || errand.target.is_empty();
+            let arrived = match &errand.order {
+                HostOrder::Move(_, pool) => view.fleet.pool == *pool,
+                HostOrder::Maintain(..) => another,
+            };
+            let back = view.fleet.condition == HostCondition::Up && arrived;
+            if asked > at && (back || asked > at + BACK_LIMIT) {
+                view.errand = None;
+                view.idle_since = None;
+            }
+        }
+    }
+
+    /// Takes the waves that operators ask for, and which hosts of them are recorded as begun.
+    pub fn take_waves(
+        &mut self,
+        waves: &[MaintenanceWave],
+        begun: &BTreeSet<(WaveId, String)>,
+        now: BootTime,
+    ) {
+        for wave in waves {
+            let view = self.waves.entry(wave.wave).or_insert_with(|| WaveView {
+                seen: now,
+                ..WaveView::default()
+            });
+            view.wave = wave.clone();
+            let recorded = begun.iter().filter(|(id, _)| *id == wave.wave);
+            view.done
+                .extend(recorded.map(|(_, host)| HostId::from(host.as_str())));
+        }
+    }
+
+    /// What to order now. Keeps hosts free on `desk` that are to be ordered next.
+    pub fn plan(&mut self, desk: &mut WorkDesk, now: BootTime) -> Vec<HostOrder> {
+        self.note_idle(desk, now);
+        self.plan_waves(desk, now);
+        self.plan_moves(desk, now);
+        self.keep_free(desk);
+        self.ready_orders(desk, now)
+    }
+
+    /// Takes the answer to an order; true if the host began to do what was ordered.
+    pub fn answered(&mut self, order: &HostOrder, answer: &HostOrderAnswer, now: BootTime) -> bool {
+        let Some(view) = self.hosts.get_mut(order.host()) else {
+            return false;
+        };
+        let Some(errand) = view.errand.as_mut().filter(|errand| errand.order == *order) else {
+            return false;
+        };
+        match answer {
+            HostOrderAnswer::Done => {
+                errand.state = ErrandState::Done(now);
+                if let HostOrder::Maintain(host, wave) = order
+                    && let Some(view) = self.waves.get_mut(wave)
+                {
+                    view.done.insert(host.clone());
+                }
+                return true;
+            }
+            // The order may still be carried out, so the host stays free of tasks, and the
+            // same order is repeated until it is known: it is idempotent.
+            HostOrderAnswer::Unanswered(_) | HostOrderAnswer::Refused(_) => {
+                view.not_before = now + RETRY_PAUSE;
+            }
+            HostOrderAnswer::Busy | HostOrderAnswer::Fenced => {
+                view.not_before = now + BUSY_PAUSE;
+                view.errand = None;
+            }
+            HostOrderAnswer::NotOfWave => {
+                if let HostOrder::Maintain(host, wave) = order
+                    && let Some(view) = self.waves.get_mut(wave)
+                {
+                    view.done.insert(host.clone());
+                }
+                view.errand = None;
+            }
+            HostOrderAnswer::Impossible => {
+                if let HostOrder::Move(host, pool) = order {
+                    self.refused_moves.insert((host.clone(), pool.clone()));
+                }
+                view.errand = None;
+            }
+        }
+        false
+    }
+
+    /// The life of a host as a target that its present order ends; `None` without one.
+    pub fn target_of(&self, host: &HostId) -> Option<HostId> {
+        let errand = self.hosts.get(host)?.errand.as_ref()?;
+        Some(errand.target.clone()).filter(|target| !target.is_empty())
+    }
+
+    /// Waves whose state for operators has changed, and whether they are completed.
+    pub fn wave_states(&mut self) -> Vec<(WaveId, bool)> {
+        let mut changed = Vec::new();
+        let listed = !self.hosts.is_empty();
+        for (id, view) in &mut self.waves {
+            let left = view
+                .wave
+                .hosts
+                .iter()
+                .any(|host| !view.done.contains(host) && self.hosts.contains_key(host));
+            let completed = listed && !left;
+            if view.shown != Some(completed) {
+                changed.push((*id, completed));
+            }
+        }
+        changed
+    }
+
+    /// A wave's state has been written for operators.
+    pub fn wave_shown(&mut self, wave: WaveId, completed: bool) {
+        if let Some(view) = self.waves.get_mut(&wave) {
+            view.shown = Some(completed);
+        }
+    }
+
+    fn note_idle(&mut self, desk: &WorkDesk, now: BootTime) {
+        for view in self.hosts.values_mut() {
+            let target = desk.targets.get(&view.fleet.target);
+            let busy = target.is_some_and(|target| !target.claims.is_empty());
+            if busy {
+                view.idle_since = None;
+            } else {
+                view.idle_since.get_or_insert(now);
+            }
+        }
+    }
+
+    fn keep_free(&self, desk: &mut WorkDesk) {
+        let kept: BTreeSet<HostId> = self
+            .hosts
+            .values()
+            .filter(|view| view.errand.is_some())
+            .map(|view| view.fleet.target.clone())
+            .collect();
+        desk.keep_free(&kept);
+    }
+
+    /// Orders for hosts that are empty.
+    fn ready_orders(&mut self, desk: &WorkDesk, now: BootTime) -> Vec<HostOrder> {
+        let mut orders = Vec::new();
+        for view in self.hosts.values_mut() {
+            let target = desk.targets.get(&view.fleet.target);
+            let empty = target.is_none_or(|target| target.claims.is_empty());
+            let Some(errand) = &mut view.errand else {
+                continue;
+            };
+            let due = match errand.state {
+                ErrandState::Emptying => empty,
+                ErrandState::Sent => now >= view.not_before && !view.not_before.is_zero(),
+                ErrandState::Done(_) => false,
+            };
+            if due {
+                errand.state = ErrandState::Sent;
+                // Until the answer comes the order is not repeated.
+                view.not_before = BootTime::ZERO;
+                orders.push(errand.order.clone());
+            }
+        }
+        orders
+    }
+
+    pub(super) fn begin_errand(&mut self, host: &HostId, order: HostOrder) {
+        if let Some(view) = self.hosts.get_mut(host) {
+            view.errand = Some(HostErrand {
+                order,
+                state: ErrandState::Emptying,
+                target: view.fleet.target.clone(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/work/host_waves.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+use model::{
+    BootTime, HostId,
+    work::{HostCondition, WaveId},
+};
+
+use super::{
+    HostOrder, HostPlanner, WorkDesk,
+    host_planner::{ErrandState, WaveView},
+};
+
+/// Time that one host of a wave takes: emptying, going down and coming back.
+const TURN: Duration = Duration::from_millis(3500);
+
+impl HostPlanner {
+    /// Chooses the hosts of each wave that are maintained next.
+    pub(super) fn plan_waves(&mut self, desk: &WorkDesk, now: BootTime) {
+        let ids: Vec<WaveId> = self.waves.keys().copied().collect();
+        for id in ids {
+            let Some(view) = self.waves.get(&id) else {
+                continue;
+            };
+            let room = (view.wave.cap as usize).saturating_sub(self.begun(id));
+            let chosen = self.next_hosts(view, room, desk, now);
+            for host in chosen {
+                self.begin_errand(&host.clone(), HostOrder::Maintain(host, id));
+            }
+        }
+    }
+
+    /// Hosts of a wave that are down for it, or may be, or are on the way there.
+    fn begun(&self, wave: WaveId) -> usize {
+        let of_wave = |view: &&super::host_planner::HostView| {
+            let errand = view.errand.as_ref();
+            let ordered = errand.is_some_and(
+                |errand| matches!(&errand.order, HostOrder::Maintain(_, own) if *own == wave),
+            );
+            ordered || view.fleet.condition == HostCondition::Maintained
+        };
+        self.hosts.values().filter(of_wave).count()
+    }
+
+    /// The hosts that cost least at present: empty ones first, then those with the least work;
+    /// busy ones of a pool that needs them only when time gets short.
+    fn next_hosts(
+        &self,
+        wave: &WaveView,
+        room: usize,
+        desk: &WorkDesk,
+        now: BootTime,
+    ) -> Vec<HostId> {
+        let left: Vec<&HostId> = wave
+            .wave
+            .hosts
+            .iter()
+            .filter(|host| !wave.done.contains(*host))
+            .collect();
+        if left.is_empty() || room == 0 {
+            return Vec::new();
+        }
+        let rounds = left.len().div_ceil((wave.wave.cap as usize).max(1));
+        let end = wave.seen + wave.wave.deadline;
+        let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
+        let urgent = now + TURN.saturating_mul(rounds.saturating_add(1)) >= end;
+        let mut candidates: Vec<(u64, HostId)> = left
+            .into_iter()
+            .filter_map(|host| self.burden(host, urgent, desk, now))
+            .collect();
+        candidates.sort();
+        candidates
+            .into_iter()
+            .take(room)
+            .map(|(_, host)| host)
+            .collect()
+    }
+
+    /// What runs on a host, in thousandths of a core; `None` if it can't be taken now.
+    fn burden(
+        &self,
+        host: &HostId,
+        urgent: bool,
+        desk: &WorkDesk,
+        now: BootTime,
+    ) -> Option<(u64, HostId)> {
+        let view = self.hosts.get(host)?;
+        if view.errand.is_some() || now < view.not_before {
+            return None;
+        }
+        if view.fleet.condition != HostCondition::Up {
+            return None;
+        }
+        let used = desk
+            .targets
+            .get(&view.fleet.target)
+            .map_or(0, |target| target.used.cpu);
+        let needed = self.shortage(&view.fleet.pool) > 0.0;
+        if needed && !urgent && used > 0 {
+            return None;
+        }
+        Some((used, host.clone()))
+    }
+
+    /// True while an order of a wave is on its way to a host.
+    pub fn is_ordered(&self, host: &HostId) -> bool {
+        let errand = self.hosts.get(host).and_then(|view| view.errand.as_ref());
+        errand.is_some_and(|errand| errand.state != ErrandState::Emptying)
+    }
+}
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -5,6 +5,7 @@
 //! it returns orders; the crate `cell` carries them out. Ownership, fencing and the job log
 //! are argued in `docs/design/13-platform.md`.
 
+mod demand_meter;
 mod desk_advice;
 mod desk_answer;
 mod desk_end;
@@ -13,6 +14,9 @@
 mod desk_start;
 mod desk_tick;
 mod desk_tuning;
+mod host_moves;
+mod host_planner;
+mod host_waves;
 mod job_board;
 mod job_record;
 mod objective;
@@ -22,8 +26,10 @@
 mod work_desk;
 mod work_job;
 
+pub use demand_meter::DemandMeter;
 pub use desk_order::{DeskEvent, DeskOrder, EndOrigin, RecordOrder};
 pub use desk_tuning::DeskTuning;
+pub use host_planner::{HostOrder, HostPlanner};
 pub use job_board::JobBoard;
 pub use job_record::{plan_of_record, record_of_plan};
 pub use target_state::{TargetLife, TargetState};
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -35,7 +35,8 @@
 pub struct WorkDesk {
     pub(super) tuning: DeskTuning,
     pub(super) token: FencingToken,
-    pub(super) terms: Arc<FleetTerms>,
+    /// What operators ask for.
+    pub terms: Arc<FleetTerms>,
     /// The jobs.
     pub board: JobBoard,
     /// The targets.
@@ -163,9 +164,15 @@
     /// Takes a job in that has been stored.
     pub fn accept(&mut self, record: &JobRecord, now: DeskTime) {
         self.board.accept(record, now.unix, now.boot);
+        self.open_occurrences(now);
         self.stale = true;
     }
 
+    /// A host's order was carried out: all that ran on its target is over.
+    pub fn end_target(&mut self, id: &HostId, now: DeskTime) {
+        self.lose_target(id, "ordered", now);
+    }
+
     /// What callers are told of a job.
     pub fn progress(&self, id: &str) -> Option<JobPhase> {
         let job = self.board.jobs.get(id)?;
--- /dev/null
+++ b/crates/decide/tests/work_targets.rs
@@ -0,0 +1,131 @@
+//! What becomes of tasks when targets leave, fall silent or are born again.
+
+mod desk;
+
+use std::time::Duration;
+
+use desk::{DeskScene, ended, plan, running, step, target};
+use model::work::{EndKind, LookAnswer, StepPlan, TargetEntry, TargetMode};
+
+fn lasting(count: u32) -> StepPlan {
+    StepPlan {
+        long_running: true,
+        ..step(count, 1000)
+    }
+}
+
+/// A service has a gap of some seconds: its target announced that it would leave, the task
+/// stayed until the target was gone, and then its granted time had to lapse. It is stopped at
+/// once instead, and starts elsewhere when its end is listed.
+#[test]
+fn draining_lasting_task_moves() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![lasting(1)]));
+    let starts = scene.start_all();
+    let (_, start) = &starts[0];
+    scene.list("t2", 2000);
+    scene.raise("t2");
+    let leaving = TargetEntry {
+        mode: TargetMode::Draining,
+        ..target("t1", 2000)
+    };
+    scene.desk.list_target(leaving, scene.now);
+    scene.pass(Duration::from_millis(50));
+    assert_eq!(scene.stops(), 1);
+    scene.see(
+        "t1",
+        Vec::new(),
+        vec![ended(1, &start.task, start.attempt, EndKind::Stopped)],
+    );
+    assert_eq!(scene.starts.len(), 1);
+    assert_eq!(scene.starts[0].0, "t2");
+}
+
+/// A batch runs twice: its target was cut off, left the host list and ran on. Nothing is
+/// started elsewhere before the time that was granted to the target has lapsed.
+#[test]
+fn silent_target_lapses_first() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    scene.see("t1", vec![running(&starts[0].1)], Vec::new());
+    scene.list("t2", 2000);
+    scene.raise("t2");
+    let order = scene.desk.look_order(&"t1".into(), scene.now);
+    assert!(order.is_some_and(|order| order.until.is_some()));
+    scene.desk.unlist_target(&"t1".into());
+    for _ in 0..30 {
+        scene.pass(Duration::from_millis(200));
+        let silent = LookAnswer::Unanswered("timed out".to_owned());
+        scene
+            .desk
+            .saw(&"t1".into(), scene.now.boot, 0, silent, scene.now);
+        assert!(scene.starts.is_empty(), "6 s were granted");
+    }
+    scene.pass(Duration::from_millis(600));
+    assert_eq!(scene.starts.len(), 1);
+}
+
+/// A target crashes and comes back under its id within a heartbeat. What ran there is over, and
+/// starts again at once, without waiting for any lapse.
+#[test]
+fn reborn_target_frees_tasks() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    scene.start_all();
+    let reborn = TargetEntry {
+        born: Duration::from_secs(500),
+        ..target("t1", 2000)
+    };
+    scene.desk.list_target(reborn, scene.now);
+    scene.run();
+    assert!(
+        scene.starts.is_empty(),
+        "the new life has not seen the token"
+    );
+    let order = scene.desk.look_order(&"t1".into(), scene.now);
+    assert!(order.is_some());
+    let sight = model::work::TargetSight {
+        born: Duration::from_secs(500),
+        ..Default::default()
+    };
+    let seen = LookAnswer::Seen(sight);
+    scene
+        .desk
+        .saw(&"t1".into(), scene.now.boot, 0, seen, scene.now);
+    scene.run();
+    assert_eq!(scene.starts.len(), 1);
+}
+
+/// A start is not answered and arrives seconds later. It is asked for, closed by a stop, and
+/// the task starts elsewhere only when the stop was answered and the run is not there.
+#[test]
+fn unanswered_start_closes_first() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let (id, start) = scene.starts.remove(0);
+    scene.list("t2", 2000);
+    scene.raise("t2");
+    let unanswered = model::work::StartAnswer::Unanswered("timed out".to_owned());
+    scene
+        .desk
+        .started(&id, &start.task, start.attempt, unanswered, scene.now);
+    scene.run();
+    scene.see("t1", Vec::new(), Vec::new());
+    assert_eq!(scene.stops(), 1);
+    assert!(scene.starts.is_empty());
+    let done = model::work::OrderAnswer::Done;
+    scene
+        .desk
+        .stopped(&id, &start.task, start.attempt, done, scene.now);
+    scene.see("t1", Vec::new(), Vec::new());
+    assert_eq!(scene.starts.len(), 1);
+}
--- a/crates/model/src/work/job_plan.rs
+++ b/crates/model/src/work/job_plan.rs
@@ -143,6 +143,19 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Estimated work of one occurrence in core-seconds, without steps that last.
+    pub fn work(&self) -> f64 {
+        let ending = self
+            .steps
+            .iter()
+            .filter(|step| !step.long_running && !step.fills);
+        let work = |step: &StepPlan| {
+            let cores = f64::from(u32::try_from(step.need.cpu).unwrap_or(u32::MAX)) / 1000.0;
+            f64::from(step.count) * cores * step.estimate.as_secs_f64()
+        };
+        ending.map(work).sum()
+    }
+
     /// True if some step runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
