Keep hosts enough for tasks that must be apart, and count silent targets' tasks as away

Change: a task counts as at work only if its target answered within 1.3 s; a pool keeps the hosts that tasks apart need and one more. Tests: emptying_waits_for_silent_sibling, apart_tasks_bring_hosts.

--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use model::{BootTime, HostId, JobId, work::TargetMode};
 use wire::work::log_entry::Event;
@@ -7,6 +7,9 @@
 
 /// What a target says of a task that lasts and is at work, in percent.
 const AT_WORK: u8 = 100;
+/// How old the last look at a target may be for its tasks to count as at work: a look waits for
+/// up to a second, and its answer takes some milliseconds.
+const HEARD: Duration = Duration::from_millis(1300);
 
 impl WorkDesk {
     /// Does what is due by time alone. To be called several times a second.
@@ -96,7 +99,7 @@
             stops.extend(lasting.map(|run| (id.clone(), run.clone(), leaving)));
         }
         for (id, run, leaving) in stops {
-            if leaving || self.may_stop(&run) {
+            if leaving || self.may_stop(&run, now) {
                 self.stop_run(&id, &run, now);
             }
         }
@@ -104,7 +107,7 @@
 
     /// True if a task that lasts may be stopped by our own doing: fewer of its step are away
     /// than may be. Asked anew before each stop, so that two of one step never go together.
-    fn may_stop(&self, run: &RunKey) -> bool {
+    fn may_stop(&self, run: &RunKey, now: DeskTime) -> bool {
         let (key, _) = run;
         let Some(step) = self.step_of(key) else {
             return true;
@@ -112,10 +115,18 @@
         let Some(state) = self.step_by(&key.job, key.occurrence, key.step) else {
             return true;
         };
+        // A task on a target that has just fallen silent may have been away for as long as the
+        // last look is old, though the desk still takes it to be at work.
+        let heard = |id: &HostId| {
+            let target = self.targets.get(id);
+            target.is_some_and(|target| now.boot.saturating_sub(target.answered) < HEARD)
+        };
         let at_work = |task: &super::TaskState| {
-            task.place
-                .as_ref()
-                .is_some_and(|place| place.phase == PlacePhase::Running && place.percent >= AT_WORK)
+            task.place.as_ref().is_some_and(|place| {
+                place.phase == PlacePhase::Running
+                    && place.percent >= AT_WORK
+                    && heard(&place.target)
+            })
         };
         let others = (0..)
             .zip(&state.tasks)
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -55,7 +55,7 @@
     ) {
         loop {
             let room = rooms.get(pool).copied().unwrap_or_default();
-            if room.cores >= self.meter.wanted(pool) {
+            if room.cores >= self.meter.wanted(pool) && room.hosts >= self.least_hosts(pool) {
                 return;
             }
             let Some(host) = self.lender(pool, standby, rooms, now) else {
@@ -127,7 +127,8 @@
             };
             let room = rooms.get(&view.fleet.pool).copied().unwrap_or_default();
             let left = room.cores - cores(view);
-            if left >= self.meter.kept(&view.fleet.pool) && room.hosts > KEPT_HOSTS {
+            let least = self.least_hosts(&view.fleet.pool);
+            if left >= self.meter.kept(&view.fleet.pool) && room.hosts > least {
                 self.shift(&host, standby, rooms);
             }
         }
@@ -150,7 +151,14 @@
 
     fn can_spare(&self, view: &HostView, rooms: &BTreeMap<PoolId, PoolRoom>) -> bool {
         let room = rooms.get(&view.fleet.pool).copied().unwrap_or_default();
-        room.hosts > KEPT_HOSTS && self.spare(&view.fleet.pool, rooms) >= cores(view)
+        let least = self.least_hosts(&view.fleet.pool);
+        room.hosts > least && self.spare(&view.fleet.pool, rooms) >= cores(view)
+    }
+
+    /// Hosts below which a pool does not go.
+    fn least_hosts(&self, pool: &PoolId) -> usize {
+        let needed = self.apart.get(pool).copied().unwrap_or_default();
+        needed.max(KEPT_HOSTS)
     }
 
     fn spare(&self, pool: &PoolId, rooms: &BTreeMap<PoolId, PoolRoom>) -> f64 {
@@ -181,6 +189,8 @@
         for pool in &desk.terms.pools {
             let (present, lasting) = desk.pool_need(&pool.name);
             self.meter.observe(&pool.name, present, lasting, now);
+            self.apart
+                .insert(pool.name.clone(), desk.hosts_apart(&pool.name));
         }
     }
 }
@@ -216,6 +226,26 @@
     }
 }
 
+impl WorkDesk {
+    /// Hosts that a pool needs for the tasks of one step that may not share a host, and one
+    /// more: a task that has to leave its host needs another to go to.
+    fn hosts_apart(&self, pool: &PoolId) -> usize {
+        let open = self
+            .board
+            .open
+            .iter()
+            .filter_map(|id| self.board.jobs.get(id));
+        let steps = open
+            .filter(|job| job.pool == *pool)
+            .flat_map(|job| job.plan.steps.iter())
+            .filter(|step| step.anti_affinity > 0);
+        let most = steps
+            .map(|step| step.count.div_ceil(step.anti_affinity))
+            .max();
+        most.map_or(0, |hosts| hosts as usize + 1)
+    }
+}
+
 fn standby_pool(desk: &WorkDesk) -> Option<PoolId> {
     let standby = desk.terms.pools.iter().find(|pool| pool.standby);
     standby.map(|pool| pool.name.clone())
--- a/crates/decide/src/work/host_planner.rs
+++ b/crates/decide/src/work/host_planner.rs
@@ -47,6 +47,8 @@
     /// What the pools need.
     pub meter: DemandMeter,
     pub(super) refused_moves: BTreeSet<(HostId, PoolId)>,
+    /// Hosts that pools need for tasks that may not share one.
+    pub(super) apart: BTreeMap<PoolId, usize>,
 }
 
 /// What is known of a host.
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -66,7 +66,8 @@
     let apart = plan.same_rack && off_rack(step, target);
     let free = target.free().cpu;
     // Tasks that last are spread, so that one host's end takes few of them; so are tasks that
-    // fill, which need what others leave. All others are packed, so that large ones find room.
+    // fill, which need what others leave. All others are packed, so that large ones find room
+    // and other hosts stay empty, to be switched off, lent or maintained at once.
     if plan.long_running || plan.fills {
         let together = u64::from(siblings(step, &target.entry.target));
         (failed, far, apart, together, Reverse(free))
--- /dev/null
+++ b/crates/decide/tests/work_hosts.rs
@@ -0,0 +1,263 @@
+//! Maintenance and moves of hosts: what is ordered when, and what has to be elsewhere first.
+
+mod desk;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use decide::work::{HostOrder, HostPlanner};
+use desk::{DeskScene, POOL, ended, plan, running, step};
+use model::{
+    BootTime,
+    work::{
+        EndKind, FleetHost, FleetTerms, HostCondition, HostOrderAnswer, HostRoom, LookAnswer,
+        MaintenanceWave, PoolTerms, RunSight, StartOrder, StepPlan,
+    },
+};
+
+const STANDBY: &str = "standby";
+
+fn host(name: &str, pool: &str, target: &str) -> FleetHost {
+    FleetHost {
+        host: name.into(),
+        pool: pool.into(),
+        condition: HostCondition::Up,
+        capacity: HostRoom {
+            cpu: 2000,
+            memory_mb: 10_000,
+            gpu: 0,
+        },
+        target: target.into(),
+        ..FleetHost::default()
+    }
+}
+
+fn with_standby(scene: &mut DeskScene) {
+    let terms = FleetTerms::clone(&scene.desk.terms);
+    let standby = PoolTerms {
+        name: STANDBY.into(),
+        standby: true,
+        ..PoolTerms::default()
+    };
+    let pools = terms.pools.iter().cloned().chain([standby]).collect();
+    scene.desk.set_terms(std::sync::Arc::new(FleetTerms {
+        revision: terms.revision + 1,
+        pools,
+        ..terms
+    }));
+}
+
+fn wave(hosts: &[&str], cap: u32) -> MaintenanceWave {
+    MaintenanceWave {
+        wave: 1,
+        hosts: hosts.iter().map(|host| (*host).into()).collect(),
+        deadline: Duration::from_secs(20),
+        cap,
+    }
+}
+
+fn at_work(start: &StartOrder) -> RunSight {
+    RunSight {
+        percent: 100,
+        ..running(start)
+    }
+}
+
+/// A service loses two of its tasks at once though one may be missing: one target had crashed a
+/// second before, and was still taken to be at work when the other's host was emptied for its
+/// maintenance.
+#[test]
+fn emptying_waits_for_silent_sibling() {
+    let mut scene = DeskScene::new(1);
+    for target in ["t1", "t2", "t3"] {
+        scene.list(target, 2000);
+        scene.raise(target);
+    }
+    let lasting = StepPlan {
+        long_running: true,
+        may_miss: 1,
+        anti_affinity: 1,
+        ..step(2, 1000)
+    };
+    scene.submit("a", &plan(vec![lasting]));
+    let starts = scene.start_all();
+    assert_eq!(starts.len(), 2);
+    for (target, start) in &starts {
+        scene.see(target, vec![at_work(start)], Vec::new());
+    }
+    let (emptied, start) = &starts[0];
+    let mut planner = HostPlanner::default();
+    planner.take_list(vec![host("h1", POOL, emptied)], scene.now.boot);
+    planner.take_waves(&[wave(&["h1"], 1)], &BTreeSet::new(), scene.now.boot);
+
+    scene.pass(Duration::from_millis(1400));
+    scene.see(emptied, vec![at_work(start)], Vec::new());
+    planner.plan(&mut scene.desk, scene.now.boot);
+    scene.pass(Duration::from_millis(50));
+    assert_eq!(
+        scene.stops(),
+        0,
+        "the other task's target has not answered for 1.4 s"
+    );
+
+    let (other, sibling) = &starts[1];
+    scene.see(other, vec![at_work(sibling)], Vec::new());
+    planner.plan(&mut scene.desk, scene.now.boot);
+    scene.pass(Duration::from_millis(50));
+    assert_eq!(scene.stops(), 1);
+}
+
+/// Maintenance must not end work. A host that runs a task is kept free of further ones and
+/// ordered only when the task has ended.
+#[test]
+fn maintenance_waits_for_work() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    let (_, start) = &starts[0];
+    let mut planner = HostPlanner::default();
+    planner.take_list(vec![host("h1", POOL, "t1")], scene.now.boot);
+    planner.take_waves(&[wave(&["h1"], 1)], &BTreeSet::new(), scene.now.boot);
+    assert!(planner.plan(&mut scene.desk, scene.now.boot).is_empty());
+    scene.submit("b", &plan(vec![step(1, 1000)]));
+    assert!(scene.starts.is_empty(), "the host is kept free");
+    scene.see(
+        "t1",
+        Vec::new(),
+        vec![ended(1, &start.task, start.attempt, EndKind::Done)],
+    );
+    let orders = planner.plan(&mut scene.desk, scene.now.boot);
+    assert_eq!(orders, [HostOrder::Maintain("h1".into(), 1)]);
+}
+
+/// At most `cap` hosts of a wave are down at once, those counted whose order was not answered:
+/// it may be carried out.
+#[test]
+fn wave_keeps_cap() {
+    let mut scene = DeskScene::new(1);
+    let mut planner = HostPlanner::default();
+    let names = ["h1", "h2", "h3"];
+    let list = || {
+        names
+            .iter()
+            .map(|name| host(name, POOL, name))
+            .collect::<Vec<_>>()
+    };
+    planner.take_list(list(), scene.now.boot);
+    planner.take_waves(&[wave(&names, 2)], &BTreeSet::new(), scene.now.boot);
+    let orders = planner.plan(&mut scene.desk, scene.now.boot);
+    assert_eq!(orders.len(), 2);
+    let lost = HostOrderAnswer::Unanswered("timed out".to_owned());
+    for order in &orders {
+        assert!(!planner.answered(order, &lost, scene.now.boot));
+    }
+    scene.pass(Duration::from_millis(500));
+    let again = planner.plan(&mut scene.desk, scene.now.boot);
+    assert_eq!(again, orders, "the same orders, and no third host");
+    for order in &again {
+        assert!(planner.answered(order, &HostOrderAnswer::Done, scene.now.boot));
+    }
+    assert!(planner.plan(&mut scene.desk, scene.now.boot).is_empty());
+    assert_eq!(planner.wave_states(), [(1, false)]);
+    scene.pass(Duration::from_millis(2500));
+    let back: Vec<FleetHost> = names
+        .iter()
+        .map(|name| host(name, POOL, &format!("{name}-again")))
+        .collect();
+    planner.take_list(back, scene.now.boot);
+    let last = planner.plan(&mut scene.desk, scene.now.boot);
+    assert_eq!(last, [HostOrder::Maintain("h3".into(), 1)]);
+    assert!(planner.answered(&last[0], &HostOrderAnswer::Done, scene.now.boot));
+    assert_eq!(planner.wave_states(), [(1, true)]);
+}
+
+/// A queue's turn begins: arrivals rise within a second from nothing to more than its hosts
+/// hold. Switched-off hosts are ordered while there is still room, ahead of the need.
+#[test]
+fn rising_arrivals_bring_hosts() {
+    let mut scene = DeskScene::new(1);
+    with_standby(&mut scene);
+    let mut planner = HostPlanner::default();
+    let mut list = vec![host("h1", POOL, "t1"), host("h2", POOL, "t2")];
+    list.extend((3..9).map(|number| host(&format!("h{number}"), STANDBY, "")));
+    planner.take_list(list, scene.now.boot);
+    let mut ordered = 0;
+    for _ in 0..5 {
+        scene.pass(Duration::from_millis(200));
+        planner.meter.arrived(&POOL.into(), 1.0, scene.now.boot);
+        ordered += planner.plan(&mut scene.desk, scene.now.boot).len();
+    }
+    assert!(
+        ordered >= 3,
+        "five core-seconds a second on four cores, and rising: {ordered}"
+    );
+}
+
+/// An idle pool is paid for. Its hosts are switched off after a while, but for the few that a
+/// first task should find.
+#[test]
+fn idle_hosts_are_switched_off() {
+    let mut scene = DeskScene::new(1);
+    with_standby(&mut scene);
+    let mut planner = HostPlanner::default();
+    let list: Vec<FleetHost> = (0..6)
+        .map(|number| host(&format!("h{number}"), POOL, &format!("t{number}")))
+        .collect();
+    planner.take_list(list, scene.now.boot);
+    assert!(
+        planner.plan(&mut scene.desk, scene.now.boot).is_empty(),
+        "not at once"
+    );
+    scene.pass(Duration::from_secs(3));
+    let orders = planner.plan(&mut scene.desk, scene.now.boot);
+    assert_eq!(orders.len(), 4);
+    assert!(
+        orders
+            .iter()
+            .all(|order| matches!(order, HostOrder::Move(_, pool) if pool == STANDBY))
+    );
+}
+
+/// A service loses a task for twenty seconds: the host that it ran on was maintained, all other
+/// hosts of the pool had one of its siblings, which may not share a host, and the pool looked
+/// as if it had room enough. A pool has one host more than its tasks have to be apart.
+#[test]
+fn apart_tasks_bring_hosts() {
+    let mut scene = DeskScene::new(1);
+    with_standby(&mut scene);
+    let mut list = Vec::new();
+    for number in 0..3 {
+        let target = format!("t{number}");
+        scene.list(&target, 2000);
+        scene.raise(&target);
+        list.push(host(&format!("h{number}"), POOL, &target));
+    }
+    list.push(host("h9", STANDBY, ""));
+    let apart = StepPlan {
+        long_running: true,
+        anti_affinity: 1,
+        ..step(3, 100)
+    };
+    scene.submit("a", &plan(vec![apart]));
+    assert_eq!(scene.start_all().len(), 3);
+    let mut planner = HostPlanner::default();
+    planner.take_list(list, scene.now.boot);
+    let orders = planner.plan(&mut scene.desk, scene.now.boot);
+    assert_eq!(orders, [HostOrder::Move("h9".into(), POOL.into())]);
+}
+
+/// The silent answer of a look is part of the scene of the first test.
+#[test]
+fn silent_target_is_noticed() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.now.boot += BootTime::from_secs(2);
+    let silent = LookAnswer::Unanswered("timed out".to_owned());
+    scene
+        .desk
+        .saw(&"t1".into(), scene.now.boot, 0, silent, scene.now);
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    assert!(scene.starts.is_empty(), "a silent target gets no task");
+}
