--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -3,25 +3,25 @@
 use std::time::Duration;
 
 /// Calls of callers, by what they asked and how they were answered.
-pub(crate) const CALLS: &str = "cell_calls_total";
+pub(crate) const CALLS: &str = "lws_cell_calls";
 /// Time from the arrival of a call to its answer.
-pub(crate) const CALL_SECONDS: &str = "cell_call_seconds";
+pub(crate) const CALL_SECONDS: &str = "lws_cell_call_seconds";
 /// Time from a job's arrival at the owner until it is stored.
-pub(crate) const RECORD_SECONDS: &str = "cell_record_seconds";
+pub(crate) const RECORD_SECONDS: &str = "lws_cell_record_seconds";
 /// Calls to the store, by operation and outcome.
-pub(crate) const LOG_WRITES: &str = "cell_log_writes_total";
+pub(crate) const LOG_WRITES: &str = "lws_cell_log_writes";
 /// Orders to targets, by kind and outcome.
-pub(crate) const ORDERS: &str = "cell_orders_total";
+pub(crate) const ORDERS: &str = "lws_cell_orders";
 /// Time from an order to its answer.
-pub(crate) const ORDER_SECONDS: &str = "cell_order_seconds";
+pub(crate) const ORDER_SECONDS: &str = "lws_cell_order_seconds";
 /// Ends of runs, by how they ended.
-pub(crate) const ENDS: &str = "cell_task_ends_total";
+pub(crate) const ENDS: &str = "lws_cell_task_ends";
 /// Jobs that have something left to do, on the owner.
-pub(crate) const OPEN_JOBS: &str = "cell_open_jobs";
+pub(crate) const OPEN_JOBS: &str = "lws_cell_open_jobs";
 /// 1 on the owner, 0 elsewhere.
-pub(crate) const OWNER: &str = "cell_owner";
+pub(crate) const OWNER: &str = "lws_cell_owner";
 /// Terms that this process has begun.
-pub(crate) const TERMS: &str = "cell_terms_total";
+pub(crate) const TERMS: &str = "lws_cell_terms";
 
 /// Records a duration in a histogram.
 pub(crate) fn time(name: &'static str, duration: Duration) {
--- a/crates/cell/src/target_lane.rs
+++ b/crates/cell/src/target_lane.rs
@@ -90,7 +90,7 @@
         note_order(term, "look", id, &format!("{answer:?}"));
     }
     let now = term.now();
-    term.desk.borrow_mut().saw(id, sent, observed, answer, now);
+    term.desk.borrow_mut().saw(id, sent, observed, &answer, now);
     term.wake.notify_one();
     seen
 }
@@ -121,7 +121,7 @@
             carried
                 .desk
                 .borrow_mut()
-                .started(&id, &task, attempt, answer, now);
+                .started(&id, &task, attempt, &answer, now);
             carried.wake.notify_one();
         }),
         DeskOrder::Stop(id, order) => term.spawn(async move {
@@ -144,7 +144,7 @@
             carried
                 .desk
                 .borrow_mut()
-                .stopped(&id, &task, attempt, answer, now);
+                .stopped(&id, &task, attempt, &answer, now);
             carried.wake.notify_one();
         }),
         DeskOrder::Pace(id, order) => term.spawn(async move {
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -12,7 +12,7 @@
         id: &HostId,
         task: &TaskKey,
         attempt: AttemptNumber,
-        answer: StartAnswer,
+        answer: &StartAnswer,
         now: DeskTime,
     ) {
         let run: RunKey = (task.clone(), attempt);
@@ -28,7 +28,7 @@
                     target.answered = target.answered.max(now.boot);
                 }
             }
-            StartAnswer::Refused(refusal) => self.start_refused(id, &run, refusal, now),
+            StartAnswer::Refused(refusal) => self.start_refused(id, &run, *refusal, now),
             StartAnswer::NotSent(_) => {
                 self.note(refused(&run, id, "not-sent"));
                 self.release(id, &run);
@@ -51,7 +51,7 @@
         id: &HostId,
         task: &TaskKey,
         attempt: AttemptNumber,
-        answer: OrderAnswer,
+        answer: &OrderAnswer,
         now: DeskTime,
     ) {
         let run: RunKey = (task.clone(), attempt);
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -53,7 +53,7 @@
         id: &HostId,
         sent: BootTime,
         observed: u64,
-        answer: LookAnswer,
+        answer: &LookAnswer,
         now: DeskTime,
     ) {
         match answer {
@@ -69,7 +69,7 @@
         id: &HostId,
         sent: BootTime,
         observed: u64,
-        sight: TargetSight,
+        sight: &TargetSight,
         now: DeskTime,
     ) {
         let Some(target) = self.targets.get(id) else {
@@ -83,7 +83,7 @@
         if !sight.born.is_zero() && !known.is_zero() && sight.born > known {
             self.end_life(id, sight.born, "reborn", now);
         }
-        self.greet(id, sent, observed, &sight, now);
+        self.greet(id, sent, observed, sight, now);
         let ends: Vec<_> = {
             let seen = self.targets.get(id).map_or(0, |target| target.life.seen);
             sight.ended.iter().filter(|end| end.number > seen).collect()
@@ -98,7 +98,7 @@
             self.see_run(id, run, now);
         }
         if sight.ended.len() < END_PAGE {
-            self.miss_runs(id, sent, &sight, now);
+            self.miss_runs(id, sent, sight, now);
         }
         self.set_paces(id);
     }
@@ -333,7 +333,7 @@
             return false;
         };
         let steps = || target.claims.keys().filter_map(|run| self.step_of(&run.0));
-        steps().any(|step| step.serves()) && steps().any(|step| step.fills)
+        steps().any(model::work::StepPlan::serves) && steps().any(|step| step.fills)
     }
 
     pub(super) fn step_of(&self, key: &model::work::TaskKey) -> Option<&model::work::StepPlan> {
--- a/crates/decide/tests/desk/mod.rs
+++ b/crates/decide/tests/desk/mod.rs
@@ -1,5 +1,5 @@
 //! A desk with orders that the test answers by hand.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod scene;
 
--- a/crates/decide/tests/desk/scene.rs
+++ b/crates/decide/tests/desk/scene.rs
@@ -104,7 +104,7 @@
             ended,
         };
         self.desk
-            .saw(&id.into(), sent, 0, LookAnswer::Seen(sight), self.now);
+            .saw(&id.into(), sent, 0, &LookAnswer::Seen(sight), self.now);
         self.run();
     }
 
@@ -114,7 +114,7 @@
             queue: QUEUE.to_owned(),
             pool: POOL.to_owned(),
             workspace: SPACE.to_owned(),
-            accepted_unix_ms: u64::try_from(self.now.unix.as_millis()).unwrap(),
+            accepted_unix_ms: u64::try_from(self.now.unix.as_millis()).unwrap_or_default(),
             ..record_of_plan(plan)
         };
         self.stored.push(LogEntry {
@@ -133,7 +133,7 @@
                 clock: self.now.boot,
             };
             self.desk
-                .started(id, &start.task, start.attempt, answer, self.now);
+                .started(id, &start.task, start.attempt, &answer, self.now);
         }
         self.run();
         starts
--- a/crates/decide/tests/work_hosts.rs
+++ b/crates/decide/tests/work_hosts.rs
@@ -257,7 +257,7 @@
     let silent = LookAnswer::Unanswered("timed out".to_owned());
     scene
         .desk
-        .saw(&"t1".into(), scene.now.boot, 0, silent, scene.now);
+        .saw(&"t1".into(), scene.now.boot, 0, &silent, scene.now);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     assert!(scene.starts.is_empty(), "a silent target gets no task");
 }
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -63,7 +63,7 @@
         let silent = LookAnswer::Unanswered("timed out".to_owned());
         scene
             .desk
-            .saw(&"t1".into(), scene.now.boot, 0, silent, scene.now);
+            .saw(&"t1".into(), scene.now.boot, 0, &silent, scene.now);
         assert!(scene.starts.is_empty(), "6 s were granted");
     }
     scene.pass(Duration::from_millis(600));
@@ -98,7 +98,7 @@
     let seen = LookAnswer::Seen(sight);
     scene
         .desk
-        .saw(&"t1".into(), scene.now.boot, 0, seen, scene.now);
+        .saw(&"t1".into(), scene.now.boot, 0, &seen, scene.now);
     scene.run();
     assert_eq!(scene.starts.len(), 1);
 }
@@ -117,7 +117,7 @@
     let unanswered = model::work::StartAnswer::Unanswered("timed out".to_owned());
     scene
         .desk
-        .started(&id, &start.task, start.attempt, unanswered, scene.now);
+        .started(&id, &start.task, start.attempt, &unanswered, scene.now);
     scene.run();
     scene.see("t1", Vec::new(), Vec::new());
     assert_eq!(scene.stops(), 1);
@@ -125,7 +125,7 @@
     let done = model::work::OrderAnswer::Done;
     scene
         .desk
-        .stopped(&id, &start.task, start.attempt, done, scene.now);
+        .stopped(&id, &start.task, start.attempt, &done, scene.now);
     scene.see("t1", Vec::new(), Vec::new());
     assert_eq!(scene.starts.len(), 1);
 }
--- a/crates/lacewingshore/src/cell_serve.rs
+++ b/crates/lacewingshore/src/cell_serve.rs
@@ -149,7 +149,7 @@
     loop {
         ticks.tick().await;
         if let Some(dropped) = lines.take_dropped() {
-            metrics::counter!("cell_log_lines_dropped_total").increment(dropped);
+            metrics::counter!("lws_cell_log_lines_dropped").increment(dropped);
             log_event::warn(&cell::event::LINES_DROPPED, format_args!("lines={dropped}"));
         }
     }
--- a/crates/lacewingshore/tests/docs.rs
+++ b/crates/lacewingshore/tests/docs.rs
@@ -9,7 +9,7 @@
     process::Command,
 };
 
-use model::{KeyInfo, Manifest, ServeSettings};
+use model::{CellSettings, KeyInfo, Manifest, ServeSettings};
 use serde::Deserialize;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_lacewingshore");
@@ -88,6 +88,11 @@
     hold_table("SETTINGS.md", &key_table(&ServeSettings::keys()));
 }
 
+#[test]
+fn cell_page_complete() {
+    hold_table("CELL.md", &key_table(&CellSettings::keys()));
+}
+
 #[test]
 fn manifest_page_complete() {
     hold_table("MANIFEST.md", &key_table(&Manifest::keys()));
