--- /dev/null
+++ b/crates/cell/src/dependency_note.rs
@@ -0,0 +1,38 @@
+use std::{cell::Cell, fmt::Display};
+
+use model::{BootTime, event as log_event};
+use store::{BootClock, Clock};
+
+use crate::event;
+
+/// Writes one line when a dependency is lost and one when it is back, not one a call.
+#[derive(Debug, Default)]
+pub(crate) struct DependencyNote {
+    lost: Cell<Option<BootTime>>,
+}
+
+impl DependencyNote {
+    /// A call failed.
+    pub(crate) fn failed(&self, step: &str, cause: &dyn Display) {
+        if self.lost.get().is_some() {
+            return;
+        }
+        self.lost.set(Some(BootClock.boot_now()));
+        log_event::warn(
+            &event::STORE_LOST,
+            format_args!("step=\"{step}\" cause=\"{cause}\""),
+        );
+    }
+
+    /// A call was answered.
+    pub(crate) fn answered(&self, step: &str) {
+        let Some(lost) = self.lost.take() else {
+            return;
+        };
+        let away = BootClock.boot_now().saturating_sub(lost);
+        log_event::info(
+            &event::STORE_BACK,
+            format_args!("step=\"{step}\" away_ms={}", away.as_millis()),
+        );
+    }
+}
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -13,8 +13,8 @@
     TERM_ALONE = 1015, "term-alone", "The lease on the cell may have lapsed and the store does not answer. Accepted work goes on for a bounded time; nothing new is accepted.";
     TERM_CALM = 1016, "term-calm", "The lease on the cell is renewed again.";
     ELECTION_FAILED = 1017, "election-failed", "Standing for election failed; it is tried again.";
-    STORE_LOST = 1020, "store-lost", "Calls to the store fail; carries the step and the reason.";
-    STORE_BACK = 1021, "store-back", "The store answers again; carries for how long it did not.";
+    STORE_LOST = 1020, "cell-store-lost", "Calls to the store fail; carries the step and the reason.";
+    STORE_BACK = 1021, "cell-store-back", "The store answers again; carries for how long it did not.";
     WATCH_RESET = 1022, "watch-reset", "A watch could not continue from where it was, and its keys were read anew.";
     ENTRY_UNREADABLE = 1023, "entry-unreadable", "An entry of the store can't be read and is ignored; carries the key and the reason.";
     TERMS_IN_FORCE = 1030, "terms-in-force", "A newer revision of what operators ask for is in force on this host.";
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_front;
 mod cell_host;
 mod cell_options;
+mod dependency_note;
 mod election;
 mod fleet_view;
 mod host_duty;
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -4,7 +4,7 @@
 use ports::{LeaseStore, StoreEvent, StoreFault, StoreItem, StoreRevision};
 use tokio::time::sleep;
 
-use crate::event;
+use crate::{dependency_note::DependencyNote, event};
 
 /// Pause after a failed call; a store that is down is asked this often.
 const FAULT_PAUSE: Duration = Duration::from_millis(100);
@@ -26,6 +26,7 @@
     patience: Duration,
     sink: &dyn PrefixSink,
 ) {
+    let note = DependencyNote::default();
     loop {
         let mut revision = match read_all(&*store, prefix).await {
             Ok((items, revision)) => {
@@ -33,7 +34,7 @@
                 revision
             }
             Err(error) => {
-                log::debug!("list {prefix}: {error}");
+                note.failed("list keys", &error);
                 sleep(FAULT_PAUSE).await;
                 continue;
             }
@@ -41,6 +42,7 @@
         loop {
             match store.watch(prefix, revision, patience).await {
                 Ok(changes) => {
+                    note.answered("watch keys");
                     revision = revision.max(changes.as_of);
                     changes
                         .events
@@ -55,7 +57,7 @@
                     break;
                 }
                 Err(error) => {
-                    log::debug!("watch {prefix}: {error}");
+                    note.failed("watch keys", &error);
                     sleep(FAULT_PAUSE).await;
                 }
             }
