Let a starved lasting task take a host that is being emptied, and end pauses in time

Ruled out: more hosts alone: the host that was free of tasks was the one being emptied. Change: room is respected everywhere; a job has begun once a start was answered; the end of a pause plans anew; after 0.8 s without a target a lasting task takes an emptying or paused one.

--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -23,6 +23,9 @@
         match answer {
             StartAnswer::Started { .. } => {
                 self.set_phase(id, &run, PlacePhase::Running, now);
+                if let Some(job) = self.board.jobs.get_mut(&task.job) {
+                    job.begun = true;
+                }
                 self.pace_new(id, &run);
                 if let Some(target) = self.targets.get_mut(id) {
                     target.answered = target.answered.max(now.boot);
--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -17,6 +17,7 @@
         if let Some(job) = self.board.jobs.get_mut(&end.task.job) {
             // As for a run: what a predecessor found due is due.
             job.open_until(end.task.occurrence, now.boot);
+            job.begun = true;
         }
         self.vacate_place(id, &run);
         let name = match end.kind {
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -2,13 +2,17 @@
     HostId, JobId, WorkspaceId,
     work::{HostRoom, StartOrder, TaskKey},
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::{
     DeskEvent, DeskOrder, DeskTime, PlacePhase, TaskPlace, WorkDesk,
     objective::{StartRank, rank},
-    pick::pick_target,
+    pick::{pick_any, pick_target},
     target_state::RunKey,
+    work_desk::StepKey,
 };
 
 /// Numbers of starts that one term may give to one task before the next term's begin. A task
@@ -19,6 +23,10 @@
 /// for which the event loop hears nothing else.
 const STARTS_A_PLAN: usize = 256;
 
+/// Time without a target after which a task that lasts takes one that is being emptied or that
+/// pauses.
+const STARVED: Duration = Duration::from_millis(800);
+
 /// Tasks of one step that wait.
 pub(super) struct WaitingStep {
     pub(super) rank: StartRank,
@@ -27,6 +35,16 @@
     pub(super) step: u32,
 }
 
+impl WaitingStep {
+    fn key(&self) -> StepKey {
+        StepKey {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
 impl WorkDesk {
     /// Starts what can be started; cheap if nothing has changed since the last time.
     pub fn plan(&mut self, now: DeskTime) {
@@ -149,12 +167,24 @@
             }
             return 0;
         }
+        if plan.long_running {
+            self.note_starved(waiting, placed.len() < indices.len(), now);
+        }
         for (id, run) in &placed {
             self.send_start(id, run, now);
         }
         placed.len()
     }
 
+    fn note_starved(&mut self, waiting: &WaitingStep, starved: bool, now: DeskTime) {
+        let key = waiting.key();
+        if starved {
+            self.starved.entry(key).or_insert(now.boot);
+        } else {
+            self.starved.remove(&key);
+        }
+    }
+
     /// Gives tasks their targets, without an order yet.
     fn place_tasks(
         &mut self,
@@ -217,7 +247,20 @@
             .targets
             .values()
             .filter(|target| target.entry.pool == *pool);
-        let best = pick_target(plan, state, task, of_pool, guarded, now.boot)?;
+        if let Some(best) = pick_target(plan, state, task, of_pool, now.boot) {
+            return Some(best.entry.target.clone());
+        }
+        // A service that lacks a task for long is worse off than a host that is emptied later,
+        // or than a task on a target that has refused one.
+        let since = self.starved.get(&waiting.key())?;
+        if now.boot.saturating_sub(*since) < STARVED {
+            return None;
+        }
+        let of_pool = self
+            .targets
+            .values()
+            .filter(|target| target.entry.pool == *pool);
+        let best = pick_any(plan, state, task, of_pool, now.boot)?;
         Some(best.entry.target.clone())
     }
 
@@ -249,10 +292,9 @@
 
     fn send_start(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
         let (key, attempt) = run;
-        let Some(job) = self.board.jobs.get_mut(&key.job) else {
+        let Some(job) = self.board.jobs.get(&key.job) else {
             return;
         };
-        job.begun = true;
         let payload = job.plan.payload.clone();
         let task = job.task(key.occurrence, key.step, key.index);
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_default();
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -1,9 +1,9 @@
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use model::{BootTime, HostId, JobId, work::TargetMode};
 use wire::work::log_entry::Event;
 
-use super::{DeskTime, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey};
+use super::{DeskTime, HostVacancy, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey};
 
 /// What a target says of a task that lasts and is at work, in percent.
 const AT_WORK: u8 = 100;
@@ -15,6 +15,7 @@
     /// Does what is due by time alone. To be called several times a second.
     pub fn tick(&mut self, now: DeskTime) {
         self.open_occurrences(now);
+        self.end_pauses(now);
         self.repeat_stops(now);
         self.write_off(now);
         self.evacuate(now);
@@ -41,6 +42,18 @@
         }
     }
 
+    /// Targets whose pause is over take tasks again, and questions for advice may be due.
+    fn end_pauses(&mut self, now: DeskTime) {
+        let since = std::mem::replace(&mut self.ticked, now.boot);
+        let ended = |target: &super::TargetState| {
+            target.paused_until > since && target.paused_until <= now.boot
+        };
+        let advised = self.terms.queues.iter().any(|queue| queue.advice.is_some());
+        self.stale |= advised || !self.starved.is_empty() || self.targets.values().any(ended);
+        let open = &self.board.open;
+        self.starved.retain(|step, _| open.contains(&step.job));
+    }
+
     fn repeat_stops(&mut self, now: DeskTime) {
         let pause = self.tuning.stop_again;
         let due = self
@@ -88,7 +101,7 @@
         let mut stops = Vec::new();
         for target in self.targets.values() {
             let leaving = target.entry.mode == TargetMode::Draining;
-            if !leaving && !target.vacated {
+            if !leaving && target.vacancy == HostVacancy::None {
                 continue;
             }
             let id = &target.entry.target;
@@ -136,11 +149,11 @@
     }
 
     /// Keeps the named targets free of new tasks, and no others.
-    pub(super) fn keep_free(&mut self, ids: &BTreeSet<HostId>) {
+    pub(super) fn keep_free(&mut self, wanted: &BTreeMap<HostId, HostVacancy>) {
         for (id, target) in &mut self.targets {
-            let vacated = ids.contains(id);
-            self.stale |= target.vacated && !vacated;
-            target.vacated = vacated;
+            let vacancy = wanted.get(id).copied().unwrap_or_default();
+            self.stale |= target.vacancy != vacancy;
+            target.vacancy = vacancy;
         }
     }
 
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -242,7 +242,11 @@
         let most = steps
             .map(|step| step.count.div_ceil(step.anti_affinity))
             .max();
-        most.map_or(0, |hosts| hosts as usize + 1)
+        let starved = self.starved.keys().any(|step| {
+            let job = self.board.jobs.get(&step.job);
+            job.is_some_and(|job| job.pool == *pool)
+        });
+        most.map_or(0, |hosts| hosts as usize + 1) + usize::from(starved)
     }
 }
 
--- a/crates/decide/src/work/host_planner.rs
+++ b/crates/decide/src/work/host_planner.rs
@@ -8,7 +8,7 @@
     work::{FleetHost, HostCondition, HostOrderAnswer, MaintenanceWave, WaveId},
 };
 
-use super::{DemandMeter, WorkDesk};
+use super::{DemandMeter, HostVacancy, WorkDesk};
 
 /// Pause after an order that was refused because the host was busy.
 const BUSY_PAUSE: Duration = Duration::from_millis(700);
@@ -141,8 +141,9 @@
         self.note_idle(desk, now);
         self.plan_waves(desk, now);
         self.plan_moves(desk, now);
+        let orders = self.ready_orders(desk, now);
         self.keep_free(desk);
-        self.ready_orders(desk, now)
+        orders
     }
 
     /// Takes the answer to an order; true if the host began to do what was ordered.
@@ -234,13 +235,14 @@
     }
 
     fn keep_free(&self, desk: &mut WorkDesk) {
-        let kept: BTreeSet<HostId> = self
-            .hosts
-            .values()
-            .filter(|view| view.errand.is_some())
-            .map(|view| view.fleet.target.clone())
-            .collect();
-        desk.keep_free(&kept);
+        let wanted = self.hosts.values().filter_map(|view| {
+            let vacancy = match view.errand.as_ref()?.state {
+                ErrandState::Emptying => HostVacancy::Emptying,
+                ErrandState::Sent | ErrandState::Done(_) => HostVacancy::Ordered,
+            };
+            Some((view.fleet.target.clone(), vacancy))
+        });
+        desk.keep_free(&wanted.collect());
     }
 
     /// Orders for hosts that are empty.
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -32,7 +32,7 @@
 pub use host_planner::{HostOrder, HostPlanner};
 pub use job_board::JobBoard;
 pub use job_record::{plan_of_record, record_of_plan};
-pub use target_state::{TargetLife, TargetState};
+pub use target_state::{HostVacancy, TargetLife, TargetState};
 pub use work_desk::{DeskTime, WorkDesk};
 pub use work_job::{
     OccurrenceState, PlacePhase, StepState, TaskPlace, TaskState, WorkJob, WorkPhase,
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -16,30 +16,32 @@
     step: &StepState,
     task: &TaskState,
     targets: impl Iterator<Item = &'a TargetState>,
-    guarded: bool,
     now: BootTime,
 ) -> Option<&'a TargetState> {
     targets
         .filter(|target| target.takes_tasks(now))
-        .filter(|target| suits(plan, step, target, guarded, now))
+        .filter(|target| suits(plan, step, target, now))
         .min_by_key(|target| score(plan, step, task, target))
 }
 
-/// True if a target may run a task of the step at all, now.
-fn suits(
+/// The same among targets that are being emptied or pause, too.
+pub fn pick_any<'a>(
     plan: &StepPlan,
     step: &StepState,
-    target: &TargetState,
-    guarded: bool,
+    task: &TaskState,
+    targets: impl Iterator<Item = &'a TargetState>,
     now: BootTime,
-) -> bool {
+) -> Option<&'a TargetState> {
+    targets
+        .filter(|target| target.can_run())
+        .filter(|target| suits(plan, step, target, now))
+        .min_by_key(|target| score(plan, step, task, target))
+}
+
+/// True if a target may run a task of the step at all, now.
+fn suits(plan: &StepPlan, step: &StepState, target: &TargetState, now: BootTime) -> bool {
     let labelled =
         plan.required_label.is_empty() || target.entry.labels.contains(&plan.required_label);
-    let room = if guarded {
-        target.entry.capacity
-    } else {
-        target.free()
-    };
     let apart =
         plan.anti_affinity == 0 || siblings(step, &target.entry.target) < plan.anti_affinity;
     let allowed = step.tickets.is_empty()
@@ -47,7 +49,7 @@
             .tickets
             .get(&target.entry.target)
             .is_some_and(|(_, until)| now < *until);
-    labelled && apart && allowed && plan.footprint().fits(room)
+    labelled && apart && allowed && plan.footprint().fits(target.free())
 }
 
 /// Tasks of the step that are, or may be, on a target.
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -74,8 +74,20 @@
     pub paused_until: BootTime,
     /// Refusals and failures in a row.
     pub faults: u32,
-    /// Keeps it free of new tasks, for its maintenance or a move.
-    pub vacated: bool,
+    /// What its host is wanted for, which keeps it free of new tasks.
+    pub vacancy: HostVacancy,
+}
+
+/// Whether a target's host is kept free, for its maintenance or a move.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HostVacancy {
+    /// It takes tasks.
+    #[default]
+    None,
+    /// It is being emptied; this can still be given up.
+    Emptying,
+    /// The order to the host may have been sent: whatever starts there may end at once.
+    Ordered,
 }
 
 impl TargetState {
@@ -101,13 +113,17 @@
 
     /// True if a task may be started there now.
     pub fn takes_tasks(&self, now: BootTime) -> bool {
+        self.can_run() && self.vacancy == HostVacancy::None && now >= self.paused_until
+    }
+
+    /// True if a task could run there, though other things speak against starting it.
+    pub fn can_run(&self) -> bool {
         self.listed
             && self.recorded
             && self.life.raised
             && !self.silent
-            && !self.vacated
+            && self.vacancy != HostVacancy::Ordered
             && self.entry.mode == TargetMode::Ready
-            && now >= self.paused_until
     }
 
     /// The target's clock at a time, at least.
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -18,6 +18,14 @@
 /// Events that are kept for the log until they are taken; more are dropped, and counted.
 const MOST_EVENTS: usize = 4096;
 
+/// One step of one occurrence of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct StepKey {
+    pub(super) job: JobId,
+    pub(super) occurrence: u32,
+    pub(super) step: u32,
+}
+
 /// The present, on both clocks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DeskTime {
@@ -46,6 +54,9 @@
     pub(super) events: VecDeque<DeskEvent>,
     /// Events that were dropped because nobody took them in time.
     pub events_dropped: u64,
+    pub(super) ticked: BootTime,
+    /// Steps of tasks that last for which no target was found, and since when.
+    pub(super) starved: BTreeMap<StepKey, BootTime>,
     /// Occurrences and starts may be due: planning has something to do.
     pub(super) stale: bool,
     /// Stops that have not been answered, with the time of their last sending.
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -129,3 +129,47 @@
     scene.see("t1", Vec::new(), Vec::new());
     assert_eq!(scene.starts.len(), 1);
 }
+
+/// A service lacks a task for ten seconds though a host has room: the host was being emptied for
+/// its maintenance, and could not be, since a task on it did not end. After a short while the
+/// service comes first.
+#[test]
+fn starved_lasting_task_takes_emptying_host() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene
+        .desk
+        .targets
+        .get_mut("t1")
+        .into_iter()
+        .for_each(|target| {
+            target.vacancy = decide::work::HostVacancy::Emptying;
+        });
+    scene.submit("a", &plan(vec![lasting(1)]));
+    assert!(scene.starts.is_empty());
+    for _ in 0..20 {
+        scene.pass(Duration::from_millis(50));
+    }
+    assert_eq!(scene.starts.len(), 1);
+}
+
+/// An operator is told that no job waits while all of them do: their starts were refused, and a
+/// refused start is none.
+#[test]
+fn refused_start_leaves_job_pending() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let (id, start) = scene.starts.remove(0);
+    let refused = model::work::StartAnswer::Refused(model::work::StartRefusal::NoRoom);
+    scene
+        .desk
+        .started(&id, &start.task, start.attempt, &refused, scene.now);
+    scene.run();
+    assert_eq!(scene.desk.pending(desk::QUEUE), 1);
+    scene.pass(Duration::from_millis(600));
+    scene.start_all();
+    assert_eq!(scene.desk.pending(desk::QUEUE), 0);
+}
