--- a/crates/cell/src/job_log.rs
+++ b/crates/cell/src/job_log.rs
@@ -8,12 +8,18 @@
     sync::{Notify, oneshot},
     time::{Instant, sleep, timeout},
 };
-use wire::work::{JobRecord, LogPage, StepRecord, log_entry::Event};
+use wire::work::{JobRecord, LogEntry, LogPage, StepRecord, log_entry::Event};
 
-use crate::{event, log_reader::page_key, metric, term::Term};
+use crate::{
+    event,
+    log_compact::{COMPACT_AFTER, compact},
+    log_reader::{LogSummary, page_key},
+    metric,
+    term::Term,
+};
 
 /// Largest page, in bytes; the store takes values of up to a megabyte.
-const PAGE_BYTES: usize = 256 << 10;
+pub(crate) const PAGE_BYTES: usize = 256 << 10;
 /// How long an entry that somebody waits for is tried while the store refuses calls. Waiting
 /// longer would keep a caller from going elsewhere with work that is surely not recorded.
 const REFUSED_PATIENCE: Duration = Duration::from_millis(150);
@@ -94,8 +100,9 @@
 }
 
 /// Writes the log of a term, until the term is over.
-pub(crate) async fn write_log(term: Rc<Term>, first_page: u64) {
-    let mut page = first_page;
+pub(crate) async fn write_log(term: Rc<Term>, found: LogSummary) {
+    let mut page = found.next_page;
+    let mut first = found.first_page;
     loop {
         wait_for_entries(&term).await;
         let Some(wrote) = write_page(&term, page).await else {
@@ -104,6 +111,12 @@
         if wrote {
             page += 1;
         }
+        if page - first >= COMPACT_AFTER {
+            let Some(next) = compact(&term, first, page).await else {
+                return;
+            };
+            (first, page) = (page, next);
+        }
     }
 }
 
@@ -174,11 +187,16 @@
 /// The change that writes a page: only while the writer's entry as owner stands, so that what
 /// an earlier owner sent can't land after its successor has read the log.
 fn change_of(term: &Term, page: u64, taken: &[PendingRecord]) -> StoreChange {
-    let key = page_key(&term.options, page);
     let entries = taken
         .iter()
         .map(|record| record.order.entry.clone())
         .collect();
+    page_change(term, page, entries)
+}
+
+/// The change that writes a page of these entries.
+pub(crate) fn page_change(term: &Term, page: u64, entries: Vec<LogEntry>) -> StoreChange {
+    let key = page_key(&term.options, page);
     StoreChange {
         expect: vec![(term.options.owner_key(), term.token), (key.clone(), 0)],
         writes: vec![StoreWrite {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet_view;
 mod host_duty;
 mod job_log;
+mod log_compact;
 mod log_reader;
 mod metric;
 mod metrics_port;
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -200,7 +200,7 @@
         self.ready.set(true);
         self.became_ready.notify_waiters();
         let (log, targets, hosts) = (self.clone(), self.clone(), self.clone());
-        self.spawn(job_log::write_log(log, summary.next_page));
+        self.spawn(job_log::write_log(log, summary));
         self.spawn(async move { target_watch::watch_targets(targets).await });
         self.spawn(host_duty::tend_hosts(hosts));
         self.drive().await;
--- /dev/null
+++ b/crates/cell/tests/cell_host.rs
@@ -0,0 +1,263 @@
+//! Processes of a cell on ports in memory: jobs, lost answers, refusals and hand-over.
+
+mod common;
+
+use std::{rc::Rc, time::Duration};
+
+use cell::{CellHost, CellOptions};
+use common::{MemoryStore, MemoryTargets, StoreSwitch, free_address, ports_on, terms_text};
+use link::CallClient;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use model::work::{HostRoom, JobPlan, StepPlan};
+use ports::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress};
+use tokio::{task::LocalSet, time::sleep};
+
+const KEY: &str = "secret";
+/// Longest wait for something that takes milliseconds; reached only by a failing test.
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Bench {
+    store: MemoryStore,
+    targets: MemoryTargets,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let bench = Self {
+            store: MemoryStore::default(),
+            targets: MemoryTargets::default(),
+        };
+        bench.store.put("op/terms", terms_text(1, KEY).as_bytes());
+        bench.store.put("targets/t1", b"ready");
+        bench.store.put("targets/t2", b"unreadable");
+        bench
+    }
+
+    fn host(&self, name: &str) -> CellHost {
+        let options = CellOptions {
+            drain_wait: Duration::from_millis(10),
+            ..CellOptions::new(name.into(), free_address(), free_address())
+        };
+        let ports = ports_on(&self.store, &self.targets);
+        let host = CellHost::new(options, ports, CallClient::default());
+        host.start(PrometheusBuilder::new().build_recorder().handle());
+        host
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.unwrap_or_else(|error| panic!("no runtime: {error}"));
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn call(wish: CallerWish) -> CallerCall {
+    CallerCall {
+        host: "jobs.example".into(),
+        path: "/queue/".into(),
+        key: KEY.into(),
+        patience: Duration::from_secs(3),
+        wish,
+    }
+}
+
+fn plan() -> JobPlan {
+    let step = |after: Vec<u32>| StepPlan {
+        count: 3,
+        need: HostRoom {
+            cpu: 500,
+            memory_mb: 10,
+            gpu: 0,
+        },
+        estimate: Duration::from_millis(10),
+        after,
+        ..StepPlan::default()
+    };
+    JobPlan {
+        payload: "text".into(),
+        steps: vec![step(Vec::new()), step(vec![0])],
+        repeat: None,
+    }
+}
+
+fn submit(job: &str) -> CallerCall {
+    call(CallerWish::Submit(job.into(), plan()))
+}
+
+async fn until(desk: &Rc<dyn CallerDesk>, wish: CallerWish, wanted: CallerAnswer) {
+    let end = tokio::time::Instant::now() + LIMIT;
+    let mut answer = desk.answer(call(wish.clone())).await;
+    while answer != wanted {
+        assert!(tokio::time::Instant::now() < end, "still {answer:?}");
+        sleep(Duration::from_millis(20)).await;
+        answer = desk.answer(call(wish.clone())).await;
+    }
+}
+
+async fn accepted(desk: &Rc<dyn CallerDesk>, job: &str) {
+    let end = tokio::time::Instant::now() + LIMIT;
+    while desk.answer(submit(job)).await != CallerAnswer::Accepted {
+        assert!(tokio::time::Instant::now() < end);
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[test]
+fn cell_completes_job() {
+    run(async {
+        let bench = Bench::new();
+        let desk = bench.host("a").desk();
+        accepted(&desk, "job1").await;
+        let completed = CallerAnswer::Found(JobProgress::Completed);
+        until(&desk, CallerWish::Look("job1".into()), completed).await;
+        assert_eq!(bench.targets.starts.borrow().len(), 6);
+        assert!(
+            bench
+                .targets
+                .starts
+                .borrow()
+                .values()
+                .all(|&count| count == 1)
+        );
+        let unknown = desk.answer(call(CallerWish::Look("other".into()))).await;
+        assert_eq!(unknown, CallerAnswer::NoJob);
+        let foreign = CallerCall {
+            key: "wrong".into(),
+            ..submit("job2")
+        };
+        assert_eq!(desk.answer(foreign).await, CallerAnswer::KeyRefused);
+    });
+}
+
+/// A caller's job is stored and the store's answer is lost. The owner writes the same page
+/// again, finds it there, and accepts the job once.
+#[test]
+fn submit_settles_lost_answer() {
+    run(async {
+        let bench = Bench::new();
+        let desk = bench.host("a").desk();
+        accepted(&desk, "job1").await;
+        let completed = CallerAnswer::Found(JobProgress::Completed);
+        until(&desk, CallerWish::Look("job1".into()), completed.clone()).await;
+        bench.store.set(StoreSwitch::LosesAnswers);
+        let store = bench.store.clone();
+        tokio::task::spawn_local(async move {
+            sleep(Duration::from_millis(200)).await;
+            store.set(StoreSwitch::Well);
+        });
+        assert_eq!(desk.answer(submit("job2")).await, CallerAnswer::Accepted);
+        until(&desk, CallerWish::Look("job2".into()), completed).await;
+        assert!(
+            bench
+                .targets
+                .starts
+                .borrow()
+                .values()
+                .all(|&count| count == 1)
+        );
+    });
+}
+
+/// The store refuses calls. A caller is told at once to come back, and what it was told is
+/// true: the job is not there afterwards.
+#[test]
+fn submit_refused_while_store_refuses() {
+    run(async {
+        let bench = Bench::new();
+        let desk = bench.host("a").desk();
+        accepted(&desk, "job1").await;
+        bench.store.set(StoreSwitch::Refuses);
+        let begun = tokio::time::Instant::now();
+        let answer = desk.answer(submit("job2")).await;
+        assert!(matches!(answer, CallerAnswer::Refused(wait) if wait >= Duration::from_secs(1)));
+        assert!(begun.elapsed() < Duration::from_secs(1));
+        bench.store.set(StoreSwitch::Well);
+        sleep(Duration::from_millis(100)).await;
+        until(&desk, CallerWish::Look("job2".into()), CallerAnswer::NoJob).await;
+    });
+}
+
+/// The owner is told to stop. Callers of another process go on at once: ownership is handed
+/// over and need not lapse, and the successor knows the jobs.
+#[test]
+fn stopped_owner_hands_over() {
+    run(async {
+        let bench = Bench::new();
+        let first = bench.host("a");
+        accepted(&first.desk(), "job1").await;
+        let second = bench.host("b");
+        let desk = second.desk();
+        let completed = CallerAnswer::Found(JobProgress::Completed);
+        until(&desk, CallerWish::Look("job1".into()), completed.clone()).await;
+        let begun = tokio::time::Instant::now();
+        first.stop(std::future::ready(())).await;
+        accepted(&desk, "job2").await;
+        assert!(
+            begun.elapsed() < Duration::from_millis(1000),
+            "the lease lasts 1.5 s"
+        );
+        until(&desk, CallerWish::Look("job2".into()), completed.clone()).await;
+        until(&desk, CallerWish::Look("job1".into()), completed).await;
+        assert!(
+            bench
+                .targets
+                .starts
+                .borrow()
+                .values()
+                .all(|&count| count == 1)
+        );
+    });
+}
+
+/// A store that lags shows older terms than those in force. A key that operators have taken
+/// away must not come back with them.
+#[test]
+fn older_terms_ignored() {
+    run(async {
+        let bench = Bench::new();
+        let desk = bench.host("a").desk();
+        accepted(&desk, "job1").await;
+        bench
+            .store
+            .put("op/terms", terms_text(5, "another").as_bytes());
+        until(
+            &desk,
+            CallerWish::Look("job1".into()),
+            CallerAnswer::KeyRefused,
+        )
+        .await;
+        bench.store.put("op/terms", terms_text(4, KEY).as_bytes());
+        sleep(Duration::from_millis(200)).await;
+        let answer = desk.answer(call(CallerWish::Look("job1".into()))).await;
+        assert_eq!(answer, CallerAnswer::KeyRefused);
+    });
+}
+
+/// The log grows with each job. After some hundred pages it is replaced by a shorter one, and
+/// a successor still knows each job.
+#[test]
+fn long_log_is_compacted() {
+    run(async {
+        let bench = Bench::new();
+        let first = bench.host("a");
+        let desk = first.desk();
+        accepted(&desk, "job0").await;
+        let completed = CallerAnswer::Found(JobProgress::Completed);
+        for number in 1..400 {
+            accepted(&desk, &format!("job{number}")).await;
+        }
+        until(&desk, CallerWish::Look("job399".into()), completed.clone()).await;
+        let end = tokio::time::Instant::now() + LIMIT;
+        let mut number = 400;
+        while bench.store.keys("cell/log/").len() > 300 {
+            assert!(tokio::time::Instant::now() < end, "not compacted");
+            accepted(&desk, &format!("job{number}")).await;
+            number += 1;
+        }
+        first.stop(std::future::ready(())).await;
+        let second = bench.host("b").desk();
+        until(&second, CallerWish::Look("job7".into()), completed).await;
+    });
+}
--- /dev/null
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -0,0 +1,205 @@
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    time::Duration,
+};
+
+use cell::CellPorts;
+use model::{
+    HostId, PoolId,
+    work::{
+        EndKind, EndSight, FleetHost, FleetTerms, HostOrderAnswer, HostRoom, LookAnswer, LookOrder,
+        MaintenanceWave, OrderAnswer, OrderSender, PaceOrder, PoolTerms, QueueTerms, StartAnswer,
+        StartOrder, StopOrder, TargetAddress, TargetEntry, TargetSight, WaveId, WorkspaceTerms,
+    },
+};
+use ports::{AdvicePort, AdviceTicket, FleetCodec, HostControl, PortFuture, TargetPort};
+use store::{BootClock, Clock};
+use tokio::time::sleep;
+
+use super::MemoryStore;
+
+/// Targets that do each task at once.
+#[derive(Clone, Default)]
+pub struct MemoryTargets {
+    ended: Rc<RefCell<BTreeMap<HostId, Vec<EndSight>>>>,
+    /// How often each task was started.
+    pub starts: Rc<RefCell<BTreeMap<String, usize>>>,
+}
+
+impl TargetPort for MemoryTargets {
+    fn start(&self, target: &TargetAddress, order: StartOrder) -> PortFuture<StartAnswer> {
+        let (targets, target) = (self.clone(), target.target.clone());
+        Box::pin(async move {
+            let mut starts = targets.starts.borrow_mut();
+            *starts.entry(order.task.to_string()).or_default() += 1;
+            let mut ended = targets.ended.borrow_mut();
+            let ends = ended.entry(target).or_default();
+            ends.push(EndSight {
+                number: ends.len() as u64 + 1,
+                task: order.task,
+                attempt: order.attempt,
+                kind: EndKind::Done,
+                checkpoint: Default::default(),
+            });
+            StartAnswer::Started {
+                clock: BootClock.boot_now(),
+            }
+        })
+    }
+
+    fn stop(&self, _: &TargetAddress, _: StopOrder) -> PortFuture<OrderAnswer> {
+        Box::pin(async { OrderAnswer::Done })
+    }
+
+    fn pace(&self, _: &TargetAddress, _: PaceOrder) -> PortFuture<OrderAnswer> {
+        Box::pin(async { OrderAnswer::Done })
+    }
+
+    fn look(&self, target: &TargetAddress, order: LookOrder) -> PortFuture<LookAnswer> {
+        let (targets, target) = (self.clone(), target.target.clone());
+        Box::pin(async move {
+            sleep(Duration::from_millis(5)).await;
+            let ended = targets
+                .ended
+                .borrow()
+                .get(&target)
+                .cloned()
+                .unwrap_or_default();
+            let ended = ended.into_iter().filter(|end| end.number > order.observed);
+            LookAnswer::Seen(TargetSight {
+                clock: BootClock.boot_now(),
+                born: Duration::from_secs(1),
+                running: Vec::new(),
+                ended: ended.collect(),
+            })
+        })
+    }
+}
+
+/// Reads the few things that the tests write as plain words.
+pub struct PathCodec;
+
+impl FleetCodec for PathCodec {
+    fn terms_key(&self) -> &'static str {
+        "op/terms"
+    }
+
+    fn operator_prefix(&self) -> &'static str {
+        "op/"
+    }
+
+    fn target_prefix(&self) -> &'static str {
+        "targets/"
+    }
+
+    fn wave_of_key(&self, _key: &str) -> Option<WaveId> {
+        None
+    }
+
+    fn wave_status(&self, wave: WaveId, completed: bool) -> (String, Vec<u8>) {
+        (format!("status/{wave}"), vec![u8::from(completed)])
+    }
+
+    /// The revision, then the keys of the one workspace, separated by spaces.
+    fn read_terms(&self, value: &[u8]) -> Result<FleetTerms, String> {
+        let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
+        let mut words = text.split(' ');
+        let revision = words
+            .next()
+            .and_then(|word| word.parse().ok())
+            .ok_or("no revision")?;
+        Ok(FleetTerms {
+            revision,
+            queues: vec![QueueTerms {
+                name: "queue".into(),
+                host: "jobs.example".into(),
+                prefix: "/queue/".into(),
+                pool: "pool".into(),
+                max_attempts: 2,
+                slack_factor: 2.0,
+                ..QueueTerms::default()
+            }],
+            pools: vec![PoolTerms {
+                name: "pool".into(),
+                ..PoolTerms::default()
+            }],
+            workspaces: vec![WorkspaceTerms {
+                name: "space".into(),
+                keys: words.map(Into::into).collect(),
+                ..WorkspaceTerms::default()
+            }],
+            max_body: 1 << 16,
+        })
+    }
+
+    fn read_wave(&self, _value: &[u8]) -> Result<MaintenanceWave, String> {
+        Err("no waves here".to_owned())
+    }
+
+    fn read_target(&self, target: &str, value: &[u8]) -> Result<TargetEntry, String> {
+        if value != b"ready" {
+            return Err("unknown state".to_owned());
+        }
+        Ok(TargetEntry {
+            target: target.into(),
+            address: format!("{target}:80").into(),
+            pool: "pool".into(),
+            capacity: HostRoom {
+                cpu: 4000,
+                memory_mb: 4000,
+                gpu: 0,
+            },
+            born: Duration::from_secs(1),
+            ..TargetEntry::default()
+        })
+    }
+}
+
+/// What [`PathCodec`] reads as terms.
+pub fn terms_text(revision: u64, key: &str) -> String {
+    format!("{revision} {key}")
+}
+
+struct NoControl;
+
+impl HostControl for NoControl {
+    fn hosts(&self) -> PortFuture<Result<Vec<FleetHost>, String>> {
+        Box::pin(async { Ok(Vec::new()) })
+    }
+
+    fn move_host(&self, _: &OrderSender, _: &HostId, _: &PoolId) -> PortFuture<HostOrderAnswer> {
+        Box::pin(async { HostOrderAnswer::Impossible })
+    }
+
+    fn maintain(&self, _: &OrderSender, _: &HostId, _: WaveId) -> PortFuture<HostOrderAnswer> {
+        Box::pin(async { HostOrderAnswer::Impossible })
+    }
+}
+
+struct NoAdvice;
+
+impl AdvicePort for NoAdvice {
+    fn ask(&self, _: &str, _: Vec<HostId>) -> PortFuture<Result<Vec<AdviceTicket>, String>> {
+        Box::pin(async { Err("no advice here".to_owned()) })
+    }
+}
+
+/// Ports of one process on a store and targets that several may share.
+pub fn ports_on(store: &MemoryStore, targets: &MemoryTargets) -> CellPorts {
+    CellPorts {
+        store: Rc::new(store.clone()),
+        codec: Rc::new(PathCodec),
+        targets: Rc::new(targets.clone()),
+        hosts: Rc::new(NoControl),
+        advice: Rc::new(NoAdvice),
+    }
+}
+
+/// An address on which nothing listens at present.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    listener.unwrap_or_else(|error| panic!("no free port: {error}"))
+}
--- /dev/null
+++ b/crates/cell/tests/common/memory_store.rs
@@ -0,0 +1,277 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use ports::{
+    LeaseId, LeaseStore, PortFuture, StoreChange, StoreChanges, StoreEvent, StoreFault, StoreItem,
+    StoreOutcome, StorePage, StoreRevision,
+};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, timeout},
+};
+
+/// What goes wrong at the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreSwitch {
+    /// Nothing.
+    #[default]
+    Well,
+    /// Refuses every call.
+    Refuses,
+    /// Makes changes and loses their answers.
+    LosesAnswers,
+}
+
+/// A store in memory. Each answer takes a millisecond.
+#[derive(Clone, Default)]
+pub struct MemoryStore {
+    state: Rc<StoreState>,
+}
+
+#[derive(Default)]
+struct StoreState {
+    items: RefCell<BTreeMap<String, StoreItem>>,
+    owners: RefCell<BTreeMap<String, LeaseId>>,
+    leases: RefCell<BTreeMap<LeaseId, (Instant, Duration)>>,
+    history: RefCell<Vec<(StoreRevision, StoreEvent)>>,
+    revision: Cell<StoreRevision>,
+    changed: Notify,
+    switch: Cell<StoreSwitch>,
+}
+
+impl MemoryStore {
+    pub fn set(&self, switch: StoreSwitch) {
+        self.state.switch.set(switch);
+    }
+
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.state.write(key, value.to_vec(), None);
+    }
+
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let items = self.state.items.borrow();
+        items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+}
+
+impl StoreState {
+    fn write(&self, key: &str, value: Vec<u8>, lease: Option<LeaseId>) -> StoreRevision {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        let item = StoreItem {
+            key: key.into(),
+            value,
+            revision,
+        };
+        self.items.borrow_mut().insert(key.to_owned(), item.clone());
+        if let Some(lease) = lease {
+            self.owners.borrow_mut().insert(key.to_owned(), lease);
+        }
+        self.history
+            .borrow_mut()
+            .push((revision, StoreEvent::Written(item)));
+        self.changed.notify_waiters();
+        revision
+    }
+
+    fn remove(&self, key: &str) {
+        if self.items.borrow_mut().remove(key).is_none() {
+            return;
+        }
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        self.history
+            .borrow_mut()
+            .push((revision, StoreEvent::Removed(key.into())));
+        self.changed.notify_waiters();
+    }
+
+    fn end_lease(&self, lease: LeaseId) {
+        self.leases.borrow_mut().remove(&lease);
+        let owned: Vec<String> = {
+            let mut owners = self.owners.borrow_mut();
+            let keys: Vec<String> = owners
+                .iter()
+                .filter(|(_, owner)| **owner == lease)
+                .map(|(key, _)| key.clone())
+                .collect();
+            keys.iter().for_each(|key| {
+                owners.remove(key);
+            });
+            keys
+        };
+        owned.iter().for_each(|key| self.remove(key));
+    }
+
+    fn lapse(&self) {
+        let now = Instant::now();
+        let over: Vec<LeaseId> = self
+            .leases
+            .borrow()
+            .iter()
+            .filter(|(_, (until, _))| *until <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        over.into_iter().for_each(|lease| self.end_lease(lease));
+    }
+
+    async fn call(&self) -> Result<(), StoreFault> {
+        sleep(Duration::from_millis(1)).await;
+        self.lapse();
+        match self.switch.get() {
+            StoreSwitch::Refuses => Err(StoreFault::Refused("status 503".to_owned())),
+            StoreSwitch::Well | StoreSwitch::LosesAnswers => Ok(()),
+        }
+    }
+
+    fn apply(&self, change: StoreChange) -> StoreOutcome {
+        let items = self.items.borrow();
+        let found = |key: &str| items.get(key).cloned();
+        let fits = change
+            .expect
+            .iter()
+            .all(|(key, revision)| found(key).map_or(0, |item| item.revision) == *revision);
+        if !fits {
+            let now = change.expect.iter().map(|(key, _)| {
+                found(key).unwrap_or_else(|| StoreItem {
+                    key: key.clone(),
+                    ..StoreItem::default()
+                })
+            });
+            return StoreOutcome::Conflict(now.collect());
+        }
+        drop(items);
+        let leases = self.leases.borrow();
+        if change
+            .writes
+            .iter()
+            .filter_map(|write| write.lease)
+            .any(|id| !leases.contains_key(&id))
+        {
+            return StoreOutcome::LeaseEnded;
+        }
+        drop(leases);
+        for write in change.writes {
+            self.write(&write.key, write.value, write.lease);
+        }
+        change.removes.iter().for_each(|key| self.remove(key));
+        StoreOutcome::Done(self.revision.get())
+    }
+
+    fn since(&self, prefix: &str, after: StoreRevision) -> Vec<StoreEvent> {
+        let history = self.history.borrow();
+        let newer = history.iter().filter(|(revision, _)| *revision > after);
+        let below = newer.filter(|(_, event)| match event {
+            StoreEvent::Written(item) => item.key.starts_with(prefix),
+            StoreEvent::Removed(key) => key.starts_with(prefix),
+        });
+        below.map(|(_, event)| event.clone()).collect()
+    }
+}
+
+impl LeaseStore for MemoryStore {
+    fn read(&self, key: &str) -> PortFuture<Result<Option<StoreItem>, StoreFault>> {
+        let (state, key) = (self.state.clone(), key.to_owned());
+        Box::pin(async move {
+            state.call().await?;
+            Ok(state.items.borrow().get(&key).cloned())
+        })
+    }
+
+    fn list(&self, prefix: &str, after: &str) -> PortFuture<Result<StorePage, StoreFault>> {
+        let (state, prefix, after) = (self.state.clone(), prefix.to_owned(), after.to_owned());
+        Box::pin(async move {
+            state.call().await?;
+            let items = state.items.borrow();
+            let below = items.range(prefix.clone()..).map(|(_, item)| item);
+            let below = below.take_while(|item| item.key.starts_with(&prefix));
+            let mut found: Vec<_> = below.filter(|item| *item.key > *after).cloned().collect();
+            let more = found.len() > 100;
+            found.truncate(100);
+            Ok(StorePage {
+                items: found,
+                more,
+                as_of: state.revision.get(),
+            })
+        })
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        patience: Duration,
+    ) -> PortFuture<Result<StoreChanges, StoreFault>> {
+        let (state, prefix) = (self.state.clone(), prefix.to_owned());
+        Box::pin(async move {
+            let end = Instant::now() + patience;
+            loop {
+                state.call().await?;
+                let events = state.since(&prefix, after);
+                if !events.is_empty() || Instant::now() >= end {
+                    return Ok(StoreChanges {
+                        events,
+                        as_of: state.revision.get(),
+                    });
+                }
+                let _ = timeout(Duration::from_millis(20), state.changed.notified()).await;
+            }
+        })
+    }
+
+    fn change(&self, change: StoreChange) -> PortFuture<Result<StoreOutcome, StoreFault>> {
+        let state = self.state.clone();
+        Box::pin(async move {
+            state.call().await?;
+            let outcome = state.apply(change);
+            if state.switch.get() == StoreSwitch::LosesAnswers {
+                return Err(StoreFault::Unanswered("timed out".to_owned()));
+            }
+            Ok(outcome)
+        })
+    }
+
+    fn take_lease(&self, length: Duration) -> PortFuture<Result<LeaseId, StoreFault>> {
+        let state = self.state.clone();
+        Box::pin(async move {
+            state.call().await?;
+            let lease = state.revision.get() + 1;
+            state.revision.set(lease);
+            state
+                .leases
+                .borrow_mut()
+                .insert(lease, (Instant::now() + length, length));
+            Ok(lease)
+        })
+    }
+
+    fn renew_lease(&self, lease: LeaseId) -> PortFuture<Result<bool, StoreFault>> {
+        let state = self.state.clone();
+        Box::pin(async move {
+            state.call().await?;
+            let mut leases = state.leases.borrow_mut();
+            let Some((until, length)) = leases.get_mut(&lease) else {
+                return Ok(false);
+            };
+            *until = Instant::now() + *length;
+            Ok(true)
+        })
+    }
+
+    fn end_lease(&self, lease: LeaseId) -> PortFuture<Result<(), StoreFault>> {
+        let state = self.state.clone();
+        Box::pin(async move {
+            state.call().await?;
+            state.end_lease(lease);
+            Ok(())
+        })
+    }
+}
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -5,9 +5,11 @@
 };
 
 use model::{BootTime, JobId, work::TaskKey};
-use wire::work::{JobRecord, LogEntry, TargetUse, TaskEnd, log_entry::Event};
+use wire::work::{
+    JobRecord, LogEntry, OccurrenceEnd, TargetUse, TaskEnd, WaveProgress, log_entry::Event,
+};
 
-use super::{WorkJob, WorkPhase, plan_of_record};
+use super::{WorkJob, WorkPhase, plan_of_record, record_of_plan};
 
 /// Oldest age that a job read from the log is given; clocks of day may be far apart.
 const OLDEST: Duration = Duration::from_secs(3600);
@@ -121,6 +123,28 @@
         self.open.remove(id);
     }
 
+    /// Entries that, replayed, make a board that says the same; for a shorter log.
+    ///
+    /// Of jobs that have ended only the outcome is kept. Replayed after some or all of the
+    /// entries that they replace they change nothing.
+    pub fn entries(&self) -> Vec<LogEntry> {
+        let mut events: Vec<Event> = Vec::new();
+        events.extend(self.used.values().cloned().map(Event::Used));
+        let begun = |(wave, host): &(u64, String)| {
+            Event::Wave(WaveProgress {
+                wave: *wave,
+                host: host.clone(),
+            })
+        };
+        events.extend(self.maintained.iter().map(begun));
+        for job in self.jobs.values() {
+            events.push(Event::Accepted(job.record()));
+            job.push_ends(&mut events);
+        }
+        let entry = |event| LogEntry { event: Some(event) };
+        events.into_iter().map(entry).collect()
+    }
+
     /// Removes jobs that ended before a time and hold nothing.
     pub fn forget(&mut self, before: BootTime) -> Vec<JobId> {
         let old = |job: &&WorkJob| {
@@ -179,6 +203,66 @@
 }
 
 impl WorkJob {
+    /// The record that it was accepted by; without its steps once it has ended.
+    fn record(&self) -> JobRecord {
+        let open = self.phase == WorkPhase::Open;
+        let plan = if open {
+            record_of_plan(&self.plan)
+        } else {
+            JobRecord {
+                steps: Vec::new(),
+                payload: String::new(),
+                ..record_of_plan(&self.plan)
+            }
+        };
+        JobRecord {
+            job: self.id.to_string(),
+            queue: self.queue.to_string(),
+            pool: self.pool.to_string(),
+            workspace: self.workspace.to_string(),
+            accepted_unix_ms: u64::try_from(self.accepted.as_millis()).unwrap_or(u64::MAX),
+            ..plan
+        }
+    }
+
+    /// Adds what has ended of it.
+    fn push_ends(&self, events: &mut Vec<Event>) {
+        match self.phase {
+            WorkPhase::Cancelled => return events.push(Event::Cancelled(self.id.to_string())),
+            WorkPhase::Failed => return events.push(Event::Failed(self.id.to_string())),
+            WorkPhase::Open | WorkPhase::Completed => {}
+        }
+        let ended = (0..self.opened).filter(|number| !self.occurrences.contains_key(number));
+        events.extend(ended.map(|occurrence| {
+            Event::Occurrence(OccurrenceEnd {
+                job: self.id.to_string(),
+                occurrence,
+            })
+        }));
+        for (&occurrence, state) in &self.occurrences {
+            for (step, tasks) in (0..).zip(&state.steps) {
+                for (index, task) in (0..).zip(&tasks.tasks) {
+                    let end = TaskEnd {
+                        job: self.id.to_string(),
+                        occurrence,
+                        step,
+                        index,
+                        ..TaskEnd::default()
+                    };
+                    events.extend(task.failed_attempts.iter().map(|&attempt| {
+                        Event::Ended(TaskEnd {
+                            attempt,
+                            ..end.clone()
+                        })
+                    }));
+                    if task.done {
+                        events.push(Event::Ended(TaskEnd { done: true, ..end }));
+                    }
+                }
+            }
+        }
+    }
+
     /// Opens the occurrences up to one that the log or a target tells of.
     pub(super) fn open_until(&mut self, occurrence: u32, boot: BootTime) {
         while self.opened <= occurrence && self.opened < self.plan.occurrences() {
--- a/crates/decide/tests/desk/mod.rs
+++ b/crates/decide/tests/desk/mod.rs
@@ -4,6 +4,7 @@
 
 mod scene;
 mod world;
+mod world_check;
 mod world_target;
 
 pub use scene::{DeskScene, POOL, QUEUE, SPACE, ended, plan, running, step, target};
--- a/crates/decide/tests/desk/world.rs
+++ b/crates/decide/tests/desk/world.rs
@@ -27,9 +27,9 @@
 /// Lease on the ownership.
 const OWNER_LEASE: Duration = Duration::from_millis(1500);
 /// Room of a target, in thousandths of a core.
-const CAPACITY: u64 = 4000;
+pub(super) const CAPACITY: u64 = 4000;
 /// Limit of the workspace.
-const LIMIT: u64 = 9000;
+pub(super) const LIMIT: u64 = 9000;
 
 /// What goes wrong in a world, each as a chance a second.
 #[derive(Clone, Copy, Debug)]
@@ -48,27 +48,27 @@
 /// Targets, a log and the owners of a cell, with faults drawn from a seed.
 pub struct DeskWorld {
     dice: StdRng,
-    now: DeskTime,
+    pub(super) now: DeskTime,
     faults: WorldFaults,
-    targets: BTreeMap<HostId, WorldTarget>,
+    pub(super) targets: BTreeMap<HostId, WorldTarget>,
     log: Vec<LogEntry>,
     /// Token of the owner whose entry stands.
-    token: u64,
-    owners: Vec<WorldOwner>,
+    pub(super) token: u64,
+    pub(super) owners: Vec<WorldOwner>,
     next_owner: Option<BootTime>,
     calls: Vec<WorldCall>,
-    jobs: BTreeMap<String, JobPlan>,
-    done: BTreeSet<TaskKey>,
-    noted: BTreeSet<TaskKey>,
+    pub(super) jobs: BTreeMap<String, JobPlan>,
+    pub(super) done: BTreeSet<TaskKey>,
+    pub(super) noted: BTreeSet<TaskKey>,
     /// What broke a promise.
     pub faults_found: Vec<String>,
     /// What happened to each task, for the trace of a fault.
-    history: BTreeMap<TaskKey, Vec<String>>,
+    pub(super) history: BTreeMap<TaskKey, Vec<String>>,
 }
 
-struct WorldOwner {
-    desk: WorkDesk,
-    token: u64,
+pub(super) struct WorldOwner {
+    pub(super) desk: WorkDesk,
+    pub(super) token: u64,
     alone_since: Option<BootTime>,
     looking: BTreeSet<HostId>,
     records: Vec<(BootTime, RecordOrder)>,
@@ -567,102 +567,6 @@
         });
         self.calls = calls;
     }
-
-    /// Holds a start against what callers were promised.
-    fn check_start(&mut self, on: &HostId, key: &TaskKey) {
-        let running = self
-            .targets
-            .iter()
-            .filter(|(name, state)| *name != on && state.up);
-        let twice = running
-            .flat_map(|(name, state)| state.runs.keys().map(move |run| (name, run)))
-            .find(|(_, run)| run.0 == *key);
-        if let Some((name, run)) = twice {
-            self.found(&format!(
-                "{key} starts on {on} while {run:?} runs on {name}"
-            ));
-        }
-        if self.noted.contains(key) {
-            self.found(&format!("{key} starts on {on} after its end was observed"));
-        }
-        self.check_order(on, key);
-        let room: u64 = self.targets[on]
-            .runs
-            .keys()
-            .map(|run| self.cpu(&run.0))
-            .sum();
-        if room > CAPACITY {
-            self.found(&format!("{on} has {room} running"));
-        }
-        let up = self.targets.values().filter(|state| state.up);
-        let all: u64 = up
-            .flat_map(|state| state.runs.keys())
-            .map(|run| self.cpu(&run.0))
-            .sum();
-        if all > LIMIT {
-            self.found(&format!("the workspace has {all} running"));
-        }
-    }
-
-    fn check_order(&mut self, on: &HostId, key: &TaskKey) {
-        let plan = &self.jobs[key.job.as_str()];
-        let before = plan.steps[key.step as usize].after.clone();
-        for earlier in before {
-            let gang = plan.steps[earlier as usize].gang;
-            let done = |index: u32| {
-                self.done.contains(&TaskKey {
-                    step: earlier,
-                    index,
-                    ..key.clone()
-                })
-            };
-            let count = plan.steps[earlier as usize].count;
-            let complete = if gang {
-                (0..count).any(done)
-            } else {
-                (0..count).all(done)
-            };
-            if !complete {
-                self.faults_found.push(format!(
-                    "{key} starts on {on} before step {earlier} is done"
-                ));
-                return;
-            }
-        }
-    }
-
-    fn check_done(&mut self) {
-        let Some(owner) = self.owners.iter().find(|owner| owner.token == self.token) else {
-            self.faults_found.push("nobody owns the cell".to_owned());
-            return;
-        };
-        for job in self.jobs.keys() {
-            let phase = owner.desk.progress(job);
-            if phase != Some(wire::work::JobPhase::Completed) {
-                self.faults_found
-                    .push(format!("{job} is {phase:?} in the end"));
-            }
-        }
-    }
-
-    fn cpu(&self, key: &TaskKey) -> u64 {
-        self.jobs[key.job.as_str()].steps[key.step as usize]
-            .need
-            .cpu
-    }
-
-    fn found(&mut self, fault: &str) {
-        let at = self.now.boot;
-        let key = fault
-            .split(' ')
-            .next()
-            .and_then(|key| key.parse::<TaskKey>().ok());
-        let history = key.and_then(|key| self.history.get(&key)).cloned();
-        self.faults_found.push(format!(
-            "{at:?}: {fault}: {:#?}",
-            history.unwrap_or_default()
-        ));
-    }
 }
 
 impl Default for WorldFaults {
--- /dev/null
+++ b/crates/decide/tests/desk/world_check.rs
@@ -0,0 +1,101 @@
+use model::{HostId, work::TaskKey};
+
+use super::world::{CAPACITY, DeskWorld, LIMIT};
+
+impl DeskWorld {
+    /// Holds a start against what callers were promised.
+    pub(super) fn check_start(&mut self, on: &HostId, key: &TaskKey) {
+        let running = self
+            .targets
+            .iter()
+            .filter(|(name, state)| *name != on && state.up);
+        let twice = running
+            .flat_map(|(name, state)| state.runs.keys().map(move |run| (name, run)))
+            .find(|(_, run)| run.0 == *key);
+        if let Some((name, run)) = twice {
+            self.found(&format!(
+                "{key} starts on {on} while {run:?} runs on {name}"
+            ));
+        }
+        if self.noted.contains(key) {
+            self.found(&format!("{key} starts on {on} after its end was observed"));
+        }
+        self.check_order(on, key);
+        let room: u64 = self.targets[on]
+            .runs
+            .keys()
+            .map(|run| self.cpu(&run.0))
+            .sum();
+        if room > CAPACITY {
+            self.found(&format!("{on} has {room} running"));
+        }
+        let up = self.targets.values().filter(|state| state.up);
+        let all: u64 = up
+            .flat_map(|state| state.runs.keys())
+            .map(|run| self.cpu(&run.0))
+            .sum();
+        if all > LIMIT {
+            self.found(&format!("the workspace has {all} running"));
+        }
+    }
+
+    fn check_order(&mut self, on: &HostId, key: &TaskKey) {
+        let plan = &self.jobs[key.job.as_str()];
+        let before = plan.steps[key.step as usize].after.clone();
+        for earlier in before {
+            let gang = plan.steps[earlier as usize].gang;
+            let done = |index: u32| {
+                self.done.contains(&TaskKey {
+                    step: earlier,
+                    index,
+                    ..key.clone()
+                })
+            };
+            let count = plan.steps[earlier as usize].count;
+            let complete = if gang {
+                (0..count).any(done)
+            } else {
+                (0..count).all(done)
+            };
+            if !complete {
+                self.faults_found.push(format!(
+                    "{key} starts on {on} before step {earlier} is done"
+                ));
+                return;
+            }
+        }
+    }
+
+    pub(super) fn check_done(&mut self) {
+        let Some(owner) = self.owners.iter().find(|owner| owner.token == self.token) else {
+            self.faults_found.push("nobody owns the cell".to_owned());
+            return;
+        };
+        for job in self.jobs.keys() {
+            let phase = owner.desk.progress(job);
+            if phase != Some(wire::work::JobPhase::Completed) {
+                self.faults_found
+                    .push(format!("{job} is {phase:?} in the end"));
+            }
+        }
+    }
+
+    fn cpu(&self, key: &TaskKey) -> u64 {
+        self.jobs[key.job.as_str()].steps[key.step as usize]
+            .need
+            .cpu
+    }
+
+    fn found(&mut self, fault: &str) {
+        let at = self.now.boot;
+        let key = fault
+            .split(' ')
+            .next()
+            .and_then(|key| key.parse::<TaskKey>().ok());
+        let history = key.and_then(|key| self.history.get(&key)).cloned();
+        self.faults_found.push(format!(
+            "{at:?}: {fault}: {:#?}",
+            history.unwrap_or_default()
+        ));
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/work_board.rs
@@ -0,0 +1,114 @@
+//! The board of jobs, and the shorter log that says the same.
+
+mod desk;
+
+use std::time::Duration;
+
+use decide::work::{JobBoard, WorkPhase};
+use desk::{DeskScene, ended, plan, step};
+use model::work::{EndKind, RepeatPlan, StepPlan};
+use rstest::rstest;
+use wire::work::LogEntry;
+
+fn board_of(entries: &[LogEntry]) -> JobBoard {
+    let mut board = JobBoard::default();
+    for entry in entries {
+        board.apply(
+            entry,
+            Duration::from_secs(1_000_000),
+            Duration::from_secs(1000),
+        );
+    }
+    board
+}
+
+/// What matters of a board, in a form that can be compared.
+fn summary(board: &JobBoard) -> String {
+    let jobs: Vec<String> = board
+        .jobs
+        .values()
+        .map(|job| {
+            let open = job.phase == WorkPhase::Open;
+            let tasks: Vec<_> = job
+                .occurrences
+                .iter()
+                .filter(|_| open)
+                .flat_map(|(number, state)| state.steps.iter().map(move |step| (number, step)))
+                .map(|(number, step)| {
+                    let tasks = step
+                        .tasks
+                        .iter()
+                        .map(|task| (task.done, &task.failed_attempts));
+                    (number, tasks.collect::<Vec<_>>())
+                })
+                .collect();
+            format!(
+                "{} {:?} {} {} {tasks:?}",
+                job.id, job.phase, job.opened, job.finished
+            )
+        })
+        .collect();
+    format!("{jobs:#?} {:?} {:?}", board.used.keys(), board.maintained)
+}
+
+fn busy_log() -> Vec<LogEntry> {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 4000);
+    scene.raise("t1");
+    scene.submit("done", &plan(vec![step(1, 500)]));
+    scene.submit(
+        "half",
+        &plan(vec![
+            step(2, 500),
+            StepPlan {
+                after: vec![0],
+                ..step(1, 500)
+            },
+        ]),
+    );
+    scene.submit("failed", &plan(vec![step(1, 500)]));
+    let mut repeated = plan(vec![step(1, 500)]);
+    repeated.repeat = Some(RepeatPlan {
+        count: 3,
+        first: scene.now.unix,
+        period: Duration::from_secs(60),
+    });
+    scene.submit("timed", &repeated);
+    let starts = scene.start_all();
+    let end = |number, job: &str, kind| {
+        let found = starts.iter().find(|(_, start)| start.task.job == job);
+        found.map(|(_, start)| ended(number, &start.task, start.attempt, kind))
+    };
+    let ends = [
+        end(1, "done", EndKind::Done),
+        end(2, "half", EndKind::Done),
+        end(3, "failed", EndKind::Failed),
+        end(4, "timed", EndKind::Done),
+    ];
+    scene.see("t1", Vec::new(), ends.into_iter().flatten().collect());
+    scene.stored
+}
+
+/// A successor must read from the shorter log what it would have read from the long one.
+#[test]
+fn entries_say_the_same() {
+    let log = busy_log();
+    let board = board_of(&log);
+    assert_eq!(board.jobs.len(), 4);
+    let short = board.entries();
+    assert_eq!(summary(&board_of(&short)), summary(&board));
+}
+
+/// The owner dies while it removes the pages that the shorter log replaces. Whatever part of
+/// them is left, the successor reads the same.
+#[rstest]
+#[case::all_left(0)]
+#[case::some_left(3)]
+#[case::last_left(7)]
+fn entries_after_rest(#[case] removed: usize) {
+    let log = busy_log();
+    let board = board_of(&log);
+    let mut rest = log[removed.min(log.len())..].to_vec();
+    rest.extend(board.entries());
+    assert_eq!(summary(&board_of(&rest)), summary(&board));
+}
