--- a/crates/cell/src/target_lane.rs
+++ b/crates/cell/src/target_lane.rs
@@ -20,6 +20,10 @@
 const ORDERS_AT_ONCE: usize = 3;
 /// How often an idle target is considered for a look.
 const IDLE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a look that brought ends. Until they are stored, which takes some 10 ms, the
+/// target answers each look at once with the same ends; on a busy day that made six looks of
+/// one. Longer would delay the next end.
+const END_PAUSE: Duration = Duration::from_millis(25);
 /// Pause after a look that brought nothing; a target that is down is asked this often.
 const FAULT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -60,39 +64,57 @@
             let _ = timeout(IDLE_PAUSE, lane.hurry.notified()).await;
             continue;
         };
-        if !look_once(&term, &id, &address, order).await {
-            drop(term);
-            sleep(FAULT_PAUSE).await;
+        let outcome = look_once(&term, &id, &address, order).await;
+        drop(term);
+        match outcome {
+            LookOutcome::Nothing => {}
+            LookOutcome::Ends => sleep(END_PAUSE).await,
+            LookOutcome::Failed => sleep(FAULT_PAUSE).await,
         }
     }
 }
 
-/// Looks at a target and tells the desk; false if no answer came.
+/// What a look brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LookOutcome {
+    /// No end that the target has not been told to forget.
+    Nothing,
+    /// Ends, which the target lists again until it is told to forget them.
+    Ends,
+    /// No answer, or a refusal.
+    Failed,
+}
+
+/// Looks at a target and tells the desk.
 async fn look_once(
     term: &Rc<Term>,
     id: &HostId,
     address: &TargetAddress,
     order: LookOrder,
-) -> bool {
+) -> LookOutcome {
     let sent = term.now().boot;
     let observed = order.observed;
     let answer = term.ports.targets.look(address, order).await;
-    let seen = matches!(answer, LookAnswer::Seen(_));
     let outcome = match &answer {
+        LookAnswer::Seen(sight) if sight.ended.is_empty() => LookOutcome::Nothing,
+        LookAnswer::Seen(_) => LookOutcome::Ends,
+        _ => LookOutcome::Failed,
+    };
+    let name = match &answer {
         LookAnswer::Seen(_) => "seen",
         LookAnswer::Fenced => "fenced",
         LookAnswer::Refused(_) => "refused",
         LookAnswer::OtherLife => "other-life",
         LookAnswer::Unanswered(_) => "unanswered",
     };
-    metrics::counter!(metric::ORDERS, "kind" => "look", "outcome" => outcome).increment(1);
-    if !seen {
+    metrics::counter!(metric::ORDERS, "kind" => "look", "outcome" => name).increment(1);
+    if outcome == LookOutcome::Failed {
         note_order(term, "look", id, &format!("{answer:?}"));
     }
     let now = term.now();
     term.desk.borrow_mut().saw(id, sent, observed, &answer, now);
     term.wake.notify_one();
-    seen
+    outcome
 }
 
 /// Carries out an order to a target.
--- a/crates/decide/src/work/demand_meter.rs
+++ b/crates/decide/src/work/demand_meter.rs
@@ -12,6 +12,8 @@
 const AHEAD: f64 = 2.0;
 /// Room beyond the foreseen demand, as a factor: tasks do not fill hosts without gaps.
 const SPARE: f64 = 1.2;
+/// Recent arrivals at which half of what they promise is believed.
+const DOUBT: f64 = 4.0;
 /// How long a peak of demand is remembered before hosts are given back. Giving a host away and
 /// taking it back costs two moves, as much as 2.3 s of an idle host at the prices measured.
 const HOLD: Duration = Duration::from_millis(2500);
@@ -30,6 +32,8 @@
 struct PoolDemand {
     fast: f64,
     slow: f64,
+    /// Arrivals of late, each counting less with its age.
+    arrivals: f64,
     updated: BootTime,
     wanted: f64,
     /// The highest need of the last while, and when it was seen.
@@ -44,6 +48,7 @@
         demand.decay(now);
         demand.fast += work / FAST;
         demand.slow += work / SLOW;
+        demand.arrivals += 1.0;
     }
 
     /// Notes what a pool needs at present, in cores: for tasks at work and for those that
@@ -52,7 +57,9 @@
         let demand = self.pools.entry(pool.clone()).or_default();
         demand.decay(now);
         let trend = (demand.fast - demand.slow) / (SLOW - FAST);
-        let foreseen = (demand.fast + trend * AHEAD).max(0.0);
+        // One large job looks like a steep rise; several in a row are one.
+        let trust = demand.arrivals / (demand.arrivals + DOUBT);
+        let foreseen = ((demand.fast + trend * AHEAD) * trust).max(0.0);
         demand.wanted = (present.max(foreseen) + lasting) * SPARE;
         let lapsed = now.saturating_sub(demand.peak_at) > HOLD;
         if demand.wanted >= demand.peak || lapsed {
@@ -78,5 +85,6 @@
         self.updated = now;
         self.fast *= (-passed / FAST).exp();
         self.slow *= (-passed / SLOW).exp();
+        self.arrivals *= (-passed / SLOW).exp();
     }
 }
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -1,11 +1,9 @@
-use std::cmp::Reverse;
-
 use model::{BootTime, HostId, work::StepPlan};
 
 use super::{StepState, TargetState, TaskState};
 
 /// What decides for a target, best first.
-type PickScore = (bool, bool, bool, u64, Reverse<u64>);
+type PickScore = (bool, bool, bool, u64, u64);
 
 /// The best target for a task among those of its pool; `None` if none will do.
 ///
@@ -72,9 +70,15 @@
     // and other hosts stay empty, to be switched off, lent or maintained at once.
     if plan.long_running || plan.fills {
         let together = u64::from(siblings(step, &target.entry.target));
-        (failed, far, apart, together, Reverse(free))
+        (
+            failed,
+            far,
+            apart,
+            together,
+            if plan.fills { u64::MAX - free } else { free },
+        )
     } else {
-        (failed, far, apart, free, Reverse(0))
+        (failed, far, apart, free, 0)
     }
 }
 
