Order hosts right after a hand-over, finish begun jobs first, and doubt few arrivals

Ruled out: ordering hosts at once after a kill: the last orders of a killed owner may be missing in the log, so what is left of the pause is kept then. Tests: predecessor_order_delays_host. rising_arrivals_bring_hosts now sends two jobs a step and asks for the cores that these need, where it asked for one host more than the same load needs.

--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -7,11 +7,13 @@
     rc::Rc,
 };
 
-use decide::work::{DeskOrder, DeskTime, HostPlanner, WorkDesk};
+use decide::work::{DeskOrder, DeskTime, HostPlanner, RecordOrder, WorkDesk};
 use link::ShutdownSignal;
 use model::{BootTime, HostId, event as log_event, work::FencingToken};
 use ports::LeaseId;
 use store::{BootClock, Clock};
+use wire::work::{LogEntry, log_entry::Event};
+
 use tokio::{
     sync::Notify,
     time::{MissedTickBehavior, interval, sleep},
@@ -53,6 +55,8 @@
     pub(crate) wake: Notify,
     over: ShutdownSignal,
     ready: Cell<bool>,
+    /// Set once nothing more is to be begun.
+    pub(crate) handing_over: Cell<bool>,
     /// Told once the log has been read.
     pub(crate) became_ready: Notify,
     certain_until: Cell<BootTime>,
@@ -85,6 +89,7 @@
             wake: Notify::new(),
             over: ShutdownSignal::default(),
             ready: Cell::new(false),
+            handing_over: Cell::new(false),
             became_ready: Notify::new(),
             certain_until: Cell::new(certain),
             alone: Cell::new(false),
@@ -152,6 +157,16 @@
     /// not wait until it lapses.
     pub(crate) async fn hand_over(&self, patience: std::time::Duration) {
         let deadline = tokio::time::Instant::now() + patience;
+        let order = RecordOrder {
+            entry: LogEntry {
+                event: Some(Event::HandedOver(self.token)),
+            },
+            origin: None,
+            job: None,
+            urgent: true,
+        };
+        self.handing_over.set(true);
+        self.log.add(order, self.now().boot);
         while !self.log.is_empty() && tokio::time::Instant::now() < deadline {
             sleep(TICK / 5).await;
         }
--- a/crates/decide/src/work/demand_meter.rs
+++ b/crates/decide/src/work/demand_meter.rs
@@ -12,8 +12,6 @@
 const AHEAD: f64 = 2.0;
 /// Room beyond the foreseen demand, as a factor: tasks do not fill hosts without gaps.
 const SPARE: f64 = 1.2;
-/// Recent arrivals at which half of what they promise is believed.
-const DOUBT: f64 = 4.0;
 /// How long a peak of demand is remembered before hosts are given back. Giving a host away and
 /// taking it back costs two moves, as much as 2.3 s of an idle host at the prices measured.
 const HOLD: Duration = Duration::from_millis(2500);
@@ -32,8 +30,9 @@
 struct PoolDemand {
     fast: f64,
     slow: f64,
-    /// Arrivals of late, each counting less with its age.
-    arrivals: f64,
+    /// Sums of the work of late arrivals and of its squares, each counting less with its age.
+    sum: f64,
+    squares: f64,
     updated: BootTime,
     wanted: f64,
     /// The highest need of the last while, and when it was seen.
@@ -48,7 +47,8 @@
         demand.decay(now);
         demand.fast += work / FAST;
         demand.slow += work / SLOW;
-        demand.arrivals += 1.0;
+        demand.sum += work;
+        demand.squares += work * work;
     }
 
     /// Notes what a pool needs at present, in cores: for tasks at work and for those that
@@ -57,9 +57,7 @@
         let demand = self.pools.entry(pool.clone()).or_default();
         demand.decay(now);
         let trend = (demand.fast - demand.slow) / (SLOW - FAST);
-        // One large job looks like a steep rise; several in a row are one.
-        let trust = demand.arrivals / (demand.arrivals + DOUBT);
-        let foreseen = ((demand.fast + trend * AHEAD) * trust).max(0.0);
+        let foreseen = ((demand.fast + trend * AHEAD) * demand.trust()).max(0.0);
         demand.wanted = (present.max(foreseen) + lasting) * SPARE;
         let lapsed = now.saturating_sub(demand.peak_at) > HOLD;
         if demand.wanted >= demand.peak || lapsed {
@@ -80,11 +78,23 @@
 }
 
 impl PoolDemand {
+    /// How far the arrivals are to be believed, from 0 to 1. One large job looks like a steep
+    /// rise, several of a size are one: so it depends on how many arrivals of equal size would
+    /// scatter as much as these.
+    fn trust(&self) -> f64 {
+        if self.squares <= 0.0 {
+            return 0.0;
+        }
+        let alike = self.sum * self.sum / self.squares;
+        (1.0 - 1.0 / alike).max(0.0)
+    }
+
     fn decay(&mut self, now: BootTime) {
         let passed = now.saturating_sub(self.updated).as_secs_f64();
         self.updated = now;
         self.fast *= (-passed / FAST).exp();
         self.slow *= (-passed / SLOW).exp();
-        self.arrivals *= (-passed / SLOW).exp();
+        self.sum *= (-passed / SLOW).exp();
+        self.squares *= (-passed / SLOW).exp();
     }
 }
--- a/crates/decide/src/work/host_planner.rs
+++ b/crates/decide/src/work/host_planner.rs
@@ -8,7 +8,7 @@
     work::{FleetHost, HostCondition, HostOrderAnswer, MaintenanceWave, WaveId},
 };
 
-use super::{DemandMeter, HostVacancy, WorkDesk};
+use super::{DemandMeter, DeskTime, HostVacancy, WorkDesk};
 
 /// Pause after an order that was refused because the host was busy.
 const BUSY_PAUSE: Duration = Duration::from_millis(700);
@@ -47,6 +47,8 @@
     /// What the pools need.
     pub meter: DemandMeter,
     pub(super) refused_moves: BTreeSet<(HostId, PoolId)>,
+    /// Whether the orders of earlier owners have been taken in.
+    pub(super) ordered_taken: bool,
     /// Hosts that pools need for tasks that may not share one.
     pub(super) apart: BTreeMap<PoolId, usize>,
 }
@@ -136,6 +138,25 @@
         }
     }
 
+    /// Takes when hosts were ordered by earlier owners; each is left alone for `pause` after.
+    pub fn take_ordered(
+        &mut self,
+        ordered: &BTreeMap<String, Duration>,
+        pause: Duration,
+        now: DeskTime,
+    ) {
+        if std::mem::replace(&mut self.ordered_taken, !self.hosts.is_empty()) {
+            return;
+        }
+        for (host, &at) in ordered {
+            // The clocks of day of two hosts may differ, and may have jumped since.
+            let left = (at + pause).saturating_sub(now.unix).min(pause);
+            if let Some(view) = self.hosts.get_mut(host.as_str()) {
+                view.not_before = view.not_before.max(now.boot + left);
+            }
+        }
+    }
+
     /// What to order now. Keeps hosts free on `desk` that are to be ordered next.
     pub fn plan(&mut self, desk: &mut WorkDesk, now: BootTime) -> Vec<HostOrder> {
         self.note_idle(desk, now);
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -6,7 +6,8 @@
 
 use model::{BootTime, JobId, work::TaskKey};
 use wire::work::{
-    JobRecord, LogEntry, OccurrenceEnd, TargetUse, TaskEnd, WaveProgress, log_entry::Event,
+    HostOrdered, JobRecord, LogEntry, OccurrenceEnd, TargetUse, TaskEnd, WaveProgress,
+    log_entry::Event,
 };
 
 use super::{WorkJob, WorkPhase, plan_of_record, record_of_plan};
@@ -25,6 +26,10 @@
     pub used: BTreeMap<String, TargetUse>,
     /// Hosts of waves whose maintenance began.
     pub maintained: BTreeSet<(u64, String)>,
+    /// When hosts were ordered last, since the Unix epoch.
+    pub ordered: BTreeMap<String, Duration>,
+    /// Whether the last owner gave the cell up by itself and ordered no host after that.
+    pub handed_over: bool,
 }
 
 impl JobBoard {
@@ -48,6 +53,12 @@
                     .insert((progress.wave, progress.host.clone()));
             }
             Some(Event::Occurrence(end)) => self.end_occurrence(&end.job, end.occurrence, boot),
+            Some(Event::Ordered(order)) => {
+                let at = Duration::from_millis(order.unix_ms);
+                self.ordered.insert(order.host.clone(), at);
+                self.handed_over = false;
+            }
+            Some(Event::HandedOver(_)) => self.handed_over = true,
             // An entry of a newer version.
             None => {}
         }
@@ -137,6 +148,13 @@
             })
         };
         events.extend(self.maintained.iter().map(begun));
+        let ordered = |(host, at): (&String, &Duration)| {
+            Event::Ordered(HostOrdered {
+                host: host.clone(),
+                unix_ms: u64::try_from(at.as_millis()).unwrap_or(u64::MAX),
+            })
+        };
+        events.extend(self.ordered.iter().map(ordered));
         for job in self.jobs.values() {
             events.push(Event::Accepted(job.record()));
             job.push_ends(&mut events);
--- a/crates/decide/src/work/objective.rs
+++ b/crates/decide/src/work/objective.rs
@@ -17,6 +17,9 @@
     pub class: RankClass,
     /// Priority of the queue; smaller goes first.
     pub priority: u32,
+    /// Jobs of which no task has started come after those that are under way: in a full pool
+    /// many half-done jobs would all be late, where finishing some serves these in time.
+    pub fresh: bool,
     /// Time that is left until it must have started.
     pub slack: Duration,
 }
@@ -41,6 +44,7 @@
         return StartRank {
             class: RankClass::Lasting,
             priority,
+            fresh: false,
             slack: Duration::ZERO,
         };
     }
@@ -67,6 +71,7 @@
     StartRank {
         class,
         priority,
+        fresh: !job.begun,
         slack,
     }
 }
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -241,7 +241,7 @@
                     self.stale = true;
                 }
             }
-            Some(Event::Released(_) | Event::Wave(_)) => {
+            Some(Event::Released(_) | Event::Wave(_) | Event::Ordered(_)) => {
                 self.board.apply(&order.entry, now.unix, now.boot);
             }
             _ => {}
--- a/crates/decide/tests/work_hosts.rs
+++ b/crates/decide/tests/work_hosts.rs
@@ -185,12 +185,14 @@
     let mut ordered = 0;
     for _ in 0..5 {
         scene.pass(Duration::from_millis(200));
-        planner.meter.arrived(&POOL.into(), 1.0, scene.now.boot);
+        for _ in 0..2 {
+            planner.meter.arrived(&POOL.into(), 1.0, scene.now.boot);
+        }
         ordered += planner.plan(&mut scene.desk, scene.now.boot).len();
     }
     assert!(
-        ordered >= 3,
-        "five core-seconds a second on four cores, and rising: {ordered}"
+        ordered >= 4,
+        "ten core-seconds a second need twelve cores, four are there: {ordered}"
     );
 }
 
@@ -219,6 +221,25 @@
     );
 }
 
+/// Two owners must not order one host in turns. The predecessor's last order to a host is two
+/// seconds old: the host is left alone for one more, and others are ordered at once.
+#[test]
+fn predecessor_order_delays_host() {
+    let mut scene = DeskScene::new(1);
+    with_standby(&mut scene);
+    let mut planner = HostPlanner::default();
+    let list = (0..4).map(|number| host(&format!("h{number}"), POOL, &format!("t{number}")));
+    planner.take_list(list.collect(), scene.now.boot);
+    let ordered = [("h0".to_owned(), scene.now.unix)].into();
+    let pause = Duration::from_secs(3);
+    planner.plan(&mut scene.desk, scene.now.boot);
+    scene.pass(Duration::from_secs(2));
+    planner.take_ordered(&ordered, pause, scene.now);
+    let orders = planner.plan(&mut scene.desk, scene.now.boot);
+    assert_eq!(orders.len(), 2);
+    assert!(orders.iter().all(|order| order.host() != "h0"));
+}
+
 /// A service loses a task for twenty seconds: the host that it ran on was maintained, all other
 /// hosts of the pool had one of its siblings, which may not share a host, and the pool looked
 /// as if it had room enough. A pool has one host more than its tasks have to be apart.
