Count only listed targets when judging whether a predecessor still gives orders

Its target had crashed before the owner changed; the successor had reached fewer than half of the targets in the log, since most were lives of hosts moved since, and waited 8 s more. Ruled out: a missing host: there was room, and others of the pool were idle. Change: reached targets are counted among those that the host list has; after a hand-over a successor waits for the grant alone. Tests: successor_does_not_count_gone_targets (failed before).

--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -198,15 +198,16 @@
     ///
     /// A predecessor that was cut off from the store may go on for a bounded time. It hears
     /// from the first target that this owner has reached that it has been succeeded; only
-    /// while few have been reached has the whole of that time to pass.
+    /// while few have been reached has the whole of that time to pass. Targets that the host
+    /// list no longer has don't count: after some moves of hosts there are many of them.
     fn lapse_of(&self, target: &super::TargetState) -> BootTime {
         let lapse = target.lapses(&self.tuning);
-        if !target.inherited || target.life.raised {
+        if !target.inherited || target.life.raised || self.board.handed_over {
             return lapse;
         }
-        let inherited = || self.targets.values().filter(|target| target.inherited);
-        let reached = inherited().filter(|target| target.life.raised).count();
-        if reached * 2 >= inherited().count() {
+        let listed = || self.targets.values().filter(|target| target.listed);
+        let reached = listed().filter(|target| target.life.raised).count();
+        if reached * 2 >= listed().count() {
             lapse + self.tuning.silence
         } else {
             lapse + self.tuning.alone
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -51,6 +51,30 @@
     assert_eq!(second.starts[0].0, "t2");
 }
 
+/// A service lacks a task for fourteen seconds: its target had crashed before the owner changed,
+/// and most of the targets in the log were lives of hosts that had been moved since. They say
+/// nothing of whether the predecessor still gives orders.
+#[test]
+fn successor_does_not_count_gone_targets() {
+    let mut first = DeskScene::new(1);
+    for target in ["t1", "t2", "t3", "t4", "t5"] {
+        first.list(target, 4000);
+        first.raise(target);
+    }
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    assert_eq!(first.start_all().len(), 1);
+
+    let mut second = first.successor(9);
+    second.list("t6", 4000);
+    second.raise("t6");
+    second.pass(Duration::from_secs(9));
+    assert_eq!(
+        second.starts.len(),
+        1,
+        "6.4 s of the grant and 1.8 s of the predecessor"
+    );
+}
+
 /// A job that the successor itself accepted can't run anywhere yet, and need not wait for a
 /// target that was not reached.
 #[test]
