Let a failed task wait for another target, and say less about stray runs

Ruled out: waiting for another target with tasks that last: they are owed a restart at once. Tests: failed_task_waits_for_another_target, stray_run_is_stopped_once.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -23,6 +23,9 @@
 
 /// Part of a caller's patience that is kept for its answer's way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Time that an answer of the owner takes in most cases: the way there and one write of the
+/// log.
+const LEAST_PATIENCE: Duration = Duration::from_millis(50);
 /// Longest wait for one answer of the owner before it is asked anew over a new connection:
 /// one that went silent would otherwise cost the caller all its time.
 const ASK_TIMEOUT: Duration = Duration::from_millis(700);
@@ -142,6 +145,13 @@
         };
         let patience = patience.min(LONGEST_PATIENCE);
         let begun = Instant::now();
+        if patience < ANSWER_MARGIN + LEAST_PATIENCE {
+            // Asking would leave open whether it was recorded, for an answer that comes too late.
+            return (
+                CallerAnswer::Refused(self.options.retry_after),
+                CompactString::default(),
+            );
+        }
         let mut state = AskState {
             deadline: begun + patience.saturating_sub(ANSWER_MARGIN),
             begun,
--- a/crates/cell/src/dependency_note.rs
+++ b/crates/cell/src/dependency_note.rs
@@ -13,26 +13,26 @@
 
 impl DependencyNote {
     /// A call failed.
-    pub(crate) fn failed(&self, step: &str, cause: &dyn Display) {
+    pub(crate) fn failed(&self, step: &str, prefix: &str, cause: &dyn Display) {
         if self.lost.get().is_some() {
             return;
         }
         self.lost.set(Some(BootClock.boot_now()));
         log_event::warn(
             &event::STORE_LOST,
-            format_args!("step=\"{step}\" cause=\"{cause}\""),
+            format_args!("step=\"{step} {prefix}\" cause=\"{cause}\""),
         );
     }
 
     /// A call was answered.
-    pub(crate) fn answered(&self, step: &str) {
+    pub(crate) fn answered(&self, step: &str, prefix: &str) {
         let Some(lost) = self.lost.take() else {
             return;
         };
         let away = BootClock.boot_now().saturating_sub(lost);
         log_event::info(
             &event::STORE_BACK,
-            format_args!("step=\"{step}\" away_ms={}", away.as_millis()),
+            format_args!("step=\"{step} {prefix}\" away_ms={}", away.as_millis()),
         );
     }
 }
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -34,7 +34,7 @@
                 revision
             }
             Err(error) => {
-                note.failed("list keys", &error);
+                note.failed("list", prefix, &error);
                 sleep(FAULT_PAUSE).await;
                 continue;
             }
@@ -42,7 +42,7 @@
         loop {
             match store.watch(prefix, revision, patience).await {
                 Ok(changes) => {
-                    note.answered("watch keys");
+                    note.answered("watch", prefix);
                     revision = revision.max(changes.as_of);
                     changes
                         .events
@@ -57,7 +57,7 @@
                     break;
                 }
                 Err(error) => {
-                    note.failed("watch keys", &error);
+                    note.failed("watch", prefix, &error);
                     sleep(FAULT_PAUSE).await;
                 }
             }
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -64,6 +64,7 @@
         match answer {
             OrderAnswer::Done => {
                 self.stops.remove(&(id.clone(), run.clone()));
+                self.stopped.insert((id.clone(), run.clone()), now.boot);
                 self.set_phase(id, &run, PlacePhase::Stopping(true), now);
             }
             OrderAnswer::Fenced => self.orders.push(DeskOrder::Resign(id.clone())),
--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -169,7 +169,9 @@
             end.task.index
         };
         let key = &end.task;
-        if let Some(own) = job.task_mut(key.occurrence, key.step, key.index) {
+        if let Some(own) = job.task_mut(key.occurrence, key.step, key.index)
+            && !own.failed_on.contains(&origin.target)
+        {
             own.failed_on.push(origin.target.clone());
         }
         let Some(task) = job.task_mut(key.occurrence, key.step, counted) else {
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -200,7 +200,8 @@
     /// Stops a run that no task is taken to be; its room stays taken until its end is listed.
     fn stop_unwanted(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
         self.claim(id, run.clone());
-        if self.stops.contains_key(&(id.clone(), run.clone())) {
+        let key = (id.clone(), run.clone());
+        if self.stops.contains_key(&key) || self.stopped.contains_key(&key) {
             return;
         }
         self.note(DeskEvent::Unwanted(run.0.clone(), run.1, id.clone()));
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -57,6 +57,8 @@
 
     fn repeat_stops(&mut self, now: DeskTime) {
         let pause = self.tuning.stop_again;
+        self.stopped
+            .retain(|_, answered| now.boot.saturating_sub(*answered) < pause);
         let due = self
             .stops
             .iter()
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -7,17 +7,26 @@
 
 /// The best target for a task among those of its pool; `None` if none will do.
 ///
-/// A target where the task has failed is taken only if all others are worse off: a failure
-/// may be the target's fault, and two attempts on one broken target would fail the job.
+/// A failure may be the target's fault, and a second one on the same broken target fails a job
+/// that may fail twice. So as long as the pool has a target on which the task has not failed,
+/// it waits for such a one.
 pub fn pick_target<'a>(
     plan: &StepPlan,
     step: &StepState,
     task: &TaskState,
-    targets: impl Iterator<Item = &'a TargetState>,
+    targets: impl Iterator<Item = &'a TargetState> + Clone,
     now: BootTime,
 ) -> Option<&'a TargetState> {
+    let failed = |target: &&TargetState| task.failed_on.contains(&target.entry.target);
+    // Tasks that last are owed a restart at once, and may fail by themselves at any time.
+    let others = !plan.long_running
+        && !task.failed_on.is_empty()
+        && targets
+            .clone()
+            .any(|target| target.can_run() && !failed(&target));
     targets
         .filter(|target| target.takes_tasks(now))
+        .filter(|target| !others || !failed(target))
         .filter(|target| suits(plan, step, target, now))
         .min_by_key(|target| score(plan, step, task, target))
 }
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -61,6 +61,8 @@
     pub(super) stale: bool,
     /// Stops that have not been answered, with the time of their last sending.
     pub(super) stops: BTreeMap<(HostId, RunKey), BootTime>,
+    /// Stops that were answered, and when; a target takes a moment until it lists the end.
+    pub(super) stopped: BTreeMap<(HostId, RunKey), BootTime>,
     /// Share of time that tasks which fill have on a target; 100 if absent.
     pub(super) paces: BTreeMap<HostId, u8>,
 }
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -184,6 +184,63 @@
     assert_eq!(scene.starts.len(), 1);
 }
 
+/// A caller's job fails though only one target was broken: its task failed there, started there
+/// again at once since the other target was full, and failed for the last time.
+#[test]
+fn failed_task_waits_for_another_target() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 1000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    let (_, start) = &starts[0];
+    scene.list("t2", 1000);
+    scene.raise("t2");
+    scene.submit("b", &plan(vec![step(1, 1000)]));
+    let other = scene.start_all();
+    scene.see(
+        "t1",
+        Vec::new(),
+        vec![ended(1, &start.task, start.attempt, EndKind::Failed)],
+    );
+    scene.pass(Duration::from_secs(2));
+    assert!(scene.starts.is_empty());
+    let (_, busy) = &other[0];
+    scene.see(
+        "t2",
+        Vec::new(),
+        vec![ended(1, &busy.task, busy.attempt, EndKind::Done)],
+    );
+    assert_eq!(scene.starts.len(), 1);
+    assert_eq!(scene.starts[0].0, "t2");
+}
+
+/// A log fills with one line again and again: a stray run is listed until its target has ended
+/// it, which takes a moment after the stop was answered.
+#[test]
+fn stray_run_is_stopped_once() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 1000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    let (id, start) = &starts[0];
+    scene.desk.cancel(&"a".into(), scene.now);
+    scene.run();
+    assert_eq!(scene.stops(), 1);
+    let done = model::work::OrderAnswer::Done;
+    scene
+        .desk
+        .stopped(id, &start.task, start.attempt, &done, scene.now);
+    for _ in 0..5 {
+        scene.see("t1", vec![running(start)], Vec::new());
+    }
+    assert_eq!(scene.stops(), 1);
+    scene.pass(Duration::from_millis(600));
+    scene.see("t1", vec![running(start)], Vec::new());
+    assert_eq!(scene.stops(), 2, "a stop that had no effect is repeated");
+}
+
 /// An operator is told that no job waits while all of them do: their starts were refused, and a
 /// refused start is none.
 #[test]
