--- a/crates/admin/src/audit/audit_store.rs
+++ b/crates/admin/src/audit/audit_store.rs
@@ -244,8 +244,11 @@
     fn remove_pages(&self, pages: &[u64]) {
         for page in pages {
             let key = self.page_key(*page);
-            if let Ok(Some(stored)) = self.store.read(&key) {
-                let _ = self.store.remove(&key, stored.version);
+            let Ok(Some(stored)) = self.store.read(&key) else {
+                continue;
+            };
+            if let Err(error) = self.store.remove(&key, stored.version) {
+                log::debug!("remove audit page {key}: {error}");
             }
         }
     }
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -43,7 +43,7 @@
             match store.watch(prefix, revision, patience).await {
                 Ok(changes) => {
                     note.answered("watch", prefix);
-                    revision = revision.max(changes.as_of);
+                    revision = revision.max(changes.revision);
                     changes
                         .events
                         .into_iter()
@@ -72,7 +72,7 @@
     prefix: &str,
 ) -> Result<(Vec<StoreItem>, StoreRevision), StoreFault> {
     let mut page = store.list(prefix, "").await?;
-    let revision = page.as_of;
+    let revision = page.revision;
     let mut items = page.items;
     while page.more {
         let Some(last) = items.last().map(|item| item.key.clone()) else {
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -199,7 +199,7 @@
             Ok(StorePage {
                 items: found,
                 more,
-                as_of: state.revision.get(),
+                revision: state.revision.get(),
             })
         })
     }
@@ -219,7 +219,7 @@
                 if !events.is_empty() || Instant::now() >= end {
                     return Ok(StoreChanges {
                         events,
-                        as_of: state.revision.get(),
+                        revision: state.revision.get(),
                     });
                 }
                 let _ = timeout(Duration::from_millis(20), state.changed.notified()).await;
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -40,7 +40,7 @@
         }
     }
 
-    /// Cores that a pool lacks; below zero if it has some to spare.
+    /// Cores that a pool lacks; below zero if it has more than it needs.
     pub(super) fn shortage(&self, pool: &PoolId) -> f64 {
         let room = self.rooms().get(pool).copied().unwrap_or_default();
         self.meter.wanted(pool) - room.cores
@@ -65,7 +65,7 @@
         }
     }
 
-    /// A host that another pool can spare: one that is switched off, otherwise an idle one.
+    /// A host that another pool can lend: one that is switched off, otherwise an idle one.
     fn lender(
         &self,
         pool: &PoolId,
@@ -86,13 +86,14 @@
             let idle = view
                 .idle_since
                 .map_or(Duration::ZERO, |since| now.saturating_sub(since));
-            if !off && (idle < IDLE_LEND || !self.can_spare(view, rooms)) {
+            if !off && (idle < IDLE_LEND || !self.can_lend(view, rooms)) {
                 continue;
             }
-            let spare = self.spare(&view.fleet.pool, rooms);
-            let better = best.is_none_or(|(was_off, most, _)| (off, spare) > (was_off, most));
+            let surplus = self.surplus(&view.fleet.pool, rooms);
+            let better =
+                best.is_none_or(|(off_before, most, _)| (off, surplus) > (off_before, most));
             if better {
-                best = Some((off, spare, view));
+                best = Some((off, surplus, view));
             }
         }
         best.map(|(_, _, view)| view.fleet.host.clone())
@@ -149,10 +150,10 @@
         self.begin_errand(host, HostOrder::Move(host.clone(), to.clone()));
     }
 
-    fn can_spare(&self, view: &HostView, rooms: &BTreeMap<PoolId, PoolRoom>) -> bool {
+    fn can_lend(&self, view: &HostView, rooms: &BTreeMap<PoolId, PoolRoom>) -> bool {
         let room = rooms.get(&view.fleet.pool).copied().unwrap_or_default();
         let least = self.least_hosts(&view.fleet.pool);
-        room.hosts > least && self.spare(&view.fleet.pool, rooms) >= cores(view)
+        room.hosts > least && self.surplus(&view.fleet.pool, rooms) >= cores(view)
     }
 
     /// Hosts below which a pool does not go.
@@ -161,7 +162,7 @@
         needed.max(KEPT_HOSTS)
     }
 
-    fn spare(&self, pool: &PoolId, rooms: &BTreeMap<PoolId, PoolRoom>) -> f64 {
+    fn surplus(&self, pool: &PoolId, rooms: &BTreeMap<PoolId, PoolRoom>) -> f64 {
         let room = rooms.get(pool).copied().unwrap_or_default();
         room.cores - self.meter.wanted(pool)
     }
--- a/crates/ports/src/lease_store.rs
+++ b/crates/ports/src/lease_store.rs
@@ -28,7 +28,7 @@
     /// Whether there are more.
     pub more: bool,
     /// The store's revision when it was read.
-    pub as_of: StoreRevision,
+    pub revision: StoreRevision,
 }
 
 /// One change that a watch saw.
@@ -46,7 +46,7 @@
     /// The changes, oldest first.
     pub events: Vec<StoreEvent>,
     /// Revision from which the next watch continues.
-    pub as_of: StoreRevision,
+    pub revision: StoreRevision,
 }
 
 /// A change that takes effect whole or not at all.
