Let the split example build, and tell of an operator that hung up

Cause: constants of share_bench were not visible to its new file; a send's failure was dropped. Ruled out: nothing.

--- a/crates/admin/src/server/work_lane.rs
+++ b/crates/admin/src/server/work_lane.rs
@@ -40,7 +40,9 @@
                 .spawn(move || {
                     for (call, reply) in receiver {
                         // The operator may have hung up; the answer is then of no use.
-                        let _ = reply.send(answer(&call));
+                        if reply.send(answer(&call)).is_err() {
+                            log::debug!("an operator hung up before its answer");
+                        }
                     }
                 })
                 .map_err(|error| StepError::new("start admin worker", "", error))?;
--- a/crates/decide/examples/share_bench/outcome.rs
+++ b/crates/decide/examples/share_bench/outcome.rs
@@ -1,4 +1,4 @@
-use super::{HostModel, PACKET_BYTES, WARM_UP_S, WEIGHTS, WINDOW_S};
+use super::{HOSTS, HostModel, PACKET_BYTES, SECONDS, WARM_UP_S, WEIGHTS, WINDOW_S};
 
 #[derive(Default)]
 pub struct Outcome {
