Serve jobs beyond a workspace's share last, and move tasks that stand still

Cause: a workspace that sends many times its usual crowds out the owed jobs of others and its own; on some targets tasks stand still while looks are answered, until the target recovers. Ruled out: refusing what is beyond the share: it would be true, but there is room for it later. Change: a bucket a workspace, filled by its weight in jobs a second; jobs beyond it rank behind those that can be in time or late. A task without progress for 2.2 s is stopped, and its target pauses. Tests: jobs_beyond_share_go_last, stalled_task_moves, known_end_waits_for_store.

--- a/crates/cell/src/record_note.rs
+++ b/crates/cell/src/record_note.rs
@@ -29,6 +29,9 @@
         DeskEvent::Vanished(task, attempt, target) => {
             run_line(&event::TASK_VANISHED, task, *attempt, target, "");
         }
+        DeskEvent::Stalled(task, attempt, target) => {
+            run_line(&event::TASK_STALLED, task, *attempt, target, "");
+        }
         DeskEvent::Ended(task, attempt, target, how) => {
             metrics::counter!(metric::ENDS, "how" => *how).increment(1);
             run_line(&event::TASK_ENDED, task, *attempt, target, how);
--- a/crates/decide/src/work/desk_order.rs
+++ b/crates/decide/src/work/desk_order.rs
@@ -62,6 +62,8 @@
     Unsure(TaskKey, AttemptNumber, HostId),
     /// A start was refused.
     StartRefused(TaskKey, AttemptNumber, HostId, &'static str),
+    /// A run has stood still for long; it is stopped, to start elsewhere.
+    Stalled(TaskKey, AttemptNumber, HostId),
     /// A run that should be there is not.
     Vanished(TaskKey, AttemptNumber, HostId),
     /// A job ended.
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -155,6 +155,9 @@
         };
         match &mut task.place {
             Some(place) if place.target == *id && place.attempt == run.attempt => {
+                if place.percent != run.percent {
+                    place.moved = now.boot;
+                }
                 place.percent = run.percent;
                 place.load = run.load;
                 if matches!(place.phase, PlacePhase::Starting | PlacePhase::Unsure) {
@@ -193,6 +196,7 @@
             since: now.boot,
             percent: sight.percent,
             load: sight.load,
+            moved: now.boot,
         });
         step.placed += 1;
         self.note(DeskEvent::Adopted(key.clone(), *attempt, id.clone()));
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -285,6 +285,7 @@
             since: now.boot,
             percent: 0,
             load: 0,
+            moved: now.boot,
         });
         step.placed += 1;
     }
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -1,10 +1,22 @@
 use std::{collections::BTreeMap, time::Duration};
 
-use model::{BootTime, HostId, JobId, work::TargetMode};
+use model::{
+    BootTime, HostId, JobId,
+    work::{TargetMode, TaskKey},
+};
 use wire::work::log_entry::Event;
 
-use super::{DeskTime, HostVacancy, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey};
+use super::{
+    DeskEvent, DeskTime, HostVacancy, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey,
+};
 
+/// Time without any progress after which a task counts as stalled. Looks come once a second at
+/// least, and a task that is eight times as slow as estimated still gets on by a percent or more
+/// between them, unless it is estimated at above ten seconds.
+const STALLED: Duration = Duration::from_millis(2200);
+/// A task may stand still for its estimate divided by this: it gets on by more than a percent in
+/// that time even where it is five times as slow.
+const STALL_PARTS: u32 = 5;
 /// What a target says of a task that lasts and is at work, in percent.
 const AT_WORK: u8 = 100;
 /// How old the last answer of a target may be for its tasks to count as at work: a look waits
@@ -20,6 +32,7 @@
         self.write_off(now);
         self.evacuate(now);
         self.end_broken_gangs(now);
+        self.stop_stalled(now);
         self.drop_targets();
         self.board
             .forget(now.boot.saturating_sub(self.tuning.shown));
@@ -157,6 +170,51 @@
         }
     }
 
+    /// Stops tasks that have stood still for some time, to start them elsewhere. Some targets
+    /// answer well while nothing that they run gets on.
+    fn stop_stalled(&mut self, now: DeskTime) {
+        let mut stalled = Vec::new();
+        for job in self
+            .board
+            .open
+            .iter()
+            .filter_map(|id| self.board.jobs.get(id))
+        {
+            for (&occurrence, state) in &job.occurrences {
+                for (number, (step, plan)) in (0..).zip(state.steps.iter().zip(&job.plan.steps)) {
+                    if step.placed == 0 || plan.long_running || plan.fills || plan.gang {
+                        continue;
+                    }
+                    let limit = STALLED.max(plan.estimate / STALL_PARTS);
+                    for (index, task) in (0..).zip(&step.tasks) {
+                        let Some(place) = &task.place else {
+                            continue;
+                        };
+                        let seen = self.targets.get(&place.target).map(|target| target.heard);
+                        let still = seen.unwrap_or_default().saturating_sub(place.moved);
+                        if place.phase == PlacePhase::Running && still >= limit {
+                            let key = TaskKey {
+                                job: job.id.clone(),
+                                occurrence,
+                                step: number,
+                                index,
+                            };
+                            stalled.push((place.target.clone(), (key, place.attempt)));
+                        }
+                    }
+                }
+            }
+        }
+        let tuning = self.tuning;
+        for (id, run) in stalled {
+            self.note(DeskEvent::Stalled(run.0.clone(), run.1, id.clone()));
+            if let Some(target) = self.targets.get_mut(&id) {
+                target.pause(&tuning, now.boot);
+            }
+            self.stop_run(&id, &run, now);
+        }
+    }
+
     /// True if a task that lasts may be stopped by our own doing: fewer of its step are away
     /// than may be. Asked anew before each stop, so that two of one step never go together.
     fn may_stop(&self, run: &RunKey, now: DeskTime) -> bool {
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -22,6 +22,7 @@
 mod objective;
 mod pace;
 mod pick;
+mod share_meter;
 mod target_state;
 mod work_desk;
 mod work_job;
--- a/crates/decide/src/work/objective.rs
+++ b/crates/decide/src/work/objective.rs
@@ -33,6 +33,8 @@
     InTime,
     /// Will be late and still counts.
     Late,
+    /// Was handed in beyond its workspace's share.
+    BeyondShare,
     /// Too late to count; it is still owed its end.
     Overdue,
 }
@@ -68,6 +70,10 @@
         (None, Some(slack)) => (RankClass::Late, slack),
         (None, None) => (RankClass::Overdue, begin),
     };
+    let class = match class {
+        RankClass::InTime | RankClass::Late if job.beyond_share => RankClass::BeyondShare,
+        class => class,
+    };
     StartRank {
         class,
         priority,
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -12,6 +12,7 @@
 
 use super::{
     DeskEvent, DeskOrder, DeskTuning, EndOrigin, JobBoard, RecordOrder, TargetState, WorkPhase,
+    share_meter::ShareMeter,
     target_state::{RunClaim, RunKey},
 };
 
@@ -55,6 +56,7 @@
     /// Events that were dropped because nobody took them in time.
     pub events_dropped: u64,
     pub(super) ticked: BootTime,
+    pub(super) shares: ShareMeter,
     /// Steps of tasks that last for which no target was found, and since when.
     pub(super) starved: BTreeMap<StepKey, BootTime>,
     /// Occurrences and starts may be due: planning has something to do.
@@ -177,10 +179,22 @@
     /// Takes a job in that has been stored.
     pub fn accept(&mut self, record: &JobRecord, now: DeskTime) {
         self.board.accept(record, now.unix, now.boot);
+        self.weigh(record, now);
         self.open_occurrences(now);
         self.stale = true;
     }
 
+    fn weigh(&mut self, record: &JobRecord, now: DeskTime) {
+        let space = self.terms.workspace(&record.workspace);
+        let weight = space.map_or(0, |space| space.weight);
+        let beyond = self
+            .shares
+            .is_beyond(&record.workspace.as_str().into(), weight, now.boot);
+        if let Some(job) = self.board.jobs.get_mut(record.job.as_str()) {
+            job.beyond_share = beyond;
+        }
+    }
+
     /// A host's order was carried out: all that ran on its target is over.
     pub fn end_target(&mut self, id: &HostId, now: DeskTime) {
         self.lose_target(id, "ordered", now);
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -45,6 +45,8 @@
     pub begun: bool,
     /// Entries of the log that are not stored yet; its end is shown only when there are none.
     pub unstored: u32,
+    /// Whether it was handed in beyond its workspace's share.
+    pub beyond_share: bool,
     /// Whether an earlier owner accepted it, who may have started tasks.
     pub inherited: bool,
     /// Occurrences that are due and not done.
@@ -111,6 +113,8 @@
     pub percent: u8,
     /// Response times' tail in milliseconds or processors in use, as the target says.
     pub load: u64,
+    /// When `percent` last changed.
+    pub moved: BootTime,
 }
 
 /// What is known of a task on a target.
--- a/crates/decide/tests/desk/scene.rs
+++ b/crates/decide/tests/desk/scene.rs
@@ -21,6 +21,8 @@
     pub others: Vec<DeskOrder>,
     /// Entries that were stored.
     pub stored: Vec<LogEntry>,
+    /// While set, the store takes nothing.
+    pub store_away: bool,
 }
 
 pub const POOL: &str = "pool";
@@ -38,6 +40,7 @@
             starts: Vec::new(),
             others: Vec::new(),
             stored: Vec::new(),
+            store_away: false,
         };
         scene.desk.set_terms(Arc::new(terms()));
         scene
@@ -72,6 +75,9 @@
             }
             for order in orders {
                 match order {
+                    DeskOrder::Record(record) if self.store_away => {
+                        self.others.push(DeskOrder::Record(record));
+                    }
                     DeskOrder::Record(record) => {
                         self.stored.push(record.entry.clone());
                         self.desk.recorded(&record, self.now);
@@ -125,6 +131,16 @@
         self.run();
     }
 
+    /// Gives the workspace a weight.
+    pub fn weigh(&mut self, weight: u32) {
+        let mut terms = FleetTerms::clone(&self.desk.terms);
+        terms
+            .workspaces
+            .iter_mut()
+            .for_each(|space| space.weight = weight);
+        self.desk.set_terms(Arc::new(terms));
+    }
+
     /// Answers all starts with success; returns them.
     pub fn start_all(&mut self) -> Vec<(HostId, StartOrder)> {
         let starts = std::mem::take(&mut self.starts);
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -241,6 +241,98 @@
     assert_eq!(scene.stops(), 2, "a stop that had no effect is repeated");
 }
 
+/// A batch runs twice: the store was away when its task ended, the target was cut off and given
+/// up, and came back with the same end. If the target were told to forget the end now and the
+/// owner died before the store is back, a successor would find neither entry nor end.
+#[test]
+fn known_end_waits_for_store() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000), step(1, 1000)]));
+    let starts = scene.start_all();
+    let (_, start) = &starts[0];
+    scene.store_away = true;
+    let end = ended(1, &start.task, start.attempt, EndKind::Done);
+    scene.see("t1", Vec::new(), vec![end.clone()]);
+    scene.pass(Duration::from_secs(3));
+    let silent = LookAnswer::Unanswered("timed out".to_owned());
+    scene
+        .desk
+        .saw(&"t1".into(), scene.now.boot, 0, &silent, scene.now);
+    scene.pass(Duration::from_secs(7));
+    scene.see("t1", Vec::new(), vec![end]);
+    let order = scene.desk.look_order(&"t1".into(), scene.now);
+    assert_eq!(order.map_or(0, |order| order.observed), 0);
+}
+
+/// A batch is late by seconds: its target answers looks, and nothing that it runs gets on. The
+/// task is stopped and starts on another target, while one that gets on slowly is left alone.
+#[test]
+fn stalled_task_moves() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(2, 1000)]));
+    let starts = scene.start_all();
+    scene.list("t2", 2000);
+    scene.raise("t2");
+    let (stuck, slow) = (&starts[0].1, &starts[1].1);
+    for percent in 0..4 {
+        let slow = model::work::RunSight {
+            percent: 10 + percent,
+            ..running(slow)
+        };
+        scene.see("t1", vec![running(stuck), slow], Vec::new());
+        scene.pass(Duration::from_millis(900));
+    }
+    assert_eq!(scene.stops(), 1);
+    let end = ended(1, &stuck.task, stuck.attempt, EndKind::Stopped);
+    scene.see("t1", vec![running(slow)], vec![end]);
+    assert_eq!(scene.starts.len(), 1);
+    assert_eq!(scene.starts[0].0, "t2");
+}
+
+/// A workspace sends many times its usual and fills the pool. What it sends beyond its weight
+/// waits behind the jobs of others, also those that were handed in later.
+#[test]
+fn jobs_beyond_share_go_last() {
+    let mut scene = DeskScene::new(1);
+    scene.weigh(2);
+    scene.list("t1", 1000);
+    scene.raise("t1");
+    for job in ["a", "b", "c", "d"] {
+        scene.submit(job, &plan(vec![step(1, 1000)]));
+    }
+    let order: Vec<bool> = scene
+        .desk
+        .board
+        .jobs
+        .values()
+        .map(|job| job.beyond_share)
+        .collect();
+    assert_eq!(order, [false, false, true, true]);
+    scene.pass(Duration::from_millis(500));
+    scene.submit("e", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    let (_, first) = &starts[0];
+    let mut number = 1;
+    let mut next = (first.task.clone(), first.attempt);
+    let mut ran = vec![next.0.job.clone()];
+    for _ in 0..2 {
+        scene.see(
+            "t1",
+            Vec::new(),
+            vec![ended(number, &next.0, next.1, EndKind::Done)],
+        );
+        number += 1;
+        let started = scene.start_all();
+        next = (started[0].1.task.clone(), started[0].1.attempt);
+        ran.push(next.0.job.clone());
+    }
+    assert_eq!(ran, ["a", "b", "e"]);
+}
+
 /// An operator is told that no job waits while all of them do: their starts were refused, and a
 /// refused start is none.
 #[test]
