Let a successor wait before it stops tasks that last

Ruled out: two stops of one owner: each is weighed after the one before it. Change: for 1.3 s a new owner stops no task that lasts to empty a host. Tests: successor_waits_before_stopping (failed before).

--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -17,6 +17,9 @@
 /// A task may stand still for its estimate divided by this: it gets on by more than a percent in
 /// that time even where it is five times as slow.
 const STALL_PARTS: u32 = 5;
+/// Time after which a predecessor's last stops have taken effect: a target takes 0.2 s at most,
+/// and a look that shows it up to a second.
+const SETTLED: Duration = Duration::from_millis(1300);
 /// What a target says of a task that lasts and is at work, in percent.
 const AT_WORK: u8 = 100;
 /// How old the last answer of a target may be for its tasks to count as at work: a look waits
@@ -218,6 +221,11 @@
     /// True if a task that lasts may be stopped by our own doing: fewer of its step are away
     /// than may be. Asked anew before each stop, so that two of one step never go together.
     fn may_stop(&self, run: &RunKey, now: DeskTime) -> bool {
+        // A stop that a predecessor ordered takes a moment, in which its task is still listed
+        // as being at work.
+        if now.boot.saturating_sub(self.began) < SETTLED {
+            return false;
+        }
         let (key, _) = run;
         let Some(step) = self.step_of(key) else {
             return true;
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -56,6 +56,8 @@
     /// Events that were dropped because nobody took them in time.
     pub events_dropped: u64,
     pub(super) ticked: BootTime,
+    /// When the log had been read; zero for a desk that has no predecessor.
+    pub(super) began: BootTime,
     pub(super) shares: ShareMeter,
     /// Steps of tasks that last for which no target was found, and since when.
     pub(super) starved: BTreeMap<StepKey, BootTime>,
@@ -87,6 +89,7 @@
     /// Ends the reading of the log. Targets that a predecessor used are to be looked at, also
     /// those that the host list no longer has: their tasks may still run.
     pub fn begin(&mut self, now: DeskTime) {
+        self.began = now.boot;
         for job in self.board.jobs.values_mut() {
             job.inherited = true;
             job.begun |= job.phase != WorkPhase::Open;
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -75,6 +75,52 @@
     );
 }
 
+/// A service loses two tasks at once though one may be missing: the owner ordered one stopped and
+/// handed over, and its successor saw the task still listed at work and stopped another.
+#[test]
+fn successor_waits_before_stopping() {
+    let mut first = DeskScene::new(1);
+    for target in ["t1", "t2", "t3"] {
+        first.list(target, 4000);
+        first.raise(target);
+    }
+    let lasting = model::work::StepPlan {
+        long_running: true,
+        may_miss: 1,
+        anti_affinity: 1,
+        ..step(2, 1000)
+    };
+    first.submit("a", &plan(vec![lasting]));
+    let starts = first.start_all();
+
+    let mut second = first.successor(9);
+    for target in ["t1", "t2", "t3"] {
+        second.list(target, 4000);
+    }
+    let at_work = |index: usize| model::work::RunSight {
+        percent: 100,
+        ..running(&starts[index].1)
+    };
+    second.see(&starts[0].0, vec![at_work(0)], Vec::new());
+    second.see(&starts[1].0, vec![at_work(1)], Vec::new());
+    let emptied = starts[0].0.clone();
+    second
+        .desk
+        .targets
+        .get_mut(&emptied)
+        .into_iter()
+        .for_each(|target| {
+            target.vacancy = decide::work::HostVacancy::Emptying;
+        });
+    second.pass(Duration::from_millis(100));
+    assert_eq!(second.stops(), 0);
+    second.pass(Duration::from_millis(1300));
+    second.see(&starts[0].0, vec![at_work(0)], Vec::new());
+    second.see(&starts[1].0, vec![at_work(1)], Vec::new());
+    second.pass(Duration::from_millis(50));
+    assert_eq!(second.stops(), 1);
+}
+
 /// A job that the successor itself accepted can't run anywhere yet, and need not wait for a
 /// target that was not reached.
 #[test]
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -316,16 +316,14 @@
     scene.submit("e", &plan(vec![step(1, 1000)]));
     let starts = scene.start_all();
     let (_, first) = &starts[0];
-    let mut number = 1;
     let mut next = (first.task.clone(), first.attempt);
     let mut ran = vec![next.0.job.clone()];
-    for _ in 0..2 {
+    for number in 1..3 {
         scene.see(
             "t1",
             Vec::new(),
             vec![ended(number, &next.0, next.1, EndKind::Done)],
         );
-        number += 1;
         let started = scene.start_all();
         next = (started[0].1.task.clone(), started[0].1.attempt);
         ran.push(next.0.job.clone());
