--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -249,6 +249,7 @@
             }
             {
                 let mut desk = self.desk.borrow_mut();
+                desk.set_alone(!self.is_certain());
                 if ticked {
                     desk.tick(now);
                     #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -129,6 +129,8 @@
             .get(&end.task.job)
             .is_some_and(|job| job.phase == WorkPhase::Open);
         if !open {
+            // The job may have been completed by this very end, with an entry that is not stored.
+            self.record_again(end, true, origin);
             return;
         }
         let doubtful = self.doubtful_members(&end.task);
@@ -157,6 +159,7 @@
             return;
         };
         if job.phase != WorkPhase::Open {
+            self.record_again(end, false, origin);
             return;
         }
         let step = job.plan.steps.get(end.task.step as usize);
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -22,6 +22,9 @@
         let target = self.targets.get_mut(id)?;
         let observed = target.observable();
         let busy = !target.claims.is_empty();
+        if self.alone && !target.life.raised {
+            return None;
+        }
         if target.life.raised && !busy && observed <= target.life.told {
             return None;
         }
@@ -126,6 +129,9 @@
         target.answered = target.answered.max(sent);
         target.heard = now.boot;
         target.life.told = target.life.told.max(observed);
+        if self.alone && !target.life.raised {
+            return;
+        }
         let returned = std::mem::take(&mut target.silent);
         let raised = !std::mem::replace(&mut target.life.raised, true);
         if returned || raised {
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -57,6 +57,8 @@
     /// Events that were dropped because nobody took them in time.
     pub events_dropped: u64,
     pub(super) ticked: BootTime,
+    /// Whether another process may own the cell by now.
+    pub(super) alone: bool,
     /// When the log had been read; zero for a desk that has no predecessor.
     pub(super) began: BootTime,
     pub(super) shares: ShareMeter,
@@ -114,6 +116,15 @@
         self.stale = true;
     }
 
+    /// Sets whether another process may own the cell by now, since the lease may have lapsed.
+    ///
+    /// What runs goes on then, but no further life of a target is drawn into it. A life that
+    /// began after a successor came may not have seen the successor's token yet, and would
+    /// take orders for tasks that the successor knows to be done.
+    pub fn set_alone(&mut self, alone: bool) {
+        self.alone = alone;
+    }
+
     /// Token of this term.
     pub fn token(&self) -> FencingToken {
         self.token
--- a/crates/decide/tests/desk/world.rs
+++ b/crates/decide/tests/desk/world.rs
@@ -330,6 +330,12 @@
     /// Lets an owner decide; false if it has resigned.
     fn run_owner(&mut self, owner: &mut WorldOwner) -> bool {
         let now = self.now;
+        // A lease is not counted on in its last part.
+        let lapse = OWNER_LEASE - Duration::from_millis(100);
+        let alone = owner
+            .alone_since
+            .is_some_and(|since| now.boot >= since + lapse);
+        owner.desk.set_alone(alone);
         for (name, state) in &self.targets {
             let listed = owner
                 .desk
--- a/crates/decide/tests/work_schedule.rs
+++ b/crates/decide/tests/work_schedule.rs
@@ -37,3 +37,12 @@
 fn promises_hold(#[case] faults: WorldFaults) {
     run(0..SEEDS, faults);
 }
+
+/// Seeds beyond the first that broke a promise once.
+#[rstest]
+#[case::lone_owner_and_new_life(265, WorldFaults { target_crash: 0.1, target_cut: 0.1, ..WorldFaults::default() })]
+#[case::limit_of_two_owners(88, WorldFaults { owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::default() })]
+#[case::lone_owner_unnoticed_life(393, WorldFaults { target_crash: 0.1, target_cut: 0.1, ..WorldFaults::default() })]
+fn promises_hold_again(#[case] seed: u64, #[case] faults: WorldFaults) {
+    run(seed..seed + 1, faults);
+}
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -6,6 +6,7 @@
 
 use desk::{DeskScene, ended, plan, running, step, target};
 use model::work::{EndKind, LookAnswer, StepPlan, TargetEntry, TargetMode};
+use rstest::rstest;
 
 fn lasting(count: u32) -> StepPlan {
     StepPlan {
@@ -244,12 +245,14 @@
 /// A batch runs twice: the store was away when its task ended, the target was cut off and given
 /// up, and came back with the same end. If the target were told to forget the end now and the
 /// owner died before the store is back, a successor would find neither entry nor end.
-#[test]
-fn known_end_waits_for_store() {
+#[rstest]
+#[case::job_goes_on(vec![step(1, 1000), step(1, 1000)])]
+#[case::job_completed(vec![step(1, 1000)])]
+fn known_end_waits_for_store(#[case] steps: Vec<StepPlan>) {
     let mut scene = DeskScene::new(1);
     scene.list("t1", 2000);
     scene.raise("t1");
-    scene.submit("a", &plan(vec![step(1, 1000), step(1, 1000)]));
+    scene.submit("a", &plan(steps));
     let starts = scene.start_all();
     let (_, start) = &starts[0];
     scene.store_away = true;
@@ -304,6 +307,32 @@
     );
 }
 
+/// A batch runs twice: an owner that has lost the store goes on, its successor knows that a task
+/// is done, and a target is born again. The new life has seen neither token; the old owner must
+/// not be the first to give it orders.
+#[test]
+fn lone_owner_leaves_new_life() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    scene.see("t1", vec![running(&starts[0].1)], Vec::new());
+    scene.desk.set_alone(true);
+    let sight = model::work::TargetSight {
+        born: Duration::from_secs(500),
+        ..Default::default()
+    };
+    scene.now.boot += Duration::from_millis(100);
+    let seen = LookAnswer::Seen(sight);
+    scene
+        .desk
+        .saw(&"t1".into(), scene.now.boot, 0, &seen, scene.now);
+    scene.pass(Duration::from_millis(100));
+    assert!(scene.starts.is_empty());
+    assert!(scene.desk.look_order(&"t1".into(), scene.now).is_none());
+}
+
 /// A batch is late by seconds: its target answers looks, and nothing that it runs gets on. The
 /// task is stopped and starts on another target, while one that gets on slowly is left alone.
 #[test]
