End the lives that no host lives any more, so that hand-overs in a row don't block a pool

Change: a target is one life of a host. One that the host list has dropped and that two lists of hosts in a row lack has ended, with all that ran on it. Tests: successor_frees_lives_without_host fails without the change; successor_keeps_lives_with_host guards the other side.

--- a/crates/cell/src/host_duty.rs
+++ b/crates/cell/src/host_duty.rs
@@ -59,7 +59,12 @@
 async fn list_hosts(term: &Rc<Term>) {
     let asked = term.now().boot;
     match term.ports.hosts.hosts().await {
-        Ok(hosts) => term.hosts.borrow_mut().take_list(hosts, asked),
+        Ok(hosts) => {
+            let lives = hosts.iter().map(|host| host.target.clone());
+            let lives = lives.filter(|life| !life.is_empty()).collect();
+            term.desk.borrow_mut().take_lives(&lives, term.now());
+            term.hosts.borrow_mut().take_list(hosts, asked);
+        }
         Err(error) => log::warn!("list hosts: {error}"),
     }
 }
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -14,6 +14,10 @@
 /// is missing may be among them.
 const END_PAGE: usize = 500;
 
+/// Lists of hosts in a row that have to lack a life before it counts as ended. A list comes in
+/// pages that are no snapshot, so that one may miss a host that changes just then.
+const LISTS_MISSED: u32 = 2;
+
 impl WorkDesk {
     /// The look that a target needs now; `None` if it needs none.
     pub fn look_order(&mut self, id: &HostId, now: DeskTime) -> Option<LookOrder> {
@@ -309,6 +313,35 @@
         self.release_runs(id, held, cause, now);
     }
 
+    /// Takes which lives the hosts of the fleet live at present, by the list of hosts.
+    ///
+    /// A target is one life of a host. One that has left the host list, and that no host lives
+    /// any more, has ended, and all that ran there with it; nothing need wait until its granted
+    /// time has lapsed. Without this a chain of owners that follow each other within that time
+    /// would never start the tasks of its pool again, as each waits anew.
+    pub fn take_lives(&mut self, lives: &BTreeSet<HostId>, now: DeskTime) {
+        if lives.is_empty() {
+            return;
+        }
+        let mut gone = Vec::new();
+        for (id, target) in &mut self.targets {
+            if target.listed || lives.contains(id) {
+                target.lists_missed = 0;
+                continue;
+            }
+            target.lists_missed += 1;
+            if target.lists_missed >= LISTS_MISSED {
+                gone.push(id.clone());
+            }
+        }
+        for id in gone {
+            self.lose_target(&id, "no-host", now);
+            if let Some(target) = self.targets.get_mut(&id) {
+                target.inherited = false;
+            }
+        }
+    }
+
     fn release_runs(
         &mut self,
         id: &HostId,
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -85,6 +85,8 @@
     pub doubts: Vec<(RunKey, BootTime)>,
     /// What its host is wanted for, which keeps it free of new tasks.
     pub vacancy: HostVacancy,
+    /// How many lists of hosts in a row had no host with this life.
+    pub lists_missed: u32,
 }
 
 /// Whether a target's host is kept free, for its maintenance or a move.
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -75,6 +75,59 @@
     );
 }
 
+/// A service lacks a task for twelve seconds while processes are restarted one after the other:
+/// each owner handed over within the time that the next waits for a target which the log names
+/// and nobody reaches, and which was a life of a host that had been moved long before.
+#[test]
+fn successor_frees_lives_without_host() {
+    let mut first = DeskScene::new(1);
+    first.list("t1", 4000);
+    first.raise("t1");
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    assert_eq!(first.start_all().len(), 1);
+
+    let mut second = first.successor(9);
+    second.list("t2", 4000);
+    second.raise("t2");
+    let lives = ["t2".into(), "t3".into()].into();
+    second.desk.take_lives(&lives, second.now);
+    second.pass(Duration::from_millis(500));
+    assert!(
+        second.starts.is_empty(),
+        "one list may have missed its host"
+    );
+    second.desk.take_lives(&lives, second.now);
+    second.pass(Duration::from_millis(50));
+    assert_eq!(second.starts.len(), 1);
+    let released = |entry: &wire::work::LogEntry| {
+        entry.event == Some(wire::work::log_entry::Event::Released("t1".to_owned()))
+    };
+    assert!(second.stored.iter().any(released));
+}
+
+/// A batch must not run twice: a target that is cut off from everybody leaves the host list while
+/// its tasks run on, and its host still lives that life. Its granted time has to lapse.
+#[test]
+fn successor_keeps_lives_with_host() {
+    let mut first = DeskScene::new(1);
+    first.list("t1", 4000);
+    first.raise("t1");
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    assert_eq!(first.start_all().len(), 1);
+
+    let mut second = first.successor(9);
+    second.list("t2", 4000);
+    second.raise("t2");
+    for _ in 0..8 {
+        second
+            .desk
+            .take_lives(&["t1".into(), "t2".into()].into(), second.now);
+        second.desk.take_lives(&Default::default(), second.now);
+        second.pass(Duration::from_millis(500));
+    }
+    assert!(second.starts.is_empty(), "it may still run on t1");
+}
+
 /// A service loses two tasks at once though one may be missing: the owner ordered one stopped and
 /// handed over, and its successor saw the task still listed at work and stopped another.
 #[test]
