Record orders to hosts before they are given, so that a successor need not wait with its own

Ruled out: taking a refused connection for the end of a life; a cut may refuse connections too. Change: an order to a host is stored before it is given, so only hosts that were ordered lately are left alone (those within 5 s more after a kill, as clocks may jump), and they count in their wave; hosts are listed from the begin of a term, every 0.1 s while lives are unknown. Tests: predecessor_clock_behind_delays_host, wave_counts_predecessor_order.

--- a/crates/cell/src/host_duty.rs
+++ b/crates/cell/src/host_duty.rs
@@ -9,7 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use wire::work::{HostOrdered, LogEntry, WaveProgress, log_entry::Event};
 
-use crate::{event, term::Term};
+use crate::{event, job_log::RecordOutcome, term::Term};
 
 /// How often hosts are considered. Demand doubles within a second at the start of a turn.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -20,21 +20,27 @@
 /// Part of the lease that may have been left when an owner gave its last order.
 const LEASE_SLACK: Duration = Duration::from_millis(200);
 
+/// How often hosts are listed while lives of targets are unknown that no look has reached: until
+/// two lists have shown that they ended, older jobs of their pools wait.
+const LIST_SOON: Duration = Duration::from_millis(100);
+/// For how long after the begin of a term that is done.
+const SOON_LIMIT: Duration = Duration::from_secs(2);
+
 /// Tends the hosts of the fleet: their maintenance and their moves between pools.
-///
-/// A new owner first waits for as long as orders of its predecessor could cross its own.
 pub(crate) async fn tend_hosts(term: Rc<Term>) {
-    let begin = term.now().boot + first_pause(&term);
+    let begin = term.now().boot;
     let mut listed = BootTime::ZERO;
     let mut ticks = interval(PLAN_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         let now = term.now().boot;
-        if now < begin || !term.is_certain() || term.handing_over.get() {
+        if !term.is_certain() || term.handing_over.get() {
             continue;
         }
-        if now.saturating_sub(listed) >= LIST_EVERY {
+        let soon = now < begin + SOON_LIMIT && term.desk.borrow().has_unknown_lives();
+        let every = if soon { LIST_SOON } else { LIST_EVERY };
+        if now.saturating_sub(listed) >= every {
             listed = now;
             list_hosts(&term).await;
         }
@@ -43,12 +49,12 @@
     }
 }
 
-/// How long a new owner orders no host at all.
+/// How long a new owner leaves a host alone that was ordered lately, whatever the clocks say.
 ///
-/// Orders are recorded with their time, and no host is ordered again too early. Only the last
-/// ones of an owner that was killed or cut off may be missing. They were given before its lease
-/// began to lapse, and that part of the pause has passed; after a hand-over none is missing.
-fn first_pause(term: &Term) -> Duration {
+/// Two owners must not order one host in turns. Each order is recorded with its time before it is
+/// given, but clocks of day may jump. The orders of an owner that was killed or cut off were
+/// given before its lease began to lapse, so that part of the pause has passed.
+fn recent_pause(term: &Term) -> Duration {
     if term.desk.borrow().board.handed_over {
         return Duration::ZERO;
     }
@@ -70,14 +76,15 @@
 }
 
 fn plan_hosts(term: &Rc<Term>) {
-    let now = term.now().boot;
-    let waves = term.view.waves();
     let time = term.now();
+    let now = time.boot;
+    let waves = term.view.waves();
+    let (pause, least) = (term.options.host_order_pause, recent_pause(term));
     let orders = {
         let mut desk = term.desk.borrow_mut();
         let mut hosts = term.hosts.borrow_mut();
         hosts.take_waves(&waves, &desk.board.maintained, now);
-        hosts.take_ordered(&desk.board.ordered, term.options.host_order_pause, time);
+        hosts.take_ordered(&desk.board.ordered, pause, least, time);
         hosts.plan(&mut desk, now)
     };
     for order in orders {
@@ -91,12 +98,11 @@
         holder: term.options.member.clone(),
         token: term.token,
     };
-    let answer = match &order {
-        _ if !term.is_certain() => HostOrderAnswer::Refused("the lease may have lapsed".to_owned()),
-        _ => {
-            record_ordered(&term, order.host());
-            give_order(&term, &sender, &order).await
-        }
+    let recorded = record_ordered(&term, order.host()).await;
+    let answer = if recorded && term.is_certain() {
+        give_order(&term, &sender, &order).await
+    } else {
+        HostOrderAnswer::Refused("not recorded, or the lease may have lapsed".to_owned())
     };
     log_event::info(
         &event::HOST_ORDERED,
@@ -131,14 +137,18 @@
     }
 }
 
-/// Writes down that a host is being ordered, so that a successor does not order it right after.
-fn record_ordered(term: &Term, host: &str) {
+/// Writes down that a host is being ordered, so that a successor does not order it right after;
+/// true once that is stored. An owner that dies right after the order leaves none unrecorded, so
+/// its successor may order all other hosts at once, where it had to wait for 1.7 s before.
+async fn record_ordered(term: &Term, host: &str) -> bool {
     let now = term.now();
     let ordered = HostOrdered {
         host: host.to_owned(),
         unix_ms: u64::try_from(now.unix.as_millis()).unwrap_or(u64::MAX),
     };
-    add_entry(term, Event::Ordered(ordered));
+    let order = entry(Event::Ordered(ordered), true);
+    let outcome = term.log.add_awaited(order, now.boot).await;
+    outcome == Ok(RecordOutcome::Stored)
 }
 
 /// Writes down that a host's maintenance began, for the successor.
@@ -147,17 +157,17 @@
         wave,
         host: host.to_owned(),
     };
-    add_entry(term, Event::Wave(progress));
+    let order = entry(Event::Wave(progress), false);
+    term.log.add(order, term.now().boot);
 }
 
-fn add_entry(term: &Term, event: Event) {
-    let order = RecordOrder {
+fn entry(event: Event, urgent: bool) -> RecordOrder {
+    RecordOrder {
         entry: LogEntry { event: Some(event) },
         origin: None,
         job: None,
-        urgent: false,
-    };
-    term.log.add(order, term.now().boot);
+        urgent,
+    }
 }
 
 /// Writes the state of waves for operators where it has changed.
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -342,6 +342,12 @@
         }
     }
 
+    /// True while tasks may run on lives that no look has reached and the host list lacks.
+    pub fn has_unknown_lives(&self) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| !target.is_known() && !target.listed)
+    }
+
     fn release_runs(
         &mut self,
         id: &HostId,
--- a/crates/decide/src/work/host_planner.rs
+++ b/crates/decide/src/work/host_planner.rs
@@ -18,6 +18,10 @@
 /// shown it, so that a list that lags for ever does not block its wave.
 const BACK_LIMIT: Duration = Duration::from_secs(10);
 
+/// How far the clocks of day of two owners may be apart: they are set within milliseconds, and
+/// jump by some seconds at times.
+const CLOCK_DOUBT: Duration = Duration::from_secs(5);
+
 /// An order to a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostOrder {
@@ -61,6 +65,8 @@
     /// Since when nothing has run on it; `None` while something does.
     pub(super) idle_since: Option<BootTime>,
     pub(super) not_before: BootTime,
+    /// Until then an earlier owner's order to it may still show.
+    pub(super) settled: BootTime,
 }
 
 /// What a host is being used for.
@@ -138,21 +144,29 @@
         }
     }
 
-    /// Takes when hosts were ordered by earlier owners; each is left alone for `pause` after.
+    /// Takes when hosts were ordered by earlier owners; each is left alone for `pause` after,
+    /// and one that was ordered lately for at least `least` from now.
     pub fn take_ordered(
         &mut self,
         ordered: &BTreeMap<String, Duration>,
         pause: Duration,
+        least: Duration,
         now: DeskTime,
     ) {
         if std::mem::replace(&mut self.ordered_taken, !self.hosts.is_empty()) {
             return;
         }
         for (host, &at) in ordered {
-            // The clocks of day of two hosts may differ, and may have jumped since.
-            let left = (at + pause).saturating_sub(now.unix).min(pause);
+            let age = now.unix.saturating_sub(at);
+            let least = if age < pause + CLOCK_DOUBT {
+                least
+            } else {
+                Duration::ZERO
+            };
+            let left = pause.saturating_sub(age).max(least);
             if let Some(view) = self.hosts.get_mut(host.as_str()) {
-                view.not_before = view.not_before.max(now.boot + left);
+                view.settled = now.boot + left;
+                view.not_before = view.not_before.max(view.settled);
             }
         }
     }
--- a/crates/decide/src/work/host_waves.rs
+++ b/crates/decide/src/work/host_waves.rs
@@ -18,7 +18,7 @@
             let Some(view) = self.waves.get(&id) else {
                 continue;
             };
-            let room = (view.wave.cap as usize).saturating_sub(self.begun(id));
+            let room = (view.wave.cap as usize).saturating_sub(self.begun(view, now));
             let chosen = self.next_hosts(view, room, desk, now);
             for host in chosen {
                 self.begin_errand(&host.clone(), HostOrder::Maintain(host, id));
@@ -26,14 +26,18 @@
         }
     }
 
-    /// Hosts of a wave that are down for it, or may be, or are on the way there.
-    fn begun(&self, wave: WaveId) -> usize {
+    /// Hosts of a wave that are down for it, or may be, or are on the way there. Those count that
+    /// an earlier owner has just ordered: the order may be under way, and the list not show it.
+    fn begun(&self, wave: &WaveView, now: BootTime) -> usize {
         let of_wave = |view: &&super::host_planner::HostView| {
             let errand = view.errand.as_ref();
             let ordered = errand.is_some_and(
-                |errand| matches!(&errand.order, HostOrder::Maintain(_, own) if *own == wave),
+                |errand| matches!(&errand.order, HostOrder::Maintain(_, own) if *own == wave.wave.wave),
             );
-            ordered || view.fleet.condition == HostCondition::Maintained
+            let host = &view.fleet.host;
+            let inherited =
+                now < view.settled && wave.wave.hosts.contains(host) && !wave.done.contains(host);
+            ordered || inherited || view.fleet.condition == HostCondition::Maintained
         };
         self.hosts.values().filter(of_wave).count()
     }
--- a/crates/decide/tests/work_hosts.rs
+++ b/crates/decide/tests/work_hosts.rs
@@ -272,12 +272,48 @@
     let pause = Duration::from_secs(3);
     planner.plan(&mut scene.desk, scene.now.boot);
     scene.pass(Duration::from_secs(2));
-    planner.take_ordered(&ordered, pause, scene.now);
+    planner.take_ordered(&ordered, pause, Duration::ZERO, scene.now);
     let orders = planner.plan(&mut scene.desk, scene.now.boot);
     assert_eq!(orders.len(), 2);
     assert!(orders.iter().all(|order| order.host() != "h0"));
 }
 
+/// The clock of day of a predecessor that was killed was four seconds behind. Its last orders look
+/// older than they are; these hosts are left alone all the same, and others ordered at once.
+#[test]
+fn predecessor_clock_behind_delays_host() {
+    let mut scene = DeskScene::new(1);
+    with_standby(&mut scene);
+    let mut planner = HostPlanner::default();
+    let list = (0..4).map(|number| host(&format!("h{number}"), POOL, &format!("t{number}")));
+    planner.take_list(list.collect(), scene.now.boot);
+    let ordered = [("h0".to_owned(), scene.now.unix - Duration::from_secs(4))].into();
+    planner.plan(&mut scene.desk, scene.now.boot);
+    scene.pass(Duration::from_secs(2));
+    let (pause, least) = (Duration::from_secs(3), Duration::from_millis(1700));
+    planner.take_ordered(&ordered, pause, least, scene.now);
+    let orders = planner.plan(&mut scene.desk, scene.now.boot);
+    assert_eq!(orders.len(), 2);
+    assert!(orders.iter().all(|order| order.host() != "h0"));
+}
+
+/// A wave may have one host down. The owner was killed right after it had ordered one, which the
+/// list does not show yet; its successor must not order another beside it.
+#[test]
+fn wave_counts_predecessor_order() {
+    let mut scene = DeskScene::new(1);
+    let mut planner = HostPlanner::default();
+    let list = (0..2).map(|number| host(&format!("h{number}"), POOL, &format!("t{number}")));
+    planner.take_list(list.collect(), scene.now.boot);
+    planner.take_waves(&[wave(&["h0", "h1"], 1)], &BTreeSet::new(), scene.now.boot);
+    let ordered = [("h0".to_owned(), scene.now.unix)].into();
+    let pause = Duration::from_secs(3);
+    planner.take_ordered(&ordered, pause, pause, scene.now);
+    assert!(planner.plan(&mut scene.desk, scene.now.boot).is_empty());
+    scene.pass(pause);
+    assert_eq!(planner.plan(&mut scene.desk, scene.now.boot).len(), 1);
+}
+
 /// A service loses a task for twenty seconds: the host that it ran on was maintained, all other
 /// hosts of the pool had one of its siblings, which may not share a host, and the pool looked
 /// as if it had room enough. A pool has one host more than its tasks have to be apart.
