Let a failed task wait only for a target that suits it, and not for ever

It waited for a target on which it had not failed, and counted targets without its label; a second form, others that stay full, follows from the same rule. Ruled out: the workspace's limit and the label's hosts being full (most of the room was free). Change: only targets that may hold the task count (label, tickets, apart, room in all), and the wait ends after 2.4 s. Tests: failed_task_waits_for_suiting_target_only, failed_task_waits_for_bounded_time; both failed before. failed_task_waits_for_another_target stands as it was.

--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -5,7 +5,7 @@
 use wire::work::{TaskEnd, log_entry::Event};
 
 use super::{
-    DeskEvent, DeskOrder, DeskTime, EndOrigin, PlacePhase, WorkDesk, WorkPhase,
+    DeskEvent, DeskOrder, DeskTime, EndOrigin, PlacePhase, WorkDesk, WorkPhase, pick::FAILED_WAIT,
     target_state::RunKey,
 };
 
@@ -170,11 +170,13 @@
             end.task.index
         };
         let key = &end.task;
-        if let Some(own) = job.task_mut(key.occurrence, key.step, key.index)
-            && !own.failed_on.contains(&origin.target)
-        {
-            own.failed_on.push(origin.target.clone());
+        if let Some(own) = job.task_mut(key.occurrence, key.step, key.index) {
+            own.failed_at = now.boot;
+            if !own.failed_on.contains(&origin.target) {
+                own.failed_on.push(origin.target.clone());
+            }
         }
+        self.failed_waits.push_back(now.boot + FAILED_WAIT);
         let Some(task) = job.task_mut(key.occurrence, key.step, counted) else {
             return;
         };
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -65,6 +65,14 @@
         let ended = |target: &super::TargetState| {
             target.paused_until > since && target.paused_until <= now.boot
         };
+        while self
+            .failed_waits
+            .front()
+            .is_some_and(|end| *end <= now.boot)
+        {
+            self.failed_waits.pop_front();
+            self.stale = true;
+        }
         let advised = self.terms.queues.iter().any(|queue| queue.advice.is_some());
         self.stale |= advised || !self.starved.is_empty() || self.targets.values().any(ended);
         let open = &self.board.open;
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -1,15 +1,21 @@
+use std::time::Duration;
+
 use model::{BootTime, HostId, work::StepPlan};
 
 use super::{StepState, TargetState, TaskState};
 
+/// How long a task that failed waits for a target on which it has not. Beyond three seconds its
+/// caller would rightly ask why it does not run where there is room.
+pub(super) const FAILED_WAIT: Duration = Duration::from_millis(2400);
+
 /// What decides for a target, best first.
 type PickScore = (bool, bool, bool, u64, u64);
 
 /// The best target for a task among those of its pool; `None` if none will do.
 ///
 /// A failure may be the target's fault, and a second one on the same broken target fails a job
-/// that may fail twice. So as long as the pool has a target on which the task has not failed,
-/// it waits for such a one.
+/// that may fail twice. So as long as the pool has a target on which the task has not failed and
+/// that suits it, it waits for such a one, for some time.
 pub fn pick_target<'a>(
     plan: &StepPlan,
     step: &StepState,
@@ -21,9 +27,10 @@
     // Tasks that last are owed a restart at once, and may fail by themselves at any time.
     let others = !plan.long_running
         && !task.failed_on.is_empty()
-        && targets
-            .clone()
-            .any(|target| target.can_run() && !failed(&target));
+        && now < task.failed_at + FAILED_WAIT
+        && targets.clone().any(|target| {
+            target.can_run() && !failed(&target) && may_hold(plan, step, target, now)
+        });
     targets
         .filter(|target| target.takes_tasks(now))
         .filter(|target| !others || !failed(target))
@@ -45,8 +52,13 @@
         .min_by_key(|target| score(plan, step, task, target))
 }
 
-/// True if a target may run a task of the step at all, now.
+/// True if a target has room for a task of the step, and may run it.
 fn suits(plan: &StepPlan, step: &StepState, target: &TargetState, now: BootTime) -> bool {
+    plan.footprint().fits(target.free()) && may_hold(plan, step, target, now)
+}
+
+/// True if a target may run a task of the step once it has room.
+fn may_hold(plan: &StepPlan, step: &StepState, target: &TargetState, now: BootTime) -> bool {
     let labelled =
         plan.required_label.is_empty() || target.entry.labels.contains(&plan.required_label);
     let apart =
@@ -56,7 +68,7 @@
             .tickets
             .get(&target.entry.target)
             .is_some_and(|(_, until)| now < *until);
-    labelled && apart && allowed && plan.footprint().fits(target.free())
+    labelled && apart && allowed && plan.footprint().fits(target.entry.capacity)
 }
 
 /// Tasks of the step that are, or may be, on a target.
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -64,6 +64,8 @@
     pub(super) shares: ShareMeter,
     /// Steps of tasks that last for which no target was found, and since when.
     pub(super) starved: BTreeMap<StepKey, BootTime>,
+    /// When waits for another target end, of tasks that failed; the earliest first.
+    pub(super) failed_waits: VecDeque<BootTime>,
     /// Occurrences and starts may be due: planning has something to do.
     pub(super) stale: bool,
     /// Stops that have not been answered, with the time of their last sending.
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -90,6 +90,8 @@
     pub failed_attempts: Vec<AttemptNumber>,
     /// Targets that it failed on.
     pub failed_on: Vec<HostId>,
+    /// When it failed last; zero for never.
+    pub failed_at: BootTime,
     /// Newest checkpoint; empty for none.
     pub checkpoint: CompactString,
     /// Number of its last start by this owner; 0 for none.
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -44,6 +44,57 @@
     assert_eq!(scene.starts[0].0, "t2");
 }
 
+/// A job is never done: a task that needs a label failed on the one host with it, and waited for
+/// another host of its pool, on which it can't run at all.
+#[test]
+fn failed_task_waits_for_suiting_target_only() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    let other = TargetEntry {
+        labels: vec!["another".into(), "rack".into()],
+        ..target("t2", 2000)
+    };
+    scene.desk.list_target(other, scene.now);
+    scene.raise("t2");
+    let labelled = StepPlan {
+        required_label: "kind".into(),
+        ..step(1, 1000)
+    };
+    scene.submit("a", &plan(vec![labelled]));
+    let starts = scene.start_all();
+    let (_, start) = &starts[0];
+    let failed = ended(1, &start.task, start.attempt, EndKind::Failed);
+    scene.see("t1", Vec::new(), vec![failed]);
+    scene.pass(Duration::from_millis(50));
+    assert_eq!(scene.starts.len(), 1);
+    assert_eq!(scene.starts[0].0, "t1");
+}
+
+/// A job stands still though half of its pool is free: a task failed on one host, and the others
+/// are full for long. After a while it takes the host that it failed on.
+#[test]
+fn failed_task_waits_for_bounded_time() {
+    let mut scene = DeskScene::new(1);
+    scene.list("t2", 2000);
+    scene.raise("t2");
+    scene.submit("full", &plan(vec![lasting(1)]));
+    scene.submit("full-too", &plan(vec![lasting(1)]));
+    assert_eq!(scene.start_all().len(), 2);
+    scene.list("t1", 2000);
+    scene.raise("t1");
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    let (_, start) = &starts[0];
+    let failed = ended(1, &start.task, start.attempt, EndKind::Failed);
+    scene.see("t1", Vec::new(), vec![failed]);
+    scene.pass(Duration::from_millis(500));
+    assert!(scene.starts.is_empty(), "another host may get free");
+    scene.pass(Duration::from_millis(2000));
+    assert_eq!(scene.starts.len(), 1);
+    assert_eq!(scene.starts[0].0, "t1");
+}
+
 /// A batch runs twice: its target was cut off, left the host list and ran on. Nothing is
 /// started elsewhere before the time that was granted to the target has lapsed.
 #[test]
