Let a process that the store turns away hear of the owner from its neighbours

The other one went on asking the old owner and refused all callers of its data centre. Ruled out: being not ready meanwhile: open connections stay, and in an outage for all nobody would be. A newer token wins. Tests: turned_away_process_finds_owner; it fails without the question.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -16,6 +16,7 @@
     cell_options::CellOptions,
     event,
     fleet_view::FleetView,
+    member_book::MemberBook,
     metric, owner_desk,
     owner_view::OwnerView,
     peer_port::{TermSlot, ask_owner},
@@ -45,6 +46,7 @@
     pub(crate) slot: TermSlot,
     pub(crate) client: CallClient,
     pub(crate) draining: Rc<Cell<bool>>,
+    pub(crate) members: Rc<MemberBook>,
 }
 
 /// What is known of one call on its way to the owner.
@@ -156,6 +158,7 @@
             if let Some(answer) = self.ask_once(&ask, &mut state).await {
                 return (answer, state.owner);
             }
+            self.members.find_owner(&self.client, &self.owners).await;
             let now = Instant::now();
             let waited = now.duration_since(state.begun);
             if !state.unsure && waited >= self.options.owner_patience {
--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -16,6 +16,7 @@
     election::Candidate,
     event,
     fleet_view::FleetView,
+    member_book::MemberBook,
     metrics_port::MetricsPort,
     owner_view::OwnerView,
     peer_port::{PeerPort, TermSlot},
@@ -51,6 +52,7 @@
     owners: Rc<OwnerView>,
     slot: TermSlot,
     client: CallClient,
+    members: Rc<MemberBook>,
     /// Begins when connections are to finish.
     stopping: ShutdownSignal,
     /// Begins when the process no longer stands for election.
@@ -63,10 +65,12 @@
     /// A host with its ports; `client` is the one that all calls of the process go through.
     pub fn new(options: CellOptions, ports: CellPorts, client: CallClient) -> Self {
         let owners = OwnerView::new(options.owner_key());
+        let options = Rc::new(options);
         Self {
             view: Rc::new(FleetView::new(ports.codec.clone())),
             owners: Rc::new(owners),
-            options: Rc::new(options),
+            members: Rc::new(MemberBook::new(options.clone())),
+            options,
             ports,
             slot: Rc::new(RefCell::new(None)),
             client,
@@ -85,6 +89,7 @@
             slot: self.slot.clone(),
             client: self.client.clone(),
             draining: self.draining.clone(),
+            members: self.members.clone(),
         })
     }
 
@@ -103,6 +108,8 @@
             ),
         );
         self.watch();
+        let keeping = self.members.clone().keep(self.ports.store.clone());
+        tokio::task::spawn_local(keeping);
         self.serve(metrics);
         let candidate = Candidate {
             options: self.options.clone(),
@@ -155,6 +162,7 @@
     fn serve(&self, metrics: PrometheusHandle) {
         let peers = Rc::new(PeerPort {
             slot: self.slot.clone(),
+            owners: self.owners.clone(),
         });
         // Peers go on being answered until the process ends: their callers wait.
         let (address, never) = (self.options.peer_address, ShutdownSignal::default());
--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -73,6 +73,11 @@
         compact_str::format_compact!("{}owner", self.key_prefix)
     }
 
+    /// Prefix of the entries of the processes.
+    pub fn member_prefix(&self) -> CompactString {
+        compact_str::format_compact!("{}member/", self.key_prefix)
+    }
+
     /// Prefix of the pages of the job log.
     pub fn log_prefix(&self) -> CompactString {
         compact_str::format_compact!("{}log/", self.key_prefix)
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,6 +17,7 @@
 mod job_log;
 mod log_compact;
 mod log_reader;
+mod member_book;
 mod metric;
 mod metrics_port;
 mod owner_desk;
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -24,8 +24,8 @@
             pending: term.desk.borrow().pending(&queue),
             ..answer(AnswerKind::Counted)
         },
-        // A question of a newer version.
-        None => refused(term),
+        // The question for the owner is answered before; others are of a newer version.
+        Some(Ask::Owner(_)) | None => refused(term),
     }
 }
 
--- a/crates/cell/src/owner_view.rs
+++ b/crates/cell/src/owner_view.rs
@@ -51,8 +51,24 @@
 
     /// Takes the entry as it was read or written; `None` if there is none.
     pub(crate) fn set(&self, item: Option<&StoreItem>) {
-        let entry = item.and_then(owner_of);
         self.known.set(true);
+        self.put(item.and_then(owner_of));
+    }
+
+    /// Takes who another process says is the owner, if that is a later one than is known here.
+    pub(crate) fn learn(&self, record: Option<OwnerRecord>, token: StoreRevision) {
+        let known = self.owner().map_or(0, |owner| owner.token);
+        let Some(record) = record.filter(|_| token > known) else {
+            return;
+        };
+        self.put(Some(OwnerEntry {
+            member: record.member.into(),
+            address: record.address.into(),
+            token,
+        }));
+    }
+
+    fn put(&self, entry: Option<OwnerEntry>) {
         if *self.owner.borrow() == entry {
             return;
         }
--- a/crates/cell/src/peer_port.rs
+++ b/crates/cell/src/peer_port.rs
@@ -3,9 +3,9 @@
 use hyper::Method;
 use link::{CallClient, CallFault, HttpCall, HttpReply, HttpRequest, HttpService, ReplyFuture};
 use prost::Message;
-use wire::work::{AnswerKind, OwnerAnswer, OwnerCall};
+use wire::work::{AnswerKind, OwnerAnswer, OwnerCall, OwnerRecord, owner_call::Ask};
 
-use crate::{owner_desk, term::Term};
+use crate::{owner_desk, owner_view::OwnerView, term::Term};
 
 /// Path that the owner answers peers at.
 const OWNER_PATH: &str = "/owner";
@@ -16,11 +16,13 @@
 /// Answers the other processes of the system.
 pub(crate) struct PeerPort {
     pub(crate) slot: TermSlot,
+    pub(crate) owners: Rc<OwnerView>,
 }
 
 impl HttpService for PeerPort {
     fn answer(&self, request: HttpRequest) -> ReplyFuture {
         let term = self.slot.borrow().clone();
+        let owners = self.owners.clone();
         Box::pin(async move {
             let call = match OwnerCall::decode(request.body) {
                 Ok(call) if request.uri.path() == OWNER_PATH => call,
@@ -31,6 +33,7 @@
                 }
             };
             let answer = match term {
+                _ if matches!(call.ask, Some(Ask::Owner(_))) => name_owner(&owners),
                 Some(term) => owner_desk::answer_call(&term, call).await,
                 None => OwnerAnswer {
                     kind: AnswerKind::NotOwner.into(),
@@ -42,6 +45,19 @@
     }
 }
 
+/// Says who the owner is, as far as this process has heard.
+fn name_owner(owners: &OwnerView) -> OwnerAnswer {
+    let owner = owners.owner();
+    OwnerAnswer {
+        owner_token: owner.as_ref().map_or(0, |owner| owner.token),
+        owner: owner.map(|owner| OwnerRecord {
+            member: owner.member.to_string(),
+            address: owner.address.to_string(),
+        }),
+        ..OwnerAnswer::default()
+    }
+}
+
 /// Asks another process as the owner.
 ///
 /// # Errors
--- a/crates/cell/tests/cell_host.rs
+++ b/crates/cell/tests/cell_host.rs
@@ -34,11 +34,15 @@
     }
 
     fn host(&self, name: &str) -> CellHost {
+        self.host_on(name, &self.store)
+    }
+
+    fn host_on(&self, name: &str, store: &MemoryStore) -> CellHost {
         let options = CellOptions {
             drain_wait: Duration::from_millis(10),
             ..CellOptions::new(name.into(), free_address(), free_address())
         };
-        let ports = ports_on(&self.store, &self.targets);
+        let ports = ports_on(store, &self.targets);
         let host = CellHost::new(options, ports, CallClient::default());
         host.start(PrometheusBuilder::new().build_recorder().handle());
         host
@@ -211,6 +215,28 @@
     });
 }
 
+/// The store turns one process away and serves the others; meanwhile the ownership changes. The
+/// callers of that process were refused until the store came back: it hears of the new owner from
+/// its neighbours.
+#[test]
+fn turned_away_process_finds_owner() {
+    run(async {
+        let bench = Bench::new();
+        let first = bench.host("a");
+        accepted(&first.desk(), "job1").await;
+        let second = bench.host("b");
+        accepted(&second.desk(), "job2").await;
+        let handle = bench.store.handle();
+        let third = bench.host_on("c", &handle);
+        let desk = third.desk();
+        accepted(&desk, "job3").await;
+        handle.turn_away(true);
+        first.stop(std::future::ready(())).await;
+        accepted(&second.desk(), "job4").await;
+        accepted(&desk, "job5").await;
+    });
+}
+
 /// A store that lags shows older terms than those in force. A key that operators have taken
 /// away must not come back with them.
 #[test]
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Default)]
 pub struct MemoryStore {
     state: Rc<StoreState>,
+    /// Whether the store turns away who calls through this handle.
+    away: Rc<Cell<bool>>,
 }
 
 #[derive(Default)]
@@ -48,6 +50,27 @@
         self.state.switch.set(switch);
     }
 
+    /// Another handle on the same store, for a process that the store is to turn away.
+    pub fn handle(&self) -> Self {
+        Self {
+            state: self.state.clone(),
+            away: Rc::default(),
+        }
+    }
+
+    /// Turns away who calls through this handle, or serves it again.
+    pub fn turn_away(&self, away: bool) {
+        self.away.set(away);
+    }
+
+    async fn call(&self) -> Result<(), StoreFault> {
+        self.state.call().await?;
+        if self.away.get() {
+            return Err(StoreFault::Refused("status 503".to_owned()));
+        }
+        Ok(())
+    }
+
     pub fn put(&self, key: &str, value: &[u8]) {
         self.state.write(key, value.to_vec(), None);
     }
@@ -180,16 +203,18 @@
 impl LeaseStore for MemoryStore {
     fn read(&self, key: &str) -> PortFuture<Result<Option<StoreItem>, StoreFault>> {
         let (state, key) = (self.state.clone(), key.to_owned());
+        let door = self.clone();
         Box::pin(async move {
-            state.call().await?;
+            door.call().await?;
             Ok(state.items.borrow().get(&key).cloned())
         })
     }
 
     fn list(&self, prefix: &str, after: &str) -> PortFuture<Result<StorePage, StoreFault>> {
         let (state, prefix, after) = (self.state.clone(), prefix.to_owned(), after.to_owned());
+        let door = self.clone();
         Box::pin(async move {
-            state.call().await?;
+            door.call().await?;
             let items = state.items.borrow();
             let below = items.range(prefix.clone()..).map(|(_, item)| item);
             let below = below.take_while(|item| item.key.starts_with(&prefix));
@@ -211,10 +236,11 @@
         patience: Duration,
     ) -> PortFuture<Result<StoreChanges, StoreFault>> {
         let (state, prefix) = (self.state.clone(), prefix.to_owned());
+        let door = self.clone();
         Box::pin(async move {
             let end = Instant::now() + patience;
             loop {
-                state.call().await?;
+                door.call().await?;
                 let events = state.since(&prefix, after);
                 if !events.is_empty() || Instant::now() >= end {
                     return Ok(StoreChanges {
@@ -229,8 +255,9 @@
 
     fn change(&self, change: StoreChange) -> PortFuture<Result<StoreOutcome, StoreFault>> {
         let state = self.state.clone();
+        let door = self.clone();
         Box::pin(async move {
-            state.call().await?;
+            door.call().await?;
             let outcome = state.apply(change);
             if state.switch.get() == StoreSwitch::LosesAnswers {
                 return Err(StoreFault::Unanswered("timed out".to_owned()));
@@ -241,8 +268,9 @@
 
     fn take_lease(&self, length: Duration) -> PortFuture<Result<LeaseId, StoreFault>> {
         let state = self.state.clone();
+        let door = self.clone();
         Box::pin(async move {
-            state.call().await?;
+            door.call().await?;
             let lease = state.revision.get() + 1;
             state.revision.set(lease);
             state
@@ -255,8 +283,9 @@
 
     fn renew_lease(&self, lease: LeaseId) -> PortFuture<Result<bool, StoreFault>> {
         let state = self.state.clone();
+        let door = self.clone();
         Box::pin(async move {
-            state.call().await?;
+            door.call().await?;
             let mut leases = state.leases.borrow_mut();
             let Some((until, length)) = leases.get_mut(&lease) else {
                 return Ok(false);
@@ -268,8 +297,9 @@
 
     fn end_lease(&self, lease: LeaseId) -> PortFuture<Result<(), StoreFault>> {
         let state = self.state.clone();
+        let door = self.clone();
         Box::pin(async move {
-            state.call().await?;
+            door.call().await?;
             state.end_lease(lease);
             Ok(())
         })
