--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -10,7 +10,7 @@
     TERM_WON = 1012, "term-won", "This process owns the cell from now on; the token fences all earlier owners.";
     TERM_READ = 1013, "term-read", "The job log was read; carries pages, jobs, open jobs and the time it took.";
     TERM_ENDED = 1014, "term-ended", "This process no longer owns the cell; carries the reason.";
-    TERM_ALONE = 1015, "term-alone", "The lease on the cell may have lapsed and the store does not answer. Accepted work goes on for a bounded time; nothing new is accepted.";
+    TERM_ALONE = 1015, "term-alone", "The lease on the cell may have lapsed and the store does not answer. What runs goes on for a bounded time; nothing is accepted or started.";
     TERM_CALM = 1016, "term-calm", "The lease on the cell is renewed again.";
     ELECTION_FAILED = 1017, "election-failed", "Standing for election failed; it is tried again.";
     STORE_LOST = 1020, "cell-store-lost", "Calls to the store fail; carries the step and the reason.";
