--- a/crates/cell/src/job_log.rs
+++ b/crates/cell/src/job_log.rs
@@ -247,6 +247,8 @@
         match &record.order.entry.event {
             Some(Event::Accepted(job)) => {
                 desk.accept(job, now);
+                let waited = now.boot.saturating_sub(record.since);
+                metric::time(metric::ACCEPT_SECONDS, waited);
                 let work = plan_of_record(job).work();
                 let mut hosts = term.hosts.borrow_mut();
                 hosts
@@ -260,7 +262,7 @@
                         job.queue,
                         job.workspace,
                         steps_text(job),
-                        now.boot.saturating_sub(record.since).as_millis()
+                        waited.as_millis()
                     ),
                 );
             }
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -7,6 +7,8 @@
 /// Time from the arrival of a call to its answer.
 pub(crate) const CALL_SECONDS: &str = "lws_cell_call_seconds";
 /// Time from a job's arrival at the owner until it is stored.
+pub(crate) const ACCEPT_SECONDS: &str = "lws_cell_accept_seconds";
+/// Time of one write of a page of the job log.
 pub(crate) const RECORD_SECONDS: &str = "lws_cell_record_seconds";
 /// Calls to the store, by operation and outcome.
 pub(crate) const LOG_WRITES: &str = "lws_cell_log_writes";
