--- /dev/null
+++ b/crates/decide/src/work/desk_life.rs
@@ -0,0 +1,116 @@
+use std::{collections::BTreeSet, time::Duration};
+
+use model::HostId;
+
+use super::{
+    DeskEvent, DeskTime, PlacePhase, WorkDesk,
+    target_state::{RunClaim, RunKey},
+};
+
+/// Lists of hosts in a row that have to lack a life before it counts as ended. A list comes in
+/// pages that are no snapshot, so that one may miss a host that changes just then.
+const LISTS_MISSED: u32 = 2;
+
+impl WorkDesk {
+    /// A target begins another life: what ran there is over.
+    pub(super) fn end_life(
+        &mut self,
+        id: &HostId,
+        born: Duration,
+        cause: &'static str,
+        now: DeskTime,
+    ) {
+        let tuning = self.tuning;
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let doubts = target.take_doubts(&tuning, now.boot);
+        let held = target.reborn(born, now.boot);
+        self.release_runs(id, held, cause, now);
+        for run in doubts {
+            // The start may still reach the new life: it is closed there by a stop.
+            if let Some(target) = self.targets.get_mut(id) {
+                target.add_doubt(run.clone(), now.boot);
+            }
+            self.claim(id, run.clone());
+            self.stop_run(id, &run, now);
+        }
+    }
+
+    /// A target's life is over and no other begins under its id for now.
+    pub(super) fn lose_target(&mut self, id: &HostId, cause: &'static str, now: DeskTime) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let held = target.reborn(Duration::ZERO, now.boot);
+        target.listed = false;
+        self.release_runs(id, held, cause, now);
+    }
+
+    /// Takes which lives the hosts of the fleet live at present, as the control of hosts lists them.
+    ///
+    /// A target is one life of a host. One whose own entry is gone from the store, and that no
+    /// host lives any more, has ended, and all that ran there with it; nothing need wait until its
+    /// granted time has lapsed. Without this a chain of owners that follow each other within that time
+    /// would never start the tasks of its pool again, as each waits anew.
+    pub fn take_lives(&mut self, lives: &BTreeSet<HostId>, now: DeskTime) {
+        if lives.is_empty() {
+            return;
+        }
+        let mut gone = Vec::new();
+        for (id, target) in &mut self.targets {
+            if target.listed || lives.contains(id) {
+                target.lists_missed = 0;
+                continue;
+            }
+            target.lists_missed += 1;
+            if target.lists_missed >= LISTS_MISSED {
+                gone.push(id.clone());
+            }
+        }
+        for id in gone {
+            self.lose_target(&id, "no-host", now);
+            if let Some(target) = self.targets.get_mut(&id) {
+                target.inherited = false;
+            }
+        }
+    }
+
+    /// True while tasks may run on lives that no look has reached and the host list lacks.
+    pub fn has_unknown_lives(&self) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| !target.is_known() && !target.listed)
+    }
+
+    fn release_runs(
+        &mut self,
+        id: &HostId,
+        held: Vec<(RunKey, RunClaim)>,
+        cause: &'static str,
+        now: DeskTime,
+    ) {
+        self.note(DeskEvent::TargetLost(id.clone(), cause, held.len()));
+        for (run, claim) in held {
+            self.release_usage(&claim);
+            let job = self.board.jobs.get(&run.0.job);
+            let task = job.and_then(|job| job.task(run.0.occurrence, run.0.step, run.0.index));
+            let place = task.and_then(|task| task.place.as_ref());
+            let in_doubt = place.is_some_and(|place| {
+                place.target == *id
+                    && place.attempt == run.1
+                    && matches!(
+                        place.phase,
+                        PlacePhase::Starting | PlacePhase::Unsure | PlacePhase::Stopping(false)
+                    )
+            });
+            if in_doubt && self.targets.get(id).is_some_and(|target| target.listed) {
+                // The start may still reach the new life: it is closed there by a stop.
+                self.claim(id, run.clone());
+                self.stop_run(id, &run, now);
+            } else {
+                self.vacate_place(id, &run);
+            }
+        }
+        self.stale = true;
+    }
+}
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -9,6 +9,7 @@
 mod desk_advice;
 mod desk_answer;
 mod desk_end;
+mod desk_life;
 mod desk_order;
 mod desk_sight;
 mod desk_start;
