--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -36,8 +36,8 @@
     /// When a caller that was refused may come back: an election with its lapse takes about
     /// as long.
     pub retry_after: Duration,
-    /// Time in which other machines' orders to a host count as a conflict; a new owner waits
-    /// that long before its first order to a host.
+    /// Time in which the orders of two owners to one host count as a conflict; a new owner leaves
+    /// a host alone for that long after an order of its predecessor.
     pub host_order_pause: Duration,
     /// How long a shutdown waits until callers have been led elsewhere.
     pub drain_wait: Duration,
--- a/crates/cell/src/host_duty.rs
+++ b/crates/cell/src/host_duty.rs
@@ -138,8 +138,9 @@
 }
 
 /// Writes down that a host is being ordered, so that a successor does not order it right after;
-/// true once that is stored. An owner that dies right after the order leaves none unrecorded, so
-/// its successor may order all other hosts at once, where it had to wait for 1.7 s before.
+/// true once that is stored. An owner that dies right after an order leaves none unrecorded, so
+/// its successor may order all other hosts at once. Not knowing that, it would have to leave all
+/// hosts alone for two seconds, and a queue's turn would be over.
 async fn record_ordered(term: &Term, host: &str) -> bool {
     let now = term.now();
     let ordered = HostOrdered {
--- a/crates/model/src/cell_settings.rs
+++ b/crates/model/src/cell_settings.rs
@@ -122,7 +122,7 @@
             Duration::from_millis(100)..=Duration::from_secs(60),
             |settings| &mut settings.host_order_pause,
         ),
-        "A new owner waits this long before its first order to a host, so that orders of two owners can't cross.",
+        "A new owner leaves a host alone for this long after its predecessor ordered it, so that their orders can't cross.",
     ),
 ];
 
