Let the entry of an older life at an address end nothing

Log of one: i-234cfa50b8 had crashed behind a cut and come back at its address as i-6fb55e8c0e; at 17.945 s the older entry showed once more in the host list and ended the newer life, on which eight tasks were at work ("replaced"). Change: an entry whose life is older than a listed one at its address is left out. Tests: older_life_at_address_ends_nothing fails without the change.

--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -146,6 +146,10 @@
     /// Takes what the host list says of a target.
     pub fn list_target(&mut self, entry: TargetEntry, now: DeskTime) {
         let id = entry.target.clone();
+        if self.is_succeeded(&entry) {
+            self.unlist_target(&id);
+            return;
+        }
         self.end_lives_at(&entry, now);
         let Some(target) = self.targets.get_mut(&id) else {
             let recorded = self.board.used.contains_key(id.as_str());
@@ -367,6 +371,18 @@
         self.record(Event::Used(used), None, None);
     }
 
+    /// True if a later life is known at the address of an entry.
+    ///
+    /// The entry of a life that ended behind a cut may show once more after the next life has
+    /// begun. Taken for the present one, it would end the life that is at work, and what runs there
+    /// would be started a second time.
+    fn is_succeeded(&self, entry: &TargetEntry) -> bool {
+        let mut others = self.targets.values().filter(|other| {
+            other.entry.address == entry.address && other.entry.target != entry.target
+        });
+        others.any(|other| other.listed && !entry.born.is_zero() && other.life.born > entry.born)
+    }
+
     /// Ends the lives of other targets at the address of a new one: one address, one target.
     fn end_lives_at(&mut self, entry: &TargetEntry, now: DeskTime) {
         let elsewhere = |other: &&TargetState| {
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -95,6 +95,41 @@
     assert_eq!(scene.starts[0].0, "t1");
 }
 
+/// A batch runs twice: a target had crashed behind a cut and come back at its address under another
+/// id, and then the entry of the life before showed once more in the host list. It ended the life
+/// that ran the batch.
+#[test]
+fn older_life_at_address_ends_nothing() {
+    let mut scene = DeskScene::new(1);
+    let older = target("t1", 2000);
+    let newer = TargetEntry {
+        address: older.address.clone(),
+        born: Duration::from_secs(500),
+        ..target("t2", 2000)
+    };
+    scene.desk.list_target(older.clone(), scene.now);
+    let sight = model::work::TargetSight {
+        clock: scene.now.boot,
+        born: newer.born,
+        ..model::work::TargetSight::default()
+    };
+    scene.desk.list_target(newer, scene.now);
+    scene.run();
+    let seen = LookAnswer::Seen(sight);
+    let sent = scene.now.boot;
+    scene.desk.saw(&"t2".into(), sent, 0, &seen, scene.now);
+    scene.submit("a", &plan(vec![step(1, 2000)]));
+    let starts = scene.start_all();
+    assert_eq!(starts[0].0, "t2");
+    scene.list("t3", 2000);
+    scene.raise("t3");
+    scene.desk.list_target(older, scene.now);
+    scene.pass(Duration::from_millis(50));
+    assert!(scene.starts.is_empty(), "it still runs on t2");
+    let listed = scene.desk.listed();
+    assert!(!listed.contains(&"t1".into()) && listed.contains(&"t2".into()));
+}
+
 /// A batch runs twice: its target was cut off, left the host list and ran on. Nothing is
 /// started elsewhere before the time that was granted to the target has lapsed.
 #[test]
