Say once what stood twice, and work out once what was worked out again

Ruled out: other behaviour; short_pools asks the same of the same sums, which the errands of a wave don't change. Tests: as they were; those of decide, cell and platform pass.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -2,19 +2,17 @@
 
 use link::ShutdownSignal;
 use model::event as log_event;
-use ports::{LeaseId, StoreChange, StoreFault, StoreOutcome, StoreRevision, StoreWrite};
-use prost::Message;
+use ports::{LeaseId, StoreChange, StoreFault, StoreOutcome, StoreRevision};
 use rand::Rng;
 use store::{BootClock, Clock};
 use tokio::time::{sleep, timeout};
-use wire::work::OwnerRecord;
 
 use crate::{
     cell_host::CellPorts,
     cell_options::CellOptions,
     event,
     fleet_view::FleetView,
-    owner_view::{OwnerView, owner_of},
+    owner_view::{OwnerView, entry_write, owner_of},
     peer_port::TermSlot,
     term::Term,
 };
@@ -96,17 +94,9 @@
             .take_lease(self.options.owner_lease)
             .await?;
         let key = self.options.owner_key();
-        let record = OwnerRecord {
-            member: self.options.member.to_string(),
-            address: self.options.peer_address.to_string(),
-        };
         let change = StoreChange {
             expect: vec![(key.clone(), 0)],
-            writes: vec![StoreWrite {
-                key: key.clone(),
-                value: record.encode_to_vec(),
-                lease: Some(lease),
-            }],
+            writes: vec![entry_write(&self.options, key.clone(), lease)],
             removes: Vec::new(),
         };
         match self.ports.store.change(change).await {
--- a/crates/cell/src/job_log.rs
+++ b/crates/cell/src/job_log.rs
@@ -1,6 +1,6 @@
 use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
 
-use decide::work::{RecordOrder, plan_of_record};
+use decide::work::RecordOrder;
 use model::{BootTime, event as log_event};
 use ports::{StoreChange, StoreFault, StoreOutcome, StoreWrite};
 use prost::Message;
@@ -249,7 +249,8 @@
                 desk.accept(job, now);
                 let waited = now.boot.saturating_sub(record.since);
                 metric::time(metric::ACCEPT_SECONDS, waited);
-                let work = plan_of_record(job).work();
+                let work = desk.board.jobs.get(job.job.as_str());
+                let work = work.map_or(0.0, |job| job.plan.work());
                 let mut hosts = term.hosts.borrow_mut();
                 hosts
                     .meter
--- a/crates/cell/src/member_book.rs
+++ b/crates/cell/src/member_book.rs
@@ -6,14 +6,17 @@
 
 use compact_str::CompactString;
 use link::CallClient;
-use ports::{LeaseId, LeaseStore, StoreChange, StoreFault, StoreItem, StoreOutcome, StoreWrite};
+use ports::{LeaseId, LeaseStore, StoreChange, StoreFault, StoreItem, StoreOutcome};
 use prost::Message;
 use store::{BootClock, Clock};
 use tokio::time::sleep;
 use wire::work::{OwnerCall, OwnerRecord, owner_call::Ask};
 
 use crate::{
-    cell_options::CellOptions, owner_view::OwnerView, peer_port::ask_owner, prefix_watch::read_all,
+    cell_options::CellOptions,
+    owner_view::{OwnerView, entry_write},
+    peer_port::ask_owner,
+    prefix_watch::read_all,
 };
 
 /// How often a process renews its entry and reads those of the others. A store call of each
@@ -83,18 +86,11 @@
 
     async fn enter(&self, store: &dyn LeaseStore) -> Result<Option<LeaseId>, StoreFault> {
         let lease = store.take_lease(ENTRY_LEASE).await?;
-        let record = OwnerRecord {
-            member: self.options.member.to_string(),
-            address: self.options.peer_address.to_string(),
-        };
         let prefix = self.options.member_prefix();
+        let key = compact_str::format_compact!("{prefix}{}", self.options.member);
         let change = StoreChange {
             expect: Vec::new(),
-            writes: vec![StoreWrite {
-                key: compact_str::format_compact!("{prefix}{}", self.options.member),
-                value: record.encode_to_vec(),
-                lease: Some(lease),
-            }],
+            writes: vec![entry_write(&self.options, key, lease)],
             removes: Vec::new(),
         };
         match store.change(change).await? {
--- a/crates/cell/src/owner_view.rs
+++ b/crates/cell/src/owner_view.rs
@@ -2,12 +2,12 @@
 
 use compact_str::CompactString;
 use model::{MemberId, event as log_event};
-use ports::{StoreEvent, StoreItem, StoreRevision};
+use ports::{LeaseId, StoreEvent, StoreItem, StoreRevision, StoreWrite};
 use prost::Message;
 use tokio::sync::Notify;
 use wire::work::OwnerRecord;
 
-use crate::{event, prefix_watch::PrefixSink};
+use crate::{cell_options::CellOptions, event, prefix_watch::PrefixSink};
 
 /// Who owns the cell, as the store says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -91,6 +91,19 @@
     }
 }
 
+/// The entry that says where this process answers peers, under a key and a lease.
+pub(crate) fn entry_write(options: &CellOptions, key: CompactString, lease: LeaseId) -> StoreWrite {
+    let record = OwnerRecord {
+        member: options.member.to_string(),
+        address: options.peer_address.to_string(),
+    };
+    StoreWrite {
+        key,
+        value: record.encode_to_vec(),
+        lease: Some(lease),
+    }
+}
+
 /// Reads an owner's entry; an entry that can't be read is no owner to ask, and lapses.
 pub(crate) fn owner_of(item: &StoreItem) -> Option<OwnerEntry> {
     let record = match OwnerRecord::decode(item.value.as_slice()) {
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -109,14 +109,15 @@
             }
             let queue = self.terms.queue(&job.queue);
             for (&number, occurrence) in &job.occurrences {
-                let rank = rank(job, occurrence.due, queue, now.boot);
+                let mut ranked = None;
                 for (step, state) in occurrence.steps.iter().enumerate() {
                     let busy = (state.done + state.placed) as usize >= state.tasks.len();
                     if busy || !occurrence.is_ready(&job.plan, step) {
                         continue;
                     }
+                    let rank = || rank(job, occurrence.due, queue, now.boot);
                     steps.push(WaitingStep {
-                        rank,
+                        rank: *ranked.get_or_insert_with(rank),
                         job: job.id.clone(),
                         occurrence: number,
                         step: u32::try_from(step).unwrap_or(u32::MAX),
@@ -243,7 +244,7 @@
             .targets
             .values()
             .filter(|target| target.entry.pool == *pool);
-        if let Some(best) = pick_target(plan, state, task, of_pool, now.boot) {
+        if let Some(best) = pick_target(plan, state, task, of_pool.clone(), now.boot) {
             return Some(best.entry.target.clone());
         }
         // A service that lacks a task for long is worse off than a host that is emptied later,
@@ -252,10 +253,6 @@
         if now.boot.saturating_sub(*since) < STARVED {
             return None;
         }
-        let of_pool = self
-            .targets
-            .values()
-            .filter(|target| target.entry.pool == *pool);
         let best = pick_any(plan, state, task, of_pool, now.boot)?;
         Some(best.entry.target.clone())
     }
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use model::{BootTime, HostId, PoolId, work::HostCondition};
 
@@ -45,10 +48,12 @@
         }
     }
 
-    /// Cores that a pool lacks; below zero if it has more than it needs.
-    pub(super) fn shortage(&self, pool: &PoolId) -> f64 {
-        let room = self.rooms().get(pool).copied().unwrap_or_default();
-        self.meter.wanted(pool) - room.cores
+    /// Pools that have less room than they need.
+    pub(super) fn short_pools(&self) -> BTreeSet<PoolId> {
+        let rooms = self.rooms();
+        let pools = self.hosts.values().map(|view| &view.fleet.pool);
+        let short = pools.filter(|pool| self.surplus(pool, &rooms) < 0.0);
+        short.cloned().collect()
     }
 
     fn fill_pool(
--- a/crates/decide/src/work/host_waves.rs
+++ b/crates/decide/src/work/host_waves.rs
@@ -1,7 +1,7 @@
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use model::{
-    BootTime, HostId,
+    BootTime, HostId, PoolId,
     work::{HostCondition, WaveId},
 };
 
@@ -14,12 +14,13 @@
     /// Chooses the hosts of each wave that are maintained next.
     pub(super) fn plan_waves(&mut self, desk: &WorkDesk, now: BootTime) {
         let ids: Vec<WaveId> = self.waves.keys().copied().collect();
+        let short = self.short_pools();
         for id in ids {
             let Some(view) = self.waves.get(&id) else {
                 continue;
             };
             let room = (view.wave.cap as usize).saturating_sub(self.begun(view, now));
-            let chosen = self.next_hosts(view, room, desk, now);
+            let chosen = self.next_hosts(view, room, &short, desk, now);
             for host in chosen {
                 self.begin_errand(&host.clone(), HostOrder::Maintain(host, id));
             }
@@ -48,6 +49,7 @@
         &self,
         wave: &WaveView,
         room: usize,
+        short: &BTreeSet<PoolId>,
         desk: &WorkDesk,
         now: BootTime,
     ) -> Vec<HostId> {
@@ -66,7 +68,7 @@
         let urgent = now + TURN.saturating_mul(rounds.saturating_add(1)) >= end;
         let mut candidates: Vec<(u64, HostId)> = left
             .into_iter()
-            .filter_map(|host| self.burden(host, urgent, desk, now))
+            .filter_map(|host| self.burden(host, urgent, short, desk, now))
             .collect();
         candidates.sort();
         candidates
@@ -81,6 +83,7 @@
         &self,
         host: &HostId,
         urgent: bool,
+        short: &BTreeSet<PoolId>,
         desk: &WorkDesk,
         now: BootTime,
     ) -> Option<(u64, HostId)> {
@@ -96,7 +99,7 @@
             return None;
         }
         let used = target.map_or(0, |target| target.used.cpu);
-        let needed = self.shortage(&view.fleet.pool) > 0.0;
+        let needed = short.contains(&view.fleet.pool);
         if needed && !urgent && used > 0 {
             return None;
         }
