--- a/crates/decide/tests/desk/scene.rs
+++ b/crates/decide/tests/desk/scene.rs
@@ -94,6 +94,18 @@
         self.run();
     }
 
+    /// Lists a target and looks at it, so that it takes tasks.
+    pub fn add(&mut self, id: &str, cpu: u64) {
+        self.list(id, cpu);
+        self.raise(id);
+    }
+
+    /// Shows the first end on a target, on which nothing else runs.
+    pub fn end(&mut self, id: &str, start: &StartOrder, kind: EndKind) {
+        let end = ended(1, &start.task, start.attempt, kind);
+        self.see(id, Vec::new(), vec![end]);
+    }
+
     /// Looks at a target that runs nothing and ended nothing.
     pub fn raise(&mut self, id: &str) {
         self.see(id, Vec::new(), Vec::new());
--- a/crates/decide/tests/work_board.rs
+++ b/crates/decide/tests/work_board.rs
@@ -53,8 +53,7 @@
 
 fn busy_log() -> Vec<LogEntry> {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 4000);
-    scene.raise("t1");
+    scene.add("t1", 4000);
     scene.submit("done", &plan(vec![step(1, 500)]));
     scene.submit(
         "half",
--- a/crates/decide/tests/work_hosts.rs
+++ b/crates/decide/tests/work_hosts.rs
@@ -68,8 +68,7 @@
 fn emptying_waits_for_silent_sibling() {
     let mut scene = DeskScene::new(1);
     for target in ["t1", "t2", "t3"] {
-        scene.list(target, 2000);
-        scene.raise(target);
+        scene.add(target, 2000);
     }
     let lasting = StepPlan {
         long_running: true,
@@ -112,8 +111,7 @@
 fn emptying_trusts_long_looks() {
     let mut scene = DeskScene::new(1);
     for target in ["t1", "t2", "t3"] {
-        scene.list(target, 2000);
-        scene.raise(target);
+        scene.add(target, 2000);
     }
     let lasting = StepPlan {
         long_running: true,
@@ -149,8 +147,7 @@
 #[test]
 fn maintenance_waits_for_work() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let starts = scene.start_all();
     let (_, start) = &starts[0];
@@ -160,11 +157,7 @@
     assert!(planner.plan(&mut scene.desk, scene.now.boot).is_empty());
     scene.submit("b", &plan(vec![step(1, 1000)]));
     assert!(scene.starts.is_empty(), "the host is kept free");
-    scene.see(
-        "t1",
-        Vec::new(),
-        vec![ended(1, &start.task, start.attempt, EndKind::Done)],
-    );
+    scene.end("t1", start, EndKind::Done);
     let orders = planner.plan(&mut scene.desk, scene.now.boot);
     assert_eq!(orders, [HostOrder::Maintain("h1".into(), 1)]);
 }
@@ -351,8 +344,7 @@
     let mut list = Vec::new();
     for number in 0..3 {
         let target = format!("t{number}");
-        scene.list(&target, 2000);
-        scene.raise(&target);
+        scene.add(&target, 2000);
         list.push(host(&format!("h{number}"), POOL, &target));
     }
     list.push(host("h9", STANDBY, ""));
@@ -375,8 +367,7 @@
 #[test]
 fn successor_orders_no_host_before_look() {
     let mut first = DeskScene::new(1);
-    first.list("t1", 2000);
-    first.raise("t1");
+    first.add("t1", 2000);
     let lasting = StepPlan {
         long_running: true,
         ..step(1, 1000)
@@ -403,8 +394,7 @@
 #[test]
 fn silent_target_is_noticed() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.now.boot += BootTime::from_secs(2);
     let silent = LookAnswer::Unanswered("timed out".to_owned());
     scene
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -12,8 +12,7 @@
 #[test]
 fn successor_adopts_runs() {
     let mut first = DeskScene::new(1);
-    first.list("t1", 4000);
-    first.raise("t1");
+    first.add("t1", 4000);
     first.submit("a", &plan(vec![step(2, 1000)]));
     let starts = first.start_all();
     assert_eq!(starts.len(), 2);
@@ -36,14 +35,12 @@
 #[test]
 fn successor_waits_for_unreached_target() {
     let mut first = DeskScene::new(1);
-    first.list("t1", 4000);
-    first.raise("t1");
+    first.add("t1", 4000);
     first.submit("a", &plan(vec![step(1, 1000)]));
     assert_eq!(first.start_all().len(), 1);
 
     let mut second = first.successor(9);
-    second.list("t2", 4000);
-    second.raise("t2");
+    second.add("t2", 4000);
     second.pass(Duration::from_secs(5));
     assert!(second.starts.is_empty(), "it may still run on t1");
     second.pass(Duration::from_secs(12));
@@ -58,15 +55,13 @@
 fn successor_does_not_count_gone_targets() {
     let mut first = DeskScene::new(1);
     for target in ["t1", "t2", "t3", "t4", "t5"] {
-        first.list(target, 4000);
-        first.raise(target);
+        first.add(target, 4000);
     }
     first.submit("a", &plan(vec![step(1, 1000)]));
     assert_eq!(first.start_all().len(), 1);
 
     let mut second = first.successor(9);
-    second.list("t6", 4000);
-    second.raise("t6");
+    second.add("t6", 4000);
     second.pass(Duration::from_secs(9));
     assert_eq!(
         second.starts.len(),
@@ -81,14 +76,12 @@
 #[test]
 fn successor_frees_lives_without_host() {
     let mut first = DeskScene::new(1);
-    first.list("t1", 4000);
-    first.raise("t1");
+    first.add("t1", 4000);
     first.submit("a", &plan(vec![step(1, 1000)]));
     assert_eq!(first.start_all().len(), 1);
 
     let mut second = first.successor(9);
-    second.list("t2", 4000);
-    second.raise("t2");
+    second.add("t2", 4000);
     let lives = ["t2".into(), "t3".into()].into();
     second.desk.take_lives(&lives, second.now);
     second.pass(Duration::from_millis(500));
@@ -110,14 +103,12 @@
 #[test]
 fn successor_keeps_lives_with_host() {
     let mut first = DeskScene::new(1);
-    first.list("t1", 4000);
-    first.raise("t1");
+    first.add("t1", 4000);
     first.submit("a", &plan(vec![step(1, 1000)]));
     assert_eq!(first.start_all().len(), 1);
 
     let mut second = first.successor(9);
-    second.list("t2", 4000);
-    second.raise("t2");
+    second.add("t2", 4000);
     for _ in 0..8 {
         second
             .desk
@@ -134,8 +125,7 @@
 fn successor_waits_before_stopping() {
     let mut first = DeskScene::new(1);
     for target in ["t1", "t2", "t3"] {
-        first.list(target, 4000);
-        first.raise(target);
+        first.add(target, 4000);
     }
     let lasting = model::work::StepPlan {
         long_running: true,
@@ -179,12 +169,10 @@
 #[test]
 fn successor_starts_new_jobs() {
     let mut first = DeskScene::new(1);
-    first.list("t1", 4000);
-    first.raise("t1");
+    first.add("t1", 4000);
 
     let mut second = first.successor(9);
-    second.list("t2", 4000);
-    second.raise("t2");
+    second.add("t2", 4000);
     second.submit("b", &plan(vec![step(1, 1000)]));
     assert_eq!(second.starts.len(), 1);
 }
@@ -194,8 +182,7 @@
 #[test]
 fn successor_counts_failure_once() {
     let mut first = DeskScene::new(1);
-    first.list("t1", 4000);
-    first.raise("t1");
+    first.add("t1", 4000);
     first.submit("a", &plan(vec![step(1, 1000)]));
     let starts = first.start_all();
     let (_, start) = &starts[0];
@@ -215,8 +202,7 @@
 #[test]
 fn successor_counts_unstored_end() {
     let mut first = DeskScene::new(1);
-    first.list("t1", 4000);
-    first.raise("t1");
+    first.add("t1", 4000);
     first.submit("a", &plan(vec![step(1, 1000)]));
     let starts = first.start_all();
     let (_, start) = &starts[0];
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -21,13 +21,11 @@
 #[test]
 fn draining_lasting_task_moves() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![lasting(1)]));
     let starts = scene.start_all();
     let (_, start) = &starts[0];
-    scene.list("t2", 2000);
-    scene.raise("t2");
+    scene.add("t2", 2000);
     let leaving = TargetEntry {
         mode: TargetMode::Draining,
         ..target("t1", 2000)
@@ -35,11 +33,7 @@
     scene.desk.list_target(leaving, scene.now);
     scene.pass(Duration::from_millis(50));
     assert_eq!(scene.stops(), 1);
-    scene.see(
-        "t1",
-        Vec::new(),
-        vec![ended(1, &start.task, start.attempt, EndKind::Stopped)],
-    );
+    scene.end("t1", start, EndKind::Stopped);
     assert_eq!(scene.starts.len(), 1);
     assert_eq!(scene.starts[0].0, "t2");
 }
@@ -49,8 +43,7 @@
 #[test]
 fn failed_task_waits_for_suiting_target_only() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     let other = TargetEntry {
         labels: vec!["another".into(), "rack".into()],
         ..target("t2", 2000)
@@ -76,13 +69,11 @@
 #[test]
 fn failed_task_waits_for_bounded_time() {
     let mut scene = DeskScene::new(1);
-    scene.list("t2", 2000);
-    scene.raise("t2");
+    scene.add("t2", 2000);
     scene.submit("full", &plan(vec![lasting(1)]));
     scene.submit("full-too", &plan(vec![lasting(1)]));
     assert_eq!(scene.start_all().len(), 2);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let starts = scene.start_all();
     let (_, start) = &starts[0];
@@ -121,8 +112,7 @@
     scene.submit("a", &plan(vec![step(1, 2000)]));
     let starts = scene.start_all();
     assert_eq!(starts[0].0, "t2");
-    scene.list("t3", 2000);
-    scene.raise("t3");
+    scene.add("t3", 2000);
     scene.desk.list_target(older, scene.now);
     scene.pass(Duration::from_millis(50));
     assert!(scene.starts.is_empty(), "it still runs on t2");
@@ -135,13 +125,11 @@
 #[test]
 fn silent_target_lapses_first() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let starts = scene.start_all();
     scene.see("t1", vec![running(&starts[0].1)], Vec::new());
-    scene.list("t2", 2000);
-    scene.raise("t2");
+    scene.add("t2", 2000);
     let order = scene.desk.look_order(&"t1".into(), scene.now);
     assert!(order.is_some_and(|order| order.until.is_some()));
     scene.desk.unlist_target(&"t1".into());
@@ -162,8 +150,7 @@
 #[test]
 fn reborn_target_frees_tasks() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     scene.start_all();
     let reborn = TargetEntry {
@@ -196,8 +183,7 @@
 #[test]
 fn doubtful_start_closes_in_next_life() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let (id, start) = scene.starts.remove(0);
     let unanswered = model::work::StartAnswer::Unanswered("timed out".to_owned());
@@ -225,12 +211,10 @@
 #[test]
 fn unanswered_start_closes_first() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let (id, start) = scene.starts.remove(0);
-    scene.list("t2", 2000);
-    scene.raise("t2");
+    scene.add("t2", 2000);
     let unanswered = model::work::StartAnswer::Unanswered("timed out".to_owned());
     scene
         .desk
@@ -253,8 +237,7 @@
 #[test]
 fn starved_lasting_task_takes_emptying_host() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene
         .desk
         .targets
@@ -276,28 +259,18 @@
 #[test]
 fn failed_task_waits_for_another_target() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 1000);
-    scene.raise("t1");
+    scene.add("t1", 1000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let starts = scene.start_all();
     let (_, start) = &starts[0];
-    scene.list("t2", 1000);
-    scene.raise("t2");
+    scene.add("t2", 1000);
     scene.submit("b", &plan(vec![step(1, 1000)]));
     let other = scene.start_all();
-    scene.see(
-        "t1",
-        Vec::new(),
-        vec![ended(1, &start.task, start.attempt, EndKind::Failed)],
-    );
+    scene.end("t1", start, EndKind::Failed);
     scene.pass(Duration::from_secs(2));
     assert!(scene.starts.is_empty());
     let (_, busy) = &other[0];
-    scene.see(
-        "t2",
-        Vec::new(),
-        vec![ended(1, &busy.task, busy.attempt, EndKind::Done)],
-    );
+    scene.end("t2", busy, EndKind::Done);
     assert_eq!(scene.starts.len(), 1);
     assert_eq!(scene.starts[0].0, "t2");
 }
@@ -307,8 +280,7 @@
 #[test]
 fn stray_run_is_stopped_once() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 1000);
-    scene.raise("t1");
+    scene.add("t1", 1000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let starts = scene.start_all();
     let (id, start) = &starts[0];
@@ -336,8 +308,7 @@
 #[case::job_completed(vec![step(1, 1000)])]
 fn known_end_waits_for_store(#[case] steps: Vec<StepPlan>) {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(steps));
     let starts = scene.start_all();
     let (_, start) = &starts[0];
@@ -362,8 +333,7 @@
 fn done_gang_closes_doubtful_member() {
     let mut scene = DeskScene::new(1);
     for target in ["t1", "t2"] {
-        scene.list(target, 1000);
-        scene.raise(target);
+        scene.add(target, 1000);
     }
     let gang = StepPlan {
         gang: true,
@@ -378,11 +348,7 @@
     scene
         .desk
         .started(second, &lost.task, lost.attempt, &unanswered, scene.now);
-    scene.see(
-        first,
-        Vec::new(),
-        vec![ended(1, &done.task, done.attempt, EndKind::Done)],
-    );
+    scene.end(first, done, EndKind::Done);
     assert_eq!(scene.stops(), 1);
     scene.see(second, Vec::new(), Vec::new());
     scene.submit("b", &plan(vec![step(2, 1000)]));
@@ -399,8 +365,7 @@
 #[test]
 fn lone_owner_leaves_new_life() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let starts = scene.start_all();
     scene.see("t1", vec![running(&starts[0].1)], Vec::new());
@@ -424,12 +389,10 @@
 #[test]
 fn stalled_task_moves() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(2, 1000)]));
     let starts = scene.start_all();
-    scene.list("t2", 2000);
-    scene.raise("t2");
+    scene.add("t2", 2000);
     let (stuck, slow) = (&starts[0].1, &starts[1].1);
     for percent in 0..4 {
         let slow = model::work::RunSight {
@@ -452,8 +415,7 @@
 fn jobs_beyond_share_go_last() {
     let mut scene = DeskScene::new(1);
     scene.weigh(2);
-    scene.list("t1", 1000);
-    scene.raise("t1");
+    scene.add("t1", 1000);
     for job in ["a", "b", "c", "d"] {
         scene.submit(job, &plan(vec![step(1, 1000)]));
     }
@@ -489,8 +451,7 @@
 #[test]
 fn refused_start_leaves_job_pending() {
     let mut scene = DeskScene::new(1);
-    scene.list("t1", 2000);
-    scene.raise("t1");
+    scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
     let (id, start) = scene.starts.remove(0);
     let refused = model::work::StartAnswer::Refused(model::work::StartRefusal::NoRoom);
