--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -13,13 +13,8 @@
 use wire::work::{AnswerKind, JobPhase, JobRecord, OwnerAnswer, OwnerCall, owner_call::Ask};
 
 use crate::{
-    cell_options::CellOptions,
-    event,
-    fleet_view::FleetView,
-    member_book::MemberBook,
-    metric, owner_desk,
-    owner_view::OwnerView,
-    peer_port::{TermSlot, ask_owner},
+    cell_options::CellOptions, event, fleet_view::FleetView, member_book::MemberBook, metric,
+    owner_desk, owner_view::OwnerView, peer_call::ask_owner, peer_port::TermSlot,
 };
 
 /// Part of a caller's patience that is kept for its answer's way back.
@@ -158,7 +153,7 @@
             if let Some(answer) = self.ask_once(&ask, &mut state).await {
                 return (answer, state.owner);
             }
-            self.members.find_owner(&self.client, &self.owners).await;
+            self.members.find_owner(&self.owners).await;
             let now = Instant::now();
             let waited = now.duration_since(state.begun);
             if !state.unsure && waited >= self.options.owner_patience {
--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -21,6 +21,7 @@
     owner_view::OwnerView,
     peer_port::{PeerPort, TermSlot},
     prefix_watch::watch_prefix,
+    term::TermParts,
 };
 
 /// How often samples of histograms are folded into their distributions; until then each takes
@@ -69,7 +70,7 @@
         Self {
             view: Rc::new(FleetView::new(ports.codec.clone())),
             owners: Rc::new(owners),
-            members: Rc::new(MemberBook::new(options.clone())),
+            members: Rc::new(MemberBook::new(options.clone(), client.clone())),
             options,
             ports,
             slot: Rc::new(RefCell::new(None)),
@@ -112,12 +113,16 @@
         tokio::task::spawn_local(keeping);
         self.serve(metrics);
         let candidate = Candidate {
-            options: self.options.clone(),
-            ports: self.ports.clone(),
-            view: self.view.clone(),
+            parts: TermParts {
+                options: self.options.clone(),
+                ports: self.ports.clone(),
+                view: self.view.clone(),
+                members: self.members.clone(),
+            },
             owners: self.owners.clone(),
             slot: self.slot.clone(),
             stopping: self.retired.clone(),
+            aside_until: Cell::default(),
         };
         tokio::task::spawn_local(candidate.stand());
     }
--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -4,6 +4,8 @@
 use decide::work::DeskTuning;
 use model::MemberId;
 
+use crate::host_strength::HostLimits;
+
 /// What one process of a cell is told of its surroundings, and the times that it works with.
 #[derive(Clone, Debug)]
 pub struct CellOptions {
@@ -43,6 +45,8 @@
     pub drain_wait: Duration,
     /// Longest time for a shutdown; the platform kills the process a little later.
     pub stop_limit: Duration,
+    /// What this process may use; strong processes stand for election first.
+    pub limits: HostLimits,
     /// What the owner decides with.
     pub desk: DeskTuning,
 }
@@ -65,6 +69,7 @@
             host_order_pause: Duration::from_secs(3),
             drain_wait: Duration::from_millis(2200),
             stop_limit: Duration::from_millis(5200),
+            limits: HostLimits::default(),
             desk: DeskTuning::default(),
         }
     }
--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -1,20 +1,18 @@
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use link::ShutdownSignal;
-use model::event as log_event;
-use ports::{LeaseId, StoreChange, StoreFault, StoreOutcome, StoreRevision};
+use model::{BootTime, event as log_event};
+use ports::{LeaseId, StoreChange, StoreFault, StoreOutcome};
 use rand::Rng;
 use store::{BootClock, Clock};
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    cell_host::CellPorts,
-    cell_options::CellOptions,
     event,
-    fleet_view::FleetView,
     owner_view::{OwnerView, entry_write, owner_of},
     peer_port::TermSlot,
-    term::Term,
+    term::{Term, TermParts, WonTerm},
+    term_run::run_term,
 };
 
 /// Candidates wait a random part of this before they stand, so that seven of them rarely make
@@ -22,24 +20,24 @@
 const SPREAD: Duration = Duration::from_millis(30);
 /// Pause after an election that failed.
 const FAULT_PAUSE: Duration = Duration::from_millis(100);
+/// How much longer the weakest process waits than the strongest that it knows, so that it stands
+/// only where no strong one does. A cell without an owner waits for that long in vain when all
+/// strong processes went at once.
+const WEAK_WAIT: Duration = Duration::from_millis(400);
+/// For how long a process that gave the cell up stands after all others.
+const ASIDE: Duration = Duration::from_secs(10);
 /// How often a candidate looks for itself whether there is an owner, beside what it hears.
 const RECHECK: Duration = Duration::from_secs(2);
 
 /// Everything that an election needs.
 pub(crate) struct Candidate {
-    pub(crate) options: Rc<CellOptions>,
-    pub(crate) ports: CellPorts,
-    pub(crate) view: Rc<FleetView>,
+    /// What its terms need of the process.
+    pub(crate) parts: TermParts,
     pub(crate) owners: Rc<OwnerView>,
     pub(crate) slot: TermSlot,
     pub(crate) stopping: ShutdownSignal,
-}
-
-/// A term that was won.
-struct WonTerm {
-    token: StoreRevision,
-    lease: LeaseId,
-    sent: model::BootTime,
+    /// Until when it lets others stand first.
+    pub(crate) aside_until: Cell<BootTime>,
 }
 
 impl Candidate {
@@ -52,7 +50,7 @@
                 let _ = timeout(RECHECK, self.owners.changed.notified()).await;
                 continue;
             }
-            sleep(SPREAD.mul_f64(rand::rng().random::<f64>())).await;
+            sleep(SPREAD.mul_f64(rand::rng().random::<f64>()) + self.courtesy()).await;
             if !self.owners.is_vacant() || self.stopping.begun() {
                 continue;
             }
@@ -67,20 +65,40 @@
         }
     }
 
+    /// How long this process lets others stand first.
+    ///
+    /// An owner on a weak host falls behind on a large fleet: it starts work late, answers callers
+    /// too late or not at all, and is no better after its next term.
+    fn courtesy(&self) -> Duration {
+        let own = self.parts.options.limits.strength();
+        let strongest = self.parts.members.strongest(own + 1);
+        let best = strongest.map_or(own, |other| other.strength);
+        let weakness = f64::from(best - own) / f64::from(best.max(1));
+        let aside = BootClock.boot_now() < self.aside_until.get();
+        WEAK_WAIT.mul_f64(weakness) + if aside { WEAK_WAIT } else { Duration::ZERO }
+    }
+
     async fn lead(&self, won: WonTerm) {
-        let WonTerm { token, lease, sent } = won;
         log_event::info(
             &event::TERM_WON,
-            format_args!("token={token} lease={lease}"),
+            format_args!(
+                "token={} lease={} strength={}",
+                won.token,
+                won.lease,
+                self.parts.options.limits.strength()
+            ),
         );
-        let (options, ports) = (self.options.clone(), self.ports.clone());
-        let term = Term::new(options, ports, self.view.clone(), token, lease, sent);
+        let term = Term::new(self.parts.clone(), won);
         *self.slot.borrow_mut() = Some(term.clone());
-        term.run().await;
+        run_term(&term).await;
         *self.slot.borrow_mut() = None;
+        if term.given_up.get() {
+            self.aside_until.set(BootClock.boot_now() + ASIDE);
+        }
         self.owners.set(None);
         // What the store says now may differ: the lease may stand, or a successor.
-        if let Ok(item) = self.ports.store.read(&self.options.owner_key()).await {
+        let store = &self.parts.ports.store;
+        if let Ok(item) = store.read(&self.parts.options.owner_key()).await {
             self.owners.set(item.as_ref());
         }
     }
@@ -88,18 +106,15 @@
     /// Writes the entry of the owner, if there is none.
     async fn run_for_it(&self) -> Result<Option<WonTerm>, StoreFault> {
         let sent = BootClock.boot_now();
-        let lease = self
-            .ports
-            .store
-            .take_lease(self.options.owner_lease)
-            .await?;
-        let key = self.options.owner_key();
+        let TermParts { options, ports, .. } = &self.parts;
+        let lease = ports.store.take_lease(options.owner_lease).await?;
+        let key = options.owner_key();
         let change = StoreChange {
             expect: vec![(key.clone(), 0)],
-            writes: vec![entry_write(&self.options, key.clone(), lease)],
+            writes: vec![entry_write(options, key.clone(), lease)],
             removes: Vec::new(),
         };
-        match self.ports.store.change(change).await {
+        match ports.store.change(change).await {
             Ok(StoreOutcome::Done(token)) => Ok(Some(WonTerm { token, lease, sent })),
             Ok(StoreOutcome::Conflict(items)) => {
                 let standing = items
@@ -113,7 +128,7 @@
             Err(fault) => {
                 // It may have been written, or still be: without its lease it can't stand.
                 self.give_back(lease).await;
-                let item = self.ports.store.read(&key).await?;
+                let item = ports.store.read(&key).await?;
                 self.owners.set(item.as_ref());
                 if item.as_ref().and_then(owner_of).is_some() {
                     return Ok(None);
@@ -124,7 +139,7 @@
     }
 
     async fn give_back(&self, lease: LeaseId) {
-        if let Err(error) = self.ports.store.end_lease(lease).await {
+        if let Err(error) = self.parts.ports.store.end_lease(lease).await {
             // It lapses by itself.
             log::debug!("end lease {lease}: {error}");
         }
--- a/crates/cell/src/host_duty.rs
+++ b/crates/cell/src/host_duty.rs
@@ -9,7 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use wire::work::{HostOrdered, LogEntry, WaveProgress, log_entry::Event};
 
-use crate::{event, job_log::RecordOutcome, term::Term};
+use crate::{event, log_queue::RecordOutcome, term::Term};
 
 /// How often hosts are considered. Demand doubles within a second at the start of a turn.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
--- a/crates/cell/src/log_compact.rs
+++ b/crates/cell/src/log_compact.rs
@@ -8,53 +8,42 @@
 
 use crate::{
     event,
-    job_log::{PAGE_BYTES, page_change},
-    log_reader::page_key,
+    log_page::{PAGE_BYTES, page_bytes},
+    log_pages::LogPages,
     term::Term,
 };
 
-/// Pages after which the log is replaced by a shorter one. A successor reads 500 pages with one
-/// call to the store, in about 40 ms.
-pub(crate) const COMPACT_AFTER: u64 = 480;
-/// Keys that one change may remove; the store takes 32 entries, one of which is the condition.
-const REMOVED_AT_ONCE: usize = 30;
 /// Pause after a failed call.
 const FAULT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Writes what the log says in as few pages as hold it, from page `next` on, and removes the
-/// pages from `first` up to there. Returns the number of the next page, or `None` once the term
-/// is over.
+/// Writes what the log says in as few pages as hold it; the pages before them can go then.
+/// `None` once the term is over.
 ///
-/// The old pages go only when the new ones are stored, and both together say the same as the
-/// new ones alone. So whenever the owner dies, its successor reads what is true.
-pub(crate) async fn compact(term: &Term, first: u64, next: u64) -> Option<u64> {
+/// The old pages go only when the new ones are stored, oldest first, and whatever part of them is
+/// left says, with the new ones after it, the same as the new ones alone. So whenever the owner
+/// dies, its successor reads what is true.
+pub(crate) async fn compact(term: &Term, pages: &mut LogPages) -> Option<()> {
     let entries = term.desk.borrow().board.entries();
     let count = entries.len();
-    let mut page = next;
+    let start = pages.next();
+    let mut bytes = 0;
     for part in parts_of(entries) {
-        settle_change(term, page_change(term, page, part)).await?;
-        page += 1;
-    }
-    let old: Vec<u64> = (first..next).collect();
-    for pages in old.chunks(REMOVED_AT_ONCE) {
-        let change = StoreChange {
-            expect: vec![(term.options.owner_key(), term.token)],
-            writes: Vec::new(),
-            removes: pages
-                .iter()
-                .map(|&page| page_key(&term.options, page))
-                .collect(),
-        };
+        let value = page_bytes(part);
+        let length = value.len();
+        let change = pages.change(&term.options, term.token, value);
         settle_change(term, change).await?;
+        pages.wrote(length);
+        bytes += length;
     }
+    pages.compacted(start, bytes);
     log_event::info(
         &event::LOG_COMPACTED,
         format_args!(
-            "from={first} to={next} pages={} entries={count}",
-            page - next
+            "to={start} pages={} entries={count} bytes={bytes}",
+            pages.next() - start
         ),
     );
-    Some(page)
+    Some(())
 }
 
 /// Makes a change that is harmless to repeat, until it is known to be made; `None` once this
--- /dev/null
+++ b/crates/cell/src/log_page.rs
@@ -0,0 +1,68 @@
+use std::io::{Read, Write};
+
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use prost::Message;
+use wire::work::{LogEntry, LogPage};
+
+/// Largest page, in bytes before it is deflated; the store takes values of up to a megabyte.
+pub(crate) const PAGE_BYTES: usize = 256 << 10;
+/// Pages below this size, in bytes, are kept as they are: deflating them costs more processor
+/// time than the bytes are worth.
+const PACK_FROM: usize = 4 << 10;
+/// Largest page that is read, in bytes; a page is written with less, so more is damage.
+const MOST_BYTES: u64 = 4 << 20;
+
+/// Why a page can't be read.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum PageFault {
+    #[error("decode: {0}")]
+    Decode(#[from] prost::DecodeError),
+    #[error("inflate: {0}")]
+    Inflate(#[from] std::io::Error),
+}
+
+/// The bytes of a page of these entries. Large pages are deflated: ids and names repeat, and a
+/// successor on a narrow link waits for every byte.
+pub(crate) fn page_bytes(entries: Vec<LogEntry>) -> Vec<u8> {
+    let plain = LogPage {
+        entries,
+        ..LogPage::default()
+    }
+    .encode_to_vec();
+    if plain.len() < PACK_FROM {
+        return plain;
+    }
+    match deflate(&plain) {
+        Ok(packed) => LogPage {
+            packed,
+            ..LogPage::default()
+        }
+        .encode_to_vec(),
+        Err(error) => {
+            log::warn!("deflate a page of the log: {error}");
+            plain
+        }
+    }
+}
+
+/// The entries of a page.
+///
+/// # Errors
+/// If the bytes are no page.
+pub(crate) fn page_entries(bytes: &[u8]) -> Result<Vec<LogEntry>, PageFault> {
+    let page = LogPage::decode(bytes)?;
+    if page.packed.is_empty() {
+        return Ok(page.entries);
+    }
+    let mut plain = Vec::new();
+    DeflateDecoder::new(page.packed.as_slice())
+        .take(MOST_BYTES)
+        .read_to_end(&mut plain)?;
+    Ok(LogPage::decode(plain.as_slice())?.entries)
+}
+
+fn deflate(plain: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(plain)?;
+    encoder.finish()
+}
--- /dev/null
+++ b/crates/cell/src/log_pages.rs
@@ -0,0 +1,113 @@
+use std::collections::VecDeque;
+
+use compact_str::CompactString;
+use model::work::FencingToken;
+use ports::{StoreChange, StoreWrite};
+
+use crate::cell_options::CellOptions;
+
+/// Pages after which the log is replaced by a shorter one, however small they are.
+const COMPACT_PAGES: u64 = 480;
+/// Bytes after which it is, unless the shorter one had more. A successor reads at most twice the
+/// larger of both: within a second over 2 Mbit/s while what is open fits 90 KB.
+const COMPACT_BYTES: usize = 96 << 10;
+/// Keys that a change which writes a page may remove beside: the store takes 32 entries, three of
+/// which are the owner's entry, the page as a condition, and the page.
+const REMOVED_AT_ONCE: usize = 28;
+
+/// What was read of a job log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct LogSummary {
+    /// Number of the first page.
+    pub(crate) first_page: u64,
+    /// Number that the next page gets.
+    pub(crate) next_page: u64,
+    /// Number of pages.
+    pub(crate) pages: usize,
+    /// Their bytes.
+    pub(crate) bytes: usize,
+}
+
+/// Where the log stands: which pages are in force, which can go, and how large it has become.
+#[derive(Debug, Default)]
+pub(crate) struct LogPages {
+    /// Number of the first page in force.
+    first: u64,
+    /// Number that the next page gets.
+    next: u64,
+    /// Bytes that the log had when it was last made shorter.
+    base_bytes: usize,
+    /// Bytes written since.
+    new_bytes: usize,
+    /// Pages that a shorter log has replaced, oldest first.
+    replaced: VecDeque<u64>,
+}
+
+impl LogPages {
+    /// The log as a new owner found it.
+    pub(crate) fn found(summary: LogSummary) -> Self {
+        Self {
+            first: summary.first_page,
+            next: summary.next_page,
+            new_bytes: summary.bytes,
+            ..Self::default()
+        }
+    }
+
+    /// Number that the next page gets.
+    pub(crate) fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// The change that writes the next page and removes replaced ones: only while the writer's
+    /// entry as owner stands, so that what an earlier owner sent can't land after its successor
+    /// has read the log.
+    ///
+    /// Replaced pages go with pages that are written anyway, oldest first: a call of its own for
+    /// each few of them would hold back what callers wait for, for seconds while the store is slow.
+    pub(crate) fn change(
+        &self,
+        options: &CellOptions,
+        token: FencingToken,
+        value: Vec<u8>,
+    ) -> StoreChange {
+        let key = page_key(options, self.next);
+        let oldest = self.replaced.iter().take(REMOVED_AT_ONCE);
+        StoreChange {
+            expect: vec![(options.owner_key(), token), (key.clone(), 0)],
+            writes: vec![StoreWrite {
+                key,
+                value,
+                lease: None,
+            }],
+            removes: oldest.map(|&page| page_key(options, page)).collect(),
+        }
+    }
+
+    /// Takes in that the change which writes the next page was made.
+    pub(crate) fn wrote(&mut self, bytes: usize) {
+        self.next += 1;
+        self.new_bytes += bytes;
+        let removed = self.replaced.len().min(REMOVED_AT_ONCE);
+        self.replaced.drain(..removed);
+    }
+
+    /// True once the log should be replaced by a shorter one.
+    pub(crate) fn is_long(&self) -> bool {
+        self.next - self.first >= COMPACT_PAGES
+            || self.new_bytes >= COMPACT_BYTES.max(self.base_bytes)
+    }
+
+    /// Takes in that the pages from `start` on say all that the log has to say.
+    pub(crate) fn compacted(&mut self, start: u64, bytes: usize) {
+        self.replaced.extend(self.first..start);
+        self.first = start;
+        self.base_bytes = bytes;
+        self.new_bytes = 0;
+    }
+}
+
+/// Key of a page; keys sort as their numbers.
+fn page_key(options: &CellOptions, page: u64) -> CompactString {
+    compact_str::format_compact!("{}{page:012}", options.log_prefix())
+}
--- /dev/null
+++ b/crates/cell/src/log_queue.rs
@@ -0,0 +1,86 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+};
+
+use decide::work::RecordOrder;
+use model::BootTime;
+use tokio::sync::{Notify, oneshot};
+
+/// What became of an entry that somebody waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RecordOutcome {
+    /// It is stored.
+    Stored,
+    /// It is not stored and never will be.
+    Refused,
+}
+
+/// An entry that is to be written.
+pub(crate) struct PendingRecord {
+    pub(crate) order: RecordOrder,
+    /// When it was handed in.
+    pub(crate) since: BootTime,
+    /// Told what became of it, if somebody waits for that.
+    pub(crate) done: Option<oneshot::Sender<RecordOutcome>>,
+}
+
+/// Entries that wait for their page.
+///
+/// One write is under way at a time, and carries all that has come together since the last.
+#[derive(Default)]
+pub(crate) struct JobLog {
+    /// What has not been written yet, oldest first.
+    pub(crate) pending: RefCell<VecDeque<PendingRecord>>,
+    /// Told of entries that somebody waits for.
+    pub(crate) urgent: Notify,
+    /// Told of all entries.
+    pub(crate) any: Notify,
+    /// Told after each page.
+    pub(crate) stored: Notify,
+    /// Whether the last write failed, so that new work is refused at once.
+    pub(crate) failing: Cell<bool>,
+}
+
+impl JobLog {
+    /// Adds an entry that nobody waits for.
+    pub(crate) fn add(&self, order: RecordOrder, now: BootTime) {
+        let urgent = order.urgent;
+        self.pending.borrow_mut().push_back(PendingRecord {
+            order,
+            since: now,
+            done: None,
+        });
+        self.any.notify_one();
+        if urgent {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// Adds an entry and tells what became of it; a closed channel means that nobody knows.
+    pub(crate) fn add_awaited(
+        &self,
+        order: RecordOrder,
+        now: BootTime,
+    ) -> oneshot::Receiver<RecordOutcome> {
+        let (done, outcome) = oneshot::channel();
+        self.pending.borrow_mut().push_back(PendingRecord {
+            order,
+            since: now,
+            done: Some(done),
+        });
+        self.any.notify_one();
+        self.urgent.notify_one();
+        outcome
+    }
+
+    /// True if everything has been written.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pending.borrow().is_empty()
+    }
+
+    /// True while writes fail.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failing.get()
+    }
+}
--- a/crates/cell/src/job_log.rs
+++ b/crates/cell/src/log_writer.rs
@@ -1,121 +1,37 @@
-use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use decide::work::RecordOrder;
-use model::{BootTime, event as log_event};
-use ports::{StoreChange, StoreFault, StoreOutcome, StoreWrite};
+use model::event as log_event;
+use ports::{StoreFault, StoreOutcome};
 use prost::Message;
-use tokio::{
-    sync::{Notify, oneshot},
-    time::{Instant, sleep, timeout},
-};
-use wire::work::{JobRecord, LogEntry, LogPage, StepRecord, log_entry::Event};
+use tokio::time::{Instant, sleep, timeout};
+use wire::work::{JobRecord, LogEntry, StepRecord, log_entry::Event};
 
 use crate::{
     event,
-    log_compact::{COMPACT_AFTER, compact},
-    log_reader::{LogSummary, page_key},
+    log_compact::compact,
+    log_page::{PAGE_BYTES, page_bytes},
+    log_pages::{LogPages, LogSummary},
+    log_queue::{PendingRecord, RecordOutcome},
     metric,
     term::Term,
 };
 
-/// Largest page, in bytes; the store takes values of up to a megabyte.
-pub(crate) const PAGE_BYTES: usize = 256 << 10;
 /// How long an entry that somebody waits for is tried while the store refuses calls. Waiting
 /// longer would keep a caller from going elsewhere with work that is surely not recorded.
 const REFUSED_PATIENCE: Duration = Duration::from_millis(150);
 /// Pause after a failed write.
 const FAULT_PAUSE: Duration = Duration::from_millis(25);
 
-/// What became of an entry that somebody waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RecordOutcome {
-    /// It is stored.
-    Stored,
-    /// It is not stored and never will be.
-    Refused,
-}
-
-/// An entry that is to be written.
-struct PendingRecord {
-    order: RecordOrder,
-    since: BootTime,
-    done: Option<oneshot::Sender<RecordOutcome>>,
-}
-
-/// Entries that wait for their page.
-///
-/// One write is under way at a time, and carries all that has come together since the last.
-#[derive(Default)]
-pub(crate) struct JobLog {
-    pending: RefCell<VecDeque<PendingRecord>>,
-    urgent: Notify,
-    any: Notify,
-    /// Told after each page.
-    pub(crate) stored: Notify,
-    /// Whether the last write failed, so that new work is refused at once.
-    failing: std::cell::Cell<bool>,
-}
-
-impl JobLog {
-    /// Adds an entry that nobody waits for.
-    pub(crate) fn add(&self, order: RecordOrder, now: BootTime) {
-        let urgent = order.urgent;
-        self.pending.borrow_mut().push_back(PendingRecord {
-            order,
-            since: now,
-            done: None,
-        });
-        self.any.notify_one();
-        if urgent {
-            self.urgent.notify_one();
-        }
-    }
-
-    /// Adds an entry and tells what became of it; a closed channel means that nobody knows.
-    pub(crate) fn add_awaited(
-        &self,
-        order: RecordOrder,
-        now: BootTime,
-    ) -> oneshot::Receiver<RecordOutcome> {
-        let (done, outcome) = oneshot::channel();
-        self.pending.borrow_mut().push_back(PendingRecord {
-            order,
-            since: now,
-            done: Some(done),
-        });
-        self.any.notify_one();
-        self.urgent.notify_one();
-        outcome
-    }
-
-    /// True if everything has been written.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.pending.borrow().is_empty()
-    }
-
-    /// True while writes fail.
-    pub(crate) fn is_failing(&self) -> bool {
-        self.failing.get()
-    }
-}
-
 /// Writes the log of a term, until the term is over.
 pub(crate) async fn write_log(term: Rc<Term>, found: LogSummary) {
-    let mut page = found.next_page;
-    let mut first = found.first_page;
+    let mut pages = LogPages::found(found);
     loop {
         wait_for_entries(&term).await;
-        let Some(wrote) = write_page(&term, page).await else {
+        if write_page(&term, &mut pages).await.is_none() {
             return;
-        };
-        if wrote {
-            page += 1;
         }
-        if page - first >= COMPACT_AFTER {
-            let Some(next) = compact(&term, first, page).await else {
-                return;
-            };
-            (first, page) = (page, next);
+        if pages.is_long() && compact(&term, &mut pages).await.is_none() {
+            return;
         }
     }
 }
@@ -136,8 +52,9 @@
     }
 }
 
-/// Writes the next page; `None` once the term is over, false if there was nothing to write.
-async fn write_page(term: &Term, page: u64) -> Option<bool> {
+/// Writes the next page, if there is something to write; `None` once the term is over.
+async fn write_page(term: &Term, pages: &mut LogPages) -> Option<()> {
+    let page = pages.next();
     let mut unsure = false;
     let mut taken: Vec<PendingRecord> = Vec::new();
     loop {
@@ -147,15 +64,19 @@
             take_records(term, &mut taken);
         }
         if taken.is_empty() {
-            return Some(false);
+            return Some(());
         }
         let started = Instant::now();
-        let outcome = term.ports.store.change(change_of(term, page, &taken)).await;
+        let value = page_bytes(entries_of(&taken));
+        let length = value.len();
+        let change = pages.change(&term.options, term.token, value);
+        let outcome = term.ports.store.change(change).await;
         metric::time(metric::RECORD_SECONDS, started.elapsed());
         match outcome {
             Ok(StoreOutcome::Done(_)) => {
+                pages.wrote(length);
                 settle(term, page, taken);
-                return Some(true);
+                return Some(());
             }
             Ok(StoreOutcome::Conflict(items)) => {
                 // Only the owner writes pages, so a page that is there is the one whose
@@ -165,8 +86,9 @@
                     .find(|item| item.key == term.options.owner_key());
                 let ours = owner.is_some_and(|item| item.revision == term.token);
                 if ours && unsure {
+                    pages.wrote(length);
                     settle(term, page, taken);
-                    return Some(true);
+                    return Some(());
                 }
                 term.end(if ours { "page taken" } else { "succeeded" });
                 return None;
@@ -184,28 +106,11 @@
     }
 }
 
-/// The change that writes a page: only while the writer's entry as owner stands, so that what
-/// an earlier owner sent can't land after its successor has read the log.
-fn change_of(term: &Term, page: u64, taken: &[PendingRecord]) -> StoreChange {
-    let entries = taken
+fn entries_of(taken: &[PendingRecord]) -> Vec<LogEntry> {
+    taken
         .iter()
         .map(|record| record.order.entry.clone())
-        .collect();
-    page_change(term, page, entries)
-}
-
-/// The change that writes a page of these entries.
-pub(crate) fn page_change(term: &Term, page: u64, entries: Vec<LogEntry>) -> StoreChange {
-    let key = page_key(&term.options, page);
-    StoreChange {
-        expect: vec![(term.options.owner_key(), term.token), (key.clone(), 0)],
-        writes: vec![StoreWrite {
-            key,
-            value: LogPage { entries }.encode_to_vec(),
-            lease: None,
-        }],
-        removes: Vec::new(),
-    }
+        .collect()
 }
 
 fn take_records(term: &Term, taken: &mut Vec<PendingRecord>) {
--- a/crates/cell/src/member_book.rs
+++ b/crates/cell/src/member_book.rs
@@ -6,16 +6,17 @@
 
 use compact_str::CompactString;
 use link::CallClient;
+use model::HostStrength;
 use ports::{LeaseId, LeaseStore, StoreChange, StoreFault, StoreItem, StoreOutcome};
 use prost::Message;
 use store::{BootClock, Clock};
 use tokio::time::sleep;
-use wire::work::{OwnerCall, OwnerRecord, owner_call::Ask};
+use wire::work::{OwnerAnswer, OwnerCall, OwnerRecord, owner_call::Ask};
 
 use crate::{
     cell_options::CellOptions,
     owner_view::{OwnerView, entry_write},
-    peer_port::ask_owner,
+    peer_call::ask_owner,
     prefix_watch::read_all,
 };
 
@@ -30,6 +31,15 @@
 /// Longest wait for an answer; a neighbouring data centre answers in some milliseconds.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Another process of the system.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Neighbour {
+    /// Where it answers peers.
+    pub(crate) address: CompactString,
+    /// How much an owner there can carry.
+    pub(crate) strength: HostStrength,
+}
+
 /// The processes of the system, as the store listed them when it last answered.
 ///
 /// A process that the store turns away, while it serves the others, does not hear that the
@@ -37,16 +47,18 @@
 /// neighbours who the owner is it serves them.
 pub(crate) struct MemberBook {
     options: Rc<CellOptions>,
-    addresses: RefCell<Vec<CompactString>>,
+    client: CallClient,
+    others: RefCell<Vec<Neighbour>>,
     next: Cell<usize>,
     asked: Cell<Duration>,
 }
 
 impl MemberBook {
-    pub(crate) fn new(options: Rc<CellOptions>) -> Self {
+    pub(crate) fn new(options: Rc<CellOptions>, client: CallClient) -> Self {
         Self {
             options,
-            addresses: RefCell::default(),
+            client,
+            others: RefCell::default(),
             next: Cell::new(0),
             asked: Cell::new(Duration::ZERO),
         }
@@ -80,7 +92,7 @@
             self.enter(store).await?
         };
         let (items, _) = read_all(store, &self.options.member_prefix()).await?;
-        *self.addresses.borrow_mut() = items.iter().filter_map(|item| self.other(item)).collect();
+        *self.others.borrow_mut() = items.iter().filter_map(|item| self.other(item)).collect();
         Ok(lease)
     }
 
@@ -99,10 +111,20 @@
         }
     }
 
-    fn other(&self, item: &StoreItem) -> Option<CompactString> {
+    /// One of the strongest of the others, if it has at least this strength.
+    pub(crate) fn strongest(&self, least: HostStrength) -> Option<Neighbour> {
+        let others = self.others.borrow();
+        let best = others.iter().max_by_key(|other| other.strength);
+        best.filter(|other| other.strength >= least).cloned()
+    }
+
+    fn other(&self, item: &StoreItem) -> Option<Neighbour> {
         match OwnerRecord::decode(item.value.as_slice()) {
             Ok(record) if record.member == self.options.member.as_str() => None,
-            Ok(record) => Some(record.address.into()),
+            Ok(record) => Some(Neighbour {
+                address: record.address.into(),
+                strength: record.strength,
+            }),
             Err(error) => {
                 log::warn!("unreadable entry {} of a member: {error}", item.key);
                 None
@@ -111,7 +133,7 @@
     }
 
     /// Asks one of the others who owns the cell, unless one was asked just now.
-    pub(crate) async fn find_owner(&self, client: &CallClient, owners: &OwnerView) {
+    pub(crate) async fn find_owner(&self, owners: &OwnerView) {
         let now = BootClock.boot_now();
         if now.saturating_sub(self.asked.get()) < ASK_EVERY {
             return;
@@ -120,20 +142,30 @@
             return;
         };
         self.asked.set(now);
+        if let Some(answer) = self.ask_for_owner(&address).await {
+            owners.learn(answer.owner, answer.owner_token);
+        }
+    }
+
+    /// Asks another process who owns the cell; `None` if it does not answer soon.
+    pub(crate) async fn ask_for_owner(&self, address: &str) -> Option<OwnerAnswer> {
         let call = OwnerCall {
             ask: Some(Ask::Owner(true)),
             ..OwnerCall::default()
         };
-        match ask_owner(client, &address, &call, ASK_TIMEOUT).await {
-            Ok(answer) => owners.learn(answer.owner, answer.owner_token),
-            Err(error) => log::debug!("{error:?}"),
+        match ask_owner(&self.client, address, &call, ASK_TIMEOUT).await {
+            Ok(answer) => Some(answer),
+            Err(error) => {
+                log::debug!("{error:?}");
+                None
+            }
         }
     }
 
     fn next_address(&self) -> Option<CompactString> {
-        let addresses = self.addresses.borrow();
+        let others = self.others.borrow();
         let next = self.next.replace(self.next.get().wrapping_add(1));
-        let index = next.checked_rem(addresses.len())?;
-        addresses.get(index).cloned()
+        let index = next.checked_rem(others.len())?;
+        others.get(index).map(|other| other.address.clone())
     }
 }
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -8,7 +8,7 @@
     owner_call::Ask,
 };
 
-use crate::{job_log::RecordOutcome, term::Term};
+use crate::{log_queue::RecordOutcome, term::Term};
 
 /// Answers, as the owner, what a host that serves callers asks.
 pub(crate) async fn answer_call(term: &Rc<Term>, call: OwnerCall) -> OwnerAnswer {
--- a/crates/cell/src/owner_view.rs
+++ b/crates/cell/src/owner_view.rs
@@ -96,6 +96,7 @@
     let record = OwnerRecord {
         member: options.member.to_string(),
         address: options.peer_address.to_string(),
+        strength: options.limits.strength(),
     };
     StoreWrite {
         key,
--- a/crates/cell/src/peer_port.rs
+++ b/crates/cell/src/peer_port.rs
@@ -1,14 +1,10 @@
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc};
 
-use hyper::Method;
-use link::{CallClient, CallFault, HttpCall, HttpReply, HttpRequest, HttpService, ReplyFuture};
+use link::{HttpReply, HttpRequest, HttpService, ReplyFuture};
 use prost::Message;
 use wire::work::{AnswerKind, OwnerAnswer, OwnerCall, OwnerRecord, owner_call::Ask};
 
-use crate::{owner_desk, owner_view::OwnerView, term::Term};
-
-/// Path that the owner answers peers at.
-const OWNER_PATH: &str = "/owner";
+use crate::{owner_desk, owner_view::OwnerView, peer_call::OWNER_PATH, term::Term};
 
 /// The term that this process runs, while it owns the cell.
 pub(crate) type TermSlot = Rc<RefCell<Option<Rc<Term>>>>;
@@ -53,28 +49,8 @@
         owner: owner.map(|owner| OwnerRecord {
             member: owner.member.to_string(),
             address: owner.address.to_string(),
+            ..OwnerRecord::default()
         }),
         ..OwnerAnswer::default()
     }
 }
-
-/// Asks another process as the owner.
-///
-/// # Errors
-/// [`CallFault::NotSent`] if it can't have seen the call.
-pub(crate) async fn ask_owner(
-    client: &CallClient,
-    address: &str,
-    call: &OwnerCall,
-    timeout: Duration,
-) -> Result<OwnerAnswer, CallFault> {
-    let request = HttpCall::new("ask owner", address, Method::POST, OWNER_PATH, timeout)
-        .with_body(call.encode_to_vec());
-    let reply = client.call(request).await?;
-    let unreadable =
-        |cause: String| CallFault::Unanswered(model::StepError::new("ask owner", address, cause));
-    if reply.status != 200 {
-        return Err(unreadable(format!("status {}", reply.status)));
-    }
-    OwnerAnswer::decode(reply.body).map_err(|error| unreadable(error.to_string()))
-}
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -71,15 +71,49 @@
     store: &dyn LeaseStore,
     prefix: &str,
 ) -> Result<(Vec<StoreItem>, StoreRevision), StoreFault> {
-    let mut page = store.list(prefix, "").await?;
-    let revision = page.revision;
-    let mut items = page.items;
-    while page.more {
-        let Some(last) = items.last().map(|item| item.key.clone()) else {
-            break;
-        };
-        page = store.list(prefix, &last).await?;
-        items.append(&mut page.items);
+    let mut reader = PrefixReader::new(prefix);
+    while !reader.is_done() {
+        reader.read_page(store).await?;
+    }
+    Ok((reader.items, reader.revision))
+}
+
+/// Reads all keys below a prefix a page at a time, and keeps the pages that it has when a call
+/// fails: begun anew after each failure, a long list might never be read to its end.
+pub(crate) struct PrefixReader<'a> {
+    prefix: &'a str,
+    /// The keys that were read.
+    pub(crate) items: Vec<StoreItem>,
+    revision: StoreRevision,
+    done: bool,
+}
+
+impl<'a> PrefixReader<'a> {
+    pub(crate) fn new(prefix: &'a str) -> Self {
+        Self {
+            prefix,
+            items: Vec::new(),
+            revision: 0,
+            done: false,
+        }
+    }
+
+    /// True once the last page was read.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Reads the next page.
+    pub(crate) async fn read_page(&mut self, store: &dyn LeaseStore) -> Result<(), StoreFault> {
+        let after = self.items.last().map(|item| item.key.clone());
+        let first = after.is_none();
+        let mut page = store.list(self.prefix, &after.unwrap_or_default()).await?;
+        if first {
+            self.revision = page.revision;
+        }
+        // A page without keys would be asked for again for ever.
+        self.done = !page.more || page.items.is_empty();
+        self.items.append(&mut page.items);
+        Ok(())
     }
-    Ok((items, revision))
 }
--- /dev/null
+++ b/crates/cell/src/step_aside.rs
@@ -0,0 +1,51 @@
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::sleep;
+
+use crate::{member_book::Neighbour, term::Term};
+
+/// How often an owner considers whether another should have its place.
+const CONSIDER_EVERY: Duration = Duration::from_millis(500);
+/// How long an owner may read the log before it lets another try. The log is kept so short that
+/// a narrow link carries it in a third of this time.
+const READ_LIMIT: Duration = Duration::from_secs(3);
+/// How many times as strong another process has to be to be worth a hand-over, which holds up
+/// callers for some tens of milliseconds.
+const WORTH_IT: u32 = 2;
+/// How long a hand-over waits for the last entries of the log.
+const HAND_OVER_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Returns once the term was given up for another process to take the cell; for ever waiting
+/// while this one does well.
+///
+/// Without it an owner that can't get ready, behind a link that has become too narrow, would keep
+/// renewing its lease: nobody serves then and nobody else may.
+pub(crate) async fn step_aside(term: &Rc<Term>) {
+    let begun = term.now().boot;
+    loop {
+        sleep(CONSIDER_EVERY).await;
+        // While the store is away nobody could take over, and the lease lapses by itself.
+        if !term.is_certain() || term.handing_over.get() {
+            continue;
+        }
+        let age = term.now().boot.saturating_sub(begun);
+        if !term.is_ready() && age >= READ_LIMIT {
+            term.give_up("the log was not read in time").await;
+            return;
+        }
+        if term.is_ready() && !term.log.is_failing() && has_stronger(term).await {
+            term.hand_over(HAND_OVER_PATIENCE).await;
+            return;
+        }
+    }
+}
+
+/// True if a much stronger process is there that knows this owner, so that it hears the store.
+async fn has_stronger(term: &Term) -> bool {
+    let least = term.options.limits.strength().saturating_mul(WORTH_IT);
+    let Some(Neighbour { address, .. }) = term.members.strongest(least) else {
+        return false;
+    };
+    let answer = term.members.ask_for_owner(&address).await;
+    answer.is_some_and(|answer| answer.owner_token == term.token)
+}
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -2,14 +2,15 @@
 
 use decide::work::DeskOrder;
 use model::{
-    HostId, event as log_event,
+    HostId,
     work::{LookOrder, OrderAnswer, PaceOrder, StartAnswer, StartOrder, StopOrder, TaskKey},
 };
 use tokio::{sync::SemaphorePermit, time::Instant};
 
 use crate::{
-    event, metric,
-    target_lane::{TargetLane, address_of, look_once, way_to},
+    metric,
+    target_lane::TargetLane,
+    target_look::{address_of, look_once, note_failure, way_to},
     term::Term,
 };
 
@@ -127,15 +128,3 @@
     let outcome = if done { "done" } else { "failed" };
     metrics::counter!(metric::ORDERS, "kind" => kind, "outcome" => outcome).increment(1);
 }
-
-/// Writes a log line of an order that was not answered or was refused.
-pub(crate) fn note_failure(term: &Term, kind: &str, id: &HostId, answer: &str) {
-    let answer = answer.replace('"', "'");
-    log_event::warn(
-        &event::ORDER_FAILED,
-        format_args!(
-            "kind={kind} target={id} token={} answer=\"{answer}\"",
-            term.token
-        ),
-    );
-}
--- /dev/null
+++ b/crates/cell/src/term_run.rs
@@ -0,0 +1,146 @@
+use std::{rc::Rc, time::Duration};
+
+use decide::work::DeskOrder;
+use model::{HostId, event as log_event};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::{
+    event, host_duty::tend_hosts, log_reader::read_log, log_writer::write_log, metric, record_note,
+    step_aside::step_aside, target_look::open_lane, target_orders::run_order,
+    target_watch::watch_targets, term::Term,
+};
+
+/// How often the desk is told the time.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Runs a term until it is over.
+pub(crate) async fn run_term(term: &Rc<Term>) {
+    metrics::gauge!(metric::OWNER).set(1.0);
+    metrics::counter!(metric::TERMS).increment(1);
+    term.spawn(renew(term.clone()));
+    term.spawn(lead(term.clone()));
+    tokio::select! {
+        biased;
+        () = term.over.wait() => {}
+        () = step_aside(term) => {}
+    }
+    metrics::gauge!(metric::OWNER).set(0.0);
+    term.lanes.borrow_mut().clear();
+}
+
+/// Renews the lease until the term is over.
+async fn renew(term: Rc<Term>) {
+    loop {
+        sleep(term.options.renew_every).await;
+        let sent = term.now().boot;
+        match term.ports.store.renew_lease(term.lease).await {
+            Ok(true) => term.renewed(sent),
+            Ok(false) => {
+                term.end("lease lapsed");
+                return;
+            }
+            Err(error) => term.renewal_failed(&error.to_string()),
+        }
+    }
+}
+
+/// Reads the log, then decides until the term is over.
+async fn lead(term: Rc<Term>) {
+    let started = term.now().boot;
+    let mut desk = term.desk.borrow().clone();
+    let summary = read_log(&*term.ports.store, &term.options, &mut desk, || term.now()).await;
+    if let Some(terms) = term.view.terms() {
+        desk.set_terms(terms);
+    }
+    log_event::info(
+        &event::TERM_READ,
+        format_args!(
+            "token={} pages={} bytes={} jobs={} open={} targets={} took_ms={}",
+            term.token,
+            summary.pages,
+            summary.bytes,
+            desk.board.jobs.len(),
+            desk.board.open.len(),
+            desk.board.used.len(),
+            term.now().boot.saturating_sub(started).as_millis()
+        ),
+    );
+    *term.desk.borrow_mut() = desk;
+    term.ready.set(true);
+    term.became_ready.notify_waiters();
+    term.spawn(write_log(term.clone(), summary));
+    term.spawn(watch_targets(term.clone()));
+    term.spawn(tend_hosts(term.clone()));
+    drive(term).await;
+}
+
+/// Lets the desk plan whenever something has changed.
+async fn drive(term: Rc<Term>) {
+    let mut terms_seen = 0;
+    // The ticks go on by themselves: a sleep begun anew after each event would never end
+    // while events come in more often, and what time alone brings would not happen.
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let ticked = tokio::select! {
+            biased;
+            _ = ticks.tick() => true,
+            () = term.wake.notified() => false,
+            () = term.view.changed.notified() => false,
+        };
+        let version = term.view.version.get();
+        if version != terms_seen {
+            terms_seen = version;
+            if let Some(terms) = term.view.terms() {
+                term.desk.borrow_mut().set_terms(terms);
+            }
+        }
+        let now = term.now();
+        if !term.may_order() {
+            term.end("lapsed while the store did not answer");
+            return;
+        }
+        {
+            let mut desk = term.desk.borrow_mut();
+            desk.set_alone(!term.is_certain());
+            if ticked {
+                desk.tick(now);
+                #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
+                metrics::gauge!(metric::OPEN_JOBS).set(desk.board.open.len() as f64);
+            }
+            desk.plan(now);
+        }
+        carry_out(&term);
+    }
+}
+
+/// Carries out what the desk has ordered.
+fn carry_out(term: &Rc<Term>) {
+    let (orders, events, dropped, targets) = {
+        let mut desk = term.desk.borrow_mut();
+        let known = term.lanes.borrow();
+        let missing = desk.targets.keys().filter(|id| !known.contains_key(*id));
+        let missing: Vec<HostId> = missing.cloned().collect();
+        let dropped = std::mem::take(&mut desk.events_dropped);
+        (desk.take_orders(), desk.take_events(), dropped, missing)
+    };
+    record_note::log_events(events, dropped);
+    for id in targets {
+        open_lane(term, id);
+    }
+    let now = term.now().boot;
+    for order in orders {
+        match order {
+            DeskOrder::Record(record) => term.log.add(record, now),
+            DeskOrder::Resign(target) => {
+                log_event::warn(
+                    &event::OWNER_FENCED,
+                    format_args!("target={target} token={}", term.token),
+                );
+                term.end("fenced");
+                return;
+            }
+            other => run_order(term, other),
+        }
+    }
+}
--- a/crates/cell/tests/cell_host.rs
+++ b/crates/cell/tests/cell_host.rs
@@ -5,12 +5,14 @@
 use std::{rc::Rc, time::Duration};
 
 use cell::{CellHost, CellOptions};
-use common::{MemoryStore, MemoryTargets, StoreSwitch, free_address, ports_on, terms_text};
+use common::{
+    MemoryStore, MemoryTargets, StoreSwitch, free_address, ports_on, run_local, terms_text,
+};
 use link::CallClient;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use model::work::{HostRoom, JobPlan, StepPlan};
 use ports::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress};
-use tokio::{task::LocalSet, time::sleep};
+use tokio::time::sleep;
 
 const KEY: &str = "secret";
 /// Longest wait for something that takes milliseconds; reached only by a failing test.
@@ -49,14 +51,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.unwrap_or_else(|error| panic!("no runtime: {error}"));
-    LocalSet::new().block_on(&runtime, test);
-}
-
 fn call(wish: CallerWish) -> CallerCall {
     CallerCall {
         host: "jobs.example".into(),
@@ -110,7 +104,7 @@
 
 #[test]
 fn cell_completes_job() {
-    run(async {
+    run_local(async {
         let bench = Bench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
@@ -139,7 +133,7 @@
 /// again, finds it there, and accepts the job once.
 #[test]
 fn submit_settles_lost_answer() {
-    run(async {
+    run_local(async {
         let bench = Bench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
@@ -168,7 +162,7 @@
 /// true: the job is not there afterwards.
 #[test]
 fn submit_refused_while_store_refuses() {
-    run(async {
+    run_local(async {
         let bench = Bench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
@@ -187,7 +181,7 @@
 /// over and need not lapse, and the successor knows the jobs.
 #[test]
 fn stopped_owner_hands_over() {
-    run(async {
+    run_local(async {
         let bench = Bench::new();
         let first = bench.host("a");
         accepted(&first.desk(), "job1").await;
@@ -220,7 +214,7 @@
 /// its neighbours.
 #[test]
 fn turned_away_process_finds_owner() {
-    run(async {
+    run_local(async {
         let bench = Bench::new();
         let first = bench.host("a");
         accepted(&first.desk(), "job1").await;
@@ -242,7 +236,7 @@
 /// owner: that there is none was no change from what they had begun with.
 #[test]
 fn cold_process_stands_at_once() {
-    run(async {
+    run_local(async {
         let bench = Bench::new();
         let begun = tokio::time::Instant::now();
         let host = bench.host("a");
@@ -256,7 +250,7 @@
 /// away must not come back with them.
 #[test]
 fn older_terms_ignored() {
-    run(async {
+    run_local(async {
         let bench = Bench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
@@ -280,7 +274,7 @@
 /// a successor still knows each job.
 #[test]
 fn long_log_is_compacted() {
-    run(async {
+    run_local(async {
         let bench = Bench::new();
         let first = bench.host("a");
         let desk = first.desk();
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -14,6 +14,9 @@
     time::{Instant, sleep, timeout},
 };
 
+/// Keys that a list brings at most.
+const LIST_KEYS: usize = 100;
+
 /// What goes wrong at the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreSwitch {
@@ -32,6 +35,19 @@
     state: Rc<StoreState>,
     /// Whether the store turns away who calls through this handle.
     away: Rc<Cell<bool>>,
+    /// How lists are answered through this handle.
+    lists: Rc<RefCell<ListFault>>,
+}
+
+/// What goes wrong with lists of the keys below a prefix.
+#[derive(Clone, Default)]
+struct ListFault {
+    prefix: String,
+    /// Keys that one call brings; 0 for as many as usual.
+    page: usize,
+    /// Each so many-th call fails, beginning with the first; 0 for none.
+    fail_every: usize,
+    calls: usize,
 }
 
 #[derive(Default)]
@@ -55,9 +71,47 @@
         Self {
             state: self.state.clone(),
             away: Rc::default(),
+            lists: Rc::default(),
         }
     }
 
+    /// Lists of the keys below a prefix bring `page` keys, and each `fail_every`-th fails.
+    pub fn limit_lists(&self, prefix: &str, page: usize, fail_every: usize) {
+        *self.lists.borrow_mut() = ListFault {
+            prefix: prefix.to_owned(),
+            page,
+            fail_every,
+            calls: 0,
+        };
+    }
+
+    /// No list of the keys below a prefix is answered through this handle.
+    pub fn fail_lists(&self, prefix: &str) {
+        self.limit_lists(prefix, 0, 1);
+    }
+
+    /// Most keys that a list may bring.
+    fn list_limit(&self, prefix: &str) -> Result<usize, StoreFault> {
+        let mut fault = self.lists.borrow_mut();
+        if prefix != fault.prefix {
+            return Ok(LIST_KEYS);
+        }
+        fault.calls += 1;
+        if (fault.calls - 1).checked_rem(fault.fail_every) == Some(0) {
+            return Err(StoreFault::Unanswered("timed out".to_owned()));
+        }
+        Ok(match fault.page {
+            0 => LIST_KEYS,
+            page => page,
+        })
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let items = self.state.items.borrow();
+        items.get(key).map(|item| item.value.clone())
+    }
+
     /// Turns away who calls through this handle, or serves it again.
     pub fn turn_away(&self, away: bool) {
         self.away.set(away);
@@ -215,12 +269,13 @@
         let door = self.clone();
         Box::pin(async move {
             door.call().await?;
+            let limit = door.list_limit(&prefix)?;
             let items = state.items.borrow();
             let below = items.range(prefix.clone()..).map(|(_, item)| item);
             let below = below.take_while(|item| item.key.starts_with(&prefix));
             let mut found: Vec<_> = below.filter(|item| *item.key > *after).cloned().collect();
-            let more = found.len() > 100;
-            found.truncate(100);
+            let more = found.len() > limit;
+            found.truncate(limit);
             Ok(StorePage {
                 items: found,
                 more,
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -1,9 +1,20 @@
 //! A cell on ports in memory: a store with leases and faults, targets that do their work at
 //! once, a host list of two targets.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod memory_ports;
 mod memory_store;
 
 pub use memory_ports::{MemoryTargets, free_address, ports_on, terms_text};
 pub use memory_store::{MemoryStore, StoreSwitch};
+
+use tokio::task::LocalSet;
+
+/// Runs a test on an event loop of its own.
+pub fn run_local(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.unwrap_or_else(|error| panic!("no runtime: {error}"));
+    LocalSet::new().block_on(&runtime, test);
+}
--- /dev/null
+++ b/crates/cell/tests/succession.rs
@@ -0,0 +1,170 @@
+//! Who becomes the owner, and how a successor gets ready, on ports in memory.
+
+mod common;
+
+use std::{rc::Rc, time::Duration};
+
+use cell::{CellHost, CellOptions, HostLimits};
+use common::{MemoryStore, MemoryTargets, free_address, ports_on, run_local, terms_text};
+use link::CallClient;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use prost::Message;
+use tokio::time::{Instant, sleep};
+use wire::work::{LogEntry, LogPage, OwnerRecord, log_entry::Event};
+
+const OWNER: &str = "cell/owner";
+const LOG: &str = "cell/log/";
+/// Longest wait for something that takes a second; reached only by a failing test.
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn strong() -> HostLimits {
+    HostLimits::default()
+}
+
+fn weak() -> HostLimits {
+    HostLimits {
+        link_mbps: 10.0,
+        ..strong()
+    }
+}
+
+fn start_host(name: &str, store: &MemoryStore, limits: HostLimits) -> Rc<CellHost> {
+    let options = CellOptions {
+        limits,
+        ..CellOptions::new(name.into(), free_address(), free_address())
+    };
+    let ports = ports_on(store, &MemoryTargets::default());
+    let host = CellHost::new(options, ports, CallClient::default());
+    host.start(PrometheusBuilder::new().build_recorder().handle());
+    Rc::new(host)
+}
+
+fn new_store() -> MemoryStore {
+    let store = MemoryStore::default();
+    store.put("op/terms", terms_text(1, "secret").as_bytes());
+    store.put("targets/t1", b"ready");
+    store
+}
+
+fn owner(store: &MemoryStore) -> Option<String> {
+    let record = OwnerRecord::decode(store.value(OWNER)?.as_slice());
+    record.ok().map(|record| record.member)
+}
+
+async fn until_owner(store: &MemoryStore, wanted: &str) {
+    let end = Instant::now() + LIMIT;
+    while owner(store).as_deref() != Some(wanted) {
+        assert!(Instant::now() < end, "still {:?}", owner(store));
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A page of the log that an owner wrote whose token was `token`.
+fn put_page(store: &MemoryStore, page: usize, token: u64) {
+    let entry = LogEntry {
+        event: Some(Event::HandedOver(token)),
+    };
+    let value = LogPage {
+        entries: vec![entry],
+        ..LogPage::default()
+    };
+    store.put(&format!("{LOG}{page:012}"), &value.encode_to_vec());
+}
+
+/// The fleet mixes strong hosts and hosts behind narrow links. A weak process happens to win the
+/// first election, before any other is known. The work would wait behind its link all day; it
+/// hands the cell over to a strong one once that is there.
+#[test]
+fn owner_hands_over_to_stronger() {
+    run_local(async {
+        let store = new_store();
+        let _weak = start_host("weak", &store, weak());
+        until_owner(&store, "weak").await;
+        let _strong = start_host("strong", &store, strong());
+        until_owner(&store, "strong").await;
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(owner(&store).as_deref(), Some("strong"));
+    });
+}
+
+/// The owner goes, and both weak and strong processes are there. A weak one that is faster at
+/// the election would lead the fleet for the rest of the day; strong ones stand first.
+#[test]
+fn owner_is_strong_after_loss() {
+    run_local(async {
+        let store = new_store();
+        let mut hosts = vec![start_host("strong-a", &store, strong())];
+        until_owner(&store, "strong-a").await;
+        for name in ["weak-a", "weak-b", "weak-c", "weak-d", "weak-e"] {
+            hosts.push(start_host(name, &store, weak()));
+        }
+        hosts.push(start_host("strong-b", &store, strong()));
+        // All have read by then who else is there.
+        sleep(Duration::from_secs(6)).await;
+        let stopping = hosts[0].clone();
+        tokio::task::spawn_local(async move { stopping.stop(async {}).await });
+        let end = Instant::now() + LIMIT;
+        loop {
+            let now = owner(&store).unwrap_or_default();
+            assert!(!now.starts_with("weak"), "{now} leads");
+            if now == "strong-b" {
+                return;
+            }
+            assert!(Instant::now() < end, "still {now}");
+            sleep(Duration::from_millis(2)).await;
+        }
+    });
+}
+
+/// Strong processes are not there. A weak one stands after a short wait: better than nobody.
+#[test]
+fn owner_is_weak_without_others() {
+    run_local(async {
+        let store = new_store();
+        let begun = Instant::now();
+        let _weak = start_host("weak", &store, weak());
+        until_owner(&store, "weak").await;
+        assert!(begun.elapsed() < Duration::from_secs(1));
+    });
+}
+
+/// A successor reads a long log, and half of its calls to list it fail. Begun anew at each
+/// failure the log would not be read before the day ends, while the lease is renewed and nobody
+/// else may serve; the pages that came are kept.
+#[test]
+fn log_is_read_beside_failures() {
+    run_local(async {
+        let store = new_store();
+        for page in 0..200 {
+            put_page(&store, page, 1);
+        }
+        // With 5 keys a call the log takes 40 calls, of which every second fails.
+        store.limit_lists(LOG, 5, 2);
+        let _host = start_host("a", &store, strong());
+        until_owner(&store, "a").await;
+        let end = Instant::now() + LIMIT;
+        // The owner's first page shows that it has read those before.
+        while store.value(&format!("{LOG}{:012}", 200)).is_none() {
+            assert!(Instant::now() < end, "the log was not read");
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// An owner renews its lease and can't read the log, since its way to the store has become too
+/// narrow for that. It lets another process take the cell, which serves.
+#[test]
+fn owner_gives_up_unread_log() {
+    run_local(async {
+        let store = new_store();
+        put_page(&store, 0, 1);
+        let narrow = store.handle();
+        narrow.fail_lists(LOG);
+        let _first = start_host("first", &narrow, strong());
+        until_owner(&store, "first").await;
+        let _second = start_host("second", &store, strong());
+        until_owner(&store, "second").await;
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(owner(&store).as_deref(), Some("second"));
+    });
+}
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -6,8 +6,8 @@
 
 use model::{BootTime, JobId, work::TaskKey};
 use wire::work::{
-    HostOrdered, JobRecord, LogEntry, OccurrenceEnd, TargetUse, TaskEnd, WaveProgress,
-    log_entry::Event,
+    HostOrdered, JobEnd, JobPhase, JobRecord, LogEntry, OccurrenceEnd, StepEnds, TargetUse,
+    TaskEnd, WaveProgress, log_entry::Event,
 };
 
 use super::{StepState, WorkJob, WorkPhase, plan_of_record, record_of_plan};
@@ -59,6 +59,8 @@
                 self.handed_over = false;
             }
             Some(Event::HandedOver(_)) => self.handed_over = true,
+            Some(Event::Closed(end)) => self.close(end, boot),
+            Some(Event::StepEnds(ends)) => self.end_tasks(ends, boot),
             // An entry of a newer version.
             None => {}
         }
@@ -163,8 +165,16 @@
         };
         events.extend(self.ordered.iter().map(ordered));
         for job in self.jobs.values() {
-            events.push(Event::Accepted(job.record()));
-            job.push_ends(&mut events);
+            match job.closed_phase() {
+                Some(phase) => events.push(Event::Closed(JobEnd {
+                    job: job.id.to_string(),
+                    phase: phase.into(),
+                })),
+                None => {
+                    events.push(Event::Accepted(job.record()));
+                    job.push_ends(&mut events);
+                }
+            }
         }
         let entry = |event| LogEntry { event: Some(event) };
         events.into_iter().map(entry).collect()
@@ -187,6 +197,35 @@
         ids
     }
 
+    /// Takes in that a job has ended of which the log may tell nothing else any more.
+    fn close(&mut self, end: &JobEnd, boot: BootTime) {
+        let phase = match end.phase() {
+            JobPhase::Failed => WorkPhase::Failed,
+            JobPhase::Cancelled => WorkPhase::Cancelled,
+            JobPhase::Queued | JobPhase::Running | JobPhase::Completed => WorkPhase::Completed,
+        };
+        let id = JobId::from(end.job.as_str());
+        self.jobs.entry(id.clone()).or_insert_with(|| WorkJob {
+            id,
+            ..WorkJob::default()
+        });
+        self.end_job(&end.job, phase, boot);
+    }
+
+    fn end_tasks(&mut self, ends: &StepEnds, boot: BootTime) {
+        for &index in &ends.done {
+            let end = TaskEnd {
+                job: ends.job.clone(),
+                occurrence: ends.occurrence,
+                step: ends.step,
+                index,
+                done: true,
+                ..TaskEnd::default()
+            };
+            self.end_task(&end, boot);
+        }
+    }
+
     fn end_task(&mut self, end: &TaskEnd, boot: BootTime) {
         let key = TaskKey {
             job: end.job.as_str().into(),
@@ -228,35 +267,30 @@
 }
 
 impl WorkJob {
-    /// The record that it was accepted by; without its steps once it has ended.
+    /// How the job ended; `None` while it is open.
+    fn closed_phase(&self) -> Option<JobPhase> {
+        match self.phase {
+            WorkPhase::Open => None,
+            WorkPhase::Completed => Some(JobPhase::Completed),
+            WorkPhase::Failed => Some(JobPhase::Failed),
+            WorkPhase::Cancelled => Some(JobPhase::Cancelled),
+        }
+    }
+
+    /// The record that it was accepted by.
     fn record(&self) -> JobRecord {
-        let open = self.phase == WorkPhase::Open;
-        let plan = if open {
-            record_of_plan(&self.plan)
-        } else {
-            JobRecord {
-                steps: Vec::new(),
-                payload: String::new(),
-                ..record_of_plan(&self.plan)
-            }
-        };
         JobRecord {
             job: self.id.to_string(),
             queue: self.queue.to_string(),
             pool: self.pool.to_string(),
             workspace: self.workspace.to_string(),
             accepted_unix_ms: u64::try_from(self.accepted.as_millis()).unwrap_or(u64::MAX),
-            ..plan
+            ..record_of_plan(&self.plan)
         }
     }
 
-    /// Adds what has ended of it.
+    /// Adds what has ended of an open job.
     fn push_ends(&self, events: &mut Vec<Event>) {
-        match self.phase {
-            WorkPhase::Cancelled => return events.push(Event::Cancelled(self.id.to_string())),
-            WorkPhase::Failed => return events.push(Event::Failed(self.id.to_string())),
-            WorkPhase::Open | WorkPhase::Completed => {}
-        }
         let ended = (0..self.opened).filter(|number| !self.occurrences.contains_key(number));
         events.extend(ended.map(|occurrence| {
             Event::Occurrence(OccurrenceEnd {
@@ -266,28 +300,44 @@
         }));
         for (&occurrence, state) in &self.occurrences {
             for (step, tasks) in (0..).zip(&state.steps) {
-                for (index, task) in (0..).zip(&tasks.tasks) {
-                    let end = TaskEnd {
-                        job: self.id.to_string(),
-                        occurrence,
-                        step,
-                        index,
-                        ..TaskEnd::default()
-                    };
-                    events.extend(task.failed_attempts.iter().map(|&attempt| {
-                        Event::Ended(TaskEnd {
-                            attempt,
-                            ..end.clone()
-                        })
-                    }));
-                    if task.done {
-                        events.push(Event::Ended(TaskEnd { done: true, ..end }));
-                    }
-                }
+                self.push_step_ends(occurrence, step, tasks, events);
             }
         }
     }
 
+    fn push_step_ends(
+        &self,
+        occurrence: u32,
+        step: u32,
+        state: &StepState,
+        events: &mut Vec<Event>,
+    ) {
+        let mut done = Vec::new();
+        for (index, task) in (0..).zip(&state.tasks) {
+            events.extend(task.failed_attempts.iter().map(|&attempt| {
+                Event::Ended(TaskEnd {
+                    job: self.id.to_string(),
+                    occurrence,
+                    step,
+                    index,
+                    attempt,
+                    ..TaskEnd::default()
+                })
+            }));
+            if task.done {
+                done.push(index);
+            }
+        }
+        if !done.is_empty() {
+            events.push(Event::StepEnds(StepEnds {
+                job: self.id.to_string(),
+                occurrence,
+                step,
+                done,
+            }));
+        }
+    }
+
     /// Opens the occurrences up to one that the log or a target tells of.
     pub(super) fn open_until(&mut self, occurrence: u32, boot: BootTime) {
         while self.opened <= occurrence && self.opened < self.plan.occurrences() {
--- a/crates/lacewingshore/src/cell_serve.rs
+++ b/crates/lacewingshore/src/cell_serve.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, path::PathBuf, rc::Rc, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
-use cell::{CellHost, CellOptions, CellPorts};
+use cell::{CellHost, CellOptions, CellPorts, HostLimits};
 use decide::work::DeskTuning;
 use link::{CallClient, ServerLimits, ShutdownSignal, serve_http};
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -117,6 +117,11 @@
         ..default
     };
     options.host_order_pause = settings.host_order_pause;
+    options.limits = HostLimits {
+        cores: settings.processor_share * settings.processor_speed,
+        memory_mb: settings.memory_mb,
+        link_mbps: settings.link_mbps,
+    };
     Ok(options)
 }
 
--- a/crates/link/src/call_client.rs
+++ b/crates/link/src/call_client.rs
@@ -5,11 +5,12 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Request,
+    body::Incoming,
     client::conn::http1::{self, SendRequest},
     header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
 };
@@ -28,6 +29,8 @@
 /// Largest answer that is read, in bytes; the store answers at most a megabyte a page, which
 /// its text encoding makes larger by a third.
 const MAX_ANSWER: usize = 4 << 20;
+/// Longest time for the body of an answer, however steadily its bytes arrive.
+const LONGEST_BODY: Duration = Duration::from_secs(10);
 
 type LinkSender = SendRequest<Full<Bytes>>;
 
@@ -57,7 +60,7 @@
         while let Some(mut sender) = self.take_idle(&call.address) {
             match timeout_at(deadline, sender.try_send_request(request)).await {
                 Err(_) => return Err(self.silent(&call)),
-                Ok(Ok(response)) => return self.finish(&call, sender, response, deadline).await,
+                Ok(Ok(response)) => return self.finish(&call, sender, response).await,
                 Ok(Err(mut fault)) => match fault.take_message() {
                     // The kept connection was closed before the request left.
                     Some(unsent) => request = unsent,
@@ -68,7 +71,7 @@
         let mut sender = connect(&call, deadline).await?;
         match timeout_at(deadline, sender.try_send_request(request)).await {
             Err(_) => Err(self.silent(&call)),
-            Ok(Ok(response)) => self.finish(&call, sender, response, deadline).await,
+            Ok(Ok(response)) => self.finish(&call, sender, response).await,
             Ok(Err(mut fault)) => match fault.take_message() {
                 Some(_) => Err(not_sent(&call, fault.into_error())),
                 None => Err(unanswered(&call, fault.into_error())),
@@ -96,8 +99,7 @@
         &self,
         call: &HttpCall,
         sender: LinkSender,
-        response: hyper::Response<hyper::body::Incoming>,
-        deadline: tokio::time::Instant,
+        response: hyper::Response<Incoming>,
     ) -> Result<HttpReply, CallFault> {
         let status = response.status().as_u16();
         let retry_after = response
@@ -105,12 +107,7 @@
             .get(RETRY_AFTER)
             .and_then(|value| value.to_str().ok()?.parse().ok())
             .map(Duration::from_secs);
-        let body = Limited::new(response.into_body(), MAX_ANSWER);
-        let body = match timeout_at(deadline, body.collect()).await {
-            Err(_) => return Err(self.silent(call)),
-            Ok(Err(error)) => return Err(unanswered(call, error)),
-            Ok(Ok(body)) => body.to_bytes(),
-        };
+        let body = self.read_body(call, response.into_body()).await?;
         self.keep(&call.address, sender);
         Ok(HttpReply {
             status,
@@ -119,6 +116,29 @@
         })
     }
 
+    /// Reads the body of an answer for as long as its bytes arrive.
+    ///
+    /// A large answer on a narrow link takes longer than any fixed timeout that is useful for a
+    /// connection that went silent. Cut off at the same point each time, a list of keys would
+    /// never be read; so the timeout counts from the last bytes that came.
+    async fn read_body(&self, call: &HttpCall, body: Incoming) -> Result<Bytes, CallFault> {
+        let limit = tokio::time::Instant::now() + LONGEST_BODY;
+        let mut body = Limited::new(body, MAX_ANSWER);
+        let mut bytes = BytesMut::new();
+        loop {
+            let stalled = limit.min(tokio::time::Instant::now() + call.timeout);
+            let frame = match timeout_at(stalled, body.frame()).await {
+                Err(_) => return Err(self.silent(call)),
+                Ok(None) => return Ok(bytes.freeze()),
+                Ok(Some(Err(error))) => return Err(unanswered(call, error)),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            if let Some(part) = frame.data_ref() {
+                bytes.extend_from_slice(part);
+            }
+        }
+    }
+
     fn keep(&self, address: &CompactString, sender: LinkSender) {
         if sender.is_closed() {
             return;
--- a/crates/link/src/http_call.rs
+++ b/crates/link/src/http_call.rs
@@ -20,7 +20,8 @@
     pub headers: HeaderMap,
     /// Body; empty for none.
     pub body: Bytes,
-    /// Longest wait for the whole answer, connecting included.
+    /// Longest wait for the head of the answer, connecting included, and then for each further
+    /// part of its body.
     pub timeout: Duration,
 }
 
--- a/crates/link/tests/calls.rs
+++ b/crates/link/tests/calls.rs
@@ -124,6 +124,57 @@
     });
 }
 
+/// Serves one connection with an answer of six bytes, of which each comes after a pause; `sent` of
+/// them come at all.
+async fn serve_slowly(pause: Duration, sent: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.unwrap_or_else(|error| panic!("no listener: {error}"));
+    let address = listener
+        .local_addr()
+        .unwrap_or_else(|error| panic!("no address: {error}"));
+    tokio::task::spawn_local(async move {
+        let Ok((mut stream, _)) = listener.accept().await else {
+            return;
+        };
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request).await;
+        let head = b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n";
+        let _ = stream.write_all(head).await;
+        for part in b"answer".chunks(1).take(sent) {
+            sleep(pause).await;
+            let _ = stream.write_all(part).await;
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+/// A new owner reads the log through a narrow link. The answer takes longer than the timeout,
+/// though its bytes keep coming; cut off there it would be asked for again, and never be read.
+#[test]
+fn call_body_arrives_slowly() {
+    run(async {
+        let address = serve_slowly(Duration::from_millis(100), 6).await;
+        let reply = CallClient::default().call(call(address, b"")).await;
+        let text = reply.map(|reply| reply.body).unwrap_or_default();
+        assert_eq!(text, "answer".as_bytes());
+    });
+}
+
+/// A connection goes silent in the middle of an answer. The call ends one timeout after the last
+/// bytes.
+#[test]
+fn call_body_stalls() {
+    run(async {
+        let address = serve_slowly(Duration::from_millis(100), 3).await;
+        let begun = Instant::now();
+        let reply = CallClient::default().call(call(address, b"")).await;
+        assert!(matches!(reply, Err(CallFault::Unanswered(_))));
+        assert!(begun.elapsed() >= Duration::from_millis(600));
+        assert!(begun.elapsed() < Duration::from_millis(1000));
+    });
+}
+
 /// A process is told to stop while it works on a request. The request is answered whole, and
 /// only then does the connection end.
 #[test]
--- a/crates/model/src/cell_settings.rs
+++ b/crates/model/src/cell_settings.rs
@@ -31,6 +31,14 @@
     pub task_lease: Duration,
     /// Time within which two holders' orders to one host conflict.
     pub host_order_pause: Duration,
+    /// Part of a processor that the process may use, in cores.
+    pub processor_share: f64,
+    /// How many times as fast as a usual core its processor is.
+    pub processor_speed: f64,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: f64,
+    /// Bandwidth of the host's link, in megabits a second.
+    pub link_mbps: f64,
     /// Least severe events that are logged.
     pub log_level: log::LevelFilter,
 }
@@ -49,6 +57,10 @@
             advice_address: String::new(),
             task_lease: Duration::from_secs(6),
             host_order_pause: Duration::from_secs(3),
+            processor_share: 1.0,
+            processor_speed: 1.0,
+            memory_mb: 1024.0,
+            link_mbps: 1000.0,
             log_level: log::LevelFilter::Info,
         }
     }
@@ -126,6 +138,29 @@
     ),
 ];
 
+const LIMIT_RULES: &[CellRule] = &[
+    KeyRule::optional(
+        "processor_share",
+        KeyField::Amount(0.001..=1024.0, |settings| &mut settings.processor_share),
+        "Part of a processor that the process may use, in cores; strong processes become the owner first.",
+    ),
+    KeyRule::optional(
+        "processor_speed",
+        KeyField::Amount(0.001..=1024.0, |settings| &mut settings.processor_speed),
+        "How many times as fast as a usual core the processor is.",
+    ),
+    KeyRule::optional(
+        "memory_mb",
+        KeyField::Amount(1.0..=1_048_576.0, |settings| &mut settings.memory_mb),
+        "Memory that the process may use, in megabytes.",
+    ),
+    KeyRule::optional(
+        "link_mbps",
+        KeyField::Amount(0.001..=1_000_000.0, |settings| &mut settings.link_mbps),
+        "Bandwidth of the host's link, in megabits a second.",
+    ),
+];
+
 const LOG_RULES: &[CellRule] = &[KeyRule::optional(
     "level",
     KeyField::Level(|settings| &mut settings.log_level),
@@ -136,6 +171,7 @@
     ("entry", ENTRY_RULES),
     ("platform", PLATFORM_RULES),
     ("times", TIME_RULES),
+    ("limits", LIMIT_RULES),
     ("log", LOG_RULES),
 ];
 
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -30,5 +30,7 @@
 pub type Revision = u64;
 /// Tells two lives of one member id apart; a newer life has the larger number.
 pub type Incarnation = u64;
+/// How much work a host can carry, in thousandths of what is ample.
+pub type HostStrength = u32;
 /// Time since the machine booted, suspended time included.
 pub type BootTime = Duration;
--- a/crates/model/src/key_rule.rs
+++ b/crates/model/src/key_rule.rs
@@ -7,8 +7,8 @@
     HostRole, PeerSetting, TextFault,
     ini_text::IniSection,
     value_text::{
-        MAX_NAME, read_address, read_clock_time, read_count, read_flag, read_name, read_span,
-        read_url, show_span,
+        MAX_NAME, read_address, read_amount, read_clock_time, read_count, read_flag, read_name,
+        read_span, read_url, show_span,
     },
 };
 
@@ -51,6 +51,7 @@
     Span(RangeInclusive<Duration>, fn(&mut T) -> &mut Duration),
     Count(RangeInclusive<u64>, fn(&mut T) -> &mut u32),
     Size(RangeInclusive<u64>, fn(&mut T) -> &mut usize),
+    Amount(RangeInclusive<f64>, fn(&mut T) -> &mut f64),
 }
 
 impl<T> KeyRule<T> {
@@ -154,6 +155,7 @@
             Self::Size(range, field) => {
                 *field(target) = usize::try_from(read_count(text, range)?).unwrap_or(usize::MAX);
             }
+            Self::Amount(range, field) => *field(target) = read_amount(text, range)?,
         }
         Ok(())
     }
@@ -182,6 +184,7 @@
             Self::Count(range, _) | Self::Size(range, _) => {
                 format!("{} to {}", range.start(), range.end())
             }
+            Self::Amount(range, _) => format!("{} to {}", range.start(), range.end()),
         }
     }
 
@@ -204,6 +207,7 @@
             Self::Span(_, field) => show_span(*field(target)),
             Self::Count(_, field) => field(target).to_string(),
             Self::Size(_, field) => field(target).to_string(),
+            Self::Amount(_, field) => field(target).to_string(),
         }
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -25,8 +25,8 @@
 pub use cell_settings::CellSettings;
 pub use event::{EventCode, EventInfo};
 pub use id::{
-    BootTime, ChangeId, DataCentreId, HostId, Incarnation, JobId, KeyId, MemberId, PoolId, RackId,
-    RequestId, Revision, ServiceId, TeamId, WorkspaceId,
+    BootTime, ChangeId, DataCentreId, HostId, HostStrength, Incarnation, JobId, KeyId, MemberId,
+    PoolId, RackId, RequestId, Revision, ServiceId, TeamId, WorkspaceId,
 };
 pub use key_rule::KeyInfo;
 pub use key_text::{KEY_SALT_LEN, KeyText};
--- a/crates/model/src/value_text.rs
+++ b/crates/model/src/value_text.rs
@@ -21,6 +21,19 @@
     Ok(count)
 }
 
+pub(crate) fn read_amount(text: &str, range: &RangeInclusive<f64>) -> Result<f64, String> {
+    let amount = text.parse::<f64>().ok();
+    amount
+        .filter(|amount| range.contains(amount))
+        .ok_or_else(|| {
+            format!(
+                "`{text}` is not a number from {} to {}",
+                range.start(),
+                range.end()
+            )
+        })
+}
+
 pub(crate) fn read_span(text: &str, range: &RangeInclusive<Duration>) -> Result<Duration, String> {
     let allowed = || {
         format!(
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,17 +5,21 @@
 //! `crates/wire/proto`; `cargo run -p codegen` writes the code below `generated/`.
 
 #[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 #[path = "generated/peer.rs"]
 pub mod peer;
 
 #[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 #[path = "generated/state.rs"]
 pub mod state;
 
 #[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 #[path = "generated/fleet.rs"]
 pub mod fleet;
 
 #[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 #[path = "generated/work.rs"]
 pub mod work;
