Ask the other processes when the store seems away: hand over to one that it serves, go on where it serves none

And while the store is away for all, nothing accepted was started, though nobody else could be the owner. Change: - An owner that misses the store asks all others. If none does and all pledge to keep out of elections for 0.5 s, the owner relies on that for 0.4 s from its asking, as long as it was sure without a gap; it starts accepted work meanwhile. Nothing is accepted, and no host ordered. - Renewals overlap: one whose answer is lost no longer holds the next one back. - The members' entries are followed by a watch, and lapse after 10 s (30 s), so that one that is gone blocks no pledge. All processes had read the owner's entry, and the answers came after their watches had told that it was gone; each took the cell for owned. The view of the owner now drops entries of revisions that are known to be gone. The same could happen before, by the read at a term's end (owner_view_drops_late_answer failed with the guard taken out). Tests: owner_turned_away_is_released, owner_starts_while_store_is_away, owner_starts_nothing_beside_silent_member, owner_view_drops_late_answer.

--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -21,14 +21,13 @@
     owner_view::OwnerView,
     peer_port::{PeerPort, TermSlot},
     prefix_watch::watch_prefix,
+    stand_pledge::StandPledge,
     term::TermParts,
 };
 
 /// How often samples of histograms are folded into their distributions; until then each takes
 /// memory.
 const METRICS_UPKEEP: std::time::Duration = std::time::Duration::from_secs(5);
-/// How long a handing over waits for the last entries of the log.
-const HAND_OVER_PATIENCE: std::time::Duration = std::time::Duration::from_millis(300);
 
 /// What a platform offers, each behind a trait.
 #[derive(Clone)]
@@ -54,6 +53,7 @@
     slot: TermSlot,
     client: CallClient,
     members: Rc<MemberBook>,
+    pledge: Rc<StandPledge>,
     /// Begins when connections are to finish.
     stopping: ShutdownSignal,
     /// Begins when the process no longer stands for election.
@@ -74,6 +74,7 @@
             options,
             ports,
             slot: Rc::new(RefCell::new(None)),
+            pledge: Rc::default(),
             client,
             stopping: ShutdownSignal::default(),
             retired: ShutdownSignal::default(),
@@ -111,6 +112,8 @@
         self.watch();
         let keeping = self.members.clone().keep(self.ports.store.clone());
         tokio::task::spawn_local(keeping);
+        let following = self.members.clone().follow(self.ports.store.clone());
+        tokio::task::spawn_local(following);
         self.serve(metrics);
         let candidate = Candidate {
             parts: TermParts {
@@ -122,6 +125,7 @@
             owners: self.owners.clone(),
             slot: self.slot.clone(),
             stopping: self.retired.clone(),
+            pledge: self.pledge.clone(),
             aside_until: Cell::default(),
         };
         tokio::task::spawn_local(candidate.stand());
@@ -139,7 +143,7 @@
         let term = self.slot.borrow().clone();
         self.retired.begin();
         if let Some(term) = term {
-            term.hand_over(HAND_OVER_PATIENCE).await;
+            term.hand_over().await;
         }
         sleep(self.options.drain_wait).await;
         self.stopping.begin();
@@ -168,6 +172,9 @@
         let peers = Rc::new(PeerPort {
             slot: self.slot.clone(),
             owners: self.owners.clone(),
+            store: self.ports.store.clone(),
+            owner_key: self.options.owner_key(),
+            pledge: self.pledge.clone(),
         });
         // Peers go on being answered until the process ends: their callers wait.
         let (address, never) = (self.options.peer_address, ShutdownSignal::default());
--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -11,6 +11,7 @@
     event,
     owner_view::{OwnerView, entry_write, owner_of},
     peer_port::TermSlot,
+    stand_pledge::StandPledge,
     term::{Term, TermParts, WonTerm},
     term_run::run_term,
 };
@@ -36,6 +37,8 @@
     pub(crate) owners: Rc<OwnerView>,
     pub(crate) slot: TermSlot,
     pub(crate) stopping: ShutdownSignal,
+    /// Keeps the process out of elections while an owner relies on that.
+    pub(crate) pledge: Rc<StandPledge>,
     /// Until when it lets others stand first.
     pub(crate) aside_until: Cell<BootTime>,
 }
@@ -54,7 +57,14 @@
             if !self.owners.is_vacant() || self.stopping.begun() {
                 continue;
             }
-            match self.run_for_it().await {
+            if let Some(left) = self.pledge.left(BootClock.boot_now()) {
+                sleep(left).await;
+                continue;
+            }
+            self.pledge.set_standing(true);
+            let election = self.run_for_it().await;
+            self.pledge.set_standing(false);
+            match election {
                 Ok(Some(won)) => self.lead(won).await,
                 Ok(None) => {}
                 Err(error) => {
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -13,6 +13,8 @@
     TERM_ALONE = 1015, "term-alone", "The lease on the cell may have lapsed and the store does not answer. What runs goes on for a bounded time; nothing is accepted or started.";
     TERM_CALM = 1016, "term-calm", "The lease on the cell is renewed again.";
     ELECTION_FAILED = 1017, "election-failed", "Standing for election failed; it is tried again.";
+    TERM_RELEASED = 1018, "term-released", "The store turns this owner away and serves another process, which is asked to end the lease; carries its address.";
+    TERM_PLEDGED = 1019, "term-pledged", "The store is away for all processes and all keep out of elections, so this owner goes on starting what it has accepted.";
     STORE_LOST = 1020, "cell-store-lost", "Calls to the store fail; carries the step and the reason.";
     STORE_BACK = 1021, "cell-store-back", "The store answers again; carries for how long it did not.";
     WATCH_RESET = 1022, "watch-reset", "A watch could not continue from where it was, and its keys were read anew.";
--- a/crates/cell/src/fleet_view.rs
+++ b/crates/cell/src/fleet_view.rs
@@ -9,7 +9,7 @@
     event as log_event,
     work::{FleetTerms, MaintenanceWave, WaveId},
 };
-use ports::{FleetCodec, StoreEvent, StoreItem};
+use ports::{FleetCodec, StoreEvent, StoreItem, StoreRevision};
 use tokio::sync::Notify;
 
 use crate::{event, prefix_watch::PrefixSink};
@@ -106,7 +106,7 @@
 }
 
 impl PrefixSink for FleetView {
-    fn reset(&self, items: Vec<StoreItem>) {
+    fn reset(&self, items: Vec<StoreItem>, _revision: StoreRevision) {
         items.iter().for_each(|item| self.take(item));
     }
 
@@ -114,7 +114,7 @@
         match event {
             StoreEvent::Written(item) => self.take(&item),
             // Operators replace terms and never remove them.
-            StoreEvent::Removed(key) => {
+            StoreEvent::Removed(key, _) => {
                 if let Some(wave) = self.codec.wave_of_key(&key) {
                     self.waves.borrow_mut().remove(&wave);
                     self.bump();
--- a/crates/cell/src/member_book.rs
+++ b/crates/cell/src/member_book.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
@@ -7,7 +8,10 @@
 use compact_str::CompactString;
 use link::CallClient;
 use model::HostStrength;
-use ports::{LeaseId, LeaseStore, StoreChange, StoreFault, StoreItem, StoreOutcome};
+use ports::{
+    LeaseId, LeaseStore, StoreChange, StoreEvent, StoreFault, StoreItem, StoreOutcome,
+    StoreRevision,
+};
 use prost::Message;
 use store::{BootClock, Clock};
 use tokio::time::sleep;
@@ -17,19 +21,22 @@
     cell_options::CellOptions,
     owner_view::{OwnerView, entry_write},
     peer_call::ask_owner,
-    prefix_watch::read_all,
+    prefix_watch::{PrefixSink, watch_prefix},
 };
 
-/// How often a process renews its entry and reads those of the others. A store call of each
-/// process in five seconds is little beside what it makes anyway.
-const REFRESH_EVERY: Duration = Duration::from_secs(5);
-/// Length of the lease on an entry: a process that is gone is asked in vain for at most this time.
-const ENTRY_LEASE: Duration = Duration::from_secs(30);
+/// How often a process renews its entry.
+const RENEW_EVERY: Duration = Duration::from_secs(3);
+/// Length of the lease on an entry: a process that is gone is asked in vain for at most this
+/// time, and an owner can't rely on the pledges of all for as long.
+const ENTRY_LEASE: Duration = Duration::from_secs(10);
+/// How long a watch of the entries waits for changes, which are rare.
+const WATCH_PATIENCE: Duration = Duration::from_secs(10);
 /// Least time between two questions to members, whatever callers ask: one process makes ten a
 /// second at most, while nobody owns the cell.
 const ASK_EVERY: Duration = Duration::from_millis(100);
-/// Longest wait for an answer; a neighbouring data centre answers in some milliseconds.
-const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait for an answer; a neighbouring data centre answers in some milliseconds, and one
+/// that looks at the store first gives that up a little earlier.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Another process of the system.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,7 +55,8 @@
 pub(crate) struct MemberBook {
     options: Rc<CellOptions>,
     client: CallClient,
-    others: RefCell<Vec<Neighbour>>,
+    /// The others, by their keys in the store.
+    others: RefCell<BTreeMap<CompactString, Neighbour>>,
     next: Cell<usize>,
     asked: Cell<Duration>,
 }
@@ -64,36 +72,36 @@
         }
     }
 
-    /// Keeps the entry of this process in the store, and the book in step with it, for ever.
+    /// Follows the entries of the others, for ever.
+    pub(crate) async fn follow(self: Rc<Self>, store: Rc<dyn LeaseStore>) {
+        let prefix = self.options.member_prefix();
+        watch_prefix(store, &prefix, WATCH_PATIENCE, &*self).await;
+    }
+
+    /// Keeps the entry of this process in the store, for ever.
     pub(crate) async fn keep(self: Rc<Self>, store: Rc<dyn LeaseStore>) {
         let mut lease = None;
         loop {
-            match self.refresh(&*store, lease).await {
+            match self.renew(&*store, lease).await {
                 Ok(standing) => lease = standing,
-                // What was known goes on counting; the watches tell of a store that is away.
-                Err(error) => log::debug!("refresh members: {error}"),
+                // The watches tell of a store that is away.
+                Err(error) => log::debug!("renew the entry of the member: {error}"),
             }
-            sleep(REFRESH_EVERY).await;
+            sleep(RENEW_EVERY).await;
         }
     }
 
-    async fn refresh(
+    async fn renew(
         &self,
         store: &dyn LeaseStore,
         lease: Option<LeaseId>,
     ) -> Result<Option<LeaseId>, StoreFault> {
-        let stands = match lease {
-            Some(lease) => store.renew_lease(lease).await?,
-            None => false,
-        };
-        let lease = if stands {
-            lease
-        } else {
-            self.enter(store).await?
-        };
-        let (items, _) = read_all(store, &self.options.member_prefix()).await?;
-        *self.others.borrow_mut() = items.iter().filter_map(|item| self.other(item)).collect();
-        Ok(lease)
+        if let Some(standing) = lease
+            && store.renew_lease(standing).await?
+        {
+            return Ok(lease);
+        }
+        self.enter(store).await
     }
 
     async fn enter(&self, store: &dyn LeaseStore) -> Result<Option<LeaseId>, StoreFault> {
@@ -114,7 +122,7 @@
     /// One of the strongest of the others, if it has at least this strength.
     pub(crate) fn strongest(&self, least: HostStrength) -> Option<Neighbour> {
         let others = self.others.borrow();
-        let best = others.iter().max_by_key(|other| other.strength);
+        let best = others.values().max_by_key(|other| other.strength);
         best.filter(|other| other.strength >= least).cloned()
     }
 
@@ -153,7 +161,18 @@
             ask: Some(Ask::Owner(true)),
             ..OwnerCall::default()
         };
-        match ask_owner(&self.client, address, &call, ASK_TIMEOUT).await {
+        self.ask(address, &call).await
+    }
+
+    /// Where all others answer peers.
+    pub(crate) fn addresses(&self) -> Vec<CompactString> {
+        let others = self.others.borrow();
+        others.values().map(|other| other.address.clone()).collect()
+    }
+
+    /// Asks another process; `None` if it does not answer soon.
+    pub(crate) async fn ask(&self, address: &str, call: &OwnerCall) -> Option<OwnerAnswer> {
+        match ask_owner(&self.client, address, call, ASK_TIMEOUT).await {
             Ok(answer) => Some(answer),
             Err(error) => {
                 log::debug!("{error:?}");
@@ -166,6 +185,32 @@
         let others = self.others.borrow();
         let next = self.next.replace(self.next.get().wrapping_add(1));
         let index = next.checked_rem(others.len())?;
-        others.get(index).map(|other| other.address.clone())
+        others
+            .values()
+            .nth(index)
+            .map(|other| other.address.clone())
+    }
+}
+
+impl PrefixSink for MemberBook {
+    fn reset(&self, items: Vec<StoreItem>, _revision: StoreRevision) {
+        let others = items.iter().filter_map(|item| {
+            let other = self.other(item)?;
+            Some((item.key.clone(), other))
+        });
+        *self.others.borrow_mut() = others.collect();
+    }
+
+    fn change(&self, event: StoreEvent) {
+        match event {
+            StoreEvent::Written(item) => {
+                if let Some(other) = self.other(&item) {
+                    self.others.borrow_mut().insert(item.key, other);
+                }
+            }
+            StoreEvent::Removed(key, _) => {
+                self.others.borrow_mut().remove(&key);
+            }
+        }
     }
 }
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -24,8 +24,8 @@
             pending: term.desk.borrow().pending(&queue),
             ..answer(AnswerKind::Counted)
         },
-        // The question for the owner is answered before; others are of a newer version.
-        Some(Ask::Owner(_)) | None => refused(term),
+        // Questions to any process are answered before; others are of a newer version.
+        Some(Ask::Owner(_) | Ask::Store(_) | Ask::Release(_)) | None => refused(term),
     }
 }
 
--- a/crates/cell/src/owner_view.rs
+++ b/crates/cell/src/owner_view.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use compact_str::CompactString;
 use model::{MemberId, event as log_event};
@@ -25,8 +25,10 @@
 pub(crate) struct OwnerView {
     key: CompactString,
     owner: RefCell<Option<OwnerEntry>>,
+    /// Entries of lower revisions are known to be gone.
+    gone_before: Cell<StoreRevision>,
     /// Whether the entry has been read at all.
-    known: std::cell::Cell<bool>,
+    known: Cell<bool>,
     /// Told of each change.
     pub(crate) changed: Notify,
 }
@@ -59,6 +61,14 @@
         self.put(item.and_then(owner_of));
     }
 
+    /// Takes that no entry of a lower revision stands any more.
+    fn set_gone(&self, revision: StoreRevision) {
+        self.gone_before.set(self.gone_before.get().max(revision));
+        if self.owner().is_none_or(|owner| owner.token < revision) {
+            self.set(None);
+        }
+    }
+
     /// Takes who another process says is the owner, if that is a later one than is known here.
     pub(crate) fn learn(&self, record: Option<OwnerRecord>, token: StoreRevision) {
         let known = self.owner().map_or(0, |owner| owner.token);
@@ -73,7 +83,11 @@
     }
 
     fn put(&self, entry: Option<OwnerEntry>) {
-        if *self.owner.borrow() == entry {
+        // The answer to a read may come after the watch has told that the entry it found is gone.
+        // Believed, it would keep this process from ever standing: nothing more happens to that
+        // entry. An entry is written once, so one that is gone does not come back.
+        let gone = |owner: &OwnerEntry| owner.token < self.gone_before.get();
+        if *self.owner.borrow() == entry || entry.as_ref().is_some_and(gone) {
             return;
         }
         match &entry {
@@ -125,15 +139,18 @@
 }
 
 impl PrefixSink for OwnerView {
-    fn reset(&self, items: Vec<StoreItem>) {
-        self.set(items.iter().find(|item| item.key == self.key));
+    fn reset(&self, items: Vec<StoreItem>, revision: StoreRevision) {
+        match items.iter().find(|item| item.key == self.key) {
+            Some(item) => self.set(Some(item)),
+            None => self.set_gone(revision),
+        }
     }
 
     fn change(&self, event: StoreEvent) {
         match event {
             StoreEvent::Written(item) if item.key == self.key => self.set(Some(&item)),
-            StoreEvent::Removed(key) if key == self.key => self.set(None),
-            StoreEvent::Written(_) | StoreEvent::Removed(_) => {}
+            StoreEvent::Removed(key, revision) if key == self.key => self.set_gone(revision),
+            StoreEvent::Written(_) | StoreEvent::Removed(..) => {}
         }
     }
 }
--- a/crates/cell/src/peer_port.rs
+++ b/crates/cell/src/peer_port.rs
@@ -1,24 +1,39 @@
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use compact_str::CompactString;
 use link::{HttpReply, HttpRequest, HttpService, ReplyFuture};
+use model::{event as log_event, work::FencingToken};
+use ports::{LeaseId, LeaseStore};
 use prost::Message;
+use store::{BootClock, Clock};
+use tokio::time::timeout;
 use wire::work::{AnswerKind, OwnerAnswer, OwnerCall, OwnerRecord, owner_call::Ask};
 
-use crate::{owner_desk, owner_view::OwnerView, peer_call::OWNER_PATH, term::Term};
+use crate::{
+    event, owner_desk, owner_view::OwnerView, peer_call::OWNER_PATH, stand_pledge::StandPledge,
+    term::Term,
+};
 
 /// The term that this process runs, while it owns the cell.
 pub(crate) type TermSlot = Rc<RefCell<Option<Rc<Term>>>>;
 
+/// Longest wait for the store before a process says that it does not reach it. Less than its
+/// asker waits.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Answers the other processes of the system.
+#[derive(Clone)]
 pub(crate) struct PeerPort {
     pub(crate) slot: TermSlot,
     pub(crate) owners: Rc<OwnerView>,
+    pub(crate) store: Rc<dyn LeaseStore>,
+    pub(crate) owner_key: CompactString,
+    pub(crate) pledge: Rc<StandPledge>,
 }
 
 impl HttpService for PeerPort {
     fn answer(&self, request: HttpRequest) -> ReplyFuture {
-        let term = self.slot.borrow().clone();
-        let owners = self.owners.clone();
+        let port = self.clone();
         Box::pin(async move {
             let call = match OwnerCall::decode(request.body) {
                 Ok(call) if request.uri.path() == OWNER_PATH => call,
@@ -28,19 +43,59 @@
                     return HttpReply::status(400);
                 }
             };
-            let answer = match term {
-                _ if matches!(call.ask, Some(Ask::Owner(_))) => name_owner(&owners),
-                Some(term) => owner_desk::answer_call(&term, call).await,
-                None => OwnerAnswer {
-                    kind: AnswerKind::NotOwner.into(),
-                    ..OwnerAnswer::default()
-                },
-            };
+            let answer = port.answer_call(call).await;
             HttpReply::json(200, answer.encode_to_vec())
         })
     }
 }
 
+impl PeerPort {
+    async fn answer_call(&self, call: OwnerCall) -> OwnerAnswer {
+        let term = self.slot.borrow().clone();
+        match (call.ask, term) {
+            (Some(Ask::Owner(_)), _) => name_owner(&self.owners),
+            (Some(Ask::Store(token)), term) => self.probe_store(token, term.is_some()).await,
+            (Some(Ask::Release(lease)), _) => self.release(lease).await,
+            (ask, Some(term)) => owner_desk::answer_call(&term, OwnerCall { ask, ..call }).await,
+            (_, None) => OwnerAnswer {
+                kind: AnswerKind::NotOwner.into(),
+                ..OwnerAnswer::default()
+            },
+        }
+    }
+
+    /// Looks whether the store is there, for an owner that does not reach it; if it is not, this
+    /// process keeps out of elections for a while, so that the owner knows to be the only one.
+    async fn probe_store(&self, token: FencingToken, owns: bool) -> OwnerAnswer {
+        let read = timeout(PROBE_TIMEOUT, self.store.read(&self.owner_key)).await;
+        let Ok(Ok(item)) = read else {
+            let pledged = !owns && self.pledge.give(BootClock.boot_now());
+            return OwnerAnswer {
+                pledged,
+                ..OwnerAnswer::default()
+            };
+        };
+        self.owners.set(item.as_ref());
+        let stands = item.is_some_and(|item| item.revision == token);
+        OwnerAnswer {
+            store_reached: true,
+            owner_token: if stands { token } else { 0 },
+            ..OwnerAnswer::default()
+        }
+    }
+
+    /// Ends a lease for an owner that the store turns away.
+    async fn release(&self, lease: LeaseId) -> OwnerAnswer {
+        if let Err(error) = self.store.end_lease(lease).await {
+            log_event::warn(
+                &event::STORE_LOST,
+                format_args!("step=\"end lease for an owner\" cause=\"{error}\""),
+            );
+        }
+        OwnerAnswer::default()
+    }
+}
+
 /// Says who the owner is, as far as this process has heard.
 fn name_owner(owners: &OwnerView) -> OwnerAnswer {
     let owner = owners.owner();
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -11,8 +11,8 @@
 
 /// Hears what happens below a prefix.
 pub(crate) trait PrefixSink {
-    /// All keys that there are; what was known before and isn't among them is gone.
-    fn reset(&self, items: Vec<StoreItem>);
+    /// All keys that there were at a revision; what was known before and isn't among them is gone.
+    fn reset(&self, items: Vec<StoreItem>, revision: StoreRevision);
     /// One change.
     fn change(&self, event: StoreEvent);
 }
@@ -30,7 +30,7 @@
     loop {
         let mut revision = match read_all(&*store, prefix).await {
             Ok((items, revision)) => {
-                sink.reset(items);
+                sink.reset(items, revision);
                 revision
             }
             Err(error) => {
--- a/crates/cell/src/step_aside.rs
+++ b/crates/cell/src/step_aside.rs
@@ -1,5 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
+use compact_str::CompactString;
 use tokio::time::sleep;
 
 use crate::{member_book::Neighbour, term::Term};
@@ -12,15 +13,22 @@
 /// How many times as strong another process has to be to be worth a hand-over, which holds up
 /// callers for some tens of milliseconds.
 const WORTH_IT: u32 = 2;
-/// How long a hand-over waits for the last entries of the log.
-const HAND_OVER_PATIENCE: Duration = Duration::from_millis(300);
 
-/// Returns once the term was given up for another process to take the cell; for ever waiting
-/// while this one does well.
+/// How an owner leaves its place to another process.
+pub(crate) enum Departure {
+    /// In order: the log is completed first.
+    HandOver,
+    /// At once, for a reason.
+    GiveUp(&'static str),
+    /// At once; the store turns this process away, so the one at the address ends its lease.
+    ReleaseBy(CompactString),
+}
+
+/// Returns once another process should take the cell; waits for ever while this one does well.
 ///
 /// Without it an owner that can't get ready, behind a link that has become too narrow, would keep
 /// renewing its lease: nobody serves then and nobody else may.
-pub(crate) async fn step_aside(term: &Rc<Term>) {
+pub(crate) async fn step_aside(term: &Rc<Term>) -> Departure {
     let begun = term.now().boot;
     loop {
         sleep(CONSIDER_EVERY).await;
@@ -30,12 +38,10 @@
         }
         let age = term.now().boot.saturating_sub(begun);
         if !term.is_ready() && age >= READ_LIMIT {
-            term.give_up("the log was not read in time").await;
-            return;
+            return Departure::GiveUp("the log was not read in time");
         }
         if term.is_ready() && !term.log.is_failing() && has_stronger(term).await {
-            term.hand_over(HAND_OVER_PATIENCE).await;
-            return;
+            return Departure::HandOver;
         }
     }
 }
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -39,7 +39,7 @@
     let begun = Instant::now();
     let answer = match turn(&lane).await {
         // It may have waited for its turn for longer than the lease goes.
-        Some(_permit) if term.is_certain() => term.ports.targets.start(&address, order).await,
+        Some(_permit) if term.may_start() => term.ports.targets.start(&address, order).await,
         _ => StartAnswer::NotSent(TOO_LATE.to_owned()),
     };
     lane.hurry.notify_one();
--- a/crates/cell/src/target_watch.rs
+++ b/crates/cell/src/target_watch.rs
@@ -1,7 +1,7 @@
 use std::{collections::HashSet, rc::Rc};
 
 use model::{HostId, event as log_event};
-use ports::{StoreEvent, StoreItem};
+use ports::{StoreEvent, StoreItem, StoreRevision};
 
 use crate::{
     event,
@@ -51,7 +51,7 @@
 }
 
 impl PrefixSink for TargetSink {
-    fn reset(&self, items: Vec<StoreItem>) {
+    fn reset(&self, items: Vec<StoreItem>, _revision: StoreRevision) {
         let present: HashSet<HostId> = items
             .iter()
             .filter_map(|item| self.id_of(&item.key).map(HostId::from))
@@ -67,7 +67,7 @@
     fn change(&self, event: StoreEvent) {
         match event {
             StoreEvent::Written(item) => self.take(&item),
-            StoreEvent::Removed(key) => {
+            StoreEvent::Removed(key, _) => {
                 if let Some(id) = self.id_of(&key) {
                     self.term.desk.borrow_mut().unlist_target(&id.into());
                 }
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -26,6 +26,11 @@
 
 /// Part of the lease that is not counted on: the clocks of store and host may differ a little.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
+/// A renewal that takes this long is waited for, and others are sent meanwhile; one that fails
+/// earlier was refused.
+const RENEWAL_PATIENCE: Duration = Duration::from_millis(100);
+/// How long a handing over waits for the last entries of the log.
+const HAND_OVER_PATIENCE: Duration = Duration::from_millis(300);
 /// How often a hand-over looks whether the last entries of the log are stored.
 const STORED_PAUSE: Duration = Duration::from_millis(10);
 
@@ -75,6 +80,12 @@
     /// Whether the process gave the cell up for another to take it.
     pub(crate) given_up: Cell<bool>,
     certain_until: Cell<BootTime>,
+    /// Until when all other processes keep out of elections.
+    pledged_until: Cell<BootTime>,
+    /// When the last renewal was sent that was answered.
+    renewed_at: Cell<BootTime>,
+    /// Whether the last renewal failed at once.
+    refused: Cell<bool>,
     alone: Cell<bool>,
 }
 
@@ -108,6 +119,9 @@
             became_ready: Notify::new(),
             given_up: Cell::new(false),
             certain_until: Cell::new(certain),
+            pledged_until: Cell::default(),
+            renewed_at: Cell::new(won.sent),
+            refused: Cell::default(),
             alone: Cell::new(false),
         })
     }
@@ -135,26 +149,66 @@
         !self.over.begun() && BootClock.boot_now() < self.certain_until.get()
     }
 
+    /// True while what was accepted may be started: no other process can be the owner, by the
+    /// lease or by the pledges of all.
+    pub(crate) fn may_start(&self) -> bool {
+        !self.over.begun() && BootClock.boot_now() < self.sole_until()
+    }
+
+    /// Until when no other process can have become the owner.
+    fn sole_until(&self) -> BootTime {
+        self.certain_until.get().max(self.pledged_until.get())
+    }
+
     /// True while orders may be given: also for a bounded time in which the store is away.
     ///
     /// The clock counts suspended time, so a process that stood still learns here that its
     /// time is over before it gives another order.
     pub(crate) fn may_order(&self) -> bool {
-        let limit = self.certain_until.get() + self.options.desk.alone;
+        let limit = self.sole_until() + self.options.desk.alone;
         !self.over.begun() && BootClock.boot_now() < limit
     }
 
+    /// True if this process seems not to reach the store: it was refused just now, or no renewal
+    /// was answered for some time. Single answers get lost; the renewal after them is in time.
+    pub(crate) fn misses_store(&self) -> bool {
+        let limit = self.options.renew_every * 2 + RENEWAL_PATIENCE;
+        let silence = BootClock.boot_now().saturating_sub(self.renewed_at.get());
+        self.refused.get() || silence >= limit
+    }
+
+    /// Takes in that all other processes keep out of elections until a time.
+    ///
+    /// That counts only while this one was sure until now: an election in a gap before would be
+    /// over, and nobody need tell of it.
+    pub(crate) fn rely_until(&self, until: BootTime) {
+        if !self.may_start() {
+            return;
+        }
+        if self.pledged_until.get() < self.certain_until.get() {
+            log_event::info(&event::TERM_PLEDGED, format_args!("token={}", self.token));
+        }
+        self.pledged_until.set(self.pledged_until.get().max(until));
+    }
+
     /// Takes in that a renewal which was sent at `sent` was answered.
     pub(crate) fn renewed(&self, sent: BootTime) {
+        self.refused.set(false);
+        self.renewed_at.set(self.renewed_at.get().max(sent));
         let certain = sent + self.options.owner_lease - LEASE_MARGIN;
-        self.certain_until.set(certain);
+        self.certain_until
+            .set(self.certain_until.get().max(certain));
         if self.alone.take() {
             log_event::info(&event::TERM_CALM, format_args!("token={}", self.token));
         }
     }
 
-    /// Takes in that a renewal failed, and tells when the lease may have lapsed by that.
-    pub(crate) fn renewal_failed(&self, cause: &str) {
+    /// Takes in that a renewal which was sent at `sent` failed, and tells when the lease may have
+    /// lapsed by that.
+    pub(crate) fn renewal_failed(&self, sent: BootTime, cause: &str) {
+        let took = BootClock.boot_now().saturating_sub(sent);
+        self.refused
+            .set(self.refused.get() || took < RENEWAL_PATIENCE);
         if !self.is_certain() && !self.alone.replace(true) {
             log_event::warn(
                 &event::TERM_ALONE,
@@ -177,8 +231,8 @@
 
     /// Hands the cell over: writes what is left and ends the lease, so that a successor need
     /// not wait until it lapses.
-    pub(crate) async fn hand_over(&self, patience: Duration) {
-        let deadline = Instant::now() + patience;
+    pub(crate) async fn hand_over(&self) {
+        let deadline = Instant::now() + HAND_OVER_PATIENCE;
         let order = RecordOrder {
             entry: LogEntry {
                 event: Some(Event::HandedOver(self.token)),
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -3,13 +3,24 @@
 use decide::work::DeskOrder;
 use model::{HostId, event as log_event};
 use tokio::time::{MissedTickBehavior, interval, sleep};
+use wire::work::{OwnerCall, owner_call::Ask};
 
 use crate::{
-    event, host_duty::tend_hosts, log_reader::read_log, log_writer::write_log, metric, record_note,
-    step_aside::step_aside, target_look::open_lane, target_orders::run_order,
-    target_watch::watch_targets, term::Term,
+    event,
+    host_duty::tend_hosts,
+    log_reader::read_log,
+    log_writer::write_log,
+    metric, record_note,
+    step_aside::{Departure, step_aside},
+    store_witness::consult_others,
+    target_look::open_lane,
+    target_orders::run_order,
+    target_watch::watch_targets,
+    term::Term,
 };
 
+/// Pause after a renewal that failed: a store that is back should be known to be.
+const RENEW_AGAIN: Duration = Duration::from_millis(100);
 /// How often the desk is told the time.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -19,28 +30,56 @@
     metrics::counter!(metric::TERMS).increment(1);
     term.spawn(renew(term.clone()));
     term.spawn(lead(term.clone()));
-    tokio::select! {
+    let departure = tokio::select! {
         biased;
-        () = term.over.wait() => {}
-        () = step_aside(term) => {}
+        () = term.over.wait() => None,
+        departure = step_aside(term) => Some(departure),
+        departure = consult_others(term) => Some(departure),
+    };
+    match departure {
+        Some(Departure::HandOver) => term.hand_over().await,
+        Some(Departure::GiveUp(reason)) => term.give_up(reason).await,
+        Some(Departure::ReleaseBy(address)) => release_by(term, &address).await,
+        None => {}
     }
     metrics::gauge!(metric::OWNER).set(0.0);
     term.lanes.borrow_mut().clear();
 }
 
-/// Renews the lease until the term is over.
+/// Ends the term, and has another process end its lease.
+async fn release_by(term: &Term, address: &str) {
+    log_event::info(
+        &event::TERM_RELEASED,
+        format_args!("token={} by={address}", term.token),
+    );
+    term.end("another process reaches the store");
+    let call = OwnerCall {
+        ask: Some(Ask::Release(term.lease)),
+        ..OwnerCall::default()
+    };
+    // Without an answer the lease lapses by itself.
+    term.members.ask(address, &call).await;
+}
+
+/// Renews the lease until the term is over. A renewal does not wait for the one before: its answer
+/// may be lost, and waiting for that would let the lease lapse.
 async fn renew(term: Rc<Term>) {
     loop {
-        sleep(term.options.renew_every).await;
-        let sent = term.now().boot;
-        match term.ports.store.renew_lease(term.lease).await {
-            Ok(true) => term.renewed(sent),
-            Ok(false) => {
-                term.end("lease lapsed");
-                return;
-            }
-            Err(error) => term.renewal_failed(&error.to_string()),
-        }
+        let pause = match term.misses_store() {
+            true => RENEW_AGAIN,
+            false => term.options.renew_every,
+        };
+        sleep(pause).await;
+        term.spawn(renew_once(term.clone()));
+    }
+}
+
+async fn renew_once(term: Rc<Term>) {
+    let sent = term.now().boot;
+    match term.ports.store.renew_lease(term.lease).await {
+        Ok(true) => term.renewed(sent),
+        Ok(false) => term.end("lease lapsed"),
+        Err(error) => term.renewal_failed(sent, &error.to_string()),
     }
 }
 
@@ -102,7 +141,7 @@
         }
         {
             let mut desk = term.desk.borrow_mut();
-            desk.set_alone(!term.is_certain());
+            desk.set_alone(!term.may_start());
             if ticked {
                 desk.tick(now);
                 #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
--- a/crates/cell/tests/cell_host.rs
+++ b/crates/cell/tests/cell_host.rs
@@ -6,15 +6,14 @@
 
 use cell::{CellHost, CellOptions};
 use common::{
-    MemoryStore, MemoryTargets, StoreSwitch, free_address, ports_on, run_local, terms_text,
+    KEY, MemoryStore, MemoryTargets, StoreSwitch, call, free_address, ports_on, run_local, submit,
+    terms_text,
 };
 use link::CallClient;
 use metrics_exporter_prometheus::PrometheusBuilder;
-use model::work::{HostRoom, JobPlan, StepPlan};
 use ports::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress};
 use tokio::time::sleep;
 
-const KEY: &str = "secret";
 /// Longest wait for something that takes milliseconds; reached only by a failing test.
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -51,39 +50,6 @@
     }
 }
 
-fn call(wish: CallerWish) -> CallerCall {
-    CallerCall {
-        host: "jobs.example".into(),
-        path: "/queue/".into(),
-        key: KEY.into(),
-        patience: Duration::from_secs(3),
-        wish,
-    }
-}
-
-fn plan() -> JobPlan {
-    let step = |after: Vec<u32>| StepPlan {
-        count: 3,
-        need: HostRoom {
-            cpu: 500,
-            memory_mb: 10,
-            gpu: 0,
-        },
-        estimate: Duration::from_millis(10),
-        after,
-        ..StepPlan::default()
-    };
-    JobPlan {
-        payload: "text".into(),
-        steps: vec![step(Vec::new()), step(vec![0])],
-        repeat: None,
-    }
-}
-
-fn submit(job: &str) -> CallerCall {
-    call(CallerWish::Submit(job.into(), plan()))
-}
-
 async fn until(desk: &Rc<dyn CallerDesk>, wish: CallerWish, wanted: CallerAnswer) {
     let end = tokio::time::Instant::now() + LIMIT;
     let mut answer = desk.answer(call(wish.clone())).await;
--- /dev/null
+++ b/crates/cell/tests/common/caller_calls.rs
@@ -0,0 +1,40 @@
+use std::time::Duration;
+
+use model::work::{HostRoom, JobPlan, StepPlan};
+use ports::{CallerCall, CallerWish};
+
+/// The key of the only workspace.
+pub const KEY: &str = "secret";
+
+pub fn call(wish: CallerWish) -> CallerCall {
+    CallerCall {
+        host: "jobs.example".into(),
+        path: "/queue/".into(),
+        key: KEY.into(),
+        patience: Duration::from_secs(3),
+        wish,
+    }
+}
+
+pub fn plan() -> JobPlan {
+    let step = |after: Vec<u32>| StepPlan {
+        count: 3,
+        need: HostRoom {
+            cpu: 500,
+            memory_mb: 10,
+            gpu: 0,
+        },
+        estimate: Duration::from_millis(10),
+        after,
+        ..StepPlan::default()
+    };
+    JobPlan {
+        payload: "text".into(),
+        steps: vec![step(Vec::new()), step(vec![0])],
+        repeat: None,
+    }
+}
+
+pub fn submit(job: &str) -> CallerCall {
+    call(CallerWish::Submit(job.into(), plan()))
+}
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -1,5 +1,5 @@
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
     rc::Rc,
@@ -11,8 +11,9 @@
     HostId, PoolId,
     work::{
         EndKind, EndSight, FleetHost, FleetTerms, HostOrderAnswer, HostRoom, LookAnswer, LookOrder,
-        MaintenanceWave, OrderAnswer, OrderSender, PaceOrder, PoolTerms, QueueTerms, StartAnswer,
-        StartOrder, StopOrder, TargetAddress, TargetEntry, TargetSight, WaveId, WorkspaceTerms,
+        MaintenanceWave, OrderAnswer, OrderSender, PaceOrder, PoolTerms, QueueTerms, RunSight,
+        StartAnswer, StartOrder, StopOrder, TargetAddress, TargetEntry, TargetSight, WaveId,
+        WorkspaceTerms,
     },
 };
 use ports::{AdvicePort, AdviceTicket, FleetCodec, HostControl, PortFuture, TargetPort};
@@ -21,14 +22,22 @@
 
 use super::MemoryStore;
 
-/// Targets that do each task at once.
+/// Targets that do each task at once, or never while they are slow.
 #[derive(Clone, Default)]
 pub struct MemoryTargets {
+    slow: Rc<Cell<bool>>,
     ended: Rc<RefCell<BTreeMap<HostId, Vec<EndSight>>>>,
     /// How often each task was started.
     pub starts: Rc<RefCell<BTreeMap<String, usize>>>,
 }
 
+impl MemoryTargets {
+    /// Tasks do not end, or end at once.
+    pub fn set_slow(&self, slow: bool) {
+        self.slow.set(slow);
+    }
+}
+
 impl TargetPort for MemoryTargets {
     fn start(&self, target: &TargetAddress, order: StartOrder) -> PortFuture<StartAnswer> {
         let (targets, target) = (self.clone(), target.target.clone());
@@ -69,16 +78,29 @@
                 .cloned()
                 .unwrap_or_default();
             let ended = ended.into_iter().filter(|end| end.number > order.observed);
+            let (running, ended) = match targets.slow.get() {
+                true => (ended.map(running_sight).collect(), Vec::new()),
+                false => (Vec::new(), ended.collect()),
+            };
             LookAnswer::Seen(TargetSight {
                 clock: BootClock.boot_now(),
                 born: Duration::from_secs(1),
-                running: Vec::new(),
-                ended: ended.collect(),
+                running,
+                ended,
             })
         })
     }
 }
 
+/// A task that will end later, while it is at work.
+fn running_sight(end: EndSight) -> RunSight {
+    RunSight {
+        task: end.task,
+        attempt: end.attempt,
+        ..RunSight::default()
+    }
+}
+
 /// Reads the few things that the tests write as plain words.
 pub struct PathCodec;
 
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -37,6 +37,8 @@
     away: Rc<Cell<bool>>,
     /// How lists are answered through this handle.
     lists: Rc<RefCell<ListFault>>,
+    /// How long answers to reads of a key are under way through this handle.
+    read_delay: Rc<Cell<Duration>>,
 }
 
 /// What goes wrong with lists of the keys below a prefix.
@@ -72,9 +74,15 @@
             state: self.state.clone(),
             away: Rc::default(),
             lists: Rc::default(),
+            read_delay: Rc::default(),
         }
     }
 
+    /// Answers to reads of a key are under way for so long through this handle.
+    pub fn delay_reads(&self, delay: Duration) {
+        self.read_delay.set(delay);
+    }
+
     /// Lists of the keys below a prefix bring `page` keys, and each `fail_every`-th fails.
     pub fn limit_lists(&self, prefix: &str, page: usize, fail_every: usize) {
         *self.lists.borrow_mut() = ListFault {
@@ -106,6 +114,12 @@
         })
     }
 
+    /// Revision of a key.
+    pub fn revision(&self, key: &str) -> Option<StoreRevision> {
+        let items = self.state.items.borrow();
+        items.get(key).map(|item| item.revision)
+    }
+
     /// The value of a key.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         let items = self.state.items.borrow();
@@ -167,7 +181,7 @@
         self.revision.set(revision);
         self.history
             .borrow_mut()
-            .push((revision, StoreEvent::Removed(key.into())));
+            .push((revision, StoreEvent::Removed(key.into(), revision)));
         self.changed.notify_waiters();
     }
 
@@ -248,7 +262,7 @@
         let newer = history.iter().filter(|(revision, _)| *revision > after);
         let below = newer.filter(|(_, event)| match event {
             StoreEvent::Written(item) => item.key.starts_with(prefix),
-            StoreEvent::Removed(key) => key.starts_with(prefix),
+            StoreEvent::Removed(key, _) => key.starts_with(prefix),
         });
         below.map(|(_, event)| event.clone()).collect()
     }
@@ -260,7 +274,9 @@
         let door = self.clone();
         Box::pin(async move {
             door.call().await?;
-            Ok(state.items.borrow().get(&key).cloned())
+            let found = state.items.borrow().get(&key).cloned();
+            sleep(door.read_delay.get()).await;
+            Ok(found)
         })
     }
 
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -2,9 +2,11 @@
 //! once, a host list of two targets.
 #![allow(dead_code, unused_imports)]
 
+mod caller_calls;
 mod memory_ports;
 mod memory_store;
 
+pub use caller_calls::{KEY, call, plan, submit};
 pub use memory_ports::{MemoryTargets, free_address, ports_on, terms_text};
 pub use memory_store::{MemoryStore, StoreSwitch};
 
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -5,9 +5,12 @@
 use std::{rc::Rc, time::Duration};
 
 use cell::{CellHost, CellOptions, HostLimits};
-use common::{MemoryStore, MemoryTargets, free_address, ports_on, run_local, terms_text};
+use common::{
+    MemoryStore, MemoryTargets, StoreSwitch, free_address, ports_on, run_local, submit, terms_text,
+};
 use link::CallClient;
 use metrics_exporter_prometheus::PrometheusBuilder;
+use ports::CallerAnswer;
 use prost::Message;
 use tokio::time::{Instant, sleep};
 use wire::work::{LogEntry, LogPage, OwnerRecord, log_entry::Event};
@@ -29,11 +32,20 @@
 }
 
 fn start_host(name: &str, store: &MemoryStore, limits: HostLimits) -> Rc<CellHost> {
+    start_with(name, store, limits, &MemoryTargets::default())
+}
+
+fn start_with(
+    name: &str,
+    store: &MemoryStore,
+    limits: HostLimits,
+    targets: &MemoryTargets,
+) -> Rc<CellHost> {
     let options = CellOptions {
         limits,
         ..CellOptions::new(name.into(), free_address(), free_address())
     };
-    let ports = ports_on(store, &MemoryTargets::default());
+    let ports = ports_on(store, targets);
     let host = CellHost::new(options, ports, CallClient::default());
     host.start(PrometheusBuilder::new().build_recorder().handle());
     Rc::new(host)
@@ -168,3 +180,110 @@
         assert_eq!(owner(&store).as_deref(), Some("second"));
     });
 }
+
+/// The store turns the owner away and serves the others. Waiting until its lease has lapsed would
+/// leave the work without an owner for more than a second; it has another process end the lease.
+#[test]
+fn owner_turned_away_is_released() {
+    run_local(async {
+        let store = new_store();
+        let first_way = store.handle();
+        let _first = start_host("first", &first_way, strong());
+        until_owner(&store, "first").await;
+        let _second = start_host("second", &store, strong());
+        sleep(Duration::from_millis(500)).await;
+        let begun = Instant::now();
+        first_way.turn_away(true);
+        until_owner(&store, "second").await;
+        // Its lease lapses after 0.8 s at the earliest.
+        assert!(begun.elapsed() < Duration::from_millis(700));
+    });
+}
+
+/// Accepts a job of two steps, of which the first takes until the store is away.
+async fn accept_before_outage(host: &CellHost, store: &MemoryStore, targets: &MemoryTargets) {
+    let desk = host.desk();
+    let end = Instant::now() + LIMIT;
+    while desk.answer(submit("job1")).await != CallerAnswer::Accepted {
+        assert!(Instant::now() < end, "not accepted");
+        sleep(Duration::from_millis(10)).await;
+    }
+    while targets.starts.borrow().len() < 3 {
+        assert!(Instant::now() < end, "not started");
+        sleep(Duration::from_millis(1)).await;
+    }
+    store.set(StoreSwitch::Refuses);
+    sleep(Duration::from_secs(2)).await;
+    targets.set_slow(false);
+}
+
+/// The store is away for all, longer than the owner's lease. A job's next step is due then. As
+/// all other processes keep out of elections, there is no other owner, and the step starts.
+#[test]
+fn owner_starts_while_store_is_away() {
+    run_local(async {
+        let (store, targets) = (new_store(), MemoryTargets::default());
+        targets.set_slow(true);
+        let first = start_with("first", &store, strong(), &targets);
+        until_owner(&store, "first").await;
+        let _second = start_host("second", &store, strong());
+        sleep(Duration::from_secs(1)).await;
+        accept_before_outage(&first, &store, &targets).await;
+        let end = Instant::now() + LIMIT;
+        while targets.starts.borrow().len() < 6 {
+            assert!(Instant::now() < end, "the second step was not started");
+            sleep(Duration::from_millis(10)).await;
+        }
+        store.set(StoreSwitch::Well);
+        until_owner(&store, "first").await;
+    });
+}
+
+/// The store is away, and one process does not answer: it may be the next owner, in a part of the
+/// network that this one does not see. Nothing is started before the store is back.
+#[test]
+fn owner_starts_nothing_beside_silent_member() {
+    run_local(async {
+        let (store, targets) = (new_store(), MemoryTargets::default());
+        targets.set_slow(true);
+        let record = OwnerRecord {
+            member: "silent".to_owned(),
+            address: free_address().to_string(),
+            ..OwnerRecord::default()
+        };
+        store.put("cell/member/silent", &record.encode_to_vec());
+        let first = start_with("first", &store, strong(), &targets);
+        until_owner(&store, "first").await;
+        let _second = start_host("second", &store, strong());
+        sleep(Duration::from_secs(1)).await;
+        accept_before_outage(&first, &store, &targets).await;
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(targets.starts.borrow().len(), 3);
+    });
+}
+
+/// A process reads the owner's entry, and the answer is under way while the entry lapses: the
+/// watch tells of that first. Believing the answer it would take the cell for owned for ever, and
+/// nobody would serve.
+#[test]
+fn owner_view_drops_late_answer() {
+    run_local(async {
+        let store = new_store();
+        let _host = start_host("a", &store, strong());
+        until_owner(&store, "a").await;
+        let page = |number: usize| format!("{LOG}{number:012}");
+        while store.value(&page(0)).is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let token = store.revision(OWNER);
+        store.delay_reads(Duration::from_secs(2));
+        // Another's pages in its way end its term, while its entry stands.
+        (1..20).for_each(|number| put_page(&store, number, 1));
+        store.put("targets/t3", b"ready");
+        let end = Instant::now() + LIMIT;
+        while store.revision(OWNER).is_none_or(|now| Some(now) == token) {
+            assert!(Instant::now() < end, "nobody stands");
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -169,6 +169,7 @@
                 Some(phase) => events.push(Event::Closed(JobEnd {
                     job: job.id.to_string(),
                     phase: phase.into(),
+                    finished: job.finished,
                 })),
                 None => {
                     events.push(Event::Accepted(job.record()));
@@ -207,6 +208,8 @@
         let id = JobId::from(end.job.as_str());
         self.jobs.entry(id.clone()).or_insert_with(|| WorkJob {
             id,
+            opened: end.finished,
+            finished: end.finished,
             ..WorkJob::default()
         });
         self.end_job(&end.job, phase, boot);
--- a/crates/ports/src/lease_store.rs
+++ b/crates/ports/src/lease_store.rs
@@ -36,8 +36,8 @@
 pub enum StoreEvent {
     /// A key was written.
     Written(StoreItem),
-    /// A key was removed.
-    Removed(CompactString),
+    /// A key was removed, at this revision.
+    Removed(CompactString, StoreRevision),
 }
 
 /// What a watch saw.
