Count the room of runs that are still being stopped for jobs whose steps the log has dropped

A job had failed, its other runs were being stopped (400 ms here), the log had just been made shorter, and the owner handed over. Its successor found such a run, did not know the job's steps any more, counted its room as nothing and started another task in it: 32,500 of 32,000. Ruled out: a look that does not list what is being stopped: the end was listed 25 ms after the start that was too much, and the run itself is stopped as one that nobody wants, so it was seen. Change: of an ended job the log keeps its workspace and the most that a task of it takes; a run of it counts so much. Tests: successor_counts_stopping_runs (failed first).

--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -4,7 +4,10 @@
     time::Duration,
 };
 
-use model::{BootTime, JobId, work::TaskKey};
+use model::{
+    BootTime, JobId,
+    work::{HostRoom, TaskKey},
+};
 use wire::work::{
     HostOrdered, JobEnd, JobPhase, JobRecord, LogEntry, OccurrenceEnd, StepEnds, TargetUse,
     TaskEnd, WaveProgress, log_entry::Event,
@@ -166,11 +169,7 @@
         events.extend(self.ordered.iter().map(ordered));
         for job in self.jobs.values() {
             match job.closed_phase() {
-                Some(phase) => events.push(Event::Closed(JobEnd {
-                    job: job.id.to_string(),
-                    phase: phase.into(),
-                    finished: job.finished,
-                })),
+                Some(phase) => events.push(Event::Closed(job.end_record(phase))),
                 None => {
                     events.push(Event::Accepted(job.record()));
                     job.push_ends(&mut events);
@@ -208,8 +207,14 @@
         let id = JobId::from(end.job.as_str());
         self.jobs.entry(id.clone()).or_insert_with(|| WorkJob {
             id,
+            workspace: end.workspace.as_str().into(),
             opened: end.finished,
             finished: end.finished,
+            closed_need: HostRoom {
+                cpu: end.cpu,
+                memory_mb: end.memory_mb,
+                gpu: end.gpu,
+            },
             ..WorkJob::default()
         });
         self.end_job(&end.job, phase, boot);
@@ -280,6 +285,26 @@
         }
     }
 
+    /// The most that a task of it takes.
+    fn largest_need(&self) -> HostRoom {
+        let needs = self.plan.steps.iter().map(|step| step.need);
+        needs.fold(self.closed_need, HostRoom::larger)
+    }
+
+    /// What is kept of it once it has ended.
+    fn end_record(&self, phase: JobPhase) -> JobEnd {
+        let need = self.largest_need();
+        JobEnd {
+            job: self.id.to_string(),
+            phase: phase.into(),
+            finished: self.finished,
+            workspace: self.workspace.to_string(),
+            cpu: need.cpu,
+            memory_mb: need.memory_mb,
+            gpu: need.gpu,
+        }
+    }
+
     /// The record that it was accepted by.
     fn record(&self) -> JobRecord {
         JobRecord {
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -347,7 +347,14 @@
             return RunClaim::default();
         };
         let Some(step) = job.plan.steps.get(key.step as usize) else {
-            return RunClaim::default();
+            // A predecessor ended the job and was still stopping its runs, or one of its orders is
+            // carried out late. Counted as nothing, they would let the target be filled beyond
+            // its room.
+            return RunClaim {
+                room: job.closed_need,
+                need: job.closed_need,
+                workspace: job.workspace.clone(),
+            };
         };
         RunClaim {
             room: step.footprint(),
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use model::{
     BootTime, HostId, JobId, PoolId, WorkspaceId,
-    work::{AttemptNumber, JobPlan, StepPlan, TaskKey},
+    work::{AttemptNumber, HostRoom, JobPlan, StepPlan, TaskKey},
 };
 
 /// How far a job is.
@@ -47,6 +47,8 @@
     pub unstored: u32,
     /// Whether it was handed in beyond its workspace's share.
     pub beyond_share: bool,
+    /// The most that a task of it takes, where the log does not tell its steps any more.
+    pub closed_need: HostRoom,
     /// Whether an earlier owner accepted it, who may have started tasks.
     pub inherited: bool,
     /// Occurrences that are due and not done.
--- a/crates/decide/tests/desk/scene.rs
+++ b/crates/decide/tests/desk/scene.rs
@@ -143,6 +143,20 @@
         self.run();
     }
 
+    /// Cancels a job, as its caller wants.
+    pub fn cancel(&mut self, job: &str) {
+        self.desk.cancel(&job.into(), self.now);
+        self.stored.push(LogEntry {
+            event: Some(Event::Cancelled(job.to_owned())),
+        });
+        self.run();
+    }
+
+    /// Replaces the log by a shorter one that says the same.
+    pub fn compact(&mut self) {
+        self.stored = self.desk.board.entries();
+    }
+
     /// Gives the workspace a weight.
     pub fn weigh(&mut self, weight: u32) {
         let mut terms = FleetTerms::clone(&self.desk.terms);
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -29,6 +29,37 @@
     assert!(second.starts.is_empty());
 }
 
+/// A target is filled beyond its room, and all on it slows down. A job fails, the owner stops its
+/// other runs, the log is made shorter and the owner goes. Its successor finds a run that is still
+/// being stopped, of a job whose steps the log does not tell any more, and has to count its room.
+#[test]
+fn successor_counts_stopping_runs() {
+    let mut first = DeskScene::new(1);
+    first.add("t1", 4000);
+    first.submit("a", &plan(vec![step(2, 1500)]));
+    let starts = first.start_all();
+    first.cancel("a");
+    first.compact();
+
+    let mut second = first.successor(9);
+    second.list("t1", 4000);
+    second.see(
+        "t1",
+        starts.iter().map(|(_, start)| running(start)).collect(),
+        Vec::new(),
+    );
+    second.submit("b", &plan(vec![step(1, 2000)]));
+    second.pass(Duration::from_millis(50));
+    assert!(second.starts.is_empty(), "1000 of 4000 are free");
+    let ends = starts
+        .iter()
+        .zip(1..)
+        .map(|((_, start), number)| ended(number, &start.task, start.attempt, EndKind::Stopped));
+    second.see("t1", Vec::new(), ends.collect());
+    second.pass(Duration::from_millis(50));
+    assert_eq!(second.starts.len(), 1);
+}
+
 /// A caller's batch must not run twice. The owner is killed while a task runs on a target that
 /// its successor can't reach and that has left the host list; the successor waits until the
 /// task's time has lapsed before it starts it elsewhere.
--- a/crates/model/src/work/host_room.rs
+++ b/crates/model/src/work/host_room.rs
@@ -20,6 +20,16 @@
         }
     }
 
+    /// The larger of both, of each resource by itself.
+    #[must_use]
+    pub fn larger(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// What is left of this without `other`; never below zero.
     #[must_use]
     pub fn minus(self, other: Self) -> Self {
