Keep the books of what runs take in a file of their own

Change: claim, unclaim and what they need stand in desk_claim.rs; no behaviour changes. Tests of decide as before.

--- /dev/null
+++ b/crates/decide/src/work/desk_claim.rs
@@ -0,0 +1,63 @@
+use model::{HostId, work::TaskKey};
+
+use super::{
+    WorkDesk,
+    target_state::{RunClaim, RunKey},
+};
+
+/// The books of what runs take: of a target's room, and of their workspace's limit.
+impl WorkDesk {
+    /// Takes room and a part of the workspace's limit for a run.
+    pub(super) fn claim(&mut self, id: &HostId, run: RunKey) {
+        let claim = self.claim_of(&run.0);
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.claims.contains_key(&run) {
+            return;
+        }
+        let usage = self.usage.entry(claim.workspace.clone()).or_default();
+        *usage = usage.plus(claim.need);
+        target.claim(run, claim);
+    }
+
+    /// Gives back what a run took; nothing of it can be on the target any more.
+    pub(super) fn unclaim(&mut self, id: &HostId, run: &RunKey) {
+        let Some(claim) = self
+            .targets
+            .get_mut(id)
+            .and_then(|target| target.unclaim(run))
+        else {
+            return;
+        };
+        self.release_usage(&claim);
+        self.stale = true;
+    }
+
+    pub(super) fn release_usage(&mut self, claim: &RunClaim) {
+        if let Some(usage) = self.usage.get_mut(&claim.workspace) {
+            *usage = usage.minus(claim.need);
+        }
+    }
+
+    fn claim_of(&self, key: &TaskKey) -> RunClaim {
+        let Some(job) = self.board.jobs.get(&key.job) else {
+            return RunClaim::default();
+        };
+        let Some(step) = job.plan.steps.get(key.step as usize) else {
+            // A predecessor ended the job and was still stopping its runs, or one of its orders is
+            // carried out late. Counted as nothing, they would let the target be filled beyond
+            // its room.
+            return RunClaim {
+                room: job.closed_need,
+                need: job.closed_need,
+                workspace: job.workspace.clone(),
+            };
+        };
+        RunClaim {
+            room: step.footprint(),
+            need: step.need,
+            workspace: job.workspace.clone(),
+        }
+    }
+}
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -8,6 +8,7 @@
 mod demand_meter;
 mod desk_advice;
 mod desk_answer;
+mod desk_claim;
 mod desk_end;
 mod desk_life;
 mod desk_order;
