--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -185,7 +185,8 @@
         if !self.may_start() {
             return;
         }
-        if self.pledged_until.get() < self.certain_until.get() {
+        let first = self.pledged_until.get() < BootClock.boot_now();
+        if first {
             log_event::info(&event::TERM_PLEDGED, format_args!("token={}", self.token));
         }
         self.pledged_until.set(self.pledged_until.get().max(until));
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -1,5 +1,5 @@
 use model::{
-    HostId, JobId, WorkspaceId,
+    HostId, JobId, PoolId, WorkspaceId,
     work::{HostRoom, StartOrder, TaskKey},
 };
 use std::{
@@ -11,6 +11,7 @@
     DeskEvent, DeskOrder, DeskTime, PlaceInputs, RankClass, TaskPlace, WorkDesk,
     objective::{StartRank, rank},
     pick::{pick_any, pick_target},
+    pool_rooms::PoolRooms,
     target_state::RunKey,
     work_desk::StepKey,
 };
@@ -33,6 +34,12 @@
     pub(super) job: JobId,
     pub(super) occurrence: u32,
     pub(super) step: u32,
+    pool: PoolId,
+    /// What one of its tasks takes of a target.
+    need: HostRoom,
+    /// Whether nothing can be done for it without room. Tasks that last may take a target that is
+    /// being emptied or pauses, and advice is asked for early.
+    needs_room: bool,
 }
 
 impl WaitingStep {
@@ -61,8 +68,17 @@
         let mut steps = self.waiting_steps(&blocked, now);
         steps.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
         let mut left = STARTS_A_PLAN;
+        let mut rooms = PoolRooms::default();
         for waiting in steps {
-            left = left.saturating_sub(self.start_step(&waiting, &usage, now));
+            let WaitingStep { pool, need, .. } = &waiting;
+            if waiting.needs_room && !rooms.may_fit(pool, *need, &self.targets, now.boot) {
+                continue;
+            }
+            let started = self.start_step(&waiting, &usage, now);
+            if started > 0 {
+                rooms.used(pool);
+            }
+            left = left.saturating_sub(started);
             if left == 0 {
                 self.stale = true;
                 return;
@@ -116,11 +132,16 @@
                         continue;
                     }
                     let rank = || rank(job, occurrence.due, queue, now.boot);
+                    let plan = &job.plan.steps[step];
+                    let advised = queue.is_some_and(|queue| queue.advice.is_some());
                     steps.push(WaitingStep {
                         rank: *ranked.get_or_insert_with(rank),
                         job: job.id.clone(),
                         occurrence: number,
                         step: u32::try_from(step).unwrap_or(u32::MAX),
+                        pool: job.pool.clone(),
+                        need: plan.footprint(),
+                        needs_room: !plan.long_running && !advised,
                     });
                 }
             }
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -24,6 +24,7 @@
 mod objective;
 mod pace;
 mod pick;
+mod pool_rooms;
 mod share_meter;
 mod target_state;
 mod work_desk;
--- a/crates/decide/tests/desk/mod.rs
+++ b/crates/decide/tests/desk/mod.rs
@@ -7,5 +7,7 @@
 mod world_check;
 mod world_target;
 
-pub use scene::{DeskScene, POOL, QUEUE, SPACE, ended, plan, running, step, target};
+pub use scene::{
+    DeskScene, POOL, QUEUE, SPACE, ended, plan, running, step, target, terms_with_limit,
+};
 pub use world::{DeskWorld, WorldFaults};
