--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -7,12 +7,13 @@
 use link::{CallClient, ServerLimits, ShutdownSignal, serve_http};
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::{StepError, event as log_event};
-use ports::{AdvicePort, CallerDesk, FleetCodec, HostControl, LeaseStore, TargetPort};
+use ports::CallerDesk;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     caller_front::CallerFront,
     cell_options::CellOptions,
+    cell_ports::CellPorts,
     election::Candidate,
     event,
     fleet_view::FleetView,
@@ -29,21 +30,6 @@
 /// memory.
 const METRICS_UPKEEP: std::time::Duration = std::time::Duration::from_secs(5);
 
-/// What a platform offers, each behind a trait.
-#[derive(Clone)]
-pub struct CellPorts {
-    /// The store.
-    pub store: Rc<dyn LeaseStore>,
-    /// How to read what operators and targets write.
-    pub codec: Rc<dyn FleetCodec>,
-    /// Orders to targets.
-    pub targets: Rc<dyn TargetPort>,
-    /// Orders to hosts.
-    pub hosts: Rc<dyn HostControl>,
-    /// Advice on which targets may run a step.
-    pub advice: Rc<dyn AdvicePort>,
-}
-
 /// Everything that one process of the system does, but for the callers' protocol.
 pub struct CellHost {
     options: Rc<CellOptions>,
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_front;
 mod cell_host;
 mod cell_options;
+mod cell_ports;
 mod dependency_note;
 mod election;
 mod fleet_view;
@@ -40,6 +41,7 @@
 mod term;
 mod term_run;
 
-pub use cell_host::{CellHost, CellPorts};
+pub use cell_host::CellHost;
 pub use cell_options::CellOptions;
+pub use cell_ports::CellPorts;
 pub use host_strength::HostLimits;
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -20,7 +20,7 @@
 use wire::work::{LogEntry, log_entry::Event};
 
 use crate::{
-    cell_host::CellPorts, cell_options::CellOptions, event, fleet_view::FleetView,
+    cell_options::CellOptions, cell_ports::CellPorts, event, fleet_view::FleetView,
     log_queue::JobLog, member_book::MemberBook, target_lane::TargetLane,
 };
 
