--- a/crates/cell/src/target_look.rs
+++ b/crates/cell/src/target_look.rs
@@ -7,7 +7,7 @@
     HostId, event as log_event,
     work::{LookAnswer, LookOrder, TargetAddress},
 };
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{event, metric, target_lane::TargetLane, term::Term};
 
@@ -17,6 +17,9 @@
 /// target answers each look at once with the same ends; on a busy day that made six looks of
 /// one. Longer would delay the next end.
 const END_PAUSE: Duration = Duration::from_millis(25);
+/// Longest wait for ends to be stored before the next look. Other ends come meanwhile, and tasks
+/// that wait for their room would wait with them.
+const STORED_LIMIT: Duration = Duration::from_millis(250);
 /// Pause after a look that brought nothing; a target that is down is asked this often.
 const FAULT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -46,16 +49,41 @@
             let _ = timeout(IDLE_PAUSE, lane.hurry.notified()).await;
             continue;
         };
+        let observed = order.observed;
         let outcome = look_once(&term, &id, &address, order).await;
+        if outcome == LookOutcome::Ends {
+            sleep(END_PAUSE).await;
+            wait_stored(&term, &id, observed).await;
+        }
         drop(term);
         match outcome {
-            LookOutcome::Nothing => {}
-            LookOutcome::Ends => sleep(END_PAUSE).await,
+            LookOutcome::Nothing | LookOutcome::Ends => {}
             LookOutcome::Failed => sleep(FAULT_PAUSE).await,
         }
     }
 }
 
+/// Waits until the target can be told to forget the ends that it lists, or for some time.
+///
+/// Until then each look brings the same ends again. While the log is slow, behind a narrow link or
+/// at a slow store, these answers would take the bytes that the log needs: the slower it gets, the
+/// more ends are listed, and in the end neither gets through.
+async fn wait_stored(term: &Term, id: &HostId, observed: u64) {
+    let limit = Instant::now() + STORED_LIMIT;
+    loop {
+        let stored = term.log.stored.notified();
+        let forgets = term
+            .desk
+            .borrow()
+            .targets
+            .get(id)
+            .is_none_or(|target| target.observable() > observed);
+        if forgets || timeout_at(limit, stored).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// What a look brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LookOutcome {
--- a/crates/cell/tests/cell_host.rs
+++ b/crates/cell/tests/cell_host.rs
@@ -95,6 +95,32 @@
     });
 }
 
+/// Ends can't be stored for a while, and the target lists them again in each answer. Looking as
+/// often as ends come takes the bytes that the log needs on a narrow link, until neither gets
+/// through; so the next look waits, for a quarter of a second at most.
+#[test]
+fn looks_wait_for_stored_ends() {
+    run_local(async {
+        let bench = Bench::new();
+        bench.targets.set_slow(true);
+        let desk = bench.host("a").desk();
+        accepted(&desk, "job1").await;
+        let end = tokio::time::Instant::now() + LIMIT;
+        while bench.targets.starts.borrow().len() < 3 {
+            assert!(tokio::time::Instant::now() < end, "not started");
+            sleep(Duration::from_millis(1)).await;
+        }
+        bench.store.set(StoreSwitch::Refuses);
+        // Two ends are listed, and the target is looked at for the third.
+        bench.targets.hold(1);
+        sleep(Duration::from_millis(200)).await;
+        let before = bench.targets.looks.get();
+        sleep(Duration::from_millis(800)).await;
+        // Four waits and what is looked at for other reasons; one each 30 ms would be 26.
+        assert!(bench.targets.looks.get() - before <= 8);
+    });
+}
+
 /// A caller's job is stored and the store's answer is lost. The owner writes the same page
 /// again, finds it there, and accepts the job once.
 #[test]
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -22,10 +22,13 @@
 
 use super::MemoryStore;
 
-/// Targets that do each task at once, or never while they are slow.
+/// Targets that do each task at once, but for those that are held back.
 #[derive(Clone, Default)]
 pub struct MemoryTargets {
-    slow: Rc<Cell<bool>>,
+    /// How many of the tasks that a target was given last do not end.
+    held: Rc<Cell<usize>>,
+    /// How often a target was looked at.
+    pub looks: Rc<Cell<usize>>,
     ended: Rc<RefCell<BTreeMap<HostId, Vec<EndSight>>>>,
     /// How often each task was started.
     pub starts: Rc<RefCell<BTreeMap<String, usize>>>,
@@ -34,7 +37,12 @@
 impl MemoryTargets {
     /// Tasks do not end, or end at once.
     pub fn set_slow(&self, slow: bool) {
-        self.slow.set(slow);
+        self.hold(if slow { usize::MAX } else { 0 });
+    }
+
+    /// The tasks that a target was given last, so many of them, do not end.
+    pub fn hold(&self, tasks: usize) {
+        self.held.set(tasks);
     }
 }
 
@@ -69,6 +77,7 @@
 
     fn look(&self, target: &TargetAddress, order: LookOrder) -> PortFuture<LookAnswer> {
         let (targets, target) = (self.clone(), target.target.clone());
+        self.looks.set(self.looks.get() + 1);
         Box::pin(async move {
             sleep(Duration::from_millis(5)).await;
             let ended = targets
@@ -77,11 +86,10 @@
                 .get(&target)
                 .cloned()
                 .unwrap_or_default();
-            let ended = ended.into_iter().filter(|end| end.number > order.observed);
-            let (running, ended) = match targets.slow.get() {
-                true => (ended.map(running_sight).collect(), Vec::new()),
-                false => (Vec::new(), ended.collect()),
-            };
+            let listed = ended.into_iter().filter(|end| end.number > order.observed);
+            let mut ended: Vec<EndSight> = listed.collect();
+            let held = ended.split_off(ended.len().saturating_sub(targets.held.get()));
+            let running = held.into_iter().map(running_sight).collect();
             LookAnswer::Seen(TargetSight {
                 clock: BootClock.boot_now(),
                 born: Duration::from_secs(1),
