--- /dev/null
+++ b/crates/cell/tests/cancels.rs
@@ -0,0 +1,98 @@
+//! Jobs that are cancelled while owners change, calls overtake each other, or orders wait.
+
+mod common;
+
+use std::{rc::Rc, time::Duration};
+
+use common::{CellBench, LIMIT, accepted, call, plan, run_local, until};
+use model::work::JobPlan;
+use ports::{CallerAnswer, CallerDesk, CallerWish, JobProgress};
+use tokio::time::{Instant, sleep};
+
+const LOG: &str = "cell/log/";
+/// Time in which a cancelling has to be acknowledged while the store is well.
+const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Time in which an owner that wanted to start something would have.
+const SETTLED: Duration = Duration::from_secs(2);
+
+async fn cancel(desk: &Rc<dyn CallerDesk>, job: &str) -> CallerAnswer {
+    desk.answer(call(CallerWish::Cancel(job.into()))).await
+}
+
+async fn until_cancelled(desk: &Rc<dyn CallerDesk>, job: &str) {
+    let begun = Instant::now();
+    loop {
+        let answer = cancel(desk, job).await;
+        if answer == CallerAnswer::Found(JobProgress::Cancelled) {
+            return;
+        }
+        assert!(begun.elapsed() < ACK_LIMIT, "still {answer:?}");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Guards against an owner that starts a job whose caller cancelled it while nobody decided.
+#[test]
+fn cancel_holds_without_owner() {
+    run_local(async {
+        let bench = CellBench::without_targets();
+        let first = bench.host("a");
+        accepted(&first.desk(), "job1").await;
+        let handle = bench.store.handle();
+        handle.fail_lists(LOG);
+        let second = bench.host_on("b", &handle);
+        first.stop(std::future::ready(())).await;
+        let desk = second.desk();
+        until_cancelled(&desk, "job1").await;
+        handle.answer_lists();
+        bench.add_target();
+        let cancelled = CallerAnswer::Found(JobProgress::Cancelled);
+        until(&desk, CallerWish::Look("job1".into()), cancelled).await;
+        sleep(SETTLED).await;
+        assert_eq!(bench.targets.started(), 0);
+    });
+}
+
+/// Guards against running a job whose submission arrives after its cancelling was answered.
+#[test]
+fn cancel_holds_before_submit() {
+    run_local(async {
+        let bench = CellBench::new();
+        let first = bench.host("a");
+        let desk = first.desk();
+        accepted(&desk, "other").await;
+        let completed = CallerAnswer::Found(JobProgress::Completed);
+        until(&desk, CallerWish::Look("other".into()), completed).await;
+        let before = bench.targets.started();
+        assert_eq!(cancel(&desk, "job1").await, CallerAnswer::NoJob);
+        let second = bench.host("b");
+        first.stop(std::future::ready(())).await;
+        accepted(&second.desk(), "job1").await;
+        sleep(SETTLED).await;
+        assert_eq!(bench.targets.started(), before);
+    });
+}
+
+/// Guards against sending a start that waited for a connection while its job was cancelled.
+#[test]
+fn cancel_drops_waiting_starts() {
+    run_local(async {
+        let bench = CellBench::new();
+        let desk = bench.host("a").desk();
+        bench.targets.set_slow(true);
+        bench.targets.delay_starts(Duration::from_millis(400));
+        let mut wide = plan();
+        wide.steps[0].count = 8;
+        let wish = CallerWish::Submit("job1".into(), JobPlan { ..wide });
+        until(&desk, wish, CallerAnswer::Accepted).await;
+        let end = Instant::now() + LIMIT;
+        while bench.targets.started() == 0 {
+            assert!(Instant::now() < end, "not started");
+            sleep(Duration::from_millis(1)).await;
+        }
+        let sent = bench.targets.started();
+        until_cancelled(&desk, "job1").await;
+        sleep(SETTLED).await;
+        assert_eq!(bench.targets.started(), sent);
+    });
+}
--- a/crates/cell/tests/cell_host.rs
+++ b/crates/cell/tests/cell_host.rs
@@ -2,76 +2,18 @@
 
 mod common;
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
-use cell::{CellHost, CellOptions};
 use common::{
-    KEY, MemoryStore, MemoryTargets, StoreSwitch, call, free_address, ports_on, run_local, submit,
-    terms_text,
+    CellBench, KEY, LIMIT, StoreSwitch, accepted, call, run_local, submit, terms_text, until,
 };
-use link::CallClient;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use ports::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress};
+use ports::{CallerAnswer, CallerCall, CallerWish, JobProgress};
 use tokio::time::sleep;
 
-/// Longest wait for something that takes milliseconds; reached only by a failing test.
-const LIMIT: Duration = Duration::from_secs(10);
-
-struct Bench {
-    store: MemoryStore,
-    targets: MemoryTargets,
-}
-
-impl Bench {
-    fn new() -> Self {
-        let bench = Self {
-            store: MemoryStore::default(),
-            targets: MemoryTargets::default(),
-        };
-        bench.store.put("op/terms", terms_text(1, KEY).as_bytes());
-        bench.store.put("targets/t1", b"ready");
-        bench.store.put("targets/t2", b"unreadable");
-        bench
-    }
-
-    fn host(&self, name: &str) -> CellHost {
-        self.host_on(name, &self.store)
-    }
-
-    fn host_on(&self, name: &str, store: &MemoryStore) -> CellHost {
-        let options = CellOptions {
-            drain_wait: Duration::from_millis(10),
-            ..CellOptions::new(name.into(), free_address(), free_address())
-        };
-        let ports = ports_on(store, &self.targets);
-        let host = CellHost::new(options, ports, CallClient::default());
-        host.start(PrometheusBuilder::new().build_recorder().handle());
-        host
-    }
-}
-
-async fn until(desk: &Rc<dyn CallerDesk>, wish: CallerWish, wanted: CallerAnswer) {
-    let end = tokio::time::Instant::now() + LIMIT;
-    let mut answer = desk.answer(call(wish.clone())).await;
-    while answer != wanted {
-        assert!(tokio::time::Instant::now() < end, "still {answer:?}");
-        sleep(Duration::from_millis(20)).await;
-        answer = desk.answer(call(wish.clone())).await;
-    }
-}
-
-async fn accepted(desk: &Rc<dyn CallerDesk>, job: &str) {
-    let end = tokio::time::Instant::now() + LIMIT;
-    while desk.answer(submit(job)).await != CallerAnswer::Accepted {
-        assert!(tokio::time::Instant::now() < end);
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 #[test]
 fn cell_completes_job() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
         let completed = CallerAnswer::Found(JobProgress::Completed);
@@ -101,7 +43,7 @@
 #[test]
 fn looks_wait_for_stored_ends() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         bench.targets.set_slow(true);
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
@@ -126,7 +68,7 @@
 #[test]
 fn submit_settles_lost_answer() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
         let completed = CallerAnswer::Found(JobProgress::Completed);
@@ -155,7 +97,7 @@
 #[test]
 fn submit_refused_while_store_refuses() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
         bench.store.set(StoreSwitch::Refuses);
@@ -174,7 +116,7 @@
 #[test]
 fn stopped_owner_hands_over() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         let first = bench.host("a");
         accepted(&first.desk(), "job1").await;
         let second = bench.host("b");
@@ -207,7 +149,7 @@
 #[test]
 fn turned_away_process_finds_owner() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         let first = bench.host("a");
         accepted(&first.desk(), "job1").await;
         let second = bench.host("b");
@@ -229,7 +171,7 @@
 #[test]
 fn cold_process_stands_at_once() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         let begun = tokio::time::Instant::now();
         let host = bench.host("a");
         accepted(&host.desk(), "job1").await;
@@ -243,7 +185,7 @@
 #[test]
 fn older_terms_ignored() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
         bench
@@ -267,7 +209,7 @@
 #[test]
 fn long_log_is_compacted() {
     run_local(async {
-        let bench = Bench::new();
+        let bench = CellBench::new();
         let first = bench.host("a");
         let desk = first.desk();
         accepted(&desk, "job0").await;
--- /dev/null
+++ b/crates/cell/tests/common/cell_bench.rs
@@ -0,0 +1,75 @@
+use std::{rc::Rc, time::Duration};
+
+use cell::{CellHost, CellOptions};
+use link::CallClient;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use ports::{CallerAnswer, CallerDesk, CallerWish};
+use tokio::time::sleep;
+
+use super::{KEY, MemoryStore, MemoryTargets, call, free_address, ports_on, submit, terms_text};
+
+/// Longest wait for something that takes milliseconds; reached only by a failing test.
+pub const LIMIT: Duration = Duration::from_secs(10);
+
+/// A store and targets that the processes of a test share.
+pub struct CellBench {
+    pub store: MemoryStore,
+    pub targets: MemoryTargets,
+}
+
+impl CellBench {
+    pub fn new() -> Self {
+        let bench = Self::without_targets();
+        bench.add_target();
+        bench
+    }
+
+    /// The same with no target that takes tasks.
+    pub fn without_targets() -> Self {
+        let bench = Self {
+            store: MemoryStore::default(),
+            targets: MemoryTargets::default(),
+        };
+        bench.store.put("op/terms", terms_text(1, KEY).as_bytes());
+        bench.store.put("targets/t2", b"unreadable");
+        bench
+    }
+
+    /// Adds a target that takes tasks.
+    pub fn add_target(&self) {
+        self.store.put("targets/t1", b"ready");
+    }
+
+    pub fn host(&self, name: &str) -> CellHost {
+        self.host_on(name, &self.store)
+    }
+
+    pub fn host_on(&self, name: &str, store: &MemoryStore) -> CellHost {
+        let options = CellOptions {
+            drain_wait: Duration::from_millis(10),
+            ..CellOptions::new(name.into(), free_address(), free_address())
+        };
+        let ports = ports_on(store, &self.targets);
+        let host = CellHost::new(options, ports, CallClient::default());
+        host.start(PrometheusBuilder::new().build_recorder().handle());
+        host
+    }
+}
+
+pub async fn until(desk: &Rc<dyn CallerDesk>, wish: CallerWish, wanted: CallerAnswer) {
+    let end = tokio::time::Instant::now() + LIMIT;
+    let mut answer = desk.answer(call(wish.clone())).await;
+    while answer != wanted {
+        assert!(tokio::time::Instant::now() < end, "still {answer:?}");
+        sleep(Duration::from_millis(20)).await;
+        answer = desk.answer(call(wish.clone())).await;
+    }
+}
+
+pub async fn accepted(desk: &Rc<dyn CallerDesk>, job: &str) {
+    let end = tokio::time::Instant::now() + LIMIT;
+    while desk.answer(submit(job)).await != CallerAnswer::Accepted {
+        assert!(tokio::time::Instant::now() < end);
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -29,6 +29,8 @@
     held: Rc<Cell<usize>>,
     /// How often a target was looked at.
     pub looks: Rc<Cell<usize>>,
+    /// How long an order to start a task is under way.
+    start_delay: Rc<Cell<Duration>>,
     ended: Rc<RefCell<BTreeMap<HostId, Vec<EndSight>>>>,
     /// How often each task was started.
     pub starts: Rc<RefCell<BTreeMap<String, usize>>>,
@@ -40,6 +42,16 @@
         self.hold(if slow { usize::MAX } else { 0 });
     }
 
+    /// Orders to start a task are under way for so long.
+    pub fn delay_starts(&self, delay: Duration) {
+        self.start_delay.set(delay);
+    }
+
+    /// How many starts were sent.
+    pub fn started(&self) -> usize {
+        self.starts.borrow().values().sum()
+    }
+
     /// The tasks that a target was given last, so many of them, do not end.
     pub fn hold(&self, tasks: usize) {
         self.held.set(tasks);
@@ -50,8 +62,12 @@
     fn start(&self, target: &TargetAddress, order: StartOrder) -> PortFuture<StartAnswer> {
         let (targets, target) = (self.clone(), target.target.clone());
         Box::pin(async move {
-            let mut starts = targets.starts.borrow_mut();
-            *starts.entry(order.task.to_string()).or_default() += 1;
+            *targets
+                .starts
+                .borrow_mut()
+                .entry(order.task.to_string())
+                .or_default() += 1;
+            sleep(targets.start_delay.get()).await;
             let mut ended = targets.ended.borrow_mut();
             let ends = ended.entry(target).or_default();
             ends.push(EndSight {
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -98,6 +98,11 @@
         self.limit_lists(prefix, 0, 1);
     }
 
+    /// All lists through this handle are answered again.
+    pub fn answer_lists(&self) {
+        *self.lists.borrow_mut() = ListFault::default();
+    }
+
     /// Most keys that a list may bring.
     fn list_limit(&self, prefix: &str) -> Result<usize, StoreFault> {
         let mut fault = self.lists.borrow_mut();
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -3,10 +3,12 @@
 #![allow(dead_code, unused_imports)]
 
 mod caller_calls;
+mod cell_bench;
 mod memory_ports;
 mod memory_store;
 
 pub use caller_calls::{KEY, call, plan, submit};
+pub use cell_bench::{CellBench, LIMIT, accepted, until};
 pub use memory_ports::{MemoryTargets, free_address, ports_on, terms_text};
 pub use memory_store::{MemoryStore, StoreSwitch};
 
--- a/crates/decide/tests/work_board.rs
+++ b/crates/decide/tests/work_board.rs
@@ -111,3 +111,19 @@
     rest.extend(board.entries());
     assert_eq!(summary(&board_of(&rest)), summary(&board));
 }
+
+/// Guards against running a job whose submission was stored after its cancelling.
+#[test]
+fn cancel_stands_before_accept() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 4000);
+    scene.cancel("a");
+    scene.submit("a", &plan(vec![step(2, 500)]));
+    assert!(scene.starts.is_empty());
+    assert_eq!(scene.desk.pending(desk::QUEUE), 0);
+    scene.compact();
+    let mut successor = scene.successor(9);
+    successor.add("t1", 4000);
+    successor.submit("a", &plan(vec![step(2, 500)]));
+    assert!(successor.starts.is_empty());
+}
