Keep what a shorter log says of a job in a file of its own

What a job writes into a shorter log, and the opening of occurrences that belongs to the job, are moved without a change.

--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -20,6 +20,7 @@
 mod host_planner;
 mod host_waves;
 mod job_board;
+mod job_entries;
 mod job_record;
 mod objective;
 mod pace;
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -260,6 +260,15 @@
         }
     }
 
+    /// Opens the occurrences up to one that the log or a target tells of.
+    pub(super) fn open_until(&mut self, occurrence: u32, boot: BootTime) {
+        while self.opened <= occurrence && self.opened < self.plan.occurrences() {
+            let state = OccurrenceState::new(&self.plan, boot);
+            self.occurrences.insert(self.opened, state);
+            self.opened += 1;
+        }
+    }
+
     /// True if all its occurrences are done.
     pub fn is_done(&self) -> bool {
         self.finished == self.plan.occurrences()
