Keep the cancelling of a job that is not known yet

What callers saw: a job ran that they had cancelled. Its submission was not answered in time, the caller cancelled it and was told 'no such job', and the submission, which a process went on bringing to the owner or which was sent once more, arrived after that and was accepted. In the log the same: an entry that cancels an unknown job said nothing.

An owner now records the cancelling before it answers, also of a job that it does not know. The board keeps such an id as cancelled and unsubmitted: it is shown as unknown, and a submission that comes later is taken as the same job, which has ended. It is forgotten after the time that an ended job is shown. A shorter log says so too (JobEnd.unsubmitted). Where pages of a replaced log are left in part, an entry that closes the job goes before the leftover cancelling (cancel_without_acceptance_yields_to_closing).

Ruled out: answering without recording, since the next owner would not know.

Tests of cell and of the desk pass.

--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -103,19 +103,23 @@
     }
 }
 
+/// Cancels a job. One that is not known is recorded as cancelled before its caller is told so:
+/// its submission may be under way to this owner or to the next.
 async fn cancel(term: &Rc<Term>, job: &str, deadline: Instant) -> OwnerAnswer {
+    if term.submitting.borrow().contains(job) {
+        // It is being recorded by a call that its caller has given up on; what becomes of that
+        // shows below.
+        let _ = join_submit(term, job, deadline).await;
+    }
     let phase = term.desk.borrow().progress(job);
-    match phase {
-        None if !term.is_certain() => {
-            return cancel_refused(term, job, "the lease may have lapsed");
-        }
-        None if term.submitting.borrow().contains(job) => {
-            // It is being recorded by a call that its caller has given up on.
-            let _ = join_submit(term, job, deadline).await;
-        }
-        None => return answer(AnswerKind::NotFound),
-        Some(JobPhase::Queued | JobPhase::Running) => {}
+    let answered = match phase {
+        Some(JobPhase::Queued | JobPhase::Running) => found(JobPhase::Cancelled),
         Some(ended) => return found(ended),
+        None => answer(AnswerKind::NotFound),
+    };
+    if phase.is_none() && term.desk.borrow().board.jobs.contains_key(job) {
+        // Recorded as cancelled before.
+        return answered;
     }
     if !term.is_certain() {
         return cancel_refused(term, job, "the lease may have lapsed");
@@ -126,7 +130,7 @@
     let entry = awaited(Event::Cancelled(job.to_owned()));
     let outcome = term.log.add_awaited(entry, boot(term));
     match timeout_at(deadline, outcome).await {
-        Ok(Ok(RecordOutcome::Stored)) => found(JobPhase::Cancelled),
+        Ok(Ok(RecordOutcome::Stored)) => answered,
         Ok(Ok(RecordOutcome::Refused)) => cancel_refused(term, job, "the store refused the entry"),
         _ => answer(AnswerKind::Unknown),
     }
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -6,9 +6,7 @@
 };
 use wire::work::log_entry::Event;
 
-use super::{
-    DeskEvent, DeskTime, HostVacancy, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey,
-};
+use super::{DeskEvent, DeskTime, HostVacancy, PlacePhase, WorkDesk, target_state::RunKey};
 
 /// Time without any progress after which a task counts as stalled. Looks come once a second at
 /// least, and a task that is eight times as slow as estimated still gets on by a percent or more
@@ -43,7 +41,7 @@
 
     /// Takes a cancelling in that has been stored.
     pub fn cancel(&mut self, job: &JobId, now: DeskTime) {
-        self.board.end_job(job, WorkPhase::Cancelled, now.boot);
+        self.board.cancel(job, now.boot);
         self.stop_job(job, now);
         self.stale = true;
     }
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -43,7 +43,7 @@
         match &entry.event {
             Some(Event::Accepted(record)) => self.accept(record, unix, boot),
             Some(Event::Ended(end)) => self.end_task(end, boot),
-            Some(Event::Cancelled(job)) => self.end_job(job, WorkPhase::Cancelled, boot),
+            Some(Event::Cancelled(job)) => self.cancel(job, boot),
             Some(Event::Failed(job)) => self.end_job(job, WorkPhase::Failed, boot),
             Some(Event::Used(used)) => {
                 self.used.insert(used.target.clone(), used.clone());
@@ -133,6 +133,25 @@
         occurrence.steps.get_mut(key.step as usize)
     }
 
+    /// Cancels a job, unless it has ended.
+    ///
+    /// A job that is not known is kept as cancelled: its submission may have been overtaken, and
+    /// accepted later it would run though its caller was told that it does not.
+    pub fn cancel(&mut self, id: &str, boot: BootTime) {
+        if self.jobs.contains_key(id) {
+            self.end_job(id, WorkPhase::Cancelled, boot);
+            return;
+        }
+        let job = WorkJob {
+            id: id.into(),
+            phase: WorkPhase::Cancelled,
+            ended: boot,
+            unsubmitted: true,
+            ..WorkJob::default()
+        };
+        self.jobs.insert(job.id.clone(), job);
+    }
+
     /// Ends a job, unless it has ended.
     pub fn end_job(&mut self, id: &str, phase: WorkPhase, boot: BootTime) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -211,8 +230,14 @@
             JobPhase::Queued | JobPhase::Running | JobPhase::Completed => WorkPhase::Completed,
         };
         let id = JobId::from(end.job.as_str());
+        // Of a replaced log the pages that told of its acceptance may be gone and the one that told
+        // of its cancelling still be there.
+        if self.jobs.get(&id).is_some_and(|job| job.unsubmitted) {
+            self.jobs.remove(&id);
+        }
         self.jobs.entry(id.clone()).or_insert_with(|| WorkJob {
             id,
+            unsubmitted: end.unsubmitted,
             workspace: end.workspace.as_str().into(),
             opened: end.finished,
             finished: end.finished,
--- a/crates/decide/src/work/job_entries.rs
+++ b/crates/decide/src/work/job_entries.rs
@@ -32,6 +32,7 @@
             cpu: need.cpu,
             memory_mb: need.memory_mb,
             gpu: need.gpu,
+            unsubmitted: self.unsubmitted,
         }
     }
 
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -221,7 +221,7 @@
 
     /// What callers are told of a job.
     pub fn progress(&self, id: &str) -> Option<JobPhase> {
-        let job = self.board.jobs.get(id)?;
+        let job = self.board.jobs.get(id).filter(|job| !job.unsubmitted)?;
         let running = if job.begun {
             JobPhase::Running
         } else {
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -45,6 +45,8 @@
     pub begun: bool,
     /// Entries of the log that are not stored yet; its end is shown only when there are none.
     pub unstored: u32,
+    /// Whether it was cancelled and never handed in: the submission may still be under way.
+    pub unsubmitted: bool,
     /// Whether it was handed in beyond its workspace's share.
     pub beyond_share: bool,
     /// The most that a task of it takes, where the log does not tell its steps any more.
--- a/crates/decide/tests/work_board.rs
+++ b/crates/decide/tests/work_board.rs
@@ -127,3 +127,22 @@
     successor.submit("a", &plan(vec![step(2, 500)]));
     assert!(successor.starts.is_empty());
 }
+
+/// Guards against showing a completed job as cancelled, or its runs as taking nothing, after the
+/// pages that told of its acceptance were removed and the one of its cancelling was not yet.
+#[test]
+fn cancel_without_acceptance_yields_to_closing() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 4000);
+    scene.submit("a", &plan(vec![step(1, 500)]));
+    let starts = scene.start_all();
+    scene.end("t1", &starts[0].1, EndKind::Done);
+    scene.cancel("a");
+    let cancelled = scene.stored.last().cloned();
+    scene.compact();
+    let left: Vec<LogEntry> = cancelled.into_iter().chain(scene.stored.clone()).collect();
+    let board = board_of(&left);
+    assert_eq!(board.jobs["a"].phase, WorkPhase::Completed);
+    assert_eq!(board.jobs["a"].closed_need.cpu, 500);
+    assert!(!board.jobs["a"].unsubmitted);
+}
