Keep cancellings in the store while no owner records them

What callers saw: a job was started 23 s after its cancelling was due. While nobody had read the log, or the owner could not record, a process told the caller to come back and forgot what it had asked. The next owner read a log without the cancelling and started what was left of the job (run, the first of its term), until the caller asked once more.

An owner reads these keys beside the log before it starts anything, follows them by a watch, records them, and removes a key only once its entry is stored. A key that stays is recorded again by the next owner, which changes nothing.

Ruled out: keeping them in the memory of the process that was asked, as all processes are restarted in turn; handing them to the next owner by its questions, which leaves a gap between its first start and the last answer.

Cost: a list at the begin of a term, beside that of the log, and a watch by the owner.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -7,14 +7,18 @@
     event as log_event,
     work::{FleetTerms, JobPlan},
 };
-use ports::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress, PortFuture};
+use ports::{
+    CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress, LeaseStore, PortFuture,
+    StoreFault,
+};
 use store::{BootClock, Clock};
 use tokio::time::{Instant, timeout_at};
 use wire::work::{AnswerKind, JobPhase, JobRecord, OwnerAnswer, OwnerCall, owner_call::Ask};
 
 use crate::{
-    cell_options::CellOptions, event, fleet_view::FleetView, member_book::MemberBook, metric,
-    owner_desk, owner_view::OwnerView, peer_call::ask_owner, peer_port::TermSlot,
+    cell_options::CellOptions, event, fleet_view::FleetView, kept_cancel::keep_cancel,
+    member_book::MemberBook, metric, owner_desk, owner_view::OwnerView, peer_call::ask_owner,
+    peer_port::TermSlot,
 };
 
 /// Part of a caller's patience that is kept for its answer's way back.
@@ -27,6 +31,9 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause before the owner is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
+/// Part of its patience for which a cancelling is left to the owner alone: an owner that is well
+/// records it in a tenth of this time.
+const OWNER_SHARE: Duration = Duration::from_millis(500);
 /// Patience of a caller that does not say how long it waits.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
 /// Longest patience that is believed.
@@ -42,6 +49,7 @@
     pub(crate) client: CallClient,
     pub(crate) draining: Rc<Cell<bool>>,
     pub(crate) members: Rc<MemberBook>,
+    pub(crate) store: Rc<dyn LeaseStore>,
 }
 
 /// What is known of one call on its way to the owner.
@@ -102,7 +110,7 @@
                 Ask::Submit(self.record(job, plan, queue, &workspace))
             }
             CallerWish::Look(job) => Ask::Look(job.to_string()),
-            CallerWish::Cancel(job) => Ask::Cancel(job.to_string()),
+            CallerWish::Cancel(job) => return self.cancel(job, call.patience).await,
             CallerWish::Pending => Ask::Pending(queue.name.to_string()),
         };
         self.ask(ask, call.patience).await
@@ -126,15 +134,32 @@
         }
     }
 
+    /// Cancels a job: through the owner, or where none records that soon, in the store, where the
+    /// next one finds it.
+    ///
+    /// Told to come back while nobody owns the cell, a caller would see its job started after
+    /// the time in which a cancelling has to be in force.
+    async fn cancel(&self, job: &str, patience: Duration) -> (CallerAnswer, CompactString) {
+        let end = Instant::now() + patience_of(patience).saturating_sub(ANSWER_MARGIN);
+        let ask = Ask::Cancel(job.to_owned());
+        let (answer, owner) = self.ask(ask, OWNER_SHARE.min(patience_of(patience))).await;
+        if !matches!(answer, CallerAnswer::Refused(_) | CallerAnswer::Unknown) {
+            return (answer, owner);
+        }
+        match timeout_at(end, keep_cancel(&*self.store, &self.options, job)).await {
+            Ok(Ok(())) => (CallerAnswer::Found(JobProgress::Cancelled), owner),
+            Ok(Err(error)) => {
+                log::debug!("keep a cancelling: {error}");
+                (unsure_of(&error, answer), owner)
+            }
+            Err(_) => (CallerAnswer::Unknown, owner),
+        }
+    }
+
     /// Asks the owner, whoever that is by then, until it answers or the caller has to be told
     /// something. Asking again is harmless: ids make all calls idempotent.
     async fn ask(&self, ask: Ask, patience: Duration) -> (CallerAnswer, CompactString) {
-        let patience = if patience.is_zero() {
-            DEFAULT_PATIENCE
-        } else {
-            patience
-        };
-        let patience = patience.min(LONGEST_PATIENCE);
+        let patience = patience_of(patience);
         let begun = Instant::now();
         if patience < ANSWER_MARGIN + LEAST_PATIENCE {
             // Asking would leave open whether it was recorded, for an answer that comes too late.
@@ -250,6 +275,23 @@
     }
 }
 
+/// How long a caller is taken to wait.
+fn patience_of(asked: Duration) -> Duration {
+    if asked.is_zero() {
+        DEFAULT_PATIENCE
+    } else {
+        asked.min(LONGEST_PATIENCE)
+    }
+}
+
+/// What a caller is told whose cancelling is not known to be kept.
+fn unsure_of(error: &StoreFault, answer: CallerAnswer) -> CallerAnswer {
+    match error {
+        StoreFault::Refused(_) => answer,
+        _ => CallerAnswer::Unknown,
+    }
+}
+
 fn name_of(answer: &CallerAnswer) -> (&'static str, bool) {
     match answer {
         CallerAnswer::Accepted => ("accepted", false),
--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -78,6 +78,7 @@
             client: self.client.clone(),
             draining: self.draining.clone(),
             members: self.members.clone(),
+            store: self.ports.store.clone(),
         })
     }
 
--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -84,6 +84,11 @@
         compact_str::format_compact!("{}member/", self.key_prefix)
     }
 
+    /// Prefix of the cancellings that are kept for the owner to record.
+    pub fn cancel_prefix(&self) -> CompactString {
+        compact_str::format_compact!("{}cancel/", self.key_prefix)
+    }
+
     /// Prefix of the pages of the job log.
     pub fn log_prefix(&self) -> CompactString {
         compact_str::format_compact!("{}log/", self.key_prefix)
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -8,7 +8,7 @@
     OWNER_SEEN = 1010, "owner-seen", "Another process owns the cell, by the store's entry of the given revision.";
     OWNER_GONE = 1011, "owner-gone", "Nobody owns the cell; this process stands for election.";
     TERM_WON = 1012, "term-won", "This process owns the cell from now on; the token fences all earlier owners.";
-    TERM_READ = 1013, "term-read", "The job log was read; carries pages, jobs, open and cancelled jobs and the time it took.";
+    TERM_READ = 1013, "term-read", "The job log was read; carries pages, jobs, open and cancelled jobs, the cancellings that were kept for it and the time it took.";
     TERM_ENDED = 1014, "term-ended", "This process no longer owns the cell; carries the reason.";
     TERM_ALONE = 1015, "term-alone", "The lease on the cell may have lapsed and the store does not answer. What runs goes on for a bounded time; nothing is accepted or started.";
     TERM_CALM = 1016, "term-calm", "The lease on the cell is renewed again.";
@@ -32,6 +32,7 @@
     JOB_CANCELLED = 1053, "job-cancelled", "The cancelling of a job was stored; its tasks are stopped.";
     LOG_COMPACTED = 1054, "log-compacted", "The job log was replaced by a shorter one that says the same.";
     CANCEL_REFUSED = 1055, "cancel-refused", "The owner heard that a job is to be cancelled and could not record it; carries the job and the reason.";
+    CANCEL_KEPT = 1056, "cancel-kept", "No owner recorded the cancelling of a job in time, so this process keeps it in the store; the owner, or the next one, records it.";
     TASK_PLACED = 1060, "task-placed", "A task was given to a target; carries how urgent its job was, the age of the target's last answer and the room left there.";
     TASK_ENDED = 1061, "task-ended", "A run of a task ended on a target.";
     TASK_ADOPTED = 1062, "task-adopted", "A run that an earlier owner started was found and taken over.";
--- a/crates/cell/src/host_duty.rs
+++ b/crates/cell/src/host_duty.rs
@@ -1,15 +1,19 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::work::{HostOrder, RecordOrder};
+use decide::work::HostOrder;
 use model::{
     BootTime, event as log_event,
     work::{HostOrderAnswer, OrderSender, WaveId},
 };
 use ports::{StoreChange, StoreOutcome, StoreWrite};
 use tokio::time::{MissedTickBehavior, interval};
-use wire::work::{HostOrdered, LogEntry, WaveProgress, log_entry::Event};
+use wire::work::{HostOrdered, WaveProgress, log_entry::Event};
 
-use crate::{event, log_queue::RecordOutcome, term::Term};
+use crate::{
+    event,
+    log_queue::{RecordOutcome, record_order},
+    term::Term,
+};
 
 /// How often hosts are considered. Demand doubles within a second at the start of a turn.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -147,7 +151,7 @@
         host: host.to_owned(),
         unix_ms: u64::try_from(now.unix.as_millis()).unwrap_or(u64::MAX),
     };
-    let order = entry(Event::Ordered(ordered), true);
+    let order = record_order(Event::Ordered(ordered), true);
     let outcome = term.log.add_awaited(order, now.boot).await;
     outcome == Ok(RecordOutcome::Stored)
 }
@@ -158,19 +162,10 @@
         wave,
         host: host.to_owned(),
     };
-    let order = entry(Event::Wave(progress), false);
+    let order = record_order(Event::Wave(progress), false);
     term.log.add(order, term.now().boot);
 }
 
-fn entry(event: Event, urgent: bool) -> RecordOrder {
-    RecordOrder {
-        entry: LogEntry { event: Some(event) },
-        origin: None,
-        job: None,
-        urgent,
-    }
-}
-
 /// Writes the state of waves for operators where it has changed.
 async fn show_waves(term: &Rc<Term>) {
     let changed = term.hosts.borrow_mut().wave_states();
--- /dev/null
+++ b/crates/cell/src/kept_cancel.rs
@@ -0,0 +1,155 @@
+//! Cancellings that no owner could record when they were asked for.
+//!
+//! The process that a caller reached keeps them in the store itself, so that they last whether or
+//! not somebody owns the cell. Each owner reads them before it starts anything, follows them, and
+//! moves them into its log. `docs/design/13-platform.md` argues why.
+
+use std::{rc::Rc, time::Duration};
+
+use model::{JobId, event as log_event};
+use ports::{
+    LeaseStore, StoreChange, StoreEvent, StoreFault, StoreItem, StoreRevision, StoreWrite,
+};
+use tokio::time::sleep;
+use wire::work::log_entry::Event;
+
+use crate::{
+    cell_options::CellOptions,
+    event,
+    log_queue::{RecordOutcome, record_order},
+    metric,
+    prefix_watch::{PrefixSink, read_all, watch_prefix},
+    term::Term,
+};
+
+/// Pause after a failed call, or an entry that was refused.
+const FAULT_PAUSE: Duration = Duration::from_millis(100);
+/// Keys that one change may remove: the store takes 32 entries, one of which is the owner's.
+const REMOVED_AT_ONCE: usize = 28;
+
+/// Keeps the cancelling of a job in the store, for the owner to record.
+///
+/// # Errors
+/// If it is not known to be stored.
+pub(crate) async fn keep_cancel(
+    store: &dyn LeaseStore,
+    options: &CellOptions,
+    job: &str,
+) -> Result<(), StoreFault> {
+    let change = StoreChange {
+        writes: vec![StoreWrite {
+            key: compact_str::format_compact!("{}{job}", options.cancel_prefix()),
+            value: job.as_bytes().to_vec(),
+            lease: None,
+        }],
+        ..StoreChange::default()
+    };
+    store.change(change).await?;
+    metrics::counter!(metric::CANCELS_KEPT).increment(1);
+    log_event::info(&event::CANCEL_KEPT, format_args!("job={job}"));
+    Ok(())
+}
+
+/// Reads the cancellings that are kept, trying until the store answers.
+pub(crate) async fn read_cancels(store: &dyn LeaseStore, options: &CellOptions) -> Vec<JobId> {
+    let prefix = options.cancel_prefix();
+    loop {
+        match read_all(store, &prefix).await {
+            Ok((items, _)) => return jobs_of(&items, &prefix),
+            Err(error) => log::debug!("read the cancellings that are kept: {error}"),
+        }
+        sleep(FAULT_PAUSE).await;
+    }
+}
+
+/// Follows the cancellings that are kept for as long as the term lasts, and records them.
+pub(crate) async fn follow_cancels(term: Rc<Term>) {
+    let prefix = term.options.cancel_prefix();
+    let sink = CancelSink { term: term.clone() };
+    let patience = term.options.watch_patience;
+    watch_prefix(term.ports.store.clone(), &prefix, patience, &sink).await;
+}
+
+struct CancelSink {
+    term: Rc<Term>,
+}
+
+impl CancelSink {
+    fn record(&self, items: &[StoreItem]) {
+        let jobs = jobs_of(items, &self.term.options.cancel_prefix());
+        if !jobs.is_empty() {
+            self.term.spawn(record_cancels(self.term.clone(), jobs));
+        }
+    }
+}
+
+impl PrefixSink for CancelSink {
+    fn reset(&self, items: Vec<StoreItem>, _revision: StoreRevision) {
+        self.record(&items);
+    }
+
+    fn change(&self, event: StoreEvent) {
+        if let StoreEvent::Written(item) = event {
+            self.record(&[item]);
+        }
+    }
+}
+
+fn jobs_of(items: &[StoreItem], prefix: &str) -> Vec<JobId> {
+    let names = items
+        .iter()
+        .filter_map(|item| item.key.strip_prefix(prefix));
+    names.map(JobId::from).collect()
+}
+
+/// Moves cancellings into the log: they are removed only once their entries are stored.
+async fn record_cancels(term: Rc<Term>, jobs: Vec<JobId>) {
+    let mut left = jobs.clone();
+    while !left.is_empty() {
+        left = record_once(&term, left).await;
+        if !left.is_empty() {
+            sleep(FAULT_PAUSE).await;
+        }
+    }
+    for part in jobs.chunks(REMOVED_AT_ONCE) {
+        remove_kept(&term, part).await;
+    }
+}
+
+/// Writes an entry for each job; returns those of which it is not known to be stored.
+async fn record_once(term: &Term, jobs: Vec<JobId>) -> Vec<JobId> {
+    let now = term.now().boot;
+    let record = |job: JobId| {
+        let order = record_order(Event::Cancelled(job.to_string()), true);
+        (term.log.add_awaited(order, now), job)
+    };
+    let waits: Vec<_> = jobs.into_iter().map(record).collect();
+    let mut left = Vec::new();
+    for (outcome, job) in waits {
+        if outcome.await != Ok(RecordOutcome::Stored) {
+            left.push(job);
+        }
+    }
+    left
+}
+
+/// Removes the keys of cancellings that are recorded. One that stays is recorded once more by
+/// the next owner, which changes nothing.
+async fn remove_kept(term: &Term, jobs: &[JobId]) {
+    let prefix = term.options.cancel_prefix();
+    let change = StoreChange {
+        expect: vec![(term.options.owner_key(), term.token)],
+        removes: jobs
+            .iter()
+            .map(|job| compact_str::format_compact!("{prefix}{job}"))
+            .collect(),
+        ..StoreChange::default()
+    };
+    loop {
+        match term.ports.store.change(change.clone()).await {
+            Ok(_) => return,
+            Err(error) => log::debug!("remove cancellings that are recorded: {error}"),
+        }
+        sleep(FAULT_PAUSE).await;
+    }
+}
--- a/crates/cell/src/log_queue.rs
+++ b/crates/cell/src/log_queue.rs
@@ -6,6 +6,7 @@
 use decide::work::RecordOrder;
 use model::BootTime;
 use tokio::sync::{Notify, oneshot};
+use wire::work::{LogEntry, log_entry::Event};
 
 /// What became of an entry that somebody waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +26,16 @@
     pub(crate) done: Option<oneshot::Sender<RecordOutcome>>,
 }
 
+/// An entry that settles no end and belongs to no job's state; urgent if somebody waits for it.
+pub(crate) fn record_order(event: Event, urgent: bool) -> RecordOrder {
+    RecordOrder {
+        entry: LogEntry { event: Some(event) },
+        origin: None,
+        job: None,
+        urgent,
+    }
+}
+
 /// Entries that wait for their page.
 ///
 /// One write is under way at a time, and carries all that has come together since the last.
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -1,14 +1,16 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::work::RecordOrder;
 use model::{BootTime, event as log_event};
 use tokio::time::{Instant, timeout_at};
 use wire::work::{
-    AnswerKind, JobPhase, JobRecord, LogEntry, OwnerAnswer, OwnerCall, log_entry::Event,
-    owner_call::Ask,
+    AnswerKind, JobPhase, JobRecord, OwnerAnswer, OwnerCall, log_entry::Event, owner_call::Ask,
 };
 
-use crate::{event, log_queue::RecordOutcome, term::Term};
+use crate::{
+    event,
+    log_queue::{RecordOutcome, record_order},
+    term::Term,
+};
 
 /// Answers, as the owner, what a host that serves callers asks.
 pub(crate) async fn answer_call(term: &Rc<Term>, call: OwnerCall) -> OwnerAnswer {
@@ -60,7 +62,7 @@
     term.submitting.borrow_mut().insert(job.clone());
     let outcome = term
         .log
-        .add_awaited(awaited(Event::Accepted(record)), boot(term));
+        .add_awaited(record_order(Event::Accepted(record), true), boot(term));
     let forget = term.clone();
     // The entry is written whether or not the caller stays, so it is followed to its end.
     let followed = tokio::task::spawn_local(async move {
@@ -127,7 +129,7 @@
     if term.log.is_failing() {
         return cancel_refused(term, job, "the store takes no entries");
     }
-    let entry = awaited(Event::Cancelled(job.to_owned()));
+    let entry = record_order(Event::Cancelled(job.to_owned()), true);
     let outcome = term.log.add_awaited(entry, boot(term));
     match timeout_at(deadline, outcome).await {
         Ok(Ok(RecordOutcome::Stored)) => answered,
@@ -144,15 +146,6 @@
     refused(term)
 }
 
-fn awaited(event: Event) -> RecordOrder {
-    RecordOrder {
-        entry: LogEntry { event: Some(event) },
-        origin: None,
-        job: None,
-        urgent: true,
-    }
-}
-
 fn boot(term: &Term) -> BootTime {
     term.now().boot
 }
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use decide::work::{DeskTime, HostPlanner, RecordOrder, WorkDesk};
+use decide::work::{DeskTime, HostPlanner, WorkDesk};
 use link::ShutdownSignal;
 use model::{BootTime, HostId, event as log_event, work::FencingToken};
 use ports::LeaseId;
@@ -17,11 +17,16 @@
     sync::Notify,
     time::{Instant, sleep},
 };
-use wire::work::{LogEntry, log_entry::Event};
+use wire::work::log_entry::Event;
 
 use crate::{
-    cell_options::CellOptions, cell_ports::CellPorts, event, fleet_view::FleetView,
-    log_queue::JobLog, member_book::MemberBook, target_lane::TargetLane,
+    cell_options::CellOptions,
+    cell_ports::CellPorts,
+    event,
+    fleet_view::FleetView,
+    log_queue::{JobLog, record_order},
+    member_book::MemberBook,
+    target_lane::TargetLane,
 };
 
 /// Part of the lease that is not counted on: the clocks of store and host may differ a little.
@@ -234,14 +239,7 @@
     /// not wait until it lapses.
     pub(crate) async fn hand_over(&self) {
         let deadline = Instant::now() + HAND_OVER_PATIENCE;
-        let order = RecordOrder {
-            entry: LogEntry {
-                event: Some(Event::HandedOver(self.token)),
-            },
-            origin: None,
-            job: None,
-            urgent: true,
-        };
+        let order = record_order(Event::HandedOver(self.token), true);
         self.handing_over.set(true);
         self.log.add(order, self.now().boot);
         while !self.log.is_empty() && Instant::now() < deadline {
--- a/crates/cell/tests/cancels.rs
+++ b/crates/cell/tests/cancels.rs
@@ -96,3 +96,22 @@
         assert_eq!(bench.targets.started(), sent);
     });
 }
+
+/// Guards against an owner that goes on with a job whose cancelling reached the store only.
+#[test]
+fn kept_cancel_reaches_owner() {
+    run_local(async {
+        let bench = CellBench::new();
+        bench.targets.set_slow(true);
+        let desk = bench.host("a").desk();
+        accepted(&desk, "job1").await;
+        bench.store.put("cell/cancel/job1", b"job1");
+        let cancelled = CallerAnswer::Found(JobProgress::Cancelled);
+        until(&desk, CallerWish::Look("job1".into()), cancelled).await;
+        let end = Instant::now() + LIMIT;
+        while !bench.store.keys("cell/cancel/").is_empty() {
+            assert!(Instant::now() < end, "not moved into the log");
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
