Make the log shorter only where that halves it

What callers saw, on a small twin of the grown fleet behind links of 2 Mbit/s: after the owner was lost nobody served for half a minute, eight processes owning the cell in a row. The log lines: term-read with 160,065 bytes in 20 pages, then 333,557 in 22, 508,862 in 24, and 'the log was not read in time' or 'lease lapsed' from then on. Each new owner found a log above the bound, wrote it anew at once, 173 KB beside 160, and lost its lease behind its own bytes before a further page removed the old ones. The open jobs alone took that much.

A log is now written anew only if the result is at most half as long as what is there, or if the pages are too many. What has to stay is measured and not counted again before as much has come. A successor still reads at most twice the larger of both.

successors_leave_dense_log failed before (182,150 bytes became 317,792) and passes. Tests of cell pass.

--- a/crates/cell/src/log_compact.rs
+++ b/crates/cell/src/log_compact.rs
@@ -16,8 +16,11 @@
 /// Pause after a failed call.
 const FAULT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Writes what the log says in as few pages as hold it; the pages before them can go then.
-/// `None` once the term is over.
+/// Writes what the log says in as few pages as hold it, if that is much shorter; the pages before
+/// them can go then. `None` once the term is over.
+///
+/// A process that has just become the owner finds a log of unknown age. If each of a row of owners
+/// with short terms wrote it anew, it would grow by a copy of itself with each.
 ///
 /// The old pages go only when the new ones are stored, oldest first, and whatever part of them is
 /// left says, with the new ones after it, the same as the new ones alone. So whenever the owner
@@ -25,15 +28,18 @@
 pub(crate) async fn compact(term: &Term, pages: &mut LogPages) -> Option<()> {
     let entries = term.desk.borrow().board.entries();
     let count = entries.len();
+    let values: Vec<Vec<u8>> = parts_of(entries).into_iter().map(page_bytes).collect();
+    let bytes = values.iter().map(Vec::len).sum();
+    if !pages.is_worth(bytes) {
+        pages.keep(bytes);
+        return Some(());
+    }
     let start = pages.next();
-    let mut bytes = 0;
-    for part in parts_of(entries) {
-        let value = page_bytes(part);
+    for value in values {
         let length = value.len();
         let change = pages.change(&term.options, term.token, value);
         settle_change(term, change).await?;
         pages.wrote(length);
-        bytes += length;
     }
     pages.compacted(start, bytes);
     log_event::info(
--- a/crates/cell/src/log_pages.rs
+++ b/crates/cell/src/log_pages.rs
@@ -11,6 +11,9 @@
 /// Bytes after which it is, unless the shorter one had more. A successor reads at most twice the
 /// larger of both: within a second over 2 Mbit/s while what is open fits 90 KB.
 const COMPACT_BYTES: usize = 96 << 10;
+/// A shorter log is written only if the log is at least so many times as long. Otherwise it would
+/// add more to what the next owner reads than it ever takes away.
+const WORTH_IT: usize = 2;
 /// Keys that a change which writes a page may remove beside: the store takes 32 entries, three of
 /// which are the owner's entry, the page as a condition, and the page.
 const REMOVED_AT_ONCE: usize = 28;
@@ -98,6 +101,19 @@
             || self.new_bytes >= COMPACT_BYTES.max(self.base_bytes)
     }
 
+    /// True if a log of `bytes` that says the same is short enough to be written.
+    pub(crate) fn is_worth(&self, bytes: usize) -> bool {
+        let pages = self.next - self.first;
+        pages >= COMPACT_PAGES || self.base_bytes + self.new_bytes >= bytes * WORTH_IT
+    }
+
+    /// Takes in that of the log `bytes` have to stay, so that it is not long yet.
+    pub(crate) fn keep(&mut self, bytes: usize) {
+        let all = self.base_bytes + self.new_bytes;
+        self.base_bytes = bytes.min(all);
+        self.new_bytes = all - self.base_bytes;
+    }
+
     /// Takes in that the pages from `start` on say all that the log has to say.
     pub(crate) fn compacted(&mut self, start: u64, bytes: usize) {
         self.replaced.extend(self.first..start);
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -12,8 +12,9 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use ports::CallerAnswer;
 use prost::Message;
+use rand::{Rng, SeedableRng, distr::Alphanumeric, rngs::StdRng};
 use tokio::time::{Instant, sleep};
-use wire::work::{LogEntry, LogPage, OwnerRecord, log_entry::Event};
+use wire::work::{JobRecord, LogEntry, LogPage, OwnerRecord, StepRecord, log_entry::Event};
 
 const OWNER: &str = "cell/owner";
 const LOG: &str = "cell/log/";
@@ -73,9 +74,11 @@
 
 /// A page of the log that an owner wrote whose token was `token`.
 fn put_page(store: &MemoryStore, page: usize, token: u64) {
-    let entry = LogEntry {
-        event: Some(Event::HandedOver(token)),
-    };
+    put_entry(store, page, Event::HandedOver(token));
+}
+
+fn put_entry(store: &MemoryStore, page: usize, event: Event) {
+    let entry = LogEntry { event: Some(event) };
     let value = LogPage {
         entries: vec![entry],
         ..LogPage::default()
@@ -287,3 +290,52 @@
         }
     });
 }
+
+/// Text that does not get shorter by deflating.
+fn noise(length: usize, seed: u64) -> String {
+    let mut dice = StdRng::seed_from_u64(seed);
+    let letters = (0..length).map(|_| char::from(dice.sample(Alphanumeric)));
+    letters.collect()
+}
+
+/// Guards against a log that each owner of a row of short terms makes longer by a copy of itself:
+/// behind a narrow link the next one reads for longer than its lease lasts.
+#[test]
+fn successors_leave_dense_log() {
+    run_local(async {
+        let store = new_store();
+        for number in 0..60 {
+            let record = JobRecord {
+                job: format!("job{number}"),
+                queue: "queue".to_owned(),
+                pool: "another".to_owned(),
+                payload: noise(3000, number),
+                steps: vec![StepRecord {
+                    count: 1,
+                    ..StepRecord::default()
+                }],
+                ..JobRecord::default()
+            };
+            put_entry(&store, number as usize, Event::Accepted(record));
+        }
+        let before = log_bytes(&store);
+        for name in ["a", "b", "c"] {
+            let way = store.handle();
+            let _host = start_host(name, &way, strong());
+            until_owner(&store, name).await;
+            let end = Instant::now() + Duration::from_millis(500);
+            while Instant::now() < end {
+                let now = log_bytes(&store);
+                assert!(now < before * 3 / 2, "{before} bytes became {now}");
+                sleep(Duration::from_millis(1)).await;
+            }
+            way.turn_away(true);
+        }
+    });
+}
+
+fn log_bytes(store: &MemoryStore) -> usize {
+    let pages = store.keys(LOG);
+    let bytes = |key: &String| store.value(key).map_or(0, |value| value.len());
+    pages.iter().map(bytes).sum()
+}
