Keep what was granted to a target across its restart

Callers saw: in the model, a task started on two targets. A start was not answered, its target came back under its id, ran it and fell silent. Cause: a new life was taken for one to which nothing was granted, so that its runs were given up after 1.8 s of silence. A start that was under way may reach the new life and holds its lease. Evidence: reborn_target_lapses_first fails before and passes after; by hand, no play. Change: a restart leaves the time of the last grant as it is. Why it works: the time of the last grant bounds each lease that any life under the id can hold.

--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -188,11 +188,12 @@
     }
 
     /// Begins another life, of which nothing is known. Returns what the old one held.
+    ///
+    /// What was granted stays granted: the calls may have reached the new life.
     pub fn reborn(&mut self, born: Duration, now: BootTime) -> Vec<(RunKey, RunClaim)> {
         // The silence was the old life's; taken for the new one's, it would end that at once.
         self.silent = false;
         self.answered = now;
-        self.granted = BootTime::ZERO;
         self.life = TargetLife {
             number: self.life.number + 1,
             born,
