Take no run for ended with a life that may not have had it

Callers saw: batches that run twice. Cause: idle targets are not looked at, and the host list tells late of a restart under the same id while the store is away. Starts that were sent meanwhile were answered by the new life; when its entry came, all runs on the target were taken for ended with the life before and started elsewhere. Evidence: reborn_target_keeps_unseen_runs and reborn_unlisted_target_closes_start fail before and pass after. Change: a run that only the answer to its start vouches for stays taken when a restart is heard of; the target is looked at once, and a look that does not show the run frees its task. A start that was not answered is closed in the new life whether or not the host list has it. Why it works: a look names the life that answers. What a look at the earlier life has shown was in that life; all else is asked of the new one before it counts as ended.

--- a/crates/decide/src/work/desk_life.rs
+++ b/crates/decide/src/work/desk_life.rs
@@ -3,7 +3,7 @@
 use model::HostId;
 
 use super::{
-    DeskEvent, DeskTime, PlacePhase, WorkDesk,
+    DeskEvent, DeskOrder, DeskTime, PlacePhase, WorkDesk,
     target_state::{RunClaim, RunKey},
 };
 
@@ -25,8 +25,9 @@
             return;
         };
         let doubts = target.take_doubts(&tuning, now.boot);
+        let renewed = born > target.life.born;
         let held = target.reborn(born, now.boot);
-        self.release_runs(id, held, cause, now);
+        self.release_runs(id, held, renewed, cause, now);
         for run in doubts {
             // The start may still reach the new life: it is closed there by a stop.
             if let Some(target) = self.targets.get_mut(id) {
@@ -44,7 +45,7 @@
         };
         let held = target.reborn(Duration::ZERO, now.boot);
         target.listed = false;
-        self.release_runs(id, held, cause, now);
+        self.release_runs(id, held, false, cause, now);
     }
 
     /// Takes which lives the hosts of the fleet live at present, as the control of hosts lists them.
@@ -82,35 +83,62 @@
         targets.any(|target| !target.is_known() && !target.listed)
     }
 
+    /// Gives up the runs of a life that is over, but for those that the next may have: `renewed`
+    /// tells that there is one under the same id.
     fn release_runs(
         &mut self,
         id: &HostId,
         held: Vec<(RunKey, RunClaim)>,
+        renewed: bool,
         cause: &'static str,
         now: DeskTime,
     ) {
         self.note(DeskEvent::TargetLost(id.clone(), cause, held.len()));
+        let listed = self.targets.get(id).is_some_and(|target| target.listed);
         for (run, claim) in held {
             self.release_usage(&claim);
-            let job = self.board.jobs.get(&run.0.job);
-            let task = job.and_then(|job| job.task(run.0.occurrence, run.0.step, run.0.index));
-            let place = task.and_then(|task| task.place.as_ref());
-            let in_doubt = place.is_some_and(|place| {
-                place.target == *id
-                    && place.attempt == run.1
-                    && matches!(
-                        place.phase,
-                        PlacePhase::Starting | PlacePhase::Unsure | PlacePhase::Stopping(false)
-                    )
-            });
-            if in_doubt && self.targets.get(id).is_some_and(|target| target.listed) {
-                // The start may still reach the new life: it is closed there by a stop.
-                self.claim(id, run.clone());
-                self.stop_run(id, &run, now);
-            } else {
-                self.vacate_place(id, &run);
+            match self.fate_of(id, &run) {
+                RunFate::Doubtful if renewed || listed => {
+                    // The start may still reach the new life: it is closed there by a stop.
+                    self.claim(id, run.clone());
+                    self.stop_run(id, &run, now);
+                }
+                RunFate::Unseen if renewed => {
+                    // The next look tells which life it is in.
+                    self.claim(id, run);
+                    self.orders.push(DeskOrder::Look(id.clone()));
+                }
+                _ => self.vacate_place(id, &run),
             }
         }
         self.stale = true;
     }
+
+    fn fate_of(&self, id: &HostId, run: &RunKey) -> RunFate {
+        let job = self.board.jobs.get(&run.0.job);
+        let task = job.and_then(|job| job.task(run.0.occurrence, run.0.step, run.0.index));
+        let place = task.and_then(|task| task.place.as_ref());
+        let Some(place) = place.filter(|place| place.target == *id && place.attempt == run.1)
+        else {
+            return RunFate::Over;
+        };
+        match place.phase {
+            PlacePhase::Starting | PlacePhase::Unsure | PlacePhase::Stopping(false) => {
+                RunFate::Doubtful
+            }
+            PlacePhase::Running if !place.seen => RunFate::Unseen,
+            PlacePhase::Running | PlacePhase::Stopping(true) => RunFate::Over,
+        }
+    }
+}
+
+/// What becomes of a run when the life ends that it was taken to be in.
+enum RunFate {
+    /// It is over.
+    Over,
+    /// Its start may still be carried out.
+    Doubtful,
+    /// Its start was answered and no look has shown it since, so that the answer may be the next
+    /// life's: idle targets are not looked at, and the host list tells late of a restart.
+    Unseen,
 }
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -166,6 +166,7 @@
                 }
                 place.percent = run.percent;
                 place.load = run.load;
+                place.seen = true;
                 if matches!(place.phase, PlacePhase::Starting | PlacePhase::Unsure) {
                     place.phase = PlacePhase::Running;
                     place.since = now.boot;
@@ -190,6 +191,7 @@
             key.index,
             TaskPlace {
                 phase: PlacePhase::Running,
+                seen: true,
                 percent: sight.percent,
                 load: sight.load,
                 ..TaskPlace::new(id, *attempt, now.boot)
@@ -240,7 +242,7 @@
             }
             return;
         };
-        if since >= sent {
+        if since > sent {
             return;
         }
         match phase {
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -115,6 +115,8 @@
     pub phase: PlacePhase,
     /// When that became known.
     pub since: BootTime,
+    /// Whether a look at the target's present life has shown it.
+    pub seen: bool,
     /// How far it is, in percent; for a serving task 100 while it is at work.
     pub percent: u8,
     /// Response times' tail in milliseconds or processors in use, as the target says.
--- a/crates/decide/tests/desk/world.rs
+++ b/crates/decide/tests/desk/world.rs
@@ -43,6 +43,8 @@
     pub lost_calls: f64,
     /// Part of the calls that are carried out seconds after they were given up.
     pub late_calls: f64,
+    /// Part of the restarts of targets of which the host list tells seconds late.
+    pub late_lists: f64,
 }
 
 /// Targets, a log and the owners of a cell, with faults drawn from a seed.
@@ -111,6 +113,7 @@
         let fresh = |name: HostId| {
             let state = WorldTarget {
                 born: Duration::from_secs(1),
+                shown: Duration::from_secs(1),
                 up: true,
                 listed: true,
                 ..WorldTarget::default()
@@ -154,6 +157,7 @@
             owner_cut: 0.0,
             lost_calls: 0.0,
             late_calls: 0.0,
+            late_lists: 0.0,
         };
         let end = self.now.boot + calm;
         while self.now.boot < end && !self.is_done() {
@@ -263,18 +267,20 @@
     fn move_targets(&mut self) {
         let now = self.now.boot;
         let unix = self.now.unix;
+        let (late, dice) = (self.faults.late_lists, &mut self.dice);
         for state in self.targets.values_mut() {
             let away = !state.up || state.cut;
             if away && now >= state.back_at {
                 if !state.up {
-                    *state = WorldTarget {
-                        born: unix,
-                        up: true,
-                        ..WorldTarget::default()
-                    };
+                    let late = late > 0.0 && dice.random_bool(late);
+                    let delay = late.then(|| dice.random_range(100..4000));
+                    state.restart(unix, now + Duration::from_millis(delay.unwrap_or(0)));
                 }
                 state.cut = false;
             }
+            if now >= state.shown_until {
+                state.shown = state.born;
+            }
             let away = !state.up || state.cut;
             state.listed = !away || now < state.down_since + LIST_LAPSE;
             state.finish(now);
@@ -343,9 +349,9 @@
                 .get(name)
                 .is_some_and(|known| known.listed);
             let known = owner.desk.targets.get(name).map(|known| known.life.born);
-            if state.listed && (!listed || (state.up && known != Some(state.born))) {
+            if state.listed && (!listed || (state.up && known != Some(state.shown))) {
                 let mut entry = target(name, CAPACITY);
-                entry.born = state.born;
+                entry.born = state.shown;
                 owner.desk.list_target(entry, now);
             } else if !state.listed && listed {
                 owner.desk.unlist_target(name);
@@ -584,6 +590,7 @@
             owner_cut: 0.06,
             lost_calls: 0.03,
             late_calls: 0.02,
+            late_lists: 0.0,
         }
     }
 }
--- a/crates/decide/tests/desk/world_target.rs
+++ b/crates/decide/tests/desk/world_target.rs
@@ -12,6 +12,9 @@
 #[derive(Default)]
 pub struct WorldTarget {
     pub born: Duration,
+    /// The life that the host list tells of, which may be the one before.
+    pub shown: Duration,
+    pub shown_until: BootTime,
     pub up: bool,
     pub cut: bool,
     pub listed: bool,
@@ -26,6 +29,17 @@
 }
 
 impl WorldTarget {
+    /// Begins another life, of which the host list tells from a time on.
+    pub fn restart(&mut self, born: Duration, shown_until: BootTime) {
+        *self = Self {
+            born,
+            shown: self.shown,
+            shown_until,
+            up: true,
+            ..Self::default()
+        };
+    }
+
     /// Ends what has been done, and everything once its time has lapsed.
     pub fn finish(&mut self, now: BootTime) {
         if !self.up {
--- a/crates/decide/tests/work_lives.rs
+++ b/crates/decide/tests/work_lives.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use desk::{DeskScene, plan, step, target};
-use model::work::{LookAnswer, StartAnswer, TargetEntry};
+use desk::{DeskScene, plan, running, step, target};
+use model::work::{EndSight, LookAnswer, RunSight, StartAnswer, TargetEntry, TargetSight};
 
 const LATER: Duration = Duration::from_secs(500);
 
@@ -17,6 +17,22 @@
     }
 }
 
+/// Looks at the later life of `t1`.
+fn see_reborn(scene: &mut DeskScene, running: Vec<RunSight>, ended: Vec<EndSight>) {
+    scene.now.boot += Duration::from_millis(1);
+    let sent = scene.now.boot;
+    scene.now.boot += Duration::from_millis(1);
+    let sight = TargetSight {
+        clock: Duration::from_secs(1),
+        born: LATER,
+        running,
+        ended,
+    };
+    let seen = LookAnswer::Seen(sight);
+    scene.desk.saw(&"t1".into(), sent, 0, &seen, scene.now);
+    scene.run();
+}
+
 /// A look at a target that is not answered.
 fn miss(scene: &mut DeskScene, id: &str) {
     let silent = LookAnswer::Unanswered("timed out".to_owned());
@@ -25,6 +41,25 @@
         .saw(&id.into(), scene.now.boot, 0, &silent, scene.now);
 }
 
+/// A batch runs twice: an idle target had restarted under its id, which nobody noticed, since idle
+/// targets are not looked at and the store's answers came late. It took starts, and when its new
+/// entry came they were taken for ended with the life before and started elsewhere.
+#[test]
+fn reborn_target_keeps_unseen_runs() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(2, 1000)]));
+    let starts = scene.start_all();
+    scene.add("t2", 2000);
+    scene.desk.list_target(reborn(2000), scene.now);
+    scene.run();
+    assert!(scene.starts.is_empty(), "the new life may run them");
+    see_reborn(&mut scene, vec![running(&starts[0].1)], Vec::new());
+    assert_eq!(scene.stops(), 0);
+    assert_eq!(scene.starts.len(), 1, "the other ran in the life before");
+    assert_eq!(scene.starts[0].1.task, starts[1].1.task);
+}
+
 /// A batch runs twice: a new life was taken for unused, and fell silent while it ran a task that
 /// had been sent to the life before. What the start granted has to lapse.
 #[test]
@@ -50,3 +85,19 @@
     scene.pass(Duration::from_millis(1600));
     assert_eq!(scene.starts.len(), 1);
 }
+
+/// A batch runs twice: a look told of a restart before the host list did, and a start that was
+/// under way to the life before was taken for lost. It may still reach the new one.
+#[test]
+fn reborn_unlisted_target_closes_start() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    assert_eq!(scene.starts.len(), 1);
+    scene.starts.clear();
+    scene.add("t2", 2000);
+    scene.desk.unlist_target(&"t1".into());
+    see_reborn(&mut scene, Vec::new(), Vec::new());
+    assert!(scene.starts.is_empty(), "it may still arrive");
+    assert_eq!(scene.stops(), 1);
+}
