Close a start that was stopped while under way in the next life too

Callers would see: a task of a cancelled job that runs on for as long as its start granted. Cause: the answer to a start was ignored once its run was being stopped, also when none came. The start was then not among those that a later life of the target may carry out; that life knows nothing of the stop, and idle targets are not looked at. Change: an unanswered start is remembered as in doubt unless its run is known to be there. Why it works: each start in doubt is stopped in the next life as well, for as long as it may come.

--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -17,7 +17,8 @@
     ) {
         let run: RunKey = (task.clone(), attempt);
         if !self.awaits_start(id, task, attempt) {
-            // A look has told before what became of it.
+            // A look has told before what became of it, or it was stopped meanwhile.
+            self.doubt_stopped(id, run, answer, now);
             return;
         }
         match answer {
@@ -51,6 +52,18 @@
         }
     }
 
+    /// Remembers an unanswered start that was stopped before: a later life of its target, which
+    /// knows nothing of the stop, may carry it out.
+    fn doubt_stopped(&mut self, id: &HostId, run: RunKey, answer: &StartAnswer, now: DeskTime) {
+        let unanswered = matches!(answer, StartAnswer::Unanswered(_));
+        if !unanswered || self.phase_of(id, &run.0, run.1) == Some(PlacePhase::Running) {
+            return;
+        }
+        if let Some(target) = self.targets.get_mut(id) {
+            target.add_doubt(run, now.boot);
+        }
+    }
+
     /// Takes the answer to a stop.
     pub fn stopped(
         &mut self,
--- a/crates/decide/tests/work_lives.rs
+++ b/crates/decide/tests/work_lives.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use desk::{DeskScene, plan, running, step, target};
-use model::work::{EndSight, LookAnswer, RunSight, StartAnswer, TargetEntry, TargetSight};
+use model::work::{
+    EndSight, LookAnswer, OrderAnswer, RunSight, StartAnswer, TargetEntry, TargetSight,
+};
 
 const LATER: Duration = Duration::from_secs(500);
 
@@ -101,3 +103,28 @@
     assert!(scene.starts.is_empty(), "it may still arrive");
     assert_eq!(scene.stops(), 1);
 }
+
+/// A task of a cancelled job runs on: its start was not answered and held back by the target, and
+/// had been stopped meanwhile. The target restarted, where nobody knew of that stop, and nobody
+/// looks at a target that is taken to be idle.
+#[test]
+fn stopped_start_closes_in_next_life() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let (id, start) = scene.starts.remove(0);
+    scene.cancel("a");
+    assert_eq!(scene.stops(), 1);
+    let unanswered = StartAnswer::Unanswered("timed out".to_owned());
+    scene
+        .desk
+        .started(&id, &start.task, start.attempt, &unanswered, scene.now);
+    let done = OrderAnswer::Done;
+    scene
+        .desk
+        .stopped(&id, &start.task, start.attempt, &done, scene.now);
+    scene.raise("t1");
+    scene.desk.list_target(reborn(2000), scene.now);
+    scene.run();
+    assert_eq!(scene.stops(), 2, "one in each life");
+}
