Let no target forget ends before it is known which life it lives

Callers would see: a task that runs again though it was done and its end was listed. Cause: a look carries the number up to which ends may be forgotten. Idle targets are not looked at, so one may have restarted, taken tasks and ended them; the next look carried the number of the life before, and the new one, whose numbers begin anew, forgot ends that nobody had seen. The runs were then missed and started again. Change: a look at a target that has not answered for a second lets it forget nothing; its answer names the life, and the next look carries the number. Why it works: numbers go only to a life that has answered just before, and while a target is looked at without a gap, a crash ends the look under way.

--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -14,6 +14,11 @@
 /// is missing may be among them.
 const END_PAGE: usize = 500;
 
+/// How old the last answer of a target may be for the next look to let it forget ends. A look
+/// follows an answer within 0.3 s; a target that restarts, takes a task and ends it in less than
+/// this is not guarded against.
+const SAME_LIFE: Duration = Duration::from_millis(1000);
+
 impl WorkDesk {
     /// The look that a target needs now; `None` if it needs none.
     pub fn look_order(&mut self, id: &HostId, now: DeskTime) -> Option<LookOrder> {
@@ -28,6 +33,10 @@
         if target.life.raised && !busy && observed <= target.life.told {
             return None;
         }
+        // A target may have restarted unnoticed. Numbers of ends begin anew in each life, so the
+        // new one would forget ends that nobody has seen; it is asked who it is first.
+        let heard_ago = now.boot.saturating_sub(target.heard);
+        let observed = if heard_ago < SAME_LIFE { observed } else { 0 };
         // A target that doesn't answer gets no more time: what it runs has to lapse, so that it
         // can start elsewhere.
         let until = target
--- a/crates/decide/tests/work_lives.rs
+++ b/crates/decide/tests/work_lives.rs
@@ -6,7 +6,7 @@
 
 use desk::{DeskScene, plan, running, step, target};
 use model::work::{
-    EndSight, LookAnswer, OrderAnswer, RunSight, StartAnswer, TargetEntry, TargetSight,
+    EndKind, EndSight, LookAnswer, OrderAnswer, RunSight, StartAnswer, TargetEntry, TargetSight,
 };
 
 const LATER: Duration = Duration::from_secs(500);
@@ -104,6 +104,35 @@
     assert_eq!(scene.stops(), 1);
 }
 
+/// A batch runs twice after it was done: a target restarted unnoticed, ran the batch, and was told
+/// with the next look to forget its ends up to the number that the life before had reached. A
+/// target that has not been heard for a while is asked without that first.
+#[test]
+fn look_after_pause_forgets_no_ends() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    scene.end("t1", &starts[0].1, EndKind::Done);
+    let order = scene.desk.look_order(&"t1".into(), scene.now);
+    assert_eq!(order.map(|order| order.observed), Some(1));
+    let seen = LookAnswer::Seen(TargetSight {
+        clock: scene.now.boot,
+        born: Duration::from_secs(1),
+        ..TargetSight::default()
+    });
+    let sent = scene.now.boot;
+    scene.desk.saw(&"t1".into(), sent, 1, &seen, scene.now);
+    scene.pass(Duration::from_secs(5));
+    scene.submit("b", &plan(vec![step(1, 1000)]));
+    assert_eq!(scene.start_all().len(), 1);
+    let order = scene.desk.look_order(&"t1".into(), scene.now);
+    assert_eq!(order.map(|order| order.observed), Some(0));
+    scene.raise("t1");
+    let order = scene.desk.look_order(&"t1".into(), scene.now);
+    assert_eq!(order.map(|order| order.observed), Some(1));
+}
+
 /// A task of a cancelled job runs on: its start was not answered and held back by the target, and
 /// had been stopped meanwhile. The target restarted, where nobody knew of that stop, and nobody
 /// looks at a target that is taken to be idle.
