Take an entry of a life before for what it is

Callers would see: batches that run twice, and a pool that lacks a host for the rest of a term. Cause: of two lives at an address the later one was only kept while the host list had it and a look had told when it began. Entries lapse while the store is away, and a successor has looked at nothing at first; then the entry of the life before, shown once more, ended the life at work. Under the same id such an entry overwrote room, pool and state of the later life. Change: the time of a life's begin is taken from its entry as well; a later life counts while it is listed or may run something; an entry under an id that is older than the life known is ignored. Why it works: of two entries of one address or one id the later begin is the newer evidence, whichever comes last.

--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -160,9 +160,15 @@
             self.stale = true;
             return;
         };
-        let reborn =
-            !entry.born.is_zero() && !target.life.born.is_zero() && entry.born > target.life.born;
-        let born = entry.born;
+        let (born, known) = (entry.born, target.life.born);
+        if !born.is_zero() && born < known {
+            // An entry of the life before, which was under way for long.
+            return;
+        }
+        let reborn = !known.is_zero() && born > known;
+        if known.is_zero() {
+            target.life.born = born;
+        }
         let moved = target.recorded && target.entry.pool != entry.pool;
         target.entry = entry;
         if !target.listed {
@@ -326,12 +332,16 @@
     ///
     /// The entry of a life that ended behind a cut may show once more after the next life has
     /// begun. Taken for the present one, it would end the life that is at work, and what runs there
-    /// would be started a second time.
+    /// would be started a second time. While the store is away, the entry of the life at work may
+    /// have lapsed.
     fn is_succeeded(&self, entry: &TargetEntry) -> bool {
         let mut others = self.targets.values().filter(|other| {
             other.entry.address == entry.address && other.entry.target != entry.target
         });
-        others.any(|other| other.listed && !entry.born.is_zero() && other.life.born > entry.born)
+        others.any(|other| {
+            let lives = other.listed || !other.claims.is_empty();
+            lives && !entry.born.is_zero() && other.life.born > entry.born
+        })
     }
 
     /// Ends the lives of other targets at the address of a new one: one address, one target.
--- a/crates/decide/tests/work_lives.rs
+++ b/crates/decide/tests/work_lives.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use desk::{DeskScene, plan, running, step, target};
-use model::work::{
-    EndKind, EndSight, LookAnswer, OrderAnswer, RunSight, StartAnswer, TargetEntry, TargetSight,
+use model::{
+    HostId,
+    work::{
+        EndKind, EndSight, LookAnswer, OrderAnswer, RunSight, StartAnswer, TargetEntry, TargetMode,
+        TargetSight,
+    },
 };
 
 const LATER: Duration = Duration::from_secs(500);
@@ -133,6 +137,61 @@
     assert_eq!(order.map(|order| order.observed), Some(1));
 }
 
+/// A batch runs twice: all entries of targets had lapsed while the store was away, and the entry
+/// of the life before came back first. It ended the life that ran the batch.
+#[test]
+fn older_life_ends_no_unlisted_life() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(1, 2000)]));
+    let starts = scene.start_all();
+    scene.see("t1", vec![running(&starts[0].1)], Vec::new());
+    scene.add("t2", 2000);
+    scene.desk.unlist_target(&"t1".into());
+    let older = TargetEntry {
+        born: Duration::from_millis(1),
+        address: "t1:80".into(),
+        ..target("t0", 2000)
+    };
+    scene.desk.list_target(older, scene.now);
+    scene.run();
+    assert!(scene.starts.is_empty(), "it runs on t1");
+}
+
+/// A pool lacks a host for the rest of a term: the successor had not looked at a target yet when
+/// the entry of the life before showed once more, and took the present one for ended.
+#[test]
+fn older_life_ends_no_inherited_life() {
+    let mut first = DeskScene::new(1);
+    first.add("t1", 2000);
+    let mut second = first.successor(9);
+    second.list("t1", 2000);
+    let older = TargetEntry {
+        born: Duration::from_millis(1),
+        address: "t1:80".into(),
+        ..target("t0", 2000)
+    };
+    second.desk.list_target(older, second.now);
+    assert_eq!(second.desk.listed(), [HostId::from("t1")]);
+}
+
+/// A target takes more than it holds: it had restarted as a smaller one under its id, and an event
+/// of the store about the life before came after the new entry.
+#[test]
+fn older_entry_changes_nothing() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 4000);
+    scene.desk.list_target(reborn(1000), scene.now);
+    let older = TargetEntry {
+        mode: TargetMode::Draining,
+        ..target("t1", 4000)
+    };
+    scene.desk.list_target(older, scene.now);
+    see_reborn(&mut scene, Vec::new(), Vec::new());
+    scene.submit("a", &plan(vec![step(2, 1000)]));
+    assert_eq!(scene.starts.len(), 1);
+}
+
 /// A task of a cancelled job runs on: its start was not answered and held back by the target, and
 /// had been stopped meanwhile. The target restarted, where nobody knew of that stop, and nobody
 /// looks at a target that is taken to be idle.
