Let no entry of another writer end a target

Callers would see: batches that run twice after something else wrote into the host list. Cause: an entry without the time of a start, or of a pool that nobody knows, ended the life at the address that it named. The platform says that such an entry names no target to use and that the others hold. Change: a life whose begin is known outlasts an entry that tells none, and an entry of an unknown pool ends no other life. Why it works: what is left to end a life at an address is an entry with a later begin in a pool of the operators' terms; if it is wrong to wait, the target answers that it lives another life.

--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -333,19 +333,23 @@
     /// The entry of a life that ended behind a cut may show once more after the next life has
     /// begun. Taken for the present one, it would end the life that is at work, and what runs there
     /// would be started a second time. While the store is away, the entry of the life at work may
-    /// have lapsed.
+    /// have lapsed. An entry that does not tell when its life began is another writer's.
     fn is_succeeded(&self, entry: &TargetEntry) -> bool {
         let mut others = self.targets.values().filter(|other| {
             other.entry.address == entry.address && other.entry.target != entry.target
         });
         others.any(|other| {
             let lives = other.listed || !other.claims.is_empty();
-            lives && !entry.born.is_zero() && other.life.born > entry.born
+            lives && other.life.born > entry.born
         })
     }
 
-    /// Ends the lives of other targets at the address of a new one: one address, one target.
+    /// Ends the lives of other targets at the address of a new one: one address, one target. An
+    /// entry of a pool that nobody knows is another writer's and ends nothing.
     fn end_lives_at(&mut self, entry: &TargetEntry, now: DeskTime) {
+        if !self.terms.pools.iter().any(|pool| pool.name == entry.pool) {
+            return;
+        }
         let elsewhere = |other: &&TargetState| {
             other.entry.address == entry.address && other.entry.target != entry.target
         };
--- a/crates/decide/tests/work_lives.rs
+++ b/crates/decide/tests/work_lives.rs
@@ -158,6 +158,36 @@
     assert!(scene.starts.is_empty(), "it runs on t1");
 }
 
+/// A batch runs twice: an entry of another writer, without the time of a start or of a pool that
+/// nobody knows, named the address of a target that ran it.
+#[test]
+fn foreign_entry_ends_nothing() {
+    let foreign = TargetEntry {
+        address: "t1:80".into(),
+        ..target("foreign", 2000)
+    };
+    let unborn = TargetEntry {
+        born: Duration::ZERO,
+        ..foreign.clone()
+    };
+    let unknown = TargetEntry {
+        pool: "nowhere".into(),
+        born: LATER,
+        ..foreign
+    };
+    for entry in [unborn, unknown] {
+        let mut scene = DeskScene::new(1);
+        scene.add("t1", 2000);
+        scene.submit("a", &plan(vec![step(1, 2000)]));
+        let starts = scene.start_all();
+        scene.see("t1", vec![running(&starts[0].1)], Vec::new());
+        scene.add("t2", 2000);
+        scene.desk.list_target(entry, scene.now);
+        scene.run();
+        assert!(scene.starts.is_empty(), "it runs on t1");
+    }
+}
+
 /// A pool lacks a host for the rest of a term: the successor had not looked at a target yet when
 /// the entry of the life before showed once more, and took the present one for ended.
 #[test]
