Keep a life that answers, whatever the list of hosts says

Callers would see: batches that run twice after the store was away. Cause: a target that had left the host list and that two lists of hosts lacked counted as ended, though it answered each look meanwhile. Entries lapse while the store is away, and a list may lag. Change: a list says nothing of a life that answered within 1.3 s before the list was asked for. Why it works: a target that lives and runs something is looked at each second, so that it answers within that time; one that has ended does not, and lists count for it as before.

--- a/crates/cell/src/host_duty.rs
+++ b/crates/cell/src/host_duty.rs
@@ -72,7 +72,8 @@
         Ok(hosts) => {
             let lives = hosts.iter().map(|host| host.target.clone());
             let lives = lives.filter(|life| !life.is_empty()).collect();
-            term.desk.borrow_mut().take_lives(&lives, term.now());
+            let now = term.now();
+            term.desk.borrow_mut().take_lives(&lives, asked, now);
             term.hosts.borrow_mut().take_list(hosts, asked);
         }
         Err(error) => log::warn!("list hosts: {error}"),
--- a/crates/decide/src/work/desk_life.rs
+++ b/crates/decide/src/work/desk_life.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeSet, time::Duration};
 
-use model::HostId;
+use model::{BootTime, HostId};
 
 use super::{
     DeskEvent, DeskOrder, DeskTime, PlacePhase, WorkDesk,
@@ -10,6 +10,9 @@
 /// Lists of hosts in a row that have to lack a life before it counts as ended. A list comes in
 /// pages that are no snapshot, so that one may miss a host that changes just then.
 const LISTS_MISSED: u32 = 2;
+/// A life that answered so shortly before a list was asked for is at work, whatever the list says:
+/// a look waits for up to a second, and its answer takes some milliseconds.
+const HEARD: Duration = Duration::from_millis(1300);
 
 impl WorkDesk {
     /// A target begins another life: what ran there is over.
@@ -48,19 +51,21 @@
         self.release_runs(id, held, false, cause, now);
     }
 
-    /// Takes which lives the hosts of the fleet live at present, as the control of hosts lists them.
+    /// Takes which lives the hosts of the fleet live, as the control of hosts listed them when it
+    /// was asked at `asked`.
     ///
     /// A target is one life of a host. One whose own entry is gone from the store, and that no
     /// host lives any more, has ended, and all that ran there with it; nothing need wait until its
     /// granted time has lapsed. Without this a chain of owners that follow each other within that time
     /// would never start the tasks of its pool again, as each waits anew.
-    pub fn take_lives(&mut self, lives: &BTreeSet<HostId>, now: DeskTime) {
+    pub fn take_lives(&mut self, lives: &BTreeSet<HostId>, asked: BootTime, now: DeskTime) {
         if lives.is_empty() {
             return;
         }
         let mut gone = Vec::new();
         for (id, target) in &mut self.targets {
-            if target.listed || lives.contains(id) {
+            let answers = !target.heard.is_zero() && target.heard + HEARD >= asked;
+            if target.listed || answers || lives.contains(id) {
                 target.lists_missed = 0;
                 continue;
             }
--- a/crates/decide/tests/work_lives.rs
+++ b/crates/decide/tests/work_lives.rs
@@ -222,6 +222,33 @@
     assert_eq!(scene.starts.len(), 1);
 }
 
+/// A batch runs twice: its target had left the host list while the store was away, and two lists
+/// of hosts lacked its life though it answered every look.
+#[test]
+fn answering_life_outlasts_lists() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    scene.add("t2", 2000);
+    scene.desk.unlist_target(&"t1".into());
+    let lives = ["t2".into()].into();
+    for _ in 0..6 {
+        scene.see("t1", vec![running(&starts[0].1)], Vec::new());
+        scene.pass(Duration::from_millis(500));
+        scene.desk.take_lives(&lives, scene.now.boot, scene.now);
+        scene.pass(Duration::from_millis(450));
+        scene.desk.take_lives(&lives, scene.now.boot, scene.now);
+        scene.run();
+        assert!(scene.starts.is_empty(), "it runs on t1");
+    }
+    scene.pass(Duration::from_millis(1000));
+    scene.desk.take_lives(&lives, scene.now.boot, scene.now);
+    scene.desk.take_lives(&lives, scene.now.boot, scene.now);
+    scene.run();
+    assert_eq!(scene.starts.len(), 1, "it answers no more");
+}
+
 /// A task of a cancelled job runs on: its start was not answered and held back by the target, and
 /// had been stopped meanwhile. The target restarted, where nobody knew of that stop, and nobody
 /// looks at a target that is taken to be idle.
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -114,13 +114,13 @@
     let mut second = first.successor(9);
     second.add("t2", 4000);
     let lives = ["t2".into(), "t3".into()].into();
-    second.desk.take_lives(&lives, second.now);
+    second.desk.take_lives(&lives, second.now.boot, second.now);
     second.pass(Duration::from_millis(500));
     assert!(
         second.starts.is_empty(),
         "one list may have missed its host"
     );
-    second.desk.take_lives(&lives, second.now);
+    second.desk.take_lives(&lives, second.now.boot, second.now);
     second.pass(Duration::from_millis(50));
     assert_eq!(second.starts.len(), 1);
     let released = |entry: &wire::work::LogEntry| {
@@ -141,10 +141,14 @@
     let mut second = first.successor(9);
     second.add("t2", 4000);
     for _ in 0..8 {
+        second.desk.take_lives(
+            &["t1".into(), "t2".into()].into(),
+            second.now.boot,
+            second.now,
+        );
         second
             .desk
-            .take_lives(&["t1".into(), "t2".into()].into(), second.now);
-        second.desk.take_lives(&Default::default(), second.now);
+            .take_lives(&Default::default(), second.now.boot, second.now);
         second.pass(Duration::from_millis(500));
     }
     assert!(second.starts.is_empty(), "it may still run on t1");
