Take an answer for that of the life that it was asked of

Callers would see: batches that run twice, and a pool that lacks a host for the rest of a term. Cause: answers on different connections overtake each other. The answer to a stop in the life before counted for the stop in the present one, so that a start under way was taken for closed; and an answer that another life is at the address ended a life that had begun after the call was sent. Evidence: stop_answer_counts_for_its_life and late_answer_ends_no_later_life fail before and pass after (the first is written against the new parameter; the old code has none). Change: stops are answered with the time of their sending, like looks. Of a call that was sent before the present life was heard of, only a refusal by token and a sight that names its life count. Why it works: a call that is sent after a life was heard of can only be answered by that life or a later one.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -68,7 +68,9 @@
         return;
     };
     let (task, attempt) = (order.task.clone(), order.attempt);
-    let answer = match turn(&lane).await {
+    let permit = turn(&lane).await;
+    let sent = term.now().boot;
+    let answer = match permit {
         Some(_permit) if term.may_order() => term.ports.targets.stop(&address, order).await,
         _ => OrderAnswer::NotSent(TOO_LATE.to_owned()),
     };
@@ -77,7 +79,7 @@
     settle(&term, "stop", &id, done, &(&task, &answer));
     let now = term.now();
     let mut desk = term.desk.borrow_mut();
-    desk.stopped(&id, &task, attempt, &answer, now);
+    desk.stopped(&id, &task, attempt, sent, &answer, now);
     term.wake.notify_one();
 }
 
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -1,5 +1,5 @@
 use model::{
-    HostId,
+    BootTime, HostId,
     work::{AttemptNumber, OrderAnswer, StartAnswer, StartRefusal, TaskKey},
 };
 
@@ -64,16 +64,21 @@
         }
     }
 
-    /// Takes the answer to a stop.
+    /// Takes the answer to a stop that was sent at `sent`.
     pub fn stopped(
         &mut self,
         id: &HostId,
         task: &TaskKey,
         attempt: AttemptNumber,
+        sent: BootTime,
         answer: &OrderAnswer,
         now: DeskTime,
     ) {
         let run: RunKey = (task.clone(), attempt);
+        if self.is_outlived(id, sent) && *answer != OrderAnswer::Fenced {
+            // An earlier life's answer says nothing of the present one, where it is stopped anew.
+            return;
+        }
         match answer {
             OrderAnswer::Done => {
                 self.stops.remove(&(id.clone(), run.clone()));
@@ -88,6 +93,12 @@
         }
     }
 
+    /// True if the present life of a target was not known when a call was sent.
+    pub(super) fn is_outlived(&self, id: &HostId, sent: BootTime) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|target| sent < target.life.since)
+    }
+
     /// True while a start that was ordered is to be sent, or its answer is awaited.
     ///
     /// An order may wait for a connection to its target, and its job may end or the target be lost
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -71,6 +71,7 @@
         match answer {
             LookAnswer::Seen(sight) => self.take_sight(id, sent, observed, sight, now),
             LookAnswer::Fenced => self.orders.push(DeskOrder::Resign(id.clone())),
+            LookAnswer::OtherLife if self.is_outlived(id, sent) => {}
             LookAnswer::OtherLife => self.lose_target(id, "replaced", now),
             LookAnswer::Refused(_) | LookAnswer::Unanswered(_) => self.note_silence(id, now),
         }
@@ -92,6 +93,9 @@
             // An answer of the life before, which was under way for long.
             return;
         }
+        if known.is_zero() && self.is_outlived(id, sent) {
+            return;
+        }
         if !sight.born.is_zero() && !known.is_zero() && sight.born > known {
             self.end_life(id, sight.born, "reborn", now);
         }
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -38,6 +38,9 @@
     pub number: u64,
     /// When it began, as the target says; zero if unknown.
     pub born: Duration,
+    /// When this desk heard of it. The answer to a call that was sent before may be an earlier
+    /// life's.
+    pub since: BootTime,
     /// The target's clock, and when it was read.
     pub clock: Option<(Duration, BootTime)>,
     /// Whether the target has seen this owner's token.
@@ -108,6 +111,7 @@
             life: TargetLife {
                 number: 1,
                 born: entry.born,
+                since: now,
                 ..TargetLife::default()
             },
             entry,
@@ -197,6 +201,7 @@
         self.life = TargetLife {
             number: self.life.number + 1,
             born,
+            since: now,
             ..TargetLife::default()
         };
         self.used = HostRoom::default();
--- a/crates/decide/tests/desk/world.rs
+++ b/crates/decide/tests/desk/world.rs
@@ -553,9 +553,10 @@
                         Some(WorldAnswer::Stop(answer)) => answer,
                         _ => OrderAnswer::Unanswered(lost()),
                     };
+                    let (task, attempt) = (&order.task, order.attempt);
                     owner
                         .desk
-                        .stopped(&call.target, &order.task, order.attempt, &answer, now);
+                        .stopped(&call.target, task, attempt, call.sent, &answer, now);
                 }
                 (WorldOrder::Look(order), answer) => {
                     owner.looking.remove(&call.target);
--- a/crates/decide/tests/work_lives.rs
+++ b/crates/decide/tests/work_lives.rs
@@ -249,6 +249,24 @@
     assert_eq!(scene.starts.len(), 1, "it answers no more");
 }
 
+/// A target is lost for the rest of a term: it had just come back under its id when the answer
+/// to a call that was sent before named another life at its address.
+#[test]
+fn late_answer_ends_no_later_life() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    let sent = scene.now.boot;
+    scene.pass(Duration::from_millis(100));
+    scene.desk.list_target(reborn(2000), scene.now);
+    let other = LookAnswer::OtherLife;
+    scene.desk.saw(&"t1".into(), sent, 0, &other, scene.now);
+    assert_eq!(scene.desk.listed(), [HostId::from("t1")]);
+    scene
+        .desk
+        .saw(&"t1".into(), scene.now.boot, 0, &other, scene.now);
+    assert!(scene.desk.listed().is_empty());
+}
+
 /// A task of a cancelled job runs on: its start was not answered and held back by the target, and
 /// had been stopped meanwhile. The target restarted, where nobody knew of that stop, and nobody
 /// looks at a target that is taken to be idle.
@@ -265,11 +283,50 @@
         .desk
         .started(&id, &start.task, start.attempt, &unanswered, scene.now);
     let done = OrderAnswer::Done;
+    scene.desk.stopped(
+        &id,
+        &start.task,
+        start.attempt,
+        scene.now.boot,
+        &done,
+        scene.now,
+    );
+    scene.raise("t1");
+    scene.desk.list_target(reborn(2000), scene.now);
+    scene.run();
+    assert_eq!(scene.stops(), 2, "one in each life");
+}
+
+/// A batch runs twice: the answer to a stop in the life before came after the next life had begun,
+/// and was taken for the answer to the stop there.
+#[test]
+fn stop_answer_counts_for_its_life() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let (id, start) = scene.starts.remove(0);
+    scene.add("t2", 2000);
+    let unanswered = StartAnswer::Unanswered("timed out".to_owned());
     scene
         .desk
-        .stopped(&id, &start.task, start.attempt, &done, scene.now);
+        .started(&id, &start.task, start.attempt, &unanswered, scene.now);
     scene.raise("t1");
+    assert_eq!(scene.stops(), 1);
+    let sent = scene.now.boot;
+    scene.pass(Duration::from_millis(100));
     scene.desk.list_target(reborn(2000), scene.now);
     scene.run();
-    assert_eq!(scene.stops(), 2, "one in each life");
+    assert!(scene.stops() > 1, "the new life knows nothing of the first");
+    let done = OrderAnswer::Done;
+    scene
+        .desk
+        .stopped(&id, &start.task, start.attempt, sent, &done, scene.now);
+    see_reborn(&mut scene, Vec::new(), Vec::new());
+    assert!(scene.starts.is_empty(), "the second is not answered");
+    let sent = scene.now.boot;
+    scene
+        .desk
+        .stopped(&id, &start.task, start.attempt, sent, &done, scene.now);
+    see_reborn(&mut scene, Vec::new(), Vec::new());
+    assert_eq!(scene.starts.len(), 1);
 }
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -192,9 +192,14 @@
         .started(&id, &start.task, start.attempt, &unanswered, scene.now);
     scene.see("t1", Vec::new(), Vec::new());
     let done = model::work::OrderAnswer::Done;
-    scene
-        .desk
-        .stopped(&id, &start.task, start.attempt, &done, scene.now);
+    scene.desk.stopped(
+        &id,
+        &start.task,
+        start.attempt,
+        scene.now.boot,
+        &done,
+        scene.now,
+    );
     scene.see("t1", Vec::new(), Vec::new());
     assert_eq!(scene.stops(), 1);
     let reborn = TargetEntry {
@@ -224,9 +229,14 @@
     assert_eq!(scene.stops(), 1);
     assert!(scene.starts.is_empty());
     let done = model::work::OrderAnswer::Done;
-    scene
-        .desk
-        .stopped(&id, &start.task, start.attempt, &done, scene.now);
+    scene.desk.stopped(
+        &id,
+        &start.task,
+        start.attempt,
+        scene.now.boot,
+        &done,
+        scene.now,
+    );
     scene.see("t1", Vec::new(), Vec::new());
     assert_eq!(scene.starts.len(), 1);
 }
@@ -288,9 +298,14 @@
     scene.run();
     assert_eq!(scene.stops(), 1);
     let done = model::work::OrderAnswer::Done;
-    scene
-        .desk
-        .stopped(id, &start.task, start.attempt, &done, scene.now);
+    scene.desk.stopped(
+        id,
+        &start.task,
+        start.attempt,
+        scene.now.boot,
+        &done,
+        scene.now,
+    );
     for _ in 0..5 {
         scene.see("t1", vec![running(start)], Vec::new());
     }
