Start no task of a job that has failed as often as it may

Callers would see: a task that runs more often than its queue allows, of a job that had failed. Cause: the owner fails a job when it hears of the last failure that is allowed, and records both. Entries of one moment go to one page unless it is full; an owner that dies between two pages leaves the end of the task without the end of the job, and the successor started the task again. Change: before a step is started its failures are compared with what its queue allows, and its job is failed there. That holds too after operators have allowed fewer. Why it works: the ends of tasks are in the log before a target forgets them, so that each owner counts the same failures.

--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -204,7 +204,7 @@
         }
     }
 
-    fn fail_job(&mut self, job: &model::JobId, now: DeskTime) {
+    pub(super) fn fail_job(&mut self, job: &model::JobId, now: DeskTime) {
         self.board.end_job(job, WorkPhase::Failed, now.boot);
         self.note(DeskEvent::JobEnded(job.clone(), "failed"));
         self.record(Event::Failed(job.to_string()), None, Some(job));
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -162,6 +162,10 @@
         let Some(plan) = job.plan.steps.get(waiting.step as usize).cloned() else {
             return 0;
         };
+        if self.is_hopeless(waiting, &plan) {
+            self.fail_job(&waiting.job, now);
+            return 0;
+        }
         if self.wants_advice(waiting, now) {
             return 0;
         }
@@ -195,6 +199,17 @@
         placed.len()
     }
 
+    /// True if a task of the step has failed as often as it may. The owner that heard of its last
+    /// failure fails the job at once, but may die before all of that is recorded.
+    fn is_hopeless(&self, waiting: &WaitingStep, plan: &model::work::StepPlan) -> bool {
+        let job = self.board.jobs.get(&waiting.job);
+        let queue = job.and_then(|job| self.terms.queue(&job.queue));
+        let most = queue.map_or(usize::MAX, |queue| queue.max_attempts.max(1) as usize);
+        let tasks = self.step_state(waiting).map(|state| state.tasks.as_slice());
+        let mut left = tasks.unwrap_or_default().iter().filter(|task| !task.done);
+        !plan.long_running && left.any(|task| task.failed_attempts.len() >= most)
+    }
+
     fn note_starved(&mut self, waiting: &WaitingStep, starved: bool, now: DeskTime) {
         let key = waiting.key();
         if starved {
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -253,3 +253,34 @@
         Some(wire::work::JobPhase::Completed)
     );
 }
+
+/// A task runs more often than its queue allows: the owner recorded its last failure, and died
+/// before the page that told of the job's own. The successor fails the job in place of starting it.
+#[test]
+fn successor_fails_hopeless_job() {
+    let mut first = DeskScene::new(1);
+    first.add("t1", 4000);
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    for number in 1..3 {
+        first.pass(Duration::from_secs(4));
+        let starts = first.start_all();
+        let (_, start) = &starts[0];
+        let end = ended(number, &start.task, start.attempt, EndKind::Failed);
+        first.see("t1", Vec::new(), vec![end]);
+    }
+    let failed = |entry: &wire::work::LogEntry| {
+        matches!(entry.event, Some(wire::work::log_entry::Event::Failed(_)))
+    };
+    assert!(first.stored.iter().any(failed));
+    first.stored.retain(|entry| !failed(entry));
+
+    let mut second = first.successor(9);
+    second.add("t1", 4000);
+    second.pass(Duration::from_secs(4));
+    assert!(second.starts.is_empty(), "two attempts are allowed");
+    assert_eq!(
+        second.desk.progress("a"),
+        Some(wire::work::JobPhase::Failed)
+    );
+    assert!(second.stored.iter().any(failed));
+}
