Wait for the page under way before the cell is handed over

What operators would see: a hand-over after which the next owner leaves hosts alone for seconds, as if the owner had been killed, and callers that are left without a definite answer.

Cause: a hand-over waits until no entry is left to be written. Entries of the page that is under way do not wait any more, so with a slow store the lease was ended first, and the page, which needs the owner's entry, was refused.

The log now counts as empty once no page is under way.

hand_over_waits_for_last_page failed before (no HandedOver in the last page) and passes.

--- a/crates/cell/src/log_queue.rs
+++ b/crates/cell/src/log_queue.rs
@@ -49,6 +49,8 @@
     pub(crate) any: Notify,
     /// Told after each page.
     pub(crate) stored: Notify,
+    /// Whether a page is being written, with entries that do not wait any more.
+    pub(crate) writing: Cell<bool>,
     /// Whether the last write failed, so that new work is refused at once.
     pub(crate) failing: Cell<bool>,
 }
@@ -87,7 +89,7 @@
 
     /// True if everything has been written.
     pub(crate) fn is_empty(&self) -> bool {
-        self.pending.borrow().is_empty()
+        self.pending.borrow().is_empty() && !self.writing.get()
     }
 
     /// True while writes fail.
--- a/crates/cell/src/log_writer.rs
+++ b/crates/cell/src/log_writer.rs
@@ -27,9 +27,11 @@
     let mut pages = LogPages::found(found);
     loop {
         wait_for_entries(&term).await;
+        term.log.writing.set(true);
         if write_page(&term, &mut pages).await.is_none() {
             return;
         }
+        term.log.writing.set(false);
         if pages.is_long() && compact(&term, &mut pages).await.is_none() {
             return;
         }
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -39,6 +39,8 @@
     lists: Rc<RefCell<ListFault>>,
     /// How long answers to reads of a key are under way through this handle.
     read_delay: Rc<Cell<Duration>>,
+    /// How long changes are under way through this handle before they are made.
+    change_delay: Rc<Cell<Duration>>,
 }
 
 /// What goes wrong with lists of the keys below a prefix.
@@ -75,6 +77,7 @@
             away: Rc::default(),
             lists: Rc::default(),
             read_delay: Rc::default(),
+            change_delay: Rc::default(),
         }
     }
 
@@ -83,6 +86,11 @@
         self.read_delay.set(delay);
     }
 
+    /// Changes are under way for so long through this handle before they are made.
+    pub fn delay_changes(&self, delay: Duration) {
+        self.change_delay.set(delay);
+    }
+
     /// Lists of the keys below a prefix bring `page` keys, and each `fail_every`-th fails.
     pub fn limit_lists(&self, prefix: &str, page: usize, fail_every: usize) {
         *self.lists.borrow_mut() = ListFault {
@@ -334,6 +342,7 @@
         let door = self.clone();
         Box::pin(async move {
             door.call().await?;
+            sleep(door.change_delay.get()).await;
             let outcome = state.apply(change);
             if state.switch.get() == StoreSwitch::LosesAnswers {
                 return Err(StoreFault::Unanswered("timed out".to_owned()));
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -339,3 +339,22 @@
     let bytes = |key: &String| store.value(key).map_or(0, |value| value.len());
     pages.iter().map(bytes).sum()
 }
+
+/// Guards against ending the lease while the last page of the log is under way: its successor would
+/// not know that no order is left, nor of what had been recorded last.
+#[test]
+fn hand_over_waits_for_last_page() {
+    run_local(async {
+        let store = new_store();
+        let host = start_host("a", &store, strong());
+        until_owner(&store, "a").await;
+        sleep(Duration::from_millis(300)).await;
+        store.delay_changes(Duration::from_millis(100));
+        host.stop(async {}).await;
+        let last = store.keys(LOG).pop().and_then(|key| store.value(&key));
+        let page = LogPage::decode(last.unwrap_or_default().as_slice());
+        let entries = page.map(|page| page.entries).unwrap_or_default();
+        let handed = |entry: &LogEntry| matches!(entry.event, Some(Event::HandedOver(_)));
+        assert!(entries.iter().any(handed), "{entries:?}");
+    });
+}
