Start nothing while it is not known what callers have cancelled

An owner now plans starts only while it knows all cancellings that were kept up to 2 s ago, counted from the sending of the call that told it, or while all other processes pledge that the store is away, when nobody can keep one. The watch waits for half a second, so that an owner that is well knows them up to a second ago. What is kept is in force at once and recorded after that.

The list at the begin of a term, beside the log, goes: the watch begins with one.

--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -8,7 +8,7 @@
     OWNER_SEEN = 1010, "owner-seen", "Another process owns the cell, by the store's entry of the given revision.";
     OWNER_GONE = 1011, "owner-gone", "Nobody owns the cell; this process stands for election.";
     TERM_WON = 1012, "term-won", "This process owns the cell from now on; the token fences all earlier owners.";
-    TERM_READ = 1013, "term-read", "The job log was read; carries pages, jobs, open and cancelled jobs, the cancellings that were kept for it and the time it took.";
+    TERM_READ = 1013, "term-read", "The job log was read; carries pages, jobs, open and cancelled jobs and the time it took.";
     TERM_ENDED = 1014, "term-ended", "This process no longer owns the cell; carries the reason.";
     TERM_ALONE = 1015, "term-alone", "The lease on the cell may have lapsed and the store does not answer. What runs goes on for a bounded time; nothing is accepted or started.";
     TERM_CALM = 1016, "term-calm", "The lease on the cell is renewed again.";
--- a/crates/cell/src/kept_cancel.rs
+++ b/crates/cell/src/kept_cancel.rs
@@ -6,7 +6,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use model::{JobId, event as log_event};
+use model::{BootTime, JobId, event as log_event};
 use ports::{
     LeaseStore, StoreChange, StoreEvent, StoreFault, StoreItem, StoreRevision, StoreWrite,
 };
@@ -18,12 +18,14 @@
     event,
     log_queue::{RecordOutcome, record_order},
     metric,
-    prefix_watch::{PrefixSink, read_all, watch_prefix},
+    prefix_watch::{PrefixSink, watch_prefix},
     term::Term,
 };
 
 /// Pause after a failed call, or an entry that was refused.
 const FAULT_PAUSE: Duration = Duration::from_millis(100);
+/// How long a watch waits for cancellings. While it waits nothing shows that the store is heard.
+const WATCH_PATIENCE: Duration = Duration::from_millis(500);
 /// Keys that one change may remove: the store takes 32 entries, one of which is the owner's.
 const REMOVED_AT_ONCE: usize = 28;
 
@@ -50,24 +52,12 @@
     Ok(())
 }
 
-/// Reads the cancellings that are kept, trying until the store answers.
-pub(crate) async fn read_cancels(store: &dyn LeaseStore, options: &CellOptions) -> Vec<JobId> {
-    let prefix = options.cancel_prefix();
-    loop {
-        match read_all(store, &prefix).await {
-            Ok((items, _)) => return jobs_of(&items, &prefix),
-            Err(error) => log::debug!("read the cancellings that are kept: {error}"),
-        }
-        sleep(FAULT_PAUSE).await;
-    }
-}
-
 /// Follows the cancellings that are kept for as long as the term lasts, and records them.
 pub(crate) async fn follow_cancels(term: Rc<Term>) {
     let prefix = term.options.cancel_prefix();
     let sink = CancelSink { term: term.clone() };
-    let patience = term.options.watch_patience;
-    watch_prefix(term.ports.store.clone(), &prefix, patience, &sink).await;
+    let store = term.ports.store.clone();
+    watch_prefix(store, &prefix, WATCH_PATIENCE, &sink).await;
 }
 
 struct CancelSink {
@@ -77,9 +67,16 @@
 impl CancelSink {
     fn record(&self, items: &[StoreItem]) {
         let jobs = jobs_of(items, &self.term.options.cancel_prefix());
-        if !jobs.is_empty() {
-            self.term.spawn(record_cancels(self.term.clone(), jobs));
+        if jobs.is_empty() {
+            return;
+        }
+        // What is kept lasts, so it is in force before it is in the log.
+        let now = self.term.now();
+        for job in &jobs {
+            self.term.desk.borrow_mut().cancel(job, now);
         }
+        self.term.wake.notify_one();
+        self.term.spawn(record_cancels(self.term.clone(), jobs));
     }
 }
 
@@ -93,6 +90,10 @@
             self.record(&[item]);
         }
     }
+
+    fn answered(&self, sent: BootTime) {
+        self.term.heard_cancels(sent);
+    }
 }
 
 fn jobs_of(items: &[StoreItem], prefix: &str) -> Vec<JobId> {
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -1,7 +1,8 @@
 use std::{rc::Rc, time::Duration};
 
-use model::event as log_event;
+use model::{BootTime, event as log_event};
 use ports::{LeaseStore, StoreEvent, StoreFault, StoreItem, StoreRevision};
+use store::{BootClock, Clock};
 use tokio::time::sleep;
 
 use crate::{dependency_note::DependencyNote, event};
@@ -15,6 +16,8 @@
     fn reset(&self, items: Vec<StoreItem>, revision: StoreRevision);
     /// One change.
     fn change(&self, event: StoreEvent);
+    /// All is known that had happened when a call was sent.
+    fn answered(&self, _sent: BootTime) {}
 }
 
 /// Keeps a sink in step with the keys below a prefix, for ever.
@@ -28,9 +31,11 @@
 ) {
     let note = DependencyNote::default();
     loop {
+        let sent = BootClock.boot_now();
         let mut revision = match read_all(&*store, prefix).await {
             Ok((items, revision)) => {
                 sink.reset(items, revision);
+                sink.answered(sent);
                 revision
             }
             Err(error) => {
@@ -40,6 +45,7 @@
             }
         };
         loop {
+            let sent = BootClock.boot_now();
             match store.watch(prefix, revision, patience).await {
                 Ok(changes) => {
                     note.answered("watch", prefix);
@@ -48,6 +54,7 @@
                         .events
                         .into_iter()
                         .for_each(|event| sink.change(event));
+                    sink.answered(sent);
                 }
                 Err(StoreFault::HistoryGone) => {
                     log_event::info(
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -8,7 +8,7 @@
 use crate::{
     event,
     host_duty::tend_hosts,
-    kept_cancel::{follow_cancels, read_cancels},
+    kept_cancel::follow_cancels,
     log_reader::read_log,
     log_writer::write_log,
     metric, record_note,
@@ -88,28 +88,20 @@
 async fn lead(term: Rc<Term>) {
     let started = term.now().boot;
     let mut desk = term.desk.borrow().clone();
-    let store = &*term.ports.store;
-    let (summary, kept) = tokio::join!(
-        read_log(store, &term.options, &mut desk, || term.now()),
-        read_cancels(store, &term.options)
-    );
-    for job in &kept {
-        desk.cancel(job, term.now());
-    }
+    let summary = read_log(&*term.ports.store, &term.options, &mut desk, || term.now()).await;
     if let Some(terms) = term.view.terms() {
         desk.set_terms(terms);
     }
     log_event::info(
         &event::TERM_READ,
         format_args!(
-            "token={} pages={} bytes={} jobs={} open={} cancelled={} kept={} targets={} took_ms={}",
+            "token={} pages={} bytes={} jobs={} open={} cancelled={} targets={} took_ms={}",
             term.token,
             summary.pages,
             summary.bytes,
             desk.board.jobs.len(),
             desk.board.open.len(),
             desk.board.cancelled(),
-            kept.len(),
             desk.board.used.len(),
             term.now().boot.saturating_sub(started).as_millis()
         ),
@@ -117,10 +109,10 @@
     *term.desk.borrow_mut() = desk;
     term.ready.set(true);
     term.became_ready.notify_waiters();
+    term.spawn(follow_cancels(term.clone()));
     term.spawn(write_log(term.clone(), summary));
     term.spawn(watch_targets(term.clone()));
     term.spawn(tend_hosts(term.clone()));
-    term.spawn(follow_cancels(term.clone()));
     drive(term).await;
 }
 
@@ -158,7 +150,9 @@
                 #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
                 metrics::gauge!(metric::OPEN_JOBS).set(desk.board.open.len() as f64);
             }
-            desk.plan(now);
+            if term.knows_cancels() {
+                desk.plan(now);
+            }
         }
         carry_out(&term);
     }
--- a/crates/cell/tests/cancels.rs
+++ b/crates/cell/tests/cancels.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 const LOG: &str = "cell/log/";
+const KEPT: &str = "cell/cancel/";
 /// Time in which a cancelling has to be acknowledged while the store is well.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
 /// Time in which an owner that wanted to start something would have.
@@ -105,13 +106,36 @@
         bench.targets.set_slow(true);
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
-        bench.store.put("cell/cancel/job1", b"job1");
+        bench.store.put(&format!("{KEPT}job1"), b"job1");
         let cancelled = CallerAnswer::Found(JobProgress::Cancelled);
         until(&desk, CallerWish::Look("job1".into()), cancelled).await;
         let end = Instant::now() + LIMIT;
-        while !bench.store.keys("cell/cancel/").is_empty() {
+        while !bench.store.keys(KEPT).is_empty() {
             assert!(Instant::now() < end, "not moved into the log");
             sleep(Duration::from_millis(10)).await;
         }
     });
 }
+
+/// Guards against an owner that hears the store late and starts what callers have cancelled.
+#[test]
+fn unheard_cancel_holds_starts() {
+    run_local(async {
+        let bench = CellBench::without_targets();
+        let handle = bench.store.handle();
+        let desk = bench.host_on("a", &handle).desk();
+        accepted(&desk, "job1").await;
+        handle.unhear(KEPT);
+        bench.store.put(&format!("{KEPT}job1"), b"job1");
+        sleep(SETTLED + Duration::from_millis(500)).await;
+        bench.add_target();
+        sleep(SETTLED).await;
+        assert_eq!(bench.targets.started(), 0);
+        handle.unhear("");
+        let cancelled = CallerAnswer::Found(JobProgress::Cancelled);
+        until(&desk, CallerWish::Look("job1".into()), cancelled).await;
+        accepted(&desk, "job2").await;
+        let completed = CallerAnswer::Found(JobProgress::Completed);
+        until(&desk, CallerWish::Look("job2".into()), completed).await;
+    });
+}
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -41,6 +41,8 @@
     read_delay: Rc<Cell<Duration>>,
     /// How long changes are under way through this handle before they are made.
     change_delay: Rc<Cell<Duration>>,
+    /// Prefix of which no list and no watch is answered through this handle; empty for none.
+    unheard: Rc<RefCell<String>>,
 }
 
 /// What goes wrong with lists of the keys below a prefix.
@@ -78,6 +80,7 @@
             lists: Rc::default(),
             read_delay: Rc::default(),
             change_delay: Rc::default(),
+            unheard: Rc::default(),
         }
     }
 
@@ -91,6 +94,18 @@
         self.change_delay.set(delay);
     }
 
+    /// No list and no watch of this prefix is answered through this handle; empty for none.
+    pub fn unhear(&self, prefix: &str) {
+        *self.unheard.borrow_mut() = prefix.to_owned();
+    }
+
+    fn hears(&self, prefix: &str) -> Result<(), StoreFault> {
+        if !prefix.is_empty() && prefix == *self.unheard.borrow() {
+            return Err(StoreFault::Unanswered("timed out".to_owned()));
+        }
+        Ok(())
+    }
+
     /// Lists of the keys below a prefix bring `page` keys, and each `fail_every`-th fails.
     pub fn limit_lists(&self, prefix: &str, page: usize, fail_every: usize) {
         *self.lists.borrow_mut() = ListFault {
@@ -298,6 +313,7 @@
         let door = self.clone();
         Box::pin(async move {
             door.call().await?;
+            door.hears(&prefix)?;
             let limit = door.list_limit(&prefix)?;
             let items = state.items.borrow();
             let below = items.range(prefix.clone()..).map(|(_, item)| item);
@@ -325,6 +341,7 @@
             let end = Instant::now() + patience;
             loop {
                 door.call().await?;
+                door.hears(&prefix)?;
                 let events = state.since(&prefix, after);
                 if !events.is_empty() || Instant::now() >= end {
                     return Ok(StoreChanges {
