--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -209,11 +209,23 @@
     format!("{revision} {key}")
 }
 
-struct NoControl;
+/// A control of no hosts.
+#[derive(Clone, Default)]
+pub struct NoControl {
+    /// How long a list of hosts is under way.
+    pub list_time: Duration,
+    /// How often the hosts were listed.
+    pub lists: Rc<Cell<usize>>,
+}
 
 impl HostControl for NoControl {
     fn hosts(&self) -> PortFuture<Result<Vec<FleetHost>, String>> {
-        Box::pin(async { Ok(Vec::new()) })
+        self.lists.set(self.lists.get() + 1);
+        let time = self.list_time;
+        Box::pin(async move {
+            sleep(time).await;
+            Ok(Vec::new())
+        })
     }
 
     fn move_host(&self, _: &OrderSender, _: &HostId, _: &PoolId) -> PortFuture<HostOrderAnswer> {
@@ -239,7 +251,7 @@
         store: Rc::new(store.clone()),
         codec: Rc::new(PathCodec),
         targets: Rc::new(targets.clone()),
-        hosts: Rc::new(NoControl),
+        hosts: Rc::new(NoControl::default()),
         advice: Rc::new(NoAdvice),
     }
 }
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 pub use caller_calls::{KEY, call, plan, submit};
 pub use cell_bench::{CellBench, LIMIT, accepted, until};
-pub use memory_ports::{MemoryTargets, free_address, ports_on, terms_text};
+pub use memory_ports::{MemoryTargets, NoControl, free_address, ports_on, terms_text};
 pub use memory_store::{MemoryStore, StoreSwitch};
 
 use tokio::task::LocalSet;
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -4,9 +4,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use cell::{CellHost, CellOptions, HostLimits};
+use cell::{CellHost, CellOptions, CellPorts, HostLimits};
 use common::{
-    MemoryStore, MemoryTargets, StoreSwitch, free_address, ports_on, run_local, submit, terms_text,
+    MemoryStore, MemoryTargets, NoControl, StoreSwitch, free_address, ports_on, run_local, submit,
+    terms_text,
 };
 use link::CallClient;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -14,7 +15,9 @@
 use prost::Message;
 use rand::{Rng, SeedableRng, distr::Alphanumeric, rngs::StdRng};
 use tokio::time::{Instant, sleep};
-use wire::work::{JobRecord, LogEntry, LogPage, OwnerRecord, StepRecord, log_entry::Event};
+use wire::work::{
+    JobRecord, LogEntry, LogPage, OwnerRecord, StepRecord, TargetUse, log_entry::Event,
+};
 
 const OWNER: &str = "cell/owner";
 const LOG: &str = "cell/log/";
@@ -46,7 +49,10 @@
         limits,
         ..CellOptions::new(name.into(), free_address(), free_address())
     };
-    let ports = ports_on(store, targets);
+    start_on(options, ports_on(store, targets))
+}
+
+fn start_on(options: CellOptions, ports: CellPorts) -> Rc<CellHost> {
     let host = CellHost::new(options, ports, CallClient::default());
     host.start(PrometheusBuilder::new().build_recorder().handle());
     Rc::new(host)
@@ -358,3 +364,34 @@
         assert!(entries.iter().any(handed), "{entries:?}");
     });
 }
+
+/// Guards against an owner whose narrow link is taken by lists of hosts, one after the other, so
+/// that the renewals of its lease don't get through.
+#[test]
+fn host_lists_leave_link_free() {
+    run_local(async {
+        let store = new_store();
+        // A life that no look reaches and that the host list lacks.
+        let used = TargetUse {
+            target: "t9".to_owned(),
+            pool: "pool".to_owned(),
+            ..TargetUse::default()
+        };
+        put_entry(&store, 0, Event::Used(used));
+        let control = NoControl {
+            list_time: Duration::from_millis(200),
+            ..NoControl::default()
+        };
+        let lists = control.lists.clone();
+        let options = CellOptions::new("a".into(), free_address(), free_address());
+        let ports = CellPorts {
+            hosts: Rc::new(control),
+            ..ports_on(&store, &MemoryTargets::default())
+        };
+        let _host = start_on(options, ports);
+        until_owner(&store, "a").await;
+        sleep(Duration::from_secs(3)).await;
+        // A fifth of three seconds.
+        assert!(lists.get() <= 4, "{} lists of 0.2 s in 3 s", lists.get());
+    });
+}
