Let no target forget ends after a call to it has failed

Callers would see: a task that runs again though it was done. A look tells a target up to which number its ends may be forgotten. A call fails since the target crashes, it begins anew within a second, takes a task and ends it, and the next look carries the number of the life before. The time since the last answer, which was all that counted, does not show that.

The number is now told only if a look was answered within 0.5 s and no call sent since has failed; otherwise 0 is told, and the look after it tells the number. Cost: one more look.

--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -14,11 +14,6 @@
 /// is missing may be among them.
 const END_PAGE: usize = 500;
 
-/// How old the last answer of a target may be for the next look to let it forget ends. A look
-/// follows an answer within 0.3 s; a target that restarts, takes a task and ends it in less than
-/// this is not guarded against.
-const SAME_LIFE: Duration = Duration::from_millis(1000);
-
 impl WorkDesk {
     /// The look that a target needs now; `None` if it needs none.
     pub fn look_order(&mut self, id: &HostId, now: DeskTime) -> Option<LookOrder> {
@@ -33,10 +28,7 @@
         if target.life.raised && !busy && observed <= target.life.told {
             return None;
         }
-        // A target may have restarted unnoticed. Numbers of ends begin anew in each life, so the
-        // new one would forget ends that nobody has seen; it is asked who it is first.
-        let heard_ago = now.boot.saturating_sub(target.heard);
-        let observed = if heard_ago < SAME_LIFE { observed } else { 0 };
+        let observed = target.observed_at(now.boot);
         // A target that doesn't answer gets no more time: what it runs has to lapse, so that it
         // can start elsewhere.
         let until = target
@@ -141,6 +133,7 @@
         }
         target.answered = target.answered.max(sent);
         target.heard = now.boot;
+        target.looked = target.looked.max(sent);
         target.life.told = target.life.told.max(observed);
         if self.alone && !target.life.raised {
             return;
@@ -283,6 +276,7 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
+        target.failed = now.boot;
         if !target.silent && now.boot.saturating_sub(target.answered) >= silence {
             target.silent = true;
             self.note(DeskEvent::TargetSilent(id.clone()));
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -13,6 +13,10 @@
 /// A target's steady clock may be this much slow, in thousandths, as the platform says.
 const CLOCK_SLACK: u32 = 20;
 
+/// How long after an answer a target is taken to live on while no call to it fails. Where ends are
+/// being stored the next look follows within 0.3 s.
+const SAME_LIFE: Duration = Duration::from_millis(500);
+
 /// Unanswered starts that are remembered of one target; it pauses longer after each, so that
 /// there are few.
 const MOST_DOUBTS: usize = 64;
@@ -75,6 +79,10 @@
     pub answered: BootTime,
     /// When the last answer came. A look may wait for a second, and what it tells is fresh.
     pub heard: BootTime,
+    /// When the last look that was answered had been sent.
+    pub looked: BootTime,
+    /// When a call last failed: its life may have ended since.
+    pub failed: BootTime,
     /// Last call that renewed and may still be under way.
     pub granted: BootTime,
     /// Whether it is known to be silent.
@@ -176,6 +184,15 @@
         }
     }
 
+    /// What a look sent at a time may tell the target to forget.
+    ///
+    /// A life that began unnoticed counts its ends anew. Told by a number of the life before, it
+    /// would forget ends that nobody has seen, and their tasks would run again.
+    pub fn observed_at(&self, now: BootTime) -> u64 {
+        let same_life = self.looked > self.failed && now.saturating_sub(self.heard) < SAME_LIFE;
+        if same_life { self.observable() } else { 0 }
+    }
+
     /// Takes room for a run.
     pub fn claim(&mut self, run: RunKey, claim: RunClaim) {
         self.used = self.used.plus(claim.room);
--- a/crates/decide/tests/work_schedule.rs
+++ b/crates/decide/tests/work_schedule.rs
@@ -38,6 +38,8 @@
 #[case::cancels(WorldFaults { owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::CANCELS })]
 #[case::log(WorldFaults { short_log: true, ..WorldFaults::LOG })]
 #[case::lanes(WorldFaults { lanes: true, lost_calls: 0.15, late_calls: 0.1, ..WorldFaults::CANCELS })]
+#[case::lists(WorldFaults { target_crash: 0.1, target_cut: 0.1, lists: true, ..WorldFaults::default() })]
+#[case::everything(WorldFaults { short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
 fn promises_hold(#[case] faults: WorldFaults) {
     run(0..SEEDS, faults);
 }
@@ -47,6 +49,9 @@
 #[case::lone_owner_and_new_life(265, WorldFaults { target_crash: 0.1, target_cut: 0.1, ..WorldFaults::default() })]
 #[case::limit_of_two_owners(88, WorldFaults { owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::default() })]
 #[case::lone_owner_unnoticed_life(393, WorldFaults { target_crash: 0.1, target_cut: 0.1, ..WorldFaults::default() })]
+#[case::starts_on_unnoticed_life(18, WorldFaults { lists: true, ..WorldFaults::default() })]
+#[case::ends_of_older_life(149, WorldFaults { lists: true, ..WorldFaults::default() })]
+#[case::older_life_listed_first(251, WorldFaults { lists: true, ..WorldFaults::default() })]
 fn promises_hold_again(#[case] seed: u64, #[case] faults: WorldFaults) {
     run(seed..seed + 1, faults);
 }
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -152,7 +152,8 @@
     let mut scene = DeskScene::new(1);
     scene.add("t1", 2000);
     scene.submit("a", &plan(vec![step(1, 1000)]));
-    scene.start_all();
+    let starts = scene.start_all();
+    scene.see("t1", vec![running(&starts[0].1)], Vec::new());
     let reborn = TargetEntry {
         born: Duration::from_secs(500),
         ..target("t1", 2000)
