--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -284,3 +284,42 @@
     );
     assert!(second.stored.iter().any(failed));
 }
+
+/// A workspace had more running than it may: a job was cancelled while its tasks ran on a target
+/// that the new owner had not reached, and others were started beside them.
+#[test]
+fn successor_counts_cancelled_job_on_unreached_target() {
+    let mut first = DeskScene::new(1);
+    first.add("t1", 8000);
+    first.submit("a", &plan(vec![step(4, 2000)]));
+    assert_eq!(first.start_all().len(), 4);
+
+    let mut second = first.successor(9);
+    second.add("t2", 8000);
+    second.cancel("a");
+    second.submit("b", &plan(vec![step(1, 1000)]));
+    second.pass(Duration::from_millis(50));
+    assert!(second.starts.is_empty(), "a may still run on t1");
+    second.raise("t1");
+    second.pass(Duration::from_millis(50));
+    assert_eq!(second.starts.len(), 1);
+}
+
+/// The same, where the predecessor had recorded the cancelling and was killed.
+#[test]
+fn successor_counts_job_cancelled_before_on_unreached_target() {
+    let mut first = DeskScene::new(1);
+    first.add("t1", 8000);
+    first.submit("a", &plan(vec![step(4, 2000)]));
+    assert_eq!(first.start_all().len(), 4);
+    first.cancel("a");
+
+    let mut second = first.successor(9);
+    second.add("t2", 8000);
+    second.submit("b", &plan(vec![step(1, 1000)]));
+    second.pass(Duration::from_millis(50));
+    assert!(second.starts.is_empty(), "a may still run on t1");
+    second.raise("t1");
+    second.pass(Duration::from_millis(50));
+    assert_eq!(second.starts.len(), 1);
+}
