Count jobs that were cancelled against the limit until their target is reached

Callers of a workspace could have more running than its limit: right after a change of owner, while a target with tasks of a cancelled job was cut off, others were started in their place. With several large tasks on that target it is more than the one task beyond the limit that the platform allows.

Cause: what inherited jobs may have running on targets that nobody has reached was counted for open jobs only. A job that was cancelled or failed, by this owner or by one before, runs on there until a stop arrives or its time lapses. A cancelled job read from the log had no occurrences either, as these were opened for open jobs, by the first tick.

Change: all inherited jobs but completed ones count, and what was due is opened when the log tells of a cancelling or a failure, and when the term begins.

Why it works: these are the only jobs of which tasks can be on a target that nobody has looked at; the count ends with the first look or the lapse.

--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    DeskEvent, DeskOrder, DeskTime, PlaceInputs, RankClass, TaskPlace, WorkDesk,
+    DeskEvent, DeskOrder, DeskTime, PlaceInputs, RankClass, TaskPlace, WorkDesk, WorkPhase,
     objective::{StartRank, rank},
     pick::{pick_any, pick_target},
     pool_rooms::PoolRooms,
@@ -104,8 +104,10 @@
         if blocked.is_empty() {
             return usage;
         }
-        let open = self.open_jobs();
-        for job in open.filter(|job| job.inherited && blocked.contains(&job.pool)) {
+        // Tasks of a job that was cancelled or failed run on until they can be stopped there.
+        let jobs = self.board.jobs.values();
+        let running = jobs.filter(|job| job.inherited && job.phase != WorkPhase::Completed);
+        for job in running.filter(|job| blocked.contains(&job.pool)) {
             for occurrence in job.occurrences.values() {
                 for (state, plan) in occurrence.steps.iter().zip(&job.plan.steps) {
                     let used = usage.entry(job.workspace.clone()).or_default();
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -86,6 +86,12 @@
 
     /// Takes an entry of the log in while it is read.
     pub fn replay(&mut self, entry: &LogEntry, now: DeskTime) {
+        if let Some(Event::Cancelled(id) | Event::Failed(id)) = &entry.event
+            && let Some(job) = self.board.jobs.get_mut(id.as_str())
+        {
+            // What was due may run on a target that was not reached, and has to be counted.
+            job.open_due(now.unix, now.boot, self.tuning.early);
+        }
         self.board.apply(entry, now.unix, now.boot);
     }
 
@@ -113,6 +119,7 @@
             };
             self.targets.insert(used.target.as_str().into(), target);
         }
+        self.open_occurrences(now);
         self.stale = true;
     }
 
