Tests of waves over the hosts of tasks that last

They play a small fleet of hosts that do what the planner and the desk order, and a wave over the hosts that hold tasks that last.

--- a/crates/decide/tests/desk/mod.rs
+++ b/crates/decide/tests/desk/mod.rs
@@ -1,7 +1,8 @@
-//! A desk with orders that the test answers by hand, and a seeded model of owners, targets and
+//! A desk with orders that the test answers by hand, hosts that do what they are told, and a seeded model of owners, targets and
 //! the log.
 #![allow(dead_code, unused_imports)]
 
+mod fleet;
 mod scene;
 mod world;
 mod world_ask;
@@ -13,6 +14,7 @@
 mod world_log;
 mod world_target;
 
+pub use fleet::{FleetScene, STANDBY};
 pub use scene::{
     DeskScene, POOL, QUEUE, SPACE, ended, plan, running, step, target, terms_with_limit,
 };
--- /dev/null
+++ b/crates/decide/tests/work_waves.rs
@@ -0,0 +1,141 @@
+//! Waves over the hosts of tasks that last: they are done in time, and no task is taken from a
+//! host without another to go to.
+
+mod desk;
+
+use std::time::Duration;
+
+use desk::{FleetScene, plan, step};
+use model::work::StepPlan;
+
+const DEADLINE: Duration = Duration::from_secs(25);
+
+fn lasting(count: u32, cpu: u64) -> StepPlan {
+    StepPlan {
+        long_running: true,
+        may_miss: 1,
+        ..step(count, cpu)
+    }
+}
+
+/// Submits jobs of one step each, and lets their tasks come to work.
+fn settle(fleet: &mut FleetScene, steps: Vec<StepPlan>) {
+    fleet.open();
+    for (number, step) in (0..).zip(steps) {
+        fleet
+            .scene
+            .submit(&format!("job{number}"), &plan(vec![step]));
+    }
+    fleet.pass(Duration::from_secs(3));
+    fleet.stops = 0;
+    fleet.most_missing = 0;
+}
+
+/// Three hosts of a wave were not emptied for 20 s: all hosts of their pool were being emptied at
+/// once, the tasks had nowhere to go, and each that was stopped came back to the host that it had
+/// left, second after second.
+#[test]
+fn wave_over_whole_pool_brings_hosts() {
+    let mut fleet = FleetScene::new(3, 4, 32_000);
+    settle(&mut fleet, vec![lasting(6, 3600), lasting(5, 3850)]);
+    fleet.ask(0..3, 9, DEADLINE);
+    let took = fleet.until_done(DEADLINE);
+    assert!(took < DEADLINE, "the wave is late");
+    assert_eq!((fleet.returns, fleet.killed), (0, 0));
+    assert_eq!((fleet.stops, fleet.most_missing), (11, 1));
+}
+
+/// The same where two tasks at most may share a host, and the pool has one host more than they
+/// need: the spare host is maintained first, and until it is back a stopped task has only the host
+/// that it came from, which its neighbour keeps from being empty.
+#[test]
+fn wave_over_apart_tasks_waits_for_spare() {
+    let mut fleet = FleetScene::new(5, 0, 32_000);
+    let apart = StepPlan {
+        anti_affinity: 2,
+        ..lasting(8, 3600)
+    };
+    settle(&mut fleet, vec![apart]);
+    fleet.ask(0..5, 5, DEADLINE);
+    let took = fleet.until_done(DEADLINE);
+    assert!(took < DEADLINE, "the wave is late");
+    assert_eq!((fleet.returns, fleet.killed), (0, 0));
+    assert_eq!((fleet.stops, fleet.most_missing), (8, 1));
+}
+
+/// The same where no task may share a host: each is taken away only once another host has room.
+#[test]
+fn wave_over_single_tasks_keeps_them_at_work() {
+    let mut fleet = FleetScene::new(5, 4, 32_000);
+    let apart = StepPlan {
+        anti_affinity: 1,
+        ..lasting(4, 3600)
+    };
+    settle(&mut fleet, vec![apart]);
+    fleet.ask(0..5, 5, DEADLINE);
+    let took = fleet.until_done(DEADLINE);
+    assert!(took < DEADLINE, "the wave is late");
+    assert_eq!((fleet.returns, fleet.killed), (0, 0));
+    assert_eq!((fleet.stops, fleet.most_missing), (4, 1));
+    assert!(fleet.longest_away < Duration::from_millis(1500));
+}
+
+/// The same where other hosts of the pool go on, but have not the label that the tasks require:
+/// of the hosts that are off, one with the label has to come.
+#[test]
+fn wave_over_labelled_hosts_brings_label() {
+    let mut fleet = FleetScene::new(5, 4, 32_000);
+    for number in [0, 1, 7] {
+        fleet.label(number, "large");
+    }
+    let labelled = StepPlan {
+        required_label: "large".into(),
+        ..lasting(6, 3600)
+    };
+    settle(&mut fleet, vec![labelled]);
+    fleet.ask(0..2, 2, DEADLINE);
+    let took = fleet.until_done(DEADLINE);
+    assert!(took < DEADLINE, "the wave is late");
+    assert_eq!((fleet.returns, fleet.killed), (0, 0));
+}
+
+/// The same where the pool's other hosts go on and are full: each task needs half a host, which
+/// no host has left.
+#[test]
+fn wave_over_full_hosts_brings_room() {
+    let mut fleet = FleetScene::new(4, 4, 32_000);
+    settle(&mut fleet, vec![lasting(8, 15_000)]);
+    fleet.ask(0..2, 2, DEADLINE);
+    let took = fleet.until_done(DEADLINE);
+    assert!(took < DEADLINE, "the wave is late");
+    assert_eq!((fleet.returns, fleet.killed), (0, 0));
+    assert_eq!(fleet.most_missing, 1);
+}
+
+/// Where no host can be had, a task that may be missing is away while its host is maintained: the
+/// wave must not wait for a spare host that never comes.
+#[test]
+fn wave_without_spare_host_is_done() {
+    let mut fleet = FleetScene::new(3, 0, 32_000);
+    let apart = StepPlan {
+        anti_affinity: 1,
+        ..lasting(3, 3600)
+    };
+    settle(&mut fleet, vec![apart]);
+    fleet.ask(0..3, 3, DEADLINE);
+    let took = fleet.until_done(DEADLINE);
+    assert!(took < DEADLINE, "the wave is late");
+    assert_eq!((fleet.killed, fleet.most_missing), (0, 1));
+}
+
+/// A wave of two hosts at once over a pool that is being emptied keeps to its two.
+#[test]
+fn wave_with_moves_keeps_cap() {
+    let mut fleet = FleetScene::new(4, 4, 32_000);
+    settle(&mut fleet, vec![lasting(8, 3600), lasting(8, 3600)]);
+    fleet.ask(0..4, 2, DEADLINE);
+    let took = fleet.until_done(DEADLINE);
+    assert!(took < DEADLINE, "the wave is late");
+    assert_eq!((fleet.returns, fleet.killed), (0, 0));
+    assert!(fleet.most_down <= 2);
+}
