Empty a host of a wave only as far as others take its tasks

Cause: nothing asked whether a task that has to leave its host has one to go to. A wave with cap 9 took all three hosts of a pool at once. All three were kept free of new tasks, by their cores they still counted as the pool's room, so that no host was brought. A task stopped on one of them found no target, after 0.8 s took any (`pick_any`), which was a host being emptied, and was stopped there again. Neither cap nor `may_stop` held the wave up; no host was ever empty.

It ended when the pool's turn brought hosts.

Change: a task that lasts is stopped on a host that is being emptied only if another target of the pool takes it, beside those on their way (`desk_evacuate`, moved out of `desk_tick`; `may_go`). If none does, one host with its label and room is brought, one at a time (`host_spares`). If none came for 3 s, a host whose tasks may all be missing is emptied without (as before). If no host is off, the last host of a pool that takes tasks is not emptied while others of it are, until time is short. A draining target is left as before. No order ends work, cap and may_miss are asked as before.

--- /dev/null
+++ b/crates/decide/src/work/desk_evacuate.rs
@@ -0,0 +1,190 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use compact_str::CompactString;
+use model::{
+    BootTime, HostId, PoolId,
+    work::{HostRoom, TargetMode, TaskKey},
+};
+
+use super::{
+    DeskTime, HostVacancy, PlacePhase, WorkDesk, pick::may_go, target_state::RunKey,
+    work_desk::StepKey,
+};
+
+/// Time after which a predecessor's last stops have taken effect: a target takes 0.2 s at most,
+/// and a look that shows it up to a second.
+const SETTLED: Duration = Duration::from_millis(1300);
+/// What a target says of a task that lasts and is at work, in percent.
+const AT_WORK: u8 = 100;
+/// How old the last answer of a target may be for its tasks to count as at work: a look waits
+/// for up to a second, and its answer takes some milliseconds.
+const HEARD: Duration = Duration::from_millis(1300);
+/// How long a task that lasts waits on a host that is being emptied for another to go to. A host
+/// that is switched off takes two seconds to come, and half a second more to be listed.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// A task that lasts, on a host that is being emptied, which no other host of its pool takes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct StrandedTask {
+    /// Since when the pool has such a task.
+    pub(super) since: BootTime,
+    /// Label that the host has to have; empty for any.
+    pub(super) label: CompactString,
+    /// Room that it takes.
+    pub(super) need: HostRoom,
+}
+
+impl WorkDesk {
+    /// Stops the tasks that last on targets that are leaving or kept free, so that they run
+    /// elsewhere before the target is gone. Other tasks may well end before that.
+    ///
+    /// On a target that is kept free a task works on until another has room for it. Stopped
+    /// sooner it would be started where it was, since a service that lacks a task takes any
+    /// target, and the host would never be empty.
+    pub(super) fn evacuate(&mut self, now: DeskTime) {
+        let before = std::mem::take(&mut self.stranded);
+        let mut stops = Vec::new();
+        let mut coming: BTreeMap<PoolId, HostRoom> = BTreeMap::new();
+        for target in self.targets.values() {
+            let leaving = target.entry.mode == TargetMode::Draining;
+            if !leaving && target.vacancy == HostVacancy::None {
+                continue;
+            }
+            let (id, pool) = (&target.entry.target, &target.entry.pool);
+            for (run, claim) in &target.claims {
+                if !self.lasts(run) {
+                    continue;
+                }
+                if self.is_running(id, run) {
+                    stops.push((id.clone(), pool.clone(), run.clone(), claim.room, leaving));
+                } else {
+                    let room = coming.entry(pool.clone()).or_default();
+                    *room = room.plus(claim.room);
+                }
+            }
+        }
+        for (id, pool, run, room, leaving) in stops {
+            if !leaving && !self.may_stop(&run, now) {
+                continue;
+            }
+            let others = coming.entry(pool.clone()).or_default();
+            if !leaving && !self.has_place(&run, &pool, *others, now) {
+                if self.has_place(&run, &pool, HostRoom::default(), now) {
+                    // The others are there within a moment; then it shows what is left.
+                    continue;
+                }
+                let since = before.get(&pool).map_or(now.boot, |task| task.since);
+                self.note_stranded(&run, &pool, room, since);
+                let waited = now.boot.saturating_sub(since) >= PATIENCE;
+                if !waited || !self.would_empty(&id, now) {
+                    continue;
+                }
+            }
+            *others = others.plus(room);
+            self.stop_run(&id, &run, now);
+        }
+    }
+
+    /// True if a target of the pool takes a task that has to leave its own, beside others that
+    /// are on their way and need room as well.
+    fn has_place(&self, run: &RunKey, pool: &PoolId, coming: HostRoom, now: DeskTime) -> bool {
+        let (key, _) = run;
+        let (Some(plan), Some(state)) = (
+            self.step_of(key),
+            self.step_by(&key.job, key.occurrence, key.step),
+        ) else {
+            return true;
+        };
+        let of_pool = self
+            .targets
+            .values()
+            .filter(|target| target.entry.pool == *pool);
+        may_go(plan, state, of_pool, coming, now.boot)
+    }
+
+    fn note_stranded(&mut self, run: &RunKey, pool: &PoolId, need: HostRoom, since: BootTime) {
+        let label = self.step_of(&run.0).map(|step| step.required_label.clone());
+        self.stranded.entry(pool.clone()).or_insert(StrandedTask {
+            since,
+            label: label.unwrap_or_default(),
+            need,
+        });
+    }
+
+    /// True if a target would be empty once its tasks that last are stopped, and all of them may
+    /// be missing while its host is away.
+    fn would_empty(&self, id: &HostId, now: DeskTime) -> bool {
+        let Some(target) = self.targets.get(id) else {
+            return false;
+        };
+        let mut steps: BTreeMap<StepKey, u32> = BTreeMap::new();
+        for run in target.claims.keys() {
+            let stopping = !self.is_running(id, run);
+            if !self.lasts(run) || !(stopping || self.may_stop(run, now)) {
+                return false;
+            }
+            *steps.entry(step_key(&run.0)).or_default() += 1;
+        }
+        steps.iter().all(|(step, count)| {
+            let plan = self.board.jobs.get(&step.job);
+            let plan = plan.and_then(|job| job.plan.steps.get(step.step as usize));
+            plan.is_some_and(|plan| *count <= plan.may_miss.max(1))
+        })
+    }
+
+    fn lasts(&self, run: &RunKey) -> bool {
+        self.step_of(&run.0).is_some_and(|step| step.long_running)
+    }
+
+    /// True if a task that lasts may be stopped by our own doing: fewer of its step are away
+    /// than may be. Asked anew before each stop, so that two of one step never go together.
+    fn may_stop(&self, run: &RunKey, now: DeskTime) -> bool {
+        // A stop that a predecessor ordered takes a moment, in which its task is still listed
+        // as being at work.
+        if now.boot.saturating_sub(self.began) < SETTLED {
+            return false;
+        }
+        let (key, _) = run;
+        let Some(step) = self.step_of(key) else {
+            return true;
+        };
+        let Some(state) = self.step_by(&key.job, key.occurrence, key.step) else {
+            return true;
+        };
+        // A task on a target that has just fallen silent may have been away for as long as the
+        // last look is old, though the desk still takes it to be at work.
+        let heard = |id: &HostId| {
+            let target = self.targets.get(id);
+            target.is_some_and(|target| now.boot.saturating_sub(target.heard) < HEARD)
+        };
+        let at_work = |task: &super::TaskState| {
+            task.place.as_ref().is_some_and(|place| {
+                place.phase == PlacePhase::Running
+                    && place.percent >= AT_WORK
+                    && heard(&place.target)
+            })
+        };
+        let others = (0..)
+            .zip(&state.tasks)
+            .filter(|(index, _)| *index != key.index);
+        let away = others.filter(|(_, task)| !at_work(task)).count();
+        away < step.may_miss.max(1) as usize
+    }
+
+    /// Keeps the named targets free of new tasks, and no others.
+    pub(super) fn keep_free(&mut self, wanted: &BTreeMap<HostId, HostVacancy>) {
+        for (id, target) in &mut self.targets {
+            let vacancy = wanted.get(id).copied().unwrap_or_default();
+            self.stale |= target.vacancy != vacancy;
+            target.vacancy = vacancy;
+        }
+    }
+}
+
+fn step_key(key: &TaskKey) -> StepKey {
+    StepKey {
+        job: key.job.clone(),
+        occurrence: key.occurrence,
+        step: key.step,
+    }
+}
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -1,14 +1,9 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
-use model::{
-    BootTime, HostId, JobId,
-    work::{TargetMode, TaskKey},
-};
+use model::{BootTime, HostId, JobId, work::TaskKey};
 use wire::work::log_entry::Event;
 
-use super::{
-    DeskEvent, DeskTime, HostVacancy, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey,
-};
+use super::{DeskEvent, DeskTime, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey};
 
 /// Time without any progress after which a task counts as stalled. Looks come once a second at
 /// least, and a task that is eight times as slow as estimated still gets on by a percent or more
@@ -17,14 +12,6 @@
 /// A task may stand still for its estimate divided by this: it gets on by more than a percent in
 /// that time even where it is five times as slow.
 const STALL_PARTS: u32 = 5;
-/// Time after which a predecessor's last stops have taken effect: a target takes 0.2 s at most,
-/// and a look that shows it up to a second.
-const SETTLED: Duration = Duration::from_millis(1300);
-/// What a target says of a task that lasts and is at work, in percent.
-const AT_WORK: u8 = 100;
-/// How old the last answer of a target may be for its tasks to count as at work: a look waits
-/// for up to a second, and its answer takes some milliseconds.
-const HEARD: Duration = Duration::from_millis(1300);
 
 impl WorkDesk {
     /// Does what is due by time alone. To be called several times a second.
@@ -133,29 +120,6 @@
         }
     }
 
-    /// Stops the tasks that last on targets that are leaving or kept free, so that they run
-    /// elsewhere before the target is gone. Other tasks may well end before that.
-    fn evacuate(&mut self, now: DeskTime) {
-        let mut stops = Vec::new();
-        for target in self.targets.values() {
-            let leaving = target.entry.mode == TargetMode::Draining;
-            if !leaving && target.vacancy == HostVacancy::None {
-                continue;
-            }
-            let id = &target.entry.target;
-            let lasting = target.claims.keys().filter(|run| {
-                let lasts = self.step_of(&run.0).is_some_and(|step| step.long_running);
-                lasts && self.is_running(id, run)
-            });
-            stops.extend(lasting.map(|run| (id.clone(), run.clone(), leaving)));
-        }
-        for (id, run, leaving) in stops {
-            if leaving || self.may_stop(&run, now) {
-                self.stop_run(&id, &run, now);
-            }
-        }
-    }
-
     /// Stops the members of a gang of which some are missing: they would only wait for the
     /// others until their target ends them, and the gang starts whole.
     fn end_broken_gangs(&mut self, now: DeskTime) {
@@ -210,50 +174,6 @@
         }
     }
 
-    /// True if a task that lasts may be stopped by our own doing: fewer of its step are away
-    /// than may be. Asked anew before each stop, so that two of one step never go together.
-    fn may_stop(&self, run: &RunKey, now: DeskTime) -> bool {
-        // A stop that a predecessor ordered takes a moment, in which its task is still listed
-        // as being at work.
-        if now.boot.saturating_sub(self.began) < SETTLED {
-            return false;
-        }
-        let (key, _) = run;
-        let Some(step) = self.step_of(key) else {
-            return true;
-        };
-        let Some(state) = self.step_by(&key.job, key.occurrence, key.step) else {
-            return true;
-        };
-        // A task on a target that has just fallen silent may have been away for as long as the
-        // last look is old, though the desk still takes it to be at work.
-        let heard = |id: &HostId| {
-            let target = self.targets.get(id);
-            target.is_some_and(|target| now.boot.saturating_sub(target.heard) < HEARD)
-        };
-        let at_work = |task: &super::TaskState| {
-            task.place.as_ref().is_some_and(|place| {
-                place.phase == PlacePhase::Running
-                    && place.percent >= AT_WORK
-                    && heard(&place.target)
-            })
-        };
-        let others = (0..)
-            .zip(&state.tasks)
-            .filter(|(index, _)| *index != key.index);
-        let away = others.filter(|(_, task)| !at_work(task)).count();
-        away < step.may_miss.max(1) as usize
-    }
-
-    /// Keeps the named targets free of new tasks, and no others.
-    pub(super) fn keep_free(&mut self, wanted: &BTreeMap<HostId, HostVacancy>) {
-        for (id, target) in &mut self.targets {
-            let vacancy = wanted.get(id).copied().unwrap_or_default();
-            self.stale |= target.vacancy != vacancy;
-            target.vacancy = vacancy;
-        }
-    }
-
     /// When all that was granted on a target has lapsed.
     ///
     /// A predecessor that was cut off from the store may go on for a bounded time. It hears
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -21,7 +21,7 @@
 
 /// Hosts of one pool, in cores.
 #[derive(Clone, Copy, Debug, Default)]
-struct PoolRoom {
+pub(super) struct PoolRoom {
     cores: f64,
     hosts: usize,
 }
@@ -43,11 +43,19 @@
         for pool in &pools {
             self.fill_pool(pool, standby.as_ref(), &mut rooms, now);
         }
+        self.bring_spares(desk, standby.as_ref(), &mut rooms, now);
         if let Some(standby) = &standby {
             self.switch_off(&pools, standby, &mut rooms, now);
         }
     }
 
+    /// True if a host that is switched off can be brought to a pool.
+    pub(super) fn has_reserve(&self, desk: &WorkDesk, now: BootTime) -> bool {
+        let standby = standby_pool(desk);
+        let mut hosts = self.hosts.values();
+        hosts.any(|view| standby.as_ref() == Some(&view.fleet.pool) && is_free(view, now))
+    }
+
     /// Pools that have less room than they need.
     pub(super) fn short_pools(&self) -> BTreeSet<PoolId> {
         let rooms = self.rooms();
@@ -68,24 +76,27 @@
             if room.cores >= self.meter.wanted(pool) && room.hosts >= self.least_hosts(pool) {
                 return;
             }
-            let Some(host) = self.lender(pool, standby, rooms, now) else {
+            let Some(host) = self.lender(pool, standby, rooms, now, |_| true) else {
                 return;
             };
             self.shift(&host, pool, rooms);
         }
     }
 
-    /// A host that another pool can lend: one that is switched off, otherwise an idle one.
-    fn lender(
+    /// A host that another pool can lend and that suits: one that is switched off, otherwise an
+    /// idle one.
+    pub(super) fn lender(
         &self,
         pool: &PoolId,
         standby: Option<&PoolId>,
         rooms: &BTreeMap<PoolId, PoolRoom>,
         now: BootTime,
+        suits: impl Fn(&HostView) -> bool,
     ) -> Option<HostId> {
         let free = |view: &&HostView| {
             view.fleet.pool != *pool
                 && is_free(view, now)
+                && suits(view)
                 && !self
                     .refused_moves
                     .contains(&(view.fleet.host.clone(), pool.clone()))
@@ -145,7 +156,12 @@
         }
     }
 
-    fn shift(&mut self, host: &HostId, to: &PoolId, rooms: &mut BTreeMap<PoolId, PoolRoom>) {
+    pub(super) fn shift(
+        &mut self,
+        host: &HostId,
+        to: &PoolId,
+        rooms: &mut BTreeMap<PoolId, PoolRoom>,
+    ) {
         let Some(view) = self.hosts.get(host) else {
             return;
         };
--- /dev/null
+++ b/crates/decide/src/work/host_spares.rs
@@ -0,0 +1,55 @@
+use std::collections::BTreeMap;
+
+use model::{BootTime, PoolId, work::HostCondition};
+
+use super::{
+    HostOrder, HostPlanner, WorkDesk,
+    desk_evacuate::StrandedTask,
+    host_moves::PoolRoom,
+    host_planner::{ErrandState, HostView},
+};
+
+impl HostPlanner {
+    /// Brings a host to each pool that has tasks with nowhere to go from hosts that are being
+    /// emptied. By its cores the pool has room enough, but on these hosts, or not for such tasks.
+    pub(super) fn bring_spares(
+        &mut self,
+        desk: &WorkDesk,
+        standby: Option<&PoolId>,
+        rooms: &mut BTreeMap<PoolId, PoolRoom>,
+        now: BootTime,
+    ) {
+        for (pool, task) in &desk.stranded {
+            if self.spare_comes(pool, task) {
+                continue;
+            }
+            let suits = |view: &HostView| takes(view, task);
+            if let Some(host) = self.lender(pool, standby, rooms, now, suits) {
+                self.shift(&host, pool, rooms);
+            }
+        }
+    }
+
+    /// True if a host that takes the task is on its way to the pool, or is there and empty.
+    fn spare_comes(&self, pool: &PoolId, task: &StrandedTask) -> bool {
+        let mut hosts = self.hosts.values().filter(|view| takes(view, task));
+        hosts.any(|view| match &view.errand {
+            Some(errand) => match &errand.order {
+                HostOrder::Move(_, to) => to == pool,
+                HostOrder::Maintain(..) => {
+                    view.fleet.pool == *pool && errand.state != ErrandState::Emptying
+                }
+            },
+            None => {
+                view.fleet.pool == *pool
+                    && view.fleet.condition == HostCondition::Up
+                    && view.idle_since.is_some()
+            }
+        })
+    }
+}
+
+fn takes(view: &HostView, task: &StrandedTask) -> bool {
+    let labelled = task.label.is_empty() || view.fleet.labels.contains(&task.label);
+    labelled && task.need.fits(view.fleet.capacity)
+}
--- a/crates/decide/src/work/host_waves.rs
+++ b/crates/decide/src/work/host_waves.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use model::{
     BootTime, HostId, PoolId,
@@ -10,6 +13,15 @@
 /// Time that one host of a wave takes: emptying, going down and coming back.
 const TURN: Duration = Duration::from_millis(3500);
 
+/// Hosts of a pool during a wave.
+#[derive(Clone, Copy, Debug, Default)]
+struct OpenHosts {
+    /// Hosts that take tasks.
+    open: usize,
+    /// Hosts that are being emptied or maintained.
+    leaving: usize,
+}
+
 impl HostPlanner {
     /// Chooses the hosts of each wave that are maintained next.
     pub(super) fn plan_waves(&mut self, desk: &WorkDesk, now: BootTime) {
@@ -71,11 +83,42 @@
             .filter_map(|host| self.burden(host, urgent, short, desk, now))
             .collect();
         candidates.sort();
-        candidates
-            .into_iter()
-            .take(room)
-            .map(|(_, host)| host)
-            .collect()
+        let mut open = self.open_hosts();
+        let held = !urgent && !self.has_reserve(desk, now);
+        let mut chosen = Vec::new();
+        for (used, host) in candidates {
+            if chosen.len() == room {
+                break;
+            }
+            let Some(view) = self.hosts.get(&host) else {
+                continue;
+            };
+            let pool = open.entry(view.fleet.pool.clone()).or_default();
+            if held && used > 0 && pool.open <= 1 && pool.leaving > 0 {
+                continue;
+            }
+            pool.open = pool.open.saturating_sub(1);
+            pool.leaving += 1;
+            chosen.push(host);
+        }
+        chosen
+    }
+
+    /// How many hosts of each pool take tasks, and how many are being emptied or maintained.
+    ///
+    /// While no host can be brought, the last one of a pool that takes tasks waits until another
+    /// is back: the tasks that last would have nowhere to go, and no host would ever be empty.
+    fn open_hosts(&self) -> BTreeMap<PoolId, OpenHosts> {
+        let mut pools: BTreeMap<PoolId, OpenHosts> = BTreeMap::new();
+        for view in self.hosts.values() {
+            let pool = pools.entry(view.fleet.pool.clone()).or_default();
+            match view.errand.as_ref().map(|errand| &errand.order) {
+                Some(HostOrder::Maintain(..)) => pool.leaving += 1,
+                Some(HostOrder::Move(..)) => {}
+                None => pool.open += usize::from(view.fleet.condition == HostCondition::Up),
+            }
+        }
+        pools
     }
 
     /// What runs on a host, in thousandths of a core; `None` if it can't be taken now.
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -1,8 +1,11 @@
 use std::time::Duration;
 
-use model::{BootTime, HostId, work::StepPlan};
+use model::{
+    BootTime, HostId,
+    work::{HostRoom, StepPlan},
+};
 
-use super::{StepState, TargetState, TaskState};
+use super::{PlacePhase, StepState, TargetState, TaskState};
 
 /// How long a task that failed waits for a target on which it has not. Beyond three seconds its
 /// caller would rightly ask why it does not run where there is room.
@@ -52,6 +55,31 @@
         .min_by_key(|target| score(plan, step, task, target))
 }
 
+/// True if one of the targets takes a task of the step that has to leave its own. Others are on
+/// their way and take `coming` of the room; those of the same step come first.
+pub fn may_go<'a>(
+    plan: &StepPlan,
+    step: &StepState,
+    targets: impl Iterator<Item = &'a TargetState>,
+    coming: HostRoom,
+    now: BootTime,
+) -> bool {
+    let need = plan.footprint().plus(coming);
+    let away = |task: &&TaskState| {
+        let place = task.place.as_ref();
+        place.is_none_or(|place| matches!(place.phase, PlacePhase::Stopping(_)))
+    };
+    let before = match plan.anti_affinity {
+        0 => 0,
+        _ => step.tasks.iter().filter(away).count(),
+    };
+    targets
+        .filter(|target| target.takes_tasks(now))
+        .filter(|target| need.fits(target.free()) && may_hold(plan, step, target, now))
+        .nth(before)
+        .is_some()
+}
+
 /// True if a target has room for a task of the step, and may run it.
 fn suits(plan: &StepPlan, step: &StepState, target: &TargetState, now: BootTime) -> bool {
     plan.footprint().fits(target.free()) && may_hold(plan, step, target, now)
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -5,14 +5,14 @@
 };
 
 use model::{
-    BootTime, HostId, JobId, WorkspaceId,
+    BootTime, HostId, JobId, PoolId, WorkspaceId,
     work::{FencingToken, FleetTerms, HostRoom, TargetEntry},
 };
 use wire::work::{JobPhase, JobRecord, LogEntry, TargetUse, log_entry::Event};
 
 use super::{
     DeskEvent, DeskOrder, DeskTuning, EndOrigin, JobBoard, RecordOrder, TargetState, WorkJob,
-    WorkPhase, share_meter::ShareMeter, target_state::RunKey,
+    WorkPhase, desk_evacuate::StrandedTask, share_meter::ShareMeter, target_state::RunKey,
 };
 
 /// Events that are kept for the log until they are taken; more are dropped, and counted.
@@ -62,6 +62,8 @@
     pub(super) shares: ShareMeter,
     /// Steps of tasks that last for which no target was found, and since when.
     pub(super) starved: BTreeMap<StepKey, BootTime>,
+    /// Of each pool a task that has to leave its host and has no other to go to.
+    pub(super) stranded: BTreeMap<PoolId, StrandedTask>,
     /// When waits for another target end, of tasks that failed; the earliest first.
     pub(super) failed_waits: VecDeque<BootTime>,
     /// Occurrences and starts may be due: planning has something to do.
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -181,6 +181,7 @@
     };
     second.see(&starts[0].0, vec![at_work(0)], Vec::new());
     second.see(&starts[1].0, vec![at_work(1)], Vec::new());
+    second.raise("t3");
     let emptied = starts[0].0.clone();
     second
         .desk
