Test that a weak process that has just started lets a strong one stand

Cause: after the loss of all processes a weak one that is up first wins the cell, since it stands before it has read who else is there. Change: one test, which fails: cold_weak_process_lets_strong_stand.

--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -137,6 +137,34 @@
     });
 }
 
+/// All processes lose power and come back within some tenths of a second, a weak one first. It
+/// stood before it had read who else is there, and decided behind its narrow link for more than a
+/// second, until it had handed over. The entries of the others' last lives tell it to wait.
+#[test]
+fn cold_weak_process_lets_strong_stand() {
+    run_local(async {
+        let store = new_store();
+        let entry = OwnerRecord {
+            member: "strong".to_owned(),
+            address: free_address().to_string(),
+            strength: strong().strength(),
+        };
+        store.put("cell/member/strong", &entry.encode_to_vec());
+        let narrow = store.handle();
+        // The first list fails, so that the entries are known a moment after the owner's.
+        narrow.limit_lists("cell/member/", 0, 2);
+        let _weak = start_host("weak", &narrow, weak());
+        sleep(Duration::from_millis(100)).await;
+        let _strong = start_host("strong", &store, strong());
+        let end = Instant::now() + LIMIT;
+        while owner(&store).is_none() {
+            assert!(Instant::now() < end);
+            sleep(Duration::from_millis(2)).await;
+        }
+        assert_eq!(owner(&store).as_deref(), Some("strong"));
+    });
+}
+
 /// Strong processes are not there. A weak one stands after a short wait: better than nobody.
 #[test]
 fn owner_is_weak_without_others() {
