Let strong processes stand before a weak one that has just started

Cause: a process stood for election before it had read the entries of the others, which outlive a loss of all processes by seconds; then none counts as stronger, and a weak one that is up first does not wait. Change: a candidate waits until the entries have been read once, 0.2 s at most.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -25,6 +25,10 @@
 /// only where no strong one does. A cell without an owner waits for that long in vain when all
 /// strong processes went at once.
 const WEAK_WAIT: Duration = Duration::from_millis(400);
+/// How long a process that has just started waits to read who else is there, at a store that
+/// answers late. Entries outlive their processes by seconds, so that after a loss of all they
+/// tell a weak process that strong ones will be back.
+const READ_LIMIT: Duration = Duration::from_millis(200);
 /// For how long a process that gave the cell up stands after all others.
 const ASIDE: Duration = Duration::from_secs(10);
 /// How often a candidate looks for itself whether there is an owner, beside what it hears.
@@ -53,6 +57,7 @@
                 let _ = timeout(RECHECK, self.owners.changed.notified()).await;
                 continue;
             }
+            self.parts.members.wait_read(READ_LIMIT).await;
             sleep(SPREAD.mul_f64(rand::rng().random::<f64>()) + self.courtesy()).await;
             if !self.owners.is_vacant() || self.stopping.begun() {
                 continue;
--- a/crates/cell/src/member_book.rs
+++ b/crates/cell/src/member_book.rs
@@ -14,7 +14,10 @@
 };
 use prost::Message;
 use store::{BootClock, Clock};
-use tokio::time::sleep;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 use wire::work::{OwnerAnswer, OwnerCall, OwnerRecord, owner_call::Ask};
 
 use crate::{
@@ -57,6 +60,9 @@
     client: CallClient,
     /// The others, by their keys in the store.
     others: RefCell<BTreeMap<CompactString, Neighbour>>,
+    /// Whether the entries have been read, and who is told of it.
+    read: Cell<bool>,
+    became_read: Notify,
     next: Cell<usize>,
     asked: Cell<Duration>,
 }
@@ -67,6 +73,8 @@
             options,
             client,
             others: RefCell::default(),
+            read: Cell::new(false),
+            became_read: Notify::new(),
             next: Cell::new(0),
             asked: Cell::new(Duration::ZERO),
         }
@@ -78,6 +86,15 @@
         watch_prefix(store, &prefix, WATCH_PATIENCE, &*self).await;
     }
 
+    /// Waits until the entries of the others have been read, for `limit` at most.
+    pub(crate) async fn wait_read(&self, limit: Duration) {
+        let read = self.became_read.notified();
+        if !self.read.get() {
+            // Without the entries all others count as no stronger.
+            let _ = timeout(limit, read).await;
+        }
+    }
+
     /// Keeps the entry of this process in the store, for ever.
     pub(crate) async fn keep(self: Rc<Self>, store: Rc<dyn LeaseStore>) {
         let mut lease = None;
@@ -199,6 +216,8 @@
             Some((item.key.clone(), other))
         });
         *self.others.borrow_mut() = others.collect();
+        self.read.set(true);
+        self.became_read.notify_waiters();
     }
 
     fn change(&self, event: StoreEvent) {
