Start no other step of a job that a plan finds to have failed

Callers would see: a task of a job started after the job was shown as failed. A plan gathers all steps that wait before it starts any; one of them may turn out to have failed as often as it may, which fails the job, and the others of the list were started all the same.

A step is started only while its job is open. successor_starts_no_step_beside_hopeless_one failed before with one start and passes.

--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -158,7 +158,9 @@
         doubt: &BTreeMap<WorkspaceId, HostRoom>,
         now: DeskTime,
     ) -> usize {
-        let Some(job) = self.board.jobs.get(&waiting.job) else {
+        // Another of its steps may have failed it in the same plan.
+        let job = self.board.jobs.get(&waiting.job);
+        let Some(job) = job.filter(|job| job.phase == WorkPhase::Open) else {
             return 0;
         };
         let Some(plan) = job.plan.steps.get(waiting.step as usize).cloned() else {
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -324,3 +324,28 @@
     second.pass(Duration::from_millis(50));
     assert_eq!(second.starts.len(), 1);
 }
+
+/// Guards against starting another step of a job that turns out to have failed in the same plan.
+#[test]
+fn successor_starts_no_step_beside_hopeless_one() {
+    let mut first = DeskScene::new(1);
+    first.add("t1", 4000);
+    first.submit("a", &plan(vec![step(1, 1000), step(1, 1000)]));
+    for number in 1..3 {
+        first.pass(Duration::from_secs(4));
+        let starts = first.start_all();
+        let (_, start) = starts
+            .iter()
+            .find(|(_, start)| start.task.step == 0)
+            .unwrap_or(&starts[0]);
+        let end = ended(number, &start.task, start.attempt, EndKind::Failed);
+        first.see("t1", Vec::new(), vec![end]);
+    }
+    first
+        .stored
+        .retain(|entry| !matches!(entry.event, Some(wire::work::log_entry::Event::Failed(_))));
+    let mut second = first.successor(9);
+    second.add("t1", 4000);
+    second.pass(Duration::from_secs(4));
+    assert!(second.starts.is_empty(), "{:?}", second.starts);
+}
