Ask what is cancelled when a start is sent, not only when it is planned

Callers would see: a task started after its job's cancelling was acknowledged. A start that waits for a connection was planned while it was known what callers had cancelled, and sent when that was not known any more; one of a job that is held was sent as well. While all other processes pledge that the store is away, any knowledge counted, however old it had been when the store went.

The gate is asked again before the sending, held jobs are dropped there, and under pledges the knowledge has to have been recent when the lease was last renewed.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -17,7 +17,7 @@
 /// Wait of a start for a connection that is worth a log line.
 const LONG_WAIT: Duration = Duration::from_millis(500);
 /// Why an order was not sent.
-const TOO_LATE: &str = "the term is over";
+const TOO_LATE: &str = "the term is over, or it is not known what has been cancelled";
 
 /// Carries out an order to a target.
 pub(crate) fn run_order(term: &Rc<Term>, order: DeskOrder) {
@@ -41,7 +41,7 @@
     let begun = Instant::now();
     let permit = turn(&lane).await;
     note_wait(&order, &id, begun.elapsed());
-    if !term.desk.borrow().awaits_start(&id, &task, attempt) {
+    if !term.desk.borrow().wants_start(&id, &task, attempt) {
         log_event::info(
             &event::START_DROPPED,
             format_args!("task={task} attempt={attempt} target={id}"),
@@ -50,7 +50,9 @@
     }
     let answer = match permit {
         // It may have waited for its turn for longer than the lease goes.
-        Some(_permit) if term.may_start() => term.ports.targets.start(&address, order).await,
+        Some(_permit) if term.may_start() && term.knows_cancels() => {
+            term.ports.targets.start(&address, order).await
+        }
         _ => StartAnswer::NotSent(TOO_LATE.to_owned()),
     };
     lane.hurry.notify_one();
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -179,11 +179,15 @@
     /// for all, nobody can keep one.
     pub(crate) fn knows_cancels(&self) -> bool {
         let now = BootClock.boot_now();
-        let recent = |known| now.saturating_sub(known) < CANCELS_RECENT;
         let Some(known) = self.cancels_known.get() else {
             return false;
         };
-        recent(known) || now < self.pledged_until.get()
+        // Counted up to the time at which the store was last there for all.
+        let needed = match now < self.pledged_until.get() {
+            true => self.renewed_at.get(),
+            false => now,
+        };
+        needed.saturating_sub(known) < CANCELS_RECENT
     }
 
     /// Until when no other process can have become the owner.
--- a/crates/cell/tests/cancels.rs
+++ b/crates/cell/tests/cancels.rs
@@ -139,3 +139,23 @@
         until(&desk, CallerWish::Look("job2".into()), completed).await;
     });
 }
+
+/// Guards against sending a start that waited until it was not known any more what is cancelled.
+#[test]
+fn unheard_cancel_holds_waiting_starts() {
+    run_local(async {
+        let bench = CellBench::new();
+        let handle = bench.store.handle();
+        let desk = bench.host_on("a", &handle).desk();
+        bench.targets.set_slow(true);
+        bench.targets.delay_starts(Duration::from_millis(1500));
+        let mut wide = plan();
+        wide.steps[0].count = 8;
+        let wish = CallerWish::Submit("job1".into(), wide);
+        until(&desk, wish, CallerAnswer::Accepted).await;
+        handle.unhear(KEPT);
+        sleep(Duration::from_secs(5)).await;
+        // Three at once, and three more before the knowledge is two seconds old.
+        assert_eq!(bench.targets.started(), 6);
+    });
+}
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -99,11 +99,14 @@
         target.is_some_and(|target| sent < target.life.since)
     }
 
-    /// True while a start that was ordered is to be sent, or its answer is awaited.
-    ///
-    /// An order may wait for a connection to its target, and its job may end or the target be lost
-    /// meanwhile.
-    pub fn awaits_start(&self, id: &HostId, task: &TaskKey, attempt: AttemptNumber) -> bool {
+    /// True if a start that was ordered is still to be sent: its job may have ended or be held, or
+    /// the target be lost, while it waited for a connection.
+    pub fn wants_start(&self, id: &HostId, task: &TaskKey, attempt: AttemptNumber) -> bool {
+        let held = self.board.jobs.get(&task.job).is_some_and(|job| job.held);
+        !held && self.awaits_start(id, task, attempt)
+    }
+
+    fn awaits_start(&self, id: &HostId, task: &TaskKey, attempt: AttemptNumber) -> bool {
         self.phase_of(id, task, attempt) == Some(PlacePhase::Starting)
     }
 
