Follow a cancelling to its end, and keep those that wait together

Callers would see: a cancelling that is lost since its caller left, or 503 saying that nothing was done though it takes effect later. The handling of a call ends with its connection; a process that went on trying to keep cancellings made up to 256 changes each tenth of a second, more than the store takes from all.

A cancelling is followed whether or not its caller stays. What the store did not take is answered as unknown, which is true. Those that wait are kept together, 28 in a change, each 0.3 s. The owner's watch waits a quarter of a second, so that one lost answer doesn't hold starts.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -7,9 +7,7 @@
     event as log_event,
     work::{FleetTerms, JobPlan},
 };
-use ports::{
-    CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress, PortFuture, StoreFault,
-};
+use ports::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress, PortFuture};
 use store::{BootClock, Clock};
 use tokio::time::{Instant, timeout_at};
 use wire::work::{AnswerKind, JobPhase, JobRecord, OwnerAnswer, OwnerCall, owner_call::Ask};
@@ -109,7 +107,7 @@
                 Ask::Submit(self.record(job, plan, queue, &workspace))
             }
             CallerWish::Look(job) => Ask::Look(job.to_string()),
-            CallerWish::Cancel(job) => return self.cancel(job, call.patience).await,
+            CallerWish::Cancel(job) => return self.follow_cancel(job, call.patience).await,
             CallerWish::Pending => Ask::Pending(queue.name.to_string()),
         };
         self.ask(ask, call.patience).await
@@ -133,6 +131,14 @@
         }
     }
 
+    /// Cancels a job, to the end whether or not the caller stays.
+    async fn follow_cancel(&self, job: &str, patience: Duration) -> (CallerAnswer, CompactString) {
+        let (front, job) = (self.clone(), job.to_owned());
+        let followed =
+            tokio::task::spawn_local(async move { front.cancel(&job, patience).await }).await;
+        followed.unwrap_or((CallerAnswer::Unknown, CompactString::default()))
+    }
+
     /// Cancels a job: through the owner, or where none records that soon, in the store, where the
     /// next one finds it.
     ///
@@ -147,10 +153,11 @@
         }
         match timeout_at(end, self.keeper.keep(job)).await {
             Ok(Ok(())) => (CallerAnswer::Found(JobProgress::Cancelled), owner),
+            // It is tried on, so that it may yet be in force.
             Ok(Err(error)) => {
                 log::debug!("keep a cancelling: {error}");
                 self.keeper.keep_later(job);
-                (unsure_of(&error, answer), owner)
+                (CallerAnswer::Unknown, owner)
             }
             Err(_) => {
                 self.keeper.keep_later(job);
@@ -287,14 +294,6 @@
     }
 }
 
-/// What a caller is told whose cancelling is not known to be kept.
-fn unsure_of(error: &StoreFault, answer: CallerAnswer) -> CallerAnswer {
-    match error {
-        StoreFault::Refused(_) => answer,
-        _ => CallerAnswer::Unknown,
-    }
-}
-
 fn name_of(answer: &CallerAnswer) -> (&'static str, bool) {
     match answer {
         CallerAnswer::Accepted => ("accepted", false),
--- a/crates/cell/src/kept_cancel.rs
+++ b/crates/cell/src/kept_cancel.rs
@@ -4,7 +4,7 @@
 //! not somebody owns the cell. Each owner reads them before it starts anything, follows them, and
 //! moves them into its log. `docs/design/13-platform.md` argues why.
 
-use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 use model::{BootTime, JobId, event as log_event};
 use ports::{
@@ -25,20 +25,22 @@
 /// Pause after a failed call, or an entry that was refused.
 const FAULT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a watch waits for cancellings. While it waits nothing shows that the store is heard.
-const WATCH_PATIENCE: Duration = Duration::from_millis(500);
+const WATCH_PATIENCE: Duration = Duration::from_millis(250);
 /// Cancellings that a process tries to keep at once; callers of others have to ask again.
 const MOST_WAITING: usize = 256;
 /// For how long that is tried: as long as the store is away at a time.
 const KEEP_LIMIT: Duration = Duration::from_secs(30);
-/// Keys that one change may remove: the store takes 32 entries, one of which is the owner's.
-const REMOVED_AT_ONCE: usize = 28;
+/// Pause before that is tried again.
+const KEEP_PAUSE: Duration = Duration::from_millis(300);
+/// Keys of one change: the store takes 32 entries, one of which may be the owner's.
+const KEYS_AT_ONCE: usize = 28;
 
 /// Keeps cancellings in the store, for the process that callers asked.
 pub(crate) struct CancelKeeper {
     store: Rc<dyn LeaseStore>,
     options: Rc<CellOptions>,
     /// Jobs whose cancellings are tried until the store takes them.
-    waiting: RefCell<HashSet<JobId>>,
+    waiting: RefCell<BTreeSet<JobId>>,
 }
 
 impl CancelKeeper {
@@ -55,34 +57,65 @@
     /// # Errors
     /// If it is not known to be stored.
     pub(crate) async fn keep(&self, job: &str) -> Result<(), StoreFault> {
-        let change = StoreChange {
-            writes: vec![StoreWrite {
-                key: compact_str::format_compact!("{}{job}", self.options.cancel_prefix()),
-                value: job.as_bytes().to_vec(),
-                lease: None,
-            }],
-            ..StoreChange::default()
-        };
-        self.store.change(change).await?;
-        metrics::counter!(metric::CANCELS_KEPT).increment(1);
-        log_event::info(&event::CANCEL_KEPT, format_args!("job={job}"));
-        Ok(())
+        self.write(&[job.into()]).await
     }
 
     /// Goes on trying to keep the cancelling of a job, whether or not its caller asks again.
     pub(crate) fn keep_later(self: &Rc<Self>, job: &str) {
         let mut waiting = self.waiting.borrow_mut();
-        if waiting.len() >= MOST_WAITING || !waiting.insert(job.into()) {
+        if waiting.len() >= MOST_WAITING {
             return;
         }
-        let (keeper, job) = (self.clone(), JobId::from(job));
-        tokio::task::spawn_local(async move {
-            let end = Instant::now() + KEEP_LIMIT;
-            while Instant::now() < end && keeper.keep(&job).await.is_err() {
-                sleep(FAULT_PAUSE).await;
+        let first = waiting.is_empty();
+        waiting.insert(job.into());
+        if first {
+            tokio::task::spawn_local(self.clone().keep_waiting());
+        }
+    }
+
+    /// Tries until all that wait are kept, or none could be for a long time.
+    async fn keep_waiting(self: Rc<Self>) {
+        let mut end = Instant::now() + KEEP_LIMIT;
+        loop {
+            let jobs = self.first_waiting();
+            if jobs.is_empty() || Instant::now() >= end {
+                break;
+            }
+            if self.write(&jobs).await.is_ok() {
+                let mut waiting = self.waiting.borrow_mut();
+                jobs.iter().for_each(|job| {
+                    waiting.remove(job);
+                });
+                end = Instant::now() + KEEP_LIMIT;
+            } else {
+                sleep(KEEP_PAUSE).await;
             }
-            keeper.waiting.borrow_mut().remove(&job);
-        });
+        }
+        self.waiting.borrow_mut().clear();
+    }
+
+    fn first_waiting(&self) -> Vec<JobId> {
+        let waiting = self.waiting.borrow();
+        waiting.iter().take(KEYS_AT_ONCE).cloned().collect()
+    }
+
+    async fn write(&self, jobs: &[JobId]) -> Result<(), StoreFault> {
+        let prefix = self.options.cancel_prefix();
+        let write = |job: &JobId| StoreWrite {
+            key: compact_str::format_compact!("{prefix}{job}"),
+            value: job.as_bytes().to_vec(),
+            lease: None,
+        };
+        let change = StoreChange {
+            writes: jobs.iter().map(write).collect(),
+            ..StoreChange::default()
+        };
+        self.store.change(change).await?;
+        for job in jobs {
+            metrics::counter!(metric::CANCELS_KEPT).increment(1);
+            log_event::info(&event::CANCEL_KEPT, format_args!("job={job}"));
+        }
+        Ok(())
     }
 }
 
@@ -146,7 +179,7 @@
             sleep(FAULT_PAUSE).await;
         }
     }
-    for part in jobs.chunks(REMOVED_AT_ONCE) {
+    for part in jobs.chunks(KEYS_AT_ONCE) {
         remove_kept(&term, part).await;
     }
 }
