--- a/crates/decide/tests/desk/world_cancel.rs
+++ b/crates/decide/tests/desk/world_cancel.rs
@@ -6,7 +6,7 @@
 use super::world::{DeskWorld, WorldOwner};
 
 /// Longest time after the answer to a cancelling in which its tasks still start.
-const CANCEL: Duration = Duration::from_millis(4000);
+const CANCEL: Duration = Duration::from_millis(3000);
 /// Longest time that a target takes for a stop.
 const STOP: Duration = Duration::from_millis(200);
 /// Time without a disturbance after which all bounds hold.
