--- a/crates/cell/src/host_duty.rs
+++ b/crates/cell/src/host_duty.rs
@@ -27,11 +27,6 @@
 /// How often hosts are listed while lives of targets are unknown that no look has reached: until
 /// two lists have shown that they ended, older jobs of their pools wait.
 const LIST_SOON: Duration = Duration::from_millis(100);
-/// A list is asked for again only after so many times the time that the last one took. On a narrow
-/// link lists would otherwise leave no room for the renewals of the lease.
-const LIST_REST: u32 = 4;
-/// Longest time between two lists; what has moved should be known soon.
-const LONGEST_REST: Duration = Duration::from_secs(2);
 /// For how long after the begin of a term that is done.
 const SOON_LIMIT: Duration = Duration::from_secs(2);
 
@@ -39,7 +34,6 @@
 pub(crate) async fn tend_hosts(term: Rc<Term>) {
     let begin = term.now().boot;
     let mut listed = BootTime::ZERO;
-    let mut rest = Duration::ZERO;
     let mut ticks = interval(PLAN_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -50,10 +44,9 @@
         }
         let soon = now < begin + SOON_LIMIT && term.desk.borrow().has_unknown_lives();
         let every = if soon { LIST_SOON } else { LIST_EVERY };
-        if now.saturating_sub(listed) >= every.max(rest) {
-            let took = list_hosts(&term).await.unwrap_or_default();
+        if now.saturating_sub(listed) >= every {
             listed = now;
-            rest = (took * (LIST_REST + 1)).min(LONGEST_REST);
+            list_hosts(&term).await;
         }
         plan_hosts(&term);
         show_waves(&term).await;
@@ -73,8 +66,7 @@
     term.options.host_order_pause.saturating_sub(lapsed)
 }
 
-/// Lists the hosts, and tells how long that took; `None` if it failed.
-async fn list_hosts(term: &Rc<Term>) -> Option<Duration> {
+async fn list_hosts(term: &Rc<Term>) {
     let asked = term.now().boot;
     match term.ports.hosts.hosts().await {
         Ok(hosts) => {
@@ -83,12 +75,8 @@
             let now = term.now();
             term.desk.borrow_mut().take_lives(&lives, asked, now);
             term.hosts.borrow_mut().take_list(hosts, asked);
-            Some(now.boot.saturating_sub(asked))
-        }
-        Err(error) => {
-            log::warn!("list hosts: {error}");
-            None
         }
+        Err(error) => log::warn!("list hosts: {error}"),
     }
 }
 
