Let what was granted to a life end with it

Cause: keeping what was granted across a restart also kept it where a life is over and no other begins under its id. A successor that is told that another life is at the address of a target in its log waited until the granted time had lapsed, 8 s, before it started tasks of that pool.

A life that is lost takes its grants with it; a restart under the same id keeps them. Ended by an entry alone, a predecessor's target that no look has reached would now free its tasks at once though the entry may be the older one, so that a look has to tell there.

--- a/crates/decide/src/work/desk_life.rs
+++ b/crates/decide/src/work/desk_life.rs
@@ -47,6 +47,8 @@
             return;
         };
         let held = target.reborn(Duration::ZERO, now.boot);
+        // What was granted ended with it.
+        target.granted = BootTime::ZERO;
         target.listed = false;
         self.release_runs(id, held, false, cause, now);
     }
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -355,12 +355,17 @@
 
     /// Ends the lives of other targets at the address of a new one: one address, one target. An
     /// entry of a pool that nobody knows is another writer's and ends nothing.
+    ///
+    /// Of a predecessor's target that no look has reached it is not known which of both is the
+    /// newer; a look tells.
     fn end_lives_at(&mut self, entry: &TargetEntry, now: DeskTime) {
         if !self.terms.pools.iter().any(|pool| pool.name == entry.pool) {
             return;
         }
         let elsewhere = |other: &&TargetState| {
-            other.entry.address == entry.address && other.entry.target != entry.target
+            other.entry.address == entry.address
+                && other.entry.target != entry.target
+                && other.is_known()
         };
         let replaced = self.targets.values().filter(elsewhere);
         let ids: Vec<HostId> = replaced.map(|other| other.entry.target.clone()).collect();
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use desk::{DeskScene, ended, plan, running, step};
-use model::work::EndKind;
+use model::work::{EndKind, LookAnswer};
 
 /// A caller sees its job run on though the owner was killed. The successor reads the log, looks
 /// at the target and finds the run; taking it for a stray one would stop it and start it again.
@@ -349,3 +349,23 @@
     second.pass(Duration::from_secs(4));
     assert!(second.starts.is_empty(), "{:?}", second.starts);
 }
+
+/// Guards against a pool that stands still after a hand-over for as long as a target had been granted
+/// time that has answered that another life is at its address.
+#[test]
+fn successor_frees_pool_of_replaced_target() {
+    let mut first = DeskScene::new(1);
+    first.add("t1", 4000);
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    assert_eq!(first.start_all().len(), 1);
+
+    let mut second = first.successor(9);
+    second.add("t2", 4000);
+    second.pass(Duration::from_millis(50));
+    assert!(second.starts.is_empty(), "it may run on t1");
+    let sent = second.now.boot;
+    let other = LookAnswer::OtherLife;
+    second.desk.saw(&"t1".into(), sent, 0, &other, second.now);
+    second.pass(Duration::from_millis(100));
+    assert_eq!(second.starts.len(), 1);
+}
