Let tests of the queue not measure the machine's threads

Cause, by a run: the test read the order in which calls reached a target that answers after 300 ms. 25 runs of the test file beside 60 busy processes, with the arrivals printed: it failed 8 times. In one of them the eighth of the first calls reached the target after one that was started when the first four had ended (arrivals at 1732 to 1911 ms, the next at 2061 and 2062 ms): its dispatch thread had waited for a processor. The entry server had divided the slots 4 to 4. In the same runs other tests of the file failed 27 times, for like reasons: shares by count where slot time differs (shares_under_saturation, 6), a request that its thread held for more than 250 ms, which goes back to the queue and costs a connection (virtual_time_of_the_fleet_counts, 1; connections_within_part, 4), deadlines that passed before the queue was full (overload_spends_no_slot_on_the_late, 11), calls that ended while others came (hopeless_deadline_refused_at_once, 1), slots that were never full at one moment (slots_never_exceeded, 4).

Change: the target of two tests answers nothing before it was seen full; a clock goes 20 times slower by itself and is moved on by what the target works; the deadlines of the overload come close only once all requests are queued; slots are given once the queue is there. With the charge for what runs taken out, free_slots_divided fails as it should (8 instead of 4). The guard of the overload test could be taken out unnoticed before and after; others stand in front of it.

--- a/crates/entry/tests/queues.rs
+++ b/crates/entry/tests/queues.rs
@@ -5,6 +5,10 @@
 
 use std::{
     collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -12,7 +16,8 @@
 use ports::TeamUse;
 use rstest::rstest;
 use support::{
-    BenchSetup, CallReply, Caller, EntryBench, OTHER_KEY, OTHER_TEAM, RawTarget, TEAM, TargetReply,
+    BenchSetup, CallReply, Caller, EntryBench, JumpClock, OTHER_KEY, OTHER_TEAM, RawTarget,
+    StepClock, TEAM, TargetReply,
 };
 
 const GENEROUS: Duration = Duration::from_secs(20);
@@ -24,6 +29,28 @@
     })
 }
 
+/// A target that answers nothing before its gate is opened.
+fn gated_target() -> (RawTarget, Arc<AtomicBool>) {
+    let gate = Arc::new(AtomicBool::new(false));
+    let opened = Arc::clone(&gate);
+    let target = RawTarget::start(move |call| {
+        while !opened.load(Ordering::Acquire) {
+            thread::sleep(Duration::from_millis(1));
+        }
+        TargetReply::Answer(call.body.clone())
+    });
+    (target, gate)
+}
+
+/// A target whose work takes `service` of the clock that its entry server goes by.
+fn step_target(clock: &Arc<StepClock>, service: Duration) -> RawTarget {
+    let clock = Arc::clone(clock);
+    RawTarget::start(move |call| {
+        clock.step(service);
+        TargetReply::Answer(call.body.clone())
+    })
+}
+
 fn one_slot() -> BenchSetup {
     BenchSetup {
         slots: 1,
@@ -31,6 +58,13 @@
     }
 }
 
+fn one_slot_by(clock: Arc<StepClock>) -> BenchSetup {
+    BenchSetup {
+        clock,
+        ..one_slot()
+    }
+}
+
 fn ask_later(caller: Caller, body: &str) -> JoinHandle<CallReply> {
     let body = body.to_owned();
     thread::spawn(move || caller.ask(body.as_bytes()))
@@ -59,32 +93,31 @@
 
 #[test]
 fn slots_never_exceeded() {
-    let target = slow_target(Duration::from_millis(5));
+    let (target, gate) = gated_target();
     let setup = BenchSetup {
         slots: 3,
+        clock: Arc::new(StepClock::default()),
         ..BenchSetup::default()
     };
     let bench = EntryBench::start_with(&[&target], setup);
     let calls: Vec<_> = (0..60)
         .map(|number| ask_later(bench.caller(), &format!("{number}")))
         .collect();
+    wait_for("full slots", || target.call_count() >= 3);
+    gate.store(true, Ordering::Release);
     for (number, call) in calls.into_iter().enumerate() {
         assert_eq!(call.join().unwrap().text(), format!("{number}"));
     }
-    assert_eq!(
-        target
-            .most_running
-            .load(std::sync::atomic::Ordering::Acquire),
-        3
-    );
+    assert_eq!(target.most_running.load(Ordering::Acquire), 3);
 }
 
 /// Six members of an association wait for one pool with equal shares, and one of them sends
 /// five times as much. What runs is due to both alike.
 #[test]
 fn shares_under_saturation() {
-    let target = slow_target(Duration::from_millis(10));
-    let bench = EntryBench::start_with(&[&target], one_slot());
+    let clock = Arc::new(StepClock::default());
+    let target = step_target(&clock, Duration::from_millis(10));
+    let bench = EntryBench::start_with(&[&target], one_slot_by(clock));
     set_slots(&bench, 0);
     let greedy = bench.caller();
     let modest = bench.caller().with_key(OTHER_KEY);
@@ -114,8 +147,8 @@
 /// virtual time was the lowest by a little.
 #[test]
 fn free_slots_divided() {
-    let target = slow_target(Duration::from_millis(300));
-    let bench = EntryBench::start_with(&[&target], one_slot());
+    let (target, gate) = gated_target();
+    let bench = EntryBench::start_with(&[&target], one_slot_by(Arc::default()));
     set_slots(&bench, 0);
     let calls: Vec<_> = (0..8)
         .map(|_| ask_later(bench.caller(), "x"))
@@ -125,19 +158,28 @@
         queued(&bench, TEAM) == 8 && queued(&bench, OTHER_TEAM) == 8
     });
     set_slots(&bench, 8);
+    // None of the first may end before all of them were counted.
+    wait_for("full slots", || target.call_count() >= 8);
+    let first: Vec<_> = target
+        .calls
+        .lock()
+        .iter()
+        .map(|call| call.team.clone())
+        .collect();
+    gate.store(true, Ordering::Release);
     for call in calls {
         assert_eq!(call.join().unwrap().status, 200);
     }
-    let calls = target.calls.lock();
-    let first = calls[..8].iter().filter(|call| call.team == TEAM).count();
-    assert_eq!(first, 4);
+    assert_eq!(first.len(), 8);
+    assert_eq!(first.iter().filter(|team| *team == TEAM).count(), 4);
 }
 
 /// What the fleet used counts: a team that used much elsewhere goes second here.
 #[test]
 fn virtual_time_of_the_fleet_counts() {
-    let target = slow_target(Duration::from_millis(20));
-    let bench = EntryBench::start_with(&[&target], one_slot());
+    let clock = Arc::new(StepClock::default());
+    let target = step_target(&clock, Duration::from_millis(20));
+    let bench = EntryBench::start_with(&[&target], one_slot_by(clock));
     let blocker = ask_later(bench.caller(), "blocker");
     wait_for("blocker", || target.call_count() == 1);
     *bench.slots.teams.lock() = [(TEAM, 60_000), (OTHER_TEAM, 0)]
@@ -267,8 +309,10 @@
     for _ in 0..10 {
         assert_eq!(bench.caller().ask(b"warm").status, 200);
     }
+    set_slots(&bench, 0);
     let calls: Vec<_> = (0..80).map(|_| ask_later(bench.caller(), "x")).collect();
-    wait_for("queue", || queued(&bench, TEAM) >= 35);
+    wait_for("queue", || queued(&bench, TEAM) == 80);
+    set_slots(&bench, 1);
     let before = target.call_count();
     let reply = bench.caller().with("deadline-ms", "1000").ask(b"late");
     assert_eq!((reply.status, reply.problem().as_str()), (504, "deadline"));
@@ -289,15 +333,21 @@
 /// refused as not run, so that slots go to those that can still end in time.
 #[test]
 fn overload_spends_no_slot_on_the_late() {
+    let clock = Arc::new(JumpClock::default());
     let target = slow_target(Duration::from_millis(50));
-    let bench = EntryBench::start_with(&[&target], one_slot());
+    let setup = BenchSetup {
+        clock: clock.clone(),
+        ..one_slot()
+    };
+    let bench = EntryBench::start_with(&[&target], setup);
     for _ in 0..10 {
         assert_eq!(bench.caller().ask(b"warm").status, 200);
     }
     set_slots(&bench, 0);
+    let begun = Instant::now();
     let mut calls = Vec::new();
     for number in 0..60 {
-        let deadline = format!("{}", 800 + 20 * number);
+        let deadline = format!("{}", 8000 + 20 * number);
         calls.push(ask_later(
             bench.caller().with("deadline-ms", &deadline),
             "x",
@@ -305,6 +355,8 @@
         thread::sleep(Duration::from_millis(5));
     }
     wait_for("queue", || queued(&bench, TEAM) == 60);
+    // However long that took, the first is left half a second.
+    *clock.0.lock() = Duration::from_millis(7500).saturating_sub(begun.elapsed());
     set_slots(&bench, 1);
     let replies: Vec<CallReply> = calls.into_iter().map(|call| call.join().unwrap()).collect();
     let answered = replies.iter().filter(|reply| reply.status == 200).count();
@@ -383,6 +435,7 @@
     let target = slow_target(Duration::from_millis(5));
     let mut setup = BenchSetup {
         members,
+        clock: Arc::new(StepClock::default()),
         ..BenchSetup::default()
     };
     setup.pool.connections = 14;
@@ -391,9 +444,7 @@
     for call in calls {
         assert_eq!(call.join().unwrap().status, 200);
     }
-    let most = target
-        .most_connections
-        .load(std::sync::atomic::Ordering::Acquire);
+    let most = target.most_connections.load(Ordering::Acquire);
     assert!(most <= part, "{most} connections");
 }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -16,5 +16,7 @@
     BenchSetup, EntryBench, KEY, OTHER_KEY, OTHER_TEAM, SERVICE, TEAM, key_record,
 };
 pub use http_call::{CallReply, Caller, raw_exchange};
-pub use port_stubs::{ClaimLink, JobStub, JumpClock, LinkMesh, QuotaStub, SlotStub, TargetStub};
+pub use port_stubs::{
+    ClaimLink, JobStub, JumpClock, LinkMesh, QuotaStub, SlotStub, StepClock, TargetStub,
+};
 pub use raw_target::{RawTarget, TargetCall, TargetReply};
--- a/crates/entry/tests/support/port_stubs.rs
+++ b/crates/entry/tests/support/port_stubs.rs
@@ -47,6 +47,42 @@
     }
 }
 
+/// A clock that a busy machine hardly moves: what its threads wait for a processor counts a
+/// fraction, and what a test says that work takes counts whole.
+pub struct StepClock {
+    begun: Duration,
+    steps: Mutex<Duration>,
+}
+
+/// How many times slower than the machine's clock it goes by itself.
+const STEP_CLOCK_SLOWNESS: u32 = 20;
+
+impl Default for StepClock {
+    fn default() -> Self {
+        Self {
+            begun: BootClock.boot_now(),
+            steps: Mutex::default(),
+        }
+    }
+}
+
+impl StepClock {
+    /// Lets time pass.
+    pub fn step(&self, time: Duration) {
+        *self.steps.lock() += time;
+    }
+}
+
+impl Clock for StepClock {
+    fn boot_now(&self) -> Duration {
+        let passed = BootClock.boot_now().saturating_sub(self.begun) / STEP_CLOCK_SLOWNESS;
+        self.begun + passed + *self.steps.lock()
+    }
+    fn unix_now(&self) -> Duration {
+        BootClock.unix_now()
+    }
+}
+
 impl ServingGate for GateStub {
     fn check(&self) -> Result<(), NotServing> {
         if let Some(hook) = self.1.lock().as_mut() {
