Let the relay narrow a link and drop answers alone

Cause: the loopback relay could delay, silence and close a link. The fault that kept a successor from reading its log for ever was a link of few bytes a second, and a call that arrives while its answer doesn't is another failure than one that is dropped both ways.

Change: a link has a rate, shared by its connections, and a mode in which only answers are dropped.

--- a/crates/fake/src/relay_fake.rs
+++ b/crates/fake/src/relay_fake.rs
@@ -3,12 +3,17 @@
 use anyhow::Result;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::Instant,
+};
 
 use crate::{CallHandler, FakeReply, FakeServer, HttpCall, ReplyFuture};
 
 /// Bytes carried at once.
 const CHUNK: usize = 64 * 1024;
+/// Bytes carried at once over a link of bounded rate, so that connections take turns.
+const NARROW_CHUNK: usize = 1024;
 /// How often a silent link looks whether it carries again.
 const SILENT_TICK: Duration = Duration::from_millis(10);
 
@@ -21,6 +26,8 @@
     Open,
     /// Nothing passes and nothing closes, as when a switch drops packets.
     Silent,
+    /// What is sent arrives, and no answer comes back.
+    Unanswered,
     /// Connections are closed, and new ones too.
     Closed,
 }
@@ -39,6 +46,8 @@
     pub mode: LinkMode,
     /// Delay one way, in milliseconds.
     pub delay_ms: u64,
+    /// Bytes a second in each direction, shared by all connections; 0 for no bound.
+    pub bytes_per_s: u64,
 }
 
 /// Forwards TCP connections over links that can be cut and delayed.
@@ -66,7 +75,47 @@
     }
 }
 
-type SharedLink = Arc<Mutex<LinkState>>;
+/// A link, and when each of its directions has carried what was sent so far.
+#[derive(Debug)]
+struct RelayLink {
+    state: Mutex<LinkState>,
+    free_at: [Mutex<Instant>; 2],
+}
+
+type SharedLink = Arc<RelayLink>;
+
+/// Way of bytes over a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkWay {
+    There,
+    Back,
+}
+
+impl RelayLink {
+    fn new(state: LinkState) -> SharedLink {
+        let now = Instant::now();
+        Arc::new(Self {
+            state: Mutex::new(state),
+            free_at: [Mutex::new(now), Mutex::new(now)],
+        })
+    }
+
+    /// When bytes that are sent now have arrived.
+    fn arrival(&self, way: LinkWay, count: usize) -> Instant {
+        let (rate, delay_ms) = {
+            let state = self.state.lock();
+            (state.bytes_per_s, state.delay_ms)
+        };
+        let now = Instant::now();
+        let delay = Duration::from_millis(delay_ms);
+        let Some(nanos) = (count as u64 * 1_000_000_000).checked_div(rate) else {
+            return now + delay;
+        };
+        let mut free_at = self.free_at[usize::from(way == LinkWay::Back)].lock();
+        *free_at = (*free_at).max(now) + Duration::from_nanos(nanos);
+        *free_at + delay
+    }
+}
 
 #[derive(Debug, Default)]
 struct RelayHandler {
@@ -81,7 +130,10 @@
                 ("POST", "/fake/mode") => self.change(&call),
                 ("GET", "/fake/links") => {
                     let links = self.links.lock();
-                    let states: Vec<_> = links.values().map(|link| link.lock().clone()).collect();
+                    let states: Vec<_> = links
+                        .values()
+                        .map(|link| link.state.lock().clone())
+                        .collect();
                     FakeReply::json(&states)
                 }
                 _ => FakeReply::status(404),
@@ -112,7 +164,7 @@
         state.address = address.to_string();
         let reply = FakeReply::json(&state);
         let name = state.name.clone();
-        let link = Arc::new(Mutex::new(state));
+        let link = RelayLink::new(state);
         self.links.lock().insert(name, Arc::clone(&link));
         tokio::task::spawn_local(accept(listener, to, link));
         reply
@@ -126,9 +178,10 @@
         let Some(link) = links.get(&wanted.name) else {
             return FakeReply::status(404);
         };
-        let mut state = link.lock();
+        let mut state = link.state.lock();
         state.mode = wanted.mode;
         state.delay_ms = wanted.delay_ms;
+        state.bytes_per_s = wanted.bytes_per_s;
         FakeReply::status(200)
     }
 }
@@ -144,7 +197,7 @@
 }
 
 async fn carry(near: TcpStream, to: SocketAddr, link: SharedLink) {
-    if !passes(&link).await {
+    if !passes(&link, LinkWay::There).await {
         return;
     }
     let Ok(far) = TcpStream::connect(to).await else {
@@ -152,47 +205,49 @@
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     tokio::select! {
-        () = copy(&near, &far, &link) => {}
-        () = copy(&far, &near, &link) => {}
+        () = copy(&near, &far, &link, LinkWay::There) => {}
+        () = copy(&far, &near, &link, LinkWay::Back) => {}
         () = closed(&link) => {}
     }
 }
 
 /// Waits until the link carries; false once it is closed.
-async fn passes(link: &SharedLink) -> bool {
+async fn passes(link: &SharedLink, way: LinkWay) -> bool {
     loop {
-        match link.lock().mode {
+        match link.state.lock().mode {
             LinkMode::Open => return true,
+            LinkMode::Unanswered if way == LinkWay::There => return true,
             LinkMode::Closed => return false,
-            LinkMode::Silent => {}
+            LinkMode::Silent | LinkMode::Unanswered => {}
         }
         tokio::time::sleep(SILENT_TICK).await;
     }
 }
 
 async fn closed(link: &SharedLink) {
-    while link.lock().mode != LinkMode::Closed {
+    while link.state.lock().mode != LinkMode::Closed {
         tokio::time::sleep(SILENT_TICK).await;
     }
 }
 
-async fn copy(from: &TcpStream, to: &TcpStream, link: &SharedLink) {
+async fn copy(from: &TcpStream, to: &TcpStream, link: &SharedLink, way: LinkWay) {
     let mut chunk = vec![0; CHUNK];
     loop {
         if from.readable().await.is_err() {
             return;
         }
-        let count = match from.try_read(&mut chunk) {
+        let narrow = link.state.lock().bytes_per_s > 0;
+        let most = if narrow { NARROW_CHUNK } else { CHUNK };
+        let count = match from.try_read(&mut chunk[..most]) {
             Ok(0) => return,
             Ok(count) => count,
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
             Err(_) => return,
         };
-        if !passes(link).await {
+        if !passes(link, way).await {
             return;
         }
-        let delay = Duration::from_millis(link.lock().delay_ms);
-        tokio::time::sleep(delay).await;
+        tokio::time::sleep_until(link.arrival(way, count)).await;
         if write_all(to, &chunk[..count]).await.is_err() {
             return;
         }
