Soak real processes of a cell under seeded faults

Change: platform/stand has stand-ins of the platform's store (a door for each process, leases, watches, conditional writes), of targets and of the list of hosts, that keep records and judge nothing, and a caller over kept connections. proof::run_soak starts real processes among them, carries out a schedule of 19 kinds of faults in series and overlapping, and check_soak reads what callers, targets and store have seen. scripts/soak runs seeds with a table at the end; a failed seed prints what was broken and keeps its logs.

--- a/crates/proof/src/harness/live_process.rs
+++ b/crates/proof/src/harness/live_process.rs
@@ -93,6 +93,34 @@
         Ok(process)
     }
 
+    /// Starts `program` with all that it prints in `log`, and waits for nothing.
+    ///
+    /// # Errors
+    /// If it can't be started.
+    pub fn spawn(name: &str, program: BinaryKind, args: &[&str], log: &Path) -> Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program.path()?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("start {name}"))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            ready: String::new(),
+        })
+    }
+
+    /// Whether it has ended.
+    ///
+    /// # Errors
+    /// If that can't be asked.
+    pub fn has_ended(&mut self) -> Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
     /// What it said after `ready`.
     pub fn ready(&self) -> &str {
         &self.ready
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -11,6 +11,7 @@
 mod hex_text;
 mod history;
 mod history_log;
+mod soak;
 mod violation;
 
 pub use check::{
@@ -29,4 +30,8 @@
     RequestOp, RequestOutcome,
 };
 pub use history_log::{HistoryLog, OpTimer};
+pub use soak::{
+    CallerJob, FAULT_KINDS, FaultKind, PlannedFault, SoakHistory, SoakPlan, SoakReport, SoakTally,
+    check_soak, plan_faults, run_soak,
+};
 pub use violation::{HistoryCheck, Violation};
--- /dev/null
+++ b/crates/proof/src/soak/fault_plan.rs
@@ -0,0 +1,115 @@
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// What strikes from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FaultKind {
+    /// A process is told to stop, and starts again.
+    Terminate,
+    /// A process is killed, and starts again.
+    Kill,
+    /// A process stands still.
+    Pause,
+    /// The store refuses every process; leases lapse.
+    StoreRefuses,
+    /// The store answers nobody; leases pause.
+    StoreSilent,
+    /// The store refuses one process.
+    ProcessRefused,
+    /// Answers of the store to one process are lost.
+    AnswersLost,
+    /// Changes of one process are carried out late.
+    ChangesLate,
+    /// The store is slow.
+    StoreSlow,
+    /// The store forgets its history.
+    HistoryGone,
+    /// All leases lapse.
+    LeasesLapse,
+    /// Nothing passes between a process and the store.
+    StoreLinkSilent,
+    /// A process's calls reach the store, and no answer comes back.
+    StoreLinkUnanswered,
+    /// Connections between a process and the store are reset.
+    StoreLinkReset,
+    /// Few bytes a second pass between a process and the store.
+    StoreLinkNarrow,
+    /// Nothing passes between the processes and a target.
+    TargetSilent,
+    /// A target's answers don't come back.
+    TargetUnanswered,
+    /// A target crashes and lives on.
+    TargetCrash,
+    /// Targets carry starts out late.
+    StartsLate,
+}
+
+/// All kinds of faults.
+pub const FAULT_KINDS: [FaultKind; 19] = [
+    FaultKind::Terminate,
+    FaultKind::Kill,
+    FaultKind::Pause,
+    FaultKind::StoreRefuses,
+    FaultKind::StoreSilent,
+    FaultKind::ProcessRefused,
+    FaultKind::AnswersLost,
+    FaultKind::ChangesLate,
+    FaultKind::StoreSlow,
+    FaultKind::HistoryGone,
+    FaultKind::LeasesLapse,
+    FaultKind::StoreLinkSilent,
+    FaultKind::StoreLinkUnanswered,
+    FaultKind::StoreLinkReset,
+    FaultKind::StoreLinkNarrow,
+    FaultKind::TargetSilent,
+    FaultKind::TargetUnanswered,
+    FaultKind::TargetCrash,
+    FaultKind::StartsLate,
+];
+
+/// One fault of a schedule.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedFault {
+    /// What strikes.
+    pub kind: FaultKind,
+    /// When it begins.
+    pub begin: Duration,
+    /// When it ends.
+    pub end: Duration,
+    /// The process that it strikes; `None` for the owner at that time.
+    pub process: Option<usize>,
+    /// The target that it strikes.
+    pub target: usize,
+}
+
+/// Mean pause between the beginnings of two faults; they last longer than that at times.
+const FAULT_PAUSE: Duration = Duration::from_millis(1600);
+/// Time before the first fault, in which the first owner begins its work.
+const QUIET_START: Duration = Duration::from_secs(2);
+
+/// The schedule of a seed: faults in series, and overlapping by chance.
+pub fn plan_faults(
+    seed: u64,
+    span: Duration,
+    processes: usize,
+    targets: usize,
+) -> Vec<PlannedFault> {
+    let mut dice = StdRng::seed_from_u64(seed);
+    let mut plan = Vec::new();
+    let mut begin = QUIET_START;
+    while begin < span {
+        let kind = FAULT_KINDS[dice.random_range(0..FAULT_KINDS.len())];
+        let process = dice.random_range(0..processes);
+        let length = Duration::from_millis(dice.random_range(200..5000));
+        plan.push(PlannedFault {
+            kind,
+            begin,
+            end: (begin + length).min(span),
+            process: dice.random_bool(0.5).then_some(process),
+            target: dice.random_range(0..targets),
+        });
+        begin += FAULT_PAUSE.mul_f64(dice.random_range(0.1..1.9));
+    }
+    plan
+}
--- /dev/null
+++ b/crates/proof/src/soak/soak_check.rs
@@ -0,0 +1,228 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use stand::{JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, StartOrderRecord, StrayWrite};
+
+use super::caller_jobs::{CallerJob, is_completed, is_owed};
+use crate::Violation;
+
+/// What callers, targets and store have seen of one seed.
+#[derive(Clone, Debug, Default)]
+pub struct SoakHistory {
+    /// Jobs of the callers.
+    pub jobs: Vec<CallerJob>,
+    /// Runs of all targets.
+    pub runs: Vec<RunRecord>,
+    /// Orders to start a task, as they arrived.
+    pub orders: Vec<StartOrderRecord>,
+    /// Owners' entries, in the order in which they were written.
+    pub owners: Vec<OwnerRecord>,
+    /// Changes of the log by others than the owner.
+    pub strays: Vec<StrayWrite>,
+    /// Most bytes that the log had.
+    pub log_peak: usize,
+    /// Times in which orders to a target may have been held up on their way.
+    pub held_up: Vec<(usize, u64, u64)>,
+    /// Processes that ended by themselves.
+    pub fallen: Vec<String>,
+}
+
+/// How often each promise was checked, and what was found.
+#[derive(Clone, Debug, Default)]
+pub struct SoakTally {
+    /// Occasions on which a promise could have been broken.
+    pub checked: BTreeMap<&'static str, usize>,
+    /// Broken promises.
+    pub broken: Vec<Violation>,
+}
+
+const MILLI: u64 = 1_000_000;
+/// After this time nothing of a cancelled job begins.
+const CANCEL_NS: u64 = 3000 * MILLI;
+/// After this time an accepted job is known to every process.
+const VISIBLE_NS: u64 = 3000 * MILLI;
+/// An order that was sent in its sender's time may arrive this much later.
+const ORDER_WAY_NS: u64 = 300 * MILLI;
+/// Orders that were held up on their way may arrive this long after.
+const HELD_UP_NS: u64 = 1000 * MILLI;
+/// Most bytes of the log of a cell that works off what it accepts, in base64 as it is stored.
+const LOG_BOUND: usize = 512 << 10;
+
+impl SoakTally {
+    fn check(&mut self, check: &'static str, holds: bool, finding: impl FnOnce() -> String) {
+        *self.checked.entry(check).or_default() += 1;
+        if !holds {
+            let finding = finding();
+            self.broken.push(Violation { check, finding });
+        }
+    }
+}
+
+/// Checks each promise on what was seen.
+pub fn check_soak(history: &SoakHistory) -> SoakTally {
+    let mut tally = SoakTally::default();
+    let mut runs: BTreeMap<&str, Vec<&RunRecord>> = BTreeMap::new();
+    for run in &history.runs {
+        runs.entry(run.task.as_str()).or_default().push(run);
+    }
+    for task in runs.values_mut() {
+        task.sort_by_key(|run| run.start_ns);
+        check_once(&mut tally, task);
+    }
+    check_orders(&mut tally, history);
+    for job in &history.jobs {
+        check_job(&mut tally, history, job, &runs);
+    }
+    let known: BTreeSet<&str> = history.jobs.iter().map(|job| job.job.id.as_str()).collect();
+    for run in &history.runs {
+        let asked = known.contains(job_of(&run.task));
+        tally.check("asked-for", asked, || format!("{run:?}"));
+        tally.check("room", !run.over_room, || format!("{run:?}"));
+    }
+    let bounded = history.log_peak <= LOG_BOUND;
+    tally.check("log-bounded", bounded, || {
+        format!("{} bytes", history.log_peak)
+    });
+    tally.check("one-writer", history.strays.is_empty(), || {
+        format!("{:?}", history.strays)
+    });
+    tally.check("stays-up", history.fallen.is_empty(), || {
+        format!("{:?}", history.fallen)
+    });
+    tally
+}
+
+/// No task runs twice at once, or again after an end that was taken note of.
+fn check_once(tally: &mut SoakTally, runs: &[&RunRecord]) {
+    for (index, run) in runs.iter().enumerate() {
+        let earlier = &runs[..index];
+        let beside = earlier
+            .iter()
+            .find(|other| other.end.is_none_or(|(at, _)| at > run.start_ns));
+        tally.check("once-at-a-time", beside.is_none(), || {
+            format!("{run:?} beside {beside:?}")
+        });
+        let done = earlier.iter().find(|other| {
+            let ended = matches!(other.end, Some((at, RunEnd::Done)) if at < run.start_ns);
+            ended && other.noted
+        });
+        tally.check("done-once", done.is_none(), || {
+            format!("{run:?} after {done:?}")
+        });
+    }
+}
+
+/// Orders carry the token of an owner, and none comes from one that has a successor.
+fn check_orders(tally: &mut SoakTally, history: &SoakHistory) {
+    for order in &history.orders {
+        let place = history
+            .owners
+            .iter()
+            .position(|owner| owner.token == order.token);
+        tally.check("token-of-owner", place.is_some(), || format!("{order:?}"));
+        let held = history.held_up.iter().any(|(target, from, to)| {
+            *target == order.target && (*from..to + HELD_UP_NS).contains(&order.arrived_ns)
+        });
+        let Some(place) = place.filter(|_| !held) else {
+            continue;
+        };
+        let next = history.owners.get(place + 1);
+        let late = next.is_some_and(|next| order.arrived_ns > next.written_ns + ORDER_WAY_NS);
+        tally.check("one-holder", !late, || format!("{order:?} after {next:?}"));
+    }
+}
+
+fn check_job(
+    tally: &mut SoakTally,
+    history: &SoakHistory,
+    job: &CallerJob,
+    runs: &BTreeMap<&str, Vec<&RunRecord>>,
+) {
+    use stand::SubmitReply::{Refused, Unheard};
+    let id = job.job.id.as_str();
+    let own = runs
+        .range(id..)
+        .take_while(|(task, _)| job_of(task) == id)
+        .flat_map(|(_, runs)| runs.iter().copied());
+    let own: Vec<&RunRecord> = own.collect();
+    let refused = job.replies.contains(&Refused)
+        && job
+            .replies
+            .iter()
+            .all(|reply| matches!(reply, Refused | Unheard));
+    if refused {
+        tally.check("refused-never-runs", own.is_empty(), || {
+            format!("{id} was refused: {own:?}")
+        });
+    }
+    if let Some(cancelled_ns) = job.cancelled_ns {
+        let begun = own.iter().find(|run| {
+            let held = history.held_up.iter().any(|(target, from, to)| {
+                *target == run.target && (*from..to + HELD_UP_NS).contains(&run.start_ns)
+            });
+            run.start_ns > cancelled_ns + CANCEL_NS && !run.late && !held
+        });
+        tally.check("cancelled-not-begun", begun.is_none(), || {
+            format!("{id} cancelled at {cancelled_ns}: {begun:?}")
+        });
+    }
+    check_steps(tally, job, runs);
+    if is_owed(job) {
+        check_owed(tally, job, runs);
+    }
+}
+
+/// A step begins once all tasks of the step before it are done.
+fn check_steps(tally: &mut SoakTally, job: &CallerJob, runs: &BTreeMap<&str, Vec<&RunRecord>>) {
+    let mut before = Some(0);
+    for (step, (count, _)) in job.job.steps.iter().enumerate() {
+        let tasks = || (0..*count).map(|index| format!("{}.0.{step}.{index}", job.job.id));
+        for task in tasks() {
+            let first = runs.get(task.as_str()).and_then(|runs| runs.first());
+            if let Some(first) = first {
+                let turn = before.is_some_and(|before| before <= first.start_ns);
+                tally.check("steps-in-order", turn, || format!("{first:?}"));
+            }
+        }
+        let done = tasks().map(|task| done_at(runs, &task));
+        before = done
+            .collect::<Option<Vec<_>>>()
+            .and_then(|done| done.into_iter().max());
+    }
+}
+
+/// What was accepted is shown, gets done, and is shown as completed only then.
+fn check_owed(tally: &mut SoakTally, job: &CallerJob, runs: &BTreeMap<&str, Vec<&RunRecord>>) {
+    let id = &job.job.id;
+    tally.check("accepted-completes", is_completed(job), || {
+        format!("{id}: {:?} {:?}", job.replies, job.shown.last())
+    });
+    let accepted_ns = job.accepted_ns.unwrap_or(u64::MAX);
+    let steps = job.job.steps.iter().enumerate();
+    let names = steps.flat_map(|(step, (count, _))| {
+        (0..*count).map(move |index| format!("{id}.0.{step}.{index}"))
+    });
+    let done: Option<Vec<u64>> = names.map(|task| done_at(runs, &task)).collect();
+    let done_ns = done.and_then(|done| done.into_iter().max());
+    for (at, shown) in &job.shown {
+        let true_state = match shown {
+            LookReply::Gone => *at <= accepted_ns.saturating_add(VISIBLE_NS),
+            LookReply::Shown(JobShown::Completed) => done_ns.is_some_and(|done| done <= *at),
+            LookReply::Shown(JobShown::Failed | JobShown::Cancelled) => false,
+            LookReply::Shown(_) | LookReply::Unknown => true,
+        };
+        tally.check("shown-as-is", true_state, || {
+            format!("{id} shown as {shown:?} at {at}, done at {done_ns:?}")
+        });
+    }
+}
+
+/// When a task was first done.
+fn done_at(runs: &BTreeMap<&str, Vec<&RunRecord>>, task: &str) -> Option<u64> {
+    let ends = runs.get(task)?.iter().filter_map(|run| run.end);
+    let done = ends.filter(|(_, how)| *how == RunEnd::Done);
+    done.map(|(at, _)| at).min()
+}
+
+fn job_of(task: &str) -> &str {
+    task.split('.').next().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/proof/src/soak/soak_fleet.rs
@@ -0,0 +1,160 @@
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use anyhow::{Context, Result};
+use fake::{LinkState, RelayFake};
+use stand::{CallerLine, ControlStand, StoreStand, TargetStand};
+
+use crate::{BinaryKind, JsonClient, LiveProcess, free_port};
+
+/// Keys of the product's own in the store, whose writers the stand-in notes.
+const OWNER_KEY: &str = "cell/owner";
+const LOG_PREFIX: &str = "cell/log/";
+/// Runs that fit a target.
+const SLOTS: usize = 8;
+
+/// One process of the cell, over all its lives.
+pub(crate) struct CellProcess {
+    pub(crate) caller: String,
+    live: Option<LiveProcess>,
+    name: String,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+impl CellProcess {
+    pub(crate) fn start(&mut self) -> Result<()> {
+        let settings = self.settings.to_string_lossy();
+        let args = ["cell", "--settings", &settings];
+        let kind = BinaryKind::Lacewingshore;
+        self.live = Some(LiveProcess::spawn(&self.name, kind, &args, &self.log)?);
+        Ok(())
+    }
+
+    /// Its process, if it has not ended.
+    pub(crate) fn running(&mut self) -> Result<Option<&mut LiveProcess>> {
+        let ended = match &mut self.live {
+            Some(live) => live.has_ended()?,
+            None => false,
+        };
+        if ended {
+            self.live = None;
+        }
+        Ok(self.live.as_mut())
+    }
+}
+
+/// Real processes of a cell among stand-ins of the platform, with a link from each process to the
+/// store and one to each target.
+pub(crate) struct SoakFleet {
+    pub(crate) store: StoreStand,
+    pub(crate) targets: Vec<TargetStand>,
+    pub(crate) processes: Vec<CellProcess>,
+    target_addresses: Vec<String>,
+    relay: RelayFake,
+    client: JsonClient,
+    _control: ControlStand,
+}
+
+impl SoakFleet {
+    pub(crate) fn start(
+        seed: u64,
+        processes: usize,
+        targets: usize,
+        folder: &Path,
+    ) -> Result<Self> {
+        let store = StoreStand::start(processes, seed, OWNER_KEY, LOG_PREFIX)?;
+        let targets: Result<Vec<_>> = (0..targets)
+            .map(|target| TargetStand::start(target, SLOTS, seed + target as u64))
+            .collect();
+        let targets = targets?;
+        let rows = targets
+            .iter()
+            .map(|target| target.host_row(CallerLine::pool()));
+        let control = ControlStand::start(rows.collect())?;
+        let mut fleet = Self {
+            store,
+            targets,
+            processes: Vec::new(),
+            target_addresses: Vec::new(),
+            relay: RelayFake::start("127.0.0.1:0")?,
+            client: JsonClient::default(),
+            _control: control,
+        };
+        fleet.store.put_terms(&CallerLine::terms());
+        for target in 0..fleet.targets.len() {
+            let name = target_link(target);
+            let address = fleet.add_link(&name, &fleet.targets[target].address())?;
+            fleet.target_addresses.push(address);
+            fleet.put_target(target);
+        }
+        for process in 0..processes {
+            let store = fleet.add_link(&store_link(process), &fleet.store.address(process))?;
+            let mut cell = fleet.place(process, &store, folder)?;
+            cell.start()?;
+            fleet.processes.push(cell);
+        }
+        Ok(fleet)
+    }
+
+    /// Writes a target's entry anew, as it does when it begins a life.
+    pub(crate) fn put_target(&self, target: usize) {
+        let stand = &self.targets[target];
+        let entry = stand.entry(&self.target_addresses[target], CallerLine::pool());
+        self.store.put_target(stand.id(), &entry);
+    }
+
+    pub(crate) fn set_link(&self, state: &LinkState) -> Result<()> {
+        let url = format!("{}/fake/mode", self.relay.server().url());
+        self.client.post(&url, state)?;
+        Ok(())
+    }
+
+    fn add_link(&self, name: &str, to: &str) -> Result<String> {
+        let state = LinkState {
+            name: name.to_owned(),
+            to: to.to_owned(),
+            ..LinkState::default()
+        };
+        let url = format!("{}/fake/links", self.relay.server().url());
+        let made: LinkState = serde_json::from_slice(&self.client.post(&url, &state)?)?;
+        Ok(made.address)
+    }
+
+    fn place(&self, process: usize, store: &str, folder: &Path) -> Result<CellProcess> {
+        let ports: Result<Vec<u16>> = (0..4).map(|_| free_port()).collect();
+        let ports = ports?;
+        let name = format!("cell-{process}");
+        let control = self._control.address();
+        let text = format!(
+            "[entry]\nmember = {name}\ndata_centre = north\naddress = 127.0.0.1:{}\n\
+             ready_address = 127.0.0.1:{}\npeer_address = 127.0.0.1:{}\n\
+             metrics_address = 127.0.0.1:{}\n[platform]\nstore_address = {store}\n\
+             control_address = {control}\n[log]\nlevel = debug\n",
+            ports[0], ports[1], ports[2], ports[3]
+        );
+        let settings = folder.join(format!("{name}.ini"));
+        fs::write(&settings, text).context("write the settings")?;
+        Ok(CellProcess {
+            caller: format!("127.0.0.1:{}", ports[0]),
+            live: None,
+            log: folder.join(format!("{name}.log")),
+            name,
+            settings,
+        })
+    }
+}
+
+pub(crate) fn store_link(process: usize) -> String {
+    format!("store-{process}")
+}
+
+pub(crate) fn target_link(target: usize) -> String {
+    format!("target-{target}")
+}
+
+/// Longest time for a shutdown, after which the platform kills a process.
+pub(crate) const GRACE: Duration = Duration::from_secs(6);
--- /dev/null
+++ b/crates/proof/tests/soak_checks.rs
@@ -0,0 +1,121 @@
+//! The checks of the soak find each broken promise in a history made by hand, and nothing in a
+//! sound one. Times are in seconds here.
+
+use std::time::Duration;
+
+use proof::{CallerJob, SoakHistory, check_soak, plan_faults};
+use rstest::rstest;
+use stand::{
+    JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, SoakJob, StartOrderRecord, StrayWrite,
+    SubmitReply,
+};
+
+const JOB: &str = "00000000000000a1";
+
+fn s(seconds: u64) -> u64 {
+    seconds * 1_000_000_000
+}
+
+fn run(task: &str, from: u64, to: u64, how: RunEnd) -> RunRecord {
+    RunRecord {
+        target: 0,
+        task: format!("{JOB}.0.{task}"),
+        attempt: 1,
+        start_ns: s(from),
+        end: Some((s(to), how)),
+        noted: true,
+        late: false,
+        over_room: false,
+    }
+}
+
+fn order(token: u64, at: u64) -> StartOrderRecord {
+    StartOrderRecord {
+        target: 0,
+        token,
+        arrived_ns: s(at),
+        task: format!("{JOB}.0.0.0"),
+    }
+}
+
+/// A job of two steps with a task each that was accepted, run and shown as completed, under an
+/// owner that was succeeded.
+fn sound() -> SoakHistory {
+    let owner = |token, at| OwnerRecord {
+        token,
+        process: 0,
+        written_ns: s(at),
+    };
+    SoakHistory {
+        jobs: vec![CallerJob {
+            job: SoakJob {
+                id: JOB.to_owned(),
+                steps: vec![(1, 1000), (1, 1000)],
+                padding: String::new(),
+            },
+            replies: vec![SubmitReply::Unknown, SubmitReply::Accepted],
+            accepted_ns: Some(s(2)),
+            cancel_sent_ns: None,
+            cancelled_ns: None,
+            shown: vec![(s(9), LookReply::Shown(JobShown::Completed))],
+        }],
+        runs: vec![
+            run("0.0", 2, 3, RunEnd::Lapsed),
+            run("0.0", 3, 4, RunEnd::Done),
+            run("1.0", 5, 6, RunEnd::Done),
+        ],
+        orders: vec![order(7, 2), order(9, 5)],
+        owners: vec![owner(7, 1), owner(9, 4)],
+        ..SoakHistory::default()
+    }
+}
+
+#[test]
+fn check_soak_sound() {
+    let tally = check_soak(&sound());
+    assert!(tally.broken.is_empty(), "{:?}", tally.broken);
+    assert!(tally.checked.values().all(|count| *count > 0));
+}
+
+/// A check that finds nothing in a history with a broken promise would let every soak pass.
+#[rstest]
+#[case::two_at_once("once-at-a-time", |h: &mut SoakHistory| h.runs.push(run("1.0", 5, 7, RunEnd::Lapsed)))]
+#[case::again_after_end("done-once", |h: &mut SoakHistory| h.runs.push(run("1.0", 7, 8, RunEnd::Done)))]
+#[case::step_too_early("steps-in-order", |h: &mut SoakHistory| h.runs[2].start_ns = s(3))]
+#[case::token_of_nobody("token-of-owner", |h: &mut SoakHistory| h.orders.push(order(0, 6)))]
+#[case::order_of_former_owner("one-holder", |h: &mut SoakHistory| h.orders.push(order(7, 5)))]
+#[case::refused_ran("refused-never-runs", |h: &mut SoakHistory| {
+    h.jobs[0].replies = vec![SubmitReply::Refused, SubmitReply::Unheard];
+})]
+#[case::cancelled_begun("cancelled-not-begun", |h: &mut SoakHistory| {
+    h.jobs[0].cancel_sent_ns = Some(s(1));
+    h.jobs[0].cancelled_ns = Some(s(1));
+})]
+#[case::never_completed("accepted-completes", |h: &mut SoakHistory| h.jobs[0].shown.clear())]
+#[case::forgotten("shown-as-is", |h: &mut SoakHistory| h.jobs[0].shown.push((s(8), LookReply::Gone)))]
+#[case::completed_too_early("shown-as-is", |h: &mut SoakHistory| h.jobs[0].shown[0].0 = s(5))]
+#[case::cancelled_by_nobody("shown-as-is", |h: &mut SoakHistory| {
+    h.jobs[0].shown.push((s(8), LookReply::Shown(JobShown::Cancelled)));
+})]
+#[case::sent_by_nobody("asked-for", |h: &mut SoakHistory| h.runs[0].task = "00000000000000b2.0.0.0".to_owned())]
+#[case::beyond_room("room", |h: &mut SoakHistory| h.runs[0].over_room = true)]
+#[case::log_of_former_owner("one-writer", |h: &mut SoakHistory| {
+    h.strays.push(StrayWrite { process: 1, key: "log/1".to_owned(), written_ns: s(5) });
+})]
+#[case::log_grows("log-bounded", |h: &mut SoakHistory| h.log_peak = 4 << 20)]
+#[case::process_fell("stays-up", |h: &mut SoakHistory| h.fallen.push("process 1".to_owned()))]
+fn check_soak_finds(#[case] check: &str, #[case] spoil: fn(&mut SoakHistory)) {
+    let mut history = sound();
+    spoil(&mut history);
+    let broken = check_soak(&history).broken;
+    let found = broken.iter().any(|violation| violation.check == check);
+    assert!(found, "{check} is not among {broken:?}");
+}
+
+/// A failed seed is only of use if it gives the same schedule again.
+#[test]
+fn plan_faults_repeats() {
+    let plan = |seed| format!("{:?}", plan_faults(seed, Duration::from_secs(60), 5, 12));
+    assert_eq!(plan(3), plan(3));
+    assert_ne!(plan(3), plan(4));
+}
