--- /dev/null
+++ b/crates/lacewingshore/tests/soak.rs
@@ -0,0 +1,63 @@
+//! A short fault soak of real processes; `scripts/soak` runs longer ones over many seeds.
+
+#![allow(clippy::unwrap_used, reason = "tests end on what should not fail")]
+
+use std::time::Duration;
+
+use proof::{FAULT_KINDS, FaultKind, PlannedFault, SoakPlan, run_soak};
+use rstest::rstest;
+
+const PROCESSES: usize = 4;
+const TARGETS: usize = 8;
+const FIRST_BEGIN: Duration = Duration::from_secs(2);
+const FAULT_LENGTH: Duration = Duration::from_millis(1800);
+
+/// Faults one after the other, each beginning before the one before it has ended.
+fn in_series(kinds: &[FaultKind]) -> Vec<PlannedFault> {
+    let mut begin = FIRST_BEGIN;
+    let mut plan = Vec::new();
+    for (index, kind) in kinds.iter().enumerate() {
+        plan.push(PlannedFault {
+            kind: *kind,
+            begin,
+            end: begin + FAULT_LENGTH,
+            process: None,
+            target: index % TARGETS,
+        });
+        begin += FAULT_LENGTH * 2 / 3;
+    }
+    plan
+}
+
+/// A process that works while all is well breaks promises when its store, its targets or itself
+/// fails: work is done twice or lost, or orders cross with those of a successor.
+#[rstest]
+#[case::first_half(1, &FAULT_KINDS[..10])]
+#[case::second_half(2, &FAULT_KINDS[10..])]
+fn soak_each_fault_at_owner(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = SoakPlan {
+        seed,
+        span: Duration::from_secs(16),
+        processes: PROCESSES,
+        targets: TARGETS,
+        callers: 4,
+        folder: folder.path().to_owned(),
+        faults: Some(in_series(kinds)),
+    };
+    let report = run_soak(&plan).unwrap();
+    if !report.tally.broken.is_empty() {
+        let kept = folder.keep();
+        panic!(
+            "{:#?}\nlogs of seed {seed}: {}",
+            report.tally.broken,
+            kept.display()
+        );
+    }
+    assert!(
+        report.accepted > 0 && report.owners > 1,
+        "{} jobs accepted, {} owners",
+        report.accepted,
+        report.owners
+    );
+}
