Look up the place of a run in one function

`fate_of`, `phase_of` and `miss_run` did the same walk from a run to the place of its task, and the age at which an answer counts as fresh stood in two modules with the same value.

Change: `JobBoard::place_of` is the walk, `ANSWER_FRESH` beside the state of a target is the one constant. Behaviour is the same.

--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -16,7 +16,7 @@
         now: DeskTime,
     ) {
         let run: RunKey = (task.clone(), attempt);
-        if !self.awaits_start(id, task, attempt) {
+        if !self.awaits_start(id, &run) {
             // A look has told before what became of it, or it was stopped meanwhile.
             self.doubt_stopped(id, run, answer, now);
             return;
@@ -56,7 +56,7 @@
     /// knows nothing of the stop, may carry it out.
     fn doubt_stopped(&mut self, id: &HostId, run: RunKey, answer: &StartAnswer, now: DeskTime) {
         let unanswered = matches!(answer, StartAnswer::Unanswered(_));
-        if !unanswered || self.phase_of(id, &run.0, run.1) == Some(PlacePhase::Running) {
+        if !unanswered || self.is_running(id, &run) {
             return;
         }
         if let Some(target) = self.targets.get_mut(id) {
@@ -103,25 +103,20 @@
     /// the target be lost, while it waited for a connection.
     pub fn wants_start(&self, id: &HostId, task: &TaskKey, attempt: AttemptNumber) -> bool {
         let held = self.board.jobs.get(&task.job).is_some_and(|job| job.held);
-        !held && self.awaits_start(id, task, attempt)
+        !held && self.awaits_start(id, &(task.clone(), attempt))
     }
 
-    fn awaits_start(&self, id: &HostId, task: &TaskKey, attempt: AttemptNumber) -> bool {
-        self.phase_of(id, task, attempt) == Some(PlacePhase::Starting)
+    fn awaits_start(&self, id: &HostId, run: &RunKey) -> bool {
+        self.phase_of(id, run) == Some(PlacePhase::Starting)
     }
 
     /// True if a task is known to run on a target under this number.
     pub(super) fn is_running(&self, id: &HostId, run: &RunKey) -> bool {
-        self.phase_of(id, &run.0, run.1) == Some(PlacePhase::Running)
+        self.phase_of(id, run) == Some(PlacePhase::Running)
     }
 
-    /// What is known of a run; `None` if no task is taken to be it.
-    fn phase_of(&self, id: &HostId, key: &TaskKey, attempt: AttemptNumber) -> Option<PlacePhase> {
-        let job = self.board.jobs.get(&key.job)?;
-        let task = job.task(key.occurrence, key.step, key.index)?;
-        let place = task.place.as_ref()?;
-        let same = place.target == *id && place.attempt == attempt;
-        same.then_some(place.phase)
+    fn phase_of(&self, id: &HostId, run: &RunKey) -> Option<PlacePhase> {
+        self.board.place_of(id, run).map(|place| place.phase)
     }
 
     fn start_refused(&mut self, id: &HostId, run: &RunKey, refusal: StartRefusal, now: DeskTime) {
--- a/crates/decide/src/work/desk_evacuate.rs
+++ b/crates/decide/src/work/desk_evacuate.rs
@@ -7,7 +7,9 @@
 };
 
 use super::{
-    DeskTime, HostVacancy, PlacePhase, WorkDesk, pick::may_go, target_state::RunKey,
+    DeskTime, HostVacancy, PlacePhase, WorkDesk,
+    pick::may_go,
+    target_state::{ANSWER_FRESH, RunKey},
     work_desk::StepKey,
 };
 
@@ -16,9 +18,6 @@
 const SETTLED: Duration = Duration::from_millis(1300);
 /// What a target says of a task that lasts and is at work, in percent.
 const AT_WORK: u8 = 100;
-/// How old the last answer of a target may be for its tasks to count as at work: a look waits
-/// for up to a second, and its answer takes some milliseconds.
-const HEARD: Duration = Duration::from_millis(1300);
 /// How long a task that lasts waits on a host that is being emptied for another to go to. A host
 /// that is switched off takes two seconds to come, and half a second more to be listed.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -155,7 +154,7 @@
         // last look is old, though the desk still takes it to be at work.
         let heard = |id: &HostId| {
             let target = self.targets.get(id);
-            target.is_some_and(|target| now.boot.saturating_sub(target.heard) < HEARD)
+            target.is_some_and(|target| now.boot.saturating_sub(target.heard) < ANSWER_FRESH)
         };
         let at_work = |task: &super::TaskState| {
             task.place.as_ref().is_some_and(|place| {
--- a/crates/decide/src/work/desk_life.rs
+++ b/crates/decide/src/work/desk_life.rs
@@ -4,15 +4,12 @@
 
 use super::{
     DeskEvent, DeskOrder, DeskTime, PlacePhase, WorkDesk,
-    target_state::{RunClaim, RunKey},
+    target_state::{ANSWER_FRESH, RunClaim, RunKey},
 };
 
 /// Lists of hosts in a row that have to lack a life before it counts as ended. A list comes in
 /// pages that are no snapshot, so that one may miss a host that changes just then.
 const LISTS_MISSED: u32 = 2;
-/// A life that answered so shortly before a list was asked for is at work, whatever the list says:
-/// a look waits for up to a second, and its answer takes some milliseconds.
-const HEARD: Duration = Duration::from_millis(1300);
 
 impl WorkDesk {
     /// A target begins another life: what ran there is over.
@@ -66,7 +63,8 @@
         }
         let mut gone = Vec::new();
         for (id, target) in &mut self.targets {
-            let answers = !target.heard.is_zero() && target.heard + HEARD >= asked;
+            // A life that answered shortly before the list was asked for is at work, whatever that says.
+            let answers = !target.heard.is_zero() && target.heard + ANSWER_FRESH >= asked;
             if target.listed || answers || lives.contains(id) {
                 target.lists_missed = 0;
                 continue;
@@ -122,11 +120,7 @@
     }
 
     fn fate_of(&self, id: &HostId, run: &RunKey) -> RunFate {
-        let job = self.board.jobs.get(&run.0.job);
-        let task = job.and_then(|job| job.task(run.0.occurrence, run.0.step, run.0.index));
-        let place = task.and_then(|task| task.place.as_ref());
-        let Some(place) = place.filter(|place| place.target == *id && place.attempt == run.1)
-        else {
+        let Some(place) = self.board.place_of(id, run) else {
             return RunFate::Over;
         };
         match place.phase {
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -236,10 +236,7 @@
 
     fn miss_run(&mut self, id: &HostId, run: &RunKey, sent: BootTime, now: DeskTime) {
         let (key, attempt) = run;
-        let job = self.board.jobs.get(&key.job);
-        let task = job.and_then(|job| job.task(key.occurrence, key.step, key.index));
-        let place = task.and_then(|task| task.place.as_ref());
-        let place = place.filter(|place| place.target == *id && place.attempt == *attempt);
+        let place = self.board.place_of(id, run);
         let Some((phase, since)) = place.map(|place| (place.phase, place.since)) else {
             // A run without a task: it is gone once its stop was answered before the look.
             let stopped = self.stops.contains_key(&(id.clone(), run.clone()));
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -5,7 +5,7 @@
 };
 
 use model::{
-    BootTime, JobId,
+    BootTime, HostId, JobId,
     work::{HostRoom, TaskKey},
 };
 use wire::work::{
@@ -13,7 +13,7 @@
     log_entry::Event,
 };
 
-use super::{StepState, WorkJob, WorkPhase, plan_of_record};
+use super::{StepState, TaskPlace, WorkJob, WorkPhase, plan_of_record, target_state::RunKey};
 
 /// Oldest age that a job read from the log is given; clocks of day may be far apart.
 const OLDEST: Duration = Duration::from_secs(3600);
@@ -133,6 +133,15 @@
         occurrence.steps.get_mut(key.step as usize)
     }
 
+    /// Where the task of a run is; `None` if no task is taken to be that run.
+    pub(super) fn place_of(&self, id: &HostId, run: &RunKey) -> Option<&TaskPlace> {
+        let (key, attempt) = run;
+        let job = self.jobs.get(&key.job)?;
+        let task = job.task(key.occurrence, key.step, key.index)?;
+        let there = |place: &&TaskPlace| place.target == *id && place.attempt == *attempt;
+        task.place.as_ref().filter(there)
+    }
+
     /// Cancels a job, unless it has ended.
     ///
     /// A job that is not known is kept as cancelled: its submission may have been overtaken, and
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -17,6 +17,10 @@
 /// being stored the next look follows within 0.3 s.
 const SAME_LIFE: Duration = Duration::from_millis(500);
 
+/// How old the last answer of a target at work may be: a look waits for up to a second, and its
+/// answer takes some milliseconds.
+pub(super) const ANSWER_FRESH: Duration = Duration::from_millis(1300);
+
 /// Unanswered starts that are remembered of one target; it pauses longer after each, so that
 /// there are few.
 const MOST_DOUBTS: usize = 64;
