Answer an unkept cancellation in one place, and build its key in one

`CallerFront::cancel` had two arms that did the same for a write that failed and one that was not answered in time, of which only one was logged; both are logged now at debug level. The key of a kept cancellation was built in `CancelKeeper::write` and in `remove_kept`; it is `CellOptions::cancel_key`.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -151,19 +151,14 @@
         if !matches!(answer, CallerAnswer::Refused(_) | CallerAnswer::Unknown) {
             return (answer, owner);
         }
-        match timeout_at(end, self.keeper.keep(job)).await {
-            Ok(Ok(())) => (CallerAnswer::Found(JobProgress::Cancelled), owner),
-            // It is tried on, so that it may yet be in force.
-            Ok(Err(error)) => {
-                log::debug!("keep a cancelling: {error}");
-                self.keeper.keep_later(job);
-                (CallerAnswer::Unknown, owner)
-            }
-            Err(_) => {
-                self.keeper.keep_later(job);
-                (CallerAnswer::Unknown, owner)
-            }
+        let kept = timeout_at(end, self.keeper.keep(job)).await;
+        if matches!(kept, Ok(Ok(()))) {
+            return (CallerAnswer::Found(JobProgress::Cancelled), owner);
         }
+        log::debug!("keep the cancellation of {job}: {kept:?}");
+        // It is tried on, so that it may yet be in force.
+        self.keeper.keep_later(job);
+        (CallerAnswer::Unknown, owner)
     }
 
     /// Asks the owner, whoever that is by then, until it answers or the caller has to be told
--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -89,6 +89,11 @@
         compact_str::format_compact!("{}cancel/", self.key_prefix)
     }
 
+    /// Key of the cancelling of a job that is kept.
+    pub fn cancel_key(&self, job: &str) -> CompactString {
+        compact_str::format_compact!("{}{job}", self.cancel_prefix())
+    }
+
     /// Prefix of the pages of the job log.
     pub fn log_prefix(&self) -> CompactString {
         compact_str::format_compact!("{}log/", self.key_prefix)
--- a/crates/cell/src/kept_cancel.rs
+++ b/crates/cell/src/kept_cancel.rs
@@ -100,9 +100,8 @@
     }
 
     async fn write(&self, jobs: &[JobId]) -> Result<(), StoreFault> {
-        let prefix = self.options.cancel_prefix();
         let write = |job: &JobId| StoreWrite {
-            key: compact_str::format_compact!("{prefix}{job}"),
+            key: self.options.cancel_key(job),
             value: job.as_bytes().to_vec(),
             lease: None,
         };
@@ -204,12 +203,11 @@
 /// Removes the keys of cancellings that are recorded. One that stays is recorded once more by
 /// the next owner, which changes nothing.
 async fn remove_kept(term: &Term, jobs: &[JobId]) {
-    let prefix = term.options.cancel_prefix();
     let change = StoreChange {
         expect: vec![(term.options.owner_key(), term.token)],
         removes: jobs
             .iter()
-            .map(|job| compact_str::format_compact!("{prefix}{job}"))
+            .map(|job| term.options.cancel_key(job))
             .collect(),
         ..StoreChange::default()
     };
