Stop packing a shorter log once it is too long to be written

What callers saw: nothing measured; found by reading. An owner whose log is mostly open work packed all of it before it knew that the shorter log would not be written, and serves nobody meanwhile.

Cause: `compact` encoded and deflated each entry, and asked afterwards whether that was worth it.

Change: `decide::work::ShortLog` packs page by page and stops once the pages take more than half of the present log, the limit that `LogPages` had before. The bytes that have to stay, which decide when the log is looked at next, are then estimated from the part that was packed; before they were counted.

--- a/crates/cell/src/log_compact.rs
+++ b/crates/cell/src/log_compact.rs
@@ -1,10 +1,9 @@
 use std::time::Duration;
 
+use decide::work::ShortLog;
 use model::event as log_event;
 use ports::{StoreChange, StoreOutcome};
-use prost::Message;
 use tokio::time::sleep;
-use wire::work::LogEntry;
 
 use crate::{
     event,
@@ -28,12 +27,14 @@
 pub(crate) async fn compact(term: &Term, pages: &mut LogPages) -> Option<()> {
     let entries = term.desk.borrow().board.entries();
     let count = entries.len();
-    let values: Vec<Vec<u8>> = parts_of(entries).into_iter().map(page_bytes).collect();
+    let values = match ShortLog::pack(entries, PAGE_BYTES, pages.most_short(), page_bytes) {
+        ShortLog::Pages(values) => values,
+        ShortLog::Long(bytes) => {
+            pages.keep(bytes);
+            return Some(());
+        }
+    };
     let bytes = values.iter().map(Vec::len).sum();
-    if !pages.is_worth(bytes) {
-        pages.keep(bytes);
-        return Some(());
-    }
     let start = pages.next();
     for value in values {
         let length = value.len();
@@ -80,19 +81,3 @@
         }
     }
 }
-
-fn parts_of(entries: Vec<LogEntry>) -> Vec<Vec<LogEntry>> {
-    let mut parts = vec![Vec::new()];
-    let mut bytes = 0;
-    for entry in entries {
-        bytes += entry.encoded_len();
-        if bytes > PAGE_BYTES {
-            bytes = entry.encoded_len();
-            parts.push(Vec::new());
-        }
-        if let Some(part) = parts.last_mut() {
-            part.push(entry);
-        }
-    }
-    parts
-}
--- a/crates/cell/src/log_pages.rs
+++ b/crates/cell/src/log_pages.rs
@@ -101,10 +101,12 @@
             || self.new_bytes >= COMPACT_BYTES.max(self.base_bytes)
     }
 
-    /// True if a log of `bytes` that says the same is short enough to be written.
-    pub(crate) fn is_worth(&self, bytes: usize) -> bool {
-        let pages = self.next - self.first;
-        pages >= COMPACT_PAGES || self.base_bytes + self.new_bytes >= bytes * WORTH_IT
+    /// Bytes of a log that says the same at which it is still short enough to be written.
+    pub(crate) fn most_short(&self) -> usize {
+        if self.next - self.first >= COMPACT_PAGES {
+            return usize::MAX;
+        }
+        (self.base_bytes + self.new_bytes) / WORTH_IT
     }
 
     /// Takes in that of the log `bytes` have to stay, so that it is not long yet.
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -29,6 +29,7 @@
 mod pick;
 mod pool_rooms;
 mod share_meter;
+mod short_log;
 mod target_state;
 mod work_desk;
 mod work_job;
@@ -40,6 +41,7 @@
 pub use job_board::JobBoard;
 pub use job_record::{plan_of_record, record_of_plan};
 pub use objective::RankClass;
+pub use short_log::ShortLog;
 pub use target_state::{HostVacancy, TargetLife, TargetState};
 pub use work_desk::{DeskTime, WorkDesk};
 pub use work_job::{
--- /dev/null
+++ b/crates/decide/tests/work_log.rs
@@ -0,0 +1,62 @@
+//! Packing the pages of a shorter log.
+
+use std::cell::Cell;
+
+use decide::work::ShortLog;
+use prost::Message;
+use wire::work::{LogEntry, LogPage, log_entry::Event};
+
+const PAGE_BYTES: usize = 1000;
+
+/// Entries that take 10,000 bytes and some.
+fn entries() -> Vec<LogEntry> {
+    let entry = |number: usize| LogEntry {
+        event: Some(Event::Released(format!("{number:0>100}"))),
+    };
+    (0..100).map(entry).collect()
+}
+
+fn encode(entries: Vec<LogEntry>) -> Vec<u8> {
+    let page = LogPage {
+        entries,
+        ..LogPage::default()
+    };
+    page.encode_to_vec()
+}
+
+/// Guards against an entry that is lost between two pages, or a page above the limit.
+#[test]
+fn pack_keeps_entries() {
+    let ShortLog::Pages(pages) = ShortLog::pack(entries(), PAGE_BYTES, usize::MAX, encode) else {
+        panic!("too long");
+    };
+    let decoded = pages.iter().map(|page| LogPage::decode(page.as_slice()));
+    let found: Vec<LogEntry> = decoded.flatten().flat_map(|page| page.entries).collect();
+    assert_eq!(found, entries());
+    let plain = |page: &Vec<u8>| page.len() <= PAGE_BYTES + PAGE_BYTES / 10;
+    assert!(pages.iter().all(plain));
+}
+
+/// Guards against an owner that serves nobody while it packs a log that it won't write.
+#[test]
+fn pack_stops_above_limit() {
+    let packed = Cell::new(0);
+    let pack = |part: Vec<LogEntry>| {
+        packed.set(packed.get() + 1);
+        encode(part)
+    };
+    let whole: usize = entries().iter().map(Message::encoded_len).sum();
+    let log = ShortLog::pack(entries(), PAGE_BYTES, 2 * PAGE_BYTES, pack);
+    let ShortLog::Long(bytes) = log else {
+        panic!("{log:?}");
+    };
+    assert!(packed.get() <= 3, "{} pages", packed.get());
+    assert!(bytes.abs_diff(whole) < whole / 10, "{bytes} of {whole}");
+}
+
+/// Guards against a log without entries that takes no page, so that the old pages never go.
+#[test]
+fn pack_of_nothing_is_a_page() {
+    let log = ShortLog::pack(Vec::new(), PAGE_BYTES, 0, encode);
+    assert_eq!(log, ShortLog::Pages(vec![Vec::new()]));
+}
