Make the states of a job one enum

Three marks told one state: `phase`, `held` (open, its cancellation not stored yet) and `unsubmitted` (cancelled before it was handed in). `WorkPhase` has `Held` and `Unsubmitted` now, and `is_open` and `is_cancelled` ask for the groups. Behaviour is the same.

Tests: `!unsubmitted` in `cancel_without_acceptance_yields_to_closing` is now the comparison of all entries with those of the log that was not cut, which holds the mark and all else.

--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -3,7 +3,9 @@
     work::{AttemptNumber, OrderAnswer, StartAnswer, StartRefusal, TaskKey},
 };
 
-use super::{DeskEvent, DeskOrder, DeskTime, PlacePhase, WorkDesk, target_state::RunKey};
+use super::{
+    DeskEvent, DeskOrder, DeskTime, PlacePhase, WorkDesk, WorkPhase, target_state::RunKey,
+};
 
 impl WorkDesk {
     /// Takes the answer to a start.
@@ -102,7 +104,8 @@
     /// True if a start that was ordered is still to be sent: its job may have ended or be held, or
     /// the target be lost, while it waited for a connection.
     pub fn wants_start(&self, id: &HostId, task: &TaskKey, attempt: AttemptNumber) -> bool {
-        let held = self.board.jobs.get(&task.job).is_some_and(|job| job.held);
+        let job = self.board.jobs.get(&task.job);
+        let held = job.is_some_and(|job| job.phase == WorkPhase::Held);
         !held && self.awaits_start(id, &(task.clone(), attempt))
     }
 
--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -5,8 +5,8 @@
 use wire::work::{TaskEnd, log_entry::Event};
 
 use super::{
-    DeskEvent, DeskOrder, DeskTime, EndOrigin, PlacePhase, WorkDesk, WorkPhase, pick::FAILED_WAIT,
-    target_state::RunKey,
+    DeskEvent, DeskOrder, DeskTime, EndOrigin, PlacePhase, WorkDesk, WorkJob, WorkPhase,
+    pick::FAILED_WAIT, target_state::RunKey,
 };
 
 impl WorkDesk {
@@ -127,7 +127,7 @@
             .board
             .jobs
             .get(&end.task.job)
-            .is_some_and(|job| job.phase == WorkPhase::Open);
+            .is_some_and(WorkJob::is_open);
         if !open {
             // The job may have been completed by this very end, with an entry that is not stored.
             self.record_again(end, true, origin);
@@ -147,7 +147,7 @@
             self.stop_run(&id, &run, now);
         }
         let job = &end.task.job;
-        let completed = |job: &super::WorkJob| job.phase == WorkPhase::Completed;
+        let completed = |job: &WorkJob| job.phase == WorkPhase::Completed;
         if self.board.jobs.get(job).is_some_and(completed) {
             self.note(DeskEvent::JobEnded(job.clone(), "completed"));
         }
@@ -158,7 +158,7 @@
         let Some(job) = self.board.jobs.get_mut(&end.task.job) else {
             return;
         };
-        if job.phase != WorkPhase::Open {
+        if !job.is_open() {
             self.record_again(end, false, origin);
             return;
         }
@@ -264,7 +264,7 @@
 
     /// Stops what may still run of a task that is done; of a gang its members end together.
     fn stop_copies(&mut self, key: &TaskKey, now: DeskTime) {
-        let gang = |job: &super::WorkJob| {
+        let gang = |job: &WorkJob| {
             let step = job.plan.steps.get(key.step as usize);
             step.is_some_and(|step| step.gang)
         };
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    DeskEvent, DeskOrder, DeskTime, PlacePhase, TargetState, TaskPlace, WorkDesk, WorkPhase,
+    DeskEvent, DeskOrder, DeskTime, PlacePhase, TargetState, TaskPlace, WorkDesk,
     target_state::RunKey,
 };
 
@@ -156,7 +156,7 @@
             return;
         };
         job.begun = true;
-        let open = job.phase == WorkPhase::Open;
+        let open = job.is_open();
         // A predecessor found the occurrence due, perhaps by a clock that is ahead of this one;
         // taking its run for a stray one would stop work that is wanted.
         job.open_until(run.task.occurrence, now.boot);
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -122,7 +122,7 @@
         let mut steps = Vec::new();
         let open = self.open_jobs();
         for job in open {
-            if job.held || (job.inherited && blocked.contains(&job.pool)) {
+            if job.phase == WorkPhase::Held || (job.inherited && blocked.contains(&job.pool)) {
                 continue;
             }
             let queue = self.terms.queue(&job.queue);
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -40,10 +40,12 @@
     ///
     /// What runs goes on: should the store come back to another owner, that one knows nothing of it.
     pub fn hold(&mut self, job: &str) -> bool {
-        let Some(job) = self.board.jobs.get_mut(job) else {
+        let job = self.board.jobs.get_mut(job);
+        let Some(job) = job.filter(|job| job.phase == WorkPhase::Open) else {
             return false;
         };
-        job.phase == WorkPhase::Open && !std::mem::replace(&mut job.held, true)
+        job.phase = WorkPhase::Held;
+        true
     }
 
     pub(super) fn open_occurrences(&mut self, now: DeskTime) {
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -5,7 +5,7 @@
 
 use model::{BootTime, HostId, PoolId, work::HostCondition};
 
-use super::{HostOrder, HostPlanner, WorkDesk, WorkPhase, host_planner::HostView};
+use super::{HostOrder, HostPlanner, WorkDesk, host_planner::HostView};
 
 /// Idle time after which a host that its pool does not need is switched off. A move costs as
 /// much as 1.1 s of a host at the prices measured, and it may be needed back.
@@ -235,7 +235,7 @@
     fn pool_need(&self, pool: &PoolId) -> (f64, f64) {
         let (mut present, mut lasting) = (0, 0);
         let open = self.open_jobs();
-        for job in open.filter(|job| job.pool == *pool && job.phase == WorkPhase::Open) {
+        for job in open.filter(|job| job.pool == *pool && job.is_open()) {
             for occurrence in job.occurrences.values() {
                 for (number, state) in occurrence.steps.iter().enumerate() {
                     if state.is_done() || !occurrence.is_ready(&job.plan, number) {
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -153,9 +153,8 @@
         }
         let job = WorkJob {
             id: id.into(),
-            phase: WorkPhase::Cancelled,
+            phase: WorkPhase::Unsubmitted,
             ended: boot,
-            unsubmitted: true,
             ..WorkJob::default()
         };
         self.jobs.insert(job.id.clone(), job);
@@ -166,7 +165,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if job.phase != WorkPhase::Open {
+        if !job.is_open() {
             return;
         }
         job.phase = phase;
@@ -211,14 +210,12 @@
     /// How many jobs their callers have cancelled.
     pub fn cancelled(&self) -> usize {
         let jobs = self.jobs.values();
-        jobs.filter(|job| job.phase == WorkPhase::Cancelled).count()
+        jobs.filter(|job| job.is_cancelled()).count()
     }
 
     /// Removes jobs that ended before a time and hold nothing.
     pub fn forget(&mut self, before: BootTime) -> Vec<JobId> {
-        let old = |job: &&WorkJob| {
-            job.phase != WorkPhase::Open && job.ended < before && job.unstored == 0
-        };
+        let old = |job: &&WorkJob| !job.is_open() && job.ended < before && job.unstored == 0;
         let ids: Vec<JobId> = self
             .jobs
             .values()
@@ -233,20 +230,22 @@
 
     /// Takes in that a job has ended of which the log may tell nothing else any more.
     fn close(&mut self, end: &JobEnd, boot: BootTime) {
-        let phase = match end.phase() {
-            JobPhase::Failed => WorkPhase::Failed,
-            JobPhase::Cancelled => WorkPhase::Cancelled,
-            JobPhase::Queued | JobPhase::Running | JobPhase::Completed => WorkPhase::Completed,
-        };
         let id = JobId::from(end.job.as_str());
         // Of a replaced log the pages that told of its acceptance may be gone and the one that told
         // of its cancelling still be there.
-        if self.jobs.get(&id).is_some_and(|job| job.unsubmitted) {
+        let unsubmitted = |job: &WorkJob| job.phase == WorkPhase::Unsubmitted;
+        if self.jobs.get(&id).is_some_and(unsubmitted) {
             self.jobs.remove(&id);
         }
+        let known = self.jobs.contains_key(&id);
+        let phase = match end.phase() {
+            JobPhase::Failed => WorkPhase::Failed,
+            JobPhase::Cancelled if end.unsubmitted && !known => WorkPhase::Unsubmitted,
+            JobPhase::Cancelled => WorkPhase::Cancelled,
+            JobPhase::Queued | JobPhase::Running | JobPhase::Completed => WorkPhase::Completed,
+        };
         self.jobs.entry(id.clone()).or_insert_with(|| WorkJob {
             id,
-            unsubmitted: end.unsubmitted,
             workspace: end.workspace.as_str().into(),
             opened: end.finished,
             finished: end.finished,
--- a/crates/decide/src/work/job_entries.rs
+++ b/crates/decide/src/work/job_entries.rs
@@ -8,10 +8,10 @@
     /// How the job ended; `None` while it is open.
     pub(super) fn closed_phase(&self) -> Option<JobPhase> {
         match self.phase {
-            WorkPhase::Open => None,
+            WorkPhase::Open | WorkPhase::Held => None,
             WorkPhase::Completed => Some(JobPhase::Completed),
             WorkPhase::Failed => Some(JobPhase::Failed),
-            WorkPhase::Cancelled => Some(JobPhase::Cancelled),
+            WorkPhase::Cancelled | WorkPhase::Unsubmitted => Some(JobPhase::Cancelled),
         }
     }
 
@@ -32,7 +32,7 @@
             cpu: need.cpu,
             memory_mb: need.memory_mb,
             gpu: need.gpu,
-            unsubmitted: self.unsubmitted,
+            unsubmitted: self.phase == WorkPhase::Unsubmitted,
         }
     }
 
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -103,7 +103,7 @@
         self.began = now.boot;
         for job in self.board.jobs.values_mut() {
             job.inherited = true;
-            job.begun |= job.phase != WorkPhase::Open;
+            job.begun |= !job.is_open();
         }
         for used in self.board.used.values() {
             let entry = TargetEntry {
@@ -236,18 +236,19 @@
 
     /// What callers are told of a job.
     pub fn progress(&self, id: &str) -> Option<JobPhase> {
-        let job = self.board.jobs.get(id).filter(|job| !job.unsubmitted)?;
+        let job = self.board.jobs.get(id)?;
         let running = if job.begun {
             JobPhase::Running
         } else {
             JobPhase::Queued
         };
         Some(match job.phase {
-            WorkPhase::Open => running,
+            WorkPhase::Open | WorkPhase::Held => running,
             WorkPhase::Completed if job.unstored == 0 => JobPhase::Completed,
             WorkPhase::Failed if job.unstored == 0 => JobPhase::Failed,
             WorkPhase::Completed | WorkPhase::Failed => JobPhase::Running,
             WorkPhase::Cancelled => JobPhase::Cancelled,
+            WorkPhase::Unsubmitted => return None,
         })
     }
 
@@ -312,7 +313,7 @@
         let mut urgent = origin.is_none();
         if let Some(job) = job.and_then(|job| self.board.jobs.get_mut(job)) {
             job.unstored += 1;
-            urgent |= job.phase != WorkPhase::Open;
+            urgent |= !job.is_open();
         }
         self.orders.push(DeskOrder::Record(RecordOrder {
             entry: LogEntry { event: Some(event) },
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -12,12 +12,16 @@
     /// Something is left to do.
     #[default]
     Open,
+    /// Its cancellation is known and not stored yet, so that nothing more of it is started.
+    Held,
     /// All tasks are done.
     Completed,
     /// A task failed too often.
     Failed,
     /// Its caller cancelled it.
     Cancelled,
+    /// Its caller cancelled it before it was handed in: the submission may still be under way.
+    Unsubmitted,
 }
 
 /// A job and all its tasks.
@@ -45,10 +49,6 @@
     pub begun: bool,
     /// Entries of the log that are not stored yet; its end is shown only when there are none.
     pub unstored: u32,
-    /// Whether it was cancelled and never handed in: the submission may still be under way.
-    pub unsubmitted: bool,
-    /// Whether its cancelling is known and not stored yet, so that nothing more of it is started.
-    pub held: bool,
     /// Whether it was handed in beyond its workspace's share.
     pub beyond_share: bool,
     /// The most that a task of it takes, where the log does not tell its steps any more.
@@ -251,9 +251,19 @@
             })
     }
 
+    /// True while something is left to do.
+    pub fn is_open(&self) -> bool {
+        matches!(self.phase, WorkPhase::Open | WorkPhase::Held)
+    }
+
+    /// True if its caller cancelled it and that is stored.
+    pub fn is_cancelled(&self) -> bool {
+        matches!(self.phase, WorkPhase::Cancelled | WorkPhase::Unsubmitted)
+    }
+
     /// Opens the occurrences that are due at a time of the Unix epoch.
     pub fn open_due(&mut self, unix: Duration, boot: BootTime, early: Duration) {
-        while self.opened < self.plan.occurrences() && self.phase == WorkPhase::Open {
+        while self.opened < self.plan.occurrences() && self.is_open() {
             if let Some(repeat) = self.plan.repeat {
                 let due = repeat.first + repeat.period * self.opened;
                 if unix + early < due {
--- a/crates/decide/tests/desk/world_cancel.rs
+++ b/crates/decide/tests/desk/world_cancel.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use decide::work::WorkPhase;
+use decide::work::WorkJob;
 use model::{BootTime, HostId, work::TaskKey};
 
 use super::world::{DeskWorld, WorldOwner};
@@ -23,7 +23,7 @@
             self.found(&format!("{key} is started {late:?} after its cancelling"));
         }
         let known = owner.desk.board.jobs.get(job);
-        if known.is_some_and(|job| job.phase == WorkPhase::Cancelled) {
+        if known.is_some_and(WorkJob::is_cancelled) {
             let token = owner.token;
             self.found(&format!(
                 "{key} is started by {token}, which knows it cancelled"
@@ -38,7 +38,7 @@
         };
         let open = self.cancels_stored.keys().filter(|job| {
             let job = owner.desk.board.jobs.get(job.as_str());
-            job.is_some_and(|job| job.phase == WorkPhase::Open)
+            job.is_some_and(WorkJob::is_open)
         });
         let open: Vec<String> = open.cloned().collect();
         for job in open {
--- a/crates/decide/tests/work_board.rs
+++ b/crates/decide/tests/work_board.rs
@@ -28,7 +28,7 @@
         .jobs
         .values()
         .map(|job| {
-            let open = job.phase == WorkPhase::Open;
+            let open = job.is_open();
             let tasks: Vec<_> = job
                 .occurrences
                 .iter()
@@ -144,5 +144,5 @@
     let board = board_of(&left);
     assert_eq!(board.jobs["a"].phase, WorkPhase::Completed);
     assert_eq!(board.jobs["a"].closed_need.cpu, 500);
-    assert!(!board.jobs["a"].unsubmitted);
+    assert_eq!(board.entries(), scene.stored, "it was handed in");
 }
