Read a cancellation before its submission the same from a log that is cut

What callers would see: a job that was cancelled before its submission came is not known, as its callers are told; of an owner that read the log while old pages were being removed they heard that it is cancelled.

Cause: the page of the cancellation is older than that of the submission and goes first. The entry of the shorter log found the job open then, and closed it as one that had been handed in.

Change: the entry says which of both it is, whatever was known.

--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -237,10 +237,9 @@
         if self.jobs.get(&id).is_some_and(unsubmitted) {
             self.jobs.remove(&id);
         }
-        let known = self.jobs.contains_key(&id);
         let phase = match end.phase() {
             JobPhase::Failed => WorkPhase::Failed,
-            JobPhase::Cancelled if end.unsubmitted && !known => WorkPhase::Unsubmitted,
+            JobPhase::Cancelled if end.unsubmitted => WorkPhase::Unsubmitted,
             JobPhase::Cancelled => WorkPhase::Cancelled,
             JobPhase::Queued | JobPhase::Running | JobPhase::Completed => WorkPhase::Completed,
         };
--- a/crates/decide/tests/work_board.rs
+++ b/crates/decide/tests/work_board.rs
@@ -146,3 +146,18 @@
     assert_eq!(board.jobs["a"].closed_need.cpu, 500);
     assert_eq!(board.entries(), scene.stored, "it was handed in");
 }
+
+/// Guards against telling a caller of a cancelled job where an owner that read the whole log said
+/// that there is none: the page of the cancellation was removed, and that of a submission which
+/// came after it was not yet.
+#[test]
+fn cancel_before_acceptance_yields_to_closing() {
+    let mut scene = DeskScene::new(1);
+    scene.cancel("a");
+    scene.submit("a", &plan(vec![step(1, 500)]));
+    let accepted = scene.stored.last().cloned();
+    assert_eq!(scene.desk.progress("a"), None);
+    scene.compact();
+    let left: Vec<LogEntry> = accepted.into_iter().chain(scene.stored.clone()).collect();
+    assert_eq!(summary(&board_of(&left)), summary(&scene.desk.board));
+}
