Share the set-ups of the tests on targets, lives and takeovers

The same scene (one target, one job, its tasks started) was set up by hand in 36 tests, and an unanswered start, an answered stop, a missed look, a later life and an emptied host in several. They are functions of `DeskScene` now.

--- a/crates/decide/tests/desk/mod.rs
+++ b/crates/decide/tests/desk/mod.rs
@@ -16,7 +16,8 @@
 
 pub use fleet::{FleetScene, STANDBY};
 pub use scene::{
-    DeskScene, POOL, QUEUE, SPACE, ended, plan, running, step, target, terms_with_limit,
+    DeskScene, LATER, POOL, QUEUE, SPACE, ended, plan, reborn, running, step, target,
+    terms_with_limit,
 };
 pub use world::DeskWorld;
 pub use world_faults::WorldFaults;
--- a/crates/decide/tests/desk/scene.rs
+++ b/crates/decide/tests/desk/scene.rs
@@ -1,11 +1,11 @@
 use std::{sync::Arc, time::Duration};
 
-use decide::work::{DeskOrder, DeskTime, DeskTuning, WorkDesk, record_of_plan};
+use decide::work::{DeskOrder, DeskTime, DeskTuning, HostVacancy, WorkDesk, record_of_plan};
 use model::{
-    HostId,
+    BootTime, HostId,
     work::{
-        EndKind, EndSight, FleetTerms, HostRoom, JobPlan, LookAnswer, PoolTerms, QueueTerms,
-        RunSight, StartAnswer, StartOrder, StepPlan, TargetEntry, TargetSight, TaskKey,
+        EndKind, EndSight, FleetTerms, HostRoom, JobPlan, LookAnswer, OrderAnswer, PoolTerms,
+        QueueTerms, RunSight, StartAnswer, StartOrder, StepPlan, TargetEntry, TargetSight, TaskKey,
         WorkspaceTerms,
     },
 };
@@ -46,6 +46,21 @@
         scene
     }
 
+    /// A scene with one target, on which the tasks of one job are to be started.
+    pub fn submitted(cpu: u64, steps: Vec<StepPlan>) -> Self {
+        let mut scene = Self::new(1);
+        scene.add("t1", cpu);
+        scene.submit("a", &plan(steps));
+        scene
+    }
+
+    /// The same once they were started; also returns the starts.
+    pub fn started(cpu: u64, steps: Vec<StepPlan>) -> (Self, Vec<(HostId, StartOrder)>) {
+        let mut scene = Self::submitted(cpu, steps);
+        let starts = scene.start_all();
+        (scene, starts)
+    }
+
     /// A new term that reads what the present one has stored.
     pub fn successor(&self, token: u64) -> Self {
         let mut scene = Self::new(token);
@@ -126,6 +141,27 @@
         self.run();
     }
 
+    /// A look at a target that is not answered.
+    pub fn miss(&mut self, id: &str) {
+        let silent = LookAnswer::Unanswered("timed out".to_owned());
+        let sent = self.now.boot;
+        self.desk.saw(&id.into(), sent, 0, &silent, self.now);
+    }
+
+    /// A start that is not answered.
+    pub fn leave_unanswered(&mut self, id: &HostId, start: &StartOrder) {
+        let unanswered = StartAnswer::Unanswered("timed out".to_owned());
+        self.desk
+            .started(id, &start.task, start.attempt, &unanswered, self.now);
+    }
+
+    /// A target has done the stop that was sent at a time.
+    pub fn answer_stop(&mut self, id: &HostId, start: &StartOrder, sent: BootTime) {
+        let done = OrderAnswer::Done;
+        self.desk
+            .stopped(id, &start.task, start.attempt, sent, &done, self.now);
+    }
+
     pub fn submit(&mut self, job: &str, plan: &JobPlan) {
         let record = JobRecord {
             job: job.to_owned(),
@@ -152,6 +188,13 @@
         self.run();
     }
 
+    /// Begins to empty a target's host.
+    pub fn empty(&mut self, id: &str) {
+        if let Some(target) = self.desk.targets.get_mut(id) {
+            target.vacancy = HostVacancy::Emptying;
+        }
+    }
+
     /// Replaces the log by a shorter one that says the same.
     pub fn compact(&mut self) {
         self.stored = self.desk.board.entries();
@@ -204,6 +247,17 @@
     }
 }
 
+/// When the later life of [`reborn`] begins.
+pub const LATER: Duration = Duration::from_secs(500);
+
+/// The entry of a later life of `t1`, under the same id.
+pub fn reborn(cpu: u64) -> TargetEntry {
+    TargetEntry {
+        born: LATER,
+        ..target("t1", cpu)
+    }
+}
+
 pub fn step(count: u32, cpu: u64) -> StepPlan {
     StepPlan {
         count,
--- a/crates/decide/tests/work_board.rs
+++ b/crates/decide/tests/work_board.rs
@@ -132,10 +132,7 @@
 /// pages that told of its acceptance were removed and the one of its cancelling was not yet.
 #[test]
 fn cancel_without_acceptance_yields_to_closing() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 4000);
-    scene.submit("a", &plan(vec![step(1, 500)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(4000, vec![step(1, 500)]);
     scene.end("t1", &starts[0].1, EndKind::Done);
     scene.cancel("a");
     let cancelled = scene.stored.last().cloned();
--- a/crates/decide/tests/work_lives.rs
+++ b/crates/decide/tests/work_lives.rs
@@ -4,25 +4,12 @@
 
 use std::time::Duration;
 
-use desk::{DeskScene, plan, running, step, target};
+use desk::{DeskScene, LATER, plan, reborn, running, step, target};
 use model::{
     HostId,
-    work::{
-        EndKind, EndSight, LookAnswer, OrderAnswer, RunSight, StartAnswer, TargetEntry, TargetMode,
-        TargetSight,
-    },
+    work::{EndKind, EndSight, LookAnswer, RunSight, TargetEntry, TargetMode, TargetSight},
 };
 
-const LATER: Duration = Duration::from_secs(500);
-
-/// The entry of a later life of `t1`, under the same id.
-fn reborn(cpu: u64) -> TargetEntry {
-    TargetEntry {
-        born: LATER,
-        ..target("t1", cpu)
-    }
-}
-
 /// Looks at the later life of `t1`.
 fn see_reborn(scene: &mut DeskScene, running: Vec<RunSight>, ended: Vec<EndSight>) {
     scene.now.boot += Duration::from_millis(1);
@@ -39,23 +26,12 @@
     scene.run();
 }
 
-/// A look at a target that is not answered.
-fn miss(scene: &mut DeskScene, id: &str) {
-    let silent = LookAnswer::Unanswered("timed out".to_owned());
-    scene
-        .desk
-        .saw(&id.into(), scene.now.boot, 0, &silent, scene.now);
-}
-
 /// A batch runs twice: an idle target had restarted under its id, which nobody noticed, since idle
 /// targets are not looked at and the store's answers came late. It took starts, and when its new
 /// entry came they were taken for ended with the life before and started elsewhere.
 #[test]
 fn reborn_target_keeps_unseen_runs() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(2, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![step(2, 1000)]);
     scene.add("t2", 2000);
     scene.desk.list_target(reborn(2000), scene.now);
     scene.run();
@@ -70,20 +46,15 @@
 /// had been sent to the life before. What the start granted has to lapse.
 #[test]
 fn reborn_target_lapses_first() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let mut scene = DeskScene::submitted(2000, vec![step(1, 1000)]);
     let (id, start) = scene.starts.remove(0);
     scene.add("t2", 2000);
-    let unanswered = StartAnswer::Unanswered("timed out".to_owned());
-    scene
-        .desk
-        .started(&id, &start.task, start.attempt, &unanswered, scene.now);
+    scene.leave_unanswered(&id, &start);
     scene.desk.list_target(reborn(2000), scene.now);
     scene.run();
     for _ in 0..25 {
         scene.pass(Duration::from_millis(200));
-        miss(&mut scene, "t1");
+        scene.miss("t1");
         scene.desk.unlist_target(&"t1".into());
         scene.run();
         assert!(scene.starts.is_empty(), "five seconds were granted");
@@ -96,9 +67,7 @@
 /// under way to the life before was taken for lost. It may still reach the new one.
 #[test]
 fn reborn_unlisted_target_closes_start() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let mut scene = DeskScene::submitted(2000, vec![step(1, 1000)]);
     assert_eq!(scene.starts.len(), 1);
     scene.starts.clear();
     scene.add("t2", 2000);
@@ -113,10 +82,7 @@
 /// target that has not been heard for a while is asked without that first.
 #[test]
 fn look_after_pause_forgets_no_ends() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![step(1, 1000)]);
     scene.end("t1", &starts[0].1, EndKind::Done);
     let order = scene.desk.look_order(&"t1".into(), scene.now);
     assert_eq!(order.map(|order| order.observed), Some(1));
@@ -141,10 +107,7 @@
 /// of the life before came back first. It ended the life that ran the batch.
 #[test]
 fn older_life_ends_no_unlisted_life() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 2000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![step(1, 2000)]);
     scene.see("t1", vec![running(&starts[0].1)], Vec::new());
     scene.add("t2", 2000);
     scene.desk.unlist_target(&"t1".into());
@@ -226,10 +189,7 @@
 /// of hosts lacked its life though it answered every look.
 #[test]
 fn answering_life_outlasts_lists() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![step(1, 1000)]);
     scene.add("t2", 2000);
     scene.desk.unlist_target(&"t1".into());
     let lives = ["t2".into()].into();
@@ -272,25 +232,12 @@
 /// looks at a target that is taken to be idle.
 #[test]
 fn stopped_start_closes_in_next_life() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let mut scene = DeskScene::submitted(2000, vec![step(1, 1000)]);
     let (id, start) = scene.starts.remove(0);
     scene.cancel("a");
     assert_eq!(scene.stops(), 1);
-    let unanswered = StartAnswer::Unanswered("timed out".to_owned());
-    scene
-        .desk
-        .started(&id, &start.task, start.attempt, &unanswered, scene.now);
-    let done = OrderAnswer::Done;
-    scene.desk.stopped(
-        &id,
-        &start.task,
-        start.attempt,
-        scene.now.boot,
-        &done,
-        scene.now,
-    );
+    scene.leave_unanswered(&id, &start);
+    scene.answer_stop(&id, &start, scene.now.boot);
     scene.raise("t1");
     scene.desk.list_target(reborn(2000), scene.now);
     scene.run();
@@ -301,15 +248,10 @@
 /// and was taken for the answer to the stop there.
 #[test]
 fn stop_answer_counts_for_its_life() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let mut scene = DeskScene::submitted(2000, vec![step(1, 1000)]);
     let (id, start) = scene.starts.remove(0);
     scene.add("t2", 2000);
-    let unanswered = StartAnswer::Unanswered("timed out".to_owned());
-    scene
-        .desk
-        .started(&id, &start.task, start.attempt, &unanswered, scene.now);
+    scene.leave_unanswered(&id, &start);
     scene.raise("t1");
     assert_eq!(scene.stops(), 1);
     let sent = scene.now.boot;
@@ -317,16 +259,11 @@
     scene.desk.list_target(reborn(2000), scene.now);
     scene.run();
     assert!(scene.stops() > 1, "the new life knows nothing of the first");
-    let done = OrderAnswer::Done;
-    scene
-        .desk
-        .stopped(&id, &start.task, start.attempt, sent, &done, scene.now);
+    scene.answer_stop(&id, &start, sent);
     see_reborn(&mut scene, Vec::new(), Vec::new());
     assert!(scene.starts.is_empty(), "the second is not answered");
     let sent = scene.now.boot;
-    scene
-        .desk
-        .stopped(&id, &start.task, start.attempt, sent, &done, scene.now);
+    scene.answer_stop(&id, &start, sent);
     see_reborn(&mut scene, Vec::new(), Vec::new());
     assert_eq!(scene.starts.len(), 1);
 }
--- a/crates/decide/tests/work_rebirth.rs
+++ b/crates/decide/tests/work_rebirth.rs
@@ -11,10 +11,7 @@
 
 /// One task that was started on a target, which a look has not shown since, and a second target.
 fn started_unseen() -> (DeskScene, StartOrder) {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 4000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(4000, vec![step(1, 1000)]);
     scene.add("t2", 4000);
     (scene, starts[0].1.clone())
 }
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -11,10 +11,7 @@
 /// at the target and finds the run; taking it for a stray one would stop it and start it again.
 #[test]
 fn successor_adopts_runs() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(2, 1000)]));
-    let starts = first.start_all();
+    let (first, starts) = DeskScene::started(4000, vec![step(2, 1000)]);
     assert_eq!(starts.len(), 2);
 
     let mut second = first.successor(9);
@@ -34,10 +31,7 @@
 /// being stopped, of a job whose steps the log does not tell any more, and has to count its room.
 #[test]
 fn successor_counts_stopping_runs() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(2, 1500)]));
-    let starts = first.start_all();
+    let (mut first, starts) = DeskScene::started(4000, vec![step(2, 1500)]);
     first.cancel("a");
     first.compact();
 
@@ -65,10 +59,8 @@
 /// task's time has lapsed before it starts it elsewhere.
 #[test]
 fn successor_waits_for_unreached_target() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(1, 1000)]));
-    assert_eq!(first.start_all().len(), 1);
+    let (first, starts) = DeskScene::started(4000, vec![step(1, 1000)]);
+    assert_eq!(starts.len(), 1);
 
     let mut second = first.successor(9);
     second.add("t2", 4000);
@@ -106,10 +98,8 @@
 /// and nobody reaches, and which was a life of a host that had been moved long before.
 #[test]
 fn successor_frees_lives_without_host() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(1, 1000)]));
-    assert_eq!(first.start_all().len(), 1);
+    let (first, starts) = DeskScene::started(4000, vec![step(1, 1000)]);
+    assert_eq!(starts.len(), 1);
 
     let mut second = first.successor(9);
     second.add("t2", 4000);
@@ -133,10 +123,8 @@
 /// its tasks run on, and its host still lives that life. Its granted time has to lapse.
 #[test]
 fn successor_keeps_lives_with_host() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(1, 1000)]));
-    assert_eq!(first.start_all().len(), 1);
+    let (first, starts) = DeskScene::started(4000, vec![step(1, 1000)]);
+    assert_eq!(starts.len(), 1);
 
     let mut second = first.successor(9);
     second.add("t2", 4000);
@@ -182,15 +170,7 @@
     second.see(&starts[0].0, vec![at_work(0)], Vec::new());
     second.see(&starts[1].0, vec![at_work(1)], Vec::new());
     second.raise("t3");
-    let emptied = starts[0].0.clone();
-    second
-        .desk
-        .targets
-        .get_mut(&emptied)
-        .into_iter()
-        .for_each(|target| {
-            target.vacancy = decide::work::HostVacancy::Emptying;
-        });
+    second.empty(&starts[0].0);
     second.pass(Duration::from_millis(100));
     assert_eq!(second.stops(), 0);
     second.pass(Duration::from_millis(1300));
@@ -217,10 +197,7 @@
 /// it twice would fail a job that has an attempt left.
 #[test]
 fn successor_counts_failure_once() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = first.start_all();
+    let (mut first, starts) = DeskScene::started(4000, vec![step(1, 1000)]);
     let (_, start) = &starts[0];
     let end = ended(1, &start.task, start.attempt, EndKind::Failed);
     first.see("t1", Vec::new(), vec![end.clone()]);
@@ -237,10 +214,7 @@
 /// has to count it.
 #[test]
 fn successor_counts_unstored_end() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = first.start_all();
+    let (first, starts) = DeskScene::started(4000, vec![step(1, 1000)]);
     let (_, start) = &starts[0];
 
     let mut second = first.successor(9);
@@ -259,9 +233,7 @@
 /// before the page that told of the job's own. The successor fails the job in place of starting it.
 #[test]
 fn successor_fails_hopeless_job() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(1, 1000)]));
+    let mut first = DeskScene::submitted(4000, vec![step(1, 1000)]);
     for number in 1..3 {
         first.pass(Duration::from_secs(4));
         let starts = first.start_all();
@@ -290,10 +262,8 @@
 /// that the new owner had not reached, and others were started beside them.
 #[test]
 fn successor_counts_cancelled_job_on_unreached_target() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 8000);
-    first.submit("a", &plan(vec![step(4, 2000)]));
-    assert_eq!(first.start_all().len(), 4);
+    let (first, starts) = DeskScene::started(8000, vec![step(4, 2000)]);
+    assert_eq!(starts.len(), 4);
 
     let mut second = first.successor(9);
     second.add("t2", 8000);
@@ -309,10 +279,8 @@
 /// The same, where the predecessor had recorded the cancelling and was killed.
 #[test]
 fn successor_counts_job_cancelled_before_on_unreached_target() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 8000);
-    first.submit("a", &plan(vec![step(4, 2000)]));
-    assert_eq!(first.start_all().len(), 4);
+    let (mut first, starts) = DeskScene::started(8000, vec![step(4, 2000)]);
+    assert_eq!(starts.len(), 4);
     first.cancel("a");
 
     let mut second = first.successor(9);
@@ -328,9 +296,7 @@
 /// Guards against starting another step of a job that turns out to have failed in the same plan.
 #[test]
 fn successor_starts_no_step_beside_hopeless_one() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(1, 1000), step(1, 1000)]));
+    let mut first = DeskScene::submitted(4000, vec![step(1, 1000), step(1, 1000)]);
     for number in 1..3 {
         first.pass(Duration::from_secs(4));
         let starts = first.start_all();
@@ -354,10 +320,8 @@
 /// time that has answered that another life is at its address.
 #[test]
 fn successor_frees_pool_of_replaced_target() {
-    let mut first = DeskScene::new(1);
-    first.add("t1", 4000);
-    first.submit("a", &plan(vec![step(1, 1000)]));
-    assert_eq!(first.start_all().len(), 1);
+    let (first, starts) = DeskScene::started(4000, vec![step(1, 1000)]);
+    assert_eq!(starts.len(), 1);
 
     let mut second = first.successor(9);
     second.add("t2", 4000);
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use desk::{DeskScene, ended, plan, running, step, target};
-use model::work::{EndKind, LookAnswer, StepPlan, TargetEntry, TargetMode};
+use desk::{DeskScene, LATER, ended, plan, reborn, running, step, target};
+use model::work::{EndKind, LookAnswer, StepPlan, TargetEntry, TargetMode, TargetSight};
 use rstest::rstest;
 
 fn lasting(count: u32) -> StepPlan {
@@ -20,10 +20,7 @@
 /// once instead, and starts elsewhere when its end is listed.
 #[test]
 fn draining_lasting_task_moves() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![lasting(1)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![lasting(1)]);
     let (_, start) = &starts[0];
     scene.add("t2", 2000);
     let leaving = TargetEntry {
@@ -124,10 +121,7 @@
 /// started elsewhere before the time that was granted to the target has lapsed.
 #[test]
 fn silent_target_lapses_first() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![step(1, 1000)]);
     scene.see("t1", vec![running(&starts[0].1)], Vec::new());
     scene.add("t2", 2000);
     let order = scene.desk.look_order(&"t1".into(), scene.now);
@@ -135,10 +129,7 @@
     scene.desk.unlist_target(&"t1".into());
     for _ in 0..30 {
         scene.pass(Duration::from_millis(200));
-        let silent = LookAnswer::Unanswered("timed out".to_owned());
-        scene
-            .desk
-            .saw(&"t1".into(), scene.now.boot, 0, &silent, scene.now);
+        scene.miss("t1");
         assert!(scene.starts.is_empty(), "6 s were granted");
     }
     scene.pass(Duration::from_millis(600));
@@ -149,16 +140,9 @@
 /// starts again at once, without waiting for any lapse.
 #[test]
 fn reborn_target_frees_tasks() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![step(1, 1000)]);
     scene.see("t1", vec![running(&starts[0].1)], Vec::new());
-    let reborn = TargetEntry {
-        born: Duration::from_secs(500),
-        ..target("t1", 2000)
-    };
-    scene.desk.list_target(reborn, scene.now);
+    scene.desk.list_target(reborn(2000), scene.now);
     scene.run();
     assert!(
         scene.starts.is_empty(),
@@ -166,9 +150,9 @@
     );
     let order = scene.desk.look_order(&"t1".into(), scene.now);
     assert!(order.is_some());
-    let sight = model::work::TargetSight {
-        born: Duration::from_secs(500),
-        ..Default::default()
+    let sight = TargetSight {
+        born: LATER,
+        ..TargetSight::default()
     };
     let seen = LookAnswer::Seen(sight);
     scene
@@ -183,31 +167,14 @@
 /// start in the old one, so it is stopped there once more.
 #[test]
 fn doubtful_start_closes_in_next_life() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let mut scene = DeskScene::submitted(2000, vec![step(1, 1000)]);
     let (id, start) = scene.starts.remove(0);
-    let unanswered = model::work::StartAnswer::Unanswered("timed out".to_owned());
-    scene
-        .desk
-        .started(&id, &start.task, start.attempt, &unanswered, scene.now);
+    scene.leave_unanswered(&id, &start);
     scene.see("t1", Vec::new(), Vec::new());
-    let done = model::work::OrderAnswer::Done;
-    scene.desk.stopped(
-        &id,
-        &start.task,
-        start.attempt,
-        scene.now.boot,
-        &done,
-        scene.now,
-    );
+    scene.answer_stop(&id, &start, scene.now.boot);
     scene.see("t1", Vec::new(), Vec::new());
     assert_eq!(scene.stops(), 1);
-    let reborn = TargetEntry {
-        born: Duration::from_secs(500),
-        ..target("t1", 2000)
-    };
-    scene.desk.list_target(reborn, scene.now);
+    scene.desk.list_target(reborn(2000), scene.now);
     scene.run();
     assert_eq!(scene.stops(), 2);
 }
@@ -216,28 +183,15 @@
 /// the task starts elsewhere only when the stop was answered and the run is not there.
 #[test]
 fn unanswered_start_closes_first() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let mut scene = DeskScene::submitted(2000, vec![step(1, 1000)]);
     let (id, start) = scene.starts.remove(0);
     scene.add("t2", 2000);
-    let unanswered = model::work::StartAnswer::Unanswered("timed out".to_owned());
-    scene
-        .desk
-        .started(&id, &start.task, start.attempt, &unanswered, scene.now);
+    scene.leave_unanswered(&id, &start);
     scene.run();
     scene.see("t1", Vec::new(), Vec::new());
     assert_eq!(scene.stops(), 1);
     assert!(scene.starts.is_empty());
-    let done = model::work::OrderAnswer::Done;
-    scene.desk.stopped(
-        &id,
-        &start.task,
-        start.attempt,
-        scene.now.boot,
-        &done,
-        scene.now,
-    );
+    scene.answer_stop(&id, &start, scene.now.boot);
     scene.see("t1", Vec::new(), Vec::new());
     assert_eq!(scene.starts.len(), 1);
 }
@@ -249,14 +203,7 @@
 fn starved_lasting_task_takes_emptying_host() {
     let mut scene = DeskScene::new(1);
     scene.add("t1", 2000);
-    scene
-        .desk
-        .targets
-        .get_mut("t1")
-        .into_iter()
-        .for_each(|target| {
-            target.vacancy = decide::work::HostVacancy::Emptying;
-        });
+    scene.empty("t1");
     scene.submit("a", &plan(vec![lasting(1)]));
     assert!(scene.starts.is_empty());
     for _ in 0..20 {
@@ -269,10 +216,7 @@
 /// again at once since the other target was full, and failed for the last time.
 #[test]
 fn failed_task_waits_for_another_target() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 1000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(1000, vec![step(1, 1000)]);
     let (_, start) = &starts[0];
     scene.add("t2", 1000);
     scene.submit("b", &plan(vec![step(1, 1000)]));
@@ -290,23 +234,12 @@
 /// it, which takes a moment after the stop was answered.
 #[test]
 fn stray_run_is_stopped_once() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 1000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(1000, vec![step(1, 1000)]);
     let (id, start) = &starts[0];
     scene.desk.cancel(&"a".into(), scene.now);
     scene.run();
     assert_eq!(scene.stops(), 1);
-    let done = model::work::OrderAnswer::Done;
-    scene.desk.stopped(
-        id,
-        &start.task,
-        start.attempt,
-        scene.now.boot,
-        &done,
-        scene.now,
-    );
+    scene.answer_stop(id, start, scene.now.boot);
     for _ in 0..5 {
         scene.see("t1", vec![running(start)], Vec::new());
     }
@@ -323,19 +256,13 @@
 #[case::job_goes_on(vec![step(1, 1000), step(1, 1000)])]
 #[case::job_completed(vec![step(1, 1000)])]
 fn known_end_waits_for_store(#[case] steps: Vec<StepPlan>) {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(steps));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, steps);
     let (_, start) = &starts[0];
     scene.store_away = true;
     let end = ended(1, &start.task, start.attempt, EndKind::Done);
     scene.see("t1", Vec::new(), vec![end.clone()]);
     scene.pass(Duration::from_secs(3));
-    let silent = LookAnswer::Unanswered("timed out".to_owned());
-    scene
-        .desk
-        .saw(&"t1".into(), scene.now.boot, 0, &silent, scene.now);
+    scene.miss("t1");
     scene.pass(Duration::from_secs(7));
     scene.see("t1", Vec::new(), vec![end]);
     let order = scene.desk.look_order(&"t1".into(), scene.now);
@@ -360,10 +287,7 @@
     let [(first, done), (second, lost)] = starts.as_slice() else {
         panic!("{starts:?}");
     };
-    let unanswered = model::work::StartAnswer::Unanswered("timed out".to_owned());
-    scene
-        .desk
-        .started(second, &lost.task, lost.attempt, &unanswered, scene.now);
+    scene.leave_unanswered(second, lost);
     scene.end(first, done, EndKind::Done);
     assert_eq!(scene.stops(), 1);
     scene.see(second, Vec::new(), Vec::new());
@@ -380,15 +304,12 @@
 /// not be the first to give it orders.
 #[test]
 fn lone_owner_leaves_new_life() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![step(1, 1000)]);
     scene.see("t1", vec![running(&starts[0].1)], Vec::new());
     scene.desk.set_alone(true);
-    let sight = model::work::TargetSight {
-        born: Duration::from_secs(500),
-        ..Default::default()
+    let sight = TargetSight {
+        born: LATER,
+        ..TargetSight::default()
     };
     scene.now.boot += Duration::from_millis(100);
     let seen = LookAnswer::Seen(sight);
@@ -404,10 +325,7 @@
 /// task is stopped and starts on another target, while one that gets on slowly is left alone.
 #[test]
 fn stalled_task_moves() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(2, 1000)]));
-    let starts = scene.start_all();
+    let (mut scene, starts) = DeskScene::started(2000, vec![step(2, 1000)]);
     scene.add("t2", 2000);
     let (stuck, slow) = (&starts[0].1, &starts[1].1);
     for percent in 0..4 {
@@ -466,9 +384,7 @@
 /// refused start is none.
 #[test]
 fn refused_start_leaves_job_pending() {
-    let mut scene = DeskScene::new(1);
-    scene.add("t1", 2000);
-    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let mut scene = DeskScene::submitted(2000, vec![step(1, 1000)]);
     let (id, start) = scene.starts.remove(0);
     let refused = model::work::StartAnswer::Refused(model::work::StartRefusal::NoRoom);
     scene
