Share the set-ups of the tests of a cell

`cancels`, `cell_host` and `succession` started processes, waited for a job's progress and for starts, and asked whether anything was started twice, each in its own words: `start_cell`, `store_with_terms`, `until_shown`, `until_started` and `started_once` serve all three. No assertion is changed; the ones in the loops that waited moved with them.

--- a/crates/cell/tests/cancels.rs
+++ b/crates/cell/tests/cancels.rs
@@ -4,7 +4,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use common::{CellBench, LIMIT, accepted, call, plan, run_local, until};
+use common::{CellBench, LIMIT, accepted, call, plan, run_local, until, until_shown};
 use model::work::JobPlan;
 use ports::{CallerAnswer, CallerDesk, CallerWish, JobProgress};
 use tokio::time::{Instant, sleep};
@@ -47,8 +47,7 @@
         until_cancelled(&desk, "job1").await;
         handle.answer_lists();
         bench.add_target();
-        let cancelled = CallerAnswer::Found(JobProgress::Cancelled);
-        until(&desk, CallerWish::Look("job1".into()), cancelled).await;
+        until_shown(&desk, "job1", JobProgress::Cancelled).await;
         sleep(SETTLED).await;
         assert_eq!(bench.targets.started(), 0);
     });
@@ -62,8 +61,7 @@
         let first = bench.host("a");
         let desk = first.desk();
         accepted(&desk, "other").await;
-        let completed = CallerAnswer::Found(JobProgress::Completed);
-        until(&desk, CallerWish::Look("other".into()), completed).await;
+        until_shown(&desk, "other", JobProgress::Completed).await;
         let before = bench.targets.started();
         assert_eq!(cancel(&desk, "job1").await, CallerAnswer::NoJob);
         let second = bench.host("b");
@@ -86,11 +84,7 @@
         wide.steps[0].count = 8;
         let wish = CallerWish::Submit("job1".into(), JobPlan { ..wide });
         until(&desk, wish, CallerAnswer::Accepted).await;
-        let end = Instant::now() + LIMIT;
-        while bench.targets.started() == 0 {
-            assert!(Instant::now() < end, "not started");
-            sleep(Duration::from_millis(1)).await;
-        }
+        bench.targets.until_started(1).await;
         let sent = bench.targets.started();
         until_cancelled(&desk, "job1").await;
         sleep(SETTLED).await;
@@ -107,8 +101,7 @@
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
         bench.store.put(&format!("{KEPT}job1"), b"job1");
-        let cancelled = CallerAnswer::Found(JobProgress::Cancelled);
-        until(&desk, CallerWish::Look("job1".into()), cancelled).await;
+        until_shown(&desk, "job1", JobProgress::Cancelled).await;
         let end = Instant::now() + LIMIT;
         while !bench.store.keys(KEPT).is_empty() {
             assert!(Instant::now() < end, "not moved into the log");
@@ -132,11 +125,9 @@
         sleep(SETTLED).await;
         assert_eq!(bench.targets.started(), 0);
         handle.unhear("");
-        let cancelled = CallerAnswer::Found(JobProgress::Cancelled);
-        until(&desk, CallerWish::Look("job1".into()), cancelled).await;
+        until_shown(&desk, "job1", JobProgress::Cancelled).await;
         accepted(&desk, "job2").await;
-        let completed = CallerAnswer::Found(JobProgress::Completed);
-        until(&desk, CallerWish::Look("job2".into()), completed).await;
+        until_shown(&desk, "job2", JobProgress::Completed).await;
     });
 }
 
--- a/crates/cell/tests/cell_host.rs
+++ b/crates/cell/tests/cell_host.rs
@@ -6,6 +6,7 @@
 
 use common::{
     CellBench, KEY, LIMIT, StoreSwitch, accepted, call, run_local, submit, terms_text, until,
+    until_shown,
 };
 use ports::{CallerAnswer, CallerCall, CallerWish, JobProgress};
 use tokio::time::sleep;
@@ -16,17 +17,9 @@
         let bench = CellBench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
-        let completed = CallerAnswer::Found(JobProgress::Completed);
-        until(&desk, CallerWish::Look("job1".into()), completed).await;
+        until_shown(&desk, "job1", JobProgress::Completed).await;
         assert_eq!(bench.targets.starts.borrow().len(), 6);
-        assert!(
-            bench
-                .targets
-                .starts
-                .borrow()
-                .values()
-                .all(|&count| count == 1)
-        );
+        assert!(bench.targets.started_once());
         let unknown = desk.answer(call(CallerWish::Look("other".into()))).await;
         assert_eq!(unknown, CallerAnswer::NoJob);
         let foreign = CallerCall {
@@ -47,11 +40,7 @@
         bench.targets.set_slow(true);
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
-        let end = tokio::time::Instant::now() + LIMIT;
-        while bench.targets.starts.borrow().len() < 3 {
-            assert!(tokio::time::Instant::now() < end, "not started");
-            sleep(Duration::from_millis(1)).await;
-        }
+        bench.targets.until_started(3).await;
         bench.store.set(StoreSwitch::Refuses);
         // Two ends are listed, and the target is looked at for the third.
         bench.targets.hold(1);
@@ -71,8 +60,7 @@
         let bench = CellBench::new();
         let desk = bench.host("a").desk();
         accepted(&desk, "job1").await;
-        let completed = CallerAnswer::Found(JobProgress::Completed);
-        until(&desk, CallerWish::Look("job1".into()), completed.clone()).await;
+        until_shown(&desk, "job1", JobProgress::Completed).await;
         bench.store.set(StoreSwitch::LosesAnswers);
         let store = bench.store.clone();
         tokio::task::spawn_local(async move {
@@ -80,15 +68,8 @@
             store.set(StoreSwitch::Well);
         });
         assert_eq!(desk.answer(submit("job2")).await, CallerAnswer::Accepted);
-        until(&desk, CallerWish::Look("job2".into()), completed).await;
-        assert!(
-            bench
-                .targets
-                .starts
-                .borrow()
-                .values()
-                .all(|&count| count == 1)
-        );
+        until_shown(&desk, "job2", JobProgress::Completed).await;
+        assert!(bench.targets.started_once());
     });
 }
 
@@ -121,8 +102,7 @@
         accepted(&first.desk(), "job1").await;
         let second = bench.host("b");
         let desk = second.desk();
-        let completed = CallerAnswer::Found(JobProgress::Completed);
-        until(&desk, CallerWish::Look("job1".into()), completed.clone()).await;
+        until_shown(&desk, "job1", JobProgress::Completed).await;
         let begun = tokio::time::Instant::now();
         first.stop(std::future::ready(())).await;
         accepted(&desk, "job2").await;
@@ -130,16 +110,9 @@
             begun.elapsed() < Duration::from_millis(1000),
             "the lease lasts 1.1 s"
         );
-        until(&desk, CallerWish::Look("job2".into()), completed.clone()).await;
-        until(&desk, CallerWish::Look("job1".into()), completed).await;
-        assert!(
-            bench
-                .targets
-                .starts
-                .borrow()
-                .values()
-                .all(|&count| count == 1)
-        );
+        until_shown(&desk, "job2", JobProgress::Completed).await;
+        until_shown(&desk, "job1", JobProgress::Completed).await;
+        assert!(bench.targets.started_once());
     });
 }
 
@@ -213,11 +186,10 @@
         let first = bench.host("a");
         let desk = first.desk();
         accepted(&desk, "job0").await;
-        let completed = CallerAnswer::Found(JobProgress::Completed);
         for number in 1..400 {
             accepted(&desk, &format!("job{number}")).await;
         }
-        until(&desk, CallerWish::Look("job399".into()), completed.clone()).await;
+        until_shown(&desk, "job399", JobProgress::Completed).await;
         let end = tokio::time::Instant::now() + LIMIT;
         let mut number = 400;
         while bench.store.keys("cell/log/").len() > 300 {
@@ -227,6 +199,6 @@
         }
         first.stop(std::future::ready(())).await;
         let second = bench.host("b").desk();
-        until(&second, CallerWish::Look("job7".into()), completed).await;
+        until_shown(&second, "job7", JobProgress::Completed).await;
     });
 }
--- a/crates/cell/tests/common/cell_bench.rs
+++ b/crates/cell/tests/common/cell_bench.rs
@@ -1,9 +1,9 @@
 use std::{rc::Rc, time::Duration};
 
-use cell::{CellHost, CellOptions};
+use cell::{CellHost, CellOptions, CellPorts};
 use link::CallClient;
 use metrics_exporter_prometheus::PrometheusBuilder;
-use ports::{CallerAnswer, CallerDesk, CallerWish};
+use ports::{CallerAnswer, CallerDesk, CallerWish, JobProgress};
 use tokio::time::sleep;
 
 use super::{KEY, MemoryStore, MemoryTargets, call, free_address, ports_on, submit, terms_text};
@@ -27,10 +27,9 @@
     /// The same with no target that takes tasks.
     pub fn without_targets() -> Self {
         let bench = Self {
-            store: MemoryStore::default(),
+            store: store_with_terms(),
             targets: MemoryTargets::default(),
         };
-        bench.store.put("op/terms", terms_text(1, KEY).as_bytes());
         bench.store.put("targets/t2", b"unreadable");
         bench
     }
@@ -49,13 +48,30 @@
             drain_wait: Duration::from_millis(10),
             ..CellOptions::new(name.into(), free_address(), free_address())
         };
-        let ports = ports_on(store, &self.targets);
-        let host = CellHost::new(options, ports, CallClient::default());
-        host.start(PrometheusBuilder::new().build_recorder().handle());
-        host
+        start_cell(options, ports_on(store, &self.targets))
     }
 }
 
+/// A store that holds the terms alone.
+pub fn store_with_terms() -> MemoryStore {
+    let store = MemoryStore::default();
+    store.put("op/terms", terms_text(1, KEY).as_bytes());
+    store
+}
+
+/// Starts a process of the cell.
+pub fn start_cell(options: CellOptions, ports: CellPorts) -> CellHost {
+    let host = CellHost::new(options, ports, CallClient::default());
+    host.start(PrometheusBuilder::new().build_recorder().handle());
+    host
+}
+
+/// Waits until callers are shown that a job is so far.
+pub async fn until_shown(desk: &Rc<dyn CallerDesk>, job: &str, progress: JobProgress) {
+    let wish = CallerWish::Look(job.into());
+    until(desk, wish, CallerAnswer::Found(progress)).await;
+}
+
 pub async fn until(desk: &Rc<dyn CallerDesk>, wish: CallerWish, wanted: CallerAnswer) {
     let end = tokio::time::Instant::now() + LIMIT;
     let mut answer = desk.answer(call(wish.clone())).await;
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -18,9 +18,9 @@
 };
 use ports::{AdvicePort, AdviceTicket, FleetCodec, HostControl, PortFuture, TargetPort};
 use store::{BootClock, Clock};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use super::MemoryStore;
+use super::{LIMIT, MemoryStore};
 
 /// Targets that do each task at once, but for those that are held back.
 #[derive(Clone, Default)]
@@ -52,6 +52,20 @@
         self.starts.borrow().values().sum()
     }
 
+    /// True if no task was started more than once.
+    pub fn started_once(&self) -> bool {
+        self.starts.borrow().values().all(|&count| count == 1)
+    }
+
+    /// Waits until so many tasks were started.
+    pub async fn until_started(&self, count: usize) {
+        let end = Instant::now() + LIMIT;
+        while self.starts.borrow().len() < count {
+            assert!(Instant::now() < end, "not started");
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// The tasks that a target was given last, so many of them, do not end.
     pub fn hold(&self, tasks: usize) {
         self.held.set(tasks);
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -8,7 +8,9 @@
 mod memory_store;
 
 pub use caller_calls::{KEY, call, plan, submit};
-pub use cell_bench::{CellBench, LIMIT, accepted, until};
+pub use cell_bench::{
+    CellBench, LIMIT, accepted, start_cell, store_with_terms, until, until_shown,
+};
 pub use memory_ports::{MemoryTargets, NoControl, free_address, ports_on, terms_text};
 pub use memory_store::{MemoryStore, StoreSwitch};
 
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -6,11 +6,9 @@
 
 use cell::{CellHost, CellOptions, CellPorts, HostLimits};
 use common::{
-    MemoryStore, MemoryTargets, NoControl, StoreSwitch, call, free_address, ports_on, run_local,
-    submit, terms_text, until,
+    MemoryStore, MemoryTargets, NoControl, StoreSwitch, accepted, call, free_address, ports_on,
+    run_local, start_cell, store_with_terms, submit, until, until_shown,
 };
-use link::CallClient;
-use metrics_exporter_prometheus::PrometheusBuilder;
 use ports::{CallerAnswer, CallerWish, JobProgress};
 use prost::Message;
 use rand::{Rng, SeedableRng, distr::Alphanumeric, rngs::StdRng};
@@ -53,14 +51,11 @@
 }
 
 fn start_on(options: CellOptions, ports: CellPorts) -> Rc<CellHost> {
-    let host = CellHost::new(options, ports, CallClient::default());
-    host.start(PrometheusBuilder::new().build_recorder().handle());
-    Rc::new(host)
+    Rc::new(start_cell(options, ports))
 }
 
 fn new_store() -> MemoryStore {
-    let store = MemoryStore::default();
-    store.put("op/terms", terms_text(1, "secret").as_bytes());
+    let store = store_with_terms();
     store.put("targets/t1", b"ready");
     store
 }
@@ -240,15 +235,8 @@
 /// Accepts a job of two steps, of which the first takes until the store is away.
 async fn accept_before_outage(host: &CellHost, store: &MemoryStore, targets: &MemoryTargets) {
     let desk = host.desk();
-    let end = Instant::now() + LIMIT;
-    while desk.answer(submit("job1")).await != CallerAnswer::Accepted {
-        assert!(Instant::now() < end, "not accepted");
-        sleep(Duration::from_millis(10)).await;
-    }
-    while targets.starts.borrow().len() < 3 {
-        assert!(Instant::now() < end, "not started");
-        sleep(Duration::from_millis(1)).await;
-    }
+    accepted(&desk, "job1").await;
+    targets.until_started(3).await;
     store.set(StoreSwitch::Refuses);
     sleep(Duration::from_secs(2)).await;
     targets.set_slow(false);
@@ -437,9 +425,7 @@
         sleep(Duration::from_secs(1)).await;
         let desk = first.desk();
         until(&desk, submit("job1").wish, CallerAnswer::Accepted).await;
-        while targets.started() < 3 {
-            sleep(Duration::from_millis(1)).await;
-        }
+        targets.until_started(3).await;
         store.set(StoreSwitch::Refuses);
         sleep(Duration::from_secs(1)).await;
         let wish = CallerWish::Cancel("job1".into());
@@ -450,7 +436,6 @@
         assert_eq!(targets.started(), 3);
         targets.set_slow(true);
         store.set(StoreSwitch::Well);
-        let cancelled = CallerAnswer::Found(JobProgress::Cancelled);
-        until(&desk, CallerWish::Look("job1".into()), cancelled).await;
+        until_shown(&desk, "job1", JobProgress::Cancelled).await;
     });
 }
