--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -28,7 +28,7 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause before the owner is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
-/// Part of its patience for which a cancelling is left to the owner alone: an owner that is well
+/// Part of its patience for which a cancellation is left to the owner alone: an owner that is well
 /// records it in a tenth of this time.
 const OWNER_SHARE: Duration = Duration::from_millis(500);
 /// Patience of a caller that does not say how long it waits.
@@ -143,7 +143,7 @@
     /// next one finds it.
     ///
     /// Told to come back while nobody owns the cell, a caller would see its job started after
-    /// the time in which a cancelling has to be in force.
+    /// the time in which a cancellation has to be in force.
     async fn cancel(&self, job: &str, patience: Duration) -> (CallerAnswer, CompactString) {
         let end = Instant::now() + patience_of(patience).saturating_sub(ANSWER_MARGIN);
         let ask = Ask::Cancel(job.to_owned());
--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -84,12 +84,12 @@
         compact_str::format_compact!("{}member/", self.key_prefix)
     }
 
-    /// Prefix of the cancellings that are kept for the owner to record.
+    /// Prefix of the cancellations that are kept for the owner to record.
     pub fn cancel_prefix(&self) -> CompactString {
         compact_str::format_compact!("{}cancel/", self.key_prefix)
     }
 
-    /// Key of the cancelling of a job that is kept.
+    /// Key of the cancellation of a job that is kept.
     pub fn cancel_key(&self, job: &str) -> CompactString {
         compact_str::format_compact!("{}{job}", self.cancel_prefix())
     }
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -29,10 +29,10 @@
     JOB_RECORDED = 1050, "job-recorded", "A job was stored and is accepted; carries its page of the log.";
     RECORD_FAILED = 1051, "record-failed", "Writing a page of the job log failed; carries what will be done.";
     JOB_ENDED = 1052, "job-ended", "A job was completed or failed.";
-    JOB_CANCELLED = 1053, "job-cancelled", "The cancelling of a job was stored; its tasks are stopped.";
+    JOB_CANCELLED = 1053, "job-cancelled", "The cancellation of a job was stored; its tasks are stopped.";
     LOG_COMPACTED = 1054, "log-compacted", "The job log was replaced by a shorter one that says the same.";
     CANCEL_REFUSED = 1055, "cancel-refused", "The owner heard that a job is to be cancelled and could not record it; carries the job and the reason.";
-    CANCEL_KEPT = 1056, "cancel-kept", "No owner recorded the cancelling of a job in time, so this process keeps it in the store; the owner, or the next one, records it.";
+    CANCEL_KEPT = 1056, "cancel-kept", "No owner recorded the cancellation of a job in time, so this process keeps it in the store; the owner, or the next one, records it.";
     TASK_PLACED = 1060, "task-placed", "A task was given to a target; carries how urgent its job was, the age of the target's last answer and the room left there.";
     TASK_ENDED = 1061, "task-ended", "A run of a task ended on a target.";
     TASK_ADOPTED = 1062, "task-adopted", "A run that an earlier owner started was found and taken over.";
--- a/crates/cell/src/kept_cancel.rs
+++ b/crates/cell/src/kept_cancel.rs
@@ -1,4 +1,4 @@
-//! Cancellings that no owner could record when they were asked for.
+//! Cancellations that no owner could record when they were asked for.
 //!
 //! The process that a caller reached keeps them in the store itself, so that they last whether or
 //! not somebody owns the cell. Each owner reads them before it starts anything, follows them, and
@@ -24,9 +24,9 @@
 
 /// Pause after a failed call, or an entry that was refused.
 const FAULT_PAUSE: Duration = Duration::from_millis(100);
-/// How long a watch waits for cancellings. While it waits nothing shows that the store is heard.
+/// How long a watch waits for cancellations. While it waits nothing shows that the store is heard.
 const WATCH_PATIENCE: Duration = Duration::from_millis(250);
-/// Cancellings that a process tries to keep at once; callers of others have to ask again.
+/// Cancellations that a process tries to keep at once; callers of others have to ask again.
 const MOST_WAITING: usize = 256;
 /// For how long that is tried: as long as the store is away at a time.
 const KEEP_LIMIT: Duration = Duration::from_secs(30);
@@ -35,11 +35,11 @@
 /// Keys of one change: the store takes 32 entries, one of which may be the owner's.
 const KEYS_AT_ONCE: usize = 28;
 
-/// Keeps cancellings in the store, for the process that callers asked.
+/// Keeps cancellations in the store, for the process that callers asked.
 pub(crate) struct CancelKeeper {
     store: Rc<dyn LeaseStore>,
     options: Rc<CellOptions>,
-    /// Jobs whose cancellings are tried until the store takes them.
+    /// Jobs whose cancellations are tried until the store takes them.
     waiting: RefCell<BTreeSet<JobId>>,
 }
 
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Keeps the cancelling of a job, for the owner to record.
+    /// Keeps the cancellation of a job, for the owner to record.
     ///
     /// # Errors
     /// If it is not known to be stored.
@@ -60,7 +60,7 @@
         self.write(&[job.into()]).await
     }
 
-    /// Goes on trying to keep the cancelling of a job, whether or not its caller asks again.
+    /// Goes on trying to keep the cancellation of a job, whether or not its caller asks again.
     pub(crate) fn keep_later(self: &Rc<Self>, job: &str) {
         let mut waiting = self.waiting.borrow_mut();
         if waiting.len() >= MOST_WAITING {
@@ -118,7 +118,7 @@
     }
 }
 
-/// Follows the cancellings that are kept for as long as the term lasts, and records them.
+/// Follows the cancellations that are kept for as long as the term lasts, and records them.
 pub(crate) async fn follow_cancels(term: Rc<Term>) {
     let prefix = term.options.cancel_prefix();
     let sink = CancelSink { term: term.clone() };
@@ -169,7 +169,7 @@
     names.map(JobId::from).collect()
 }
 
-/// Moves cancellings into the log: they are removed only once their entries are stored.
+/// Moves cancellations into the log: they are removed only once their entries are stored.
 async fn record_cancels(term: Rc<Term>, jobs: Vec<JobId>) {
     let mut left = jobs.clone();
     while !left.is_empty() {
@@ -200,7 +200,7 @@
     left
 }
 
-/// Removes the keys of cancellings that are recorded. One that stays is recorded once more by
+/// Removes the keys of cancellations that are recorded. One that stays is recorded once more by
 /// the next owner, which changes nothing.
 async fn remove_kept(term: &Term, jobs: &[JobId]) {
     let change = StoreChange {
@@ -214,7 +214,7 @@
     loop {
         match term.ports.store.change(change.clone()).await {
             Ok(_) => return,
-            Err(error) => log::debug!("remove cancellings that are recorded: {error}"),
+            Err(error) => log::debug!("remove cancellations that are recorded: {error}"),
         }
         sleep(FAULT_PAUSE).await;
     }
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -138,7 +138,7 @@
     }
 }
 
-/// Refuses a cancelling that can't be stored now. The job is held, and the entry is written once
+/// Refuses a cancellation that can't be stored now. The job is held, and the entry is written once
 /// the store takes it, so that a caller who does not ask again is obeyed as well.
 fn cancel_refused(term: &Term, job: &str, cause: &str) -> OwnerAnswer {
     if term.desk.borrow_mut().hold(job) {
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -34,8 +34,8 @@
 /// A renewal that takes this long is waited for, and others are sent meanwhile; one that fails
 /// earlier was refused.
 const RENEWAL_PATIENCE: Duration = Duration::from_millis(100);
-/// How old the knowledge of cancellings may be for work to be begun: less than the time in which one
-/// has to be in force, by the way of a start to its target.
+/// How old the knowledge of cancellations may be for work to be begun: less than the time in which
+/// one has to be in force, by the way of a start to its target.
 const CANCELS_RECENT: Duration = Duration::from_secs(2);
 /// How long a handing over waits for the last entries of the log.
 const HAND_OVER_PATIENCE: Duration = Duration::from_millis(300);
@@ -95,7 +95,7 @@
     /// Whether the last renewal failed at once.
     refused: Cell<bool>,
     alone: Cell<bool>,
-    /// Up to when all cancellings are known that are kept in the store; `None` before the first
+    /// Up to when all cancellations are known that are kept in the store; `None` before the first
     /// reading.
     cancels_known: Cell<Option<BootTime>>,
 }
@@ -167,16 +167,16 @@
         !self.over.begun() && BootClock.boot_now() < self.sole_until()
     }
 
-    /// Takes in that all cancellings are known that were kept when a call was sent.
+    /// Takes in that all cancellations are known that were kept when a call was sent.
     pub(crate) fn heard_cancels(&self, sent: BootTime) {
         self.cancels_known.set(Some(sent));
     }
 
     /// True while it is known what callers have cancelled, so that work may be begun.
     ///
-    /// Callers count on a cancelling that is kept in the store. An owner that hears the store late,
-    /// behind a narrow link, would start what they were told does not run. While the store is away
-    /// for all, nobody can keep one.
+    /// Callers count on a cancellation that is kept in the store. An owner that hears the store
+    /// late, behind a narrow link, would start what they were told does not run. While the store is
+    /// away for all, nobody can keep one.
     pub(crate) fn knows_cancels(&self) -> bool {
         let now = BootClock.boot_now();
         let Some(known) = self.cancels_known.get() else {
--- a/crates/cell/tests/cancels.rs
+++ b/crates/cell/tests/cancels.rs
@@ -11,7 +11,7 @@
 
 const LOG: &str = "cell/log/";
 const KEPT: &str = "cell/cancel/";
-/// Time in which a cancelling has to be acknowledged while the store is well.
+/// Time in which a cancellation has to be acknowledged while the store is well.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
 /// Time in which an owner that wanted to start something would have.
 const SETTLED: Duration = Duration::from_secs(2);
@@ -53,7 +53,7 @@
     });
 }
 
-/// Guards against running a job whose submission arrives after its cancelling was answered.
+/// Guards against running a job whose submission arrives after its cancellation was answered.
 #[test]
 fn cancel_holds_before_submit() {
     run_local(async {
@@ -92,7 +92,7 @@
     });
 }
 
-/// Guards against an owner that goes on with a job whose cancelling reached the store only.
+/// Guards against an owner that goes on with a job whose cancellation reached the store only.
 #[test]
 fn kept_cancel_reaches_owner() {
     run_local(async {
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -412,7 +412,7 @@
     });
 }
 
-/// Guards against an owner that hears a cancelling, can't record it while the store is away, and
+/// Guards against an owner that hears a cancellation, can't record it while the store is away, and
 /// starts the job's next step.
 #[test]
 fn refused_cancel_holds_job() {
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -28,14 +28,14 @@
             .forget(now.boot.saturating_sub(self.tuning.shown));
     }
 
-    /// Takes a cancelling in that has been stored.
+    /// Takes a cancellation in that has been stored.
     pub fn cancel(&mut self, job: &JobId, now: DeskTime) {
         self.board.cancel(job, now.boot);
         self.stop_job(job, now);
         self.stale = true;
     }
 
-    /// Starts nothing more of a job whose cancelling can't be stored for now; false if that was
+    /// Starts nothing more of a job whose cancellation can't be stored for now; false if that was
     /// known, or if it is not open.
     ///
     /// What runs goes on: should the store come back to another owner, that one knows nothing of it.
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -232,7 +232,7 @@
     fn close(&mut self, end: &JobEnd, boot: BootTime) {
         let id = JobId::from(end.job.as_str());
         // Of a replaced log the pages that told of its acceptance may be gone and the one that told
-        // of its cancelling still be there.
+        // of its cancellation still be there.
         let unsubmitted = |job: &WorkJob| job.phase == WorkPhase::Unsubmitted;
         if self.jobs.get(&id).is_some_and(unsubmitted) {
             self.jobs.remove(&id);
--- a/crates/decide/tests/desk/world.rs
+++ b/crates/decide/tests/desk/world.rs
@@ -58,7 +58,7 @@
     pub(super) long: BTreeSet<String>,
     /// Jobs whose callers were told that they are accepted.
     pub(super) accepted: BTreeSet<String>,
-    /// Jobs whose cancelling is in the log, and since when.
+    /// Jobs whose cancellation is in the log, and since when.
     pub(super) cancels_stored: BTreeMap<String, BootTime>,
     /// Jobs whose callers were told that they are cancelled, and when.
     pub(super) cancelled: BTreeMap<String, BootTime>,
--- a/crates/decide/tests/desk/world_ask.rs
+++ b/crates/decide/tests/desk/world_ask.rs
@@ -44,7 +44,7 @@
         if self.faults.cancels == 0.0 || !self.more.random_bool(self.faults.cancels) {
             return;
         }
-        // Else most would be done before their cancelling has to take effect.
+        // Else most would be done before their cancellation has to take effect.
         if self.more.random_bool(0.5) {
             self.long.insert(job.to_owned());
         }
--- a/crates/decide/tests/desk/world_cancel.rs
+++ b/crates/decide/tests/desk/world_cancel.rs
@@ -5,7 +5,7 @@
 
 use super::world::{DeskWorld, WorldOwner};
 
-/// Longest time after the answer to a cancelling in which its tasks still start.
+/// Longest time after the answer to a cancellation in which its tasks still start.
 const CANCEL: Duration = Duration::from_millis(3000);
 /// Longest time that a target takes for a stop.
 const STOP: Duration = Duration::from_millis(200);
@@ -13,14 +13,14 @@
 const STABLE: Duration = Duration::from_millis(4000);
 
 impl DeskWorld {
-    /// Holds a start that an owner sends against the cancellings that callers were told of, and
+    /// Holds a start that an owner sends against the cancellations that callers were told of, and
     /// against what the owner knows.
     pub(super) fn check_start_sent(&mut self, owner: &WorldOwner, key: &TaskKey) {
         let job = key.job.as_str();
         let at = self.cancelled.get(job).copied();
         if let Some(at) = at.filter(|at| self.now.boot > *at + CANCEL) {
             let late = self.now.boot.saturating_sub(at);
-            self.found(&format!("{key} is started {late:?} after its cancelling"));
+            self.found(&format!("{key} is started {late:?} after its cancellation"));
         }
         let known = owner.desk.board.jobs.get(job);
         if known.is_some_and(WorkJob::is_cancelled) {
@@ -31,7 +31,7 @@
         }
     }
 
-    /// A new owner knows of each cancelling that is in the log.
+    /// A new owner knows of each cancellation that is in the log.
     pub(super) fn check_elected(&mut self) {
         let Some(owner) = self.owners.last() else {
             return;
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Holds what runs against the cancellings that callers were told of.
+    /// Holds what runs against the cancellations that callers were told of.
     pub(super) fn check_cancelled(&mut self) {
         let now = self.now.boot;
         let mut left: Vec<(HostId, TaskKey)> = Vec::new();
--- a/crates/decide/tests/work_board.rs
+++ b/crates/decide/tests/work_board.rs
@@ -112,7 +112,7 @@
     assert_eq!(summary(&board_of(&rest)), summary(&board));
 }
 
-/// Guards against running a job whose submission was stored after its cancelling.
+/// Guards against running a job whose submission was stored after its cancellation.
 #[test]
 fn cancel_stands_before_accept() {
     let mut scene = DeskScene::new(1);
@@ -129,7 +129,7 @@
 }
 
 /// Guards against showing a completed job as cancelled, or its runs as taking nothing, after the
-/// pages that told of its acceptance were removed and the one of its cancelling was not yet.
+/// pages that told of its acceptance were removed and the one of its cancellation was not yet.
 #[test]
 fn cancel_without_acceptance_yields_to_closing() {
     let (mut scene, starts) = DeskScene::started(4000, vec![step(1, 500)]);
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -276,7 +276,7 @@
     assert_eq!(second.starts.len(), 1);
 }
 
-/// The same, where the predecessor had recorded the cancelling and was killed.
+/// The same, where the predecessor had recorded the cancellation and was killed.
 #[test]
 fn successor_counts_job_cancelled_before_on_unreached_target() {
     let (mut first, starts) = DeskScene::started(8000, vec![step(4, 2000)]);
