Name what keeps cancellations after them

The module, the types and the functions that handle cancellations carried the verb as a noun. Only names in the crate `cell` change; keys, metrics and events keep theirs.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -13,7 +13,7 @@
 use wire::work::{AnswerKind, JobPhase, JobRecord, OwnerAnswer, OwnerCall, owner_call::Ask};
 
 use crate::{
-    cell_options::CellOptions, event, fleet_view::FleetView, kept_cancel::CancelKeeper,
+    cell_options::CellOptions, event, fleet_view::FleetView, kept_cancellation::CancellationKeeper,
     member_book::MemberBook, metric, owner_desk, owner_view::OwnerView, peer_call::ask_owner,
     peer_port::TermSlot,
 };
@@ -46,7 +46,7 @@
     pub(crate) client: CallClient,
     pub(crate) draining: Rc<Cell<bool>>,
     pub(crate) members: Rc<MemberBook>,
-    pub(crate) keeper: Rc<CancelKeeper>,
+    pub(crate) keeper: Rc<CancellationKeeper>,
 }
 
 /// What is known of one call on its way to the owner.
--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -17,7 +17,7 @@
     election::Candidate,
     event,
     fleet_view::FleetView,
-    kept_cancel::CancelKeeper,
+    kept_cancellation::CancellationKeeper,
     member_book::MemberBook,
     metrics_port::MetricsPort,
     owner_view::OwnerView,
@@ -79,7 +79,7 @@
             client: self.client.clone(),
             draining: self.draining.clone(),
             members: self.members.clone(),
-            keeper: Rc::new(CancelKeeper::new(
+            keeper: Rc::new(CancellationKeeper::new(
                 self.ports.store.clone(),
                 self.options.clone(),
             )),
--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -85,13 +85,13 @@
     }
 
     /// Prefix of the cancellations that are kept for the owner to record.
-    pub fn cancel_prefix(&self) -> CompactString {
+    pub fn cancellation_prefix(&self) -> CompactString {
         compact_str::format_compact!("{}cancel/", self.key_prefix)
     }
 
     /// Key of the cancellation of a job that is kept.
-    pub fn cancel_key(&self, job: &str) -> CompactString {
-        compact_str::format_compact!("{}{job}", self.cancel_prefix())
+    pub fn cancellation_key(&self, job: &str) -> CompactString {
+        compact_str::format_compact!("{}{job}", self.cancellation_prefix())
     }
 
     /// Prefix of the pages of the job log.
--- a/crates/cell/src/kept_cancel.rs
+++ b/crates/cell/src/kept_cancellation.rs
@@ -36,14 +36,14 @@
 const KEYS_AT_ONCE: usize = 28;
 
 /// Keeps cancellations in the store, for the process that callers asked.
-pub(crate) struct CancelKeeper {
+pub(crate) struct CancellationKeeper {
     store: Rc<dyn LeaseStore>,
     options: Rc<CellOptions>,
     /// Jobs whose cancellations are tried until the store takes them.
     waiting: RefCell<BTreeSet<JobId>>,
 }
 
-impl CancelKeeper {
+impl CancellationKeeper {
     pub(crate) fn new(store: Rc<dyn LeaseStore>, options: Rc<CellOptions>) -> Self {
         Self {
             store,
@@ -101,7 +101,7 @@
 
     async fn write(&self, jobs: &[JobId]) -> Result<(), StoreFault> {
         let write = |job: &JobId| StoreWrite {
-            key: self.options.cancel_key(job),
+            key: self.options.cancellation_key(job),
             value: job.as_bytes().to_vec(),
             lease: None,
         };
@@ -111,7 +111,7 @@
         };
         self.store.change(change).await?;
         for job in jobs {
-            metrics::counter!(metric::CANCELS_KEPT).increment(1);
+            metrics::counter!(metric::CANCELLATIONS_KEPT).increment(1);
             log_event::info(&event::CANCEL_KEPT, format_args!("job={job}"));
         }
         Ok(())
@@ -119,20 +119,20 @@
 }
 
 /// Follows the cancellations that are kept for as long as the term lasts, and records them.
-pub(crate) async fn follow_cancels(term: Rc<Term>) {
-    let prefix = term.options.cancel_prefix();
-    let sink = CancelSink { term: term.clone() };
+pub(crate) async fn follow_cancellations(term: Rc<Term>) {
+    let prefix = term.options.cancellation_prefix();
+    let sink = CancellationSink { term: term.clone() };
     let store = term.ports.store.clone();
     watch_prefix(store, &prefix, WATCH_PATIENCE, &sink).await;
 }
 
-struct CancelSink {
+struct CancellationSink {
     term: Rc<Term>,
 }
 
-impl CancelSink {
+impl CancellationSink {
     fn record(&self, items: &[StoreItem]) {
-        let jobs = jobs_of(items, &self.term.options.cancel_prefix());
+        let jobs = jobs_of(items, &self.term.options.cancellation_prefix());
         if jobs.is_empty() {
             return;
         }
@@ -142,11 +142,12 @@
             self.term.desk.borrow_mut().cancel(job, now);
         }
         self.term.wake.notify_one();
-        self.term.spawn(record_cancels(self.term.clone(), jobs));
+        self.term
+            .spawn(record_cancellations(self.term.clone(), jobs));
     }
 }
 
-impl PrefixSink for CancelSink {
+impl PrefixSink for CancellationSink {
     fn reset(&self, items: Vec<StoreItem>, _revision: StoreRevision) {
         self.record(&items);
     }
@@ -158,7 +159,7 @@
     }
 
     fn answered(&self, sent: BootTime) {
-        self.term.heard_cancels(sent);
+        self.term.heard_cancellations(sent);
     }
 }
 
@@ -170,7 +171,7 @@
 }
 
 /// Moves cancellations into the log: they are removed only once their entries are stored.
-async fn record_cancels(term: Rc<Term>, jobs: Vec<JobId>) {
+async fn record_cancellations(term: Rc<Term>, jobs: Vec<JobId>) {
     let mut left = jobs.clone();
     while !left.is_empty() {
         left = record_once(&term, left).await;
@@ -207,7 +208,7 @@
         expect: vec![(term.options.owner_key(), term.token)],
         removes: jobs
             .iter()
-            .map(|job| term.options.cancel_key(job))
+            .map(|job| term.options.cancellation_key(job))
             .collect(),
         ..StoreChange::default()
     };
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -16,7 +16,7 @@
 mod fleet_view;
 mod host_duty;
 mod host_strength;
-mod kept_cancel;
+mod kept_cancellation;
 mod log_compact;
 mod log_page;
 mod log_pages;
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -5,7 +5,7 @@
 /// Calls of callers, by what they asked and how they were answered.
 pub(crate) const CALLS: &str = "lws_cell_calls";
 /// Cancellations that were kept in the store since no owner recorded them.
-pub(crate) const CANCELS_KEPT: &str = "lws_cell_cancels_kept";
+pub(crate) const CANCELLATIONS_KEPT: &str = "lws_cell_cancels_kept";
 /// Time from the arrival of a call to its answer.
 pub(crate) const CALL_SECONDS: &str = "lws_cell_call_seconds";
 /// Time from a job's arrival at the owner until it is stored.
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -50,7 +50,7 @@
     }
     let answer = match permit {
         // It may have waited for its turn for longer than the lease goes.
-        Some(_permit) if term.may_start() && term.knows_cancels() => {
+        Some(_permit) if term.may_start() && term.knows_cancellations() => {
             term.ports.targets.start(&address, order).await
         }
         _ => StartAnswer::NotSent(TOO_LATE.to_owned()),
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -36,7 +36,7 @@
 const RENEWAL_PATIENCE: Duration = Duration::from_millis(100);
 /// How old the knowledge of cancellations may be for work to be begun: less than the time in which
 /// one has to be in force, by the way of a start to its target.
-const CANCELS_RECENT: Duration = Duration::from_secs(2);
+const CANCELLATIONS_RECENT: Duration = Duration::from_secs(2);
 /// How long a handing over waits for the last entries of the log.
 const HAND_OVER_PATIENCE: Duration = Duration::from_millis(300);
 /// How often a hand-over looks whether the last entries of the log are stored.
@@ -97,7 +97,7 @@
     alone: Cell<bool>,
     /// Up to when all cancellations are known that are kept in the store; `None` before the first
     /// reading.
-    cancels_known: Cell<Option<BootTime>>,
+    cancellations_known: Cell<Option<BootTime>>,
 }
 
 impl Term {
@@ -134,7 +134,7 @@
             renewed_at: Cell::new(won.sent),
             refused: Cell::default(),
             alone: Cell::new(false),
-            cancels_known: Cell::new(None),
+            cancellations_known: Cell::new(None),
         })
     }
 
@@ -168,8 +168,8 @@
     }
 
     /// Takes in that all cancellations are known that were kept when a call was sent.
-    pub(crate) fn heard_cancels(&self, sent: BootTime) {
-        self.cancels_known.set(Some(sent));
+    pub(crate) fn heard_cancellations(&self, sent: BootTime) {
+        self.cancellations_known.set(Some(sent));
     }
 
     /// True while it is known what callers have cancelled, so that work may be begun.
@@ -177,9 +177,9 @@
     /// Callers count on a cancellation that is kept in the store. An owner that hears the store
     /// late, behind a narrow link, would start what they were told does not run. While the store is
     /// away for all, nobody can keep one.
-    pub(crate) fn knows_cancels(&self) -> bool {
+    pub(crate) fn knows_cancellations(&self) -> bool {
         let now = BootClock.boot_now();
-        let Some(known) = self.cancels_known.get() else {
+        let Some(known) = self.cancellations_known.get() else {
             return false;
         };
         // Counted up to the time at which the store was last there for all.
@@ -187,7 +187,7 @@
             true => self.renewed_at.get(),
             false => now,
         };
-        needed.saturating_sub(known) < CANCELS_RECENT
+        needed.saturating_sub(known) < CANCELLATIONS_RECENT
     }
 
     /// Until when no other process can have become the owner.
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -8,7 +8,7 @@
 use crate::{
     event,
     host_duty::tend_hosts,
-    kept_cancel::follow_cancels,
+    kept_cancellation::follow_cancellations,
     log_reader::read_log,
     log_writer::write_log,
     metric, record_note,
@@ -109,7 +109,7 @@
     *term.desk.borrow_mut() = desk;
     term.ready.set(true);
     term.became_ready.notify_waiters();
-    term.spawn(follow_cancels(term.clone()));
+    term.spawn(follow_cancellations(term.clone()));
     term.spawn(write_log(term.clone(), summary));
     term.spawn(watch_targets(term.clone()));
     term.spawn(tend_hosts(term.clone()));
@@ -150,7 +150,7 @@
                 #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
                 metrics::gauge!(metric::OPEN_JOBS).set(desk.board.open.len() as f64);
             }
-            if term.knows_cancels() {
+            if term.knows_cancellations() {
                 desk.plan(now);
             }
         }
