Start no task again while many targets are silent at once

What callers saw: a batch ran twice, with its first end taken note of.

Cause: the owner's link of 2 Mbit/s was full. The start was not answered (task-unsure at 30.97 s), no later look at the target was either (seven failed up to 33.8 s, nine more by the successor from 65 to 79 s), so no owner heard of the end. After the granted time the target was written off and its task was started elsewhere. It was not that target alone: in each of the seconds 70 to 76, looks at 105 to 124 different targets failed, on 122 hosts. A look that the target answered lists the end, whether or not the answer arrives, and the end counts from then on; that the target had listed it follows from the rule that was broken, the logs can't show it.

Hosts that are down leave the host list before their granted time lapses and don't count, so a lost data centre is still worked around.

--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -12,6 +12,10 @@
 /// A task may stand still for its estimate divided by this: it gets on by more than a percent in
 /// that time even where it is five times as slow.
 const STALL_PARTS: u32 = 5;
+/// While one in so many listed targets, or more, is not heard, the owner's own link may be the cause.
+const UNHEARD_SHARE: usize = 3;
+/// Fewer targets that are not heard tell nothing of the link.
+const UNHEARD_LEAST: usize = 8;
 
 impl WorkDesk {
     /// Does what is due by time alone. To be called several times a second.
@@ -99,7 +103,19 @@
     }
 
     /// Gives up the runs of targets whose granted time has certainly lapsed without an answer.
+    ///
+    /// A run that ended in time has ended, though, and its target may have listed that in an answer
+    /// that was lost. While many targets are not heard at once, the answers are probably lost on
+    /// this owner's link, so they are waited for; `docs/design/14-ends-of-targets.md` argues why.
     fn write_off(&mut self, now: DeskTime) {
+        if self.misses_many() {
+            self.missed_many = Some(now.boot);
+        }
+        let silence = self.tuning.silence;
+        let missed = self.missed_many;
+        if missed.is_some_and(|missed| now.boot.saturating_sub(missed) < silence) {
+            return;
+        }
         let lapsed: Vec<HostId> = self
             .targets
             .values()
@@ -122,6 +138,16 @@
         }
     }
 
+    /// True while so many listed targets are not heard that their silence says little of each.
+    ///
+    /// Hosts that are down leave the host list before what was granted to them lapses.
+    fn misses_many(&self) -> bool {
+        let listed = || self.targets.values().filter(|target| target.listed);
+        let unheard = listed().filter(|target| target.silent || !target.life.raised);
+        let unheard = unheard.count();
+        unheard >= UNHEARD_LEAST && unheard * UNHEARD_SHARE >= listed().count()
+    }
+
     /// Stops the members of a gang of which some are missing: they would only wait for the
     /// others until their target ends them, and the gang starts whole.
     fn end_broken_gangs(&mut self, now: DeskTime) {
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -55,6 +55,8 @@
     /// Events that were dropped because nobody took them in time.
     pub events_dropped: u64,
     pub(super) ticked: BootTime,
+    /// When many listed targets were last not heard at once.
+    pub(super) missed_many: Option<BootTime>,
     /// Whether another process may own the cell by now.
     pub(super) alone: bool,
     /// When the log had been read; zero for a desk that has no predecessor.
