Answer from an owner that is not ready before its asker gives up

Cause: a process asks the owner with the whole of its caller's patience but gives up on the answer after 0.7 s, as a connection may be silent. An owner that was still reading its log held the call for as long as the caller had patience, so its "not the owner yet" came too late each time; the asker had to count the call as one that may have taken effect.

Change: the owner is told to answer 0.15 s before the asker gives up. It then says that it is not ready, and the caller gets 503 with a Retry-After.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -26,6 +26,10 @@
 /// Longest wait for one answer of the owner before it is asked anew over a new connection:
 /// one that went silent would otherwise cost the caller all its time.
 const ASK_TIMEOUT: Duration = Duration::from_millis(700);
+/// Part of that time that is left for the owner's answer on its way. An owner that has nothing to
+/// say yet says so before it: unanswered, a call may have taken effect, and its caller could not be
+/// told to come back.
+const ASK_MARGIN: Duration = Duration::from_millis(150);
 /// Pause before the owner is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
 /// Part of its patience for which a cancellation is left to the owner alone: an owner that is well
@@ -201,14 +205,10 @@
     /// Asks once; `None` if there is no answer to give yet.
     async fn ask_once(&self, ask: &Ask, state: &mut AskState) -> Option<CallerAnswer> {
         let left = state.deadline.saturating_duration_since(Instant::now());
-        let call = OwnerCall {
-            ask: Some(ask.clone()),
-            patience_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-        };
         let own = self.slot.borrow().clone();
         if let Some(term) = own.filter(|term| !term.is_over()) {
             state.owner = self.options.member.clone();
-            let answer = owner_desk::answer_call(&term, call).await;
+            let answer = owner_desk::answer_call(&term, call_of(ask, left)).await;
             return self.read_answer(&answer, state);
         }
         let owner = self.owners.owner()?;
@@ -217,6 +217,7 @@
         }
         state.owner = owner.member.clone();
         let timeout = ASK_TIMEOUT.min(left);
+        let call = call_of(ask, timeout.saturating_sub(ASK_MARGIN));
         match ask_owner(&self.client, &owner.address, &call, timeout).await {
             Ok(answer) => self.read_answer(&answer, state),
             Err(CallFault::NotSent(error)) => {
@@ -280,6 +281,13 @@
     }
 }
 
+fn call_of(ask: &Ask, patience: Duration) -> OwnerCall {
+    OwnerCall {
+        ask: Some(ask.clone()),
+        patience_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
 /// How long a caller is taken to wait.
 fn patience_of(asked: Duration) -> Duration {
     if asked.is_zero() {
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -213,6 +213,26 @@
     });
 }
 
+/// Guards against a caller that is told its job may have been accepted while the owner had not read
+/// the log: it can't try again elsewhere, though nothing was done.
+#[test]
+fn call_to_unready_owner_is_refused() {
+    run_local(async {
+        let store = new_store();
+        put_page(&store, 0, 1);
+        let narrow = store.handle();
+        narrow.fail_lists(LOG);
+        let _owner = start_host("owner", &narrow, strong());
+        until_owner(&store, "owner").await;
+        let other = start_host("other", &store, strong());
+        sleep(Duration::from_millis(300)).await;
+        let begun = Instant::now();
+        let answer = other.desk().answer(submit("job1")).await;
+        assert!(matches!(answer, CallerAnswer::Refused(_)), "{answer:?}");
+        assert!(begun.elapsed() < Duration::from_secs(1));
+    });
+}
+
 /// The store turns the owner away and serves the others. Waiting until its lease has lapsed would
 /// leave the work without an owner for more than a second; it has another process end the lease.
 #[test]
