Ask at each sending of a stop whether its step may miss one more

Cause: `may_stop` was asked when the emptying of a host decided a stop, and never again. The stop was then sent after any wait for a connection, and again each 0.5 s until it was answered, whatever had become of the others of the step. Worse, a start that was not answered and not shown by a look was closed by a stop. If that stop was lost and the start was carried out late, the looks showed the task at work, but its place stayed "stopping", and the next repetition ended it. The same happened in the next life of a target, where the look that told of the new life showed the run and its stop went out all the same, and to a run that was taken over while a stop of it was not answered.

Change: `wants_stop` is asked when the turn for a connection has come, as `wants_start` is; repetitions ask as well; a look that shows a closed start carried out takes the stop back, and so does taking a run over. A stop that may have been sent can still come, so its task counts as away for as long as orders may be late.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -71,7 +71,15 @@
     };
     let (task, attempt) = (order.task.clone(), order.attempt);
     let permit = turn(&lane).await;
-    let sent = term.now().boot;
+    let now = term.now();
+    if !term.desk.borrow_mut().wants_stop(&id, &task, attempt, now) {
+        log_event::info(
+            &event::STOP_DROPPED,
+            format_args!("task={task} attempt={attempt} target={id}"),
+        );
+        return;
+    }
+    let sent = now.boot;
     let answer = match permit {
         Some(_permit) if term.may_order() => term.ports.targets.stop(&address, order).await,
         _ => OrderAnswer::NotSent(TOO_LATE.to_owned()),
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -89,9 +89,11 @@
             }
             OrderAnswer::Fenced => self.orders.push(DeskOrder::Resign(id.clone())),
             OrderAnswer::OtherLife => self.lose_target(id, "replaced", now),
-            OrderAnswer::Refused(_) | OrderAnswer::NotSent(_) | OrderAnswer::Unanswered(_) => {
+            OrderAnswer::Unanswered(_) => {
+                self.doubt_stop(id, &run, now);
                 self.note_silence(id, now);
             }
+            OrderAnswer::Refused(_) | OrderAnswer::NotSent(_) => self.note_silence(id, now),
         }
     }
 
--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -5,7 +5,7 @@
 use wire::work::{TaskEnd, log_entry::Event};
 
 use super::{
-    DeskEvent, DeskOrder, DeskTime, EndOrigin, PlacePhase, WorkDesk, WorkJob, WorkPhase,
+    DeskEvent, DeskOrder, DeskTime, EndOrigin, PlacePhase, TaskPlace, WorkDesk, WorkJob, WorkPhase,
     pick::FAILED_WAIT, target_state::RunKey,
 };
 
@@ -92,18 +92,21 @@
         phase: PlacePhase,
         now: DeskTime,
     ) {
-        let (key, attempt) = run;
-        let job = self.board.jobs.get_mut(&key.job);
-        let task = job.and_then(|job| job.task_mut(key.occurrence, key.step, key.index));
-        if let Some(place) = task.and_then(|task| task.place.as_mut())
-            && place.target == *id
-            && place.attempt == *attempt
-        {
+        if let Some(place) = self.place_mut(id, run) {
             place.phase = phase;
             place.since = now.boot;
         }
     }
 
+    /// The place of a run's task, if the task is taken to be there.
+    pub(super) fn place_mut(&mut self, id: &HostId, run: &RunKey) -> Option<&mut TaskPlace> {
+        let (key, attempt) = run;
+        let job = self.board.jobs.get_mut(&key.job)?;
+        let task = job.task_mut(key.occurrence, key.step, key.index)?;
+        let place = task.place.as_mut()?;
+        (place.target == *id && place.attempt == *attempt).then_some(place)
+    }
+
     /// The task of a run waits again, or is done, if it was taken to be there.
     pub(super) fn vacate_place(&mut self, id: &HostId, run: &RunKey) {
         let (key, attempt) = run;
@@ -114,7 +117,7 @@
         let Some(task) = step.tasks.get_mut(key.index as usize) else {
             return;
         };
-        let there = |place: &super::TaskPlace| place.target == *id && place.attempt == *attempt;
+        let there = |place: &TaskPlace| place.target == *id && place.attempt == *attempt;
         if task.place.as_ref().is_some_and(there) {
             task.place = None;
             step.placed = step.placed.saturating_sub(1);
--- a/crates/decide/src/work/desk_evacuate.rs
+++ b/crates/decide/src/work/desk_evacuate.rs
@@ -17,7 +17,7 @@
 /// and a look that shows it up to a second.
 const SETTLED: Duration = Duration::from_millis(1300);
 /// What a target says of a task that lasts and is at work, in percent.
-const AT_WORK: u8 = 100;
+pub(super) const AT_WORK: u8 = 100;
 /// How long a task that lasts waits on a host that is being emptied for another to go to. A host
 /// that is switched off takes two seconds to come, and half a second more to be listed.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -131,13 +131,13 @@
         })
     }
 
-    fn lasts(&self, run: &RunKey) -> bool {
+    pub(super) fn lasts(&self, run: &RunKey) -> bool {
         self.step_of(&run.0).is_some_and(|step| step.long_running)
     }
 
     /// True if a task that lasts may be stopped by our own doing: fewer of its step are away
     /// than may be. Asked anew before each stop, so that two of one step never go together.
-    fn may_stop(&self, run: &RunKey, now: DeskTime) -> bool {
+    pub(super) fn may_stop(&self, run: &RunKey, now: DeskTime) -> bool {
         // A stop that a predecessor ordered takes a moment, in which its task is still listed
         // as being at work.
         if now.boot.saturating_sub(self.began) < SETTLED {
@@ -161,6 +161,7 @@
                 place.phase == PlacePhase::Running
                     && place.percent >= AT_WORK
                     && heard(&place.target)
+                    && !self.may_end(place, now)
             })
         };
         let others = (0..)
@@ -170,6 +171,12 @@
         away < step.may_miss.max(1) as usize
     }
 
+    /// True if a stop of a task may still be carried out though it was taken back.
+    fn may_end(&self, place: &super::TaskPlace, now: DeskTime) -> bool {
+        let passed = now.boot.saturating_sub(place.stop_sent);
+        !place.stop_sent.is_zero() && passed < self.tuning.late_limit
+    }
+
     /// Keeps the named targets free of new tasks, and no others.
     pub(super) fn keep_free(&mut self, wanted: &BTreeMap<HostId, HostVacancy>) {
         for (id, target) in &mut self.targets {
--- a/crates/decide/src/work/desk_life.rs
+++ b/crates/decide/src/work/desk_life.rs
@@ -106,6 +106,9 @@
                 RunFate::Doubtful if renewed || listed => {
                     // The start may still reach the new life: it is closed there by a stop.
                     self.claim(id, run.clone());
+                    if let Some(place) = self.place_mut(id, &run) {
+                        place.seen = false;
+                    }
                     self.stop_run(id, &run, now);
                 }
                 RunFate::Unseen if renewed => {
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -177,6 +177,7 @@
                     place.phase = PlacePhase::Running;
                     place.since = now.boot;
                 }
+                self.spare_late_start(id, &key, now);
             }
             Some(_) => self.stop_unwanted(id, &key, now),
             None => {
@@ -186,10 +187,11 @@
         }
     }
 
-    /// Takes a run over that a predecessor started.
+    /// Takes a run over that a predecessor started, or that was carried out late.
     fn adopt(&mut self, id: &HostId, run: &RunKey, sight: &RunSight, now: DeskTime) {
         let (key, attempt) = run;
         self.claim(id, run.clone());
+        let stopped = self.stops.remove(&(id.clone(), run.clone()));
         let Some(step) = self.board.step_mut(key) else {
             return;
         };
@@ -200,6 +202,7 @@
                 seen: true,
                 percent: sight.percent,
                 load: sight.load,
+                stop_sent: stopped.unwrap_or_default(),
                 ..TaskPlace::new(id, *attempt, now.boot)
             },
         );
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -97,7 +97,7 @@
             if !target.is_some_and(|target| target.claims.contains_key(&run)) {
                 self.stops.remove(&(id, run));
             } else if target.is_some_and(|target| !target.silent) {
-                self.stop_run(&id, &run, now);
+                self.stop_again(&id, &run, now);
             }
         }
     }
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -15,6 +15,7 @@
 mod desk_order;
 mod desk_sight;
 mod desk_start;
+mod desk_stop;
 mod desk_tick;
 mod desk_tuning;
 mod host_moves;
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -117,6 +117,8 @@
     pub phase: PlacePhase,
     /// When that became known.
     pub since: BootTime,
+    /// When a stop that may be carried out late was last under way; zero for none.
+    pub stop_sent: BootTime,
     /// Whether a look at the target's present life has shown it.
     pub seen: bool,
     /// How far it is, in percent; for a serving task 100 while it is at work.
