Empty no host while another owner may be emptying one

An owner that has lost the store goes on giving orders for a bounded time. It went on emptying hosts as well, while its successor, which knows nothing of the stops that come meanwhile, empties others: two tasks of a step that may miss one could go at once. No order to a host is given in that time anyway, so the stops served nothing.

Found by reading; lone_owner_empties_no_host fails without the change.

--- a/crates/decide/src/work/desk_evacuate.rs
+++ b/crates/decide/src/work/desk_evacuate.rs
@@ -63,7 +63,8 @@
             }
         }
         for (id, pool, run, room, leaving) in stops {
-            if !leaving && !self.may_stop(&run, now) {
+            // Another owner may be emptying another host, of which this one knows nothing.
+            if !leaving && (self.alone || !self.may_stop(&run, now)) {
                 continue;
             }
             let others = coming.entry(pool.clone()).or_default();
--- a/crates/decide/tests/work_stops.rs
+++ b/crates/decide/tests/work_stops.rs
@@ -243,3 +243,18 @@
     scene.pass(Duration::from_millis(50));
     assert_eq!(wanted_stops(&mut scene).len(), 1);
 }
+
+/// A service loses both of its tasks: an owner that had lost the store emptied one host while its
+/// successor emptied another.
+#[test]
+fn lone_owner_empties_no_host() {
+    let (mut scene, (id, start), (other, sibling)) = at_work_both();
+    scene.desk.set_alone(true);
+    empty(&mut scene, &id);
+    assert!(wanted_stops(&mut scene).is_empty());
+    scene.desk.set_alone(false);
+    scene.see(&id, vec![at_work(&start)], Vec::new());
+    scene.see(&other, vec![at_work(&sibling)], Vec::new());
+    scene.pass(Duration::from_millis(50));
+    assert_eq!(wanted_stops(&mut scene).len(), 1);
+}
