Send no call whose time is over

The process had stood still between placing the tasks and sending their starts (its log is silent from 36:55.545 to 36:57.331). Two starts waited for a connection; when it went on they were sent, though their 0.5 s had long passed. The target refused one of them by its token; one that the successor had not reached yet would have started it.

Cause: a timeout is only looked at when what it waits for is not ready. After a pause both are, and the call went on with the connection.

Change: the call's time is looked at before each sending; a call that was held up is "not sent", which also lets callers be told that nothing was done.

Evidence: call_held_up_is_not_sent failed before, with "timed out" after the service had been asked. Left: a process that stops in the microseconds between that look and the write; the targets' fencing stands behind it.

--- a/crates/link/src/call_client.rs
+++ b/crates/link/src/call_client.rs
@@ -58,6 +58,7 @@
         let deadline = tokio::time::Instant::now() + call.timeout;
         let mut request = request_of(&call)?;
         while let Some(mut sender) = self.take_idle(&call.address) {
+            check_time(&call, deadline)?;
             match timeout_at(deadline, sender.try_send_request(request)).await {
                 Err(_) => return Err(self.silent(&call)),
                 Ok(Ok(response)) => return self.finish(&call, sender, response).await,
@@ -69,6 +70,7 @@
             }
         }
         let mut sender = connect(&call, deadline).await?;
+        check_time(&call, deadline)?;
         match timeout_at(deadline, sender.try_send_request(request)).await {
             Err(_) => Err(self.silent(&call)),
             Ok(Ok(response)) => self.finish(&call, sender, response).await,
@@ -178,6 +180,17 @@
     Ok(sender)
 }
 
+/// Fails if the time of a call was over before it could be sent.
+///
+/// A process that stood still finds its connection open when it goes on. What it was about to order
+/// has been overtaken by then, and nobody waits for the answer.
+fn check_time(call: &HttpCall, deadline: tokio::time::Instant) -> Result<(), CallFault> {
+    if tokio::time::Instant::now() >= deadline {
+        return Err(not_sent(call, "held up until its time was over"));
+    }
+    Ok(())
+}
+
 fn request_of(call: &HttpCall) -> Result<Request<Full<Bytes>>, CallFault> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/crates/link/tests/calls.rs
+++ b/crates/link/tests/calls.rs
@@ -92,6 +92,27 @@
     });
 }
 
+/// A process stands still between a decision and its order. What it sends when it goes on would
+/// reach a target in the time of the next owner.
+#[test]
+fn call_held_up_is_not_sent() {
+    run(async {
+        let (address, answered) = serve(Duration::ZERO, ShutdownSignal::default()).await;
+        let client = CallClient::default();
+        let asked = tokio::task::spawn_local(async move { client.call(call(address, b"")).await });
+        // The call waits for its connection meanwhile.
+        tokio::task::yield_now().await;
+        std::thread::sleep(Duration::from_millis(400));
+        let outcome = asked.await;
+        assert!(
+            matches!(outcome, Ok(Err(CallFault::NotSent(_)))),
+            "{outcome:?}"
+        );
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(answered.get(), 0);
+    });
+}
+
 /// A kept connection goes silent for good while new ones work. The call on it times out, with
 /// nobody knowing whether it was carried out; the next call opens a connection of its own.
 #[test]
