Merge copies that the list of duplicates shows

- log_writer and log_compact both looked for the owner's entry among those that a change conflicted with: `Term::stands_in`.
- Three tests planned the same pair of tasks that last: `lasting_pair`.

Behaviour is the same.

--- a/crates/cell/src/log_compact.rs
+++ b/crates/cell/src/log_compact.rs
@@ -60,10 +60,7 @@
         match term.ports.store.change(change.clone()).await {
             Ok(StoreOutcome::Done(_)) => return Some(()),
             Ok(StoreOutcome::Conflict(items)) => {
-                let owner = items
-                    .iter()
-                    .find(|item| item.key == term.options.owner_key());
-                if owner.is_some_and(|item| item.revision == term.token) {
+                if term.stands_in(&items) {
                     // An earlier sending of the same page has landed.
                     return Some(());
                 }
--- a/crates/cell/src/log_writer.rs
+++ b/crates/cell/src/log_writer.rs
@@ -83,10 +83,7 @@
             Ok(StoreOutcome::Conflict(items)) => {
                 // Only the owner writes pages, so a page that is there is the one whose
                 // answer was lost.
-                let owner = items
-                    .iter()
-                    .find(|item| item.key == term.options.owner_key());
-                let ours = owner.is_some_and(|item| item.revision == term.token);
+                let ours = term.stands_in(&items);
                 if ours && unsure {
                     pages.wrote(length);
                     settle(term, page, taken);
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -11,7 +11,7 @@
 use decide::work::{DeskTime, HostPlanner, WorkDesk};
 use link::ShutdownSignal;
 use model::{BootTime, HostId, event as log_event, work::FencingToken};
-use ports::LeaseId;
+use ports::{LeaseId, StoreItem};
 use store::{BootClock, Clock};
 use tokio::{
     sync::Notify,
@@ -167,6 +167,13 @@
         !self.over.begun() && BootClock.boot_now() < self.sole_until()
     }
 
+    /// True if among the entries that a change conflicted with is the one of this term.
+    pub(crate) fn stands_in(&self, items: &[StoreItem]) -> bool {
+        let key = self.options.owner_key();
+        let owner = items.iter().find(|item| item.key == key);
+        owner.is_some_and(|item| item.revision == self.token)
+    }
+
     /// Takes in that all cancellations are known that were kept when a call was sent.
     pub(crate) fn heard_cancellations(&self, sent: BootTime) {
         self.cancellations_known.set(Some(sent));
--- a/crates/decide/tests/desk/mod.rs
+++ b/crates/decide/tests/desk/mod.rs
@@ -16,7 +16,7 @@
 
 pub use fleet::{FleetScene, STANDBY};
 pub use scene::{
-    DeskScene, LATER, POOL, QUEUE, SPACE, ended, plan, reborn, running, step, target,
+    DeskScene, LATER, POOL, QUEUE, SPACE, ended, lasting_pair, plan, reborn, running, step, target,
     terms_with_limit,
 };
 pub use world::DeskWorld;
--- a/crates/decide/tests/desk/scene.rs
+++ b/crates/decide/tests/desk/scene.rs
@@ -271,6 +271,16 @@
     }
 }
 
+/// Two tasks that last, on a target each, of which one may be missing.
+pub fn lasting_pair() -> StepPlan {
+    StepPlan {
+        long_running: true,
+        may_miss: 1,
+        anti_affinity: 1,
+        ..step(2, 1000)
+    }
+}
+
 pub fn plan(steps: Vec<StepPlan>) -> JobPlan {
     JobPlan {
         payload: "text".into(),
--- a/crates/decide/tests/work_hosts.rs
+++ b/crates/decide/tests/work_hosts.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use decide::work::{HostOrder, HostPlanner};
-use desk::{DeskScene, POOL, ended, plan, running, step};
+use desk::{DeskScene, POOL, ended, lasting_pair, plan, running, step};
 use model::{
     BootTime,
     work::{
@@ -70,13 +70,7 @@
     for target in ["t1", "t2", "t3"] {
         scene.add(target, 2000);
     }
-    let lasting = StepPlan {
-        long_running: true,
-        may_miss: 1,
-        anti_affinity: 1,
-        ..step(2, 1000)
-    };
-    scene.submit("a", &plan(vec![lasting]));
+    scene.submit("a", &plan(vec![lasting_pair()]));
     let starts = scene.start_all();
     assert_eq!(starts.len(), 2);
     for (target, start) in &starts {
@@ -113,13 +107,7 @@
     for target in ["t1", "t2", "t3"] {
         scene.add(target, 2000);
     }
-    let lasting = StepPlan {
-        long_running: true,
-        may_miss: 1,
-        anti_affinity: 1,
-        ..step(2, 1000)
-    };
-    scene.submit("a", &plan(vec![lasting]));
+    scene.submit("a", &plan(vec![lasting_pair()]));
     let starts = scene.start_all();
     let mut planner = HostPlanner::default();
     planner.take_list(vec![host("h1", POOL, &starts[0].0)], scene.now.boot);
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use desk::{DeskScene, ended, plan, running, step};
+use desk::{DeskScene, ended, lasting_pair, plan, running, step};
 use model::work::{EndKind, LookAnswer};
 
 /// A caller sees its job run on though the owner was killed. The successor reads the log, looks
@@ -150,13 +150,7 @@
     for target in ["t1", "t2", "t3"] {
         first.add(target, 4000);
     }
-    let lasting = model::work::StepPlan {
-        long_running: true,
-        may_miss: 1,
-        anti_affinity: 1,
-        ..step(2, 1000)
-    };
-    first.submit("a", &plan(vec![lasting]));
+    first.submit("a", &plan(vec![lasting_pair()]));
     let starts = first.start_all();
 
     let mut second = first.successor(9);
