Cut single processes off from targets in the soak, and check one holder and limits closer

Change: each process reaches each target over a link of its own, and a target may be reached by one process only; orders of an owner that has a successor may arrive 50 ms late, where their link was not held up and the store did not end leases before their time; the workspace has a limit, which is checked at each start; changes of the log are counted, so that the table says how many were checked. A fixed run cuts the owner off from the store with half of the targets on its side.

--- a/crates/lacewingshore/tests/soak.rs
+++ b/crates/lacewingshore/tests/soak.rs
@@ -29,12 +29,27 @@
     plan
 }
 
+/// The owner can't reach the store while half of the targets can only be reached by it.
+fn owner_apart() -> Vec<PlannedFault> {
+    let fault = |kind, target| PlannedFault {
+        kind,
+        begin: FIRST_BEGIN,
+        end: FIRST_BEGIN + FAULT_LENGTH * 3,
+        process: None,
+        target,
+    };
+    let targets = (0..TARGETS / 2).map(|target| fault(FaultKind::TargetApart, target));
+    let store = [fault(FaultKind::StoreLinkSilent, 0)];
+    store.into_iter().chain(targets).collect()
+}
+
 /// A process that works while all is well breaks promises when its store, its targets or itself
 /// fails: work is done twice or lost, or orders cross with those of a successor.
 #[rstest]
-#[case::first_half(1, &FAULT_KINDS[..10])]
-#[case::second_half(2, &FAULT_KINDS[10..])]
-fn soak_each_fault_at_owner(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
+#[case::first_half(1, in_series(&FAULT_KINDS[..10]))]
+#[case::second_half(2, in_series(&FAULT_KINDS[10..]))]
+#[case::owner_apart(3, owner_apart())]
+fn soak_keeps_promises(#[case] seed: u64, #[case] faults: Vec<PlannedFault>) {
     let folder = tempfile::tempdir().unwrap();
     let plan = SoakPlan {
         seed,
@@ -43,7 +58,7 @@
         targets: TARGETS,
         callers: 4,
         folder: folder.path().to_owned(),
-        faults: Some(in_series(kinds)),
+        faults: Some(faults),
     };
     let report = run_soak(&plan).unwrap();
     if !report.tally.broken.is_empty() {
--- a/crates/proof/src/soak/fault_drive.rs
+++ b/crates/proof/src/soak/fault_drive.rs
@@ -6,6 +6,7 @@
 
 use super::{
     FaultKind, PlannedFault,
+    soak_check::HeldUp,
     soak_fleet::{GRACE, SoakFleet, store_link, target_link},
 };
 
@@ -29,8 +30,10 @@
     stopped_at: Vec<Option<Instant>>,
     /// Processes that ended by themselves.
     pub(crate) fallen: Vec<String>,
+    /// When all leases lapsed before their time.
+    pub(crate) lapses: Vec<u64>,
     /// Times in which orders to a target may have been held up.
-    pub(crate) held_up: Vec<(usize, u64, u64)>,
+    pub(crate) held_up: Vec<HeldUp>,
 }
 
 impl FaultDrive {
@@ -41,6 +44,7 @@
             active: Vec::new(),
             stopped_at: vec![None; processes],
             fallen: Vec::new(),
+            lapses: Vec::new(),
             held_up: Vec::new(),
         }
     }
@@ -78,6 +82,7 @@
         self.begun == self.plan.len() && self.active.is_empty() && !stopping
     }
 
+    /// Begins a fault; what strikes once does so now.
     fn begin(&mut self, fleet: &mut SoakFleet, fault: PlannedFault) -> Result<()> {
         let owner = || fleet.store.owner().map_or(0, |owner| owner.process);
         let process = fault.process.unwrap_or_else(owner);
@@ -97,7 +102,10 @@
                 self.stopped_at[process] = Some(Instant::now());
             }
             FaultKind::HistoryGone => fleet.store.forget_history(),
-            FaultKind::LeasesLapse => fleet.store.lapse_leases(),
+            FaultKind::LeasesLapse => {
+                fleet.store.lapse_leases();
+                self.lapses.push(boot_nanos());
+            }
             FaultKind::TargetCrash => {
                 fleet.targets[fault.target].crash();
                 fleet.put_target(fault.target);
@@ -110,15 +118,17 @@
 
     fn end(&mut self, fleet: &SoakFleet, ended: &ActiveFault) {
         let fault = ended.fault;
-        let holds = matches!(
-            fault.kind,
-            FaultKind::TargetSilent | FaultKind::TargetUnanswered
-        );
-        if holds {
-            let now = boot_nanos();
-            let length = u64::try_from((fault.end - fault.begin).as_nanos()).unwrap_or_default();
-            self.held_up
-                .push((fault.target, now.saturating_sub(length), now));
+        let now = boot_nanos();
+        let length = u64::try_from((fault.end - fault.begin).as_nanos()).unwrap_or_default();
+        for process in 0..fleet.processes.len() {
+            if cut_of(ended, fault.target, process) != LinkMode::Open {
+                self.held_up.push(HeldUp {
+                    target: fault.target,
+                    process,
+                    from_ns: now.saturating_sub(length),
+                    to_ns: now,
+                });
+            }
         }
         if fault.kind == FaultKind::StoreSilent {
             fleet.store.extend_leases();
@@ -137,64 +147,65 @@
 
     fn apply(&self, fleet: &mut SoakFleet) -> Result<()> {
         for process in 0..fleet.processes.len() {
-            let struck = |kind| self.strikes(kind, process);
-            let part = |kind, part| if struck(kind) { part } else { 0.0 };
-            let switch = StoreFaultSwitch {
-                refuses: self.any(FaultKind::StoreRefuses) || struck(FaultKind::ProcessRefused),
-                silent: self.any(FaultKind::StoreSilent),
-                loses: part(FaultKind::AnswersLost, LOST_PART),
-                late: part(FaultKind::ChangesLate, LATE_PART),
-                slow: match self.any(FaultKind::StoreSlow) {
-                    true => SLOW_ANSWER,
-                    false => Duration::ZERO,
-                },
-            };
-            fleet.store.set_faults(process, switch);
-            let mode = match () {
-                () if struck(FaultKind::StoreLinkReset) => LinkMode::Closed,
-                () if struck(FaultKind::StoreLinkSilent) => LinkMode::Silent,
-                () if struck(FaultKind::StoreLinkUnanswered) => LinkMode::Unanswered,
-                () => LinkMode::Open,
-            };
-            fleet.set_link(&LinkState {
-                name: store_link(process),
-                mode,
-                bytes_per_s: match struck(FaultKind::StoreLinkNarrow) {
-                    true => NARROW_RATE,
-                    false => 0,
-                },
-                ..LinkState::default()
-            })?;
+            fleet.store.set_faults(process, self.store_faults(process));
+            fleet.set_link(self.store_link_state(process))?;
+            let pauses =
+                self.strikes(FaultKind::Pause, process) && self.stopped_at[process].is_none();
             if let Some(live) = fleet.processes[process].running()? {
-                match struck(FaultKind::Pause) && self.stopped_at[process].is_none() {
+                match pauses {
                     true => live.pause()?,
                     false => live.resume()?,
                 }
             }
         }
-        for (target, stand) in fleet.targets.iter().enumerate() {
-            let struck = |kind| {
-                let mut active = self.active.iter().map(|active| active.fault);
-                active.any(|fault| fault.kind == kind && fault.target == target)
-            };
-            let mode = match () {
-                () if struck(FaultKind::TargetSilent) => LinkMode::Silent,
-                () if struck(FaultKind::TargetUnanswered) => LinkMode::Unanswered,
-                () => LinkMode::Open,
-            };
-            fleet.set_link(&LinkState {
-                name: target_link(target),
-                mode,
-                ..LinkState::default()
-            })?;
-            stand.set_late(match self.any(FaultKind::StartsLate) {
-                true => LATE_PART,
-                false => 0.0,
-            });
+        for target in 0..fleet.targets.len() {
+            for process in 0..fleet.processes.len() {
+                let cuts = self.active.iter();
+                let mut cuts = cuts.map(|active| cut_of(active, target, process));
+                fleet.set_link(LinkState {
+                    name: target_link(target, process),
+                    mode: cuts.find(|cut| *cut != LinkMode::Open).unwrap_or_default(),
+                    ..LinkState::default()
+                })?;
+            }
+            let late = self.any(FaultKind::StartsLate);
+            fleet.targets[target].set_late(if late { LATE_PART } else { 0.0 });
         }
         Ok(())
     }
 
+    /// What the store does to a process.
+    fn store_faults(&self, process: usize) -> StoreFaultSwitch {
+        let struck = |kind| self.strikes(kind, process);
+        let part = |kind, part| if struck(kind) { part } else { 0.0 };
+        let slow = self.any(FaultKind::StoreSlow);
+        StoreFaultSwitch {
+            refuses: self.any(FaultKind::StoreRefuses) || struck(FaultKind::ProcessRefused),
+            silent: self.any(FaultKind::StoreSilent),
+            loses: part(FaultKind::AnswersLost, LOST_PART),
+            late: part(FaultKind::ChangesLate, LATE_PART),
+            slow: if slow { SLOW_ANSWER } else { Duration::ZERO },
+        }
+    }
+
+    /// How the link between the store and a process treats what it carries.
+    fn store_link_state(&self, process: usize) -> LinkState {
+        let struck = |kind| self.strikes(kind, process);
+        let modes = [
+            (FaultKind::StoreLinkReset, LinkMode::Closed),
+            (FaultKind::StoreLinkSilent, LinkMode::Silent),
+            (FaultKind::StoreLinkUnanswered, LinkMode::Unanswered),
+        ];
+        let mode = modes.into_iter().find(|(kind, _)| struck(*kind));
+        let narrow = struck(FaultKind::StoreLinkNarrow);
+        LinkState {
+            name: store_link(process),
+            mode: mode.map_or(LinkMode::Open, |(_, mode)| mode),
+            bytes_per_s: if narrow { NARROW_RATE } else { 0 },
+            ..LinkState::default()
+        }
+    }
+
     /// Starts again what was stopped long enough, and kills what doesn't end in time.
     fn tend_processes(&mut self, fleet: &mut SoakFleet) -> Result<()> {
         for index in 0..fleet.processes.len() {
@@ -224,3 +235,17 @@
         Ok(())
     }
 }
+
+/// What a fault does to the link between a target and a process.
+fn cut_of(active: &ActiveFault, target: usize, process: usize) -> LinkMode {
+    let fault = &active.fault;
+    if fault.target != target {
+        return LinkMode::Open;
+    }
+    match fault.kind {
+        FaultKind::TargetSilent => LinkMode::Silent,
+        FaultKind::TargetUnanswered => LinkMode::Unanswered,
+        FaultKind::TargetApart if active.process != process => LinkMode::Silent,
+        _ => LinkMode::Open,
+    }
+}
--- a/crates/proof/src/soak/fault_plan.rs
+++ b/crates/proof/src/soak/fault_plan.rs
@@ -37,6 +37,8 @@
     StoreLinkNarrow,
     /// Nothing passes between the processes and a target.
     TargetSilent,
+    /// A target is reached by one process only.
+    TargetApart,
     /// A target's answers don't come back.
     TargetUnanswered,
     /// A target crashes and lives on.
@@ -46,7 +48,7 @@
 }
 
 /// All kinds of faults.
-pub const FAULT_KINDS: [FaultKind; 19] = [
+pub const FAULT_KINDS: [FaultKind; 20] = [
     FaultKind::Terminate,
     FaultKind::Kill,
     FaultKind::Pause,
@@ -63,6 +65,7 @@
     FaultKind::StoreLinkReset,
     FaultKind::StoreLinkNarrow,
     FaultKind::TargetSilent,
+    FaultKind::TargetApart,
     FaultKind::TargetUnanswered,
     FaultKind::TargetCrash,
     FaultKind::StartsLate,
--- a/crates/proof/src/soak/soak_check.rs
+++ b/crates/proof/src/soak/soak_check.rs
@@ -1,10 +1,25 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use stand::{JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, StartOrderRecord, StrayWrite};
+use stand::{
+    CallerLine, JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, StartOrderRecord, StrayWrite,
+};
 
 use super::caller_jobs::{CallerJob, is_completed, is_owed};
 use crate::Violation;
 
+/// A time in which orders of a process to a target may have been held up on their way.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldUp {
+    /// The target.
+    pub target: usize,
+    /// The process.
+    pub process: usize,
+    /// When the link was cut.
+    pub from_ns: u64,
+    /// When it carried again.
+    pub to_ns: u64,
+}
+
 /// What callers, targets and store have seen of one seed.
 #[derive(Clone, Debug, Default)]
 pub struct SoakHistory {
@@ -18,10 +33,14 @@
     pub owners: Vec<OwnerRecord>,
     /// Changes of the log by others than the owner.
     pub strays: Vec<StrayWrite>,
+    /// Changes of the log.
+    pub log_writes: usize,
     /// Most bytes that the log had.
     pub log_peak: usize,
+    /// When the store ended all leases before their time.
+    pub lapses: Vec<u64>,
     /// Times in which orders to a target may have been held up on their way.
-    pub held_up: Vec<(usize, u64, u64)>,
+    pub held_up: Vec<HeldUp>,
     /// Processes that ended by themselves.
     pub fallen: Vec<String>,
 }
@@ -41,12 +60,33 @@
 /// After this time an accepted job is known to every process.
 const VISIBLE_NS: u64 = 3000 * MILLI;
 /// An order that was sent in its sender's time may arrive this much later.
-const ORDER_WAY_NS: u64 = 300 * MILLI;
+const ORDER_WAY_NS: u64 = 50 * MILLI;
+/// An owner whose lease the store ended before its time learns of it by its next renewal.
+const RENEWAL_NS: u64 = 500 * MILLI;
 /// Orders that were held up on their way may arrive this long after.
 const HELD_UP_NS: u64 = 1000 * MILLI;
 /// Most bytes of the log of a cell that works off what it accepts, in base64 as it is stored.
 const LOG_BOUND: usize = 512 << 10;
 
+impl SoakHistory {
+    /// Whether what arrived at a target then may have been held up on its way, from a process or
+    /// from any.
+    fn held(&self, target: usize, process: Option<usize>, at: u64) -> bool {
+        self.held_up.iter().any(|held| {
+            let link =
+                held.target == target && process.is_none_or(|process| process == held.process);
+            link && (held.from_ns..held.to_ns + HELD_UP_NS).contains(&at)
+        })
+    }
+
+    /// Until when orders of the owner before `next` may arrive.
+    fn sole_until(&self, next: &OwnerRecord) -> u64 {
+        let lapse = self.lapses.iter().rev().find(|at| **at <= next.written_ns);
+        let told = lapse.map_or(0, |at| at + RENEWAL_NS);
+        told.max(next.written_ns) + ORDER_WAY_NS
+    }
+}
+
 impl SoakTally {
     fn check(&mut self, check: &'static str, holds: bool, finding: impl FnOnce() -> String) {
         *self.checked.entry(check).or_default() += 1;
@@ -69,6 +109,7 @@
         check_once(&mut tally, task);
     }
     check_orders(&mut tally, history);
+    check_limit(&mut tally, &history.runs);
     for job in &history.jobs {
         check_job(&mut tally, history, job, &runs);
     }
@@ -82,9 +123,12 @@
     tally.check("log-bounded", bounded, || {
         format!("{} bytes", history.log_peak)
     });
-    tally.check("one-writer", history.strays.is_empty(), || {
-        format!("{:?}", history.strays)
-    });
+    tally
+        .checked
+        .insert("one-writer", history.log_writes - history.strays.len());
+    for stray in &history.strays {
+        tally.check("one-writer", false, || format!("{stray:?}"));
+    }
     tally.check("stays-up", history.fallen.is_empty(), || {
         format!("{:?}", history.fallen)
     });
@@ -111,6 +155,25 @@
     }
 }
 
+/// At no start the workspace has more running than its limit, a tenth and one task.
+fn check_limit(tally: &mut SoakTally, runs: &[RunRecord]) {
+    let most = CallerLine::limit() + CallerLine::limit() / 10 + 1;
+    let mut ends: Vec<u64> = runs
+        .iter()
+        .filter_map(|run| run.end)
+        .map(|(at, _)| at)
+        .collect();
+    let mut starts: Vec<u64> = runs.iter().map(|run| run.start_ns).collect();
+    ends.sort_unstable();
+    starts.sort_unstable();
+    for (index, start) in starts.iter().enumerate() {
+        let running = index + 1 - ends.partition_point(|end| end <= start);
+        tally.check("workspace-limit", running <= most, || {
+            format!("{running} tasks run at {start}, {most} may")
+        });
+    }
+}
+
 /// Orders carry the token of an owner, and none comes from one that has a successor.
 fn check_orders(tally: &mut SoakTally, history: &SoakHistory) {
     for order in &history.orders {
@@ -119,14 +182,15 @@
             .iter()
             .position(|owner| owner.token == order.token);
         tally.check("token-of-owner", place.is_some(), || format!("{order:?}"));
-        let held = history.held_up.iter().any(|(target, from, to)| {
-            *target == order.target && (*from..to + HELD_UP_NS).contains(&order.arrived_ns)
-        });
-        let Some(place) = place.filter(|_| !held) else {
+        let Some(place) = place else {
             continue;
         };
+        let sender = Some(history.owners[place].process);
+        if history.held(order.target, sender, order.arrived_ns) {
+            continue;
+        }
         let next = history.owners.get(place + 1);
-        let late = next.is_some_and(|next| order.arrived_ns > next.written_ns + ORDER_WAY_NS);
+        let late = next.is_some_and(|next| order.arrived_ns > history.sole_until(next));
         tally.check("one-holder", !late, || format!("{order:?} after {next:?}"));
     }
 }
@@ -156,9 +220,7 @@
     }
     if let Some(cancelled_ns) = job.cancelled_ns {
         let begun = own.iter().find(|run| {
-            let held = history.held_up.iter().any(|(target, from, to)| {
-                *target == run.target && (*from..to + HELD_UP_NS).contains(&run.start_ns)
-            });
+            let held = history.held(run.target, None, run.start_ns);
             run.start_ns > cancelled_ns + CANCEL_NS && !run.late && !held
         });
         tally.check("cancelled-not-begun", begun.is_none(), || {
--- a/crates/proof/src/soak/soak_fleet.rs
+++ b/crates/proof/src/soak/soak_fleet.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     fs,
     path::{Path, PathBuf},
     time::Duration,
@@ -13,6 +14,8 @@
 /// Keys of the product's own in the store, whose writers the stand-in notes.
 const OWNER_KEY: &str = "cell/owner";
 const LOG_PREFIX: &str = "cell/log/";
+/// Longest time for a shutdown, after which the platform kills a process.
+pub(crate) const GRACE: Duration = Duration::from_secs(6);
 /// Runs that fit a target.
 const SLOTS: usize = 8;
 
@@ -48,15 +51,17 @@
 }
 
 /// Real processes of a cell among stand-ins of the platform, with a link from each process to the
-/// store and one to each target.
+/// store and to each target.
 pub(crate) struct SoakFleet {
     pub(crate) store: StoreStand,
     pub(crate) targets: Vec<TargetStand>,
     pub(crate) processes: Vec<CellProcess>,
-    target_addresses: Vec<String>,
+    /// Where each process reaches each target.
+    target_addresses: Vec<Vec<String>>,
+    links: BTreeMap<String, LinkState>,
     relay: RelayFake,
     client: JsonClient,
-    _control: ControlStand,
+    control: ControlStand,
 }
 
 impl SoakFleet {
@@ -80,15 +85,17 @@
             targets,
             processes: Vec::new(),
             target_addresses: Vec::new(),
+            links: BTreeMap::new(),
             relay: RelayFake::start("127.0.0.1:0")?,
             client: JsonClient::default(),
-            _control: control,
+            control,
         };
         fleet.store.put_terms(&CallerLine::terms());
         for target in 0..fleet.targets.len() {
-            let name = target_link(target);
-            let address = fleet.add_link(&name, &fleet.targets[target].address())?;
-            fleet.target_addresses.push(address);
+            let to = fleet.targets[target].address();
+            let link = |process| fleet.add_link(&target_link(target, process), &to);
+            let addresses: Result<Vec<_>> = (0..processes).map(link).collect();
+            fleet.target_addresses.push(addresses?);
             fleet.put_target(target);
         }
         for process in 0..processes {
@@ -103,13 +110,19 @@
     /// Writes a target's entry anew, as it does when it begins a life.
     pub(crate) fn put_target(&self, target: usize) {
         let stand = &self.targets[target];
-        let entry = stand.entry(&self.target_addresses[target], CallerLine::pool());
-        self.store.put_target(stand.id(), &entry);
+        let addresses = self.target_addresses[target].iter();
+        let entries = addresses.map(|address| stand.entry(address, CallerLine::pool()));
+        self.store
+            .put_target(stand.id(), &entries.collect::<Vec<_>>());
     }
 
-    pub(crate) fn set_link(&self, state: &LinkState) -> Result<()> {
+    pub(crate) fn set_link(&mut self, state: LinkState) -> Result<()> {
+        if self.links.get(&state.name) == Some(&state) {
+            return Ok(());
+        }
         let url = format!("{}/fake/mode", self.relay.server().url());
-        self.client.post(&url, state)?;
+        self.client.post(&url, &state)?;
+        self.links.insert(state.name.clone(), state);
         Ok(())
     }
 
@@ -128,7 +141,7 @@
         let ports: Result<Vec<u16>> = (0..4).map(|_| free_port()).collect();
         let ports = ports?;
         let name = format!("cell-{process}");
-        let control = self._control.address();
+        let control = self.control.address();
         let text = format!(
             "[entry]\nmember = {name}\ndata_centre = north\naddress = 127.0.0.1:{}\n\
              ready_address = 127.0.0.1:{}\npeer_address = 127.0.0.1:{}\n\
@@ -152,9 +165,6 @@
     format!("store-{process}")
 }
 
-pub(crate) fn target_link(target: usize) -> String {
-    format!("target-{target}")
+pub(crate) fn target_link(target: usize, process: usize) -> String {
+    format!("target-{target}-{process}")
 }
-
-/// Longest time for a shutdown, after which the platform kills a process.
-pub(crate) const GRACE: Duration = Duration::from_secs(6);
--- a/crates/proof/src/soak/soak_run.rs
+++ b/crates/proof/src/soak/soak_run.rs
@@ -157,7 +157,9 @@
             .collect(),
         owners: fleet.store.owners(),
         strays: fleet.store.strays(),
+        log_writes: fleet.store.log_writes(),
         log_peak: fleet.store.log_peak(),
+        lapses: drive.lapses,
         held_up: drive.held_up,
         fallen: drive.fallen,
     }
--- a/crates/proof/tests/soak_checks.rs
+++ b/crates/proof/tests/soak_checks.rs
@@ -64,6 +64,7 @@
             run("0.0", 3, 4, RunEnd::Done),
             run("1.0", 5, 6, RunEnd::Done),
         ],
+        log_writes: 4,
         orders: vec![order(7, 2), order(9, 5)],
         owners: vec![owner(7, 1), owner(9, 4)],
         ..SoakHistory::default()
@@ -98,6 +99,9 @@
     h.jobs[0].shown.push((s(8), LookReply::Shown(JobShown::Cancelled)));
 })]
 #[case::sent_by_nobody("asked-for", |h: &mut SoakHistory| h.runs[0].task = "00000000000000b2.0.0.0".to_owned())]
+#[case::beyond_limit("workspace-limit", |h: &mut SoakHistory| {
+    h.runs = (0..60).map(|index| run(&format!("0.{index}"), 2, 3, RunEnd::Done)).collect();
+})]
 #[case::beyond_room("room", |h: &mut SoakHistory| h.runs[0].over_room = true)]
 #[case::log_of_former_owner("one-writer", |h: &mut SoakHistory| {
     h.strays.push(StrayWrite { process: 1, key: "log/1".to_owned(), written_ns: s(5) });
