Look before the stop of a start is sent again

A service whose step may miss one task lost a second one.

Cause: repetitions of the closing stop went by time alone, on a look that was up to seconds old. The stop in the next life of a target was sent without any look at that life.

Change: while as many others of the step are away as may be, a closing stop is sent only on an answer of the target that is 0.1 s old at most. Otherwise a look is ordered, and the stop follows if that lacks the start. A look that shows it takes the stop back, as before. Steps that may miss one more, and tasks that end by themselves, are closed as before.

Evidence: closing_stop_waits_for_look and next_life_is_looked_at_before_stop fail on the code before.

--- a/crates/decide/src/work/desk_life.rs
+++ b/crates/decide/src/work/desk_life.rs
@@ -34,7 +34,7 @@
                 target.add_doubt(run.clone(), now.boot);
             }
             self.claim(id, run.clone());
-            self.stop_run(id, &run, now);
+            self.close_start(id, &run, now);
         }
     }
 
@@ -109,7 +109,7 @@
                     if let Some(place) = self.place_mut(id, &run) {
                         place.seen = false;
                     }
-                    self.stop_run(id, &run, now);
+                    self.close_start(id, &run, now);
                 }
                 RunFate::Unseen if renewed => {
                     // The next look tells which life it is in.
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -252,7 +252,8 @@
             return;
         }
         match phase {
-            PlacePhase::Starting | PlacePhase::Stopping(false) => {}
+            PlacePhase::Starting => {}
+            PlacePhase::Stopping(false) => self.close_again(id, run, now),
             PlacePhase::Unsure => {
                 // It is not there and may come later. A stop of this start closes it: the
                 // target refuses a start that is not newer than one stopped there.
--- a/crates/decide/src/work/desk_stop.rs
+++ b/crates/decide/src/work/desk_stop.rs
@@ -1,13 +1,19 @@
+use std::time::Duration;
+
 use model::{
     HostId,
     work::{AttemptNumber, TargetMode, TaskKey},
 };
 
 use super::{
-    DeskTime, HostVacancy, PlacePhase, TaskPlace, WorkDesk, desk_evacuate::AT_WORK,
+    DeskOrder, DeskTime, HostVacancy, PlacePhase, TaskPlace, WorkDesk, desk_evacuate::AT_WORK,
     target_state::RunKey,
 };
 
+/// How old an answer of a target may be to say that a start has not been carried out: the time in
+/// which a stop that it leads to is on its way.
+const JUST_HEARD: Duration = Duration::from_millis(100);
+
 impl WorkDesk {
     /// True if a stop that was ordered is still to be sent.
     ///
@@ -29,13 +35,42 @@
             self.leave_at_work(id, &run, now);
             return false;
         }
-        true
+        !self.may_have_started(id, &run, now)
+    }
+
+    /// Closes a start of which it is not known whether it was carried out.
+    pub(super) fn close_start(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
+        let first = self.place_mut(id, run).is_some();
+        self.set_phase(id, run, PlacePhase::Stopping(false), now);
+        if !first || !self.may_have_started(id, run, now) {
+            self.stop_run(id, run, now);
+            return;
+        }
+        self.look_before_stop(id, run, now);
+        let pause = self.tuning.stop_again;
+        if let Some(place) = self.place_mut(id, run) {
+            // The next look that lacks it brings the stop.
+            place.since = now.boot.saturating_sub(pause);
+        }
+    }
+
+    /// Sends the stop that closes a start again, as a look sent after the last has just shown that
+    /// it is not carried out.
+    pub(super) fn close_again(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
+        let due = self
+            .stopping_place(id, run)
+            .is_some_and(|place| now.boot.saturating_sub(place.since) >= self.tuning.stop_again);
+        if due && self.lasts(run) {
+            self.stop_run(id, run, now);
+        }
     }
 
     /// Sends a stop again that has not been answered, if it is still wanted.
     pub(super) fn stop_again(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
         if self.would_miss(id, run, now) {
             self.take_back(id, run, now);
+        } else if self.may_have_started(id, run, now) {
+            self.look_before_stop(id, run, now);
         } else {
             self.stop_run(id, run, now);
         }
@@ -79,6 +114,20 @@
         at_work && self.lasts(run) && !self.is_draining(id) && !self.may_stop(run, now)
     }
 
+    /// True if a start that is to be closed may have been carried out since its target was heard
+    /// last, while as many others of its step are away as may be. Its stop would end a task at work.
+    fn may_have_started(&self, id: &HostId, run: &RunKey, now: DeskTime) -> bool {
+        let target = self.targets.get(id);
+        let fresh = target.is_some_and(|target| now.boot.saturating_sub(target.heard) < JUST_HEARD);
+        let closing = self.stopping_place(id, run).is_some() && self.lasts(run);
+        closing && !fresh && !self.is_draining(id) && !self.may_stop(run, now)
+    }
+
+    fn look_before_stop(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
+        self.stops.insert((id.clone(), run.clone()), now.boot);
+        self.orders.push(DeskOrder::Look(id.clone()));
+    }
+
     fn is_draining(&self, id: &HostId) -> bool {
         let target = self.targets.get(id);
         target.is_some_and(|target| target.entry.mode == TargetMode::Draining)
--- a/crates/decide/tests/desk/mod.rs
+++ b/crates/decide/tests/desk/mod.rs
@@ -21,3 +21,4 @@
 };
 pub use world::DeskWorld;
 pub use world_faults::WorldFaults;
+pub use world_target::WorldTarget;
--- a/crates/decide/tests/desk/world_target.rs
+++ b/crates/decide/tests/desk/world_target.rs
@@ -166,10 +166,11 @@
             .map(|end| end.task.clone());
         let noted = noted.collect();
         self.ended.retain(|end| end.number > order.observed);
-        let running = self.runs.keys().map(|(task, attempt)| RunSight {
+        let running = self.runs.iter().map(|((task, attempt), end)| RunSight {
             task: task.clone(),
             attempt: *attempt,
-            percent: 50,
+            // A task that lasts says that it is at work.
+            percent: if *end == BootTime::MAX { 100 } else { 50 },
             ..RunSight::default()
         });
         let sight = TargetSight {
--- /dev/null
+++ b/crates/decide/tests/work_services.rs
@@ -0,0 +1,552 @@
+//! Services under seeded faults: hosts are emptied in turns, targets crash and fall silent, and
+//! starts and stops are lost or carried out late. A failing case prints its seed.
+
+mod desk;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use decide::work::{
+    DeskOrder, DeskTime, DeskTuning, HostOrder, HostPlanner, WorkDesk, record_of_plan,
+};
+use desk::{POOL, QUEUE, SPACE, WorldTarget, plan, step, target, terms_with_limit};
+use model::{
+    BootTime, HostId,
+    work::{
+        FleetHost, HostCondition, HostOrderAnswer, LookAnswer, LookOrder, MaintenanceWave,
+        OrderAnswer, StartAnswer, StartOrder, StepPlan, StopOrder, TaskKey,
+    },
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+use wire::work::JobRecord;
+
+const TICK: Duration = Duration::from_millis(20);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a task may be gone before its step counts it as missing.
+const NOTICE: Duration = Duration::from_millis(4500);
+/// A start that is carried out while the look that lacks it, or the stop that follows, is under way
+/// can't be known of; its task ends with its begin.
+const UNDER_WAY: Duration = Duration::from_millis(120);
+const TARGETS: u32 = 7;
+const TASKS: u32 = 4;
+const CAPACITY: u64 = 2000;
+const BUSY: Duration = Duration::from_secs(60);
+const CALM: Duration = Duration::from_secs(200);
+const SEEDS: u64 = 25;
+
+/// What goes wrong: parts of the calls, and chances a second.
+#[derive(Clone, Copy)]
+struct Faults {
+    lost: f64,
+    late: f64,
+    crash: f64,
+    cut: f64,
+}
+
+enum Order {
+    Start(StartOrder),
+    Stop(StopOrder),
+    Look(LookOrder),
+}
+
+enum Answer {
+    Start(StartAnswer),
+    Stop(OrderAnswer),
+    Look(LookAnswer),
+}
+
+struct Call {
+    target: HostId,
+    order: Order,
+    born: Duration,
+    sent: BootTime,
+    arrives: BootTime,
+    gives_up: BootTime,
+    answers: bool,
+    done: Option<Answer>,
+    settled: bool,
+}
+
+/// Since when a task is gone, and whether an order of ours ended it.
+#[derive(Clone, Copy)]
+struct Gone {
+    since: BootTime,
+    ordered: bool,
+}
+
+struct ServiceWorld {
+    dice: StdRng,
+    faults: Faults,
+    now: DeskTime,
+    desk: WorkDesk,
+    planner: HostPlanner,
+    targets: BTreeMap<HostId, WorldTarget>,
+    calls: Vec<Call>,
+    gone: BTreeMap<TaskKey, Gone>,
+    found: Vec<String>,
+    /// What happened to each task, for the trace of a fault.
+    history: BTreeMap<TaskKey, Vec<String>>,
+    stops: u32,
+}
+
+impl ServiceWorld {
+    fn new(seed: u64, may_miss: u32, faults: Faults) -> Self {
+        let now = DeskTime {
+            boot: Duration::from_secs(1000),
+            unix: Duration::from_secs(1_000_000),
+        };
+        let mut desk = WorkDesk::new(DeskTuning::default(), 7);
+        desk.set_terms(Arc::new(terms_with_limit(100_000)));
+        let names = (0..TARGETS).map(|number| HostId::from(format!("t{number}")));
+        let fresh = |name: HostId| {
+            let state = WorldTarget {
+                born: Duration::from_secs(1),
+                up: true,
+                ..WorldTarget::default()
+            };
+            (name, state)
+        };
+        let mut world = Self {
+            dice: StdRng::seed_from_u64(seed),
+            faults,
+            now,
+            desk,
+            planner: HostPlanner::default(),
+            targets: names.map(fresh).collect(),
+            calls: Vec::new(),
+            gone: BTreeMap::new(),
+            found: Vec::new(),
+            history: BTreeMap::new(),
+            stops: 0,
+        };
+        let service = StepPlan {
+            long_running: true,
+            may_miss,
+            anti_affinity: 1,
+            ..step(TASKS, 1000)
+        };
+        let record = JobRecord {
+            job: "a".to_owned(),
+            queue: QUEUE.to_owned(),
+            pool: POOL.to_owned(),
+            workspace: SPACE.to_owned(),
+            ..record_of_plan(&plan(vec![service]))
+        };
+        world.desk.accept(&record, now);
+        world
+    }
+
+    fn run(&mut self) {
+        let mut wave = 0;
+        let end = self.now.boot + BUSY;
+        while self.now.boot < end {
+            if self.now.boot.subsec_millis() == 0 && self.now.boot.as_secs().is_multiple_of(6) {
+                wave += 1;
+                self.begin_wave(wave);
+            }
+            self.draw_faults();
+            self.advance();
+        }
+        self.faults = Faults {
+            lost: 0.0,
+            late: 0.0,
+            crash: 0.0,
+            cut: 0.0,
+        };
+        let end = self.now.boot + CALM;
+        while self.now.boot < end && (!self.waves_are_done() || !self.is_whole()) {
+            self.advance();
+        }
+        if !self.is_whole() {
+            self.found.push("tasks are gone in the end".to_owned());
+        }
+    }
+
+    fn waves_are_done(&mut self) -> bool {
+        let states = self.planner.wave_states();
+        states.iter().all(|(_, completed)| *completed)
+    }
+
+    fn is_whole(&self) -> bool {
+        (0..TASKS).all(|index| self.is_at_work(&key(index)))
+    }
+
+    fn chance(&mut self, a_second: f64) -> bool {
+        self.dice.random::<f64>() < a_second * TICK.as_secs_f64()
+    }
+
+    fn begin_wave(&mut self, wave: u64) {
+        let first = self.dice.random_range(0..TARGETS);
+        let hosts = (0..3).map(|next| format!("h{}", (first + next) % TARGETS).into());
+        let wave = MaintenanceWave {
+            wave,
+            hosts: hosts.collect(),
+            deadline: Duration::from_secs(20),
+            cap: 2,
+        };
+        let now = self.now.boot;
+        self.planner.take_waves(&[wave], &BTreeSet::new(), now);
+    }
+
+    fn draw_faults(&mut self) {
+        let now = self.now.boot;
+        if self.chance(self.faults.crash) {
+            let length = Duration::from_millis(self.dice.random_range(500..6000));
+            let name = self.any_target();
+            self.take_down(&name, length, false);
+        }
+        if self.chance(self.faults.cut) {
+            let length = Duration::from_millis(self.dice.random_range(300..5000));
+            let name = self.any_target();
+            if let Some(state) = self.targets.get_mut(&name)
+                && state.up
+            {
+                state.cut = true;
+                state.back_at = now + length;
+            }
+        }
+    }
+
+    fn any_target(&mut self) -> HostId {
+        let number = self.dice.random_range(0..TARGETS);
+        HostId::from(format!("t{number}"))
+    }
+
+    fn take_down(&mut self, name: &HostId, length: Duration, ordered: bool) {
+        let now = self.now.boot;
+        let Some(state) = self.targets.get_mut(name) else {
+            return;
+        };
+        if !state.up {
+            return;
+        }
+        let ended: Vec<TaskKey> = state.runs.keys().map(|run| run.0.clone()).collect();
+        state.runs.clear();
+        state.up = false;
+        state.down_since = now;
+        state.back_at = now + length;
+        for task in ended {
+            if ordered {
+                self.judge(&task, name);
+            }
+            self.note_gone(&task, ordered);
+        }
+    }
+
+    fn advance(&mut self) {
+        self.now.boot += TICK;
+        self.now.unix += TICK;
+        self.move_targets();
+        self.deliver();
+        self.answer();
+        self.decide();
+    }
+
+    fn move_targets(&mut self) {
+        let now = self.now;
+        let mut lapsed = Vec::new();
+        for state in self.targets.values_mut() {
+            if now.boot >= state.back_at {
+                state.cut = false;
+                if !state.up {
+                    *state = WorldTarget {
+                        born: now.unix,
+                        zero: now.boot,
+                        up: true,
+                        ..WorldTarget::default()
+                    };
+                }
+            }
+            let before: Vec<TaskKey> = state.runs.keys().map(|run| run.0.clone()).collect();
+            state.finish(now.boot);
+            if state.runs.is_empty() {
+                lapsed.extend(before);
+            }
+        }
+        for task in lapsed {
+            self.note_gone(&task, false);
+        }
+    }
+
+    fn decide(&mut self) {
+        let now = self.now;
+        for (name, state) in &self.targets {
+            let known = self.desk.targets.get(name);
+            let born = known
+                .filter(|known| known.listed)
+                .map(|known| known.life.born);
+            if state.up && born != Some(state.born) {
+                let mut entry = target(name, CAPACITY);
+                entry.born = state.born;
+                self.desk.list_target(entry, now);
+            } else if !state.up && now.boot >= state.down_since + NOTICE {
+                self.desk.unlist_target(name);
+            }
+        }
+        self.desk.tick(now);
+        if now.boot.subsec_millis() % 100 == 0 {
+            self.tend_hosts();
+        }
+        self.desk.plan(now);
+        self.look();
+        for order in self.desk.take_orders() {
+            match order {
+                DeskOrder::Record(record) => self.desk.recorded(&record, now),
+                DeskOrder::Start(name, order) => self.send(name, Order::Start(order)),
+                DeskOrder::Stop(name, order) => {
+                    let (task, attempt) = (&order.task, order.attempt);
+                    if self.desk.wants_stop(&name, task, attempt, now) {
+                        self.send(name, Order::Stop(order));
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.desk.take_events();
+    }
+
+    fn tend_hosts(&mut self) {
+        let now = self.now.boot;
+        let host = |(name, state): (&HostId, &WorldTarget)| FleetHost {
+            host: name.replace('t', "h").into(),
+            pool: POOL.into(),
+            condition: if state.up {
+                HostCondition::Up
+            } else {
+                HostCondition::Down
+            },
+            target: name.clone(),
+            ..FleetHost::default()
+        };
+        let hosts = self.targets.iter().map(host).collect();
+        self.planner.take_list(hosts, now);
+        for order in self.planner.plan(&mut self.desk, now) {
+            let HostOrder::Maintain(host, _) = &order else {
+                continue;
+            };
+            let name = HostId::from(host.replace('h', "t"));
+            let up = self.targets.get(&name).is_some_and(|state| state.up);
+            let answer = if up {
+                HostOrderAnswer::Done
+            } else {
+                HostOrderAnswer::Busy
+            };
+            if up {
+                self.take_down(&name, Duration::from_millis(1500), true);
+            }
+            if self.planner.answered(&order, &answer, now) {
+                self.desk.end_target(&name, self.now);
+            }
+        }
+    }
+
+    fn look(&mut self) {
+        let names: Vec<HostId> = self.desk.targets.keys().cloned().collect();
+        for name in names {
+            let waits = |call: &Call| {
+                call.target == name && !call.settled && matches!(call.order, Order::Look(_))
+            };
+            if self.calls.iter().any(waits) {
+                continue;
+            }
+            if let Some(order) = self.desk.look_order(&name, self.now) {
+                self.send(name, Order::Look(order));
+            }
+        }
+    }
+
+    fn send(&mut self, target: HostId, order: Order) {
+        let now = self.now.boot;
+        let draw: f64 = self.dice.random();
+        let Faults { lost, late, .. } = self.faults;
+        let soon = now + Duration::from_millis(self.dice.random_range(1..60));
+        let (arrives, answers) = if draw < lost / 2.0 {
+            (BootTime::MAX, false)
+        } else if draw < lost {
+            (soon, false)
+        } else if draw < lost + late {
+            let delay = Duration::from_millis(self.dice.random_range(600..12_000));
+            (now + delay, false)
+        } else {
+            (soon, true)
+        };
+        let wait = match &order {
+            Order::Look(look) => look.wait.min(Duration::from_millis(100)),
+            _ => Duration::ZERO,
+        };
+        let state = self.targets.get(&target);
+        self.calls.push(Call {
+            born: state.map(|state| state.born).unwrap_or_default(),
+            target,
+            order,
+            sent: now,
+            arrives: arrives.saturating_add(wait),
+            gives_up: now + wait + ORDER_TIMEOUT,
+            answers,
+            done: None,
+            settled: false,
+        });
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now.boot;
+        let mut calls = std::mem::take(&mut self.calls);
+        for call in &mut calls {
+            if call.done.is_some() || call.arrives > now {
+                continue;
+            }
+            call.arrives = BootTime::MAX;
+            let held = now > call.gives_up;
+            let Some(state) = self.targets.get_mut(&call.target) else {
+                continue;
+            };
+            if !state.up || state.cut || (held && call.born != state.born) {
+                call.answers = false;
+                continue;
+            }
+            let mut tell = |task: &TaskKey, what: &str| {
+                let told = self.history.entry(task.clone()).or_default();
+                told.push(format!(
+                    "{now:?}: {what} on {}, sent {:?}",
+                    call.target, call.sent
+                ));
+            };
+            call.done = Some(match &call.order {
+                Order::Start(order) => {
+                    tell(&order.task, &format!("start {}", order.attempt));
+                    let answer = state.start(order, now, BootTime::MAX);
+                    if matches!(answer, StartAnswer::Started { .. }) {
+                        self.gone.remove(&order.task);
+                        state.started_at.entry(order.task.clone()).or_insert(now);
+                    }
+                    Answer::Start(answer)
+                }
+                Order::Stop(order) => {
+                    tell(&order.task, &format!("stop {}", order.attempt));
+                    let run = (order.task.clone(), order.attempt);
+                    let ends = state.runs.contains_key(&run);
+                    let answer = state.stop(order, now);
+                    let begun = state.started_at.remove(&run.0).unwrap_or_default();
+                    if ends {
+                        self.stops += 1;
+                        if !held && now >= begun + UNDER_WAY {
+                            self.judge(&run.0, &call.target);
+                        }
+                        self.note_gone(&run.0, true);
+                    }
+                    Answer::Stop(answer)
+                }
+                Order::Look(order) => Answer::Look(state.look(order, now).0),
+            });
+        }
+        self.calls = calls;
+    }
+
+    fn answer(&mut self) {
+        let now = self.now;
+        let mut calls = std::mem::take(&mut self.calls);
+        for call in calls.iter_mut().filter(|call| !call.settled) {
+            let answered = call.answers && call.done.is_some();
+            if !answered && now.boot < call.gives_up {
+                continue;
+            }
+            call.settled = true;
+            let lost = || "timed out".to_owned();
+            let done = call.done.take().filter(|_| answered);
+            let (id, desk) = (&call.target, &mut self.desk);
+            match (&call.order, done) {
+                (Order::Start(order), done) => {
+                    let answer = match done {
+                        Some(Answer::Start(answer)) => answer,
+                        _ => StartAnswer::Unanswered(lost()),
+                    };
+                    desk.started(id, &order.task, order.attempt, &answer, now);
+                }
+                (Order::Stop(order), done) => {
+                    let answer = match done {
+                        Some(Answer::Stop(answer)) => answer,
+                        _ => OrderAnswer::Unanswered(lost()),
+                    };
+                    desk.stopped(id, &order.task, order.attempt, call.sent, &answer, now);
+                }
+                (Order::Look(order), done) => {
+                    let answer = match done {
+                        Some(Answer::Look(answer)) => answer,
+                        _ => LookAnswer::Unanswered(lost()),
+                    };
+                    desk.saw(id, call.sent, order.observed, &answer, now);
+                }
+            }
+        }
+        calls.retain(|call| !call.settled || call.arrives != BootTime::MAX);
+        self.calls = calls;
+    }
+
+    /// Holds an order that ends a task at work against what its step may miss.
+    fn judge(&mut self, task: &TaskKey, on: &HostId) {
+        if self.is_at_work(task) {
+            // It runs elsewhere as well.
+            return;
+        }
+        let now = self.now.boot;
+        let may_miss = self.desk.board.jobs["a"].plan.steps[0].may_miss as usize;
+        let missing = |index: &u32| {
+            let gone = self.gone.get(&key(*index));
+            gone.is_some_and(|gone| gone.ordered || now >= gone.since + NOTICE)
+        };
+        let others = (0..TASKS).filter(|index| *index != task.index);
+        let away: Vec<u32> = others.filter(missing).collect();
+        if away.len() >= may_miss {
+            let told = self.history.get(task);
+            let fault = format!("{now:?}: {task} ends on {on} while {away:?} are away: {told:#?}");
+            self.found.push(fault);
+        }
+    }
+
+    fn note_gone(&mut self, task: &TaskKey, ordered: bool) {
+        if self.is_at_work(task) {
+            return;
+        }
+        let since = self.now.boot;
+        self.gone.insert(task.clone(), Gone { since, ordered });
+    }
+
+    fn is_at_work(&self, task: &TaskKey) -> bool {
+        let up = self.targets.values().filter(|state| state.up);
+        up.flat_map(|state| state.runs.keys())
+            .any(|run| run.0 == *task)
+    }
+}
+
+fn key(index: u32) -> TaskKey {
+    TaskKey {
+        job: "a".into(),
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
+/// No order ends a task of a service while as many others are away as may be, whatever becomes of
+/// orders, and in the end all of them are at work.
+#[rstest]
+#[case::calm(1, Faults { lost: 0.0, late: 0.0, crash: 0.0, cut: 0.0 })]
+#[case::orders(1, Faults { lost: 0.15, late: 0.15, crash: 0.0, cut: 0.0 })]
+#[case::targets(1, Faults { lost: 0.02, late: 0.02, crash: 0.15, cut: 0.15 })]
+#[case::late_starts(1, Faults { lost: 0.05, late: 0.4, crash: 0.1, cut: 0.1 })]
+#[case::unsure(1, Faults { lost: 0.3, late: 0.35, crash: 0.3, cut: 0.0 })]
+#[case::two_may_miss(2, Faults { lost: 0.1, late: 0.2, crash: 0.1, cut: 0.1 })]
+fn services_miss_no_more(#[case] may_miss: u32, #[case] faults: Faults) {
+    let mut stops = 0;
+    for seed in 0..SEEDS {
+        let mut world = ServiceWorld::new(seed, may_miss, faults);
+        world.run();
+        stops += world.stops;
+        assert!(world.found.is_empty(), "seed {seed}: {:#?}", world.found);
+    }
+    assert!(stops > 0, "hosts were emptied");
+}
--- a/crates/decide/tests/work_stops.rs
+++ b/crates/decide/tests/work_stops.rs
@@ -258,3 +258,65 @@
     scene.pass(Duration::from_millis(50));
     assert_eq!(wanted_stops(&mut scene).len(), 1);
 }
+
+/// A service loses both of its tasks: the stop that was to close a start was not answered, nor were
+/// the looks after it. The start was carried out meanwhile, and the next stop ended the task.
+#[test]
+fn closing_stop_waits_for_look() {
+    let (mut scene, (id, start), _) = with_unsure_start();
+    scene.raise(&id);
+    let stops = wanted_stops(&mut scene);
+    assert_eq!(stops.len(), 1, "a look has just shown that it is not there");
+    lose_answer(&mut scene, &stops[0]);
+    scene.pass(UNHEARD);
+    assert!(scene.others.contains(&DeskOrder::Look(id.clone())));
+    assert!(
+        wanted_stops(&mut scene).is_empty(),
+        "it may be there by now"
+    );
+    scene.raise(&id);
+    assert_eq!(wanted_stops(&mut scene).len(), 1, "it is not there");
+    lose_answer(&mut scene, &stops[0]);
+    scene.pass(UNHEARD);
+    scene.see(&id, vec![at_work(&start)], Vec::new());
+    scene.pass(AGAIN);
+    assert!(wanted_stops(&mut scene).is_empty(), "it is at work");
+}
+
+/// A service loses both of its tasks: the host list told that a target has begun another life,
+/// where the start of the life before had been carried out already.
+#[test]
+fn next_life_is_looked_at_before_stop() {
+    let (mut scene, (id, start), _) = with_unsure_start();
+    scene.pass(UNHEARD);
+    scene.others.clear();
+    let reborn = TargetEntry {
+        born: LATER,
+        ..target(&id, 2000)
+    };
+    scene.desk.list_target(reborn, scene.now);
+    scene.run();
+    assert!(scene.others.contains(&DeskOrder::Look(id.clone())));
+    assert!(
+        wanted_stops(&mut scene).is_empty(),
+        "it may be there by now"
+    );
+    let look = |scene: &mut DeskScene, running| {
+        let sight = TargetSight {
+            clock: scene.now.boot,
+            born: LATER,
+            running,
+            ended: Vec::new(),
+        };
+        let sent = scene.now.boot;
+        scene
+            .desk
+            .saw(&id, sent, 0, &LookAnswer::Seen(sight), scene.now);
+        scene.run();
+    };
+    look(&mut scene, Vec::new());
+    assert_eq!(wanted_stops(&mut scene).len(), 1, "it is not there");
+    look(&mut scene, vec![at_work(&start)]);
+    scene.pass(AGAIN);
+    assert!(wanted_stops(&mut scene).is_empty(), "it is at work");
+}
