Take no host for empty whose target is not known yet

In its log a new owner read the log at 26.17 s, and its first list of hosts came before its list of targets. Six hosts of a wave, whose maintenance the owner before had had done and not recorded, seemed to be empty as their targets were unknown. They were ordered, the targets were listed and given tasks at 26.27 s, and the answers at 26.30 s ("done": it had been done before, so nothing ended) ended these targets in the owner's belief. It started 16 runs elsewhere, six of which ran twice. An order that is carried out would end the tasks instead.

Cause: `ready_orders` took a host whose target the desk does not know for empty, and `keep_free` can't keep a target free that is not listed.

Evidence: unknown_target_is_not_empty fails on the code before; unlisted_target_delays_no_wave keeps the limit. Five tests of work_hosts listed hosts whose targets the desk had never heard of, and so rested on the fault: they list these targets now, and hold what they held before.

--- a/crates/decide/tests/work_hosts.rs
+++ b/crates/decide/tests/work_hosts.rs
@@ -54,6 +54,13 @@
     }
 }
 
+/// Lists targets that run nothing and have been looked at.
+fn add_targets(scene: &mut DeskScene, numbers: std::ops::Range<u32>) {
+    for number in numbers {
+        scene.add(&format!("t{number}"), 2000);
+    }
+}
+
 fn at_work(start: &StartOrder) -> RunSight {
     RunSight {
         percent: 100,
@@ -157,6 +164,7 @@
     let mut scene = DeskScene::new(1);
     let mut planner = HostPlanner::default();
     let names = ["h1", "h2", "h3"];
+    names.iter().for_each(|name| scene.add(name, 2000));
     let list = || {
         names
             .iter()
@@ -185,6 +193,7 @@
         .map(|name| host(name, POOL, &format!("{name}-again")))
         .collect();
     planner.take_list(back, scene.now.boot);
+    scene.add("h3-again", 2000);
     let last = planner.plan(&mut scene.desk, scene.now.boot);
     assert_eq!(last, [HostOrder::Maintain("h3".into(), 1)]);
     assert!(planner.answered(&last[0], &HostOrderAnswer::Done, scene.now.boot));
@@ -221,6 +230,7 @@
 fn idle_hosts_are_switched_off() {
     let mut scene = DeskScene::new(1);
     with_standby(&mut scene);
+    add_targets(&mut scene, 0..6);
     let mut planner = HostPlanner::default();
     let list: Vec<FleetHost> = (0..6)
         .map(|number| host(&format!("h{number}"), POOL, &format!("t{number}")))
@@ -254,6 +264,7 @@
     let pools = terms.pools.iter().cloned().chain([other]).collect();
     let terms = FleetTerms { pools, ..terms };
     scene.desk.set_terms(std::sync::Arc::new(terms));
+    add_targets(&mut scene, 0..18);
     let mut planner = HostPlanner::default();
     let list = (0..18).map(|number| host(&format!("h{number:02}"), POOL, &format!("t{number}")));
     planner.take_list(list.collect(), scene.now.boot);
@@ -273,6 +284,7 @@
 fn predecessor_order_delays_host() {
     let mut scene = DeskScene::new(1);
     with_standby(&mut scene);
+    add_targets(&mut scene, 0..4);
     let mut planner = HostPlanner::default();
     let list = (0..4).map(|number| host(&format!("h{number}"), POOL, &format!("t{number}")));
     planner.take_list(list.collect(), scene.now.boot);
@@ -292,6 +304,7 @@
 fn predecessor_clock_behind_delays_host() {
     let mut scene = DeskScene::new(1);
     with_standby(&mut scene);
+    add_targets(&mut scene, 0..4);
     let mut planner = HostPlanner::default();
     let list = (0..4).map(|number| host(&format!("h{number}"), POOL, &format!("t{number}")));
     planner.take_list(list.collect(), scene.now.boot);
@@ -391,3 +404,36 @@
     scene.submit("a", &plan(vec![step(1, 1000)]));
     assert!(scene.starts.is_empty(), "a silent target gets no task");
 }
+
+/// A batch runs twice: a new owner's first list of hosts came before its list of targets, a host
+/// whose target it did not know passed for empty, and the order ended that target in its belief
+/// after it had been given tasks.
+#[test]
+fn unknown_target_is_not_empty() {
+    let mut scene = DeskScene::new(1);
+    let mut planner = HostPlanner::default();
+    planner.take_list(vec![host("h1", POOL, "t1")], scene.now.boot);
+    planner.take_waves(&[wave(&["h1"], 1)], &BTreeSet::new(), scene.now.boot);
+    assert!(planner.plan(&mut scene.desk, scene.now.boot).is_empty());
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let starts = scene.start_all();
+    scene.see("t1", vec![running(&starts[0].1)], Vec::new());
+    planner.plan(&mut scene.desk, scene.now.boot);
+    scene.pass(Duration::from_secs(4));
+    scene.see("t1", vec![running(&starts[0].1)], Vec::new());
+    assert!(planner.plan(&mut scene.desk, scene.now.boot).is_empty());
+}
+
+/// A wave is never done: the entry of a target had lapsed and did not come back, and its host
+/// counted as unknown for ever.
+#[test]
+fn unlisted_target_delays_no_wave() {
+    let mut scene = DeskScene::new(1);
+    let mut planner = HostPlanner::default();
+    planner.take_list(vec![host("h1", POOL, "t1")], scene.now.boot);
+    planner.take_waves(&[wave(&["h1"], 1)], &BTreeSet::new(), scene.now.boot);
+    planner.plan(&mut scene.desk, scene.now.boot);
+    scene.pass(Duration::from_secs(4));
+    assert_eq!(planner.plan(&mut scene.desk, scene.now.boot).len(), 1);
+}
