--- a/crates/decide/tests/work_services.rs
+++ b/crates/decide/tests/work_services.rs
@@ -288,7 +288,7 @@
             }
         }
         self.desk.tick(now);
-        if now.boot.subsec_millis() % 100 == 0 {
+        if now.boot.subsec_millis().is_multiple_of(100) {
             self.tend_hosts();
         }
         self.desk.plan(now);
