Read on below a prefix after a call that failed

An owner starts nothing while it does not know what callers have cancelled. The reading of kept cancellings began anew with the first page after each call that failed, so that many of them behind a poor link might never be read to the end, and nothing was started for the rest of the term. The list of targets and the terms are read by the same code.

Cause: `watch_prefix` read the pages by `read_all`, which gives up all pages with one that fails. The log and the targets of a term were already read by `PrefixReader`, which keeps them.

Change: `watch_prefix` keeps the pages as well. What is known counts from the sending of the first page, and the watch goes on from its revision.

Evidence: kept_cancels_are_read_on (30 keys in pages of 10, each second call fails) waits in vain for 10 s on the code before. Found by reading.

--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -31,19 +31,7 @@
 ) {
     let note = DependencyNote::default();
     loop {
-        let sent = BootClock.boot_now();
-        let mut revision = match read_all(&*store, prefix).await {
-            Ok((items, revision)) => {
-                sink.reset(items, revision);
-                sink.answered(sent);
-                revision
-            }
-            Err(error) => {
-                note.failed("list", prefix, &error);
-                sleep(FAULT_PAUSE).await;
-                continue;
-            }
-        };
+        let mut revision = read_anew(&*store, prefix, sink, &note).await;
         loop {
             let sent = BootClock.boot_now();
             match store.watch(prefix, revision, patience).await {
@@ -72,17 +60,28 @@
     }
 }
 
-/// Reads all keys below a prefix. The revision is the one of the first page, so that a watch
-/// from there misses nothing that changed while the others were read.
-pub(crate) async fn read_all(
+/// Reads all keys below a prefix for a sink, for as long as that takes. Returns the revision of the
+/// first page, so that a watch from there misses nothing that changed while the others were read.
+async fn read_anew(
     store: &dyn LeaseStore,
     prefix: &str,
-) -> Result<(Vec<StoreItem>, StoreRevision), StoreFault> {
+    sink: &dyn PrefixSink,
+    note: &DependencyNote,
+) -> StoreRevision {
     let mut reader = PrefixReader::new(prefix);
+    let mut sent = BootClock.boot_now();
     while !reader.is_done() {
-        reader.read_page(store).await?;
+        if reader.items.is_empty() {
+            sent = BootClock.boot_now();
+        }
+        if let Err(error) = reader.read_page(store).await {
+            note.failed("list", prefix, &error);
+            sleep(FAULT_PAUSE).await;
+        }
     }
-    Ok((reader.items, reader.revision))
+    sink.reset(reader.items, reader.revision);
+    sink.answered(sent);
+    reader.revision
 }
 
 /// Reads all keys below a prefix a page at a time, and keeps the pages that it has when a call
--- a/crates/cell/tests/cancels.rs
+++ b/crates/cell/tests/cancels.rs
@@ -150,3 +150,21 @@
         assert_eq!(bench.targets.started(), 6);
     });
 }
+
+/// Guards against an owner that starts nothing more since it never gets to the end of what is kept:
+/// it began anew with the first page after each call that failed.
+#[test]
+fn kept_cancels_are_read_on() {
+    run_local(async {
+        let bench = CellBench::new();
+        for number in 0..30 {
+            bench.store.put(&format!("{KEPT}old{number:02}"), b"");
+        }
+        let handle = bench.store.handle();
+        handle.limit_lists(KEPT, 10, 2);
+        let desk = bench.host_on("a", &handle).desk();
+        accepted(&desk, "job1").await;
+        let completed = CallerAnswer::Found(JobProgress::Completed);
+        until(&desk, CallerWish::Look("job1".into()), completed).await;
+    });
+}
