Keep cancellings that wait before the process ends

A caller cancelled a job while the store was away for its process. It was told that the outcome is unknown, and the process went on trying. Told to stop meanwhile, the process ended as soon as its connections had, and forgot the cancelling: the job would run unless the caller asked again.

Cause: what waits to be kept lived in a task that nobody waited for.

Change: `CellHost::stop` waits, after the connections, until the store has taken what waits, within the limit that a stop has anyway. A process with nothing to keep stops as before.

Evidence: stop_keeps_waiting_cancels fails on the code before. Found by reading.

--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -41,6 +41,7 @@
     client: CallClient,
     members: Rc<MemberBook>,
     pledge: Rc<StandPledge>,
+    keeper: Rc<CancellationKeeper>,
     /// Begins when connections are to finish.
     stopping: ShutdownSignal,
     /// Begins when the process no longer stands for election.
@@ -54,7 +55,9 @@
     pub fn new(options: CellOptions, ports: CellPorts, client: CallClient) -> Self {
         let owners = OwnerView::new(options.owner_key());
         let options = Rc::new(options);
+        let keeper = CancellationKeeper::new(ports.store.clone(), options.clone());
         Self {
+            keeper: Rc::new(keeper),
             view: Rc::new(FleetView::new(ports.codec.clone())),
             owners: Rc::new(owners),
             members: Rc::new(MemberBook::new(options.clone(), client.clone())),
@@ -79,10 +82,7 @@
             client: self.client.clone(),
             draining: self.draining.clone(),
             members: self.members.clone(),
-            keeper: Rc::new(CancellationKeeper::new(
-                self.ports.store.clone(),
-                self.options.clone(),
-            )),
+            keeper: self.keeper.clone(),
         })
     }
 
@@ -123,7 +123,8 @@
     }
 
     /// Shuts down: new callers are led elsewhere, ownership is handed over, connections end
-    /// with the answers that they carry. Returns when `served` has, or at the limit.
+    /// with the answers that they carry. Returns when `served` has and all cancellations are kept
+    /// that the store could not take, or at the limit.
     pub async fn stop(&self, served: impl Future<Output = ()>) {
         let deadline = Instant::now() + self.options.stop_limit;
         log_event::info(
@@ -138,7 +139,11 @@
         }
         sleep(self.options.drain_wait).await;
         self.stopping.begin();
-        let cut = timeout_at(deadline, served).await.is_err();
+        let settled = async {
+            served.await;
+            self.keeper.settle().await;
+        };
+        let cut = timeout_at(deadline, settled).await.is_err();
         log_event::info(
             &event::CELL_STOPPED,
             format_args!("member={} limit_reached={cut}", self.options.member),
--- a/crates/cell/src/kept_cancellation.rs
+++ b/crates/cell/src/kept_cancellation.rs
@@ -10,7 +10,10 @@
 use ports::{
     LeaseStore, StoreChange, StoreEvent, StoreFault, StoreItem, StoreRevision, StoreWrite,
 };
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
 use wire::work::log_entry::Event;
 
 use crate::{
@@ -41,6 +44,8 @@
     options: Rc<CellOptions>,
     /// Jobs whose cancellations are tried until the store takes them.
     waiting: RefCell<BTreeSet<JobId>>,
+    /// Told when none waits any more.
+    settled: Notify,
 }
 
 impl CancellationKeeper {
@@ -49,6 +54,15 @@
             store,
             options,
             waiting: RefCell::default(),
+            settled: Notify::new(),
+        }
+    }
+
+    /// Waits until the store has taken all cancellations that wait, or they are given up.
+    pub(crate) async fn settle(&self) {
+        let settled = self.settled.notified();
+        if !self.waiting.borrow().is_empty() {
+            settled.await;
         }
     }
 
@@ -92,6 +106,7 @@
             }
         }
         self.waiting.borrow_mut().clear();
+        self.settled.notify_waiters();
     }
 
     fn first_waiting(&self) -> Vec<JobId> {
--- a/crates/cell/src/log_parts.rs
+++ b/crates/cell/src/log_parts.rs
@@ -10,8 +10,7 @@
 
 use crate::{
     event,
-    log_reader::{FAULT_PAUSE, note_fault, page_number},
-    prefix_watch::read_all,
+    log_reader::{FAULT_PAUSE, note_fault, page_number, read_below},
     term::Term,
 };
 
@@ -69,7 +68,7 @@
     loop {
         let part = part_at(page, power, page == extent.first);
         let begun = Instant::now();
-        let found = read_part(term, &part_prefix(&prefix, page, part)).await;
+        let found = read_below(term, &part_prefix(&prefix, page, part)).await;
         let size = 10_u64.pow(part);
         let end = (page / size + 1) * size;
         let in_part = |item: &StoreItem| (page..end).contains(&page_number(item, &prefix));
@@ -93,21 +92,6 @@
     (complete && !items.is_empty()).then_some((oldest, items))
 }
 
-async fn read_part(term: &Term, prefix: &str) -> Vec<StoreItem> {
-    loop {
-        match read_all(&*term.ports.store, prefix).await {
-            Ok((items, _)) => {
-                term.read_on();
-                return items;
-            }
-            Err(error) => {
-                note_fault(&error);
-                sleep(FAULT_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Power of ten of the part that begins at a page. Only the first may hold pages before it, which
 /// later parts would bring once more.
 fn part_at(page: u64, power: u32, first: bool) -> u32 {
--- a/crates/cell/src/log_reader.rs
+++ b/crates/cell/src/log_reader.rs
@@ -29,7 +29,7 @@
     };
     let (oldest, items) = match parts {
         Some((oldest, items)) => (Some(oldest), items),
-        None => (None, read_whole(term, &prefix).await),
+        None => (None, read_below(term, &prefix).await),
     };
     let first_page = items.first().map_or(0, |item| page_number(item, &prefix));
     let mut summary = LogSummary {
@@ -55,7 +55,8 @@
     summary
 }
 
-async fn read_whole(term: &Term, prefix: &str) -> Vec<StoreItem> {
+/// Reads all that stands below a prefix, trying until the store answers.
+pub(crate) async fn read_below(term: &Term, prefix: &str) -> Vec<StoreItem> {
     let mut reader = PrefixReader::new(prefix);
     while !reader.is_done() {
         match reader.read_page(&*term.ports.store).await {
--- a/crates/cell/tests/cancels.rs
+++ b/crates/cell/tests/cancels.rs
@@ -168,3 +168,30 @@
         until(&desk, CallerWish::Look("job1".into()), completed).await;
     });
 }
+
+/// Guards against a process that forgets, when it stops, what the store could not take: its caller
+/// was left without an answer, and the job would be started after all.
+#[test]
+fn stop_keeps_waiting_cancels() {
+    run_local(async {
+        let bench = CellBench::without_targets();
+        let handle = bench.store.handle();
+        let host = bench.host_on("a", &handle);
+        let desk = host.desk();
+        accepted(&desk, "job1").await;
+        handle.turn_away(true);
+        // The lease lapses, so that nobody can record it.
+        sleep(Duration::from_millis(1500)).await;
+        assert_eq!(cancel(&desk, "job1").await, CallerAnswer::Unknown);
+        let back = async {
+            sleep(Duration::from_secs(1)).await;
+            handle.turn_away(false);
+        };
+        let stopped = async {
+            host.stop(std::future::ready(())).await;
+            bench.store.value(&format!("{KEPT}job1")).is_some()
+        };
+        let (kept, ()) = tokio::join!(stopped, back);
+        assert!(kept, "forgotten");
+    });
+}
