Take back the reading of the log in parts

Why is not traced; each page's change carries one more write, and a successor makes one more call before it reads.

--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -94,11 +94,6 @@
         compact_str::format_compact!("{}{job}", self.cancellation_prefix())
     }
 
-    /// Key that tells which pages the job log has.
-    pub fn extent_key(&self) -> CompactString {
-        compact_str::format_compact!("{}log-extent", self.key_prefix)
-    }
-
     /// Prefix of the pages of the job log.
     pub fn log_prefix(&self) -> CompactString {
         compact_str::format_compact!("{}log/", self.key_prefix)
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -20,7 +20,6 @@
 mod log_compact;
 mod log_page;
 mod log_pages;
-mod log_parts;
 mod log_queue;
 mod log_reader;
 mod log_writer;
--- a/crates/cell/src/log_pages.rs
+++ b/crates/cell/src/log_pages.rs
@@ -3,8 +3,6 @@
 use compact_str::CompactString;
 use model::work::FencingToken;
 use ports::{StoreChange, StoreWrite};
-use prost::Message;
-use wire::work::LogExtent;
 
 use crate::cell_options::CellOptions;
 
@@ -16,16 +14,14 @@
 /// A shorter log is written only if the log is at least so many times as long. Otherwise it would
 /// add more to what the next owner reads than it ever takes away.
 const WORTH_IT: usize = 2;
-/// Keys that a change which writes a page may remove beside: the store takes 32 entries, four of
-/// which are the owner's entry, the page as a condition, the page, and the log's extent.
+/// Keys that a change which writes a page may remove beside: the store takes 32 entries, three of
+/// which are the owner's entry, the page as a condition, and the page.
 const REMOVED_AT_ONCE: usize = 28;
 
 /// What was read of a job log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct LogSummary {
-    /// Oldest page that may be there.
-    pub(crate) oldest_page: u64,
-    /// Number of the first page in force.
+    /// Number of the first page.
     pub(crate) first_page: u64,
     /// Number that the next page gets.
     pub(crate) next_page: u64,
@@ -57,7 +53,6 @@
             first: summary.first_page,
             next: summary.next_page,
             new_bytes: summary.bytes,
-            replaced: (summary.oldest_page..summary.first_page).collect(),
             ..Self::default()
         }
     }
@@ -83,31 +78,15 @@
         let oldest = self.replaced.iter().take(REMOVED_AT_ONCE);
         StoreChange {
             expect: vec![(options.owner_key(), token), (key.clone(), 0)],
-            writes: vec![
-                StoreWrite {
-                    key,
-                    value,
-                    lease: None,
-                },
-                StoreWrite {
-                    key: options.extent_key(),
-                    value: self.extent_after().encode_to_vec(),
-                    lease: None,
-                },
-            ],
+            writes: vec![StoreWrite {
+                key,
+                value,
+                lease: None,
+            }],
             removes: oldest.map(|&page| page_key(options, page)).collect(),
         }
     }
 
-    /// Which pages there are once the change was made that writes the next one.
-    fn extent_after(&self) -> LogExtent {
-        LogExtent {
-            first: self.first,
-            oldest: *self.replaced.get(REMOVED_AT_ONCE).unwrap_or(&self.first),
-            next: self.next + 1,
-        }
-    }
-
     /// Takes in that the change which writes the next page was made.
     pub(crate) fn wrote(&mut self, bytes: usize) {
         self.next += 1;
--- a/crates/cell/src/step_aside.rs
+++ b/crates/cell/src/step_aside.rs
@@ -7,9 +7,8 @@
 
 /// How often an owner considers whether another should have its place.
 const CONSIDER_EVERY: Duration = Duration::from_millis(500);
-/// How long an owner that reads the log may get none of it before it lets another try, or read it
-/// while there is a much stronger process. Where all links are as narrow, the next would only
-/// begin anew.
+/// How long an owner may read the log before it lets another try. The log is kept so short that
+/// a narrow link carries it in a third of this time.
 const READ_LIMIT: Duration = Duration::from_secs(3);
 /// How many times as strong another process has to be to be worth a hand-over, which holds up
 /// callers for some tens of milliseconds.
@@ -37,10 +36,8 @@
         if !term.is_certain() || term.handing_over.get() {
             continue;
         }
-        let now = term.now().boot;
-        let stalled = now.saturating_sub(term.read_at.get()) >= READ_LIMIT;
-        let late = now.saturating_sub(begun) >= READ_LIMIT;
-        if !term.is_ready() && (stalled || (late && knows_stronger(term))) {
+        let age = term.now().boot.saturating_sub(begun);
+        if !term.is_ready() && age >= READ_LIMIT {
             return Departure::GiveUp("the log was not read in time");
         }
         if term.is_ready() && !term.log.is_failing() && has_stronger(term).await {
@@ -49,11 +46,6 @@
     }
 }
 
-fn knows_stronger(term: &Term) -> bool {
-    let least = term.options.limits.strength().saturating_mul(WORTH_IT);
-    term.members.strongest(least).is_some()
-}
-
 /// True if a much stronger process is there that knows this owner, so that it hears the store.
 async fn has_stronger(term: &Term) -> bool {
     let least = term.options.limits.strength().saturating_mul(WORTH_IT);
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -83,8 +83,6 @@
     pub(crate) ready: Cell<bool>,
     /// Set once nothing more is to be begun.
     pub(crate) handing_over: Cell<bool>,
-    /// When the last part of the log was read.
-    pub(crate) read_at: Cell<BootTime>,
     /// Told once the log has been read.
     pub(crate) became_ready: Notify,
     /// Whether the process gave the cell up for another to take it.
@@ -129,7 +127,6 @@
             over: ShutdownSignal::default(),
             ready: Cell::new(false),
             handing_over: Cell::new(false),
-            read_at: Cell::new(BootClock.boot_now()),
             became_ready: Notify::new(),
             given_up: Cell::new(false),
             certain_until: Cell::new(certain),
@@ -154,11 +151,6 @@
         self.ready.get() && !self.over.begun()
     }
 
-    /// Takes in that a part of the log was read.
-    pub(crate) fn read_on(&self) {
-        self.read_at.set(BootClock.boot_now());
-    }
-
     /// True once the term is over.
     pub(crate) fn is_over(&self) -> bool {
         self.over.begun()
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -88,7 +88,7 @@
 async fn lead(term: Rc<Term>) {
     let started = term.now().boot;
     let mut desk = term.desk.borrow().clone();
-    let summary = read_log(&term, &mut desk).await;
+    let summary = read_log(&*term.ports.store, &term.options, &mut desk, || term.now()).await;
     if let Some(terms) = term.view.terms() {
         desk.set_terms(terms);
     }
