Let a new owner know what was accepted lately

Cause: the meter that foresees demand from the trend of arrivals began empty with each term.

Change: the log tells when jobs were accepted; a new owner takes those of the last ten seconds into its meter before it plans.

Evidence: successor_knows_rising_arrivals fails with the arrivals left out.

--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -106,6 +106,9 @@
             term.now().boot.saturating_sub(started).as_millis()
         ),
     );
+    let mut hosts = term.hosts.borrow_mut();
+    hosts.take_arrivals(&desk.board, term.now().boot);
+    drop(hosts);
     *term.desk.borrow_mut() = desk;
     term.ready.set(true);
     term.became_ready.notify_waiters();
--- a/crates/decide/src/work/host_planner.rs
+++ b/crates/decide/src/work/host_planner.rs
@@ -8,7 +8,7 @@
     work::{FleetHost, HostCondition, HostOrderAnswer, MaintenanceWave, WaveId},
 };
 
-use super::{DemandMeter, DeskTime, HostVacancy, WorkDesk};
+use super::{DemandMeter, DeskTime, HostVacancy, JobBoard, WorkDesk};
 
 /// Pause after an order that was refused because the host was busy.
 const BUSY_PAUSE: Duration = Duration::from_millis(700);
@@ -22,6 +22,9 @@
 /// jump by some seconds at times.
 const CLOCK_DOUBT: Duration = Duration::from_secs(5);
 
+/// Arrivals before that count for next to nothing in the rates that are compared.
+const LATELY: Duration = Duration::from_secs(10);
+
 /// An order to a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostOrder {
@@ -100,6 +103,19 @@
 }
 
 impl HostPlanner {
+    /// Takes in what earlier owners accepted lately, so that a rise of demand does not go unseen for
+    /// as long as it takes to measure the arrivals anew.
+    pub fn take_arrivals(&mut self, board: &JobBoard, now: BootTime) {
+        let jobs = board.jobs.values();
+        let mut lately: Vec<_> = jobs
+            .filter(|job| now.saturating_sub(job.arrived) < LATELY)
+            .collect();
+        lately.sort_by_key(|job| job.arrived);
+        for job in lately {
+            self.meter.arrived(&job.pool, job.plan.work(), job.arrived);
+        }
+    }
+
     /// Takes the list of hosts that was asked for at `asked`.
     pub fn take_list(&mut self, hosts: Vec<FleetHost>, asked: BootTime) {
         let present: BTreeSet<HostId> = hosts.iter().map(|host| host.host.clone()).collect();
--- a/crates/decide/tests/work_hosts.rs
+++ b/crates/decide/tests/work_hosts.rs
@@ -215,6 +215,38 @@
     );
 }
 
+/// A queue's turn begins while the cell is handed over. The successor brings hosts as soon as its
+/// predecessor would, and does not first measure for a second how fast arrivals rise.
+#[test]
+fn successor_knows_rising_arrivals() {
+    let mut first = DeskScene::new(1);
+    first.add("t1", 4000);
+    for number in 1..=10 {
+        first.pass(Duration::from_millis(100));
+        first.submit(&format!("a{number}"), &plan(vec![step(1, 1000)]));
+        let starts = first.start_all();
+        let end = ended(
+            number,
+            &starts[0].1.task,
+            starts[0].1.attempt,
+            EndKind::Done,
+        );
+        first.see("t1", Vec::new(), vec![end]);
+    }
+    let mut second = first.successor(9);
+    with_standby(&mut second);
+    let mut planner = HostPlanner::default();
+    planner.take_arrivals(&second.desk.board, second.now.boot);
+    let mut list = vec![host("h1", POOL, "t1"), host("h2", POOL, "t2")];
+    list.extend((3..9).map(|number| host(&format!("h{number}"), STANDBY, "")));
+    planner.take_list(list, second.now.boot);
+    let orders = planner.plan(&mut second.desk, second.now.boot);
+    assert!(
+        orders.len() >= 4,
+        "ten core-seconds a second need twelve cores, four are there: {orders:?}"
+    );
+}
+
 /// An idle pool is paid for. Its hosts are switched off after a while, but for the few that a
 /// first task should find.
 #[test]
