Break the circles among files of a crate

Eight groups of files used each other in a circle, so that none could be read alone. What both sides need stands in a file of its own now, moved word for word: `StepKey`, `HeldWork` and `expired`, the loop of the caller port, `check_caller`, the kinds of calls of the fake store, `ListView`, `PendingFlush`, the orders to a holder of jobs, `QuotaCall` with the sorting of talks, and the reading of a cell's settings. Behaviour is the same.

Evidence: clippy of the workspace; all tests of decide, entry, fleet, member and fake pass.

--- a/crates/decide/src/work/desk_evacuate.rs
+++ b/crates/decide/src/work/desk_evacuate.rs
@@ -3,14 +3,14 @@
 use compact_str::CompactString;
 use model::{
     BootTime, HostId, PoolId,
-    work::{HostRoom, TargetMode, TaskKey},
+    work::{HostRoom, TargetMode},
 };
 
 use super::{
     DeskTime, HostVacancy, PlacePhase, WorkDesk,
     pick::may_go,
+    step_key::StepKey,
     target_state::{ANSWER_FRESH, RunKey},
-    work_desk::StepKey,
 };
 
 /// Time after which a predecessor's last stops have taken effect: a target takes 0.2 s at most,
@@ -123,7 +123,7 @@
             if !self.lasts(run) || !(stopping || self.may_stop(run, now)) {
                 return false;
             }
-            *steps.entry(step_key(&run.0)).or_default() += 1;
+            *steps.entry(StepKey::of(&run.0)).or_default() += 1;
         }
         steps.iter().all(|(step, count)| {
             let plan = self.board.jobs.get(&step.job);
@@ -188,11 +188,3 @@
         self.vacancies.clone_from(wanted);
     }
 }
-
-fn step_key(key: &TaskKey) -> StepKey {
-    StepKey {
-        job: key.job.clone(),
-        occurrence: key.occurrence,
-        step: key.step,
-    }
-}
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -12,8 +12,8 @@
     objective::{StartRank, rank},
     pick::{pick_any, pick_target},
     pool_rooms::PoolRooms,
+    step_key::StepKey,
     target_state::RunKey,
-    work_desk::StepKey,
 };
 
 /// Numbers of starts that one term may give to one task before the next term's begin. A task
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -31,6 +31,7 @@
 mod pool_rooms;
 mod share_meter;
 mod short_log;
+mod step_key;
 mod target_state;
 mod work_desk;
 mod work_job;
--- /dev/null
+++ b/crates/decide/src/work/step_key.rs
@@ -0,0 +1,20 @@
+use model::{JobId, work::TaskKey};
+
+/// One step of one occurrence of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct StepKey {
+    pub(super) job: JobId,
+    pub(super) occurrence: u32,
+    pub(super) step: u32,
+}
+
+impl StepKey {
+    /// The step that a task belongs to.
+    pub(super) fn of(task: &TaskKey) -> Self {
+        Self {
+            job: task.job.clone(),
+            occurrence: task.occurrence,
+            step: task.step,
+        }
+    }
+}
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -12,20 +12,13 @@
 
 use super::{
     DeskEvent, DeskOrder, DeskTuning, EndOrigin, HostVacancy, JobBoard, RecordOrder, TargetState,
-    WorkJob, WorkPhase, desk_evacuate::StrandedTask, share_meter::ShareMeter, target_state::RunKey,
+    WorkJob, WorkPhase, desk_evacuate::StrandedTask, share_meter::ShareMeter, step_key::StepKey,
+    target_state::RunKey,
 };
 
 /// Events that are kept for the log until they are taken; more are dropped, and counted.
 const MOST_EVENTS: usize = 4096;
 
-/// One step of one occurrence of a job.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct StepKey {
-    pub(super) job: JobId,
-    pub(super) occurrence: u32,
-    pub(super) step: u32,
-}
-
 /// The present, on both clocks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DeskTime {
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -6,6 +6,7 @@
 
 mod admission_loop;
 mod demand_meter;
+mod held_work;
 mod pool_desk;
 mod pool_queue;
 mod settle_work;
--- a/crates/entry/src/admission/admission_loop.rs
+++ b/crates/entry/src/admission/admission_loop.rs
@@ -11,8 +11,8 @@
 use store::Clock;
 
 use super::{
+    held_work::{HeldWork, expired},
     pool_desk::{PoolDesk, desk_of},
-    settle_work::{HeldWork, expired},
     target_table::TargetTable,
 };
 use crate::{
--- /dev/null
+++ b/crates/entry/src/admission/held_work.rs
@@ -0,0 +1,33 @@
+use std::time::Duration;
+
+use model::{BootTime, HostId, PoolId, ProblemKind, TeamId};
+use ports::QuotaPermit;
+
+use crate::CallerProblem;
+
+/// A unit of a team's limit, and maybe a slot, whose request may still run on its target.
+pub(super) struct HeldWork {
+    pub(super) until: BootTime,
+    pub(super) pool: PoolId,
+    pub(super) team: TeamId,
+    pub(super) host: HostId,
+    /// Whether it keeps a slot.
+    pub(super) slot: bool,
+    pub(super) _permit: QuotaPermit,
+}
+
+/// What a caller is told whose request waited until its deadline.
+pub(super) fn expired(limited: bool) -> CallerProblem {
+    let (kind, detail) = if limited {
+        (
+            ProblemKind::TeamLimit,
+            "the team ran as much as its upper limit allows until the deadline",
+        )
+    } else {
+        (
+            ProblemKind::Deadline,
+            "no slot became free in time for the deadline",
+        )
+    };
+    CallerProblem::not_run(kind, detail).with_retry_after(Duration::from_secs(1))
+}
--- a/crates/entry/src/admission/settle_work.rs
+++ b/crates/entry/src/admission/settle_work.rs
@@ -4,7 +4,7 @@
 use model::{BootTime, HostId, PoolId, ProblemKind, TeamId};
 use ports::QuotaPermit;
 
-use super::{admission_loop::AdmissionLoop, pool_desk::desk_of};
+use super::{admission_loop::AdmissionLoop, held_work::HeldWork, pool_desk::desk_of};
 use crate::{
     CallerProblem,
     dispatch::{AttemptEnd, AttemptReport, TargetBlame},
@@ -16,17 +16,6 @@
 const SHORTEST_GRACE: Duration = Duration::from_millis(300);
 const LONGEST_GRACE: Duration = Duration::from_secs(5);
 
-/// A unit of a team's limit, and maybe a slot, whose request may still run on its target.
-pub(super) struct HeldWork {
-    until: BootTime,
-    pool: PoolId,
-    team: TeamId,
-    host: HostId,
-    /// Whether it keeps a slot.
-    slot: bool,
-    _permit: QuotaPermit,
-}
-
 /// What follows from ended attempts.
 impl AdmissionLoop {
     /// Draws the consequences of an ended attempt.
@@ -182,19 +171,3 @@
         }
     }
 }
-
-/// What a caller is told whose request waited until its deadline.
-pub(super) fn expired(limited: bool) -> CallerProblem {
-    let (kind, detail) = if limited {
-        (
-            ProblemKind::TeamLimit,
-            "the team ran as much as its upper limit allows until the deadline",
-        )
-    } else {
-        (
-            ProblemKind::Deadline,
-            "no slot became free in time for the deadline",
-        )
-    };
-    CallerProblem::not_run(kind, detail).with_retry_after(Duration::from_secs(1))
-}
--- a/crates/entry/src/admission/start_work.rs
+++ b/crates/entry/src/admission/start_work.rs
@@ -5,8 +5,8 @@
 
 use super::{
     admission_loop::{AdmissionLoop, LoopCommand},
+    held_work::expired,
     pool_desk::PoolParts,
-    settle_work::expired,
     target_table::connection_part,
 };
 use crate::dispatch::DispatchJob;
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -13,12 +13,14 @@
 mod job_desk;
 mod job_routes;
 mod key_check;
+mod port_loop;
 mod request_head;
 mod respond;
 mod routes;
 
 pub(crate) use body_budget::{BodyBudget, BodyShare};
-pub(crate) use caller_port::{CallerPort, PortPhase, serve_port};
+pub(crate) use caller_port::CallerPort;
 pub(crate) use connection_count::ConnectionCount;
 pub(crate) use job_desk::{JobDesk, JobRunner};
 pub(crate) use key_check::key_stands;
+pub(crate) use port_loop::{PortPhase, serve_port};
--- a/crates/entry/src/caller/caller_port.rs
+++ b/crates/entry/src/caller/caller_port.rs
@@ -1,7 +1,4 @@
 use std::{
-    convert::Infallible,
-    net::{IpAddr, SocketAddr},
-    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -10,49 +7,11 @@
 };
 
 use crossbeam_channel::Sender;
-use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use model::event::debug;
 use ports::{ConfigSource, NotServing, ServingGate, TargetSource};
 use store::Clock;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-};
-
-use super::{
-    JobDesk,
-    body_budget::BodyBudget,
-    caller_stream::CallerStream,
-    connection_count::{ConnectionCount, ConnectionTicket},
-    routes,
-};
-use crate::{ClaimDesk, EntryTuning, event, work::CallerRequest};
 
-/// Largest request head, in bytes.
-const MAX_HEAD: usize = 16 * 1024;
-/// Most headers of a request.
-const MAX_HEADERS: usize = 64;
-/// Refusals of surplus connections that are written at once; more are just closed.
-const MAX_REFUSALS: usize = 64;
-/// Longest wait for a refused caller to take its refusal.
-const REFUSAL_PATIENCE: Duration = Duration::from_millis(500);
-/// What a surplus connection is told.
-const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n\
-Content-Length: 115\r\nRetry-After: 1\r\nConnection: close\r\n\r\n\
-{\"problem\":\"not-serving\",\"fate\":\"not-run\",\"detail\":\"too many \
-connections to this entry host\",\"retry_after_ms\":1000}";
-
-/// How far the caller port is on its way down.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum PortPhase {
-    /// Takes connections.
-    Open,
-    /// Answers what is under way, then closes each connection.
-    Closing,
-    /// Drops what is left.
-    Closed,
-}
+use super::{JobDesk, body_budget::BodyBudget, connection_count::ConnectionCount};
+use crate::{ClaimDesk, EntryTuning, work::CallerRequest};
 
 /// What the caller port needs to answer a request.
 pub(crate) struct CallerPort {
@@ -96,132 +55,3 @@
         self.gate.check()
     }
 }
-
-/// Accepts connections until the phase says otherwise, and returns when all are closed.
-pub(crate) async fn serve_port(
-    port: Arc<CallerPort>,
-    listener: TcpListener,
-    mut phase: watch::Receiver<PortPhase>,
-) {
-    // Every connection task holds a sender; the receiver ends when the last one is gone.
-    let (alive, mut gone) = tokio::sync::mpsc::channel::<()>(1);
-    let refusals = ConnectionCount::new(MAX_REFUSALS, MAX_REFUSALS);
-    loop {
-        let open = *phase.borrow_and_update() == PortPhase::Open;
-        // Connections that wait in the listener would be reset with it, so they are taken in
-        // before it closes.
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            _ = phase.changed(), if open => continue,
-            () = std::future::ready(()), if !open => break,
-        };
-        let Ok((stream, peer)) = accepted else {
-            // Out of file descriptors or the like: wait instead of spinning.
-            metrics::counter!("lws_accept_errors").increment(1);
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let Some(ticket) = port.connections.admit(peer.ip()) else {
-            metrics::counter!("lws_connections_refused").increment(1);
-            refuse_connection(stream, peer.ip(), &refusals);
-            continue;
-        };
-        metrics::gauge!("lws_connections").set(port.connections.held() as f64);
-        let serving = serve_connection(
-            Arc::clone(&port),
-            stream,
-            peer,
-            ticket,
-            phase.clone(),
-            alive.clone(),
-        );
-        tokio::spawn(serving);
-    }
-    drop(listener);
-    drop(alive);
-    let closed = async {
-        while *phase.borrow_and_update() != PortPhase::Closed {
-            if phase.changed().await.is_err() {
-                return;
-            }
-        }
-    };
-    tokio::select! {
-        _ = gone.recv() => {}
-        () = closed => {}
-    }
-}
-
-async fn serve_connection(
-    port: Arc<CallerPort>,
-    stream: TcpStream,
-    peer: SocketAddr,
-    ticket: ConnectionTicket,
-    mut phase: watch::Receiver<PortPhase>,
-    _alive: tokio::sync::mpsc::Sender<()>,
-) {
-    // Small answers must not wait for the caller's acknowledgement of the last one.
-    let _ = stream.set_nodelay(true);
-    let tuning = &port.tuning;
-    let stream = CallerStream::new(stream, tuning.write_window, tuning.write_floor);
-    let head_timeout = tuning.head_timeout;
-    let service = service_fn(|request| {
-        let port = Arc::clone(&port);
-        async move { Ok::<_, Infallible>(routes::answer(&port, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
-        .max_buf_size(MAX_HEAD)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    if *phase.borrow_and_update() != PortPhase::Open {
-        connection.as_mut().graceful_shutdown();
-    }
-    let ended = loop {
-        tokio::select! {
-            ended = connection.as_mut() => break ended,
-            changed = phase.changed() => {
-                if changed.is_err() || *phase.borrow_and_update() != PortPhase::Open {
-                    connection.as_mut().graceful_shutdown();
-                    break connection.await;
-                }
-            }
-        }
-    };
-    if let Err(cause) = ended {
-        debug(
-            &event::CONNECTION_ENDED,
-            format_args!("peer={peer} cause=\"{cause}\""),
-        );
-    }
-    drop(ticket);
-}
-
-/// Tells a surplus connection that it is one, without letting it hold anything for long.
-fn refuse_connection(stream: TcpStream, address: IpAddr, refusals: &Arc<ConnectionCount>) {
-    let Some(ticket) = refusals.admit(address) else {
-        return;
-    };
-    let writing = async move {
-        if stream.writable().await.is_ok() {
-            let _ = stream.try_write(REFUSAL);
-        }
-        // Closing with unread bytes would reset the connection before the refusal is read.
-        let mut scrap = [0_u8; 4096];
-        while stream.readable().await.is_ok() {
-            match stream.try_read(&mut scrap) {
-                Ok(0) => return,
-                Ok(_) => {}
-                Err(cause) if cause.kind() == std::io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
-            }
-        }
-    };
-    tokio::spawn(async move {
-        let _ = tokio::time::timeout(REFUSAL_PATIENCE, writing).await;
-        drop(ticket);
-    });
-}
--- a/crates/entry/src/caller/job_routes.rs
+++ b/crates/entry/src/caller/job_routes.rs
@@ -8,10 +8,9 @@
     body_reader::read_body,
     caller_port::CallerPort,
     job_desk::JobCall,
-    key_check::{KeyPass, key_stands},
+    key_check::{KeyPass, check_caller, key_stands},
     request_head::{RequestHead, bad, header_text},
     respond::{CallerResponse, respond_json},
-    routes::check_caller,
 };
 use crate::CallerProblem;
 
--- a/crates/entry/src/caller/key_check.rs
+++ b/crates/entry/src/caller/key_check.rs
@@ -1,10 +1,12 @@
 use std::time::Duration;
 
+use hyper::Request;
 use model::{KeyText, ProblemKind, TeamId};
 use ports::ForceConfig;
 use subtle::ConstantTimeEq;
 use wire::state::KeyRecord;
 
+use super::{caller_port::CallerPort, request_head::header_text};
 use crate::{CallerProblem, work::KeyStamp};
 
 /// A key that was found good, and the team that it admits work for.
@@ -15,11 +17,21 @@
     pub stamp: KeyStamp,
 }
 
+/// The team whose key came with a request.
+pub(super) fn check_caller<B>(
+    port: &CallerPort,
+    config: &ForceConfig,
+    request: &Request<B>,
+) -> Result<KeyPass, CallerProblem> {
+    let authorization = header_text(request.headers(), "authorization")?;
+    check_key(config, authorization, port.clock.unix_now())
+}
+
 /// Checks the header `Authorization` against the keys in force.
 ///
 /// The secret is compared as a salted digest in constant time, and an unknown key costs
 /// the same digest, so that answer times tell nothing of which key ids exist.
-pub(crate) fn check_key(
+fn check_key(
     config: &ForceConfig,
     authorization: Option<&str>,
     unix_now: Duration,
--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -14,8 +14,8 @@
     body_reader::read_body,
     caller_port::CallerPort,
     job_routes::{answer_job, answer_submit},
-    key_check::{KeyPass, check_key},
-    request_head::{RequestHead, header_text},
+    key_check::check_caller,
+    request_head::RequestHead,
     respond::{CallerResponse, respond_answer, respond_json, respond_problem, respond_text},
 };
 use crate::{
@@ -193,16 +193,6 @@
     Ok(PreparedRequest { work, outcome })
 }
 
-/// The team whose key came with a request.
-pub(super) fn check_caller<B>(
-    port: &CallerPort,
-    config: &ForceConfig,
-    request: &Request<B>,
-) -> Result<KeyPass, CallerProblem> {
-    let authorization = header_text(request.headers(), "authorization")?;
-    check_key(config, authorization, port.clock.unix_now())
-}
-
 fn find_pool(
     port: &CallerPort,
     config: &ForceConfig,
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -16,6 +16,7 @@
 mod host_list_fake;
 mod http_call;
 mod relay_fake;
+mod store_call;
 mod store_fake;
 mod store_state;
 mod work_order;
--- a/crates/fake/src/store_fake.rs
+++ b/crates/fake/src/store_fake.rs
@@ -7,7 +7,10 @@
 
 use crate::{
     CallHandler, FakeReply, FakeServer, HttpCall, ReplyFuture, StoreFaults, StoreHistory,
-    StoreWrite, boot_nanos, hex_text::encode_hex, store_state::StoreState,
+    StoreWrite, boot_nanos,
+    hex_text::encode_hex,
+    store_call::{StoreCallKind, WriteRefusal},
+    store_state::StoreState,
 };
 
 /// A stand-in of the platform's configuration store.
@@ -265,23 +268,6 @@
     }
 }
 
-/// Why a write did not take effect.
-#[derive(Debug)]
-pub(crate) enum WriteRefusal {
-    Conflict(u64),
-    TooLarge,
-}
-
-/// Kinds of calls that are counted.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum StoreCallKind {
-    Read,
-    Swap,
-    Remove,
-    Watch,
-    List,
-}
-
 fn kind_of(call: &StoreCall) -> StoreCallKind {
     match call.call.method.as_str() {
         "PUT" => StoreCallKind::Swap,
--- a/crates/fake/src/store_state.rs
+++ b/crates/fake/src/store_state.rs
@@ -5,7 +5,7 @@
 use crate::{
     FaultDice, FaultRate, ViewCalls,
     hex_text::encode_hex,
-    store_fake::{StoreCallKind, WriteRefusal},
+    store_call::{StoreCallKind, WriteRefusal},
 };
 
 /// Largest value that the store holds.
--- a/crates/fleet/src/fleet_service.rs
+++ b/crates/fleet/src/fleet_service.rs
@@ -18,11 +18,12 @@
 
 use crate::{
     FleetTiming, HostPort, HttpPort, HttpWorker, JobTiming, MapSnapshot, MapStore, WorkerPort,
-    fleet_shared::{FleetShared, ListView},
+    fleet_shared::FleetShared,
     host_watch::run_list_watch,
     job_call::run_caller,
     job_desk::JobDesk,
     job_keeper::JobKeeper,
+    list_view::ListView,
     planner::Planner,
     probe_pool::{ProbeBook, run_prober},
     target_view::TargetView,
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -17,9 +17,9 @@
 use model::{BootTime, HostId, PoolId};
 use parking_lot::Mutex;
 use ports::{AuditSink, ConfigSource, MemberSource, QuotaPermit, QuotaSource, TargetState};
-use store::{Clock, HostEntry, HostList, KeyStore};
+use store::{Clock, HostList, KeyStore};
 
-use crate::{HostPort, JobTiming, MapSnapshot, target_view::TargetView};
+use crate::{HostPort, JobTiming, MapSnapshot, list_view::ListView, target_view::TargetView};
 
 /// Longest sleep between two looks at the stop flag.
 const STOP_CHECK: Duration = Duration::from_millis(50);
@@ -54,17 +54,6 @@
     }
 }
 
-/// The host list as this entry host last read it.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ListView {
-    /// When the newest whole list was asked for; `None` before the first.
-    pub(crate) read_at: Option<BootTime>,
-    /// Its entries.
-    pub(crate) entries: BTreeMap<HostId, HostEntry>,
-    /// When each host that is not listed was first found missing.
-    pub(crate) missing: BTreeMap<HostId, BootTime>,
-}
-
 /// What the threads of the fleet share.
 pub(crate) struct FleetShared {
     pub(crate) store: Arc<dyn KeyStore>,
--- a/crates/fleet/src/host_watch.rs
+++ b/crates/fleet/src/host_watch.rs
@@ -4,7 +4,7 @@
 use model::{BootTime, HostId};
 use store::HostEntry;
 
-use crate::fleet_shared::{FleetShared, ListView};
+use crate::{fleet_shared::FleetShared, list_view::ListView};
 
 /// Reads the host list again and again.
 pub(crate) fn run_list_watch(shared: &Arc<FleetShared>) {
--- a/crates/fleet/src/job_desk.rs
+++ b/crates/fleet/src/job_desk.rs
@@ -16,7 +16,7 @@
     JobLog,
     fleet_shared::FleetShared,
     held_job::{JobBoard, view_of},
-    job_order::{JobOrder, ReplySender},
+    holder_order::{JobOrder, ReplySender},
 };
 
 /// Largest payload of a job, in bytes; one page of records holds several.
--- a/crates/fleet/src/job_flush.rs
+++ b/crates/fleet/src/job_flush.rs
@@ -3,10 +3,9 @@
 use decide::job::JobPhase;
 use model::JobId;
 use ports::JobError;
-use wire::fleet::JobRecord;
 
 use crate::{
-    AppendOutcome, event, held_job::view_of, job_holder::JobHolder, job_order::ReplySender,
+    AppendOutcome, event, held_job::view_of, job_holder::JobHolder, pending_flush::PendingFlush,
 };
 
 /// Most bytes of records in one page; the store takes a megabyte.
@@ -16,16 +15,6 @@
 /// How long a submission waits for a write whose answer is lost.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-/// A write that was begun, with what it settles.
-pub(crate) struct PendingFlush {
-    records: Vec<JobRecord>,
-    states: Vec<(JobId, u32)>,
-    answers: Vec<(JobId, ReplySender)>,
-    began: Duration,
-    /// True once a try went unanswered: the page may be there.
-    unsettled: bool,
-}
-
 impl JobHolder {
     /// Records what changed, in one write for all of it.
     ///
--- a/crates/fleet/src/job_holder.rs
+++ b/crates/fleet/src/job_holder.rs
@@ -16,9 +16,9 @@
     JobLog,
     fleet_shared::FleetShared,
     held_job::{HeldJob, JobBoard},
+    holder_order::{JobOrder, ReplySender},
     job_call::{CallReply, WorkerCall},
-    job_flush::PendingFlush,
-    job_order::{JobOrder, ReplySender},
+    pending_flush::PendingFlush,
 };
 
 /// Answers of workers that may wait; callers wait beyond that.
--- a/crates/fleet/src/job_keeper.rs
+++ b/crates/fleet/src/job_keeper.rs
@@ -8,8 +8,8 @@
 use wire::fleet::{JobLogEntry, JobLogIndex};
 
 use crate::{
-    JobLog, event, fleet_shared::FleetShared, job_call::WorkerCall, job_desk::JobDesk,
-    job_holder::JobHolder, job_order::JobOrder,
+    JobLog, event, fleet_shared::FleetShared, holder_order::JobOrder, job_call::WorkerCall,
+    job_desk::JobDesk, job_holder::JobHolder,
 };
 
 /// Key of the index of job logs.
--- a/crates/fleet/src/job_order.rs
+++ b/crates/fleet/src/job_order.rs
@@ -1,12 +1,13 @@
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender};
+use crossbeam_channel::Receiver;
 use decide::job::{JobSpec, JobState};
 use model::{JobId, PoolId, TeamId};
-use ports::{JobError, JobRequest, JobView};
+use ports::{JobError, JobRequest};
 
 use crate::{
     held_job::{HeldJob, view_of},
+    holder_order::{JobOrder, ReplySender},
     job_holder::JobHolder,
 };
 
@@ -19,23 +20,6 @@
 /// Payload bytes held at once, beyond which submissions are refused.
 const MOST_PAYLOAD: usize = 24 * 1024 * 1024;
 
-/// Answers one submission or cancellation.
-pub(crate) type ReplySender = Sender<Result<JobView, JobError>>;
-
-/// An order to the holder.
-pub(crate) enum JobOrder {
-    Submit {
-        request: Box<JobRequest>,
-        pool: PoolId,
-        reply: ReplySender,
-    },
-    Cancel {
-        team: TeamId,
-        job: JobId,
-        reply: ReplySender,
-    },
-}
-
 impl JobHolder {
     pub(crate) fn take_orders(&mut self, inbox: &Receiver<JobOrder>) {
         let Ok(first) = inbox.recv_timeout(TICK) else {
--- a/crates/fleet/src/target_view.rs
+++ b/crates/fleet/src/target_view.rs
@@ -7,7 +7,7 @@
 use model::{BootTime, HostId, PoolId};
 use ports::{HostStatus, TargetHost, TargetState};
 
-use crate::fleet_shared::ListView;
+use crate::list_view::ListView;
 
 /// The targets of every pool, as the map and the host list together show them.
 #[derive(Clone, Debug, Default)]
--- a/crates/lacewingshore/src/cell_serve.rs
+++ b/crates/lacewingshore/src/cell_serve.rs
@@ -3,7 +3,13 @@
 //! [`run`] runs everything on one event loop: on a quarter of a core, threads that wake each
 //! other for every call would cost three times as much; see `docs/design/13-platform.md`.
 
-use std::{net::SocketAddr, path::PathBuf, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use anyhow::{Context, Result};
 use cell::{CellHost, CellOptions, CellPorts, HostLimits};
@@ -18,7 +24,7 @@
     time::interval,
 };
 
-use crate::{command::cell::read_settings, line_sink::LineSink};
+use crate::{command::read_text, exit::CommandError, line_sink::LineSink};
 
 /// How often dropped log lines are told.
 const DROPS_EVERY: Duration = Duration::from_secs(1);
@@ -125,6 +131,12 @@
     Ok(options)
 }
 
+/// Reads and checks a settings file.
+pub fn read_settings(path: &Path) -> Result<CellSettings, CommandError> {
+    let text = read_text(path)?;
+    CellSettings::from_ini(&text).map_err(|fault| CommandError::invalid_text(path, &fault))
+}
+
 /// Reads the settings again when told to. Only addresses stand there, and they change with a
 /// restart; so a change is told and waits for one.
 async fn hear_reloads(settings: CellSettings, path: PathBuf) {
--- a/crates/lacewingshore/src/command/cell.rs
+++ b/crates/lacewingshore/src/command/cell.rs
@@ -1,11 +1,8 @@
 use std::path::PathBuf;
 
-use model::{CellSettings, event as log_event};
+use model::event as log_event;
 
-use crate::{
-    args::CellArguments, catalogue::event, cell_serve, command::read_text, exit::CommandError,
-    log_setup,
-};
+use crate::{args::CellArguments, catalogue::event, cell_serve, exit::CommandError, log_setup};
 
 /// Names the settings file where the command line doesn't.
 const SETTINGS_VARIABLE: &str = "LACEWINGSHORE_SETTINGS";
@@ -13,7 +10,7 @@
 /// Runs a process of a cell, or only checks its settings.
 pub fn run(arguments: &CellArguments) -> Result<(), CommandError> {
     let path = settings_path(arguments)?;
-    let settings = read_settings(&path)?;
+    let settings = cell_serve::read_settings(&path)?;
     if arguments.check {
         println!("{}: the settings are valid", path.display());
         return Ok(());
@@ -37,12 +34,6 @@
     Ok(outcome?)
 }
 
-/// Reads and checks a settings file.
-pub fn read_settings(path: &std::path::Path) -> Result<CellSettings, CommandError> {
-    let text = read_text(path)?;
-    CellSettings::from_ini(&text).map_err(|fault| CommandError::invalid_text(path, &fault))
-}
-
 fn settings_path(arguments: &CellArguments) -> Result<PathBuf, CommandError> {
     let named = arguments.settings.clone();
     let path = named.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
--- a/crates/lacewingshore/src/command/mod.rs
+++ b/crates/lacewingshore/src/command/mod.rs
@@ -24,7 +24,7 @@
 const MAX_FILE: u64 = 1024 * 1024;
 
 /// Reads a text file whole.
-fn read_text(path: &Path) -> Result<String, CommandError> {
+pub fn read_text(path: &Path) -> Result<String, CommandError> {
     let size = fs::metadata(path)
         .with_context(|| format!("read {}", path.display()))?
         .len();
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -15,6 +15,7 @@
 mod member_service;
 mod probe_duty;
 mod quota_book;
+mod quota_call;
 mod quota_duty;
 mod quota_store_duty;
 mod shared_state;
--- /dev/null
+++ b/crates/member/src/quota_call.rs
@@ -0,0 +1,42 @@
+use std::collections::BTreeMap;
+
+use decide::quota::{QuotaAction, QuotaWrite};
+use model::{MemberId, TeamId};
+use ports::PeerLink;
+use wire::peer::{QuotaTalk, envelope::Body};
+
+use crate::shared_state::SharedState;
+
+/// A call of the store that the quotas need.
+#[derive(Debug)]
+pub(crate) enum QuotaCall {
+    /// Read the record of a team.
+    Read(TeamId),
+    /// Write the record of a team.
+    Write(QuotaWrite),
+}
+
+/// Sorts messages by their receiver; a call of the store is returned.
+pub(crate) fn sort_action(
+    action: QuotaAction,
+    talks: &mut BTreeMap<MemberId, QuotaTalk>,
+) -> Option<QuotaCall> {
+    match action {
+        QuotaAction::Read(team) => return Some(QuotaCall::Read(team)),
+        QuotaAction::Write(write) => return Some(QuotaCall::Write(write)),
+        QuotaAction::Ask(to, ask) => talks.entry(to).or_default().asks.push(ask),
+        QuotaAction::Release(to, release) => {
+            talks.entry(to).or_default().releases.push(release);
+        }
+        QuotaAction::Note(to, note) => talks.entry(to).or_default().notes.push(note),
+    }
+    None
+}
+
+/// Sends one message to each receiver. A lost one costs time: questions are repeated, and
+/// units put aside in vain are fenced off by the next write.
+pub(crate) fn send_talks(shared: &SharedState, talks: BTreeMap<MemberId, QuotaTalk>) {
+    for (to, talk) in talks {
+        let _ = shared.options.node.send(&to, Body::QuotaTalk(talk));
+    }
+}
--- a/crates/member/src/quota_duty.rs
+++ b/crates/member/src/quota_duty.rs
@@ -6,11 +6,13 @@
 
 use crossbeam_channel::{Receiver, Sender, select, tick};
 use decide::quota::{QuotaAction, WriteOutcome};
-use model::MemberId;
-use ports::{InboundMessage, PeerLink};
-use wire::peer::{QuotaTalk, envelope::Body};
+use ports::InboundMessage;
+use wire::peer::envelope::Body;
 
-use crate::{quota_store_duty::QuotaCall, shared_state::SharedState};
+use crate::{
+    quota_call::{QuotaCall, send_talks, sort_action},
+    shared_state::SharedState,
+};
 
 /// Distance of the rounds in which units are moved.
 const ROUND: Duration = Duration::from_millis(25);
@@ -112,28 +114,3 @@
         }
     }
 }
-
-/// Sorts messages by their receiver; a call of the store is returned.
-pub(crate) fn sort_action(
-    action: QuotaAction,
-    talks: &mut BTreeMap<MemberId, QuotaTalk>,
-) -> Option<QuotaCall> {
-    match action {
-        QuotaAction::Read(team) => return Some(QuotaCall::Read(team)),
-        QuotaAction::Write(write) => return Some(QuotaCall::Write(write)),
-        QuotaAction::Ask(to, ask) => talks.entry(to).or_default().asks.push(ask),
-        QuotaAction::Release(to, release) => {
-            talks.entry(to).or_default().releases.push(release);
-        }
-        QuotaAction::Note(to, note) => talks.entry(to).or_default().notes.push(note),
-    }
-    None
-}
-
-/// Sends one message to each receiver. A lost one costs time: questions are repeated, and
-/// units put aside in vain are fenced off by the next write.
-pub(crate) fn send_talks(shared: &SharedState, talks: BTreeMap<MemberId, QuotaTalk>) {
-    for (to, talk) in talks {
-        let _ = shared.options.node.send(&to, Body::QuotaTalk(talk));
-    }
-}
--- a/crates/member/src/quota_store_duty.rs
+++ b/crates/member/src/quota_store_duty.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     event,
-    quota_duty::{send_talks, sort_action},
+    quota_call::{QuotaCall, send_talks, sort_action},
     shared_state::SharedState,
     store_key::{quota_key, read_record},
 };
@@ -21,15 +21,6 @@
 /// How long handing back may hold up the end of the process.
 const HAND_BACK_PATIENCE: Duration = Duration::from_secs(2);
 
-/// A call of the store that the quotas need.
-#[derive(Debug)]
-pub(crate) enum QuotaCall {
-    /// Read the record of a team.
-    Read(TeamId),
-    /// Write the record of a team.
-    Write(QuotaWrite),
-}
-
 /// Reads and writes the records of the teams, one call after the other.
 pub(crate) struct QuotaStoreDuty {
     shared: Arc<SharedState>,
