Bound an owner's calls to targets and its lists of hosts by what its link carries

Cause: an owner asked every target at once, three orders and a look each, and asked again 0.3 s after a failure. The renewals of the lease wait behind that. Lists of hosts (37 KB, ten a second for a new owner) add to it.

Change: `decide::call_budget`, without clock, thread or socket. CallBudget bounds the calls under way by the link's bytes a second and lowers the bound while answers come late; stops go first, then looks whose granted time is half over, starts, other looks. Targets that did not answer the last call have a part of their own, as their calls last until they time out. A look that waits is classed anew each half second, or starts would keep it back until what runs lapses. `cell/call_gate` queues by class.

--- /dev/null
+++ b/crates/cell/src/call_gate.rs
@@ -0,0 +1,98 @@
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+};
+
+use decide::call_budget::{CallBudget, CallClass};
+use model::BootTime;
+use store::{BootClock, Clock};
+use tokio::sync::oneshot;
+
+/// Lets an owner's calls to targets through, the most urgent first, as its budget admits them.
+pub(crate) struct CallGate {
+    budget: RefCell<CallBudget>,
+    waiting: RefCell<BTreeMap<CallClass, VecDeque<oneshot::Sender<()>>>>,
+}
+
+impl CallGate {
+    pub(crate) fn new(bytes_per_second: f64) -> Rc<Self> {
+        Rc::new(Self {
+            budget: RefCell::new(CallBudget::new(bytes_per_second)),
+            waiting: RefCell::default(),
+        })
+    }
+
+    /// Waits until a call may be sent.
+    pub(crate) async fn enter(self: &Rc<Self>, class: CallClass) -> CallPass {
+        if let Some(turn) = self.queue(class) {
+            // The one that calls has counted this call.
+            let _ = turn.await;
+        }
+        CallPass {
+            gate: self.clone(),
+            class,
+            begun: BootClock.boot_now(),
+            counted: true,
+        }
+    }
+
+    /// Counts a call that may be sent now, or queues it.
+    fn queue(&self, class: CallClass) -> Option<oneshot::Receiver<()>> {
+        if self.budget.borrow().admits(class) {
+            self.budget.borrow_mut().begin(class);
+            return None;
+        }
+        let (sender, turn) = oneshot::channel();
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.entry(class).or_default().push_back(sender);
+        Some(turn)
+    }
+
+    /// Lets those through that may be sent now.
+    fn call_next(&self) {
+        let mut budget = self.budget.borrow_mut();
+        for (&class, queue) in &mut *self.waiting.borrow_mut() {
+            while budget.admits(class)
+                && let Some(turn) = queue.pop_front()
+            {
+                // Whoever waited may have gone.
+                if turn.send(()).is_ok() {
+                    budget.begin(class);
+                }
+            }
+        }
+    }
+}
+
+/// A call that is under way.
+pub(crate) struct CallPass {
+    gate: Rc<CallGate>,
+    class: CallClass,
+    begun: BootTime,
+    counted: bool,
+}
+
+impl CallPass {
+    /// The target answers when it has something to tell; until then the link is free for others.
+    pub(crate) fn hold_back(&mut self) {
+        if std::mem::take(&mut self.counted) {
+            self.gate.budget.borrow_mut().release(self.class);
+            self.gate.call_next();
+        }
+    }
+}
+
+impl Drop for CallPass {
+    fn drop(&mut self) {
+        if !self.counted {
+            return;
+        }
+        let now = BootClock.boot_now();
+        let took = now.saturating_sub(self.begun);
+        let mut budget = self.gate.budget.borrow_mut();
+        budget.end(self.class, took, now);
+        drop(budget);
+        self.gate.call_next();
+    }
+}
--- a/crates/cell/src/host_duty.rs
+++ b/crates/cell/src/host_duty.rs
@@ -1,6 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::work::HostOrder;
+use decide::{call_budget::ListPace, work::HostOrder};
 use model::{
     BootTime, event as log_event,
     work::{HostOrderAnswer, OrderSender, WaveId},
@@ -34,6 +34,7 @@
 pub(crate) async fn tend_hosts(term: Rc<Term>) {
     let begin = term.now().boot;
     let mut listed = BootTime::ZERO;
+    let mut pace = ListPace::default();
     let mut ticks = interval(PLAN_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -44,9 +45,10 @@
         }
         let soon = now < begin + SOON_LIMIT && term.desk.borrow().has_unknown_lives();
         let every = if soon { LIST_SOON } else { LIST_EVERY };
-        if now.saturating_sub(listed) >= every {
+        if now.saturating_sub(listed) >= every && pace.admits(now) {
             listed = now;
             list_hosts(&term).await;
+            pace.listed(now, term.now().boot.saturating_sub(now));
         }
         plan_hosts(&term);
         show_waves(&term).await;
--- a/crates/cell/src/host_strength.rs
+++ b/crates/cell/src/host_strength.rs
@@ -24,7 +24,15 @@
     }
 }
 
+/// Bytes a second of a link of one megabit a second.
+const MEGABIT_BYTES: f64 = 125_000.0;
+
 impl HostLimits {
+    /// What its link carries, in bytes a second.
+    pub fn link_bytes(&self) -> f64 {
+        self.link_mbps * MEGABIT_BYTES
+    }
+
     /// How much an owner on this host can carry, in thousandths of what it uses at its busiest.
     /// The scarcest resource decides: with a fast processor behind a narrow link an owner is slow.
     pub fn strength(&self) -> HostStrength {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod event;
 
+mod call_gate;
 mod caller_front;
 mod cell_host;
 mod cell_options;
--- a/crates/cell/src/target_look.rs
+++ b/crates/cell/src/target_look.rs
@@ -9,7 +9,7 @@
 };
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::{event, metric, target_lane::TargetLane, term::Term};
+use crate::{call_gate::CallPass, event, metric, target_lane::TargetLane, term::Term};
 
 /// How often an idle target is considered for a look.
 const IDLE_PAUSE: Duration = Duration::from_millis(200);
@@ -23,6 +23,10 @@
 /// Pause after a look that brought nothing; a target that is down is asked this often.
 const FAULT_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long a look waits for its turn before its class is considered anew: the time that was granted
+/// to what runs goes on.
+const TURN_LIMIT: Duration = Duration::from_millis(500);
+
 /// Opens the lane of a target and begins to look at it.
 pub(crate) fn open_lane(term: &Rc<Term>, id: HostId) {
     let lane = Rc::new(TargetLane::default());
@@ -37,20 +41,19 @@
         let Some(term) = term.upgrade() else {
             return;
         };
-        let now = term.now();
-        let order = term.desk.borrow_mut().look_order(&id, now);
+        let look = next_look(&term, &id).await;
         let Some(address) = address_of(&term, &id) else {
             term.lanes.borrow_mut().remove(&id);
             return;
         };
-        let Some(order) = order.filter(|_| term.may_order()) else {
+        let Some((order, pass)) = look.filter(|_| term.may_order()) else {
             drop(term);
             // Whether it was told or time passed, the desk is asked again.
             let _ = timeout(IDLE_PAUSE, lane.hurry.notified()).await;
             continue;
         };
         let observed = order.observed;
-        let outcome = look_once(&term, &id, &address, order).await;
+        let outcome = look_once(&term, &id, &address, order, pass).await;
         if outcome == LookOutcome::Ends {
             sleep(END_PAUSE).await;
             wait_stored(&term, &id, observed).await;
@@ -63,6 +66,20 @@
     }
 }
 
+/// The look that a target needs, once it may be sent; `None` if it needs none.
+pub(crate) async fn next_look(term: &Term, id: &HostId) -> Option<(LookOrder, CallPass)> {
+    loop {
+        let now = term.now();
+        let class = term.desk.borrow().look_class(id, now)?;
+        let Ok(pass) = timeout(TURN_LIMIT, term.gate.enter(class)).await else {
+            continue;
+        };
+        let now = term.now();
+        let order = term.desk.borrow_mut().look_order(id, now)?;
+        return Some((order, pass));
+    }
+}
+
 /// Waits until the target can be told to forget the ends that it lists, or for some time.
 ///
 /// Until then each look brings the same ends again. While the log is slow, behind a narrow link or
@@ -101,10 +118,15 @@
     id: &HostId,
     address: &TargetAddress,
     order: LookOrder,
+    mut pass: CallPass,
 ) -> LookOutcome {
     let sent = term.now().boot;
+    if !order.wait.is_zero() {
+        pass.hold_back();
+    }
     let observed = order.observed;
     let answer = term.ports.targets.look(address, order).await;
+    drop(pass);
     let outcome = match &answer {
         LookAnswer::Seen(sight) if sight.ended.is_empty() => LookOutcome::Nothing,
         LookAnswer::Seen(_) => LookOutcome::Ends,
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -1,6 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::work::DeskOrder;
+use decide::{call_budget::CallClass, work::DeskOrder};
 use model::{
     HostId, event as log_event,
     work::{LookOrder, OrderAnswer, PaceOrder, StartAnswer, StartOrder, StopOrder, TaskKey},
@@ -8,9 +8,10 @@
 use tokio::{sync::SemaphorePermit, time::Instant};
 
 use crate::{
+    call_gate::CallPass,
     event, metric,
     target_lane::TargetLane,
-    target_look::{address_of, look_once, note_failure, way_to},
+    target_look::{address_of, look_once, next_look, note_failure, way_to},
     term::Term,
 };
 
@@ -39,7 +40,7 @@
     };
     let (task, attempt) = (order.task.clone(), order.attempt);
     let begun = Instant::now();
-    let permit = turn(&lane).await;
+    let permit = turn(&term, &lane, CallClass::Start).await;
     note_wait(&order, &id, begun.elapsed());
     if !term.desk.borrow().wants_start(&id, &task, attempt) {
         log_event::info(
@@ -70,7 +71,7 @@
         return;
     };
     let (task, attempt) = (order.task.clone(), order.attempt);
-    let permit = turn(&lane).await;
+    let permit = turn(&term, &lane, CallClass::Stop).await;
     let now = term.now();
     if !term.desk.borrow_mut().wants_stop(&id, &task, attempt, now) {
         log_event::info(
@@ -99,7 +100,7 @@
     let Some((lane, address)) = way_to(&term, &id) else {
         return;
     };
-    let Some(_permit) = turn(&lane).await else {
+    let Some(_permit) = turn(&term, &lane, CallClass::Stop).await else {
         return;
     };
     let answer = term.ports.targets.pace(&address, order).await;
@@ -107,16 +108,15 @@
 }
 
 async fn look(term: Rc<Term>, id: HostId) {
-    let now = term.now();
-    let order = term.desk.borrow_mut().look_order(&id, now);
-    let (Some(order), Some(address)) = (order, address_of(&term, &id)) else {
+    let look = next_look(&term, &id).await;
+    let (Some((order, pass)), Some(address)) = (look, address_of(&term, &id)) else {
         return;
     };
     let order = LookOrder {
         wait: Duration::ZERO,
         ..order
     };
-    look_once(&term, &id, &address, order).await;
+    look_once(&term, &id, &address, order, pass).await;
 }
 
 async fn advise(term: Rc<Term>, key: TaskKey, targets: Vec<HostId>) {
@@ -150,9 +150,15 @@
     }
 }
 
-/// Waits until few enough orders to the target are under way; `None` once its lane is closed.
-async fn turn(lane: &TargetLane) -> Option<SemaphorePermit<'_>> {
-    lane.orders.acquire().await.ok()
+/// Waits until few enough orders to the target and calls at all are under way; `None` once its lane
+/// is closed.
+async fn turn<'a>(
+    term: &Term,
+    lane: &'a TargetLane,
+    class: CallClass,
+) -> Option<(SemaphorePermit<'a>, CallPass)> {
+    let permit = lane.orders.acquire().await.ok()?;
+    Some((permit, term.gate.enter(class).await))
 }
 
 fn settle(term: &Term, kind: &'static str, id: &HostId, done: bool, what: &dyn std::fmt::Debug) {
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -20,6 +20,7 @@
 use wire::work::log_entry::Event;
 
 use crate::{
+    call_gate::CallGate,
     cell_options::CellOptions,
     cell_ports::CellPorts,
     event,
@@ -77,6 +78,8 @@
     /// Jobs that are being recorded.
     pub(crate) submitting: RefCell<HashSet<String>>,
     pub(crate) lanes: RefCell<HashMap<HostId, Rc<TargetLane>>>,
+    /// Orders the calls to all targets.
+    pub(crate) gate: Rc<CallGate>,
     /// Tells the driver that something has changed.
     pub(crate) wake: Notify,
     pub(crate) over: ShutdownSignal,
@@ -111,6 +114,7 @@
         } = parts;
         let desk = WorkDesk::new(options.desk, won.token);
         let certain = won.sent + options.owner_lease - LEASE_MARGIN;
+        let gate = CallGate::new(options.limits.link_bytes());
         Rc::new(Self {
             options,
             ports,
@@ -123,6 +127,7 @@
             log: JobLog::default(),
             submitting: RefCell::default(),
             lanes: RefCell::default(),
+            gate,
             wake: Notify::new(),
             over: ShutdownSignal::default(),
             ready: Cell::new(false),
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -29,6 +29,12 @@
     held: Rc<Cell<usize>>,
     /// How often a target was looked at.
     pub looks: Rc<Cell<usize>>,
+    /// Looks that are under way.
+    looking: Rc<Cell<usize>>,
+    /// Most looks that were under way at once.
+    pub most_looks: Rc<Cell<usize>>,
+    /// When each target was looked at last.
+    looked: Rc<RefCell<BTreeMap<HostId, Instant>>>,
     /// How long an order to start a task is under way.
     start_delay: Rc<Cell<Duration>>,
     ended: Rc<RefCell<BTreeMap<HostId, Vec<EndSight>>>>,
@@ -47,6 +53,13 @@
         self.start_delay.set(delay);
     }
 
+    /// Longest time since the last look at a target that was given a task.
+    pub fn longest_unseen(&self) -> Duration {
+        let (looked, used) = (self.looked.borrow(), self.ended.borrow());
+        let times = used.keys().filter_map(|target| looked.get(target));
+        times.map(Instant::elapsed).max().unwrap_or_default()
+    }
+
     /// How many starts were sent.
     pub fn started(&self) -> usize {
         self.starts.borrow().values().sum()
@@ -108,8 +121,14 @@
     fn look(&self, target: &TargetAddress, order: LookOrder) -> PortFuture<LookAnswer> {
         let (targets, target) = (self.clone(), target.target.clone());
         self.looks.set(self.looks.get() + 1);
+        let now = Instant::now();
+        self.looked.borrow_mut().insert(target.clone(), now);
         Box::pin(async move {
+            targets.looking.set(targets.looking.get() + 1);
+            let most = targets.most_looks.get().max(targets.looking.get());
+            targets.most_looks.set(most);
             sleep(Duration::from_millis(5)).await;
+            targets.looking.set(targets.looking.get() - 1);
             let ended = targets
                 .ended
                 .borrow()
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// The small link of a fleet whose lists and logs fill it.
+fn narrow() -> HostLimits {
+    HostLimits {
+        link_mbps: 2.0,
+        ..strong()
+    }
+}
+
 fn start_host(name: &str, store: &MemoryStore, limits: HostLimits) -> Rc<CellHost> {
     start_with(name, store, limits, &MemoryTargets::default())
 }
@@ -432,6 +440,55 @@
     });
 }
 
+/// Guards against a new owner that looks at all targets at once: behind a narrow link their answers
+/// hold back the renewals of its lease.
+#[test]
+fn first_looks_leave_link_free() {
+    run_local(async {
+        let (store, targets) = (new_store(), MemoryTargets::default());
+        for number in 0..60 {
+            store.put(&format!("targets/n{number}"), b"ready");
+        }
+        let _host = start_with("a", &store, narrow(), &targets);
+        let end = Instant::now() + LIMIT;
+        while targets.looks.get() < 61 {
+            assert!(Instant::now() < end, "{} looks", targets.looks.get());
+            sleep(Duration::from_millis(5)).await;
+        }
+        // 1.5 KB each are 0.1 s of the link.
+        assert!(
+            targets.most_looks.get() <= 16,
+            "{}",
+            targets.most_looks.get()
+        );
+    });
+}
+
+/// Guards against starts that keep an owner behind a narrow link from looking at what runs until the
+/// time that was granted to it is over.
+#[test]
+fn starts_leave_looks_their_turn() {
+    run_local(async {
+        let (store, targets) = (new_store(), MemoryTargets::default());
+        (0..40).for_each(|number| store.put(&format!("targets/n{number}"), b"ready"));
+        targets.set_slow(true);
+        let host = start_with("a", &store, narrow(), &targets);
+        until_owner(&store, "a").await;
+        sleep(Duration::from_millis(500)).await;
+        targets.delay_starts(Duration::from_secs(1));
+        for job in 0..80 {
+            let submitted = submit(&format!("job{job}")).wish;
+            until(&host.desk(), submitted, CallerAnswer::Accepted).await;
+        }
+        for _ in 0..80 {
+            sleep(Duration::from_millis(100)).await;
+            let unseen = targets.longest_unseen();
+            // Five seconds are granted.
+            assert!(unseen < Duration::from_millis(4500), "{unseen:?}");
+        }
+    });
+}
+
 /// Guards against an owner that hears a cancellation, can't record it while the store is away, and
 /// starts the job's next step.
 #[test]
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! to that. The design notes in `docs/design/` argue each mechanism.
 
 pub mod budget;
+pub mod call_budget;
 pub mod claim;
 pub mod config;
 pub mod eject;
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -5,6 +5,8 @@
     work::{LookAnswer, LookOrder, RunSight, TargetSight},
 };
 
+use crate::call_budget::CallClass;
+
 use super::{
     DeskEvent, DeskOrder, DeskTime, PlacePhase, TargetState, TaskPlace, WorkDesk,
     target_state::RunKey,
@@ -13,21 +15,37 @@
 /// Ends that a target lists at once; where it lists so many there may be more, and a run that
 /// is missing may be among them.
 const END_PAGE: usize = 500;
+/// A look goes ahead of others once this part of the granted time has passed.
+const RENEW_PART: u32 = 2;
 
 impl WorkDesk {
-    /// The look that a target needs now; `None` if it needs none.
-    pub fn look_order(&mut self, id: &HostId, now: DeskTime) -> Option<LookOrder> {
-        let tuning = self.tuning;
-        let both = self.serves_and_fills(id);
-        let target = self.targets.get_mut(id)?;
-        let observed = target.observable();
+    /// What a look at a target is for now; `None` if it needs none.
+    pub fn look_class(&self, id: &HostId, now: DeskTime) -> Option<CallClass> {
+        let target = self.targets.get(id)?;
         let busy = !target.claims.is_empty();
         if self.alone && !target.life.raised {
             return None;
         }
-        if target.life.raised && !busy && observed <= target.life.told {
+        if target.life.raised && !busy && target.observable() <= target.life.told {
             return None;
         }
+        let granted = now.boot.saturating_sub(target.granted);
+        if busy && !target.silent && granted >= self.tuning.grant / RENEW_PART {
+            return Some(CallClass::Renew);
+        }
+        match target.failed > target.heard {
+            true => Some(CallClass::Probe),
+            false => Some(CallClass::Look),
+        }
+    }
+
+    /// The look that a target needs now; `None` if it needs none.
+    pub fn look_order(&mut self, id: &HostId, now: DeskTime) -> Option<LookOrder> {
+        self.look_class(id, now)?;
+        let tuning = self.tuning;
+        let both = self.serves_and_fills(id);
+        let target = self.targets.get_mut(id)?;
+        let busy = !target.claims.is_empty();
         let observed = target.observed_at(now.boot);
         // A target that doesn't answer gets no more time: what it runs has to lapse, so that it
         // can start elsewhere.
--- /dev/null
+++ b/crates/decide/tests/call_budget.rs
@@ -0,0 +1,130 @@
+//! Which of an owner's calls go ahead on a link that can't carry them all.
+
+use std::time::Duration;
+
+use decide::call_budget::{CallBudget, CallClass, ListPace};
+
+/// 2 Mbit/s.
+const NARROW: f64 = 250_000.0;
+/// 200 Mbit/s.
+const WIDE: f64 = 25_000_000.0;
+/// Bytes of a call with its answer.
+const BYTES: f64 = 1500.0;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Sends calls until no more are admitted; at most 10,000.
+fn fill(budget: &mut CallBudget, class: CallClass) -> usize {
+    let sent = (0..10_000).take_while(|_| {
+        let admitted = budget.admits(class);
+        if admitted {
+            budget.begin(class);
+        }
+        admitted
+    });
+    sent.count()
+}
+
+/// Guards against an owner that asks all targets at once: their answers fill its link for longer
+/// than a renewal of its lease may take.
+#[test]
+fn call_budget_leaves_room_for_renewals() {
+    let mut budget = CallBudget::new(NARROW);
+    #[expect(clippy::cast_precision_loss, reason = "some calls")]
+    let bytes = fill(&mut budget, CallClass::Start) as f64 * BYTES;
+    assert!(bytes / NARROW <= 0.1, "{bytes} bytes under way");
+}
+
+/// Guards against answers that stay late for good: a link carries less than its setting says where
+/// others share it.
+#[test]
+fn call_budget_follows_late_answers() {
+    let mut budget = CallBudget::new(NARROW);
+    let before = fill(&mut budget, CallClass::Look);
+    for round in 1..=20_u64 {
+        budget.end(CallClass::Look, ms(400), ms(300 * round));
+        budget.begin(CallClass::Look);
+    }
+    (0..before).for_each(|_| budget.release(CallClass::Look));
+    let after = fill(&mut budget, CallClass::Look);
+    assert!(after * 2 < before, "{before} became {after}");
+    (0..after).for_each(|_| budget.release(CallClass::Look));
+    for round in 0..2000_u64 {
+        budget.begin(CallClass::Look);
+        budget.end(CallClass::Look, ms(10), ms(7000 + round));
+    }
+    let recovered = fill(&mut budget, CallClass::Look);
+    assert!(recovered >= before, "{after} became {recovered}");
+}
+
+/// Guards against looks that hold back starts, and starts that hold back the renewals of what runs.
+#[test]
+fn call_budget_keeps_order() {
+    let mut budget = CallBudget::new(NARROW);
+    fill(&mut budget, CallClass::Look);
+    assert!(budget.admits(CallClass::Start));
+    fill(&mut budget, CallClass::Start);
+    assert!(!budget.admits(CallClass::Look));
+    assert!(budget.admits(CallClass::Stop));
+    assert!(CallClass::Stop < CallClass::Renew && CallClass::Renew < CallClass::Start);
+}
+
+/// Guards against targets that are gone, whose calls last until they time out and keep the owner
+/// from those that answer.
+#[test]
+fn call_budget_spares_others_from_probes() {
+    let mut budget = CallBudget::new(NARROW);
+    let before = fill(&mut budget.clone(), CallClass::Look);
+    fill(&mut budget, CallClass::Probe);
+    for round in 1..=100_u64 {
+        budget.end(CallClass::Probe, ms(500), ms(500 * round));
+        budget.begin(CallClass::Probe);
+    }
+    assert_eq!(fill(&mut budget, CallClass::Look), before);
+}
+
+/// Guards against a bound that binds where the link is wide: 300 targets with three starts and a
+/// look each, half of them late.
+#[test]
+fn call_budget_is_ample_on_wide_link() {
+    let mut budget = CallBudget::new(WIDE);
+    for round in 1..=100_u64 {
+        budget.begin(CallClass::Look);
+        let took = if round % 2 == 0 { 400 } else { 5 };
+        budget.end(CallClass::Look, ms(took), ms(300 * round));
+    }
+    assert!(fill(&mut budget, CallClass::Start) >= 400);
+}
+
+/// Guards against lists of hosts that take most of a narrow link, and against a new owner that
+/// waits between the two that show which lives have ended.
+#[test]
+fn list_pace_bounds_slow_lists() {
+    let mut pace = ListPace::default();
+    let mut lists = Vec::new();
+    let mut now = ms(1000);
+    while now < ms(4000) {
+        if pace.admits(now) {
+            lists.push(now);
+            pace.listed(now, ms(200));
+            now += ms(200);
+        } else {
+            now += ms(10);
+        }
+    }
+    assert!(lists.len() <= 4, "{lists:?}");
+    assert_eq!(lists[1], ms(1200));
+}
+
+/// Guards against lists that are held back though they take no time.
+#[test]
+fn list_pace_allows_fast_lists() {
+    let mut pace = ListPace::default();
+    for round in 1..100 {
+        let now = ms(100 * round);
+        assert!(pace.admits(now));
+        pace.listed(now, ms(8));
+    }
+}
