Write pages of the log that a narrow link carries in time

Cause: a page holds up to 256 KB before it is deflated. A shorter log of dense entries is one such page, 133 KB and more on the link, and a change of the store is waited for 0.7 s: it never gets through, is repeated without end, takes the link meanwhile, and nothing else is recorded. The same holds for a page of entries that waited.

Change: `decide::link_bounds::largest_write`: a page takes a tenth of a second of the link, 25 KB at 2 Mbit/s; at 20 Mbit/s and above 256 KB as before.

narrow_link_carries_shorter_log failed before (12 s without an answer) and passes, largest_write_follows_link passes.

--- a/crates/cell/src/log_compact.rs
+++ b/crates/cell/src/log_compact.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     event,
-    log_page::{PAGE_BYTES, page_bytes},
+    log_page::{largest_page, page_bytes},
     log_pages::LogPages,
     term::Term,
 };
@@ -27,7 +27,8 @@
 pub(crate) async fn compact(term: &Term, pages: &mut LogPages) -> Option<()> {
     let entries = term.desk.borrow().board.entries();
     let count = entries.len();
-    let values = match ShortLog::pack(entries, PAGE_BYTES, pages.most_short(), page_bytes) {
+    let largest = largest_page(&term.options.limits);
+    let values = match ShortLog::pack(entries, largest, pages.most_short(), page_bytes) {
         ShortLog::Pages(values) => values,
         ShortLog::Long(bytes) => {
             pages.keep(bytes);
--- a/crates/cell/src/log_page.rs
+++ b/crates/cell/src/log_page.rs
@@ -1,11 +1,14 @@
 use std::io::{Read, Write};
 
+use decide::link_bounds::largest_write;
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use prost::Message;
 use wire::work::{LogEntry, LogPage};
 
+use crate::host_strength::HostLimits;
+
 /// Largest page, in bytes before it is deflated; the store takes values of up to a megabyte.
-pub(crate) const PAGE_BYTES: usize = 256 << 10;
+const PAGE_BYTES: usize = 256 << 10;
 /// Pages below this size, in bytes, are kept as they are: deflating them costs more processor
 /// time than the bytes are worth.
 const PACK_FROM: usize = 4 << 10;
@@ -21,6 +24,11 @@
     Inflate(#[from] std::io::Error),
 }
 
+/// Largest page that an owner writes, in bytes before it is deflated.
+pub(crate) fn largest_page(limits: &HostLimits) -> usize {
+    largest_write(limits.link_bytes(), PAGE_BYTES)
+}
+
 /// The bytes of a page of these entries. Large pages are deflated: ids and names repeat, and a
 /// successor on a narrow link waits for every byte.
 pub(crate) fn page_bytes(entries: Vec<LogEntry>) -> Vec<u8> {
--- a/crates/cell/src/log_writer.rs
+++ b/crates/cell/src/log_writer.rs
@@ -9,7 +9,7 @@
 use crate::{
     event,
     log_compact::compact,
-    log_page::{PAGE_BYTES, page_bytes},
+    log_page::{largest_page, page_bytes},
     log_pages::{LogPages, LogSummary},
     log_queue::{PendingRecord, RecordOutcome},
     metric,
@@ -114,11 +114,12 @@
 
 fn take_records(term: &Term, taken: &mut Vec<PendingRecord>) {
     let mut pending = term.log.pending.borrow_mut();
+    let most = largest_page(&term.options.limits);
     let size = |record: &PendingRecord| record.order.entry.encoded_len();
     let mut bytes: usize = taken.iter().map(size).sum();
     while let Some(next) = pending.front() {
         bytes += size(next);
-        if bytes > PAGE_BYTES && !taken.is_empty() {
+        if bytes > most && !taken.is_empty() {
             return;
         }
         taken.extend(pending.pop_front());
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -16,6 +16,8 @@
 
 /// Keys that a list brings at most.
 const LIST_KEYS: usize = 100;
+/// How long a change may be under way.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// What goes wrong at the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,6 +43,8 @@
     read_delay: Rc<Cell<Duration>>,
     /// How long changes are under way through this handle before they are made.
     change_delay: Rc<Cell<Duration>>,
+    /// Bytes of a change that get through this handle in time; 0 for any.
+    change_bytes: Rc<Cell<usize>>,
     /// Prefix of which no list and no watch is answered through this handle; empty for none.
     unheard: Rc<RefCell<String>>,
 }
@@ -80,6 +84,7 @@
             lists: Rc::default(),
             read_delay: Rc::default(),
             change_delay: Rc::default(),
+            change_bytes: Rc::default(),
             unheard: Rc::default(),
         }
     }
@@ -94,6 +99,21 @@
         self.change_delay.set(delay);
     }
 
+    /// Changes with more bytes than these time out on their way through this handle.
+    pub fn limit_changes(&self, bytes: usize) {
+        self.change_bytes.set(bytes);
+    }
+
+    async fn carries(&self, change: &StoreChange) -> Result<(), StoreFault> {
+        let bytes: usize = change.writes.iter().map(|write| write.value.len()).sum();
+        let most = self.change_bytes.get();
+        if most == 0 || bytes <= most {
+            return Ok(());
+        }
+        sleep(CHANGE_TIMEOUT).await;
+        Err(StoreFault::Unanswered("timed out".to_owned()))
+    }
+
     /// No list and no watch of this prefix is answered through this handle; empty for none.
     pub fn unhear(&self, prefix: &str) {
         *self.unheard.borrow_mut() = prefix.to_owned();
@@ -360,6 +380,7 @@
         Box::pin(async move {
             door.call().await?;
             sleep(door.change_delay.get()).await;
+            door.carries(&change).await?;
             let outcome = state.apply(change);
             if state.switch.get() == StoreSwitch::LosesAnswers {
                 return Err(StoreFault::Unanswered("timed out".to_owned()));
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -355,17 +355,7 @@
     run_local(async {
         let store = new_store();
         for number in 0..60 {
-            let record = JobRecord {
-                job: format!("job{number}"),
-                queue: "queue".to_owned(),
-                pool: "another".to_owned(),
-                payload: noise(3000, number),
-                steps: vec![StepRecord {
-                    count: 1,
-                    ..StepRecord::default()
-                }],
-                ..JobRecord::default()
-            };
+            let record = large_job(number);
             put_entry(&store, number as usize, Event::Accepted(record));
         }
         let before = log_bytes(&store);
@@ -384,6 +374,49 @@
     });
 }
 
+/// Guards against an owner behind a narrow link that writes the shorter log in pages which never get
+/// through in time: it tries the first again and again, and nothing else is recorded.
+#[test]
+fn narrow_link_carries_shorter_log() {
+    run_local(async {
+        let store = new_store();
+        for number in 0..140 {
+            put_entry(&store, number as usize, Event::Accepted(large_job(number)));
+        }
+        for number in 40..140 {
+            let failed = Event::Failed(format!("job{number}"));
+            put_entry(&store, 100 + number as usize, failed);
+        }
+        let way = store.handle();
+        way.limit_changes(60_000);
+        let targets = MemoryTargets::default();
+        targets.set_slow(true);
+        let host = start_with("a", &way, narrow(), &targets);
+        until_owner(&store, "a").await;
+        let desk = host.desk();
+        until(&desk, submit("first").wish, CallerAnswer::Accepted).await;
+        sleep(Duration::from_millis(500)).await;
+        let begun = Instant::now();
+        until(&desk, submit("second").wish, CallerAnswer::Accepted).await;
+        assert!(begun.elapsed() < Duration::from_secs(1));
+    });
+}
+
+/// A job whose record does not get shorter by deflating.
+fn large_job(number: u64) -> JobRecord {
+    JobRecord {
+        job: format!("job{number}"),
+        queue: "queue".to_owned(),
+        pool: "another".to_owned(),
+        payload: noise(3000, number),
+        steps: vec![StepRecord {
+            count: 1,
+            ..StepRecord::default()
+        }],
+        ..JobRecord::default()
+    }
+}
+
 fn log_bytes(store: &MemoryStore) -> usize {
     let pages = store.keys(LOG);
     let bytes = |key: &String| store.value(key).map_or(0, |value| value.len());
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod eject;
 pub mod job;
 pub mod lease;
+pub mod link_bounds;
 pub mod member;
 pub mod moves;
 pub mod placement;
