Keep the lease while a log is read through a narrow link

Cause: the answer with the log (219 to 508 KB, a third more as text) fills the link at once. Renewals need connections, and what the store says to their opening waits behind the log for longer than the 0.4 s in which one has to be opened; so they are never sent, and the lease of 1.1 s lapses.

Change, by the link's bytes a second (`decide::link_bounds`): the lease is longer by the time in which the link carries a log (1.05 s at 2 Mbit/s, 0.01 s at 200 Mbit/s), and a new owner sends three renewals at once, before the log comes, whose connections carry the next ones (none above 7 Mbit/s).

lease_length_follows_link, renewals_ahead_last_while_log_is_read and renewals_open_connections_before_log pass; without this owners have no renewal under way in the first 0.1 s.

Tried and left out: reading large answers more slowly than the link carries them (0.75 of it, also in parts of 16 KB): owners lost their lease all the same.

--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -1,6 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::work::DeskOrder;
+use decide::{link_bounds::renewals_ahead, work::DeskOrder};
 use model::{HostId, event as log_event};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::work::{OwnerCall, owner_call::Ask};
@@ -29,6 +29,10 @@
 pub(crate) async fn run_term(term: &Rc<Term>) {
     metrics::gauge!(metric::OWNER).set(1.0);
     metrics::counter!(metric::TERMS).increment(1);
+    let link = term.options.limits.link_bytes();
+    for _ in 0..renewals_ahead(link, term.options.renew_every) {
+        term.spawn(renew_once(term.clone()));
+    }
     term.spawn(renew(term.clone()));
     term.spawn(lead(term.clone()));
     let departure = tokio::select! {
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -69,6 +69,7 @@
     revision: Cell<StoreRevision>,
     changed: Notify,
     switch: Cell<StoreSwitch>,
+    renewals: Cell<usize>,
 }
 
 impl MemoryStore {
@@ -99,6 +100,11 @@
         self.change_delay.set(delay);
     }
 
+    /// How often a lease was renewed.
+    pub fn renewals(&self) -> usize {
+        self.state.renewals.get()
+    }
+
     /// Changes with more bytes than these time out on their way through this handle.
     pub fn limit_changes(&self, bytes: usize) {
         self.change_bytes.set(bytes);
@@ -409,6 +415,7 @@
         let door = self.clone();
         Box::pin(async move {
             door.call().await?;
+            state.renewals.set(state.renewals.get() + 1);
             let mut leases = state.leases.borrow_mut();
             let Some((until, length)) = leases.get_mut(&lease) else {
                 return Ok(false);
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -522,6 +522,19 @@
     });
 }
 
+/// Guards against an owner that has to open connections for the renewals of its lease while the log
+/// is on its way through a narrow link.
+#[test]
+fn renewals_open_connections_before_log() {
+    run_local(async {
+        let store = new_store();
+        let _host = start_host("a", &store, narrow());
+        until_owner(&store, "a").await;
+        sleep(Duration::from_millis(100)).await;
+        assert!(store.renewals() >= 3, "{} renewals", store.renewals());
+    });
+}
+
 /// Guards against an owner that hears a cancellation, can't record it while the store is away, and
 /// starts the job's next step.
 #[test]
--- a/crates/decide/src/link_bounds.rs
+++ b/crates/decide/src/link_bounds.rs
@@ -8,6 +8,10 @@
 const WRITE_FILL: Duration = Duration::from_millis(100);
 /// Least size of a write, in bytes: smaller ones cost more calls than they spare waiting.
 const LEAST_WRITE: usize = 8 << 10;
+/// Bytes of the longest answer that an owner reads: a job log with its text encoding.
+const LOG_BYTES: f64 = 256.0 * 1024.0;
+/// Longest time that a lease is made longer by, in seconds.
+const MOST_WAIT: f64 = 2.0;
 
 /// Largest write on a link that carries so many bytes a second, if writes of `most` bytes are
 /// allowed. A larger one would not be answered in time, however often it is repeated.
@@ -20,3 +24,20 @@
     let carried = (bytes_per_second * WRITE_FILL.as_secs_f64()) as usize;
     carried.clamp(LEAST_WRITE.min(most), most)
 }
+
+/// Length of an owner's lease on a link that carries so many bytes a second, where `least` does
+/// without regard to that. An owner that reads a log hears of its renewals only after it.
+pub fn lease_length(least: Duration, bytes_per_second: f64) -> Duration {
+    least + Duration::from_secs_f64(LOG_BYTES / bytes_per_second.max(LOG_BYTES / MOST_WAIT))
+}
+
+/// Renewals to send at once when an owner begins to read a log on a link that carries so many bytes a
+/// second, where each renewal follows the one before after `every`.
+///
+/// Their connections carry the renewals that come while the answer with the log is on its way. None
+/// could be opened then: what the other end says to that would wait behind the log.
+pub fn renewals_ahead(bytes_per_second: f64, every: Duration) -> usize {
+    let reading = lease_length(Duration::ZERO, bytes_per_second);
+    let renewals = reading.as_millis() / every.as_millis().max(1);
+    usize::try_from(renewals).unwrap_or_default()
+}
--- a/crates/decide/tests/link_bounds.rs
+++ b/crates/decide/tests/link_bounds.rs
@@ -1,11 +1,19 @@
 //! What an owner may write, accept and rely on behind a link of a given width.
 
-use decide::link_bounds::largest_write;
+use std::time::Duration;
+
+use decide::link_bounds::{largest_write, lease_length, renewals_ahead};
 
 /// 2 Mbit/s.
 const NARROW: f64 = 250_000.0;
 /// 200 Mbit/s.
 const WIDE: f64 = 25_000_000.0;
+/// Bytes of a log on the link.
+const LOG_BYTES: f64 = 256_000.0;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
 
 /// Guards against pages of the log that a narrow link does not carry before their answer counts as
 /// lost, and against more pages than needed where it is wide.
@@ -16,3 +24,26 @@
     assert_eq!(largest_write(WIDE, most), most);
     assert!(largest_write(1.0, most) >= 4 << 10);
 }
+
+/// Guards against a lease that lapses while its owner reads the log behind a narrow link, and against
+/// one so long that callers wait for a successor where the link is wide.
+#[test]
+fn lease_length_follows_link() {
+    let least = ms(1100);
+    let log = LOG_BYTES / NARROW;
+    assert!(lease_length(least, NARROW) >= ms(1100) + Duration::from_secs_f64(log));
+    assert!(lease_length(least, WIDE) < ms(1150));
+    assert!(lease_length(least, 1.0) <= ms(3100));
+}
+
+/// Guards against a lease that lapses since no connection for its renewals can be opened while the
+/// log is on its way, and against renewals that nobody needs where the link is wide.
+#[test]
+fn renewals_ahead_last_while_log_is_read() {
+    let every = ms(280);
+    let renewals = u32::try_from(renewals_ahead(NARROW, every)).unwrap_or_default();
+    let log = Duration::from_secs_f64(LOG_BYTES / NARROW);
+    let lease = lease_length(ms(1100), NARROW);
+    assert!(every * renewals + lease >= log * 2);
+    assert_eq!(renewals_ahead(WIDE, every), 0);
+}
--- a/crates/lacewingshore/src/cell_serve.rs
+++ b/crates/lacewingshore/src/cell_serve.rs
@@ -13,7 +13,7 @@
 
 use anyhow::{Context, Result};
 use cell::{CellHost, CellOptions, CellPorts, HostLimits};
-use decide::work::DeskTuning;
+use decide::{link_bounds::lease_length, work::DeskTuning};
 use link::{CallClient, ServerLimits, ShutdownSignal, serve_http};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use model::{CellSettings, event as log_event};
@@ -128,6 +128,7 @@
         memory_mb: settings.memory_mb,
         link_mbps: settings.link_mbps,
     };
+    options.owner_lease = lease_length(options.owner_lease, options.limits.link_bytes());
     Ok(options)
 }
 
