Refuse jobs while the next owner could not read what is open in time

What callers saw, small twins behind 2 Mbit/s: hundreds of accepted jobs of which nothing runs (LOST), and successors that read half a megabyte of them.

Cause: an owner accepted whatever came.

Change: `largest_backlog`: the entries of open jobs may have 125 KB at 2 Mbit/s, so that with text encoding and what came since the last compaction they are read in a second; beyond that a job is refused with Retry-After. 12 MB at 200 Mbit/s. Their size is learned from each look through the log.

long_backlog_refuses_jobs failed before (Accepted) and passes, largest_backlog_follows_link passes.

--- a/crates/cell/src/log_compact.rs
+++ b/crates/cell/src/log_compact.rs
@@ -31,11 +31,13 @@
     let values = match ShortLog::pack(entries, largest, pages.most_short(), page_bytes) {
         ShortLog::Pages(values) => values,
         ShortLog::Long(bytes) => {
+            note_job_bytes(term, bytes);
             pages.keep(bytes);
             return Some(());
         }
     };
     let bytes = values.iter().map(Vec::len).sum();
+    note_job_bytes(term, bytes);
     let start = pages.next();
     for value in values {
         let length = value.len();
@@ -54,6 +56,15 @@
     Some(())
 }
 
+/// Notes how many bytes a job that is open takes, of those that all entries take.
+pub(crate) fn note_job_bytes(term: &Term, bytes: usize) {
+    // The log tells of ended jobs too, for as long as they are shown.
+    let jobs = term.desk.borrow().board.jobs.len().max(1);
+    #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+    let each = bytes as f64 / jobs as f64;
+    term.log.job_bytes.set(each);
+}
+
 /// Makes a change that is harmless to repeat, until it is known to be made; `None` once this
 /// process no longer owns the cell.
 async fn settle_change(term: &Term, change: StoreChange) -> Option<()> {
--- a/crates/cell/src/log_queue.rs
+++ b/crates/cell/src/log_queue.rs
@@ -51,6 +51,8 @@
     pub(crate) stored: Notify,
     /// Whether a page is being written, with entries that do not wait any more.
     pub(crate) writing: Cell<bool>,
+    /// Bytes that the entries of an open job take, as of when the log was last looked through.
+    pub(crate) job_bytes: Cell<f64>,
     /// Whether the last write failed, so that new work is refused at once.
     pub(crate) failing: Cell<bool>,
 }
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -1,5 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
+use decide::link_bounds::largest_backlog;
 use model::{BootTime, event as log_event};
 use tokio::time::{Instant, timeout_at};
 use wire::work::{
@@ -55,7 +56,7 @@
     if term.submitting.borrow().contains(&record.job) {
         return join_submit(term, &record.job, deadline).await;
     }
-    if !term.is_certain() || term.log.is_failing() {
+    if !term.is_certain() || term.log.is_failing() || has_long_backlog(term) {
         return refused(term);
     }
     let job = record.job.clone();
@@ -77,6 +78,14 @@
     }
 }
 
+/// True if the next owner would read what is open for too long, so that more work would not be done
+/// in time.
+fn has_long_backlog(term: &Term) -> bool {
+    #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+    let open = term.desk.borrow().board.open.len() as f64;
+    open * term.log.job_bytes.get() >= largest_backlog(term.options.limits.link_bytes())
+}
+
 /// Waits for a job that another call is handing in.
 async fn join_submit(term: &Rc<Term>, job: &str, deadline: Instant) -> OwnerAnswer {
     loop {
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -402,6 +402,25 @@
     });
 }
 
+/// Guards against an owner that accepts work until the log is longer than the link of the next one
+/// carries in time.
+#[test]
+fn long_backlog_refuses_jobs() {
+    run_local(async {
+        let store = new_store();
+        for number in 0..100 {
+            put_entry(&store, number as usize, Event::Accepted(large_job(number)));
+        }
+        let targets = MemoryTargets::default();
+        targets.set_slow(true);
+        let host = start_with("a", &store, narrow(), &targets);
+        until_owner(&store, "a").await;
+        sleep(Duration::from_millis(500)).await;
+        let answer = host.desk().answer(submit("job")).await;
+        assert!(matches!(answer, CallerAnswer::Refused(_)), "{answer:?}");
+    });
+}
+
 /// A job whose record does not get shorter by deflating.
 fn large_job(number: u64) -> JobRecord {
     JobRecord {
--- a/crates/decide/src/link_bounds.rs
+++ b/crates/decide/src/link_bounds.rs
@@ -12,6 +12,11 @@
 const LOG_BYTES: f64 = 256.0 * 1024.0;
 /// Longest time that a lease is made longer by, in seconds.
 const MOST_WAIT: f64 = 2.0;
+/// How long a new owner may read the log.
+const READ_TIME: Duration = Duration::from_secs(1);
+/// How much longer than the entries of open jobs its bytes on the link are: text encoding, and what
+/// has come since the log was made shorter.
+const LOG_EXCESS: f64 = 2.0;
 
 /// Largest write on a link that carries so many bytes a second, if writes of `most` bytes are
 /// allowed. A larger one would not be answered in time, however often it is repeated.
@@ -41,3 +46,9 @@
     let renewals = reading.as_millis() / every.as_millis().max(1);
     usize::try_from(renewals).unwrap_or_default()
 }
+
+/// Most bytes that the entries of open jobs may have on a link that carries so many bytes a second.
+/// With more, the next owner would read the log for longer than callers and targets wait for it.
+pub fn largest_backlog(bytes_per_second: f64) -> f64 {
+    bytes_per_second * READ_TIME.as_secs_f64() / LOG_EXCESS
+}
--- a/crates/decide/tests/link_bounds.rs
+++ b/crates/decide/tests/link_bounds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decide::link_bounds::{largest_write, lease_length, renewals_ahead};
+use decide::link_bounds::{largest_backlog, largest_write, lease_length, renewals_ahead};
 
 /// 2 Mbit/s.
 const NARROW: f64 = 250_000.0;
@@ -47,3 +47,11 @@
     assert!(every * renewals + lease >= log * 2);
     assert_eq!(renewals_ahead(WIDE, every), 0);
 }
+
+/// Guards against a backlog that the next owner reads for longer than its lease lasts, and against a
+/// bound that refuses work where the link is wide.
+#[test]
+fn largest_backlog_follows_link() {
+    assert!(largest_backlog(NARROW) * 2.0 <= LOG_BYTES);
+    assert!(largest_backlog(WIDE) >= 10_000_000.0);
+}
