--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -110,9 +110,8 @@
             term.now().boot.saturating_sub(started).as_millis()
         ),
     );
-    let mut hosts = term.hosts.borrow_mut();
-    hosts.take_arrivals(&desk.board, term.now().boot);
-    drop(hosts);
+    let now = term.now().boot;
+    term.hosts.borrow_mut().take_arrivals(&desk.board, now);
     *term.desk.borrow_mut() = desk;
     term.ready.set(true);
     term.became_ready.notify_waiters();
