Count failing looks, and a late store, against the owner's link

What callers saw: batches ran twice on a full link in spite of the change that waits while many targets are silent.

Cause, two ways: - Ends were heard by an owner (55.4 s) whose log writes did not get through, and it lost the cell 6 s later. Its successor did not reach 26 to 30 of 122 targets from 66 to 74 s, less than the third that counted, while the others answered over connections that they had. It wrote the rest off at 74 s and started 46 tasks. - Under one owner looks at 40 to 58 targets failed in each second, but few for the 1.8 s after which a target counts as silent. 1 to 6 targets lapsed a second.

Change: a target also counts as not heard for 2 s after a call to it failed, and a quarter of the listed targets, eight at least, is enough; a tenth while the owner was not sure of its lease within the last 5 s, as the store's answers come over the same link.

Evidence: silence_of_some_beside_late_store_ends_no_run and silence_beside_failing_looks_ends_no_run failed before. A guard was added that a link which is well waits for nobody; the scene has 40 targets now instead of 24, and the tests that were there are otherwise as they were. All tests of the desk pass.

--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -13,7 +13,13 @@
 /// that time even where it is five times as slow.
 const STALL_PARTS: u32 = 5;
 /// While one in so many listed targets, or more, is not heard, the owner's own link may be the cause.
-const UNHEARD_SHARE: usize = 3;
+const UNHEARD_SHARE: usize = 4;
+/// The same while the store is heard late too.
+const UNHEARD_SHARE_ALONE: usize = 10;
+/// How long a call that failed speaks against the link.
+const FAILED_RECENTLY: Duration = Duration::from_secs(2);
+/// How long a store that was heard too late speaks against the link.
+const LATE_STORE: Duration = Duration::from_secs(5);
 /// Fewer targets that are not heard tell nothing of the link.
 const UNHEARD_LEAST: usize = 8;
 
@@ -108,7 +114,10 @@
     /// that was lost. While many targets are not heard at once, the answers are probably lost on
     /// this owner's link, so they are waited for; `docs/design/14-ends-of-targets.md` argues why.
     fn write_off(&mut self, now: DeskTime) {
-        if self.misses_many() {
+        if self.alone {
+            self.was_alone = Some(now.boot);
+        }
+        if self.misses_many(now) {
             self.missed_many = Some(now.boot);
         }
         let silence = self.tuning.silence;
@@ -141,11 +150,20 @@
     /// True while so many listed targets are not heard that their silence says little of each.
     ///
     /// Hosts that are down leave the host list before what was granted to them lapses.
-    fn misses_many(&self) -> bool {
+    fn misses_many(&self, now: DeskTime) -> bool {
+        let recent = |alone: BootTime| now.boot.saturating_sub(alone) < LATE_STORE;
+        let share = match self.was_alone.is_some_and(recent) {
+            true => UNHEARD_SHARE_ALONE,
+            false => UNHEARD_SHARE,
+        };
         let listed = || self.targets.values().filter(|target| target.listed);
-        let unheard = listed().filter(|target| target.silent || !target.life.raised);
+        let failed = |target: &super::TargetState| {
+            !target.failed.is_zero() && now.boot.saturating_sub(target.failed) < FAILED_RECENTLY
+        };
+        let unheard =
+            listed().filter(|target| target.silent || !target.life.raised || failed(target));
         let unheard = unheard.count();
-        unheard >= UNHEARD_LEAST && unheard * UNHEARD_SHARE >= listed().count()
+        unheard >= UNHEARD_LEAST && unheard * share >= listed().count()
     }
 
     /// Stops the members of a gang of which some are missing: they would only wait for the
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -48,6 +48,8 @@
     /// Events that were dropped because nobody took them in time.
     pub events_dropped: u64,
     pub(super) ticked: BootTime,
+    /// When another process might have owned the cell last.
+    pub(super) was_alone: Option<BootTime>,
     /// When many listed targets were last not heard at once.
     pub(super) missed_many: Option<BootTime>,
     /// Whether another process may own the cell by now.
--- a/crates/decide/tests/work_unheard.rs
+++ b/crates/decide/tests/work_unheard.rs
@@ -7,7 +7,7 @@
 use desk::{DeskScene, ended, plan, step};
 use model::work::{EndKind, LookAnswer, StartOrder};
 
-const TARGETS: usize = 24;
+const TARGETS: usize = 40;
 const ROUND: Duration = Duration::from_millis(500);
 /// More than the granted time and the silence before it.
 const LONG: Duration = Duration::from_secs(20);
@@ -60,6 +60,46 @@
     assert!(scene.starts.is_empty(), "it has ended");
 }
 
+/// Guards against the same where fewer targets are silent, those to which no connection stood when
+/// the link filled up: that it is full shows at the store, whose answers come late too.
+#[test]
+fn silence_of_some_beside_late_store_ends_no_run() {
+    let (mut scene, start) = busy_fleet();
+    for _ in 0..10 {
+        scene.desk.set_alone(true);
+        pass(&mut scene, ROUND, 9);
+        scene.desk.set_alone(false);
+        pass(&mut scene, ROUND * 3, 9);
+    }
+    assert!(scene.starts.is_empty(), "its end may have been listed");
+    scene.end(&name(0), &start, EndKind::Done);
+    pass(&mut scene, LONG, 0);
+    assert!(scene.starts.is_empty(), "it has ended");
+}
+
+/// Guards against the same where one target is silent, and looks at many of them mostly fail, though not
+/// for so long that these count as silent.
+#[test]
+fn silence_beside_failing_looks_ends_no_run() {
+    let (mut scene, start) = busy_fleet();
+    for _ in 0..10 {
+        pass(&mut scene, ROUND * 3, 12);
+        pass(&mut scene, ROUND, 1);
+    }
+    assert!(scene.starts.is_empty(), "its end may have been listed");
+    scene.end(&name(0), &start, EndKind::Done);
+    pass(&mut scene, LONG, 0);
+    assert!(scene.starts.is_empty(), "it has ended");
+}
+
+/// Guards against waiting for targets that the owner alone can't reach, on a link that is well.
+#[test]
+fn silence_of_some_beside_good_store_ends_runs() {
+    let (mut scene, _) = busy_fleet();
+    pass(&mut scene, LONG, 9);
+    assert_eq!(scene.starts.len(), 1);
+}
+
 /// Guards against a task that never runs again since its target is down.
 #[test]
 fn silence_of_few_ends_runs() {
