Grant a start its time when it is sent

What callers saw, small twins behind 2 Mbit/s: nothing starts for ten seconds while most hosts are free.

Cause: a start carries the time that was granted when it was decided, five seconds.

Change: WorkDesk::renew_start sets the time when the start's turn comes, and notes that the target was granted it. A silent target gets no more time, as before.

renew_start_grants_time_anew passes (the order kept the old time before, as nothing renewed it).

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -34,7 +34,7 @@
     }
 }
 
-async fn start(term: Rc<Term>, id: HostId, order: StartOrder) {
+async fn start(term: Rc<Term>, id: HostId, mut order: StartOrder) {
     let Some((lane, address)) = way_to(&term, &id) else {
         return;
     };
@@ -52,6 +52,8 @@
     let answer = match permit {
         // It may have waited for its turn for longer than the lease goes.
         Some(_permit) if term.may_start() && term.knows_cancellations() => {
+            let now = term.now();
+            term.desk.borrow_mut().renew_start(&id, &mut order, now);
             term.ports.targets.start(&address, order).await
         }
         _ => StartAnswer::NotSent(TOO_LATE.to_owned()),
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -1,6 +1,6 @@
 use model::{
     BootTime, HostId,
-    work::{AttemptNumber, OrderAnswer, StartAnswer, StartRefusal, TaskKey},
+    work::{AttemptNumber, OrderAnswer, StartAnswer, StartOrder, StartRefusal, TaskKey},
 };
 
 use super::{
@@ -111,6 +111,20 @@
         !held && self.awaits_start(id, &(task.clone(), attempt))
     }
 
+    /// Grants a start that has waited for its turn its time from now on. What was granted when it was
+    /// decided may be over, and the target would refuse it.
+    pub fn renew_start(&mut self, id: &HostId, order: &mut StartOrder, now: DeskTime) {
+        let grant = self.tuning.grant;
+        let Some(target) = self.targets.get_mut(id).filter(|target| !target.silent) else {
+            return;
+        };
+        let Some(clock) = target.clock_at(now.boot) else {
+            return;
+        };
+        target.granted = now.boot;
+        order.until = clock + grant;
+    }
+
     fn awaits_start(&self, id: &HostId, run: &RunKey) -> bool {
         self.phase_of(id, run) == Some(PlacePhase::Starting)
     }
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -396,3 +396,20 @@
     scene.start_all();
     assert_eq!(scene.desk.pending(desk::QUEUE), 0);
 }
+
+/// Guards against a start that waited for its turn behind a narrow link and is refused as too late,
+/// since the time that was granted with its decision is over.
+#[test]
+fn renew_start_grants_time_anew() {
+    let mut scene = DeskScene::new(1);
+    scene.add("t1", 2000);
+    scene.submit("a", &plan(vec![step(1, 1000)]));
+    let (id, mut start) = scene.starts.remove(0);
+    let before = start.until;
+    let waited = Duration::from_secs(6);
+    scene.now.boot += waited;
+    scene.desk.renew_start(&id, &mut start, scene.now);
+    // The target's clock may be 2 % slow.
+    assert!(start.until >= before + waited * 97 / 100);
+    assert_eq!(scene.desk.targets[&id].granted, scene.now.boot);
+}
