Tell hosts that start how long ago holders of units ended

What callers saw: with hosts killed in turn, each before 62.5 s had passed, a team was in the end refused everywhere with `team-limit` though nothing of it ran, for as long as hosts went on being replaced.

Cause: a dead life's units are free 62.5 s after a host first saw a settled list without it, and only that host's memory held when that was. A host that starts later counts from its own start. If every host is replaced within 62.5 s, nobody ever counts to the end, and each kill takes the killed host's part of the limit for good.

Evidence: `units_free_while_hosts_are_killed_in_turn` (three hosts, one killed each 20 s; written before the change) failed with "still taken 64.5s after its end".

Change: hosts tell each other every 5 s how long ago lives that records still name were seen to be gone; a host takes the earliest. The message is an age and not a time, and an age only grows on its way, so that nobody counts from too early.

`quota_schedule` with 2,000 schedules that carry the new messages each 100 ms: none above the limit. Not measured: the bytes sent.

Not the cause of the one failure of `limit_under_kills_and_pauses`: there all holders died within 5 s, and units come free after 62.5 s by design, while the test waits 40 s.

--- a/crates/decide/src/quota.rs
+++ b/crates/decide/src/quota.rs
@@ -5,6 +5,7 @@
 //! argument.
 
 mod action;
+mod ends;
 mod grant_record;
 mod machine;
 mod next_record;
--- a/crates/decide/src/quota/action.rs
+++ b/crates/decide/src/quota/action.rs
@@ -1,6 +1,6 @@
 use model::{MemberId, Revision, TeamId};
 use wire::{
-    peer::{QuotaAsk, QuotaNote, QuotaRelease},
+    peer::{QuotaAsk, QuotaEnd, QuotaNote, QuotaRelease},
     state::QuotaRecord,
 };
 
@@ -17,6 +17,8 @@
     Release(MemberId, QuotaRelease),
     /// Send the record that the store holds.
     Note(MemberId, QuotaNote),
+    /// Send how long ago lives ended that hold units.
+    Ends(MemberId, Vec<QuotaEnd>),
 }
 
 /// A write of a team's record by compare-and-swap.
--- a/crates/decide/src/quota/machine.rs
+++ b/crates/decide/src/quota/machine.rs
@@ -25,6 +25,8 @@
     pub(super) list: MemberList,
     /// When lives that records still name were first seen out of a settled list.
     pub(super) ended: BTreeMap<(MemberId, Incarnation), BootTime>,
+    /// When the other hosts were last told of them.
+    pub(super) ends_told_at: Option<BootTime>,
     pub(super) teams: BTreeMap<TeamId, TeamQuota>,
     pub(super) writes: TokenBucket,
     pub(super) asks: TokenBucket,
@@ -42,6 +44,7 @@
             config_revision: 0,
             list: MemberList::default(),
             ended: BTreeMap::new(),
+            ends_told_at: None,
             teams: BTreeMap::new(),
             writes: TokenBucket::new(options.writes_per_second, options.write_burst),
             asks: TokenBucket::new(options.asks_per_second, options.ask_burst),
--- a/crates/decide/src/quota/options.rs
+++ b/crates/decide/src/quota/options.rs
@@ -43,6 +43,9 @@
     pub asks_per_second: u32,
     /// Teams that it may ask about at once.
     pub ask_burst: u32,
+    /// Distance of the messages that tell the others of ended lives; the next one makes up
+    /// for one that was lost.
+    pub tell_distance: Duration,
     /// Which guard a test takes away.
     pub mutation: QuotaMutation,
 }
@@ -60,6 +63,7 @@
             write_burst: 32,
             asks_per_second: 8,
             ask_burst: 32,
+            tell_distance: Duration::from_secs(5),
             mutation: QuotaMutation::None,
         }
     }
--- a/crates/decide/src/quota/round.rs
+++ b/crates/decide/src/quota/round.rs
@@ -22,7 +22,7 @@
             .iter()
             .filter(|(_, t)| is_leaving || !t.is_idle());
         let names: Vec<TeamId> = busy.map(|(name, _)| name.clone()).collect();
-        let mut actions = Vec::new();
+        let mut actions = self.tell_ends(now);
         for name in names {
             self.tick_team(&name, now, &mut actions);
         }
--- /dev/null
+++ b/crates/decide/tests/quota_ends.rs
@@ -0,0 +1,190 @@
+//! Units of dead holders while hosts are killed in turn, each before it could itself wait
+//! until a dead life's units are free.
+//!
+//! What a user would see if this failed: after a few kills a team is refused everywhere with
+//! `team-limit` though nothing of it runs, for as long as hosts go on being replaced.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use decide::{
+    member::MemberList,
+    quota::{QuotaAction, QuotaMachine, QuotaOptions, QuotaWrite, TeamLimit, WriteOutcome},
+};
+use model::{MemberId, TeamId};
+use wire::state::{Member, MemberRecord, QuotaRecord};
+
+const TEAM: &str = "panels";
+const LIMIT: TeamLimit = TeamLimit {
+    limit: 12,
+    since: 1,
+};
+const STEP: Duration = Duration::from_millis(25);
+/// Each of three hosts is killed every 60 s, before a life's units are free after 62.5 s.
+const KILL_DISTANCE: Duration = Duration::from_secs(20);
+const KILLS: usize = 20;
+/// Time for a write after units are free.
+const TAKE_WITHIN: Duration = Duration::from_secs(2);
+
+struct Host {
+    name: MemberId,
+    life: u64,
+    machine: QuotaMachine,
+}
+
+/// Three hosts that always want more of one team's limit, and a store that answers at once.
+struct Fleet {
+    now: Duration,
+    list: MemberRecord,
+    hosts: Vec<Host>,
+    store: (u64, QuotaRecord),
+    ended: BTreeMap<u64, Duration>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut fleet = Self {
+            now: Duration::from_secs(1000),
+            list: MemberRecord::default(),
+            hosts: Vec::new(),
+            store: (0, QuotaRecord::default()),
+            ended: BTreeMap::new(),
+        };
+        for name in ["e1", "e2", "e3"] {
+            fleet.start(name);
+        }
+        fleet
+    }
+
+    /// Starts a host, in place of its former life.
+    fn start(&mut self, name: &str) {
+        self.list.revision += 1;
+        let life = self.list.revision;
+        for host in self.hosts.extract_if(.., |host| host.name == *name) {
+            self.ended.insert(host.life, self.now);
+        }
+        self.list.members.retain(|member| member.id != name);
+        self.list.members.push(Member {
+            id: name.to_owned(),
+            incarnation: life,
+            peer_address: name.to_owned(),
+            ..Member::default()
+        });
+        let mut machine = QuotaMachine::new(QuotaOptions::default(), name.into(), life);
+        machine.set_limits(1, &BTreeMap::from([(TeamId::from(TEAM), LIMIT)]));
+        self.hosts.push(Host {
+            name: name.into(),
+            life,
+            machine,
+        });
+        let list = MemberList::new(self.list.clone());
+        for host in &mut self.hosts {
+            host.machine.set_members(&list, self.now);
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            for index in 0..self.hosts.len() {
+                let machine = &mut self.hosts[index].machine;
+                machine.note_waiting(&TEAM.into(), 20);
+                let actions = machine.tick(self.now);
+                self.perform(index, actions);
+            }
+            self.expect_units_in_time();
+        }
+    }
+
+    fn perform(&mut self, index: usize, actions: Vec<QuotaAction>) {
+        for action in actions {
+            let further = self.perform_one(index, action);
+            for (index, actions) in further {
+                self.perform(index, actions);
+            }
+        }
+    }
+
+    fn perform_one(&mut self, index: usize, action: QuotaAction) -> Vec<(usize, Vec<QuotaAction>)> {
+        let (from, life) = (self.hosts[index].name.clone(), self.hosts[index].life);
+        let now = self.now;
+        match action {
+            QuotaAction::Read(team) => {
+                let (version, record) = self.store.clone();
+                let machine = &mut self.hosts[index].machine;
+                machine.take_read(&team, version, record, now);
+                Vec::new()
+            }
+            QuotaAction::Write(write) => {
+                let outcome = self.swap(&write);
+                let machine = &mut self.hosts[index].machine;
+                vec![(index, machine.end_write(&write.team, outcome, now))]
+            }
+            QuotaAction::Ask(to, ask) => {
+                let (index, machine) = self.find(&to);
+                vec![(index, machine.hear_ask(&from, &ask, now))]
+            }
+            QuotaAction::Release(to, release) => {
+                self.find(&to).1.hear_release(&from, life, &release);
+                Vec::new()
+            }
+            QuotaAction::Note(to, note) => {
+                self.find(&to).1.hear_note(&note, now);
+                Vec::new()
+            }
+            QuotaAction::Ends(to, ends) => {
+                self.find(&to).1.hear_ends(&ends, now);
+                Vec::new()
+            }
+        }
+    }
+
+    fn find(&mut self, name: &MemberId) -> (usize, &mut QuotaMachine) {
+        let index = self.hosts.iter().position(|host| host.name == *name);
+        let index = index.unwrap();
+        (index, &mut self.hosts[index].machine)
+    }
+
+    /// Writes the record; nothing of a dead life may be taken too early.
+    fn swap(&mut self, write: &QuotaWrite) -> WriteOutcome {
+        if self.store.0 != write.expect {
+            return WriteOutcome::Conflict;
+        }
+        let after = QuotaOptions::default().reclaim_after();
+        let before = std::mem::replace(&mut self.store.1, write.record.clone());
+        for grant in before.grants {
+            let is_kept = write.record.grants.contains(&grant);
+            if let Some(at) = self.ended.get(&grant.incarnation).filter(|_| !is_kept) {
+                assert!(self.now - *at >= after, "taken too early: {grant:?}");
+            }
+        }
+        self.store.0 += 1;
+        WriteOutcome::Done(self.store.0)
+    }
+
+    /// Nothing of a dead life may stay taken for longer than its work can run.
+    fn expect_units_in_time(&self) {
+        let latest = QuotaOptions::default().reclaim_after() + TAKE_WITHIN;
+        for grant in &self.store.1.grants {
+            if let Some(at) = self.ended.get(&grant.incarnation) {
+                let age = self.now - *at;
+                assert!(age < latest, "still taken {age:?} after its end: {grant:?}");
+            }
+        }
+    }
+}
+
+// A host that starts anew does not know when the lives ended that are long gone. If it
+// counted from its own start, hosts replaced in turn would never see a dead life's units
+// free, and kill by kill the whole limit would be lost.
+#[test]
+fn units_free_while_hosts_are_killed_in_turn() {
+    let mut fleet = Fleet::new();
+    for kill in 0..KILLS {
+        fleet.run(KILL_DISTANCE);
+        fleet.start(["e1", "e2", "e3"][kill % 3]);
+    }
+    fleet.run(KILL_DISTANCE);
+}
--- a/crates/decide/tests/quota_schedule.rs
+++ b/crates/decide/tests/quota_schedule.rs
@@ -88,6 +88,7 @@
             write_burst: 1000,
             asks_per_second: 1000,
             ask_burst: 1000,
+            tell_distance: Duration::from_millis(100),
             mutation,
             ..QuotaOptions::default()
         };
@@ -282,6 +283,10 @@
                     machine.hear_note(&note, now);
                     Vec::new()
                 }
+                QuotaAction::Ends(_, ends) => {
+                    machine.hear_ends(&ends, now);
+                    Vec::new()
+                }
                 _ => Vec::new(),
             };
             self.send(index, actions);
@@ -405,8 +410,10 @@
     fn send(&mut self, index: usize, actions: Vec<QuotaAction>) {
         let (from, life) = (self.hosts[index].name.clone(), self.hosts[index].life);
         for action in actions {
-            let (QuotaAction::Ask(to, _) | QuotaAction::Release(to, _) | QuotaAction::Note(to, _)) =
-                &action
+            let (QuotaAction::Ask(to, _)
+            | QuotaAction::Release(to, _)
+            | QuotaAction::Note(to, _)
+            | QuotaAction::Ends(to, _)) = &action
             else {
                 continue;
             };
--- a/crates/member/src/quota_call.rs
+++ b/crates/member/src/quota_call.rs
@@ -29,6 +29,7 @@
             talks.entry(to).or_default().releases.push(release);
         }
         QuotaAction::Note(to, note) => talks.entry(to).or_default().notes.push(note),
+        QuotaAction::Ends(to, ends) => talks.entry(to).or_default().ends.extend(ends),
     }
     None
 }
--- a/crates/member/src/quota_duty.rs
+++ b/crates/member/src/quota_duty.rs
@@ -76,6 +76,7 @@
         }
         let now = self.shared.now();
         let mut machine = self.shared.quota.machine().lock();
+        machine.hear_ends(&talk.ends, now);
         for note in &talk.notes {
             machine.hear_note(note, now);
         }
