Wait for a silence of many targets for 30 s at most

While a quarter of the targets is not heard nothing lapses. Where a cut parts the owner from half of the fleet, which stays listed, no task went on elsewhere for as long as that lasted. Found by a reviewer, by reading; silence_of_most_has_an_end fails without the limit.

--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -20,6 +20,9 @@
 const FAILED_RECENTLY: Duration = Duration::from_secs(2);
 /// How long a store that was heard too late speaks against the link.
 const LATE_STORE: Duration = Duration::from_secs(5);
+/// How long a silence of many targets is waited for. A link that is full for longer does not get
+/// free by waiting, and what a cut has parted from its owner has to go on elsewhere.
+const LONGEST_SILENCE: Duration = Duration::from_secs(30);
 /// Fewer targets that are not heard tell nothing of the link.
 const UNHEARD_LEAST: usize = 8;
 
@@ -117,12 +120,7 @@
         if self.alone {
             self.was_alone = Some(now.boot);
         }
-        if self.misses_many(now) {
-            self.missed_many = Some(now.boot);
-        }
-        let silence = self.tuning.silence;
-        let missed = self.missed_many;
-        if missed.is_some_and(|missed| now.boot.saturating_sub(missed) < silence) {
+        if self.awaits_many(now) {
             return;
         }
         let lapsed: Vec<HostId> = self
@@ -147,6 +145,21 @@
         }
     }
 
+    /// True while the silence of many targets is waited for, and for a moment after it.
+    fn awaits_many(&mut self, now: DeskTime) -> bool {
+        if self.misses_many(now) {
+            self.missed_many = Some(now.boot);
+        }
+        let silence = self.tuning.silence;
+        let missed = self.missed_many;
+        if missed.is_none_or(|missed| now.boot.saturating_sub(missed) >= silence) {
+            self.missing_since = None;
+            return false;
+        }
+        let since = *self.missing_since.get_or_insert(now.boot);
+        now.boot.saturating_sub(since) < LONGEST_SILENCE
+    }
+
     /// True while so many listed targets are not heard that their silence says little of each.
     ///
     /// Hosts that are down leave the host list before what was granted to them lapses.
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -50,6 +50,8 @@
     pub(super) ticked: BootTime,
     /// When another process might have owned the cell last.
     pub(super) was_alone: Option<BootTime>,
+    /// Since when many listed targets have not been heard at once.
+    pub(super) missing_since: Option<BootTime>,
     /// When many listed targets were last not heard at once.
     pub(super) missed_many: Option<BootTime>,
     /// Whether another process may own the cell by now.
--- a/crates/decide/tests/work_unheard.rs
+++ b/crates/decide/tests/work_unheard.rs
@@ -60,6 +60,14 @@
     assert!(scene.starts.is_empty(), "it has ended");
 }
 
+/// Guards against work that stands still for as long as a cut parts its owner from half of the fleet.
+#[test]
+fn silence_of_most_has_an_end() {
+    let (mut scene, _) = busy_fleet();
+    pass(&mut scene, LONG * 2, TARGETS / 2);
+    assert_eq!(scene.starts.len(), 1);
+}
+
 /// Guards against the same where fewer targets are silent, those to which no connection stood when
 /// the link filled up: that it is full shows at the store, whose answers come late too.
 #[test]
