--- a/crates/decide/src/work/short_log.rs
+++ b/crates/decide/src/work/short_log.rs
@@ -42,7 +42,10 @@
     let mut bytes = 0;
     for entry in entries {
         bytes += entry.encoded_len();
-        if bytes > page_bytes {
+        let begun = parts
+            .last()
+            .is_some_and(|part: &Vec<LogEntry>| !part.is_empty());
+        if bytes > page_bytes && begun {
             bytes = entry.encoded_len();
             parts.push(Vec::new());
         }
--- a/crates/decide/tests/work_log.rs
+++ b/crates/decide/tests/work_log.rs
@@ -54,6 +54,16 @@
     assert!(bytes.abs_diff(whole) < whole / 10, "{bytes} of {whole}");
 }
 
+/// Guards against an empty page before an entry that is longer than a page.
+#[test]
+fn pack_of_long_entry_begins_with_it() {
+    let pages = ShortLog::pack(entries(), 1, usize::MAX, encode);
+    let ShortLog::Pages(pages) = pages else {
+        panic!("too long");
+    };
+    assert_eq!(pages.len(), entries().len());
+}
+
 /// Guards against a log without entries that takes no page, so that the old pages never go.
 #[test]
 fn pack_of_nothing_is_a_page() {
