Let shares of time wait like starts, and count only looks that grant

A share of time to be set went through the owner's budget as a stop, without bound. In the test of starts and looks a look counted as a grant that granted nothing. Found by a reviewer, by reading.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -102,7 +102,7 @@
     let Some((lane, address)) = way_to(&term, &id) else {
         return;
     };
-    let Some(_permit) = turn(&term, &lane, CallClass::Stop).await else {
+    let Some(_permit) = turn(&term, &lane, CallClass::Start).await else {
         return;
     };
     let answer = term.ports.targets.pace(&address, order).await;
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -54,7 +54,7 @@
     }
 
     /// Longest time since a target that runs a task was granted time.
-    pub fn longest_unseen(&self) -> Duration {
+    pub fn longest_ungranted(&self) -> Duration {
         let (granted, used) = (self.granted.borrow(), self.ended.borrow());
         let times = used.keys().filter_map(|target| granted.get(target));
         times.map(Instant::elapsed).max().unwrap_or_default()
@@ -123,8 +123,10 @@
     fn look(&self, target: &TargetAddress, order: LookOrder) -> PortFuture<LookAnswer> {
         let (targets, target) = (self.clone(), target.target.clone());
         self.looks.set(self.looks.get() + 1);
-        let now = Instant::now();
-        self.granted.borrow_mut().insert(target.clone(), now);
+        if order.until.is_some() {
+            let now = Instant::now();
+            self.granted.borrow_mut().insert(target.clone(), now);
+        }
         Box::pin(async move {
             targets.looking.set(targets.looking.get() + 1);
             let most = targets.most_looks.get().max(targets.looking.get());
