--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -6,6 +6,7 @@
 mod cell_bench;
 mod memory_ports;
 mod memory_store;
+mod successors;
 
 pub use caller_calls::{KEY, call, plan, submit};
 pub use cell_bench::{
@@ -13,6 +14,10 @@
 };
 pub use memory_ports::{MemoryTargets, NoControl, free_address, ports_on, terms_text};
 pub use memory_store::{MemoryStore, StoreSwitch};
+pub use successors::{
+    LOG, OWNER, narrow, new_store, owner, put_entry, put_page, start_host, start_on, start_with,
+    strong, until_owner, weak,
+};
 
 use tokio::task::LocalSet;
 
--- /dev/null
+++ b/crates/cell/tests/common/successors.rs
@@ -0,0 +1,86 @@
+use std::{rc::Rc, time::Duration};
+
+use cell::{CellHost, CellOptions, CellPorts, HostLimits};
+use prost::Message;
+use tokio::time::{Instant, sleep};
+use wire::work::{LogEntry, LogPage, OwnerRecord, log_entry::Event};
+
+use super::{
+    LIMIT, MemoryStore, MemoryTargets, free_address, ports_on, start_cell, store_with_terms,
+};
+
+pub const OWNER: &str = "cell/owner";
+pub const LOG: &str = "cell/log/";
+
+pub fn strong() -> HostLimits {
+    HostLimits::default()
+}
+
+pub fn weak() -> HostLimits {
+    HostLimits {
+        link_mbps: 10.0,
+        ..strong()
+    }
+}
+
+/// The small link of a fleet whose lists and logs fill it.
+pub fn narrow() -> HostLimits {
+    HostLimits {
+        link_mbps: 2.0,
+        ..strong()
+    }
+}
+
+pub fn start_host(name: &str, store: &MemoryStore, limits: HostLimits) -> Rc<CellHost> {
+    start_with(name, store, limits, &MemoryTargets::default())
+}
+
+pub fn start_with(
+    name: &str,
+    store: &MemoryStore,
+    limits: HostLimits,
+    targets: &MemoryTargets,
+) -> Rc<CellHost> {
+    let options = CellOptions {
+        limits,
+        ..CellOptions::new(name.into(), free_address(), free_address())
+    };
+    start_on(options, ports_on(store, targets))
+}
+
+pub fn start_on(options: CellOptions, ports: CellPorts) -> Rc<CellHost> {
+    Rc::new(start_cell(options, ports))
+}
+
+pub fn new_store() -> MemoryStore {
+    let store = store_with_terms();
+    store.put("targets/t1", b"ready");
+    store
+}
+
+pub fn owner(store: &MemoryStore) -> Option<String> {
+    let record = OwnerRecord::decode(store.value(OWNER)?.as_slice());
+    record.ok().map(|record| record.member)
+}
+
+pub async fn until_owner(store: &MemoryStore, wanted: &str) {
+    let end = Instant::now() + LIMIT;
+    while owner(store).as_deref() != Some(wanted) {
+        assert!(Instant::now() < end, "still {:?}", owner(store));
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A page of the log that an owner wrote whose token was `token`.
+pub fn put_page(store: &MemoryStore, page: usize, token: u64) {
+    put_entry(store, page, Event::HandedOver(token));
+}
+
+pub fn put_entry(store: &MemoryStore, page: usize, event: Event) {
+    let entry = LogEntry { event: Some(event) };
+    let value = LogPage {
+        entries: vec![entry],
+        ..LogPage::default()
+    };
+    store.put(&format!("{LOG}{page:012}"), &value.encode_to_vec());
+}
