--- a/crates/cell/src/target_look.rs
+++ b/crates/cell/src/target_look.rs
@@ -22,7 +22,6 @@
 const STORED_LIMIT: Duration = Duration::from_millis(250);
 /// Pause after a look that brought nothing; a target that is down is asked this often.
 const FAULT_PAUSE: Duration = Duration::from_millis(300);
-
 /// How long a look waits for its turn before its class is considered anew: the time that was granted
 /// to what runs goes on.
 const TURN_LIMIT: Duration = Duration::from_millis(500);
--- a/crates/decide/src/work/desk_stop.rs
+++ b/crates/decide/src/work/desk_stop.rs
@@ -40,9 +40,9 @@
 
     /// Closes a start of which it is not known whether it was carried out.
     pub(super) fn close_start(&mut self, id: &HostId, run: &RunKey, now: DeskTime) {
-        let first = self.place_mut(id, run).is_some();
+        let placed = self.place_mut(id, run).is_some();
         self.set_phase(id, run, PlacePhase::Stopping(false), now);
-        if !first || !self.may_have_started(id, run, now) {
+        if !placed || !self.may_have_started(id, run, now) {
             self.stop_run(id, run, now);
             return;
         }
