--- a/crates/decide/tests/desk/mod.rs
+++ b/crates/decide/tests/desk/mod.rs
@@ -4,6 +4,7 @@
 
 mod fleet;
 mod scene;
+pub mod turn;
 mod world;
 mod world_ask;
 mod world_call;
