--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -24,7 +24,7 @@
         Some(Ask::Look(job)) => look(term, &job),
         Some(Ask::Cancel(job)) => cancel(term, &job, deadline).await,
         Some(Ask::Pending(queue)) => OwnerAnswer {
-            pending: term.desk.borrow().pending(&queue),
+            pending: term.desk.borrow_mut().pending(&queue, term.now()),
             ..answer(AnswerKind::Counted)
         },
         // Questions to any process are answered before; others are of a newer version.
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -1,8 +1,11 @@
 use std::{rc::Rc, time::Duration};
 
 use decide::{link_bounds::renewals_ahead, work::DeskOrder};
-use model::{HostId, event as log_event};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use model::event as log_event;
+use tokio::{
+    task::yield_now,
+    time::{MissedTickBehavior, interval, sleep},
+};
 use wire::work::{OwnerCall, owner_call::Ask};
 
 use crate::{
@@ -136,6 +139,8 @@
             () = term.wake.notified() => false,
             () = term.view.changed.notified() => false,
         };
+        // Other answers that have arrived are taken in first: one plan serves them all.
+        yield_now().await;
         let version = term.view.version.get();
         if version != terms_seen {
             terms_seen = version;
@@ -169,10 +174,10 @@
     let (orders, events, dropped, targets) = {
         let mut desk = term.desk.borrow_mut();
         let known = term.lanes.borrow();
-        let missing = desk.targets.keys().filter(|id| !known.contains_key(*id));
-        let missing: Vec<HostId> = missing.cloned().collect();
+        let mut added = desk.take_added();
+        added.retain(|id| desk.targets.contains_key(id) && !known.contains_key(id));
         let dropped = std::mem::take(&mut desk.events_dropped);
-        (desk.take_orders(), desk.take_events(), dropped, missing)
+        (desk.take_orders(), desk.take_events(), dropped, added)
     };
     record_note::log_events(events, dropped);
     for id in targets {
--- a/crates/decide/src/work/desk_advice.rs
+++ b/crates/decide/src/work/desk_advice.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use model::{HostId, work::TaskKey};
 
-use super::{DeskOrder, DeskTime, WorkDesk, desk_start::WaitingStep};
+use super::{DeskOrder, DeskTime, WorkDesk, step_key::StepKey};
 
 /// Targets that are asked about at once; each costs the service time, and it takes a hundred.
 const ADVISED_AT_ONCE: u32 = 16;
@@ -43,15 +43,15 @@
     }
 
     /// True if the step has to wait for advice; asks for it.
-    pub(super) fn wants_advice(&mut self, waiting: &WaitingStep, now: DeskTime) -> bool {
-        let Some(job) = self.board.jobs.get(&waiting.job) else {
+    pub(super) fn wants_advice(&mut self, step: &StepKey, now: DeskTime) -> bool {
+        let Some(job) = self.board.jobs.get(&step.job) else {
             return false;
         };
         let Some(advice) = self.terms.queue(&job.queue).and_then(|queue| queue.advice) else {
             return false;
         };
         let pool = job.pool.clone();
-        let Some(state) = self.step_state(waiting) else {
+        let Some(state) = self.step_state(step) else {
             return true;
         };
         if state.tickets.values().any(|(_, until)| now.boot < *until) {
@@ -63,10 +63,9 @@
         if asked && now.boot.saturating_sub(state.asked) < patience.max(ADVICE_PAUSE) {
             return true;
         }
-        let usable = self
-            .targets
-            .values()
-            .filter(|target| target.entry.pool == pool && target.takes_tasks(now.boot));
+        let of_pool = self.index.targets.of_pool(&pool);
+        let of_pool = of_pool.filter_map(|id| self.targets.get(id));
+        let usable = of_pool.filter(|target| target.takes_tasks(now.boot));
         let mut usable: Vec<_> = usable.collect();
         usable.sort_by_key(|target| Reverse(target.free().cpu));
         let ids: Vec<HostId> = usable
@@ -78,9 +77,9 @@
             return true;
         }
         let key = TaskKey {
-            job: waiting.job.clone(),
-            occurrence: waiting.occurrence,
-            step: waiting.step,
+            job: step.job.clone(),
+            occurrence: step.occurrence,
+            step: step.step,
             index: 0,
         };
         self.set_asked(&key, now);
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -26,11 +26,9 @@
         match answer {
             StartAnswer::Started { .. } => {
                 self.set_phase(id, &run, PlacePhase::Running, now);
-                if let Some(job) = self.board.jobs.get_mut(&task.job) {
-                    job.begun = true;
-                }
+                self.board.begin_job(&task.job);
                 self.pace_new(id, &run);
-                if let Some(target) = self.targets.get_mut(id) {
+                if let Some(target) = self.targets.get_unindexed(id) {
                     target.answered = target.answered.max(now.boot);
                 }
             }
@@ -115,7 +113,8 @@
     /// decided may be over, and the target would refuse it.
     pub fn renew_start(&mut self, id: &HostId, order: &mut StartOrder, now: DeskTime) {
         let grant = self.tuning.grant;
-        let Some(target) = self.targets.get_mut(id).filter(|target| !target.silent) else {
+        let target = self.targets.get_unindexed(id);
+        let Some(target) = target.filter(|target| !target.silent) else {
             return;
         };
         let Some(clock) = target.clock_at(now.boot) else {
--- a/crates/decide/src/work/desk_claim.rs
+++ b/crates/decide/src/work/desk_claim.rs
@@ -16,6 +16,7 @@
         if target.claims.contains_key(&run) {
             return;
         }
+        self.index.runs.insert((run.0.clone(), run.1, id.clone()));
         let usage = self.usage.entry(claim.workspace.clone()).or_default();
         *usage = usage.plus(claim.need);
         target.claim(run, claim);
@@ -30,14 +31,36 @@
         else {
             return;
         };
+        self.index.runs.remove(&(run.0.clone(), run.1, id.clone()));
         self.release_usage(&claim);
-        self.stale = true;
+    }
+
+    /// Runs of a job, or of one of its tasks, each with the target that it may be on.
+    pub(super) fn runs_of(&self, job: &str, task: Option<&TaskKey>) -> Vec<(HostId, RunKey)> {
+        let first = TaskKey {
+            job: job.into(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let from = (task.cloned().unwrap_or(first), 0, HostId::default());
+        let wanted = |key: &TaskKey| match task {
+            Some(task) => key == task,
+            None => key.job == job,
+        };
+        let runs = self.index.runs.range(from..);
+        runs.take_while(|(key, ..)| wanted(key))
+            .map(|(key, attempt, id)| (id.clone(), (key.clone(), *attempt)))
+            .collect()
     }
 
     pub(super) fn release_usage(&mut self, claim: &RunClaim) {
         if let Some(usage) = self.usage.get_mut(&claim.workspace) {
             *usage = usage.minus(claim.need);
         }
+        if let Some(pools) = self.index.capped.remove(&claim.workspace) {
+            self.index.due.extend(pools);
+        }
     }
 
     fn claim_of(&self, key: &TaskKey) -> RunClaim {
--- a/crates/decide/src/work/desk_end.rs
+++ b/crates/decide/src/work/desk_end.rs
@@ -14,11 +14,10 @@
     pub(super) fn apply_end(&mut self, id: &HostId, end: &EndSight, now: DeskTime) {
         let run: RunKey = (end.task.clone(), end.attempt);
         self.unclaim(id, &run);
-        if let Some(job) = self.board.jobs.get_mut(&end.task.job) {
-            // As for a run: what a predecessor found due is due.
-            job.open_until(end.task.occurrence, now.boot);
-            job.begun = true;
-        }
+        let job = &end.task.job;
+        // As for a run: what a predecessor found due is due.
+        self.board.open_until(job, end.task.occurrence, now.boot);
+        self.board.begin_job(job);
         self.vacate_place(id, &run);
         let name = match end.kind {
             EndKind::Done => "done",
@@ -48,12 +47,11 @@
             EndKind::Failed => self.end_failed(end, origin, now),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
-        self.stale = true;
     }
 
     /// An entry about an end has been stored, so the target may forget the end.
     pub(super) fn settle_end(&mut self, origin: &EndOrigin) {
-        if let Some(target) = self.targets.get_mut(&origin.target)
+        if let Some(target) = self.targets.get_unindexed(&origin.target)
             && target.life.number == origin.life
         {
             target.life.unstored.remove(&origin.number);
@@ -62,12 +60,7 @@
 
     /// Stops all that runs of a job that has ended.
     pub(super) fn stop_job(&mut self, job: &str, now: DeskTime) {
-        let mut stops = Vec::new();
-        for (id, target) in &self.targets {
-            let of_job = target.claims.keys().filter(|run| run.0.job == job);
-            stops.extend(of_job.map(|run| (id.clone(), run.clone())));
-        }
-        for (id, run) in stops {
+        for (id, run) in self.runs_of(job, None) {
             self.stop_run(&id, &run, now);
         }
     }
@@ -101,27 +94,23 @@
     /// The place of a run's task, if the task is taken to be there.
     pub(super) fn place_mut(&mut self, id: &HostId, run: &RunKey) -> Option<&mut TaskPlace> {
         let (key, attempt) = run;
-        let job = self.board.jobs.get_mut(&key.job)?;
-        let task = job.task_mut(key.occurrence, key.step, key.index)?;
+        let task = self.board.task_unindexed(key)?;
         let place = task.place.as_mut()?;
         (place.target == *id && place.attempt == *attempt).then_some(place)
     }
 
     /// The task of a run waits again, or is done, if it was taken to be there.
     pub(super) fn vacate_place(&mut self, id: &HostId, run: &RunKey) {
-        let (key, attempt) = run;
+        let (key, _) = run;
         self.stops.remove(&(id.clone(), run.clone()));
-        let Some(step) = self.board.step_mut(key) else {
-            return;
-        };
-        let Some(task) = step.tasks.get_mut(key.index as usize) else {
+        if self.board.place_of(id, run).is_none() {
             return;
-        };
-        let there = |place: &TaskPlace| place.target == *id && place.attempt == *attempt;
-        if task.place.as_ref().is_some_and(there) {
+        }
+        if let Some(step) = self.board.step_mut(key)
+            && let Some(task) = step.tasks.get_mut(key.index as usize)
+        {
             task.place = None;
             step.placed = step.placed.saturating_sub(1);
-            self.stale = true;
         }
     }
 
@@ -141,7 +130,7 @@
             self.record_again(end, true, origin);
             return;
         }
-        if let Some(target) = self.targets.get_mut(&origin.target) {
+        if let Some(target) = self.targets.get_unindexed(&origin.target) {
             target.faults = 0;
         }
         self.record_end(end, true, origin);
@@ -227,7 +216,7 @@
     }
 
     fn record_end(&mut self, end: &EndSight, done: bool, origin: EndOrigin) {
-        if let Some(target) = self.targets.get_mut(&origin.target) {
+        if let Some(target) = self.targets.get_unindexed(&origin.target) {
             target.life.unstored.insert(origin.number);
         }
         let job = end.task.job.clone();
@@ -274,12 +263,7 @@
         if self.board.jobs.get(&key.job).is_some_and(gang) {
             return;
         }
-        let mut copies = Vec::new();
-        for (id, target) in &self.targets {
-            let same = target.claims.keys().filter(|run| run.0 == *key);
-            copies.extend(same.map(|run| (id.clone(), run.clone())));
-        }
-        for (id, run) in copies {
+        for (id, run) in self.runs_of(&key.job, Some(key)) {
             self.stop_run(&id, &run, now);
         }
     }
@@ -298,14 +282,16 @@
         checkpoint: &compact_str::CompactString,
     ) {
         let gang = self.step_of(key).is_some_and(|step| step.gang);
+        if !gang {
+            if let Some(task) = self.board.task_unindexed(key) {
+                task.checkpoint = checkpoint.clone();
+            }
+            return;
+        }
         let Some(step) = self.board.step_mut(key) else {
             return;
         };
-        if gang {
-            step.tasks
-                .iter_mut()
-                .for_each(|task| task.checkpoint = checkpoint.clone());
-        } else if let Some(task) = step.tasks.get_mut(key.index as usize) {
+        for task in &mut step.tasks {
             task.checkpoint = checkpoint.clone();
         }
     }
--- a/crates/decide/src/work/desk_evacuate.rs
+++ b/crates/decide/src/work/desk_evacuate.rs
@@ -44,7 +44,10 @@
         let before = std::mem::take(&mut self.stranded);
         let mut stops = Vec::new();
         let mut coming: BTreeMap<PoolId, HostRoom> = BTreeMap::new();
-        for target in self.targets.values() {
+        for id in &self.index.targets.emptying {
+            let Some(target) = self.targets.get(id) else {
+                continue;
+            };
             let leaving = target.entry.mode == TargetMode::Draining;
             if !leaving && target.vacancy == HostVacancy::None {
                 continue;
@@ -95,11 +98,10 @@
         ) else {
             return true;
         };
-        let of_pool = self
-            .targets
-            .values()
-            .filter(|target| target.entry.pool == *pool);
-        may_go(plan, state, of_pool, coming, now.boot)
+        let need = plan.footprint().plus(coming);
+        let with_room = self.index.targets.with_room(pool, need.cpu);
+        let with_room = with_room.filter_map(|id| self.targets.get(id));
+        may_go(plan, state, with_room, coming, now.boot)
     }
 
     fn note_stranded(&mut self, run: &RunKey, pool: &PoolId, need: HostRoom, since: BootTime) {
@@ -180,11 +182,15 @@
 
     /// Keeps the named targets free of new tasks, and no others.
     pub(super) fn keep_free(&mut self, wanted: &BTreeMap<HostId, HostVacancy>) {
-        for (id, target) in &mut self.targets {
+        let before = std::mem::replace(&mut self.vacancies, wanted.clone());
+        for id in before.keys().chain(wanted.keys()) {
             let vacancy = wanted.get(id).copied().unwrap_or_default();
-            self.stale |= target.vacancy != vacancy;
-            target.vacancy = vacancy;
+            let changed = |target: &super::TargetState| target.vacancy != vacancy;
+            if self.targets.get(id).is_some_and(changed)
+                && let Some(target) = self.targets.get_mut(id)
+            {
+                target.vacancy = vacancy;
+            }
         }
-        self.vacancies.clone_from(wanted);
     }
 }
--- /dev/null
+++ b/crates/decide/src/work/desk_index.rs
@@ -0,0 +1,126 @@
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use model::{
+    BootTime, HostId, PoolId, WorkspaceId,
+    work::{AttemptNumber, FleetTerms, HostRoom, TaskKey},
+};
+
+use super::{
+    JobBoard, TargetState, WorkDesk, job_index::JobIndex, target_index::TargetIndex,
+    tracked_map::TrackedMap,
+};
+
+/// A run and the target that it may be on, ordered by task.
+pub(super) type RunRow = (TaskKey, AttemptNumber, HostId);
+
+/// Indexes of the desk's books. They follow the books with [`WorkDesk::sync`].
+#[derive(Clone, Debug, Default)]
+pub(super) struct DeskIndex {
+    pub(super) targets: TargetIndex,
+    pub(super) jobs: JobIndex,
+    /// Runs that claim room.
+    pub(super) runs: BTreeSet<RunRow>,
+    /// Limits of workspaces that have one.
+    pub(super) limits: BTreeMap<WorkspaceId, HostRoom>,
+    /// Pools in which something may be started.
+    pub(super) due: BTreeSet<PoolId>,
+    /// Pools with targets that had not been reached when starts were planned last.
+    pub(super) blocked: BTreeSet<PoolId>,
+    /// Pools in which tasks wait for their workspace to have less running.
+    pub(super) capped: BTreeMap<WorkspaceId, BTreeSet<PoolId>>,
+    /// Targets that were added and have not been taken.
+    pub(super) added: Vec<HostId>,
+}
+
+/// How much a desk has looked at, since its beginning.
+///
+/// It shows whether the cost of an event follows what the event changes.
+#[derive(Clone, Debug, Default)]
+pub struct DeskEffort {
+    /// Targets that were considered for a task.
+    pub candidates: Cell<u64>,
+    /// Steps that wait, and blocks of them, that were considered for a start.
+    pub steps: Cell<u64>,
+    /// Entries of the books that indexes were told of.
+    pub entries: Cell<u64>,
+}
+
+impl DeskEffort {
+    pub(super) fn add(counter: &Cell<u64>, count: u64) {
+        counter.set(counter.get().wrapping_add(count));
+    }
+}
+
+impl DeskIndex {
+    fn follow_targets(&mut self, targets: &TrackedMap<TargetState>, ids: &[HostId], now: BootTime) {
+        for id in ids {
+            let new = self.targets.update(id, targets.get(id), now, &mut self.due);
+            if new {
+                self.added.push(id.clone());
+            }
+        }
+    }
+
+    fn follow_jobs(&mut self, board: &mut JobBoard, terms: &FleetTerms, now: BootTime) -> usize {
+        for id in self.jobs.take_reranked(now) {
+            board.jobs.mark(&id);
+        }
+        let changed = board.jobs.take_changed();
+        for id in &changed {
+            self.jobs
+                .update(id, board.jobs.get(id), terms, now, &mut self.due);
+        }
+        changed.len()
+    }
+}
+
+impl WorkDesk {
+    /// Brings the indexes up to the books.
+    pub(super) fn sync(&mut self, now: BootTime) {
+        self.sync_targets(now);
+        let jobs = self.index.follow_jobs(&mut self.board, &self.terms, now);
+        DeskEffort::add(&self.effort.entries, jobs as u64);
+    }
+
+    /// Brings the index of targets up to the books.
+    pub(super) fn sync_targets(&mut self, now: BootTime) {
+        let targets = self.targets.take_changed();
+        self.index.follow_targets(&self.targets, &targets, now);
+        DeskEffort::add(&self.effort.entries, targets.len() as u64);
+    }
+
+    /// Targets that came to be known since the last time.
+    pub fn take_added(&mut self) -> Vec<HostId> {
+        std::mem::take(&mut self.index.added)
+    }
+
+    /// Indexes that don't say what the books say; for tests.
+    pub fn index_faults(&mut self, now: BootTime) -> Vec<&'static str> {
+        self.sync(now);
+        let mut anew = DeskIndex::default();
+        let targets: Vec<HostId> = self.targets.keys().cloned().collect();
+        anew.follow_targets(&self.targets, &targets, now);
+        for (id, job) in &self.board.jobs {
+            anew.jobs
+                .update(id, Some(job), &self.terms, now, &mut anew.due);
+        }
+        for (id, target) in &self.targets {
+            let rows = target.claims.keys();
+            let rows = rows.map(|(key, attempt)| (key.clone(), *attempt, id.clone()));
+            anew.runs.extend(rows);
+        }
+        let checks = [
+            (
+                "targets",
+                anew.targets.lasting() == self.index.targets.lasting(),
+            ),
+            ("jobs", anew.jobs == self.index.jobs),
+            ("runs", anew.runs == self.index.runs),
+        ];
+        let broken = checks.into_iter().filter(|(_, holds)| !holds);
+        broken.map(|(name, _)| name).collect()
+    }
+}
--- a/crates/decide/src/work/desk_life.rs
+++ b/crates/decide/src/work/desk_life.rs
@@ -27,6 +27,7 @@
         let doubts = target.take_doubts(&tuning, now.boot);
         let renewed = born > target.life.born;
         let held = target.reborn(born, now.boot);
+        self.forget_runs(id, &held);
         self.release_runs(id, held, renewed, cause, now);
         for run in doubts {
             // The start may still reach the new life: it is closed there by a stop.
@@ -47,6 +48,7 @@
         // What was granted ended with it.
         target.granted = BootTime::ZERO;
         target.listed = false;
+        self.forget_runs(id, &held);
         self.release_runs(id, held, false, cause, now);
     }
 
@@ -62,16 +64,22 @@
             return;
         }
         let mut gone = Vec::new();
-        for (id, target) in &mut self.targets {
+        let mut missed = Vec::new();
+        for (id, target) in &self.targets {
             // A life that answered shortly before the list was asked for is at work, whatever that says.
             let answers = !target.heard.is_zero() && target.heard + ANSWER_FRESH >= asked;
-            if target.listed || answers || lives.contains(id) {
-                target.lists_missed = 0;
-                continue;
+            let lives = target.listed || answers || lives.contains(id);
+            if !lives || target.lists_missed > 0 {
+                missed.push((id.clone(), lives));
             }
-            target.lists_missed += 1;
+        }
+        for (id, lives) in missed {
+            let Some(target) = self.targets.get_mut(&id) else {
+                continue;
+            };
+            target.lists_missed = if lives { 0 } else { target.lists_missed + 1 };
             if target.lists_missed >= LISTS_MISSED {
-                gone.push(id.clone());
+                gone.push(id);
             }
         }
         for id in gone {
@@ -88,6 +96,12 @@
         targets.any(|target| !target.is_known() && !target.listed)
     }
 
+    fn forget_runs(&mut self, id: &HostId, held: &[(RunKey, RunClaim)]) {
+        for (run, _) in held {
+            self.index.runs.remove(&(run.0.clone(), run.1, id.clone()));
+        }
+    }
+
     /// Gives up the runs of a life that is over, but for those that the next may have: `renewed`
     /// tells that there is one under the same id.
     fn release_runs(
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -8,7 +8,7 @@
 use crate::call_budget::CallClass;
 
 use super::{
-    DeskEvent, DeskOrder, DeskTime, PlacePhase, TargetState, TaskPlace, WorkDesk,
+    DeskEvent, DeskOrder, DeskTime, PlacePhase, TargetState, TaskPlace, WorkDesk, WorkJob,
     target_state::RunKey,
 };
 
@@ -44,7 +44,7 @@
         self.look_class(id, now)?;
         let tuning = self.tuning;
         let both = self.serves_and_fills(id);
-        let target = self.targets.get_mut(id)?;
+        let target = self.targets.get_unindexed(id)?;
         let busy = !target.claims.is_empty();
         let observed = target.observed_at(now.boot);
         // A target that doesn't answer gets no more time: what it runs has to lapse, so that it
@@ -115,13 +115,14 @@
             sight.ended.iter().filter(|end| end.number > seen).collect()
         };
         for end in ends {
-            if let Some(target) = self.targets.get_mut(id) {
+            if let Some(target) = self.targets.get_unindexed(id) {
                 target.life.seen = target.life.seen.max(end.number);
             }
             self.apply_end(id, end, now);
         }
         for run in &sight.running {
             self.see_run(id, run, now);
+            self.note_still(id, run);
         }
         if sight.ended.len() < END_PAGE {
             self.miss_runs(id, sent, sight, now);
@@ -159,7 +160,6 @@
         let returned = std::mem::take(&mut target.silent);
         let raised = !std::mem::replace(&mut target.life.raised, true);
         if returned || raised {
-            self.stale = true;
             self.note(DeskEvent::TargetRaised(id.clone()));
         }
     }
@@ -169,16 +169,18 @@
         if !run.checkpoint.is_empty() {
             self.set_checkpoint(&run.task, &run.checkpoint);
         }
-        let Some(job) = self.board.jobs.get_mut(&run.task.job) else {
+        if !self.board.jobs.contains_key(&run.task.job) {
             self.stop_unwanted(id, &key, now);
             return;
-        };
-        job.begun = true;
-        let open = job.is_open();
+        }
+        self.board.begin_job(&run.task.job);
         // A predecessor found the occurrence due, perhaps by a clock that is ahead of this one;
         // taking its run for a stray one would stop work that is wanted.
-        job.open_until(run.task.occurrence, now.boot);
-        let task = job.task_mut(run.task.occurrence, run.task.step, run.task.index);
+        self.board
+            .open_until(&run.task.job, run.task.occurrence, now.boot);
+        let job = self.board.jobs.get(&run.task.job);
+        let open = job.is_some_and(WorkJob::is_open);
+        let task = self.board.task_unindexed(&run.task);
         let Some(task) = task.filter(|task| open && !task.done) else {
             self.stop_unwanted(id, &key, now);
             return;
@@ -205,6 +207,14 @@
         }
     }
 
+    /// Notes a run that may have stood still for too long, for the next tick.
+    fn note_still(&mut self, id: &HostId, run: &RunSight) {
+        let key: RunKey = (run.task.clone(), run.attempt);
+        if self.is_stalled(id, &key) {
+            self.still.insert((id.clone(), key));
+        }
+    }
+
     /// Takes a run over that a predecessor started, or that was carried out late.
     fn adopt(&mut self, id: &HostId, run: &RunKey, sight: &RunSight, now: DeskTime) {
         let (key, attempt) = run;
@@ -240,15 +250,13 @@
 
     /// Settles what a look sent at `sent` did not show though it was taken to be there.
     fn miss_runs(&mut self, id: &HostId, sent: BootTime, sight: &TargetSight, now: DeskTime) {
-        let running: BTreeSet<RunKey> = sight
-            .running
-            .iter()
-            .map(|run| (run.task.clone(), run.attempt))
-            .collect();
+        let shown = sight.running.iter().map(|run| (&run.task, run.attempt));
+        let shown: BTreeSet<_> = shown.collect();
         let Some(target) = self.targets.get(id) else {
             return;
         };
-        let missing = target.claims.keys().filter(|run| !running.contains(*run));
+        let missing = target.claims.keys();
+        let missing = missing.filter(|(task, attempt)| !shown.contains(&(task, *attempt)));
         let missing: Vec<RunKey> = missing.cloned().collect();
         for run in missing {
             self.miss_run(id, &run, sent, now);
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -1,17 +1,14 @@
 use model::{
-    HostId, JobId, PoolId, WorkspaceId,
+    HostId, WorkspaceId,
     work::{HostRoom, StartOrder, TaskKey},
 };
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    DeskEvent, DeskOrder, DeskTime, PlaceInputs, RankClass, TaskPlace, WorkDesk, WorkPhase,
-    objective::{StartRank, rank},
+    DeskEffort, DeskEvent, DeskOrder, DeskTime, PlaceInputs, RankClass, TaskPlace, WorkDesk,
+    WorkPhase,
     pick::{pick_any, pick_target},
-    pool_rooms::PoolRooms,
+    ranked_steps::StepRank,
     step_key::StepKey,
     target_state::RunKey,
 };
@@ -20,161 +17,53 @@
 /// that lasts and fails twice a second uses them up in an hour; the next token is larger by
 /// the entries that were written in that hour, so its numbers still begin above.
 const STARTS_A_TERM: u64 = 10_000;
-/// Starts that are planned at once; the rest follows with the next answer. It bounds the time
-/// for which the event loop hears nothing else.
-const STARTS_A_PLAN: usize = 256;
-
 /// Time without a target after which a task that lasts takes one that is being emptied or that
 /// pauses.
 const STARVED: Duration = Duration::from_millis(800);
 
-/// Tasks of one step that wait.
-pub(super) struct WaitingStep {
-    pub(super) rank: StartRank,
-    pub(super) job: JobId,
-    pub(super) occurrence: u32,
-    pub(super) step: u32,
-    pool: PoolId,
-    /// What one of its tasks takes of a target.
-    need: HostRoom,
-    /// Whether nothing can be done for it without room. Tasks that last may take a target that is
-    /// being emptied or pauses, and advice is asked for early.
-    needs_room: bool,
+/// What became of an attempt to start a step's tasks.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StepOutcome {
+    pub(super) started: usize,
+    /// Whether no target has room for another task that takes as much.
+    pub(super) no_room: bool,
 }
 
-impl WaitingStep {
-    fn key(&self) -> StepKey {
-        StepKey {
-            job: self.job.clone(),
-            occurrence: self.occurrence,
-            step: self.step,
-        }
-    }
+/// Tasks that were given targets.
+#[derive(Debug, Default)]
+struct PlacedTasks {
+    runs: Vec<(HostId, RunKey)>,
+    /// Whether no target has room for another task that takes as much.
+    no_room: bool,
 }
 
 impl WorkDesk {
-    /// Starts what can be started; cheap if nothing has changed since the last time.
-    ///
-    /// While another process may own the cell nothing is started: its books don't hold what this
-    /// one would add, so that a workspace's limit would be passed, and a target's life that has
-    /// not seen the successor's token yet would run a task that the successor knows to be done.
-    /// An outage of the store for 4.2 s costs 0.03 of a day's worth by that.
-    pub fn plan(&mut self, now: DeskTime) {
-        if self.alone || !std::mem::take(&mut self.stale) {
-            return;
-        }
-        let blocked = self.blocked_pools();
-        let usage = self.usage_in_doubt(&blocked);
-        let mut steps = self.waiting_steps(&blocked, now);
-        steps.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
-        let mut left = STARTS_A_PLAN;
-        let mut rooms = PoolRooms::default();
-        for waiting in steps {
-            let WaitingStep { pool, need, .. } = &waiting;
-            if waiting.needs_room && !rooms.may_fit(pool, *need, &self.targets, now.boot) {
-                continue;
-            }
-            let started = self.start_step(&waiting, &usage, now);
-            if started > 0 {
-                rooms.used(pool);
-            }
-            left = left.saturating_sub(started);
-            if left == 0 {
-                self.stale = true;
-                return;
-            }
-        }
-    }
-
-    /// Pools in which a task of an earlier owner may run on a target that has not been reached.
-    ///
-    /// Starts are not recorded, so any waiting task of such a pool may be the one that runs
-    /// there. Once the target was looked at, or its granted time has lapsed, it is known.
-    fn blocked_pools(&self) -> BTreeSet<model::PoolId> {
-        let unknown = self
-            .targets
-            .values()
-            .filter(|target| target.inherited && !target.life.raised);
-        unknown.map(|target| target.entry.pool.clone()).collect()
-    }
-
-    /// What workspaces may have running on targets that have not been reached.
-    fn usage_in_doubt(&self, blocked: &BTreeSet<model::PoolId>) -> BTreeMap<WorkspaceId, HostRoom> {
-        let mut usage: BTreeMap<WorkspaceId, HostRoom> = BTreeMap::new();
-        if blocked.is_empty() {
-            return usage;
-        }
-        // Tasks of a job that was cancelled or failed run on until they can be stopped there.
-        let jobs = self.board.jobs.values();
-        let running = jobs.filter(|job| job.inherited && job.phase != WorkPhase::Completed);
-        for job in running.filter(|job| blocked.contains(&job.pool)) {
-            for occurrence in job.occurrences.values() {
-                for (state, plan) in occurrence.steps.iter().zip(&job.plan.steps) {
-                    let used = usage.entry(job.workspace.clone()).or_default();
-                    *used = used.plus(plan.need.times(u64::from(state.waiting())));
-                }
-            }
-        }
-        usage
-    }
-
-    fn waiting_steps(&self, blocked: &BTreeSet<model::PoolId>, now: DeskTime) -> Vec<WaitingStep> {
-        let mut steps = Vec::new();
-        let open = self.open_jobs();
-        for job in open {
-            if job.phase == WorkPhase::Held || (job.inherited && blocked.contains(&job.pool)) {
-                continue;
-            }
-            let queue = self.terms.queue(&job.queue);
-            for (&number, occurrence) in &job.occurrences {
-                let mut ranked = None;
-                for (step, state) in occurrence.steps.iter().enumerate() {
-                    let busy = (state.done + state.placed) as usize >= state.tasks.len();
-                    if busy || !occurrence.is_ready(&job.plan, step) {
-                        continue;
-                    }
-                    let rank = || rank(job, occurrence.due, queue, now.boot);
-                    let plan = &job.plan.steps[step];
-                    let advised = queue.is_some_and(|queue| queue.advice.is_some());
-                    steps.push(WaitingStep {
-                        rank: *ranked.get_or_insert_with(rank),
-                        job: job.id.clone(),
-                        occurrence: number,
-                        step: u32::try_from(step).unwrap_or(u32::MAX),
-                        pool: job.pool.clone(),
-                        need: plan.footprint(),
-                        needs_room: !plan.long_running && !advised,
-                    });
-                }
-            }
-        }
-        steps
-    }
-
-    /// Starts tasks of a step as far as there is room; returns how many.
-    fn start_step(
+    /// Starts tasks of a step as far as there is room.
+    pub(super) fn start_step(
         &mut self,
-        waiting: &WaitingStep,
+        (rank, step): &StepRank,
         doubt: &BTreeMap<WorkspaceId, HostRoom>,
         now: DeskTime,
-    ) -> usize {
+    ) -> StepOutcome {
+        let nothing = StepOutcome::default();
         // Another of its steps may have failed it in the same plan.
-        let job = self.board.jobs.get(&waiting.job);
+        let job = self.board.jobs.get(&step.job);
         let Some(job) = job.filter(|job| job.phase == WorkPhase::Open) else {
-            return 0;
+            return nothing;
         };
-        let Some(plan) = job.plan.steps.get(waiting.step as usize).cloned() else {
-            return 0;
+        let plan = job.plan.clone();
+        let Some(plan) = plan.steps.get(step.step as usize) else {
+            return nothing;
         };
-        if self.is_hopeless(waiting, &plan) {
-            self.fail_job(&waiting.job, now);
-            return 0;
+        if self.is_hopeless(step, plan) {
+            self.fail_job(&step.job, now);
+            return nothing;
         }
-        if self.wants_advice(waiting, now) {
-            return 0;
+        if self.wants_advice(step, now) {
+            return nothing;
         }
-        let Some(state) = self.step_state(waiting) else {
-            return 0;
+        let Some(state) = self.step_state(step) else {
+            return nothing;
         };
         let free = |task: &super::TaskState| !task.done && task.place.is_none();
         let indices: Vec<u32> = (0..)
@@ -184,78 +73,75 @@
             .collect();
         if plan.gang && indices.len() != state.tasks.len() {
             // A gang starts whole: its members that are still about have to end first.
-            return 0;
+            return nothing;
         }
-        let placed = self.place_tasks(waiting, &plan, &indices, doubt, now);
-        if plan.gang && placed.len() < indices.len() {
-            for (id, run) in placed {
+        let placed = self.place_tasks(step, plan, &indices, doubt, now);
+        if plan.gang && placed.runs.len() < indices.len() {
+            for (id, run) in placed.runs {
                 self.unclaim(&id, &run);
                 self.vacate_place(&id, &run);
             }
-            return 0;
+            return nothing;
         }
         if plan.long_running {
-            self.note_starved(waiting, placed.len() < indices.len(), now);
+            self.note_starved(step, placed.runs.len() < indices.len(), now);
         }
-        for (id, run) in &placed {
-            self.send_start(id, run, waiting.rank.class, now);
+        for (id, run) in &placed.runs {
+            self.send_start(id, run, rank.class, now);
+        }
+        StepOutcome {
+            started: placed.runs.len(),
+            no_room: placed.no_room,
         }
-        placed.len()
     }
 
     /// True if a task of the step has failed as often as it may. The owner that heard of its last
     /// failure fails the job at once, but may die before all of that is recorded.
-    fn is_hopeless(&self, waiting: &WaitingStep, plan: &model::work::StepPlan) -> bool {
-        let job = self.board.jobs.get(&waiting.job);
+    fn is_hopeless(&self, step: &StepKey, plan: &model::work::StepPlan) -> bool {
+        let job = self.board.jobs.get(&step.job);
         let queue = job.and_then(|job| self.terms.queue(&job.queue));
         let most = queue.map_or(usize::MAX, |queue| queue.max_attempts.max(1) as usize);
-        let tasks = self.step_state(waiting).map(|state| state.tasks.as_slice());
+        let tasks = self.step_state(step).map(|state| state.tasks.as_slice());
         let mut left = tasks.unwrap_or_default().iter().filter(|task| !task.done);
         !plan.long_running && left.any(|task| task.failed_attempts.len() >= most)
     }
 
-    fn note_starved(&mut self, waiting: &WaitingStep, starved: bool, now: DeskTime) {
-        let key = waiting.key();
+    fn note_starved(&mut self, step: &StepKey, starved: bool, now: DeskTime) {
         if starved {
-            self.starved.entry(key).or_insert(now.boot);
+            self.starved.entry(step.clone()).or_insert(now.boot);
         } else {
-            self.starved.remove(&key);
+            self.starved.remove(step);
         }
     }
 
     /// Gives tasks their targets, without an order yet.
     fn place_tasks(
         &mut self,
-        waiting: &WaitingStep,
+        step: &StepKey,
         plan: &model::work::StepPlan,
         indices: &[u32],
         doubt: &BTreeMap<WorkspaceId, HostRoom>,
         now: DeskTime,
-    ) -> Vec<(HostId, RunKey)> {
-        let mut placed = Vec::new();
-        let Some(job) = self.board.jobs.get(&waiting.job) else {
+    ) -> PlacedTasks {
+        let mut placed = PlacedTasks::default();
+        let Some(job) = self.board.jobs.get(&step.job) else {
             return placed;
         };
         let (pool, workspace) = (job.pool.clone(), job.workspace.clone());
-        let attempt = self.next_attempt(waiting);
-        let limit = self
-            .terms
-            .workspace(&workspace)
-            .map(|space| space.limit)
-            .unwrap_or_default();
+        let attempt = self.next_attempt(step);
         for &index in indices {
-            let usage = self.usage.get(&workspace).copied().unwrap_or_default();
-            let usage = usage.plus(doubt.get(&workspace).copied().unwrap_or_default());
-            if !usage.plus(plan.need).within_limit(limit) {
+            if !plan.need.fits(self.left_of_limit(&workspace, doubt)) {
+                self.note_capped(&workspace, &pool);
                 break;
             }
-            let Some(id) = self.pick(waiting, plan, index, &pool, now) else {
+            let Some(id) = self.pick(step, plan, index, &pool, now) else {
+                placed.no_room = self.is_plain(step, plan, index);
                 break;
             };
             let key = TaskKey {
-                job: waiting.job.clone(),
-                occurrence: waiting.occurrence,
-                step: waiting.step,
+                job: step.job.clone(),
+                occurrence: step.occurrence,
+                step: step.step,
                 index,
             };
             let number = match (plan.gang, self.task_attempt(&key)) {
@@ -265,31 +151,44 @@
             let run = (key, number);
             self.claim(&id, run.clone());
             self.put(&id, &run, now);
-            placed.push((id, run));
+            placed.runs.push((id, run));
+            self.sync_targets(now.boot);
         }
         placed
     }
 
+    /// True if nothing but room decides which targets a task may have.
+    fn is_plain(&self, step: &StepKey, plan: &model::work::StepPlan, index: u32) -> bool {
+        let state = self.step_state(step);
+        let task = state.and_then(|state| state.tasks.get(index as usize));
+        let free = task.is_some_and(|task| task.failed_on.is_empty());
+        let advised = state.is_some_and(|state| !state.tickets.is_empty());
+        free && !advised && !plan.gang && plan.required_label.is_empty() && plan.anti_affinity == 0
+    }
+
     fn pick(
         &self,
-        waiting: &WaitingStep,
+        step: &StepKey,
         plan: &model::work::StepPlan,
         index: u32,
         pool: &model::PoolId,
         now: DeskTime,
     ) -> Option<HostId> {
-        let state = self.step_state(waiting)?;
+        let state = self.step_state(step)?;
         let task = state.tasks.get(index as usize)?;
-        let of_pool = self
-            .targets
-            .values()
-            .filter(|target| target.entry.pool == *pool);
-        if let Some(best) = pick_target(plan, state, task, of_pool.clone(), now.boot) {
+        let target = |id: &HostId| {
+            DeskEffort::add(&self.effort.candidates, 1);
+            self.targets.get(id)
+        };
+        let of_pool = self.index.targets.of_pool(pool).filter_map(target);
+        let with_room = self.index.targets.with_room(pool, plan.footprint().cpu);
+        let with_room = with_room.filter_map(target);
+        if let Some(best) = pick_target(plan, state, task, with_room, of_pool.clone(), now.boot) {
             return Some(best.entry.target.clone());
         }
         // A service that lacks a task for long is worse off than a host that is emptied later,
         // or than a task on a target that has refused one.
-        let since = self.starved.get(&waiting.key())?;
+        let since = self.starved.get(step)?;
         if now.boot.saturating_sub(*since) < STARVED {
             return None;
         }
@@ -320,7 +219,7 @@
             .and_then(|step| step.tickets.get(id))
             .map(|(ticket, _)| ticket.clone())
             .unwrap_or_default();
-        let Some(target) = self.targets.get_mut(id) else {
+        let Some(target) = self.targets.get_unindexed(id) else {
             return;
         };
         target.granted = now.boot;
@@ -354,8 +253,8 @@
         occurrence.steps.get(step as usize)
     }
 
-    pub(super) fn step_state(&self, waiting: &WaitingStep) -> Option<&super::StepState> {
-        self.step_by(&waiting.job, waiting.occurrence, waiting.step)
+    pub(super) fn step_state(&self, step: &StepKey) -> Option<&super::StepState> {
+        self.step_by(&step.job, step.occurrence, step.step)
     }
 
     fn task_attempt(&self, key: &TaskKey) -> u64 {
@@ -370,8 +269,8 @@
         (self.token * STARTS_A_TERM).max(last) + 1
     }
 
-    fn next_attempt(&self, waiting: &WaitingStep) -> u64 {
-        let state = self.step_state(waiting);
+    fn next_attempt(&self, step: &StepKey) -> u64 {
+        let state = self.step_state(step);
         let tasks = state.iter().flat_map(|state| &state.tasks);
         let last = tasks.map(|task| task.last_attempt).max();
         self.attempt_after(last.unwrap_or_default())
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -29,6 +29,7 @@
 impl WorkDesk {
     /// Does what is due by time alone. To be called several times a second.
     pub fn tick(&mut self, now: DeskTime) {
+        self.sync(now.boot);
         self.open_occurrences(now);
         self.end_pauses(now);
         self.repeat_stops(now);
@@ -36,9 +37,16 @@
         self.evacuate(now);
         self.end_broken_gangs(now);
         self.stop_stalled(now);
-        self.drop_targets();
-        self.board
-            .forget(now.boot.saturating_sub(self.tuning.shown));
+        self.drop_targets(now);
+        self.forget_jobs(now);
+    }
+
+    /// Forgets jobs that have ended long ago.
+    fn forget_jobs(&mut self, now: DeskTime) {
+        let before = now.boot.saturating_sub(self.tuning.shown);
+        for id in self.index.jobs.ended_before(before) {
+            self.board.jobs.remove(&id);
+        }
     }
 
     /// Takes a cancellation in that has been stored.
@@ -62,22 +70,22 @@
     }
 
     pub(super) fn open_occurrences(&mut self, now: DeskTime) {
-        for id in &self.board.open {
-            let Some(job) = self.board.jobs.get_mut(id) else {
+        let early = self.tuning.early;
+        for id in &self.index.jobs.repeating {
+            let Some(job) = self.board.jobs.get_unindexed(id) else {
                 continue;
             };
             let before = job.opened;
-            job.open_due(now.unix, now.boot, self.tuning.early);
-            self.stale |= job.opened != before;
+            job.open_due(now.unix, now.boot, early);
+            if job.opened != before {
+                self.board.jobs.mark(id);
+            }
         }
     }
 
     /// Targets whose pause is over take tasks again, and questions for advice may be due.
     fn end_pauses(&mut self, now: DeskTime) {
-        let since = std::mem::replace(&mut self.ticked, now.boot);
-        let ended = |target: &super::TargetState| {
-            target.paused_until > since && target.paused_until <= now.boot
-        };
+        self.index.targets.end_pauses(now.boot, &mut self.index.due);
         while self
             .failed_waits
             .front()
@@ -87,7 +95,7 @@
             self.stale = true;
         }
         let advised = self.terms.queues.iter().any(|queue| queue.advice.is_some());
-        self.stale |= advised || !self.starved.is_empty() || self.targets.values().any(ended);
+        self.stale |= advised || !self.starved.is_empty();
         let open = &self.board.open;
         self.starved.retain(|step, _| open.contains(&step.job));
     }
@@ -123,10 +131,9 @@
         if self.awaits_many(now) {
             return;
         }
-        let lapsed: Vec<HostId> = self
-            .targets
-            .values()
-            .filter(|target| target.silent || (target.inherited && !target.life.raised))
+        let lapsing = &self.index.targets.lapsing;
+        let lapsing = lapsing.iter().filter_map(|id| self.targets.get(id));
+        let lapsed: Vec<HostId> = lapsing
             .filter(|target| now.boot >= self.lapse_of(target))
             .map(|target| target.entry.target.clone())
             .collect();
@@ -169,22 +176,17 @@
             true => UNHEARD_SHARE_ALONE,
             false => UNHEARD_SHARE,
         };
-        let listed = || self.targets.values().filter(|target| target.listed);
-        let failed = |target: &super::TargetState| {
-            !target.failed.is_zero() && now.boot.saturating_sub(target.failed) < FAILED_RECENTLY
-        };
-        let unheard =
-            listed().filter(|target| target.silent || !target.life.raised || failed(target));
-        let unheard = unheard.count();
-        unheard >= UNHEARD_LEAST && unheard * share >= listed().count()
+        let targets = &self.index.targets;
+        let recently = now.boot.saturating_sub(FAILED_RECENTLY) + Duration::from_nanos(1);
+        let unheard = targets.unheard + targets.failed_since(recently);
+        unheard >= UNHEARD_LEAST && unheard * share >= targets.listed
     }
 
     /// Stops the members of a gang of which some are missing: they would only wait for the
     /// others until their target ends them, and the gang starts whole.
     fn end_broken_gangs(&mut self, now: DeskTime) {
-        let gangs = self
-            .open_jobs()
-            .filter(|job| job.plan.steps.iter().any(|step| step.gang));
+        let gangs = self.index.jobs.gangs.iter();
+        let gangs = gangs.filter_map(|id| self.board.jobs.get(id));
         let tasks = gangs.flat_map(super::WorkJob::tasks);
         let members: Vec<(HostId, RunKey)> = tasks
             .filter(|(key, plan, _)| plan.gang && self.is_broken(key))
@@ -209,20 +211,9 @@
     /// Stops tasks that have stood still for some time, to start them elsewhere. Some targets
     /// answer well while nothing that they run gets on.
     fn stop_stalled(&mut self, now: DeskTime) {
-        let open = self.open_jobs();
-        let tasks = open.flat_map(super::WorkJob::tasks);
-        let ending = tasks.filter(|(_, plan, _)| !plan.long_running && !plan.fills && !plan.gang);
-        let stalled: Vec<(HostId, RunKey)> = ending
-            .filter_map(|(key, plan, task)| {
-                let place = task.place.as_ref()?;
-                let heard = self.targets.get(&place.target)?.heard;
-                let still = heard.saturating_sub(place.moved);
-                let running = place.phase == PlacePhase::Running;
-                let limit = STALLED.max(plan.estimate / STALL_PARTS);
-                let run = (key, place.attempt);
-                (running && still >= limit).then(|| (place.target.clone(), run))
-            })
-            .collect();
+        let still = std::mem::take(&mut self.still).into_iter();
+        let stalled: Vec<(HostId, RunKey)> =
+            still.filter(|(id, run)| self.is_stalled(id, run)).collect();
         let tuning = self.tuning;
         for (id, run) in stalled {
             self.note(DeskEvent::Stalled(run.0.clone(), run.1, id.clone()));
@@ -233,6 +224,22 @@
         }
     }
 
+    /// True if a run stands still for longer than its task may, by the last answer of its target.
+    pub(super) fn is_stalled(&self, id: &HostId, run: &RunKey) -> bool {
+        let plan = self.step_of(&run.0);
+        let Some(plan) = plan.filter(|plan| !plan.long_running && !plan.fills && !plan.gang) else {
+            return false;
+        };
+        let (Some(place), Some(target)) = (self.board.place_of(id, run), self.targets.get(id))
+        else {
+            return false;
+        };
+        let limit = STALLED.max(plan.estimate / STALL_PARTS);
+        let open = self.board.open.contains(&run.0.job);
+        open && place.phase == PlacePhase::Running
+            && target.heard.saturating_sub(place.moved) >= limit
+    }
+
     /// When all that was granted on a target has lapsed.
     ///
     /// A predecessor that was cut off from the store may go on for a bounded time. It hears
@@ -244,19 +251,16 @@
         if !target.inherited || target.life.raised || self.board.handed_over {
             return lapse;
         }
-        let listed = || self.targets.values().filter(|target| target.listed);
-        let reached = listed().filter(|target| target.life.raised).count();
-        if reached * 2 >= listed().count() {
+        if self.index.targets.reached * 2 >= self.index.targets.listed {
             lapse + self.tuning.silence
         } else {
             lapse + self.tuning.alone
         }
     }
 
-    fn drop_targets(&mut self) {
-        let needless = self.targets.values().filter(|target| !target.is_needed());
-        let ids: Vec<HostId> = needless.map(|target| target.entry.target.clone()).collect();
-        for id in ids {
+    fn drop_targets(&mut self, now: DeskTime) {
+        self.sync(now.boot);
+        for id in self.index.targets.needless.clone() {
             self.targets.remove(&id);
             self.paces.remove(&id);
             if self.board.used.remove(id.as_str()).is_some() {
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -233,46 +233,20 @@
     /// Cores that the open jobs of a pool need: for what runs or could start now, and, apart,
     /// for tasks that last.
     fn pool_need(&self, pool: &PoolId) -> (f64, f64) {
-        let (mut present, mut lasting) = (0, 0);
-        let open = self.open_jobs();
-        for job in open.filter(|job| job.pool == *pool && job.is_open()) {
-            for occurrence in job.occurrences.values() {
-                for (number, state) in occurrence.steps.iter().enumerate() {
-                    if state.is_done() || !occurrence.is_ready(&job.plan, number) {
-                        continue;
-                    }
-                    let step = &job.plan.steps[number];
-                    let left = u64::from(step.count.saturating_sub(state.done));
-                    let cpu = step.footprint().cpu * left;
-                    if step.long_running {
-                        lasting += cpu;
-                    } else {
-                        present += cpu;
-                    }
-                }
-            }
-        }
-        (thousandths(present), thousandths(lasting))
+        let need = self.index.jobs.need(pool);
+        (thousandths(need.present), thousandths(need.lasting))
     }
-}
 
-impl WorkDesk {
     /// Hosts that a pool needs for the tasks of one step that may not share a host, and one
     /// more: a task that has to leave its host needs another to go to.
     fn hosts_apart(&self, pool: &PoolId) -> usize {
-        let open = self.open_jobs();
-        let steps = open
-            .filter(|job| job.pool == *pool)
-            .flat_map(|job| job.plan.steps.iter())
-            .filter(|step| step.anti_affinity > 0);
-        let most = steps
-            .map(|step| step.count.div_ceil(step.anti_affinity))
-            .max();
+        let hosts = self.index.jobs.apart(pool);
+        let spare = usize::from(hosts > 0);
         let starved = self.starved.keys().any(|step| {
             let job = self.board.jobs.get(&step.job);
             job.is_some_and(|job| job.pool == *pool)
         });
-        most.map_or(0, |hosts| hosts as usize + 1) + usize::from(starved)
+        hosts + spare + usize::from(starved)
     }
 }
 
--- a/crates/decide/src/work/host_planner.rs
+++ b/crates/decide/src/work/host_planner.rs
@@ -191,6 +191,7 @@
 
     /// What to order now. Keeps hosts free on `desk` that are to be ordered next.
     pub fn plan(&mut self, desk: &mut WorkDesk, now: BootTime) -> Vec<HostOrder> {
+        desk.sync(now);
         self.note_idle(desk, now);
         self.plan_waves(desk, now);
         self.plan_moves(desk, now);
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -13,7 +13,10 @@
     log_entry::Event,
 };
 
-use super::{StepState, TaskPlace, WorkJob, WorkPhase, plan_of_record, target_state::RunKey};
+use super::{
+    StepState, TaskPlace, TaskState, TrackedMap, WorkJob, WorkPhase, plan_of_record,
+    target_state::RunKey,
+};
 
 /// Oldest age that a job read from the log is given; clocks of day may be far apart.
 const OLDEST: Duration = Duration::from_secs(3600);
@@ -22,7 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct JobBoard {
     /// The jobs.
-    pub jobs: BTreeMap<JobId, WorkJob>,
+    pub jobs: TrackedMap<WorkJob>,
     /// Jobs that have something left to do.
     pub open: BTreeSet<JobId>,
     /// Targets on which tasks may run.
@@ -213,19 +216,42 @@
         jobs.filter(|job| job.is_cancelled()).count()
     }
 
-    /// Removes jobs that ended before a time and hold nothing.
-    pub fn forget(&mut self, before: BootTime) -> Vec<JobId> {
-        let old = |job: &&WorkJob| !job.is_open() && job.ended < before && job.unstored == 0;
-        let ids: Vec<JobId> = self
+    /// Counts entries of a job anew that are not stored.
+    pub(super) fn count_unstored(&mut self, id: &str, count: impl FnOnce(u32) -> u32) {
+        let Some(job) = self.jobs.get_unindexed(id) else {
+            return;
+        };
+        job.unstored = count(job.unstored);
+        if !job.is_open() {
+            self.jobs.mark(id);
+        }
+    }
+
+    /// A task, of which nothing is to be changed but what is known of its run.
+    pub(super) fn task_unindexed(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
+        let job = self.jobs.get_unindexed(&key.job)?;
+        job.task_mut(key.occurrence, key.step, key.index)
+    }
+
+    /// Notes that a task of a job has started.
+    pub(super) fn begin_job(&mut self, id: &str) {
+        if self.jobs.get(id).is_some_and(|job| !job.begun)
+            && let Some(job) = self.jobs.get_mut(id)
+        {
+            job.begun = true;
+        }
+    }
+
+    /// Opens the occurrences up to one that a target tells of.
+    pub(super) fn open_until(&mut self, id: &str, occurrence: u32, boot: BootTime) {
+        if self
             .jobs
-            .values()
-            .filter(old)
-            .map(|job| job.id.clone())
-            .collect();
-        for id in &ids {
-            self.jobs.remove(id);
+            .get(id)
+            .is_some_and(|job| job.opened <= occurrence)
+            && let Some(job) = self.jobs.get_mut(id)
+        {
+            job.open_until(occurrence, boot);
         }
-        ids
     }
 
     /// Takes in that a job has ended of which the log may tell nothing else any more.
@@ -243,18 +269,21 @@
             JobPhase::Cancelled => WorkPhase::Cancelled,
             JobPhase::Queued | JobPhase::Running | JobPhase::Completed => WorkPhase::Completed,
         };
-        self.jobs.entry(id.clone()).or_insert_with(|| WorkJob {
-            id,
-            workspace: end.workspace.as_str().into(),
-            opened: end.finished,
-            finished: end.finished,
-            closed_need: HostRoom {
-                cpu: end.cpu,
-                memory_mb: end.memory_mb,
-                gpu: end.gpu,
-            },
-            ..WorkJob::default()
-        });
+        if !self.jobs.contains_key(&id) {
+            let job = WorkJob {
+                id: id.clone(),
+                workspace: end.workspace.as_str().into(),
+                opened: end.finished,
+                finished: end.finished,
+                closed_need: HostRoom {
+                    cpu: end.cpu,
+                    memory_mb: end.memory_mb,
+                    gpu: end.gpu,
+                },
+                ..WorkJob::default()
+            };
+            self.jobs.insert(id, job);
+        }
         self.end_job(&end.job, phase, boot);
     }
 
--- /dev/null
+++ b/crates/decide/src/work/job_index.rs
@@ -0,0 +1,371 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use compact_str::CompactString;
+use model::{
+    BootTime, JobId, PoolId, WorkspaceId,
+    work::{FleetTerms, HostRoom},
+};
+
+use super::{
+    WorkJob, WorkPhase,
+    objective::rank,
+    ranked_steps::{RankedSteps, WaitingStep},
+    step_key::StepKey,
+};
+
+/// Jobs by what decisions ask for, so that none walks over all of them.
+///
+/// It says nothing that the books of jobs don't: it can be made anew from them at any time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct JobIndex {
+    facts: HashMap<JobId, JobFacts>,
+    /// What waits in each pool.
+    pools: BTreeMap<PoolId, BTreeMap<WaitingGroup, RankedSteps>>,
+    /// Open jobs of each queue that have not begun.
+    pending: BTreeMap<CompactString, u64>,
+    needs: BTreeMap<PoolId, PoolNeed>,
+    /// What tasks of predecessors' jobs that are not known to run would take, for each pool.
+    doubts: BTreeMap<PoolId, BTreeMap<WorkspaceId, HostRoom>>,
+    /// How many open jobs of each pool need so many hosts for tasks that may not share one.
+    apart: BTreeMap<PoolId, BTreeMap<usize, usize>>,
+    /// When the rank of a job's steps changes.
+    reranks: BTreeSet<(BootTime, JobId)>,
+    /// Open jobs with occurrences that are not due yet.
+    pub(super) repeating: BTreeSet<JobId>,
+    /// Open jobs with steps that start whole.
+    pub(super) gangs: BTreeSet<JobId>,
+    /// Jobs that have ended and hold nothing, by the time of their end.
+    ended: BTreeSet<(BootTime, JobId)>,
+}
+
+/// Steps that are started or passed over together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WaitingGroup {
+    /// Whose limit counts.
+    pub(super) workspace: WorkspaceId,
+    /// Whether a predecessor may have started tasks of them.
+    pub(super) inherited: bool,
+}
+
+/// What open jobs of a pool need, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct PoolNeed {
+    /// For what runs or could start now.
+    pub(super) present: u64,
+    /// For tasks that last.
+    pub(super) lasting: u64,
+}
+
+/// What the index knows of a job.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct JobFacts {
+    pool: PoolId,
+    group: WaitingGroup,
+    waiting: Vec<WaitingStep>,
+    rerank: Option<BootTime>,
+    /// Its queue, if it is open and has not begun.
+    pending: Option<CompactString>,
+    need: PoolNeed,
+    doubt: HostRoom,
+    apart: usize,
+    repeats: bool,
+    gang: bool,
+    ended: Option<BootTime>,
+}
+
+impl JobFacts {
+    fn of(job: &WorkJob, terms: &FleetTerms, now: BootTime) -> Self {
+        let mut facts = Self {
+            pool: job.pool.clone(),
+            ..Self::default()
+        };
+        facts.group = WaitingGroup {
+            workspace: job.workspace.clone(),
+            inherited: job.inherited,
+        };
+        // Tasks of a job that was cancelled or failed run on until they can be stopped there.
+        if job.inherited && job.phase != WorkPhase::Completed {
+            facts.doubt = doubt_of(job);
+        }
+        if !job.is_open() {
+            facts.ended = (job.unstored == 0).then_some(job.ended);
+            return facts;
+        }
+        facts.pending = (!job.begun).then(|| job.queue.clone());
+        facts.repeats = job.opened < job.plan.occurrences();
+        facts.gang = job.plan.steps.iter().any(|step| step.gang);
+        let apart = job.plan.steps.iter().filter(|step| step.anti_affinity > 0);
+        let hosts = apart.map(|step| step.count.div_ceil(step.anti_affinity));
+        facts.apart = hosts.max().unwrap_or_default() as usize;
+        facts.take_steps(job, terms, now);
+        facts
+    }
+
+    fn take_steps(&mut self, job: &WorkJob, terms: &FleetTerms, now: BootTime) {
+        let queue = terms.queue(&job.queue);
+        let advised = queue.is_some_and(|queue| queue.advice.is_some());
+        for (&number, occurrence) in &job.occurrences {
+            let mut ranked = None;
+            for (step, state) in occurrence.steps.iter().enumerate() {
+                if state.is_done() || !occurrence.is_ready(&job.plan, step) {
+                    continue;
+                }
+                let plan = &job.plan.steps[step];
+                let left = u64::from(plan.count.saturating_sub(state.done));
+                let cpu = plan.footprint().cpu * left;
+                if plan.long_running {
+                    self.need.lasting += cpu;
+                } else {
+                    self.need.present += cpu;
+                }
+                let busy = (state.done + state.placed) as usize >= state.tasks.len();
+                if busy || job.phase == WorkPhase::Held {
+                    continue;
+                }
+                let (rank, until) =
+                    *ranked.get_or_insert_with(|| rank(job, occurrence, queue, now));
+                self.rerank = until.into_iter().chain(self.rerank).min();
+                // Tasks that last may take a target that is being emptied or pauses, and advice is
+                // asked for early: they are looked at whatever room there is.
+                let needs_room = !plan.long_running && !advised;
+                let (room, need) = match needs_room {
+                    true => (plan.footprint(), plan.need),
+                    false => Default::default(),
+                };
+                self.waiting.push(WaitingStep {
+                    rank,
+                    step: StepKey {
+                        job: job.id.clone(),
+                        occurrence: number,
+                        step: u32::try_from(step).unwrap_or(u32::MAX),
+                    },
+                    room,
+                    need,
+                });
+            }
+        }
+    }
+
+    /// True if something may be started by what has changed since `before`.
+    fn brings_work(&self, before: &Self) -> bool {
+        let new = |step: &WaitingStep| !before.waiting.contains(step);
+        self.waiting.iter().any(new)
+            || before.pool != self.pool
+            || before.group.inherited != self.group.inherited
+    }
+}
+
+impl JobIndex {
+    /// Takes in what became of a job; the pool in which something may be started by that is added to
+    /// `due`.
+    pub(super) fn update(
+        &mut self,
+        id: &JobId,
+        job: Option<&WorkJob>,
+        terms: &FleetTerms,
+        now: BootTime,
+        due: &mut BTreeSet<PoolId>,
+    ) {
+        let new = job.map(|job| JobFacts::of(job, terms, now));
+        if self.facts.get(id) == new.as_ref() {
+            return;
+        }
+        let old = self.facts.remove(id).unwrap_or_default();
+        self.take_out(id, &old);
+        let Some(new) = new else {
+            return;
+        };
+        if new.brings_work(&old) {
+            due.insert(new.pool.clone());
+        }
+        self.put_in(id, &new);
+        self.facts.insert(id.clone(), new);
+    }
+
+    /// Jobs whose rank has changed by time.
+    pub(super) fn take_reranked(&mut self, now: BootTime) -> Vec<JobId> {
+        let mut due = Vec::new();
+        while let Some((until, _)) = self.reranks.first()
+            && *until < now
+        {
+            due.extend(self.reranks.pop_first().map(|(_, id)| id));
+        }
+        due
+    }
+
+    /// Pools in which something waits.
+    pub(super) fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        self.pools.keys()
+    }
+
+    /// What waits in a pool.
+    pub(super) fn groups(&self, pool: &str) -> impl Iterator<Item = (&WaitingGroup, &RankedSteps)> {
+        self.pools.get(pool).into_iter().flatten()
+    }
+
+    /// Open jobs of a queue that have not begun.
+    pub(super) fn pending(&self, queue: &str) -> u64 {
+        self.pending.get(queue).copied().unwrap_or_default()
+    }
+
+    /// What open jobs of a pool need.
+    pub(super) fn need(&self, pool: &str) -> PoolNeed {
+        self.needs.get(pool).copied().unwrap_or_default()
+    }
+
+    /// What workspaces may have running on targets of some pools that have not been reached.
+    pub(super) fn doubt(&self, pools: &BTreeSet<PoolId>) -> BTreeMap<WorkspaceId, HostRoom> {
+        let mut usage: BTreeMap<WorkspaceId, HostRoom> = BTreeMap::new();
+        let doubts = pools.iter().filter_map(|pool| self.doubts.get(pool));
+        for (workspace, doubt) in doubts.flatten() {
+            let used = usage.entry(workspace.clone()).or_default();
+            *used = used.plus(*doubt);
+        }
+        usage
+    }
+
+    /// Hosts that an open job of a pool needs for tasks that may not share one; 0 if none does.
+    pub(super) fn apart(&self, pool: &str) -> usize {
+        let hosts = self.apart.get(pool).and_then(BTreeMap::last_key_value);
+        hosts.map_or(0, |(hosts, _)| *hosts)
+    }
+
+    /// Jobs that ended before a time and hold nothing.
+    pub(super) fn ended_before(&self, before: BootTime) -> Vec<JobId> {
+        let ended = self.ended.range(..(before, JobId::default()));
+        ended.map(|(_, id)| id.clone()).collect()
+    }
+
+    fn put_in(&mut self, id: &JobId, facts: &JobFacts) {
+        if !facts.waiting.is_empty() {
+            let pool = self.pools.entry(facts.pool.clone()).or_default();
+            let steps = pool.entry(facts.group.clone()).or_default();
+            for step in &facts.waiting {
+                steps.insert(step.clone());
+            }
+        }
+        if let Some(queue) = &facts.pending {
+            *self.pending.entry(queue.clone()).or_default() += 1;
+        }
+        if facts.need != PoolNeed::default() {
+            let need = self.needs.entry(facts.pool.clone()).or_default();
+            need.present += facts.need.present;
+            need.lasting += facts.need.lasting;
+        }
+        if facts.doubt != HostRoom::default() {
+            let pool = self.doubts.entry(facts.pool.clone()).or_default();
+            let doubt = pool.entry(facts.group.workspace.clone()).or_default();
+            *doubt = doubt.plus(facts.doubt);
+        }
+        if facts.apart > 0 {
+            let apart = self.apart.entry(facts.pool.clone()).or_default();
+            *apart.entry(facts.apart).or_default() += 1;
+        }
+        if let Some(until) = facts.rerank {
+            self.reranks.insert((until, id.clone()));
+        }
+        if facts.repeats {
+            self.repeating.insert(id.clone());
+        }
+        if facts.gang {
+            self.gangs.insert(id.clone());
+        }
+        if let Some(ended) = facts.ended {
+            self.ended.insert((ended, id.clone()));
+        }
+    }
+
+    fn take_out(&mut self, id: &JobId, facts: &JobFacts) {
+        self.take_out_steps(facts);
+        if let Some(queue) = &facts.pending
+            && let Some(pending) = self.pending.get_mut(queue)
+        {
+            *pending -= 1;
+            if *pending == 0 {
+                self.pending.remove(queue);
+            }
+        }
+        if let Some(need) = self.needs.get_mut(&facts.pool) {
+            need.present -= facts.need.present;
+            need.lasting -= facts.need.lasting;
+            if *need == PoolNeed::default() {
+                self.needs.remove(&facts.pool);
+            }
+        }
+        if facts.doubt != HostRoom::default() {
+            self.take_out_doubt(facts);
+        }
+        if facts.apart > 0 {
+            self.take_out_apart(facts);
+        }
+        if let Some(until) = facts.rerank {
+            self.reranks.remove(&(until, id.clone()));
+        }
+        if facts.repeats {
+            self.repeating.remove(id);
+        }
+        if facts.gang {
+            self.gangs.remove(id);
+        }
+        if let Some(ended) = facts.ended {
+            self.ended.remove(&(ended, id.clone()));
+        }
+    }
+
+    fn take_out_steps(&mut self, facts: &JobFacts) {
+        let Some(pool) = self.pools.get_mut(&facts.pool) else {
+            return;
+        };
+        if let Some(steps) = pool.get_mut(&facts.group) {
+            for step in &facts.waiting {
+                steps.remove(&step.key());
+            }
+            if steps.is_empty() {
+                pool.remove(&facts.group);
+            }
+        }
+        if pool.is_empty() {
+            self.pools.remove(&facts.pool);
+        }
+    }
+
+    fn take_out_doubt(&mut self, facts: &JobFacts) {
+        let Some(pool) = self.doubts.get_mut(&facts.pool) else {
+            return;
+        };
+        if let Some(doubt) = pool.get_mut(&facts.group.workspace) {
+            *doubt = doubt.minus(facts.doubt);
+            if *doubt == HostRoom::default() {
+                pool.remove(&facts.group.workspace);
+            }
+        }
+        if pool.is_empty() {
+            self.doubts.remove(&facts.pool);
+        }
+    }
+
+    fn take_out_apart(&mut self, facts: &JobFacts) {
+        let Some(apart) = self.apart.get_mut(&facts.pool) else {
+            return;
+        };
+        if let Some(jobs) = apart.get_mut(&facts.apart) {
+            *jobs -= 1;
+            if *jobs == 0 {
+                apart.remove(&facts.apart);
+            }
+        }
+        if apart.is_empty() {
+            self.apart.remove(&facts.pool);
+        }
+    }
+}
+
+/// What tasks of a job that are neither done nor known to run would take.
+fn doubt_of(job: &WorkJob) -> HostRoom {
+    let steps = job
+        .occurrences
+        .values()
+        .flat_map(|occurrence| occurrence.steps.iter().zip(&job.plan.steps));
+    let rooms = steps.map(|(state, plan)| plan.need.times(u64::from(state.waiting())));
+    rooms.fold(HostRoom::default(), HostRoom::plus)
+}
--- a/crates/decide/src/work/objective.rs
+++ b/crates/decide/src/work/objective.rs
@@ -2,7 +2,7 @@
 
 use model::{BootTime, work::QueueTerms};
 
-use super::WorkJob;
+use super::{OccurrenceState, WorkJob};
 
 /// How much later than its objective a job still counts, as a multiple of the objective.
 const LATE_FACTOR: u32 = 3;
@@ -20,8 +20,8 @@
     /// Jobs of which no task has started come after those that are under way: in a full pool
     /// many half-done jobs would all be late, where finishing some serves these in time.
     pub fresh: bool,
-    /// Time that is left until it must have started.
-    pub slack: Duration,
+    /// When it must have started; for what is too late to count, when it was handed in.
+    pub latest: BootTime,
 }
 
 /// Groups of waiting tasks, the most urgent first.
@@ -39,16 +39,23 @@
     Overdue,
 }
 
-/// Ranks a job that has `remaining` estimated work in its longest chain.
-pub fn rank(job: &WorkJob, due: BootTime, queue: Option<&QueueTerms>, now: BootTime) -> StartRank {
+/// Ranks a job of which one occurrence waits, and tells until when the rank holds; `None` if it
+/// does not change with time.
+pub(super) fn rank(
+    job: &WorkJob,
+    occurrence: &OccurrenceState,
+    queue: Option<&QueueTerms>,
+    now: BootTime,
+) -> (StartRank, Option<BootTime>) {
     let priority = queue.map_or(u32::MAX, |queue| queue.priority);
     if job.plan.is_long_running() {
-        return StartRank {
+        let rank = StartRank {
             class: RankClass::Lasting,
             priority,
             fresh: false,
-            slack: Duration::ZERO,
+            latest: BootTime::ZERO,
         };
+        return (rank, None);
     }
     let chain = job.plan.longest_chain();
     let (factor, extra) = queue.map_or((1.0, Duration::ZERO), |queue| {
@@ -56,37 +63,35 @@
     });
     let objective = chain.mul_f64(factor.clamp(0.0, 1000.0)) + extra;
     let begin = if job.plan.repeat.is_some() {
-        due
+        occurrence.due
     } else {
         job.arrived
     };
-    let left = remaining_chain(job, due);
-    let until = |end: BootTime| end.checked_sub(now).and_then(|time| time.checked_sub(left));
-    let (class, slack) = match (
-        until(begin + objective),
-        until(begin + objective * LATE_FACTOR),
+    let left = remaining_chain(job, occurrence);
+    let latest = |end: BootTime| end.checked_sub(left).filter(|&latest| latest >= now);
+    let (class, latest, until) = match (
+        latest(begin + objective),
+        latest(begin + objective * LATE_FACTOR),
     ) {
-        (Some(slack), _) => (RankClass::InTime, slack),
-        (None, Some(slack)) => (RankClass::Late, slack),
-        (None, None) => (RankClass::Overdue, begin),
+        (Some(latest), _) => (RankClass::InTime, latest, Some(latest)),
+        (None, Some(latest)) => (RankClass::Late, latest, Some(latest)),
+        (None, None) => (RankClass::Overdue, begin, None),
     };
     let class = match class {
         RankClass::InTime | RankClass::Late if job.beyond_share => RankClass::BeyondShare,
         class => class,
     };
-    StartRank {
+    let rank = StartRank {
         class,
         priority,
         fresh: !job.begun,
-        slack,
-    }
+        latest,
+    };
+    (rank, until)
 }
 
 /// Estimated run time of the longest chain through the steps that are not done.
-fn remaining_chain(job: &WorkJob, due: BootTime) -> Duration {
-    let Some(occurrence) = job.occurrences.values().find(|found| found.due == due) else {
-        return Duration::ZERO;
-    };
+fn remaining_chain(job: &WorkJob, occurrence: &OccurrenceState) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(job.plan.steps.len());
     for (number, step) in job.plan.steps.iter().enumerate() {
         let before = step
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -19,11 +19,14 @@
 /// A failure may be the target's fault, and a second one on the same broken target fails a job
 /// that may fail twice. So as long as the pool has a target on which the task has not failed and
 /// that suits it, it waits for such a one, for some time.
+///
+/// `with_room` are those that may have room, the one with the least first, and `of_pool` all.
 pub fn pick_target<'a>(
     plan: &StepPlan,
     step: &StepState,
     task: &TaskState,
-    targets: impl Iterator<Item = &'a TargetState> + Clone,
+    with_room: impl Iterator<Item = &'a TargetState>,
+    mut of_pool: impl Iterator<Item = &'a TargetState>,
     now: BootTime,
 ) -> Option<&'a TargetState> {
     let failed = |target: &&TargetState| task.failed_on.contains(&target.entry.target);
@@ -31,14 +34,31 @@
     let others = !plan.long_running
         && !task.failed_on.is_empty()
         && now < task.failed_at + FAILED_WAIT
-        && targets.clone().any(|target| {
+        && of_pool.any(|target| {
             target.can_run() && !failed(&target) && may_hold(plan, step, target, now)
         });
-    targets
+    let suiting = with_room
         .filter(|target| target.takes_tasks(now))
         .filter(|target| !others || !failed(target))
-        .filter(|target| suits(plan, step, target, now))
-        .min_by_key(|target| score(plan, step, task, target))
+        .filter(|target| suits(plan, step, target, now));
+    let mut best: Option<(PickScore, &TargetState)> = None;
+    for target in suiting {
+        let score = score(plan, step, task, target);
+        if best.as_ref().is_none_or(|(least, _)| score < *least) {
+            best = Some((score, target));
+        }
+        // Of targets that are packed those that follow have more room, and are no better.
+        let (failed, far, apart, ..) = score;
+        if !spreads(plan) && !failed && !far && !apart {
+            break;
+        }
+    }
+    best.map(|(_, target)| target)
+}
+
+/// True if tasks of a step are spread over targets, and not packed.
+fn spreads(plan: &StepPlan) -> bool {
+    plan.long_running || plan.fills
 }
 
 /// The same among targets that are being emptied or pause, too.
@@ -117,7 +137,7 @@
     // Tasks that last are spread, so that one host's end takes few of them; so are tasks that
     // fill, which need what others leave. All others are packed, so that large ones find room
     // and other hosts stay empty, to be switched off, lent or maintained at once.
-    if plan.long_running || plan.fills {
+    if spreads(plan) {
         let together = u64::from(siblings(step, &target.entry.target));
         (
             failed,
--- /dev/null
+++ b/crates/decide/src/work/ranked_steps.rs
@@ -0,0 +1,198 @@
+use model::work::HostRoom;
+
+use super::{objective::StartRank, step_key::StepKey};
+
+/// Steps that are kept together; a larger block is split into two.
+const MOST_IN_BLOCK: usize = 64;
+
+/// A step with tasks that wait.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct WaitingStep {
+    /// When it gets room, compared with others.
+    pub(super) rank: StartRank,
+    /// The step.
+    pub(super) step: StepKey,
+    /// Room that a target must have for it to be looked at.
+    pub(super) room: HostRoom,
+    /// What its workspace must have left for it to be looked at.
+    pub(super) need: HostRoom,
+}
+
+impl WaitingStep {
+    /// What it is ordered by.
+    pub(super) fn key(&self) -> StepRank {
+        (self.rank, self.step.clone())
+    }
+
+    /// True if it gets room before another.
+    pub(super) fn is_before_step(&self, other: &Self) -> bool {
+        (&self.rank, &self.step) < (&other.rank, &other.step)
+    }
+
+    fn is_before(&self, key: &StepRank) -> bool {
+        (&self.rank, &self.step) < (&key.0, &key.1)
+    }
+
+    fn is_at(&self, key: &StepRank) -> bool {
+        (&self.rank, &self.step) == (&key.0, &key.1)
+    }
+}
+
+/// What steps are ordered by.
+pub(super) type StepRank = (StartRank, StepKey);
+
+/// What may be looked at: what fits nowhere in the pool, or goes beyond its workspace's limit, is
+/// passed over.
+#[derive(Clone, Debug)]
+pub(super) struct StepFilter<'a> {
+    /// The most that a target of the pool has, of each resource by itself.
+    pub(super) room: HostRoom,
+    /// What the workspace may still take.
+    pub(super) left: HostRoom,
+    /// Rooms that were looked for in vain.
+    pub(super) refused: &'a [HostRoom],
+}
+
+impl StepFilter<'_> {
+    fn admits(&self, room: HostRoom, need: HostRoom) -> bool {
+        room.fits(self.room)
+            && need.fits(self.left)
+            && !self.refused.iter().any(|refused| refused.fits(room))
+    }
+}
+
+/// Steps of one workspace that wait for one pool, the next to be started first.
+///
+/// The pattern it answers: in its turn a pool is full and thousands of steps wait. Blocks know the
+/// least that one of their steps needs, so that the first step that may fit is found without
+/// looking at all before it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RankedSteps {
+    blocks: Vec<StepBlock>,
+}
+
+#[derive(Clone, Debug)]
+struct StepBlock {
+    steps: Vec<WaitingStep>,
+    least_room: HostRoom,
+    least_need: HostRoom,
+}
+
+impl RankedSteps {
+    /// Adds a step.
+    pub(super) fn insert(&mut self, step: WaitingStep) {
+        let key = step.key();
+        let at = self.block_of(&key).min(self.blocks.len().saturating_sub(1));
+        let Some(block) = self.blocks.get_mut(at) else {
+            self.blocks.push(StepBlock::new(vec![step]));
+            return;
+        };
+        block.insert(step, &key);
+        if block.steps.len() > MOST_IN_BLOCK {
+            let rest = block.steps.split_off(MOST_IN_BLOCK / 2);
+            block.measure();
+            self.blocks.insert(at + 1, StepBlock::new(rest));
+        }
+    }
+
+    /// Removes a step.
+    pub(super) fn remove(&mut self, key: &StepRank) {
+        let at = self.block_of(key);
+        let Some(block) = self.blocks.get_mut(at) else {
+            return;
+        };
+        block.remove(key);
+        if block.steps.is_empty() {
+            self.blocks.remove(at);
+        }
+    }
+
+    /// The first step after a place that a filter admits, and how many steps and blocks of steps
+    /// were looked at.
+    pub(super) fn next(
+        &self,
+        after: Option<&StepRank>,
+        filter: &StepFilter<'_>,
+    ) -> (Option<&WaitingStep>, u64) {
+        let mut looked = 0;
+        let first = after.map_or(0, |key| self.block_of(key));
+        for block in self.blocks.iter().skip(first) {
+            looked += 1;
+            if !filter.admits(block.least_room, block.least_need) {
+                continue;
+            }
+            for step in &block.steps {
+                let passed = after.is_some_and(|key| step.is_before(key) || step.is_at(key));
+                if passed {
+                    continue;
+                }
+                looked += 1;
+                if filter.admits(step.room, step.need) {
+                    return (Some(step), looked);
+                }
+            }
+        }
+        (None, looked)
+    }
+
+    /// True if nothing waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// All steps, the first to be started first.
+    fn steps(&self) -> impl Iterator<Item = &WaitingStep> {
+        self.blocks.iter().flat_map(|block| &block.steps)
+    }
+
+    /// The block that holds a key, or would.
+    fn block_of(&self, key: &StepRank) -> usize {
+        let ends_before = |block: &StepBlock| {
+            let last = block.steps.last();
+            last.is_some_and(|last| last.is_before(key))
+        };
+        self.blocks.partition_point(ends_before)
+    }
+}
+
+impl PartialEq for RankedSteps {
+    fn eq(&self, other: &Self) -> bool {
+        self.steps().eq(other.steps())
+    }
+}
+
+impl StepBlock {
+    fn new(steps: Vec<WaitingStep>) -> Self {
+        let mut block = Self {
+            steps,
+            least_room: HostRoom::default(),
+            least_need: HostRoom::default(),
+        };
+        block.measure();
+        block
+    }
+
+    fn insert(&mut self, step: WaitingStep, key: &StepRank) {
+        self.least_room = self.least_room.smaller(step.room);
+        self.least_need = self.least_need.smaller(step.need);
+        let at = self.steps.partition_point(|other| other.is_before(key));
+        self.steps.insert(at, step);
+    }
+
+    fn remove(&mut self, key: &StepRank) {
+        let at = self.steps.partition_point(|other| other.is_before(key));
+        if self.steps.get(at).is_some_and(|step| step.is_at(key)) {
+            self.steps.remove(at);
+            self.measure();
+        }
+    }
+
+    fn measure(&mut self) {
+        let mut rooms = self.steps.iter().map(|step| step.room);
+        let first = rooms.next().unwrap_or_default();
+        self.least_room = rooms.fold(first, HostRoom::smaller);
+        let mut needs = self.steps.iter().map(|step| step.need);
+        let first = needs.next().unwrap_or_default();
+        self.least_need = needs.fold(first, HostRoom::smaller);
+    }
+}
--- /dev/null
+++ b/crates/decide/src/work/target_index.rs
@@ -0,0 +1,293 @@
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    ops::Bound,
+};
+
+use compact_str::CompactString;
+use model::{
+    BootTime, HostId, PoolId,
+    work::{HostRoom, TargetMode},
+};
+
+use super::{HostVacancy, TargetState};
+
+/// Targets by what decisions ask for, so that none walks over all of them.
+///
+/// It says nothing that the books of targets don't: it can be made anew from them at any time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct TargetIndex {
+    facts: HashMap<HostId, TargetFacts>,
+    pools: BTreeMap<PoolId, PoolTargets>,
+    addresses: BTreeMap<CompactString, BTreeSet<HostId>>,
+    /// When pauses end.
+    pauses: BTreeSet<(BootTime, HostId)>,
+    /// When calls to listed targets failed last that are heard otherwise.
+    failures: BTreeSet<(BootTime, HostId)>,
+    /// Targets that are leaving or kept free.
+    pub(super) emptying: BTreeSet<HostId>,
+    /// Targets that nothing is to be done with any more.
+    pub(super) needless: BTreeSet<HostId>,
+    /// Targets whose granted time runs out, since they are silent or were never reached.
+    pub(super) lapsing: BTreeSet<HostId>,
+    /// How many targets the host list has.
+    pub(super) listed: usize,
+    /// How many of these are silent, or have not been reached.
+    pub(super) unheard: usize,
+    /// How many of the listed have been reached.
+    pub(super) reached: usize,
+}
+
+/// Targets of one pool.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct PoolTargets {
+    all: BTreeSet<HostId>,
+    /// Those that take tasks, but for pauses, by what is free.
+    by_cpu: BTreeSet<(u64, HostId)>,
+    by_memory: BTreeSet<(u64, HostId)>,
+    /// Targets that a predecessor may have started tasks on, and that have not been reached.
+    unknown: usize,
+}
+
+/// What the index knows of a target.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct TargetFacts {
+    pool: PoolId,
+    address: CompactString,
+    free: HostRoom,
+    /// Whether it takes tasks, but for a pause.
+    open: bool,
+    paused_until: BootTime,
+    listed: bool,
+    raised: bool,
+    silent: bool,
+    unknown: bool,
+    failed: BootTime,
+    emptying: bool,
+    needless: bool,
+}
+
+impl TargetFacts {
+    fn of(target: &TargetState) -> Self {
+        let unknown = target.inherited && !target.life.raised;
+        Self {
+            pool: target.entry.pool.clone(),
+            address: target.entry.address.clone(),
+            free: target.free(),
+            open: target.can_run() && target.vacancy == HostVacancy::None,
+            paused_until: target.paused_until,
+            listed: target.listed,
+            raised: target.life.raised,
+            silent: target.silent,
+            unknown,
+            failed: target.failed,
+            emptying: target.entry.mode == TargetMode::Draining
+                || target.vacancy != HostVacancy::None,
+            needless: !target.is_needed(),
+        }
+    }
+
+    fn is_unheard(&self) -> bool {
+        self.listed && (self.silent || !self.raised)
+    }
+
+    fn has_failed(&self) -> bool {
+        self.listed && !self.is_unheard() && !self.failed.is_zero()
+    }
+
+    /// True if nothing but its room has changed since `before`.
+    fn differs_in_room(&self, before: &Self) -> bool {
+        let before = Self {
+            free: self.free,
+            ..before.clone()
+        };
+        *self == before
+    }
+
+    /// True if something may be started by what has changed since `before`.
+    fn gives_room(&self, before: &Self) -> bool {
+        let opened = self.open && (!before.open || before.pool != self.pool);
+        let grown = self.open && !self.free.fits(before.free);
+        let known = before.unknown && (!self.unknown || before.pool != self.pool);
+        opened || grown || known || self.paused_until < before.paused_until
+    }
+}
+
+impl TargetIndex {
+    /// Takes in what became of a target; the pools in which something may be started by that are
+    /// added to `due`. True if the target is new.
+    pub(super) fn update(
+        &mut self,
+        id: &HostId,
+        target: Option<&TargetState>,
+        now: BootTime,
+        due: &mut BTreeSet<PoolId>,
+    ) -> bool {
+        let Some(new) = target.map(TargetFacts::of) else {
+            if let Some(old) = self.facts.remove(id) {
+                self.take_out(id, &old);
+                due.insert(old.pool);
+            }
+            return false;
+        };
+        let Some(facts) = self.facts.get_mut(id) else {
+            due.insert(new.pool.clone());
+            self.put_in(id, &new, now);
+            self.facts.insert(id.clone(), new);
+            return true;
+        };
+        if *facts == new {
+            return false;
+        }
+        let old = std::mem::replace(facts, new.clone());
+        if new.gives_room(&old) {
+            due.insert(old.pool.clone());
+            due.insert(new.pool.clone());
+        }
+        if new.differs_in_room(&old) {
+            self.move_room(id, &old, &new);
+        } else {
+            self.take_out(id, &old);
+            self.put_in(id, &new, now);
+        }
+        false
+    }
+
+    /// Targets of a pool.
+    pub(super) fn of_pool(&self, pool: &str) -> impl Iterator<Item = &HostId> + Clone {
+        self.pools.get(pool).into_iter().flat_map(|pool| &pool.all)
+    }
+
+    /// Targets of a pool that take tasks, or pause, and that have so much of a processor free; those
+    /// with the least first.
+    pub(super) fn with_room(&self, pool: &str, cpu: u64) -> impl Iterator<Item = &HostId> + Clone {
+        let from = (Bound::Included((cpu, HostId::default())), Bound::Unbounded);
+        let pool = self.pools.get(pool).into_iter();
+        pool.flat_map(move |pool| pool.by_cpu.range(from.clone()))
+            .map(|(_, id)| id)
+    }
+
+    /// The most that targets of a pool have free that take tasks, of each resource by itself.
+    pub(super) fn most_free(&self, pool: &str, now: BootTime) -> HostRoom {
+        let Some(pool) = self.pools.get(pool) else {
+            return HostRoom::default();
+        };
+        let most = |by_room: &BTreeSet<(u64, HostId)>| {
+            let mut rooms = by_room.iter().rev();
+            let open = rooms.find(|(_, id)| {
+                let facts = self.facts.get(id);
+                facts.is_some_and(|facts| facts.paused_until <= now)
+            });
+            open.map_or(0, |(free, _)| *free)
+        };
+        HostRoom {
+            cpu: most(&pool.by_cpu),
+            memory_mb: most(&pool.by_memory),
+            gpu: u64::MAX,
+        }
+    }
+
+    /// Targets at an address.
+    pub(super) fn at_address(&self, address: &str) -> impl Iterator<Item = &HostId> {
+        self.addresses.get(address).into_iter().flatten()
+    }
+
+    /// Pools in which a task of a predecessor may run on a target that has not been reached.
+    pub(super) fn unknown_pools(&self) -> BTreeSet<PoolId> {
+        let unknown = self.pools.iter().filter(|(_, pool)| pool.unknown > 0);
+        unknown.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Adds the pools of targets whose pause has ended to `due`.
+    pub(super) fn end_pauses(&mut self, now: BootTime, due: &mut BTreeSet<PoolId>) {
+        while let Some((until, id)) = self.pauses.first()
+            && *until <= now
+        {
+            if let Some(facts) = self.facts.get(id) {
+                due.insert(facts.pool.clone());
+            }
+            self.pauses.pop_first();
+        }
+    }
+
+    /// How many listed targets a call has failed to since a time, beside those that are unheard.
+    pub(super) fn failed_since(&self, since: BootTime) -> usize {
+        let after = (since, HostId::default());
+        self.failures.range(after..).count()
+    }
+
+    /// What it says, less what passes with time alone.
+    #[must_use]
+    pub(super) fn lasting(&self) -> Self {
+        Self {
+            pauses: BTreeSet::new(),
+            ..self.clone()
+        }
+    }
+
+    /// Takes in that the room of a target has changed, and nothing else.
+    fn move_room(&mut self, id: &HostId, old: &TargetFacts, new: &TargetFacts) {
+        let Some(pool) = self.pools.get_mut(&old.pool).filter(|_| old.open) else {
+            return;
+        };
+        pool.by_cpu.remove(&(old.free.cpu, id.clone()));
+        pool.by_cpu.insert((new.free.cpu, id.clone()));
+        pool.by_memory.remove(&(old.free.memory_mb, id.clone()));
+        pool.by_memory.insert((new.free.memory_mb, id.clone()));
+    }
+
+    fn put_in(&mut self, id: &HostId, facts: &TargetFacts, now: BootTime) {
+        let pool = self.pools.entry(facts.pool.clone()).or_default();
+        pool.all.insert(id.clone());
+        if facts.open {
+            pool.by_cpu.insert((facts.free.cpu, id.clone()));
+            pool.by_memory.insert((facts.free.memory_mb, id.clone()));
+        }
+        pool.unknown += usize::from(facts.unknown);
+        let address = self.addresses.entry(facts.address.clone()).or_default();
+        address.insert(id.clone());
+        if facts.paused_until > now {
+            self.pauses.insert((facts.paused_until, id.clone()));
+        }
+        if facts.has_failed() {
+            self.failures.insert((facts.failed, id.clone()));
+        }
+        if facts.emptying {
+            self.emptying.insert(id.clone());
+        }
+        if facts.needless {
+            self.needless.insert(id.clone());
+        }
+        if facts.silent || facts.unknown {
+            self.lapsing.insert(id.clone());
+        }
+        self.listed += usize::from(facts.listed);
+        self.unheard += usize::from(facts.is_unheard());
+        self.reached += usize::from(facts.listed && facts.raised);
+    }
+
+    fn take_out(&mut self, id: &HostId, facts: &TargetFacts) {
+        if let Some(pool) = self.pools.get_mut(&facts.pool) {
+            pool.all.remove(id);
+            pool.by_cpu.remove(&(facts.free.cpu, id.clone()));
+            pool.by_memory.remove(&(facts.free.memory_mb, id.clone()));
+            pool.unknown -= usize::from(facts.unknown);
+            if pool.all.is_empty() {
+                self.pools.remove(&facts.pool);
+            }
+        }
+        if let Some(address) = self.addresses.get_mut(&facts.address) {
+            address.remove(id);
+            if address.is_empty() {
+                self.addresses.remove(&facts.address);
+            }
+        }
+        self.pauses.remove(&(facts.paused_until, id.clone()));
+        self.failures.remove(&(facts.failed, id.clone()));
+        self.emptying.remove(id);
+        self.needless.remove(id);
+        self.lapsing.remove(id);
+        self.listed -= usize::from(facts.listed);
+        self.unheard -= usize::from(facts.is_unheard());
+        self.reached -= usize::from(facts.listed && facts.raised);
+    }
+}
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -11,9 +11,9 @@
 use wire::work::{JobPhase, JobRecord, LogEntry, TargetUse, log_entry::Event};
 
 use super::{
-    DeskEvent, DeskOrder, DeskTuning, EndOrigin, HostVacancy, JobBoard, RecordOrder, TargetState,
-    WorkJob, WorkPhase, desk_evacuate::StrandedTask, share_meter::ShareMeter, step_key::StepKey,
-    target_state::RunKey,
+    DeskEffort, DeskEvent, DeskOrder, DeskTuning, EndOrigin, HostVacancy, JobBoard, RecordOrder,
+    TargetState, WorkJob, WorkPhase, desk_evacuate::StrandedTask, desk_index::DeskIndex,
+    share_meter::ShareMeter, step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
 };
 
 /// Events that are kept for the log until they are taken; more are dropped, and counted.
@@ -41,13 +41,15 @@
     /// The jobs.
     pub board: JobBoard,
     /// The targets.
-    pub targets: BTreeMap<HostId, TargetState>,
+    pub targets: TrackedMap<TargetState>,
+    pub(super) index: DeskIndex,
+    /// How much was looked at so far.
+    pub effort: DeskEffort,
     pub(super) usage: BTreeMap<WorkspaceId, HostRoom>,
     pub(super) orders: Vec<DeskOrder>,
     pub(super) events: VecDeque<DeskEvent>,
     /// Events that were dropped because nobody took them in time.
     pub events_dropped: u64,
-    pub(super) ticked: BootTime,
     /// When another process might have owned the cell last.
     pub(super) was_alone: Option<BootTime>,
     /// Since when many listed targets have not been heard at once.
@@ -74,6 +76,8 @@
     pub(super) stops: BTreeMap<(HostId, RunKey), BootTime>,
     /// Stops that were answered, and when; a target takes a moment until it lists the end.
     pub(super) stopped: BTreeMap<(HostId, RunKey), BootTime>,
+    /// Runs that stood still at the last look at their target.
+    pub(super) still: BTreeSet<(HostId, RunKey)>,
     /// Share of time that tasks which fill have on a target; 100 if absent.
     pub(super) paces: BTreeMap<HostId, u8>,
 }
@@ -123,6 +127,7 @@
             };
             self.targets.insert(used.target.as_str().into(), target);
         }
+        self.sync(now.boot);
         self.open_occurrences(now);
         self.stale = true;
     }
@@ -148,12 +153,18 @@
                 job.pool = queue.pool.clone();
             }
         }
+        let limited = terms.workspaces.iter();
+        let limited = limited.filter(|space| space.limit != HostRoom::default());
+        self.index.limits = limited
+            .map(|space| (space.name.clone(), space.limit))
+            .collect();
         self.terms = terms;
         self.stale = true;
     }
 
     /// Takes what the host list says of a target.
     pub fn list_target(&mut self, entry: TargetEntry, now: DeskTime) {
+        self.sync(now.boot);
         let id = entry.target.clone();
         if self.is_succeeded(&entry) {
             self.unlist_target(&id);
@@ -169,7 +180,6 @@
             };
             self.targets.insert(id.clone(), target);
             self.record_use(&id);
-            self.stale = true;
             return;
         };
         let (born, known) = (entry.born, target.life.born);
@@ -197,7 +207,6 @@
         if !recorded {
             self.record_use(&id);
         }
-        self.stale = true;
     }
 
     /// The host list no longer has a target.
@@ -217,8 +226,10 @@
     pub fn accept(&mut self, record: &JobRecord, now: DeskTime) {
         self.board.accept(record, now.unix, now.boot);
         self.weigh(record, now);
-        self.open_occurrences(now);
-        self.stale = true;
+        let early = self.tuning.early;
+        if let Some(job) = self.board.jobs.get_mut(record.job.as_str()) {
+            job.open_due(now.unix, now.boot, early);
+        }
     }
 
     fn weigh(&mut self, record: &JobRecord, now: DeskTime) {
@@ -256,9 +267,9 @@
     }
 
     /// How many jobs of a queue have not begun.
-    pub fn pending(&self, queue: &str) -> u64 {
-        let open = self.open_jobs();
-        open.filter(|job| job.queue == queue && !job.begun).count() as u64
+    pub fn pending(&mut self, queue: &str, now: DeskTime) -> u64 {
+        self.sync(now.boot);
+        self.index.jobs.pending(queue)
     }
 
     /// What is to be done, oldest first.
@@ -276,19 +287,15 @@
         if let Some(origin) = &order.origin {
             self.settle_end(origin);
         }
-        if let Some(job) = order
-            .job
-            .as_ref()
-            .and_then(|job| self.board.jobs.get_mut(job))
-        {
-            job.unstored = job.unstored.saturating_sub(1);
+        if let Some(job) = &order.job {
+            self.board
+                .count_unstored(job, |unstored| unstored.saturating_sub(1));
         }
         match &order.entry.event {
             Some(Event::Used(used)) => {
                 self.board.apply(&order.entry, now.unix, now.boot);
                 if let Some(target) = self.targets.get_mut(used.target.as_str()) {
                     target.recorded = true;
-                    self.stale = true;
                 }
             }
             Some(Event::Released(_) | Event::Wave(_) | Event::Ordered(_)) => {
@@ -298,12 +305,6 @@
         }
     }
 
-    /// Jobs that have something left to do.
-    pub(super) fn open_jobs(&self) -> impl Iterator<Item = &WorkJob> {
-        let jobs = &self.board.jobs;
-        self.board.open.iter().filter_map(|id| jobs.get(id))
-    }
-
     pub(super) fn note(&mut self, event: DeskEvent) {
         if self.events.len() >= MOST_EVENTS {
             self.events_dropped += 1;
@@ -314,9 +315,9 @@
 
     pub(super) fn record(&mut self, event: Event, origin: Option<EndOrigin>, job: Option<&JobId>) {
         let mut urgent = origin.is_none();
-        if let Some(job) = job.and_then(|job| self.board.jobs.get_mut(job)) {
-            job.unstored += 1;
-            urgent |= !job.is_open();
+        if let Some(job) = job {
+            self.board.count_unstored(job, |unstored| unstored + 1);
+            urgent |= !self.board.jobs.get(job).is_none_or(WorkJob::is_open);
         }
         self.orders.push(DeskOrder::Record(RecordOrder {
             entry: LogEntry { event: Some(event) },
@@ -348,15 +349,21 @@
     /// would be started a second time. While the store is away, the entry of the life at work may
     /// have lapsed. An entry that does not tell when its life began is another writer's.
     fn is_succeeded(&self, entry: &TargetEntry) -> bool {
-        let mut others = self.targets.values().filter(|other| {
-            other.entry.address == entry.address && other.entry.target != entry.target
-        });
+        let others = self.others_at(entry);
+        let mut others = others.iter().filter_map(|id| self.targets.get(id));
         others.any(|other| {
             let lives = other.listed || !other.claims.is_empty();
             lives && other.life.born > entry.born
         })
     }
 
+    /// Other targets at the address of an entry.
+    fn others_at(&self, entry: &TargetEntry) -> Vec<HostId> {
+        let there = self.index.targets.at_address(&entry.address);
+        let others = there.filter(|id| **id != entry.target);
+        others.cloned().collect()
+    }
+
     /// Ends the lives of other targets at the address of a new one: one address, one target. An
     /// entry of a pool that nobody knows is another writer's and ends nothing.
     ///
@@ -366,15 +373,10 @@
         if !self.terms.pools.iter().any(|pool| pool.name == entry.pool) {
             return;
         }
-        let elsewhere = |other: &&TargetState| {
-            other.entry.address == entry.address
-                && other.entry.target != entry.target
-                && other.is_known()
-        };
-        let replaced = self.targets.values().filter(elsewhere);
-        let ids: Vec<HostId> = replaced.map(|other| other.entry.target.clone()).collect();
-        for id in ids {
-            self.lose_target(&id, "replaced", now);
+        for id in self.others_at(entry) {
+            if self.targets.get(&id).is_some_and(TargetState::is_known) {
+                self.lose_target(&id, "replaced", now);
+            }
         }
     }
 }
--- a/crates/decide/tests/desk/scene.rs
+++ b/crates/decide/tests/desk/scene.rs
@@ -86,6 +86,11 @@
             self.desk.plan(self.now);
             let orders = self.desk.take_orders();
             if orders.is_empty() {
+                let broken = self.desk.index_faults(self.now.boot);
+                assert!(
+                    broken.is_empty(),
+                    "indexes that differ from the books: {broken:?}"
+                );
                 return;
             }
             for order in orders {
--- a/crates/decide/tests/desk/world.rs
+++ b/crates/decide/tests/desk/world.rs
@@ -381,6 +381,11 @@
             }
         }
         self.send_waiting(owner, alone);
+        let broken = owner.desk.index_faults(now.boot);
+        assert!(
+            broken.is_empty(),
+            "indexes that differ from the books: {broken:?}"
+        );
         for event in owner.desk.take_events() {
             if let DeskEvent::TargetLost(..) | DeskEvent::TargetRaised(..) = event {
                 self.note(&format!("owner {}: {event:?}", owner.token));
--- a/crates/decide/tests/work_board.rs
+++ b/crates/decide/tests/work_board.rs
@@ -48,6 +48,8 @@
             )
         })
         .collect();
+    let mut jobs: Vec<String> = jobs;
+    jobs.sort();
     format!("{jobs:#?} {:?} {:?}", board.used.keys(), board.maintained)
 }
 
@@ -120,7 +122,7 @@
     scene.cancel("a");
     scene.submit("a", &plan(vec![step(2, 500)]));
     assert!(scene.starts.is_empty());
-    assert_eq!(scene.desk.pending(desk::QUEUE), 0);
+    assert_eq!(scene.desk.pending(desk::QUEUE, scene.now), 0);
     scene.compact();
     let mut successor = scene.successor(9);
     successor.add("t1", 4000);
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -391,10 +391,10 @@
         .desk
         .started(&id, &start.task, start.attempt, &refused, scene.now);
     scene.run();
-    assert_eq!(scene.desk.pending(desk::QUEUE), 1);
+    assert_eq!(scene.desk.pending(desk::QUEUE, scene.now), 1);
     scene.pass(Duration::from_millis(600));
     scene.start_all();
-    assert_eq!(scene.desk.pending(desk::QUEUE), 0);
+    assert_eq!(scene.desk.pending(desk::QUEUE, scene.now), 0);
 }
 
 /// Guards against a start that waited for its turn behind a narrow link and is refused as too late,
--- a/crates/model/src/work/host_room.rs
+++ b/crates/model/src/work/host_room.rs
@@ -30,6 +30,30 @@
         }
     }
 
+    /// The smaller of both, of each resource by itself.
+    #[must_use]
+    pub fn smaller(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpu: self.gpu.min(other.gpu),
+        }
+    }
+
+    /// What may still be taken where `used` of this limit is; zero parts of the limit mean none.
+    #[must_use]
+    pub fn left_of_limit(self, used: Self) -> Self {
+        let left = |limit: u64, used: u64| match limit {
+            0 => u64::MAX,
+            limit => limit.saturating_sub(used),
+        };
+        Self {
+            cpu: left(self.cpu, used.cpu),
+            memory_mb: left(self.memory_mb, used.memory_mb),
+            gpu: left(self.gpu, used.gpu),
+        }
+    }
+
     /// What is left of this without `other`; never below zero.
     #[must_use]
     pub fn minus(self, other: Self) -> Self {
