Record what may run on a target that is missed, so that its pool does not wait for it

Cause: a rack is dark from 11.0 s on. Starts are not recorded, so to a successor any waiting task may be the one that runs on a target that it can't reach, and the older jobs of its pool wait. In the owner's log two such targets are given up (no-host) at 15.8 and 16.4 s.

Change: with the first call that is not answered the owner records which runs may be on the target and starts nothing there until it is heard and recorded as used again. A successor counts these runs as there, until a look or the lapse of their time, and starts everything else (docs/design/14).

--- a/crates/cell/src/record_note.rs
+++ b/crates/cell/src/record_note.rs
@@ -63,6 +63,10 @@
             &event::TARGET_LOST,
             format_args!("target={target} why={why} runs={runs}"),
         ),
+        DeskEvent::TargetMissed(target, runs) => log_event::info(
+            &event::TARGET_MISSED,
+            format_args!("target={target} runs={runs}"),
+        ),
         DeskEvent::TargetSilent(target) => {
             log_event::warn(&event::TARGET_SILENT, format_args!("target={target}"));
         }
--- /dev/null
+++ b/crates/decide/src/work/desk_miss.rs
@@ -0,0 +1,129 @@
+use model::{
+    BootTime, HostId,
+    work::{AttemptNumber, TaskKey},
+};
+use wire::work::{MissedRun, TargetMiss, log_entry::Event};
+
+use super::{DeskEvent, DeskTime, PlacePhase, TaskPlace, WorkDesk, target_state::RunKey};
+
+/// What the log tells of targets that are not heard.
+///
+/// The pattern it answers: a rack is dark and the owner changes. Starts are not recorded, so to the
+/// successor any task that waits may be the one that runs there, and the pools of the rack would
+/// stand still until its targets are given up. `docs/design/14-ends-of-targets.md` argues why what
+/// is recorded can be relied on.
+impl WorkDesk {
+    /// Records what may run on a target that was not heard, and starts nothing there until it is
+    /// heard and recorded as used again.
+    pub(super) fn record_miss(&mut self, id: &HostId) {
+        // Without the store the target would stay closed for as long as that is away.
+        if self.alone {
+            return;
+        }
+        let Some(target) = self.targets.get(id) else {
+            return;
+        };
+        if !target.recorded || target.missed || !target.is_known() {
+            return;
+        }
+        let runs = target.claims.keys().map(|run| MissedRun {
+            job: run.0.job.to_string(),
+            occurrence: run.0.occurrence,
+            step: run.0.step,
+            index: run.0.index,
+            attempt: run.1,
+            seen: self.is_seen(id, run),
+        });
+        let miss = TargetMiss {
+            target: id.to_string(),
+            runs: runs.collect(),
+        };
+        if let Some(target) = self.targets.get_mut(id) {
+            target.recorded = false;
+            target.missed = true;
+        }
+        self.note(DeskEvent::TargetMissed(id.clone(), miss.runs.len()));
+        self.record(Event::Missed(miss), None, None);
+    }
+
+    /// Records a target as used that is heard again.
+    pub(super) fn use_again(&mut self, id: &HostId) {
+        if self.targets.get(id).is_some_and(|target| target.missed)
+            && let Some(target) = self.targets.get_mut(id)
+        {
+            target.missed = false;
+            self.record_use(id);
+        }
+    }
+
+    /// Takes over what a predecessor recorded of targets that it missed.
+    pub(super) fn take_missed(&mut self, now: DeskTime) {
+        let missed: Vec<TargetMiss> = self.board.missed.values().cloned().collect();
+        for miss in missed {
+            let id = HostId::from(miss.target.as_str());
+            let Some(target) = self.targets.get_mut(&id) else {
+                continue;
+            };
+            target.missed = true;
+            target.recorded = false;
+            for run in &miss.runs {
+                let key = TaskKey {
+                    job: run.job.as_str().into(),
+                    occurrence: run.occurrence,
+                    step: run.step,
+                    index: run.index,
+                };
+                self.take_missed_run(&id, (key, run.attempt), run.seen, now.boot);
+            }
+        }
+    }
+
+    fn take_missed_run(&mut self, id: &HostId, run: RunKey, seen: bool, now: BootTime) {
+        self.claim(id, run.clone());
+        let (key, attempt): (TaskKey, AttemptNumber) = run;
+        self.board.begin_job(&key.job);
+        self.board.open_until(&key.job, key.occurrence, now);
+        let open = self.board.open.contains(&key.job);
+        let Some(step) = self.board.step_mut(&key).filter(|_| open) else {
+            return;
+        };
+        let waits = |task: &super::TaskState| !task.done && task.place.is_none();
+        if !step.tasks.get(key.index as usize).is_some_and(waits) {
+            return;
+        }
+        let phase = match seen {
+            true => PlacePhase::Running,
+            false => PlacePhase::Unsure,
+        };
+        step.place(
+            key.index,
+            TaskPlace {
+                phase,
+                seen,
+                presumed: true,
+                ..TaskPlace::new(id, attempt, now)
+            },
+        );
+    }
+
+    /// Forgets that a task may be on a target that a predecessor missed, since a later run of it is
+    /// shown elsewhere: the predecessor had given the earlier one up.
+    pub(super) fn drop_older_miss(&mut self, id: &HostId, shown: &RunKey) {
+        let (key, attempt) = shown;
+        let job = self.board.jobs.get(&key.job);
+        let task = job.and_then(|job| job.task(key.occurrence, key.step, key.index));
+        let Some(place) = task.and_then(|task| task.place.as_ref()) else {
+            return;
+        };
+        if !place.presumed || place.target == *id || place.attempt >= *attempt {
+            return;
+        }
+        let (older, run) = (place.target.clone(), (key.clone(), place.attempt));
+        self.vacate_place(&older, &run);
+    }
+
+    fn is_seen(&self, id: &HostId, run: &RunKey) -> bool {
+        let place = self.board.place_of(id, run);
+        place.is_some_and(|place| place.phase == PlacePhase::Running && place.seen)
+    }
+}
--- a/crates/decide/src/work/desk_order.rs
+++ b/crates/decide/src/work/desk_order.rs
@@ -87,6 +87,8 @@
     TargetRaised(HostId),
     /// A target's life ended; everything on it is over.
     TargetLost(HostId, &'static str, usize),
+    /// A target was not heard; what may run there, so many runs, is recorded.
+    TargetMissed(HostId, usize),
     /// A target stopped answering.
     TargetSilent(HostId),
 }
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -157,11 +157,15 @@
         if self.alone && !target.life.raised {
             return;
         }
+        let missed = target.missed;
         let returned = std::mem::take(&mut target.silent);
         let raised = !std::mem::replace(&mut target.life.raised, true);
         if returned || raised {
             self.note(DeskEvent::TargetRaised(id.clone()));
         }
+        if missed {
+            self.use_again(id);
+        }
     }
 
     fn see_run(&mut self, id: &HostId, run: &RunSight, now: DeskTime) {
@@ -178,6 +182,7 @@
         // taking its run for a stray one would stop work that is wanted.
         self.board
             .open_until(&run.task.job, run.task.occurrence, now.boot);
+        self.drop_older_miss(id, &key);
         let job = self.board.jobs.get(&run.task.job);
         let open = job.is_some_and(WorkJob::is_open);
         let task = self.board.task_unindexed(&run.task);
@@ -193,6 +198,7 @@
                 place.percent = run.percent;
                 place.load = run.load;
                 place.seen = true;
+                place.presumed = false;
                 if matches!(place.phase, PlacePhase::Starting | PlacePhase::Unsure) {
                     place.phase = PlacePhase::Running;
                     place.since = now.boot;
@@ -308,6 +314,7 @@
             target.silent = true;
             self.note(DeskEvent::TargetSilent(id.clone()));
         }
+        self.record_miss(id);
     }
 
     fn serves_and_fills(&self, id: &HostId) -> bool {
--- a/crates/decide/src/work/job_board.rs
+++ b/crates/decide/src/work/job_board.rs
@@ -9,8 +9,8 @@
     work::{HostRoom, TaskKey},
 };
 use wire::work::{
-    HostOrdered, JobEnd, JobPhase, JobRecord, LogEntry, StepEnds, TargetUse, TaskEnd, WaveProgress,
-    log_entry::Event,
+    HostOrdered, JobEnd, JobPhase, JobRecord, LogEntry, StepEnds, TargetMiss, TargetUse, TaskEnd,
+    WaveProgress, log_entry::Event,
 };
 
 use super::{
@@ -30,6 +30,8 @@
     pub open: BTreeSet<JobId>,
     /// Targets on which tasks may run.
     pub used: BTreeMap<String, TargetUse>,
+    /// Targets of these that were not heard, with what may run there.
+    pub missed: BTreeMap<String, TargetMiss>,
     /// Hosts of waves whose maintenance began.
     pub maintained: BTreeSet<(u64, String)>,
     /// When hosts were ordered last, since the Unix epoch.
@@ -49,9 +51,14 @@
             Some(Event::Cancelled(job)) => self.cancel(job, boot),
             Some(Event::Failed(job)) => self.end_job(job, WorkPhase::Failed, boot),
             Some(Event::Used(used)) => {
+                self.missed.remove(&used.target);
                 self.used.insert(used.target.clone(), used.clone());
             }
+            Some(Event::Missed(miss)) => {
+                self.missed.insert(miss.target.clone(), miss.clone());
+            }
             Some(Event::Released(target)) => {
+                self.missed.remove(target);
                 self.used.remove(target);
             }
             Some(Event::Wave(progress)) => {
@@ -183,6 +190,7 @@
     pub fn entries(&self) -> Vec<LogEntry> {
         let mut events: Vec<Event> = Vec::new();
         events.extend(self.used.values().cloned().map(Event::Used));
+        events.extend(self.missed.values().cloned().map(Event::Missed));
         let begun = |(wave, host): &(u64, String)| {
             Event::Wave(WaveProgress {
                 wave: *wave,
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -13,6 +13,7 @@
 mod desk_evacuate;
 mod desk_index;
 mod desk_life;
+mod desk_miss;
 mod desk_order;
 mod desk_plan;
 mod desk_sight;
--- a/crates/decide/src/work/target_index.rs
+++ b/crates/decide/src/work/target_index.rs
@@ -44,7 +44,7 @@
     /// Those that take tasks, but for pauses, by what is free.
     by_cpu: BTreeSet<(u64, HostId)>,
     by_memory: BTreeSet<(u64, HostId)>,
-    /// Targets that a predecessor may have started tasks on, and that have not been reached.
+    /// Targets of which nobody knows what a predecessor has started there.
     unknown: usize,
 }
 
@@ -60,6 +60,9 @@
     listed: bool,
     raised: bool,
     silent: bool,
+    /// Whether a predecessor may have used it, and no look has reached it.
+    unreached: bool,
+    /// Whether nobody knows what a predecessor has started there.
     unknown: bool,
     failed: BootTime,
     emptying: bool,
@@ -68,7 +71,7 @@
 
 impl TargetFacts {
     fn of(target: &TargetState) -> Self {
-        let unknown = target.inherited && !target.life.raised;
+        let unreached = target.inherited && !target.life.raised;
         Self {
             pool: target.entry.pool.clone(),
             address: target.entry.address.clone(),
@@ -78,7 +81,8 @@
             listed: target.listed,
             raised: target.life.raised,
             silent: target.silent,
-            unknown,
+            unreached,
+            unknown: unreached && !target.missed,
             failed: target.failed,
             emptying: target.entry.mode == TargetMode::Draining
                 || target.vacancy != HostVacancy::None,
@@ -257,7 +261,7 @@
         if facts.needless {
             self.needless.insert(id.clone());
         }
-        if facts.silent || facts.unknown {
+        if facts.silent || facts.unreached {
             self.lapsing.insert(id.clone());
         }
         self.listed += usize::from(facts.listed);
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -73,6 +73,9 @@
     pub recorded: bool,
     /// Whether a predecessor may have started tasks on it.
     pub inherited: bool,
+    /// Whether the log says what may run there, and that nothing is started there until it is
+    /// recorded anew.
+    pub missed: bool,
     /// Its life.
     pub life: TargetLife,
     /// What may be there.
@@ -164,7 +167,7 @@
     /// host would be the first to be maintained or moved, and the order would end whatever a
     /// predecessor had started there; the look answers some milliseconds later.
     pub fn is_empty(&self) -> bool {
-        self.is_known() && self.claims.is_empty()
+        (self.is_known() || self.missed) && self.claims.is_empty()
     }
 
     /// The target's clock at a time, at least.
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -129,6 +129,7 @@
         }
         self.sync(now.boot);
         self.open_occurrences(now);
+        self.take_missed(now);
         self.stale = true;
     }
 
@@ -200,11 +201,11 @@
         if moved {
             target.recorded = false;
         }
-        let recorded = target.recorded;
+        let (recorded, missed) = (target.recorded, target.missed);
         if reborn {
             self.end_life(&id, born, "reborn", now);
         }
-        if !recorded {
+        if !recorded && !missed {
             self.record_use(&id);
         }
     }
@@ -292,6 +293,7 @@
                 .count_unstored(job, |unstored| unstored.saturating_sub(1));
         }
         match &order.entry.event {
+            Some(Event::Missed(_)) => self.board.apply(&order.entry, now.unix, now.boot),
             Some(Event::Used(used)) => {
                 self.board.apply(&order.entry, now.unix, now.boot);
                 if let Some(target) = self.targets.get_mut(used.target.as_str()) {
@@ -330,7 +332,7 @@
     /// Writes down that tasks may be on a target, before the first is started there. After a
     /// failure of this process, its successor would otherwise not know of a target that has
     /// left the host list while its tasks run on.
-    fn record_use(&mut self, id: &HostId) {
+    pub(super) fn record_use(&mut self, id: &HostId) {
         let Some(target) = self.targets.get(id).filter(|target| !target.recorded) else {
             return;
         };
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -121,6 +121,8 @@
     pub stop_sent: BootTime,
     /// Whether a look at the target's present life has shown it.
     pub seen: bool,
+    /// Whether all that is known of it is what a predecessor recorded when it missed the target.
+    pub presumed: bool,
     /// How far it is, in percent; for a serving task 100 while it is at work.
     pub percent: u8,
     /// Response times' tail in milliseconds or processors in use, as the target says.
--- a/crates/decide/tests/work_schedule.rs
+++ b/crates/decide/tests/work_schedule.rs
@@ -53,6 +53,8 @@
 #[case::ends_of_older_life(149, WorldFaults { lists: true, ..WorldFaults::default() })]
 #[case::older_life_listed_first(251, WorldFaults { lists: true, ..WorldFaults::default() })]
 #[case::limit_beside_cancelled(926, WorldFaults { owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::CANCELS })]
+#[case::later_run_than_missed(128, WorldFaults { short_log: true, ..WorldFaults::LOG })]
+#[case::later_run_than_missed_and_heard(148, WorldFaults { owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::CANCELS })]
 #[case::limit_beside_cancelled_before(471, WorldFaults { owner_kill: 0.15, owner_cut: 0.15, short_log: true, ..WorldFaults::LOG })]
 fn promises_hold_again(#[case] seed: u64, #[case] faults: WorldFaults) {
     run(seed..seed + 1, faults);
