Leave a target open whose start this process did not send

What callers saw: a target paused, and counted as not heard, since a start to it had waited until the owner was not sure of its lease any more; with the record of missed targets it would have been closed until the store takes entries again.

Change: such a start is withdrawn: its task waits again and nothing is said of the target. A stop that is not sent is sent again by the desk if it is still wanted.

withdrawn_start_leaves_target_open does not compile before, as there was no such way.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -49,15 +49,17 @@
         );
         return;
     }
-    let answer = match permit {
-        // It may have waited for its turn for longer than the lease goes.
-        Some(_permit) if term.may_start() && term.knows_cancellations() => {
-            let now = term.now();
-            term.desk.borrow_mut().renew_start(&id, &mut order, now);
-            term.ports.targets.start(&address, order).await
-        }
-        _ => StartAnswer::NotSent(TOO_LATE.to_owned()),
+    // It may have waited for its turn for longer than the lease goes.
+    let permit = permit.filter(|_| term.may_start() && term.knows_cancellations());
+    let Some(_permit) = permit else {
+        note_failure(&term, "start", &id, TOO_LATE);
+        term.desk.borrow_mut().start_withdrawn(&id, &task, attempt);
+        term.wake.notify_one();
+        return;
     };
+    let now = term.now();
+    term.desk.borrow_mut().renew_start(&id, &mut order, now);
+    let answer = term.ports.targets.start(&address, order).await;
     lane.hurry.notify_one();
     metric::time(metric::ORDER_SECONDS, begun.elapsed());
     let done = matches!(answer, StartAnswer::Started { .. });
@@ -83,10 +85,12 @@
         return;
     }
     let sent = now.boot;
-    let answer = match permit {
-        Some(_permit) if term.may_order() => term.ports.targets.stop(&address, order).await,
-        _ => OrderAnswer::NotSent(TOO_LATE.to_owned()),
+    let Some(_permit) = permit.filter(|_| term.may_order()) else {
+        // The desk sends it again if it is still wanted.
+        note_failure(&term, "stop", &id, TOO_LATE);
+        return;
     };
+    let answer = term.ports.targets.stop(&address, order).await;
     lane.hurry.notify_one();
     let done = answer == OrderAnswer::Done;
     settle(&term, "stop", &id, done, &(&task, &answer));
--- a/crates/decide/src/work/desk_answer.rs
+++ b/crates/decide/src/work/desk_answer.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Takes back a start that this process did not send. That says nothing of its target.
+    pub fn start_withdrawn(&mut self, id: &HostId, task: &TaskKey, attempt: AttemptNumber) {
+        let run: RunKey = (task.clone(), attempt);
+        if self.awaits_start(id, &run) {
+            self.note(refused(&run, id, "withdrawn"));
+            self.release(id, &run);
+        }
+    }
+
     /// Remembers an unanswered start that was stopped before: a later life of its target, which
     /// knows nothing of the stop, may carry it out.
     fn doubt_stopped(&mut self, id: &HostId, run: RunKey, answer: &StartAnswer, now: DeskTime) {
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -397,6 +397,19 @@
     assert_eq!(scene.desk.pending(desk::QUEUE, scene.now), 0);
 }
 
+/// Guards against closing a target for a start that this process did not send, as it was not sure of
+/// its lease.
+#[test]
+fn withdrawn_start_leaves_target_open() {
+    let mut scene = DeskScene::submitted(2000, vec![step(1, 1000)]);
+    let (id, start) = scene.starts.remove(0);
+    scene.desk.start_withdrawn(&id, &start.task, start.attempt);
+    scene.run();
+    assert_eq!(scene.start_all().len(), 1);
+    let target = &scene.desk.targets[&id];
+    assert!(target.takes_tasks(scene.now.boot) && !target.missed);
+}
+
 /// Guards against a start that waited for its turn behind a narrow link and is refused as too late,
 /// since the time that was granted with its decision is over.
 #[test]
