Tell in the log that a silence of many targets is waited for

What operators saw: tasks of silent targets did not go on elsewhere and no line said why (on the reviewer's list). The desk tells it once for each such wait; silence_of_most_is_told_once.

--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -51,5 +51,6 @@
     DECISIONS_DROPPED = 1075, "decisions-dropped", "Decisions came in too quick succession to be kept for the log; carries how many.";
     STOP_DROPPED = 1076, "stop-dropped", "A stop was not sent: its run has ended, or is to go on since others of its step are away, or its target is looked at first.";
     TARGET_MISSED = 1077, "target-missed", "A target was not heard; carries how many runs may be there, which are recorded. Nothing is started there until it is heard again.";
+    SILENCE_AWAITED = 1078, "silence-awaited", "So many targets are not heard at once that the link may be the cause: none of them is given up for now. Carries how many are listed.";
     LINES_DROPPED = 1080, "lines-dropped", "Log lines were dropped to keep the volume bounded; carries how many.";
 }
--- a/crates/cell/src/record_note.rs
+++ b/crates/cell/src/record_note.rs
@@ -67,6 +67,9 @@
             &event::TARGET_MISSED,
             format_args!("target={target} runs={runs}"),
         ),
+        DeskEvent::SilenceAwaited(listed) => {
+            log_event::warn(&event::SILENCE_AWAITED, format_args!("listed={listed}"));
+        }
         DeskEvent::TargetSilent(target) => {
             log_event::warn(&event::TARGET_SILENT, format_args!("target={target}"));
         }
--- a/crates/decide/src/work/desk_order.rs
+++ b/crates/decide/src/work/desk_order.rs
@@ -91,4 +91,6 @@
     TargetMissed(HostId, usize),
     /// A target stopped answering.
     TargetSilent(HostId),
+    /// Of so many listed targets so many are not heard at once that none is given up for now.
+    SilenceAwaited(usize),
 }
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -163,6 +163,9 @@
             self.missing_since = None;
             return false;
         }
+        if self.missing_since.is_none() {
+            self.note(DeskEvent::SilenceAwaited(self.index.targets.listed));
+        }
         let since = *self.missing_since.get_or_insert(now.boot);
         now.boot.saturating_sub(since) < LONGEST_SILENCE
     }
--- a/crates/decide/tests/work_unheard.rs
+++ b/crates/decide/tests/work_unheard.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use decide::work::DeskEvent;
 use desk::{DeskScene, ended, plan, step};
 use model::work::{EndKind, LookAnswer, StartOrder};
 
@@ -60,6 +61,17 @@
     assert!(scene.starts.is_empty(), "it has ended");
 }
 
+/// Guards against a wait for many silent targets that no line of the log tells of.
+#[test]
+fn silence_of_most_is_told_once() {
+    let (mut scene, _) = busy_fleet();
+    scene.desk.take_events();
+    pass(&mut scene, LONG, TARGETS / 2);
+    let told = |event: &DeskEvent| matches!(event, DeskEvent::SilenceAwaited(TARGETS));
+    let events = scene.desk.take_events();
+    assert_eq!(events.iter().filter(|event| told(event)).count(), 1);
+}
+
 /// Guards against work that stands still for as long as a cut parts its owner from half of the fleet.
 #[test]
 fn silence_of_most_has_an_end() {
