Record no misses while the owner's own link may be full

Cause, by reading: behind a link that is full calls fail to many targets. Each was recorded, closed and recorded as used again, which fills the link and takes room away.

Change: nothing is recorded while a tenth of the listed targets, and eight at least, are not heard or did not answer within 2 s, the bound that a silence is judged by beside a late store. missed_targets_are_recorded fails without that for a full link and holds for a rack.

--- a/crates/decide/src/work/desk_miss.rs
+++ b/crates/decide/src/work/desk_miss.rs
@@ -15,9 +15,10 @@
 impl WorkDesk {
     /// Records what may run on a target that was not heard, and starts nothing there until it is
     /// heard and recorded as used again.
-    pub(super) fn record_miss(&mut self, id: &HostId) {
-        // Without the store the target would stay closed for as long as that is away.
-        if self.alone {
+    pub(super) fn record_miss(&mut self, id: &HostId, now: DeskTime) {
+        // Without the store the target would stay closed for as long as that is away, and on a full
+        // link each record makes it fuller.
+        if self.alone || self.doubts_link(now) {
             return;
         }
         let Some(target) = self.targets.get(id) else {
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -314,7 +314,7 @@
             target.silent = true;
             self.note(DeskEvent::TargetSilent(id.clone()));
         }
-        self.record_miss(id);
+        self.record_miss(id, now);
     }
 
     fn serves_and_fills(&self, id: &HostId) -> bool {
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -14,7 +14,7 @@
 const STALL_PARTS: u32 = 5;
 /// While one in so many listed targets, or more, is not heard, the owner's own link may be the cause.
 const UNHEARD_SHARE: usize = 4;
-/// The same while the store is heard late too.
+/// The same while the store is heard late too, or where the answer to a doubt costs bytes of the link.
 const UNHEARD_SHARE_ALONE: usize = 10;
 /// How long a call that failed speaks against the link.
 const FAILED_RECENTLY: Duration = Duration::from_secs(2);
@@ -179,12 +179,23 @@
             true => UNHEARD_SHARE_ALONE,
             false => UNHEARD_SHARE,
         };
+        self.unheard_exceeds(share, now)
+    }
+
+    /// True if one in so many listed targets, or more, is not heard, or did not answer lately.
+    fn unheard_exceeds(&self, share: usize, now: DeskTime) -> bool {
         let targets = &self.index.targets;
         let recently = now.boot.saturating_sub(FAILED_RECENTLY) + Duration::from_nanos(1);
         let unheard = targets.unheard + targets.failed_since(recently);
         unheard >= UNHEARD_LEAST && unheard * share >= targets.listed
     }
 
+    /// True if calls fail to so many targets that this owner's link may be full.
+    pub(super) fn doubts_link(&mut self, now: DeskTime) -> bool {
+        self.sync_targets(now.boot);
+        self.unheard_exceeds(UNHEARD_SHARE_ALONE, now)
+    }
+
     /// Stops the members of a gang of which some are missing: they would only wait for the
     /// others until their target ends them, and the gang starts whole.
     fn end_broken_gangs(&mut self, now: DeskTime) {
--- a/crates/decide/tests/work_unheard.rs
+++ b/crates/decide/tests/work_unheard.rs
@@ -7,6 +7,7 @@
 use decide::work::DeskEvent;
 use desk::{DeskScene, ended, plan, step};
 use model::work::{EndKind, LookAnswer, StartOrder};
+use rstest::rstest;
 
 const TARGETS: usize = 40;
 const ROUND: Duration = Duration::from_millis(500);
@@ -61,6 +62,23 @@
     assert!(scene.starts.is_empty(), "it has ended");
 }
 
+/// Guards against filling a link that is full already with records of targets that are missed.
+#[rstest]
+#[case::rack(4, true)]
+#[case::full_link(TARGETS / 4, false)]
+fn missed_targets_are_recorded(#[case] unheard: usize, #[case] recorded: bool) {
+    let (mut scene, _) = busy_fleet();
+    scene.desk.take_events();
+    for _ in 0..3 {
+        pass(&mut scene, ROUND, unheard);
+    }
+    let missed = |event: &DeskEvent| matches!(event, DeskEvent::TargetMissed(..));
+    let events = scene.desk.take_events();
+    let count = events.iter().filter(|event| missed(event)).count();
+    assert_eq!(count == unheard, recorded);
+    assert!(count < 8);
+}
+
 /// Guards against a wait for many silent targets that no line of the log tells of.
 #[test]
 fn silence_of_most_is_told_once() {
