Take a run out of the index in one place, and drop a check that nothing asks any more

Found on reading the whole change. Both ways on which a life ends took its runs out of the index by a loop of their own before release_runs went through the same runs; an end took its run out by the same line. forget_run does both now: index and usage, for unclaim and release_runs. HostRoom::within_limit has had no caller since limits are asked by what is left of them.

--- a/crates/decide/src/work/desk_claim.rs
+++ b/crates/decide/src/work/desk_claim.rs
@@ -31,8 +31,7 @@
         else {
             return;
         };
-        self.index.runs.remove(&(run.0.clone(), run.1, id.clone()));
-        self.release_usage(&claim);
+        self.forget_run(id, run, &claim);
     }
 
     /// Runs of a job, or of one of its tasks, each with the target that it may be on.
@@ -54,7 +53,9 @@
             .collect()
     }
 
-    pub(super) fn release_usage(&mut self, claim: &RunClaim) {
+    /// Takes a run out of the books that count runs beyond its target.
+    pub(super) fn forget_run(&mut self, id: &HostId, run: &RunKey, claim: &RunClaim) {
+        self.index.runs.remove(&(run.0.clone(), run.1, id.clone()));
         if let Some(usage) = self.usage.get_mut(&claim.workspace) {
             *usage = usage.minus(claim.need);
         }
--- a/crates/decide/src/work/desk_life.rs
+++ b/crates/decide/src/work/desk_life.rs
@@ -27,7 +27,6 @@
         let doubts = target.take_doubts(&tuning, now.boot);
         let renewed = born > target.life.born;
         let held = target.reborn(born, now.boot);
-        self.forget_runs(id, &held);
         self.release_runs(id, held, renewed, cause, now);
         for run in doubts {
             // The start may still reach the new life: it is closed there by a stop.
@@ -48,7 +47,6 @@
         // What was granted ended with it.
         target.granted = BootTime::ZERO;
         target.listed = false;
-        self.forget_runs(id, &held);
         self.release_runs(id, held, false, cause, now);
     }
 
@@ -96,12 +94,6 @@
         targets.any(|target| !target.is_known() && !target.listed)
     }
 
-    fn forget_runs(&mut self, id: &HostId, held: &[(RunKey, RunClaim)]) {
-        for (run, _) in held {
-            self.index.runs.remove(&(run.0.clone(), run.1, id.clone()));
-        }
-    }
-
     /// Gives up the runs of a life that is over, but for those that the next may have: `renewed`
     /// tells that there is one under the same id.
     fn release_runs(
@@ -115,7 +107,7 @@
         self.note(DeskEvent::TargetLost(id.clone(), cause, held.len()));
         let listed = self.targets.get(id).is_some_and(|target| target.listed);
         for (run, claim) in held {
-            self.release_usage(&claim);
+            self.forget_run(id, &run, &claim);
             match self.fate_of(id, &run) {
                 RunFate::Doubtful if renewed || listed => {
                     // The start may still reach the new life: it is closed there by a stop.
--- a/crates/model/src/work/host_room.rs
+++ b/crates/model/src/work/host_room.rs
@@ -78,12 +78,4 @@
     pub fn fits(self, room: Self) -> bool {
         self.cpu <= room.cpu && self.memory_mb <= room.memory_mb && self.gpu <= room.gpu
     }
-
-    /// True if it stays below a limit of which zero parts mean none.
-    pub fn within_limit(self, limit: Self) -> bool {
-        let below = |used: u64, limit: u64| limit == 0 || used <= limit;
-        below(self.cpu, limit.cpu)
-            && below(self.memory_mb, limit.memory_mb)
-            && below(self.gpu, limit.gpu)
-    }
 }
