Hold hosts of the quota schedules to each change by its own time

What callers would have seen: a team with six runs where five are allowed, for a moment, crowding out others. quota_schedule found it.

The limit falls from 11 to 5 at 108.38 s and to 1 at 108.67 s. On waking the host got its lease back at once and went by the limit of 11: the model let a host follow changes once the newest was older than the lag that the lease allows, so a change of 30 ms put off one of 320 ms. The product refuses that: no peer's word renews a lease while the peer knows a newer configuration. check_missed_change_waits_for_newest shows it step by step, with a second change just behind the missed one; it passes on the code as it was, so the product is not changed.

Ruled out: grants that are reclaimed too early (no host left the list before), writes that land late (the record stands at version 13 all the while), a lowered limit that is ignored (the host did not have it).

Change: the model asks for each change by its own time, as the promise is counted in allowed_limit. It is stricter on hosts in the way the lease is, and no other rule of the model moved.

--- a/crates/decide/tests/lease_machine.rs
+++ b/crates/decide/tests/lease_machine.rs
@@ -160,6 +160,20 @@
     assert_eq!(lease.check(at(9001)), Err(LeaseRefusal::Lapsed));
 }
 
+/// Guards against a host that wakes with its lease lapsed and goes by a change which it missed, since
+/// the next one came just now.
+#[test]
+fn check_missed_change_waits_for_newest() {
+    let mut lease = machine(LeaseMutation::None);
+    answered(&mut lease, 0, 10, &beat(1, 7, 5));
+    answered(&mut lease, 9000, 9010, &beat(2, 7, 7));
+    assert_eq!(lease.check(at(9020)), Err(LeaseRefusal::Behind));
+    lease.set_config(6, 6);
+    assert_eq!(lease.check(at(9030)), Err(LeaseRefusal::Behind));
+    lease.set_config(7, 7);
+    assert_eq!(lease.check(at(9040)), Ok(()));
+}
+
 #[test]
 fn check_store_read_renews() {
     let mut lease = machine(LeaseMutation::None);
--- a/crates/decide/tests/quota_schedule.rs
+++ b/crates/decide/tests/quota_schedule.rs
@@ -238,8 +238,12 @@
             host.machine.set_members(&self.list, self.now);
         }
         let revision = self.limits.len() as u64;
-        let (since, limit) = self.limits[self.limits.len() - 1];
-        let is_due = self.now >= since + CONFIG_LAG || self.rng.random_bool(0.2);
+        let (_, limit) = self.limits[self.limits.len() - 1];
+        // The lease asks for each change by its own time: a later one does not put off the first
+        // that the host lacks.
+        let lacked = self.limits.get(host.config as usize);
+        let is_overdue = lacked.is_some_and(|(since, _)| self.now >= *since + CONFIG_LAG);
+        let is_due = is_overdue || self.rng.random_bool(0.2);
         if host.config < revision && is_due {
             host.config = revision;
             let limits = BTreeMap::from([(TeamId::from(TEAM), limit)]);
