Read the job log before standing, keep it between terms, and have standbys follow it

No job was recorded, no task placed, no end noted, and submissions were answered 504.

Cause: ten terms in a row read a log of 398,836 bytes from its beginning, under their lease. On a link of 2 Mbit/s that took 2.5 to 4.1 s. Seven were told to let another try after 3 s, two ended since renewals waited behind the log and the lease lapsed, each within 0.2 s of having read it. Only an owner makes the log shorter, so every successor met the same.

Evidence: term-won, term-read and term-ended of all processes.

Ruled out: a longer limit alone.

Change: pages never change, so each process keeps those that it has read or written (LogCopy) and reads on from the last one. Four processes, chosen by strength and rendezvous hashing, read on once a second while another owns the cell. A candidate reads before it stands, without a lease; one that can't read stands after a second without progress, and gives up as before. Pages carry the numbers of the oldest page in the store and of the first in force, so that a copy knows what was replaced.

Why it works: what is read is never read again, reading holds no lease, and a process that has read the log stands before one that has not. However long the log or narrow the link, each attempt leaves less.

--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -112,6 +112,7 @@
                 ports: self.ports.clone(),
                 view: self.view.clone(),
                 members: self.members.clone(),
+                copy: Rc::default(),
             },
             owners: self.owners.clone(),
             slot: self.slot.clone(),
--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -5,10 +5,11 @@
 use ports::{LeaseId, StoreChange, StoreFault, StoreOutcome};
 use rand::Rng;
 use store::{BootClock, Clock};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::{
     event,
+    log_reader::catch_up,
     owner_view::{OwnerView, entry_write, owner_of},
     peer_port::TermSlot,
     stand_pledge::StandPledge,
@@ -31,8 +32,19 @@
 const READ_LIMIT: Duration = Duration::from_millis(200);
 /// For how long a process that gave the cell up stands after all others.
 const ASIDE: Duration = Duration::from_secs(10);
-/// How often a candidate looks for itself whether there is an owner, beside what it hears.
-const RECHECK: Duration = Duration::from_secs(2);
+/// How often a candidate looks for itself whether there is an owner, beside what it hears, and how
+/// often a standby reads what was written of the job log.
+const FOLLOW_EVERY: Duration = Duration::from_secs(1);
+/// How many processes follow the job log, one of which owns the cell in most cases. Each costs the
+/// store a call and the bytes of the log's growth in each period.
+const STANDBYS: usize = 4;
+/// How much longer each further group of as many processes waits before it reads the log in order
+/// to stand. All reading it at once would slow down those that are nearly done.
+const GROUP_WAIT: Duration = Duration::from_millis(300);
+/// Longest such wait.
+const MOST_GROUP_WAIT: Duration = Duration::from_millis(1500);
+/// How long a candidate that can't read on in the log lets others stand first.
+const UNREAD_WAIT: Duration = Duration::from_secs(1);
 
 /// Everything that an election needs.
 pub(crate) struct Candidate {
@@ -53,13 +65,20 @@
     pub(crate) async fn stand(self) {
         while !self.stopping.begun() {
             if !self.owners.is_vacant() {
-                // Whether it was told or time passed, the view says how it is.
-                let _ = timeout(RECHECK, self.owners.changed.notified()).await;
+                tokio::select! {
+                    biased;
+                    () = self.owners.changed.notified() => {}
+                    () = self.follow() => {}
+                }
                 continue;
             }
             self.parts.members.wait_read(READ_LIMIT).await;
             sleep(SPREAD.mul_f64(rand::rng().random::<f64>()) + self.courtesy()).await;
-            if !self.owners.is_vacant() || self.stopping.begun() {
+            if !self.may_stand() {
+                continue;
+            }
+            self.catch_up().await;
+            if !self.may_stand() {
                 continue;
             }
             if let Some(left) = self.pledge.left(BootClock.boot_now()) {
@@ -80,6 +99,50 @@
         }
     }
 
+    fn may_stand(&self) -> bool {
+        self.owners.is_vacant() && !self.stopping.begun()
+    }
+
+    /// Reads, after a while, what was written of the job log if this process is a standby.
+    async fn follow(&self) {
+        sleep(FOLLOW_EVERY).await;
+        if self.parts.members.rank() >= STANDBYS {
+            return;
+        }
+        if let Err(error) = self.read_on().await {
+            // The watches tell of a store that is away.
+            log::debug!("follow the log: {error}");
+        }
+    }
+
+    /// Reads the job log before standing: its lease would lapse while an owner reads a long one
+    /// behind a narrow link, and nobody else may serve meanwhile.
+    async fn catch_up(&self) {
+        let copy = &self.parts.copy;
+        let (mut last, mut since) = (copy.last(), BootClock.boot_now());
+        while let Err(error) = self.read_on().await {
+            log::debug!("catch up with the log: {error}");
+            let now = BootClock.boot_now();
+            if copy.last() != last {
+                (last, since) = (copy.last(), now);
+            }
+            if now.saturating_sub(since) >= UNREAD_WAIT || !self.may_stand() {
+                return;
+            }
+            sleep(FAULT_PAUSE).await;
+        }
+    }
+
+    async fn read_on(&self) -> Result<(), StoreFault> {
+        let TermParts {
+            options,
+            ports,
+            copy,
+            ..
+        } = &self.parts;
+        catch_up(&*ports.store, options, copy).await
+    }
+
     /// How long this process lets others stand first.
     ///
     /// An owner on a weak host falls behind on a large fleet: it starts work late, answers callers
@@ -90,7 +153,10 @@
         let best = strongest.map_or(own, |other| other.strength);
         let weakness = f64::from(best - own) / f64::from(best.max(1));
         let aside = BootClock.boot_now() < self.aside_until.get();
-        WEAK_WAIT.mul_f64(weakness) + if aside { WEAK_WAIT } else { Duration::ZERO }
+        let group = u32::try_from(self.parts.members.rank() / STANDBYS).unwrap_or(u32::MAX);
+        let group_wait = GROUP_WAIT.saturating_mul(group).min(MOST_GROUP_WAIT);
+        let aside_wait = if aside { WEAK_WAIT } else { Duration::ZERO };
+        WEAK_WAIT.mul_f64(weakness) + group_wait + aside_wait
     }
 
     async fn lead(&self, won: WonTerm) {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 mod host_strength;
 mod kept_cancellation;
 mod log_compact;
+mod log_copy;
 mod log_page;
 mod log_pages;
 mod log_queue;
--- a/crates/cell/src/log_compact.rs
+++ b/crates/cell/src/log_compact.rs
@@ -42,10 +42,11 @@
     note_job_bytes(term, part, bytes);
     let start = pages.next();
     for value in values {
-        let length = value.len();
-        let change = pages.change(&term.options, term.token, value);
+        let value = pages.stamped(value);
+        let change = pages.change(&term.options, term.token, value.clone());
         settle_change(term, change).await?;
-        pages.wrote(length);
+        term.copy.take(pages.next(), value.clone());
+        pages.wrote(value.len());
     }
     pages.compacted(start, bytes);
     log_event::info(
--- /dev/null
+++ b/crates/cell/src/log_copy.rs
@@ -0,0 +1,93 @@
+use std::{cell::RefCell, collections::BTreeMap};
+
+use prost::Message;
+use wire::work::LogPage;
+
+/// Number of a page of the job log.
+pub(crate) type PageNumber = u64;
+
+/// Pages of the job log that this process has read or written.
+///
+/// A page never changes, so a successor that holds the pages reads only what was written since.
+/// Reading a long log takes longer than callers and targets wait, the more so behind a narrow link.
+#[derive(Debug, Default)]
+pub(crate) struct LogCopy {
+    state: RefCell<CopyState>,
+}
+
+#[derive(Debug, Default)]
+struct CopyState {
+    pages: BTreeMap<PageNumber, Vec<u8>>,
+    /// Number of the oldest page in the store, where a page has told it.
+    oldest: Option<PageNumber>,
+}
+
+/// What of a log is in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct LogSummary {
+    /// Number of the oldest page.
+    pub(crate) oldest: PageNumber,
+    /// Number of the first page in force.
+    pub(crate) start: PageNumber,
+    /// Number that the next page gets.
+    pub(crate) next: PageNumber,
+    /// Bytes of the pages in force.
+    pub(crate) bytes: usize,
+}
+
+impl LogSummary {
+    /// How many pages are in force.
+    pub(crate) fn pages(&self) -> u64 {
+        self.next - self.start
+    }
+}
+
+impl LogCopy {
+    /// Number of the last page that is held.
+    pub(crate) fn last(&self) -> Option<PageNumber> {
+        let state = self.state.borrow();
+        state.pages.last_key_value().map(|(&number, _)| number)
+    }
+
+    /// Takes a page in, as it was written or read after the last one.
+    ///
+    /// Pages are written without a gap. Where one is missing it has been replaced, and so have all
+    /// before it.
+    pub(crate) fn take(&self, number: PageNumber, value: Vec<u8>) {
+        let expected = self.last().map(|last| last + 1);
+        let mut state = self.state.borrow_mut();
+        if expected.is_some_and(|expected| expected != number) {
+            *state = CopyState::default();
+        }
+        // Entries that can't be read are told of when the log is replayed.
+        let stamp = LogPage::decode(value.as_slice()).unwrap_or_default();
+        state.pages.insert(number, value);
+        if stamp.start > 0 {
+            state.pages = state.pages.split_off(&stamp.start);
+            state.oldest = Some(stamp.oldest);
+        }
+    }
+
+    /// What the pages tell of the log.
+    pub(crate) fn summary(&self) -> LogSummary {
+        let state = self.state.borrow();
+        let Some((&start, _)) = state.pages.first_key_value() else {
+            return LogSummary::default();
+        };
+        LogSummary {
+            oldest: state.oldest.unwrap_or(start),
+            start,
+            next: self.last().map_or(0, |last| last + 1),
+            bytes: state.pages.values().map(Vec::len).sum(),
+        }
+    }
+
+    /// Calls `visit` with each page in force, in order.
+    pub(crate) fn for_each(&self, mut visit: impl FnMut(PageNumber, &[u8])) {
+        let state = self.state.borrow();
+        state
+            .pages
+            .iter()
+            .for_each(|(&page, value)| visit(page, value));
+    }
+}
--- a/crates/cell/src/log_pages.rs
+++ b/crates/cell/src/log_pages.rs
@@ -3,8 +3,13 @@
 use compact_str::CompactString;
 use model::work::FencingToken;
 use ports::{StoreChange, StoreWrite};
+use prost::Message;
+use wire::work::LogPage;
 
-use crate::cell_options::CellOptions;
+use crate::{
+    cell_options::CellOptions,
+    log_copy::{LogSummary, PageNumber},
+};
 
 /// Pages after which the log is replaced by a shorter one, however small they are.
 const COMPACT_PAGES: u64 = 480;
@@ -18,50 +23,52 @@
 /// which are the owner's entry, the page as a condition, and the page.
 const REMOVED_AT_ONCE: usize = 28;
 
-/// What was read of a job log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LogSummary {
-    /// Number of the first page.
-    pub(crate) first_page: u64,
-    /// Number that the next page gets.
-    pub(crate) next_page: u64,
-    /// Number of pages.
-    pub(crate) pages: usize,
-    /// Their bytes.
-    pub(crate) bytes: usize,
-}
-
 /// Where the log stands: which pages are in force, which can go, and how large it has become.
 #[derive(Debug, Default)]
 pub(crate) struct LogPages {
     /// Number of the first page in force.
-    first: u64,
+    first: PageNumber,
     /// Number that the next page gets.
-    next: u64,
+    next: PageNumber,
     /// Bytes that the log had when it was last made shorter.
     base_bytes: usize,
     /// Bytes written since.
     new_bytes: usize,
     /// Pages that a shorter log has replaced, oldest first.
-    replaced: VecDeque<u64>,
+    replaced: VecDeque<PageNumber>,
 }
 
 impl LogPages {
     /// The log as a new owner found it.
     pub(crate) fn found(summary: LogSummary) -> Self {
         Self {
-            first: summary.first_page,
-            next: summary.next_page,
+            first: summary.start,
+            next: summary.next,
             new_bytes: summary.bytes,
+            replaced: (summary.oldest..summary.start).collect(),
             ..Self::default()
         }
     }
 
     /// Number that the next page gets.
-    pub(crate) fn next(&self) -> u64 {
+    pub(crate) fn next(&self) -> PageNumber {
         self.next
     }
 
+    /// The next page with what it tells of the log, so that whoever reads it need not ask the store
+    /// which pages are left.
+    pub(crate) fn stamped(&self, mut page: Vec<u8>) -> Vec<u8> {
+        let oldest = self.replaced.get(REMOVED_AT_ONCE);
+        let stamp = LogPage {
+            oldest: oldest.copied().unwrap_or(self.first),
+            start: self.first,
+            ..LogPage::default()
+        };
+        // Messages that follow each other are read as one with the fields of both.
+        page.extend(stamp.encode_to_vec());
+        page
+    }
+
     /// The change that writes the next page and removes replaced ones: only while the writer's
     /// entry as owner stands, so that what an earlier owner sent can't land after its successor
     /// has read the log.
@@ -75,7 +82,8 @@
         value: Vec<u8>,
     ) -> StoreChange {
         let key = page_key(options, self.next);
-        let oldest = self.replaced.iter().take(REMOVED_AT_ONCE);
+        let removes = self.replaced.iter().take(REMOVED_AT_ONCE);
+        let removes = removes.map(|&page| page_key(options, page)).collect();
         StoreChange {
             expect: vec![(options.owner_key(), token), (key.clone(), 0)],
             writes: vec![StoreWrite {
@@ -83,7 +91,7 @@
                 value,
                 lease: None,
             }],
-            removes: oldest.map(|&page| page_key(options, page)).collect(),
+            removes,
         }
     }
 
@@ -117,7 +125,7 @@
     }
 
     /// Takes in that the pages from `start` on say all that the log has to say.
-    pub(crate) fn compacted(&mut self, start: u64, bytes: usize) {
+    pub(crate) fn compacted(&mut self, start: PageNumber, bytes: usize) {
         self.replaced.extend(self.first..start);
         self.first = start;
         self.base_bytes = bytes;
@@ -126,6 +134,6 @@
 }
 
 /// Key of a page; keys sort as their numbers.
-fn page_key(options: &CellOptions, page: u64) -> CompactString {
+pub(crate) fn page_key(options: &CellOptions, page: PageNumber) -> CompactString {
     compact_str::format_compact!("{}{page:012}", options.log_prefix())
 }
--- a/crates/cell/src/log_reader.rs
+++ b/crates/cell/src/log_reader.rs
@@ -1,13 +1,17 @@
 use std::time::Duration;
 
+use compact_str::CompactString;
 use decide::work::{DeskTime, WorkDesk};
 use model::event as log_event;
 use ports::{LeaseStore, StoreFault, StoreItem};
 use tokio::time::sleep;
 
 use crate::{
-    cell_options::CellOptions, event, log_page::page_entries, log_pages::LogSummary,
-    prefix_watch::PrefixReader,
+    cell_options::CellOptions,
+    event,
+    log_copy::{LogCopy, LogSummary, PageNumber},
+    log_page::page_entries,
+    log_pages::page_key,
 };
 
 /// Pause after a failed call.
@@ -20,50 +24,62 @@
 pub(crate) async fn read_log(
     store: &dyn LeaseStore,
     options: &CellOptions,
+    copy: &LogCopy,
     desk: &mut WorkDesk,
     now: impl Fn() -> DeskTime,
 ) -> LogSummary {
+    while let Err(error) = catch_up(store, options, copy).await {
+        note_fault(&error);
+        sleep(FAULT_PAUSE).await;
+    }
+    copy.for_each(|page, value| match page_entries(value) {
+        Ok(entries) => entries.iter().for_each(|entry| desk.replay(entry, now())),
+        Err(error) => log_event::error(
+            &event::ENTRY_UNREADABLE,
+            format_args!("key={} cause=\"{error}\"", page_key(options, page)),
+        ),
+    });
+    desk.begin(now());
+    copy.summary()
+}
+
+/// Reads what was written of the job log since the last page that the copy holds. What comes before
+/// a call fails is kept.
+pub(crate) async fn catch_up(
+    store: &dyn LeaseStore,
+    options: &CellOptions,
+    copy: &LogCopy,
+) -> Result<(), StoreFault> {
     let prefix = options.log_prefix();
-    let mut reader = PrefixReader::new(&prefix);
-    while !reader.is_done() {
-        if let Err(error) = reader.read_page(store).await {
-            note_fault(&error);
-            sleep(FAULT_PAUSE).await;
+    let last = copy.last();
+    let mut after = last.map_or_else(CompactString::default, |page| page_key(options, page));
+    loop {
+        let page = store.list(&prefix, &after).await?;
+        // A page without keys would be asked for again for ever.
+        let done = !page.more || page.items.is_empty();
+        if let Some(item) = page.items.last() {
+            after = item.key.clone();
         }
-    }
-    let items = reader.items;
-    let mut summary = LogSummary {
-        first_page: items.first().map_or(0, |item| page_number(item, &prefix)),
-        next_page: 0,
-        pages: items.len(),
-        bytes: items.iter().map(|item| item.value.len()).sum(),
-    };
-    for item in &items {
-        summary.next_page = page_number(item, &prefix) + 1;
-        match page_entries(&item.value) {
-            Ok(entries) => entries.iter().for_each(|entry| desk.replay(entry, now())),
-            Err(error) => log_event::error(
-                &event::ENTRY_UNREADABLE,
-                format_args!("key={} cause=\"{error}\"", item.key),
-            ),
+        for item in page.items {
+            if let Some(number) = page_number(&item, &prefix) {
+                copy.take(number, item.value);
+            }
+        }
+        if done {
+            return Ok(());
         }
     }
-    desk.begin(now());
-    summary
 }
 
-fn page_number(item: &StoreItem, prefix: &str) -> u64 {
-    let number = item
-        .key
-        .strip_prefix(prefix)
-        .and_then(|page| page.parse().ok());
-    number.unwrap_or_else(|| {
+fn page_number(item: &StoreItem, prefix: &str) -> Option<PageNumber> {
+    let number = item.key.strip_prefix(prefix)?.parse().ok();
+    if number.is_none() {
         log_event::warn(
             &event::ENTRY_UNREADABLE,
             format_args!("key={} cause=\"no page number\"", item.key),
         );
-        0
-    })
+    }
+    number
 }
 
 fn note_fault(error: &StoreFault) {
--- a/crates/cell/src/log_writer.rs
+++ b/crates/cell/src/log_writer.rs
@@ -9,8 +9,9 @@
 use crate::{
     event,
     log_compact::{compact, job_part, note_job_bytes},
+    log_copy::LogSummary,
     log_page::{largest_page, page_bytes},
-    log_pages::{LogPages, LogSummary},
+    log_pages::LogPages,
     log_queue::{PendingRecord, RecordOutcome},
     metric,
     term::Term,
@@ -71,14 +72,14 @@
             return Some(());
         }
         let started = Instant::now();
-        let value = page_bytes(entries_of(&taken));
-        let length = value.len();
-        let change = pages.change(&term.options, term.token, value);
+        let value = pages.stamped(page_bytes(entries_of(&taken)));
+        let change = pages.change(&term.options, term.token, value.clone());
         let outcome = term.ports.store.change(change).await;
         metric::time(metric::RECORD_SECONDS, started.elapsed());
         match outcome {
             Ok(StoreOutcome::Done(_)) => {
-                pages.wrote(length);
+                pages.wrote(value.len());
+                term.copy.take(page, value);
                 settle(term, page, taken);
                 return Some(());
             }
@@ -87,7 +88,8 @@
                 // answer was lost.
                 let ours = term.stands_in(&items);
                 if ours && unsure {
-                    pages.wrote(length);
+                    pages.wrote(value.len());
+                    term.copy.take(page, value);
                     settle(term, page, taken);
                     return Some(());
                 }
--- a/crates/cell/src/member_book.rs
+++ b/crates/cell/src/member_book.rs
@@ -6,6 +6,7 @@
 };
 
 use compact_str::CompactString;
+use decide::rendezvous;
 use link::CallClient;
 use model::HostStrength;
 use ports::{
@@ -40,6 +41,8 @@
 /// Longest wait for an answer; a neighbouring data centre answers in some milliseconds, and one
 /// that looks at the store first gives that up a little earlier.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+/// The duty of following the job log, for rendezvous hashing.
+const STANDBY: &str = "standby";
 
 /// Another process of the system.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -123,11 +126,9 @@
 
     async fn enter(&self, store: &dyn LeaseStore) -> Result<Option<LeaseId>, StoreFault> {
         let lease = store.take_lease(ENTRY_LEASE).await?;
-        let prefix = self.options.member_prefix();
-        let key = compact_str::format_compact!("{prefix}{}", self.options.member);
         let change = StoreChange {
             expect: Vec::new(),
-            writes: vec![entry_write(&self.options, key, lease)],
+            writes: vec![entry_write(&self.options, self.entry_key(), lease)],
             removes: Vec::new(),
         };
         match store.change(change).await? {
@@ -143,6 +144,24 @@
         best.filter(|other| other.strength >= least).cloned()
     }
 
+    /// How many of the others come before this process as standbys: strong ones first, and among
+    /// those of the same strength the same ones for everybody.
+    pub(crate) fn rank(&self) -> usize {
+        let own_key = self.entry_key();
+        let own = self.options.limits.strength();
+        let before = |(key, other): &(&CompactString, &Neighbour)| {
+            (other.strength, rendezvous::score(STANDBY, key))
+                > (own, rendezvous::score(STANDBY, &own_key))
+        };
+        let others = self.others.borrow();
+        others.iter().filter(before).count()
+    }
+
+    fn entry_key(&self) -> CompactString {
+        let prefix = self.options.member_prefix();
+        compact_str::format_compact!("{prefix}{}", self.options.member)
+    }
+
     fn other(&self, item: &StoreItem) -> Option<Neighbour> {
         match OwnerRecord::decode(item.value.as_slice()) {
             Ok(record) if record.member == self.options.member.as_str() => None,
--- a/crates/cell/src/step_aside.rs
+++ b/crates/cell/src/step_aside.rs
@@ -7,8 +7,8 @@
 
 /// How often an owner considers whether another should have its place.
 const CONSIDER_EVERY: Duration = Duration::from_millis(500);
-/// How long an owner may read the log before it lets another try. The log is kept so short that
-/// a narrow link carries it in a third of this time.
+/// How long an owner may read the log before it lets another try. It has read nearly all of it
+/// before it stood; a store that answers late takes a third of this time for the rest.
 const READ_LIMIT: Duration = Duration::from_secs(3);
 /// How many times as strong another process has to be to be worth a hand-over, which holds up
 /// callers for some tens of milliseconds.
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -25,6 +25,7 @@
     cell_ports::CellPorts,
     event,
     fleet_view::FleetView,
+    log_copy::LogCopy,
     log_queue::{JobLog, record_order},
     member_book::MemberBook,
     target_lane::TargetLane,
@@ -61,6 +62,8 @@
     pub(crate) ports: CellPorts,
     pub(crate) view: Rc<FleetView>,
     pub(crate) members: Rc<MemberBook>,
+    /// Kept from one term to the next.
+    pub(crate) copy: Rc<LogCopy>,
 }
 
 /// One term: the desk that decides, the log that it writes and the lanes to its targets.
@@ -69,6 +72,7 @@
     pub(crate) ports: CellPorts,
     pub(crate) view: Rc<FleetView>,
     pub(crate) members: Rc<MemberBook>,
+    pub(crate) copy: Rc<LogCopy>,
     /// Revision of the owner's entry: fences earlier owners.
     pub(crate) token: FencingToken,
     pub(crate) lease: LeaseId,
@@ -111,6 +115,7 @@
             ports,
             view,
             members,
+            copy,
         } = parts;
         let desk = WorkDesk::new(options.desk, won.token);
         let certain = won.sent + options.owner_lease - LEASE_MARGIN;
@@ -120,6 +125,7 @@
             ports,
             view,
             members,
+            copy,
             token: won.token,
             lease: won.lease,
             desk: RefCell::new(desk),
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -95,7 +95,8 @@
 async fn lead(term: Rc<Term>) {
     let started = term.now().boot;
     let mut desk = term.desk.borrow().clone();
-    let summary = read_log(&*term.ports.store, &term.options, &mut desk, || term.now()).await;
+    let store = &*term.ports.store;
+    let summary = read_log(store, &term.options, &term.copy, &mut desk, || term.now()).await;
     if let Some(terms) = term.view.terms() {
         desk.set_terms(terms);
     }
@@ -104,7 +105,7 @@
         format_args!(
             "token={} pages={} bytes={} jobs={} open={} cancelled={} targets={} took_ms={}",
             term.token,
-            summary.pages,
+            summary.pages(),
             summary.bytes,
             desk.board.jobs.len(),
             desk.board.open.len(),
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -45,6 +45,8 @@
     change_delay: Rc<Cell<Duration>>,
     /// Bytes of a change that get through this handle in time; 0 for any.
     change_bytes: Rc<Cell<usize>>,
+    /// Bytes of lists a second that this handle carries; 0 for any.
+    list_rate: Rc<Cell<usize>>,
     /// Prefix of which no list and no watch is answered through this handle; empty for none.
     unheard: Rc<RefCell<String>>,
 }
@@ -86,6 +88,7 @@
             read_delay: Rc::default(),
             change_delay: Rc::default(),
             change_bytes: Rc::default(),
+            list_rate: Rc::default(),
             unheard: Rc::default(),
         }
     }
@@ -100,6 +103,11 @@
         self.change_delay.set(delay);
     }
 
+    /// Lists come through this handle with so many bytes a second.
+    pub fn pace_lists(&self, bytes_per_second: usize) {
+        self.list_rate.set(bytes_per_second);
+    }
+
     /// How often a lease was renewed.
     pub fn renewals(&self) -> usize {
         self.state.renewals.get()
@@ -208,6 +216,20 @@
 }
 
 impl StoreState {
+    fn page(&self, prefix: &str, after: &str, limit: usize) -> StorePage {
+        let items = self.items.borrow();
+        let below = items.range(prefix.to_owned()..).map(|(_, item)| item);
+        let below = below.take_while(|item| item.key.starts_with(prefix));
+        let mut found: Vec<_> = below.filter(|item| *item.key > *after).cloned().collect();
+        let more = found.len() > limit;
+        found.truncate(limit);
+        StorePage {
+            items: found,
+            more,
+            revision: self.revision.get(),
+        }
+    }
+
     fn write(&self, key: &str, value: Vec<u8>, lease: Option<LeaseId>) -> StoreRevision {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
@@ -341,17 +363,12 @@
             door.call().await?;
             door.hears(&prefix)?;
             let limit = door.list_limit(&prefix)?;
-            let items = state.items.borrow();
-            let below = items.range(prefix.clone()..).map(|(_, item)| item);
-            let below = below.take_while(|item| item.key.starts_with(&prefix));
-            let mut found: Vec<_> = below.filter(|item| *item.key > *after).cloned().collect();
-            let more = found.len() > limit;
-            found.truncate(limit);
-            Ok(StorePage {
-                items: found,
-                more,
-                revision: state.revision.get(),
-            })
+            let page = state.page(&prefix, &after, limit);
+            let bytes: usize = page.items.iter().map(|item| item.value.len()).sum();
+            if let Some(millis) = (bytes * 1000).checked_div(door.list_rate.get()) {
+                sleep(Duration::from_millis(millis as u64)).await;
+            }
+            Ok(page)
         })
     }
 
--- a/crates/cell/tests/narrow_link.rs
+++ b/crates/cell/tests/narrow_link.rs
@@ -44,6 +44,57 @@
     });
 }
 
+/// Lists come so slowly through this handle that the log of [`put_long_log`] takes so many seconds.
+fn slow_way(store: &MemoryStore, seconds: usize) -> MemoryStore {
+    let way = store.handle();
+    way.pace_lists(log_bytes(store) / seconds);
+    way
+}
+
+/// A log of jobs whose entries can't be made shorter.
+fn put_long_log(store: &MemoryStore) {
+    for number in 0..100 {
+        put_entry(store, number as usize, Event::Accepted(large_job(number)));
+    }
+}
+
+/// Guards against a cell without an owner for as long as each that reads the log is told to let
+/// another try before it has read it.
+#[test]
+fn long_log_is_read_behind_narrow_link() {
+    run_local(async {
+        let store = new_store();
+        put_long_log(&store);
+        let _host = start_host("a", &slow_way(&store, 4), strong());
+        let end = Instant::now() + LIMIT;
+        // The owner's first page shows that it has read those before.
+        while store.value(&format!("{LOG}{:012}", 100)).is_none() {
+            assert!(Instant::now() < end, "the log was not read");
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// Guards against a successor that begins to read the log when its predecessor has gone, while
+/// callers and targets wait.
+#[test]
+fn successor_has_read_log() {
+    run_local(async {
+        let store = new_store();
+        put_long_log(&store);
+        let first_way = store.handle();
+        let _first = start_host("a", &first_way, strong());
+        until_owner(&store, "a").await;
+        let second = start_host("b", &slow_way(&store, 2), strong());
+        sleep(Duration::from_secs(4)).await;
+        first_way.turn_away(true);
+        let begun = Instant::now();
+        until_owner(&store, "b").await;
+        accepted(&second.desk(), "job").await;
+        assert!(begun.elapsed() < Duration::from_millis(1500));
+    });
+}
+
 /// Guards against an owner behind a narrow link that writes the shorter log in pages which never get
 /// through in time: it tries the first again and again, and nothing else is recorded.
 #[test]
--- a/crates/decide/src/rendezvous.rs
+++ b/crates/decide/src/rendezvous.rs
@@ -18,7 +18,8 @@
         .max_by_key(|member| (score(duty, member), *member))
 }
 
-fn score(duty: &str, member: &str) -> u64 {
+/// How much a member is preferred for a duty; the highest score holds it.
+pub fn score(duty: &str, member: &str) -> u64 {
     let mut hash = OFFSET_BASIS;
     for byte in duty.bytes().chain([0]).chain(member.bytes()) {
         hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
