Know how long the backlog is before the first call is answered

What callers saw: of a new owner with a backlog that its link does not carry, the first callers were accepted, and their jobs were too late; those after them were refused.

Cause: the bytes of an open job were measured by the task that writes the log, and calls that wait for the log are answered before that task first runs. Until then a backlog of any length counted as nothing.

Evidence: a job that waited for a new owner behind a link of 2 Mbit/s, with 100 open jobs of 3 KB, was accepted; the bound is 125 KB.

--- a/crates/cell/src/log_writer.rs
+++ b/crates/cell/src/log_writer.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     event,
-    log_compact::{compact, job_part, note_job_bytes},
+    log_compact::compact,
     log_copy::LogSummary,
     log_page::{largest_page, page_bytes},
     log_pages::LogPages,
@@ -25,8 +25,6 @@
 
 /// Writes the log of a term, until the term is over.
 pub(crate) async fn write_log(term: Rc<Term>, found: LogSummary) {
-    let part = job_part(&term.desk.borrow().board.entries());
-    note_job_bytes(&term, part, found.bytes);
     let mut pages = LogPages::found(found);
     loop {
         wait_for_entries(&term).await;
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -12,6 +12,7 @@
     event,
     host_duty::tend_hosts,
     kept_cancellation::follow_cancellations,
+    log_compact::{job_part, note_job_bytes},
     log_reader::read_log,
     log_writer::write_log,
     metric, record_note,
@@ -116,6 +117,8 @@
     );
     let now = term.now().boot;
     term.hosts.borrow_mut().take_arrivals(&desk.board, now);
+    // Calls that wait for the log are answered at once after it, and some are to be refused.
+    note_job_bytes(&term, job_part(&desk.board.entries()), summary.bytes);
     *term.desk.borrow_mut() = desk;
     term.ready.set(true);
     term.became_ready.notify_waiters();
