Tell callers that a job was not recorded wherever that is known

Callers of such requests can't try again; after a refusal they could.

Causes, three ways to an answer that says less than is known: - A job waited for its page of the log until its caller's time was up. Nothing of it had been sent. - A term ended with jobs in its queue, or in a page that the store had surely not taken. - An owner did not answer, and the next one refused the job. The next one has read all that earlier owners recorded, and they can record nothing more; its refusal was taken for no more than its own.

Change: a job that still waits is withdrawn and refused, the queue of a term that is over is refused, and a page that was not sent refuses its records. Calls to an owner name its token, and an owner with another does nothing, so that a call which is under way for long can't be accepted after its caller was told that it did not run. A refusal by a later owner than the one that did not answer is final; one by the same owner is asked again until the caller's time is up.

Ruled out: refusing what an owner has sent and not heard of.

What is left: owners that are away for as long as the caller waits.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -5,7 +5,7 @@
 use link::{CallClient, CallFault};
 use model::{
     event as log_event,
-    work::{FleetTerms, JobPlan},
+    work::{FencingToken, FleetTerms, JobPlan},
 };
 use ports::{CallerAnswer, CallerCall, CallerDesk, CallerWish, JobProgress, PortFuture};
 use store::{BootClock, Clock};
@@ -32,6 +32,9 @@
 const ASK_MARGIN: Duration = Duration::from_millis(150);
 /// Pause before the owner is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
+/// The same while it is open whether the call took effect: only a successor or the end of a write
+/// can tell.
+const UNSURE_PAUSE: Duration = Duration::from_millis(100);
 /// Part of its patience for which a cancellation is left to the owner alone: an owner that is well
 /// records it in a tenth of this time.
 const OWNER_SHARE: Duration = Duration::from_millis(500);
@@ -57,8 +60,8 @@
 struct AskState {
     deadline: Instant,
     begun: Instant,
-    /// Whether the call may have taken effect at an owner that did not answer.
-    unsure: bool,
+    /// The last owner that did not answer: the call may have taken effect there.
+    unsure: Option<FencingToken>,
     owner: CompactString,
 }
 
@@ -180,7 +183,7 @@
         let mut state = AskState {
             deadline: begun + patience.saturating_sub(ANSWER_MARGIN),
             begun,
-            unsure: false,
+            unsure: None,
             owner: CompactString::default(),
         };
         loop {
@@ -190,13 +193,18 @@
             self.members.find_owner(&self.owners).await;
             let now = Instant::now();
             let waited = now.duration_since(state.begun);
-            if !state.unsure && waited >= self.options.owner_patience {
+            if state.unsure.is_none() && waited >= self.options.owner_patience {
                 return (CallerAnswer::Refused(self.options.retry_after), state.owner);
             }
             if now + ASK_PAUSE >= state.deadline {
                 return (CallerAnswer::Unknown, state.owner);
             }
-            let pause = now + ASK_PAUSE;
+            let pause = now
+                + if state.unsure.is_some() {
+                    UNSURE_PAUSE
+                } else {
+                    ASK_PAUSE
+                };
             // A new owner is asked at once.
             let _ = timeout_at(pause, self.owners.changed.notified()).await;
         }
@@ -208,8 +216,8 @@
         let own = self.slot.borrow().clone();
         if let Some(term) = own.filter(|term| !term.is_over()) {
             state.owner = self.options.member.clone();
-            let answer = owner_desk::answer_call(&term, call_of(ask, left)).await;
-            return self.read_answer(&answer, state);
+            let answer = owner_desk::answer_call(&term, call_of(ask, term.token, left)).await;
+            return self.read_answer(&answer, term.token, state);
         }
         let owner = self.owners.owner()?;
         if owner.member == self.options.member || owner.address.is_empty() {
@@ -217,36 +225,53 @@
         }
         state.owner = owner.member.clone();
         let timeout = ASK_TIMEOUT.min(left);
-        let call = call_of(ask, timeout.saturating_sub(ASK_MARGIN));
+        let call = call_of(ask, owner.token, timeout.saturating_sub(ASK_MARGIN));
         match ask_owner(&self.client, &owner.address, &call, timeout).await {
-            Ok(answer) => self.read_answer(&answer, state),
+            Ok(answer) => self.read_answer(&answer, owner.token, state),
             Err(CallFault::NotSent(error)) => {
                 log::debug!("{error}");
                 None
             }
             Err(CallFault::Unanswered(error)) => {
                 log::debug!("{error}");
-                state.unsure |= matches!(ask, Ask::Submit(_) | Ask::Cancel(_));
+                if matches!(ask, Ask::Submit(_) | Ask::Cancel(_)) {
+                    state.unsure = Some(owner.token);
+                }
                 None
             }
         }
     }
 
-    fn read_answer(&self, answer: &OwnerAnswer, state: &mut AskState) -> Option<CallerAnswer> {
+    /// What an owner's answer tells the caller; `None` if it is to be asked again.
+    ///
+    /// An owner has read all that earlier ones recorded, and they record nothing more. So what it
+    /// refuses none of them has recorded, though one did not answer.
+    fn read_answer(
+        &self,
+        answer: &OwnerAnswer,
+        asked: FencingToken,
+        state: &mut AskState,
+    ) -> Option<CallerAnswer> {
         match answer.kind() {
             AnswerKind::NotOwner => None,
             AnswerKind::Accepted => Some(CallerAnswer::Accepted),
             AnswerKind::Found => Some(CallerAnswer::Found(progress_of(answer.phase()))),
             AnswerKind::Counted => Some(CallerAnswer::Counted(answer.pending)),
             AnswerKind::NotFound => Some(CallerAnswer::NoJob),
-            // An earlier owner may have recorded what this one refuses.
-            AnswerKind::Refused if state.unsure => Some(CallerAnswer::Unknown),
+            // A call that it has not answered may yet reach it.
+            AnswerKind::Refused
+                if state
+                    .unsure
+                    .is_some_and(|unsure| answer.owner_token <= unsure) =>
+            {
+                None
+            }
             AnswerKind::Refused => {
                 let wait = Duration::from_millis(answer.retry_after_ms);
                 Some(CallerAnswer::Refused(wait))
             }
             AnswerKind::Unknown => {
-                state.unsure = true;
+                state.unsure = Some(asked);
                 None
             }
         }
@@ -281,9 +306,10 @@
     }
 }
 
-fn call_of(ask: &Ask, patience: Duration) -> OwnerCall {
+fn call_of(ask: &Ask, token: FencingToken, patience: Duration) -> OwnerCall {
     OwnerCall {
         ask: Some(ask.clone()),
+        token,
         patience_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
     }
 }
--- a/crates/cell/src/log_queue.rs
+++ b/crates/cell/src/log_queue.rs
@@ -26,6 +26,16 @@
     pub(crate) done: Option<oneshot::Sender<RecordOutcome>>,
 }
 
+impl PendingRecord {
+    /// Tells whoever waits that the entry is not written and never will be.
+    pub(crate) fn refuse(self) {
+        if let Some(done) = self.done {
+            // Whoever waited may have gone.
+            let _ = done.send(RecordOutcome::Refused);
+        }
+    }
+}
+
 /// An entry that settles no end and belongs to no job's state; urgent if somebody waits for it.
 pub(crate) fn record_order(event: Event, urgent: bool) -> RecordOrder {
     RecordOrder {
@@ -89,6 +99,22 @@
         outcome
     }
 
+    /// Takes back the acceptance of a job that nobody waits for any more; false if it may be written.
+    pub(crate) fn withdraw(&self, job: &str) -> bool {
+        let accepts = |record: &PendingRecord| matches!(&record.order.entry.event, Some(Event::Accepted(record)) if record.job == job);
+        let mut pending = self.pending.borrow_mut();
+        let found = pending.iter().position(accepts);
+        found.and_then(|at| pending.remove(at)).is_some()
+    }
+
+    /// Refuses what waits for its page when the term is over.
+    pub(crate) fn refuse_pending(&self) {
+        self.pending
+            .borrow_mut()
+            .drain(..)
+            .for_each(PendingRecord::refuse);
+    }
+
     /// True if everything has been written.
     pub(crate) fn is_empty(&self) -> bool {
         self.pending.borrow().is_empty() && !self.writing.get()
--- a/crates/cell/src/log_writer.rs
+++ b/crates/cell/src/log_writer.rs
@@ -55,30 +55,48 @@
     }
 }
 
+/// The records of a page that is being written.
+#[derive(Default)]
+struct PageRecords {
+    records: Vec<PendingRecord>,
+    /// Whether the page may be in the store, or get there.
+    sent: bool,
+}
+
+impl Drop for PageRecords {
+    /// What was not sent when the term ends is never written, and whoever waits can be told so.
+    fn drop(&mut self) {
+        if !self.sent {
+            self.records.drain(..).for_each(PendingRecord::refuse);
+        }
+    }
+}
+
 /// Writes the next page, if there is something to write; `None` once the term is over.
 async fn write_page(term: &Term, pages: &mut LogPages) -> Option<()> {
     let page = pages.next();
     let mut unsure = false;
-    let mut taken: Vec<PendingRecord> = Vec::new();
+    let mut taken = PageRecords::default();
     loop {
         if !unsure {
             // Nothing of the last attempt can be in the store, so the page may still change.
-            refuse_old(term, &mut taken);
-            take_records(term, &mut taken);
+            taken.refuse_old(term);
+            taken.take_pending(term);
         }
-        if taken.is_empty() {
+        if taken.records.is_empty() {
             return Some(());
         }
         let started = Instant::now();
-        let value = pages.stamped(page_bytes(entries_of(&taken)));
+        let value = pages.stamped(page_bytes(taken.entries()));
         let change = pages.change(&term.options, term.token, value.clone());
+        taken.sent = true;
         let outcome = term.ports.store.change(change).await;
         metric::time(metric::RECORD_SECONDS, started.elapsed());
         match outcome {
             Ok(StoreOutcome::Done(_)) => {
                 pages.wrote(value.len());
                 term.copy.take(page, value);
-                settle(term, page, taken);
+                settle(term, page, std::mem::take(&mut taken.records));
                 return Some(());
             }
             Ok(StoreOutcome::Conflict(items)) => {
@@ -88,18 +106,21 @@
                 if ours && unsure {
                     pages.wrote(value.len());
                     term.copy.take(page, value);
-                    settle(term, page, taken);
+                    settle(term, page, std::mem::take(&mut taken.records));
                     return Some(());
                 }
+                taken.sent = unsure;
                 term.end(if ours { "page taken" } else { "succeeded" });
                 return None;
             }
             Ok(StoreOutcome::LeaseEnded) => {
+                taken.sent = unsure;
                 term.end("lease ended");
                 return None;
             }
             Err(error) => {
                 unsure |= !matches!(error, StoreFault::Refused(_));
+                taken.sent = unsure;
                 note_fault(term, page, &error, unsure);
                 sleep(FAULT_PAUSE).await;
             }
@@ -107,42 +128,37 @@
     }
 }
 
-fn entries_of(taken: &[PendingRecord]) -> Vec<LogEntry> {
-    taken
-        .iter()
-        .map(|record| record.order.entry.clone())
-        .collect()
-}
-
-fn take_records(term: &Term, taken: &mut Vec<PendingRecord>) {
-    let mut pending = term.log.pending.borrow_mut();
-    let most = largest_page(&term.options.limits);
-    let size = |record: &PendingRecord| record.order.entry.encoded_len();
-    let mut bytes: usize = taken.iter().map(size).sum();
-    while let Some(next) = pending.front() {
-        bytes += size(next);
-        if bytes > most && !taken.is_empty() {
-            return;
-        }
-        taken.extend(pending.pop_front());
+impl PageRecords {
+    fn entries(&self) -> Vec<LogEntry> {
+        let records = self.records.iter();
+        records.map(|record| record.order.entry.clone()).collect()
     }
-}
 
-/// Refuses what somebody waits for and could not be written for some time.
-fn refuse_old(term: &Term, taken: &mut Vec<PendingRecord>) {
-    let now = term.now().boot;
-    let mut kept = Vec::with_capacity(taken.len());
-    for mut record in std::mem::take(taken) {
-        let old = now.saturating_sub(record.since) >= REFUSED_PATIENCE;
-        match record.done.take_if(|_| old) {
-            Some(done) => {
-                // The caller may have gone.
-                let _ = done.send(RecordOutcome::Refused);
+    fn take_pending(&mut self, term: &Term) {
+        let mut pending = term.log.pending.borrow_mut();
+        let most = largest_page(&term.options.limits);
+        let size = |record: &PendingRecord| record.order.entry.encoded_len();
+        let mut bytes: usize = self.records.iter().map(size).sum();
+        while let Some(next) = pending.front() {
+            bytes += size(next);
+            if bytes > most && !self.records.is_empty() {
+                return;
             }
-            None => kept.push(record),
+            self.records.extend(pending.pop_front());
         }
     }
-    *taken = kept;
+
+    /// Refuses what somebody waits for and could not be written for some time.
+    fn refuse_old(&mut self, term: &Term) {
+        let now = term.now().boot;
+        let old = |record: &PendingRecord| {
+            record.done.is_some() && now.saturating_sub(record.since) >= REFUSED_PATIENCE
+        };
+        let (refused, kept) = self.records.drain(..).partition(old);
+        self.records = kept;
+        let refused: Vec<PendingRecord> = refused;
+        refused.into_iter().for_each(PendingRecord::refuse);
+    }
 }
 
 fn settle(term: &Term, page: u64, taken: Vec<PendingRecord>) {
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -14,12 +14,25 @@
 };
 
 /// Answers, as the owner, what a host that serves callers asks.
+///
+/// A call that was meant for an earlier owner does nothing: whoever sent it may have been told
+/// since that it did not take effect.
 pub(crate) async fn answer_call(term: &Rc<Term>, call: OwnerCall) -> OwnerAnswer {
     let deadline = Instant::now() + Duration::from_millis(call.patience_ms);
+    if call.token != 0 && call.token != term.token {
+        return answer(AnswerKind::NotOwner);
+    }
     if !term.is_ready() && !wait_ready(term, deadline).await {
         return answer(AnswerKind::NotOwner);
     }
-    match call.ask {
+    OwnerAnswer {
+        owner_token: term.token,
+        ..answer_ask(term, call.ask, deadline).await
+    }
+}
+
+async fn answer_ask(term: &Rc<Term>, ask: Option<Ask>, deadline: Instant) -> OwnerAnswer {
+    match ask {
         Some(Ask::Submit(record)) => submit(term, record, deadline).await,
         Some(Ask::Look(job)) => look(term, &job),
         Some(Ask::Cancel(job)) => cancel(term, &job, deadline).await,
@@ -64,16 +77,17 @@
     let outcome = term
         .log
         .add_awaited(record_order(Event::Accepted(record), true), boot(term));
-    let forget = term.clone();
+    let (forget, forgotten) = (term.clone(), job.clone());
     // The entry is written whether or not the caller stays, so it is followed to its end.
     let followed = tokio::task::spawn_local(async move {
         let outcome = outcome.await;
-        forget.submitting.borrow_mut().remove(&job);
+        forget.submitting.borrow_mut().remove(&forgotten);
         outcome
     });
     match timeout_at(deadline, followed).await {
         Ok(Ok(Ok(RecordOutcome::Stored))) => answer(AnswerKind::Accepted),
         Ok(Ok(Ok(RecordOutcome::Refused))) => refused(term),
+        Err(_) if term.log.withdraw(&job) => refused(term),
         _ => answer(AnswerKind::Unknown),
     }
 }
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -51,6 +51,7 @@
         Some(Departure::ReleaseBy(address)) => release_by(term, &address).await,
         None => {}
     }
+    term.log.refuse_pending();
     metrics::gauge!(metric::OWNER).set(0.0);
     term.lanes.borrow_mut().clear();
 }
--- a/crates/cell/tests/common/successors.rs
+++ b/crates/cell/tests/common/successors.rs
@@ -2,8 +2,9 @@
 
 use cell::{CellHost, CellOptions, CellPorts, HostLimits};
 use prost::Message;
+use rand::{Rng, SeedableRng, distr::Alphanumeric, rngs::StdRng};
 use tokio::time::{Instant, sleep};
-use wire::work::{LogEntry, LogPage, OwnerRecord, log_entry::Event};
+use wire::work::{JobRecord, LogEntry, LogPage, OwnerRecord, StepRecord, log_entry::Event};
 
 use super::{
     LIMIT, MemoryStore, MemoryTargets, free_address, ports_on, start_cell, store_with_terms,
@@ -84,3 +85,25 @@
     };
     store.put(&format!("{LOG}{page:012}"), &value.encode_to_vec());
 }
+
+/// Text that does not get shorter by deflating.
+fn noise(length: usize, seed: u64) -> String {
+    let mut dice = StdRng::seed_from_u64(seed);
+    let letters = (0..length).map(|_| char::from(dice.sample(Alphanumeric)));
+    letters.collect()
+}
+
+/// A job whose record does not get shorter by deflating.
+pub fn large_job(number: u64) -> JobRecord {
+    JobRecord {
+        job: format!("job{number}"),
+        queue: "queue".to_owned(),
+        pool: "another".to_owned(),
+        payload: noise(3000, number),
+        steps: vec![StepRecord {
+            count: 1,
+            ..StepRecord::default()
+        }],
+        ..JobRecord::default()
+    }
+}
--- a/crates/cell/tests/narrow_link.rs
+++ b/crates/cell/tests/narrow_link.rs
@@ -7,16 +7,8 @@
 use cell::{CellOptions, CellPorts};
 use common::*;
 use ports::CallerAnswer;
-use rand::{Rng, SeedableRng, distr::Alphanumeric, rngs::StdRng};
 use tokio::time::{Instant, sleep};
-use wire::work::{JobRecord, StepRecord, TargetUse, log_entry::Event};
-
-/// Text that does not get shorter by deflating.
-fn noise(length: usize, seed: u64) -> String {
-    let mut dice = StdRng::seed_from_u64(seed);
-    let letters = (0..length).map(|_| char::from(dice.sample(Alphanumeric)));
-    letters.collect()
-}
+use wire::work::{TargetUse, log_entry::Event};
 
 /// Guards against a log that each owner of a row of short terms makes longer by a copy of itself:
 /// behind a narrow link the next one reads for longer than its lease lasts.
@@ -167,21 +159,6 @@
     });
 }
 
-/// A job whose record does not get shorter by deflating.
-fn large_job(number: u64) -> JobRecord {
-    JobRecord {
-        job: format!("job{number}"),
-        queue: "queue".to_owned(),
-        pool: "another".to_owned(),
-        payload: noise(3000, number),
-        steps: vec![StepRecord {
-            count: 1,
-            ..StepRecord::default()
-        }],
-        ..JobRecord::default()
-    }
-}
-
 fn log_bytes(store: &MemoryStore) -> usize {
     let pages = store.keys(LOG);
     let bytes = |key: &String| store.value(key).map_or(0, |value| value.len());
