Look at a predecessor's targets before anything is started

Cause: behind a narrow link an owner's calls go by class, and the first look at a target of its predecessor came after all starts. While jobs came in as fast as they could be started, a part of the targets was not looked at: what ran there lapsed, what had ended there was not heard of, and older jobs of those pools waited.

Evidence: a run ended done at 34.457 s on a target that the owner of 37.304 s had in its log. Its first look there was answered at 55.546 s; 85 of 125 targets were reached by 48 s, the others between 54 and 66 s, with 200 starts a second in between. The task was started elsewhere at 55.412 s, 0.13 s before the look told of its end. The lasting tasks lapsed at 39.6 to 39.9 s and were started at 63.7 s.

Ruled out: a hole in the pages of the log that standbys keep; the end was never recorded, as its owner was killed before it heard of it.

Change: a look at a target of a predecessor that was not reached goes with the renewals, until it fails once. successor_looks_at_unreached_before_starts failed before.

--- a/crates/decide/src/call_budget.rs
+++ b/crates/decide/src/call_budget.rs
@@ -32,7 +32,8 @@
 pub enum CallClass {
     /// Stops a task.
     Stop,
-    /// Looks at a target whose tasks need more time granted soon.
+    /// Looks at a target whose tasks need more time granted soon, or at one of a predecessor that
+    /// has not been reached.
     Renew,
     /// Starts a task.
     Start,
--- a/crates/decide/src/work/desk_sight.rs
+++ b/crates/decide/src/work/desk_sight.rs
@@ -33,10 +33,16 @@
         if busy && !target.silent && granted >= self.tuning.grant / RENEW_PART {
             return Some(CallClass::Renew);
         }
-        match target.failed > target.heard {
-            true => Some(CallClass::Probe),
-            false => Some(CallClass::Look),
+        if target.failed > target.heard {
+            return Some(CallClass::Probe);
         }
+        // What it runs lapses, what has ended there is not known, and older jobs of its pool wait.
+        let unreached = target.inherited && !target.life.raised;
+        Some(if unreached {
+            CallClass::Renew
+        } else {
+            CallClass::Look
+        })
     }
 
     /// The look that a target needs now; `None` if it needs none.
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use decide::call_budget::CallClass;
 use desk::{DeskScene, ended, lasting_pair, plan, running, step};
 use model::work::{EndKind, LookAnswer};
 
@@ -26,6 +27,21 @@
     assert!(second.starts.is_empty());
 }
 
+/// Guards against starts that keep a new owner from looking at its predecessor's targets: what runs
+/// there lapses, and what has ended is started again.
+#[test]
+fn successor_looks_at_unreached_before_starts() {
+    let (first, _) = DeskScene::started(4000, vec![step(2, 1000)]);
+    let mut second = first.successor(9);
+    second.list("t1", 4000);
+    second.list("new", 4000);
+    let class = |scene: &DeskScene, id: &str| scene.desk.look_class(&id.into(), scene.now);
+    assert!(class(&second, "t1").is_some_and(|class| class < CallClass::Start));
+    assert_eq!(class(&second, "new"), Some(CallClass::Look));
+    second.miss("t1");
+    assert_eq!(class(&second, "t1"), Some(CallClass::Probe));
+}
+
 /// A target is filled beyond its room, and all on it slows down. A job fails, the owner stops its
 /// other runs, the log is made shorter and the owner goes. Its successor finds a run that is still
 /// being stopped, of a job whose steps the log does not tell any more, and has to count its room.
