Refuse jobs that would be begun too late to count

Callers waited for minutes for what was known to come too late.

Cause: admission asked how long a log the next owner can read, and not when a job that is accepted now would be begun.

Change: StartForecast counts what a pool starts while tasks wait for it and knows what the link carries at most. A job is refused, with the time until one would not be, if what goes before it takes longer than its latest start that counts, or if all that is accepted takes longer than eight seconds. Tasks beyond a workspace's share count only for what is beyond a share, so that a flood has nobody else refused.

Why it works: what is accepted can be begun, and what can't be is told at once, so its caller can go elsewhere or come back.

--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -33,6 +33,7 @@
     LOG_COMPACTED = 1054, "log-compacted", "The job log was replaced by a shorter one that says the same.";
     CANCEL_REFUSED = 1055, "cancel-refused", "The owner heard that a job is to be cancelled and could not record it; carries the job and the reason.";
     CANCEL_KEPT = 1056, "cancel-kept", "No owner recorded the cancellation of a job in time, so this process keeps it in the store; the owner, or the next one, records it.";
+    JOB_FORESEEN_LATE = 1057, "job-foreseen-late", "A job was refused since what waits before it would make it too late to count; carries by how much.";
     TASK_PLACED = 1060, "task-placed", "A task was given to a target; carries how urgent its job was, the age of the target's last answer and the room left there.";
     TASK_ENDED = 1061, "task-ended", "A run of a task ended on a target.";
     TASK_ADOPTED = 1062, "task-adopted", "A run that an earlier owner started was found and taken over.";
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -1,6 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::link_bounds::largest_backlog;
+use decide::{link_bounds::largest_backlog, work::plan_of_record};
 use model::{BootTime, event as log_event};
 use tokio::time::{Instant, timeout_at};
 use wire::work::{
@@ -72,6 +72,9 @@
     if !term.is_certain() || term.log.is_failing() || has_long_backlog(term) {
         return refused(term);
     }
+    if let Some(wait) = foresees_late(term, &record) {
+        return refused_for(wait);
+    }
     let job = record.job.clone();
     term.submitting.borrow_mut().insert(job.clone());
     let outcome = term
@@ -92,6 +95,25 @@
     }
 }
 
+/// How long it takes until a job like this would be begun in time; `None` if it would be now.
+fn foresees_late(term: &Term, record: &JobRecord) -> Option<Duration> {
+    let plan = plan_of_record(record);
+    let now = term.now();
+    let mut desk = term.desk.borrow_mut();
+    let wait = desk.foresees_late(&plan, &record.queue, &record.workspace, now)?;
+    log_event::info(
+        &event::JOB_FORESEEN_LATE,
+        format_args!(
+            "job={} queue={} workspace={} excess_ms={}",
+            record.job,
+            record.queue,
+            record.workspace,
+            wait.as_millis()
+        ),
+    );
+    Some(wait)
+}
+
 /// True if the next owner would read what is open for too long, so that more work would not be done
 /// in time.
 fn has_long_backlog(term: &Term) -> bool {
@@ -194,9 +216,12 @@
 }
 
 fn refused(term: &Term) -> OwnerAnswer {
-    let wait = u64::try_from(term.options.retry_after.as_millis()).unwrap_or(u64::MAX);
+    refused_for(term.options.retry_after)
+}
+
+fn refused_for(wait: Duration) -> OwnerAnswer {
     OwnerAnswer {
-        retry_after_ms: wait,
+        retry_after_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         ..answer(AnswerKind::Refused)
     }
 }
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use decide::work::{DeskTime, HostPlanner, WorkDesk};
+use decide::{
+    link_bounds::most_starts,
+    work::{DeskTime, HostPlanner, WorkDesk},
+};
 use link::ShutdownSignal;
 use model::{BootTime, HostId, event as log_event, work::FencingToken};
 use ports::{LeaseId, StoreItem};
@@ -117,7 +120,8 @@
             members,
             copy,
         } = parts;
-        let desk = WorkDesk::new(options.desk, won.token);
+        let mut desk = WorkDesk::new(options.desk, won.token);
+        desk.set_link(most_starts(options.limits.link_bytes()));
         let certain = won.sent + options.owner_lease - LEASE_MARGIN;
         let gate = CallGate::new(options.limits.link_bytes());
         Rc::new(Self {
--- a/crates/decide/src/link_bounds.rs
+++ b/crates/decide/src/link_bounds.rs
@@ -18,6 +18,14 @@
 /// has come since the log was made shorter.
 const LOG_EXCESS: f64 = 2.0;
 
+/// Bytes that a start takes of a link together with its answer, at least.
+const START_BYTES: f64 = 1500.0;
+
+/// Most starts a second on a link that carries so many bytes a second.
+pub fn most_starts(bytes_per_second: f64) -> f64 {
+    (bytes_per_second / START_BYTES).max(1.0)
+}
+
 /// Largest write on a link that carries so many bytes a second, if writes of `most` bytes are
 /// allowed. A larger one would not be answered in time, however often it is repeated.
 pub fn largest_write(bytes_per_second: f64, most: usize) -> usize {
--- /dev/null
+++ b/crates/decide/src/work/desk_admit.rs
@@ -0,0 +1,77 @@
+use std::time::Duration;
+
+use model::{
+    PoolId,
+    work::{JobPlan, QueueTerms},
+};
+
+use super::{DeskTime, WorkDesk, job_index::PoolBacklog, objective::longest_wait};
+
+/// Time in which all that is accepted has to be begun, however little of it still counts.
+const LONGEST_BACKLOG: Duration = Duration::from_secs(8);
+/// Part of the foreseen wait that is taken for sure: pools get more hosts while demand rises.
+const SURE_PART: (u32, u32) = (4, 5);
+
+impl WorkDesk {
+    /// Tells whether a job that is handed in now would be begun too late to count; holds how long it
+    /// takes until one would not be. `None` if it may be accepted.
+    ///
+    /// What is within a workspace's share waits for what is within the shares of all, so that a
+    /// workspace which sends many times its usual does not have others refused.
+    pub fn foresees_late(
+        &mut self,
+        plan: &JobPlan,
+        queue: &str,
+        workspace: &str,
+        now: DeskTime,
+    ) -> Option<Duration> {
+        if plan.is_long_running() || plan.repeat.is_some() {
+            return None;
+        }
+        self.sync(now.boot);
+        let terms = self.terms.clone();
+        let queue: &QueueTerms = terms.queue(queue)?;
+        let weight = terms.workspace(workspace).map_or(0, |space| space.weight);
+        let beyond = self.shares.foresees_beyond(workspace, weight, now.boot);
+        let backlog = self.backlog(&queue.pool);
+        let counted = |backlog: PoolBacklog| match beyond {
+            true => (backlog.all(), backlog.all()),
+            false => (backlog.owed, backlog.within_share()),
+        };
+        let (ahead, accepted) = counted(backlog);
+        let (ahead_of_all, accepted_of_all) = counted(self.index.jobs.backlog_of_all());
+        let wait = |tasks: u64| self.forecast.wait(&queue.pool, tasks, now.boot);
+        let sure = wait(ahead) * SURE_PART.0 / SURE_PART.1;
+        let sure = sure.max(self.forecast.link_wait(ahead_of_all));
+        let late = sure.saturating_sub(longest_wait(plan, Some(queue)));
+        let long = wait(accepted).max(self.forecast.link_wait(accepted_of_all));
+        let long = long.saturating_sub(LONGEST_BACKLOG);
+        Some(late.max(long)).filter(|excess| !excess.is_zero())
+    }
+
+    /// Sets how many starts a second the owner's link carries at most.
+    pub fn set_link(&mut self, starts_a_second: f64) {
+        self.forecast.set_link(starts_a_second);
+    }
+
+    /// Takes in how long a start waited for its call to be sent.
+    pub fn start_delayed(&mut self, waited: Duration, now: DeskTime) {
+        self.forecast.delayed(waited, now.boot);
+    }
+
+    /// Notes in which pools tasks wait.
+    pub(super) fn observe_backlog(&mut self, now: DeskTime) {
+        let terms = self.terms.clone();
+        for pool in &terms.pools {
+            let waits = self.backlog(&pool.name).all() > 0;
+            self.forecast.observe(&pool.name, waits, now.boot);
+        }
+    }
+
+    /// The tasks that wait for a pool. Where a predecessor's targets have not been reached, its jobs
+    /// wait for that, and others go ahead of them.
+    fn backlog(&self, pool: &PoolId) -> PoolBacklog {
+        let inherited = !self.index.blocked.contains(pool);
+        self.index.jobs.backlog(pool, inherited)
+    }
+}
--- a/crates/decide/src/work/desk_start.rs
+++ b/crates/decide/src/work/desk_start.rs
@@ -209,6 +209,9 @@
         let Some(job) = self.board.jobs.get(&key.job) else {
             return;
         };
+        if !job.plan.is_long_running() {
+            self.forecast.started(&job.pool, now.boot);
+        }
         let payload = job.plan.payload.clone();
         let task = job.task(key.occurrence, key.step, key.index);
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_default();
--- a/crates/decide/src/work/desk_tick.rs
+++ b/crates/decide/src/work/desk_tick.rs
@@ -39,6 +39,7 @@
         self.stop_stalled(now);
         self.drop_targets(now);
         self.forget_jobs(now);
+        self.observe_backlog(now);
     }
 
     /// Forgets jobs that have ended long ago.
--- a/crates/decide/src/work/job_index.rs
+++ b/crates/decide/src/work/job_index.rs
@@ -7,8 +7,8 @@
 };
 
 use super::{
-    WorkJob, WorkPhase,
-    objective::rank,
+    OccurrenceState, StepState, WorkJob, WorkPhase,
+    objective::{RankClass, rank},
     ranked_steps::{RankedSteps, WaitingStep},
     step_key::StepKey,
 };
@@ -24,6 +24,8 @@
     /// Open jobs of each queue that have not begun.
     pending: BTreeMap<CompactString, u64>,
     needs: BTreeMap<PoolId, PoolNeed>,
+    /// What is to be started in each pool: of predecessors' jobs, and of others.
+    backlogs: BTreeMap<(PoolId, bool), PoolBacklog>,
     /// What tasks of predecessors' jobs that are not known to run would take, for each pool.
     doubts: BTreeMap<PoolId, BTreeMap<WorkspaceId, HostRoom>>,
     /// How many open jobs of each pool need so many hosts for tasks that may not share one.
@@ -56,6 +58,38 @@
     pub(super) lasting: u64,
 }
 
+/// Tasks of open jobs of a pool that have not been started, also those of steps that wait for others.
+/// Tasks that last are not counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct PoolBacklog {
+    /// Those within the share of their workspace that can still be in time, or late and count.
+    pub(super) owed: u64,
+    /// Those within the share that are too late to count.
+    pub(super) overdue: u64,
+    /// Those beyond the share.
+    pub(super) beyond: u64,
+}
+
+impl PoolBacklog {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            owed: self.owed + other.owed,
+            overdue: self.overdue + other.overdue,
+            beyond: self.beyond + other.beyond,
+        }
+    }
+
+    /// Those within the share of their workspace.
+    pub(super) fn within_share(&self) -> u64 {
+        self.owed + self.overdue
+    }
+
+    /// All of them.
+    pub(super) fn all(&self) -> u64 {
+        self.within_share() + self.beyond
+    }
+}
+
 /// What the index knows of a job.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct JobFacts {
@@ -66,6 +100,7 @@
     /// Its queue, if it is open and has not begun.
     pending: Option<CompactString>,
     need: PoolNeed,
+    backlog: PoolBacklog,
     doubt: HostRoom,
     apart: usize,
     repeats: bool,
@@ -106,6 +141,17 @@
         let advised = queue.is_some_and(|queue| queue.advice.is_some());
         for (&number, occurrence) in &job.occurrences {
             let mut ranked = None;
+            let unstarted = unstarted(job, occurrence);
+            if unstarted > 0 && job.phase != WorkPhase::Held {
+                let (rank, until) =
+                    *ranked.get_or_insert_with(|| rank(job, occurrence, queue, now));
+                self.rerank = until.into_iter().chain(self.rerank).min();
+                match rank.class {
+                    _ if job.beyond_share => self.backlog.beyond += unstarted,
+                    RankClass::Overdue => self.backlog.overdue += unstarted,
+                    _ => self.backlog.owed += unstarted,
+                }
+            }
             for (step, state) in occurrence.steps.iter().enumerate() {
                 if state.is_done() || !occurrence.is_ready(&job.plan, step) {
                     continue;
@@ -213,6 +259,25 @@
         self.needs.get(pool).copied().unwrap_or_default()
     }
 
+    /// What is to be started in a pool; `inherited` adds what predecessors have accepted.
+    pub(super) fn backlog(&self, pool: &PoolId, inherited: bool) -> PoolBacklog {
+        let of = |inherited| {
+            let backlog = self.backlogs.get(&(pool.clone(), inherited));
+            backlog.copied().unwrap_or_default()
+        };
+        let (own, before): (PoolBacklog, PoolBacklog) = (of(false), of(true));
+        match inherited {
+            true => own.plus(before),
+            false => own,
+        }
+    }
+
+    /// What is to be started in all pools.
+    pub(super) fn backlog_of_all(&self) -> PoolBacklog {
+        let backlogs = self.backlogs.values().copied();
+        backlogs.fold(PoolBacklog::default(), PoolBacklog::plus)
+    }
+
     /// What workspaces may have running on targets of some pools that have not been reached.
     pub(super) fn doubt(&self, pools: &BTreeSet<PoolId>) -> BTreeMap<WorkspaceId, HostRoom> {
         let mut usage: BTreeMap<WorkspaceId, HostRoom> = BTreeMap::new();
@@ -252,6 +317,11 @@
             need.present += facts.need.present;
             need.lasting += facts.need.lasting;
         }
+        if facts.backlog != PoolBacklog::default() {
+            let key = (facts.pool.clone(), facts.group.inherited);
+            let backlog = self.backlogs.entry(key).or_default();
+            *backlog = backlog.plus(facts.backlog);
+        }
         if facts.doubt != HostRoom::default() {
             let pool = self.doubts.entry(facts.pool.clone()).or_default();
             let doubt = pool.entry(facts.group.workspace.clone()).or_default();
@@ -292,6 +362,9 @@
                 self.needs.remove(&facts.pool);
             }
         }
+        if facts.backlog != PoolBacklog::default() {
+            self.take_out_backlog(facts);
+        }
         if facts.doubt != HostRoom::default() {
             self.take_out_doubt(facts);
         }
@@ -344,6 +417,19 @@
         }
     }
 
+    fn take_out_backlog(&mut self, facts: &JobFacts) {
+        let key = (facts.pool.clone(), facts.group.inherited);
+        let Some(backlog) = self.backlogs.get_mut(&key) else {
+            return;
+        };
+        backlog.owed -= facts.backlog.owed;
+        backlog.overdue -= facts.backlog.overdue;
+        backlog.beyond -= facts.backlog.beyond;
+        if *backlog == PoolBacklog::default() {
+            self.backlogs.remove(&key);
+        }
+    }
+
     fn take_out_apart(&mut self, facts: &JobFacts) {
         let Some(apart) = self.apart.get_mut(&facts.pool) else {
             return;
@@ -360,6 +446,17 @@
     }
 }
 
+/// Tasks of an occurrence that have not been started, but for those that last.
+fn unstarted(job: &WorkJob, occurrence: &OccurrenceState) -> u64 {
+    let steps = occurrence.steps.iter().zip(&job.plan.steps);
+    let steps = steps.filter(|(_, plan)| !plan.long_running);
+    let left = |state: &StepState| {
+        let taken = u64::from(state.done) + u64::from(state.placed);
+        (state.tasks.len() as u64).saturating_sub(taken)
+    };
+    steps.map(|(state, _)| left(state)).sum()
+}
+
 /// What tasks of a job that are neither done nor known to run would take.
 fn doubt_of(job: &WorkJob) -> HostRoom {
     let steps = job
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -6,6 +6,7 @@
 //! are argued in `docs/design/13-platform.md`.
 
 mod demand_meter;
+mod desk_admit;
 mod desk_advice;
 mod desk_answer;
 mod desk_claim;
@@ -35,6 +36,7 @@
 mod ranked_steps;
 mod share_meter;
 mod short_log;
+mod start_forecast;
 mod step_key;
 mod target_index;
 mod target_state;
@@ -51,6 +53,7 @@
 pub use job_record::{plan_of_record, record_of_plan};
 pub use objective::RankClass;
 pub use short_log::ShortLog;
+pub use start_forecast::StartForecast;
 pub use target_state::{HostVacancy, TargetLife, TargetState};
 pub use tracked_map::TrackedMap;
 pub use work_desk::{DeskTime, WorkDesk};
--- a/crates/decide/src/work/objective.rs
+++ b/crates/decide/src/work/objective.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
-use model::{BootTime, work::QueueTerms};
+use model::{
+    BootTime,
+    work::{JobPlan, QueueTerms},
+};
 
 use super::{OccurrenceState, WorkJob};
 
@@ -39,6 +42,19 @@
     Overdue,
 }
 
+/// Time in which a job is to be completed.
+fn objective(plan: &JobPlan, queue: Option<&QueueTerms>) -> Duration {
+    let (factor, extra) = queue.map_or((1.0, Duration::ZERO), |queue| {
+        (queue.slack_factor, queue.slack_time)
+    });
+    plan.longest_chain().mul_f64(factor.clamp(0.0, 1000.0)) + extra
+}
+
+/// How long a job that is handed in now may wait for its first start and still count.
+pub(super) fn longest_wait(plan: &JobPlan, queue: Option<&QueueTerms>) -> Duration {
+    (objective(plan, queue) * LATE_FACTOR).saturating_sub(plan.longest_chain())
+}
+
 /// Ranks a job of which one occurrence waits, and tells until when the rank holds; `None` if it
 /// does not change with time.
 pub(super) fn rank(
@@ -57,11 +73,7 @@
         };
         return (rank, None);
     }
-    let chain = job.plan.longest_chain();
-    let (factor, extra) = queue.map_or((1.0, Duration::ZERO), |queue| {
-        (queue.slack_factor, queue.slack_time)
-    });
-    let objective = chain.mul_f64(factor.clamp(0.0, 1000.0)) + extra;
+    let objective = objective(&job.plan, queue);
     let begin = if job.plan.repeat.is_some() {
         occurrence.due
     } else {
--- a/crates/decide/src/work/share_meter.rs
+++ b/crates/decide/src/work/share_meter.rs
@@ -34,13 +34,25 @@
                 left: weight,
                 filled: now,
             });
-        let passed = now.saturating_sub(bucket.filled).as_secs_f64();
+        bucket.left = bucket.left_at(weight, now);
         bucket.filled = now;
-        bucket.left = (bucket.left + passed * weight).min(weight);
         if bucket.left < 1.0 {
             return true;
         }
         bucket.left -= 1.0;
         false
     }
+
+    /// True if a job that a workspace hands in now would be beyond its `weight`.
+    pub fn foresees_beyond(&self, workspace: &str, weight: u32, now: BootTime) -> bool {
+        let bucket = self.buckets.get(workspace);
+        weight > 0 && bucket.is_some_and(|bucket| bucket.left_at(f64::from(weight), now) < 1.0)
+    }
+}
+
+impl ShareBucket {
+    fn left_at(&self, weight: f64, now: BootTime) -> f64 {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        (self.left + passed * weight).min(weight)
+    }
 }
--- a/crates/decide/src/work/work_desk.rs
+++ b/crates/decide/src/work/work_desk.rs
@@ -12,8 +12,9 @@
 
 use super::{
     DeskEffort, DeskEvent, DeskOrder, DeskTuning, EndOrigin, HostVacancy, JobBoard, RecordOrder,
-    TargetState, WorkJob, WorkPhase, desk_evacuate::StrandedTask, desk_index::DeskIndex,
-    share_meter::ShareMeter, step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
+    StartForecast, TargetState, WorkJob, WorkPhase, desk_evacuate::StrandedTask,
+    desk_index::DeskIndex, share_meter::ShareMeter, step_key::StepKey, target_state::RunKey,
+    tracked_map::TrackedMap,
 };
 
 /// Events that are kept for the log until they are taken; more are dropped, and counted.
@@ -61,6 +62,7 @@
     /// When the log had been read; zero for a desk that has no predecessor.
     pub(super) began: BootTime,
     pub(super) shares: ShareMeter,
+    pub(super) forecast: StartForecast,
     /// Steps of tasks that last for which no target was found, and since when.
     pub(super) starved: BTreeMap<StepKey, BootTime>,
     /// Targets that are kept free, also those that are not listed yet: the list of hosts may tell of
--- a/crates/decide/tests/link_bounds.rs
+++ b/crates/decide/tests/link_bounds.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use decide::link_bounds::{largest_backlog, largest_write, lease_length, renewals_ahead};
+use decide::link_bounds::{
+    largest_backlog, largest_write, lease_length, most_starts, renewals_ahead,
+};
 
 /// 2 Mbit/s.
 const NARROW: f64 = 250_000.0;
@@ -55,3 +57,11 @@
     assert!(largest_backlog(NARROW) * 2.0 <= LOG_BYTES);
     assert!(largest_backlog(WIDE) >= 10_000_000.0);
 }
+
+/// Guards against a bound on starts that refuses work where the link is wide.
+#[test]
+fn most_starts_follows_link() {
+    assert!((100.0..200.0).contains(&most_starts(NARROW)));
+    assert!(most_starts(WIDE) >= 10_000.0);
+    assert!(most_starts(0.0) >= 1.0);
+}
--- /dev/null
+++ b/crates/decide/tests/work_admit.rs
@@ -0,0 +1,186 @@
+//! Which jobs are refused while a pool is asked for more than it can start.
+
+mod desk;
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use decide::work::{StartForecast, record_of_plan};
+use desk::{DeskScene, POOL, QUEUE, SPACE, ended, plan, running, step, terms_with_limit};
+use model::{
+    BootTime, HostId,
+    work::{EndKind, FleetTerms, HostRoom, JobPlan, StartOrder, WorkspaceTerms},
+};
+use wire::work::JobRecord;
+
+/// A workspace beside the one that sends too much.
+const OTHER: &str = "other";
+/// Time between two steps of a scene.
+const STEP: Duration = Duration::from_millis(100);
+/// How long each task runs.
+const RUN: Duration = Duration::from_secs(1);
+
+/// A pool that starts two tasks a second.
+struct BusyPool {
+    scene: DeskScene,
+    running: VecDeque<(BootTime, HostId, StartOrder)>,
+    ends: u64,
+    submitted: usize,
+    begun: usize,
+}
+
+impl BusyPool {
+    fn new() -> Self {
+        let mut scene = DeskScene::new(1);
+        let mut terms: FleetTerms = terms_with_limit(0);
+        terms.workspaces.push(WorkspaceTerms {
+            name: OTHER.into(),
+            limit: HostRoom::default(),
+            ..terms.workspaces[0].clone()
+        });
+        scene.desk.set_terms(Arc::new(terms));
+        scene.weigh(1);
+        scene.add("t1", 2000);
+        Self {
+            scene,
+            running: VecDeque::new(),
+            ends: 0,
+            submitted: 0,
+            begun: 0,
+        }
+    }
+
+    /// Hands a job in, unless it is foreseen to be late; tells by how much it would be.
+    fn hand_in(&mut self, workspace: &str) -> Option<Duration> {
+        let plan = job();
+        let now = self.scene.now;
+        let excess = self.scene.desk.foresees_late(&plan, QUEUE, workspace, now);
+        if excess.is_none() {
+            self.submitted += 1;
+            let record = JobRecord {
+                job: format!("job{}", self.submitted),
+                queue: QUEUE.to_owned(),
+                pool: POOL.to_owned(),
+                workspace: workspace.to_owned(),
+                accepted_unix_ms: u64::try_from(now.unix.as_millis()).unwrap_or_default(),
+                ..record_of_plan(&plan)
+            };
+            self.scene.desk.accept(&record, now);
+            self.scene.run();
+        }
+        excess
+    }
+
+    fn pass(&mut self) {
+        self.scene.pass(STEP);
+        let now = self.scene.now.boot;
+        while self.running.front().is_some_and(|(end, ..)| *end <= now) {
+            let Some((_, id, start)) = self.running.pop_front() else {
+                return;
+            };
+            self.ends += 1;
+            let left = self.running.iter().map(|(_, _, start)| running(start));
+            let end = ended(self.ends, &start.task, start.attempt, EndKind::Done);
+            self.scene.see(&id, left.collect(), vec![end]);
+        }
+        for (id, start) in self.scene.start_all() {
+            self.begun += 1;
+            self.running.push_back((now + RUN, id, start));
+        }
+    }
+
+    fn waiting(&self) -> usize {
+        self.submitted - self.begun
+    }
+}
+
+fn job() -> JobPlan {
+    plan(vec![step(1, 1000)])
+}
+
+/// Guards against a backlog that is accepted and can't be begun: five times as much is asked for as
+/// the pool starts.
+#[test]
+fn admit_bounds_backlog() {
+    let mut pool = BusyPool::new();
+    let mut refused = 0;
+    for _ in 0..200 {
+        refused += usize::from(pool.hand_in(SPACE).is_some());
+        pool.pass();
+        // Ten seconds of what the pool starts, and what came before that had shown.
+        assert!(pool.waiting() <= 30, "{} wait", pool.waiting());
+    }
+    assert!(refused >= 100, "{refused} refused");
+    for _ in 0..150 {
+        pool.pass();
+    }
+    assert_eq!(pool.waiting(), 0);
+}
+
+/// Guards against refusals that outlast the backlog which they were for.
+#[test]
+fn admit_again_after_backlog() {
+    let mut pool = BusyPool::new();
+    let mut excess = None;
+    for _ in 0..100 {
+        excess = pool.hand_in(SPACE).or(excess);
+        pool.pass();
+    }
+    let wait = excess.unwrap_or_default();
+    assert!(!wait.is_zero());
+    let steps = wait.as_millis() / STEP.as_millis() + 1;
+    for _ in 0..steps {
+        pool.pass();
+    }
+    assert_eq!(pool.hand_in(SPACE), None, "after {wait:?}");
+}
+
+/// Guards against a workspace that has others refused by sending many times its share.
+#[test]
+fn admit_keeps_share_of_others() {
+    let mut pool = BusyPool::new();
+    for number in 0..200 {
+        pool.hand_in(SPACE);
+        if number % 20 == 0 {
+            assert_eq!(pool.hand_in(OTHER), None, "at step {number}");
+        }
+        pool.pass();
+    }
+}
+
+/// Guards against all that comes in the first second of a new owner behind a narrow link, when nothing
+/// is known yet of what a pool can start.
+#[test]
+fn admit_bounds_first_second() {
+    let mut pool = BusyPool::new();
+    pool.scene.desk.set_link(20.0);
+    let accepted = (0..500).filter(|_| pool.hand_in(SPACE).is_none()).count();
+    // Five seconds are in time for the first, eight for all.
+    assert!((100..=180).contains(&accepted), "{accepted} accepted");
+}
+
+/// Guards against refusals where nothing is known yet of what the pool can start.
+#[test]
+fn wait_of_unknown_pace_is_zero() {
+    let mut forecast = StartForecast::default();
+    let pool = POOL.into();
+    let at = |ms: u64| Duration::from_millis(100_000 + ms);
+    forecast.started(&pool, at(0));
+    forecast.observe(&pool, true, at(100));
+    assert_eq!(forecast.wait(&pool, 1000, at(600)), Duration::ZERO);
+    // Hosts that are on their way begin to start after two seconds.
+    assert_eq!(forecast.wait(&pool, 1000, at(2900)), Duration::ZERO);
+    assert!(forecast.wait(&pool, 1000, at(3200)) > Duration::from_secs(10));
+}
+
+/// Guards against a wait that leaves out the queue of calls behind a narrow link.
+#[test]
+fn wait_counts_delay_of_calls() {
+    let mut forecast = StartForecast::default();
+    let at = |ms: u64| Duration::from_millis(100_000 + ms);
+    forecast.delayed(Duration::from_secs(4), at(0));
+    assert_eq!(
+        forecast.wait(&POOL.into(), 0, at(500)),
+        Duration::from_secs(4)
+    );
+    assert_eq!(forecast.wait(&POOL.into(), 0, at(1500)), Duration::ZERO);
+}
