--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -12,6 +12,10 @@
 pub(crate) const ACCEPT_SECONDS: &str = "lws_cell_accept_seconds";
 /// Time of one write of a page of the job log.
 pub(crate) const RECORD_SECONDS: &str = "lws_cell_record_seconds";
+/// Time that a new owner needs for what its copy lacks of the log.
+pub(crate) const LOG_READ_SECONDS: &str = "lws_cell_log_read_seconds";
+/// By how much jobs that were refused would have been begun too late.
+pub(crate) const EXCESS_SECONDS: &str = "lws_cell_excess_seconds";
 /// Calls to the store, by operation and outcome.
 pub(crate) const LOG_WRITES: &str = "lws_cell_log_writes";
 /// Orders to targets, by kind and outcome.
--- a/crates/cell/src/owner_desk.rs
+++ b/crates/cell/src/owner_desk.rs
@@ -10,6 +10,7 @@
 use crate::{
     event,
     log_queue::{RecordOutcome, record_order},
+    metric,
     term::Term,
 };
 
@@ -101,6 +102,7 @@
     let now = term.now();
     let mut desk = term.desk.borrow_mut();
     let wait = desk.foresees_late(&plan, &record.queue, &record.workspace, now)?;
+    metric::time(metric::EXCESS_SECONDS, wait);
     log_event::info(
         &event::JOB_FORESEEN_LATE,
         format_args!(
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -102,6 +102,8 @@
     if let Some(terms) = term.view.terms() {
         desk.set_terms(terms);
     }
+    let took = term.now().boot.saturating_sub(started);
+    metric::time(metric::LOG_READ_SECONDS, took);
     log_event::info(
         &event::TERM_READ,
         format_args!(
@@ -113,7 +115,7 @@
             desk.board.open.len(),
             desk.board.cancelled(),
             desk.board.used.len(),
-            term.now().boot.saturating_sub(started).as_millis()
+            took.as_millis()
         ),
     );
     let now = term.now().boot;
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -303,3 +303,38 @@
         until_shown(&desk, "job1", JobProgress::Cancelled).await;
     });
 }
+
+/// Guards against a standby that takes pages which were replaced while it could not read for the whole
+/// log, and forgets what the shorter one tells.
+#[test]
+fn standby_begins_anew_behind_gap() {
+    run_local(async {
+        let store = new_store();
+        let (first_way, second_way) = (store.handle(), store.handle());
+        let first = start_host("a", &first_way, strong());
+        until_owner(&store, "a").await;
+        let second = start_host("b", &second_way, strong());
+        let desk = first.desk();
+        accepted(&desk, "before").await;
+        sleep(Duration::from_millis(1500)).await;
+        second_way.fail_lists(LOG);
+        let oldest = || store.keys(LOG).first().cloned();
+        let end = Instant::now() + LIMIT;
+        let begun = oldest();
+        for number in 0.. {
+            accepted(&desk, &format!("{}{number}", "x".repeat(3000))).await;
+            if oldest() != begun {
+                break;
+            }
+            assert!(Instant::now() < end, "the log was not made shorter");
+        }
+        accepted(&desk, "after").await;
+        until_shown(&desk, "after", JobProgress::Completed).await;
+        second_way.answer_lists();
+        first_way.turn_away(true);
+        until_owner(&store, "b").await;
+        for job in ["before", "after"] {
+            until_shown(&second.desk(), job, JobProgress::Completed).await;
+        }
+    });
+}
