--- a/crates/decide/src/work/desk_admit.rs
+++ b/crates/decide/src/work/desk_admit.rs
@@ -5,7 +5,7 @@
     work::{JobPlan, QueueTerms},
 };
 
-use super::{DeskTime, WorkDesk, job_index::PoolBacklog, objective::longest_wait};
+use super::{DeskTime, WorkDesk, job_facts::PoolBacklog, objective::longest_wait};
 
 /// Time in which all that is accepted has to be begun, however little of it still counts.
 const LONGEST_BACKLOG: Duration = Duration::from_secs(8);
--- a/crates/decide/src/work/desk_plan.rs
+++ b/crates/decide/src/work/desk_plan.rs
@@ -4,7 +4,7 @@
 
 use super::{
     DeskEffort, DeskTime, WorkDesk,
-    job_index::WaitingGroup,
+    job_facts::WaitingGroup,
     ranked_steps::{RankedSteps, StepFilter, StepRank, WaitingStep},
     step_key::StepKey,
 };
--- /dev/null
+++ b/crates/decide/src/work/job_facts.rs
@@ -0,0 +1,194 @@
+use compact_str::CompactString;
+use model::{
+    BootTime, PoolId, WorkspaceId,
+    work::{FleetTerms, HostRoom},
+};
+
+use super::{
+    OccurrenceState, StepState, WorkJob, WorkPhase,
+    objective::{RankClass, rank},
+    ranked_steps::WaitingStep,
+    step_key::StepKey,
+};
+
+/// Steps that are started or passed over together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WaitingGroup {
+    /// Whose limit counts.
+    pub(super) workspace: WorkspaceId,
+    /// Whether a predecessor may have started tasks of them.
+    pub(super) inherited: bool,
+}
+
+/// What open jobs of a pool need, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct PoolNeed {
+    /// For what runs or could start now.
+    pub(super) present: u64,
+    /// For tasks that last.
+    pub(super) lasting: u64,
+}
+
+/// Tasks of open jobs of a pool that have not been started, also those of steps that wait for others.
+/// Tasks that last are not counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct PoolBacklog {
+    /// Those within the share of their workspace that can still be in time, or late and count.
+    pub(super) owed: u64,
+    /// Those within the share that are too late to count.
+    pub(super) overdue: u64,
+    /// Those beyond the share.
+    pub(super) beyond: u64,
+}
+
+impl PoolBacklog {
+    pub(super) fn plus(self, other: Self) -> Self {
+        Self {
+            owed: self.owed + other.owed,
+            overdue: self.overdue + other.overdue,
+            beyond: self.beyond + other.beyond,
+        }
+    }
+
+    /// Those within the share of their workspace.
+    pub(super) fn within_share(&self) -> u64 {
+        self.owed + self.overdue
+    }
+
+    /// All of them.
+    pub(super) fn all(&self) -> u64 {
+        self.within_share() + self.beyond
+    }
+}
+
+/// What the index knows of a job.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct JobFacts {
+    pub(super) pool: PoolId,
+    pub(super) group: WaitingGroup,
+    pub(super) waiting: Vec<WaitingStep>,
+    pub(super) rerank: Option<BootTime>,
+    /// Its queue, if it is open and has not begun.
+    pub(super) pending: Option<CompactString>,
+    pub(super) need: PoolNeed,
+    pub(super) backlog: PoolBacklog,
+    pub(super) doubt: HostRoom,
+    pub(super) apart: usize,
+    pub(super) repeats: bool,
+    pub(super) gang: bool,
+    pub(super) ended: Option<BootTime>,
+}
+
+impl JobFacts {
+    pub(super) fn of(job: &WorkJob, terms: &FleetTerms, now: BootTime) -> Self {
+        let mut facts = Self {
+            pool: job.pool.clone(),
+            ..Self::default()
+        };
+        facts.group = WaitingGroup {
+            workspace: job.workspace.clone(),
+            inherited: job.inherited,
+        };
+        // Tasks of a job that was cancelled or failed run on until they can be stopped there.
+        if job.inherited && job.phase != WorkPhase::Completed {
+            facts.doubt = doubt_of(job);
+        }
+        if !job.is_open() {
+            facts.ended = (job.unstored == 0).then_some(job.ended);
+            return facts;
+        }
+        facts.pending = (!job.begun).then(|| job.queue.clone());
+        facts.repeats = job.opened < job.plan.occurrences();
+        facts.gang = job.plan.steps.iter().any(|step| step.gang);
+        let apart = job.plan.steps.iter().filter(|step| step.anti_affinity > 0);
+        let hosts = apart.map(|step| step.count.div_ceil(step.anti_affinity));
+        facts.apart = hosts.max().unwrap_or_default() as usize;
+        facts.take_steps(job, terms, now);
+        facts
+    }
+
+    fn take_steps(&mut self, job: &WorkJob, terms: &FleetTerms, now: BootTime) {
+        let queue = terms.queue(&job.queue);
+        let advised = queue.is_some_and(|queue| queue.advice.is_some());
+        for (&number, occurrence) in &job.occurrences {
+            let mut ranked = None;
+            let unstarted = unstarted(job, occurrence);
+            if unstarted > 0 && job.phase != WorkPhase::Held {
+                let (rank, until) =
+                    *ranked.get_or_insert_with(|| rank(job, occurrence, queue, now));
+                self.rerank = until.into_iter().chain(self.rerank).min();
+                match rank.class {
+                    _ if job.beyond_share => self.backlog.beyond += unstarted,
+                    RankClass::Overdue => self.backlog.overdue += unstarted,
+                    _ => self.backlog.owed += unstarted,
+                }
+            }
+            for (step, state) in occurrence.steps.iter().enumerate() {
+                if state.is_done() || !occurrence.is_ready(&job.plan, step) {
+                    continue;
+                }
+                let plan = &job.plan.steps[step];
+                let left = u64::from(plan.count.saturating_sub(state.done));
+                let cpu = plan.footprint().cpu * left;
+                if plan.long_running {
+                    self.need.lasting += cpu;
+                } else {
+                    self.need.present += cpu;
+                }
+                let busy = (state.done + state.placed) as usize >= state.tasks.len();
+                if busy || job.phase == WorkPhase::Held {
+                    continue;
+                }
+                let (rank, until) =
+                    *ranked.get_or_insert_with(|| rank(job, occurrence, queue, now));
+                self.rerank = until.into_iter().chain(self.rerank).min();
+                // Tasks that last may take a target that is being emptied or pauses, and advice is
+                // asked for early: they are looked at whatever room there is.
+                let needs_room = !plan.long_running && !advised;
+                let (room, need) = match needs_room {
+                    true => (plan.footprint(), plan.need),
+                    false => Default::default(),
+                };
+                self.waiting.push(WaitingStep {
+                    rank,
+                    step: StepKey {
+                        job: job.id.clone(),
+                        occurrence: number,
+                        step: u32::try_from(step).unwrap_or(u32::MAX),
+                    },
+                    room,
+                    need,
+                });
+            }
+        }
+    }
+
+    /// True if something may be started by what has changed since `before`.
+    pub(super) fn brings_work(&self, before: &Self) -> bool {
+        let new = |step: &WaitingStep| !before.waiting.contains(step);
+        self.waiting.iter().any(new)
+            || before.pool != self.pool
+            || before.group.inherited != self.group.inherited
+    }
+}
+
+/// Tasks of an occurrence that have not been started, but for those that last.
+fn unstarted(job: &WorkJob, occurrence: &OccurrenceState) -> u64 {
+    let steps = occurrence.steps.iter().zip(&job.plan.steps);
+    let steps = steps.filter(|(_, plan)| !plan.long_running);
+    let left = |state: &StepState| {
+        let taken = u64::from(state.done) + u64::from(state.placed);
+        (state.tasks.len() as u64).saturating_sub(taken)
+    };
+    steps.map(|(state, _)| left(state)).sum()
+}
+
+/// What tasks of a job that are neither done nor known to run would take.
+fn doubt_of(job: &WorkJob) -> HostRoom {
+    let steps = job
+        .occurrences
+        .values()
+        .flat_map(|occurrence| occurrence.steps.iter().zip(&job.plan.steps));
+    let rooms = steps.map(|(state, plan)| plan.need.times(u64::from(state.waiting())));
+    rooms.fold(HostRoom::default(), HostRoom::plus)
+}
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -28,6 +28,7 @@
 mod host_waves;
 mod job_board;
 mod job_entries;
+mod job_facts;
 mod job_index;
 mod job_record;
 mod objective;
