Refuse no job for a backlog that it may wait for

What is foreseen late now goes by the job's own latest start, and all that is accepted may wait for eight seconds or for that, whichever is longer. admit_jobs_without_hurry failed before.

--- a/crates/cell/src/log_queue.rs
+++ b/crates/cell/src/log_queue.rs
@@ -101,7 +101,10 @@
 
     /// Takes back the acceptance of a job that nobody waits for any more; false if it may be written.
     pub(crate) fn withdraw(&self, job: &str) -> bool {
-        let accepts = |record: &PendingRecord| matches!(&record.order.entry.event, Some(Event::Accepted(record)) if record.job == job);
+        let accepts = |record: &PendingRecord| match &record.order.entry.event {
+            Some(Event::Accepted(accepted)) => accepted.job == job,
+            _ => false,
+        };
         let mut pending = self.pending.borrow_mut();
         let found = pending.iter().position(accepts);
         found.and_then(|at| pending.remove(at)).is_some()
--- a/crates/decide/src/work/desk_admit.rs
+++ b/crates/decide/src/work/desk_admit.rs
@@ -7,7 +7,8 @@
 
 use super::{DeskTime, WorkDesk, job_facts::PoolBacklog, objective::longest_wait};
 
-/// Time in which all that is accepted has to be begun, however little of it still counts.
+/// Time in which all that is accepted has to be begun, however little of it still counts; more for
+/// jobs that may wait longer.
 const LONGEST_BACKLOG: Duration = Duration::from_secs(8);
 /// Part of the foreseen wait that is taken for sure: pools get more hosts while demand rises.
 const SURE_PART: (u32, u32) = (4, 5);
@@ -43,9 +44,10 @@
         let wait = |tasks: u64| self.forecast.wait(&queue.pool, tasks, now.boot);
         let sure = wait(ahead) * SURE_PART.0 / SURE_PART.1;
         let sure = sure.max(self.forecast.link_wait(ahead_of_all));
-        let late = sure.saturating_sub(longest_wait(plan, Some(queue)));
+        let longest = longest_wait(plan, Some(queue)).unwrap_or(Duration::MAX);
+        let late = sure.saturating_sub(longest);
         let long = wait(accepted).max(self.forecast.link_wait(accepted_of_all));
-        let long = long.saturating_sub(LONGEST_BACKLOG);
+        let long = long.saturating_sub(LONGEST_BACKLOG.max(longest));
         Some(late.max(long)).filter(|excess| !excess.is_zero())
     }
 
--- a/crates/decide/src/work/objective.rs
+++ b/crates/decide/src/work/objective.rs
@@ -50,9 +50,12 @@
     plan.longest_chain().mul_f64(factor.clamp(0.0, 1000.0)) + extra
 }
 
-/// How long a job that is handed in now may wait for its first start and still count.
-pub(super) fn longest_wait(plan: &JobPlan, queue: Option<&QueueTerms>) -> Duration {
-    (objective(plan, queue) * LATE_FACTOR).saturating_sub(plan.longest_chain())
+/// How long a job that is handed in now may wait for its first start and still count; `None` if its
+/// queue has no objective.
+pub(super) fn longest_wait(plan: &JobPlan, queue: Option<&QueueTerms>) -> Option<Duration> {
+    let objective = objective(plan, queue);
+    let latest = objective.saturating_mul(LATE_FACTOR);
+    (!objective.is_zero()).then(|| latest.saturating_sub(plan.longest_chain()))
 }
 
 /// Ranks a job of which one occurrence waits, and tells until when the rank holds; `None` if it
--- a/crates/decide/tests/work_admit.rs
+++ b/crates/decide/tests/work_admit.rs
@@ -158,6 +158,22 @@
     assert!((100..=180).contains(&accepted), "{accepted} accepted");
 }
 
+/// Guards against refusals of jobs that may wait for long, or whose queue has no objective.
+#[test]
+fn admit_jobs_without_hurry() {
+    for (slack_factor, slack_time) in [(0.0, Duration::ZERO), (2.0, Duration::from_secs(3600))] {
+        let mut pool = BusyPool::new();
+        let mut terms = FleetTerms::clone(&pool.scene.desk.terms);
+        terms.queues[0].slack_factor = slack_factor;
+        terms.queues[0].slack_time = slack_time;
+        pool.scene.desk.set_terms(Arc::new(terms));
+        for _ in 0..200 {
+            assert_eq!(pool.hand_in(SPACE), None);
+            pool.pass();
+        }
+    }
+}
+
 /// Guards against refusals where nothing is known yet of what the pool can start.
 #[test]
 fn wait_of_unknown_pace_is_zero() {
