Refuse no job for one slow target, nor for a wait of a moment

Starts wait for their target as well as for the link, so one slow target would have had jobs of all pools refused. It is taken out; what the link carries counts as before.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -42,9 +42,6 @@
     let begun = Instant::now();
     let permit = turn(&term, &lane, CallClass::Start).await;
     note_wait(&order, &id, begun.elapsed());
-    term.desk
-        .borrow_mut()
-        .start_delayed(begun.elapsed(), term.now());
     if !term.desk.borrow().wants_start(&id, &task, attempt) {
         log_event::info(
             &event::START_DROPPED,
--- a/crates/decide/src/work/desk_admit.rs
+++ b/crates/decide/src/work/desk_admit.rs
@@ -10,6 +10,8 @@
 /// Time in which all that is accepted has to be begun, however little of it still counts; more for
 /// jobs that may wait longer.
 const LONGEST_BACKLOG: Duration = Duration::from_secs(8);
+/// Waits below this are not foreseen well enough to refuse a job for them.
+const LEAST_WAIT: Duration = Duration::from_secs(2);
 /// Part of the foreseen wait that is taken for sure: pools get more hosts while demand rises.
 const SURE_PART: (u32, u32) = (4, 5);
 
@@ -45,6 +47,7 @@
         let sure = wait(ahead) * SURE_PART.0 / SURE_PART.1;
         let sure = sure.max(self.forecast.link_wait(ahead_of_all));
         let longest = longest_wait(plan, Some(queue)).unwrap_or(Duration::MAX);
+        let longest = longest.max(LEAST_WAIT);
         let late = sure.saturating_sub(longest);
         let long = wait(accepted).max(self.forecast.link_wait(accepted_of_all));
         let long = long.saturating_sub(LONGEST_BACKLOG.max(longest));
@@ -56,11 +59,6 @@
         self.forecast.set_link(starts_a_second);
     }
 
-    /// Takes in how long a start waited for its call to be sent.
-    pub fn start_delayed(&mut self, waited: Duration, now: DeskTime) {
-        self.forecast.delayed(waited, now.boot);
-    }
-
     /// Notes in which pools tasks wait.
     pub(super) fn observe_backlog(&mut self, now: DeskTime) {
         let terms = self.terms.clone();
--- a/crates/decide/src/work/start_forecast.rs
+++ b/crates/decide/src/work/start_forecast.rs
@@ -14,8 +14,6 @@
 const BUSY_BEFORE: Duration = Duration::from_secs(2);
 /// Longest wait that is foreseen.
 const MOST_WAIT: Duration = Duration::from_secs(60);
-/// How long the time that a start waits for the owner's link counts.
-const DELAY_SPAN: Duration = Duration::from_secs(1);
 
 /// Foresees how long tasks that are handed in now wait until they are started.
 ///
@@ -27,8 +25,6 @@
     pools: BTreeMap<PoolId, PoolPace>,
     /// Most starts a second that the owner's link carries; zero if nothing is known of it.
     link: f64,
-    /// How long the last start waited for its call, and when it was sent.
-    delay: (Duration, BootTime),
 }
 
 /// How fast a pool starts what waits for it.
@@ -69,27 +65,12 @@
         pace.busy_since.get_or_insert(now);
     }
 
-    /// Notes how long a start waited for its call to be sent.
-    pub fn delayed(&mut self, waited: Duration, now: BootTime) {
-        self.delay = (waited, now);
-    }
-
     /// How long the last of so many tasks that wait for a pool is going to wait; zero if nothing is
     /// known of its pace.
     pub fn wait(&self, pool: &PoolId, tasks: u64, now: BootTime) -> Duration {
-        let (delay, at) = self.delay;
-        let delay = match now.saturating_sub(at) < DELAY_SPAN {
-            true => delay,
-            false => Duration::ZERO,
-        };
-        let pace = self
-            .pools
-            .get(pool)
-            .and_then(|pace| pace.starts_a_second(now));
-        let Some(pace) = pace else {
-            return delay;
-        };
-        delay + time_of(tasks, pace)
+        let pace = self.pools.get(pool);
+        let pace = pace.and_then(|pace| pace.starts_a_second(now));
+        pace.map_or(Duration::ZERO, |pace| time_of(tasks, pace))
     }
 }
 
