Let a grant follow long work for as long as work may run

A grant says that its work is short again max_deadline after the last long work was seen. try_take_long_waits_for_its_grant asks for that.

--- a/crates/decide/src/quota/round.rs
+++ b/crates/decide/src/quota/round.rs
@@ -95,6 +95,7 @@
             return;
         };
         quota.note_peak(now);
+        quota.note_long(now);
         quota.drop_old_wish(now);
         if let Some(wish) = quota.open_wish(now).cloned() {
             let ceiling = quota.ceiling(&own, life, options.mutation);
@@ -124,7 +125,7 @@
         }
         if self.list.contains(&own, life) {
             let next = self.next_record(name, now, actions);
-            if let Some(record) = self.with_longest(name, next) {
+            if let Some(record) = self.with_longest(name, next, now) {
                 self.write(name, record, now, actions);
             }
         }
@@ -137,11 +138,16 @@
     /// The record to write with what it says of the work that this host starts; the present one if
     /// that alone is to be changed.
     ///
-    /// A grant is for short work only while nothing long runs here, and allows long work as soon as
-    /// some waits.
-    fn with_longest(&self, name: &TeamId, next: Option<QuotaRecord>) -> Option<QuotaRecord> {
+    /// A grant is for short work only while nothing long has run here for long, and allows long work
+    /// as soon as some waits.
+    fn with_longest(
+        &self,
+        name: &TeamId,
+        next: Option<QuotaRecord>,
+        now: BootTime,
+    ) -> Option<QuotaRecord> {
         let quota = self.teams.get(name)?;
-        let longest = match quota.is_short() {
+        let longest = match quota.is_short(now, self.options.max_deadline) {
             true => self.options.short_ms(),
             false => 0,
         };
--- a/crates/decide/src/quota/team.rs
+++ b/crates/decide/src/quota/team.rs
@@ -77,6 +77,8 @@
     pub long_running: u32,
     /// True if long work waits for a grant that allows it.
     pub long_waits: bool,
+    /// When long work last ran or waited here, as the rounds saw it.
+    pub long_seen: Option<BootTime>,
     /// Units put aside for another host.
     pub release: Option<UnitRelease>,
     /// The last question that could not be met; units that fall free go there unasked.
@@ -145,9 +147,18 @@
                 .is_none_or(|write| long(&write.record))
     }
 
-    /// True if work was started here and all that runs and waits is short, as far as is known.
-    pub(crate) fn is_short(&self) -> bool {
-        self.short_started && !self.long_waits && self.long_running == 0
+    /// Notes at `now` whether long work runs or waits.
+    pub(crate) fn note_long(&mut self, now: BootTime) {
+        if self.long_waits || self.long_running > 0 {
+            self.long_seen = Some(now);
+        }
+    }
+
+    /// True if work was started here and all of it has been short for so long. Where long and short
+    /// work alternate, a change of the grant with each would use up the writes of all teams.
+    pub(crate) fn is_short(&self, now: BootTime, span: Duration) -> bool {
+        let recent = |seen| now.saturating_sub(seen) < span;
+        self.short_started && !self.long_seen.is_some_and(recent)
     }
 
     /// True while the record does not follow the limit in force.
