--- a/crates/cell/tests/certain_answers.rs
+++ b/crates/cell/tests/certain_answers.rs
@@ -11,7 +11,6 @@
     task::JoinHandle,
     time::{Instant, sleep},
 };
-use wire::work::log_entry::Event;
 
 /// Hands a job in, beside what the test does.
 fn hand_in(host: &CellHost, job: &str, patience: Duration) -> JoinHandle<CallerAnswer> {
@@ -70,9 +69,7 @@
 fn job_that_no_owner_recorded_is_refused() {
     run_local(async {
         let store = new_store();
-        for number in 0..100 {
-            put_entry(&store, number as usize, Event::Accepted(large_job(number)));
-        }
+        put_long_log(&store);
         let way = store.handle();
         let targets = MemoryTargets::default();
         targets.hold(usize::MAX);
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -15,8 +15,8 @@
 pub use memory_ports::{MemoryTargets, NoControl, free_address, ports_on, terms_text};
 pub use memory_store::{MemoryStore, StoreSwitch};
 pub use successors::{
-    LOG, OWNER, large_job, narrow, new_store, owner, put_entry, put_page, start_host, start_on,
-    start_with, strong, until_owner, weak,
+    LOG, OWNER, large_job, narrow, new_store, owner, put_entry, put_long_log, put_page, start_host,
+    start_on, start_with, strong, until_owner, until_page, weak,
 };
 
 use tokio::task::LocalSet;
--- a/crates/cell/tests/common/successors.rs
+++ b/crates/cell/tests/common/successors.rs
@@ -107,3 +107,19 @@
         ..JobRecord::default()
     }
 }
+
+/// A log of a hundred pages, of jobs whose entries can't be made shorter.
+pub fn put_long_log(store: &MemoryStore) {
+    for number in 0..100 {
+        put_entry(store, number as usize, Event::Accepted(large_job(number)));
+    }
+}
+
+/// Waits until a page of the log is there; the owner's first shows that it has read those before.
+pub async fn until_page(store: &MemoryStore, page: usize) {
+    let end = Instant::now() + LIMIT;
+    while store.value(&format!("{LOG}{page:012}")).is_none() {
+        assert!(Instant::now() < end, "the log was not read");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/cell/tests/narrow_link.rs
+++ b/crates/cell/tests/narrow_link.rs
@@ -43,13 +43,6 @@
     way
 }
 
-/// A log of jobs whose entries can't be made shorter.
-fn put_long_log(store: &MemoryStore) {
-    for number in 0..100 {
-        put_entry(store, number as usize, Event::Accepted(large_job(number)));
-    }
-}
-
 /// Guards against a cell without an owner for as long as each that reads the log is told to let
 /// another try before it has read it.
 #[test]
@@ -58,12 +51,7 @@
         let store = new_store();
         put_long_log(&store);
         let _host = start_host("a", &slow_way(&store, 4), strong());
-        let end = Instant::now() + LIMIT;
-        // The owner's first page shows that it has read those before.
-        while store.value(&format!("{LOG}{:012}", 100)).is_none() {
-            assert!(Instant::now() < end, "the log was not read");
-            sleep(Duration::from_millis(20)).await;
-        }
+        until_page(&store, 100).await;
     });
 }
 
@@ -121,9 +109,7 @@
 fn long_backlog_refuses_jobs() {
     run_local(async {
         let store = new_store();
-        for number in 0..100 {
-            put_entry(&store, number as usize, Event::Accepted(large_job(number)));
-        }
+        put_long_log(&store);
         let targets = MemoryTargets::default();
         targets.set_slow(true);
         let host = start_with("a", &store, narrow(), &targets);
--- a/crates/cell/tests/succession.rs
+++ b/crates/cell/tests/succession.rs
@@ -110,12 +110,7 @@
         store.limit_lists(LOG, 5, 2);
         let _host = start_host("a", &store, strong());
         until_owner(&store, "a").await;
-        let end = Instant::now() + LIMIT;
-        // The owner's first page shows that it has read those before.
-        while store.value(&format!("{LOG}{:012}", 200)).is_none() {
-            assert!(Instant::now() < end, "the log was not read");
-            sleep(Duration::from_millis(20)).await;
-        }
+        until_page(&store, 200).await;
     });
 }
 
