Read the log with the reader of prefixes, and note a written page in one place

- catch_up had a loop of its own over pages of a list, with the same guard against a page without keys.
The reader of prefixes, which the log was read with before, can begin after a key now and serves both.
- Three places told the pages and the copy of a page that was written; LogPages::wrote tells both, and compaction copies no page twice.
- Whether a page may be in the store stood in two variables of write_page; it is the field of its records.
- The rank among standbys scored this process once for each of the others.

--- a/crates/cell/src/caller_front.rs
+++ b/crates/cell/src/caller_front.rs
@@ -199,14 +199,12 @@
             if now + ASK_PAUSE >= state.deadline {
                 return (CallerAnswer::Unknown, state.owner);
             }
-            let pause = now
-                + if state.unsure.is_some() {
-                    UNSURE_PAUSE
-                } else {
-                    ASK_PAUSE
-                };
+            let pause = match state.unsure {
+                Some(_) => UNSURE_PAUSE,
+                None => ASK_PAUSE,
+            };
             // A new owner is asked at once.
-            let _ = timeout_at(pause, self.owners.changed.notified()).await;
+            let _ = timeout_at(now + pause, self.owners.changed.notified()).await;
         }
     }
 
--- a/crates/cell/src/log_compact.rs
+++ b/crates/cell/src/log_compact.rs
@@ -45,8 +45,7 @@
         let value = pages.stamped(value);
         let change = pages.change(&term.options, term.token, value.clone());
         settle_change(term, change).await?;
-        term.copy.take(pages.next(), value.clone());
-        pages.wrote(value.len());
+        pages.wrote(&term.copy, value);
     }
     pages.compacted(start, bytes);
     log_event::info(
--- a/crates/cell/src/log_pages.rs
+++ b/crates/cell/src/log_pages.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     cell_options::CellOptions,
-    log_copy::{LogSummary, PageNumber},
+    log_copy::{LogCopy, LogSummary, PageNumber},
 };
 
 /// Pages after which the log is replaced by a shorter one, however small they are.
@@ -95,10 +95,11 @@
         }
     }
 
-    /// Takes in that the change which writes the next page was made.
-    pub(crate) fn wrote(&mut self, bytes: usize) {
+    /// Takes in that the change which writes the next page was made, and keeps the page in the copy.
+    pub(crate) fn wrote(&mut self, copy: &LogCopy, value: Vec<u8>) {
+        self.new_bytes += value.len();
+        copy.take(self.next, value);
         self.next += 1;
-        self.new_bytes += bytes;
         let removed = self.replaced.len().min(REMOVED_AT_ONCE);
         self.replaced.drain(..removed);
     }
--- a/crates/cell/src/log_reader.rs
+++ b/crates/cell/src/log_reader.rs
@@ -12,6 +12,7 @@
     log_copy::{LogCopy, LogSummary, PageNumber},
     log_page::page_entries,
     log_pages::page_key,
+    prefix_watch::PrefixReader,
 };
 
 /// Pause after a failed call.
@@ -52,23 +53,17 @@
 ) -> Result<(), StoreFault> {
     let prefix = options.log_prefix();
     let last = copy.last();
-    let mut after = last.map_or_else(CompactString::default, |page| page_key(options, page));
-    loop {
-        let page = store.list(&prefix, &after).await?;
-        // A page without keys would be asked for again for ever.
-        let done = !page.more || page.items.is_empty();
-        if let Some(item) = page.items.last() {
-            after = item.key.clone();
-        }
-        for item in page.items {
+    let after = last.map_or_else(CompactString::default, |page| page_key(options, page));
+    let mut reader = PrefixReader::new(&prefix, after);
+    while !reader.is_done() {
+        reader.read_page(store).await?;
+        for item in reader.items.drain(..) {
             if let Some(number) = page_number(&item, &prefix) {
                 copy.take(number, item.value);
             }
         }
-        if done {
-            return Ok(());
-        }
     }
+    Ok(())
 }
 
 fn page_number(item: &StoreItem, prefix: &str) -> Option<PageNumber> {
--- a/crates/cell/src/log_writer.rs
+++ b/crates/cell/src/log_writer.rs
@@ -75,9 +75,9 @@
 /// Writes the next page, if there is something to write; `None` once the term is over.
 async fn write_page(term: &Term, pages: &mut LogPages) -> Option<()> {
     let page = pages.next();
-    let mut unsure = false;
     let mut taken = PageRecords::default();
     loop {
+        let unsure = taken.sent;
         if !unsure {
             // Nothing of the last attempt can be in the store, so the page may still change.
             taken.refuse_old(term);
@@ -94,8 +94,7 @@
         metric::time(metric::RECORD_SECONDS, started.elapsed());
         match outcome {
             Ok(StoreOutcome::Done(_)) => {
-                pages.wrote(value.len());
-                term.copy.take(page, value);
+                pages.wrote(&term.copy, value);
                 settle(term, page, std::mem::take(&mut taken.records));
                 return Some(());
             }
@@ -104,8 +103,7 @@
                 // answer was lost.
                 let ours = term.stands_in(&items);
                 if ours && unsure {
-                    pages.wrote(value.len());
-                    term.copy.take(page, value);
+                    pages.wrote(&term.copy, value);
                     settle(term, page, std::mem::take(&mut taken.records));
                     return Some(());
                 }
@@ -119,9 +117,8 @@
                 return None;
             }
             Err(error) => {
-                unsure |= !matches!(error, StoreFault::Refused(_));
-                taken.sent = unsure;
-                note_fault(term, page, &error, unsure);
+                taken.sent = unsure || !matches!(error, StoreFault::Refused(_));
+                note_fault(term, page, &error, taken.sent);
                 sleep(FAULT_PAUSE).await;
             }
         }
--- a/crates/cell/src/member_book.rs
+++ b/crates/cell/src/member_book.rs
@@ -147,14 +147,13 @@
     /// How many of the others come before this process as standbys: strong ones first, and among
     /// those of the same strength the same ones for everybody.
     pub(crate) fn rank(&self) -> usize {
-        let own_key = self.entry_key();
-        let own = self.options.limits.strength();
-        let before = |(key, other): &(&CompactString, &Neighbour)| {
-            (other.strength, rendezvous::score(STANDBY, key))
-                > (own, rendezvous::score(STANDBY, &own_key))
-        };
+        let place = |strength, key: &str| (strength, rendezvous::score(STANDBY, key));
+        let own = place(self.options.limits.strength(), &self.entry_key());
         let others = self.others.borrow();
-        others.iter().filter(before).count()
+        let before = others
+            .iter()
+            .filter(|(key, other)| place(other.strength, key) > own);
+        before.count()
     }
 
     fn entry_key(&self) -> CompactString {
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -1,5 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
+use compact_str::CompactString;
 use model::{BootTime, event as log_event};
 use ports::{LeaseStore, StoreEvent, StoreFault, StoreItem, StoreRevision};
 use store::{BootClock, Clock};
@@ -68,7 +69,7 @@
     sink: &dyn PrefixSink,
     note: &DependencyNote,
 ) -> StoreRevision {
-    let mut reader = PrefixReader::new(prefix);
+    let mut reader = PrefixReader::new(prefix, CompactString::default());
     let mut sent = BootClock.boot_now();
     while !reader.is_done() {
         if reader.items.is_empty() {
@@ -79,27 +80,32 @@
             sleep(FAULT_PAUSE).await;
         }
     }
-    sink.reset(reader.items, reader.revision);
+    let revision = reader.revision.unwrap_or_default();
+    sink.reset(reader.items, revision);
     sink.answered(sent);
-    reader.revision
+    revision
 }
 
 /// Reads all keys below a prefix a page at a time, and keeps the pages that it has when a call
 /// fails: begun anew after each failure, a long list might never be read to its end.
 pub(crate) struct PrefixReader<'a> {
     prefix: &'a str,
+    /// The key that the next page begins after.
+    after: CompactString,
     /// The keys that were read.
     pub(crate) items: Vec<StoreItem>,
-    revision: StoreRevision,
+    revision: Option<StoreRevision>,
     done: bool,
 }
 
 impl<'a> PrefixReader<'a> {
-    pub(crate) fn new(prefix: &'a str) -> Self {
+    /// Reads the keys that come after one; all of them for an empty key.
+    pub(crate) fn new(prefix: &'a str, after: CompactString) -> Self {
         Self {
             prefix,
+            after,
             items: Vec::new(),
-            revision: 0,
+            revision: None,
             done: false,
         }
     }
@@ -111,11 +117,10 @@
 
     /// Reads the next page.
     pub(crate) async fn read_page(&mut self, store: &dyn LeaseStore) -> Result<(), StoreFault> {
-        let after = self.items.last().map(|item| item.key.clone());
-        let first = after.is_none();
-        let mut page = store.list(self.prefix, &after.unwrap_or_default()).await?;
-        if first {
-            self.revision = page.revision;
+        let mut page = store.list(self.prefix, &self.after).await?;
+        self.revision.get_or_insert(page.revision);
+        if let Some(item) = page.items.last() {
+            self.after = item.key.clone();
         }
         // A page without keys would be asked for again for ever.
         self.done = !page.more || page.items.is_empty();
