Observe only the pools in which something waits

Twenty times a second the forecast was told of every pool, waiting or not, with two look-ups each: a cost by the size of the fleet, where the rest of the desk follows what changes. It is told of the pools in which something waits, and drops the others. wait_of_unknown_pace_is_zero names its pool in a set; its assertions are as they were.

--- a/crates/decide/src/work/desk_admit.rs
+++ b/crates/decide/src/work/desk_admit.rs
@@ -61,11 +61,10 @@
 
     /// Notes in which pools tasks wait.
     pub(super) fn observe_backlog(&mut self, now: DeskTime) {
-        let terms = self.terms.clone();
-        for pool in &terms.pools {
-            let waits = self.backlog(&pool.name).all() > 0;
-            self.forecast.observe(&pool.name, waits, now.boot);
-        }
+        let pools = self.index.jobs.backlogged();
+        let waited_for = pools.filter(|pool| self.backlog(pool).all() > 0);
+        let waited_for = waited_for.cloned().collect();
+        self.forecast.observe(&waited_for, now.boot);
     }
 
     /// The tasks that wait for a pool. Where a predecessor's targets have not been reached, its jobs
--- a/crates/decide/src/work/job_facts.rs
+++ b/crates/decide/src/work/job_facts.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    pub(super) fn minus(self, other: Self) -> Self {
+        Self {
+            owed: self.owed - other.owed,
+            overdue: self.overdue - other.overdue,
+            beyond: self.beyond - other.beyond,
+        }
+    }
+
     /// Those within the share of their workspace.
     pub(super) fn within_share(&self) -> u64 {
         self.owed + self.overdue
--- a/crates/decide/src/work/job_index.rs
+++ b/crates/decide/src/work/job_index.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Pools in which something is to be started; one may come twice.
+    pub(super) fn backlogged(&self) -> impl Iterator<Item = &PoolId> {
+        self.backlogs.keys().map(|(pool, _)| pool)
+    }
+
     /// What is to be started in all pools.
     pub(super) fn backlog_of_all(&self) -> PoolBacklog {
         let backlogs = self.backlogs.values().copied();
@@ -260,9 +265,7 @@
         let Some(backlog) = self.backlogs.get_mut(&key) else {
             return;
         };
-        backlog.owed -= facts.backlog.owed;
-        backlog.overdue -= facts.backlog.overdue;
-        backlog.beyond -= facts.backlog.beyond;
+        *backlog = backlog.minus(facts.backlog);
         if *backlog == PoolBacklog::default() {
             self.backlogs.remove(&key);
         }
--- a/crates/decide/src/work/start_forecast.rs
+++ b/crates/decide/src/work/start_forecast.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -55,14 +55,13 @@
         self.pools.entry(pool.clone()).or_default().count(now);
     }
 
-    /// Notes whether tasks wait for a pool; to be told several times a second.
-    pub fn observe(&mut self, pool: &PoolId, waits: bool, now: BootTime) {
-        if !waits {
-            self.pools.remove(pool);
-            return;
+    /// Notes the pools for which tasks wait; to be told several times a second.
+    pub fn observe(&mut self, waited_for: &BTreeSet<PoolId>, now: BootTime) {
+        self.pools.retain(|pool, _| waited_for.contains(pool));
+        for pool in waited_for {
+            let pace = self.pools.entry(pool.clone()).or_default();
+            pace.busy_since.get_or_insert(now);
         }
-        let pace = self.pools.entry(pool.clone()).or_default();
-        pace.busy_since.get_or_insert(now);
     }
 
     /// How long the last of so many tasks that wait for a pool is going to wait; zero if nothing is
--- a/crates/decide/tests/work_admit.rs
+++ b/crates/decide/tests/work_admit.rs
@@ -2,12 +2,16 @@
 
 mod desk;
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use decide::work::{StartForecast, record_of_plan};
 use desk::{DeskScene, POOL, QUEUE, SPACE, ended, plan, running, step, terms_with_limit};
 use model::{
-    BootTime, HostId,
+    BootTime, HostId, PoolId,
     work::{EndKind, FleetTerms, HostRoom, JobPlan, StartOrder, WorkspaceTerms},
 };
 use wire::work::JobRecord;
@@ -178,10 +182,10 @@
 #[test]
 fn wait_of_unknown_pace_is_zero() {
     let mut forecast = StartForecast::default();
-    let pool = POOL.into();
+    let pool = PoolId::from(POOL);
     let at = |ms: u64| Duration::from_millis(100_000 + ms);
     forecast.started(&pool, at(0));
-    forecast.observe(&pool, true, at(100));
+    forecast.observe(&BTreeSet::from([pool.clone()]), at(100));
     assert_eq!(forecast.wait(&pool, 1000, at(600)), Duration::ZERO);
     // Hosts that are on their way begin to start after two seconds.
     assert_eq!(forecast.wait(&pool, 1000, at(2900)), Duration::ZERO);
