One way to take a unit of a team's limit

QuotaSource asked for two, and all but one implementation wrote the second as a call of the first. try_take_for is asked for, and try_take is it without a length. A grant of a record is found in one place instead of four. Nothing of what is taken, given back or written changes.

--- a/crates/decide/src/quota/grant_record.rs
+++ b/crates/decide/src/quota/grant_record.rs
@@ -18,11 +18,7 @@
 
 /// Units of one life of a member.
 pub(crate) fn units_of(record: &QuotaRecord, member: &str, incarnation: Incarnation) -> u32 {
-    let grant = record
-        .grants
-        .iter()
-        .find(|g| g.member == member && g.incarnation == incarnation);
-    grant.map_or(0, |grant| grant.units)
+    grant_of(record, member, incarnation).map_or(0, |grant| grant.units)
 }
 
 /// Sets the units of one life, which the member list names at `revision`; zero removes its
@@ -34,12 +30,12 @@
     units: u32,
     revision: Revision,
 ) {
-    let is_same = |grant: &QuotaGrant| grant.member == member && grant.incarnation == incarnation;
     if units == 0 {
-        record.grants.retain(|grant| !is_same(grant));
+        let is_other = |grant: &QuotaGrant| !is_of(grant, member, incarnation);
+        record.grants.retain(is_other);
         return;
     }
-    if let Some(grant) = record.grants.iter_mut().find(|grant| is_same(grant)) {
+    if let Some(grant) = grant_mut(record, member, incarnation) {
         grant.units = units;
         return;
     }
@@ -59,9 +55,7 @@
     member: &str,
     incarnation: Incarnation,
 ) -> Option<u64> {
-    let mut grants = record.grants.iter();
-    let grant = grants.find(|g| g.member == member && g.incarnation == incarnation);
-    grant.map(|grant| grant.longest_ms)
+    grant_of(record, member, incarnation).map(|grant| grant.longest_ms)
 }
 
 /// Sets how long work may run under the grant of one life; true if that changes it.
@@ -71,8 +65,7 @@
     incarnation: Incarnation,
     longest_ms: u64,
 ) -> bool {
-    let mut grants = record.grants.iter_mut();
-    let grant = grants.find(|g| g.member == member && g.incarnation == incarnation);
+    let grant = grant_mut(record, member, incarnation);
     let Some(grant) = grant.filter(|grant| grant.longest_ms != longest_ms) else {
         return false;
     };
@@ -94,3 +87,25 @@
     let units = record.grants.iter().map(|grant| u64::from(grant.units));
     units.sum::<u64>() <= u64::from(record.limit)
 }
+
+fn grant_of<'a>(
+    record: &'a QuotaRecord,
+    member: &str,
+    incarnation: Incarnation,
+) -> Option<&'a QuotaGrant> {
+    let mut grants = record.grants.iter();
+    grants.find(|grant| is_of(grant, member, incarnation))
+}
+
+fn grant_mut<'a>(
+    record: &'a mut QuotaRecord,
+    member: &str,
+    incarnation: Incarnation,
+) -> Option<&'a mut QuotaGrant> {
+    let mut grants = record.grants.iter_mut();
+    grants.find(|grant| is_of(grant, member, incarnation))
+}
+
+fn is_of(grant: &QuotaGrant, member: &str, incarnation: Incarnation) -> bool {
+    grant.member == member && grant.incarnation == incarnation
+}
--- a/crates/entry/tests/support/port_stubs.rs
+++ b/crates/entry/tests/support/port_stubs.rs
@@ -114,7 +114,7 @@
 }
 
 impl QuotaSource for QuotaStub {
-    fn try_take(&self, team: &TeamId) -> Option<QuotaPermit> {
+    fn try_take_for(&self, team: &TeamId, _length: Duration) -> Option<QuotaPermit> {
         let limit = self.limits.lock().get(team).copied().unwrap_or(u32::MAX);
         let mut used = self.used.lock();
         let mine = used.entry(team.clone()).or_default();
@@ -133,9 +133,6 @@
             }
         }))
     }
-    fn try_take_for(&self, team: &TeamId, _length: Duration) -> Option<QuotaPermit> {
-        self.try_take(team)
-    }
 
     fn note_waiting(&self, team: &TeamId, waiting: u32) {
         self.waiting.lock().insert(team.clone(), waiting);
--- a/crates/fleet/tests/common/fake_fleet.rs
+++ b/crates/fleet/tests/common/fake_fleet.rs
@@ -238,13 +238,9 @@
 pub struct FreeQuota;
 
 impl QuotaSource for FreeQuota {
-    fn try_take(&self, _team: &TeamId) -> Option<QuotaPermit> {
+    fn try_take_for(&self, _team: &TeamId, _length: Duration) -> Option<QuotaPermit> {
         Some(QuotaPermit::new(|| {}))
     }
 
-    fn try_take_for(&self, team: &TeamId, _length: Duration) -> Option<QuotaPermit> {
-        self.try_take(team)
-    }
-
     fn note_waiting(&self, _team: &TeamId, _waiting: u32) {}
 }
--- a/crates/fleet/tests/common/job_scene.rs
+++ b/crates/fleet/tests/common/job_scene.rs
@@ -19,7 +19,7 @@
 }
 
 impl QuotaSource for CountedQuota {
-    fn try_take(&self, _team: &TeamId) -> Option<QuotaPermit> {
+    fn try_take_for(&self, _team: &TeamId, _length: Duration) -> Option<QuotaPermit> {
         let take = |left: u32| left.checked_sub(1);
         self.left
             .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
@@ -30,10 +30,6 @@
         }))
     }
 
-    fn try_take_for(&self, team: &TeamId, _length: Duration) -> Option<QuotaPermit> {
-        self.try_take(team)
-    }
-
     fn note_waiting(&self, _team: &TeamId, _waiting: u32) {}
 }
 
--- a/crates/member/src/member_service.rs
+++ b/crates/member/src/member_service.rs
@@ -127,10 +127,6 @@
 }
 
 impl QuotaSource for MemberService {
-    fn try_take(&self, team: &TeamId) -> Option<QuotaPermit> {
-        self.shared.quota.try_take(team)
-    }
-
     fn try_take_for(&self, team: &TeamId, length: Duration) -> Option<QuotaPermit> {
         self.shared.quota.try_take_for(team, length)
     }
--- a/crates/member/src/quota_book.rs
+++ b/crates/member/src/quota_book.rs
@@ -46,10 +46,6 @@
         self.wake();
     }
 
-    pub(crate) fn try_take(&self, team: &TeamId) -> Option<QuotaPermit> {
-        self.try_take_for(team, Duration::MAX)
-    }
-
     pub(crate) fn try_take_for(&self, team: &TeamId, length: Duration) -> Option<QuotaPermit> {
         let mut locked = self.machine.lock();
         if !locked.try_take_for(team, length) {
--- a/crates/ports/src/quota.rs
+++ b/crates/ports/src/quota.rs
@@ -36,11 +36,13 @@
 
 /// Hands out units of team limits that this entry host holds.
 pub trait QuotaSource: Send + Sync {
-    /// Takes one unit if this host's grant has one free.
-    fn try_take(&self, team: &TeamId) -> Option<QuotaPermit>;
-    /// Takes one unit for work that is over after `length`; units for short work are free again
-    /// sooner after the loss of this host.
+    /// Takes one unit for work that is over after `length`, if this host's grant has one free; units
+    /// for short work are free again sooner after the loss of this host.
     fn try_take_for(&self, team: &TeamId, length: Duration) -> Option<QuotaPermit>;
+    /// Takes one unit for work of any length.
+    fn try_take(&self, team: &TeamId) -> Option<QuotaPermit> {
+        self.try_take_for(team, Duration::MAX)
+    }
     /// Says how many starts of `team` wait here for a unit, so that grants move to demand.
     fn note_waiting(&self, team: &TeamId, waiting: u32);
 }
