Give operators the drain of a data centre

Cause: the request was neither decoded nor known to any decision. Change: the adapter decodes the request; every process follows it with the policy; the scheduler marks targets of drained data centres, on which nothing may be started, and withdraws starts that still wait for a connection; long-running tasks move where there is capacity elsewhere, one a step; hosts there are no capacity, lend none and are switched off when idle. An owner whose last read of the requests is older than 3 s starts nothing, since it can't know what was drained. A watch that failed waits 250 ms until one succeeds, so that this costs little after an outage. Ruled out: refusing in the order port, where a chosen target would be tried again at once; emptying a data centre like a host, which stops tasks that have no other place. Evidence: work_schedule plays drains beside killed and cut owners, late reads and waiting orders.

--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -24,6 +24,8 @@
     WAVE_SEEN = 1032, "wave-seen", "Operators requested a maintenance wave.";
     WAVE_SHOWN = 1033, "wave-shown", "The state of a wave was written for operators.";
     HOST_ORDERED = 1034, "host-ordered", "A move or the maintenance of a host was ordered; carries the answer.";
+    DATA_CENTRE_DRAINED = 1035, "data-centre-drained", "Operators drained a data centre: nothing is started there until they restore it.";
+    DATA_CENTRE_RESTORED = 1036, "data-centre-restored", "Operators ended the drain of a data centre; its targets accept tasks again.";
     CALL_ANSWERED = 1040, "call-answered", "A caller was answered; carries the job, the answer, the owner that was asked, the revision of the policy and the time it took.";
     CALL_REFUSED = 1041, "call-refused", "A caller was refused or got no definite answer; carries the reason.";
     JOB_RECORDED = 1050, "job-recorded", "A job was stored and is accepted; carries its page of the log.";
--- a/crates/cell/src/fleet_view.rs
+++ b/crates/cell/src/fleet_view.rs
@@ -1,24 +1,28 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
 };
 
 use model::{
-    event as log_event,
+    BootTime, DataCentreId, event as log_event,
     work::{FleetPolicy, MaintenanceWave, WaveId},
 };
 use ports::{FleetCodec, StoreEvent, StoreItem, StoreRevision};
 use tokio::sync::Notify;
 
-use crate::{event, prefix_watch::PrefixObserver};
+use crate::{event, metric, prefix_watch::PrefixObserver};
 
-/// The policy and the waves of the operators, as far as this process has read them.
+/// The policy, the waves and the drains of data centres that operators requested, as far as this
+/// process has read them.
 pub(crate) struct FleetView {
     codec: Rc<dyn FleetCodec>,
     policy: RefCell<Option<Arc<FleetPolicy>>>,
     waves: RefCell<BTreeMap<WaveId, MaintenanceWave>>,
+    drained: RefCell<BTreeSet<DataCentreId>>,
+    /// All changes made before this time have been read; `None` before the first read.
+    read_at: Cell<Option<BootTime>>,
     /// Counts the changes.
     pub(crate) version: Cell<u64>,
     /// Notified of each change.
@@ -31,6 +35,8 @@
             codec,
             policy: RefCell::default(),
             waves: RefCell::default(),
+            drained: RefCell::default(),
+            read_at: Cell::new(None),
             version: Cell::new(0),
             changed: Notify::new(),
         }
@@ -46,6 +52,16 @@
         self.waves.borrow().values().cloned().collect()
     }
 
+    /// The data centres in which nothing may be started.
+    pub(crate) fn drained_data_centres(&self) -> BTreeSet<DataCentreId> {
+        self.drained.borrow().clone()
+    }
+
+    /// All changes made before this time have been read; `None` before the first read.
+    pub(crate) fn read_at(&self) -> Option<BootTime> {
+        self.read_at.get()
+    }
+
     fn apply_item(&self, item: &StoreItem) {
         if item.key == self.codec.policy_key() {
             match self.codec.read_policy(&item.value) {
@@ -57,6 +73,8 @@
                 Ok(read) => self.add_wave(wave, read),
                 Err(error) => log_unreadable(item, &error),
             }
+        } else if let Some(data_centre) = self.codec.parse_drain_key(&item.key) {
+            self.drain(&data_centre);
         }
     }
 
@@ -103,6 +121,45 @@
         self.mark_changed();
     }
 
+    fn drain(&self, data_centre: &DataCentreId) {
+        if self.drained.borrow_mut().insert(data_centre.clone()) {
+            log_event::info(
+                &event::DATA_CENTRE_DRAINED,
+                format_args!("data_centre={data_centre}"),
+            );
+            self.mark_drains_changed();
+        }
+    }
+
+    fn restore(&self, data_centre: &DataCentreId) {
+        if self.drained.borrow_mut().remove(data_centre) {
+            log_event::info(
+                &event::DATA_CENTRE_RESTORED,
+                format_args!("data_centre={data_centre}"),
+            );
+            self.mark_drains_changed();
+        }
+    }
+
+    fn mark_drains_changed(&self) {
+        let count = u32::try_from(self.drained.borrow().len()).unwrap_or(u32::MAX);
+        metrics::gauge!(metric::DRAINED_DATA_CENTRES).set(f64::from(count));
+        self.mark_changed();
+    }
+
+    /// Ends the drains whose entries are not among `items`. They were removed while the watch
+    /// missed changes.
+    fn restore_all_except(&self, items: &[StoreItem]) {
+        let drains = items
+            .iter()
+            .filter_map(|item| self.codec.parse_drain_key(&item.key));
+        let present: BTreeSet<DataCentreId> = drains.collect();
+        let known = self.drained_data_centres();
+        known
+            .difference(&present)
+            .for_each(|data_centre| self.restore(data_centre));
+    }
+
     fn mark_changed(&self) {
         self.version.set(self.version.get() + 1);
         self.changed.notify_waiters();
@@ -111,6 +168,7 @@
 
 impl PrefixObserver for FleetView {
     fn reset(&self, items: Vec<StoreItem>, _revision: StoreRevision) {
+        self.restore_all_except(&items);
         items.iter().for_each(|item| self.apply_item(item));
     }
 
@@ -122,10 +180,16 @@
                 if let Some(wave) = self.codec.parse_wave_key(&key) {
                     self.waves.borrow_mut().remove(&wave);
                     self.mark_changed();
+                } else if let Some(data_centre) = self.codec.parse_drain_key(&key) {
+                    self.restore(&data_centre);
                 }
             }
         }
     }
+
+    fn caught_up_to(&self, sent: BootTime) {
+        self.read_at.set(Some(sent));
+    }
 }
 
 fn log_unreadable(item: &StoreItem, error: &str) {
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -10,6 +10,9 @@
 
 /// Delay after a failed call, and so the interval of retries while the store is down.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// How long a watch waits for changes after a failed call. A store that is reachable again is then
+/// noticed soon, even if its connections stay silent meanwhile.
+const WAIT_AFTER_FAILURE: Duration = Duration::from_millis(250);
 
 /// Receives the changes of the keys below a prefix.
 pub(crate) trait PrefixObserver {
@@ -33,10 +36,12 @@
     let logger = DependencyLogger::default();
     loop {
         let mut revision = read_all(&*store, prefix, observer, &logger).await;
+        let mut wait = timeout;
         loop {
             let sent = BootClock.boot_now();
-            match store.watch(prefix, revision, timeout).await {
+            match store.watch(prefix, revision, wait).await {
                 Ok(changes) => {
+                    wait = timeout;
                     logger.log_answered("watch", prefix);
                     revision = revision.max(changes.revision);
                     changes
@@ -54,6 +59,7 @@
                 }
                 Err(error) => {
                     logger.log_failed("watch", prefix, &error);
+                    wait = timeout.min(WAIT_AFTER_FAILURE);
                     sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -18,7 +18,7 @@
 /// A start that waits this long for a connection is logged.
 const LOGGED_WAIT: Duration = Duration::from_millis(500);
 /// Why an order was not sent.
-const NOT_SENT_CAUSE: &str = "the term is over, or it is not known what has been cancelled";
+const NOT_SENT_CAUSE: &str = "the term is over, its data centre is drained, or it is not known what was cancelled or drained";
 
 /// Sends an order to a target.
 pub(crate) fn send_order(term: &Rc<Term>, order: SchedulerAction) {
@@ -53,9 +53,7 @@
         );
         return;
     }
-    // It may have waited for its permit until after the lease expired.
-    let permit = permit.filter(|_| term.may_start_tasks() && term.cancellations_are_current());
-    let Some(_permit) = permit else {
+    let Some(_permit) = permit.filter(|_| may_send_start(&term, &id)) else {
         log_failure(&term, "start", &id, NOT_SENT_CAUSE);
         term.scheduler
             .borrow_mut()
@@ -153,6 +151,15 @@
     term.wake.notify_one();
 }
 
+/// Whether a start may still be sent. It may have waited for its permit until after the lease
+/// expired or its data centre was drained.
+fn may_send_start(term: &Term, id: &HostId) -> bool {
+    term.may_start_tasks()
+        && term.cancellations_are_current()
+        && term.requests_are_current()
+        && !term.scheduler.borrow().is_data_centre_drained(id)
+}
+
 fn record_start_wait(order: &StartOrder, id: &HostId, waited: Duration) {
     metric::record_duration(metric::ORDER_WAIT_SECONDS, waited);
     if waited >= LOGGED_WAIT {
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -44,6 +44,10 @@
 /// the time in which a cancellation has to take effect, minus the time that a start takes to reach
 /// its target.
 const CANCELLATIONS_MAX_AGE: Duration = Duration::from_secs(2);
+/// Maximum age of the last read of the operators' requests for new work to be started. It is less
+/// than the time in which the drain of a data centre has to take effect, minus the time that a start
+/// takes to reach its target.
+const REQUESTS_MAX_AGE: Duration = Duration::from_secs(3);
 /// How long a hand-over waits for the last entries of the log to be stored.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often a hand-over checks whether the last entries of the log are stored.
@@ -204,8 +208,22 @@
     /// behind a narrow link, would otherwise start jobs that their callers were told are cancelled.
     /// While the store is unreachable for all processes, no cancellation can be stored.
     pub(crate) fn cancellations_are_current(&self) -> bool {
+        self.is_current(self.cancellations_read_at.get(), CANCELLATIONS_MAX_AGE)
+    }
+
+    /// True while the operators' requests were read recently enough to start work.
+    ///
+    /// An owner that reads them late, for example behind a narrow link, would otherwise start tasks
+    /// in a data centre that operators have drained.
+    pub(crate) fn requests_are_current(&self) -> bool {
+        self.is_current(self.view.read_at(), REQUESTS_MAX_AGE)
+    }
+
+    /// True if nobody can have changed the store more than `max_age` after `read_at`, the time up
+    /// to which changes were read.
+    fn is_current(&self, read_at: Option<BootTime>, max_age: Duration) -> bool {
         let now = BootClock.boot_now();
-        let Some(known) = self.cancellations_read_at.get() else {
+        let Some(known) = read_at else {
             return false;
         };
         // During an outage for all, age is measured up to when the store was last reachable.
@@ -213,7 +231,7 @@
             true => self.last_renewal_sent.get(),
             false => now,
         };
-        needed.saturating_sub(known) < CANCELLATIONS_MAX_AGE
+        needed.saturating_sub(known) < max_age
     }
 
     /// Until when no other process can have become the owner.
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -170,6 +170,10 @@
             if let Some(policy) = term.view.policy() {
                 term.scheduler.borrow_mut().set_policy(policy);
             }
+            let drained = term.view.drained_data_centres();
+            term.scheduler
+                .borrow_mut()
+                .set_drained_data_centres(drained);
         }
         let now = term.now();
         if !term.may_send_orders() {
@@ -184,7 +188,7 @@
                 #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
                 metrics::gauge!(metric::OPEN_JOBS).set(scheduler.job_table.open.len() as f64);
             }
-            if term.cancellations_are_current() {
+            if term.cancellations_are_current() && term.requests_are_current() {
                 scheduler.plan_starts(now);
             }
         }
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -8,7 +8,7 @@
 
 use cell::CellPorts;
 use model::{
-    HostId, PoolId,
+    DataCentreId, HostId, PoolId,
     work::{
         EndKind, EndReport, FleetHost, FleetPolicy, HostOrderAnswer, MaintenanceWave, OrderAnswer,
         OrderSender, PollAnswer, PollOrder, PoolPolicy, QueuePolicy, ResourceVector, RunReport,
@@ -188,6 +188,10 @@
         None
     }
 
+    fn parse_drain_key(&self, key: &str) -> Option<DataCentreId> {
+        key.strip_prefix("op/drain/").map(Into::into)
+    }
+
     fn wave_status(&self, wave: WaveId, completed: bool) -> (String, Vec<u8>) {
         (format!("status/{wave}"), vec![u8::from(completed)])
     }
@@ -236,6 +240,7 @@
             target: target.into(),
             address: format!("{target}:80").into(),
             pool: "pool".into(),
+            data_centre: "north".into(),
             capacity: ResourceVector {
                 cpu: 4000,
                 memory_mb: 4000,
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -69,6 +69,8 @@
     leases: RefCell<BTreeMap<LeaseId, (Instant, Duration)>>,
     history: RefCell<Vec<(StoreRevision, StoreEvent)>>,
     revision: Cell<StoreRevision>,
+    /// Changes up to this revision are no longer in the history.
+    forgotten: Cell<StoreRevision>,
     changed: Notify,
     mode: Cell<StoreMode>,
     renewals: Cell<usize>,
@@ -205,6 +207,16 @@
         self.state.write(key, value.to_vec(), None);
     }
 
+    pub fn remove(&self, key: &str) {
+        self.state.remove(key);
+    }
+
+    /// Makes changes that no watch receives: the history is dropped right after them.
+    pub fn change_unseen(&self, change: impl FnOnce(&Self)) {
+        change(self);
+        self.state.forgotten.set(self.state.revision.get());
+    }
+
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let items = self.state.items.borrow();
         items
@@ -385,6 +397,9 @@
             loop {
                 handle.call().await?;
                 handle.check_readable(&prefix)?;
+                if after < state.forgotten.get() {
+                    return Err(LeaseStoreError::HistoryGone);
+                }
                 let events = state.events_after(&prefix, after);
                 if !events.is_empty() || Instant::now() >= end {
                     return Ok(StoreChanges {
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -53,7 +53,11 @@
     pub(super) fn has_standby_host(&self, scheduler: &WorkScheduler, now: BootTime) -> bool {
         let standby = standby_pool(scheduler);
         let mut hosts = self.hosts.values();
-        hosts.any(|view| standby.as_ref() == Some(&view.fleet.pool) && is_free(view, now))
+        hosts.any(|view| {
+            standby.as_ref() == Some(&view.fleet.pool)
+                && is_free(view, now)
+                && !self.is_drained(view)
+        })
     }
 
     /// Returns the pools that have less capacity than they need.
@@ -97,6 +101,7 @@
         let free = |view: &&HostView| {
             view.fleet.pool != *pool
                 && is_free(view, now)
+                && !self.is_drained(view)
                 && is_suitable(view)
                 && !self
                     .refused_moves
@@ -155,7 +160,9 @@
                 .unwrap_or_default();
             let remaining_cores = capacity.cores - host_cores(view);
             let min_hosts = self.min_hosts(&view.fleet.pool);
-            if remaining_cores >= self.meter.floor(&view.fleet.pool) && capacity.hosts > min_hosts {
+            let is_surplus =
+                remaining_cores >= self.meter.floor(&view.fleet.pool) && capacity.hosts > min_hosts;
+            if is_surplus || self.is_drained(view) {
                 self.order_move(&host, standby, pool_capacities);
             }
         }
@@ -171,7 +178,8 @@
             return;
         };
         let size = host_cores(view);
-        if let Some(capacity) = pool_capacities.get_mut(&view.fleet.pool) {
+        let counts = !self.is_drained(view);
+        if let Some(capacity) = pool_capacities.get_mut(&view.fleet.pool).filter(|_| counts) {
             capacity.cores -= size;
             capacity.hosts = capacity.hosts.saturating_sub(1);
         }
@@ -212,7 +220,8 @@
         capacity.cores - self.meter.desired(pool)
     }
 
-    /// Returns the capacity of each pool, including hosts that are being moved to it.
+    /// Returns the capacity of each pool, including hosts that are being moved to it. Hosts in
+    /// drained data centres are none.
     fn pool_capacities(&self) -> BTreeMap<PoolId, PoolCapacity> {
         let mut capacities: BTreeMap<PoolId, PoolCapacity> = BTreeMap::new();
         for view in self.hosts.values() {
@@ -221,7 +230,7 @@
                 Some(HostOrder::Maintain(..)) | None => &view.fleet.pool,
             };
             let is_lost = view.fleet.condition == HostCondition::Down && view.operation.is_none();
-            if is_lost {
+            if is_lost || self.is_drained(view) {
                 continue;
             }
             let capacity = capacities.entry(pool.clone()).or_default();
--- a/crates/decide/src/work/host_planner.rs
+++ b/crates/decide/src/work/host_planner.rs
@@ -4,7 +4,7 @@
 };
 
 use model::{
-    BootTime, HostId, PoolId,
+    BootTime, DataCentreId, HostId, PoolId,
     work::{FleetHost, HostCondition, HostOrderAnswer, MaintenanceWave, WaveId},
 };
 
@@ -56,6 +56,8 @@
     pub(super) refused_moves: BTreeSet<(HostId, PoolId)>,
     /// Whether the orders of earlier owners have been applied.
     pub(super) earlier_orders_applied: bool,
+    /// Data centres that operators have drained; their hosts are no capacity.
+    pub(super) drained_data_centres: BTreeSet<DataCentreId>,
     /// Number of hosts that an idle pool keeps.
     pub(super) min_idle_hosts: usize,
     /// Number of hosts that each pool needs for tasks with anti-affinity.
@@ -195,6 +197,8 @@
     /// Returns the orders to send now, and drains hosts on `scheduler` that are to be ordered next.
     pub fn plan(&mut self, scheduler: &mut WorkScheduler, now: BootTime) -> Vec<HostOrder> {
         scheduler.sync_indexes(now);
+        self.drained_data_centres
+            .clone_from(&scheduler.drained_data_centres);
         self.update_idle(scheduler, now);
         self.plan_waves(scheduler, now);
         self.plan_moves(scheduler, now);
@@ -288,6 +292,11 @@
         }
     }
 
+    /// Returns true if the host is in a data centre that operators have drained.
+    pub(super) fn is_drained(&self, view: &HostView) -> bool {
+        self.drained_data_centres.contains(&view.fleet.data_centre)
+    }
+
     fn update_idle(&mut self, scheduler: &WorkScheduler, now: BootTime) {
         for view in self.hosts.values_mut() {
             let target = scheduler.targets.get(&view.fleet.target);
--- a/crates/decide/src/work/host_replacements.rs
+++ b/crates/decide/src/work/host_replacements.rs
@@ -34,7 +34,10 @@
     /// Returns true if a host that can run the task is being moved to the pool, or is in the pool
     /// and empty.
     fn has_replacement(&self, pool: &PoolId, task: &StrandedTask) -> bool {
-        let mut hosts = self.hosts.values().filter(|view| can_host(view, task));
+        let mut hosts = self
+            .hosts
+            .values()
+            .filter(|view| can_host(view, task) && !self.is_drained(view));
         hosts.any(|view| match &view.operation {
             Some(operation) => match &operation.order {
                 HostOrder::Move(_, to) => to == pool,
--- a/crates/decide/src/work/host_waves.rs
+++ b/crates/decide/src/work/host_waves.rs
@@ -125,7 +125,11 @@
             match view.operation.as_ref().map(|operation| &operation.order) {
                 Some(HostOrder::Maintain(..)) => pool.leaving += 1,
                 Some(HostOrder::Move(..)) => {}
-                None => pool.open += usize::from(view.fleet.condition == HostCondition::Up),
+                None => {
+                    let accepts_tasks =
+                        view.fleet.condition == HostCondition::Up && !self.is_drained(view);
+                    pool.open += usize::from(accepts_tasks);
+                }
             }
         }
         pools
@@ -153,7 +157,7 @@
             return None;
         }
         let load = target.map_or(0, |target| target.used.cpu);
-        let is_needed = pools_below_demand.contains(&view.fleet.pool);
+        let is_needed = pools_below_demand.contains(&view.fleet.pool) && !self.is_drained(view);
         if is_needed && !urgent && load > 0 {
             return None;
         }
--- a/crates/decide/src/work/scheduler_evacuate.rs
+++ b/crates/decide/src/work/scheduler_evacuate.rs
@@ -49,7 +49,8 @@
                 continue;
             };
             let leaving = target.entry.mode == TargetMode::Draining;
-            if !leaving && target.drain == HostDrainState::None {
+            let is_host_drained = target.drain != HostDrainState::None;
+            if !leaving && !is_host_drained && !target.data_centre_drained {
                 continue;
             }
             let (id, pool) = (&target.entry.target, &target.entry.pool);
@@ -86,7 +87,12 @@
                 let since = before.get(&pool).map_or(now.boot, |task| task.since);
                 self.mark_stranded(&run, &pool, resources, since);
                 let waited = now.boot.saturating_sub(since) >= EVACUATION_WAIT;
-                if !waited || !self.stops_would_empty_target(&id, now) {
+                // A host has to become empty for its operation, a data centre does not.
+                let must_become_empty = self
+                    .targets
+                    .get(&id)
+                    .is_some_and(|target| target.drain != HostDrainState::None);
+                if !waited || !must_become_empty || !self.stops_would_empty_target(&id, now) {
                     continue;
                 }
             }
--- a/crates/decide/src/work/target_index.rs
+++ b/crates/decide/src/work/target_index.rs
@@ -24,7 +24,8 @@
     pauses: BTreeSet<(BootTime, HostId)>,
     /// Times of the last failed calls to listed targets that otherwise respond.
     failures: BTreeSet<(BootTime, HostId)>,
-    /// Targets that are draining, by their mode or for an operation on their host.
+    /// Targets that are draining: by their mode, for an operation on their host, or with their data
+    /// centre.
     pub(super) draining: BTreeSet<HostId>,
     /// Targets that can be forgotten.
     pub(super) forgettable: BTreeSet<HostId>,
@@ -86,7 +87,8 @@
             unknown: never_reached && !target.unreachable_recorded,
             last_failure: target.last_failure,
             draining: target.entry.mode == TargetMode::Draining
-                || target.drain != HostDrainState::None,
+                || target.drain != HostDrainState::None
+                || target.data_centre_drained,
             forgettable: !target.is_needed(),
         }
     }
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -103,6 +103,8 @@
     pub unconfirmed_starts: Vec<(RunKey, BootTime)>,
     /// Drain state of its host; a draining host gets no new tasks.
     pub drain: HostDrainState,
+    /// Whether operators have drained its data centre, so that nothing may be started on it.
+    pub data_centre_drained: bool,
     /// Number of consecutive host lists without a host for this target.
     pub lists_absent: u32,
 }
@@ -146,13 +148,14 @@
         self.can_run() && self.drain == HostDrainState::None && now >= self.paused_until
     }
 
-    /// Returns true if the target can run tasks, even if it is draining or paused.
+    /// Returns true if tasks may be started on the target, even if it is draining or paused.
     pub fn can_run(&self) -> bool {
         self.listed
             && self.recorded
             && self.incarnation.token_seen
             && !self.unresponsive
             && self.drain != HostDrainState::Ordered
+            && !self.data_centre_drained
             && self.entry.mode == TargetMode::Ready
     }
 
--- a/crates/decide/tests/harness/fleet_fixture.rs
+++ b/crates/decide/tests/harness/fleet_fixture.rs
@@ -93,6 +93,7 @@
                         memory_mb: 10_000,
                         gpu: 0,
                     },
+                    data_centre: Default::default(),
                     target: HostId::default(),
                 },
                 maintained: 0,
--- a/crates/decide/tests/harness/mod.rs
+++ b/crates/decide/tests/harness/mod.rs
@@ -9,6 +9,7 @@
 mod world_call;
 mod world_cancel;
 mod world_check;
+mod world_drain;
 mod world_faults;
 mod world_list;
 mod world_log;
--- a/crates/decide/tests/harness/world.rs
+++ b/crates/decide/tests/harness/world.rs
@@ -13,8 +13,9 @@
 use super::{
     POOL, QUEUE, WORKSPACE, plan,
     scheduler_fixture::policy_with_limit,
-    step, target,
+    step,
     world_call::{SimCall, SimRequest},
+    world_drain::{DrainRequests, DrainWatch, entry_of},
     world_faults::WorldFaults,
     world_list::{HostList, ListWatch},
     world_log::{DelayedWrite, LogWriter, StoredLog},
@@ -44,6 +45,8 @@
     pub(super) faults: WorldFaults,
     pub(super) targets: BTreeMap<HostId, SimTarget>,
     pub(super) host_list: HostList,
+    /// Data centres that operators have drained.
+    pub(super) drains: DrainRequests,
     pub(super) log: StoredLog,
     pub(super) delayed_writes: Vec<DelayedWrite>,
     /// Start and end of a store outage.
@@ -89,6 +92,7 @@
     pub(super) call_queues: BTreeMap<HostId, VecDeque<SimRequest>>,
     pub(super) writer: LogWriter,
     pub(super) list_watch: ListWatch,
+    pub(super) drain_watch: DrainWatch,
 }
 
 impl Simulation {
@@ -116,6 +120,7 @@
             faults,
             targets: names.map(new_target).collect(),
             host_list: HostList::default(),
+            drains: DrainRequests::default(),
             log: StoredLog::default(),
             delayed_writes: Vec::new(),
             store_outage: None,
@@ -153,6 +158,7 @@
             self.run_step();
         }
         self.faults = self.faults.without_new_faults();
+        self.drains.clear();
         let end = self.now.boot + calm;
         while self.now.boot < end && !self.is_done() {
             self.run_step();
@@ -176,6 +182,7 @@
         self.end_store_outage();
         self.apply_delayed_writes();
         self.update_host_list();
+        self.update_drains();
         self.deliver_calls();
         self.deliver_responses();
         self.send_client_requests();
@@ -290,6 +297,7 @@
             call_queues: BTreeMap::new(),
             writer: LogWriter::open(&self.log),
             list_watch: ListWatch::default(),
+            drain_watch: DrainWatch::default(),
         });
         self.next_election = None;
         self.record_core_event(&format!("owner {} begins", self.current_token));
@@ -355,11 +363,14 @@
         } else {
             self.apply_host_list(owner);
         }
+        self.deliver_drains(owner);
         if !self.write_log(owner) {
             return false;
         }
         owner.scheduler.tick(now);
-        owner.scheduler.plan_starts(now);
+        if owner.drain_watch.is_current(now.boot) {
+            owner.scheduler.plan_starts(now);
+        }
         let known: Vec<HostId> = owner.scheduler.targets.keys().cloned().collect();
         for name in known {
             let paused = owner.next_poll_at.get(&name);
@@ -417,7 +428,7 @@
                 .get(name)
                 .map(|known| known.incarnation.started_at);
             if state.listed && (!listed || (state.up && known != Some(state.listed_start))) {
-                let mut entry = target(name, CAPACITY);
+                let mut entry = entry_of(name);
                 entry.started_at = state.listed_start;
                 owner.scheduler.upsert_target(entry, self.now);
             } else if !state.listed && listed {
--- a/crates/decide/tests/harness/world_call.rs
+++ b/crates/decide/tests/harness/world_call.rs
@@ -74,7 +74,10 @@
                     break;
                 };
                 if let SimRequest::Start(start) = &order
-                    && (ownership_uncertain || !is_start_pending(owner, &name, start))
+                    && (ownership_uncertain
+                        || !owner.drain_watch.is_current(self.now.boot)
+                        || owner.scheduler.is_data_centre_drained(&name)
+                        || !is_start_pending(owner, &name, start))
                 {
                     let answer = StartAnswer::NotSent("start became obsolete".to_owned());
                     let (task, attempt) = (start.task.clone(), start.attempt);
@@ -235,6 +238,9 @@
                     ));
                     if started {
                         self.check_start(&call.target, &task);
+                        if !delayed {
+                            self.check_not_drained(&call.target, &task.to_string());
+                        }
                     }
                     SimResponse::Start(answer)
                 }
--- a/crates/decide/tests/harness/world_faults.rs
+++ b/crates/decide/tests/harness/world_faults.rs
@@ -28,6 +28,8 @@
     pub store_outage: f64,
     /// Share of store writes whose request or response is lost.
     pub lost_writes: f64,
+    /// Drains of a data centre by operators, which last for some seconds.
+    pub drains: f64,
     /// Whether the log is compacted often.
     pub short_log: bool,
     /// Whether calls in flight to a target are limited and further ones are queued.
@@ -49,6 +51,7 @@
         cancels: 0.0,
         store_outage: 0.0,
         lost_writes: 0.0,
+        drains: 0.0,
         short_log: false,
         lanes: false,
         lists: false,
--- a/crates/decide/tests/harness/world_list.rs
+++ b/crates/decide/tests/harness/world_list.rs
@@ -7,8 +7,8 @@
 use rand::Rng;
 
 use super::{
-    target,
-    world::{CAPACITY, LIST_TTL, SimOwner, Simulation},
+    world::{LIST_TTL, SimOwner, Simulation},
+    world_drain::entry_of,
 };
 
 /// Share of crashed targets whose host restarts under another id.
@@ -110,7 +110,7 @@
                 let entry = TargetEntry {
                     address: state.address.as_str().into(),
                     started_at: state.started_at,
-                    ..target(name, CAPACITY)
+                    ..entry_of(name)
                 };
                 self.host_list.write(name, Some(entry), now);
                 events.push(format!(
--- a/crates/decide/tests/work_schedule.rs
+++ b/crates/decide/tests/work_schedule.rs
@@ -27,7 +27,7 @@
 }
 
 /// Each job completes, no task runs twice or before the steps that it depends on, and no target or
-/// workspace exceeds its limit, whatever faults hit owners, targets and orders.
+/// workspace exceeds its limit, and no task starts in a drained data centre, whatever faults hit owners, targets and orders.
 #[rstest]
 #[case::calm(WorldFaults::CALM)]
 #[case::all(WorldFaults::default())]
@@ -39,6 +39,9 @@
 #[case::log(WorldFaults { short_log: true, ..WorldFaults::LOG })]
 #[case::lanes(WorldFaults { lanes: true, lost_calls: 0.15, late_calls: 0.1, ..WorldFaults::CANCELS })]
 #[case::lists(WorldFaults { target_crash: 0.1, target_cut: 0.1, lists: true, ..WorldFaults::default() })]
+#[case::drains(WorldFaults { drains: 0.2, ..WorldFaults::CALM })]
+#[case::drains_and_owners(WorldFaults { drains: 0.2, owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::CANCELS })]
+#[case::drains_and_lanes(WorldFaults { drains: 0.2, lanes: true, lost_calls: 0.15, late_calls: 0.1, lists: true, ..WorldFaults::LOG })]
 #[case::everything(WorldFaults { short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
 fn scheduler_invariants_hold(#[case] faults: WorldFaults) {
     run_seeds(0..SEEDS, faults);
--- a/crates/model/src/work/fleet_host.rs
+++ b/crates/model/src/work/fleet_host.rs
@@ -1,6 +1,6 @@
 use compact_str::CompactString;
 
-use crate::{HostId, PoolId};
+use crate::{DataCentreId, HostId, PoolId};
 
 use super::{FencingToken, ResourceVector};
 
@@ -27,6 +27,8 @@
     pub pool: PoolId,
     /// Current state.
     pub condition: HostCondition,
+    /// Data centre that the host is in; empty if unknown.
+    pub data_centre: DataCentreId,
     /// All labels of the host.
     pub labels: Vec<CompactString>,
     /// Total resources.
--- a/crates/ports/src/fleet_codec.rs
+++ b/crates/ports/src/fleet_codec.rs
@@ -1,4 +1,7 @@
-use model::work::{FleetPolicy, MaintenanceWave, TargetEntry, WaveId};
+use model::{
+    DataCentreId,
+    work::{FleetPolicy, MaintenanceWave, TargetEntry, WaveId},
+};
 
 /// Store keys and encodings of the entries that operators and targets write.
 ///
@@ -13,6 +16,9 @@
     fn target_prefix(&self) -> &'static str;
     /// Number of the maintenance wave stored under a key; `None` for other keys.
     fn parse_wave_key(&self, key: &str) -> Option<WaveId>;
+    /// Data centre that the entry under a key drains for as long as the entry exists; `None` for
+    /// other keys.
+    fn parse_drain_key(&self, key: &str) -> Option<DataCentreId>;
     /// Key and value with which the progress of a wave is reported to operators.
     fn wave_status(&self, wave: WaveId, completed: bool) -> (String, Vec<u8>);
     /// Decodes the fleet policy.
