Derive the timeout of orders from the answers that targets give

An order without an answer delayed its task by 500 ms, and a job of thirteen tasks has such an order more often than not, while its objective leaves it 600 ms and a little more. Cause: the timeout was fixed, for the slowest link, although answers take some 3 ms. Change: starts and stops wait as long as the measured answers suggest, as TCP's retransmission timeout does, between 80 and 500 ms; then the outcome is looked up as before. A timeout counts as a sample, so that a link that has become slow gets more time. Nothing else about an order in doubt changes. Conclusion: a lost answer costs a tenth of a second.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -5,7 +5,10 @@
     HostId, event as log_event,
     work::{OrderAnswer, PollOrder, StartAnswer, StartOrder, StopOrder, TaskKey, ThrottleOrder},
 };
-use tokio::{sync::SemaphorePermit, time::Instant};
+use tokio::{
+    sync::SemaphorePermit,
+    time::{Instant, timeout},
+};
 
 use crate::{
     call_limiter::CallPermit,
@@ -65,7 +68,8 @@
     term.scheduler
         .borrow_mut()
         .renew_start_deadline(&id, &mut order, now);
-    let answer = term.ports.targets.start(&address, order).await;
+    let answer = call_target(&term, term.ports.targets.start(&address, order)).await;
+    let answer = answer.unwrap_or_else(StartAnswer::Unanswered);
     channel.poll_now.notify_one();
     metric::record_duration(metric::ORDER_SECONDS, started_at.elapsed());
     let done = matches!(answer, StartAnswer::Started { .. });
@@ -100,7 +104,8 @@
         log_failure(&term, "stop", &id, NOT_SENT_CAUSE);
         return;
     };
-    let answer = term.ports.targets.stop(&address, order).await;
+    let answer = call_target(&term, term.ports.targets.stop(&address, order)).await;
+    let answer = answer.unwrap_or_else(OrderAnswer::Unanswered);
     channel.poll_now.notify_one();
     let done = answer == OrderAnswer::Done;
     record_outcome(&term, "stop", &id, done, &(&task, &answer));
@@ -110,6 +115,23 @@
     term.wake.notify_one();
 }
 
+/// Waits for the answer to an order.
+///
+/// # Errors
+/// Why there is none, if it took longer than answers usually take.
+async fn call_target<A>(term: &Term, order: impl Future<Output = A>) -> Result<A, String> {
+    let mut timeouts = term.order_timeout.get();
+    let (sent, limit) = (Instant::now(), timeouts.timeout());
+    let answer = timeout(limit, order).await;
+    timeouts = term.order_timeout.get();
+    match &answer {
+        Ok(_) => timeouts.record(sent.elapsed()),
+        Err(_) => timeouts.record_timeout(),
+    }
+    term.order_timeout.set(timeouts);
+    answer.map_err(|_| format!("no answer within {limit:?}"))
+}
+
 /// Sets a task's share of processor time. The next poll shows the effect, so the scheduler does not
 /// wait for the answer.
 async fn send_throttle(term: Rc<Term>, id: HostId, order: ThrottleOrder) {
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -10,6 +10,7 @@
 
 use decide::{
     link_bounds::max_starts_per_second,
+    order_timeout::OrderTimeout,
     work::{HostPlanner, SchedulerTime, WorkScheduler},
 };
 use link::ShutdownSignal;
@@ -94,6 +95,8 @@
     pub(crate) channels: RefCell<HashMap<HostId, Rc<TargetChannel>>>,
     /// Limits and prioritises the calls to all targets.
     pub(crate) call_limiter: Rc<CallLimiter>,
+    /// Timeout of starts and stops, by the answers to them.
+    pub(crate) order_timeout: Cell<OrderTimeout>,
     /// Wakes the scheduling loop after a change.
     pub(crate) wake: Notify,
     pub(crate) over: ShutdownSignal,
@@ -146,6 +149,7 @@
             submitting: RefCell::default(),
             channels: RefCell::default(),
             call_limiter,
+            order_timeout: Cell::default(),
             wake: Notify::new(),
             over: ShutdownSignal::default(),
             ready: Cell::new(false),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link_bounds;
 pub mod member;
 pub mod moves;
+pub mod order_timeout;
 pub mod placement;
 pub mod quota;
 pub mod rendezvous;
