Let the soak drain a data centre beside its faults

Change: a seed draws drains of the second data centre, apart from its faults, which stay as they were for a seed; every second simulated target is there. A start there later than 5 s after the request is a broken promise, unless the target carried it out late or its link was held up. Operators can't drain while the store is away for all, and what an owner does in such an outage with what it has read is not held against it. Ruled out: drains among the random faults, which would have changed what every seed plays.

--- a/crates/lacewingshore/tests/soak.rs
+++ b/crates/lacewingshore/tests/soak.rs
@@ -43,12 +43,32 @@
     store.into_iter().chain(targets).collect()
 }
 
+/// A data centre is drained for most of the time, beside some of the faults in sequence.
+fn drained_data_centre() -> Vec<PlannedFault> {
+    let drain = PlannedFault {
+        kind: FaultKind::DataCentreDrained,
+        begin: FIRST_BEGIN,
+        end: FIRST_BEGIN + FAULT_LENGTH * 7,
+        process: None,
+        target: 0,
+    };
+    let faults = in_series(&[
+        FaultKind::Kill,
+        FaultKind::HistoryGone,
+        FaultKind::Pause,
+        FaultKind::StoreLinkSilent,
+        FaultKind::StartsLate,
+    ]);
+    [drain].into_iter().chain(faults).collect()
+}
+
 /// Guards against work that runs twice or is lost, and orders that conflict with those of a
-/// successor, while the store, targets or the process itself fail.
+/// successor, and against starts in a drained data centre, while the store, targets or the process itself fail.
 #[rstest]
 #[case::first_half(1, in_series(&FAULT_KINDS[..10]))]
 #[case::second_half(2, in_series(&FAULT_KINDS[10..]))]
 #[case::owner_apart(3, owner_apart())]
+#[case::drained_data_centre(4, drained_data_centre())]
 fn soak_keeps_promises(#[case] seed: u64, #[case] faults: Vec<PlannedFault>) {
     let folder = tempfile::tempdir().unwrap();
     let plan = SoakPlan {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -31,7 +31,7 @@
 };
 pub use history_log::{HistoryLog, OpTimer};
 pub use soak::{
-    CallerJob, FAULT_KINDS, FaultKind, HeldUp, PlannedFault, SoakHistory, SoakPlan, SoakReport,
-    SoakTally, check_soak, plan_faults, run_soak,
+    CallerJob, DrainPeriod, FAULT_KINDS, FaultKind, HeldUp, PlannedFault, SoakHistory, SoakPlan,
+    SoakReport, SoakTally, check_soak, plan_faults, run_soak,
 };
 pub use violation::{HistoryCheck, Violation};
--- a/crates/proof/src/soak/fault_drive.rs
+++ b/crates/proof/src/soak/fault_drive.rs
@@ -6,8 +6,8 @@
 
 use super::{
     FaultKind, PlannedFault,
-    soak_check::HeldUp,
-    soak_fleet::{GRACE, SoakFleet, store_link, target_link},
+    soak_check::{DrainPeriod, HeldUp},
+    soak_fleet::{DRAINED_DATA_CENTRE, GRACE, SoakFleet, store_link, target_link},
 };
 
 /// Bytes a second over a narrow link.
@@ -34,6 +34,9 @@
     pub(crate) lapses: Vec<u64>,
     /// Times in which orders to a target may have been held up.
     pub(crate) held_up: Vec<HeldUp>,
+    /// Times in which the data centre was drained and the store could be read.
+    pub(crate) drains: Vec<DrainPeriod>,
+    drained_since: Option<u64>,
 }
 
 impl FaultDrive {
@@ -46,6 +49,8 @@
             fallen: Vec::new(),
             lapses: Vec::new(),
             held_up: Vec::new(),
+            drains: Vec::new(),
+            drained_since: None,
         }
     }
 
@@ -110,6 +115,12 @@
                 fleet.targets[fault.target].crash();
                 fleet.put_target(fault.target);
             }
+            // Operators can't reach a store that is away for all.
+            FaultKind::DataCentreDrained if !self.is_store_away() => {
+                fleet.store.drain(DRAINED_DATA_CENTRE);
+                self.drained_since = Some(boot_nanos());
+            }
+            FaultKind::StoreRefuses | FaultKind::StoreSilent => self.end_drain_period(),
             _ => {}
         }
         self.active.push(ActiveFault { fault, process });
@@ -118,6 +129,10 @@
 
     fn end(&mut self, fleet: &SoakFleet, ended: &ActiveFault) {
         let fault = ended.fault;
+        if fault.kind == FaultKind::DataCentreDrained {
+            self.end_drain_period();
+            fleet.store.restore(DRAINED_DATA_CENTRE);
+        }
         let now = boot_nanos();
         let length = u64::try_from((fault.end - fault.begin).as_nanos()).unwrap_or_default();
         for process in 0..fleet.processes.len() {
@@ -135,6 +150,19 @@
         }
     }
 
+    /// Ends the time for which the drain is checked: it has ended, or the store is away for all, and
+    /// an owner may go on with what it has read.
+    fn end_drain_period(&mut self) {
+        if let Some(from_ns) = self.drained_since.take() {
+            let to_ns = boot_nanos();
+            self.drains.push(DrainPeriod { from_ns, to_ns });
+        }
+    }
+
+    fn is_store_away(&self) -> bool {
+        self.any(FaultKind::StoreRefuses) || self.any(FaultKind::StoreSilent)
+    }
+
     fn any(&self, kind: FaultKind) -> bool {
         self.active.iter().any(|active| active.fault.kind == kind)
     }
--- a/crates/proof/src/soak/fault_plan.rs
+++ b/crates/proof/src/soak/fault_plan.rs
@@ -45,9 +45,11 @@
     TargetCrash,
     /// Targets carry starts out late.
     StartsLate,
+    /// Operators drain a data centre, and restore it at the end.
+    DataCentreDrained,
 }
 
-/// All kinds of faults.
+/// All kinds of faults that strike at random. Drains have a schedule of their own.
 pub const FAULT_KINDS: [FaultKind; 20] = [
     FaultKind::Terminate,
     FaultKind::Kill,
@@ -91,7 +93,13 @@
 /// Time before the first fault, in which the first owner begins its work.
 const QUIET_START: Duration = Duration::from_secs(2);
 
-/// The schedule of a seed: faults in series, and overlapping by chance.
+/// Mean pause between two drains of a data centre.
+const DRAIN_PAUSE: Duration = Duration::from_secs(6);
+/// Longest drain, in milliseconds.
+const MAX_DRAIN_MS: u64 = 9000;
+
+/// The schedule of a seed: faults in series, and overlapping by chance, beside drains of a data
+/// centre.
 pub fn plan_faults(
     seed: u64,
     span: Duration,
@@ -114,5 +122,27 @@
         });
         begin += FAULT_PAUSE.mul_f64(dice.random_range(0.1..1.9));
     }
+    plan.extend(plan_drains(seed, span));
+    plan.sort_by_key(|fault| fault.begin);
+    plan
+}
+
+/// Drains of a data centre, drawn apart from the faults, so that these stay the same for a seed.
+fn plan_drains(seed: u64, span: Duration) -> Vec<PlannedFault> {
+    let mut dice = StdRng::seed_from_u64(!seed);
+    let mut plan = Vec::new();
+    let mut begin = QUIET_START;
+    while begin < span {
+        let length = Duration::from_millis(dice.random_range(500..MAX_DRAIN_MS));
+        let end = (begin + length).min(span);
+        plan.push(PlannedFault {
+            kind: FaultKind::DataCentreDrained,
+            begin,
+            end,
+            process: None,
+            target: 0,
+        });
+        begin = end + DRAIN_PAUSE.mul_f64(dice.random_range(0.1..1.9));
+    }
     plan
 }
--- a/crates/proof/src/soak/soak_check.rs
+++ b/crates/proof/src/soak/soak_check.rs
@@ -1,10 +1,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use stand::{
-    CallerClient, JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, StartOrderRecord, StrayWrite,
+    CallerClient, JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, SimulatedTarget,
+    StartOrderRecord, StrayWrite,
 };
 
-use super::caller_jobs::{CallerJob, is_completed, is_owed};
+use super::{
+    caller_jobs::{CallerJob, is_completed, is_owed},
+    soak_fleet::DRAINED_DATA_CENTRE,
+};
 use crate::Violation;
 
 /// A time in which orders of a process to a target may have been held up on their way.
@@ -20,6 +24,15 @@
     pub to_ns: u64,
 }
 
+/// A time in which every second target was in a drained data centre.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainPeriod {
+    /// When operators requested the drain.
+    pub from_ns: u64,
+    /// When they withdrew the request, or could no longer be sure that it is read.
+    pub to_ns: u64,
+}
+
 /// What callers, targets and store have seen of one seed.
 #[derive(Clone, Debug, Default)]
 pub struct SoakHistory {
@@ -41,6 +54,8 @@
     pub lapses: Vec<u64>,
     /// Times in which orders to a target may have been held up on their way.
     pub held_up: Vec<HeldUp>,
+    /// Times in which the second data centre was drained.
+    pub drains: Vec<DrainPeriod>,
     /// Processes that ended by themselves.
     pub fallen: Vec<String>,
 }
@@ -57,6 +72,8 @@
 const MILLI: u64 = 1_000_000;
 /// After this time nothing of a cancelled job begins.
 const CANCEL_NS: u64 = 3000 * MILLI;
+/// After this time nothing begins in a drained data centre.
+const DRAIN_NS: u64 = 5000 * MILLI;
 /// After this time an accepted job is known to every process.
 const VISIBLE_NS: u64 = 3000 * MILLI;
 /// An order that was sent in its sender's time may arrive this much later.
@@ -110,6 +127,7 @@
     }
     check_orders(&mut tally, history);
     check_limit(&mut tally, &history.runs);
+    check_drains(&mut tally, history);
     for job in &history.jobs {
         check_job(&mut tally, history, job, &runs);
     }
@@ -174,6 +192,22 @@
     }
 }
 
+/// Nothing begins in a data centre that was drained long before.
+fn check_drains(tally: &mut SoakTally, history: &SoakHistory) {
+    let drained = |run: &&RunRecord| SimulatedTarget::is_in(run.target, DRAINED_DATA_CENTRE);
+    for run in history.runs.iter().filter(drained) {
+        let held = history.held(run.target, None, run.start_ns);
+        let drain = history
+            .drains
+            .iter()
+            .find(|drain| (drain.from_ns + DRAIN_NS..drain.to_ns).contains(&run.start_ns));
+        let kept = drain.is_none() || run.late || held;
+        tally.check("drained-not-begun", kept, || {
+            format!("{run:?} in {drain:?}")
+        });
+    }
+}
+
 /// Orders carry the token of an owner, and none comes from one that has a successor.
 fn check_orders(tally: &mut SoakTally, history: &SoakHistory) {
     for order in &history.orders {
--- a/crates/proof/src/soak/soak_fleet.rs
+++ b/crates/proof/src/soak/soak_fleet.rs
@@ -16,6 +16,8 @@
 const LOG_PREFIX: &str = "cell/log/";
 /// Longest time for a shutdown, after which the platform kills a process.
 pub(crate) const GRACE: Duration = Duration::from_secs(6);
+/// Data centre that operators drain.
+pub(crate) const DRAINED_DATA_CENTRE: &str = SimulatedTarget::DATA_CENTRES[1];
 /// Runs that fit a target.
 const SLOTS: usize = 8;
 
--- a/crates/proof/src/soak/soak_run.rs
+++ b/crates/proof/src/soak/soak_run.rs
@@ -165,6 +165,7 @@
         log_peak: fleet.store.log_peak(),
         lapses: drive.lapses,
         held_up: drive.held_up,
+        drains: drive.drains,
         fallen: drive.fallen,
     }
 }
--- a/crates/proof/tests/soak_checks.rs
+++ b/crates/proof/tests/soak_checks.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use proof::{CallerJob, SoakHistory, check_soak, plan_faults};
+use proof::{CallerJob, DrainPeriod, SoakHistory, check_soak, plan_faults};
 use rstest::rstest;
 use stand::{
     JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, SoakJob, StartOrderRecord, StrayWrite,
@@ -107,6 +107,10 @@
     h.strays.push(StrayWrite { process: 1, key: "log/1".to_owned(), written_ns: s(5) });
 })]
 #[case::log_grows("log-bounded", |h: &mut SoakHistory| h.log_peak = 4 << 20)]
+#[case::drained_begun("drained-not-begun", |h: &mut SoakHistory| {
+    h.drains.push(DrainPeriod { from_ns: 0, to_ns: s(20) });
+    h.runs[2].target = 1;
+})]
 #[case::process_fell("stays-up", |h: &mut SoakHistory| h.fallen.push("process 1".to_owned()))]
 fn check_soak_finds(#[case] check: &str, #[case] spoil: fn(&mut SoakHistory)) {
     let mut history = sound();
