--- a/crates/admin/examples/audit_cost.rs
+++ b/crates/admin/examples/audit_cost.rs
@@ -1,7 +1,7 @@
 //! What the audit trail costs the store: calls and bytes for each audited change.
 //!
 //! `cargo run --release -p admin --example audit_cost` prints the slopes that
-//! `docs/design/11-audit.md` and `docs/CAPACITY.md` use.
+//! `docs/design/11-audit.md` uses.
 
 use std::{
     collections::BTreeMap,
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,8 +1,8 @@
 //! Measures what entry hosts spend and keep, in real processes at chosen sizes.
 //!
 //! `measure sizes` runs entry hosts at several sizes and prints what one of them spends on
-//! control: processor, memory, bytes and store calls. The slopes between the rows are what
-//! `docs/CAPACITY.md` extrapolates from, and its last row is the target size itself.
+//! control: processor, memory, bytes and store calls. The last row is the target size itself;
+//! `docs/MEASURES.md` has its figures.
 
 mod bench_fleet;
 mod bench_size;
