Record a change only once a quorum has confirmed the state that it builds on

What callers saw: a key that an operator had withdrawn, with success reported, was in force again on one host, which served.

Cause: a withdrawal is accepted once a majority holds it, which is right, as the others refuse work within a lease. A host outside that majority compared what it read from the store with its own state alone. Where the store was old as well, the two agreed. The change was then accepted, since acknowledgements were counted by revision and not by content.

Evidence: submit_of_host_behind_restored_store_is_refused brings this about each time: one host gets neither watches nor heartbeats while the key is withdrawn. It fails with the confirmation taken out.

Change: before its write the host asks its peers for heartbeats at once, and waits until a quorum has echoed one sent after its read without showing anything newer. Every change that was accepted earlier is held by a quorum, the two share a member, and so the host learns of it. Acknowledgements of the same revision count only with the same content.

Cost: a heartbeat and its echo per peer and change.

--- a/crates/decide/src/lease.rs
+++ b/crates/decide/src/lease.rs
@@ -10,7 +10,7 @@
 use model::{BootTime, Incarnation, MemberId, Revision};
 use wire::peer::Beat;
 
-use crate::member::{MemberList, majority};
+use crate::member::{ListAcks, MemberList, majority};
 
 pub use peer_view::PeerView;
 
@@ -168,6 +168,7 @@
             config_hash: self.config_hash,
             leaving: self.leaving,
             silent,
+            echo_now: false,
         }
     }
 
@@ -282,7 +283,34 @@
         self.was_listed
     }
 
-    /// True if a quorum of `list` is known to hold at least `revision` of the configuration.
+    /// True if a quorum of the list, without the incarnations that are known to have ended, has
+    /// acknowledged heartbeats sent at `since` or later, and none of these acknowledgements shows a
+    /// newer configuration or list than this host holds.
+    ///
+    /// Every change that was accepted before `since` is held by a quorum. So this host holds it too.
+    #[must_use]
+    pub fn is_newest_since(&self, acks: &ListAcks, since: BootTime) -> bool {
+        self.is_listed()
+            && self.list.without_ended(acks).has_quorum(|member| {
+                if member.id == self.own.as_str() {
+                    return member.incarnation == self.incarnation;
+                }
+                let view = self.peers.get(member.id.as_str());
+                view.is_some_and(|view| {
+                    view.incarnation == member.incarnation && view.counted_ack_at() >= Some(since)
+                })
+            })
+    }
+
+    /// Newest revision of the configuration that a listed peer has shown.
+    #[must_use]
+    pub fn newest_peer_config(&self) -> Revision {
+        let revisions = self.listed_peers().map(|(_, view)| view.config_revision);
+        revisions.max().unwrap_or_default()
+    }
+
+    /// True if a quorum of `list` is known to hold at least `revision` of the configuration, and
+    /// that revision with the same content as this host.
     #[must_use]
     pub fn quorum_holds_config(&self, list: &MemberList, revision: Revision) -> bool {
         list.has_quorum(|member| {
@@ -291,7 +319,10 @@
             }
             let view = self.peers.get(member.id.as_str());
             view.is_some_and(|view| {
-                view.incarnation == member.incarnation && view.config_revision >= revision
+                let comparable = view.config_revision == self.config_revision;
+                view.incarnation == member.incarnation
+                    && view.config_revision >= revision
+                    && (!comparable || view.config_hash == self.config_hash)
             })
         })
     }
--- a/crates/decide/tests/lease_machine.rs
+++ b/crates/decide/tests/lease_machine.rs
@@ -268,3 +268,38 @@
     let living = grown.without_ended(&acks);
     assert!(!living.has_quorum(|m| m.id == "b" || m.id == "c"));
 }
+
+// Guards against a change that is recorded on an old state, because the quorum that held a newer
+// one was asked too early or not at all.
+#[rstest]
+#[case::asked_before(at(1), 5, false)]
+#[case::answers_with_newer(at(0), 6, false)]
+#[case::confirms(at(0), 5, true)]
+fn is_newest_since_needs_quorum(
+    #[case] since: Duration,
+    #[case] peer_config: u64,
+    #[case] newest: bool,
+) {
+    let mut lease = machine(LeaseMutation::None);
+    let acks = ListAcks::default();
+    assert!(!lease.is_newest_since(&acks, since));
+    exchange_beats(&mut lease, 0, 10, &beat(1, 7, peer_config));
+    assert_eq!(lease.is_newest_since(&acks, since), newest);
+    assert_eq!(lease.newest_peer_config(), peer_config);
+}
+
+// Guards against a change that counts as accepted because peers hold another configuration of the
+// same revision, which a store that lost changes can bring about.
+#[rstest]
+#[case::same(5, true)]
+#[case::other(4, false)]
+fn quorum_holds_config_compares_content(#[case] hash: u64, #[case] holds: bool) {
+    let mut lease = machine(LeaseMutation::None);
+    let answer = Beat {
+        config_hash: hash,
+        ..beat(1, 7, 5)
+    };
+    exchange_beats(&mut lease, 0, 10, &answer);
+    let list = lease.list().clone();
+    assert_eq!(lease.quorum_holds_config(&list, 5), holds);
+}
--- a/crates/member/src/change_submission.rs
+++ b/crates/member/src/change_submission.rs
@@ -88,6 +88,7 @@
                 touched,
             }),
             ChangePlan::Invalid(reason) => Err(ChangeError::Invalid(reason)),
+            ChangePlan::Write(_) if !self.confirm_newest(record.revision)? => Ok(None),
             ChangePlan::Write(write) => self.write(version, *write),
         }
     }
@@ -96,22 +97,65 @@
     ///
     /// A peer may deliver a newer change between the read and the comparison; the record is then
     /// read again. If this counted as a store failure, the loser of a race would get
-    /// "unavailable" instead of a conflict.
+    /// "unavailable" instead of a conflict. A store that shows less than what was known before the
+    /// read has lost changes, and the caller is told at once.
     fn read_newest(&self) -> Result<(StoreVersion, ConfigRecord, ConfigState), StoreError> {
         loop {
+            let peers = self.shared.lease.lock().newest_peer_config();
+            let known = peers.max(self.shared.holder.active_config().revision);
             let (version, record) = read_record::<ConfigRecord>(self.shared.store(), CONFIG)?;
             self.shared.apply_config(&record)?;
             let state = self.shared.holder.state();
-            if state.revision == record.revision {
+            if record.revision < known {
+                self.await_revision(known);
+            } else if state.revision == record.revision {
                 return Ok((version, record, state));
             }
-            if state.revision < record.revision || self.shared.now() >= self.deadline {
+            if record.revision < known || state.revision < record.revision {
                 return Err(StoreError::Unavailable(format!(
                     "the store shows revision {}, revision {} is in force",
-                    record.revision, state.revision
+                    record.revision,
+                    known.max(state.revision)
                 )));
             }
-            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
+    /// Waits until this host holds a revision that a peer has shown, at most for a lease. After
+    /// that time a host that is behind refuses work.
+    fn await_revision(&self, revision: Revision) {
+        let lease = self.shared.options.settings.lease_length;
+        let limit = self.deadline.min(self.shared.now() + lease);
+        while self.shared.holder.active_config().revision < revision && self.shared.now() < limit {
+            thread::sleep(ACK_POLL);
+        }
+    }
+
+    /// Waits until a quorum has confirmed that it holds nothing newer than `revision`, which was
+    /// read from the store. Returns false if a newer one is known, so that the store has to be read
+    /// again.
+    ///
+    /// If the store was restored from an old copy, a host that missed the newest changes would
+    /// otherwise record a change on top of the old state.
+    fn confirm_newest(&self, revision: Revision) -> Result<bool, ChangeError> {
+        let began = self.shared.now();
+        self.shared.request_echoes();
+        loop {
+            let lease = self.shared.lease.lock();
+            let newest = lease.newest_peer_config();
+            let acks = self.shared.acks.lock().clone();
+            let confirmed = lease.is_newest_since(&acks, began);
+            drop(lease);
+            if newest > revision || self.shared.holder.active_config().revision > revision {
+                return Ok(false);
+            }
+            if confirmed {
+                return Ok(true);
+            }
+            if self.shared.now() >= self.deadline {
+                return Err(self.to_error("a majority of entry hosts has not confirmed the state"));
+            }
+            thread::sleep(ACK_POLL);
         }
     }
 
--- a/crates/member/src/heartbeat_loop.rs
+++ b/crates/member/src/heartbeat_loop.rs
@@ -74,6 +74,7 @@
 
     fn send_beats(&mut self) {
         self.last_sent = Some(Instant::now());
+        let echo_now = self.shared.take_echo_request();
         let now = self.shared.now();
         let mut lease = self.shared.lease.lock();
         lease.tick(now);
@@ -81,7 +82,10 @@
         let beats: Vec<(MemberId, Beat)> = peers
             .into_iter()
             .map(|peer| {
-                let beat = lease.next_beat(&peer, now);
+                let beat = Beat {
+                    echo_now,
+                    ..lease.next_beat(&peer, now)
+                };
                 (peer, beat)
             })
             .collect();
@@ -115,7 +119,17 @@
         lease.handle_beat(&message.from, message.incarnation, beat, now);
         let behind = lease.is_behind();
         let list_revision = lease.list().revision();
+        let asked = beat.echo_now && lease.list().contains(&message.from, message.incarnation);
+        let echo = asked.then(|| lease.next_beat(&message.from, now));
         drop(lease);
+        if let Some(echo) = echo {
+            // An unsent echo counts as lost; the sender gets one with the next heartbeat.
+            let _ = self
+                .shared
+                .options
+                .node
+                .send(&message.from, Body::Beat(echo));
+        }
         self.shared.acks.lock().record_held(
             &message.from,
             message.incarnation,
--- a/crates/member/src/shared_state.rs
+++ b/crates/member/src/shared_state.rs
@@ -31,6 +31,8 @@
     pub members: ArcSwap<Vec<MemberInfo>>,
     leaving: AtomicBool,
     stopping: AtomicBool,
+    /// Whether the next heartbeats ask for an echo at once.
+    echo_requested: AtomicBool,
     beat_wake: (Sender<()>, Receiver<()>),
     store_wake: (Sender<()>, Receiver<()>),
 }
@@ -53,6 +55,7 @@
             members: ArcSwap::default(),
             leaving: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            echo_requested: AtomicBool::new(false),
             beat_wake: bounded(1),
             store_wake: bounded(1),
         }
@@ -95,6 +98,17 @@
         let _ = self.beat_wake.0.try_send(());
     }
 
+    /// Triggers heartbeats that ask all peers for an echo at once.
+    pub(crate) fn request_echoes(&self) {
+        self.echo_requested.store(true, Ordering::Release);
+        self.wake_beats();
+    }
+
+    /// Whether the heartbeats that are sent now should ask for an echo at once.
+    pub(crate) fn take_echo_request(&self) -> bool {
+        self.echo_requested.swap(false, Ordering::AcqRel)
+    }
+
     /// Triggers a read of the store.
     pub(crate) fn wake_store(&self) {
         let _ = self.store_wake.0.try_send(());
--- a/crates/member/tests/member_service.rs
+++ b/crates/member/tests/member_service.rs
@@ -4,11 +4,17 @@
 
 mod common;
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use common::{MemoryStore, StoreFaults, TestHost, wait_until};
 use model::Revision;
 use ports::{ChangeError, ChangeRequest, ChangeSink, ConfigSource, MemberSource, ServingGate};
+use store::StoredValue;
 use wire::state::{KeyEdit, KeyRecord};
 
 fn grant_key(id: &str, base: Option<Revision>) -> ChangeRequest {
@@ -207,3 +213,51 @@
     assert!(hosts.iter().all(|h| h.service.current().keys.is_empty()));
     assert!(hosts.iter().all(TestHost::serves));
 }
+
+// A host that missed a withdrawal reads an old copy of the store. What it records would put the
+// withdrawn key in force again, so it has to ask a quorum first.
+#[test]
+fn submit_of_host_behind_restored_store_is_refused() {
+    let store = Arc::new(MemoryStore::default());
+    let hosts = TestHost::start_many(&store, 3);
+    let old = withdraw_behind_host(&store, &hosts);
+    store.restore(old);
+    let refused = hosts[1].service.submit(&grant_key("k", None));
+    assert!(matches!(refused, Err(ChangeError::Unavailable(_))));
+    assert!(hosts.iter().all(|h| h.service.current().keys.is_empty()));
+    let started = Instant::now();
+    let refused = hosts[0].service.submit(&grant_key("k", None));
+    assert!(matches!(refused, Err(ChangeError::Unavailable(_))));
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
+/// Withdraws a key while `e2` gets neither watches nor heartbeats, and returns the store as it was
+/// before. Tries again if a change of the member list restored the links meanwhile.
+fn withdraw_behind_host(store: &MemoryStore, hosts: &[TestHost]) -> BTreeMap<String, StoredValue> {
+    let (behind, others) = (&hosts[1], [&hosts[0], &hosts[2]]);
+    for attempt in 0..20 {
+        let key = format!("k{attempt}");
+        store.set_faults(StoreFaults::default());
+        hosts[0].service.submit(&grant_key(&key, None)).unwrap();
+        wait_until("the key is known", || {
+            behind.service.current().keys.contains_key(key.as_str())
+        });
+        let old = store.copy();
+        store.set_faults(StoreFaults {
+            watch_hangs: true,
+            ..StoreFaults::default()
+        });
+        for host in others {
+            host.node.remove_peer(&"e2".into());
+        }
+        hosts[0].service.submit(&withdraw_key(&key)).unwrap();
+        for host in others {
+            let address = behind.node.peer_address();
+            host.node.set_peer(&"e2".into(), address).unwrap();
+        }
+        if !behind.service.current().keys.is_empty() {
+            return old;
+        }
+    }
+    panic!("the host got each change");
+}
