Dial no peers once a node has stopped

What callers saw: a host that was killed stayed in the member list. In 8 of 1,414 crowded runs submit_after_majority_died_is_accepted timed out waiting until the killed hosts were removed.

Cause: stop() cleared the links, but a thread of the host that applied a newer member list afterwards dialled its peers again (set_peer), and the host went on sending heartbeats. The others heard it and kept it in the list. In the product the threads end soon after the node, in the test they stay.

Evidence: set_peer_after_stop_dials_nothing fails on the former code: a message is sent after stop().

Change: a link is added only while the node runs; the check and the removal of all links hold the same lock.

--- a/crates/peer/src/peer_node.rs
+++ b/crates/peer/src/peer_node.rs
@@ -130,7 +130,8 @@
         self.router.receiver(kind)
     }
 
-    /// Dials `member` at `address`, or at the address in the settings if there is one.
+    /// Dials `member` at `address`, or at the address in the settings if there is one. Does nothing
+    /// once the node stops.
     ///
     /// # Errors
     /// If the address is malformed.
@@ -188,7 +189,11 @@
             &event::PEER_DIALLED,
             format_args!("peer={member} address={address}"),
         );
-        self.links.write().insert(member.clone(), Arc::new(link));
+        let mut links = self.links.write();
+        // Threads of the host may still learn of peers while the node stops.
+        if !self.stopping.load(Ordering::Acquire) {
+            links.insert(member.clone(), Arc::new(link));
+        }
         Ok(())
     }
 }
--- a/crates/peer/tests/peer_node.rs
+++ b/crates/peer/tests/peer_node.rs
@@ -128,3 +128,17 @@
     }
     panic!("the address {address} is still in use");
 }
+
+// A thread of a host that was stopped still applies a member list. If that dialled its peers again,
+// the host would go on sending heartbeats, and would never be removed from the list.
+#[test]
+fn set_peer_after_stop_dials_nothing() {
+    let (a, b) = (start("a", 1), start("b", 1));
+    a.set_peer(&"b".into(), b.peer_address()).unwrap();
+    a.stop();
+    a.set_peer(&"b".into(), b.peer_address()).unwrap();
+    assert_eq!(
+        a.send(&"b".into(), beat(1)),
+        Err(LinkError::NoLink("b".into()))
+    );
+}
