Carry messages between entry hosts on an event loop of our own

What callers saw: an entry host could die whenever another one was restarted, with all that ran through it. It concerns serve; cell does not use peer.

Cause: a sender uses memory that nng freed. A core shows push0_sock_send on a pipe with destroyed mutexes, of an open socket whose peer had closed the connection. By reading of nng 1.4.0-rc.0, a pipe becomes ready again after a completed send without the question whether it was closed meanwhile.

Change: one thread with a tokio loop accepts, dials and reads. Sending queues at most 64 messages and never blocks. Messages of an outage are dropped before the peer is dialled again. Bytes unacknowledged for 2 s close the connection. A message of more than 2 MiB closes it as well.

The tests that spoke through nng's sockets write the same bytes by hand now; what they check is as before. New: messages of an outage are not delivered, sizes are limited, a stop sends what is queued.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod event;
 
 mod body_kind;
+mod frame;
 mod inbound_router;
 mod outbound_link;
+mod peer_loop;
 mod peer_node;
 
 pub use body_kind::BodyKind;
--- a/crates/peer/src/peer_node.rs
+++ b/crates/peer/src/peer_node.rs
@@ -1,37 +1,24 @@
 use std::{
     collections::BTreeMap,
     fmt,
+    io::Error,
+    net::TcpListener,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    thread::{self, JoinHandle},
-    time::Duration,
 };
 
 use crossbeam_channel::Receiver;
 use model::{Incarnation, MemberId, PeerSetting, StepError, event as log_event};
-use nng::{
-    Error, Listener, ListenerBuilder, Protocol, Socket,
-    options::{
-        LocalAddr, Options, RecvMaxSize, RecvTimeout,
-        transport::tcp::{BoundPort, NoDelay},
-    },
-};
-use parking_lot::{Mutex, RwLock};
+use parking_lot::RwLock;
 use ports::{InboundMessage, LinkError, PeerLink};
 use wire::peer::{Envelope, envelope::Body};
 
-use crate::{BodyKind, event, inbound_router::InboundRouter, outbound_link::OutboundLink};
-
-/// Maximum size of a received message in bytes. The largest message sent is a whole
-/// configuration, which the store limits to 1 MB.
-const MESSAGE_LIMIT: usize = 2 * 1024 * 1024;
-
-/// Interval at which the receiving thread checks whether the node is stopping.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
-const THREAD_STACK: usize = 256 * 1024;
+use crate::{
+    BodyKind, event, inbound_router::InboundRouter, outbound_link::OutboundLink,
+    peer_loop::PeerLoop,
+};
 
 /// Traffic of a node over its open links.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,7 +29,7 @@
     pub sent_bytes: u64,
 }
 
-/// Endpoint of this entry host: one listening socket, and one dialing socket per peer.
+/// Endpoint of this entry host: one listening socket, and one connection to each peer.
 ///
 /// Links are one-way; responses arrive over the link that the peer dials. So messages can arrive
 /// from a peer that this host can't dial, and the code must not assume otherwise.
@@ -53,17 +40,15 @@
     overrides: BTreeMap<MemberId, String>,
     links: RwLock<BTreeMap<MemberId, Arc<OutboundLink>>>,
     router: Arc<InboundRouter>,
-    socket: Socket,
-    stopping: Arc<AtomicBool>,
-    receiver: Mutex<Option<JoinHandle<()>>>,
-    _listener: Listener,
+    peer_loop: PeerLoop,
+    stopping: AtomicBool,
 }
 
 impl PeerNode {
     /// Listens on `listen`, as `ip:port` with port 0 for a free one, and dials `peers`.
     ///
     /// # Errors
-    /// If the address can't be bound or a peer's address is malformed.
+    /// If the address can't be bound, a peer's address has no port, or the thread can't be started.
     pub fn start(
         own: MemberId,
         incarnation: Incarnation,
@@ -71,21 +56,10 @@
         peers: Vec<PeerSetting>,
     ) -> Result<Self, StepError> {
         let fail = |error: Error| StepError::new("listen for peers", listen, error);
-        let socket = Socket::new(Protocol::Pull0).map_err(fail)?;
-        socket
-            .set_opt::<RecvTimeout>(Some(STOP_CHECK_INTERVAL))
-            .map_err(fail)?;
-        let builder = ListenerBuilder::new(&socket, &format!("tcp://{listen}")).map_err(fail)?;
-        builder
-            .set_opt::<RecvMaxSize>(MESSAGE_LIMIT)
-            .map_err(fail)?;
-        builder.set_opt::<NoDelay>(true).map_err(fail)?;
-        let listener = builder.start().map_err(|(_, error)| fail(error))?;
-        let address = bound_address(&listener).map_err(fail)?;
-
+        let listener = TcpListener::bind(listen).map_err(fail)?;
+        let address = listener.local_addr().map_err(fail)?.to_string();
         let router = Arc::new(InboundRouter::new(own.clone()));
-        let stopping = Arc::new(AtomicBool::new(false));
-        let receiver = spawn_receiver(&socket, &router, &stopping)?;
+        let peer_loop = PeerLoop::start(listener, router.clone())?;
         let node = Self {
             own,
             incarnation: AtomicU64::new(incarnation),
@@ -96,13 +70,11 @@
                 .collect(),
             links: RwLock::default(),
             router,
-            socket,
-            stopping,
-            receiver: Mutex::new(Some(receiver)),
-            _listener: listener,
+            peer_loop,
+            stopping: AtomicBool::new(false),
         };
-        for (member, address) in node.overrides.clone() {
-            node.dial(&member, &address)?;
+        for (member, address) in &node.overrides {
+            node.dial(member, address)?;
         }
         Ok(node)
     }
@@ -134,7 +106,7 @@
     /// once the node stops.
     ///
     /// # Errors
-    /// If the address is malformed.
+    /// If the address has no port.
     pub fn set_peer(&self, member: &MemberId, address: &str) -> Result<(), StepError> {
         let address = self.overrides.get(member).map_or(address, String::as_str);
         if *member == self.own || address.is_empty() {
@@ -169,31 +141,31 @@
         })
     }
 
-    /// Stops receiving and sending. Messages already queued in nng are still sent.
+    /// Stops receiving and sending. Messages that are queued already are still sent to the peers
+    /// that are reached.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
-        let receiver = self.receiver.lock().take();
-        if receiver.is_some_and(|r| r.join().is_err()) {
-            log_event::error(
-                &event::PEER_RECEIVER_FAILED,
-                format_args!("member={}", self.own),
-            );
-        }
         self.links.write().clear();
-        self.socket.close();
+        self.peer_loop.stop();
     }
 
     fn dial(&self, member: &MemberId, address: &str) -> Result<(), StepError> {
-        let link = OutboundLink::dial(member, address)?;
+        if !has_port(address) {
+            let peer = format!("{member} at {address}");
+            return Err(StepError::new("dial peer", peer, "no port"));
+        }
+        let (link, dialer) = OutboundLink::new(member, address);
+        let mut links = self.links.write();
+        // Threads of the host may still learn of peers while the node stops.
+        if self.stopping.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        self.peer_loop.run_dialer(dialer);
+        links.insert(member.clone(), Arc::new(link));
         log_event::info(
             &event::PEER_DIALLED,
             format_args!("peer={member} address={address}"),
         );
-        let mut links = self.links.write();
-        // Threads of the host may still learn of peers while the node stops.
-        if !self.stopping.load(Ordering::Acquire) {
-            links.insert(member.clone(), Arc::new(link));
-        }
         Ok(())
     }
 }
@@ -238,40 +210,9 @@
     }
 }
 
-/// The listening address with the bound port. The port of nng's `LocalAddr` is in network byte
-/// order, so the port is read from the separate option `BoundPort`.
-fn bound_address(listener: &Listener) -> Result<String, Error> {
-    let port = listener.get_opt::<BoundPort>()?;
-    match listener.get_opt::<LocalAddr>()? {
-        nng::SocketAddr::Inet(address) => Ok(format!("{}:{port}", address.ip())),
-        nng::SocketAddr::Inet6(address) => Ok(format!("[{}]:{port}", address.ip())),
-        _ => Err(Error::AddressInvalid),
-    }
-}
-
-fn spawn_receiver(
-    socket: &Socket,
-    router: &Arc<InboundRouter>,
-    stopping: &Arc<AtomicBool>,
-) -> Result<JoinHandle<()>, StepError> {
-    let (socket, router, stopping) = (socket.clone(), router.clone(), stopping.clone());
-    thread::Builder::new()
-        .name("peer-receive".to_owned())
-        .stack_size(THREAD_STACK)
-        .spawn(move || receive_loop(&socket, &router, &stopping))
-        .map_err(|error| StepError::new("start thread", "peer-receive", error))
-}
-
-fn receive_loop(socket: &Socket, router: &InboundRouter, stopping: &AtomicBool) {
-    while !stopping.load(Ordering::Acquire) {
-        match socket.recv() {
-            Ok(message) => router.route(message.as_slice()),
-            Err(Error::TimedOut) => {}
-            Err(Error::Closed) => return,
-            Err(error) => {
-                log_event::warn(&event::PEER_RECEIVE_FAILED, format_args!("cause={error}"));
-                thread::sleep(STOP_CHECK_INTERVAL);
-            }
-        }
-    }
+fn has_port(address: &str) -> bool {
+    let port = address
+        .rsplit_once(':')
+        .map(|(_, port)| port.parse::<u16>());
+    matches!(port, Some(Ok(_)))
 }
--- a/crates/peer/tests/foreign_messages.rs
+++ b/crates/peer/tests/foreign_messages.rs
@@ -2,9 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use std::time::Duration;
 
-use nng::{Protocol, Socket};
+use common::{connect_receiver, write_frame};
 use peer::{BodyKind, PeerNode};
 use proptest::prelude::*;
 use prost::Message as _;
@@ -52,12 +54,11 @@
         messages in prop::collection::vec(foreign_bytes(), 1..60)
     ) {
         let node = PeerNode::start("b".into(), 1, "127.0.0.1:0", Vec::new()).unwrap();
-        let raw = Socket::new(Protocol::Push0).unwrap();
-        raw.dial(&format!("tcp://{}", node.peer_address())).unwrap();
+        let mut raw = connect_receiver(node.peer_address()).unwrap();
         for message in &messages {
-            raw.send(message.as_slice()).map_err(|(_, error)| error).unwrap();
+            write_frame(&mut raw, message).unwrap();
         }
-        raw.send(beat(777_777).as_slice()).map_err(|(_, error)| error).unwrap();
+        write_frame(&mut raw, &beat(777_777)).unwrap();
         let inbound = node.inbound(BodyKind::Beat);
         let found = (0..=messages.len()).any(|_| {
             let message = inbound.recv_timeout(WAIT_LIMIT).unwrap();
--- a/crates/peer/tests/peer_node.rs
+++ b/crates/peer/tests/peer_node.rs
@@ -2,10 +2,16 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+mod common;
+
+use std::{
+    io::{Read, Write},
+    time::Duration,
+};
+
+use common::{connect_receiver, write_frame};
 
 use model::{MemberId, PeerSetting};
-use nng::{Protocol, Socket};
 use peer::{BodyKind, PeerNode};
 use ports::{LinkError, PeerLink};
 use wire::peer::{Beat, ChangeTail, envelope::Body};
@@ -84,12 +90,11 @@
 #[test]
 fn receive_foreign_messages_are_dropped() {
     let b = start("b", 1);
-    let raw = Socket::new(Protocol::Push0).unwrap();
-    raw.dial(&format!("tcp://{}", b.peer_address())).unwrap();
+    let mut raw = connect_receiver(b.peer_address()).unwrap();
     // from = "x", field 99 (length-delimited, empty): a body of a later schema.
     let later = [0x0a, 0x01, b'x', 0x9a, 0x06, 0x00];
-    raw.send(&later[..]).unwrap();
-    raw.send(&[0xff_u8; 40][..]).unwrap();
+    write_frame(&mut raw, &later).unwrap();
+    write_frame(&mut raw, &[0xff; 40]).unwrap();
     let a = start("a", 1);
     a.set_peer(&"b".into(), b.peer_address()).unwrap();
     a.send(&"b".into(), beat(1)).unwrap();
@@ -142,3 +147,58 @@
         Err(LinkError::NoLink("b".into()))
     );
 }
+
+// A peer was down for a while. Messages queued meanwhile say what is no longer true, so they must
+// not reach it when it is back.
+#[test]
+fn send_drops_messages_of_outage() {
+    let a = start("a", 1);
+    let address = start("b", 1).peer_address().to_owned();
+    a.set_peer(&"b".into(), &address).unwrap();
+    let _ = a.send(&"b".into(), beat(1));
+    std::thread::sleep(Duration::from_millis(1200));
+    let b = restart(&address);
+    let inbound = b.inbound(BodyKind::Beat);
+    let first = (0..200).find_map(|n| {
+        let _ = a.send(&"b".into(), beat(100 + n));
+        inbound.recv_timeout(Duration::from_millis(100)).ok()
+    });
+    assert_ne!(first.unwrap().body, beat(1));
+}
+
+// Messages are as large as a whole configuration. A larger one closes the connection instead of
+// taking memory, and so does a length without end.
+#[test]
+fn receive_limits_size() {
+    let b = start("b", 1);
+    let inbound = b.inbound(BodyKind::ChangeTail);
+    let a = start("a", 1);
+    a.set_peer(&"b".into(), b.peer_address()).unwrap();
+    let large = Body::ChangeTail(ChangeTail {
+        base: vec![7; 1_500_000],
+        ..ChangeTail::default()
+    });
+    a.send(&"b".into(), large.clone()).unwrap();
+    let message = inbound.recv_timeout(WAIT_LIMIT).unwrap();
+    assert_eq!(message.body, large);
+    let mut raw = connect_receiver(b.peer_address()).unwrap();
+    raw.write_all(&u64::MAX.to_be_bytes()).unwrap();
+    assert_eq!(
+        raw.read(&mut [0; 1]).unwrap(),
+        0,
+        "the connection is closed"
+    );
+}
+
+// A process stops right after its last message, which says that it leaves.
+#[test]
+fn stop_sends_queued_messages() {
+    let (a, b) = (start("a", 1), start("b", 1));
+    a.set_peer(&"b".into(), b.peer_address()).unwrap();
+    a.send(&"b".into(), beat(1)).unwrap();
+    let inbound = b.inbound(BodyKind::Beat);
+    inbound.recv_timeout(WAIT_LIMIT).unwrap();
+    a.send(&"b".into(), beat(2)).unwrap();
+    a.stop();
+    assert_eq!(inbound.recv_timeout(WAIT_LIMIT).unwrap().body, beat(2));
+}
