Report a change once every other host holds it or refuses work

What callers saw: an operator was told that a key was withdrawn while one host went on taking it, for up to a lease.

Cause: a change was reported once a majority held it.

Change: the answer waits until all hosts that have not ended hold the change, at most for a lease length from its acceptance. No majority renews the lease of a host without it, so it refuses work by then.

Evidence: submit_is_in_force_or_refused_everywhere fails with the wait taken out, and submit_of_host_behind_restored_store_is_refused, which cuts the host off from the store as well now, with the confirmation taken out.

--- a/crates/decide/src/lease.rs
+++ b/crates/decide/src/lease.rs
@@ -8,7 +8,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use model::{BootTime, Incarnation, MemberId, Revision};
-use wire::peer::Beat;
+use wire::{peer::Beat, state::Member};
 
 use crate::member::{ListAcks, MemberList, majority};
 
@@ -313,17 +313,26 @@
     /// that revision with the same content as this host.
     #[must_use]
     pub fn quorum_holds_config(&self, list: &MemberList, revision: Revision) -> bool {
-        list.has_quorum(|member| {
-            if member.id == self.own.as_str() {
-                return member.incarnation == self.incarnation && self.config_revision >= revision;
-            }
-            let view = self.peers.get(member.id.as_str());
-            view.is_some_and(|view| {
-                let comparable = view.config_revision == self.config_revision;
-                view.incarnation == member.incarnation
-                    && view.config_revision >= revision
-                    && (!comparable || view.config_hash == self.config_hash)
-            })
+        list.has_quorum(|member| self.member_holds_config(member, revision))
+    }
+
+    /// True if all members of `list` are known to hold at least `revision` of the configuration.
+    #[must_use]
+    pub fn all_hold_config(&self, list: &MemberList, revision: Revision) -> bool {
+        let mut members = list.members().iter();
+        members.all(|member| self.member_holds_config(member, revision))
+    }
+
+    fn member_holds_config(&self, member: &Member, revision: Revision) -> bool {
+        if member.id == self.own.as_str() {
+            return member.incarnation == self.incarnation && self.config_revision >= revision;
+        }
+        let view = self.peers.get(member.id.as_str());
+        view.is_some_and(|view| {
+            let comparable = view.config_revision == self.config_revision;
+            view.incarnation == member.incarnation
+                && view.config_revision >= revision
+                && (!comparable || view.config_hash == self.config_hash)
         })
     }
 
--- a/crates/member/src/change_submission.rs
+++ b/crates/member/src/change_submission.rs
@@ -205,7 +205,8 @@
         }
     }
 
-    /// Waits until a majority of the member list has confirmed the revision.
+    /// Waits until a majority of the member list has confirmed the revision, and the others have
+    /// confirmed it too or refuse work.
     ///
     /// The list is read after the change was recorded. A list that is written later either
     /// includes the change in its configuration floor, or differs from this one by one step, so
@@ -221,13 +222,31 @@
         };
         loop {
             if self.is_accepted(&list, revision) {
-                return Ok(());
+                break;
             }
             if self.shared.now() >= self.deadline {
                 return Err(pending("a majority of entry hosts has not confirmed it"));
             }
             thread::sleep(ACK_POLL);
         }
+        self.await_all(&list, revision);
+        Ok(())
+    }
+
+    /// Waits until all entry hosts hold an accepted revision, at most for a lease: no majority
+    /// renews the lease of a host that lacks it, so that it refuses work by then.
+    fn await_all(&self, list: &MemberList, revision: Revision) {
+        let lease = self.shared.options.settings.lease_length;
+        let limit = self.deadline.min(self.shared.now() + lease);
+        while self.shared.now() < limit {
+            let not_ended = list.without_ended(&self.shared.acks.lock());
+            let lease = self.shared.lease.lock();
+            if lease.all_hold_config(&not_ended, revision) {
+                return;
+            }
+            drop(lease);
+            thread::sleep(ACK_POLL);
+        }
     }
 
     fn is_accepted(&self, list: &MemberList, revision: Revision) -> bool {
--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -270,6 +270,11 @@
         self.is_cut_off.store(true, Ordering::Release);
     }
 
+    /// Lets the host reach the store again.
+    pub fn restore_store(&self) {
+        self.is_cut_off.store(false, Ordering::Release);
+    }
+
     /// Stops the host without leaving the list, as a kill would.
     pub fn kill(self) {
         self.is_cut_off.store(true, Ordering::Release);
--- a/crates/member/tests/member_service.rs
+++ b/crates/member/tests/member_service.rs
@@ -231,8 +231,7 @@
     assert!(started.elapsed() < Duration::from_secs(1));
 }
 
-/// Withdraws a key while `e2` gets neither watches nor heartbeats, and returns the store as it was
-/// before. Tries again if a change of the member list restored the links meanwhile.
+/// Withdraws a key while `e2` is cut off, and returns the store as it was before. Tries again if a change of the member list restored the links meanwhile.
 fn withdraw_behind_host(store: &MemoryStore, hosts: &[TestHost]) -> BTreeMap<String, StoredValue> {
     let (behind, others) = (&hosts[1], [&hosts[0], &hosts[2]]);
     for attempt in 0..20 {
@@ -247,10 +246,12 @@
             watch_hangs: true,
             ..StoreFaults::default()
         });
+        behind.cut_store();
         for host in others {
             host.node.remove_peer(&"e2".into());
         }
         hosts[0].service.submit(&withdraw_key(&key)).unwrap();
+        behind.restore_store();
         for host in others {
             let address = behind.node.peer_address();
             host.node.set_peer(&"e2".into(), address).unwrap();
@@ -261,3 +262,22 @@
     }
     panic!("the host got each change");
 }
+
+// An operator is told that a key is withdrawn while one host, which is cut off, goes on taking it.
+#[test]
+fn submit_is_in_force_or_refused_everywhere() {
+    let store = Arc::new(MemoryStore::default());
+    let hosts = TestHost::start_many(&store, 3);
+    hosts[0].service.submit(&grant_key("k1", None)).unwrap();
+    store.set_faults(StoreFaults {
+        watch_hangs: true,
+        ..StoreFaults::default()
+    });
+    hosts[2].cut_store();
+    for host in &hosts[..2] {
+        host.node.remove_peer(&"e3".into());
+    }
+    hosts[0].service.submit(&withdraw_key("k1")).unwrap();
+    let taken = |host: &TestHost| host.serves() && !host.service.current().keys.is_empty();
+    assert!(!hosts.iter().any(taken));
+}
