Pause one owner after the other in the soak

The listed start after a successor's entry comes with pauses of the owner. The soak's cases had one such pause; this one has seven in a row, each longer than the owner's lease, beside a steady stream of starts.

--- a/crates/lacewingshore/tests/soak.rs
+++ b/crates/lacewingshore/tests/soak.rs
@@ -62,6 +62,22 @@
     [drain].into_iter().chain(faults).collect()
 }
 
+/// One owner after the other stands still for longer than its lease, at moments that the start of
+/// the run shifts against its orders.
+fn paused_owners() -> Vec<PlannedFault> {
+    let pause = |index: u32| {
+        let begin = FIRST_BEGIN + FAULT_LENGTH * index;
+        PlannedFault {
+            kind: FaultKind::Pause,
+            begin,
+            end: begin + FAULT_LENGTH * 4 / 5,
+            process: None,
+            target: 0,
+        }
+    };
+    (0..7).map(pause).collect()
+}
+
 /// Guards against work that runs twice or is lost, and orders that conflict with those of a
 /// successor, and against starts in a drained data centre, while the store, targets or the process itself fail.
 #[rstest]
@@ -69,6 +85,7 @@
 #[case::second_half(2, in_series(&FAULT_KINDS[10..]))]
 #[case::owner_apart(3, owner_apart())]
 #[case::drained_data_centre(4, drained_data_centre())]
+#[case::paused_owners(5, paused_owners())]
 fn soak_keeps_promises(#[case] seed: u64, #[case] faults: Vec<PlannedFault>) {
     let folder = tempfile::tempdir().unwrap();
     let plan = SoakPlan {
