Bound the delay of a start behind narrow links too

What callers could see: a task begun in a drained data centre, or after an acknowledged cancellation, behind a narrow link. There the owner's lease is longer by the time in which the link carries a log, and so was the time in which a held-up start could take effect; the ages allowed for what was cancelled and drained leave a second for it.

Change: a start takes effect a second after its sending at the latest. With links of ordinary width the lease is no longer than that, so nothing changes there.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -180,11 +180,11 @@
         && !term.scheduler.borrow().is_data_centre_drained(id)
 }
 
-/// Limits a start to the time in which this process is sure to be the owner, so that no pause
-/// between here and the write lets it take effect beside orders of a successor.
+/// Limits the time in which a start may take effect, so that no pause between here and the write
+/// lets it begin beside orders of a successor. Returns false if the target's clock is not known.
 fn limit_start(term: &Term, id: &HostId, order: &mut StartOrder) -> bool {
     let mut scheduler = term.scheduler.borrow_mut();
-    scheduler.limit_start(id, order, term.sole_owner_until(), term.now())
+    scheduler.limit_start(id, order, term.start_limit(), term.now())
 }
 
 fn record_start_wait(order: &StartOrder, id: &HostId, waited: Duration) {
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -43,12 +43,15 @@
 const RENEWAL_GRACE: Duration = Duration::from_millis(100);
 /// Maximum age of the last read of stored cancellations for new work to be started. It is less than
 /// the time in which a cancellation has to take effect, minus the time that a start takes to reach
-/// its target, which [`Term::sole_owner_until`] bounds.
+/// its target, which [`MAX_START_DELAY`] bounds.
 const CANCELLATIONS_MAX_AGE: Duration = Duration::from_secs(2);
 /// Maximum age of the last read of the operators' requests for new work to be started. It is less
 /// than the time in which the drain of a data centre has to take effect, minus the time that a start
-/// takes to reach its target, which [`Term::sole_owner_until`] bounds.
+/// takes to reach its target, which [`MAX_START_DELAY`] bounds.
 const REQUESTS_MAX_AGE: Duration = Duration::from_secs(3);
+/// Longest time between the sending of a start and its effect. The lease may be longer, behind a
+/// narrow link.
+const MAX_START_DELAY: Duration = Duration::from_secs(1);
 /// How long a hand-over waits for the last entries of the log to be stored.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often a hand-over checks whether the last entries of the log are stored.
@@ -238,8 +241,15 @@
         needed.saturating_sub(known) < max_age
     }
 
+    /// Until when a start that is sent now may take effect: no other process can have become the
+    /// owner by then, and what was cancelled or drained is known recently enough.
+    pub(crate) fn start_limit(&self) -> BootTime {
+        let latest = BootClock.boot_now() + MAX_START_DELAY;
+        self.sole_owner_until().min(latest)
+    }
+
     /// Until when no other process can have become the owner.
-    pub(crate) fn sole_owner_until(&self) -> BootTime {
+    fn sole_owner_until(&self) -> BootTime {
         self.lease_valid_until.get().max(self.promised_until.get())
     }
 
--- a/crates/decide/src/work/scheduler_answer.rs
+++ b/crates/decide/src/work/scheduler_answer.rs
@@ -131,17 +131,18 @@
         !cancel_pending && self.is_starting(id, &(task.clone(), attempt))
     }
 
-    /// Limits a start that is about to be sent to the time in which no other process can own the
-    /// cell. Returns false if the target's clock is unknown; the start must not be sent then.
+    /// Lets a start that is about to be sent take effect until `latest` only, the time until which no
+    /// other process can own the cell. Returns false if the target's clock is unknown; the start must
+    /// not be sent then.
     ///
-    /// The sender may be suspended right before the write, where it can't check its lease again.
-    /// The target refuses the start instead if it arrives after this time. The poll that follows a
-    /// start grants the whole lease, see `docs/design/13-platform.md`.
+    /// The sender may be suspended right before the write, where it can't check its lease again. So
+    /// the target has to refuse the start if it arrives later. The poll that follows a start grants
+    /// the whole lease, see `docs/design/13-platform.md`.
     pub fn limit_start(
         &mut self,
         id: &HostId,
         order: &mut StartOrder,
-        sole_owner_until: BootTime,
+        latest: BootTime,
         now: SchedulerTime,
     ) -> bool {
         let grant = self.tuning.grant;
@@ -151,7 +152,7 @@
         let Some(clock) = target.clock_at(now.boot) else {
             return false;
         };
-        let limit = clock + lagging(sole_owner_until.saturating_sub(now.boot)).min(grant);
+        let limit = clock + lagging(latest.saturating_sub(now.boot)).min(grant);
         if target.unresponsive {
             // Nothing may extend the leases there: they have to expire.
             order.lease_until = order.lease_until.min(limit);
