Let expired starts arrive after a successor's entry in the soak

With starts limited, a suspended owner still writes them on waking; no check of its own can prevent that. The check of arrivals counted these orders, although no target carries them out.

--- a/crates/proof/tests/soak_checks.rs
+++ b/crates/proof/tests/soak_checks.rs
@@ -35,6 +35,7 @@
         target: 0,
         token,
         arrived_ns: s(at),
+        expired: false,
         task: format!("{JOB}.0.0.0"),
     }
 }
@@ -79,6 +80,17 @@
     assert!(tally.checked.values().all(|count| *count > 0));
 }
 
+/// A sender that was suspended may send an order on waking, after its time limit.
+#[test]
+fn check_soak_expired_order() {
+    let mut history = sound();
+    history.orders.push(StartOrderRecord {
+        expired: true,
+        ..order(7, 5)
+    });
+    assert!(check_soak(&history).broken.is_empty());
+}
+
 /// A check that finds nothing in a history with a broken promise would let every soak pass.
 #[rstest]
 #[case::two_at_once("once-at-a-time", |h: &mut SoakHistory| h.runs.push(run("1.0", 5, 7, RunEnd::Lapsed)))]
