Renew a new incarnation's lease as soon as tasks run there

A target that restarted has no lease, whatever its former incarnation was granted. The time of the last whole grant was kept over the restart, so that the poll after the first start there had the priority of an ordinary one for up to 2.5 s; behind a narrow link the task's short lease could expire first.

--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -21,8 +21,8 @@
 /// A start that waits this long for a connection is logged.
 const LOGGED_WAIT: Duration = Duration::from_millis(500);
 /// Why an order was not sent.
-const NOT_SENT_CAUSE: &str = "the term is over, its data centre is drained, or what was cancelled or drained, or the \
-     target's clock, is not known";
+const NOT_SENT_CAUSE: &str = "the term is over, the data centre is drained, or cancellations, \
+     drains or the target's clock are not known";
 
 /// Sends an order to a target.
 pub(crate) fn send_order(term: &Rc<Term>, order: SchedulerAction) {
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -244,6 +244,7 @@
         // incarnation at once.
         self.unresponsive = false;
         self.last_answered_call = now;
+        self.last_renewal = BootTime::ZERO;
         self.incarnation = TargetIncarnation {
             number: self.incarnation.number + 1,
             started_at,
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -488,6 +488,8 @@
     assert_eq!(scheduler.poll_class(&id, now), Some(CallClass::Renew));
     scheduler.poll_order(&id, now);
     assert_eq!(scheduler.poll_class(&id, now), Some(CallClass::Poll));
+    scheduler.upsert_target(restarted_target(2000), now);
+    assert!(scheduler.targets[&id].last_renewal.is_zero());
 }
 
 /// Guards against a target that stays unusable, or is used with a clock that is known to be wrong,
