--- a/crates/decide/src/work/scheduler_answer.rs
+++ b/crates/decide/src/work/scheduler_answer.rs
@@ -131,7 +131,7 @@
         !cancel_pending && self.is_starting(id, &(task.clone(), attempt))
     }
 
-    /// Lets a start that is about to be sent take effect until `latest` only, the time until which no
+    /// Lets a start that is about to be sent take effect until `latest` only, a time until which no
     /// other process can own the cell. Returns false if the target's clock is unknown; the start must
     /// not be sent then.
     ///
--- a/crates/member/tests/member_service.rs
+++ b/crates/member/tests/member_service.rs
@@ -231,7 +231,8 @@
     assert!(started.elapsed() < Duration::from_secs(1));
 }
 
-/// Withdraws a key while `e2` is cut off, and returns the store as it was before. Tries again if a change of the member list restored the links meanwhile.
+/// Withdraws a key while `e2` is cut off, and returns the store as it was before. Tries again if a
+/// change of the member list restored the links meanwhile.
 fn withdraw_behind_host(store: &MemoryStore, hosts: &[TestHost]) -> BTreeMap<String, StoredValue> {
     let (behind, others) = (&hosts[1], [&hosts[0], &hosts[2]]);
     for attempt in 0..20 {
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-/// What each side sends first; the seventh byte would be the version, the sixth is the role.
+/// What each side sends first. The sixth byte is the role: 0x50 sends and 0x51 receives.
 pub const SENDER_HEADER: [u8; 8] = [0, b'S', b'P', 0, 0, 0x50, 0, 0];
 pub const RECEIVER_HEADER: [u8; 8] = [0, b'S', b'P', 0, 0, 0x51, 0, 0];
 
