Say in the log why an order is not sent

Operators saw one line for five causes: "the term is over, the data centre is drained, or cancellations, drains or the target's clock are not known".

Change: `prepare_start` checks one condition after the other and returns the first that fails as an `UnsentCause`; where the cause is an old read, it carries its age. The event stays `order-failed`.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -35,6 +35,7 @@
 mod peer_call;
 mod peer_service;
 mod prefix_watch;
+mod start_check;
 mod step_down;
 mod store_check;
 mod stored_cancellation;
--- /dev/null
+++ b/crates/cell/src/start_check.rs
@@ -0,0 +1,73 @@
+use std::{fmt, time::Duration};
+
+use model::{HostId, work::StartOrder};
+
+use crate::term::Term;
+
+/// Why an order was not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnsentCause {
+    /// The channel to the target is closed: the target is gone or the term is over.
+    ChannelClosed,
+    /// Another process may own the cell.
+    OwnershipUncertain,
+    /// The stored cancellations were last read this long ago; `None` if never.
+    CancellationsOutdated(Option<Duration>),
+    /// The operators' requests were last read this long ago; `None` if never.
+    RequestsOutdated(Option<Duration>),
+    /// The target's data centre is drained.
+    DataCentreDrained,
+    /// The target's clock is not known.
+    ClockUnknown,
+}
+
+impl fmt::Display for UnsentCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ChannelClosed => formatter.write_str("its channel is closed"),
+            Self::OwnershipUncertain => formatter.write_str("another process may be the owner"),
+            Self::CancellationsOutdated(age) => write_age(formatter, "cancellations", *age),
+            Self::RequestsOutdated(age) => write_age(formatter, "operators' requests", *age),
+            Self::DataCentreDrained => formatter.write_str("its data centre is drained"),
+            Self::ClockUnknown => formatter.write_str("the target's clock is not known"),
+        }
+    }
+}
+
+fn write_age(formatter: &mut fmt::Formatter<'_>, what: &str, age: Option<Duration>) -> fmt::Result {
+    match age {
+        Some(age) => write!(formatter, "{what} were read {} ms ago", age.as_millis()),
+        None => write!(formatter, "{what} were not read yet"),
+    }
+}
+
+/// Prepares a start for being sent now, and limits the time in which it may take effect. It may
+/// have waited for its permit until after the lease expired or its data centre was drained.
+///
+/// # Errors
+/// Why it must not be sent.
+pub(crate) fn prepare_start(
+    term: &Term,
+    id: &HostId,
+    order: &mut StartOrder,
+) -> Result<(), UnsentCause> {
+    if !term.may_start_tasks() {
+        return Err(UnsentCause::OwnershipUncertain);
+    }
+    if !term.cancellations_are_current() {
+        let age = term.cancellations_age();
+        return Err(UnsentCause::CancellationsOutdated(age));
+    }
+    if !term.requests_are_current() {
+        return Err(UnsentCause::RequestsOutdated(term.requests_age()));
+    }
+    let mut scheduler = term.scheduler.borrow_mut();
+    if scheduler.is_data_centre_drained(id) {
+        return Err(UnsentCause::DataCentreDrained);
+    }
+    // No pause between here and the write then lets the start begin beside orders of a successor.
+    match scheduler.limit_start(id, order, term.start_limit(), term.now()) {
+        true => Ok(()),
+        false => Err(UnsentCause::ClockUnknown),
+    }
+}
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -13,6 +13,7 @@
 use crate::{
     call_limiter::CallPermit,
     event, metric,
+    start_check::{UnsentCause, prepare_start},
     target_channel::TargetChannel,
     target_poll::{channel_to, log_failure, next_poll, poll_once, target_address},
     term::Term,
@@ -20,9 +21,6 @@
 
 /// A start that waits this long for a connection is logged.
 const LOGGED_WAIT: Duration = Duration::from_millis(500);
-/// Why an order was not sent.
-const NOT_SENT_CAUSE: &str = "the term is over, the data centre is drained, or cancellations, \
-     drains or the target's clock are not known";
 
 /// Sends an order to a target.
 pub(crate) fn send_order(term: &Rc<Term>, order: SchedulerAction) {
@@ -57,14 +55,17 @@
         );
         return;
     }
-    let may_send = may_send_start(&term, &id) && limit_start(&term, &id, &mut order);
-    let Some(_permit) = permit.filter(|_| may_send) else {
-        log_failure(&term, "start", &id, NOT_SENT_CAUSE);
-        term.scheduler
-            .borrow_mut()
-            .withdraw_unsent_start(&id, &task, attempt);
-        term.wake.notify_one();
-        return;
+    let prepared = prepare_start(&term, &id, &mut order);
+    let sendable = prepared.and(permit.ok_or(UnsentCause::ChannelClosed));
+    let _permit = match sendable {
+        Ok(permit) => permit,
+        Err(cause) => {
+            log_unsent(&term, "start", &id, cause);
+            let mut scheduler = term.scheduler.borrow_mut();
+            scheduler.withdraw_unsent_start(&id, &task, attempt);
+            term.wake.notify_one();
+            return;
+        }
     };
     let answer = call_target(&term, term.ports.targets.start(&address, order)).await;
     let answer = answer.unwrap_or_else(StartAnswer::Unanswered);
@@ -97,10 +98,17 @@
         return;
     }
     let sent = now.boot;
-    let Some(_permit) = permit.filter(|_| term.may_send_orders()) else {
-        // The scheduler sends it again if it is still needed.
-        log_failure(&term, "stop", &id, NOT_SENT_CAUSE);
-        return;
+    let sendable = match term.may_send_orders() {
+        true => permit.ok_or(UnsentCause::ChannelClosed),
+        false => Err(UnsentCause::OwnershipUncertain),
+    };
+    let _permit = match sendable {
+        Ok(permit) => permit,
+        Err(cause) => {
+            // The scheduler sends it again if it is still needed.
+            log_unsent(&term, "stop", &id, cause);
+            return;
+        }
     };
     let answer = call_target(&term, term.ports.targets.stop(&address, order)).await;
     let answer = answer.unwrap_or_else(OrderAnswer::Unanswered);
@@ -171,20 +179,8 @@
     term.wake.notify_one();
 }
 
-/// Whether a start may still be sent. It may have waited for its permit until after the lease
-/// expired or its data centre was drained.
-fn may_send_start(term: &Term, id: &HostId) -> bool {
-    term.may_start_tasks()
-        && term.cancellations_are_current()
-        && term.requests_are_current()
-        && !term.scheduler.borrow().is_data_centre_drained(id)
-}
-
-/// Limits the time in which a start may take effect, so that no pause between here and the write
-/// lets it begin beside orders of a successor. Returns false if the target's clock is not known.
-fn limit_start(term: &Term, id: &HostId, order: &mut StartOrder) -> bool {
-    let mut scheduler = term.scheduler.borrow_mut();
-    scheduler.limit_start(id, order, term.start_limit(), term.now())
+fn log_unsent(term: &Term, kind: &str, id: &HostId, cause: UnsentCause) {
+    log_failure(term, kind, id, &format!("not sent: {cause}"));
 }
 
 fn record_start_wait(order: &StartOrder, id: &HostId, waited: Duration) {
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -215,7 +215,13 @@
     /// behind a narrow link, would otherwise start jobs that their callers were told are cancelled.
     /// While the store is unreachable for all processes, no cancellation can be stored.
     pub(crate) fn cancellations_are_current(&self) -> bool {
-        self.is_current(self.cancellations_read_at.get(), CANCELLATIONS_MAX_AGE)
+        let age = self.cancellations_age();
+        age.is_some_and(|age| age < CANCELLATIONS_MAX_AGE)
+    }
+
+    /// How long ago the stored cancellations were read; `None` if never.
+    pub(crate) fn cancellations_age(&self) -> Option<Duration> {
+        self.age(self.cancellations_read_at.get())
     }
 
     /// True while the operators' requests were read recently enough to start work.
@@ -223,22 +229,25 @@
     /// An owner that reads them late, for example behind a narrow link, would otherwise start tasks
     /// in a data centre that operators have drained.
     pub(crate) fn requests_are_current(&self) -> bool {
-        self.is_current(self.view.read_at(), REQUESTS_MAX_AGE)
+        self.requests_age()
+            .is_some_and(|age| age < REQUESTS_MAX_AGE)
     }
 
-    /// True if nobody can have changed the store more than `max_age` after `read_at`, the time up
-    /// to which changes were read.
-    fn is_current(&self, read_at: Option<BootTime>, max_age: Duration) -> bool {
+    /// How long ago the operators' requests were read; `None` if never.
+    pub(crate) fn requests_age(&self) -> Option<Duration> {
+        self.age(self.view.read_at())
+    }
+
+    /// For how long anybody can have changed the store since `read_at`, the time up to which
+    /// changes were read.
+    fn age(&self, read_at: Option<BootTime>) -> Option<Duration> {
         let now = BootClock.boot_now();
-        let Some(known) = read_at else {
-            return false;
-        };
-        // During an outage for all, age is measured up to when the store was last reachable.
-        let needed = match now < self.promised_until.get() {
+        // During an outage for all, nobody has changed the store since it was last reachable.
+        let changed_until = match now < self.promised_until.get() {
             true => self.last_renewal_sent.get(),
             false => now,
         };
-        needed.saturating_sub(known) < max_age
+        read_at.map(|read_at| changed_until.saturating_sub(read_at))
     }
 
     /// Until when a start that is sent now may take effect: no other process can have become the
