Keep what an owner has read current while nothing changes

Cause: an owner starts nothing while the operators' requests were last read over 3 s ago. Its watch of them waited 1.5 s, and an answer confirms the time when the watch was sent. So just before each second answer the age was twice 1.5 s and two round trips, beside a store and a link without a fault. Each start whose turn came in that moment was withdrawn, which freed its turn for the next one, and so the whole queue was. Work that is too late to count is placed last, so it suffered most.

Ruled out by the ages in these lines: late cancellations, an uncertain lease, drains, clocks of targets.

Change: a watch waits for at most an eighth of the age that its readers allow (`decide::watch_bounds`); for cancellations that is the 250 ms that they had. Only the owner needs current requests, so only its watch gets the short wait, and the one that waits when the process is elected is sent again. Other processes wait 1.5 s as before, as each call is charged. Bounds of drains and cancellations are as they were.

Why it works: age in calm is two waits and two round trips, three quarters of a second and two round trips now, so each round trip would have to take over 1.1 s.

--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -25,6 +25,7 @@
     prefix_watch::watch_prefix,
     stored_cancellation::CancellationWriter,
     term::TermContext,
+    watch_timeout::WatchTimeout,
 };
 
 /// How often histogram samples are folded into their distributions. Until then each sample takes
@@ -58,7 +59,7 @@
         let cancellation_writer = CancellationWriter::new(ports.store.clone(), options.clone());
         Self {
             cancellation_writer: Rc::new(cancellation_writer),
-            view: Rc::new(FleetView::new(ports.codec.clone())),
+            view: Rc::new(FleetView::new(ports.codec.clone(), options.watch_timeout)),
             owners: Rc::new(owners),
             members: Rc::new(MemberDirectory::new(options.clone(), client.clone())),
             options,
@@ -156,15 +157,15 @@
 
     fn watch(&self) {
         let (store, view) = (self.ports.store.clone(), self.view.clone());
-        let timeout = self.options.watch_timeout;
         let prefix = self.ports.codec.operator_prefix();
         tokio::task::spawn_local(async move {
-            watch_prefix(store, prefix, timeout, &*view).await;
+            watch_prefix(store, prefix, &view.watch_timeout, &*view).await;
         });
         let (store, owners) = (self.ports.store.clone(), self.owners.clone());
         let key = self.options.owner_key();
+        let timeout = WatchTimeout::new(self.options.watch_timeout);
         tokio::task::spawn_local(async move {
-            watch_prefix(store, &key, timeout, &*owners).await;
+            watch_prefix(store, &key, &timeout, &*owners).await;
         });
     }
 
--- a/crates/cell/src/fleet_view.rs
+++ b/crates/cell/src/fleet_view.rs
@@ -3,6 +3,7 @@
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use model::{
@@ -12,7 +13,7 @@
 use ports::{FleetCodec, StoreEvent, StoreItem, StoreRevision};
 use tokio::sync::Notify;
 
-use crate::{event, metric, prefix_watch::PrefixObserver};
+use crate::{event, metric, prefix_watch::PrefixObserver, watch_timeout::WatchTimeout};
 
 /// The policy, the waves and the drains of data centres that operators requested, as far as this
 /// process has read them.
@@ -27,10 +28,12 @@
     pub(crate) version: Cell<u64>,
     /// Notified of each change.
     pub(crate) changed: Notify,
+    /// How long the watch that updates this view waits for changes.
+    pub(crate) watch_timeout: WatchTimeout,
 }
 
 impl FleetView {
-    pub(crate) fn new(codec: Rc<dyn FleetCodec>) -> Self {
+    pub(crate) fn new(codec: Rc<dyn FleetCodec>, watch_timeout: Duration) -> Self {
         Self {
             codec,
             policy: RefCell::default(),
@@ -39,6 +42,7 @@
             read_at: Cell::new(None),
             version: Cell::new(0),
             changed: Notify::new(),
+            watch_timeout: WatchTimeout::new(watch_timeout),
         }
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -45,6 +45,7 @@
 mod target_watch;
 mod term;
 mod term_run;
+mod watch_timeout;
 
 pub use cell_host::CellHost;
 pub use cell_options::CellOptions;
--- a/crates/cell/src/member_directory.rs
+++ b/crates/cell/src/member_directory.rs
@@ -26,6 +26,7 @@
     owner_view::{OwnerView, address_entry},
     peer_call::call_peer,
     prefix_watch::{PrefixObserver, watch_prefix},
+    watch_timeout::WatchTimeout,
 };
 
 /// How often a process renews its entry.
@@ -85,7 +86,8 @@
     /// Watches the entries of the other processes, forever.
     pub(crate) async fn watch_entries(self: Rc<Self>, store: Rc<dyn LeaseStore>) {
         let prefix = self.options.member_prefix();
-        watch_prefix(store, &prefix, WATCH_TIMEOUT, &*self).await;
+        let timeout = WatchTimeout::new(WATCH_TIMEOUT);
+        watch_prefix(store, &prefix, &timeout, &*self).await;
     }
 
     /// Waits until the entries of the others have been read, for at most `limit`.
--- a/crates/cell/src/prefix_watch.rs
+++ b/crates/cell/src/prefix_watch.rs
@@ -6,7 +6,7 @@
 use store::{BootClock, Clock};
 use tokio::time::sleep;
 
-use crate::{dependency_logger::DependencyLogger, event};
+use crate::{dependency_logger::DependencyLogger, event, watch_timeout::WatchTimeout};
 
 /// Delay after a failed call, and so the interval of retries while the store is down.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -30,18 +30,23 @@
 pub(crate) async fn watch_prefix(
     store: Rc<dyn LeaseStore>,
     prefix: &str,
-    timeout: Duration,
+    timeout: &WatchTimeout,
     observer: &dyn PrefixObserver,
 ) {
     let logger = DependencyLogger::default();
     loop {
         let mut revision = read_all(&*store, prefix, observer, &logger).await;
-        let mut wait = timeout;
+        let mut max_wait = Duration::MAX;
         loop {
             let sent = BootClock.boot_now();
-            match store.watch(prefix, revision, wait).await {
+            let wait = timeout.current().min(max_wait);
+            let answer = tokio::select! {
+                answer = store.watch(prefix, revision, wait) => answer,
+                () = timeout.shortened() => continue,
+            };
+            match answer {
                 Ok(changes) => {
-                    wait = timeout;
+                    max_wait = Duration::MAX;
                     logger.log_answered("watch", prefix);
                     revision = revision.max(changes.revision);
                     changes
@@ -59,7 +64,7 @@
                 }
                 Err(error) => {
                     logger.log_failed("watch", prefix, &error);
-                    wait = timeout.min(WAIT_AFTER_FAILURE);
+                    max_wait = WAIT_AFTER_FAILURE;
                     sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/cell/src/stored_cancellation.rs
+++ b/crates/cell/src/stored_cancellation.rs
@@ -6,6 +6,7 @@
 
 use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
+use decide::watch_bounds::longest_watch;
 use model::{BootTime, JobId, event as log_event};
 use ports::{
     LeaseStore, LeaseStoreError, StoreChange, StoreEvent, StoreItem, StoreRevision, StoreWrite,
@@ -22,14 +23,12 @@
     log_queue::{RecordOutcome, record_order},
     metric,
     prefix_watch::{PrefixObserver, watch_prefix},
-    term::Term,
+    term::{CANCELLATIONS_MAX_AGE, Term},
+    watch_timeout::WatchTimeout,
 };
 
 /// Delay after a failed call or a refused entry.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// How long a watch waits for cancellations. Until it returns, nothing shows that the store is
-/// reachable.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum number of cancellations that a process retries at once; callers of further ones have to
 /// retry themselves.
 const MAX_PENDING: usize = 256;
@@ -142,7 +141,8 @@
     let prefix = term.options.cancellation_prefix();
     let observer = CancellationObserver { term: term.clone() };
     let store = term.ports.store.clone();
-    watch_prefix(store, &prefix, WATCH_TIMEOUT, &observer).await;
+    let timeout = WatchTimeout::new(longest_watch(CANCELLATIONS_MAX_AGE));
+    watch_prefix(store, &prefix, &timeout, &observer).await;
 }
 
 struct CancellationObserver {
--- a/crates/cell/src/target_watch.rs
+++ b/crates/cell/src/target_watch.rs
@@ -7,6 +7,7 @@
     event,
     prefix_watch::{PrefixObserver, watch_prefix},
     term::Term,
+    watch_timeout::WatchTimeout,
 };
 
 /// Passes the host list to the scheduler of a term.
@@ -18,13 +19,8 @@
 pub(crate) async fn watch_targets(term: Rc<Term>) {
     let observer = TargetListObserver { term: term.clone() };
     let prefix = term.ports.codec.target_prefix();
-    watch_prefix(
-        term.ports.store.clone(),
-        prefix,
-        term.options.watch_timeout,
-        &observer,
-    )
-    .await;
+    let timeout = WatchTimeout::new(term.options.watch_timeout);
+    watch_prefix(term.ports.store.clone(), prefix, &timeout, &observer).await;
 }
 
 impl TargetListObserver {
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -44,11 +44,11 @@
 /// Maximum age of the last read of stored cancellations for new work to be started. It is less than
 /// the time in which a cancellation has to take effect, minus the time that a start takes to reach
 /// its target, which [`MAX_START_DELAY`] bounds.
-const CANCELLATIONS_MAX_AGE: Duration = Duration::from_secs(2);
+pub(crate) const CANCELLATIONS_MAX_AGE: Duration = Duration::from_secs(2);
 /// Maximum age of the last read of the operators' requests for new work to be started. It is less
 /// than the time in which the drain of a data centre has to take effect, minus the time that a start
 /// takes to reach its target, which [`MAX_START_DELAY`] bounds.
-const REQUESTS_MAX_AGE: Duration = Duration::from_secs(3);
+pub(crate) const REQUESTS_MAX_AGE: Duration = Duration::from_secs(3);
 /// Longest time between the sending of a start and its effect. The lease may be longer, behind a
 /// narrow link.
 const MAX_START_DELAY: Duration = Duration::from_secs(1);
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -1,6 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::{link_bounds::renewals_ahead, work::SchedulerAction};
+use decide::{link_bounds::renewals_ahead, watch_bounds::longest_watch, work::SchedulerAction};
 use model::event as log_event;
 use tokio::{
     task::yield_now,
@@ -21,7 +21,7 @@
     target_orders::send_order,
     target_poll::open_channel,
     target_watch::watch_targets,
-    term::Term,
+    term::{REQUESTS_MAX_AGE, Term},
 };
 
 /// Delay after a failed renewal. It is short, so that the owner soon notices when the store
@@ -39,6 +39,8 @@
         term.spawn(renew_once(term.clone()));
     }
     term.spawn(renew_until_over(term.clone()));
+    let watch_timeout = &term.view.watch_timeout;
+    watch_timeout.set(longest_watch(REQUESTS_MAX_AGE));
     term.spawn(read_log_and_schedule(term.clone()));
     let step_down_kind = tokio::select! {
         biased;
@@ -52,6 +54,7 @@
         Some(StepDownKind::ReleaseThrough(address)) => release_through_peer(term, &address).await,
         None => {}
     }
+    watch_timeout.set(term.options.watch_timeout);
     term.log_queue.refuse_pending();
     metrics::gauge!(metric::OWNER).set(0.0);
     term.channels.borrow_mut().clear();
--- a/crates/cell/tests/common/memory_store.rs
+++ b/crates/cell/tests/common/memory_store.rs
@@ -45,6 +45,8 @@
     change_delay: Rc<Cell<Duration>>,
     /// Maximum bytes of a change through this handle that does not time out; 0 for no limit.
     change_bytes: Rc<Cell<usize>>,
+    /// How long answers to watches take through this handle.
+    watch_delay: Rc<Cell<Duration>>,
     /// Bytes of lists a second through this handle; 0 for no limit.
     list_rate: Rc<Cell<usize>>,
     /// Prefix whose lists and watches fail through this handle; empty for none.
@@ -90,6 +92,7 @@
             read_delay: Rc::default(),
             change_delay: Rc::default(),
             change_bytes: Rc::default(),
+            watch_delay: Rc::default(),
             list_rate: Rc::default(),
             unreadable_prefix: Rc::default(),
         }
@@ -105,6 +108,11 @@
         self.change_delay.set(delay);
     }
 
+    /// Sets how long answers to watches take through this handle.
+    pub fn delay_watches(&self, delay: Duration) {
+        self.watch_delay.set(delay);
+    }
+
     /// Limits the bytes of lists a second through this handle.
     pub fn limit_list_rate(&self, bytes_per_second: usize) {
         self.list_rate.set(bytes_per_second);
@@ -402,10 +410,9 @@
                 }
                 let events = state.events_after(&prefix, after);
                 if !events.is_empty() || Instant::now() >= end {
-                    return Ok(StoreChanges {
-                        events,
-                        revision: state.revision.get(),
-                    });
+                    let revision = state.revision.get();
+                    sleep(handle.watch_delay.get()).await;
+                    return Ok(StoreChanges { events, revision });
                 }
                 let _ = timeout(Duration::from_millis(20), state.changed.notified()).await;
             }
--- a/crates/cell/tests/drains.rs
+++ b/crates/cell/tests/drains.rs
@@ -5,7 +5,7 @@
 use std::{rc::Rc, time::Duration};
 
 use common::{
-    MemoryStore, TestCell, plan, run_local, submit_until_accepted, wait_for_answer,
+    MemoryStore, TestCell, plan, run_local, submit_until_accepted, wait_for_answer, wait_for_owner,
     wait_for_progress,
 };
 use ports::{CallerAction, CallerAnswer, CallerService, JobProgress};
@@ -19,6 +19,8 @@
 const SETTLED: Duration = Duration::from_secs(1);
 /// Age of the last read of the requests beyond which nothing is started.
 const REQUESTS_MAX_AGE: Duration = Duration::from_secs(3);
+/// How long answers take behind a full link.
+const FULL_LINK_DELAY: Duration = Duration::from_millis(300);
 
 fn drain(store: &MemoryStore) {
     store.put(DRAIN, b"{}");
@@ -119,3 +121,51 @@
         assert_eq!(cell.targets.start_count(), 3);
     });
 }
+
+/// Starts one job of many tasks, which wait for their target for about four seconds, and checks that
+/// no start was withdrawn.
+async fn assert_sent_at_first_attempt(cell: &TestCell, service: &Rc<dyn CallerService>) {
+    const TASKS: u32 = 80;
+    cell.targets.delay_starts(Duration::from_millis(150));
+    let mut wide = plan();
+    wide.steps[0].count = TASKS;
+    wide.steps[0].resources.cpu = 1;
+    let request = CallerAction::Submit("wide".into(), wide);
+    wait_for_answer(service, request, CallerAnswer::Accepted).await;
+    cell.targets.wait_for_started(TASKS as usize).await;
+    let orders = cell.targets.start_orders.borrow();
+    let first = orders[0].attempt;
+    let repeated = orders.iter().filter(|order| order.attempt != first);
+    assert_eq!(repeated.count(), 0, "starts that were withdrawn before");
+}
+
+/// Guards against an owner that takes the operators' requests for unread although the store answers
+/// each of its watches, and withdraws the starts that wait.
+#[test]
+fn calm_watches_keep_requests_current() {
+    run_local(async {
+        let cell = TestCell::new();
+        let handle = cell.store.new_handle();
+        handle.delay_watches(FULL_LINK_DELAY);
+        let service = cell.start_host_on("a", &handle).service();
+        assert_sent_at_first_attempt(&cell, &service).await;
+    });
+}
+
+/// Guards against a new owner whose last watch as a standby outlasts what it knows of the requests.
+#[test]
+fn requests_are_current_after_election() {
+    run_local(async {
+        let cell = TestCell::new();
+        let first = cell.start_host("a");
+        wait_for_owner(&cell.store, "a").await;
+        let handle = cell.store.new_handle();
+        handle.delay_watches(FULL_LINK_DELAY);
+        let second = cell.start_host_on("b", &handle);
+        // The watch of the standby has just been sent again.
+        sleep(Duration::from_millis(1900)).await;
+        first.stop(std::future::ready(())).await;
+        wait_for_owner(&cell.store, "b").await;
+        assert_sent_at_first_attempt(&cell, &second.service()).await;
+    });
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod share;
+pub mod watch_bounds;
 pub mod wave;
 pub mod work;
