Place no more starts than the owner's link sends next

What callers saw: behind a link of 2 Mbit/s urgent work was begun seconds after it was accepted, and work that could be on time was begun after work that was late already.

Change: `plan_starts` is told how many more starts may be ordered. `CallBudget::start_room` bounds those that wait to be sent by a quarter of the calls that may be in flight, which follows the width of the link and the latency of its answers. The rest stays with the scheduler, by rank, until there is room. On a link of 200 Mbit/s the bound is above what one pass of the scheduler starts.

--- a/crates/cell/src/call_limiter.rs
+++ b/crates/cell/src/call_limiter.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// How many more starts may be ordered now.
+    pub(crate) fn start_room(&self) -> usize {
+        let waiting = self.waiting.borrow();
+        let starts = waiting.get(&CallClass::Start).map_or(0, VecDeque::len);
+        self.budget.borrow().start_room(starts)
+    }
+
     /// Counts a call that may be sent now, or queues it.
     fn begin_or_queue(&self, class: CallClass) -> Option<oneshot::Receiver<()>> {
         if self.budget.borrow().admits(class) {
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -192,7 +192,7 @@
                 metrics::gauge!(metric::OPEN_JOBS).set(scheduler.job_table.open.len() as f64);
             }
             if term.cancellations_are_current() && term.requests_are_current() {
-                scheduler.plan_starts(now);
+                scheduler.plan_starts(now, term.call_limiter.start_room());
             }
         }
         execute_actions(&term);
--- a/crates/cell/tests/narrow_link.rs
+++ b/crates/cell/tests/narrow_link.rs
@@ -6,10 +6,13 @@
 
 use cell::{CellOptions, CellPorts};
 use common::*;
-use ports::CallerAnswer;
+use ports::{CallerAction, CallerAnswer};
 use tokio::time::{Instant, sleep};
 use wire::work::{TargetUse, log_entry::Event};
 
+/// Time within which an urgent task starts.
+const URGENT_START_LIMIT: Duration = Duration::from_millis(1600);
+
 /// Guards against a log that grows by a copy of itself with each of several owners with short
 /// terms. Behind a narrow link, the next owner reads it for longer than its lease lasts.
 #[test]
@@ -230,6 +233,36 @@
     });
 }
 
+/// Guards against an urgent start that waits behind hundreds of others because their order was fixed
+/// before the link could carry them.
+#[test]
+fn urgent_start_overtakes_backlog() {
+    run_local(async {
+        let (store, targets) = (new_store(), MemoryTargets::default());
+        (0..60).for_each(|number| store.put(&format!("targets/n{number}"), b"ready"));
+        targets.set_blocked(true);
+        let host = start_host_with_targets("a", &store, narrow_limits(), &targets);
+        wait_for_owner(&store, "a").await;
+        sleep(Duration::from_millis(500)).await;
+        targets.delay_starts(Duration::from_millis(200));
+        for job in 0..120 {
+            let submitted = submit(&format!("job{job}")).request;
+            wait_for_answer(&host.service(), submitted, CallerAnswer::Accepted).await;
+        }
+        let mut service = plan();
+        service.steps.truncate(1);
+        service.steps[0].long_running = true;
+        let submitted = CallerAction::Submit("service".into(), service);
+        wait_for_answer(&host.service(), submitted, CallerAnswer::Accepted).await;
+        let before = targets.start_count();
+        assert!(before < 240, "{before} starts left no backlog");
+        sleep(URGENT_START_LIMIT).await;
+        let started = targets.starts_by_task.borrow();
+        let of_service = started.keys().filter(|task| task.starts_with("service."));
+        assert_eq!(of_service.count(), 3);
+    });
+}
+
 /// Guards against an owner that has to open connections for the renewals of its lease while the log
 /// is being transferred over a narrow link.
 #[test]
--- a/crates/decide/src/call_budget.rs
+++ b/crates/decide/src/call_budget.rs
@@ -23,6 +23,9 @@
 /// Minimum time between two such decreases, because calls that were sent together are late
 /// together.
 const DECREASE_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum number of starts that wait to be sent, as a fraction of the limit. They keep the link busy
+/// until the scheduler's next pass, which follows each answer.
+const WAITING_STARTS_FACTOR: f64 = 0.25;
 /// Lists of hosts are in flight for at most this part of the time: one in six.
 const LIST_SPACING_FACTOR: u32 = 6;
 /// Maximum duration that is counted for one list.
@@ -98,6 +101,20 @@
         used + 1.0 <= most
     }
 
+    /// How many more starts may be ordered if `waiting` starts wait to be sent.
+    ///
+    /// The order of starts is fixed once they wait. So no more of them wait than are sent next, and
+    /// the scheduler selects the others when their turn comes.
+    pub fn start_room(&self, waiting: usize) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a conversion from float holds to the range of the type"
+        )]
+        let most = (self.limit * WAITING_STARTS_FACTOR).max(1.0) as usize;
+        most.saturating_sub(waiting)
+    }
+
     /// Counts a call that is sent.
     pub fn begin(&mut self, class: CallClass) {
         *self.in_flight_mut(class) += 1.0;
--- a/crates/decide/src/work/scheduler_plan.rs
+++ b/crates/decide/src/work/scheduler_plan.rs
@@ -47,20 +47,21 @@
 }
 
 impl WorkScheduler {
-    /// Starts tasks as far as possible. Cheap if nothing has changed since the last call.
+    /// Starts tasks as far as possible, about `max_starts` of them: the last step starts as a
+    /// whole. Cheap if nothing has changed since the last call.
     ///
     /// Nothing is started while another process may own the cell. That process does not account for
     /// what this one would add, so that a workspace's limit could be exceeded. A target that has
     /// not seen the successor's token yet could also run a task that the successor knows to be
     /// done. The cost is small: a store outage of 4.2 s loses 0.03 of a day's value.
-    pub fn plan_starts(&mut self, now: SchedulerTime) {
+    pub fn plan_starts(&mut self, now: SchedulerTime, max_starts: usize) {
         self.sync_indexes(now.boot);
         let is_due = self.replan_needed || !self.index.startable_pools.is_empty();
-        if self.ownership_uncertain || !is_due {
+        if self.ownership_uncertain || !is_due || max_starts == 0 {
             return;
         }
         let mut plan = self.begin_plan();
-        let mut remaining = MAX_STARTS_PER_PLAN;
+        let mut remaining = max_starts.min(MAX_STARTS_PER_PLAN);
         while let Some((pool, group, rank)) = self.next_step(&mut plan, now) {
             let outcome = self.start_step(&rank, &plan.unconfirmed_usage, now);
             if outcome.started > 0 {
--- a/crates/decide/tests/call_budget.rs
+++ b/crates/decide/tests/call_budget.rs
@@ -37,6 +37,19 @@
     assert!(bytes / NARROW <= 0.1, "{bytes} bytes in flight");
 }
 
+/// Guards against starts that wait for longer than an urgent start may take, and against a link that
+/// is idle between two passes of the scheduler.
+#[test]
+fn start_room_follows_link() {
+    let mut budget = CallBudget::new(NARROW);
+    let room = budget.start_room(0);
+    assert!((1..=fill(&mut budget, CallClass::Start)).contains(&room));
+    assert_eq!(budget.start_room(room / 2), room - room / 2);
+    assert_eq!(budget.start_room(room + 1), 0);
+    assert!(CallBudget::new(WIDE).start_room(0) >= 256);
+    assert!(CallBudget::new(0.0).start_room(0) >= 1);
+}
+
 /// Guards against responses that stay late permanently: a shared link carries less than its setting
 /// says.
 #[test]
--- a/crates/decide/tests/harness/queue_load.rs
+++ b/crates/decide/tests/harness/queue_load.rs
@@ -174,7 +174,7 @@
     /// Plans and handles the scheduler's actions until there are none.
     pub fn run_planning(&mut self) {
         loop {
-            self.scheduler.plan_starts(self.now);
+            self.scheduler.plan_starts(self.now, usize::MAX);
             let actions = self.scheduler.take_actions();
             self.scheduler.take_events();
             if actions.is_empty() {
--- a/crates/decide/tests/harness/scheduler_fixture.rs
+++ b/crates/decide/tests/harness/scheduler_fixture.rs
@@ -25,6 +25,8 @@
     pub stored: Vec<LogEntry>,
     /// Whether the store is unavailable; log entries then stay in `other_actions`.
     pub store_down: bool,
+    /// Maximum number of starts that wait to be answered.
+    pub max_waiting_starts: usize,
 }
 
 pub const POOL: &str = "pool";
@@ -43,6 +45,7 @@
             other_actions: Vec::new(),
             stored: Vec::new(),
             store_down: false,
+            max_waiting_starts: usize::MAX,
         };
         fixture.scheduler.set_policy(Arc::new(policy()));
         fixture
@@ -85,7 +88,8 @@
     /// Plans and collects actions until there are none. Log entries are stored immediately.
     pub fn run_planning(&mut self) {
         loop {
-            self.scheduler.plan_starts(self.now);
+            let start_room = self.max_waiting_starts.saturating_sub(self.starts.len());
+            self.scheduler.plan_starts(self.now, start_room);
             let actions = self.scheduler.take_actions();
             if actions.is_empty() {
                 let broken = self.scheduler.index_mismatches(self.now.boot);
--- a/crates/decide/tests/harness/world.rs
+++ b/crates/decide/tests/harness/world.rs
@@ -378,7 +378,7 @@
         }
         owner.scheduler.tick(now);
         if owner.drain_watch.is_current(now.boot) {
-            owner.scheduler.plan_starts(now);
+            owner.scheduler.plan_starts(now, usize::MAX);
         }
         let known: Vec<HostId> = owner.scheduler.targets.keys().cloned().collect();
         for name in known {
--- a/crates/decide/tests/work_load.rs
+++ b/crates/decide/tests/work_load.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
-use harness::{SchedulerFixture, end_report, plan, policy_with_limit, run_report, step};
+use harness::{
+    SchedulerFixture, end_report, long_running_pair, plan, policy_with_limit, run_report, step,
+};
 use model::work::EndKind;
 
 /// Creates a scene whose workspace has no limit.
@@ -39,6 +41,40 @@
     }
 }
 
+/// A burst behind a link that carries four starts at a time. Guards against a backlog whose order is
+/// fixed long before the link carries it, so that more urgent tasks wait behind all of it.
+#[test]
+fn plan_burst_behind_narrow_link_leaves_order_open() {
+    let mut scene = scene();
+    scene.max_waiting_starts = 4;
+    scene.add_target("t1", 100_000);
+    scene.add_target("t2", 100_000);
+    for job in 0..300 {
+        scene.submit(&format!("job{job:03}"), &plan(vec![step(1, 100)]));
+    }
+    assert_eq!(scene.confirm_starts().len(), 4);
+    scene.submit("service", &plan(vec![long_running_pair()]));
+    assert_eq!(scene.confirm_starts().len(), 4);
+    let started = scene.confirm_starts();
+    let of_service = |(_, start): &&(_, model::work::StartOrder)| start.task.job == "service";
+    assert_eq!(started.iter().filter(of_service).count(), 2);
+}
+
+/// Guards against tasks that are forgotten once the link had no room for them.
+#[test]
+fn plan_burst_behind_narrow_link_starts_all() {
+    let mut scene = scene();
+    scene.max_waiting_starts = 4;
+    scene.add_target("t1", 100_000);
+    scene.submit("wide", &plan(vec![step(30, 100)]));
+    for job in 0..30 {
+        scene.submit(&format!("job{job:02}"), &plan(vec![step(1, 100)]));
+    }
+    let batches: Vec<usize> = (0..9).map(|_| scene.confirm_starts().len()).collect();
+    // A step starts as a whole.
+    assert_eq!(batches, [30, 4, 4, 4, 4, 4, 4, 4, 2]);
+}
+
 /// The first waiting task needs more resources than any target has free. A smaller task behind it
 /// must start instead of waiting.
 #[test]
--- a/crates/decide/tests/work_services.rs
+++ b/crates/decide/tests/work_services.rs
@@ -294,7 +294,7 @@
         if now.boot.subsec_millis().is_multiple_of(100) {
             self.manage_hosts();
         }
-        self.scheduler.plan_starts(now);
+        self.scheduler.plan_starts(now, usize::MAX);
         self.poll_targets();
         for order in self.scheduler.take_actions() {
             match order {
