--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -221,7 +221,7 @@
 
     /// How long ago the stored cancellations were read; `None` if never.
     pub(crate) fn cancellations_age(&self) -> Option<Duration> {
-        self.age(self.cancellations_read_at.get())
+        self.read_age(self.cancellations_read_at.get())
     }
 
     /// True while the operators' requests were read recently enough to start work.
@@ -235,12 +235,12 @@
 
     /// How long ago the operators' requests were read; `None` if never.
     pub(crate) fn requests_age(&self) -> Option<Duration> {
-        self.age(self.view.read_at())
+        self.read_age(self.view.read_at())
     }
 
     /// For how long anybody can have changed the store since `read_at`, the time up to which
     /// changes were read.
-    fn age(&self, read_at: Option<BootTime>) -> Option<Duration> {
+    fn read_age(&self, read_at: Option<BootTime>) -> Option<Duration> {
         let now = BootClock.boot_now();
         // During an outage for all, nobody has changed the store since it was last reachable.
         let changed_until = match now < self.promised_until.get() {
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -39,6 +39,7 @@
         term.spawn(renew_once(term.clone()));
     }
     term.spawn(renew_until_over(term.clone()));
+    // Only an owner needs current requests, and each watch has a cost.
     let watch_timeout = &term.view.watch_timeout;
     watch_timeout.set(longest_watch(REQUESTS_MAX_AGE));
     term.spawn(read_log_and_schedule(term.clone()));
