--- a/crates/decide/tests/work_load.rs
+++ b/crates/decide/tests/work_load.rs
@@ -7,7 +7,7 @@
 use harness::{
     SchedulerFixture, end_report, long_running_pair, plan, policy_with_limit, run_report, step,
 };
-use model::work::EndKind;
+use model::work::{EndKind, StartOrder};
 
 /// Creates a scene whose workspace has no limit.
 fn scene() -> SchedulerFixture {
@@ -56,7 +56,7 @@
     scene.submit("service", &plan(vec![long_running_pair()]));
     assert_eq!(scene.confirm_starts().len(), 4);
     let started = scene.confirm_starts();
-    let of_service = |(_, start): &&(_, model::work::StartOrder)| start.task.job == "service";
+    let of_service = |(_, start): &&(_, StartOrder)| start.task.job == "service";
     assert_eq!(started.iter().filter(of_service).count(), 2);
 }
 
