Check what an owner has read in one place

The pass of the scheduler and the check right before a start each asked Term whether cancellations and requests are current; the second then asked for the ages again, to log them. `check_reads` in `start_check` does both for both: it returns what was read too long ago, with the age that it judged. The two methods of Term are gone, their reason stands at the check.

No change of behaviour: same bounds, same order.

--- a/crates/cell/src/start_check.rs
+++ b/crates/cell/src/start_check.rs
@@ -2,7 +2,7 @@
 
 use model::{HostId, work::StartOrder};
 
-use crate::term::Term;
+use crate::term::{CANCELLATIONS_MAX_AGE, REQUESTS_MAX_AGE, Term};
 
 /// Why an order was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +41,28 @@
     }
 }
 
+/// Checks that what callers cancelled and operators requested was read recently enough to start
+/// work.
+///
+/// An owner that reads the store late, for example behind a narrow link, would otherwise start jobs
+/// that their callers were told are cancelled, or tasks in a data centre that operators have
+/// drained. While the store is unreachable for all processes, neither can be stored.
+///
+/// # Errors
+/// What was read too long ago.
+pub(crate) fn check_reads(term: &Term) -> Result<(), UnsentCause> {
+    let is_current = |age: Option<Duration>, max_age| age.is_some_and(|age| age < max_age);
+    let cancellations_age = term.cancellations_age();
+    if !is_current(cancellations_age, CANCELLATIONS_MAX_AGE) {
+        return Err(UnsentCause::CancellationsOutdated(cancellations_age));
+    }
+    let requests_age = term.requests_age();
+    if !is_current(requests_age, REQUESTS_MAX_AGE) {
+        return Err(UnsentCause::RequestsOutdated(requests_age));
+    }
+    Ok(())
+}
+
 /// Prepares a start for being sent now, and limits the time in which it may take effect. It may
 /// have waited for its permit until after the lease expired or its data centre was drained.
 ///
@@ -54,13 +76,7 @@
     if !term.may_start_tasks() {
         return Err(UnsentCause::OwnershipUncertain);
     }
-    if !term.cancellations_are_current() {
-        let age = term.cancellations_age();
-        return Err(UnsentCause::CancellationsOutdated(age));
-    }
-    if !term.requests_are_current() {
-        return Err(UnsentCause::RequestsOutdated(term.requests_age()));
-    }
+    check_reads(term)?;
     let mut scheduler = term.scheduler.borrow_mut();
     if scheduler.is_data_centre_drained(id) {
         return Err(UnsentCause::DataCentreDrained);
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -209,30 +209,11 @@
         self.cancellations_read_at.set(Some(sent));
     }
 
-    /// True while the stored cancellations were read recently enough to start work.
-    ///
-    /// Callers rely on a stored cancellation. An owner that reads the store late, for example
-    /// behind a narrow link, would otherwise start jobs that their callers were told are cancelled.
-    /// While the store is unreachable for all processes, no cancellation can be stored.
-    pub(crate) fn cancellations_are_current(&self) -> bool {
-        let age = self.cancellations_age();
-        age.is_some_and(|age| age < CANCELLATIONS_MAX_AGE)
-    }
-
     /// How long ago the stored cancellations were read; `None` if never.
     pub(crate) fn cancellations_age(&self) -> Option<Duration> {
         self.read_age(self.cancellations_read_at.get())
     }
 
-    /// True while the operators' requests were read recently enough to start work.
-    ///
-    /// An owner that reads them late, for example behind a narrow link, would otherwise start tasks
-    /// in a data centre that operators have drained.
-    pub(crate) fn requests_are_current(&self) -> bool {
-        self.requests_age()
-            .is_some_and(|age| age < REQUESTS_MAX_AGE)
-    }
-
     /// How long ago the operators' requests were read; `None` if never.
     pub(crate) fn requests_age(&self) -> Option<Duration> {
         self.read_age(self.view.read_at())
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -15,6 +15,7 @@
     log_reader::read_log,
     log_writer::write_log,
     metric,
+    start_check::check_reads,
     step_down::{StepDownKind, step_down},
     store_check::check_with_members,
     stored_cancellation::watch_cancellations,
@@ -192,7 +193,7 @@
                 #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
                 metrics::gauge!(metric::OPEN_JOBS).set(scheduler.job_table.open.len() as f64);
             }
-            if term.cancellations_are_current() && term.requests_are_current() {
+            if check_reads(&term).is_ok() {
                 scheduler.plan_starts(now, term.call_limiter.start_room());
             }
         }
