Set up tests of backlogs and of hanging watches in one place each

starts_do_not_starve_polls and urgent_start_overtakes_backlog built the same owner behind a narrow link; submit_reaches_hosts_with_hanging_watch and submit_is_in_force_or_refused_everywhere the same three hosts. Assertions, counts and delays are as they were.

--- a/crates/cell/tests/narrow_link.rs
+++ b/crates/cell/tests/narrow_link.rs
@@ -4,7 +4,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use cell::{CellOptions, CellPorts};
+use cell::{CellHost, CellOptions, CellPorts};
 use common::*;
 use ports::{CallerAction, CallerAnswer};
 use tokio::time::{Instant, sleep};
@@ -208,22 +208,35 @@
     });
 }
 
+/// Starts an owner behind a narrow link, and submits jobs whose tasks run until the test ends on
+/// `target_count` targets that take `start_delay` for each start.
+async fn start_owner_with_backlog(
+    targets: &MemoryTargets,
+    target_count: usize,
+    start_delay: Duration,
+    jobs: usize,
+) -> Rc<CellHost> {
+    let store = new_store();
+    (0..target_count).for_each(|number| store.put(&format!("targets/n{number}"), b"ready"));
+    targets.set_blocked(true);
+    let host = start_host_with_targets("a", &store, narrow_limits(), targets);
+    wait_for_owner(&store, "a").await;
+    sleep(Duration::from_millis(500)).await;
+    targets.delay_starts(start_delay);
+    for job in 0..jobs {
+        let submitted = submit(&format!("job{job}")).request;
+        wait_for_answer(&host.service(), submitted, CallerAnswer::Accepted).await;
+    }
+    host
+}
+
 /// Guards against starts that keep an owner behind a narrow link from polling running tasks until
 /// the time granted to them is over.
 #[test]
 fn starts_do_not_starve_polls() {
     run_local(async {
-        let (store, targets) = (new_store(), MemoryTargets::default());
-        (0..40).for_each(|number| store.put(&format!("targets/n{number}"), b"ready"));
-        targets.set_blocked(true);
-        let host = start_host_with_targets("a", &store, narrow_limits(), &targets);
-        wait_for_owner(&store, "a").await;
-        sleep(Duration::from_millis(500)).await;
-        targets.delay_starts(Duration::from_secs(1));
-        for job in 0..80 {
-            let submitted = submit(&format!("job{job}")).request;
-            wait_for_answer(&host.service(), submitted, CallerAnswer::Accepted).await;
-        }
+        let targets = MemoryTargets::default();
+        let _host = start_owner_with_backlog(&targets, 40, Duration::from_secs(1), 80).await;
         for _ in 0..80 {
             sleep(Duration::from_millis(100)).await;
             let since_grant = targets.longest_since_grant();
@@ -238,17 +251,9 @@
 #[test]
 fn urgent_start_overtakes_backlog() {
     run_local(async {
-        let (store, targets) = (new_store(), MemoryTargets::default());
-        (0..60).for_each(|number| store.put(&format!("targets/n{number}"), b"ready"));
-        targets.set_blocked(true);
-        let host = start_host_with_targets("a", &store, narrow_limits(), &targets);
-        wait_for_owner(&store, "a").await;
-        sleep(Duration::from_millis(500)).await;
-        targets.delay_starts(Duration::from_millis(200));
-        for job in 0..120 {
-            let submitted = submit(&format!("job{job}")).request;
-            wait_for_answer(&host.service(), submitted, CallerAnswer::Accepted).await;
-        }
+        let targets = MemoryTargets::default();
+        let start_delay = Duration::from_millis(200);
+        let host = start_owner_with_backlog(&targets, 60, start_delay, 120).await;
         let mut service = plan();
         service.steps.truncate(1);
         service.steps[0].long_running = true;
--- a/crates/member/tests/member_service.rs
+++ b/crates/member/tests/member_service.rs
@@ -135,10 +135,8 @@
     hosts[0].await_serving();
 }
 
-// Watches hang while a key is withdrawn, so callers could go on using the key. Heartbeats must
-// deliver the change, and acceptance must wait for a quorum that has it.
-#[test]
-fn submit_reaches_hosts_with_hanging_watch() {
+/// Starts three hosts, grants the key `k1` and lets all watches hang from then on.
+fn start_with_hanging_watches() -> Vec<TestHost> {
     let store = Arc::new(MemoryStore::default());
     let hosts = TestHost::start_many(&store, 3);
     hosts[0].service.submit(&grant_key("k1", None)).unwrap();
@@ -146,6 +144,14 @@
         watch_hangs: true,
         ..StoreFaults::default()
     });
+    hosts
+}
+
+// Watches hang while a key is withdrawn, so callers could go on using the key. Heartbeats must
+// deliver the change, and acceptance must wait for a quorum that has it.
+#[test]
+fn submit_reaches_hosts_with_hanging_watch() {
+    let hosts = start_with_hanging_watches();
     hosts[0].service.submit(&withdraw_key("k1")).unwrap();
     for host in &hosts {
         wait_until("the key is gone", || host.service.current().keys.is_empty());
@@ -267,13 +273,7 @@
 // An operator is told that a key is withdrawn while one host, which is cut off, goes on taking it.
 #[test]
 fn submit_is_in_force_or_refused_everywhere() {
-    let store = Arc::new(MemoryStore::default());
-    let hosts = TestHost::start_many(&store, 3);
-    hosts[0].service.submit(&grant_key("k1", None)).unwrap();
-    store.set_faults(StoreFaults {
-        watch_hangs: true,
-        ..StoreFaults::default()
-    });
+    let hosts = start_with_hanging_watches();
     hosts[2].cut_store();
     for host in &hosts[..2] {
         host.node.remove_peer(&"e3".into());
