Never swap a response for one with the request's own id in a test

Cause: the test. Every 40th response of its targets is a foreign body under the id e1.1.1, which the entry host has to reject as the response to another request. The 40th call can be e1.1.1 itself; then the foreign body stands under the right id, and nobody can tell.

Change: the foreign body stands under the id of another request in each case. As strict as before: each swapped response must be rejected, and at least five are.

--- a/crates/entry/tests/floods.rs
+++ b/crates/entry/tests/floods.rs
@@ -42,7 +42,11 @@
             thread::sleep(Duration::from_millis(u64::from(call.body[9] % 7) * 3));
             if calls.fetch_add(1, Ordering::AcqRel) % 40 == 39 {
                 let foreign = answer_of(b"body 99999 of its own", LENGTH);
-                return TargetReply::Crossed(foreign, "e1.1.1".to_owned());
+                let other = match call.request.as_str() {
+                    "e1.1.1" => "e1.1.2",
+                    _ => "e1.1.1",
+                };
+                return TargetReply::Crossed(foreign, other.to_owned());
             }
             TargetReply::Answer(answer_of(&call.body, LENGTH))
         }
