Keep the payloads of refused jobs off the owner's link

Cause: an owner that is asked for several times what it can start refuses most submissions, and each comes back up to four times. Every one crossed its link with its payload. So the link received no more than that, the answers of targets came late, the limit on calls to targets fell, and the starts with it.

Change: a process that was refused a job sends the queue's next submissions without their payload first (`OwnerCall::dry_run`). The owner answers what it would answer to the job, and knows a job that it has accepted already. Only what it would accept follows in full. Ruled out: refusing in the process that the caller reached. It can't know whether the owner accepted the job in a call whose answer was lost, so "not run" would not be true.

`owner_client` holds the calls to an owner in another process, which `caller_gateway` held before; the rest of the gateway is unchanged.

Tests: submit_to_refusing_owner_leaves_out_payload, dry_run_of_accepted_job_is_accepted and submit_follows_dry_run_that_passes fail with the dry run taken out; dry_run_at_owner_with_backlog_records_nothing, submit_follows_dry_run_of_earlier_version; without network, for a burst that is mostly refused: burst_sends_few_payloads_in_vain, dry_runs_end_after_last_refusal, dry_runs_end_with_acceptance.

--- a/crates/cell/src/caller_gateway.rs
+++ b/crates/cell/src/caller_gateway.rs
@@ -2,7 +2,6 @@
 
 use compact_str::CompactString;
 use decide::work::record_of_plan;
-use link::{CallClient, HttpCallError};
 use model::{
     event as log_event,
     work::{FencingToken, FleetPolicy, JobPlan},
@@ -10,11 +9,18 @@
 use ports::{CallerAction, CallerAnswer, CallerCall, CallerService, JobProgress, PortFuture};
 use store::{BootClock, Clock};
 use tokio::time::{Instant, timeout_at};
-use wire::work::{AnswerKind, JobPhase, JobRecord, OwnerAnswer, OwnerCall, owner_call::Ask};
+use wire::work::{AnswerKind, JobPhase, JobRecord, OwnerAnswer, owner_call::Ask};
 
 use crate::{
-    cell_options::CellOptions, event, fleet_view::FleetView, member_directory::MemberDirectory,
-    metric, owner_service, owner_view::OwnerView, peer_call::call_peer, peer_service::CurrentTerm,
+    cell_options::CellOptions,
+    event,
+    fleet_view::FleetView,
+    member_directory::MemberDirectory,
+    metric,
+    owner_client::{OwnerCallState, OwnerClient, owner_call},
+    owner_service,
+    owner_view::OwnerView,
+    peer_service::CurrentTerm,
     stored_cancellation::CancellationWriter,
 };
 
@@ -22,13 +28,6 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Time that an answer of the owner usually takes: the round trip and one write of the log.
 const MIN_OWNER_TIMEOUT: Duration = Duration::from_millis(50);
-/// Longest wait for one answer of the owner before it is asked again over a new connection. A dead
-/// connection would otherwise use up the caller's whole timeout.
-const OWNER_CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Part of [`OWNER_CALL_TIMEOUT`] that is reserved for the owner's response to travel back. An
-/// owner that has no result in time says so before the timeout. Without any response the call may
-/// have taken effect, and the caller could not be told to retry.
-const OWNER_CALL_MARGIN: Duration = Duration::from_millis(150);
 /// Delay before the owner is asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// The same while it is unknown whether the call took effect, which only a successor or the end of
@@ -49,21 +48,12 @@
     pub(crate) view: Rc<FleetView>,
     pub(crate) owners: Rc<OwnerView>,
     pub(crate) current_term: CurrentTerm,
-    pub(crate) client: CallClient,
+    pub(crate) owner_client: Rc<OwnerClient>,
     pub(crate) draining: Rc<Cell<bool>>,
     pub(crate) members: Rc<MemberDirectory>,
     pub(crate) cancellation_writer: Rc<CancellationWriter>,
 }
 
-/// State of one call to the owner across its retries.
-struct OwnerCallState {
-    deadline: Instant,
-    started_at: Instant,
-    /// The last owner that did not answer: the call may have taken effect there.
-    unanswered_by: Option<FencingToken>,
-    owner: CompactString,
-}
-
 impl CallerService for CallerGateway {
     fn queue_prefix_len(&self, host: &str, path: &str) -> Option<usize> {
         let policy = self.view.policy()?;
@@ -225,22 +215,8 @@
             return None;
         }
         state.owner = owner.member.clone();
-        let timeout = OWNER_CALL_TIMEOUT.min(left);
-        let call = owner_call(ask, owner.token, timeout.saturating_sub(OWNER_CALL_MARGIN));
-        match call_peer(&self.client, &owner.address, &call, timeout).await {
-            Ok(answer) => self.caller_answer(&answer, owner.token, state),
-            Err(HttpCallError::NotSent(error)) => {
-                log::debug!("{error}");
-                None
-            }
-            Err(HttpCallError::Unanswered(error)) => {
-                log::debug!("{error}");
-                if matches!(ask, Ask::Submit(_) | Ask::Cancel(_)) {
-                    state.unanswered_by = Some(owner.token);
-                }
-                None
-            }
-        }
+        let answer = self.owner_client.send(ask, &owner, state).await?;
+        self.caller_answer(&answer, owner.token, state)
     }
 
     /// Maps an owner's answer to the answer for the caller; `None` if the owner has to be asked
@@ -256,20 +232,20 @@
         state: &mut OwnerCallState,
     ) -> Option<CallerAnswer> {
         match answer.kind() {
-            AnswerKind::NotOwner => None,
+            AnswerKind::NotOwner | AnswerKind::WouldAccept => None,
             AnswerKind::Accepted => Some(CallerAnswer::Accepted),
             AnswerKind::Found => Some(CallerAnswer::Found(job_progress(answer.phase()))),
             AnswerKind::Counted => Some(CallerAnswer::Counted(answer.pending)),
             AnswerKind::NotFound => Some(CallerAnswer::NoJob),
             // The owner that did not answer may still receive that call.
-            AnswerKind::Refused
+            AnswerKind::Refused | AnswerKind::WouldRefuse
                 if state
                     .unanswered_by
                     .is_some_and(|unanswered_by| answer.owner_token <= unanswered_by) =>
             {
                 None
             }
-            AnswerKind::Refused => {
+            AnswerKind::Refused | AnswerKind::WouldRefuse => {
                 let wait = Duration::from_millis(answer.retry_after_ms);
                 Some(CallerAnswer::Refused(wait))
             }
@@ -309,14 +285,6 @@
     }
 }
 
-fn owner_call(ask: &Ask, token: FencingToken, timeout: Duration) -> OwnerCall {
-    OwnerCall {
-        ask: Some(ask.clone()),
-        token,
-        patience_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
-    }
-}
-
 /// The timeout that applies to a caller: its own within limits, or the default.
 fn effective_timeout(asked: Duration) -> Duration {
     if asked.is_zero() {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -30,6 +30,7 @@
 mod member_directory;
 mod metric;
 mod metrics_service;
+mod owner_client;
 mod owner_service;
 mod owner_view;
 mod peer_call;
--- a/crates/cell/src/owner_service.rs
+++ b/crates/cell/src/owner_service.rs
@@ -35,6 +35,7 @@
 async fn dispatch(term: &Rc<Term>, ask: Option<Ask>, deadline: Instant) -> OwnerAnswer {
     match ask {
         Some(Ask::Submit(record)) => submit_job(term, record, deadline).await,
+        Some(Ask::DryRun(record)) => dry_run(term, &record, deadline).await,
         Some(Ask::Look(job)) => status(term, &job),
         Some(Ask::Cancel(job)) => cancel_job(term, &job, deadline).await,
         Some(Ask::Pending(queue)) => OwnerAnswer {
@@ -58,22 +59,10 @@
 
 /// Accepts a job. A repeated id is the same job, whoever submits it and however often.
 async fn submit_job(term: &Rc<Term>, record: JobRecord, deadline: Instant) -> OwnerAnswer {
-    if term
-        .scheduler
-        .borrow()
-        .job_table
-        .jobs
-        .contains_key(record.job.as_str())
-    {
-        return answer_of_kind(AnswerKind::Accepted);
-    }
-    if term.submitting.borrow().contains(&record.job) {
-        return wait_for_submission(term, &record.job, deadline).await;
+    if let Some(answer) = known_job_answer(term, &record.job, deadline).await {
+        return answer;
     }
-    if !term.has_valid_lease() || term.log_queue.is_failing() || has_long_backlog(term) {
-        return refused_answer(term);
-    }
-    if let Some(wait) = predict_lateness(term, &record) {
+    if let Err(wait) = check_admission(term, &record) {
         return refused_answer_after(wait);
     }
     let job = record.job.clone();
@@ -97,6 +86,42 @@
     }
 }
 
+/// Answers whether a submission would be accepted now.
+async fn dry_run(term: &Rc<Term>, record: &JobRecord, deadline: Instant) -> OwnerAnswer {
+    if let Some(answer) = known_job_answer(term, &record.job, deadline).await {
+        return answer;
+    }
+    match check_admission(term, record) {
+        Ok(()) => answer_of_kind(AnswerKind::WouldAccept),
+        Err(wait) => OwnerAnswer {
+            kind: AnswerKind::WouldRefuse.into(),
+            ..refused_answer_after(wait)
+        },
+    }
+}
+
+/// The answer to a submission of a job that was submitted before; `None` if it was not.
+async fn known_job_answer(term: &Rc<Term>, job: &str, deadline: Instant) -> Option<OwnerAnswer> {
+    if term.scheduler.borrow().job_table.jobs.contains_key(job) {
+        return Some(answer_of_kind(AnswerKind::Accepted));
+    }
+    if term.submitting.borrow().contains(job) {
+        return Some(wait_for_submission(term, job, deadline).await);
+    }
+    None
+}
+
+/// Checks whether a new job may be accepted now.
+///
+/// # Errors
+/// The time after which its caller may retry.
+fn check_admission(term: &Term, record: &JobRecord) -> Result<(), Duration> {
+    if !term.has_valid_lease() || term.log_queue.is_failing() || has_long_backlog(term) {
+        return Err(term.options.retry_after);
+    }
+    predict_lateness(term, record).map_or(Ok(()), Err)
+}
+
 /// How long it takes until a job like this one could be started in time; `None` if it could be now.
 fn predict_lateness(term: &Term, record: &JobRecord) -> Option<Duration> {
     let plan = plan_of_record(record);
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -5,12 +5,14 @@
 mod caller_calls;
 mod memory_ports;
 mod memory_store;
+mod stub_owner;
 mod successors;
 mod test_cell;
 
 pub use caller_calls::{KEY, call, plan, submit};
 pub use memory_ports::{EmptyHostControl, MemoryTargets, free_address, policy_text, ports_on};
 pub use memory_store::{MemoryStore, StoreMode};
+pub use stub_owner::StubOwner;
 pub use successors::{
     LOG, OWNER, large_job, narrow_limits, new_store, owner_name, put_entry, put_long_log, put_page,
     start_host, start_host_with_ports, start_host_with_targets, strong_limits, wait_for_owner,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod order_timeout;
 pub mod placement;
 pub mod quota;
+pub mod refused_queues;
 pub mod rendezvous;
 pub mod retry;
 pub mod share;
