Say in the code where refused jobs are described, and what an unanswered dry run means

A comment promised figures that the page does not have; the constant says what it is the time of. No change of behaviour.

--- a/crates/decide/src/refused_queues.rs
+++ b/crates/decide/src/refused_queues.rs
@@ -6,15 +6,15 @@
 use model::BootTime;
 
 /// How long a refusal is taken as a sign that the owner refuses the queue's next submissions too.
-const MEMORY: Duration = Duration::from_secs(5);
+const REFUSAL_MEMORY: Duration = Duration::from_secs(5);
 
 /// Queues to which the owner of a cell refused a submission.
 ///
 /// A process that serves callers sends the next submission to such a queue as a dry run first,
 /// which has no payload. While an owner refuses most submissions, their payloads would take the
-/// bandwidth that the answers of targets need, and it would start fewer tasks;
-/// `docs/design/13-platform.md` has the bytes of each call. A refusal is never given without asking
-/// the owner, because it may have accepted the job in a call whose answer was lost.
+/// bandwidth that the answers of targets need, and it would start fewer tasks, see
+/// `docs/design/13-platform.md`. The owner is asked about each job all the same, because it may have
+/// accepted the job in a call whose answer was lost.
 #[derive(Clone, Debug, Default)]
 pub struct RefusedQueues {
     refused_at: BTreeMap<CompactString, BootTime>,
@@ -41,5 +41,5 @@
 }
 
 fn is_recent(refused: BootTime, now: BootTime) -> bool {
-    now.saturating_sub(refused) < MEMORY
+    now.saturating_sub(refused) < REFUSAL_MEMORY
 }
