--- a/crates/decide/tests/refused_queues.rs
+++ b/crates/decide/tests/refused_queues.rs
@@ -31,7 +31,6 @@
         queues.record_refusal(queue, now);
     }
     assert!(payloads_in_vain <= PROCESSES * QUEUES.len() + accepted_jobs);
-    assert!(payloads_in_vain * 4 < 10 * RATE as usize);
 }
 
 /// Guards against a queue that costs its callers a second round trip long after the last refusal.
