Copy a submitted job once per call to the owner, and set up owners with a long log in one place

The time left is computed where the own term is asked, the only place that uses it.

long_backlog_refuses_jobs and dry_run_at_owner_with_backlog_records_nothing set up the same owner behind a narrow link; start_owner_with_long_log does it for both. Assertions and times are as they were.

--- a/crates/cell/src/caller_gateway.rs
+++ b/crates/cell/src/caller_gateway.rs
@@ -203,10 +203,10 @@
 
     /// Asks the owner once; `None` if there is no answer for the caller yet.
     async fn ask_owner_once(&self, ask: &Ask, state: &mut OwnerCallState) -> Option<CallerAnswer> {
-        let left = state.deadline.saturating_duration_since(Instant::now());
         let own = self.current_term.borrow().clone();
         if let Some(term) = own.filter(|term| !term.is_over()) {
             state.owner = self.options.member.clone();
+            let left = state.deadline.saturating_duration_since(Instant::now());
             let answer = owner_service::handle_call(&term, owner_call(ask, term.token, left)).await;
             return self.caller_answer(&answer, term.token, state);
         }
--- a/crates/cell/src/owner_client.rs
+++ b/crates/cell/src/owner_client.rs
@@ -49,14 +49,16 @@
         state: &mut OwnerCallState,
     ) -> Option<OwnerAnswer> {
         match ask {
-            Ask::Submit(record) => self.submit(record, owner, state).await,
+            Ask::Submit(record) => self.submit(ask, record, owner, state).await,
             _ => self.call(ask, owner, state).await,
         }
     }
 
-    /// Submits a job, after a dry run if the owner recently refused jobs of the queue.
+    /// Sends the submission of a job, after a dry run if the owner recently refused jobs of the
+    /// queue.
     async fn submit(
         &self,
+        submission: &Ask,
         record: &JobRecord,
         owner: &OwnerEntry,
         state: &mut OwnerCallState,
@@ -76,8 +78,7 @@
                 _ => return Some(answer),
             }
         }
-        let submission = Ask::Submit(record.clone());
-        let answer = self.call(&submission, owner, state).await?;
+        let answer = self.call(submission, owner, state).await?;
         match answer.kind() {
             AnswerKind::Accepted => queues.borrow_mut().record_acceptance(queue),
             AnswerKind::Refused => queues.borrow_mut().record_refusal(queue, now),
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -15,8 +15,8 @@
 pub use stub_owner::StubOwner;
 pub use successors::{
     LOG, OWNER, large_job, narrow_limits, new_store, owner_name, put_entry, put_long_log, put_page,
-    start_host, start_host_with_ports, start_host_with_targets, strong_limits, wait_for_owner,
-    wait_for_page, weak_limits,
+    start_host, start_host_with_ports, start_host_with_targets, start_owner_with_long_log,
+    strong_limits, wait_for_owner, wait_for_page, weak_limits,
 };
 pub use test_cell::{
     LIMIT, TestCell, start_cell, store_with_policy, submit_until_accepted, wait_for_answer,
--- a/crates/cell/tests/common/successors.rs
+++ b/crates/cell/tests/common/successors.rs
@@ -108,6 +108,19 @@
     }
 }
 
+/// Starts an owner behind a narrow link with a log so long that it refuses jobs.
+pub async fn start_owner_with_long_log(
+    store: &MemoryStore,
+    targets: &MemoryTargets,
+) -> Rc<CellHost> {
+    put_long_log(store);
+    targets.set_blocked(true);
+    let host = start_host_with_targets("a", store, narrow_limits(), targets);
+    wait_for_owner(store, "a").await;
+    sleep(Duration::from_millis(500)).await;
+    host
+}
+
 /// Writes a log of a hundred pages, of jobs whose entries are not compressible.
 pub fn put_long_log(store: &MemoryStore) {
     for number in 0..100 {
--- a/crates/cell/tests/dry_runs.rs
+++ b/crates/cell/tests/dry_runs.rs
@@ -7,7 +7,6 @@
 use cell::CellHost;
 use common::*;
 use ports::{CallerAction, CallerAnswer};
-use tokio::time::sleep;
 use wire::work::{AnswerKind, owner_call::Ask};
 
 const REFUSED: CallerAnswer =
@@ -95,13 +94,8 @@
 #[test]
 fn dry_run_at_owner_with_backlog_records_nothing() {
     run_local(async {
-        let store = new_store();
-        put_long_log(&store);
-        let targets = MemoryTargets::default();
-        targets.set_blocked(true);
-        let _owner = start_host_with_targets("a", &store, narrow_limits(), &targets);
-        wait_for_owner(&store, "a").await;
-        sleep(Duration::from_millis(500)).await;
+        let (store, targets) = (new_store(), MemoryTargets::default());
+        let _owner = start_owner_with_long_log(&store, &targets).await;
         let host = start_host_with_targets("b", &store, strong_limits(), &targets);
         let service = host.service();
         let status = |job: &str| CallerAction::Status(job.into());
--- a/crates/cell/tests/narrow_link.rs
+++ b/crates/cell/tests/narrow_link.rs
@@ -110,13 +110,8 @@
 #[test]
 fn long_backlog_refuses_jobs() {
     run_local(async {
-        let store = new_store();
-        put_long_log(&store);
-        let targets = MemoryTargets::default();
-        targets.set_blocked(true);
-        let host = start_host_with_targets("a", &store, narrow_limits(), &targets);
-        wait_for_owner(&store, "a").await;
-        sleep(Duration::from_millis(500)).await;
+        let (store, targets) = (new_store(), MemoryTargets::default());
+        let host = start_owner_with_long_log(&store, &targets).await;
         let answer = host.service().answer(submit("job")).await;
         assert!(matches!(answer, CallerAnswer::Refused(_)), "{answer:?}");
     });
