Measure what the cores of each pool are used for

Change: once a second the owner surveys its pools: cores of running and of starting tasks, unused cores by cause (free, draining, unresponsive, paused), and cores of waiting tasks, those apart that are too late to count. They are gauges by pool and state, and a line for each pool in which tasks wait. The index of jobs keeps the demand by workspace and by whether it still counts, updated with each changed job.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -35,6 +35,7 @@
 mod owner_view;
 mod peer_call;
 mod peer_service;
+mod pool_report;
 mod prefix_watch;
 mod start_check;
 mod step_down;
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -28,6 +28,8 @@
 pub(crate) const ENDS: &str = "lws_cell_task_ends";
 /// Unfinished jobs, on the owner.
 pub(crate) const OPEN_JOBS: &str = "lws_cell_open_jobs";
+/// Cores of each pool by what they are used for, on the owner.
+pub(crate) const POOL_CORES: &str = "lws_cell_pool_cores";
 /// Data centres that operators have drained.
 pub(crate) const DRAINED_DATA_CENTRES: &str = "lws_cell_drained_data_centres";
 /// 1 on the owner, 0 elsewhere.
--- /dev/null
+++ b/crates/cell/src/pool_report.rs
@@ -0,0 +1,68 @@
+use std::{rc::Rc, time::Duration};
+
+use decide::work::PoolSurvey;
+use model::{PoolId, event as log_event};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::{event, metric, term::Term};
+
+/// How often the use of the pools is reported. A survey visits every target and run.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reports what the cores of each pool are used for until the term is over.
+pub(crate) async fn report_pools(term: Rc<Term>) {
+    let mut ticks = interval(REPORT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    while !term.is_over() {
+        ticks.tick().await;
+        let surveys = term.scheduler.borrow_mut().survey_pools(term.now());
+        for (pool, survey) in &surveys {
+            report_pool(pool, survey);
+        }
+    }
+}
+
+/// Sets the gauges of all pools to zero, since another process reports them from now on.
+pub(crate) fn clear_pool_report(term: &Term) {
+    for pool in &term.scheduler.borrow().policy.pools {
+        let none = values(&PoolSurvey::default());
+        set_gauges(&pool.name, &none);
+    }
+}
+
+fn report_pool(pool: &PoolId, survey: &PoolSurvey) {
+    let values = values(survey);
+    set_gauges(pool, &values);
+    if survey.waiting + survey.waiting_overdue == 0 {
+        return;
+    }
+    let cores = values.map(|(name, cores)| format!("{name}={cores:.0}"));
+    log_event::info(
+        &event::POOL_SHORT,
+        format_args!("pool={pool} {}", cores.join(" ")),
+    );
+}
+
+/// Returns what is reported of a pool, in cores.
+fn values(survey: &PoolSurvey) -> [(&'static str, f64); 8] {
+    #[expect(clippy::cast_precision_loss, reason = "cores of a pool")]
+    let cores = |cpu: u64| cpu as f64 / 1000.0;
+    [
+        ("running", cores(survey.running)),
+        ("starting", cores(survey.starting)),
+        ("free", cores(survey.free)),
+        ("draining", cores(survey.draining)),
+        ("unresponsive", cores(survey.unresponsive)),
+        ("paused", cores(survey.paused)),
+        ("waiting", cores(survey.waiting)),
+        ("waiting-overdue", cores(survey.waiting_overdue)),
+    ]
+}
+
+fn set_gauges(pool: &PoolId, values: &[(&'static str, f64)]) {
+    for (state, cores) in values {
+        let gauge =
+            metrics::gauge!(metric::POOL_CORES, "pool" => pool.to_string(), "state" => *state);
+        gauge.set(*cores);
+    }
+}
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -15,6 +15,7 @@
     log_reader::read_log,
     log_writer::write_log,
     metric,
+    pool_report::{clear_pool_report, report_pools},
     start_check::check_reads,
     step_down::{StepDownKind, step_down},
     store_check::check_with_members,
@@ -59,6 +60,7 @@
     watch_timeout.set(term.options.watch_timeout);
     term.log_queue.refuse_pending();
     metrics::gauge!(metric::OWNER).set(0.0);
+    clear_pool_report(term);
     term.channels.borrow_mut().clear();
 }
 
@@ -149,6 +151,7 @@
     term.spawn(write_log(term.clone(), summary));
     term.spawn(watch_targets(term.clone()));
     term.spawn(manage_hosts(term.clone()));
+    term.spawn(report_pools(term.clone()));
     schedule_loop(term).await;
 }
 
--- a/crates/decide/src/work/job_index.rs
+++ b/crates/decide/src/work/job_index.rs
@@ -8,7 +8,8 @@
 
 use super::{
     WorkJob,
-    job_summary::{CoreDemand, JobSummary, PoolBacklog, WaitingGroup},
+    core_demand::CoreDemand,
+    job_summary::{JobSummary, PoolBacklog, WaitingGroup},
     ranked_steps::RankedSteps,
 };
 
@@ -22,7 +23,7 @@
     pools: BTreeMap<PoolId, BTreeMap<WaitingGroup, RankedSteps>>,
     /// Number of open jobs without a started task, for each queue.
     pending: BTreeMap<CompactString, u64>,
-    demands: BTreeMap<PoolId, CoreDemand>,
+    demands: BTreeMap<PoolId, BTreeMap<WorkspaceId, CoreDemand>>,
     /// Backlog of each pool, separately for jobs of predecessors (`true`) and for others.
     backlogs: BTreeMap<(PoolId, bool), PoolBacklog>,
     /// Resources of tasks that predecessors may have started and that are not known to run, for
@@ -99,7 +100,16 @@
 
     /// Returns the processor demand of the open jobs of a pool.
     pub(super) fn demand(&self, pool: &str) -> CoreDemand {
-        self.demands.get(pool).copied().unwrap_or_default()
+        let demands = self.workspace_demands(pool).map(|(_, demand)| *demand);
+        demands.fold(CoreDemand::default(), CoreDemand::plus)
+    }
+
+    /// Returns the processor demand of the open jobs of a pool, for each workspace that has any.
+    pub(super) fn workspace_demands(
+        &self,
+        pool: &str,
+    ) -> impl Iterator<Item = (&WorkspaceId, &CoreDemand)> {
+        self.demands.get(pool).into_iter().flatten()
     }
 
     /// Returns the backlog of a pool; `inherited` includes the jobs that predecessors have
@@ -171,9 +181,9 @@
             *self.pending.entry(queue.clone()).or_default() += 1;
         }
         if summary.demand != CoreDemand::default() {
-            let demand = self.demands.entry(summary.pool.clone()).or_default();
-            demand.present += summary.demand.present;
-            demand.long_running += summary.demand.long_running;
+            let demands = self.demands.entry(summary.pool.clone()).or_default();
+            let demand = demands.entry(summary.group.workspace.clone()).or_default();
+            *demand = demand.plus(summary.demand);
         }
         if summary.backlog != PoolBacklog::default() {
             let key = (summary.pool.clone(), summary.group.inherited);
@@ -219,12 +229,8 @@
                 self.pending.remove(queue);
             }
         }
-        if let Some(demand) = self.demands.get_mut(&summary.pool) {
-            demand.present -= summary.demand.present;
-            demand.long_running -= summary.demand.long_running;
-            if *demand == CoreDemand::default() {
-                self.demands.remove(&summary.pool);
-            }
+        if summary.demand != CoreDemand::default() {
+            self.remove_demand(summary);
         }
         if summary.backlog != PoolBacklog::default() {
             self.remove_backlog(summary);
@@ -266,6 +272,21 @@
         }
     }
 
+    fn remove_demand(&mut self, summary: &JobSummary) {
+        let Some(pool) = self.demands.get_mut(&summary.pool) else {
+            return;
+        };
+        if let Some(demand) = pool.get_mut(&summary.group.workspace) {
+            *demand = demand.minus(summary.demand);
+            if *demand == CoreDemand::default() {
+                pool.remove(&summary.group.workspace);
+            }
+        }
+        if pool.is_empty() {
+            self.demands.remove(&summary.pool);
+        }
+    }
+
     fn remove_unconfirmed_usage(&mut self, summary: &JobSummary) {
         let Some(pool) = self.unconfirmed_usage.get_mut(&summary.pool) else {
             return;
--- a/crates/decide/src/work/job_summary.rs
+++ b/crates/decide/src/work/job_summary.rs
@@ -6,11 +6,15 @@
 
 use super::{
     OccurrenceState, StepState, WorkJob, WorkPhase,
+    core_demand::{CoreDemand, WaitingDemand},
     objective::{RankClass, rank},
     ranked_steps::WaitingStep,
     step_key::StepKey,
 };
 
+/// Upper bound of a job's estimated work. Estimates come from callers, and sums must not overflow.
+const MAX_JOB_WORK: u64 = 1 << 44;
+
 /// Key of a group of steps that are started or skipped together.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct WaitingGroup {
@@ -20,15 +24,6 @@
     pub(super) inherited: bool,
 }
 
-/// Processor demand of the open jobs of a pool, in thousandths of a core.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct CoreDemand {
-    /// Demand of tasks that run or could start now.
-    pub(super) present: u64,
-    /// Demand of long-running tasks.
-    pub(super) long_running: u64,
-}
-
 /// Number of unstarted tasks of the open jobs of a pool, including tasks of steps that wait for
 /// other steps. Long-running tasks are not counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -131,6 +126,9 @@
                     RankClass::Overdue => self.backlog.overdue += unstarted,
                     _ => self.backlog.not_overdue += unstarted,
                 }
+                let waiting = waiting_demand(job, occurrence);
+                let is_overdue = rank.class == RankClass::Overdue;
+                self.demand.add_waiting(waiting, is_overdue);
             }
             for (step, state) in occurrence.steps.iter().enumerate() {
                 if state.is_done() || !occurrence.is_step_ready(&job.plan, step) {
@@ -193,6 +191,26 @@
     steps.map(|(state, _)| remaining(state)).sum()
 }
 
+/// Returns the demand of the unstarted tasks of an occurrence, without long-running ones.
+fn waiting_demand(job: &WorkJob, occurrence: &OccurrenceState) -> WaitingDemand {
+    let mut demand = WaitingDemand::default();
+    for (number, (state, plan)) in occurrence.steps.iter().zip(&job.plan.steps).enumerate() {
+        if plan.long_running {
+            continue;
+        }
+        let done_or_placed = u64::from(state.done) + u64::from(state.placed);
+        let unstarted = (state.tasks.len() as u64).saturating_sub(done_or_placed);
+        let cpu = plan.footprint().cpu * unstarted;
+        let run_time = u64::try_from(plan.estimate.as_millis()).unwrap_or(u64::MAX);
+        let work = cpu.saturating_mul(run_time);
+        demand.work = demand.work.saturating_add(work).min(MAX_JOB_WORK);
+        if occurrence.is_step_ready(&job.plan, number) {
+            demand.ready += cpu;
+        }
+    }
+    demand
+}
+
 /// Returns the resources of tasks of a job that are neither done nor known to run, but that a
 /// predecessor may have started.
 fn unconfirmed_usage(job: &WorkJob) -> ResourceVector {
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -6,6 +6,7 @@
 //! described in `docs/design/13-platform.md`.
 
 mod compacted_log;
+mod core_demand;
 mod demand_meter;
 mod host_moves;
 mod host_planner;
@@ -18,6 +19,7 @@
 mod job_table;
 mod objective;
 mod pick;
+mod pool_survey;
 mod ranked_steps;
 mod scheduler_action;
 mod scheduler_admit;
@@ -53,6 +55,7 @@
 pub use job_record::{plan_of_record, record_of_plan};
 pub use job_table::JobTable;
 pub use objective::RankClass;
+pub use pool_survey::PoolSurvey;
 pub use scheduler_action::{
     EndOrigin, LogAppend, PlacementInputs, SchedulerAction, SchedulerEvent,
 };
