Admit jobs by the work that waits and by their workspace's part

What callers saw: in a burst of four times what a pool can run everything is accepted in the first two seconds, and most of it ends late or not in time at all (of 2,738 jobs of one kind 793 late, 226 never in time), while callers who come later are refused for twenty seconds. Workspaces with a tenth of the load of others are refused as often as these.

Cause: the wait is forecast by the rate of recent starts, which is unknown until tasks have waited for two seconds; and it counts all work within the shares as before a job, while the shares together are twice the room.

Change, off unless `sharing.work_admission` is set: the owner divides the pool's cores, present and on their way, weighted max-min fair among workspaces by what they offer and what waits of them. The waiting work of a workspace divided by its cores is the wait of its next job. Offers are counted once a job, accepted or not, and a job that returns is measured from its first submission. The two ways of deciding stand behind one trait.

Tests without network: a burst that arrives before any rate is known, an idle pool that refuses nothing, a job that returns too late, waits beside a workspace at twenty times; properties of the division over random claims. With the old admission the first and the third fail.

--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -28,6 +28,8 @@
 pub(crate) const ENDS: &str = "lws_cell_task_ends";
 /// Unfinished jobs, on the owner.
 pub(crate) const OPEN_JOBS: &str = "lws_cell_open_jobs";
+/// Jobs that the owner refused, by cause and workspace.
+pub(crate) const JOBS_REFUSED: &str = "lws_cell_jobs_refused";
 /// Cores of each pool by what they are used for, on the owner.
 pub(crate) const POOL_CORES: &str = "lws_cell_pool_cores";
 /// Data centres that operators have drained.
--- a/crates/cell/src/owner_service.rs
+++ b/crates/cell/src/owner_service.rs
@@ -116,10 +116,19 @@
 /// # Errors
 /// The time after which its caller may retry.
 fn check_admission(term: &Term, record: &JobRecord) -> Result<(), Duration> {
-    if !term.has_valid_lease() || term.log_queue.is_failing() || has_long_backlog(term) {
-        return Err(term.options.retry_after);
+    let refused_for = |cause: &'static str, wait: Duration| {
+        let workspace = record.workspace.clone();
+        metrics::counter!(metric::JOBS_REFUSED, "cause" => cause, "workspace" => workspace)
+            .increment(1);
+        Err(wait)
+    };
+    if !term.has_valid_lease() || term.log_queue.is_failing() {
+        return refused_for("store", term.options.retry_after);
+    }
+    if has_long_backlog(term) {
+        return refused_for("log", term.options.retry_after);
     }
-    predict_lateness(term, record).map_or(Ok(()), Err)
+    predict_lateness(term, record).map_or(Ok(()), |wait| refused_for("late", wait))
 }
 
 /// How long it takes until a job like this one could be started in time; `None` if it could be now.
@@ -127,7 +136,8 @@
     let plan = plan_of_record(record);
     let now = term.now();
     let mut scheduler = term.scheduler.borrow_mut();
-    let wait = scheduler.predict_lateness(&plan, &record.queue, &record.workspace, now)?;
+    let (job, workspace) = (record.job.as_str().into(), record.workspace.as_str().into());
+    let wait = scheduler.predict_lateness(&job, &plan, &record.queue, &workspace, now)?;
     metric::record_duration(metric::EXCESS_SECONDS, wait);
     log_event::info(
         &event::JOB_FORESEEN_LATE,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod job;
 pub mod lease;
 pub mod link_bounds;
+pub mod max_min;
 pub mod member;
 pub mod moves;
 pub mod order_timeout;
--- /dev/null
+++ b/crates/decide/src/work/admission_policy.rs
@@ -0,0 +1,29 @@
+use std::{fmt, time::Duration};
+
+use model::{
+    BootTime, WorkspaceId,
+    work::{JobPlan, QueuePolicy},
+};
+
+use super::WorkScheduler;
+
+/// A job that is submitted now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SubmittedJob<'a> {
+    pub(super) plan: &'a JobPlan,
+    pub(super) queue: &'a QueuePolicy,
+    pub(super) workspace: &'a WorkspaceId,
+    /// When the job was first submitted, if that is known; otherwise the current time.
+    pub(super) first_submitted: BootTime,
+}
+
+/// Way of deciding whether a submitted job would be started in time.
+pub(super) trait AdmissionPolicy: fmt::Debug {
+    /// Returns by how much a job would be started too late; `None` if it is to be accepted.
+    fn excess(
+        &self,
+        scheduler: &WorkScheduler,
+        job: SubmittedJob<'_>,
+        now: BootTime,
+    ) -> Option<Duration>;
+}
--- a/crates/decide/src/work/core_demand.rs
+++ b/crates/decide/src/work/core_demand.rs
@@ -53,6 +53,12 @@
 }
 
 impl WaitingDemand {
+    /// Returns the estimated work in core-seconds.
+    #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+    pub(super) fn core_seconds(self) -> f64 {
+        self.work as f64 / 1_000_000.0
+    }
+
     fn plus(self, other: Self) -> Self {
         Self {
             ready: self.ready + other.ready,
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -5,7 +5,7 @@
 
 use model::{BootTime, HostId, PoolId, work::HostCondition};
 
-use super::{HostOrder, HostPlanner, WorkScheduler, host_planner::HostView};
+use super::{HostOrder, HostPlanner, PoolRoom, TargetState, WorkScheduler, host_planner::HostView};
 
 /// Idle time after which a host that its pool does not need is switched off. A move costs as much
 /// as 1.1 s of a host at the measured prices, and the host may be needed again.
@@ -28,7 +28,9 @@
 
 impl HostPlanner {
     /// Moves hosts to pools that lack capacity, and switches off hosts that no pool needs.
-    pub(super) fn plan_moves(&mut self, scheduler: &WorkScheduler, now: BootTime) {
+    pub(super) fn plan_moves(&mut self, scheduler: &mut WorkScheduler, now: BootTime) {
+        scheduler.pool_rooms = self.pool_rooms(scheduler);
+        let scheduler = &*scheduler;
         self.observe_pools(scheduler, now);
         self.min_idle_hosts = self.min_idle_hosts(scheduler);
         let standby = standby_pool(scheduler);
@@ -240,6 +242,33 @@
         capacities
     }
 
+    /// Returns the cores of each pool for tasks that are not long-running.
+    fn pool_rooms(&self, scheduler: &WorkScheduler) -> BTreeMap<PoolId, PoolRoom> {
+        let mut rooms: BTreeMap<PoolId, PoolRoom> = BTreeMap::new();
+        for view in self.hosts.values().filter(|view| !self.is_drained(view)) {
+            let cores = host_cores(view);
+            let target = scheduler.targets.get(&view.fleet.target);
+            let runs = target.is_some_and(TargetState::can_run);
+            match view.operation.as_ref().map(|operation| &operation.order) {
+                None if runs => {
+                    let room = rooms.entry(view.fleet.pool.clone()).or_default();
+                    room.present += cores;
+                    room.soon += cores;
+                }
+                Some(HostOrder::Move(_, pool)) => {
+                    rooms.entry(pool.clone()).or_default().soon += cores;
+                }
+                Some(HostOrder::Maintain(..)) | None => {}
+            }
+        }
+        for (pool, room) in &mut rooms {
+            let long_running = scheduler.core_demand(pool).1;
+            room.present = (room.present - long_running).max(0.0);
+            room.soon = (room.soon - long_running).max(0.0);
+        }
+        rooms
+    }
+
     fn observe_pools(&mut self, scheduler: &WorkScheduler, now: BootTime) {
         for pool in &scheduler.policy.pools {
             let (present, long_running) = scheduler.core_demand(&pool.name);
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -5,6 +5,7 @@
 //! and returns the actions that the crate `cell` executes. Ownership, fencing and the job log are
 //! described in `docs/design/13-platform.md`.
 
+mod admission_policy;
 mod compacted_log;
 mod core_demand;
 mod demand_meter;
@@ -18,6 +19,7 @@
 mod job_summary;
 mod job_table;
 mod objective;
+mod offered_work;
 mod pick;
 mod pool_survey;
 mod ranked_steps;
@@ -41,11 +43,14 @@
 mod scheduler_unreachable;
 mod share_meter;
 mod start_forecast;
+mod start_rate_admission;
 mod step_key;
 mod target_index;
 mod target_state;
 mod throttle;
 mod tracked_map;
+mod wait_forecast;
+mod work_admission;
 mod work_job;
 mod work_scheduler;
 
@@ -55,6 +60,7 @@
 pub use job_record::{plan_of_record, record_of_plan};
 pub use job_table::JobTable;
 pub use objective::RankClass;
+pub use offered_work::OfferedWork;
 pub use pool_survey::PoolSurvey;
 pub use scheduler_action::{
     EndOrigin, LogAppend, PlacementInputs, SchedulerAction, SchedulerEvent,
@@ -64,6 +70,7 @@
 pub use start_forecast::StartForecast;
 pub use target_state::{HostDrainState, TargetIncarnation, TargetState};
 pub use tracked_map::TrackedMap;
+pub use wait_forecast::{PoolRoom, WorkspaceLoad, predict_wait};
 pub use work_job::{
     OccurrenceState, PlacementPhase, StepState, TaskPlacement, TaskState, WorkJob, WorkPhase,
 };
--- a/crates/decide/src/work/scheduler_admit.rs
+++ b/crates/decide/src/work/scheduler_admit.rs
@@ -1,31 +1,24 @@
 use std::time::Duration;
 
-use model::{
-    PoolId,
-    work::{JobPlan, QueuePolicy},
-};
-
-use super::{SchedulerTime, WorkScheduler, job_summary::PoolBacklog, objective::longest_wait};
+use model::{JobId, PoolId, WorkspaceId, work::JobPlan};
 
-/// Time within which every accepted job has to start, however little of it still counts towards its
-/// objective. Jobs that may wait longer get more time.
-const MAX_BACKLOG_DRAIN_TIME: Duration = Duration::from_secs(8);
-/// Shorter predicted waits are too uncertain to refuse a job for them.
-const MIN_PREDICTABLE_WAIT: Duration = Duration::from_secs(2);
-/// Fraction of the predicted wait that is certain: pools get more hosts while demand rises.
-const CERTAIN_WAIT_FRACTION: (u32, u32) = (4, 5);
+use super::{
+    SchedulerTime, WorkScheduler,
+    admission_policy::{AdmissionPolicy, SubmittedJob},
+    job_summary::PoolBacklog,
+    start_rate_admission::StartRateAdmission,
+    work_admission::WorkAdmission,
+};
 
 impl WorkScheduler {
     /// Predicts whether a job submitted now would start too late to count. Returns the time after
     /// which it would no longer be too late, or `None` if the job may be accepted.
-    ///
-    /// Jobs within their workspace's share only wait for other jobs within the shares, so that a
-    /// workspace which submits many times its usual amount does not get others refused.
     pub fn predict_lateness(
         &mut self,
+        job: &JobId,
         plan: &JobPlan,
         queue: &str,
-        workspace: &str,
+        workspace: &WorkspaceId,
         now: SchedulerTime,
     ) -> Option<Duration> {
         if plan.is_long_running() || plan.repeat.is_some() {
@@ -33,25 +26,26 @@
         }
         self.sync_indexes(now.boot);
         let policy = self.policy.clone();
-        let queue: &QueuePolicy = policy.queue(queue)?;
-        let weight = policy.workspace(workspace).map_or(0, |space| space.weight);
-        let beyond_share = self.shares.would_be_beyond(workspace, weight, now.boot);
-        let backlog = self.backlog(&queue.pool);
-        let counts = |backlog: PoolBacklog| match beyond_share {
-            true => (backlog.all(), backlog.all()),
-            false => (backlog.not_overdue, backlog.within_share()),
+        let queue = policy.queue(queue)?;
+        let first_submitted = match self.tuning.sharing.needs_offers() {
+            true => {
+                let work = plan.core_seconds();
+                self.offers
+                    .record_offer(job, &queue.pool, workspace, work, now.boot)
+            }
+            false => now.boot,
+        };
+        let submitted = SubmittedJob {
+            plan,
+            queue,
+            workspace,
+            first_submitted,
         };
-        let (ahead, accepted) = counts(backlog);
-        let (ahead_of_all, accepted_of_all) = counts(self.index.jobs.total_backlog());
-        let wait = |tasks: u64| self.forecast.expected_wait(&queue.pool, tasks, now.boot);
-        let certain_wait = wait(ahead) * CERTAIN_WAIT_FRACTION.0 / CERTAIN_WAIT_FRACTION.1;
-        let certain_wait = certain_wait.max(self.forecast.link_wait(ahead_of_all));
-        let longest = longest_wait(plan, Some(queue)).unwrap_or(Duration::MAX);
-        let longest = longest.max(MIN_PREDICTABLE_WAIT);
-        let lateness = certain_wait.saturating_sub(longest);
-        let backlog_excess = wait(accepted).max(self.forecast.link_wait(accepted_of_all));
-        let backlog_excess = backlog_excess.saturating_sub(MAX_BACKLOG_DRAIN_TIME.max(longest));
-        Some(lateness.max(backlog_excess)).filter(|excess| !excess.is_zero())
+        let admission: &dyn AdmissionPolicy = match self.tuning.sharing.work_admission {
+            true => &WorkAdmission,
+            false => &StartRateAdmission,
+        };
+        admission.excess(self, submitted, now.boot)
     }
 
     /// Sets how many starts per second the owner's link can carry.
@@ -69,8 +63,17 @@
 
     /// Tasks that wait for a pool. While a predecessor's targets have not been polled yet, its jobs
     /// wait for that, and other jobs go ahead of them.
-    fn backlog(&self, pool: &PoolId) -> PoolBacklog {
+    pub(super) fn backlog(&self, pool: &PoolId) -> PoolBacklog {
         let inherited = !self.index.unpolled_pools.contains(pool);
         self.index.jobs.backlog(pool, inherited)
     }
+
+    /// Weight of a workspace; zero if it has none.
+    pub(super) fn workspace_weight(&self, workspace: &str) -> u32 {
+        self.index
+            .weights
+            .get(workspace)
+            .copied()
+            .unwrap_or_default()
+    }
 }
--- a/crates/decide/src/work/scheduler_index.rs
+++ b/crates/decide/src/work/scheduler_index.rs
@@ -25,6 +25,10 @@
     pub(super) runs: BTreeSet<RunIndexKey>,
     /// Limits of the workspaces that have one.
     pub(super) limits: BTreeMap<WorkspaceId, ResourceVector>,
+    /// Weights of the workspaces.
+    pub(super) weights: BTreeMap<WorkspaceId, u32>,
+    /// Sum of the weights.
+    pub(super) total_weight: f64,
     /// Pools in which tasks may be startable.
     pub(super) startable_pools: BTreeSet<PoolId>,
     /// Pools with targets that had not been polled yet when starts were last planned.
--- a/crates/decide/src/work/scheduler_tuning.rs
+++ b/crates/decide/src/work/scheduler_tuning.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use model::work::SharingModes;
+
 /// Timing parameters of the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SchedulerTuning {
@@ -33,6 +35,8 @@
     pub max_failure_pause: Duration,
     /// How long an ended job is still reported, as the platform requires.
     pub ended_job_retention: Duration,
+    /// Decisions on workspaces and pools that compete for capacity.
+    pub sharing: SharingModes,
     /// How long before its due time an occurrence may start; 0 is safe with clocks that differ.
     pub early_start: Duration,
 }
@@ -53,6 +57,7 @@
             max_failure_pause: Duration::from_secs(8),
             ended_job_retention: Duration::from_secs(150),
             early_start: Duration::ZERO,
+            sharing: SharingModes::default(),
         }
     }
 }
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -11,8 +11,8 @@
 use wire::work::{JobPhase, JobRecord, LogEntry, TargetUse, log_entry::Event};
 
 use super::{
-    EndOrigin, HostDrainState, JobTable, LogAppend, SchedulerAction, SchedulerEvent,
-    SchedulerTuning, StartForecast, TargetState, WorkCounters, WorkJob, WorkPhase,
+    EndOrigin, HostDrainState, JobTable, LogAppend, OfferedWork, PoolRoom, SchedulerAction,
+    SchedulerEvent, SchedulerTuning, StartForecast, TargetState, WorkCounters, WorkJob, WorkPhase,
     scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex, share_meter::ShareMeter,
     step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
 };
@@ -65,6 +65,10 @@
     pub(super) replay_finished_at: BootTime,
     pub(super) shares: ShareMeter,
     pub(super) forecast: StartForecast,
+    /// Work that callers offer to each pool.
+    pub(super) offers: OfferedWork,
+    /// Cores of each pool, as the host planner last saw them.
+    pub(super) pool_rooms: BTreeMap<PoolId, PoolRoom>,
     /// Long-running steps for which no target was found, and since when.
     pub(super) unplaced_since: BTreeMap<StepKey, BootTime>,
     /// Drain state of targets, including targets that are not listed yet: the host list may report
@@ -167,6 +171,11 @@
         self.index.limits = limited
             .map(|space| (space.name.clone(), space.limit))
             .collect();
+        let weights = policy.workspaces.iter();
+        self.index.weights = weights
+            .map(|space| (space.name.clone(), space.weight))
+            .collect();
+        self.index.total_weight = self.index.weights.values().copied().map(f64::from).sum();
         self.policy = policy;
         self.replan_needed = true;
     }
@@ -176,7 +185,10 @@
         self.job_table.accept(record, now.unix, now.boot);
         self.classify_job_share(record, now);
         let early_start = self.tuning.early_start;
+        let first_offer = self.offers.take_first_offer(&record.job);
         if let Some(job) = self.job_table.jobs.get_mut(record.job.as_str()) {
+            // The caller has been waiting since its first attempt, which may have been refused.
+            job.arrived = first_offer.map_or(job.arrived, |first| first.min(job.arrived));
             job.open_due_occurrences(now.unix, now.boot, early_start);
         }
     }
--- a/crates/decide/tests/harness/fleet_fixture.rs
+++ b/crates/decide/tests/harness/fleet_fixture.rs
@@ -44,6 +44,10 @@
     pub max_tasks_missing: usize,
     /// Longest time from a stop to the next start of the same task.
     pub longest_restart: Duration,
+    /// Run time of each task; `None` if tasks run until they are stopped.
+    pub run_time: Option<Duration>,
+    /// Hosts whose targets are up but answer no poll.
+    pub silent_hosts: BTreeSet<usize>,
     stopped_tasks: BTreeMap<TaskKey, (HostId, BootTime)>,
 }
 
@@ -78,6 +82,8 @@
             max_hosts_down: 0,
             max_tasks_missing: 0,
             longest_restart: Duration::ZERO,
+            run_time: None,
+            silent_hosts: BTreeSet::new(),
             stopped_tasks: BTreeMap::new(),
         };
         for number in 0..serving + off {
@@ -201,6 +207,7 @@
         let target_id = format!("{}-{}", host.fleet.host, host.incarnations);
         host.fleet.target = target_id.as_str().into();
         let entry = TargetEntry {
+            pool: host.fleet.pool.clone(),
             labels: host.fleet.labels.clone(),
             ..target(&target_id, host.fleet.capacity.cpu)
         };
@@ -246,8 +253,9 @@
     fn poll_targets(&mut self) {
         for number in 0..self.hosts.len() {
             let now = self.fixture.now.boot;
+            self.end_tasks(number);
             let host = &self.hosts[number];
-            if host.fleet.target.is_empty() {
+            if host.fleet.target.is_empty() || self.silent_hosts.contains(&number) {
                 continue;
             }
             let report = |(start, started): &(StartOrder, BootTime)| RunReport {
@@ -260,6 +268,31 @@
         }
     }
 
+    /// Ends the tasks of a host that have run for their run time.
+    fn end_tasks(&mut self, number: usize) {
+        let Some(run_time) = self.run_time else {
+            return;
+        };
+        let now = self.fixture.now.boot;
+        let host = &mut self.hosts[number];
+        let runs = std::mem::take(&mut host.runs);
+        for (start, started) in runs {
+            if now < started + run_time {
+                host.runs.push((start, started));
+                continue;
+            }
+            let number = host.ends.len() as u64 + 1;
+            let end = end_report(number, &start.task, start.attempt, EndKind::Done);
+            host.ends.push(end);
+        }
+    }
+
+    /// Returns the number of hosts that are in a pool.
+    pub fn hosts_in(&self, pool: &str) -> usize {
+        let hosts = self.hosts.iter();
+        hosts.filter(|host| host.fleet.pool == pool).count()
+    }
+
     fn record_missing_tasks(&mut self) {
         let now = self.fixture.now.boot;
         let runs = self.hosts.iter().flat_map(|host| &host.runs);
--- a/crates/decide/tests/work_admit.rs
+++ b/crates/decide/tests/work_admit.rs
@@ -59,10 +59,11 @@
     fn submit(&mut self, workspace: &str) -> Option<Duration> {
         let plan = job();
         let now = self.scene.now;
-        let excess = self
-            .scene
-            .scheduler
-            .predict_lateness(&plan, QUEUE, workspace, now);
+        let job_id = format!("job{}", self.submitted + 1).into();
+        let excess =
+            self.scene
+                .scheduler
+                .predict_lateness(&job_id, &plan, QUEUE, &workspace.into(), now);
         if excess.is_none() {
             self.submitted += 1;
             let record = JobRecord {
--- a/crates/lacewingshore/src/cell_serve.rs
+++ b/crates/lacewingshore/src/cell_serve.rs
@@ -122,6 +122,7 @@
     options.scheduler = SchedulerTuning {
         lease_limit: settings.task_lease,
         grant: default.grant.min(settings.task_lease),
+        sharing: settings.sharing,
         ..default
     };
     options.host_order_pause = settings.host_order_pause;
--- a/crates/model/src/cell_settings.rs
+++ b/crates/model/src/cell_settings.rs
@@ -4,6 +4,7 @@
     DataCentreId, KeyInfo, MemberId, TextError,
     key_rule::{KeyField, KeyRule},
     settings_text::read_settings,
+    work::SharingModes,
 };
 
 /// Local settings of one process of a cell, see `docs/SETTINGS.md`.
@@ -31,6 +32,8 @@
     pub task_lease: Duration,
     /// Time within which orders of two successive owners to one host conflict.
     pub host_order_pause: Duration,
+    /// Decisions on workspaces and pools that compete for capacity.
+    pub sharing: SharingModes,
     /// Processor time that the process may use, in cores.
     pub processor_share: f64,
     /// Speed of the processor relative to a standard core.
@@ -57,6 +60,7 @@
             advice_address: String::new(),
             task_lease: Duration::from_secs(6),
             host_order_pause: Duration::from_secs(3),
+            sharing: SharingModes::default(),
             processor_share: 1.0,
             processor_speed: 1.0,
             memory_mb: 1024.0,
@@ -161,6 +165,24 @@
     ),
 ];
 
+const SHARING_RULES: &[CellRule] = &[
+    KeyRule::optional(
+        "work_admission",
+        KeyField::Flag(|settings| &mut settings.sharing.work_admission),
+        "Admits jobs by the work that waits for their pool's cores and by their workspace's share, not by the rate of recent starts.",
+    ),
+    KeyRule::optional(
+        "fair_order",
+        KeyField::Flag(|settings| &mut settings.sharing.fair_order),
+        "The workspaces of a pool take turns at starting tasks of the same urgency, in proportion to their weights.",
+    ),
+    KeyRule::optional(
+        "fair_division",
+        KeyField::Flag(|settings| &mut settings.sharing.fair_division),
+        "While the pools want more hosts than there are, divides the fleet by work that can still be on time or a little late, and moves busy hosts from pools above their part.",
+    ),
+];
+
 const LOG_RULES: &[CellRule] = &[KeyRule::optional(
     "level",
     KeyField::Level(|settings| &mut settings.log_level),
@@ -171,6 +193,7 @@
     ("entry", ENTRY_RULES),
     ("platform", PLATFORM_RULES),
     ("times", TIME_RULES),
+    ("sharing", SHARING_RULES),
     ("limits", LIMIT_RULES),
     ("log", LOG_RULES),
 ];
--- a/crates/model/src/work/job_plan.rs
+++ b/crates/model/src/work/job_plan.rs
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Returns the estimated work of one task in core-seconds.
+    pub fn task_core_seconds(&self) -> f64 {
+        let cores = f64::from(u32::try_from(self.resources.cpu).unwrap_or(u32::MAX)) / 1000.0;
+        cores * self.estimate.as_secs_f64()
+    }
+
     /// Returns true if the tasks serve requests, so that their response times matter.
     pub fn serves_requests(&self) -> bool {
         self.long_running && !self.tail_latency_target.is_zero()
@@ -158,10 +164,7 @@
             .steps
             .iter()
             .filter(|step| !step.long_running && !step.best_effort);
-        let work = |step: &StepPlan| {
-            let cores = f64::from(u32::try_from(step.resources.cpu).unwrap_or(u32::MAX)) / 1000.0;
-            f64::from(step.count) * cores * step.estimate.as_secs_f64()
-        };
+        let work = |step: &StepPlan| f64::from(step.count) * step.task_core_seconds();
         ending.map(work).sum()
     }
 
--- a/crates/model/src/work/mod.rs
+++ b/crates/model/src/work/mod.rs
@@ -10,6 +10,7 @@
 mod job_plan;
 mod maintenance_wave;
 mod resource_vector;
+mod sharing_modes;
 mod target_entry;
 mod target_order;
 mod target_report;
@@ -20,6 +21,7 @@
 pub use job_plan::{JobPlan, PlanError, RepeatPlan, StepPlan};
 pub use maintenance_wave::{MaintenanceWave, WaveId};
 pub use resource_vector::ResourceVector;
+pub use sharing_modes::SharingModes;
 pub use target_entry::{TargetEntry, TargetMode};
 pub use target_order::{
     AttemptNumber, FencingToken, OrderAnswer, PollOrder, StartAnswer, StartOrder, StartRefusal,
