Let the workspaces of a pool take turns by their weights

What callers saw: in a full pool the steps with the earliest latest start go first, whoever sent them, so a workspace with a long queue of old jobs goes before the new ones of all others.

Change, off unless `sharing.fair_order` is set: within an urgency class and a priority, workspaces that have recently started less work than their share go first, by latest start as before, and the others by how many times their share they have used. Turns are kept for the length of a plan and updated for the workspace that started.

Ruled out: start-time fair queueing.

Test without network: a workspace that sends twenty times the load of nineteen others together delays only itself.

--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -9,6 +9,7 @@
 mod compacted_log;
 mod core_demand;
 mod demand_meter;
+mod fair_order;
 mod host_moves;
 mod host_planner;
 mod host_replacements;
@@ -56,6 +57,7 @@
 
 pub use compacted_log::CompactedLog;
 pub use demand_meter::DemandMeter;
+pub use fair_order::FairOrder;
 pub use host_planner::{HostOrder, HostPlanner};
 pub use job_record::{plan_of_record, record_of_plan};
 pub use job_table::JobTable;
--- a/crates/decide/src/work/objective.rs
+++ b/crates/decide/src/work/objective.rs
@@ -29,6 +29,13 @@
     pub latest_start: BootTime,
 }
 
+impl StartRank {
+    /// Returns the part of the rank that goes before the fair order of workspaces.
+    pub(super) fn urgency(&self) -> (RankClass, u32, bool) {
+        (self.class, self.priority, self.not_started)
+    }
+}
+
 /// Classes of waiting tasks, most urgent first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RankClass {
--- a/crates/decide/src/work/ranked_steps.rs
+++ b/crates/decide/src/work/ranked_steps.rs
@@ -1,3 +1,5 @@
+use std::cmp::Ordering;
+
 use model::work::ResourceVector;
 
 use super::{objective::StartRank, step_key::StepKey};
@@ -24,9 +26,9 @@
         (self.rank, self.step.clone())
     }
 
-    /// Returns true if this step gets resources before `other`.
-    pub(super) fn is_before_step(&self, other: &Self) -> bool {
-        (&self.rank, &self.step) < (&other.rank, &other.step)
+    /// Returns the order in which this step and `other` get resources.
+    pub(super) fn order(&self, other: &Self) -> Ordering {
+        (&self.rank, &self.step).cmp(&(&other.rank, &other.step))
     }
 
     fn is_before(&self, key: &StepRank) -> bool {
--- a/crates/decide/src/work/scheduler_plan.rs
+++ b/crates/decide/src/work/scheduler_plan.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use model::{PoolId, WorkspaceId, work::ResourceVector};
+use model::{BootTime, PoolId, WorkspaceId, work::ResourceVector};
 
 use super::{
     SchedulerTime, WorkCounters, WorkScheduler,
@@ -34,6 +34,8 @@
     max_free: BTreeMap<PoolId, ResourceVector>,
     /// Resource amounts that no target of the pool has free.
     unplaceable: BTreeMap<PoolId, Vec<ResourceVector>>,
+    /// Turn of each workspace in each pool, if workspaces take turns.
+    turns: BTreeMap<PoolId, BTreeMap<WorkspaceId, u32>>,
     /// The last step of each group that was tried.
     tried: BTreeMap<PoolId, BTreeMap<WaitingGroup, StepRank>>,
 }
@@ -67,6 +69,10 @@
             if outcome.started > 0 {
                 self.sync_indexes(now.boot);
                 plan.max_free.remove(&pool);
+                if let Some(turns) = plan.turns.get_mut(&pool) {
+                    let turn = self.turn(&pool, &group.workspace, now.boot);
+                    turns.insert(group.workspace.clone(), turn);
+                }
             }
             remaining = remaining.saturating_sub(outcome.started);
             if remaining == 0 {
@@ -109,8 +115,10 @@
         let mut best: Option<NextStep<'_>> = None;
         let mut capped = Vec::new();
         self.measure_free_capacity(plan, now);
+        self.measure_turns(plan, now);
         for pool in &plan.pools {
             let is_unpolled = plan.unpolled_pools.contains(pool);
+            let mut candidates = Vec::new();
             for (group, ranked) in self.index.jobs.waiting_groups(pool) {
                 if group.inherited && is_unpolled {
                     continue;
@@ -119,13 +127,16 @@
                 if found.is_some_and(|(_, is_capped)| is_capped) {
                     capped.push((group.workspace.clone(), pool.clone()));
                 }
-                let Some((Some(step), _)) = found else {
-                    continue;
-                };
-                if best.is_none_or(|best| step.is_before_step(best.step)) {
-                    best = Some(NextStep { pool, group, step });
+                if let Some((Some(step), _)) = found {
+                    candidates.push(NextStep { pool, group, step });
                 }
             }
+            let first = self.first_of_pool(candidates, plan.turns.get(pool));
+            if first
+                .is_some_and(|first| best.is_none_or(|best| first.step.order(best.step).is_lt()))
+            {
+                best = first;
+            }
         }
         let next = best.map(|best| (best.pool.clone(), best.group.clone(), best.step.key()));
         for (workspace, pool) in capped {
@@ -134,6 +145,52 @@
         next
     }
 
+    /// The step of a pool to try first, among the first ones of its groups.
+    fn first_of_pool<'a>(
+        &self,
+        candidates: Vec<NextStep<'a>>,
+        turns: Option<&BTreeMap<WorkspaceId, u32>>,
+    ) -> Option<NextStep<'a>> {
+        let by_rank = |one: &NextStep<'_>, other: &NextStep<'_>| one.step.order(other.step);
+        if !self.tuning.sharing.fair_order {
+            return candidates.into_iter().min_by(by_rank);
+        }
+        let turns = turns?;
+        let key = |next: &NextStep<'_>| {
+            let turn = turns.get(&next.group.workspace).copied();
+            (next.step.rank.urgency(), turn)
+        };
+        candidates
+            .into_iter()
+            .min_by(|one, other| key(one).cmp(&key(other)).then_with(|| by_rank(one, other)))
+    }
+
+    /// Computes the turns of the workspaces of pools that are new to the plan.
+    fn measure_turns(&self, plan: &mut StartPlan, now: SchedulerTime) {
+        if !self.tuning.sharing.fair_order {
+            return;
+        }
+        for pool in &plan.pools {
+            if !plan.turns.contains_key(pool) {
+                let groups = self.index.jobs.waiting_groups(pool);
+                let workspaces = groups.map(|(group, _)| &group.workspace);
+                let turn = |workspace: &WorkspaceId| {
+                    (workspace.clone(), self.turn(pool, workspace, now.boot))
+                };
+                let turns = workspaces.map(turn).collect();
+                plan.turns.insert(pool.clone(), turns);
+            }
+        }
+    }
+
+    /// Turn of a workspace in a pool; smaller goes first.
+    fn turn(&self, pool: &PoolId, workspace: &WorkspaceId, now: BootTime) -> u32 {
+        let cores = self.pool_rooms.get(pool).map_or(0.0, |room| room.present);
+        let weight = f64::from(self.workspace_weight(workspace));
+        let share = cores * weight / self.index.total_weight.max(1.0);
+        self.fair_order.turn(pool, workspace, share, now)
+    }
+
     /// The first step of a group that may be started, and whether steps before it are held back by
     /// the limit of their workspace. `None` if no step fits on a target.
     fn next_startable_step<'a>(
--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -1,6 +1,6 @@
 use model::{
-    HostId, WorkspaceId,
-    work::{ResourceVector, StartOrder, TaskKey},
+    BootTime, HostId, JobId, WorkspaceId,
+    work::{ResourceVector, StartOrder, StepPlan, TaskKey},
 };
 use std::{collections::BTreeMap, time::Duration};
 
@@ -88,15 +88,29 @@
         for (id, run) in &placed.runs {
             self.send_start(id, run, rank.class, now);
         }
+        if !plan.long_running {
+            self.record_fair_start(&step.job, plan, placed.runs.len(), now.boot);
+        }
         StepOutcome {
             started: placed.runs.len(),
             no_capacity: placed.no_capacity,
         }
     }
 
+    /// Charges started tasks to their workspace.
+    fn record_fair_start(&mut self, job: &JobId, plan: &StepPlan, tasks: usize, now: BootTime) {
+        let Some(job) = self.job_table.jobs.get(job) else {
+            return;
+        };
+        #[expect(clippy::cast_precision_loss, reason = "tasks of one step")]
+        let work = plan.task_core_seconds() * tasks as f64;
+        self.fair_order
+            .record_start(&job.pool, &job.workspace, work, now);
+    }
+
     /// Whether a task of the step has used up its attempts. The owner that receives the last
     /// failure fails the job at once, but may crash before all of that is recorded.
-    fn has_exhausted_attempts(&self, step: &StepKey, plan: &model::work::StepPlan) -> bool {
+    fn has_exhausted_attempts(&self, step: &StepKey, plan: &StepPlan) -> bool {
         let job = self.job_table.jobs.get(&step.job);
         let queue = job.and_then(|job| self.policy.queue(&job.queue));
         let max_attempts = queue.map_or(usize::MAX, |queue| queue.max_attempts.max(1) as usize);
@@ -117,7 +131,7 @@
     fn place_tasks(
         &mut self,
         step: &StepKey,
-        plan: &model::work::StepPlan,
+        plan: &StepPlan,
         indices: &[u32],
         unconfirmed_usage: &BTreeMap<WorkspaceId, ResourceVector>,
         now: SchedulerTime,
@@ -160,12 +174,7 @@
     }
 
     /// Whether only capacity decides which targets may run a task.
-    fn depends_only_on_capacity(
-        &self,
-        step: &StepKey,
-        plan: &model::work::StepPlan,
-        index: u32,
-    ) -> bool {
+    fn depends_only_on_capacity(&self, step: &StepKey, plan: &StepPlan, index: u32) -> bool {
         let state = self.step_state(step);
         let task = state.and_then(|state| state.tasks.get(index as usize));
         let never_failed = task.is_some_and(|task| task.failed_on.is_empty());
@@ -180,7 +189,7 @@
     fn choose_target(
         &self,
         step: &StepKey,
-        plan: &model::work::StepPlan,
+        plan: &StepPlan,
         index: u32,
         pool: &model::PoolId,
         now: SchedulerTime,
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -11,10 +11,10 @@
 use wire::work::{JobPhase, JobRecord, LogEntry, TargetUse, log_entry::Event};
 
 use super::{
-    EndOrigin, HostDrainState, JobTable, LogAppend, OfferedWork, PoolRoom, SchedulerAction,
-    SchedulerEvent, SchedulerTuning, StartForecast, TargetState, WorkCounters, WorkJob, WorkPhase,
-    scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex, share_meter::ShareMeter,
-    step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
+    EndOrigin, FairOrder, HostDrainState, JobTable, LogAppend, OfferedWork, PoolRoom,
+    SchedulerAction, SchedulerEvent, SchedulerTuning, StartForecast, TargetState, WorkCounters,
+    WorkJob, WorkPhase, scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex,
+    share_meter::ShareMeter, step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
 };
 
 /// Upper bound of events buffered until [`WorkScheduler::take_events`]; further ones are dropped
@@ -67,6 +67,7 @@
     pub(super) forecast: StartForecast,
     /// Work that callers offer to each pool.
     pub(super) offers: OfferedWork,
+    pub(super) fair_order: FairOrder,
     /// Cores of each pool, as the host planner last saw them.
     pub(super) pool_rooms: BTreeMap<PoolId, PoolRoom>,
     /// Long-running steps for which no target was found, and since when.
--- a/crates/decide/tests/work_competition.rs
+++ b/crates/decide/tests/work_competition.rs
@@ -124,6 +124,37 @@
     plan(vec![step(1, 1000)])
 }
 
+/// One workspace sends twenty times the load of nineteen others together and fills the pool. It must
+/// delay itself only: nearly all jobs of the others are accepted and on time.
+#[test]
+fn compete_large_workspace_delays_itself() {
+    let mut competition = Competition::new(SharingModes::ALL);
+    for second in 0..10 {
+        for tenth in 0..10 {
+            for _ in 0..24 {
+                competition.submit(QUEUE, WORKSPACE);
+            }
+            let small = format!("small{}", (second * 10 + tenth) % 19);
+            competition.submit(QUEUE, &small);
+            competition.pass(1);
+        }
+    }
+    competition.pass(100);
+    let (mut accepted, mut timely) = (0, 0);
+    for number in 0..19 {
+        let name = format!("small{number}");
+        accepted += competition.answers[&name].0;
+        timely += competition.completed_within(&name, Duration::from_secs(3));
+    }
+    assert!(accepted >= 95, "{accepted} of 100 accepted");
+    assert!(timely >= 95, "{timely} of 100 on time");
+    let large = competition.answers[WORKSPACE];
+    assert!(
+        large.1 > large.0,
+        "the large workspace is refused: {large:?}"
+    );
+}
+
 /// A burst of many times what the pool can run arrives within a second, before any rate of starts is
 /// known. What can't be started in time is refused at once.
 #[test]
