Let the soak play both ways of sharing

Odd seeds run the cell with all keys of the section `sharing` set, even ones without. Whatever decides who gets room, the promises that the soak checks are the same.

--- a/crates/proof/src/soak/soak_fleet.rs
+++ b/crates/proof/src/soak/soak_fleet.rs
@@ -64,6 +64,8 @@
     relay: RelayFake,
     client: JsonClient,
     control: SimulatedControl,
+    /// Whether the processes share by work and weights while capacity is short.
+    sharing: bool,
 }
 
 impl SoakFleet {
@@ -91,6 +93,8 @@
             relay: RelayFake::start("127.0.0.1:0")?,
             client: JsonClient::default(),
             control,
+            // Both ways of deciding have to keep the promises.
+            sharing: seed % 2 == 1,
         };
         fleet.store.put_config(&CallerClient::platform_config());
         for target in 0..fleet.targets.len() {
@@ -144,11 +148,13 @@
         let ports = ports?;
         let name = format!("cell-{process}");
         let control = self.control.address();
+        let sharing = self.sharing;
         let text = format!(
             "[entry]\nmember = {name}\ndata_centre = north\naddress = 127.0.0.1:{}\n\
              ready_address = 127.0.0.1:{}\npeer_address = 127.0.0.1:{}\n\
              metrics_address = 127.0.0.1:{}\n[platform]\nstore_address = {store}\n\
-             control_address = {control}\n[log]\nlevel = debug\n",
+             control_address = {control}\n[sharing]\nwork_admission = {sharing}\n\
+             fair_order = {sharing}\nfair_division = {sharing}\n[log]\nlevel = debug\n",
             ports[0], ports[1], ports[2], ports[3]
         );
         let settings = folder.join(format!("{name}.ini"));
