Refuse what a pool without hosts can't start

What callers would have seen: a pool that has lost all of its hosts accepts every job, which then waits for hosts that may not come.

Cause: admission by work accepts while the cores of the pool are not known, and a pool without hosts was not among those with cores. No plan of hosts yet and a pool without hosts are now different things.

Found by reading.

--- a/crates/decide/src/work/host_division.rs
+++ b/crates/decide/src/work/host_division.rs
@@ -96,10 +96,6 @@
         now: BootTime,
     ) {
         self.end_vacating(scheduler, now);
-        if self.parts.is_empty() {
-            self.unequal_since = None;
-            return;
-        }
         if self.unequal_pools(capacities).is_none() {
             self.unequal_since = None;
             return;
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -29,7 +29,7 @@
 impl HostPlanner {
     /// Moves hosts to pools that lack capacity, and switches off hosts that no pool needs.
     pub(super) fn plan_moves(&mut self, scheduler: &mut WorkScheduler, now: BootTime) {
-        scheduler.pool_rooms = self.pool_rooms(scheduler);
+        scheduler.pool_rooms = Some(self.pool_rooms(scheduler));
         let scheduler = &*scheduler;
         self.observe_pools(scheduler, now);
         self.min_idle_hosts = self.min_idle_hosts(scheduler);
--- a/crates/decide/src/work/offered_work.rs
+++ b/crates/decide/src/work/offered_work.rs
@@ -1,7 +1,9 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use model::{BootTime, JobId, PoolId, WorkspaceId};
-use std::time::Duration;
 
 /// Time constant in seconds of the recent rate at which work is offered. Shorter than most bursts, so
 /// that the rate follows them; long enough for several jobs of a workspace.
--- a/crates/decide/src/work/scheduler_plan.rs
+++ b/crates/decide/src/work/scheduler_plan.rs
@@ -185,7 +185,8 @@
 
     /// Turn of a workspace in a pool; smaller goes first.
     fn turn(&self, pool: &PoolId, workspace: &WorkspaceId, now: BootTime) -> u32 {
-        let cores = self.pool_rooms.get(pool).map_or(0.0, |room| room.present);
+        let cores = self.pool_rooms.as_ref().and_then(|rooms| rooms.get(pool));
+        let cores = cores.map_or(0.0, |room| room.present);
         let weight = f64::from(self.workspace_weight(workspace));
         let share = cores * weight / self.index.total_weight.max(1.0);
         self.fair_order.turn(pool, workspace, share, now)
--- a/crates/decide/src/work/work_admission.rs
+++ b/crates/decide/src/work/work_admission.rs
@@ -27,15 +27,17 @@
         job: SubmittedJob<'_>,
         now: BootTime,
     ) -> Option<Duration> {
-        let room = scheduler.pool_rooms.get(&job.queue.pool).copied()?;
-        let loads = scheduler.workspace_loads(&job.queue.pool, now);
-        let tasks = scheduler.index.jobs.total_backlog().all();
+        let pool = &job.queue.pool;
+        let rooms = scheduler.pool_rooms.as_ref()?;
+        let room = rooms.get(pool).copied().unwrap_or_default();
+        let loads = scheduler.workspace_loads(pool, now);
         let wait = predict_wait(room, &loads, job.workspace);
+        let tasks = scheduler.index.jobs.total_backlog().all();
         let wait = wait.max(scheduler.forecast.link_wait(tasks));
-        let age = now.saturating_sub(job.first_submitted);
         let longest = longest_wait(job.plan, Some(job.queue)).unwrap_or(Duration::MAX);
-        let longest = longest.saturating_sub(age).max(MIN_WAIT);
-        Some(wait.saturating_sub(longest)).filter(|excess| !excess.is_zero())
+        let age = now.saturating_sub(job.first_submitted);
+        let lateness = wait.saturating_sub(longest.saturating_sub(age).max(MIN_WAIT));
+        Some(lateness).filter(|excess| !excess.is_zero())
     }
 }
 
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -68,8 +68,8 @@
     /// Work that callers offer to each pool.
     pub(super) offers: OfferedWork,
     pub(super) fair_order: FairOrder,
-    /// Cores of each pool, as the host planner last saw them.
-    pub(super) pool_rooms: BTreeMap<PoolId, PoolRoom>,
+    /// Cores of each pool, as the host planner last saw them; `None` before its first plan.
+    pub(super) pool_rooms: Option<BTreeMap<PoolId, PoolRoom>>,
     /// Long-running steps for which no target was found, and since when.
     pub(super) unplaced_since: BTreeMap<StepKey, BootTime>,
     /// Drain state of targets, including targets that are not listed yet: the host list may report
--- a/crates/decide/tests/work_competition.rs
+++ b/crates/decide/tests/work_competition.rs
@@ -192,6 +192,17 @@
     assert!(timely * 10 >= accepted * 9, "{timely} of {accepted} count");
 }
 
+/// Guards against accepting jobs for a pool that has lost all of its hosts.
+#[test]
+fn compete_pool_without_hosts_refuses_backlog() {
+    let mut competition = Competition::new(SharingModes::ALL);
+    competition.fleet.hosts.clear();
+    competition.pass(1);
+    competition.submit_until_refused();
+    let (accepted, _) = competition.answers[WORKSPACE];
+    assert!(accepted <= 48 * 9, "{accepted} accepted");
+}
+
 /// Guards against refusing a job while targets of its pool are idle.
 #[test]
 fn compete_idle_pool_refuses_nothing() {
