Bound the backlog where estimates are too short

What callers would have seen: with tasks that take ten times as long as their estimates, everything is accepted and nothing ends in time; after a minute the pool has work for four more.

Cause: admission by work measures the wait by estimates. Jobs become overdue before they start, overdue work does not count as ahead of others, and so there always seems to be room.

Change: what is overdue in a pool may take no longer to start, by the rate of recent starts, than the admission by rates allows for all work.

Found by reading.

--- a/crates/decide/src/work/core_demand.rs
+++ b/crates/decide/src/work/core_demand.rs
@@ -21,6 +21,8 @@
     pub(super) ready: u64,
     /// Estimated work of all tasks, including those of steps that wait for other steps.
     pub(super) work: u64,
+    /// Number of these tasks.
+    pub(super) tasks: u64,
 }
 
 impl CoreDemand {
@@ -63,6 +65,7 @@
         Self {
             ready: self.ready + other.ready,
             work: self.work + other.work,
+            tasks: self.tasks + other.tasks,
         }
     }
 
@@ -70,6 +73,7 @@
         Self {
             ready: self.ready - other.ready,
             work: self.work - other.work,
+            tasks: self.tasks - other.tasks,
         }
     }
 }
--- a/crates/decide/src/work/job_summary.rs
+++ b/crates/decide/src/work/job_summary.rs
@@ -200,6 +200,7 @@
         }
         let done_or_placed = u64::from(state.done) + u64::from(state.placed);
         let unstarted = (state.tasks.len() as u64).saturating_sub(done_or_placed);
+        demand.tasks += unstarted;
         let cpu = plan.footprint().cpu * unstarted;
         let run_time = u64::try_from(plan.estimate.as_millis()).unwrap_or(u64::MAX);
         let work = cpu.saturating_mul(run_time);
--- a/crates/decide/src/work/start_rate_admission.rs
+++ b/crates/decide/src/work/start_rate_admission.rs
@@ -24,6 +24,12 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StartRateAdmission;
 
+/// Returns the longest time in which all accepted jobs may start, for a job that may wait for
+/// `longest`.
+pub(super) fn max_backlog_wait(longest: Duration) -> Duration {
+    MAX_BACKLOG_DRAIN_TIME.max(longest)
+}
+
 impl AdmissionPolicy for StartRateAdmission {
     fn excess(
         &self,
@@ -49,7 +55,7 @@
         let longest = longest.max(MIN_PREDICTABLE_WAIT);
         let lateness = certain_wait.saturating_sub(longest);
         let backlog_excess = wait(accepted).max(forecast.link_wait(accepted_of_all));
-        let backlog_excess = backlog_excess.saturating_sub(MAX_BACKLOG_DRAIN_TIME.max(longest));
+        let backlog_excess = backlog_excess.saturating_sub(max_backlog_wait(longest));
         Some(lateness.max(backlog_excess)).filter(|excess| !excess.is_zero())
     }
 }
--- a/crates/decide/src/work/work_admission.rs
+++ b/crates/decide/src/work/work_admission.rs
@@ -6,6 +6,7 @@
     WorkScheduler,
     admission_policy::{AdmissionPolicy, SubmittedJob},
     objective::longest_wait,
+    start_rate_admission::max_backlog_wait,
     wait_forecast::{WorkspaceLoad, predict_wait},
 };
 
@@ -37,7 +38,12 @@
         let longest = longest_wait(job.plan, Some(job.queue)).unwrap_or(Duration::MAX);
         let age = now.saturating_sub(job.first_submitted);
         let lateness = wait.saturating_sub(longest.saturating_sub(age).max(MIN_WAIT));
-        Some(lateness).filter(|excess| !excess.is_zero())
+        // Estimates come from callers. If they are much too short, there always seems to be room while
+        // jobs become overdue.
+        let overdue = scheduler.index.jobs.demand(pool).overdue.tasks;
+        let overdue_wait = scheduler.forecast.expected_wait(pool, overdue, now);
+        let overdue_excess = overdue_wait.saturating_sub(max_backlog_wait(longest));
+        Some(lateness.max(overdue_excess)).filter(|excess| !excess.is_zero())
     }
 }
 
--- a/crates/decide/tests/work_competition.rs
+++ b/crates/decide/tests/work_competition.rs
@@ -192,6 +192,22 @@
     assert!(timely * 10 >= accepted * 9, "{timely} of {accepted} count");
 }
 
+/// Guards against a backlog that grows without bound because tasks take ten times as long as their
+/// callers estimate: by the estimates there is always room.
+#[test]
+fn compete_short_estimates_bound_backlog() {
+    let mut competition = Competition::new(SharingModes::ALL);
+    competition.fleet.run_time = Some(10 * RUN);
+    for _ in 0..600 {
+        for _ in 0..2 {
+            competition.submit(QUEUE, WORKSPACE);
+        }
+        competition.pass(1);
+    }
+    let open = competition.fleet.fixture.scheduler.job_table.open.len();
+    assert!(open <= 48 * 9, "{open} open");
+}
+
 /// Guards against accepting jobs for a pool that has lost all of its hosts.
 #[test]
 fn compete_pool_without_hosts_refuses_backlog() {
