--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -36,7 +36,7 @@
     CANCEL_REFUSED = 1055, "cancel-refused", "The owner received the cancellation of a job and could not record it; carries the job and the reason.";
     CANCEL_KEPT = 1056, "cancel-kept", "No owner recorded the cancellation of a job in time, so this process wrote it to the store, from where the current or the next owner records it.";
     JOB_FORESEEN_LATE = 1057, "job-foreseen-late", "A job was refused because, after the work queued before it, it would start too late; carries by how much.";
-    POOL_SHORT = 1058, "pool-short", "Tasks wait in a pool; carries what its cores are used for, in thousandths of a core, and how many cores the waiting tasks need. At most once a second for each pool.";
+    POOL_SHORT = 1058, "pool-short", "Tasks wait in a pool; carries in cores what its hosts are used for, how much the waiting tasks need, and what the pool wants, is due and holds. At most once a second for each pool.";
     TASK_PLACED = 1060, "task-placed", "A task was placed on a target; carries the urgency class of its job, the age of the target's last response and the free capacity there.";
     TASK_ENDED = 1061, "task-ended", "A run of a task ended on a target.";
     TASK_ADOPTED = 1062, "task-adopted", "A run that an earlier owner started was found and taken over.";
