Decay, measure and compare in one place each, and nothing that nobody asks for

Read once more, without a change of what is decided:

- The cores of pools and the usage of workspaces were measured with all keys of `sharing` off.
They are measured for those that use them.
- The capacity of the fleet was counted a second time with the condition of the first, and the mean host once for each pool.
The first count serves both, the mean is taken once a plan.
- Unstarted tasks of a job were counted twice for each update of the index.
- The first step of a pool is found by one comparison, without a list of candidates for each pick.
- Thousandths of a core are converted by the function that there was.
Cores of a pool are called cores.
- A test said that the owner is replaced; it replaces the host planner alone, and its name and line say so now.
Three equal bursts of the tests are one function.
No assertion is changed.

--- a/crates/cell/src/pool_report.rs
+++ b/crates/cell/src/pool_report.rs
@@ -1,6 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::work::{PoolDivision, PoolSurvey};
+use decide::work::{PoolDivision, PoolSurvey, millicores_to_cores};
 use model::{PoolId, event as log_event};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -48,17 +48,18 @@
 
 /// Returns what is reported of a pool, in cores.
 fn values(survey: &PoolSurvey, division: PoolDivision) -> [(&'static str, f64); 11] {
-    #[expect(clippy::cast_precision_loss, reason = "cores of a pool")]
-    let cores = |cpu: u64| cpu as f64 / 1000.0;
     [
-        ("running", cores(survey.running)),
-        ("starting", cores(survey.starting)),
-        ("free", cores(survey.free)),
-        ("draining", cores(survey.draining)),
-        ("unresponsive", cores(survey.unresponsive)),
-        ("paused", cores(survey.paused)),
-        ("waiting", cores(survey.waiting)),
-        ("waiting-overdue", cores(survey.waiting_overdue)),
+        ("running", millicores_to_cores(survey.running)),
+        ("starting", millicores_to_cores(survey.starting)),
+        ("free", millicores_to_cores(survey.free)),
+        ("draining", millicores_to_cores(survey.draining)),
+        ("unresponsive", millicores_to_cores(survey.unresponsive)),
+        ("paused", millicores_to_cores(survey.paused)),
+        ("waiting", millicores_to_cores(survey.waiting)),
+        (
+            "waiting-overdue",
+            millicores_to_cores(survey.waiting_overdue),
+        ),
         ("wanted", division.wanted),
         ("due", division.due),
         ("held", division.held),
--- a/crates/decide/src/work/admission_policy.rs
+++ b/crates/decide/src/work/admission_policy.rs
@@ -5,7 +5,7 @@
     work::{JobPlan, QueuePolicy},
 };
 
-use super::WorkScheduler;
+use super::{WorkScheduler, objective::longest_wait};
 
 /// A job that is submitted now.
 #[derive(Clone, Copy, Debug)]
@@ -17,6 +17,13 @@
     pub(super) first_submitted: BootTime,
 }
 
+impl SubmittedJob<'_> {
+    /// Returns how long a job may wait for its first start and still count.
+    pub(super) fn longest_wait(&self) -> Duration {
+        longest_wait(self.plan, Some(self.queue)).unwrap_or(Duration::MAX)
+    }
+}
+
 /// Way of deciding whether a submitted job would be started in time.
 pub(super) trait AdmissionPolicy: fmt::Debug {
     /// Returns by how much a job would be started too late; `None` if it is to be accepted.
--- a/crates/decide/src/work/host_division.rs
+++ b/crates/decide/src/work/host_division.rs
@@ -55,19 +55,25 @@
     }
 
     /// Divides the fleet among the pools if they want more than there is.
-    pub(super) fn update_parts(&mut self, scheduler: &WorkScheduler, now: BootTime) {
+    pub(super) fn update_parts(
+        &mut self,
+        scheduler: &WorkScheduler,
+        capacities: &BTreeMap<PoolId, PoolCapacity>,
+        now: BootTime,
+    ) {
         self.parts.clear();
         self.wanted_cores.clear();
         if !scheduler.tuning.sharing.fair_division {
             return;
         }
-        let total = self.fleet_cores();
+        let total: f64 = capacities.values().map(|capacity| capacity.cores).sum();
+        let host_size = self.mean_host_cores();
         let needs: Vec<PoolNeed> = scheduler
             .policy
             .pools
             .iter()
             .filter(|pool| !pool.standby)
-            .map(|pool| self.pool_need(scheduler, &pool.name, now))
+            .map(|pool| self.pool_need(scheduler, &pool.name, host_size, now))
             .collect();
         let wanted = |need: &PoolNeed| need.reserved + need.claims.values().sum::<f64>();
         self.wanted_cores = needs
@@ -194,19 +200,20 @@
         }
     }
 
-    /// Returns the cores of all hosts that are or can be in a pool.
-    fn fleet_cores(&self) -> f64 {
-        let is_usable = |view: &&HostView| {
-            let is_lost = view.fleet.condition == HostCondition::Down && view.operation.is_none();
-            !is_lost && !self.is_drained(view)
-        };
-        self.hosts.values().filter(is_usable).map(host_cores).sum()
+    fn mean_host_cores(&self) -> f64 {
+        let cores: f64 = self.hosts.values().map(host_cores).sum();
+        #[expect(clippy::cast_precision_loss, reason = "a number of hosts")]
+        let hosts = self.hosts.len().max(1) as f64;
+        cores / hosts
     }
 
-    fn pool_need(&self, scheduler: &WorkScheduler, pool: &PoolId, now: BootTime) -> PoolNeed {
-        let hosts = self.hosts.len().max(1);
-        #[expect(clippy::cast_precision_loss, reason = "a number of hosts")]
-        let host_size = self.hosts.values().map(host_cores).sum::<f64>() / hosts as f64;
+    fn pool_need(
+        &self,
+        scheduler: &WorkScheduler,
+        pool: &PoolId,
+        host_size: f64,
+        now: BootTime,
+    ) -> PoolNeed {
         #[expect(clippy::cast_precision_loss, reason = "a number of hosts")]
         let kept = self.min_hosts(pool) as f64 * host_size;
         let (_, long_running) = scheduler.core_demand(pool);
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -5,7 +5,9 @@
 
 use model::{BootTime, HostId, PoolId, work::HostCondition};
 
-use super::{HostOrder, HostPlanner, PoolRoom, TargetState, WorkScheduler, host_planner::HostView};
+use super::{
+    HostOrder, HostPlanner, PoolCores, TargetState, WorkScheduler, host_planner::HostView,
+};
 
 /// Idle time after which a host that its pool does not need is switched off. A move costs as much
 /// as 1.1 s of a host at the measured prices, and the host may be needed again.
@@ -29,13 +31,14 @@
 impl HostPlanner {
     /// Moves hosts to pools that lack capacity, and switches off hosts that no pool needs.
     pub(super) fn plan_moves(&mut self, scheduler: &mut WorkScheduler, now: BootTime) {
-        scheduler.pool_rooms = Some(self.pool_rooms(scheduler));
+        let needs_cores = scheduler.tuning.sharing.needs_pool_cores();
+        scheduler.pool_cores = needs_cores.then(|| self.pool_cores(scheduler));
         let scheduler = &*scheduler;
         self.observe_pools(scheduler, now);
         self.min_idle_hosts = self.min_idle_hosts(scheduler);
-        self.update_parts(scheduler, now);
         let standby = standby_pool(scheduler);
         let mut capacities = self.pool_capacities();
+        self.update_parts(scheduler, &capacities, now);
         let pools: Vec<PoolId> = scheduler
             .policy
             .pools
@@ -244,30 +247,30 @@
     }
 
     /// Returns the cores of each pool for tasks that are not long-running.
-    fn pool_rooms(&self, scheduler: &WorkScheduler) -> BTreeMap<PoolId, PoolRoom> {
-        let mut rooms: BTreeMap<PoolId, PoolRoom> = BTreeMap::new();
+    fn pool_cores(&self, scheduler: &WorkScheduler) -> BTreeMap<PoolId, PoolCores> {
+        let mut pools: BTreeMap<PoolId, PoolCores> = BTreeMap::new();
         for view in self.hosts.values().filter(|view| !self.is_drained(view)) {
-            let cores = host_cores(view);
+            let size = host_cores(view);
             let target = scheduler.targets.get(&view.fleet.target);
             let runs = target.is_some_and(TargetState::can_run);
             match view.operation.as_ref().map(|operation| &operation.order) {
                 None if runs => {
-                    let room = rooms.entry(view.fleet.pool.clone()).or_default();
-                    room.present += cores;
-                    room.soon += cores;
+                    let cores = pools.entry(view.fleet.pool.clone()).or_default();
+                    cores.present += size;
+                    cores.soon += size;
                 }
                 Some(HostOrder::Move(_, pool)) => {
-                    rooms.entry(pool.clone()).or_default().soon += cores;
+                    pools.entry(pool.clone()).or_default().soon += size;
                 }
                 Some(HostOrder::Maintain(..)) | None => {}
             }
         }
-        for (pool, room) in &mut rooms {
-            let long_running = scheduler.core_demand(pool).1;
-            room.present = (room.present - long_running).max(0.0);
-            room.soon = (room.soon - long_running).max(0.0);
+        for (pool, cores) in &mut pools {
+            let (_, long_running) = scheduler.core_demand(pool);
+            cores.present = (cores.present - long_running).max(0.0);
+            cores.soon = (cores.soon - long_running).max(0.0);
         }
-        rooms
+        pools
     }
 
     fn observe_pools(&mut self, scheduler: &WorkScheduler, now: BootTime) {
@@ -320,10 +323,11 @@
     millicores_to_cores(view.fleet.capacity.cpu)
 }
 
+/// Converts thousandths of a core to cores.
 #[expect(
     clippy::cast_precision_loss,
     reason = "cores of a pool are far below 2^52"
 )]
-pub(super) fn millicores_to_cores(cpu: u64) -> f64 {
+pub fn millicores_to_cores(cpu: u64) -> f64 {
     cpu as f64 / 1000.0
 }
--- a/crates/decide/src/work/job_summary.rs
+++ b/crates/decide/src/work/job_summary.rs
@@ -5,7 +5,7 @@
 };
 
 use super::{
-    OccurrenceState, StepState, WorkJob, WorkPhase,
+    OccurrenceState, WorkJob, WorkPhase,
     core_demand::{CoreDemand, WaitingDemand},
     objective::{RankClass, rank},
     ranked_steps::WaitingStep,
@@ -116,7 +116,8 @@
         let needs_advice = queue.is_some_and(|queue| queue.advice.is_some());
         for (&number, occurrence) in &job.occurrences {
             let mut ranked = None;
-            let unstarted = unstarted(job, occurrence);
+            let waiting = waiting_demand(job, occurrence);
+            let unstarted = waiting.tasks;
             if unstarted > 0 && job.phase != WorkPhase::CancelPending {
                 let (rank, until) =
                     *ranked.get_or_insert_with(|| rank(job, occurrence, queue, now));
@@ -126,7 +127,6 @@
                     RankClass::Overdue => self.backlog.overdue += unstarted,
                     _ => self.backlog.not_overdue += unstarted,
                 }
-                let waiting = waiting_demand(job, occurrence);
                 let is_overdue = rank.class == RankClass::Overdue;
                 self.demand.add_waiting(waiting, is_overdue);
             }
@@ -180,17 +180,6 @@
     }
 }
 
-/// Returns the number of unstarted tasks of an occurrence, without long-running ones.
-fn unstarted(job: &WorkJob, occurrence: &OccurrenceState) -> u64 {
-    let steps = occurrence.steps.iter().zip(&job.plan.steps);
-    let steps = steps.filter(|(_, plan)| !plan.long_running);
-    let remaining = |state: &StepState| {
-        let done_or_placed = u64::from(state.done) + u64::from(state.placed);
-        (state.tasks.len() as u64).saturating_sub(done_or_placed)
-    };
-    steps.map(|(state, _)| remaining(state)).sum()
-}
-
 /// Returns the demand of the unstarted tasks of an occurrence, without long-running ones.
 fn waiting_demand(job: &WorkJob, occurrence: &OccurrenceState) -> WaitingDemand {
     let mut demand = WaitingDemand::default();
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -8,6 +8,7 @@
 mod admission_policy;
 mod compacted_log;
 mod core_demand;
+mod decaying_sum;
 mod demand_meter;
 mod fair_order;
 mod fleet_division;
@@ -62,6 +63,7 @@
 pub use fair_order::FairOrder;
 pub use fleet_division::{PoolNeed, divide_fleet};
 pub use host_division::PoolDivision;
+pub use host_moves::millicores_to_cores;
 pub use host_planner::{HostOrder, HostPlanner};
 pub use job_record::{plan_of_record, record_of_plan};
 pub use job_table::JobTable;
@@ -76,7 +78,7 @@
 pub use start_forecast::StartForecast;
 pub use target_state::{HostDrainState, TargetIncarnation, TargetState};
 pub use tracked_map::TrackedMap;
-pub use wait_forecast::{PoolRoom, WorkspaceLoad, predict_wait};
+pub use wait_forecast::{PoolCores, WorkspaceLoad, predict_wait};
 pub use work_job::{
     OccurrenceState, PlacementPhase, StepState, TaskPlacement, TaskState, WorkJob, WorkPhase,
 };
--- a/crates/decide/src/work/offered_work.rs
+++ b/crates/decide/src/work/offered_work.rs
@@ -5,6 +5,8 @@
 
 use model::{BootTime, JobId, PoolId, WorkspaceId};
 
+use super::decaying_sum::DecayingSum;
+
 /// Time constant in seconds of the recent rate at which work is offered. Shorter than most bursts, so
 /// that the rate follows them; long enough for several jobs of a workspace.
 const RECENT_WINDOW_SECS: f64 = 1.0;
@@ -31,12 +33,11 @@
     by_time: BTreeSet<(BootTime, JobId)>,
 }
 
-/// Exponentially decaying rates of work, in cores.
-#[derive(Clone, Copy, Debug, Default)]
+/// Rates of work over two windows, in cores.
+#[derive(Clone, Copy, Debug)]
 struct OfferRate {
-    recent: f64,
-    lasting: f64,
-    updated_at: BootTime,
+    recent: DecayingSum,
+    lasting: DecayingSum,
 }
 
 impl OfferedWork {
@@ -53,14 +54,12 @@
         if let Some(first) = self.first_offers.get(job) {
             return *first;
         }
-        self.forget_old(now);
+        self.forget_old_jobs(now);
         self.first_offers.insert(job.clone(), now);
         self.by_time.insert((now, job.clone()));
         let rates = self.rates.entry(pool.clone()).or_default();
-        let rate = rates.entry(workspace.clone()).or_default();
-        *rate = rate.at(now);
-        rate.recent += work / RECENT_WINDOW_SECS;
-        rate.lasting += work / LASTING_WINDOW_SECS;
+        rates.entry(workspace.clone()).or_default().add(work, now);
+        rates.retain(|_, rate| rate.lasting.at(now) >= MIN_RATE);
         now
     }
 
@@ -74,7 +73,7 @@
     /// Returns the rate at which each workspace offers work to a pool, in cores.
     pub fn rates(&self, pool: &str, now: BootTime) -> impl Iterator<Item = (&WorkspaceId, f64)> {
         let rates = self.rates.get(pool).into_iter().flatten();
-        rates.map(move |(workspace, rate)| (workspace, rate.at(now).recent))
+        rates.map(move |(workspace, rate)| (workspace, rate.recent.at(now)))
     }
 
     /// Same as [`OfferedWork::rates`], but follows a rise only if it lasts. A fall shows at once.
@@ -85,12 +84,12 @@
     ) -> impl Iterator<Item = (&WorkspaceId, f64)> {
         let rates = self.rates.get(pool).into_iter().flatten();
         rates.map(move |(workspace, rate)| {
-            let rate = rate.at(now);
-            (workspace, rate.recent.min(rate.lasting))
+            let recent = rate.recent.at(now);
+            (workspace, recent.min(rate.lasting.at(now)))
         })
     }
 
-    fn forget_old(&mut self, now: BootTime) {
+    fn forget_old_jobs(&mut self, now: BootTime) {
         while let Some((first, _)) = self.by_time.first()
             && (now.saturating_sub(*first) > OFFER_RETENTION || self.by_time.len() >= MAX_OFFERS)
         {
@@ -98,19 +97,22 @@
                 self.first_offers.remove(&job);
             }
         }
-        for rates in self.rates.values_mut() {
-            rates.retain(|_, rate| rate.at(now).lasting >= MIN_RATE);
-        }
     }
 }
 
-impl OfferRate {
-    fn at(&self, now: BootTime) -> Self {
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+impl Default for OfferRate {
+    fn default() -> Self {
         Self {
-            recent: self.recent * (-elapsed / RECENT_WINDOW_SECS).exp(),
-            lasting: self.lasting * (-elapsed / LASTING_WINDOW_SECS).exp(),
-            updated_at: now,
+            recent: DecayingSum::new(RECENT_WINDOW_SECS),
+            lasting: DecayingSum::new(LASTING_WINDOW_SECS),
         }
     }
 }
+
+impl OfferRate {
+    /// Adds offered work in core-seconds.
+    fn add(&mut self, work: f64, now: BootTime) {
+        self.recent.add(work / RECENT_WINDOW_SECS, now);
+        self.lasting.add(work / LASTING_WINDOW_SECS, now);
+    }
+}
--- a/crates/decide/src/work/scheduler_plan.rs
+++ b/crates/decide/src/work/scheduler_plan.rs
@@ -1,4 +1,7 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use model::{BootTime, PoolId, WorkspaceId, work::ResourceVector};
 
@@ -48,6 +51,21 @@
     step: &'a WaitingStep,
 }
 
+impl NextStep<'_> {
+    /// Returns the order of two steps of the same pool, in which workspaces may take turns.
+    fn order_in_pool(&self, other: &Self, turns: Option<&BTreeMap<WorkspaceId, u32>>) -> Ordering {
+        let Some(turns) = turns else {
+            return self.step.order(other.step);
+        };
+        let key = |next: &Self| {
+            let turn = turns.get(&next.group.workspace).copied();
+            (next.step.rank.urgency(), turn)
+        };
+        let order = key(self).cmp(&key(other));
+        order.then_with(|| self.step.order(other.step))
+    }
+}
+
 impl WorkScheduler {
     /// Starts tasks as far as possible, about `max_starts` of them: the last step starts as a
     /// whole. Cheap if nothing has changed since the last call.
@@ -118,7 +136,8 @@
         self.measure_turns(plan, now);
         for pool in &plan.pools {
             let is_unpolled = plan.unpolled_pools.contains(pool);
-            let mut candidates = Vec::new();
+            let turns = plan.turns.get(pool);
+            let mut first: Option<NextStep<'_>> = None;
             for (group, ranked) in self.index.jobs.waiting_groups(pool) {
                 if group.inherited && is_unpolled {
                     continue;
@@ -127,15 +146,19 @@
                 if found.is_some_and(|(_, is_capped)| is_capped) {
                     capped.push((group.workspace.clone(), pool.clone()));
                 }
-                if let Some((Some(step), _)) = found {
-                    candidates.push(NextStep { pool, group, step });
+                let Some((Some(step), _)) = found else {
+                    continue;
+                };
+                let next = NextStep { pool, group, step };
+                if first.is_none_or(|first| next.order_in_pool(&first, turns).is_lt()) {
+                    first = Some(next);
                 }
             }
-            let first = self.first_of_pool(candidates, plan.turns.get(pool));
-            if first
-                .is_some_and(|first| best.is_none_or(|best| first.step.order(best.step).is_lt()))
-            {
-                best = first;
+            let Some(first) = first else {
+                continue;
+            };
+            if best.is_none_or(|best| first.step.order(best.step).is_lt()) {
+                best = Some(first);
             }
         }
         let next = best.map(|best| (best.pool.clone(), best.group.clone(), best.step.key()));
@@ -145,26 +168,6 @@
         next
     }
 
-    /// The step of a pool to try first, among the first ones of its groups.
-    fn first_of_pool<'a>(
-        &self,
-        candidates: Vec<NextStep<'a>>,
-        turns: Option<&BTreeMap<WorkspaceId, u32>>,
-    ) -> Option<NextStep<'a>> {
-        let by_rank = |one: &NextStep<'_>, other: &NextStep<'_>| one.step.order(other.step);
-        if !self.tuning.sharing.fair_order {
-            return candidates.into_iter().min_by(by_rank);
-        }
-        let turns = turns?;
-        let key = |next: &NextStep<'_>| {
-            let turn = turns.get(&next.group.workspace).copied();
-            (next.step.rank.urgency(), turn)
-        };
-        candidates
-            .into_iter()
-            .min_by(|one, other| key(one).cmp(&key(other)).then_with(|| by_rank(one, other)))
-    }
-
     /// Computes the turns of the workspaces of pools that are new to the plan.
     fn measure_turns(&self, plan: &mut StartPlan, now: SchedulerTime) {
         if !self.tuning.sharing.fair_order {
@@ -185,8 +188,8 @@
 
     /// Turn of a workspace in a pool; smaller goes first.
     fn turn(&self, pool: &PoolId, workspace: &WorkspaceId, now: BootTime) -> u32 {
-        let cores = self.pool_rooms.as_ref().and_then(|rooms| rooms.get(pool));
-        let cores = cores.map_or(0.0, |room| room.present);
+        let cores = self.pool_cores.as_ref().and_then(|pools| pools.get(pool));
+        let cores = cores.map_or(0.0, |cores| cores.present);
         let weight = f64::from(self.workspace_weight(workspace));
         let share = cores * weight / self.index.total_weight.max(1.0);
         self.fair_order.turn(pool, workspace, share, now)
--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -88,7 +88,7 @@
         for (id, run) in &placed.runs {
             self.send_start(id, run, rank.class, now);
         }
-        if !plan.long_running {
+        if self.tuning.sharing.fair_order && !plan.long_running {
             self.record_fair_start(&step.job, plan, placed.runs.len(), now.boot);
         }
         StepOutcome {
--- a/crates/decide/src/work/start_rate_admission.rs
+++ b/crates/decide/src/work/start_rate_admission.rs
@@ -6,7 +6,6 @@
     WorkScheduler,
     admission_policy::{AdmissionPolicy, SubmittedJob},
     job_summary::PoolBacklog,
-    objective::longest_wait,
 };
 
 /// Time within which every accepted job has to start, however little of it still counts towards its
@@ -51,8 +50,7 @@
         let wait = |tasks: u64| forecast.expected_wait(pool, tasks, now);
         let certain_wait = wait(ahead) * CERTAIN_WAIT_FRACTION.0 / CERTAIN_WAIT_FRACTION.1;
         let certain_wait = certain_wait.max(forecast.link_wait(ahead_of_all));
-        let longest = longest_wait(job.plan, Some(job.queue)).unwrap_or(Duration::MAX);
-        let longest = longest.max(MIN_PREDICTABLE_WAIT);
+        let longest = job.longest_wait().max(MIN_PREDICTABLE_WAIT);
         let lateness = certain_wait.saturating_sub(longest);
         let backlog_excess = wait(accepted).max(forecast.link_wait(accepted_of_all));
         let backlog_excess = backlog_excess.saturating_sub(max_backlog_wait(longest));
--- a/crates/decide/src/work/wait_forecast.rs
+++ b/crates/decide/src/work/wait_forecast.rs
@@ -15,7 +15,7 @@
 
 /// Cores of a pool for tasks that are not long-running.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct PoolRoom {
+pub struct PoolCores {
     /// Cores of the hosts that can run tasks now.
     pub present: f64,
     /// The same once all hosts that are on their way have arrived.
@@ -40,18 +40,18 @@
 /// The pool's cores are divided among the workspaces that use it, weighted max-min fair by what
 /// they offer and what they wait for. So the wait depends on the workspace's own backlog and on its
 /// share of the cores, and a workspace that offers many times its share only delays itself.
-pub fn predict_wait(room: PoolRoom, loads: &[WorkspaceLoad], workspace: &str) -> Duration {
+pub fn predict_wait(cores: PoolCores, loads: &[WorkspaceLoad], workspace: &str) -> Duration {
     let own = loads.iter().position(|load| load.workspace == workspace);
     let Some(own) = own.filter(|&own| loads[own].backlog > 0.0) else {
         return Duration::ZERO;
     };
     let backlog = loads[own].backlog;
-    let now = own_cores(room.present, loads, own);
+    let now = own_cores(cores.present, loads, own);
     let lead = HOST_LEAD_TIME.as_secs_f64();
     if now * lead >= backlog {
         return seconds(backlog / now);
     }
-    let soon = own_cores(room.soon, loads, own);
+    let soon = own_cores(cores.soon, loads, own);
     seconds(lead + (backlog - now * lead) / soon)
 }
 
--- a/crates/decide/src/work/work_admission.rs
+++ b/crates/decide/src/work/work_admission.rs
@@ -5,7 +5,6 @@
 use super::{
     WorkScheduler,
     admission_policy::{AdmissionPolicy, SubmittedJob},
-    objective::longest_wait,
     start_rate_admission::max_backlog_wait,
     wait_forecast::{WorkspaceLoad, predict_wait},
 };
@@ -29,17 +28,17 @@
         now: BootTime,
     ) -> Option<Duration> {
         let pool = &job.queue.pool;
-        let rooms = scheduler.pool_rooms.as_ref()?;
-        let room = rooms.get(pool).copied().unwrap_or_default();
+        let cores = scheduler.pool_cores.as_ref()?;
+        let cores = cores.get(pool).copied().unwrap_or_default();
         let loads = scheduler.workspace_loads(pool, now);
-        let wait = predict_wait(room, &loads, job.workspace);
+        let wait = predict_wait(cores, &loads, job.workspace);
         let tasks = scheduler.index.jobs.total_backlog().all();
         let wait = wait.max(scheduler.forecast.link_wait(tasks));
-        let longest = longest_wait(job.plan, Some(job.queue)).unwrap_or(Duration::MAX);
+        let longest = job.longest_wait();
         let age = now.saturating_sub(job.first_submitted);
         let lateness = wait.saturating_sub(longest.saturating_sub(age).max(MIN_WAIT));
-        // Estimates come from callers. If they are much too short, there always seems to be room while
-        // jobs become overdue.
+        // Estimates come from callers. If they are much too short, there always seem to be free cores
+        // while jobs become overdue.
         let overdue = scheduler.index.jobs.demand(pool).overdue.tasks;
         let overdue_wait = scheduler.forecast.expected_wait(pool, overdue, now);
         let overdue_excess = overdue_wait.saturating_sub(max_backlog_wait(longest));
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -11,7 +11,7 @@
 use wire::work::{JobPhase, JobRecord, LogEntry, TargetUse, log_entry::Event};
 
 use super::{
-    EndOrigin, FairOrder, HostDrainState, JobTable, LogAppend, OfferedWork, PoolRoom,
+    EndOrigin, FairOrder, HostDrainState, JobTable, LogAppend, OfferedWork, PoolCores,
     SchedulerAction, SchedulerEvent, SchedulerTuning, StartForecast, TargetState, WorkCounters,
     WorkJob, WorkPhase, scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex,
     share_meter::ShareMeter, step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
@@ -68,8 +68,9 @@
     /// Work that callers offer to each pool.
     pub(super) offers: OfferedWork,
     pub(super) fair_order: FairOrder,
-    /// Cores of each pool, as the host planner last saw them; `None` before its first plan.
-    pub(super) pool_rooms: Option<BTreeMap<PoolId, PoolRoom>>,
+    /// Cores of each pool, as the host planner last saw them; `None` before its first plan, and while
+    /// no decision needs them.
+    pub(super) pool_cores: Option<BTreeMap<PoolId, PoolCores>>,
     /// Long-running steps for which no target was found, and since when.
     pub(super) unplaced_since: BTreeMap<StepKey, BootTime>,
     /// Drain state of targets, including targets that are not listed yet: the host list may report
--- a/crates/decide/tests/wait_forecast.rs
+++ b/crates/decide/tests/wait_forecast.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decide::work::{PoolRoom, WorkspaceLoad, predict_wait};
+use decide::work::{PoolCores, WorkspaceLoad, predict_wait};
 
 const SMALL: &str = "small";
 const LARGE: &str = "large";
@@ -16,8 +16,8 @@
     }
 }
 
-fn room(cores: f64) -> PoolRoom {
-    PoolRoom {
+fn constant_cores(cores: f64) -> PoolCores {
+    PoolCores {
         present: cores,
         soon: cores,
     }
@@ -25,9 +25,15 @@
 
 #[test]
 fn wait_without_backlog_is_zero() {
-    assert_eq!(predict_wait(room(10.0), &[], SMALL), Duration::ZERO);
+    assert_eq!(
+        predict_wait(constant_cores(10.0), &[], SMALL),
+        Duration::ZERO
+    );
     let loads = [load(LARGE, 1000.0, 1000.0)];
-    assert_eq!(predict_wait(room(10.0), &loads, SMALL), Duration::ZERO);
+    assert_eq!(
+        predict_wait(constant_cores(10.0), &loads, SMALL),
+        Duration::ZERO
+    );
 }
 
 /// A workspace sends twenty times its usual load and has work for minutes. The others wait for
@@ -36,9 +42,9 @@
 fn wait_beside_large_workspace() {
     let mut loads = vec![load(LARGE, 400.0, 10_000.0)];
     loads.extend((0..19).map(|number| load(&format!("{SMALL}{number}"), 2.0, 1.0)));
-    let small = predict_wait(room(100.0), &loads, "small7");
+    let small = predict_wait(constant_cores(100.0), &loads, "small7");
     assert!(small < Duration::from_secs(1), "{small:?}");
-    let large = predict_wait(room(100.0), &loads, LARGE);
+    let large = predict_wait(constant_cores(100.0), &loads, LARGE);
     assert!(large > Duration::from_secs(30), "{large:?}");
 }
 
@@ -46,8 +52,8 @@
 #[test]
 fn wait_counts_hosts_on_their_way() {
     let loads = [load(LARGE, 0.0, 900.0)];
-    let alone = predict_wait(room(100.0), &loads, LARGE);
-    let arriving = PoolRoom {
+    let alone = predict_wait(constant_cores(100.0), &loads, LARGE);
+    let arriving = PoolCores {
         present: 100.0,
         soon: 1000.0,
     };
@@ -61,6 +67,6 @@
 #[test]
 fn wait_without_hosts_is_bounded() {
     let loads = [load(SMALL, 1.0, 1.0)];
-    let wait = predict_wait(room(0.0), &loads, SMALL);
+    let wait = predict_wait(constant_cores(0.0), &loads, SMALL);
     assert!(wait >= Duration::from_secs(60) && wait < Duration::from_secs(120));
 }
--- a/crates/decide/tests/work_competition.rs
+++ b/crates/decide/tests/work_competition.rs
@@ -99,6 +99,16 @@
         assert!(refused, "{MAX_BURST} jobs accepted");
     }
 
+    /// Submits more than the fleet can run, from step 30 on to both queues.
+    fn submit_burst(&mut self, step: usize) {
+        for _ in 0..20 {
+            self.submit(QUEUE, WORKSPACE);
+            if step >= 30 {
+                self.submit(OTHER_QUEUE, "small0");
+            }
+        }
+    }
+
     fn pass(&mut self, steps: usize) {
         for _ in 0..steps {
             self.fleet.advance(STEP);
@@ -263,12 +273,7 @@
     let mut competition = Competition::new(sharing);
     let mut most = 0;
     for step in 0..120 {
-        for _ in 0..20 {
-            competition.submit(QUEUE, WORKSPACE);
-            if step >= 30 {
-                competition.submit(OTHER_QUEUE, "small0");
-            }
-        }
+        competition.submit_burst(step);
         competition.pass(1);
         most = most.max(competition.fleet.hosts_in(OTHER_POOL));
     }
@@ -306,12 +311,7 @@
     let mut competition = Competition::new(SharingModes::ALL);
     let mut silent = Vec::new();
     for step in 0..100 {
-        for _ in 0..20 {
-            competition.submit(QUEUE, WORKSPACE);
-            if step >= 30 {
-                competition.submit(OTHER_QUEUE, "small0");
-            }
-        }
+        competition.submit_burst(step);
         if step == 31 {
             let hosts = competition.fleet.hosts.iter().enumerate();
             let in_pool = hosts.filter(|(_, host)| host.fleet.pool == POOL);
@@ -331,18 +331,13 @@
     assert_eq!(competition.fleet.killed_runs, 0);
 }
 
-/// The owner is replaced while hosts are vacated: the successor decides anew by its own measurements,
-/// and hosts that were draining accept tasks until then.
+/// The state of the host planner is lost while hosts are vacated, as at a change of the owner: hosts are
+/// handed over all the same, and none with tasks on it. The scheduler is kept.
 #[test]
-fn divide_successor_continues() {
+fn divide_lost_planner_continues() {
     let mut competition = Competition::new(SharingModes::ALL);
     for step in 0..140 {
-        for _ in 0..20 {
-            competition.submit(QUEUE, WORKSPACE);
-            if step >= 30 {
-                competition.submit(OTHER_QUEUE, "small0");
-            }
-        }
+        competition.submit_burst(step);
         if step == 40 {
             competition.fleet.planner = decide::work::HostPlanner::default();
         }
--- a/crates/model/src/work/sharing_modes.rs
+++ b/crates/model/src/work/sharing_modes.rs
@@ -26,4 +26,9 @@
     pub fn needs_offers(self) -> bool {
         self.work_admission || self.fair_division
     }
+
+    /// Whether the cores of each pool have to be known.
+    pub fn needs_pool_cores(self) -> bool {
+        self.work_admission || self.fair_order
+    }
 }
