--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -25,6 +25,7 @@
 HOLD_MAX_MS = 6000
 STOP_MS = 50
 STORE_DELAY_S = 0.004
+HEARTBEAT_S = 1.5
 HOST = "127.0.0.1"
 QUEUE_HOST = "desk.example"
 # A script that takes longer than this could not run.
@@ -53,6 +54,7 @@
 
     def __init__(self):
         self.is_cut = False
+        self.is_down = False
         # Time for one way, on top of what the loopback device takes.
         self.way_s = 0.0
         self.writers = set()
@@ -60,6 +62,15 @@
     def cut(self):
         self.is_cut = True
 
+    def close(self):
+        """The server is down: connections are reset."""
+        self.is_down = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def open(self):
+        self.is_down = False
+
     def heal(self):
         """Ends the cut. Connections from before it stay silent for good, so they are dropped."""
         self.is_cut = False
@@ -76,6 +87,9 @@
     """Serves HTTP/1.1 for one link; `answer(method, path, query, headers, body)` -> (status, json)."""
 
     async def handle(reader, writer):
+        if link.is_down:
+            writer.transport.abort()
+            return
         link.writers.add(writer)
         try:
             # The handshake of a new connection takes a round trip of its own.
@@ -300,13 +314,17 @@
         self.fleet, self.name, self.service = fleet, name, service
         self.cpu, self.labels, self.zone = cpu, list(labels), zone
         self.links, self.ports = {}, {}
+        self.is_cut_off = False
         self.runs = []
         self.answer_s = 0.0005
+        # How far the time of day of this machine is ahead.
+        self.clock_step_s = 0.0
         self.new_life(f"i-{secrets.token_hex(5)}")
 
     def new_life(self, identity):
         self.id = identity
-        self.born = int(time.time() * 1000)
+        self.born = int((time.time() + self.clock_step_s) * 1000)
+        self.seq_no = 1
         self.zero = now()
         self.fence = 0
         self.until = 0.0
@@ -327,16 +345,44 @@
             "slots": 8,
             "state": "ready",
             "cold_left_ms": 0,
-            "seq_no": 1,
+            "seq_no": self.seq_no,
             "born": self.born,
             "capacity": {"cpu": self.cpu, "mem_mb": 32768, "gpu": 0},
             "labels": self.labels,
         }
 
     async def run(self):
+        """Ends runs in time, and writes the entry in the store at every heartbeat."""
+        beat_at = now() + HEARTBEAT_S
         while True:
             await asyncio.sleep(0.01)
             await self.settle()
+            if now() >= beat_at:
+                beat_at = now() + HEARTBEAT_S
+                self.seq_no += 1
+                if self.is_up and not self.is_cut_off:
+                    self.fleet.register(self)
+
+    @property
+    def is_up(self):
+        return not any(link.is_down for link in self.links.values())
+
+    def crash(self):
+        """Everything that runs ends, and nothing is reported."""
+        self.fleet.record.write(f"crash of {self.name}")
+        for run in self.running:
+            run.ended, run.how = now(), "crashed"
+        self.running, self.finished = [], []
+        for link in self.links.values():
+            link.close()
+
+    def restart(self):
+        """Begins a new life under the same id."""
+        self.new_life(self.id)
+        for link in self.links.values():
+            link.open()
+        self.fleet.record.write(f"restart of {self.name} id={self.id} born={self.born}")
+        self.fleet.register(self)
 
     async def settle(self):
         at = now()
@@ -529,8 +575,10 @@
 
         return answer
 
-    async def add_executor(self, name, service, way_s=0.0, **more):
+    async def add_executor(self, name, service, way_s=0.0, clock_step_s=0.0, **more):
         executor = Executor(self, name, service, **more)
+        executor.clock_step_s = clock_step_s
+        executor.new_life(executor.id)
         for process in range(self.count):
             executor.links[process] = Link()
             executor.links[process].way_s = way_s
@@ -635,11 +683,15 @@
     def cut_off(self, processes, executors):
         """Cuts these processes and executors off from all others, the store and the control."""
         self.record.write(f"cut off: processes {processes} and {[e.name for e in executors]}")
+        for executor in executors:
+            executor.is_cut_off = True
         for link in self.crossing_links(processes, executors):
             link.cut()
 
     def heal(self, processes, executors):
         self.record.write("the cut ends")
+        for executor in executors:
+            executor.is_cut_off = False
         for link in self.crossing_links(processes, executors):
             link.heal()
 
@@ -772,6 +824,8 @@
         fleet.record.write(f"result: {'BROKEN' if broken else 'held'}")
         leave(1 if broken else 0)
 
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: leave(2))
     watchdog = threading.Timer(LIMIT_S, leave, [2])
     watchdog.daemon = True
     watchdog.start()
