Wait for all pools that may run a job, not for the one that the policy names

A workspace limited to 20 cores had 36 in use.

Cause: starts are not recorded, so a successor holds back inherited jobs until the targets that may run them have been polled. Which targets these are it took from the present policy: set_policy replaced the pool of each job, and starts, unconfirmed usage and the backlog that admission counts asked for that pool alone.

Evidence: the new lines queue-moved and pools-unpolled. In the case the successor's own attempts start while the old pool has targets that were not polled, and no run has vanished from its target; so neither were they starts of the predecessor, nor had the targets denied the runs.

Change: a move of a queue is recorded in the log before the first task starts in the new pool, once for all its open jobs; each job knows all pools in which its tasks may have been started, and a compacted log keeps them. A job of a predecessor waits until none of these pools has a target that was not polled. The old pools come from the log and the new one can't be used before it is there, so no pool can be missing.

--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -26,6 +26,8 @@
     HOST_ORDERED = 1034, "host-ordered", "A move or the maintenance of a host was ordered; carries the answer.";
     DATA_CENTRE_DRAINED = 1035, "data-centre-drained", "Operators drained a data centre: nothing is started there until they restore it.";
     DATA_CENTRE_RESTORED = 1036, "data-centre-restored", "Operators ended the drain of a data centre; its targets accept tasks again.";
+    QUEUE_MOVED = 1037, "queue-moved", "The policy lets another pool run a queue with open jobs; nothing of them starts there until the log records the move.";
+    POOLS_UNPOLLED = 1038, "pools-unpolled", "Jobs of earlier owners that may have tasks in these pools wait until all targets there have been polled; carries the number of pools and the first names.";
     CALL_ANSWERED = 1040, "call-answered", "A caller was answered; carries the job, the answer, the owner that was asked, the revision of the policy and the time it took.";
     CALL_REFUSED = 1041, "call-refused", "A caller was refused or got no definite answer; carries the reason.";
     JOB_RECORDED = 1050, "job-recorded", "A job was stored and is accepted; carries its page of the log.";
--- a/crates/cell/src/event_log.rs
+++ b/crates/cell/src/event_log.rs
@@ -1,10 +1,16 @@
 use std::collections::VecDeque;
 
 use decide::work::SchedulerEvent;
-use model::event::{self as log_event, EventInfo};
+use model::{
+    PoolId,
+    event::{self as log_event, EventInfo},
+};
 
 use crate::{event, metric};
 
+/// Maximum number of pools that one line names.
+const MAX_LOGGED_POOLS: usize = 4;
+
 /// Logs each decision of the scheduler and each change in its view of targets and tasks.
 ///
 /// `dropped` is the number of further events that the scheduler discarded because they came too
@@ -68,6 +74,18 @@
             &event::TARGET_MISSED,
             format_args!("target={target} runs={runs}"),
         ),
+        SchedulerEvent::QueueMoved(queue, pool) => log_event::info(
+            &event::QUEUE_MOVED,
+            format_args!("queue={queue} pool={pool}"),
+        ),
+        SchedulerEvent::UnpolledPools(pools) => {
+            let names = pools.iter().take(MAX_LOGGED_POOLS);
+            let names: Vec<&str> = names.map(PoolId::as_str).collect();
+            log_event::info(
+                &event::POOLS_UNPOLLED,
+                format_args!("pools={} names={}", pools.len(), names.join(",")),
+            );
+        }
         SchedulerEvent::MassUnresponsive(listed) => {
             log_event::warn(&event::SILENCE_AWAITED, format_args!("listed={listed}"));
         }
--- a/crates/decide/src/work/job_entries.rs
+++ b/crates/decide/src/work/job_entries.rs
@@ -38,12 +38,15 @@
 
     /// Returns the record of its acceptance.
     pub(super) fn record(&self) -> JobRecord {
+        let former_pools = self.recorded_pools.iter();
+        let former_pools = former_pools.filter(|pool| **pool != self.pool);
         JobRecord {
             job: self.id.to_string(),
             queue: self.queue.to_string(),
             pool: self.pool.to_string(),
             workspace: self.workspace.to_string(),
             accepted_unix_ms: u64::try_from(self.accepted.as_millis()).unwrap_or(u64::MAX),
+            former_pools: former_pools.map(ToString::to_string).collect(),
             ..record_of_plan(&self.plan)
         }
     }
--- a/crates/decide/src/work/job_index.rs
+++ b/crates/decide/src/work/job_index.rs
@@ -9,7 +9,7 @@
 use super::{
     WorkJob,
     core_demand::CoreDemand,
-    job_summary::{JobSummary, PoolBacklog, WaitingGroup},
+    job_summary::{JobSummary, PoolBacklog, WaitingGroup, may_run_unseen},
     ranked_steps::RankedSteps,
 };
 
@@ -24,11 +24,11 @@
     /// Number of open jobs without a started task, for each queue.
     pending: BTreeMap<CompactString, u64>,
     demands: BTreeMap<PoolId, BTreeMap<WorkspaceId, CoreDemand>>,
-    /// Backlog of each pool, separately for jobs of predecessors (`true`) and for others.
-    backlogs: BTreeMap<(PoolId, bool), PoolBacklog>,
-    /// Resources of tasks that predecessors may have started and that are not known to run, for
-    /// each pool and workspace.
-    unconfirmed_usage: BTreeMap<PoolId, BTreeMap<WorkspaceId, ResourceVector>>,
+    /// Backlog of each pool, by the pools in which predecessors may have started tasks of its jobs.
+    backlogs: BTreeMap<PoolId, BTreeMap<Vec<PoolId>, PoolBacklog>>,
+    /// Resources of tasks that predecessors may have started and that are not known to run, by the
+    /// pools in which they may run.
+    unconfirmed_usage: BTreeMap<WaitingGroup, ResourceVector>,
     /// For each pool, the number of open jobs by the number of hosts that they need for
     /// anti-affinity.
     anti_affinity_hosts: BTreeMap<PoolId, BTreeMap<usize, usize>>,
@@ -112,44 +112,39 @@
         self.demands.get(pool).into_iter().flatten()
     }
 
-    /// Returns the backlog of a pool; `inherited` includes the jobs that predecessors have
-    /// accepted.
-    pub(super) fn backlog(&self, pool: &PoolId, inherited: bool) -> PoolBacklog {
-        let of = |inherited| {
-            let backlog = self.backlogs.get(&(pool.clone(), inherited));
-            backlog.copied().unwrap_or_default()
-        };
-        let (own, predecessors): (PoolBacklog, PoolBacklog) = (of(false), of(true));
-        match inherited {
-            true => own.plus(predecessors),
-            false => own,
-        }
+    /// Returns the backlog of a pool without the jobs that wait until targets of `unpolled_pools`
+    /// have been polled.
+    pub(super) fn backlog(&self, pool: &str, unpolled_pools: &BTreeSet<PoolId>) -> PoolBacklog {
+        let backlogs = self.backlogs.get(pool).into_iter().flatten();
+        let startable = backlogs
+            .filter(|(inherited_pools, _)| !may_run_unseen(inherited_pools, unpolled_pools));
+        let startable = startable.map(|(_, backlog)| *backlog);
+        startable.fold(PoolBacklog::default(), PoolBacklog::plus)
     }
 
-    /// Returns the pools with a backlog; a pool may occur twice.
+    /// Returns the pools with a backlog.
     pub(super) fn backlogged_pools(&self) -> impl Iterator<Item = &PoolId> {
-        self.backlogs.keys().map(|(pool, _)| pool)
+        self.backlogs.keys()
     }
 
     /// Returns the backlog of all pools.
     pub(super) fn total_backlog(&self) -> PoolBacklog {
-        let backlogs = self.backlogs.values().copied();
+        let backlogs = self.backlogs.values().flat_map(BTreeMap::values).copied();
         backlogs.fold(PoolBacklog::default(), PoolBacklog::plus)
     }
 
-    /// Returns the resources that workspaces may be using on targets of `pools` that have not been
-    /// reached.
+    /// Returns the resources that workspaces may be using on targets of `unpolled_pools` that have
+    /// not been polled.
     pub(super) fn unconfirmed_usage(
         &self,
-        pools: &BTreeSet<PoolId>,
+        unpolled_pools: &BTreeSet<PoolId>,
     ) -> BTreeMap<WorkspaceId, ResourceVector> {
         let mut usage: BTreeMap<WorkspaceId, ResourceVector> = BTreeMap::new();
-        let pools_usage = pools
-            .iter()
-            .filter_map(|pool| self.unconfirmed_usage.get(pool));
-        for (workspace, unconfirmed) in pools_usage.flatten() {
-            let used = usage.entry(workspace.clone()).or_default();
-            *used = used.plus(*unconfirmed);
+        for (group, unconfirmed) in &self.unconfirmed_usage {
+            if may_run_unseen(&group.inherited_pools, unpolled_pools) {
+                let used = usage.entry(group.workspace.clone()).or_default();
+                *used = used.plus(*unconfirmed);
+            }
         }
         usage
     }
@@ -186,16 +181,14 @@
             *demand = demand.plus(summary.demand);
         }
         if summary.backlog != PoolBacklog::default() {
-            let key = (summary.pool.clone(), summary.group.inherited);
-            let backlog = self.backlogs.entry(key).or_default();
+            let pool = self.backlogs.entry(summary.pool.clone()).or_default();
+            let inherited_pools = summary.group.inherited_pools.clone();
+            let backlog = pool.entry(inherited_pools).or_default();
             *backlog = backlog.plus(summary.backlog);
         }
         if summary.unconfirmed_usage != ResourceVector::default() {
-            let pool = self
-                .unconfirmed_usage
-                .entry(summary.pool.clone())
-                .or_default();
-            let unconfirmed = pool.entry(summary.group.workspace.clone()).or_default();
+            let group = summary.group.clone();
+            let unconfirmed = self.unconfirmed_usage.entry(group).or_default();
             *unconfirmed = unconfirmed.plus(summary.unconfirmed_usage);
         }
         if summary.anti_affinity_hosts > 0 {
@@ -288,28 +281,27 @@
     }
 
     fn remove_unconfirmed_usage(&mut self, summary: &JobSummary) {
-        let Some(pool) = self.unconfirmed_usage.get_mut(&summary.pool) else {
+        let Some(unconfirmed) = self.unconfirmed_usage.get_mut(&summary.group) else {
             return;
         };
-        if let Some(unconfirmed) = pool.get_mut(&summary.group.workspace) {
-            *unconfirmed = unconfirmed.minus(summary.unconfirmed_usage);
-            if *unconfirmed == ResourceVector::default() {
-                pool.remove(&summary.group.workspace);
-            }
-        }
-        if pool.is_empty() {
-            self.unconfirmed_usage.remove(&summary.pool);
+        *unconfirmed = unconfirmed.minus(summary.unconfirmed_usage);
+        if *unconfirmed == ResourceVector::default() {
+            self.unconfirmed_usage.remove(&summary.group);
         }
     }
 
     fn remove_backlog(&mut self, summary: &JobSummary) {
-        let key = (summary.pool.clone(), summary.group.inherited);
-        let Some(backlog) = self.backlogs.get_mut(&key) else {
+        let Some(pool) = self.backlogs.get_mut(&summary.pool) else {
             return;
         };
-        *backlog = backlog.minus(summary.backlog);
-        if *backlog == PoolBacklog::default() {
-            self.backlogs.remove(&key);
+        if let Some(backlog) = pool.get_mut(&summary.group.inherited_pools) {
+            *backlog = backlog.minus(summary.backlog);
+            if *backlog == PoolBacklog::default() {
+                pool.remove(&summary.group.inherited_pools);
+            }
+        }
+        if pool.is_empty() {
+            self.backlogs.remove(&summary.pool);
         }
     }
 
--- a/crates/decide/src/work/job_summary.rs
+++ b/crates/decide/src/work/job_summary.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use compact_str::CompactString;
 use model::{
     BootTime, PoolId, WorkspaceId,
@@ -20,8 +22,29 @@
 pub(super) struct WaitingGroup {
     /// Workspace whose limit applies.
     pub(super) workspace: WorkspaceId,
-    /// Whether a predecessor may have started tasks of these steps.
-    pub(super) inherited: bool,
+    /// Pools in which predecessors may have started tasks of these steps, in ascending order; empty
+    /// if no predecessor knew their jobs.
+    pub(super) inherited_pools: Vec<PoolId>,
+}
+
+impl WaitingGroup {
+    fn of_job(job: &WorkJob) -> Self {
+        let inherited_pools = job.recorded_pools.iter().filter(|_| job.inherited);
+        Self {
+            workspace: job.workspace.clone(),
+            inherited_pools: inherited_pools.cloned().collect(),
+        }
+    }
+}
+
+/// Returns true if tasks that predecessors started in `inherited_pools` may run on targets that have
+/// not been polled yet; `unpolled_pools` are the pools of these targets.
+pub(super) fn may_run_unseen(
+    inherited_pools: &[PoolId],
+    unpolled_pools: &BTreeSet<PoolId>,
+) -> bool {
+    let mut pools = inherited_pools.iter();
+    pools.any(|pool| unpolled_pools.contains(pool))
 }
 
 /// Number of unstarted tasks of the open jobs of a pool, including tasks of steps that wait for
@@ -89,10 +112,7 @@
             pool: job.pool.clone(),
             ..Self::default()
         };
-        summary.group = WaitingGroup {
-            workspace: job.workspace.clone(),
-            inherited: job.inherited,
-        };
+        summary.group = WaitingGroup::of_job(job);
         // Tasks of a cancelled or failed job may run on until they are stopped on their targets.
         if job.inherited && job.phase != WorkPhase::Completed {
             summary.unconfirmed_usage = unconfirmed_usage(job);
@@ -143,7 +163,8 @@
                     self.demand.present += cpu;
                 }
                 let all_placed = (state.done + state.placed) as usize >= state.tasks.len();
-                if all_placed || job.phase == WorkPhase::CancelPending {
+                let may_start = job.phase != WorkPhase::CancelPending && job.is_pool_recorded();
+                if all_placed || !may_start {
                     continue;
                 }
                 let (rank, until) =
@@ -176,7 +197,7 @@
         let is_new = |step: &WaitingStep| !before.waiting_steps.contains(step);
         self.waiting_steps.iter().any(is_new)
             || before.pool != self.pool
-            || before.group.inherited != self.group.inherited
+            || before.group.inherited_pools != self.group.inherited_pools
     }
 }
 
--- a/crates/decide/src/work/job_table.rs
+++ b/crates/decide/src/work/job_table.rs
@@ -5,12 +5,12 @@
 };
 
 use model::{
-    BootTime, HostId, JobId,
+    BootTime, HostId, JobId, PoolId,
     work::{ResourceVector, TaskKey},
 };
 use wire::work::{
-    HostOrdered, JobEnd, JobPhase, JobRecord, LogEntry, StepEnds, TargetMiss, TargetUse, TaskEnd,
-    WaveProgress, log_entry::Event,
+    HostOrdered, JobEnd, JobPhase, JobRecord, LogEntry, QueueMove, StepEnds, TargetMiss, TargetUse,
+    TaskEnd, WaveProgress, log_entry::Event,
 };
 
 use super::{
@@ -75,15 +75,23 @@
             Some(Event::HandedOver(_)) => self.handed_over = true,
             Some(Event::Closed(end)) => self.apply_job_end(end, boot),
             Some(Event::StepEnds(ends)) => self.apply_step_ends(ends, boot),
+            Some(Event::QueueMoved(moved)) => self.apply_queue_move(moved),
             // An entry of a newer version of the log format.
             None => {}
         }
     }
 
-    /// Adds an accepted job; does nothing if the id is known.
+    /// Adds an accepted job; of a job that is known, only the pools are added.
     pub fn accept(&mut self, record: &JobRecord, unix: Duration, boot: BootTime) {
         let id = JobId::from(record.job.as_str());
+        let pools = record.former_pools.iter().chain([&record.pool]);
+        let pools = pools.map(|pool| PoolId::from(pool.as_str()));
         if self.jobs.contains_key(&id) {
+            // While a compacted log replaces the old pages, the page with the job's acceptance may
+            // still exist without those of later moves.
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.recorded_pools.extend(pools);
+            }
             return;
         }
         let accepted = Duration::from_millis(record.accepted_unix_ms);
@@ -93,6 +101,7 @@
             plan: Arc::new(plan_of_record(record)),
             queue: record.queue.as_str().into(),
             pool: record.pool.as_str().into(),
+            recorded_pools: pools.collect(),
             workspace: record.workspace.as_str().into(),
             accepted,
             arrived: boot.saturating_sub(age),
@@ -297,6 +306,20 @@
         self.end_job(&end.job, phase, boot);
     }
 
+    /// Records that tasks of a queue's jobs may be started in another pool.
+    fn apply_queue_move(&mut self, moved: &QueueMove) {
+        for id in &self.open {
+            if self
+                .jobs
+                .get(id)
+                .is_some_and(|job| job.queue == moved.queue)
+                && let Some(job) = self.jobs.get_mut(id)
+            {
+                job.recorded_pools.insert(moved.pool.as_str().into());
+            }
+        }
+    }
+
     fn apply_step_ends(&mut self, ends: &StepEnds, boot: BootTime) {
         for &index in &ends.done {
             let end = TaskEnd {
--- a/crates/decide/src/work/scheduler_action.rs
+++ b/crates/decide/src/work/scheduler_action.rs
@@ -1,7 +1,8 @@
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
+use compact_str::CompactString;
 use model::{
-    HostId, JobId,
+    HostId, JobId, PoolId,
     work::{AttemptNumber, StartOrder, StopOrder, TaskKey, ThrottleOrder},
 };
 use wire::work::LogEntry;
@@ -91,6 +92,11 @@
     TargetUnreachable(HostId, usize),
     /// A target has become unresponsive.
     TargetUnresponsive(HostId),
+    /// A queue with open jobs was moved to another pool.
+    QueueMoved(CompactString, PoolId),
+    /// Jobs of predecessors that may have tasks in these pools wait until all targets there have been
+    /// polled. Empty once no job waits for that.
+    UnpolledPools(BTreeSet<PoolId>),
     /// Many of this number of listed targets are unresponsive at once, so none is given up for now.
     MassUnresponsive(usize),
 }
--- a/crates/decide/src/work/scheduler_admit.rs
+++ b/crates/decide/src/work/scheduler_admit.rs
@@ -64,8 +64,7 @@
     /// Tasks that wait for a pool. While a predecessor's targets have not been polled yet, its jobs
     /// wait for that, and other jobs go ahead of them.
     pub(super) fn backlog(&self, pool: &PoolId) -> PoolBacklog {
-        let inherited = !self.index.unpolled_pools.contains(pool);
-        self.index.jobs.backlog(pool, inherited)
+        self.index.jobs.backlog(pool, &self.index.unpolled_pools)
     }
 
     /// Weight of a workspace; zero if it has none.
--- a/crates/decide/src/work/scheduler_plan.rs
+++ b/crates/decide/src/work/scheduler_plan.rs
@@ -6,8 +6,8 @@
 use model::{BootTime, PoolId, WorkspaceId, work::ResourceVector};
 
 use super::{
-    SchedulerTime, WorkCounters, WorkScheduler,
-    job_summary::WaitingGroup,
+    SchedulerEvent, SchedulerTime, WorkCounters, WorkScheduler,
+    job_summary::{WaitingGroup, may_run_unseen},
     ranked_steps::{RankedSteps, StepFilter, StepRank, WaitingStep},
     step_key::StepKey,
 };
@@ -29,7 +29,8 @@
 #[derive(Debug, Default)]
 struct StartPlan {
     pools: BTreeSet<PoolId>,
-    /// Pools whose inherited jobs have to wait because targets have not been polled yet.
+    /// Pools with targets that have not been polled yet. Inherited jobs that may have tasks there
+    /// have to wait.
     unpolled_pools: BTreeSet<PoolId>,
     /// What workspaces may have running on targets that have not been polled yet.
     unconfirmed_usage: BTreeMap<WorkspaceId, ResourceVector>,
@@ -115,6 +116,7 @@
             // What may run there counted against the limits in all pools.
             pools.extend(self.index.jobs.pools().cloned());
             self.index.unpolled_pools.clone_from(&unpolled_pools);
+            self.emit(SchedulerEvent::UnpolledPools(unpolled_pools.clone()));
         }
         StartPlan {
             pools,
@@ -135,11 +137,10 @@
         self.measure_free_capacity(plan, now);
         self.measure_turns(plan, now);
         for pool in &plan.pools {
-            let is_unpolled = plan.unpolled_pools.contains(pool);
             let turns = plan.turns.get(pool);
             let mut first: Option<NextStep<'_>> = None;
             for (group, ranked) in self.index.jobs.waiting_groups(pool) {
-                if group.inherited && is_unpolled {
+                if may_run_unseen(&group.inherited_pools, &plan.unpolled_pools) {
                     continue;
                 }
                 let found = self.next_startable_step(plan, pool, group, ranked);
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -1,4 +1,8 @@
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use compact_str::CompactString;
 use model::{
@@ -33,8 +37,10 @@
     pub plan: Arc<JobPlan>,
     /// Queue that it was submitted to.
     pub queue: CompactString,
-    /// Pool whose targets run it.
+    /// Pool in which its tasks are started.
     pub pool: PoolId,
+    /// Pools in which its tasks may have been started, as the log records them.
+    pub recorded_pools: BTreeSet<PoolId>,
     /// Workspace whose limit it counts against.
     pub workspace: WorkspaceId,
     /// When it was accepted, since the Unix epoch.
@@ -256,6 +262,13 @@
             })
     }
 
+    /// Returns true if the log records that its tasks may be started in its pool.
+    ///
+    /// Until then no task is started there: a successor would not look for it in that pool.
+    pub fn is_pool_recorded(&self) -> bool {
+        self.recorded_pools.contains(&self.pool)
+    }
+
     /// Returns true until the job has ended.
     pub fn is_open(&self) -> bool {
         matches!(self.phase, WorkPhase::Open | WorkPhase::CancelPending)
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -8,7 +8,7 @@
     BootTime, DataCentreId, HostId, JobId, PoolId, WorkspaceId,
     work::{FencingToken, FleetPolicy, ResourceVector, TargetEntry},
 };
-use wire::work::{JobPhase, JobRecord, LogEntry, TargetUse, log_entry::Event};
+use wire::work::{JobPhase, JobRecord, LogEntry, QueueMove, TargetUse, log_entry::Event};
 
 use super::{
     EndOrigin, FairOrder, HostDrainState, JobTable, LogAppend, OfferedWork, PoolCores,
@@ -163,11 +163,18 @@
 
     /// Replaces the settings of pools, queues and workspaces.
     pub fn set_policy(&mut self, policy: Arc<FleetPolicy>) {
+        let mut moved_queues = BTreeMap::new();
         for job in self.job_table.jobs.values_mut() {
             if let Some(queue) = policy.queue(&job.queue) {
                 job.pool = queue.pool.clone();
+                if job.is_open() && !job.is_pool_recorded() {
+                    moved_queues.insert(queue.name.clone(), queue.pool.clone());
+                }
             }
         }
+        for (queue, pool) in moved_queues {
+            self.record_queue_move(&queue, &pool);
+        }
         let limited = policy.workspaces.iter();
         let limited = limited.filter(|space| space.limit != ResourceVector::default());
         self.index.limits = limited
@@ -262,7 +269,9 @@
                     target.recorded = true;
                 }
             }
-            Some(Event::Released(_) | Event::Wave(_) | Event::Ordered(_)) => {
+            Some(
+                Event::Released(_) | Event::Wave(_) | Event::Ordered(_) | Event::QueueMoved(_),
+            ) => {
                 self.job_table.apply(&order.entry, now.unix, now.boot);
             }
             _ => {}
@@ -297,6 +306,17 @@
         }));
     }
 
+    /// Records that tasks of a queue's jobs may be started in another pool, before the first one is.
+    /// A successor would otherwise look for them in the earlier pools only.
+    fn record_queue_move(&mut self, queue: &str, pool: &PoolId) {
+        self.emit(SchedulerEvent::QueueMoved(queue.into(), pool.clone()));
+        let moved = QueueMove {
+            queue: queue.to_owned(),
+            pool: pool.to_string(),
+        };
+        self.append_log_entry(Event::QueueMoved(moved), None, None);
+    }
+
     /// Records that tasks may run on a target, before the first one is started there. After a
     /// failure of this process, its successor would otherwise not know of a target that has left
     /// the host list while its tasks keep running.
--- a/crates/decide/tests/harness/mod.rs
+++ b/crates/decide/tests/harness/mod.rs
@@ -13,13 +13,14 @@
 mod world_faults;
 mod world_list;
 mod world_log;
+mod world_moves;
 mod world_requests;
 mod world_target;
 
 pub use fleet_fixture::{FleetFixture, STANDBY};
 pub use scheduler_fixture::{
-    POOL, QUEUE, RESTARTED_AT, SchedulerFixture, WORKSPACE, end_report, long_running_pair, plan,
-    policy_with_limit, restarted_target, run_report, step, target,
+    OTHER_POOL, POOL, QUEUE, RESTARTED_AT, SchedulerFixture, WORKSPACE, end_report,
+    long_running_pair, plan, policy_with_limit, restarted_target, run_report, step, target,
 };
 pub use world::Simulation;
 pub use world_faults::WorldFaults;
--- a/crates/decide/tests/harness/scheduler_fixture.rs
+++ b/crates/decide/tests/harness/scheduler_fixture.rs
@@ -1,7 +1,8 @@
 use std::{sync::Arc, time::Duration};
 
 use decide::work::{
-    HostDrainState, SchedulerAction, SchedulerTime, SchedulerTuning, WorkScheduler, record_of_plan,
+    HostDrainState, LogAppend, SchedulerAction, SchedulerTime, SchedulerTuning, WorkScheduler,
+    record_of_plan,
 };
 use model::{
     BootTime, HostId,
@@ -32,6 +33,8 @@
 pub const POOL: &str = "pool";
 pub const QUEUE: &str = "queue";
 pub const WORKSPACE: &str = "space";
+/// A second pool, to which no queue belongs at first.
+pub const OTHER_POOL: &str = "other-pool";
 
 impl SchedulerFixture {
     pub fn new(token: u64) -> Self {
@@ -75,6 +78,7 @@
             fixture.scheduler.replay(entry, fixture.now);
         }
         fixture.scheduler.finish_replay(fixture.now);
+        fixture.scheduler.set_policy(self.scheduler.policy.clone());
         fixture
     }
 
@@ -101,10 +105,7 @@
                     SchedulerAction::AppendLog(record) if self.store_down => {
                         self.other_actions.push(SchedulerAction::AppendLog(record));
                     }
-                    SchedulerAction::AppendLog(record) => {
-                        self.stored.push(record.entry.clone());
-                        self.scheduler.handle_stored_entry(&record, self.now);
-                    }
+                    SchedulerAction::AppendLog(record) => self.store_entry(&record),
                     SchedulerAction::Start(id, start) => self.starts.push((id, start)),
                     other => self.other_actions.push(other),
                 }
@@ -112,6 +113,22 @@
         }
     }
 
+    /// Makes the store available again, which stores the entries that wait for it.
+    pub fn store_pending(&mut self) {
+        self.store_down = false;
+        for action in std::mem::take(&mut self.other_actions) {
+            match action {
+                SchedulerAction::AppendLog(record) => self.store_entry(&record),
+                other => self.other_actions.push(other),
+            }
+        }
+    }
+
+    fn store_entry(&mut self, record: &LogAppend) {
+        self.stored.push(record.entry.clone());
+        self.scheduler.handle_stored_entry(record, self.now);
+    }
+
     pub fn list_target(&mut self, id: &str, cpu: u64) {
         self.scheduler.upsert_target(target(id, cpu), self.now);
         self.run_planning();
@@ -209,6 +226,30 @@
         self.stored = self.scheduler.job_table.compacted_entries();
     }
 
+    /// Lets a pool run the queue from now on.
+    pub fn move_queue(&mut self, pool: &str) {
+        let mut policy = FleetPolicy::clone(&self.scheduler.policy);
+        policy.revision += 1;
+        policy.pools = [POOL, OTHER_POOL].map(pool_policy).to_vec();
+        policy
+            .queues
+            .iter_mut()
+            .for_each(|queue| queue.pool = pool.into());
+        self.scheduler.set_policy(Arc::new(policy));
+        self.run_planning();
+    }
+
+    /// Lists a target of a pool and reports it as idle, so that it can receive tasks.
+    pub fn add_pool_target(&mut self, id: &str, cpu: u64, pool: &str) {
+        let entry = TargetEntry {
+            pool: pool.into(),
+            ..target(id, cpu)
+        };
+        self.scheduler.upsert_target(entry, self.now);
+        self.run_planning();
+        self.report_idle(id);
+    }
+
     /// Sets the weight of the workspace.
     pub fn set_workspace_weight(&mut self, weight: u32) {
         let mut policy = FleetPolicy::clone(&self.scheduler.policy);
@@ -321,6 +362,13 @@
     policy_with_limit(8000)
 }
 
+fn pool_policy(pool: &str) -> PoolPolicy {
+    PoolPolicy {
+        name: pool.into(),
+        ..PoolPolicy::default()
+    }
+}
+
 /// Policy of one pool, one queue and one workspace with a limit in thousandths of a core.
 pub fn policy_with_limit(cpu: u64) -> FleetPolicy {
     FleetPolicy {
@@ -332,10 +380,7 @@
             slack_factor: 2.0,
             ..QueuePolicy::default()
         }],
-        pools: vec![PoolPolicy {
-            name: POOL.into(),
-            ..PoolPolicy::default()
-        }],
+        pools: vec![pool_policy(POOL)],
         workspaces: vec![WorkspacePolicy {
             name: WORKSPACE.into(),
             limit: ResourceVector {
--- a/crates/decide/tests/harness/world.rs
+++ b/crates/decide/tests/harness/world.rs
@@ -1,12 +1,16 @@
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
     time::Duration,
 };
 
 use decide::work::{
     SchedulerAction, SchedulerEvent, SchedulerTime, SchedulerTuning, WorkScheduler, record_of_plan,
 };
-use model::{BootTime, HostId, work::JobPlan, work::TaskKey};
+use model::{
+    BootTime, HostId,
+    work::{FleetPolicy, JobPlan, TaskKey},
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use wire::work::JobRecord;
 
@@ -49,6 +53,8 @@
     pub(super) host_list: HostList,
     /// Data centres that operators have drained.
     pub(super) drains: DrainRequests,
+    /// Policy in the store.
+    pub(super) policy: Arc<FleetPolicy>,
     pub(super) log: StoredLog,
     pub(super) delayed_writes: Vec<DelayedWrite>,
     /// Start and end of a store outage.
@@ -99,6 +105,8 @@
     pub(super) writer: LogWriter,
     pub(super) list_watch: ListWatch,
     pub(super) drain_watch: DrainWatch,
+    /// Revision of the policy that it has read last.
+    pub(super) policy_revision: u64,
 }
 
 impl Simulation {
@@ -127,6 +135,7 @@
             targets: names.map(new_target).collect(),
             host_list: HostList::default(),
             drains: DrainRequests::default(),
+            policy: Arc::new(policy_with_limit(LIMIT)),
             log: StoredLog::default(),
             delayed_writes: Vec::new(),
             store_outage: None,
@@ -293,7 +302,7 @@
             scheduler.replay(entry, self.now);
         }
         scheduler.finish_replay(self.now);
-        scheduler.set_policy(std::sync::Arc::new(policy_with_limit(LIMIT)));
+        scheduler.set_policy(self.policy.clone());
         self.owners.push(SimOwner {
             scheduler,
             token: self.current_token,
@@ -306,6 +315,7 @@
             writer: LogWriter::open(&self.log),
             list_watch: ListWatch::default(),
             drain_watch: DrainWatch::default(),
+            policy_revision: self.policy.revision,
         });
         self.next_election = None;
         self.record_core_event(&format!("owner {} begins", self.current_token));
@@ -373,6 +383,7 @@
             self.apply_host_list(owner);
         }
         self.deliver_drains(owner);
+        self.deliver_policy(owner);
         if !self.write_log(owner) {
             return false;
         }
@@ -437,7 +448,7 @@
                 .get(name)
                 .map(|known| known.incarnation.started_at);
             if state.listed && (!listed || (state.up && known != Some(state.listed_start))) {
-                let mut entry = entry_of(name);
+                let mut entry = entry_of(name, self.faults);
                 entry.started_at = state.listed_start;
                 owner.scheduler.upsert_target(entry, self.now);
             } else if !state.listed && listed {
--- a/crates/decide/tests/harness/world_drain.rs
+++ b/crates/decide/tests/harness/world_drain.rs
@@ -6,6 +6,7 @@
 use super::{
     target,
     world::{CAPACITY, SimOwner, Simulation, TICK},
+    world_faults::WorldFaults,
 };
 
 /// Time after which no start may arrive in a drained data centre.
@@ -51,9 +52,10 @@
 }
 
 /// Entry of a target in one of two data centres.
-pub(super) fn entry_of(name: &HostId) -> TargetEntry {
+pub(super) fn entry_of(name: &HostId, faults: WorldFaults) -> TargetEntry {
     TargetEntry {
         data_centre: data_centre_of(name),
+        pool: faults.pool_of(name),
         ..target(name, CAPACITY)
     }
 }
--- a/crates/decide/tests/harness/world_faults.rs
+++ b/crates/decide/tests/harness/world_faults.rs
@@ -30,6 +30,8 @@
     pub lost_writes: f64,
     /// Drains of a data centre by operators, which last for some seconds.
     pub drains: f64,
+    /// Whether the targets belong to two pools, between which operators move the queue.
+    pub queue_moves: bool,
     /// Whether the log is compacted often.
     pub short_log: bool,
     /// Whether calls in flight to a target are limited and further ones are queued.
@@ -52,6 +54,7 @@
         store_outage: 0.0,
         lost_writes: 0.0,
         drains: 0.0,
+        queue_moves: false,
         short_log: false,
         lanes: false,
         lists: false,
@@ -84,6 +87,7 @@
     /// Removes the faults that are drawn at random, and keeps the modes.
     pub(super) fn without_new_faults(self) -> Self {
         Self {
+            queue_moves: self.queue_moves,
             short_log: self.short_log,
             lanes: self.lanes,
             lists: self.lists,
@@ -114,6 +118,7 @@
             self.next_election = Some(now + OWNER_LEASE);
             self.record_core_event("the owner is partitioned");
         }
+        self.draw_queue_move();
         self.draw_target_faults();
         let probability = self.faults.store_outage * super::world::TICK.as_secs_f64();
         if self.store_outage.is_none() && self.extra_rng.random::<f64>() < probability {
--- a/crates/decide/tests/harness/world_list.rs
+++ b/crates/decide/tests/harness/world_list.rs
@@ -110,7 +110,7 @@
                 let entry = TargetEntry {
                     address: state.address.as_str().into(),
                     started_at: state.started_at,
-                    ..entry_of(name)
+                    ..entry_of(name, self.faults)
                 };
                 self.host_list.write(name, Some(entry), now);
                 events.push(format!(
--- a/crates/decide/tests/work_schedule.rs
+++ b/crates/decide/tests/work_schedule.rs
@@ -42,6 +42,9 @@
 #[case::drains(WorldFaults { drains: 0.2, ..WorldFaults::CALM })]
 #[case::drains_and_owners(WorldFaults { drains: 0.2, owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::CANCELS })]
 #[case::drains_and_lanes(WorldFaults { drains: 0.2, lanes: true, lost_calls: 0.15, late_calls: 0.1, lists: true, ..WorldFaults::LOG })]
+#[case::queue_moves(WorldFaults { queue_moves: true, ..WorldFaults::CALM })]
+#[case::queue_moves_and_owners(WorldFaults { queue_moves: true, owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::CANCELS })]
+#[case::queue_moves_and_lists(WorldFaults { queue_moves: true, short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
 #[case::everything(WorldFaults { short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
 fn scheduler_invariants_hold(#[case] faults: WorldFaults) {
     run_seeds(0..SEEDS, faults);
