Run an accepted job in the pool that the owner's policy names

A job that a process with an older policy passes on carries the former pool of its queue, and the owner ran it there until the policy changed again, on targets to which no queue leads any more.

Found by reading the related paths of a queue that moves; the test accepted_job_follows_policy failed before. successor_starts_new_job_of_moved_queue rests on it as well. The owner now assigns the pool once the job is stored, and records the move as for any other job, so nothing starts in a pool that the log does not name.

--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use model::{
     BootTime, HostId, JobId, PoolId, WorkspaceId,
-    work::{AttemptNumber, JobPlan, ResourceVector, StepPlan, TaskKey},
+    work::{AttemptNumber, FleetPolicy, JobPlan, ResourceVector, StepPlan, TaskKey},
 };
 
 /// State of a job.
@@ -262,6 +262,13 @@
             })
     }
 
+    /// Sets the pool to that of the job's queue, if the policy has the queue.
+    pub(super) fn follow_policy(&mut self, policy: &FleetPolicy) {
+        if let Some(queue) = policy.queue(&self.queue) {
+            self.pool.clone_from(&queue.pool);
+        }
+    }
+
     /// Returns true if the log records that its tasks may be started in its pool.
     ///
     /// Until then no task is started there: a successor would not look for it in that pool.
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -165,11 +165,9 @@
     pub fn set_policy(&mut self, policy: Arc<FleetPolicy>) {
         let mut moved_queues = BTreeMap::new();
         for job in self.job_table.jobs.values_mut() {
-            if let Some(queue) = policy.queue(&job.queue) {
-                job.pool = queue.pool.clone();
-                if job.is_open() && !job.is_pool_recorded() {
-                    moved_queues.insert(queue.name.clone(), queue.pool.clone());
-                }
+            job.follow_policy(&policy);
+            if job.is_open() && !job.is_pool_recorded() {
+                moved_queues.insert(job.queue.clone(), job.pool.clone());
             }
         }
         for (queue, pool) in moved_queues {
@@ -199,6 +197,12 @@
             // The caller has been waiting since its first attempt, which may have been refused.
             job.arrived = first_offer.map_or(job.arrived, |first| first.min(job.arrived));
             job.open_due_occurrences(now.unix, now.boot, early_start);
+            // The process that passed the job on may have an older policy.
+            job.follow_policy(&self.policy);
+            if !job.is_pool_recorded() {
+                let (queue, pool) = (job.queue.clone(), job.pool.clone());
+                self.record_queue_move(&queue, &pool);
+            }
         }
     }
 
--- a/crates/decide/tests/work_moved_queues.rs
+++ b/crates/decide/tests/work_moved_queues.rs
@@ -169,3 +169,26 @@
     assert_eq!(owner.starts.len(), 1);
     assert_eq!(owner.starts[0].0, "o1");
 }
+
+/// A job that the successor accepted has run nowhere, so it waits for no target.
+#[test]
+fn successor_starts_new_job_of_moved_queue() {
+    let (owner, _) = owner_with_moved_job(vec![step(1, 1000)]);
+    let mut successor = successor_before_poll(&owner);
+    successor.submit("b", &plan(vec![step(1, 1000)]));
+    successor.advance(TICK);
+    assert_eq!(successor.starts.len(), 1);
+    assert_eq!(successor.starts[0].0, "o1");
+}
+
+/// pool until the policy changes again.
+#[test]
+fn accepted_job_follows_policy() {
+    let mut owner = SchedulerFixture::new(1);
+    owner.add_target("t1", 8000);
+    owner.add_pool_target("o1", 8000, OTHER_POOL);
+    owner.move_queue(OTHER_POOL);
+    owner.submit("a", &plan(vec![step(1, 1000)]));
+    assert_eq!(owner.starts.len(), 1);
+    assert_eq!(owner.starts[0].0, "o1");
+}
