Keep the members of a gang until all targets that may run the others are polled

After a change of the owner the progress of a gang was lost: its successor had found one member, took the gang for incomplete and stopped that member, while the other one ran on a target that no poll had reached yet.

Found by going through the decisions of a successor that rest on all targets having been polled. The test successor_keeps_gang_until_polled failed before, with one stop; successor_stops_gang_once_polled holds the other side. An incomplete gang is left alone while any pool that may run its job has such a target, as its starts are.

--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -216,10 +216,13 @@
     }
 
     /// Stops the members of a gang of which some are missing. They would only wait for the others
-    /// until their target ends them, and a gang starts as a whole.
+    /// until their target ends them, and a gang starts as a whole. Members that a predecessor
+    /// started may run on targets that have not been polled yet.
     fn stop_incomplete_gangs(&mut self, now: SchedulerTime) {
+        let unpolled_pools = self.index.targets.unknown_pools();
         let gangs = self.index.jobs.gangs.iter();
         let gangs = gangs.filter_map(|id| self.job_table.jobs.get(id));
+        let gangs = gangs.filter(|job| !job.may_run_unseen(&unpolled_pools));
         let tasks = gangs.flat_map(super::WorkJob::tasks);
         let members: Vec<(HostId, RunKey)> = tasks
             .filter(|(key, plan, _)| plan.gang && self.is_incomplete_gang(key))
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -276,6 +276,12 @@
         self.recorded_pools.contains(&self.pool)
     }
 
+    /// Returns true if tasks that predecessors started may run on targets that have not been polled
+    /// yet; `unpolled_pools` are the pools of these targets.
+    pub(super) fn may_run_unseen(&self, unpolled_pools: &BTreeSet<PoolId>) -> bool {
+        self.inherited && !self.recorded_pools.is_disjoint(unpolled_pools)
+    }
+
     /// Returns true until the job has ended.
     pub fn is_open(&self) -> bool {
         matches!(self.phase, WorkPhase::Open | WorkPhase::CancelPending)
--- a/crates/decide/tests/work_takeover.rs
+++ b/crates/decide/tests/work_takeover.rs
@@ -6,7 +6,10 @@
 
 use decide::call_budget::CallClass;
 use harness::{SchedulerFixture, end_report, long_running_pair, plan, run_report, step};
-use model::work::{EndKind, PollAnswer};
+use model::{
+    HostId,
+    work::{EndKind, PollAnswer, StartOrder, StepPlan},
+};
 
 /// Guards against restarting running tasks after an owner was killed: the successor replays the
 /// log, polls the target and finds the runs. Treating them as unwanted would stop them and start
@@ -197,6 +200,48 @@
     assert_eq!(second.stop_count(), 1);
 }
 
+/// A successor that has polled no target, and the starts of a gang of two on two targets.
+fn successor_of_gang_owner() -> (SchedulerFixture, Vec<(HostId, StartOrder)>) {
+    let mut first = SchedulerFixture::new(1);
+    first.add_target("t1", 4000);
+    first.add_target("t2", 4000);
+    let gang = StepPlan {
+        gang: true,
+        ..step(2, 3000)
+    };
+    first.submit("a", &plan(vec![gang]));
+    let starts = first.confirm_starts();
+    assert_eq!(starts.len(), 2);
+    let mut second = first.successor(9);
+    second.list_target("t1", 4000);
+    second.list_target("t2", 4000);
+    (second, starts)
+}
+
+/// Guards against losing the progress of a gang: the successor has polled the target of one member,
+/// takes the gang for incomplete and stops that member, while the other one runs on a target that
+/// has not been polled.
+#[test]
+fn successor_keeps_gang_until_polled() {
+    let (mut second, starts) = successor_of_gang_owner();
+    for (id, start) in &starts {
+        second.report(id, vec![run_report(start)], Vec::new());
+        second.advance(Duration::from_millis(50));
+        assert_eq!(second.stop_count(), 0);
+    }
+}
+
+/// Guards against a member that runs alone for good: the other one is not on any target.
+#[test]
+fn successor_stops_gang_once_polled() {
+    let (mut second, starts) = successor_of_gang_owner();
+    let (id, start) = &starts[0];
+    second.report(id, vec![run_report(start)], Vec::new());
+    second.report_idle(&starts[1].0);
+    second.advance(Duration::from_millis(50));
+    assert_eq!(second.stop_count(), 1);
+}
+
 /// A job accepted by the successor can't run anywhere yet, so it must not wait for a target that
 /// has not been polled.
 #[test]
