Let a gang that does not fit hold up nothing else

While a gang that does not fit on the free targets was first in order, nothing started in its pool, though targets were free.

Cause: the members of the gang claim targets one by one, and if not all find one, the claims are released. The index of free targets was updated with the claims but not with their release, so that the next steps of the pass saw what the gang had claimed as used; the pass marked their sizes as unplaceable and ended, and each later pass went the same way.

The test gang_without_room_holds_up_nothing failed before. The index is updated after the release, as it is after each start.

--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -80,6 +80,8 @@
                 self.release_claim(&id, &run);
                 self.clear_placement(&id, &run);
             }
+            // The steps that are tried next can use the capacity.
+            self.sync_target_index(now.boot);
             return no_start;
         }
         if plan.long_running {
