Poll unreachable targets although nothing runs on them

A target that could not be reached for a moment got no more work for as long as its owner owned the cell, and jobs waited while it stood idle.

After a failed call the target is recorded as unreachable and gets no starts until it answers; but a target without runs is polled only for ends that are to be acknowledged. So an idle one was never asked again. A start that is not sent, because there is no connection, leaves its target in just that state.

The test unreachable_idle_target_is_polled failed before; reachable_idle_target_is_not_polled holds that idle targets cost no polls otherwise.

--- a/crates/decide/src/work/scheduler_report.rs
+++ b/crates/decide/src/work/scheduler_report.rs
@@ -26,9 +26,12 @@
             return None;
         }
         let has_clock = target.incarnation.clock.is_some();
+        // Nothing may be started on an unreachable target until it answers, so nothing else shows
+        // whether it does.
         if target.incarnation.token_seen
             && has_clock
             && !busy
+            && !target.unreachable_recorded
             && target.ackable_end() <= target.incarnation.last_acked_end
         {
             return None;
--- a/crates/decide/tests/work_unreachable.rs
+++ b/crates/decide/tests/work_unreachable.rs
@@ -6,7 +6,7 @@
 
 use decide::work::SchedulerAction;
 use harness::{SchedulerFixture, plan, run_report, step};
-use model::work::StartOrder;
+use model::work::{StartAnswer, StartOrder};
 
 /// Lease, the margins after it, and one tick.
 const LEASE_EXPIRY: Duration = Duration::from_millis(8500);
@@ -101,3 +101,30 @@
     scene.advance(Duration::from_millis(100));
     assert!(scene.starts.is_empty());
 }
+
+/// Guards against a target that is lost for the rest of a term: a start could not be sent to it, and
+/// as nothing runs there, nothing asked whether it is reachable again.
+#[test]
+fn unreachable_idle_target_is_polled() {
+    let mut scene = SchedulerFixture::with_job(1000, vec![step(1, 1000)]);
+    let (id, start) = scene.starts.remove(0);
+    let not_sent = StartAnswer::NotSent("no connection".to_owned());
+    let now = scene.now;
+    scene
+        .scheduler
+        .handle_start_answer(&id, &start.task, start.attempt, &not_sent, now);
+    scene.run_planning();
+    assert!(scene.scheduler.poll_class(&id, scene.now).is_some());
+    scene.advance(Duration::from_secs(1));
+    scene.report_idle("t1");
+    scene.advance(Duration::from_millis(50));
+    assert_eq!(jobs_of(&scene.starts), ["a"]);
+}
+
+/// An idle target that answers costs no polls.
+#[test]
+fn reachable_idle_target_is_not_polled() {
+    let mut scene = SchedulerFixture::new(1);
+    scene.add_target("t1", 1000);
+    assert_eq!(scene.scheduler.poll_class(&"t1".into(), scene.now), None);
+}
