Stop a long-running task only if its new pool has room for it

Where operators had moved a queue, a long-running task that had to leave its host was stopped as soon as its former pool had room for it. It starts again in the new pool only, so its service could be without it.

Found by going through the decisions that look at a task's target instead of its job. The test evacuate_moved_task_needs_room_in_new_pool failed before, with stops while the new pool had no target. Evacuation now asks for the pool of the job, and so does the replacement host that is provided for a stranded task.

--- a/crates/decide/src/work/scheduler_evacuate.rs
+++ b/crates/decide/src/work/scheduler_evacuate.rs
@@ -22,7 +22,7 @@
 /// off takes two seconds to boot and half a second more to be listed.
 const EVACUATION_WAIT: Duration = Duration::from_secs(3);
 
-/// A long-running task on a draining host that fits on no other host of its pool.
+/// A long-running task on a draining host that fits on no other host of its job's pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct StrandedTask {
     /// Since when the pool has such a task.
@@ -53,11 +53,14 @@
             if !leaving && !is_host_drained && !target.data_centre_drained {
                 continue;
             }
-            let (id, pool) = (&target.entry.target, &target.entry.pool);
+            let id = &target.entry.target;
             for (run, claim) in &target.claims {
-                if !self.is_long_running(run) {
+                let job = self.job_table.jobs.get(&run.0.job);
+                let Some(job) = job.filter(|_| self.is_long_running(run)) else {
                     continue;
-                }
+                };
+                // The task starts again in the pool that its queue belongs to now.
+                let pool = &job.pool;
                 if self.is_running(id, run) {
                     stops.push((
                         id.clone(),
--- a/crates/decide/tests/work_moved_queues.rs
+++ b/crates/decide/tests/work_moved_queues.rs
@@ -7,7 +7,7 @@
 use harness::{
     OTHER_POOL, POOL, SchedulerFixture, end_report, long_running_pair, plan, run_report, step,
 };
-use model::work::{EndKind, StartOrder, StepPlan};
+use model::work::{EndKind, RunReport, StartOrder, StepPlan};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -192,3 +192,29 @@
     assert_eq!(owner.starts.len(), 1);
     assert_eq!(owner.starts[0].0, "o1");
 }
+
+/// Guards against a service without a task: operators moved its queue, and its task had to leave a
+/// host. It was stopped because its former pool had room, although only the new pool takes it.
+#[test]
+fn evacuate_moved_task_needs_room_in_new_pool() {
+    let (mut owner, starts) = owner_with_moved_job(vec![StepPlan {
+        long_running: true,
+        max_unavailable: 1,
+        ..step(1, 1000)
+    }]);
+    let at_work = RunReport {
+        percent: 100,
+        ..run_report(&starts[0])
+    };
+    owner.add_target("t2", 8000);
+    owner.start_draining("t1");
+    for _ in 0..20 {
+        owner.report("t1", vec![at_work.clone()], Vec::new());
+        owner.advance(Duration::from_millis(100));
+    }
+    assert_eq!(owner.stop_count(), 0, "no target of the new pool");
+    owner.add_pool_target("o1", 8000, OTHER_POOL);
+    owner.report("t1", vec![at_work], Vec::new());
+    owner.advance(TICK);
+    assert_eq!(owner.stop_count(), 1);
+}
