Measure how late the event loop is

An owner that lost its lease while its event loop was busy showed no cause: neither a line nor a metric told it from one whose process was suspended, whose store was slow, or whose link was cut.

Each process now probes its event loop ten times a second: lws_cell_loop_delay_seconds has the longest step, and loop-delayed tells of a delay of a quarter of the lease or more, with the processor time used meanwhile. The test long_step_shows_in_metrics failed before: there was no such metric.

--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -18,6 +18,7 @@
     election_promise::ElectionPromise,
     event,
     fleet_view::FleetView,
+    loop_watch::watch_loop,
     member_directory::MemberDirectory,
     metrics_service::MetricsService,
     owner_client::OwnerClient,
@@ -33,6 +34,9 @@
 /// memory.
 const METRICS_UPKEEP_INTERVAL: std::time::Duration = std::time::Duration::from_secs(5);
 
+/// A delay of the event loop is logged if it is at least the lease divided by this.
+const LOGGED_LEASE_FRACTION: u32 = 4;
+
 /// Everything that one process of the cell does, except for the protocol of callers.
 pub struct CellHost {
     options: Rc<CellOptions>,
@@ -102,6 +106,7 @@
                 self.options.member, self.options.peer_address, self.options.metrics_address
             ),
         );
+        tokio::task::spawn_local(watch_loop(self.options.owner_lease / LOGGED_LEASE_FRACTION));
         self.watch();
         let registering = self
             .members
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -27,6 +27,7 @@
 mod log_queue;
 mod log_reader;
 mod log_writer;
+mod loop_watch;
 mod member_directory;
 mod metric;
 mod metrics_service;
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -16,6 +16,8 @@
 pub(crate) const LOG_READ_SECONDS: &str = "lws_cell_log_read_seconds";
 /// By how much refused jobs would have been started too late.
 pub(crate) const EXCESS_SECONDS: &str = "lws_cell_excess_seconds";
+/// How late the event loop resumes a task that is due.
+pub(crate) const LOOP_DELAY_SECONDS: &str = "lws_cell_loop_delay_seconds";
 /// Writes of log pages, by outcome.
 pub(crate) const LOG_WRITES: &str = "lws_cell_log_writes";
 /// Orders to targets, by kind and outcome.
--- a/crates/store/src/boot_clock.rs
+++ b/crates/store/src/boot_clock.rs
@@ -20,10 +20,7 @@
 
 impl Clock for BootClock {
     fn boot_now(&self) -> BootTime {
-        let time = clock_gettime(ClockId::Boottime);
-        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
-        let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
-        Duration::new(seconds, nanos)
+        read_clock(ClockId::Boottime)
     }
 
     fn unix_now(&self) -> Duration {
@@ -32,3 +29,15 @@
             .unwrap_or_default()
     }
 }
+
+/// Returns the processor time that the calling thread has used.
+pub fn thread_processor_time() -> Duration {
+    read_clock(ClockId::ThreadCPUTime)
+}
+
+fn read_clock(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -20,7 +20,7 @@
 mod store_circuit;
 mod store_counts;
 
-pub use boot_clock::{BootClock, Clock};
+pub use boot_clock::{BootClock, Clock, thread_processor_time};
 pub use call_rate_limiter::CallRateLimiter;
 pub use host_list::{HostEntry, HostList, HostListError};
 pub use http_host_list::HttpHostList;
