Open of a schedule that is behind what can be started soon

Change: a job has open the occurrences of which a task has started, and beyond these at most as many as have 256 tasks, one at least; a submission opens one, and all schedules that are behind share 4,096 tasks a tick. Occurrences that are due and not open are only a number. A successor counts that number against the limit of the workspace until all targets are polled, since a predecessor may have started them. An occurrence that is opened late keeps the time at which it was due, so its rank is that of late work.

--- a/crates/decide/src/work/job_index.rs
+++ b/crates/decide/src/work/job_index.rs
@@ -164,6 +164,9 @@
         if let Some(ended) = summary.ended_at {
             self.ended.insert((ended, id.clone()));
         }
+        let group = &summary.context.group;
+        self.work
+            .add_unconfirmed_usage(group, summary.unopened_usage);
     }
 
     fn remove_summary(&mut self, id: &JobId, summary: &JobSummary) {
@@ -187,6 +190,9 @@
         if let Some(ended) = summary.ended_at {
             self.ended.remove(&(ended, id.clone()));
         }
+        let group = &summary.context.group;
+        self.work
+            .remove_unconfirmed_usage(group, summary.unopened_usage);
     }
 
     fn remove_anti_affinity_hosts(&mut self, summary: &JobSummary) {
--- a/crates/decide/src/work/job_summary.rs
+++ b/crates/decide/src/work/job_summary.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
 use compact_str::CompactString;
-use model::{BootTime, PoolId, WorkspaceId};
+use model::{BootTime, PoolId, WorkspaceId, work::ResourceVector};
 
 use super::{WorkJob, WorkPhase};
 
@@ -97,6 +97,9 @@
     pub(super) has_future_occurrences: bool,
     pub(super) has_gang: bool,
     pub(super) ended_at: Option<BootTime>,
+    /// Resources of the occurrences that are not open and of which predecessors may have started
+    /// tasks.
+    pub(super) unopened_usage: ResourceVector,
 }
 
 impl JobContext {
@@ -116,6 +119,7 @@
     pub(super) fn of_job(job: &WorkJob) -> Self {
         let summary = Self {
             context: JobContext::of_job(job),
+            unopened_usage: unopened_usage(job),
             ..Self::default()
         };
         if !job.is_open() {
@@ -135,3 +139,15 @@
         }
     }
 }
+
+/// Returns the resources of the occurrences of a job that are not open and of which predecessors may
+/// have started tasks.
+fn unopened_usage(job: &WorkJob) -> ResourceVector {
+    if !job.inherited || job.phase == WorkPhase::Completed {
+        return ResourceVector::default();
+    }
+    let steps = job.plan.steps.iter();
+    let resources = steps.map(|step| step.resources.times(u64::from(step.count)));
+    let each = resources.fold(ResourceVector::default(), ResourceVector::plus);
+    each.times(u64::from(job.inherited_due.saturating_sub(job.opened)))
+}
--- a/crates/decide/src/work/occurrence_index.rs
+++ b/crates/decide/src/work/occurrence_index.rs
@@ -24,6 +24,8 @@
     /// Resources of tasks that predecessors may have started and that are not known to run, by the
     /// pools in which they may run.
     unconfirmed_usage: BTreeMap<WaitingGroup, ResourceVector>,
+    /// Number of open occurrences without a started task, for each repeating job that has any.
+    unstarted: BTreeMap<JobId, u32>,
     /// Times at which the rank of an occurrence's steps changes.
     reranks: BTreeSet<(BootTime, JobId, u32)>,
 }
@@ -40,6 +42,9 @@
     ) -> bool {
         self.remove_sums(context, before);
         self.add_sums(context, after);
+        if before.is_unstarted != after.is_unstarted {
+            self.count_unstarted(id, after.is_unstarted);
+        }
         if before.rerank_at != after.rerank_at {
             if let Some(until) = before.rerank_at {
                 self.reranks.remove(&(until, id.clone(), number));
@@ -52,6 +57,11 @@
         self.add_steps(context, after.steps_missing_in(before))
     }
 
+    /// Returns the number of open occurrences of a repeating job without a started task.
+    pub(super) fn unstarted(&self, id: &str) -> u32 {
+        self.unstarted.get(id).copied().unwrap_or_default()
+    }
+
     /// Removes and returns the occurrences whose rank has changed over time.
     pub(super) fn take_due_reranks(&mut self, now: BootTime) -> Vec<(JobId, u32)> {
         let mut due = Vec::new();
@@ -127,6 +137,17 @@
         usage
     }
 
+    fn count_unstarted(&mut self, id: &JobId, is_unstarted: bool) {
+        let count = self.unstarted.entry(id.clone()).or_default();
+        *count = match is_unstarted {
+            true => *count + 1,
+            false => *count - 1,
+        };
+        if *count == 0 {
+            self.unstarted.remove(id);
+        }
+    }
+
     /// Adds steps; returns true if there were any.
     fn add_steps<'a>(
         &mut self,
@@ -174,11 +195,7 @@
             let backlog = pool.entry(inherited_pools).or_default();
             *backlog = backlog.plus(summary.backlog);
         }
-        if summary.unconfirmed_usage != ResourceVector::default() {
-            let group = context.group.clone();
-            let unconfirmed = self.unconfirmed_usage.entry(group).or_default();
-            *unconfirmed = unconfirmed.plus(summary.unconfirmed_usage);
-        }
+        self.add_unconfirmed_usage(&context.group, summary.unconfirmed_usage);
     }
 
     fn remove_sums(&mut self, context: &JobContext, summary: &OccurrenceSummary) {
@@ -188,9 +205,7 @@
         if summary.backlog != PoolBacklog::default() {
             self.remove_backlog(context, summary);
         }
-        if summary.unconfirmed_usage != ResourceVector::default() {
-            self.remove_unconfirmed_usage(context, summary);
-        }
+        self.remove_unconfirmed_usage(&context.group, summary.unconfirmed_usage);
     }
 
     fn remove_demand(&mut self, context: &JobContext, summary: &OccurrenceSummary) {
@@ -223,13 +238,22 @@
         }
     }
 
-    fn remove_unconfirmed_usage(&mut self, context: &JobContext, summary: &OccurrenceSummary) {
-        let Some(unconfirmed) = self.unconfirmed_usage.get_mut(&context.group) else {
+    /// Adds resources that tasks of a group may be using.
+    pub(super) fn add_unconfirmed_usage(&mut self, group: &WaitingGroup, usage: ResourceVector) {
+        if usage != ResourceVector::default() {
+            let unconfirmed = self.unconfirmed_usage.entry(group.clone()).or_default();
+            *unconfirmed = unconfirmed.plus(usage);
+        }
+    }
+
+    /// Removes resources that were added.
+    pub(super) fn remove_unconfirmed_usage(&mut self, group: &WaitingGroup, usage: ResourceVector) {
+        let Some(unconfirmed) = self.unconfirmed_usage.get_mut(group) else {
             return;
         };
-        *unconfirmed = unconfirmed.minus(summary.unconfirmed_usage);
+        *unconfirmed = unconfirmed.minus(usage);
         if *unconfirmed == ResourceVector::default() {
-            self.unconfirmed_usage.remove(&context.group);
+            self.unconfirmed_usage.remove(group);
         }
     }
 }
--- a/crates/decide/src/work/occurrence_summary.rs
+++ b/crates/decide/src/work/occurrence_summary.rs
@@ -25,6 +25,8 @@
     pub(super) demand: CoreDemand,
     pub(super) backlog: PoolBacklog,
     pub(super) unconfirmed_usage: ResourceVector,
+    /// Whether it is one of many occurrences, and no task of it is placed or done.
+    pub(super) is_unstarted: bool,
 }
 
 /// A job with what its summaries depend on.
@@ -48,6 +50,7 @@
             summary.unconfirmed_usage = unconfirmed_usage(job, occurrence);
         }
         if job.is_open() {
+            summary.is_unstarted = job.plan.repeat.is_some() && !occurrence.is_started();
             summary.add_demand(job, occurrence);
             summary.add_waiting(view, number, occurrence);
         }
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -28,6 +28,8 @@
 /// recover by waiting, and work that a network partition has separated from its owner has to
 /// continue elsewhere.
 const MAX_MASS_UNRESPONSIVE_WAIT: Duration = Duration::from_secs(30);
+/// Tasks of schedules that one call opens, unless each schedule opens a single occurrence.
+const MAX_OPENED_TASKS: u32 = 4096;
 /// Fewer targets that do not respond say nothing about the link.
 const MIN_NOT_RESPONDING: usize = 8;
 
@@ -76,14 +78,20 @@
         true
     }
 
+    /// Opens occurrences that are due. Schedules that are behind share what one call opens.
     pub(super) fn open_occurrences(&mut self, now: SchedulerTime) {
         let early_start = self.tuning.early_start;
+        let schedules = u32::try_from(self.index.jobs.repeating.len()).unwrap_or(u32::MAX);
+        let tasks_each = MAX_OPENED_TASKS / schedules.max(1);
         for id in &self.index.jobs.repeating {
             let Some(job) = self.job_table.jobs.get_mut_untracked(id) else {
                 continue;
             };
             let before = job.opened;
-            job.open_due_occurrences(now.unix, now.boot, early_start);
+            let unstarted = self.index.jobs.work.unstarted(id);
+            let room = job.max_unstarted(u32::MAX).saturating_sub(unstarted);
+            let room = room.min(job.max_unstarted(tasks_each));
+            job.open_due_occurrences(now.unix, now.boot, early_start, room);
             if job.opened != before {
                 self.job_table.jobs.mark_changed(id);
             }
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -12,6 +12,10 @@
 
 use super::OccurrenceMap;
 
+/// Maximum number of tasks in open occurrences of a job without a started task, unless a single
+/// occurrence has more. It is about what one planning pass starts.
+const MAX_UNSTARTED_TASKS: u32 = 256;
+
 /// State of a job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WorkPhase {
@@ -66,8 +70,11 @@
     pub inherited: bool,
     /// Occurrences that are due and not done.
     pub occurrences: OccurrenceMap,
-    /// Number of occurrences that have become due.
+    /// Number of occurrences that have been opened. Later ones may be due as well.
     pub opened: u32,
+    /// Number of occurrences that were due when this process became the owner. Predecessors may have
+    /// started tasks of them.
+    pub inherited_due: u32,
     /// Number of occurrences that are done.
     pub finished: u32,
 }
@@ -215,6 +222,12 @@
         }
     }
 
+    /// Returns true if any task is placed or done.
+    pub(super) fn is_started(&self) -> bool {
+        let mut steps = self.steps.iter();
+        steps.any(|step| step.done > 0 || step.placed > 0)
+    }
+
     /// Returns true if all steps that `step` depends on are done.
     pub fn is_step_ready(&self, plan: &JobPlan, step: usize) -> bool {
         let before = &plan.steps[step].after;
@@ -299,19 +312,51 @@
         matches!(self.phase, WorkPhase::Cancelled | WorkPhase::Unsubmitted)
     }
 
-    /// Opens the occurrences that are due at `unix`, up to `early` ahead of time.
-    pub fn open_due_occurrences(&mut self, unix: Duration, boot: BootTime, early: Duration) {
-        while self.opened < self.plan.occurrences() && self.is_open() {
-            if let Some(repeat) = self.plan.repeat {
-                let due = repeat.first + repeat.period * self.opened;
-                if unix + early < due {
-                    return;
-                }
-            }
-            let occurrence = OccurrenceState::new(&self.plan, boot);
-            self.occurrences.insert(self.opened, occurrence);
-            self.opened += 1;
+    /// Returns the number of occurrences that are due at `unix`.
+    pub(super) fn due_count(&self, unix: Duration) -> u32 {
+        let repeat = self.plan.repeat;
+        repeat.map_or(self.plan.occurrences(), |repeat| repeat.due_count(unix))
+    }
+
+    /// Opens the occurrences that are due at `unix`, up to `early` ahead of time, in order; `room` of
+    /// them at most.
+    pub(super) fn open_due_occurrences(
+        &mut self,
+        unix: Duration,
+        boot: BootTime,
+        early: Duration,
+        room: u32,
+    ) {
+        if !self.is_open() {
+            return;
         }
+        let until = self.opened.saturating_add(room);
+        for number in self.opened..self.due_count(unix + early).min(until) {
+            let due = self.due_at(number, unix, boot);
+            let occurrence = OccurrenceState::new(&self.plan, due);
+            self.occurrences.insert(number, occurrence);
+            self.opened = number + 1;
+        }
+    }
+
+    /// Returns the number of occurrences that may be open without a started task, or the number of
+    /// those that have `tasks` tasks, if that is less; at least one.
+    ///
+    /// Of a schedule that is behind, no more are opened than can be started soon. So what a job
+    /// occupies, and what a change of ownership costs, does not depend on how far it is behind.
+    pub(super) fn max_unstarted(&self, tasks: u32) -> u32 {
+        let each = u32::try_from(self.plan.task_count()).unwrap_or(u32::MAX);
+        (MAX_UNSTARTED_TASKS.min(tasks) / each.max(1)).max(1)
+    }
+
+    /// Returns when an occurrence became due, but no time before the job arrived.
+    fn due_at(&self, number: u32, unix: Duration, boot: BootTime) -> BootTime {
+        let due = self
+            .plan
+            .repeat
+            .map(|repeat| repeat.first + repeat.period * number);
+        let late = due.map_or(Duration::ZERO, |due| unix.saturating_sub(due));
+        boot.saturating_sub(late).max(self.arrived).min(boot)
     }
 
     /// Opens all occurrences up to one that the log or a target reports.
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -107,13 +107,6 @@
 
     /// Applies one entry of the log during the replay.
     pub fn replay(&mut self, entry: &LogEntry, now: SchedulerTime) {
-        if let Some(Event::Cancelled(id) | Event::Failed(id)) = &entry.event
-            && let Some(job) = self.job_table.jobs.get_mut(id.as_str())
-        {
-            // Occurrences that were due may run on a target that has not been polled yet, and have
-            // to be counted.
-            job.open_due_occurrences(now.unix, now.boot, self.tuning.early_start);
-        }
         self.job_table.apply(entry, now.unix, now.boot);
     }
 
@@ -123,6 +116,7 @@
         self.replay_finished_at = now.boot;
         for job in self.job_table.jobs.values_mut() {
             job.inherited = true;
+            job.inherited_due = job.due_count(now.unix + self.tuning.early_start);
             job.started |= !job.is_open();
         }
         for used in self.job_table.used_targets.values() {
@@ -197,7 +191,8 @@
         if let Some(job) = self.job_table.jobs.get_mut(record.job.as_str()) {
             // The caller has been waiting since its first attempt, which may have been refused.
             job.arrived = first_offer.map_or(job.arrived, |first| first.min(job.arrived));
-            job.open_due_occurrences(now.unix, now.boot, early_start);
+            // Ticks open the others of a schedule that is behind.
+            job.open_due_occurrences(now.unix, now.boot, early_start, 1);
             // The process that passed the job on may have an older policy.
             job.follow_policy(&self.policy);
             if !job.is_pool_recorded() {
--- a/crates/decide/tests/harness/scheduler_fixture.rs
+++ b/crates/decide/tests/harness/scheduler_fixture.rs
@@ -146,6 +146,12 @@
         self.report(id, Vec::new(), vec![end]);
     }
 
+    /// Reports a successful end of a start, on a target that runs nothing else.
+    pub fn report_numbered_end(&mut self, id: &str, number: u64, start: &StartOrder) {
+        let end = end_report(number, &start.task, start.attempt, EndKind::Done);
+        self.report(id, Vec::new(), vec![end]);
+    }
+
     /// Reports a target without runs and ends.
     pub fn report_idle(&mut self, id: &str) {
         self.report(id, Vec::new(), Vec::new());
@@ -250,6 +256,11 @@
         self.report_idle(id);
     }
 
+    /// Sets the limit of the workspace in thousandths of a core; 0 for none.
+    pub fn set_workspace_limit(&mut self, cpu: u64) {
+        self.scheduler.set_policy(Arc::new(policy_with_limit(cpu)));
+    }
+
     /// Sets the weight of the workspace.
     pub fn set_workspace_weight(&mut self, weight: u32) {
         let mut policy = FleetPolicy::clone(&self.scheduler.policy);
--- a/crates/decide/tests/harness/timed_owner.rs
+++ b/crates/decide/tests/harness/timed_owner.rs
@@ -146,6 +146,7 @@
             self.now.boot += ROUND;
             self.now.unix += ROUND;
             self.end_tasks();
+            self.handle_actions();
         }
     }
 
@@ -155,17 +156,23 @@
             self.time("plan", |scheduler, now| {
                 scheduler.plan_starts(now, usize::MAX);
             });
-            let actions = self.scheduler.take_actions();
-            self.scheduler.take_events();
-            if actions.is_empty() {
+            if !self.handle_actions() {
                 return;
             }
-            for action in actions {
-                self.handle_action(action);
-            }
         }
     }
 
+    /// Handles the actions of the scheduler; returns false if there were none.
+    fn handle_actions(&mut self) -> bool {
+        let actions = self.scheduler.take_actions();
+        self.scheduler.take_events();
+        let any = !actions.is_empty();
+        actions
+            .into_iter()
+            .for_each(|action| self.handle_action(action));
+        any
+    }
+
     fn handle_action(&mut self, action: SchedulerAction) {
         match action {
             SchedulerAction::AppendLog(record) => {
--- a/crates/decide/tests/work_longest_step.rs
+++ b/crates/decide/tests/work_longest_step.rs
@@ -60,3 +60,48 @@
     next.cancel("a");
     check(&next);
 }
+
+/// Guards against an owner that loses its lease because a schedule is far behind: all of it was
+/// opened at once, by each owner anew.
+#[rstest]
+#[case::one_task(one_task())]
+#[case::many_tasks(plan(vec![step(10_000, 500)]))]
+#[case::long_chain(chain(256, |number| number.checked_sub(1).into_iter().collect()))]
+fn step_overdue_schedule_is_short(#[case] plan: JobPlan) {
+    let mut owner = TimedOwner::new(TARGETS);
+    owner.submit_schedule("a", &plan, 1_000_000, 1_000_000);
+    owner.run_rounds(20);
+    check(&owner);
+    let mut next = owner.successor(9);
+    next.run_rounds(5);
+    next.cancel("a");
+    next.run_rounds(1);
+    check(&next);
+}
+
+/// Many schedules that are behind at once, of which each is small.
+#[test]
+fn step_many_overdue_schedules_is_short() {
+    let mut owner = TimedOwner::new(TARGETS);
+    for number in 0..200 {
+        owner.submit_schedule(&format!("a{number}"), &one_task(), 500, 500);
+    }
+    owner.run_rounds(10);
+    check(&owner);
+}
+
+/// A change of the policy and a change of the owner visit all jobs.
+#[test]
+fn step_many_jobs_is_short() {
+    let mut owner = TimedOwner::new(1_200);
+    for number in 0..2_000 {
+        owner.submit(&format!("a{number}"), &plan(vec![step(8, 4000)]));
+    }
+    owner.run_rounds(2);
+    owner.set_policy();
+    owner.run_rounds(1);
+    check(&owner);
+    let mut next = owner.successor(9);
+    next.run_rounds(2);
+    check(&next);
+}
--- a/crates/model/src/work/job_plan.rs
+++ b/crates/model/src/work/job_plan.rs
@@ -37,6 +37,21 @@
     pub period: Duration,
 }
 
+impl RepeatPlan {
+    /// Returns the number of occurrences that are due at a time since the Unix epoch.
+    pub fn due_count(&self, unix: Duration) -> u32 {
+        let Some(elapsed) = unix.checked_sub(self.first) else {
+            return 0;
+        };
+        match elapsed.as_nanos().checked_div(self.period.as_nanos()) {
+            Some(periods) => u32::try_from(periods + 1)
+                .unwrap_or(u32::MAX)
+                .min(self.count),
+            None => self.count,
+        }
+    }
+}
+
 /// One step of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StepPlan {
@@ -173,6 +188,11 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Returns the number of occurrences.
     pub fn occurrences(&self) -> u32 {
         self.repeat.map_or(1, |repeat| repeat.count)
