Tell the order of a target's lives by what was heard when, not by its clock

Cause: an answer with an earlier birth than the known one was ignored as a late answer of an earlier life. The life that was gone was neither ended nor taken for unresponsive, since the target answered each poll, and the polls extended its leases. An entry with an earlier birth was dropped for good as well.

Change: a poll that was sent after a life was heard of can only be answered by that life or a later one, so another birth in its answer begins a new life. Births that were followed by another are remembered, and their late answers and entries are ignored even if they are the later ones. Entries that may be of an earlier life are kept until a poll or the end of the other target shows whose they are.

Tests that failed before: apply_report_clock_set_back_frees_tasks, clock_set_back_ignores_previous_incarnation, upsert_target_clock_set_back_is_used, upsert_target_clock_set_back_with_new_id_is_used. The seeded model sets clocks back in two more cases.

--- a/crates/decide/src/work/scheduler_incarnation.rs
+++ b/crates/decide/src/work/scheduler_incarnation.rs
@@ -25,7 +25,10 @@
             return;
         };
         let unconfirmed = target.take_unconfirmed(&tuning, now.boot);
-        let renewed = started_at > target.incarnation.started_at;
+        let renewed = started_at != target.incarnation.started_at;
+        if renewed {
+            target.remember_past_incarnation();
+        }
         let claims = target.begin_incarnation(started_at, now.boot);
         self.release_runs(id, claims, renewed, cause, now);
         for run in unconfirmed {
--- a/crates/decide/src/work/scheduler_listing.rs
+++ b/crates/decide/src/work/scheduler_listing.rs
@@ -1,14 +1,18 @@
+use std::time::Duration;
+
 use model::{HostId, work::TargetEntry};
 
-use super::{SchedulerTime, TargetState, WorkScheduler};
+use super::{SchedulerAction, SchedulerTime, TargetState, WorkScheduler};
 
 impl WorkScheduler {
     /// Adds or updates a target from its entry in the host list.
     pub fn upsert_target(&mut self, entry: TargetEntry, now: SchedulerTime) {
         self.sync_indexes(now.boot);
         let id = entry.target.clone();
+        self.deferred_entries.remove(&id);
         if self.is_superseded_entry(&entry) {
             self.mark_target_unlisted(&id);
+            self.deferred_entries.insert(id, entry);
             return;
         }
         self.end_other_incarnations_at_address(&entry, now);
@@ -25,8 +29,16 @@
             return;
         };
         let (started_at, known_start) = (entry.started_at, target.incarnation.started_at);
+        if target.past_incarnations.contains(&started_at) {
+            // A delayed entry.
+            return;
+        }
         if !started_at.is_zero() && started_at < known_start {
-            // A delayed entry of the previous incarnation.
+            // A delayed entry of an earlier incarnation, or the entry of a later one whose clock was
+            // set back. The next poll shows which; until then nothing is started there.
+            target.incarnation.clock = None;
+            self.deferred_entries.insert(id.clone(), entry);
+            self.actions.push(SchedulerAction::Poll(id));
             return;
         }
         let has_new_incarnation = !known_start.is_zero() && started_at > known_start;
@@ -52,8 +64,25 @@
         }
     }
 
+    /// Applies the entries that were deferred and are of the present incarnation by now.
+    pub(super) fn apply_deferred_entries(&mut self, now: SchedulerTime) {
+        let deferred = self.deferred_entries.values();
+        let current = deferred.filter(|entry| self.is_current_entry(entry));
+        let current: Vec<TargetEntry> = current.cloned().collect();
+        for entry in current {
+            self.upsert_target(entry, now);
+        }
+    }
+
+    fn is_current_entry(&self, entry: &TargetEntry) -> bool {
+        let target = self.targets.get(&entry.target);
+        let known = target.map_or(Duration::ZERO, |target| target.incarnation.started_at);
+        entry.started_at >= known && !self.is_superseded_entry(entry)
+    }
+
     /// Marks a target that is no longer in the host list.
     pub fn mark_target_unlisted(&mut self, id: &HostId) {
+        self.deferred_entries.remove(id);
         if let Some(target) = self.targets.get_mut(id) {
             target.listed = false;
         }
--- a/crates/decide/src/work/scheduler_report.rs
+++ b/crates/decide/src/work/scheduler_report.rs
@@ -115,16 +115,19 @@
         let Some(target) = self.targets.get(id) else {
             return;
         };
-        let known = target.incarnation.started_at;
-        if !report.started_at.is_zero() && !known.is_zero() && report.started_at < known {
-            // A delayed answer of the previous incarnation.
+        let (known, started_at) = (target.incarnation.started_at, report.started_at);
+        let is_other = !started_at.is_zero() && !known.is_zero() && started_at != known;
+        let is_earlier = target.past_incarnations.contains(&started_at)
+            || (started_at < known && self.predates_incarnation(id, sent));
+        if is_other && is_earlier {
+            // A delayed answer.
             return;
         }
         if known.is_zero() && self.predates_incarnation(id, sent) {
             return;
         }
-        if !report.started_at.is_zero() && !known.is_zero() && report.started_at > known {
-            self.end_incarnation(id, report.started_at, "reborn", now);
+        if is_other {
+            self.end_incarnation(id, started_at, "reborn", now);
         }
         self.record_target_answer(id, sent, observed, report, now);
         let ends: Vec<_> = {
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -37,6 +37,7 @@
     /// Runs all time-driven work. Has to be called several times a second.
     pub fn tick(&mut self, now: SchedulerTime) {
         self.sync_indexes(now.boot);
+        self.apply_deferred_entries(now);
         self.open_occurrences(now);
         self.end_expired_pauses(now);
         self.retry_stops(now);
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -21,6 +21,10 @@
 /// and its answer takes some milliseconds.
 pub(super) const RESPONSE_MAX_AGE: Duration = Duration::from_millis(1300);
 
+/// Number of past incarnations of a target that are remembered: more than can begin while an answer
+/// or an entry of one is under way.
+const MAX_PAST_INCARNATIONS: usize = 16;
+
 /// Maximum number of unconfirmed starts that are kept for a target. A target pauses longer after
 /// each, so there are few.
 const MAX_UNCONFIRMED: usize = 64;
@@ -83,6 +87,9 @@
     pub unreachable_recorded: bool,
     /// Current incarnation.
     pub incarnation: TargetIncarnation,
+    /// Start times of earlier incarnations that a later one has followed, oldest first. The clock of
+    /// a host may be set back between two of them, so that their times do not show their order.
+    pub past_incarnations: Vec<Duration>,
     /// Claims of the runs that may exist on it.
     pub claims: BTreeMap<RunKey, RunClaim>,
     /// Sum of the resources of the claims.
@@ -255,6 +262,14 @@
         std::mem::take(&mut self.claims).into_iter().collect()
     }
 
+    /// Remembers that another incarnation follows the present one.
+    pub(super) fn remember_past_incarnation(&mut self) {
+        if self.past_incarnations.len() == MAX_PAST_INCARNATIONS {
+            self.past_incarnations.remove(0);
+        }
+        self.past_incarnations.push(self.incarnation.started_at);
+    }
+
     /// Counts a failed run. One failure says little, since tasks may fail by themselves; several in
     /// a row without a success in between make the target pause.
     pub fn count_failure(&mut self, tuning: &SchedulerTuning, now: BootTime) {
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -77,6 +77,8 @@
     /// a new incarnation first, and an order for its host may follow. Tasks started there in
     /// between would be killed.
     pub(super) drains: BTreeMap<HostId, HostDrainState>,
+    /// Entries of the host list that may be of an earlier incarnation than the present one.
+    pub(super) deferred_entries: BTreeMap<HostId, TargetEntry>,
     /// Data centres that operators have drained.
     pub(super) drained_data_centres: BTreeSet<DataCentreId>,
     /// Per pool, a task that has to leave its host and fits on no other.
--- a/crates/decide/tests/harness/world.rs
+++ b/crates/decide/tests/harness/world.rs
@@ -39,6 +39,8 @@
 pub(super) const CAPACITY: u64 = 4000;
 /// Limit of the workspace, in thousandths of a core.
 pub(super) const LIMIT: u64 = 9000;
+/// By how much the clock of a host is set back at most, in milliseconds.
+const MAX_CLOCK_STEP_MS: u64 = 20_000;
 /// Limit of events that are kept for the trace of a violation.
 const MAX_RECENT_EVENTS: usize = 60;
 
@@ -245,6 +247,7 @@
         let unix = self.now.unix;
         let mut restarted = Vec::new();
         let (late, rng) = (self.faults.late_lists, &mut self.rng);
+        let (clock_steps, extra_rng) = (self.faults.clock_steps, &mut self.extra_rng);
         for (name, state) in &mut self.targets {
             let down = !state.up || state.partitioned;
             if down && now >= state.back_at {
@@ -254,8 +257,12 @@
                 } else if !state.up {
                     let late = late > 0.0 && rng.random_bool(late);
                     let delay = late.then(|| rng.random_range(100..4000));
+                    let set_back = match clock_steps {
+                        true => Duration::from_millis(extra_rng.random_range(0..MAX_CLOCK_STEP_MS)),
+                        false => Duration::ZERO,
+                    };
                     *state = SimTarget {
-                        started_at: unix,
+                        started_at: unix.saturating_sub(set_back),
                         listed_start: state.listed_start,
                         listing_stale_until: now + Duration::from_millis(delay.unwrap_or(0)),
                         // If an incarnation can begin unnoticed, its clock must restart.
--- a/crates/decide/tests/harness/world_faults.rs
+++ b/crates/decide/tests/harness/world_faults.rs
@@ -32,6 +32,8 @@
     pub drains: f64,
     /// Whether the targets belong to two pools, between which operators move the queue.
     pub queue_moves: bool,
+    /// Whether the clocks of hosts are set back by some seconds between two incarnations.
+    pub clock_steps: bool,
     /// Whether the log is compacted often.
     pub short_log: bool,
     /// Whether calls in flight to a target are limited and further ones are queued.
@@ -55,6 +57,7 @@
         lost_writes: 0.0,
         drains: 0.0,
         queue_moves: false,
+        clock_steps: false,
         short_log: false,
         lanes: false,
         lists: false,
@@ -88,6 +91,7 @@
     pub(super) fn without_new_faults(self) -> Self {
         Self {
             queue_moves: self.queue_moves,
+            clock_steps: self.clock_steps,
             short_log: self.short_log,
             lanes: self.lanes,
             lists: self.lists,
--- a/crates/decide/tests/work_incarnations.rs
+++ b/crates/decide/tests/work_incarnations.rs
@@ -303,3 +303,105 @@
     report_restarted(&mut scene, Vec::new(), Vec::new());
     assert_eq!(scene.starts.len(), 1);
 }
+
+/// Reports `t1` in the incarnation that started at `started_at`, by a poll that was sent at `sent`.
+fn report_started_at(scene: &mut SchedulerFixture, started_at: Duration, sent: Duration) {
+    let seen = PollAnswer::Seen(TargetReport {
+        clock: Duration::from_secs(1),
+        started_at,
+        ..TargetReport::default()
+    });
+    scene
+        .scheduler
+        .apply_report(&"t1".into(), sent, 0, &seen, scene.now);
+    scene.run_planning();
+}
+
+/// A start time that the clock of a host gives after it was set back.
+const SET_BACK: Duration = Duration::from_millis(400);
+
+/// Guards against tasks that are never started again: their target restarted after its clock was
+/// set back, so that the new incarnation seems to be the older one.
+#[test]
+fn apply_report_clock_set_back_frees_tasks() {
+    let (mut scene, starts) = SchedulerFixture::with_running_job(2000, vec![step(2, 1000)]);
+    let running = starts.iter().map(|(_, start)| run_report(start)).collect();
+    scene.report("t1", running, Vec::new());
+    let sent = scene.now.boot;
+    report_started_at(&mut scene, SET_BACK, sent);
+    assert_eq!(scene.starts.len(), 2);
+}
+
+/// Guards against running tasks twice: the answer of the previous incarnation arrives late, or its
+/// entry shows once more, and seems to be the later one.
+#[test]
+fn clock_set_back_ignores_previous_incarnation() {
+    let (mut scene, starts) = SchedulerFixture::with_running_job(2000, vec![step(2, 1000)]);
+    let running = starts.iter().map(|(_, start)| run_report(start)).collect();
+    scene.report("t1", running, Vec::new());
+    let sent = scene.now.boot;
+    report_started_at(&mut scene, SET_BACK, sent);
+    let starts = scene.confirm_starts();
+    assert_eq!(starts.len(), 2);
+    scene.add_target("t2", 2000);
+    report_started_at(&mut scene, Duration::from_secs(1), sent);
+    scene.list_target("t1", 2000);
+    scene.advance(Duration::from_millis(50));
+    assert!(scene.starts.is_empty(), "they run on t1");
+}
+
+/// Guards against ending the present incarnation by a delayed answer of an earlier one.
+#[test]
+fn apply_report_sent_before_incarnation_changes_nothing() {
+    let (mut scene, _) = SchedulerFixture::with_running_job(2000, vec![step(2, 1000)]);
+    let sent = scene.now.boot;
+    scene.advance(Duration::from_millis(100));
+    scene
+        .scheduler
+        .upsert_target(restarted_target(2000), scene.now);
+    report_restarted(&mut scene, Vec::new(), Vec::new());
+    let starts = scene.confirm_starts();
+    assert_eq!(starts.len(), 2);
+    report_started_at(&mut scene, SET_BACK, sent);
+    assert!(scene.starts.is_empty(), "they run on t1");
+}
+
+/// Guards against a target that is not used for the rest of a term: its entry seems to be that of an
+/// earlier incarnation, and idle targets are not polled.
+#[test]
+fn upsert_target_clock_set_back_is_used() {
+    let mut scene = SchedulerFixture::new(1);
+    scene.add_target("t1", 1000);
+    let entry = TargetEntry {
+        started_at: SET_BACK,
+        ..target("t1", 4000)
+    };
+    scene.scheduler.upsert_target(entry, scene.now);
+    assert!(
+        scene
+            .scheduler
+            .poll_class(&"t1".into(), scene.now)
+            .is_some()
+    );
+    let sent = scene.now.boot;
+    report_started_at(&mut scene, SET_BACK, sent);
+    scene.advance(Duration::from_millis(50));
+    scene.submit("a", &plan(vec![step(1, 4000)]));
+    assert_eq!(scene.starts.len(), 1, "its entry has 4000");
+}
+
+/// The same for a new incarnation under another id, once the previous one at its address is gone.
+#[test]
+fn upsert_target_clock_set_back_with_new_id_is_used() {
+    let mut scene = SchedulerFixture::new(1);
+    scene.add_target("t1", 1000);
+    let entry = TargetEntry {
+        address: target("t1", 1000).address,
+        started_at: SET_BACK,
+        ..target("t2", 4000)
+    };
+    scene.scheduler.upsert_target(entry, scene.now);
+    scene.scheduler.mark_target_unlisted(&"t1".into());
+    scene.advance(Duration::from_millis(50));
+    assert_eq!(scene.scheduler.listed_targets(), [HostId::from("t2")]);
+}
--- a/crates/decide/tests/work_schedule.rs
+++ b/crates/decide/tests/work_schedule.rs
@@ -45,6 +45,8 @@
 #[case::queue_moves(WorldFaults { queue_moves: true, ..WorldFaults::CALM })]
 #[case::queue_moves_and_owners(WorldFaults { queue_moves: true, owner_kill: 0.15, owner_cut: 0.15, ..WorldFaults::CANCELS })]
 #[case::queue_moves_and_lists(WorldFaults { queue_moves: true, short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
+#[case::clock_steps(WorldFaults { clock_steps: true, target_crash: 0.2, lists: true, ..WorldFaults::default() })]
+#[case::clock_steps_and_all(WorldFaults { clock_steps: true, target_crash: 0.1, short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
 #[case::everything(WorldFaults { short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
 fn scheduler_invariants_hold(#[case] faults: WorldFaults) {
     run_seeds(0..SEEDS, faults);
