--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -222,11 +222,7 @@
                 name: "pool".into(),
                 ..PoolPolicy::default()
             }],
-            workspaces: vec![WorkspacePolicy {
-                name: "space".into(),
-                keys: words.map(Into::into).collect(),
-                ..WorkspacePolicy::default()
-            }],
+            workspaces: workspaces_of_keys(words.collect()),
             max_body: 1 << 16,
         })
     }
@@ -260,6 +256,21 @@
     format!("{revision} {key}")
 }
 
+/// The workspaces of a policy: a second one has the keys that begin with `foreign:`.
+fn workspaces_of_keys(keys: Vec<&str>) -> Vec<WorkspacePolicy> {
+    let (foreign, own): (Vec<&str>, Vec<&str>) = keys
+        .into_iter()
+        .partition(|key| key.starts_with("foreign:"));
+    let spaces = [("space", own), ("foreign-space", foreign)].into_iter();
+    spaces
+        .map(|(name, keys)| WorkspacePolicy {
+            name: name.into(),
+            keys: keys.into_iter().map(Into::into).collect(),
+            ..WorkspacePolicy::default()
+        })
+        .collect()
+}
+
 /// A control of no hosts.
 #[derive(Clone, Default)]
 pub struct EmptyHostControl {
