--- a/crates/decide/src/work/job_index.rs
+++ b/crates/decide/src/work/job_index.rs
@@ -22,7 +22,7 @@
     /// For each pool, the number of open jobs by the number of hosts that they need for
     /// anti-affinity.
     anti_affinity_hosts: BTreeMap<PoolId, BTreeMap<usize, usize>>,
-    /// Open jobs with occurrences that are not due yet.
+    /// Open jobs with occurrences that are not open yet.
     pub(super) repeating: BTreeSet<JobId>,
     /// Open jobs with gang steps.
     pub(super) gangs: BTreeSet<JobId>,
--- a/crates/decide/tests/harness/mod.rs
+++ b/crates/decide/tests/harness/mod.rs
@@ -20,7 +20,7 @@
 
 pub use fleet_fixture::{FleetFixture, STANDBY};
 pub use scheduler_fixture::{
-    OTHER_POOL, POOL, QUEUE, RESTARTED_AT, SchedulerFixture, WORKSPACE, end_report,
+    OTHER_POOL, POOL, QUEUE, RESTARTED_AT, SchedulerFixture, WORKSPACE, end_report, job_record,
     long_running_pair, plan, policy_with_limit, restarted_target, run_report, step, target,
 };
 pub use timed_owner::TimedOwner;
--- a/crates/decide/tests/harness/scheduler_fixture.rs
+++ b/crates/decide/tests/harness/scheduler_fixture.rs
@@ -195,14 +195,7 @@
     }
 
     pub fn submit(&mut self, job: &str, plan: &JobPlan) {
-        let record = JobRecord {
-            job: job.to_owned(),
-            queue: QUEUE.to_owned(),
-            pool: POOL.to_owned(),
-            workspace: WORKSPACE.to_owned(),
-            accepted_unix_ms: u64::try_from(self.now.unix.as_millis()).unwrap_or_default(),
-            ..record_of_plan(plan)
-        };
+        let record = job_record(job, plan, self.now);
         self.stored.push(LogEntry {
             event: Some(Event::Accepted(record.clone())),
         });
@@ -350,6 +343,18 @@
     }
 }
 
+/// The record of a job that is submitted now.
+pub fn job_record(job: &str, plan: &JobPlan, now: SchedulerTime) -> JobRecord {
+    JobRecord {
+        job: job.to_owned(),
+        queue: QUEUE.to_owned(),
+        pool: POOL.to_owned(),
+        workspace: WORKSPACE.to_owned(),
+        accepted_unix_ms: u64::try_from(now.unix.as_millis()).unwrap_or_default(),
+        ..record_of_plan(plan)
+    }
+}
+
 pub fn run_report(start: &StartOrder) -> RunReport {
     RunReport {
         task: start.task.clone(),
--- a/crates/decide/tests/harness/timed_owner.rs
+++ b/crates/decide/tests/harness/timed_owner.rs
@@ -1,8 +1,6 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use decide::work::{
-    SchedulerAction, SchedulerTime, SchedulerTuning, WorkScheduler, record_of_plan,
-};
+use decide::work::{SchedulerAction, SchedulerTime, SchedulerTuning, WorkScheduler};
 use model::{
     HostId,
     work::{
@@ -10,9 +8,9 @@
     },
 };
 use store::thread_processor_time;
-use wire::work::{JobRecord, LogEntry, log_entry::Event};
+use wire::work::{LogEntry, log_entry::Event};
 
-use super::{POOL, QUEUE, WORKSPACE, end_report, policy_with_limit, target};
+use super::{end_report, job_record, policy_with_limit, target};
 
 /// Capacity of a target, in thousandths of a core.
 const CAPACITY: u64 = 8000;
@@ -113,14 +111,7 @@
     }
 
     pub fn submit(&mut self, job: &str, plan: &JobPlan) {
-        let record = JobRecord {
-            job: job.to_owned(),
-            queue: QUEUE.to_owned(),
-            pool: POOL.to_owned(),
-            workspace: WORKSPACE.to_owned(),
-            accepted_unix_ms: u64::try_from(self.now.unix.as_millis()).unwrap_or_default(),
-            ..record_of_plan(plan)
-        };
+        let record = job_record(job, plan, self.now);
         self.stored.push(LogEntry {
             event: Some(Event::Accepted(record.clone())),
         });
--- a/crates/decide/tests/harness/world.rs
+++ b/crates/decide/tests/harness/world.rs
@@ -5,17 +5,16 @@
 };
 
 use decide::work::{
-    SchedulerAction, SchedulerEvent, SchedulerTime, SchedulerTuning, WorkScheduler, record_of_plan,
+    SchedulerAction, SchedulerEvent, SchedulerTime, SchedulerTuning, WorkScheduler,
 };
 use model::{
     BootTime, HostId,
     work::{FleetPolicy, JobPlan, TaskKey},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use wire::work::JobRecord;
 
 use super::{
-    POOL, QUEUE, WORKSPACE, plan,
+    job_record, plan,
     scheduler_fixture::policy_with_limit,
     step,
     world_call::{SimCall, SimRequest},
@@ -229,14 +228,7 @@
         });
         let plan = plan(steps.collect());
         let job = format!("job{}", self.jobs.len());
-        let record = JobRecord {
-            job: job.clone(),
-            queue: QUEUE.to_owned(),
-            pool: POOL.to_owned(),
-            workspace: WORKSPACE.to_owned(),
-            accepted_unix_ms: u64::try_from(self.now.unix.as_millis()).unwrap_or_default(),
-            ..record_of_plan(&plan)
-        };
+        let record = job_record(&job, &plan, self.now);
         self.jobs.insert(job.clone(), plan);
         self.submit_record(index, record);
         self.draw_cancels(&job);
