Forget deferred entries before the whole host list is applied

An entry that seems to be of an earlier life is kept until a poll shows whose it is. Where the watch of the host list had to begin anew, the removal of such an entry could go unseen, and a target that is gone would be listed again once the other one at its address ended. The list is applied as a whole then and defers what it still has. By reading; the test upsert_target_forgotten_entry_is_not_used holds it.

--- a/crates/cell/src/target_watch.rs
+++ b/crates/cell/src/target_watch.rs
@@ -55,6 +55,7 @@
             .iter()
             .filter_map(|item| self.target_id(&item.key).map(HostId::from))
             .collect();
+        self.term.scheduler.borrow_mut().clear_deferred_entries();
         let listed = self.term.scheduler.borrow().listed_targets();
         for id in listed.iter().filter(|id| !present.contains(*id)) {
             self.term.scheduler.borrow_mut().mark_target_unlisted(id);
--- a/crates/decide/src/work/scheduler_listing.rs
+++ b/crates/decide/src/work/scheduler_listing.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Forgets all deferred entries, because the whole host list is about to be applied: some of them
+    /// may be gone.
+    pub fn clear_deferred_entries(&mut self) {
+        self.deferred_entries.clear();
+    }
+
     fn is_current_entry(&self, entry: &TargetEntry) -> bool {
         let target = self.targets.get(&entry.target);
         let known = target.map_or(Duration::ZERO, |target| target.incarnation.started_at);
--- a/crates/decide/tests/work_incarnations.rs
+++ b/crates/decide/tests/work_incarnations.rs
@@ -390,9 +390,9 @@
     assert_eq!(scene.starts.len(), 1, "its entry has 4000");
 }
 
-/// The same for a new incarnation under another id, once the previous one at its address is gone.
-#[test]
-fn upsert_target_clock_set_back_with_new_id_is_used() {
+/// A scheduler that has `t1` and an entry of another incarnation at its address, which seems to be
+/// an earlier one.
+fn with_deferred_entry() -> SchedulerFixture {
     let mut scene = SchedulerFixture::new(1);
     scene.add_target("t1", 1000);
     let entry = TargetEntry {
@@ -401,7 +401,24 @@
         ..target("t2", 4000)
     };
     scene.scheduler.upsert_target(entry, scene.now);
+    scene
+}
+
+/// The same for a new incarnation under another id, once the previous one at its address is gone.
+#[test]
+fn upsert_target_clock_set_back_with_new_id_is_used() {
+    let mut scene = with_deferred_entry();
     scene.scheduler.mark_target_unlisted(&"t1".into());
     scene.advance(Duration::from_millis(50));
     assert_eq!(scene.scheduler.listed_targets(), [HostId::from("t2")]);
 }
+
+/// Guards against using a target that has left the host list while it could not be watched.
+#[test]
+fn upsert_target_forgotten_entry_is_not_used() {
+    let mut scene = with_deferred_entry();
+    scene.scheduler.clear_deferred_entries();
+    scene.scheduler.mark_target_unlisted(&"t1".into());
+    scene.advance(Duration::from_millis(50));
+    assert!(scene.scheduler.listed_targets().is_empty());
+}
