--- a/crates/decide/src/work/occurrence_summary.rs
+++ b/crates/decide/src/work/occurrence_summary.rs
@@ -69,7 +69,7 @@
 
     /// Adds the demand of the tasks that run or could start now.
     fn add_demand(&mut self, job: &WorkJob, occurrence: &OccurrenceState) {
-        for (plan, state) in ready_steps(job, occurrence).map(|(_, plan, state)| (plan, state)) {
+        for (_, plan, state) in ready_steps(job, occurrence) {
             let remaining = u64::from(plan.count.saturating_sub(state.done));
             let cpu = plan.footprint().cpu * remaining;
             if plan.long_running {
@@ -80,6 +80,18 @@
         }
     }
 
+    /// Adds the unstarted tasks to the backlog and the demand of their class.
+    fn add_backlog(&mut self, job: &WorkJob, class: RankClass, waiting: WaitingDemand) {
+        let is_overdue = class == RankClass::Overdue;
+        let count = match is_overdue {
+            _ if job.beyond_share => &mut self.backlog.beyond_share,
+            true => &mut self.backlog.overdue,
+            false => &mut self.backlog.not_overdue,
+        };
+        *count = waiting.tasks;
+        self.demand.add_waiting(waiting, is_overdue);
+    }
+
     /// Adds the tasks that wait for a start.
     fn add_waiting(&mut self, view: JobView<'_>, number: u32, occurrence: &OccurrenceState) {
         let job = view.job;
@@ -97,13 +109,7 @@
         let queue = view.policy.queue(&job.queue);
         let (rank, until) = rank(job, occurrence, queue, view.now);
         self.rerank_at = until;
-        match rank.class {
-            _ if job.beyond_share => self.backlog.beyond_share = waiting.tasks,
-            RankClass::Overdue => self.backlog.overdue = waiting.tasks,
-            _ => self.backlog.not_overdue = waiting.tasks,
-        }
-        let is_overdue = rank.class == RankClass::Overdue;
-        self.demand.add_waiting(waiting, is_overdue);
+        self.add_backlog(job, rank.class, waiting);
         if !job.is_pool_recorded() {
             return;
         }
