Let the executors of the review's stand-ins write heartbeats, and add an advice service

Without heartbeats a target that the owner has taken for ended stayed out of use for good; the platform's executors write their entries every 1.5 s. The case of repeated upkeeps rested on that and is withdrawn.

--- a/review/stand-2/base.rs
+++ b/review/stand-2/base.rs
@@ -334,6 +334,7 @@
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    stream: Option<TcpStream>,
 }
 
 impl Request {
@@ -350,6 +351,17 @@
         found.map_or("", |(_, value)| value)
     }
 
+    /// Whether the caller has closed its connection.
+    pub fn is_closed(&self) -> bool {
+        let Some(stream) = &self.stream else {
+            return false;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(1)));
+        let closed = matches!(stream.peek(&mut [0; 1]), Ok(0));
+        let _ = stream.set_read_timeout(None);
+        closed
+    }
+
     pub fn json(&self) -> Json {
         Json::parse(&self.body).unwrap_or(Json::Null)
     }
@@ -377,7 +389,8 @@
     let mut writer = stream.try_clone().ok()?;
     let mut reader = BufReader::new(stream);
     loop {
-        let request = read_request(&mut reader)?;
+        let mut request = read_request(&mut reader)?;
+        request.stream = writer.try_clone().ok();
         let (status, body) = handler(&request)?;
         let head = format!(
             "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
@@ -435,6 +448,7 @@
         query,
         headers,
         body,
+        stream: None,
     })
 }
 
--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use crate::{
-    base::{Json, note, now_ms, num, obj, pause, text},
+    advice::Advice,
+    base::{Json, note, now_ms, pause, text},
     cell::{Client, Node, Platform, config, job, route, step, wait_for},
     fleet::{Fleet, Kind},
     judge,
@@ -99,33 +100,6 @@
         pause(2000);
         Ok(deployment)
     }
-
-    /// Number of the process that owns the cell.
-    pub fn owner(&self) -> Option<usize> {
-        let value = self.store.value("cell/owner")?;
-        let record = decode64(&value);
-        let is_owner = |node: &Node| {
-            record
-                .windows(node.name.len())
-                .any(|word| word == node.name.as_bytes())
-        };
-        self.nodes.iter().position(is_owner)
-    }
-}
-
-fn decode64(value: &str) -> Vec<u8> {
-    const DIGITS: &str = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    let mut out = Vec::new();
-    let (mut word, mut bits) = (0u32, 0);
-    for digit in value.chars().filter_map(|c| DIGITS.find(c)) {
-        word = (word << 6 | digit as u32) & 0xff_ffff;
-        bits += 6;
-        if bits >= 8 {
-            bits -= 8;
-            out.push((word >> bits) as u8);
-        }
-    }
-    out
 }
 
 pub fn play(case: &str, folder: &str, trouble: bool) -> Verdict {
@@ -133,8 +107,8 @@
         "foreign-entry" => foreign_entry(folder, trouble),
         "removed-route" => removed_route(folder, trouble),
         "other-kind" => other_kind(folder, trouble),
-        "killed-upkeep" => killed_upkeep(folder, trouble),
-        "advice" => advised(folder, trouble),
+        "advice-in-burst" => advice_in_burst(folder, trouble),
+        "advice-of-few" => advice_of_few(folder, trouble),
         _ => Err(format!("no case is called {case}")),
     };
     played.unwrap_or_else(Verdict::NotRun)
@@ -259,11 +233,7 @@
         fleet.restart(0, Some(kind("a", 0, 16_000)));
         restarted = now_ms();
     }
-    pause(1000);
-    if trouble {
-        fleet.register(0);
-    }
-    pause(5000);
+    pause(6000);
     let wrong = fleet
         .runs()
         .into_iter()
@@ -277,44 +247,23 @@
     verdict(broken)
 }
 
-/// The owner of the cell is killed while the machines of a wave are down for their upkeep.
-fn killed_upkeep(folder: &str, trouble: bool) -> Result<Verdict, String> {
-    let kinds = (0..3).map(|index| kind("a", index, 16_000)).collect();
-    let routes = vec![route("r-jobs", "/jobs/", SERVICE, 3)];
-    let mut deployment = Deployment::start(folder, 3, kinds, routes)?;
-    let machines = (0..3).map(|index| text(format!("m-{index:04}"))).collect();
-    let wave = obj(vec![
-        ("wave", num(1)),
-        ("machines", Json::Arr(machines)),
-        ("deadline_s", num(40)),
-        ("cap", num(3)),
-    ]);
-    deployment.store.put("op/wave/1", wave.render().as_bytes());
-    if trouble {
-        let end = now_ms() + 20_000;
-        while deployment.fleet.in_upkeep() < 3 {
-            if now_ms() > end {
-                return Err("the upkeep did not begin".to_owned());
-            }
-            pause(1);
-        }
-        let owner = deployment.owner().ok_or("nobody owns the cell")?;
-        deployment.nodes[owner].kill();
-        pause(500);
-        deployment.nodes[owner].start();
-    }
-    let (fleet, client, store) = (&deployment.fleet, &deployment.client, &deployment.store);
-    let completed = || {
-        store
-            .value("status/wave/1")
-            .is_some_and(|value| decode64(&value).windows(9).any(|word| word == b"completed"))
+/// The policy of an advised queue allows only the executors of one rack.
+fn advice_of_few(folder: &str, trouble: bool) -> Result<Verdict, String> {
+    let kinds = (0..24).map(|index| kind("a", index / 8, 16_000)).collect();
+    let last_rack = |id: &str| {
+        usize::from_str_radix(id.trim_start_matches("i-"), 16).is_ok_and(|index| index / 8 == 2)
     };
-    if !wait_for("the wave is completed", 45_000, completed) {
-        return Err("the wave was not completed".to_owned());
-    }
-    note("the wave is completed");
-    pause(8000);
-    let id = format!("{:016x}", 0xd1);
+    let advice = Advice {
+        decide_ms: 20,
+        each_ms: 2,
+        valid_ms: 3000,
+        allows: if trouble { last_rack } else { |_| true },
+    };
+    let mut route = route("r-jobs", "/jobs/", SERVICE, 3);
+    route.set("advice", advice.terms());
+    let deployment = Deployment::start_with(folder, 3, kinds, vec![route], Some(advice.start()))?;
+    let (fleet, client) = (&deployment.fleet, &deployment.client);
+    let id = format!("{:016x}", 0xe1);
     if !client.submit(
         &deployment.fronts,
         &id,
@@ -322,65 +271,61 @@
     ) {
         return Err("the job was not accepted".to_owned());
     }
-    let started = wait_for("the job starts", 20_000, || !fleet.runs().is_empty());
+    let started = wait_for("the job starts", 30_000, || !fleet.runs().is_empty());
     client.state(&deployment.fronts[0], &id);
     verdict((!started).then(|| {
-        "LOST: the job had nothing running for 20 s, with three idle executors that are ready"
+        "LOST: the job had nothing running for 30 s, with eight idle executors that may run it"
             .to_owned()
     }))
 }
 
-/// The policy of an advised queue allows only the executors of one rack.
-fn advised(folder: &str, trouble: bool) -> Result<Verdict, String> {
-    const EXECUTORS: usize = 24;
-    let kinds = (0..EXECUTORS)
-        .map(|index| kind("a", index / 8, 16_000))
-        .collect();
-    let mut route = route("r-jobs", "/jobs/", SERVICE, 3);
-    route.set(
-        "advice",
-        obj(vec![
-            ("decide_ms", num(20)),
-            ("each_ms", num(2)),
-            ("valid_ms", num(3000)),
-        ]),
-    );
-    let one_at_a_time = std::sync::Mutex::new(());
-    let answer = move |request: &crate::base::Request| {
-        let _turn = one_at_a_time.lock().unwrap();
-        let body = request.json();
-        let workers = body.rows("workers");
-        pause(20 + 2 * workers.len() as u64);
-        let number = |id: &str| usize::from_str_radix(id.trim_start_matches("i-"), 16).unwrap_or(0);
-        let allowed = workers
-            .iter()
-            .map(Json::as_str)
-            .filter(|id| !trouble || number(id) / 8 == 2);
-        let granted: Vec<Json> = allowed
-            .map(|id| Json::Arr(vec![text(id), text(format!("t-{id}"))]))
-            .collect();
-        note(format!(
-            "advice: {} -> {} granted",
-            body.render(),
-            granted.len()
-        ));
-        Some((200, obj(vec![("granted", Json::Arr(granted))]).render()))
+/// Jobs come to an advised queue in a burst, faster than the advice service answers.
+fn advice_in_burst(folder: &str, trouble: bool) -> Result<Verdict, String> {
+    const JOBS: u64 = 40;
+    let gap_ms = if trouble { 40 } else { 800 };
+    let kinds = (0..12).map(|index| kind("a", index / 4, 16_000)).collect();
+    let advice = Advice {
+        decide_ms: 300,
+        each_ms: 5,
+        valid_ms: 3000,
+        allows: |_| true,
     };
-    let advice = crate::base::serve("127.0.0.1", Arc::new(answer)).to_string();
-    let deployment = Deployment::start_with(folder, 3, kinds, vec![route], Some(advice))?;
+    let mut route = route("r-jobs", "/jobs/", SERVICE, 3);
+    route.set("advice", advice.terms());
+    let deployment = Deployment::start_with(folder, 3, kinds, vec![route], Some(advice.start()))?;
     let (fleet, client) = (&deployment.fleet, &deployment.client);
-    let id = format!("{:016x}", 0xe1);
-    if !client.submit(
-        &deployment.fronts,
-        &id,
-        &job("ms=500", vec![step(2, 1000, 500, Vec::new())]),
-    ) {
-        return Err("the job was not accepted".to_owned());
+    let mut accepted = Vec::new();
+    for number in 0..JOBS {
+        let id = format!("{:016x}", 0xf00 + number);
+        let body = job("ms=300", vec![step(2, 1000, 300, Vec::new())]);
+        let front = &deployment.fronts[number as usize % 3];
+        if matches!(
+            client.send(front, "POST", &id, &body.render()),
+            Some((200..=299, _))
+        ) {
+            accepted.push(id);
+        }
+        pause(gap_ms);
     }
-    let started = wait_for("the job starts", 30_000, || !fleet.runs().is_empty());
-    client.state(&deployment.fronts[0], &id);
+    if accepted.len() < JOBS as usize / 2 {
+        return Err("most jobs were not accepted".to_owned());
+    }
+    let waiting = || {
+        let runs = fleet.runs();
+        let started = |id: &&String| runs.iter().any(|run| run.task.starts_with(id.as_str()));
+        accepted.iter().filter(|id| !started(id)).count()
+    };
+    let started = wait_for("all jobs start", 50_000, || waiting() == 0);
+    note(format!(
+        "{} jobs accepted, {} not started",
+        accepted.len(),
+        waiting()
+    ));
     verdict((!started).then(|| {
-        "LOST: the job had nothing running for 30 s, with eight idle executors that may run it"
-            .to_owned()
+        format!(
+            "LOST: {} of {} jobs had nothing running for 50 s, with twelve idle executors",
+            waiting(),
+            accepted.len()
+        )
     }))
 }
--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -20,8 +20,10 @@
 const STOP_MS: u64 = 50;
 /// How long a member of a gang waits for the others (`gang_ms`).
 const GANG_MS: u64 = 3000;
-/// Time of an upkeep (`upkeep_s`).
-const UPKEEP_MS: u64 = 2000;
+/// Interval at which an executor writes its entry (`heartbeat_ms`).
+const HEARTBEAT_MS: u64 = 1500;
+/// Time from the start of a crashed executor to its first heartbeat.
+const FIRST_HEARTBEAT_MS: u64 = 1000;
 /// Time until a task that lasts is at work.
 const WARM_MS: u64 = 500;
 
@@ -68,14 +70,8 @@
     /// Highest run of each task that was stopped or ended.
     closed: BTreeMap<String, u64>,
     seq_no: u64,
-    /// State of its machine.
-    machine: &'static str,
-    /// Waves for which the machine has had its upkeep.
-    upkeeps: Vec<u64>,
-    /// Highest fencing token of an order for the machine.
-    order_fence: u64,
-    /// Number of lives that the machine has had before.
-    lives: usize,
+    /// When it writes its entry next.
+    next_beat: u64,
 }
 
 #[derive(Default)]
@@ -167,6 +163,7 @@
             loop {
                 pause(5);
                 ticking.tick();
+                ticking.beat();
             }
         });
         fleet
@@ -195,27 +192,29 @@
             ended: Vec::new(),
             next_end: 1,
             closed: BTreeMap::new(),
-            seq_no: 1,
-            machine: "up",
-            upkeeps: Vec::new(),
-            order_fence: 0,
-            lives: 0,
+            seq_no: 0,
+            next_beat: 0,
         };
         self.state.lock().unwrap().executors.push(executor);
-        self.register(index);
+        self.beat();
         index
     }
 
-    /// Writes the entry of an executor to the store.
-    pub fn register(&self, index: usize) {
-        let (id, entry) = {
-            let mut state = self.state.lock().unwrap();
-            let executor = &mut state.executors[index];
-            executor.seq_no += 1;
-            (executor.id.clone(), executor.entry())
-        };
-        self.store
-            .put(&format!("servers/{id}"), entry.render().as_bytes());
+    /// Writes the entries of the executors whose heartbeat is due.
+    fn beat(&self) {
+        let now = now_ms();
+        let mut entries = Vec::new();
+        for executor in &mut self.state.lock().unwrap().executors {
+            if executor.up && now >= executor.next_beat {
+                executor.next_beat = now + HEARTBEAT_MS;
+                executor.seq_no += 1;
+                entries.push((executor.id.clone(), executor.entry()));
+            }
+        }
+        for (id, entry) in entries {
+            self.store
+                .put(&format!("servers/{id}"), entry.render().as_bytes());
+        }
     }
 
     /// The entry of an executor, as it writes it.
@@ -242,7 +241,7 @@
         }
     }
 
-    /// Starts a crashed executor again under its id and address. It registers itself later.
+    /// Starts a crashed executor again under its id and address. Its first heartbeat follows later.
     pub fn restart(&self, index: usize, kind: Option<Kind>) {
         let mut state = self.state.lock().unwrap();
         let executor = &mut state.executors[index];
@@ -259,6 +258,8 @@
             executor.next_end,
             executor.seq_no,
         ) = (0, 0, 1, 0);
+        executor.next_beat = now_ms() + FIRST_HEARTBEAT_MS;
+        executor.next_beat = now_ms() + FIRST_HEARTBEAT_MS;
         note(format!(
             "executor {} is up again, born {}, labels {:?}, cpu {}",
             executor.id, executor.born, executor.kind.labels, executor.kind.cpu
@@ -275,16 +276,6 @@
         self.state.lock().unwrap().executors[index].running.len()
     }
 
-    /// Number of machines that are down for their upkeep.
-    pub fn in_upkeep(&self) -> usize {
-        let state = self.state.lock().unwrap();
-        state
-            .executors
-            .iter()
-            .filter(|executor| executor.machine == "upkeep")
-            .count()
-    }
-
     /// The list of machines: each executor is the life of one machine.
     pub fn machines(&self) -> Json {
         let state = self.state.lock().unwrap();
@@ -293,14 +284,7 @@
             obj(vec![
                 ("machine", text(format!("m-{index:04}"))),
                 ("pool", text(&executor.kind.service)),
-                (
-                    "state",
-                    text(if executor.up || executor.machine != "up" {
-                        executor.machine
-                    } else {
-                        "down"
-                    }),
-                ),
+                ("state", text(if executor.up { "up" } else { "down" })),
                 ("zone", text(&executor.zone)),
                 ("labels", Json::Arr(labels)),
                 (
@@ -311,14 +295,7 @@
                         ("gpu", num(0)),
                     ]),
                 ),
-                (
-                    "id",
-                    if executor.machine == "up" {
-                        text(&executor.id)
-                    } else {
-                        Json::Null
-                    },
-                ),
+                ("id", text(&executor.id)),
             ])
         };
         let rows = state.executors.iter().enumerate().map(row).collect();
@@ -328,7 +305,7 @@
         ])
     }
 
-    /// Serves the list of machines and orders of upkeep. Moves are refused: no case has a second pool.
+    /// Serves the list of machines. Orders are refused as `busy`: no case asks for one.
     pub fn serve_cloud(self: &Arc<Self>) -> String {
         let fleet = self.clone();
         let answer = move |request: &Request| {
@@ -336,80 +313,16 @@
             if request.method == "GET" && request.path == "/lacewingshore/machines" {
                 return Some((200, fleet.machines().render()));
             }
-            let body = request.json();
-            let token = request
-                .header("x-lacewingshore-fencing-token")
-                .parse()
-                .unwrap_or(0);
-            let (status, reason, begun) = match request.path.as_str() {
-                "/lacewingshore/machine-upkeep" => {
-                    fleet.upkeep(body.str("machine"), body.u64("wave"), token)
-                }
-                _ => (409, "busy", false),
-            };
-            if begun {
-                // The answer takes its time after the upkeep has begun.
-                pause(20);
-            }
             note(format!(
-                "cloud: {} {} -> {status} {reason}",
+                "cloud: {} {}",
                 request.path,
-                body.render()
+                request.json().render()
             ));
-            let reply = if status == 200 {
-                "{}".to_owned()
-            } else {
-                obj(vec![("reason", text(reason))]).render()
-            };
-            Some((status, reply))
+            Some((409, obj(vec![("reason", text("busy"))]).render()))
         };
         serve("127.0.0.1", Arc::new(answer)).to_string()
     }
 
-    /// Takes a machine down for its upkeep; its next executor joins after `upkeep_s`. Returns whether
-    /// the upkeep has just begun.
-    fn upkeep(self: &Arc<Self>, machine: &str, wave: u64, token: u64) -> (u16, &'static str, bool) {
-        let index: usize = machine
-            .trim_start_matches("m-")
-            .parse()
-            .unwrap_or(usize::MAX);
-        let old = {
-            let mut state = self.state.lock().unwrap();
-            let Some(executor) = state.executors.get_mut(index) else {
-                return (400, "", false);
-            };
-            if token < executor.order_fence {
-                return (409, "fence", false);
-            }
-            executor.order_fence = token;
-            if executor.upkeeps.contains(&wave) {
-                return (200, "already done", false);
-            }
-            if !executor.up || executor.machine != "up" {
-                return (409, "busy", false);
-            }
-            executor.machine = "upkeep";
-            executor.upkeeps.push(wave);
-            executor.id.clone()
-        };
-        self.crash(index);
-        self.store.delete(&format!("servers/{old}"));
-        let fleet = self.clone();
-        std::thread::spawn(move || {
-            pause(UPKEEP_MS);
-            {
-                let mut state = fleet.state.lock().unwrap();
-                let executor = &mut state.executors[index];
-                executor.lives += 1;
-                executor.machine = "up";
-                executor.id = format!("i-{:08x}", index + 256 * executor.lives);
-            }
-            fleet.restart(index, None);
-            fleet.register(index);
-        });
-        (200, "", true)
-    }
-
     fn answer(&self, index: usize, request: &Request) -> Reply {
         let body = request.json();
         let mut state = self.state.lock().unwrap();
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -5,6 +5,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! `TROUBLE=0` the disruption is left out.
 
+mod advice;
 mod base;
 mod cases;
 mod cell;
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -62,16 +62,9 @@
         state.rev += 1;
         write(&mut state, key, base64(value), 0);
         self.changed.notify_all();
-        note(format!("store: {key} written, rev {}", state.rev));
-    }
-
-    /// Removes a key as the operator or an executor does.
-    pub fn delete(&self, key: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.rev += 1;
-        remove(&mut state, key);
-        self.changed.notify_all();
-        note(format!("store: {key} removed, rev {}", state.rev));
+        if !key.starts_with("servers/i-0") {
+            note(format!("store: {key} written, rev {}", state.rev));
+        }
     }
 
     /// Revision of a key; 0 if it does not exist.
@@ -80,12 +73,6 @@
         state.items.get(key).map_or(0, |item| item.rev)
     }
 
-    /// Raw value of a key, as it lies in the store.
-    pub fn value(&self, key: &str) -> Option<String> {
-        let state = self.state.lock().unwrap();
-        state.items.get(key).map(|item| item.value.clone())
-    }
-
     fn expire(&self) {
         let mut state = self.state.lock().unwrap();
         let now = Instant::now();
