--- a/review/stand-2/cell.rs
+++ b/review/stand-2/cell.rs
@@ -193,7 +193,9 @@
             .map_or("no answer".to_owned(), |(status, body)| {
                 format!("{status} {body}")
             });
-        note(format!("client: {method} {path} at {node} -> {shown}"));
+        note(format!(
+            "client: {method} {path} at {node} {body} -> {shown}"
+        ));
         answer
     }
 
