--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -197,7 +197,7 @@
 /// An executor crashes and starts again under its id as one of another kind, before its next
 /// heartbeat says so.
 fn other_kind(folder: &str, trouble: bool) -> Result<Verdict, String> {
-    let kinds = (0..4)
+    let kinds = (0..8)
         .map(|index| kind(if index == 0 { "b" } else { "a" }, index / 2, 16_000))
         .collect();
     let deployment = Deployment::start(
