Model an owner that is partitioned together with targets

The seeded model let a cut-off owner reach every target, so that the first target that its successor had polled ended its term. A partition that leaves it some targets, which nobody else reaches, was not drawn, nor were tasks that outlast a lease. Now both are: the owner and a share of the targets are apart from the store and from everything else for 2 to 25 s.

Older cases draw the same faults as before.

--- a/crates/decide/tests/harness/mod.rs
+++ b/crates/decide/tests/harness/mod.rs
@@ -15,6 +15,7 @@
 mod world_list;
 mod world_log;
 mod world_moves;
+mod world_partition;
 mod world_requests;
 mod world_target;
 
--- a/crates/decide/tests/harness/world.rs
+++ b/crates/decide/tests/harness/world.rs
@@ -67,6 +67,8 @@
     /// Tokens of the owners whose lease the store ended early.
     pub(super) early_lapses: BTreeSet<u64>,
     pub(super) next_election: Option<BootTime>,
+    /// Until when owners reach only the targets that are partitioned with them.
+    pub(super) partitioned_until: BTreeMap<u64, BootTime>,
     pub(super) calls: Vec<SimCall>,
     pub(super) client_requests: Vec<ClientRequest>,
     pub(super) jobs: BTreeMap<String, JobPlan>,
@@ -145,6 +147,7 @@
             owners: Vec::new(),
             early_lapses: BTreeSet::new(),
             next_election: None,
+            partitioned_until: BTreeMap::new(),
             calls: Vec::new(),
             client_requests: Vec::new(),
             jobs: BTreeMap::new(),
@@ -226,8 +229,9 @@
             step.gang = self.rng.random_bool(0.2) && step.count * 1000 <= 4000;
             step
         });
-        let plan = plan(steps.collect());
+        let mut plan = plan(steps.collect());
         let job = format!("job{}", self.jobs.len());
+        self.draw_long_tasks(&job, &mut plan);
         let record = job_record(&job, &plan, self.now);
         self.jobs.insert(job.clone(), plan);
         self.submit_record(index, record);
@@ -269,6 +273,7 @@
                     };
                 }
                 state.partitioned = false;
+                state.partitioned_with = None;
             }
             if now >= state.listing_stale_until {
                 state.listed_start = state.started_at;
--- a/crates/decide/tests/harness/world_call.rs
+++ b/crates/decide/tests/harness/world_call.rs
@@ -216,13 +216,14 @@
                 call.done = Some(call.order.other_incarnation_response());
                 continue;
             }
+            let cut_off = self.is_cut_off(call.owner, &call.target, now);
             let Some(state) = self.targets.get_mut(&call.target) else {
                 continue;
             };
             // A request that a target processes late is lost if the target restarts before.
             let delayed = call.arrives > call.times_out;
             let restarted = delayed && call.target_started_at != state.started_at;
-            if !state.up || state.partitioned || restarted {
+            if cut_off || restarted {
                 call.arrives = BootTime::MAX;
                 call.response_at = None;
                 continue;
--- a/crates/decide/tests/harness/world_faults.rs
+++ b/crates/decide/tests/harness/world_faults.rs
@@ -16,6 +16,8 @@
     pub owner_kill: f64,
     /// The owner loses its connection to the store and continues while a successor takes over.
     pub owner_cut: f64,
+    /// The owner and some targets are partitioned together from the store and from all others.
+    pub owner_apart: f64,
     /// Share of calls whose request or response is lost.
     pub lost_calls: f64,
     /// Share of calls that take effect seconds after they timed out.
@@ -49,6 +51,7 @@
         target_cut: 0.0,
         owner_kill: 0.0,
         owner_cut: 0.0,
+        owner_apart: 0.0,
         lost_calls: 0.0,
         late_calls: 0.0,
         late_lists: 0.0,
@@ -122,6 +125,7 @@
             self.next_election = Some(now + OWNER_LEASE);
             self.record_core_event("the owner is partitioned");
         }
+        self.draw_owner_apart();
         self.draw_queue_move();
         self.draw_target_faults();
         let probability = self.faults.store_outage * super::world::TICK.as_secs_f64();
--- a/crates/decide/tests/harness/world_target.rs
+++ b/crates/decide/tests/harness/world_target.rs
@@ -19,6 +19,8 @@
     pub address: String,
     pub up: bool,
     pub partitioned: bool,
+    /// Token of the owner that reaches it during a partition.
+    pub partitioned_with: Option<u64>,
     pub listed: bool,
     /// Whether its host restarts under another id.
     pub returns_with_new_id: bool,
--- a/crates/decide/tests/work_schedule.rs
+++ b/crates/decide/tests/work_schedule.rs
@@ -52,6 +52,16 @@
     run_seeds(0..SEEDS, faults);
 }
 
+/// Guards against running a task twice: an owner is partitioned together with targets and extends
+/// their leases, while its successor gives these targets up and starts their tasks elsewhere.
+#[rstest]
+#[case::alone(WorldFaults { owner_apart: 0.05, ..WorldFaults::CALM })]
+#[case::all(WorldFaults { owner_apart: 0.05, ..WorldFaults::default() })]
+#[case::log_and_lists(WorldFaults { owner_apart: 0.05, short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
+fn partitioned_owner_keeps_invariants(#[case] faults: WorldFaults) {
+    run_seeds(0..SEEDS, faults);
+}
+
 /// Seeds outside the range above that once violated an invariant.
 #[rstest]
 #[case::lone_owner_and_new_life(265, WorldFaults { target_crash: 0.1, target_cut: 0.1, ..WorldFaults::default() })]
