Let no lease outlast what a successor waits for

What callers saw: tasks ran twice, and a workspace was above its limit. With real processes four tasks ran twice when the owner was cut off together with one target for 12 s.

Cause: two times that were chosen apart. An owner that had lost the store extended leases by 5 s each for 8 s beyond its own lease, so that tasks ran for up to 13 s after a successor could be elected. The successor waited 6.4 s, and 1.8 s more once it had reached half of the listed targets, on the ground that one of these would tell the predecessor. A predecessor that reaches only targets that the successor does not reach is told by nobody. After any hand-over in the log, also one before the last owner's term, and for a target that was polled once and lost again, it waited 6.4 s only.

Change: an owner says with each poll until when it is certain to be the only one, and no lease that it grants lasts for more than 6.5 s beyond that. A successor waits for just that after it has read the log, for the length of the cell's lease in case the store ended it early, and for 0.3 s on the way: 7.9 s for every target of a predecessor, reached once or not, whether or not somebody handed over and whatever other targets have answered. The grounds that somebody has told the predecessor are gone. A target whose incarnation is known to have ended is no longer one of a predecessor.

Why it works: both sides use the same bound, and it rests on the store alone. A lease is a time on the target's clock, so a poll that is held up does not extend it. An outage of the store is bridged for 7.4 s without promises of the other processes, and for as long as they promise with them.

A successor waits 7.9 s in place of 8.2, 14.4 and, after a hand-over, 6.4 s.

--- a/crates/cell/src/target_poll.rs
+++ b/crates/cell/src/target_poll.rs
@@ -76,7 +76,11 @@
             continue;
         };
         let now = term.now();
-        let order = term.scheduler.borrow_mut().poll_order(id, now)?;
+        let sole_until = term.sole_owner_until();
+        let order = term
+            .scheduler
+            .borrow_mut()
+            .poll_order(id, sole_until, now)?;
         return Some((order, permit));
     }
 }
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -239,17 +239,17 @@
     }
 
     /// Until when no other process can have become the owner.
-    fn sole_owner_until(&self) -> BootTime {
+    pub(crate) fn sole_owner_until(&self) -> BootTime {
         self.lease_valid_until.get().max(self.promised_until.get())
     }
 
-    /// True while orders may be sent. This includes a bounded time after the lease, for an outage
-    /// of the store.
+    /// True while orders may be sent. This includes the time after the lease in which leases of
+    /// targets last, for an outage of the store.
     ///
     /// The clock also counts time in which the host was suspended. So a process that was paused
     /// finds its lease expired here before it sends another order.
     pub(crate) fn may_send_orders(&self) -> bool {
-        let limit = self.sole_owner_until() + self.options.scheduler.store_outage_limit;
+        let limit = self.sole_owner_until() + self.options.scheduler.lease_overhang;
         !self.over.has_begun() && BootClock.boot_now() < limit
     }
 
--- a/crates/decide/src/work/scheduler_incarnation.rs
+++ b/crates/decide/src/work/scheduler_incarnation.rs
@@ -54,6 +54,7 @@
         let claims = target.begin_incarnation(Duration::ZERO, now.boot);
         // The granted lease ended with the incarnation.
         target.last_grant = BootTime::ZERO;
+        target.inherited = false;
         target.listed = false;
         self.release_runs(id, claims, false, cause, now);
     }
@@ -97,9 +98,6 @@
         }
         for id in ended {
             self.mark_target_lost(&id, "no-host", now);
-            if let Some(target) = self.targets.get_mut(&id) {
-                target.inherited = false;
-            }
         }
     }
 
--- a/crates/decide/src/work/scheduler_report.rs
+++ b/crates/decide/src/work/scheduler_report.rs
@@ -9,7 +9,8 @@
 
 use super::{
     PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TargetState, TaskPlacement,
-    WorkJob, WorkScheduler, target_state::RunKey,
+    WorkJob, WorkScheduler,
+    target_state::{RunKey, lagging},
 };
 
 /// Maximum ends in one report. A full report may omit ends, among them that of a missing run.
@@ -54,7 +55,15 @@
     }
 
     /// The poll that a target needs now; `None` if it needs none.
-    pub fn poll_order(&mut self, id: &HostId, now: SchedulerTime) -> Option<PollOrder> {
+    ///
+    /// The lease that it grants ends with the overhang after `sole_until`, the time until which no
+    /// other process can own the cell. A successor relies on that.
+    pub fn poll_order(
+        &mut self,
+        id: &HostId,
+        sole_until: BootTime,
+        now: SchedulerTime,
+    ) -> Option<PollOrder> {
         self.poll_class(id, now)?;
         let tuning = self.tuning;
         let mixed = self.runs_serving_and_best_effort(id);
@@ -63,15 +72,22 @@
         let acked_end = target.acked_end_at(now.boot);
         // The lease of an unresponsive target is not renewed: it has to expire so that its tasks
         // can start elsewhere.
-        let lease_until = target
+        let renewed_clock = target
             .clock_at(now.boot)
-            .filter(|_| busy && !target.unresponsive)
-            .map(|clock| clock + tuning.grant);
+            .filter(|_| busy && !target.unresponsive);
+        let latest = sole_until + tuning.lease_overhang;
+        let lease = tuning.grant.min(lagging(latest.saturating_sub(now.boot)));
+        let lease_until = renewed_clock
+            .filter(|_| !lease.is_zero())
+            .map(|clock| clock + lease);
         if lease_until.is_some() {
-            (target.last_grant, target.last_renewal) = (now.boot, now.boot);
+            target.last_grant = now.boot;
+        }
+        if lease_until.is_some() && lease == tuning.grant {
+            target.last_renewal = now.boot;
         }
         let wait = match (
-            target.incarnation.token_seen && lease_until.is_some(),
+            target.incarnation.token_seen && renewed_clock.is_some(),
             mixed,
         ) {
             (false, _) => Duration::ZERO,
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -289,23 +289,19 @@
             && target.last_response.saturating_sub(place.last_progress) >= limit
     }
 
-    /// When every lease granted on a target has expired.
+    /// When every lease granted on a target has expired, also those of predecessors.
     ///
-    /// A predecessor that lost the store may continue for a bounded time. The first target that
-    /// this owner has polled tells the predecessor that it has been succeeded; only while few
-    /// targets have been polled does the whole of that time have to pass. Targets that are no
-    /// longer in the host list don't count, because there are many of them after some moves of
-    /// hosts.
+    /// A predecessor that has lost the store may still reach targets that this owner does not reach,
+    /// and nothing there tells it that it was succeeded. So all that it can have granted has to
+    /// expire, whatever other targets have answered.
     fn lapse_deadline(&self, target: &super::TargetState) -> BootTime {
-        let lapse = target.leases_expired_at(&self.tuning);
-        if !target.inherited || target.incarnation.token_seen || self.job_table.handed_over {
-            return lapse;
-        }
-        if self.index.targets.reached * 2 >= self.index.targets.listed {
-            lapse + self.tuning.unresponsive_after
-        } else {
-            lapse + self.tuning.store_outage_limit
+        let own = target.leases_expired_at(&self.tuning);
+        if !target.inherited {
+            return own;
         }
+        let tuning = &self.tuning;
+        let predecessors = tuning.owner_lease + tuning.lease_overhang + tuning.lapse_margin;
+        own.max(self.replay_finished_at + predecessors)
     }
 
     fn remove_unneeded_targets(&mut self, now: SchedulerTime) {
--- a/crates/decide/src/work/scheduler_tuning.rs
+++ b/crates/decide/src/work/scheduler_tuning.rs
@@ -14,8 +14,13 @@
     /// Added to `lease_limit` before tasks of an unresponsive target start elsewhere: a target's
     /// clock may be 2 % slow, and an order may be in flight for some time.
     pub lapse_margin: Duration,
-    /// Maximum time for which an owner that can't reach the store continues to send orders.
-    pub store_outage_limit: Duration,
+    /// By how much leases may outlast the time for which their owner is certain to be the only one.
+    /// It bridges an outage of the store. A successor waits for as long, and for `owner_lease`, before
+    /// it starts tasks that may run on a target that it does not reach.
+    pub lease_overhang: Duration,
+    /// Lease of the cell. If the store ends it early, its holder may rely on it for this long while
+    /// there is a successor.
+    pub owner_lease: Duration,
     /// Time without an answer after which a target gets no new tasks and no renewals.
     pub unresponsive_after: Duration,
     /// How long a target holds a poll open while waiting for an end. Renewals have to be more
@@ -47,7 +52,8 @@
             lease_limit: Duration::from_secs(6),
             grant: Duration::from_secs(5),
             lapse_margin: Duration::from_millis(300),
-            store_outage_limit: Duration::from_secs(8),
+            lease_overhang: Duration::from_millis(6500),
+            owner_lease: Duration::from_millis(1100),
             unresponsive_after: Duration::from_millis(1800),
             look_wait: Duration::from_millis(1000),
             mixed_poll_wait: Duration::from_millis(400),
--- a/crates/decide/src/work/target_index.rs
+++ b/crates/decide/src/work/target_index.rs
@@ -35,8 +35,6 @@
     pub(super) listed: usize,
     /// Number of these that are unresponsive or have not been reached.
     pub(super) not_responding: usize,
-    /// Number of listed targets that have been reached.
-    pub(super) reached: usize,
 }
 
 /// Targets of one pool.
@@ -275,7 +273,6 @@
         }
         self.listed += usize::from(summary.listed);
         self.not_responding += usize::from(summary.is_not_responding());
-        self.reached += usize::from(summary.listed && summary.token_seen);
     }
 
     fn remove(&mut self, id: &HostId, summary: &TargetSummary) {
@@ -301,6 +298,5 @@
         self.expiring.remove(id);
         self.listed -= usize::from(summary.listed);
         self.not_responding -= usize::from(summary.is_not_responding());
-        self.reached -= usize::from(summary.listed && summary.token_seen);
     }
 }
--- a/crates/decide/tests/harness/world.rs
+++ b/crates/decide/tests/harness/world.rs
@@ -335,7 +335,7 @@
             self.elect();
         }
         let mut owners = std::mem::take(&mut self.owners);
-        let max_outage = SchedulerTuning::default().store_outage_limit + OWNER_LEASE;
+        let max_outage = SchedulerTuning::default().lease_overhang + OWNER_LEASE;
         owners.retain(|owner| {
             let ended = owner
                 .lease_loss_seen_at
@@ -404,7 +404,10 @@
             if owner.polling.contains(&name) || paused.is_some_and(|until| now.boot < *until) {
                 continue;
             }
-            if let Some(order) = owner.scheduler.poll_order(&name, now) {
+            if let Some(order) = owner
+                .scheduler
+                .poll_order(&name, owner.sole_owner_until, now)
+            {
                 owner.polling.insert(name.clone());
                 self.send(owner.token, name, SimRequest::Poll(order));
             }
@@ -420,7 +423,11 @@
                 }
                 SchedulerAction::StepDown(_) => return false,
                 SchedulerAction::Poll(name) if self.faults.lists => {
-                    if let Some(mut order) = owner.scheduler.poll_order(&name, now) {
+                    if let Some(mut order) =
+                        owner
+                            .scheduler
+                            .poll_order(&name, owner.sole_owner_until, now)
+                    {
                         order.wait = Duration::ZERO;
                         self.send(owner.token, name, SimRequest::ExtraPoll(order));
                     }
--- a/crates/decide/tests/work_incarnations.rs
+++ b/crates/decide/tests/work_incarnations.rs
@@ -95,7 +95,9 @@
 fn poll_order_after_pause_acks_no_ends() {
     let (mut scene, starts) = SchedulerFixture::with_running_job(2000, vec![step(1, 1000)]);
     scene.report_end("t1", &starts[0].1, EndKind::Done);
-    let order = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let order = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now);
     assert_eq!(order.map(|order| order.acked_end), Some(1));
     let seen = PollAnswer::Seen(TargetReport {
         clock: scene.now.boot,
@@ -109,10 +111,14 @@
     scene.advance(Duration::from_secs(5));
     scene.submit("b", &plan(vec![step(1, 1000)]));
     assert_eq!(scene.confirm_starts().len(), 1);
-    let order = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let order = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now);
     assert_eq!(order.map(|order| order.acked_end), Some(0));
     scene.report_idle("t1");
-    let order = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let order = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now);
     assert_eq!(order.map(|order| order.acked_end), Some(1));
 }
 
--- a/crates/decide/tests/work_restarts.rs
+++ b/crates/decide/tests/work_restarts.rs
@@ -98,7 +98,9 @@
     let (mut scene, start) = started_unreported();
     scene.report_end("t1", &start, EndKind::Done);
     let acked_end = |scene: &mut SchedulerFixture| {
-        let order = scene.scheduler.poll_order(&"t1".into(), scene.now);
+        let order = scene
+            .scheduler
+            .poll_order(&"t1".into(), scene.now.boot, scene.now);
         order.map(|order| order.acked_end)
     };
     assert_eq!(acked_end(&mut scene), Some(1));
--- a/crates/decide/tests/work_services.rs
+++ b/crates/decide/tests/work_services.rs
@@ -356,7 +356,7 @@
             if self.calls.iter().any(is_pending) {
                 continue;
             }
-            if let Some(order) = self.scheduler.poll_order(&name, self.now) {
+            if let Some(order) = self.scheduler.poll_order(&name, self.now.boot, self.now) {
                 self.send(name, Order::Poll(order));
             }
         }
--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -131,7 +131,9 @@
     let (mut scene, starts) = SchedulerFixture::with_running_job(2000, vec![step(1, 1000)]);
     scene.report("t1", vec![run_report(&starts[0].1)], Vec::new());
     scene.add_target("t2", 2000);
-    let order = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let order = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now);
     assert!(order.is_some_and(|order| order.lease_until.is_some()));
     scene.scheduler.mark_target_unlisted(&"t1".into());
     for _ in 0..30 {
@@ -157,7 +159,9 @@
         scene.starts.is_empty(),
         "the new incarnation has not seen the token"
     );
-    let order = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let order = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now);
     assert!(order.is_some());
     let report = TargetReport {
         started_at: RESTARTED_AT,
@@ -277,7 +281,9 @@
     scene.time_out_poll("t1");
     scene.advance(Duration::from_secs(7));
     scene.report("t1", Vec::new(), vec![end]);
-    let order = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let order = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now);
     assert_eq!(order.map_or(0, |order| order.acked_end), 0);
 }
 
@@ -333,7 +339,7 @@
     assert!(
         scene
             .scheduler
-            .poll_order(&"t1".into(), scene.now)
+            .poll_order(&"t1".into(), scene.now.boot, scene.now)
             .is_none()
     );
 }
@@ -486,7 +492,7 @@
     let (scheduler, now) = (&mut scene.scheduler, scene.now);
     assert!(scheduler.limit_start(&id, &mut start, owned_until, now));
     assert_eq!(scheduler.poll_class(&id, now), Some(CallClass::Renew));
-    scheduler.poll_order(&id, now);
+    scheduler.poll_order(&id, now.boot, now);
     assert_eq!(scheduler.poll_class(&id, now), Some(CallClass::Poll));
     scheduler.upsert_target(restarted_target(2000), now);
     assert!(scheduler.targets[&id].last_renewal.is_zero());
--- a/crates/lacewingshore/src/cell_serve.rs
+++ b/crates/lacewingshore/src/cell_serve.rs
@@ -132,6 +132,7 @@
         link_mbps: settings.link_mbps,
     };
     options.owner_lease = lease_length(options.owner_lease, options.limits.link_bytes_per_second());
+    options.scheduler.owner_lease = options.owner_lease;
     Ok(options)
 }
 
