Test how long an owner waits after a hand-over before the last one

What callers would see: a task runs twice. An owner hands over, its successor is cut off from the store later and goes on extending leases, and the third owner does not wait for that. Cause, as far as read: `JobTable::apply` sets `handed_over` for each such entry of the log, whoever wrote it, and only an order to a host clears it. So it says that any predecessor handed over, and `WorkScheduler::lapse_deadline` takes it for the last one. Change: the test alone. It fails on this code.

--- /dev/null
+++ b/crates/decide/tests/work_second_runs.rs
@@ -0,0 +1,46 @@
+//! Ways by which a task may be started while an earlier run of it goes on.
+
+mod harness;
+
+use std::time::Duration;
+
+use harness::{SchedulerFixture, plan, run_report, step};
+use wire::work::{LogEntry, log_entry::Event};
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// How long the third owner waits before it starts a task that may run on a target that it can't
+/// reach. The second owner did not hand over; the first one did if `handed_over`.
+fn wait_of_third_owner(handed_over: bool) -> Duration {
+    let (mut first, starts) = SchedulerFixture::with_running_job(4000, vec![step(1, 1000)]);
+    if handed_over {
+        let event = Some(Event::HandedOver(1));
+        first.stored.push(LogEntry { event });
+    }
+    let mut second = first.successor(9);
+    second.list_target("t1", 4000);
+    second.report("t1", vec![run_report(&starts[0].1)], Vec::new());
+    second.submit("b", &plan(vec![step(1, 1000)]));
+
+    let mut third = second.successor(17);
+    third.add_target("t2", 4000);
+    let mut waited = Duration::ZERO;
+    while !third.starts.iter().any(|(_, start)| start.task.job == "a") {
+        assert!(waited < Duration::from_secs(30));
+        third.advance(STEP);
+        waited += STEP;
+    }
+    waited
+}
+
+/// Guards against running a task twice: an owner took over by a hand-over and was cut off later,
+/// while it went on to extend leases. Its successor read the earlier hand-over in the log and did
+/// not wait for the time in which a predecessor that is cut off does so.
+#[test]
+fn lapse_deadline_older_hand_over_waits() {
+    let (after_hand_over, without) = (wait_of_third_owner(true), wait_of_third_owner(false));
+    assert!(
+        after_hand_over >= without,
+        "{after_hand_over:?} instead of {without:?}"
+    );
+}
