Test a successor that reads two records of runs of one task

What callers would see: a task runs twice, without any wait in between. Its target falls out of reach and is given up, the task is started on another target, that one falls out of reach as well, and the owner changes. The log then records a run of the task on each of the two. Cause, as far as read: `WorkScheduler::adopt_unreachable_run` places the task by the first record in the order of the targets' names and ignores the later run on the other target. When the first target answers without the run, the task counts as waiting, and the other target does not count as unknown because it has a record. Change: the test alone. It fails on this code.

--- a/crates/decide/tests/work_second_runs.rs
+++ b/crates/decide/tests/work_second_runs.rs
@@ -8,6 +8,8 @@
 use wire::work::{LogEntry, log_entry::Event};
 
 const STEP: Duration = Duration::from_millis(100);
+/// Lease, the margins after it, and one tick.
+const LEASE_EXPIRY: Duration = Duration::from_millis(8500);
 
 /// How long the third owner waits before it starts a task that may run on a target that it can't
 /// reach. The second owner did not hand over; the first one did if `handed_over`.
@@ -44,3 +46,31 @@
         "{after_hand_over:?} instead of {without:?}"
     );
 }
+
+/// Guards against running a task twice: two of its targets are recorded as unreachable, each with a
+/// run of it, because it was started on the second one when the lease on the first one had expired.
+/// The successor took the earlier run for the present one, and when that target answered without it,
+/// started the task beside the later one.
+#[test]
+fn adopt_unreachable_later_run_counts() {
+    let (mut first, starts) = SchedulerFixture::with_running_job(1000, vec![step(1, 1000)]);
+    first.report("t1", vec![run_report(&starts[0].1)], Vec::new());
+    first.time_out_poll("t1");
+    first.run_planning();
+    first.add_target("t2", 1000);
+    first.advance(Duration::from_secs(2));
+    first.time_out_poll("t1");
+    first.advance(LEASE_EXPIRY);
+    let later = first.confirm_starts();
+    assert_eq!((later.len(), later[0].0.as_str()), (1, "t2"));
+    first.report("t2", vec![run_report(&later[0].1)], Vec::new());
+    first.time_out_poll("t2");
+    first.run_planning();
+
+    let mut next = first.successor(9);
+    next.add_target("t3", 1000);
+    next.list_target("t1", 1000);
+    next.report_idle("t1");
+    next.advance(Duration::from_secs(1));
+    assert!(next.starts.is_empty(), "it may run on t2");
+}
