Test at which address a successor looks for a target that restarted

What callers would see: a task runs twice, without any wait in between. A target restarts under its id at another address and is given a task; its entry lapses, and the owner changes. Cause, as far as read: `WorkScheduler::upsert_target` records a use of the target anew when its pool changes, and not when its address does. The successor polls the address in the log. If another target has it by now, that one answers 421, and `apply_report` takes the first one for gone. Change: the test alone. It fails on this code.

--- a/crates/decide/tests/work_incarnations.rs
+++ b/crates/decide/tests/work_incarnations.rs
@@ -422,3 +422,26 @@
     scene.advance(Duration::from_millis(50));
     assert!(scene.scheduler.listed_targets().is_empty());
 }
+
+/// Guards against running a task twice: its target had restarted under its id at another address. It
+/// was no longer listed when the owner changed, the successor read the earlier address in the log,
+/// where another target answered, and took the first one for gone.
+#[test]
+fn successor_restarted_elsewhere_polls_present_address() {
+    let mut first = SchedulerFixture::new(1);
+    first.add_target("t1", 2000);
+    let moved = TargetEntry {
+        address: "t1:81".into(),
+        ..restarted_target(2000)
+    };
+    first.scheduler.upsert_target(moved, first.now);
+    first.run_planning();
+    report_restarted(&mut first, Vec::new(), Vec::new());
+    first.submit("a", &plan(vec![step(1, 1000)]));
+    assert_eq!(first.confirm_starts().len(), 1);
+
+    let next = first.successor(9);
+    let target = next.scheduler.targets.get("t1");
+    let address = target.map(|target| target.entry.address.as_str());
+    assert_eq!(address, Some("t1:81"));
+}
