Test a start that may still arrive on a target that was forgotten

What callers would see: a task runs twice for as long as its target takes to be polled. A start is not answered, its target leaves the host list and is taken for gone, the task starts elsewhere, the target comes back under its id, and the network delivers the start there. Cause, as far as read: `WorkScheduler::mark_target_lost` clears the claims and does not look at `unconfirmed_starts`; an unlisted target without claims is removed, and with it these starts. A target that lapses or restarts while listed has them fenced by stops. Change: the test alone. It fails on this code.

--- a/crates/decide/tests/work_incarnations.rs
+++ b/crates/decide/tests/work_incarnations.rs
@@ -445,3 +445,35 @@
     let address = target.map(|target| target.entry.address.as_str());
     assert_eq!(address, Some("t1:81"));
 }
+
+/// Guards against running a task twice: its start was unanswered, its target left the host list and
+/// no host had it, so that it was forgotten. It came back under its id before the start could no
+/// longer arrive, and nothing fenced the start there.
+#[test]
+fn unconfirmed_start_of_forgotten_target_is_fenced() {
+    let mut scene = SchedulerFixture::with_job(2000, vec![step(1, 1000)]);
+    let (id, start) = scene.starts.remove(0);
+    scene.add_target("t2", 2000);
+    scene.time_out_start(&id, &start);
+    scene.scheduler.mark_target_unlisted(&id);
+    scene.advance(Duration::from_secs(2));
+    for _ in 0..2 {
+        scene
+            .scheduler
+            .update_incarnations(&["t2".into()].into(), scene.now.boot, scene.now);
+    }
+    scene.advance(Duration::from_millis(50));
+    assert_eq!(scene.starts.len(), 1, "it is started on t2");
+    let stops_before = scene.stop_count();
+    scene.advance(Duration::from_secs(3));
+    scene
+        .scheduler
+        .upsert_target(restarted_target(2000), scene.now);
+    scene.run_planning();
+    report_restarted(&mut scene, Vec::new(), Vec::new());
+    scene.advance(Duration::from_millis(50));
+    assert!(
+        scene.stop_count() > stops_before,
+        "it may still arrive on t1"
+    );
+}
