Test how long a successor without a host list waits

What callers would see: a task runs twice. A successor that has read no host list yet, and reached no target, gives targets of its predecessor up 6.2 s too early. Cause, as far as read: `WorkScheduler::lapse_deadline` compares the reached targets with the listed ones; of no listed target, no reached one is half. Change: the test alone. It fails on this code.

--- a/crates/decide/tests/work_second_runs.rs
+++ b/crates/decide/tests/work_second_runs.rs
@@ -74,3 +74,33 @@
     next.advance(Duration::from_secs(1));
     assert!(next.starts.is_empty(), "it may run on t2");
 }
+
+/// How long a successor that reaches no target waits until it gives one up.
+fn wait_of_successor(listed: bool) -> Duration {
+    let (first, _) = SchedulerFixture::with_running_job(4000, vec![step(1, 1000)]);
+    let mut next = first.successor(9);
+    if listed {
+        next.list_target("t1", 4000);
+    }
+    let mut waited = Duration::ZERO;
+    while next
+        .scheduler
+        .targets
+        .get("t1")
+        .is_some_and(|t1| t1.inherited)
+    {
+        assert!(waited < Duration::from_secs(30));
+        next.advance(STEP);
+        waited += STEP;
+    }
+    waited
+}
+
+/// Guards against running a task twice: the successor had reached no target, and had not read the
+/// host list either. It took all of none for half of the targets, and did not wait for a predecessor
+/// that nobody had told of it.
+#[test]
+fn lapse_deadline_without_host_list_waits() {
+    let (without, listed) = (wait_of_successor(false), wait_of_successor(true));
+    assert!(without >= listed, "{without:?} instead of {listed:?}");
+}
