Test a poll that reaches the next incarnation of its target

What callers would see: a task runs twice. A poll that extends leases is held up on the network, its target restarts under its id, is given a task and falls out of reach, and the poll arrives there. Cause, as far as read: `TargetState::leases_expired_at` counts 6.4 s from the sending of the last call. That holds for a call to the present incarnation, whose clock the call names. The clock of the next one begins anew, so that it grants the whole of its limit from the arrival, which may be 12 s later. Without the held-up poll the test passes. Change: the test alone. It fails on this code. `docs/design/14-ends-of-targets.md` lists the case as open.

--- a/crates/decide/tests/work_second_runs.rs
+++ b/crates/decide/tests/work_second_runs.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use harness::{SchedulerFixture, plan, run_report, step};
+use harness::{
+    RESTARTED_AT, SchedulerFixture, SimTarget, plan, restarted_target, run_report, step,
+};
+use model::work::PollOrder;
 use wire::work::{LogEntry, log_entry::Event};
 
 const STEP: Duration = Duration::from_millis(100);
@@ -104,3 +107,69 @@
     let (without, listed) = (wait_of_successor(false), wait_of_successor(true));
     assert!(without >= listed, "{without:?} instead of {listed:?}");
 }
+
+/// Length of a task in the tests with a simulated target.
+const TASK_TIME: Duration = Duration::from_secs(60);
+
+/// Lets the owner poll a simulated target `t1`.
+fn poll_target(scene: &mut SchedulerFixture, target: &mut SimTarget) -> Option<PollOrder> {
+    let order = scene.scheduler.poll_order(&"t1".into(), scene.now)?;
+    answer_poll(scene, target, &order);
+    Some(order)
+}
+
+fn answer_poll(scene: &mut SchedulerFixture, target: &mut SimTarget, order: &PollOrder) {
+    let (sent, observed) = (scene.now.boot, order.acked_end);
+    scene.now.boot += Duration::from_millis(1);
+    let (answer, _) = target.poll(order, scene.now.boot);
+    scene
+        .scheduler
+        .apply_report(&"t1".into(), sent, observed, &answer, scene.now);
+    scene.run_planning();
+}
+
+/// The next incarnation of the target under the same id, whose clock begins anew.
+fn restarted_sim(now: Duration) -> SimTarget {
+    SimTarget {
+        started_at: RESTARTED_AT,
+        clock_start: now,
+        up: true,
+        ..SimTarget::default()
+    }
+}
+
+/// Guards against running a task twice: a poll that granted time was held up, its target restarted
+/// under its id, and the poll extended the lease there after the owner had counted it.
+#[test]
+fn leases_expired_at_counts_held_up_poll() {
+    let (mut scene, starts) = SchedulerFixture::with_running_job(1000, vec![step(1, 1000)]);
+    scene.report("t1", vec![run_report(&starts[0].1)], Vec::new());
+    let held_up = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let Some(held_up) = held_up.filter(|order| order.lease_until.is_some()) else {
+        panic!("the lease has to be extended");
+    };
+    scene
+        .scheduler
+        .upsert_target(restarted_target(1000), scene.now);
+    let mut target = restarted_sim(scene.now.boot);
+    poll_target(&mut scene, &mut target);
+    let (_, start) = scene.starts[0].clone();
+    target.start(&start, scene.now.boot, scene.now.boot + TASK_TIME);
+    scene.confirm_starts();
+    poll_target(&mut scene, &mut target);
+    scene.add_target("t2", 1000);
+    // The target is out of reach from here on.
+    for step in 0.. {
+        if step == 45 {
+            target.poll(&held_up, scene.now.boot);
+        }
+        scene.advance(STEP);
+        target.end_due_runs(scene.now.boot);
+        if !scene.starts.is_empty() {
+            break;
+        }
+        scene.time_out_poll("t1");
+        assert!(step < 300);
+    }
+    assert!(target.runs.is_empty(), "{:?}", target.runs);
+}
