Test a poll that repeats which ends its target may forget

What callers would see: a task that is done runs again. A poll repeats the number of an end that its target has forgotten already, is held up, and the target restarts under its id and ends a task under the same number. The poll makes it forget that end before the owner has read it. Cause, as far as read: `TargetState::acked_end_at` sends the highest number in each poll, also after an answered poll has sent it. So each poll that is held up carries one, not only those right after an end. Change: the test alone. The last line of `poll_order_after_pause_acks_no_ends` asks for such a repetition and would have to change with a fix that sends each number only until it was answered.

--- a/crates/decide/tests/work_second_runs.rs
+++ b/crates/decide/tests/work_second_runs.rs
@@ -7,7 +7,7 @@
 use harness::{
     RESTARTED_AT, SchedulerFixture, SimTarget, plan, restarted_target, run_report, step,
 };
-use model::work::PollOrder;
+use model::work::{EndKind, PollOrder};
 use wire::work::{LogEntry, log_entry::Event};
 
 const STEP: Duration = Duration::from_millis(100);
@@ -173,3 +173,40 @@
     }
     assert!(target.runs.is_empty(), "{:?}", target.runs);
 }
+
+/// Guards against running a task twice: a poll repeated the number of an end that the target had
+/// forgotten already, was held up, and made the next incarnation forget an end that nobody knew.
+#[test]
+fn poll_order_acks_forgotten_ends_no_more() {
+    let (mut scene, starts) = SchedulerFixture::with_running_job(1000, vec![step(1, 1000)]);
+    scene.report_end("t1", &starts[0].1, EndKind::Done);
+    scene.submit("b", &plan(vec![step(1, 1000)]));
+    let (_, start) = scene.starts[0].clone();
+    scene.confirm_starts();
+    let mut target = SimTarget {
+        started_at: Duration::from_secs(1),
+        up: true,
+        ..SimTarget::default()
+    };
+    target.start(&start, scene.now.boot, scene.now.boot + TASK_TIME);
+    let acked = poll_target(&mut scene, &mut target);
+    assert_eq!(acked.map(|order| order.acked_end), Some(1));
+    let held_up = scene.scheduler.poll_order(&"t1".into(), scene.now);
+
+    scene
+        .scheduler
+        .upsert_target(restarted_target(1000), scene.now);
+    let mut target = restarted_sim(scene.now.boot);
+    poll_target(&mut scene, &mut target);
+    let (_, start) = scene.starts[0].clone();
+    target.start(&start, scene.now.boot, scene.now.boot + STEP);
+    scene.confirm_starts();
+    poll_target(&mut scene, &mut target);
+    scene.advance(STEP);
+    target.end_due_runs(scene.now.boot);
+    if let Some(held_up) = held_up {
+        target.poll(&held_up, scene.now.boot);
+    }
+    poll_target(&mut scene, &mut target);
+    assert!(scene.starts.is_empty(), "it is done");
+}
