Test a start that is sent to an unresponsive target

What was missing: a test that such a start extends no lease that the owner does not count. The case `is_unresponsive` of `limit_start_ends_with_ownership` times out a poll right after an answer, so that its target is not unresponsive yet. Change: the test alone. The product code is unchanged.

--- a/crates/decide/tests/work_targets.rs
+++ b/crates/decide/tests/work_targets.rs
@@ -472,6 +472,26 @@
     assert!(start.lease_until <= owned_until && Some(start.lease_until) > read);
 }
 
+/// Guards against a lease that the owner does not count: a start waits for a connection, and is sent
+/// when its target has become unresponsive and the lease there has to expire.
+#[test]
+fn limit_start_unresponsive_grants_no_more() {
+    let mut scene = SchedulerFixture::with_job(2000, vec![step(1, 1000)]);
+    let (id, mut start) = scene.starts.remove(0);
+    let (granted, counted) = (start.lease_until, scene.scheduler.targets[&id].last_grant);
+    scene.advance(Duration::from_secs(2));
+    scene.time_out_poll("t1");
+    assert!(scene.scheduler.targets[&id].unresponsive);
+    let owned_until = scene.now.boot + Duration::from_secs(6);
+    assert!(
+        scene
+            .scheduler
+            .limit_start(&id, &mut start, owned_until, scene.now)
+    );
+    assert!(start.lease_until <= granted);
+    assert_eq!(scene.scheduler.targets[&id].last_grant, counted);
+}
+
 /// Guards against tasks whose lease expires right after their start, because the poll that grants
 /// them the whole lease waits behind polls that can wait.
 #[test]
