Test a successor whose clock is behind that of its predecessor

What was missing: a test that an occurrence waits for the targets of the log if it becomes due for the successor after the replay, while its predecessor has started it already. Change: the test alone. The product code is unchanged.

--- a/crates/decide/tests/work_repeating.rs
+++ b/crates/decide/tests/work_repeating.rs
@@ -169,3 +169,24 @@
     };
     assert_eq!(at_once.due_count(secs(100)), 5);
 }
+
+/// Guards against running a task twice: by the clock of the predecessor an occurrence was due, and
+/// by that of its successor not yet. It becomes due before the target is reached on which its task
+/// runs.
+#[test]
+fn successor_clock_behind_waits_for_targets() {
+    let mut first = SchedulerFixture::new(1);
+    first.add_target("t1", 8000);
+    let due = first.now.unix + Duration::from_secs(1);
+    first.submit("a", &schedule(1000, 2, due, HOUR));
+    first.advance(Duration::from_secs(2));
+    assert_eq!(first.confirm_starts().len(), 1);
+    first.now.unix = due.saturating_sub(Duration::from_secs(1));
+
+    let mut next = first.successor(9);
+    next.add_target("t2", 8000);
+    next.advance(Duration::from_secs(3));
+    assert!(next.starts.is_empty(), "it runs on t1");
+    next.advance(Duration::from_secs(10));
+    assert_eq!(next.starts.len(), 1);
+}
