Take the latest of several recorded runs of a task for the present one

What callers saw: none reported it; found by reading. A task may run twice: it ran on one target, which was recorded as unreachable and lapsed, and then on another one, which was recorded as well before the owner changed. The successor took the records in the order of the targets' names, placed the task on the first target, and when that one answered without it started the task at once, beside the run on the second.

Cause: `adopt_unreachable` placed the first record that it met. Numbers of starts rise from owner to owner, so the highest is the run that nobody had given up.

Records of all targets are sorted by their number now, the latest first; earlier runs keep their claims. The same holds for two numbers of one task within one record.

--- a/crates/decide/src/work/scheduler_unreachable.rs
+++ b/crates/decide/src/work/scheduler_unreachable.rs
@@ -1,3 +1,5 @@
+use std::cmp::Reverse;
+
 use model::{
     BootTime, HostId,
     work::{AttemptNumber, TaskKey},
@@ -69,6 +71,7 @@
     /// Adopts a predecessor's records of unreachable targets.
     pub(super) fn adopt_unreachable(&mut self, now: SchedulerTime) {
         let records: Vec<TargetMiss> = self.job_table.unreachable.values().cloned().collect();
+        let mut runs: Vec<(HostId, RunKey, bool)> = Vec::new();
         for record in records {
             let id = HostId::from(record.target.as_str());
             let Some(target) = self.targets.get_mut(&id) else {
@@ -83,9 +86,14 @@
                     step: run.step,
                     index: run.index,
                 };
-                self.adopt_unreachable_run(&id, (key, run.attempt), run.seen, now.boot);
+                runs.push((id.clone(), (key, run.attempt), run.seen));
             }
         }
+        // Of several runs of a task, the latest is the one that the predecessor had not given up.
+        runs.sort_by_key(|(_, (_, attempt), _)| Reverse(*attempt));
+        for (id, run, confirmed) in runs {
+            self.adopt_unreachable_run(&id, run, confirmed, now.boot);
+        }
     }
 
     fn adopt_unreachable_run(&mut self, id: &HostId, run: RunKey, confirmed: bool, now: BootTime) {
