Record the use of a target again when its address changes

What callers saw: none reported it; found by reading. A task may run twice: its target had restarted under its id at another address and was not listed when the owner changed. The successor polled the address that the log had from the first use, another target answered there with status 421, and the first one counted as gone with its tasks.

Cause: only a change of the pool made `upsert_target` record the use again.

A change of the address is recorded before the next start on the target, as a change of the pool is.

Left: a 421 at an address that is known from the log alone still ends what runs at the target.

--- a/crates/decide/src/work/scheduler_listing.rs
+++ b/crates/decide/src/work/scheduler_listing.rs
@@ -45,14 +45,16 @@
         if known_start.is_zero() {
             target.incarnation.started_at = started_at;
         }
-        let pool_changed = target.recorded && target.entry.pool != entry.pool;
+        // A successor polls the recorded address. Of a target that it takes for gone because another
+        // one answers there, the tasks would start again.
+        let moved = target.entry.pool != entry.pool || target.entry.address != entry.address;
         target.data_centre_drained = self.drained_data_centres.contains(&entry.data_centre);
         target.entry = entry;
         if !target.listed {
             target.listed = true;
             target.last_answered_call = now.boot;
         }
-        if pool_changed {
+        if moved {
             target.recorded = false;
         }
         let (recorded, unreachable) = (target.recorded, target.unreachable_recorded);
--- a/crates/decide/tests/work_second_runs.rs
+++ b/crates/decide/tests/work_second_runs.rs
@@ -113,7 +113,9 @@
 
 /// Lets the owner poll a simulated target `t1`.
 fn poll_target(scene: &mut SchedulerFixture, target: &mut SimTarget) -> Option<PollOrder> {
-    let order = scene.scheduler.poll_order(&"t1".into(), scene.now)?;
+    let order = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now)?;
     answer_poll(scene, target, &order);
     Some(order)
 }
@@ -144,7 +146,9 @@
 fn leases_expired_at_counts_held_up_poll() {
     let (mut scene, starts) = SchedulerFixture::with_running_job(1000, vec![step(1, 1000)]);
     scene.report("t1", vec![run_report(&starts[0].1)], Vec::new());
-    let held_up = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let held_up = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now);
     let Some(held_up) = held_up.filter(|order| order.lease_until.is_some()) else {
         panic!("the lease has to be extended");
     };
@@ -191,7 +195,9 @@
     target.start(&start, scene.now.boot, scene.now.boot + TASK_TIME);
     let acked = poll_target(&mut scene, &mut target);
     assert_eq!(acked.map(|order| order.acked_end), Some(1));
-    let held_up = scene.scheduler.poll_order(&"t1".into(), scene.now);
+    let held_up = scene
+        .scheduler
+        .poll_order(&"t1".into(), scene.now.boot, scene.now);
 
     scene
         .scheduler
