Cut processes, targets and store apart in the soak for longer than the product waits

The soak could not find tasks that run twice because an owner and some targets are cut off together. Its faults last 0.2 to 5 s, the product waits for 6.4 s (the lease of a target), 8 s (extensions by an owner without the store) and 13 s (late delivery); no fault parted several processes and targets from the store and the rest; processes reached each other without a link; and tasks lasted 0.1 to 0.9 s.

A seed puts processes and targets into two or three groups, for a length drawn below, above and at several times the values of `SchedulerTuning`, with entries of targets removed after three missed heartbeats, hand-overs, kills and pauses meanwhile, and tasks of 10 to 40 s beside short ones. Links between processes, and to the control of hosts, go through the relay; a process reads addresses of peers, and of targets in the log, as its own links to them. `--jobs` runs several seeds at a time. A failed seed keeps all findings, and for each task that ran twice its runs, the owners and which token extended the leases of its targets until when.

The checks are the same, and so are the schedules and callers of the seeds that were there. Leases that the store ends before their time are no fault of the new schedule: together with a cut no owner can learn of it.

--- a/crates/lacewingshore/tests/soak.rs
+++ b/crates/lacewingshore/tests/soak.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use proof::{FAULT_KINDS, FaultKind, PlannedFault, SoakPlan, run_soak};
+use proof::{FAULT_KINDS, FaultKind, PlannedFault, SoakPlan, SoakSchedule, run_soak};
 use rstest::rstest;
 
 const PROCESSES: usize = 4;
@@ -87,6 +87,14 @@
 #[case::drained_data_centre(4, drained_data_centre())]
 #[case::paused_owners(5, paused_owners())]
 fn soak_keeps_promises(#[case] seed: u64, #[case] faults: Vec<PlannedFault>) {
+    let schedule = SoakSchedule {
+        faults,
+        ..SoakSchedule::default()
+    };
+    keeps_promises(seed, schedule);
+}
+
+fn keeps_promises(seed: u64, schedule: SoakSchedule) {
     let folder = tempfile::tempdir().unwrap();
     let plan = SoakPlan {
         seed,
@@ -95,7 +103,7 @@
         targets: TARGETS,
         callers: 4,
         folder: folder.path().to_owned(),
-        faults: Some(faults),
+        schedule,
     };
     let report = run_soak(&plan).unwrap();
     if !report.tally.broken.is_empty() {
--- a/crates/proof/src/bin/soak.rs
+++ b/crates/proof/src/bin/soak.rs
@@ -1,10 +1,13 @@
 //! Runs the processes of a cell under seeded faults and checks the promises, seed after seed.
 
-use std::{collections::BTreeMap, path::PathBuf, process::ExitCode, time::Duration};
+use std::{
+    collections::BTreeMap, path::PathBuf, process::ExitCode, str::FromStr, thread, time::Duration,
+};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, anyhow};
 use argh::FromArgs;
-use proof::{SoakPlan, SoakReport, run_soak};
+use parking_lot::Mutex;
+use proof::{SoakPlan, SoakReport, SoakSchedule, run_soak};
 
 /// A fault soak of real processes.
 #[derive(Debug, FromArgs)]
@@ -12,6 +15,13 @@
     /// seeds, as FIRST..LAST, both included
     #[argh(option)]
     seeds: String,
+    /// what strikes: mixed (default), or partitions and faults that outlast what the product waits
+    /// for, under long tasks
+    #[argh(option, default = "ScheduleKind::Mixed")]
+    schedule: ScheduleKind,
+    /// seeds that run at the same time (default 1)
+    #[argh(option, default = "1")]
+    jobs: usize,
     /// minutes that callers work under faults for each seed (default 0.5)
     #[argh(option, default = "0.5")]
     minutes: f64,
@@ -33,6 +43,8 @@
 #[derive(Debug, Default)]
 struct SoakTotal {
     seeds: usize,
+    partitions: usize,
+    twice: usize,
     failed: Vec<u64>,
     faults: BTreeMap<String, usize>,
     checked: BTreeMap<&'static str, usize>,
@@ -47,6 +59,8 @@
 impl SoakTotal {
     fn add(&mut self, seed: u64, report: &SoakReport) {
         self.seeds += 1;
+        self.partitions += report.partitions;
+        self.twice += report.tally.twice.len();
         self.jobs += report.jobs;
         self.accepted += report.accepted;
         self.cancelled += report.cancelled;
@@ -69,8 +83,14 @@
     fn print(&self) {
         println!("\n{} seeds, failed: {:?}", self.seeds, self.failed);
         println!(
-            "jobs {} accepted {} cancelled {} runs {} owners {}",
-            self.jobs, self.accepted, self.cancelled, self.runs, self.owners
+            "jobs {} accepted {} cancelled {} runs {} owners {} partitions {} tasks twice {}",
+            self.jobs,
+            self.accepted,
+            self.cancelled,
+            self.runs,
+            self.owners,
+            self.partitions,
+            self.twice
         );
         println!("{:24}{:>10}", "fault", "times");
         for (kind, count) in &self.faults {
@@ -84,28 +104,55 @@
     }
 }
 
-fn main() -> Result<ExitCode> {
-    let args: SoakArgs = argh::from_env();
-    let (first, last) = args.seeds.split_once("..").context("seeds: FIRST..LAST")?;
-    let (first, last): (u64, u64) = (first.parse()?, last.parse()?);
-    let mut total = SoakTotal::default();
-    for seed in first..=last {
-        let folder = args.logs.join(format!("seed-{seed}"));
-        let plan = SoakPlan {
-            seed,
-            span: Duration::from_secs_f64(args.minutes * 60.0),
-            processes: args.processes,
-            targets: args.targets,
-            callers: args.callers,
-            folder: folder.clone(),
-            faults: None,
+/// Which faults strike.
+#[derive(Clone, Copy, Debug)]
+enum ScheduleKind {
+    Mixed,
+    Partitions,
+}
+
+impl FromStr for ScheduleKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "mixed" => Ok(Self::Mixed),
+            "partitions" => Ok(Self::Partitions),
+            other => Err(format!("no schedule {other}: mixed, partitions")),
+        }
+    }
+}
+
+impl SoakArgs {
+    fn plan(&self, seed: u64) -> SoakPlan {
+        let span = Duration::from_secs_f64(self.minutes * 60.0);
+        let schedule = match self.schedule {
+            ScheduleKind::Mixed => SoakSchedule::mixed,
+            ScheduleKind::Partitions => SoakSchedule::partitions,
         };
+        SoakPlan {
+            seed,
+            span,
+            processes: self.processes,
+            targets: self.targets,
+            callers: self.callers,
+            folder: self.logs.join(format!("seed-{seed}")),
+            schedule: schedule(seed, span, self.processes, self.targets),
+        }
+    }
+
+    fn run(&self, seed: u64, total: &Mutex<SoakTotal>) -> Result<()> {
+        let plan = self.plan(seed);
+        let folder = &plan.folder;
         if folder.exists() {
-            std::fs::remove_dir_all(&folder)?;
+            std::fs::remove_dir_all(folder)?;
         }
         let report = run_soak(&plan)?;
+        let mut total = total.lock();
         println!(
-            "seed {seed}: {} faults, {} jobs, {} accepted, {} runs, {} owners, log {} bytes, {} broken",
+            "seed {seed}: {} partitions, {} faults, {} jobs, {} accepted, {} runs, {} owners, \
+             log {} bytes, {} broken",
+            report.partitions,
             report.faults.values().sum::<usize>(),
             report.jobs,
             report.accepted,
@@ -116,14 +163,44 @@
         );
         total.add(seed, &report);
         if report.tally.broken.is_empty() {
-            std::fs::remove_dir_all(&folder)?;
-            continue;
+            std::fs::remove_dir_all(folder)?;
+            return Ok(());
         }
         for violation in report.tally.broken.iter().take(10) {
             println!("  {violation}");
         }
-        println!("  logs of its processes: {}", folder.display());
+        println!(
+            "  logs of its processes, and trace.txt of {} tasks that ran twice: {}",
+            report.tally.twice.len(),
+            folder.display()
+        );
+        Ok(())
     }
+}
+
+fn main() -> Result<ExitCode> {
+    let args: SoakArgs = argh::from_env();
+    let (first, last) = args.seeds.split_once("..").context("seeds: FIRST..LAST")?;
+    let (first, last): (u64, u64) = (first.parse()?, last.parse()?);
+    let total = Mutex::new(SoakTotal::default());
+    let seeds = Mutex::new(first..=last);
+    let work = || -> Result<()> {
+        loop {
+            let Some(seed) = seeds.lock().next() else {
+                return Ok(());
+            };
+            args.run(seed, &total)?;
+        }
+    };
+    thread::scope(|scope| -> Result<()> {
+        let threads: Vec<_> = (0..args.jobs.max(1)).map(|_| scope.spawn(work)).collect();
+        for thread in threads {
+            thread.join().map_err(|_| anyhow!("a seed panicked"))??;
+        }
+        Ok(())
+    })?;
+    let mut total = total.into_inner();
+    total.failed.sort_unstable();
     total.print();
     Ok(match total.failed.is_empty() {
         true => ExitCode::SUCCESS,
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -31,7 +31,8 @@
 };
 pub use history_log::{HistoryLog, OpTimer};
 pub use soak::{
-    CallerJob, DrainPeriod, FAULT_KINDS, FaultKind, HeldUp, PlannedFault, SoakHistory, SoakPlan,
-    SoakReport, SoakTally, check_soak, plan_faults, run_soak,
+    CallerJob, DrainPeriod, FAULT_KINDS, FaultKind, HeldUp, PartitionPeriod, PlannedFault,
+    PlannedPartition, SoakHistory, SoakPlan, SoakReport, SoakSchedule, SoakTally, check_soak,
+    plan_faults, run_soak, trace_task,
 };
 pub use violation::{HistoryCheck, Violation};
--- a/crates/proof/src/soak/caller_jobs.rs
+++ b/crates/proof/src/soak/caller_jobs.rs
@@ -4,7 +4,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use fake::boot_nanos;
@@ -36,6 +36,8 @@
 const MOST_ATTEMPTS: usize = 8;
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 const JOB_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two jobs of long tasks of a caller.
+const LONG_PAUSE: Duration = Duration::from_secs(20);
 
 /// One caller: hands jobs in, looks at them and cancels some.
 pub(crate) struct JobCaller {
@@ -43,15 +45,27 @@
     pub(crate) addresses: Vec<String>,
     pub(crate) book: JobBook,
     pub(crate) dice: StdRng,
+    long_task_ms: Option<(u64, u64)>,
+    /// Dice of the long tasks, so that the other draws of a seed stay the same.
+    long_dice: StdRng,
+    next_long: Instant,
 }
 
 impl JobCaller {
-    pub(crate) fn new(seed: u64, addresses: Vec<String>, book: JobBook) -> Self {
+    pub(crate) fn new(
+        seed: u64,
+        addresses: Vec<String>,
+        book: JobBook,
+        long_task_ms: Option<(u64, u64)>,
+    ) -> Self {
         Self {
             client: CallerClient::default(),
             addresses,
             book,
             dice: StdRng::seed_from_u64(seed),
+            long_task_ms,
+            long_dice: StdRng::seed_from_u64(!seed),
+            next_long: Instant::now(),
         }
     }
 
@@ -81,7 +95,14 @@
     fn submit(&mut self) -> Option<usize> {
         let steps = self.dice.random_range(1..=3);
         let step = |dice: &mut StdRng| (dice.random_range(1..=4), dice.random_range(100..900));
-        let steps = (0..steps).map(|_| step(&mut self.dice)).collect();
+        let mut steps: Vec<_> = (0..steps).map(|_| step(&mut self.dice)).collect();
+        if let Some((least, most)) = self.long_task_ms
+            && self.next_long <= Instant::now()
+        {
+            self.next_long = Instant::now() + LONG_PAUSE;
+            let count = self.long_dice.random_range(1..=2);
+            steps = vec![(count, self.long_dice.random_range(least..=most))];
+        }
         let words = self.dice.random_range(10..120);
         let words = (0..words).map(|_| format!("{:016x}", self.dice.random::<u64>()));
         let job = SoakJob {
--- a/crates/proof/src/soak/fault_drive.rs
+++ b/crates/proof/src/soak/fault_drive.rs
@@ -5,9 +5,12 @@
 use stand::StoreFaultConfig;
 
 use super::{
-    FaultKind, PlannedFault,
+    FaultKind, PlannedFault, SoakSchedule,
+    partition_drive::PartitionDrive,
     soak_check::{DrainPeriod, HeldUp},
-    soak_fleet::{DRAINED_DATA_CENTRE, GRACE, SoakFleet, store_link, target_link},
+    soak_fleet::{
+        DRAINED_DATA_CENTRE, GRACE, SoakFleet, control_link, peer_link, store_link, target_link,
+    },
 };
 
 /// Bytes a second over a narrow link.
@@ -37,12 +40,14 @@
     /// Times in which the data centre was drained and the store could be read.
     pub(crate) drains: Vec<DrainPeriod>,
     drained_since: Option<u64>,
+    pub(crate) partitions: PartitionDrive,
 }
 
 impl FaultDrive {
-    pub(crate) fn new(plan: Vec<PlannedFault>, processes: usize) -> Self {
+    pub(crate) fn new(schedule: SoakSchedule, processes: usize) -> Self {
         Self {
-            plan,
+            plan: schedule.faults,
+            partitions: PartitionDrive::new(schedule.partitions),
             begun: 0,
             active: Vec::new(),
             stopped_at: vec![None; processes],
@@ -57,6 +62,16 @@
     /// Begins and ends what is due `since` the start.
     pub(crate) fn step(&mut self, fleet: &mut SoakFleet, since: Duration) -> Result<()> {
         let mut changed = false;
+        if let Some(held_up) = self.partitions.end(fleet, since) {
+            self.held_up.extend(held_up);
+            changed = true;
+        }
+        if let Some(strikes) = self.partitions.begin(fleet, since) {
+            self.plan.extend(strikes);
+            self.plan[self.begun..].sort_by_key(|fault| fault.begin);
+            changed = true;
+        }
+        self.partitions.remove_entries(fleet);
         while let Some(fault) = self.plan.get(self.begun).copied() {
             if fault.begin > since {
                 break;
@@ -84,7 +99,8 @@
     /// Whether every fault has come and gone and all processes run.
     pub(crate) fn is_over(&self) -> bool {
         let stopping = self.stopped_at.iter().any(Option::is_some);
-        self.begun == self.plan.len() && self.active.is_empty() && !stopping
+        let begun = self.begun == self.plan.len() && self.partitions.is_over();
+        begun && self.active.is_empty() && !stopping
     }
 
     /// Begins a fault; what strikes once does so now.
@@ -113,7 +129,9 @@
             }
             FaultKind::TargetCrash => {
                 fleet.targets[fault.target].crash();
-                fleet.put_target(fault.target);
+                if !self.partitions.misses_store(fault.target) {
+                    fleet.put_target(fault.target);
+                }
             }
             // Operators can't reach a store that is away for all.
             FaultKind::DataCentreDrained if !self.is_store_away() => {
@@ -177,6 +195,12 @@
         for process in 0..fleet.processes.len() {
             fleet.store.set_faults(process, self.store_faults(process));
             fleet.set_link(self.store_link_state(process))?;
+            let cut = self.partitions.cuts_store(process);
+            fleet.set_link(cut_if(control_link(process), cut))?;
+            for other in (0..fleet.processes.len()).filter(|other| *other != process) {
+                let cut = self.partitions.cuts_peers(process, other);
+                fleet.set_link(cut_if(peer_link(other, process), cut))?;
+            }
             let pauses =
                 self.strikes(FaultKind::Pause, process) && self.stopped_at[process].is_none();
             if let Some(live) = fleet.processes[process].running()? {
@@ -190,9 +214,11 @@
             for process in 0..fleet.processes.len() {
                 let cuts = self.active.iter();
                 let mut cuts = cuts.map(|active| cut_of(active, target, process));
+                let mode = cuts.find(|cut| *cut != LinkMode::Open).unwrap_or_default();
+                let apart = self.partitions.cuts_target(target, process);
                 fleet.set_link(LinkState {
                     name: target_link(target, process),
-                    mode: cuts.find(|cut| *cut != LinkMode::Open).unwrap_or_default(),
+                    mode: if apart { LinkMode::Silent } else { mode },
                     ..LinkState::default()
                 })?;
             }
@@ -228,7 +254,11 @@
         let narrow = struck(FaultKind::StoreLinkNarrow);
         LinkState {
             name: store_link(process),
-            mode: mode.map_or(LinkMode::Open, |(_, mode)| mode),
+            mode: match mode {
+                _ if self.partitions.cuts_store(process) => LinkMode::Silent,
+                Some((_, mode)) => mode,
+                None => LinkMode::Open,
+            },
             bytes_per_s: if narrow { NARROW_RATE } else { 0 },
             ..LinkState::default()
         }
@@ -264,6 +294,19 @@
     }
 }
 
+/// A link that is silent or open.
+fn cut_if(name: String, cut: bool) -> LinkState {
+    LinkState {
+        name,
+        mode: if cut {
+            LinkMode::Silent
+        } else {
+            LinkMode::Open
+        },
+        ..LinkState::default()
+    }
+}
+
 /// What a fault does to the link between a target and a process.
 fn cut_of(active: &ActiveFault, target: usize, process: usize) -> LinkMode {
     let fault = &active.fault;
--- a/crates/proof/src/soak/soak_check.rs
+++ b/crates/proof/src/soak/soak_check.rs
@@ -1,11 +1,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use stand::{
-    CallerClient, JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, SimulatedTarget,
-    StartOrderRecord, StrayWrite,
+    CallerClient, JobShown, LookReply, OwnerRecord, RenewalRecord, RunEnd, RunRecord,
+    SimulatedTarget, StartOrderRecord, StrayWrite,
 };
 
 use super::{
+    bounds_plan::PartitionPeriod,
     caller_jobs::{CallerJob, is_completed, is_owed},
     soak_fleet::DRAINED_DATA_CENTRE,
 };
@@ -58,6 +59,10 @@
     pub drains: Vec<DrainPeriod>,
     /// Processes that ended by themselves.
     pub fallen: Vec<String>,
+    /// Extensions of the targets' time grants, for traces.
+    pub renewals: Vec<RenewalRecord>,
+    /// Partitions, for traces.
+    pub partitions: Vec<PartitionPeriod>,
 }
 
 /// How often each promise was checked, and what was found.
@@ -67,6 +72,8 @@
     pub checked: BTreeMap<&'static str, usize>,
     /// Broken promises.
     pub broken: Vec<Violation>,
+    /// Tasks that ran twice.
+    pub twice: BTreeSet<String>,
 }
 
 const MILLI: u64 = 1_000_000;
@@ -161,6 +168,9 @@
         let beside = earlier
             .iter()
             .find(|other| other.end.is_none_or(|(at, _)| at > run.start_ns));
+        if beside.is_some() {
+            tally.twice.insert(run.task.clone());
+        }
         tally.check("once-at-a-time", beside.is_none(), || {
             format!("{run:?} beside {beside:?}")
         });
@@ -168,6 +178,9 @@
             let ended = matches!(other.end, Some((at, RunEnd::Done)) if at < run.start_ns);
             ended && other.noted
         });
+        if done.is_some() {
+            tally.twice.insert(run.task.clone());
+        }
         tally.check("done-once", done.is_none(), || {
             format!("{run:?} after {done:?}")
         });
--- a/crates/proof/src/soak/soak_fleet.rs
+++ b/crates/proof/src/soak/soak_fleet.rs
@@ -9,6 +9,7 @@
 use fake::{LinkState, RelayFake};
 use stand::{CallerClient, SimulatedControl, SimulatedStore, SimulatedTarget};
 
+use super::page_view::unpack_page;
 use crate::{BinaryKind, JsonClient, LiveProcess, free_port};
 
 /// Keys of the product's own in the store, whose writers the stand-in notes.
@@ -53,7 +54,7 @@
 }
 
 /// Real processes of a cell among stand-ins of the platform, with a link from each process to the
-/// store and to each target.
+/// store, the control of hosts, each target and each other process.
 pub(crate) struct SoakFleet {
     pub(crate) store: SimulatedStore,
     pub(crate) targets: Vec<SimulatedTarget>,
@@ -104,15 +105,32 @@
             fleet.target_addresses.push(addresses?);
             fleet.put_target(target);
         }
+        fleet.store.set_unpacker(unpack_page);
+        fleet.show_own_target_links(processes);
         for process in 0..processes {
             let store = fleet.add_link(&store_link(process), &fleet.store.address(process))?;
-            let mut cell = fleet.place(process, &store, folder)?;
-            cell.start()?;
+            let control = fleet.control.address();
+            let control = fleet.add_link(&control_link(process), &control)?;
+            let cell = fleet.place(process, processes, &store, &control, folder)?;
             fleet.processes.push(cell);
         }
+        for cell in &mut fleet.processes {
+            cell.start()?;
+        }
         Ok(fleet)
     }
 
+    /// A process reaches a target over its own link, also if it takes the address from the log of
+    /// another one.
+    fn show_own_target_links(&self, processes: usize) {
+        for links in &self.target_addresses {
+            for (process, other) in pairs(processes) {
+                self.store
+                    .set_address_view(process, &links[other], &links[process]);
+            }
+        }
+    }
+
     /// Writes a target's entry anew, as it does when it begins a life.
     pub(crate) fn put_target(&self, target: usize) {
         let simulated = &self.targets[target];
@@ -143,19 +161,31 @@
         Ok(made.address)
     }
 
-    fn place(&self, process: usize, store: &str, folder: &Path) -> Result<CellProcess> {
+    /// Chooses the ports of a process, and makes the links over which the others reach it.
+    fn place(
+        &self,
+        process: usize,
+        processes: usize,
+        store: &str,
+        control: &str,
+        folder: &Path,
+    ) -> Result<CellProcess> {
         let ports: Result<Vec<u16>> = (0..4).map(|_| free_port()).collect();
         let ports = ports?;
         let name = format!("cell-{process}");
-        let control = self.control.address();
+        let peer = format!("127.0.0.1:{}", ports[2]);
+        for other in (0..processes).filter(|other| *other != process) {
+            let link = self.add_link(&peer_link(process, other), &peer)?;
+            self.store.set_address_view(other, &peer, &link);
+        }
         let sharing = self.sharing;
         let text = format!(
             "[entry]\nmember = {name}\ndata_centre = north\naddress = 127.0.0.1:{}\n\
-             ready_address = 127.0.0.1:{}\npeer_address = 127.0.0.1:{}\n\
+             ready_address = 127.0.0.1:{}\npeer_address = {peer}\n\
              metrics_address = 127.0.0.1:{}\n[platform]\nstore_address = {store}\n\
              control_address = {control}\n[sharing]\nwork_admission = {sharing}\n\
              fair_order = {sharing}\nfair_division = {sharing}\n[log]\nlevel = debug\n",
-            ports[0], ports[1], ports[2], ports[3]
+            ports[0], ports[1], ports[3]
         );
         let settings = folder.join(format!("{name}.ini"));
         fs::write(&settings, text).context("write the settings")?;
@@ -169,6 +199,22 @@
     }
 }
 
+fn pairs(processes: usize) -> impl Iterator<Item = (usize, usize)> {
+    (0..processes).flat_map(move |one| {
+        let others = (0..processes).filter(move |other| *other != one);
+        others.map(move |other| (one, other))
+    })
+}
+
+pub(crate) fn control_link(process: usize) -> String {
+    format!("control-{process}")
+}
+
+/// The link over which `other` reaches `process`.
+pub(crate) fn peer_link(process: usize, other: usize) -> String {
+    format!("peer-{process}-{other}")
+}
+
 pub(crate) fn store_link(process: usize) -> String {
     format!("store-{process}")
 }
--- a/crates/proof/src/soak/soak_run.rs
+++ b/crates/proof/src/soak/soak_run.rs
@@ -13,16 +13,17 @@
 use stand::{LookReply, SimulatedTarget};
 
 use super::{
-    FaultKind, PlannedFault, SoakHistory, SoakTally,
+    FaultKind, SoakHistory, SoakSchedule, SoakTally,
     caller_jobs::{JobBook, JobCaller, is_completed, is_owed},
     check_soak,
     fault_drive::FaultDrive,
-    plan_faults,
     soak_fleet::SoakFleet,
+    soak_trace::trace_task,
 };
 
 const STEP: Duration = Duration::from_millis(20);
-/// After the last fault everything that was accepted is done within this time.
+/// After the last fault everything that was accepted is done within this time and that of the
+/// longest task.
 const FINISH_LIMIT: Duration = Duration::from_secs(25);
 /// Pause between two rounds of looks at what is not done yet.
 const LOOK_PAUSE: Duration = Duration::from_millis(300);
@@ -42,8 +43,8 @@
     pub callers: usize,
     /// Where settings and logs of the processes are kept.
     pub folder: PathBuf,
-    /// The schedule, in place of that of the seed.
-    pub faults: Option<Vec<PlannedFault>>,
+    /// What strikes from outside.
+    pub schedule: SoakSchedule,
 }
 
 /// What a run has shown.
@@ -51,6 +52,8 @@
 pub struct SoakReport {
     /// Faults of each kind.
     pub faults: BTreeMap<FaultKind, usize>,
+    /// Partitions.
+    pub partitions: usize,
     /// Jobs that were handed in.
     pub jobs: usize,
     /// Jobs of which callers were told that they are stored.
@@ -74,14 +77,14 @@
 pub fn run_soak(plan: &SoakPlan) -> Result<SoakReport> {
     std::fs::create_dir_all(&plan.folder)?;
     let mut fleet = SoakFleet::start(plan.seed, plan.processes, plan.targets, &plan.folder)?;
-    let schedule = plan
-        .faults
-        .clone()
-        .unwrap_or_else(|| plan_faults(plan.seed, plan.span, plan.processes, plan.targets));
+    let schedule = plan.schedule.clone();
     let mut faults: BTreeMap<FaultKind, usize> = BTreeMap::new();
-    for fault in &schedule {
+    let strikes = schedule.partitions.iter().flat_map(|cut| &cut.strikes);
+    for fault in schedule.faults.iter().chain(strikes) {
         *faults.entry(fault.kind).or_default() += 1;
     }
+    let long_task_ms = schedule.long_task_ms;
+    let longest = Duration::from_millis(long_task_ms.map_or(0, |(_, most)| most));
     let mut drive = FaultDrive::new(schedule, plan.processes);
     let book = JobBook::default();
     let addresses: Vec<String> = fleet
@@ -91,7 +94,7 @@
         .collect();
     let caller = |index: usize| {
         let seed = plan.seed.wrapping_mul(1000) + index as u64;
-        JobCaller::new(seed, addresses.clone(), book.clone())
+        JobCaller::new(seed, addresses.clone(), book.clone(), long_task_ms)
     };
     let stop = Arc::new(AtomicBool::new(false));
     let threads: Vec<_> = (0..plan.callers)
@@ -109,25 +112,34 @@
     for thread in threads {
         thread.join().map_err(|_| anyhow!("a caller panicked"))?;
     }
-    finish(&mut caller(plan.callers), &book);
+    finish(&mut caller(plan.callers), &book, FINISH_LIMIT + longest);
     drive.step(&mut fleet, started.elapsed())?;
     let history = history_of(&fleet, drive, &book);
+    let tally = check_soak(&history);
+    let traces = tally.twice.iter().map(|task| trace_task(&history, task));
+    std::fs::write(plan.folder.join("trace.txt"), traces.collect::<String>())?;
+    let broken = tally
+        .broken
+        .iter()
+        .map(|violation| format!("{violation}\n"));
+    std::fs::write(plan.folder.join("broken.txt"), broken.collect::<String>())?;
     Ok(SoakReport {
         faults,
+        partitions: history.partitions.len(),
         jobs: history.jobs.len(),
         accepted: count(&history, |job| job.accepted_ns.is_some()),
         cancelled: count(&history, |job| job.cancelled_ns.is_some()),
         runs: history.runs.len(),
         owners: history.owners.len(),
         log_peak: history.log_peak,
-        tally: check_soak(&history),
+        tally,
     })
 }
 
 /// Looks at what is owed until all of it is completed, or time is up.
-fn finish(caller: &mut JobCaller, book: &JobBook) {
+fn finish(caller: &mut JobCaller, book: &JobBook, limit: Duration) {
     let started = Instant::now();
-    while started.elapsed() < FINISH_LIMIT {
+    while started.elapsed() < limit {
         let open: Vec<usize> = {
             let book = book.lock();
             let jobs = book.iter().enumerate();
@@ -167,6 +179,12 @@
         held_up: drive.held_up,
         drains: drive.drains,
         fallen: drive.fallen,
+        renewals: fleet
+            .targets
+            .iter()
+            .flat_map(SimulatedTarget::renewals)
+            .collect(),
+        partitions: drive.partitions.over,
     }
 }
 
--- a/crates/proof/tests/soak_checks.rs
+++ b/crates/proof/tests/soak_checks.rs
@@ -3,11 +3,15 @@
 
 use std::time::Duration;
 
-use proof::{CallerJob, DrainPeriod, SoakHistory, check_soak, plan_faults};
+use decide::work::SchedulerTuning;
+use proof::{
+    CallerJob, DrainPeriod, FaultKind, SoakHistory, SoakSchedule, check_soak, plan_faults,
+    trace_task,
+};
 use rstest::rstest;
 use stand::{
-    JobShown, LookReply, OwnerRecord, RunEnd, RunRecord, SoakJob, StartOrderRecord, StrayWrite,
-    SubmitReply,
+    JobShown, LookReply, OwnerRecord, RenewalRecord, RunEnd, RunRecord, SoakJob, StartOrderRecord,
+    StrayWrite, SubmitReply,
 };
 
 const JOB: &str = "00000000000000a1";
@@ -73,6 +77,16 @@
     }
 }
 
+/// A run whose lease a former owner extended until after its task was done elsewhere.
+fn run_on_cut_off_target() -> RunRecord {
+    RunRecord {
+        target: 1,
+        token: 7,
+        noted: false,
+        ..run("1.0", 3, 7, RunEnd::Lapsed)
+    }
+}
+
 #[test]
 fn check_soak_sound() {
     let tally = check_soak(&sound());
@@ -80,6 +94,18 @@
     assert!(tally.checked.values().all(|count| *count > 0));
 }
 
+/// An end that nobody took note of before the lease lapsed is not known to anyone, so the task has
+/// to run again.
+#[test]
+fn check_soak_end_not_noted() {
+    let mut history = sound();
+    history.runs[0] = RunRecord {
+        noted: false,
+        ..run("0.0", 2, 3, RunEnd::Done)
+    };
+    assert!(check_soak(&history).broken.is_empty());
+}
+
 /// A sender that was suspended may send an order on waking, after its time limit.
 #[test]
 fn check_soak_expired_order() {
@@ -94,6 +120,7 @@
 /// A check that finds nothing in a history with a broken promise would let every soak pass.
 #[rstest]
 #[case::two_at_once("once-at-a-time", |h: &mut SoakHistory| h.runs.push(run("1.0", 5, 7, RunEnd::Lapsed)))]
+#[case::cut_off_and_elsewhere("once-at-a-time", |h: &mut SoakHistory| h.runs.push(run_on_cut_off_target()))]
 #[case::again_after_end("done-once", |h: &mut SoakHistory| h.runs.push(run("1.0", 7, 8, RunEnd::Done)))]
 #[case::step_too_early("steps-in-order", |h: &mut SoakHistory| h.runs[2].start_ns = s(3))]
 #[case::token_of_nobody("token-of-owner", |h: &mut SoakHistory| h.orders.push(order(0, 6)))]
@@ -141,3 +168,77 @@
     assert_eq!(plan(3), plan(3));
     assert_ne!(plan(3), plan(4));
 }
+
+/// A failed seed of partitions is only of use if it gives the same schedule again.
+#[test]
+fn partitions_repeats() {
+    let span = Duration::from_secs(60);
+    let plan = |seed| format!("{:?}", SoakSchedule::partitions(seed, span, 5, 12));
+    assert_eq!(plan(3), plan(3));
+    assert_ne!(plan(3), plan(4));
+}
+
+/// Faults that are all shorter than what the product waits for show nothing of what happens once
+/// these times are over.
+#[test]
+fn partitions_lengths_around_bounds() {
+    let tuning = SchedulerTuning::default();
+    let span = Duration::from_secs(120);
+    let plans: Vec<_> = (0..20)
+        .map(|seed| SoakSchedule::partitions(seed, span, 5, 12))
+        .collect();
+    let lengths = plans.iter().flat_map(|plan| &plan.partitions);
+    let mut lengths: Vec<_> = lengths.map(|cut| cut.end - cut.begin).collect();
+    lengths.sort();
+    let lease = tuning.lease_limit + tuning.lapse_margin;
+    let bounds = [
+        lease,
+        tuning.store_outage_limit,
+        tuning.store_outage_limit + tuning.grant,
+    ];
+    for bound in bounds {
+        let within = |from: f64, to: f64| {
+            let range = bound.mul_f64(from)..bound.mul_f64(to);
+            lengths.iter().any(|length| range.contains(length))
+        };
+        let all = within(0.6, 1.0) && within(1.0, 1.4) && within(2.0, 4.0);
+        assert!(all, "no lengths around {bound:?}: {lengths:?}");
+    }
+}
+
+/// A partition that leaves its owner in touch with all others can't show an owner that nobody tells
+/// of its successor.
+#[test]
+fn partitions_cut_owners_off_with_targets() {
+    let span = Duration::from_secs(120);
+    let plans = (0..20).map(|seed| SoakSchedule::partitions(seed, span, 5, 12));
+    let cuts: Vec<_> = plans.flat_map(|plan| plan.partitions).collect();
+    let apart = cuts.iter().filter(|cut| !cut.store_groups.contains(&0));
+    assert!(apart.count() * 2 > cuts.len());
+    let struck = cuts.iter().flat_map(|cut| &cut.strikes);
+    for kind in [FaultKind::Terminate, FaultKind::Kill, FaultKind::Pause] {
+        assert!(struck.clone().any(|strike| strike.kind == kind), "{kind:?}");
+    }
+    for cut in &cuts {
+        assert!(cut.target_groups.contains(&0) && cut.process_groups[0] == 0);
+        assert!(cut.process_groups.contains(&1), "{cut:?}");
+    }
+}
+
+/// Without the former owner's renewals a trace doesn't show why a task ran twice.
+#[test]
+fn trace_task_tells_renewals() {
+    let mut history = sound();
+    history.runs.push(run_on_cut_off_target());
+    history.renewals.push(RenewalRecord {
+        target: 1,
+        token: 7,
+        from_ns: s(3),
+        last_ns: s(5),
+        until_ns: s(7),
+        count: 4,
+    });
+    let text = trace_task(&history, &format!("{JOB}.0.1.0"));
+    let renewed = "lease on t1 extended by token 7 4 times from 2.000 to 4.000, until 6.000";
+    assert!(text.contains(renewed), "{text}");
+}
