--- a/crates/proof/src/soak/bounds_plan.rs
+++ b/crates/proof/src/soak/bounds_plan.rs
@@ -114,8 +114,8 @@
         tuning.unresponsive_after,
         lease,
         lease + tuning.unresponsive_after,
-        tuning.store_outage_limit,
-        tuning.store_outage_limit + tuning.grant,
+        tuning.lease_overhang,
+        tuning.owner_lease + tuning.lease_overhang + tuning.lapse_margin,
         tuning.max_delivery_delay,
     ]
 }
--- a/crates/proof/tests/soak_checks.rs
+++ b/crates/proof/tests/soak_checks.rs
@@ -193,8 +193,8 @@
     let lease = tuning.lease_limit + tuning.lapse_margin;
     let bounds = [
         lease,
-        tuning.store_outage_limit,
-        tuning.store_outage_limit + tuning.grant,
+        tuning.lease_overhang,
+        tuning.owner_lease + tuning.lease_overhang + tuning.lapse_margin,
     ];
     for bound in bounds {
         let within = |from: f64, to: f64| {
