Keep what a target's state answers in one file

`TargetState::is_needed` moves to the type's own file, beside the other questions on it. No change of behaviour.

--- a/crates/decide/src/work/scheduler_report.rs
+++ b/crates/decide/src/work/scheduler_report.rs
@@ -8,8 +8,8 @@
 use crate::call_budget::CallClass;
 
 use super::{
-    PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TargetState, TaskPlacement,
-    WorkJob, WorkScheduler,
+    PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TaskPlacement, WorkJob,
+    WorkScheduler,
     target_state::{RunKey, lagging},
 };
 
@@ -397,10 +397,3 @@
         job.plan.steps.get(key.step as usize)
     }
 }
-
-impl TargetState {
-    /// Whether the scheduler still needs this target's state.
-    pub(super) fn is_needed(&self) -> bool {
-        self.listed || !self.claims.is_empty() || (self.inherited && !self.incarnation.token_seen)
-    }
-}
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -180,6 +180,11 @@
         self.incarnation.token_seen || !self.inherited
     }
 
+    /// Whether the scheduler still needs this target's state.
+    pub(super) fn is_needed(&self) -> bool {
+        self.listed || !self.claims.is_empty() || (self.inherited && !self.incarnation.token_seen)
+    }
+
     /// Returns true if nothing can be running there.
     ///
     /// A target that a new owner has not polled yet has no claims either. If it were considered
