Log on what a lost target and a second start rest

Missing: after a task ran twice the log could not tell which decision allowed the second start. `target-lost why=lapsed` said neither when the last lease was granted nor whether this owner had ever polled the target; `reborn` and `replaced` each stood for two or more facts; `task-placed` did not say that the task had run before. And a successor that gave up a target of its predecessor without having polled it wrote no line at all, since it knows of no run there: of the likeliest way to two runs the log showed nothing.

Change: `target-lost` carries the fact, this owner's token and the time since the last grant, a lapse also whether the target was inherited and polled, whether the cell was handed over, and how many listed targets answered. An inherited target that is given up unpolled gets the line with `runs=0`, once a term; idle targets still get none. `task-placed` says in `after=` why the task's last run counts as over, with its attempt and target; `unseen` where only an earlier owner can know. `task-unwanted` and `task-adopted` say in `given_up=` that this owner had counted the run as over. Metrics: runs given up by cause, and the time from the last grant until then. Of each task the last such run alone is kept, boxed, and none for tasks that end well. No decision is changed.

--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -40,10 +40,10 @@
     CANCEL_KEPT = 1056, "cancel-kept", "No owner recorded the cancellation of a job in time, so this process wrote it to the store, from where the current or the next owner records it.";
     JOB_FORESEEN_LATE = 1057, "job-foreseen-late", "A job was refused because, after the work queued before it, it would start too late; carries by how much.";
     POOL_SHORT = 1058, "pool-short", "Tasks wait in a pool; carries in cores what its hosts are used for, how much the waiting tasks need, and what the pool wants, is due and holds. At most once a second for each pool.";
-    TASK_PLACED = 1060, "task-placed", "A task was placed on a target; carries the urgency class of its job, the age of the target's last response and the free capacity there.";
+    TASK_PLACED = 1060, "task-placed", "A task was placed on a target; carries the urgency class of its job, the age of the target's last response, the free capacity there, and why the task's earlier run counts as over, with its attempt and target. after=never: it was never started; after=unseen: an earlier owner may have started it, and no poll has shown a run.";
     TASK_ENDED = 1061, "task-ended", "A run of a task ended on a target.";
-    TASK_ADOPTED = 1062, "task-adopted", "A run that an earlier owner started was found and taken over.";
-    TASK_UNWANTED = 1063, "task-unwanted", "A run was found that no task waits for; it is stopped.";
+    TASK_ADOPTED = 1062, "task-adopted", "A run that an earlier owner started, or that was given up too early, was found and taken over; given_up tells why this owner had counted it as over.";
+    TASK_UNWANTED = 1063, "task-unwanted", "A run was found that no task waits for; it is stopped. given_up tells why this owner had counted it as over.";
     TASK_UNSURE = 1064, "task-unsure", "A start was not answered; the target is polled for its outcome before anything else is done.";
     TASK_REFUSED = 1065, "task-refused", "A target refused a start.";
     TASK_VANISHED = 1066, "task-vanished", "A run is no longer on its target although no end was reported; it is started again.";
@@ -51,7 +51,7 @@
     START_DELAYED = 1068, "start-delayed", "A start waited long for a connection to its target; carries the time from its decision to its sending.";
     START_DROPPED = 1069, "start-dropped", "A start was not sent: its job ended, or its target was lost, while it waited for a connection.";
     TARGET_RAISED = 1070, "target-raised", "A target has accepted this owner's token and may be used.";
-    TARGET_LOST = 1071, "target-lost", "An incarnation of a target is over; carries why and how many runs ended with it.";
+    TARGET_LOST = 1071, "target-lost", "An incarnation of a target is over; carries why, the fact that shows it, how many runs ended with it, this owner's token and the time since this owner last granted a lease there. A lapse also carries whether an earlier owner used the target, whether this owner polled it, whether the cell was handed over, and how many listed targets were reached. For an inherited target that was not polled, runs=0 says that none is known, and the time counts from the reading of the log.";
     TARGET_SILENT = 1072, "target-silent", "A target is unresponsive; it gets no new tasks and no more time for those it has.";
     ORDER_FAILED = 1073, "order-failed", "An order to a target was refused or not answered.";
     OWNER_FENCED = 1074, "owner-fenced", "A target refused an order because a newer owner has sent orders to it; this process stops scheduling.";
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -28,6 +28,10 @@
 pub(crate) const ORDER_WAIT_SECONDS: &str = "lws_cell_order_wait_seconds";
 /// Ends of runs, by how they ended.
 pub(crate) const ENDS: &str = "lws_cell_task_ends";
+/// Runs that the owner gave up without a reported end, by cause.
+pub(crate) const RUNS_GIVEN_UP: &str = "lws_cell_runs_given_up";
+/// Time from the last grant on a target until the owner gave the target up, by cause.
+pub(crate) const SINCE_GRANT_SECONDS: &str = "lws_cell_since_grant_seconds";
 /// Unfinished jobs, on the owner.
 pub(crate) const OPEN_JOBS: &str = "lws_cell_open_jobs";
 /// Jobs that the owner refused, by cause and workspace.
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -219,7 +219,7 @@
             added,
         )
     };
-    event_log::log_events(events, dropped);
+    event_log::log_events(events, dropped, term.token);
     for id in targets {
         open_channel(term, id);
     }
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -1,6 +1,7 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
+    future::pending,
     net::{SocketAddr, TcpListener},
     rc::Rc,
     time::Duration,
@@ -18,7 +19,10 @@
 };
 use ports::{AdvicePort, AdviceTicket, FleetCodec, HostControl, PortFuture, TargetPort};
 use store::{BootClock, Clock};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, sleep},
+};
 
 use super::{LIMIT, MemoryStore};
 
@@ -37,11 +41,15 @@
     last_grant: Rc<RefCell<BTreeMap<HostId, Instant>>>,
     /// How long a start takes.
     start_delay: Rc<Cell<Duration>>,
+    /// How long the network holds a start up; its sender gets no answer.
+    start_hold: Rc<Cell<Duration>>,
     ended: Rc<RefCell<BTreeMap<HostId, Vec<EndReport>>>>,
     /// All starts, in the order of sending.
     pub start_orders: Rc<RefCell<Vec<StartOrder>>>,
     /// Number of starts of each task.
     pub starts_by_task: Rc<RefCell<BTreeMap<String, usize>>>,
+    /// Targets that the process with this handle does not reach.
+    unreachable: Rc<RefCell<BTreeSet<HostId>>>,
 }
 
 impl MemoryTargets {
@@ -50,6 +58,29 @@
         self.hold_last(if blocked { usize::MAX } else { 0 });
     }
 
+    /// Sets how long the network holds starts up, whose senders then get no answer.
+    pub fn hold_starts(&self, time: Duration) {
+        self.start_hold.set(time);
+    }
+
+    /// A handle of another process on the same targets.
+    pub fn new_handle(&self) -> Self {
+        Self {
+            unreachable: Rc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Sets which targets the process with this handle does not reach.
+    pub fn set_unreachable(&self, targets: &[&str]) {
+        let targets = targets.iter().map(|target| HostId::from(*target));
+        *self.unreachable.borrow_mut() = targets.collect();
+    }
+
+    fn is_unreachable(&self, target: &HostId) -> bool {
+        self.unreachable.borrow().contains(target)
+    }
+
     /// Sets how long a start takes.
     pub fn delay_starts(&self, delay: Duration) {
         self.start_delay.set(delay);
@@ -93,7 +124,11 @@
 impl TargetPort for MemoryTargets {
     fn start(&self, target: &TargetAddress, order: StartOrder) -> PortFuture<StartAnswer> {
         let (targets, target) = (self.clone(), target.target.clone());
-        Box::pin(async move {
+        if self.is_unreachable(&target) {
+            return Box::pin(async { StartAnswer::NotSent("no connection".to_owned()) });
+        }
+        let hold = self.start_hold.get();
+        let effect: PortFuture<StartAnswer> = Box::pin(async move {
             *targets
                 .starts_by_task
                 .borrow_mut()
@@ -115,7 +150,15 @@
             StartAnswer::Started {
                 clock: BootClock.boot_now(),
             }
-        })
+        });
+        if hold.is_zero() {
+            return effect;
+        }
+        spawn_local(async move {
+            sleep(hold).await;
+            effect.await
+        });
+        Box::pin(pending())
     }
 
     fn stop(&self, _: &TargetAddress, _: StopOrder) -> PortFuture<OrderAnswer> {
@@ -128,6 +171,9 @@
 
     fn poll(&self, target: &TargetAddress, order: PollOrder) -> PortFuture<PollAnswer> {
         let (targets, target) = (self.clone(), target.target.clone());
+        if self.is_unreachable(&target) {
+            return Box::pin(async { PollAnswer::Unanswered("no answer".to_owned()) });
+        }
         self.polls.set(self.polls.get() + 1);
         if order.lease_until.is_some() {
             let now = Instant::now();
@@ -232,9 +278,11 @@
     }
 
     fn read_target(&self, target: &str, value: &[u8]) -> Result<TargetEntry, String> {
-        if value != b"ready" {
-            return Err("unknown state".to_owned());
-        }
+        let started_at = match value {
+            b"ready" => Duration::from_secs(1),
+            b"restarted" => Duration::from_secs(2),
+            _ => return Err("unknown state".to_owned()),
+        };
         Ok(TargetEntry {
             target: target.into(),
             address: format!("{target}:80").into(),
@@ -245,7 +293,7 @@
                 memory_mb: 4000,
                 gpu: 0,
             },
-            started_at: Duration::from_secs(1),
+            started_at,
             ..TargetEntry::default()
         })
     }
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports)]
 
 mod caller_calls;
+mod log_capture;
 mod memory_ports;
 mod memory_store;
 mod stub_owner;
@@ -10,6 +11,7 @@
 mod test_cell;
 
 pub use caller_calls::{KEY, call, plan, submit};
+pub use log_capture::LogCapture;
 pub use memory_ports::{EmptyHostControl, MemoryTargets, free_address, policy_text, ports_on};
 pub use memory_store::{MemoryStore, StoreMode};
 pub use stub_owner::StubOwner;
--- a/crates/decide/src/work/scheduler_action.rs
+++ b/crates/decide/src/work/scheduler_action.rs
@@ -1,14 +1,9 @@
-use std::{collections::BTreeSet, time::Duration};
-
-use compact_str::CompactString;
 use model::{
-    HostId, JobId, PoolId,
-    work::{AttemptNumber, StartOrder, StopOrder, TaskKey, ThrottleOrder},
+    HostId, JobId,
+    work::{StartOrder, StopOrder, TaskKey, ThrottleOrder},
 };
 use wire::work::LogEntry;
 
-use super::RankClass;
-
 /// An action for the caller of the scheduler to execute.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SchedulerAction {
@@ -51,52 +46,3 @@
     /// Number of the end within the incarnation.
     pub number: u64,
 }
-
-/// Inputs of a placement decision, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PlacementInputs {
-    /// Rank class of the job.
-    pub class: RankClass,
-    /// Age of the target's last response.
-    pub last_response_age: Duration,
-    /// CPU left on the target with this task placed, in thousandths of a core.
-    pub free_cpu: u64,
-}
-
-/// A decision, or a change of the known state, for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SchedulerEvent {
-    /// A task was placed.
-    Placed(TaskKey, AttemptNumber, HostId, PlacementInputs),
-    /// A run that this scheduler did not start was found and is adopted.
-    Adopted(TaskKey, AttemptNumber, HostId),
-    /// A run without a matching task was found and is stopped.
-    Unwanted(TaskKey, AttemptNumber, HostId),
-    /// A run ended.
-    Ended(TaskKey, AttemptNumber, HostId, &'static str),
-    /// A start was not answered, so its outcome is polled.
-    Unconfirmed(TaskKey, AttemptNumber, HostId),
-    /// A start was refused.
-    StartRefused(TaskKey, AttemptNumber, HostId, &'static str),
-    /// A run made no progress for too long. It is stopped, to be started elsewhere.
-    Stalled(TaskKey, AttemptNumber, HostId),
-    /// A run is missing from the report of its target.
-    Vanished(TaskKey, AttemptNumber, HostId),
-    /// A job ended.
-    JobEnded(JobId, &'static str),
-    /// A target has become usable.
-    TargetUsable(HostId),
-    /// A target's incarnation ended with all of its runs.
-    TargetLost(HostId, &'static str, usize),
-    /// A target is unreachable; its possible runs, with this count, are recorded.
-    TargetUnreachable(HostId, usize),
-    /// A target has become unresponsive.
-    TargetUnresponsive(HostId),
-    /// A queue with open jobs was moved to another pool.
-    QueueMoved(CompactString, PoolId),
-    /// Jobs of predecessors that may have tasks in these pools wait until all targets there have been
-    /// polled. Empty once no job waits for that.
-    UnpolledPools(BTreeSet<PoolId>),
-    /// Many of this number of listed targets are unresponsive at once, so none is given up for now.
-    MassUnresponsive(usize),
-}
--- a/crates/decide/src/work/scheduler_answer.rs
+++ b/crates/decide/src/work/scheduler_answer.rs
@@ -4,7 +4,8 @@
 };
 
 use super::{
-    PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, WorkPhase, WorkScheduler,
+    LossCause, PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, WorkPhase,
+    WorkScheduler,
     target_state::{RunKey, lagging},
 };
 
@@ -36,7 +37,7 @@
             StartAnswer::Refused(refusal) => self.handle_start_refusal(id, &run, *refusal, now),
             StartAnswer::NotSent(_) => {
                 self.emit(start_refused_event(&run, id, "not-sent"));
-                self.release_run(id, &run);
+                self.release_run(id, &run, "not-sent");
                 self.pause_target(id, now);
                 self.mark_unresponsive(id, now);
             }
@@ -62,7 +63,7 @@
         let run: RunKey = (task.clone(), attempt);
         if self.is_starting(id, &run) {
             self.emit(start_refused_event(&run, id, "withdrawn"));
-            self.release_run(id, &run);
+            self.release_run(id, &run, "withdrawn");
         }
     }
 
@@ -108,7 +109,7 @@
                 self.set_run_phase(id, &run, PlacementPhase::Stopping(true), now);
             }
             OrderAnswer::Fenced => self.actions.push(SchedulerAction::StepDown(id.clone())),
-            OrderAnswer::OtherLife => self.mark_target_lost(id, "replaced", now),
+            OrderAnswer::OtherLife => self.mark_target_lost(id, LossCause::StopMisdirected, now),
             OrderAnswer::Unanswered(_) => {
                 self.mark_stop_unconfirmed(id, &run, now);
                 self.mark_unresponsive(id, now);
@@ -196,10 +197,10 @@
             StartRefusal::Malformed => "malformed",
         };
         self.emit(start_refused_event(run, id, reason));
-        self.release_run(id, run);
+        self.release_run(id, run, "refused");
         match refusal {
             StartRefusal::Fenced => self.actions.push(SchedulerAction::StepDown(id.clone())),
-            StartRefusal::OtherLife => self.mark_target_lost(id, "replaced", now),
+            StartRefusal::OtherLife => self.mark_target_lost(id, LossCause::StartMisdirected, now),
             StartRefusal::NoTicket => self.clear_tickets(&run.0),
             StartRefusal::Late => {
                 // The order was held up, or the estimate of the target's clock is wrong. The next
@@ -217,9 +218,9 @@
         }
     }
 
-    fn release_run(&mut self, id: &HostId, run: &RunKey) {
+    fn release_run(&mut self, id: &HostId, run: &RunKey, over: &'static str) {
         self.release_claim(id, run);
-        self.clear_placement(id, run);
+        self.clear_placement(id, run, Some(over));
     }
 
     fn pause_target(&mut self, id: &HostId, now: SchedulerTime) {
--- a/crates/decide/src/work/scheduler_claim.rs
+++ b/crates/decide/src/work/scheduler_claim.rs
@@ -1,10 +1,16 @@
-use model::{HostId, work::TaskKey};
+use model::{
+    HostId,
+    work::{AttemptNumber, TaskKey},
+};
 
 use super::{
-    WorkScheduler,
+    SchedulerEvent, WorkScheduler,
     target_state::{RunClaim, RunKey},
 };
 
+/// Makes the event of a run that a poll found.
+type FoundRunEvent = fn(TaskKey, AttemptNumber, HostId, Option<&'static str>) -> SchedulerEvent;
+
 /// Accounting of what runs use: the capacity of a target and the limit of their workspace.
 impl WorkScheduler {
     /// Reserves capacity and a part of the workspace's limit for a run.
@@ -25,6 +31,17 @@
         target.claim(run, claim);
     }
 
+    /// Reports a run that a poll found, with the cause if this scheduler counted it as over.
+    pub(super) fn emit_found(&mut self, event: FoundRunEvent, id: &HostId, run: &RunKey) {
+        let (key, attempt) = run;
+        let job = self.job_table.jobs.get(&key.job);
+        let task = job.and_then(|job| job.task(key.occurrence, key.step, key.index));
+        let past_run = task.and_then(|task| task.past_run.as_deref());
+        let past_run = past_run.filter(|past| past.target == *id && past.attempt == *attempt);
+        let over = past_run.map(|past| past.cause);
+        self.emit(event(key.clone(), *attempt, id.clone(), over));
+    }
+
     /// Releases what a run reserved. The run must not be on the target any more.
     pub(super) fn release_claim(&mut self, id: &HostId, run: &RunKey) {
         let Some(claim) = self
--- a/crates/decide/src/work/scheduler_end.rs
+++ b/crates/decide/src/work/scheduler_end.rs
@@ -5,8 +5,9 @@
 use wire::work::{TaskEnd, log_entry::Event};
 
 use super::{
-    EndOrigin, PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TaskPlacement,
-    WorkJob, WorkPhase, WorkScheduler, pick::FAILED_TARGET_WAIT, target_state::RunKey,
+    EndOrigin, PastRun, PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime,
+    TaskPlacement, WorkJob, WorkPhase, WorkScheduler, pick::FAILED_TARGET_WAIT,
+    target_state::RunKey,
 };
 
 impl WorkScheduler {
@@ -19,7 +20,6 @@
         self.job_table
             .open_occurrences_until(job, end.task.occurrence, now.boot);
         self.job_table.mark_started(job);
-        self.clear_placement(id, &run);
         let name = match end.kind {
             EndKind::Done => "done",
             EndKind::Failed => "failed",
@@ -28,6 +28,12 @@
             EndKind::GangBroken => "broken",
             EndKind::GangIncomplete => "alone",
         };
+        let over = match end.kind {
+            EndKind::Done => None,
+            EndKind::LeaseExpired => Some("expired"),
+            _ => Some(name),
+        };
+        self.clear_placement(id, &run, over);
         self.emit(SchedulerEvent::Ended(
             end.task.clone(),
             end.attempt,
@@ -109,9 +115,14 @@
     }
 
     /// Removes the placement of a run's task, if it was placed there. The task waits again unless
-    /// it is done.
-    pub(super) fn clear_placement(&mut self, id: &HostId, run: &RunKey) {
-        let (key, _) = run;
+    /// it is done. `over` says why the run counts as over; `None` if it is done or was never ordered.
+    pub(super) fn clear_placement(
+        &mut self,
+        id: &HostId,
+        run: &RunKey,
+        over: Option<&'static str>,
+    ) {
+        let (key, attempt) = run;
         self.pending_stops.remove(&(id.clone(), run.clone()));
         if self.job_table.placement_of(id, run).is_none() {
             return;
@@ -120,6 +131,13 @@
             && let Some(task) = step.tasks.get_mut(key.index as usize)
         {
             task.placement = None;
+            if let Some(cause) = over {
+                task.past_run = Some(Box::new(PastRun {
+                    attempt: *attempt,
+                    target: id.clone(),
+                    cause,
+                }));
+            }
             step.placed = step.placed.saturating_sub(1);
         }
     }
--- a/crates/decide/src/work/scheduler_incarnation.rs
+++ b/crates/decide/src/work/scheduler_incarnation.rs
@@ -3,7 +3,8 @@
 use model::{BootTime, HostId};
 
 use super::{
-    PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, WorkScheduler,
+    LossCause, PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TargetLoss,
+    WorkScheduler,
     target_state::{RESPONSE_MAX_AGE, RunClaim, RunKey},
 };
 
@@ -17,20 +18,26 @@
         &mut self,
         id: &HostId,
         started_at: Duration,
-        cause: &'static str,
+        cause: LossCause,
         now: SchedulerTime,
     ) {
         let tuning = self.tuning;
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
+        let since_grant = target.since_grant(now.boot);
         let unconfirmed = target.take_unconfirmed(&tuning, now.boot);
         let renewed = started_at != target.incarnation.started_at;
         if renewed {
             target.remember_past_incarnation();
         }
         let claims = target.begin_incarnation(started_at, now.boot);
-        self.release_runs(id, claims, renewed, cause, now);
+        let loss = TargetLoss {
+            cause,
+            runs: claims.len(),
+            since_grant,
+        };
+        self.release_runs(id, claims, renewed, loss, now);
         for run in unconfirmed {
             // The start may still reach the new incarnation, so it is fenced there by a stop.
             if let Some(target) = self.targets.get_mut(id) {
@@ -42,20 +49,21 @@
     }
 
     /// Ends a target's incarnation without a new one under the same id for now.
-    pub(super) fn mark_target_lost(
-        &mut self,
-        id: &HostId,
-        cause: &'static str,
-        now: SchedulerTime,
-    ) {
+    pub(super) fn mark_target_lost(&mut self, id: &HostId, cause: LossCause, now: SchedulerTime) {
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
+        let since_grant = target.since_grant(now.boot);
         let claims = target.begin_incarnation(Duration::ZERO, now.boot);
         // The granted lease ended with the incarnation.
         target.last_grant = BootTime::ZERO;
         target.listed = false;
-        self.release_runs(id, claims, false, cause, now);
+        let loss = TargetLoss {
+            cause,
+            runs: claims.len(),
+            since_grant,
+        };
+        self.release_runs(id, claims, false, loss, now);
     }
 
     /// Applies the list of incarnations of all hosts, which was requested from the host control at
@@ -96,7 +104,7 @@
             }
         }
         for id in ended {
-            self.mark_target_lost(&id, "no-host", now);
+            self.mark_target_lost(&id, LossCause::HostAbsent, now);
             if let Some(target) = self.targets.get_mut(&id) {
                 target.inherited = false;
             }
@@ -117,10 +125,11 @@
         id: &HostId,
         claims: Vec<(RunKey, RunClaim)>,
         renewed: bool,
-        cause: &'static str,
+        loss: TargetLoss,
         now: SchedulerTime,
     ) {
-        self.emit(SchedulerEvent::TargetLost(id.clone(), cause, claims.len()));
+        let why = loss.cause.why();
+        self.emit(SchedulerEvent::TargetLost(id.clone(), loss));
         let listed = self.targets.get(id).is_some_and(|target| target.listed);
         for (run, claim) in claims {
             self.remove_run_accounting(id, &run, &claim);
@@ -139,7 +148,7 @@
                     self.claim(id, run);
                     self.actions.push(SchedulerAction::Poll(id.clone()));
                 }
-                _ => self.clear_placement(id, &run),
+                _ => self.clear_placement(id, &run, Some(why)),
             }
         }
         self.replan_needed = true;
--- a/crates/decide/src/work/scheduler_listing.rs
+++ b/crates/decide/src/work/scheduler_listing.rs
@@ -2,7 +2,7 @@
 
 use model::{HostId, work::TargetEntry};
 
-use super::{SchedulerAction, SchedulerTime, TargetState, WorkScheduler};
+use super::{LossCause, SchedulerAction, SchedulerTime, TargetState, WorkScheduler};
 
 impl WorkScheduler {
     /// Adds or updates a target from its entry in the host list.
@@ -57,7 +57,7 @@
         }
         let (recorded, unreachable) = (target.recorded, target.unreachable_recorded);
         if has_new_incarnation {
-            self.end_incarnation(&id, started_at, "reborn", now);
+            self.end_incarnation(&id, started_at, LossCause::RestartListed, now);
         }
         if !recorded && !unreachable {
             self.record_target_use(&id);
@@ -137,7 +137,8 @@
                 .get(&id)
                 .is_some_and(TargetState::is_state_known)
             {
-                self.mark_target_lost(&id, "replaced", now);
+                let cause = LossCause::AddressTaken(entry.target.clone());
+                self.mark_target_lost(&id, cause, now);
             }
         }
     }
--- a/crates/decide/src/work/scheduler_report.rs
+++ b/crates/decide/src/work/scheduler_report.rs
@@ -8,8 +8,8 @@
 use crate::call_budget::CallClass;
 
 use super::{
-    PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TargetState, TaskPlacement,
-    WorkJob, WorkScheduler, target_state::RunKey,
+    LossCause, PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TargetState,
+    TaskPlacement, WorkJob, WorkScheduler, target_state::RunKey,
 };
 
 /// Maximum ends in one report. A full report may omit ends, among them that of a missing run.
@@ -99,7 +99,7 @@
             PollAnswer::Seen(report) => self.apply_target_report(id, sent, observed, report, now),
             PollAnswer::Fenced => self.actions.push(SchedulerAction::StepDown(id.clone())),
             PollAnswer::OtherLife if self.predates_incarnation(id, sent) => {}
-            PollAnswer::OtherLife => self.mark_target_lost(id, "replaced", now),
+            PollAnswer::OtherLife => self.mark_target_lost(id, LossCause::PollMisdirected, now),
             PollAnswer::Refused(_) | PollAnswer::Unanswered(_) => self.mark_unresponsive(id, now),
         }
     }
@@ -127,7 +127,7 @@
             return;
         }
         if is_other {
-            self.end_incarnation(id, started_at, "reborn", now);
+            self.end_incarnation(id, started_at, LossCause::RestartReported, now);
         }
         self.record_target_answer(id, sent, observed, report, now);
         let ends: Vec<_> = {
@@ -271,7 +271,7 @@
                 ..TaskPlacement::new(id, *attempt, now.boot)
             },
         );
-        self.emit(SchedulerEvent::Adopted(key.clone(), *attempt, id.clone()));
+        self.emit_found(SchedulerEvent::Adopted, id, run);
     }
 
     /// Stops a run without a matching task. Its capacity stays reserved until its end is reported.
@@ -281,7 +281,7 @@
         if self.pending_stops.contains_key(&key) || self.acknowledged_stops.contains_key(&key) {
             return;
         }
-        self.emit(SchedulerEvent::Unwanted(run.0.clone(), run.1, id.clone()));
+        self.emit_found(SchedulerEvent::Unwanted, id, run);
         self.stop_run(id, run, now);
     }
 
@@ -338,11 +338,11 @@
             PlacementPhase::Running => {
                 self.emit(SchedulerEvent::Vanished(key.clone(), *attempt, id.clone()));
                 self.release_claim(id, run);
-                self.clear_placement(id, run);
+                self.clear_placement(id, run, Some("vanished"));
             }
             PlacementPhase::Stopping(true) => {
                 self.release_claim(id, run);
-                self.clear_placement(id, run);
+                self.clear_placement(id, run, Some("stop-answered"));
             }
         }
     }
--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -5,8 +5,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    PlacementInputs, RankClass, SchedulerAction, SchedulerEvent, SchedulerTime, TaskPlacement,
-    WorkCounters, WorkPhase, WorkScheduler,
+    EarlierRun, PlacementInputs, RankClass, SchedulerAction, SchedulerEvent, SchedulerTime,
+    TaskPlacement, WorkCounters, WorkPhase, WorkScheduler,
     pick::{pick_including_draining, pick_target},
     ranked_steps::StepRank,
     step_key::StepKey,
@@ -78,7 +78,7 @@
         if plan.gang && placed.runs.len() < indices.len() {
             for (id, run) in placed.runs {
                 self.release_claim(&id, &run);
-                self.clear_placement(&id, &run);
+                self.clear_placement(&id, &run, None);
             }
             // The steps that are tried next can use the capacity.
             self.sync_target_index(now.boot);
@@ -243,6 +243,12 @@
         }
         let payload = job.plan.payload.clone();
         let task = job.task(key.occurrence, key.step, key.index);
+        let past_run = task.and_then(|task| task.past_run.as_deref());
+        let earlier = match past_run {
+            Some(run) => EarlierRun::Last(run.clone()),
+            None if job.inherited && key.occurrence < job.inherited_due => EarlierRun::Unseen,
+            None => EarlierRun::Never,
+        };
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_default();
         let ticket = job
             .occurrences
@@ -266,6 +272,7 @@
             ticket,
         };
         let inputs = PlacementInputs {
+            earlier,
             class,
             last_response_age: now.boot.saturating_sub(target.last_response),
             free_cpu: target.free().cpu,
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -4,7 +4,8 @@
 use wire::work::log_entry::Event;
 
 use super::{
-    PlacementPhase, SchedulerEvent, SchedulerTime, WorkPhase, WorkScheduler, target_state::RunKey,
+    LapsedLease, LossCause, PlacementPhase, SchedulerEvent, SchedulerTime, TargetLoss, WorkPhase,
+    WorkScheduler, target_state::RunKey,
 };
 
 /// Time without progress after which a task counts as stalled. Polls come at least once a second. A
@@ -166,14 +167,32 @@
             let Some(target) = self.targets.get_mut(&id) else {
                 continue;
             };
+            let lapsed = LapsedLease {
+                inherited: target.inherited,
+                polled: target.incarnation.token_seen,
+                handed_over: self.job_table.handed_over,
+                reached: self.index.targets.reached,
+                listed: self.index.targets.listed,
+            };
+            let cause = LossCause::LeaseLapsed(lapsed);
             target.inherited = false;
             target.incarnation.token_seen = false;
             if target.claims.is_empty() {
+                let since_grant = target.since_grant(now.boot);
                 self.replan_needed = true;
+                if lapsed.inherited && !lapsed.polled {
+                    // Runs of an earlier owner that no record shows are given up with it.
+                    let loss = TargetLoss {
+                        cause,
+                        runs: 0,
+                        since_grant,
+                    };
+                    self.emit(SchedulerEvent::TargetLost(id, loss));
+                }
                 continue;
             }
             let started_at = target.incarnation.started_at;
-            self.end_incarnation(&id, started_at, "lapsed", now);
+            self.end_incarnation(&id, started_at, cause, now);
         }
     }
 
--- a/crates/decide/src/work/scheduler_unreachable.rs
+++ b/crates/decide/src/work/scheduler_unreachable.rs
@@ -130,7 +130,7 @@
             return;
         }
         let (older_target, run) = (place.target.clone(), (key.clone(), place.attempt));
-        self.clear_placement(&older_target, &run);
+        self.clear_placement(&older_target, &run, Some("superseded"));
     }
 
     fn is_observed_running(&self, id: &HostId, run: &RunKey) -> bool {
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -201,6 +201,11 @@
         self.last_grant + max_lease + tuning.lapse_margin
     }
 
+    /// Returns the time since the last call that granted a lease; `None` if there was none.
+    pub fn since_grant(&self, now: BootTime) -> Option<Duration> {
+        (!self.last_grant.is_zero()).then(|| now.saturating_sub(self.last_grant))
+    }
+
     /// Returns the highest number up to which all ends are handled and stored.
     pub fn ackable_end(&self) -> u64 {
         match self.incarnation.unstored_ends.first() {
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -10,7 +10,7 @@
     work::{AttemptNumber, FleetPolicy, JobPlan, ResourceVector, StepPlan, TaskKey},
 };
 
-use super::OccurrenceMap;
+use super::{OccurrenceMap, PastRun};
 
 /// Maximum number of tasks in open occurrences of a job without a started task, unless a single
 /// occurrence has more. It is about what one planning pass starts.
@@ -120,6 +120,8 @@
     pub last_attempt: AttemptNumber,
     /// Placement of the task; `None` while it waits or when it is done.
     pub placement: Option<TaskPlacement>,
+    /// The last run that counts as over without the task being done; only for the log.
+    pub past_run: Option<Box<PastRun>>,
 }
 
 /// Placement of a task on a target.
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -11,7 +11,7 @@
 use wire::work::{JobPhase, JobRecord, LogEntry, QueueMove, TargetUse, log_entry::Event};
 
 use super::{
-    EndOrigin, FairOrder, HostDrainState, JobTable, LogAppend, OfferedWork, PoolCores,
+    EndOrigin, FairOrder, HostDrainState, JobTable, LogAppend, LossCause, OfferedWork, PoolCores,
     SchedulerAction, SchedulerEvent, SchedulerTuning, StartForecast, TargetState, WorkCounters,
     WorkJob, WorkPhase, scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex,
     share_meter::ShareMeter, step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
@@ -217,7 +217,7 @@
 
     /// Ends everything on a target whose host has completed an order.
     pub fn end_target_after_host_order(&mut self, id: &HostId, now: SchedulerTime) {
-        self.mark_target_lost(id, "ordered", now);
+        self.mark_target_lost(id, LossCause::HostOrdered, now);
     }
 
     /// Phase of a job as reported to callers.
