Log leases that are renewed while another process may own the cell

Missing: an owner that has lost the store renews the leases of running tasks beyond its own lease. Its log showed at best `term-alone`, and nothing if renewals stayed unanswered; neither for how long it may go on, nor when it stopped, which is what its successor's wait has to cover. A failed poll did not say whether it had renewed leases, which it may still do later.

Change: `term-extending` with the first such poll, with the time since the owner's lease ended and the time for which it may go on; once until the lease is renewed. `term-calm` and `term-ended` carry how many renewals there were and how long ago the last one was. `term-calm` waits until the lease is valid again and also follows `term-extending` alone. `order-failed kind=look` carries `renews=` and `took_ms=`. `lws_cell_unsure_renewals` counts the polls. `may_send_orders` asks the same limit as before through `orders_until`; no decision is changed.

Evidence: `renewals_beyond_lease_logged_once`: one line for 3 s of polls, the counter and the summary.

--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -10,9 +10,9 @@
     OWNER_GONE = 1011, "owner-gone", "The cell has no owner; this process takes part in the election.";
     TERM_WON = 1012, "term-won", "This process owns the cell from now on; the token fences all earlier owners.";
     TERM_READ = 1013, "term-read", "The job log was read; carries pages, jobs, open and cancelled jobs and the time it took.";
-    TERM_ENDED = 1014, "term-ended", "This process no longer owns the cell; carries the reason.";
+    TERM_ENDED = 1014, "term-ended", "This process no longer owns the cell; carries the reason and, if it renewed leases of tasks while another process might have owned the cell, how many times and how long ago the last time was.";
     TERM_ALONE = 1015, "term-alone", "The lease on the cell may have expired and the store does not answer. Running tasks go on for a bounded time; nothing is accepted or started.";
-    TERM_CALM = 1016, "term-calm", "The lease on the cell is renewed again.";
+    TERM_CALM = 1016, "term-calm", "The lease on the cell is renewed again; carries how many renewals of tasks' leases were sent meanwhile, if any, and how long ago the last one was.";
     ELECTION_FAILED = 1017, "election-failed", "An attempt to become the owner failed; it is retried.";
     TERM_RELEASED = 1018, "term-released", "The store refuses this owner and serves another process, which is asked to end the lease; carries the address of that process.";
     TERM_PLEDGED = 1019, "term-pledged", "The store is unreachable for all processes and all others promise not to campaign, so this owner goes on starting accepted tasks.";
@@ -20,6 +20,7 @@
     STORE_BACK = 1021, "cell-store-back", "The store answers again; carries for how long it did not.";
     WATCH_RESET = 1022, "watch-reset", "A watch could not continue from its last revision, so its keys are read again.";
     ENTRY_UNREADABLE = 1023, "entry-unreadable", "An entry of the store can't be decoded and is ignored; carries the key and the reason.";
+    TERM_EXTENDING = 1024, "term-extending", "This owner renews the leases of running tasks although another process may own the cell; carries the first target, for how long its own lease has been unsure, and for how long it may go on. Once until its lease is renewed; term-calm and term-ended carry how many renewals there were.";
     TERMS_IN_FORCE = 1030, "terms-in-force", "A newer revision of the operators' policy is in force on this host.";
     TERMS_STALE = 1031, "terms-stale", "The store returned an older revision of the policy than the one in force; it is ignored.";
     WAVE_SEEN = 1032, "wave-seen", "Operators requested a maintenance wave.";
@@ -53,7 +54,7 @@
     TARGET_RAISED = 1070, "target-raised", "A target has accepted this owner's token and may be used.";
     TARGET_LOST = 1071, "target-lost", "An incarnation of a target is over; carries why, the fact that shows it, how many runs ended with it, this owner's token and the time since this owner last granted a lease there. A lapse also carries whether an earlier owner used the target, whether this owner polled it, whether the cell was handed over, and how many listed targets were reached. For an inherited target that was not polled, runs=0 says that none is known, and the time counts from the reading of the log.";
     TARGET_SILENT = 1072, "target-silent", "A target is unresponsive; it gets no new tasks and no more time for those it has.";
-    ORDER_FAILED = 1073, "order-failed", "An order to a target was refused or not answered.";
+    ORDER_FAILED = 1073, "order-failed", "An order to a target was refused or not answered. A poll (kind=look) also carries whether it renewed leases, and the time from its sending; it may still take effect.";
     OWNER_FENCED = 1074, "owner-fenced", "A target refused an order because a newer owner has sent orders to it; this process stops scheduling.";
     DECISIONS_DROPPED = 1075, "decisions-dropped", "Decisions came too fast for all of them to be logged; carries how many were dropped.";
     STOP_DROPPED = 1076, "stop-dropped", "A stop was not sent: its run has ended, or is to continue because others of its step are unavailable, or its target has to be polled first.";
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -48,6 +48,7 @@
 mod target_watch;
 mod term;
 mod term_run;
+mod unsure_renewals;
 mod watch_timeout;
 
 pub use cell_host::CellHost;
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -32,6 +32,8 @@
 pub(crate) const RUNS_GIVEN_UP: &str = "lws_cell_runs_given_up";
 /// Time from the last grant on a target until the owner gave the target up, by cause.
 pub(crate) const SINCE_GRANT_SECONDS: &str = "lws_cell_since_grant_seconds";
+/// Polls that renewed leases on targets while another process might have owned the cell.
+pub(crate) const UNSURE_RENEWALS: &str = "lws_cell_unsure_renewals";
 /// Unfinished jobs, on the owner.
 pub(crate) const OPEN_JOBS: &str = "lws_cell_open_jobs";
 /// Jobs that the owner refused, by cause and workspace.
--- a/crates/cell/src/target_poll.rs
+++ b/crates/cell/src/target_poll.rs
@@ -126,6 +126,10 @@
         permit.release_while_waiting();
     }
     let observed = order.acked_end;
+    let renews = order.lease_until.is_some();
+    if renews {
+        term.record_renewal(id);
+    }
     let answer = term.ports.targets.poll(address, order).await;
     drop(permit);
     let outcome = match &answer {
@@ -141,10 +145,12 @@
         PollAnswer::Unanswered(_) => "unanswered",
     };
     metrics::counter!(metric::ORDERS, "kind" => "look", "outcome" => name).increment(1);
+    let now = term.now();
     if outcome == PollOutcome::Failed {
-        log_failure(term, "look", id, &format!("{answer:?}"));
+        let took = now.boot.saturating_sub(sent);
+        let detail = format!(" renews={renews} took_ms={}", took.as_millis());
+        log_order_failure(term, "look", id, &format!("{answer:?}"), &detail);
     }
-    let now = term.now();
     term.scheduler
         .borrow_mut()
         .apply_report(id, sent, observed, &answer, now);
@@ -170,11 +176,15 @@
 
 /// Logs an order that was not answered or was refused.
 pub(crate) fn log_failure(term: &Term, kind: &str, id: &HostId, answer: &str) {
+    log_order_failure(term, kind, id, answer, "");
+}
+
+fn log_order_failure(term: &Term, kind: &str, id: &HostId, answer: &str, detail: &str) {
     let answer = answer.replace('"', "'");
     log_event::warn(
         &event::ORDER_FAILED,
         format_args!(
-            "kind={kind} target={id} token={} answer=\"{answer}\"",
+            "kind={kind} target={id} token={}{detail} answer=\"{answer}\"",
             term.token
         ),
     );
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -33,6 +33,7 @@
     log_queue::{LogQueue, record_order},
     member_directory::MemberDirectory,
     target_channel::TargetChannel,
+    unsure_renewals::{RenewalTimes, UnsureRenewals},
 };
 
 /// Part of the lease that the owner does not rely on, because the clocks of the store and the host
@@ -118,6 +119,8 @@
     /// Whether the last renewal failed at once.
     last_renewal_refused: Cell<bool>,
     ownership_uncertain: Cell<bool>,
+    /// Renewals on targets since another process may own the cell.
+    unsure_renewals: UnsureRenewals,
     /// All cancellations stored before this time have been read; `None` before the first read.
     cancellations_read_at: Cell<Option<BootTime>>,
 }
@@ -164,6 +167,7 @@
             last_renewal_sent: Cell::new(won.sent),
             last_renewal_refused: Cell::default(),
             ownership_uncertain: Cell::new(false),
+            unsure_renewals: UnsureRenewals::default(),
             cancellations_read_at: Cell::new(None),
         })
     }
@@ -249,8 +253,22 @@
     /// The clock also counts time in which the host was suspended. So a process that was paused
     /// finds its lease expired here before it sends another order.
     pub(crate) fn may_send_orders(&self) -> bool {
-        let limit = self.sole_owner_until() + self.options.scheduler.store_outage_limit;
-        !self.over.has_begun() && BootClock.boot_now() < limit
+        !self.over.has_begun() && BootClock.boot_now() < self.orders_until()
+    }
+
+    /// Until when orders may be sent if the lease is not renewed.
+    fn orders_until(&self) -> BootTime {
+        self.sole_owner_until() + self.options.scheduler.store_outage_limit
+    }
+
+    /// Counts and logs a poll that renews leases on a target while another process may own the cell.
+    pub(crate) fn record_renewal(&self, target: &HostId) {
+        let times = RenewalTimes {
+            now: BootClock.boot_now(),
+            sole_until: self.sole_owner_until(),
+            orders_until: self.orders_until(),
+        };
+        self.unsure_renewals.record(self.token, target, times);
     }
 
     /// True if this process seems to be cut off from the store: the last renewal was refused, or no
@@ -288,8 +306,15 @@
         let valid_until = sent + self.options.owner_lease - LEASE_MARGIN;
         self.lease_valid_until
             .set(self.lease_valid_until.get().max(valid_until));
-        if self.ownership_uncertain.take() {
-            log_event::info(&event::TERM_CALM, format_args!("token={}", self.token));
+        if !self.has_valid_lease() {
+            return;
+        }
+        let renewals = self.unsure_renewals.take_summary(BootClock.boot_now());
+        if self.ownership_uncertain.take() || !renewals.is_empty() {
+            log_event::info(
+                &event::TERM_CALM,
+                format_args!("token={}{renewals}", self.token),
+            );
         }
     }
 
@@ -313,7 +338,11 @@
         }
         log_event::warn(
             &event::TERM_ENDED,
-            format_args!("token={} reason=\"{reason}\"", self.token),
+            format_args!(
+                "token={} reason=\"{reason}\"{}",
+                self.token,
+                self.unsure_renewals.take_summary(BootClock.boot_now())
+            ),
         );
         self.over.begin();
     }
--- a/crates/cell/tests/second_runs.rs
+++ b/crates/cell/tests/second_runs.rs
@@ -64,6 +64,51 @@
     store
 }
 
+/// Guards against an owner that renews the leases of tasks beyond its own lease, and whose log shows
+/// neither that nor for how long. One line has to do for all targets and polls.
+#[test]
+fn renewals_beyond_lease_logged_once() {
+    run_logged(async |log, metrics| {
+        let (store, targets) = (store_with_silent_member(), MemoryTargets::default());
+        targets.set_blocked(true);
+        let host = start_host_with_targets("first", &store, strong_limits(), &targets);
+        wait_for_owner(&store, "first").await;
+        submit_until_accepted(&host.service(), "job1").await;
+        targets.wait_for_started(3).await;
+        store.set_mode(StoreMode::Refuses);
+        let line = wait_for_line(&log, "term-extending", &["target=t1"]).await;
+        let allowed = value_of(&line, "allowed_ms").parse::<u64>();
+        assert!(
+            allowed.is_ok_and(|allowed| (1..=8000).contains(&allowed)),
+            "{line}"
+        );
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(log.lines("term-extending", &[]).len(), 1);
+        let renewals = metric_value(&metrics, "lws_cell_unsure_renewals");
+        assert!(
+            renewals.is_some_and(|renewals| renewals >= 2.0),
+            "{renewals:?}"
+        );
+        store.set_mode(StoreMode::Normal);
+        let end = Instant::now() + LIMIT;
+        let summaries = || {
+            let mut lines = log.lines("term-ended", &[" renewals="]);
+            lines.extend(log.lines("term-calm", &[" renewals="]));
+            lines
+        };
+        while summaries().is_empty() {
+            assert!(Instant::now() < end);
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(summaries().len(), 1);
+        assert!(
+            summaries()[0].contains(" since_renewal_ms="),
+            "{summaries:?}",
+            summaries = summaries()
+        );
+    });
+}
+
 /// Guards against a task that runs twice without a trace of the decision. The owner is cut off from
 /// the store and from all targets but one, which its successor does not reach.
 #[test]
@@ -125,6 +170,12 @@
         store.put("targets/t2", b"ready");
         sleep(Duration::from_millis(500)).await;
         targets.set_unreachable(&["t1"]);
+        wait_for_line(
+            &log,
+            "order-failed",
+            &["kind=look", "renews=true", "took_ms="],
+        )
+        .await;
         let lost = wait_for_line(&log, "target-lost", &["target=t1", "why=lapsed"]).await;
         for part in [
             "runs=3",
