Show a task that runs twice while its owner is cut off with targets

With an owner cut off from the store, the other processes and five of eight targets, together with the other three, tasks run twice: its successor starts them elsewhere while they are at work on those three.

Change: a schedule of the short soak does this for 13 s, under tasks of 14 to 15 s.

--- a/crates/lacewingshore/tests/soak.rs
+++ b/crates/lacewingshore/tests/soak.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use proof::{FAULT_KINDS, FaultKind, PlannedFault, SoakPlan, SoakSchedule, run_soak};
+use proof::{
+    FAULT_KINDS, FaultKind, PlannedFault, PlannedPartition, SoakPlan, SoakSchedule, run_soak,
+};
 use rstest::rstest;
 
 const PROCESSES: usize = 4;
@@ -121,3 +123,25 @@
         report.owners
     );
 }
+
+/// Guards against a task that runs twice because its owner is cut off, together with targets, from
+/// the store, the other processes and the other targets: nobody tells it of its successor, and it
+/// goes on extending the leases of these targets.
+#[test]
+fn soak_keeps_promises_owner_cut_off_with_targets() {
+    let begin = FIRST_BEGIN * 3 / 2;
+    let cut = PlannedPartition {
+        begin,
+        end: begin + Duration::from_secs(13),
+        process_groups: vec![0, 1, 1, 1],
+        target_groups: (0..TARGETS).map(|target| usize::from(target > 2)).collect(),
+        store_groups: vec![1],
+        strikes: Vec::new(),
+    };
+    let schedule = SoakSchedule {
+        partitions: vec![cut],
+        long_task_ms: Some((14_000, 15_000)),
+        ..SoakSchedule::default()
+    };
+    keeps_promises(6, schedule);
+}
