Keep the length of the cell's lease and a successor's wait in one place each

The lease of the cell stood in `CellOptions` and, since a successor counts it, in `SchedulerTuning` as well, with the same default and a line that copied one to the other; a caller that set only the first would have had a wait that doesn't fit. It is in `SchedulerTuning` alone now, and all read it there. The sum that a successor waits stood in the scheduler and in the soak's schedule; both call `SchedulerTuning::succession_wait`. The comment on the default leaves out how it was chosen.

--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -106,7 +106,9 @@
                 self.options.member, self.options.peer_address, self.options.metrics_address
             ),
         );
-        tokio::task::spawn_local(watch_loop(self.options.owner_lease / LOGGED_LEASE_FRACTION));
+        tokio::task::spawn_local(watch_loop(
+            self.options.scheduler.owner_lease / LOGGED_LEASE_FRACTION,
+        ));
         self.watch();
         let registering = self
             .members
--- a/crates/cell/src/cell_options.rs
+++ b/crates/cell/src/cell_options.rs
@@ -17,12 +17,7 @@
     pub metrics_address: SocketAddr,
     /// Prefix of the cell's own keys in the store; it ends with a slash.
     pub key_prefix: CompactString,
-    /// Length of the lease on the ownership. A killed owner is replaced after this time. A store
-    /// that answers sixty times as slowly as usual (4 ms) still renews the lease in time. Workloads
-    /// with failing owners scored 0.01 lower with a lease of 1.5 s; the platform allows no less
-    /// than 1 s.
-    pub owner_lease: Duration,
-    /// How often the lease is renewed; three renewals may fail before it expires.
+    /// How often the lease on the ownership is renewed; three renewals may fail before it expires.
     pub renew_interval: Duration,
     /// How long a watch waits for changes. A dead connection is noticed after this time plus
     /// `watch_margin`. The sum has to be less than the time in which a stable process has to apply
@@ -61,7 +56,6 @@
             peer_address,
             metrics_address,
             key_prefix: "cell/".into(),
-            owner_lease: Duration::from_millis(1100),
             renew_interval: Duration::from_millis(280),
             watch_timeout: Duration::from_millis(1500),
             watch_margin: Duration::from_millis(500),
--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -198,7 +198,10 @@
     async fn acquire_ownership(&self) -> Result<Option<TermLease>, LeaseStoreError> {
         let sent = BootClock.boot_now();
         let TermContext { options, ports, .. } = &self.context;
-        let lease = ports.store.take_lease(options.owner_lease).await?;
+        let lease = ports
+            .store
+            .take_lease(options.scheduler.owner_lease)
+            .await?;
         let key = options.owner_key();
         let change = StoreChange {
             expect: vec![(key.clone(), 0)],
--- a/crates/cell/src/host_loop.rs
+++ b/crates/cell/src/host_loop.rs
@@ -71,7 +71,7 @@
     if term.scheduler.borrow().job_table.handed_over {
         return Duration::ZERO;
     }
-    let min_lapsed = term.options.owner_lease - LEASE_SLACK;
+    let min_lapsed = term.options.scheduler.owner_lease - LEASE_SLACK;
     term.options.host_order_pause.saturating_sub(min_lapsed)
 }
 
--- a/crates/cell/src/term.rs
+++ b/crates/cell/src/term.rs
@@ -139,7 +139,7 @@
         scheduler.set_max_start_rate(max_starts_per_second(
             options.limits.link_bytes_per_second(),
         ));
-        let valid_until = won.sent + options.owner_lease - LEASE_MARGIN;
+        let valid_until = won.sent + options.scheduler.owner_lease - LEASE_MARGIN;
         let call_limiter = CallLimiter::new(options.limits.link_bytes_per_second());
         Rc::new(Self {
             options,
@@ -303,7 +303,7 @@
         self.last_renewal_refused.set(false);
         self.last_renewal_sent
             .set(self.last_renewal_sent.get().max(sent));
-        let valid_until = sent + self.options.owner_lease - LEASE_MARGIN;
+        let valid_until = sent + self.options.scheduler.owner_lease - LEASE_MARGIN;
         self.lease_valid_until
             .set(self.lease_valid_until.get().max(valid_until));
         if !self.has_valid_lease() {
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -318,9 +318,7 @@
         if !target.inherited {
             return own;
         }
-        let tuning = &self.tuning;
-        let predecessors = tuning.owner_lease + tuning.lease_overhang + tuning.lapse_margin;
-        own.max(self.replay_finished_at + predecessors)
+        own.max(self.replay_finished_at + self.tuning.succession_wait())
     }
 
     fn remove_unneeded_targets(&mut self, now: SchedulerTime) {
--- a/crates/decide/src/work/scheduler_tuning.rs
+++ b/crates/decide/src/work/scheduler_tuning.rs
@@ -15,11 +15,12 @@
     /// clock may be 2 % slow, and an order may be in flight for some time.
     pub lapse_margin: Duration,
     /// By how much leases may outlast the time for which their owner is certain to be the only one.
-    /// It bridges an outage of the store. A successor waits for as long, and for `owner_lease`, before
-    /// it starts tasks that may run on a target that it does not reach.
+    /// It bridges an outage of the store, and a successor waits for it
+    /// ([`SchedulerTuning::succession_wait`]).
     pub lease_overhang: Duration,
-    /// Lease of the cell. If the store ends it early, its holder may rely on it for this long while
-    /// there is a successor.
+    /// Length of the lease on the ownership of the cell. A killed owner is replaced after this time.
+    /// The platform allows no less than 1 s. A store that answers sixty times as slowly as usual
+    /// (4 ms) still renews it in time.
     pub owner_lease: Duration,
     /// Time without an answer after which a target gets no new tasks and no renewals.
     pub unresponsive_after: Duration,
@@ -67,3 +68,14 @@
         }
     }
 }
+
+impl SchedulerTuning {
+    /// How long a new owner waits before it starts tasks that may run on a target of a predecessor
+    /// that it does not reach: until every lease that the predecessor can have granted has expired.
+    ///
+    /// If the store ended the predecessor's lease early, that process may have relied on it for its
+    /// whole length. `docs/design/13-platform.md` explains the bound.
+    pub fn succession_wait(&self) -> Duration {
+        self.owner_lease + self.lease_overhang + self.lapse_margin
+    }
+}
--- a/crates/lacewingshore/src/cell_serve.rs
+++ b/crates/lacewingshore/src/cell_serve.rs
@@ -131,8 +131,8 @@
         memory_mb: settings.memory_mb,
         link_mbps: settings.link_mbps,
     };
-    options.owner_lease = lease_length(options.owner_lease, options.limits.link_bytes_per_second());
-    options.scheduler.owner_lease = options.owner_lease;
+    options.scheduler.owner_lease =
+        lease_length(default.owner_lease, options.limits.link_bytes_per_second());
     Ok(options)
 }
 
--- a/crates/proof/src/soak/bounds_plan.rs
+++ b/crates/proof/src/soak/bounds_plan.rs
@@ -115,7 +115,7 @@
         lease,
         lease + tuning.unresponsive_after,
         tuning.lease_overhang,
-        tuning.owner_lease + tuning.lease_overhang + tuning.lapse_margin,
+        tuning.succession_wait(),
         tuning.max_delivery_delay,
     ]
 }
