Let the new tests share their setup and loops

Three tests of `second_runs` began with the same owner and its running job, two of `work_second_runs` waited in the same loop, and the model wrote its event of a partition past `record_event`, which keeps the trace bounded, and asked twice for the end of each job. Each has one piece now.

--- a/crates/cell/tests/second_runs.rs
+++ b/crates/cell/tests/second_runs.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
+use cell::CellHost;
 use common::*;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::time::{Instant, sleep};
@@ -64,17 +65,27 @@
     store
 }
 
+/// Starts an owner, with a job of which three tasks run and do not end.
+async fn start_busy_owner(
+    name: &str,
+    store: &MemoryStore,
+    targets: &MemoryTargets,
+) -> Rc<CellHost> {
+    targets.set_blocked(true);
+    let owner = start_host_with_targets(name, store, strong_limits(), targets);
+    wait_for_owner(store, name).await;
+    submit_until_accepted(&owner.service(), "job1").await;
+    targets.wait_for_started(3).await;
+    owner
+}
+
 /// Guards against an owner that renews the leases of tasks beyond its own lease, and whose log shows
 /// neither that nor for how long. One line has to do for all targets and polls.
 #[test]
 fn renewals_beyond_lease_logged_once() {
     run_logged(async |log, metrics| {
         let (store, targets) = (store_with_silent_member(), MemoryTargets::default());
-        targets.set_blocked(true);
-        let host = start_host_with_targets("first", &store, strong_limits(), &targets);
-        wait_for_owner(&store, "first").await;
-        submit_until_accepted(&host.service(), "job1").await;
-        targets.wait_for_started(3).await;
+        let _host = start_busy_owner("first", &store, &targets).await;
         store.set_mode(StoreMode::Refuses);
         let line = wait_for_line(&log, "term-extending", &["target=t1"]).await;
         let allowed = value_of(&line, "allowed_ms").parse::<u64>();
@@ -116,13 +127,9 @@
     run_logged(async |log, metrics| {
         let (store, targets) = (store_with_silent_member(), MemoryTargets::default());
         store.put("targets/t2", b"ready");
-        targets.set_blocked(true);
         targets.set_unreachable(&["t2"]);
         let first_handle = store.new_handle();
-        let first = start_host_with_targets("first", &first_handle, strong_limits(), &targets);
-        wait_for_owner(&store, "first").await;
-        submit_until_accepted(&first.service(), "job1").await;
-        targets.wait_for_started(3).await;
+        let _first = start_busy_owner("first", &first_handle, &targets).await;
         let started = wait_for_line(&log, "task-placed", &["target=t1", "after=never"]).await;
         first_handle.set_cut_off(true);
         let second_targets = targets.new_handle();
@@ -162,11 +169,7 @@
 fn second_start_after_lost_answers_traced() {
     run_logged(async |log, metrics| {
         let (store, targets) = (new_store(), MemoryTargets::default());
-        targets.set_blocked(true);
-        let owner = start_host_with_targets("owner", &store, strong_limits(), &targets);
-        wait_for_owner(&store, "owner").await;
-        submit_until_accepted(&owner.service(), "job1").await;
-        targets.wait_for_started(3).await;
+        let _owner = start_busy_owner("owner", &store, &targets).await;
         store.put("targets/t2", b"ready");
         sleep(Duration::from_millis(500)).await;
         targets.set_unreachable(&["t1"]);
@@ -206,11 +209,7 @@
 fn second_start_after_new_entry_traced() {
     run_logged(async |log, metrics| {
         let (store, targets) = (new_store(), MemoryTargets::default());
-        targets.set_blocked(true);
-        let owner = start_host_with_targets("owner", &store, strong_limits(), &targets);
-        wait_for_owner(&store, "owner").await;
-        submit_until_accepted(&owner.service(), "job1").await;
-        targets.wait_for_started(3).await;
+        let _owner = start_busy_owner("owner", &store, &targets).await;
         store.put("targets/t2", b"ready");
         sleep(Duration::from_millis(500)).await;
         store.put("targets/t1", b"restarted");
--- a/crates/decide/tests/harness/world_check.rs
+++ b/crates/decide/tests/harness/world_check.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use model::{HostId, work::TaskKey};
 use wire::work::JobPhase;
@@ -100,10 +100,9 @@
             return false;
         };
         let ended = self.jobs.keys().filter(|job| self.has_ended(owner, job));
-        let ended: Vec<String> = ended.cloned().collect();
+        let ended: BTreeSet<String> = ended.cloned().collect();
         let known = self.ended_jobs.keys();
-        let changed = known.filter(|job| !self.has_ended(owner, job));
-        let changed: Vec<String> = changed.cloned().collect();
+        let changed: Vec<String> = known.filter(|job| !ended.contains(*job)).cloned().collect();
         let done = self.client_requests.is_empty() && ended.len() == self.jobs.len();
         for job in ended {
             self.ended_jobs.entry(job).or_insert(self.now.boot);
--- a/crates/decide/tests/harness/world_partition.rs
+++ b/crates/decide/tests/harness/world_partition.rs
@@ -28,16 +28,19 @@
         }
         let (now, token) = (self.now.boot, self.current_token);
         let until = now + Duration::from_millis(self.extra_rng.random_range(PARTITION_MS));
+        let mut apart = Vec::new();
         for (name, state) in &mut self.targets {
             if state.up && !state.partitioned && self.extra_rng.random_bool(TARGET_SHARE) {
                 state.partitioned = true;
                 state.partitioned_with = Some(token);
                 state.down_since = now;
                 state.back_at = until;
-                let history = format!("{now:?} {name} is partitioned with owner {token}");
-                self.recent_events.push_back(history);
+                apart.push(name.clone());
             }
         }
+        for name in apart {
+            self.record_event(&format!("{name} is partitioned with owner {token}"));
+        }
         self.partitioned_until.insert(token, until);
         let owners = self.owners.iter_mut();
         for owner in owners.filter(|owner| owner.token == token) {
--- a/crates/decide/tests/work_second_runs.rs
+++ b/crates/decide/tests/work_second_runs.rs
@@ -14,6 +14,16 @@
 /// Lease, the margins after it, and one tick.
 const LEASE_EXPIRY: Duration = Duration::from_millis(8500);
 
+/// How long it takes until `holds` is true of an owner to which nobody answers.
+fn time_until(owner: &mut SchedulerFixture, holds: impl Fn(&SchedulerFixture) -> bool) -> Duration {
+    let begun = owner.now.boot;
+    while !holds(owner) {
+        assert!(owner.now.boot - begun < Duration::from_secs(30));
+        owner.advance(STEP);
+    }
+    owner.now.boot - begun
+}
+
 /// How long the third owner waits before it starts a task that may run on a target that it can't
 /// reach. The second owner did not hand over; the first one did if `handed_over`.
 fn wait_of_third_owner(handed_over: bool) -> Duration {
@@ -29,13 +39,9 @@
 
     let mut third = second.successor(17);
     third.add_target("t2", 4000);
-    let mut waited = Duration::ZERO;
-    while !third.starts.iter().any(|(_, start)| start.task.job == "a") {
-        assert!(waited < Duration::from_secs(30));
-        third.advance(STEP);
-        waited += STEP;
-    }
-    waited
+    time_until(&mut third, |third| {
+        third.starts.iter().any(|(_, start)| start.task.job == "a")
+    })
 }
 
 /// Guards against running a task twice: an owner took over by a hand-over and was cut off later,
@@ -85,18 +91,10 @@
     if listed {
         next.list_target("t1", 4000);
     }
-    let mut waited = Duration::ZERO;
-    while next
-        .scheduler
-        .targets
-        .get("t1")
-        .is_some_and(|t1| t1.inherited)
-    {
-        assert!(waited < Duration::from_secs(30));
-        next.advance(STEP);
-        waited += STEP;
-    }
-    waited
+    time_until(&mut next, |next| {
+        let target = next.scheduler.targets.get("t1");
+        !target.is_some_and(|t1| t1.inherited)
+    })
 }
 
 /// Guards against running a task twice: the successor had reached no target, and had not read the
