--- a/crates/decide/src/work/scheduler_answer.rs
+++ b/crates/decide/src/work/scheduler_answer.rs
@@ -138,7 +138,7 @@
     ///
     /// The sender may be suspended right before the write, where it can't check its lease again. So
     /// the target has to refuse the start if it arrives later. The poll that follows a start grants
-    /// the whole lease, see `docs/design/13-platform.md`.
+    /// a longer lease, see `docs/design/13-platform.md`.
     pub fn limit_start(
         &mut self,
         id: &HostId,
--- a/crates/decide/src/work/scheduler_event.rs
+++ b/crates/decide/src/work/scheduler_event.rs
@@ -51,7 +51,7 @@
     pub inherited: bool,
     /// Whether a poll of this owner was answered there.
     pub polled: bool,
-    /// Whether the last owner handed the cell over.
+    /// Whether the log has a hand-over and no order to a host after it.
     pub handed_over: bool,
     /// Number of listed targets that answered this owner.
     pub reached: usize,
--- a/crates/decide/src/work/scheduler_tuning.rs
+++ b/crates/decide/src/work/scheduler_tuning.rs
@@ -11,8 +11,8 @@
     /// Lease that each order grants. Long enough for the successor of a killed owner to renew it in
     /// time: expiry of the ownership, the election and one round of polls take 2.5 s.
     pub grant: Duration,
-    /// Added to `lease_limit` before tasks of an unresponsive target start elsewhere: a target's
-    /// clock may be 2 % slow, and an order may be in flight for some time.
+    /// Added to the end of the last lease on an unresponsive target before its tasks start elsewhere:
+    /// an order may be in flight for some time.
     pub lapse_margin: Duration,
     /// By how much leases may outlast the time for which their owner is certain to be the only one.
     /// It bridges an outage of the store, and a successor waits for it
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -104,7 +104,8 @@
     pub last_failure: BootTime,
     /// Time of the last call that granted a lease and may still be in progress.
     pub last_grant: BootTime,
-    /// Time of the last poll that granted the whole lease. A start grants less.
+    /// Time of the last poll that granted the whole lease. A start grants less, and so does a poll of
+    /// an owner that is not certain to be the only one.
     pub last_renewal: BootTime,
     /// Whether it is known to be unresponsive.
     pub unresponsive: bool,
