Log each call to the advice service

Callers of review/5 see jobs that never start, and the log had one line `order-failed` for a refused call and none for an answered one, so that a slow service, a full one and calls that wait behind each other looked alike. `advice-answered` and `advice-failed` now carry the step, how many targets were named and granted, the time the call took and the cause; `lws_cell_advice_seconds` is the time as a histogram.

Observation only, in a module of its own; what is sent and when is unchanged.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod event;
 
+mod advice_call;
 mod call_limiter;
 mod caller_gateway;
 mod cell_host;
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -3,7 +3,7 @@
 use decide::{call_budget::CallClass, work::SchedulerAction};
 use model::{
     HostId, event as log_event,
-    work::{OrderAnswer, PollOrder, StartAnswer, StartOrder, StopOrder, TaskKey, ThrottleOrder},
+    work::{OrderAnswer, PollOrder, StartAnswer, StartOrder, StopOrder, ThrottleOrder},
 };
 use tokio::{
     sync::SemaphorePermit,
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    advice_call::request_advice,
     call_limiter::CallPermit,
     event, metric,
     start_check::{UnsentCause, prepare_start},
@@ -30,7 +31,9 @@
         SchedulerAction::Stop(id, order) => term.spawn(send_stop(cloned, id, order)),
         SchedulerAction::Throttle(id, order) => term.spawn(send_throttle(cloned, id, order)),
         SchedulerAction::Poll(id) => term.spawn(poll_at_once(cloned, id)),
-        SchedulerAction::RequestAdvice(key, targets) => term.spawn(advise(cloned, key, targets)),
+        SchedulerAction::RequestAdvice(key, targets) => {
+            term.spawn(request_advice(cloned, key, targets));
+        }
         // Actions for the log and for the term itself, which the term executes.
         SchedulerAction::AppendLog(_) | SchedulerAction::StepDown(_) => {}
     }
@@ -163,22 +166,6 @@
     poll_once(&term, &id, &address, order, permit).await;
 }
 
-async fn advise(term: Rc<Term>, key: TaskKey, targets: Vec<HostId>) {
-    let step = format!("{}.{}.{}", key.job, key.occurrence, key.step);
-    let answer = term.ports.advice.request_tickets(&step, targets).await;
-    let done = answer.is_ok();
-    let tickets = answer.unwrap_or_else(|error| {
-        log_failure(&term, "advise", &HostId::default(), &error);
-        Vec::new()
-    });
-    count_order("advise", done);
-    let tickets = tickets.into_iter().map(|row| (row.target, row.ticket));
-    let now = term.now();
-    let mut scheduler = term.scheduler.borrow_mut();
-    scheduler.handle_advice(&key, tickets.collect(), now);
-    term.wake.notify_one();
-}
-
 fn log_unsent(term: &Term, kind: &str, id: &HostId, cause: UnsentCause) {
     log_failure(term, kind, id, &format!("not sent: {cause}"));
 }
@@ -222,7 +209,8 @@
     }
 }
 
-fn count_order(kind: &'static str, done: bool) {
+/// Counts an order by its outcome.
+pub(crate) fn count_order(kind: &'static str, done: bool) {
     let outcome = if done { "done" } else { "failed" };
     metrics::counter!(metric::ORDERS, "kind" => kind, "outcome" => outcome).increment(1);
 }
