Bound the calls to the advice service by what it can answer

Cause: nobody bounded the owner's calls. The service handles one call of a process after the other, so an answer is due after those of all own calls before it. Each waiting step sent a new call every 500 ms whether or not its last one still waited, and each call was given up after 3 s. From the ninth call on (9 x 360 ms) no answer comes in time, the service goes on with calls that nobody waits for, and the rest get 429, which led to the next call at once.

Change: steps wait in `AdviceQueue` in place of at the service; `AdviceCalls` sends as many calls as keep the service busy (two, or 100 ms of work), with a timeout of twice the time due behind the calls in progress and 1 s; one at a time after a failure, after a pause of 0.1 to 1 s. The workspace that used least of the service's time by weight goes next, with its first step by rank. A service that takes longer than 3 s by its policy is waited for as well. Steps without a target to ask are examined again after 100 ms and hold up no others.

Why it works: the calls in progress never take longer than the timeout allows for, unless the service is more than twice as slow as its policy says, and then one call at a time still gets its answer or costs one turn.

--- a/crates/cell/src/advice_call.rs
+++ b/crates/cell/src/advice_call.rs
@@ -1,15 +1,25 @@
 use std::rc::Rc;
 
-use model::{HostId, event as log_event, work::TaskKey};
+use decide::work::AdviceRequest;
+use model::event as log_event;
 use tokio::time::Instant;
 
 use crate::{event, metric, target_orders::count_order, term::Term};
 
 /// Requests tickets for a step and passes the answer to the scheduler.
-pub(crate) async fn request_advice(term: Rc<Term>, key: TaskKey, targets: Vec<HostId>) {
+pub(crate) async fn request_advice(term: Rc<Term>, request: AdviceRequest) {
+    let AdviceRequest {
+        step: key,
+        targets,
+        timeout,
+    } = request;
     let step = format!("{}.{}.{}", key.job, key.occurrence, key.step);
     let (sent, named) = (Instant::now(), targets.len());
-    let answer = term.ports.advice.request_tickets(&step, targets).await;
+    let answer = term
+        .ports
+        .advice
+        .request_tickets(&step, targets, timeout)
+        .await;
     metric::record_duration(metric::ADVICE_SECONDS, sent.elapsed());
     count_order("advise", answer.is_ok());
     let took = sent.elapsed().as_millis();
@@ -22,7 +32,8 @@
                     tickets.len()
                 ),
             );
-            tickets
+            let tickets = tickets.into_iter().map(|row| (row.target, row.ticket));
+            Some(tickets.collect())
         }
         Err(error) => {
             log_event::warn(
@@ -32,12 +43,11 @@
                     error.replace('"', "'")
                 ),
             );
-            Vec::new()
+            None
         }
     };
-    let tickets = tickets.into_iter().map(|row| (row.target, row.ticket));
     let now = term.now();
     let mut scheduler = term.scheduler.borrow_mut();
-    scheduler.handle_advice(&key, tickets.collect(), now);
+    scheduler.handle_advice(&key, tickets, now);
     term.wake.notify_one();
 }
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -26,6 +26,8 @@
 pub(crate) const ORDER_SECONDS: &str = "lws_cell_order_seconds";
 /// Time that a start waits for a connection to its target before it is sent.
 pub(crate) const ORDER_WAIT_SECONDS: &str = "lws_cell_order_wait_seconds";
+/// Calls to the advice service in progress, on the owner.
+pub(crate) const ADVICE_CALLS: &str = "lws_cell_advice_calls";
 /// Time from a call to the advice service until its answer or the end of its timeout.
 pub(crate) const ADVICE_SECONDS: &str = "lws_cell_advice_seconds";
 /// Ends of runs, by how they ended.
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -31,9 +31,7 @@
         SchedulerAction::Stop(id, order) => term.spawn(send_stop(cloned, id, order)),
         SchedulerAction::Throttle(id, order) => term.spawn(send_throttle(cloned, id, order)),
         SchedulerAction::Poll(id) => term.spawn(poll_at_once(cloned, id)),
-        SchedulerAction::RequestAdvice(key, targets) => {
-            term.spawn(request_advice(cloned, key, targets));
-        }
+        SchedulerAction::RequestAdvice(request) => term.spawn(request_advice(cloned, request)),
         // Actions for the log and for the term itself, which the term executes.
         SchedulerAction::AppendLog(_) | SchedulerAction::StepDown(_) => {}
     }
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -60,6 +60,7 @@
     watch_timeout.set(term.options.watch_timeout);
     term.log_queue.refuse_pending();
     metrics::gauge!(metric::OWNER).set(0.0);
+    metrics::gauge!(metric::ADVICE_CALLS).set(0.0);
     clear_pool_report(term);
     term.channels.borrow_mut().clear();
 }
@@ -195,6 +196,8 @@
                 scheduler.tick(now);
                 #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
                 metrics::gauge!(metric::OPEN_JOBS).set(scheduler.job_table.open.len() as f64);
+                #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
+                metrics::gauge!(metric::ADVICE_CALLS).set(scheduler.advice_call_count() as f64);
             }
             if check_reads(&term).is_ok() {
                 scheduler.plan_starts(now, term.call_limiter.start_room());
--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -354,6 +354,7 @@
         &self,
         _: &str,
         _: Vec<HostId>,
+        _: Duration,
     ) -> PortFuture<Result<Vec<AdviceTicket>, String>> {
         Box::pin(async { Err("no advice here".to_owned()) })
     }
--- /dev/null
+++ b/crates/decide/src/work/advice_queue.rs
@@ -0,0 +1,126 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use model::{BootTime, WorkspaceId};
+
+use super::{decaying_sum::DecayingSum, ranked_steps::StepRank, step_key::StepKey};
+
+/// Time constant in seconds of the service time that counts for a workspace's turn.
+const USAGE_WINDOW_SECS: f64 = 3.0;
+/// Service time in seconds below which a workspace's usage is forgotten.
+const MIN_USAGE: f64 = 0.001;
+/// Minimum time between two examinations of a step for which there is nothing to request.
+const EXAMINE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Steps that wait for a call to the advice service.
+///
+/// All queues share one service. The workspace that has recently used least of its time, by weight,
+/// goes next, with its first step by rank; so a workspace with many waiting steps does not shut
+/// others out.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AdviceQueue {
+    steps: BTreeMap<StepKey, QueuedStep>,
+    ranked: BTreeMap<WorkspaceId, BTreeSet<StepRank>>,
+    /// Steps that were examined without a request, and until when they don't wait.
+    postponed: BTreeMap<StepKey, BootTime>,
+    /// Service time of recent calls, in seconds.
+    usages: BTreeMap<WorkspaceId, DecayingSum>,
+}
+
+#[derive(Clone, Debug)]
+struct QueuedStep {
+    workspace: WorkspaceId,
+    key: StepRank,
+}
+
+impl AdviceQueue {
+    /// Adds a step, or updates the rank of one that waits already.
+    pub(super) fn push(&mut self, workspace: &WorkspaceId, key: StepRank, now: BootTime) {
+        if let Some(&until) = self.postponed.get(&key.1) {
+            if now < until {
+                return;
+            }
+            self.postponed.remove(&key.1);
+        }
+        if let Some(queued) = self.steps.get(&key.1) {
+            if queued.key == key {
+                return;
+            }
+            self.remove(&key.1);
+        }
+        let ranked = self.ranked.entry(workspace.clone()).or_default();
+        ranked.insert(key.clone());
+        let queued = QueuedStep {
+            workspace: workspace.clone(),
+            key: key.clone(),
+        };
+        self.steps.insert(key.1, queued);
+    }
+
+    /// Removes the step whose turn it is; `weight` is that of a workspace.
+    pub(super) fn pop(
+        &mut self,
+        now: BootTime,
+        weight: impl Fn(&WorkspaceId) -> u32,
+    ) -> Option<StepRank> {
+        let usage = |workspace: &WorkspaceId| {
+            let usage = self.usages.get(workspace);
+            usage.map_or(0.0, |usage| usage.at(now)) / f64::from(weight(workspace).max(1))
+        };
+        let first = |ranked: &BTreeSet<StepRank>| ranked.first().cloned();
+        let turns = self.ranked.iter();
+        let turns =
+            turns.filter_map(|(workspace, ranked)| Some((usage(workspace), first(ranked)?)));
+        let (_, next) = turns.min_by(|(usage, step), (other_usage, other)| {
+            let order = usage.total_cmp(other_usage);
+            order.then_with(|| step.cmp(other))
+        })?;
+        self.remove(&next.1);
+        Some(next)
+    }
+
+    /// Charges a workspace for a call that takes the service `call_time`.
+    pub(super) fn record_call(
+        &mut self,
+        workspace: &WorkspaceId,
+        call_time: Duration,
+        now: BootTime,
+    ) {
+        let usage = self.usages.entry(workspace.clone());
+        let usage = usage.or_insert_with(|| DecayingSum::new(USAGE_WINDOW_SECS));
+        usage.add(call_time.as_secs_f64(), now);
+        self.usages.retain(|_, usage| usage.at(now) >= MIN_USAGE);
+    }
+
+    /// Lets a step for which there is nothing to request wait no more for some time, so that others
+    /// are examined.
+    pub(super) fn postpone(&mut self, step: StepKey, now: BootTime) {
+        self.remove(&step);
+        self.postponed.insert(step, now + EXAMINE_INTERVAL);
+    }
+
+    /// Removes a step, if it waits.
+    pub(super) fn remove(&mut self, step: &StepKey) {
+        let Some(queued) = self.steps.remove(step) else {
+            return;
+        };
+        if let Some(ranked) = self.ranked.get_mut(&queued.workspace) {
+            ranked.remove(&queued.key);
+            if ranked.is_empty() {
+                self.ranked.remove(&queued.workspace);
+            }
+        }
+    }
+
+    /// Removes the steps that no longer wait.
+    pub(super) fn retain(&mut self, is_waiting: impl Fn(&StepKey) -> bool) {
+        let ended = self.steps.keys().filter(|step| !is_waiting(step));
+        let ended: Vec<StepKey> = ended.cloned().collect();
+        for step in &ended {
+            self.remove(step);
+        }
+        self.postponed.retain(|step, _| is_waiting(step));
+    }
+}
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -6,6 +6,8 @@
 //! described in `docs/design/13-platform.md`.
 
 mod admission_policy;
+mod advice_calls;
+mod advice_queue;
 mod compacted_log;
 mod core_demand;
 mod decaying_sum;
@@ -77,7 +79,7 @@
 pub use offered_work::OfferedWork;
 pub use past_run::{EarlierRun, PastRun};
 pub use pool_survey::PoolSurvey;
-pub use scheduler_action::{EndOrigin, LogAppend, SchedulerAction};
+pub use scheduler_action::{AdviceRequest, EndOrigin, LogAppend, SchedulerAction};
 pub use scheduler_event::{LapsedLease, LossCause, PlacementInputs, SchedulerEvent, TargetLoss};
 pub use scheduler_index::WorkCounters;
 pub use scheduler_tuning::SchedulerTuning;
--- a/crates/decide/src/work/scheduler_action.rs
+++ b/crates/decide/src/work/scheduler_action.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use model::{
     HostId, JobId,
     work::{StartOrder, StopOrder, TaskKey, ThrottleOrder},
@@ -20,7 +22,18 @@
     /// Step down: a target refused an order because a newer owner has sent some.
     StepDown(HostId),
     /// Request advice on which targets may run a step.
-    RequestAdvice(TaskKey, Vec<HostId>),
+    RequestAdvice(AdviceRequest),
+}
+
+/// A request for advice on which targets may run a step.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AdviceRequest {
+    /// The first task of the step.
+    pub step: TaskKey,
+    /// The targets that it names.
+    pub targets: Vec<HostId>,
+    /// How long its answer is waited for.
+    pub timeout: Duration,
 }
 
 /// An entry to append to the job log, and the end on a target that may be acknowledged then.
--- a/crates/decide/src/work/scheduler_plan.rs
+++ b/crates/decide/src/work/scheduler_plan.rs
@@ -81,6 +81,11 @@
         if self.ownership_uncertain || !is_due || max_starts == 0 {
             return;
         }
+        self.start_steps(now, max_starts);
+        self.send_advice_requests(now);
+    }
+
+    fn start_steps(&mut self, now: SchedulerTime, max_starts: usize) {
         let mut plan = self.begin_plan();
         let mut remaining = max_starts.min(MAX_STARTS_PER_PLAN);
         while let Some((pool, group, rank)) = self.next_step(&mut plan, now) {
--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -40,10 +40,11 @@
     /// Starts the tasks of a step for which there is capacity.
     pub(super) fn start_step(
         &mut self,
-        (rank, step): &StepRank,
+        key: &StepRank,
         unconfirmed_usage: &BTreeMap<WorkspaceId, ResourceVector>,
         now: SchedulerTime,
     ) -> StepOutcome {
+        let (rank, step) = key;
         let no_start = StepOutcome::default();
         // Another step may have failed the job during the same planning pass.
         let job = self.job_table.jobs.get(&step.job);
@@ -58,7 +59,7 @@
             self.fail_job(&step.job, now);
             return no_start;
         }
-        if self.must_wait_for_advice(step, now) {
+        if self.must_wait_for_advice(key, now) {
             return no_start;
         }
         let Some(state) = self.step_state(step) else {
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -41,6 +41,7 @@
         self.apply_deferred_entries(now);
         self.open_occurrences(now);
         self.end_expired_pauses(now);
+        self.forget_ended_advice();
         self.retry_stops(now);
         self.give_up_lapsed_targets(now);
         self.evacuate(now);
@@ -100,8 +101,8 @@
         }
     }
 
-    /// Ends expired pauses of targets and waits after failures, and replans if advice requests may
-    /// be due.
+    /// Ends expired pauses of targets and waits after failures, and replans if tickets may have
+    /// expired or the next advice request may be due.
     fn end_expired_pauses(&mut self, now: SchedulerTime) {
         self.index
             .targets
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -99,8 +99,6 @@
     pub placed: u32,
     /// Targets that the advice service allows, each with its ticket and the ticket's expiry.
     pub tickets: BTreeMap<HostId, (CompactString, BootTime)>,
-    /// Time of the last advice request; zero for never.
-    pub advice_requested_at: BootTime,
 }
 
 /// State of one task.
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -13,8 +13,9 @@
 use super::{
     EndOrigin, FairOrder, HostDrainState, JobTable, LogAppend, LossCause, OfferedWork, PoolCores,
     SchedulerAction, SchedulerEvent, SchedulerTuning, StartForecast, TargetState, WorkCounters,
-    WorkJob, WorkPhase, scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex,
-    share_meter::ShareMeter, step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
+    WorkJob, WorkPhase, advice_calls::AdviceCalls, advice_queue::AdviceQueue,
+    scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex, share_meter::ShareMeter,
+    step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
 };
 
 /// Upper bound of events buffered until [`WorkScheduler::take_events`]; further ones are dropped
@@ -68,6 +69,10 @@
     /// Work that callers offer to each pool.
     pub(super) offers: OfferedWork,
     pub(super) fair_order: FairOrder,
+    /// Steps that wait for a call to the advice service.
+    pub(super) advice_queue: AdviceQueue,
+    /// Calls to the advice service in progress.
+    pub(super) advice_calls: AdviceCalls,
     /// Cores of each pool, as the host planner last saw them; `None` before its first plan, and while
     /// no decision needs them.
     pub(super) pool_cores: Option<BTreeMap<PoolId, PoolCores>>,
--- /dev/null
+++ b/crates/decide/tests/harness/advice_fixture.rs
@@ -0,0 +1,233 @@
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use decide::work::{AdviceRequest, SchedulerAction};
+use model::{
+    BootTime, HostId,
+    work::{AdvicePolicy, FleetPolicy, StartOrder, StepPlan, TaskKey, WorkspacePolicy},
+};
+use wire::work::{LogEntry, log_entry::Event};
+
+use super::{SchedulerFixture, job_record, plan};
+
+/// Length of a simulation step.
+const TICK: Duration = Duration::from_millis(20);
+/// Calls that the service lets wait.
+const MAX_WAITING: usize = 32;
+/// The largest number of targets that a request may name.
+const MAX_NAMED: usize = 100;
+
+/// How the service treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServiceMode {
+    /// Handles one call after the other.
+    #[default]
+    Working,
+    /// Refuses all calls.
+    Refusing,
+    /// Answers no call.
+    Silent,
+}
+
+/// Returns true for the targets on which a step's tasks may run.
+pub type TargetFilter = Box<dyn Fn(&TaskKey, &HostId) -> bool>;
+
+/// An owner with an advice service, which handles one call after the other.
+pub struct AdviceFixture {
+    pub owner: SchedulerFixture,
+    pub mode: ServiceMode,
+    /// Whether the service skips calls whose caller no longer waits.
+    pub skips_abandoned: bool,
+    /// Policy of the service.
+    pub allows: TargetFilter,
+    /// Requests in the order of sending, with the time.
+    pub requests: Vec<(BootTime, AdviceRequest)>,
+    /// Number of answers that nobody waited for.
+    pub unread_answers: usize,
+    /// Number of refused calls.
+    pub refused: usize,
+    /// Starts in the order of sending, with the time and the target.
+    pub starts: Vec<(BootTime, HostId, StartOrder)>,
+    policy: AdvicePolicy,
+    /// Calls at the service, each with the time at which its caller gives up.
+    calls: VecDeque<(BootTime, AdviceRequest)>,
+    /// Calls that got no answer yet and whose caller waits.
+    awaited: Vec<(BootTime, TaskKey)>,
+    /// When the first call will have been handled.
+    handled_at: Option<BootTime>,
+}
+
+impl AdviceFixture {
+    pub fn new(targets: usize, policy: AdvicePolicy) -> Self {
+        let mut owner = SchedulerFixture::new(1);
+        let mut fleet = FleetPolicy::clone(&owner.scheduler.policy);
+        fleet.queues[0].advice = Some(policy);
+        fleet.queues[0].slack_time = Duration::from_millis(2500);
+        fleet.workspaces = ["space", "small"]
+            .map(|name| WorkspacePolicy {
+                name: name.into(),
+                weight: 1,
+                ..WorkspacePolicy::default()
+            })
+            .to_vec();
+        owner.scheduler.set_policy(Arc::new(fleet));
+        for number in 0..targets {
+            owner.add_target(&format!("t{number:04}"), 16_000);
+        }
+        Self {
+            owner,
+            mode: ServiceMode::Working,
+            skips_abandoned: true,
+            allows: Box::new(|_, _| true),
+            requests: Vec::new(),
+            unread_answers: 0,
+            refused: 0,
+            starts: Vec::new(),
+            policy,
+            calls: VecDeque::new(),
+            awaited: Vec::new(),
+            handled_at: None,
+        }
+    }
+
+    pub fn now(&self) -> BootTime {
+        self.owner.now.boot
+    }
+
+    /// Submits a job to the queue with advice.
+    pub fn submit(&mut self, job: &str, workspace: &str, steps: Vec<StepPlan>) {
+        let mut record = job_record(job, &plan(steps), self.owner.now);
+        workspace.clone_into(&mut record.workspace);
+        self.owner.stored.push(LogEntry {
+            event: Some(Event::Accepted(record.clone())),
+        });
+        self.owner.scheduler.accept_job(&record, self.owner.now);
+        self.owner.run_planning();
+        self.receive_requests();
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now() + time;
+        while self.now() < end {
+            self.owner.advance(TICK);
+            self.receive_requests();
+            self.give_up_calls();
+            self.handle_calls();
+            self.collect_starts();
+        }
+    }
+
+    /// Lets time pass until this many jobs have started; returns the time that it took, or `limit`.
+    pub fn run_until_started(&mut self, jobs: usize, limit: Duration) -> Duration {
+        let begin = self.now();
+        while self.started_jobs().len() < jobs && self.now() < begin + limit {
+            self.run_for(TICK);
+        }
+        self.now() - begin
+    }
+
+    /// Jobs of which a task was started.
+    pub fn started_jobs(&self) -> BTreeSet<String> {
+        let starts = self.starts.iter();
+        starts
+            .map(|(_, _, start)| start.task.job.to_string())
+            .collect()
+    }
+
+    /// Number of calls at the service.
+    pub fn calls_at_service(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Sum of the targets that the requests named.
+    pub fn named_targets(&self) -> usize {
+        let requests = self.requests.iter();
+        requests.map(|(_, request)| request.targets.len()).sum()
+    }
+
+    fn receive_requests(&mut self) {
+        for action in std::mem::take(&mut self.owner.other_actions) {
+            let SchedulerAction::RequestAdvice(request) = action else {
+                continue;
+            };
+            assert!(request.targets.len() <= MAX_NAMED);
+            self.requests.push((self.now(), request.clone()));
+            let gives_up_at = self.now() + request.timeout;
+            if self.mode == ServiceMode::Refusing || self.calls.len() > MAX_WAITING {
+                self.refused += 1;
+                self.answer(&request.step, None);
+                continue;
+            }
+            self.awaited.push((gives_up_at, request.step.clone()));
+            self.calls.push_back((gives_up_at, request));
+        }
+    }
+
+    fn give_up_calls(&mut self) {
+        let now = self.now();
+        let (over, waiting) = std::mem::take(&mut self.awaited)
+            .into_iter()
+            .partition(|(gives_up_at, _)| *gives_up_at <= now);
+        self.awaited = waiting;
+        for (_, step) in over {
+            self.answer(&step, None);
+        }
+    }
+
+    fn handle_calls(&mut self) {
+        if self.mode == ServiceMode::Silent {
+            return;
+        }
+        let now = self.now();
+        while let Some((gives_up_at, request)) = self.calls.front() {
+            let is_abandoned = *gives_up_at <= now;
+            let Some(handled_at) = self.handled_at else {
+                if is_abandoned && self.skips_abandoned {
+                    self.calls.pop_front();
+                    continue;
+                }
+                self.handled_at = Some(now + self.policy.call_time(request.targets.len()));
+                return;
+            };
+            if now < handled_at {
+                return;
+            }
+            self.handled_at = None;
+            let Some((_, request)) = self.calls.pop_front() else {
+                return;
+            };
+            if is_abandoned {
+                self.unread_answers += 1;
+                continue;
+            }
+            self.awaited.retain(|(_, step)| *step != request.step);
+            let granted = request.targets.iter();
+            let granted = granted.filter(|target| (self.allows)(&request.step, target));
+            let tickets = granted.map(|target| (target.clone(), "ticket".into()));
+            self.answer(&request.step, Some(tickets.collect()));
+        }
+    }
+
+    fn answer(
+        &mut self,
+        step: &TaskKey,
+        tickets: Option<Vec<(HostId, compact_str::CompactString)>>,
+    ) {
+        let now = self.owner.now;
+        self.owner.scheduler.handle_advice(step, tickets, now);
+        self.owner.run_planning();
+    }
+
+    fn collect_starts(&mut self) {
+        let now = self.now();
+        let starts = self.owner.confirm_starts();
+        let starts = starts
+            .into_iter()
+            .map(|(target, start)| (now, target, start));
+        self.starts.extend(starts);
+    }
+}
--- a/crates/decide/tests/harness/mod.rs
+++ b/crates/decide/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 //! seeded simulation of owners, targets and the log.
 #![allow(dead_code, unused_imports)]
 
+mod advice_fixture;
 mod fleet_fixture;
 pub mod queue_load;
 mod scheduler_fixture;
@@ -19,6 +20,7 @@
 mod world_requests;
 mod world_target;
 
+pub use advice_fixture::{AdviceFixture, ServiceMode};
 pub use fleet_fixture::{FleetFixture, STANDBY};
 pub use scheduler_fixture::{
     OTHER_POOL, POOL, QUEUE, RESTARTED_AT, SchedulerFixture, WORKSPACE, end_report, job_record,
--- a/crates/model/src/work/fleet_policy.rs
+++ b/crates/model/src/work/fleet_policy.rs
@@ -58,6 +58,15 @@
     pub valid: Duration,
 }
 
+impl AdvicePolicy {
+    /// Returns how long the service works on a request that names this many targets.
+    pub fn call_time(&self, targets: usize) -> Duration {
+        let targets = u32::try_from(targets).unwrap_or(u32::MAX);
+        self.fixed
+            .saturating_add(self.per_target.saturating_mul(targets))
+    }
+}
+
 /// Policy of one pool.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PoolPolicy {
--- a/crates/ports/src/advice_port.rs
+++ b/crates/ports/src/advice_port.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use compact_str::CompactString;
 use model::HostId;
 
@@ -17,7 +19,8 @@
     /// Requests tickets for one step on the given targets.
     ///
     /// A step is named like its tasks, without the task index. Targets that the service does not
-    /// grant are missing from the result.
+    /// grant are missing from the result. The service handles the calls of one process one after
+    /// another, so `timeout` has to cover those that are still in progress.
     ///
     /// # Errors
     /// Why the call failed. It can be repeated safely.
@@ -25,5 +28,6 @@
         &self,
         step: &str,
         targets: Vec<HostId>,
+        timeout: Duration,
     ) -> PortFuture<Result<Vec<AdviceTicket>, String>>;
 }
