Remember which targets the advice service did not grant

Cause: each request named the 16 targets with the most free room, in the same order each time, and nothing remembered what had come of the last one. The first N of a list in a fixed order is all that could ever be asked about. By the same cause a step with a required label was never started where the 16 lacked the label, tickets for full targets kept the owner from asking about free ones until they expired, and a queue that lost its advice left steps waiting for tickets.

Evidence: `advice-answered` repeats `targets=16 granted=0`; the stand-in's record names the same targets each time.

Change: `StepAdvice` keeps the tickets and the denials of a step, each for one incarnation of the target; a target remembers for which queues it was granted. A request names (`AdviceCandidates`) only targets that the plan allows, have no ticket and were not denied for this step in the last 10 s: those granted for other steps of the queue first, then unknown ones, spread over the pool by a hash since neighbours are often treated alike; as many as tasks wait, 8 to 30, twice as many with each answer without a ticket, 100 at most. A step whose granted targets are full asks about others. Tickets in advance, for four steps of a full pool, and targets that were denied before are asked for only while no step with room waits. A refused ticket ends that one ticket and spares its target for a second, in place of all of the step's.

Eleven tests of `work_advice` fail on the code before; the one of the spread fails without it.

Why it works: a denied target is not named again until all others were, so each is reached after at most targets / 100 calls and a few short ones, whatever the policy allows.

--- a/crates/decide/src/work/advice_calls.rs
+++ b/crates/decide/src/work/advice_calls.rs
@@ -2,7 +2,7 @@
 
 use model::BootTime;
 
-use super::step_key::StepKey;
+use super::{step_advice::NamedTarget, step_key::StepKey};
 
 /// Calls in progress with which the service stays busy between an answer and the next call.
 const PIPELINED_CALLS: usize = 2;
@@ -37,6 +37,7 @@
 #[derive(Clone, Debug)]
 struct PendingCall {
     step: StepKey,
+    targets: Vec<NamedTarget>,
     /// When the service should have handled it.
     due: BootTime,
 }
@@ -68,16 +69,29 @@
     }
 
     /// Adds a call that takes the service `call_time`. Returns its timeout.
-    pub(super) fn begin(&mut self, step: StepKey, call_time: Duration, now: BootTime) -> Duration {
+    pub(super) fn begin(
+        &mut self,
+        step: StepKey,
+        targets: Vec<NamedTarget>,
+        call_time: Duration,
+        now: BootTime,
+    ) -> Duration {
         let due_in = self.busy_time(now) + call_time;
         let due = now + due_in;
-        self.in_progress.push(PendingCall { step, due });
+        self.in_progress.push(PendingCall { step, targets, due });
         due_in * TIMEOUT_FACTOR + TIMEOUT_MARGIN
     }
 
-    /// Removes the call for a step, which was answered or has failed.
-    pub(super) fn end(&mut self, step: &StepKey, answered: bool, now: BootTime) {
-        self.in_progress.retain(|call| call.step != *step);
+    /// Removes the call for a step, which was answered or has failed. Returns the targets that it
+    /// named.
+    pub(super) fn end(
+        &mut self,
+        step: &StepKey,
+        answered: bool,
+        now: BootTime,
+    ) -> Vec<NamedTarget> {
+        let ended = self.in_progress.iter().position(|call| call.step == *step);
+        let ended = ended.map(|index| self.in_progress.remove(index));
         if answered {
             self.consecutive_failures = 0;
             self.paused_until = BootTime::ZERO;
@@ -87,6 +101,7 @@
             self.consecutive_failures += 1;
             self.paused_until = now + pause.min(MAX_FAILURE_PAUSE);
         }
+        ended.map(|call| call.targets).unwrap_or_default()
     }
 
     /// Returns how long the service is busy with the calls in progress.
--- a/crates/decide/src/work/advice_queue.rs
+++ b/crates/decide/src/work/advice_queue.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use model::{BootTime, WorkspaceId};
+use model::{BootTime, PoolId, WorkspaceId};
 
 use super::{decaying_sum::DecayingSum, ranked_steps::StepRank, step_key::StepKey};
 
@@ -11,6 +11,8 @@
 const USAGE_WINDOW_SECS: f64 = 3.0;
 /// Service time in seconds below which a workspace's usage is forgotten.
 const MIN_USAGE: f64 = 0.001;
+/// Number of steps of a pool that get tickets before there is room for their tasks.
+const MAX_READY_STEPS: usize = 4;
 /// Minimum time between two examinations of a step for which there is nothing to request.
 const EXAMINE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -23,6 +25,11 @@
 pub(super) struct AdviceQueue {
     steps: BTreeMap<StepKey, QueuedStep>,
     ranked: BTreeMap<WorkspaceId, BTreeSet<StepRank>>,
+    /// Steps that are worth a call only if no other step waits, those with the fewest answers
+    /// without a ticket first.
+    spare: BTreeSet<(u32, StepRank)>,
+    /// Steps with tickets that wait for room, with their pool and the expiry of the tickets.
+    ready: BTreeMap<StepKey, (PoolId, BootTime)>,
     /// Steps that were examined without a request, and until when they don't wait.
     postponed: BTreeMap<StepKey, BootTime>,
     /// Service time of recent calls, in seconds.
@@ -81,6 +88,38 @@
         Some(next)
     }
 
+    /// Lets a step with this many answers without a ticket wait until no other step does.
+    pub(super) fn push_spare(&mut self, misses: u32, key: StepRank) {
+        self.spare.insert((misses, key));
+    }
+
+    /// Removes the first step that is worth a call now that no other step waits; `None` if one does.
+    pub(super) fn pop_spare(&mut self) -> Option<StepRank> {
+        if !self.steps.is_empty() {
+            return None;
+        }
+        let (_, key) = self.spare.pop_first()?;
+        Some(key)
+    }
+
+    /// Records that a step has tickets until `expires_at`.
+    pub(super) fn set_ready(&mut self, step: StepKey, pool: PoolId, expires_at: BootTime) {
+        self.ready.insert(step, (pool, expires_at));
+    }
+
+    /// Records that all tasks of a step have started.
+    pub(super) fn mark_started(&mut self, step: &StepKey) {
+        self.ready.remove(step);
+        self.remove(step);
+    }
+
+    /// Returns true if so many steps of a pool have tickets that further ones would expire unused.
+    pub(super) fn has_enough_ready(&self, pool: &PoolId, now: BootTime) -> bool {
+        let ready = self.ready.values();
+        let ready = ready.filter(|(of_pool, expires_at)| of_pool == pool && now < *expires_at);
+        ready.count() >= MAX_READY_STEPS
+    }
+
     /// Charges a workspace for a call that takes the service `call_time`.
     pub(super) fn record_call(
         &mut self,
@@ -115,12 +154,15 @@
     }
 
     /// Removes the steps that no longer wait.
-    pub(super) fn retain(&mut self, is_waiting: impl Fn(&StepKey) -> bool) {
+    pub(super) fn retain(&mut self, is_waiting: impl Fn(&StepKey) -> bool, now: BootTime) {
         let ended = self.steps.keys().filter(|step| !is_waiting(step));
         let ended: Vec<StepKey> = ended.cloned().collect();
         for step in &ended {
             self.remove(step);
         }
+        self.spare.retain(|(_, (_, step))| is_waiting(step));
         self.postponed.retain(|step, _| is_waiting(step));
+        self.ready
+            .retain(|step, (_, expires_at)| is_waiting(step) && now < *expires_at);
     }
 }
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission_policy;
 mod advice_calls;
+mod advice_candidates;
 mod advice_queue;
 mod compacted_log;
 mod core_demand;
@@ -55,6 +56,7 @@
 mod share_meter;
 mod start_forecast;
 mod start_rate_admission;
+mod step_advice;
 mod step_key;
 mod target_index;
 mod target_state;
@@ -84,6 +86,7 @@
 pub use scheduler_index::WorkCounters;
 pub use scheduler_tuning::SchedulerTuning;
 pub use start_forecast::StartForecast;
+pub use step_advice::StepAdvice;
 pub use target_state::{HostDrainState, TargetIncarnation, TargetState};
 pub use tracked_map::TrackedMap;
 pub use wait_forecast::{PoolCores, WorkspaceLoad, predict_wait};
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -112,19 +112,18 @@
 
 /// Returns true if a target may run a task of the step, provided that it has enough free resources.
 fn may_run(plan: &StepPlan, step: &StepState, target: &TargetState, now: BootTime) -> bool {
+    let advice = step.advice.as_ref();
+    let is_advised = advice.is_none_or(|advice| advice.valid_ticket(target, now).is_some());
+    is_advised && suits(plan, step, target)
+}
+
+/// Returns true if the plan of a step allows its tasks on a target.
+pub(super) fn suits(plan: &StepPlan, step: &StepState, target: &TargetState) -> bool {
     let has_label =
         plan.required_label.is_empty() || target.entry.labels.contains(&plan.required_label);
     let below_anti_affinity =
         plan.anti_affinity == 0 || step_tasks_on(step, &target.entry.target) < plan.anti_affinity;
-    let is_advised = step.tickets.is_empty()
-        || step
-            .tickets
-            .get(&target.entry.target)
-            .is_some_and(|(_, until)| now < *until);
-    has_label
-        && below_anti_affinity
-        && is_advised
-        && plan.footprint().fits_in(target.entry.capacity)
+    has_label && below_anti_affinity && plan.footprint().fits_in(target.entry.capacity)
 }
 
 /// Returns the number of tasks of the step that are or may be on a target.
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -1,19 +1,17 @@
-use std::{cmp::Reverse, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use compact_str::CompactString;
 use model::{
-    HostId,
+    HostId, WorkspaceId,
     work::{AdvicePolicy, TaskKey},
 };
 
 use super::{
-    AdviceRequest, SchedulerAction, SchedulerTime, WorkScheduler, ranked_steps::StepRank,
+    AdviceRequest, SchedulerAction, SchedulerTime, WorkScheduler,
+    advice_candidates::AdviceCandidates, ranked_steps::StepRank, step_advice::NamedTarget,
     step_key::StepKey,
 };
 
-/// Targets per advice request. Each one costs the service time, and the service accepts up to a
-/// hundred.
-const MAX_TARGETS_PER_ADVICE: usize = 16;
 /// Maximum number of waiting steps that one pass examines for a request.
 const MAX_EXAMINED_STEPS: usize = 16;
 
@@ -21,6 +19,17 @@
 /// it.
 const TICKET_EXPIRY_MARGIN: Duration = Duration::from_millis(100);
 
+/// What the next request for a step would be for.
+#[derive(Debug)]
+enum RequestPurpose {
+    /// A target may be granted that has room for a task.
+    Start(Vec<NamedTarget>),
+    /// Tickets in advance, or targets that were denied before.
+    Spare(Vec<NamedTarget>),
+    /// No target can be named.
+    None,
+}
+
 impl WorkScheduler {
     /// Handles the tickets for a step; `None` if the request failed.
     pub fn handle_advice(
@@ -29,27 +38,27 @@
         tickets: Option<Vec<(HostId, CompactString)>>,
         now: SchedulerTime,
     ) {
-        self.advice_calls
-            .end(&StepKey::of(key), tickets.is_some(), now.boot);
+        let step = StepKey::of(key);
+        let named = self.advice_calls.end(&step, tickets.is_some(), now.boot);
         self.replan_needed = true;
-        let Some(tickets) = tickets else {
+        let (Some(tickets), Some(advice)) = (tickets, self.advice_policy(&step)) else {
             return;
         };
         let Some(job) = self.job_table.jobs.get(&key.job) else {
             return;
         };
-        let queue = self.policy.queue(&job.queue);
-        let validity = queue
-            .and_then(|queue| queue.advice)
-            .unwrap_or_default()
-            .valid;
-        let expires_at = now.boot + validity.saturating_sub(TICKET_EXPIRY_MARGIN);
-        let granted = tickets
-            .into_iter()
-            .map(|(id, ticket)| (id, (ticket, expires_at)))
-            .collect();
+        let (queue, pool) = (job.queue.clone(), job.pool.clone());
+        let tickets: BTreeMap<HostId, CompactString> = tickets.into_iter().collect();
+        for target in &named {
+            self.remember_advice(&queue, target, tickets.contains_key(&target.id));
+        }
+        let expires_at = now.boot + advice.valid.saturating_sub(TICKET_EXPIRY_MARGIN);
+        if !tickets.is_empty() {
+            self.advice_queue.set_ready(step, pool, expires_at);
+        }
         if let Some(step) = self.job_table.step_mut(key) {
-            step.tickets = granted;
+            let advice = step.advice.get_or_insert_default();
+            advice.record_answer(named, tickets, expires_at, now.boot);
         }
     }
 
@@ -61,28 +70,50 @@
     /// Whether the step has to wait for advice. It then takes its turn among all steps that do.
     pub(super) fn must_wait_for_advice(&mut self, key: &StepRank, now: SchedulerTime) -> bool {
         let (_, step) = key;
-        if self.advice_policy(step).is_none() {
-            return false;
-        }
+        let is_advised = self.advice_policy(step).is_some();
         let Some(state) = self.step_state(step) else {
-            return true;
+            return is_advised;
         };
-        if state
-            .tickets
-            .values()
-            .any(|(_, expires_at)| now.boot < *expires_at)
-        {
+        if !is_advised {
+            if state.advice.is_some() {
+                self.forget_advice(step);
+            }
             return false;
         }
-        if !self.advice_calls.is_in_progress(step)
-            && let Some(job) = self.job_table.jobs.get(&step.job)
-        {
-            self.advice_queue
-                .push(&job.workspace, key.clone(), now.boot);
+        let advice = state.advice.as_ref();
+        if advice.is_some_and(|advice| advice.has_valid_ticket(now.boot)) {
+            return false;
         }
+        self.queue_for_advice(key, now);
         true
     }
 
+    /// Notes whether all waiting tasks of a step could be placed. If not, other targets may have
+    /// room for them than those that have been granted.
+    pub(super) fn note_advised_start(
+        &mut self,
+        key: &StepRank,
+        is_complete: bool,
+        now: SchedulerTime,
+    ) {
+        let (_, step) = key;
+        if self.advice_policy(step).is_none() {
+            return;
+        }
+        match is_complete {
+            true => self.advice_queue.mark_started(step),
+            false => self.queue_for_advice(key, now),
+        }
+    }
+
+    /// Records that a target refused the ticket for a step.
+    pub(super) fn record_ticket_refusal(&mut self, id: &HostId, key: &TaskKey, now: SchedulerTime) {
+        let step = self.job_table.step_mut(key);
+        if let Some(advice) = step.and_then(|step| step.advice.as_mut()) {
+            advice.record_refusal(id, now.boot);
+        }
+    }
+
     /// Sends as many advice requests as the service can handle without delay.
     pub(super) fn send_advice_requests(&mut self, now: SchedulerTime) {
         for _ in 0..MAX_EXAMINED_STEPS {
@@ -90,42 +121,113 @@
                 return;
             }
             let weights = &self.index.weights;
-            let weight = |workspace: &_| weights.get(workspace).copied().unwrap_or(1);
-            let Some((_, step)) = self.advice_queue.pop(now.boot, weight) else {
+            let weight = |workspace: &WorkspaceId| weights.get(workspace).copied().unwrap_or(1);
+            let Some(key) = self.advice_queue.pop(now.boot, weight) else {
+                break;
+            };
+            match self.next_request(&key.1, now) {
+                RequestPurpose::Start(named) => self.request_advice(key.1, named, now),
+                RequestPurpose::Spare(_) => {
+                    let misses = self.advice_misses(&key.1);
+                    self.advice_queue.postpone(key.1.clone(), now.boot);
+                    self.advice_queue.push_spare(misses, key);
+                }
+                RequestPurpose::None => self.advice_queue.postpone(key.1, now.boot),
+            }
+        }
+        self.send_spare_request(now);
+    }
+
+    /// Sends a request in advance, or one about targets that were denied before, if the service has
+    /// nothing else to do.
+    fn send_spare_request(&mut self, now: SchedulerTime) {
+        for _ in 0..MAX_EXAMINED_STEPS {
+            if self.advice_calls.count() > 0 || !self.advice_calls.may_begin(now.boot) {
+                return;
+            }
+            let Some((_, step)) = self.advice_queue.pop_spare() else {
                 return;
             };
-            self.request_advice(step, now);
+            match self.next_request(&step, now) {
+                RequestPurpose::Start(named) | RequestPurpose::Spare(named) => {
+                    self.request_advice(step, named, now);
+                }
+                RequestPurpose::None => {}
+            }
         }
     }
 
+    fn advice_misses(&self, step: &StepKey) -> u32 {
+        let advice = self
+            .step_state(step)
+            .and_then(|state| state.advice.as_ref());
+        advice.map_or(0, |advice| advice.misses)
+    }
+
     /// Forgets the steps of jobs that have ended.
-    pub(super) fn forget_ended_advice(&mut self) {
+    pub(super) fn forget_ended_advice(&mut self, now: SchedulerTime) {
         let open = &self.job_table.open;
-        self.advice_queue.retain(|step| open.contains(&step.job));
+        self.advice_queue
+            .retain(|step| open.contains(&step.job), now.boot);
+    }
+
+    fn queue_for_advice(&mut self, key: &StepRank, now: SchedulerTime) {
+        if !self.advice_calls.is_in_progress(&key.1)
+            && let Some(job) = self.job_table.jobs.get(&key.1.job)
+        {
+            self.advice_queue
+                .push(&job.workspace, key.clone(), now.boot);
+        }
     }
 
-    fn request_advice(&mut self, step: StepKey, now: SchedulerTime) {
+    /// Decides which targets to name in the next request for a step.
+    fn next_request(&self, step: &StepKey, now: SchedulerTime) -> RequestPurpose {
+        let Some(advice) = self.advice_policy(step) else {
+            return RequestPurpose::None;
+        };
+        if self.advice_calls.is_in_progress(step) {
+            return RequestPurpose::None;
+        }
+        let (Some(job), Some(state)) = (self.job_table.jobs.get(&step.job), self.step_state(step))
+        else {
+            return RequestPurpose::None;
+        };
+        let Some(plan) = job.plan.steps.get(step.step as usize) else {
+            return RequestPurpose::None;
+        };
+        let left = self.remaining_workspace_limit(&job.workspace, &BTreeMap::new());
+        if state.waiting_tasks() == 0 || !plan.resources.fits_in(left) {
+            return RequestPurpose::None;
+        }
+        let of_pool = self.index.targets.of_pool(&job.pool);
+        let of_pool = of_pool.filter_map(|id| self.targets.get(id));
+        let candidates = AdviceCandidates::new(plan, state, &job.queue, of_pool, now.boot);
+        if candidates.is_empty() {
+            return RequestPurpose::None;
+        }
+        let named = candidates.named(advice);
+        if candidates.may_start() {
+            return RequestPurpose::Start(named);
+        }
+        match self.advice_queue.has_enough_ready(&job.pool, now.boot) {
+            true => RequestPurpose::None,
+            false => RequestPurpose::Spare(named),
+        }
+    }
+
+    fn request_advice(&mut self, step: StepKey, named: Vec<NamedTarget>, now: SchedulerTime) {
         let Some(advice) = self.advice_policy(&step) else {
             return;
         };
-        let targets = self.targets_to_ask(&step, now);
         let Some(job) = self.job_table.jobs.get(&step.job) else {
             return;
         };
-        if targets.is_empty() {
-            self.advice_queue.postpone(step, now.boot);
-            return;
-        }
-        let call_time = advice.call_time(targets.len());
+        let call_time = advice.call_time(named.len());
         self.advice_queue
             .record_call(&job.workspace, call_time, now.boot);
-        let key = TaskKey {
-            job: step.job.clone(),
-            occurrence: step.occurrence,
-            step: step.step,
-            index: 0,
-        };
-        let timeout = self.advice_calls.begin(step, call_time, now.boot);
+        let key = step.first_task();
+        let targets = named.iter().map(|target| target.id.clone()).collect();
+        let timeout = self.advice_calls.begin(step, named, call_time, now.boot);
         let request = AdviceRequest {
             step: key,
             targets,
@@ -134,18 +236,22 @@
         self.actions.push(SchedulerAction::RequestAdvice(request));
     }
 
-    /// The targets to name in the next request for a step.
-    fn targets_to_ask(&self, step: &StepKey, now: SchedulerTime) -> Vec<HostId> {
-        let Some(job) = self.job_table.jobs.get(&step.job) else {
-            return Vec::new();
+    /// Remembers whether a target was granted for a step of a queue; the queue's other steps are
+    /// probably treated alike.
+    fn remember_advice(&mut self, queue: &CompactString, named: &NamedTarget, granted: bool) {
+        let target = self.targets.get_mut_untracked(&named.id);
+        let Some(target) = target.filter(|target| target.incarnation.number == named.incarnation)
+        else {
+            return;
         };
-        let pool_targets = self.index.targets.of_pool(&job.pool);
-        let pool_targets = pool_targets.filter_map(|id| self.targets.get(id));
-        let usable = pool_targets.filter(|target| target.accepts_tasks(now.boot));
-        let mut usable: Vec<_> = usable.collect();
-        usable.sort_by_key(|target| Reverse(target.free().cpu));
-        let first = usable.iter().take(MAX_TARGETS_PER_ADVICE);
-        first.map(|target| target.entry.target.clone()).collect()
+        let queues = &mut target.incarnation.advised_queues;
+        *queues.entry(queue.clone()).or_default() |= granted;
+    }
+
+    fn forget_advice(&mut self, step: &StepKey) {
+        if let Some(state) = self.job_table.step_mut(&step.first_task()) {
+            state.advice = None;
+        }
     }
 
     fn advice_policy(&self, step: &StepKey) -> Option<AdvicePolicy> {
--- a/crates/decide/src/work/scheduler_answer.rs
+++ b/crates/decide/src/work/scheduler_answer.rs
@@ -201,7 +201,7 @@
         match refusal {
             StartRefusal::Fenced => self.actions.push(SchedulerAction::StepDown(id.clone())),
             StartRefusal::OtherLife => self.mark_target_lost(id, LossCause::StartMisdirected, now),
-            StartRefusal::NoTicket => self.clear_tickets(&run.0),
+            StartRefusal::NoTicket => self.record_ticket_refusal(id, &run.0, now),
             StartRefusal::Late => {
                 // The order was held up, or the estimate of the target's clock is wrong. The next
                 // poll reads the clock again.
@@ -229,12 +229,6 @@
             target.pause(&tuning, now.boot);
         }
     }
-
-    fn clear_tickets(&mut self, key: &TaskKey) {
-        if let Some(step) = self.job_table.step_mut(key) {
-            step.tickets.clear();
-        }
-    }
 }
 
 fn start_refused_event(run: &RunKey, id: &HostId, reason: &'static str) -> SchedulerEvent {
--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -76,6 +76,7 @@
             return no_start;
         }
         let placed = self.place_tasks(step, plan, &indices, unconfirmed_usage, now);
+        self.note_advised_start(key, placed.runs.len() == indices.len(), now);
         if plan.gang && placed.runs.len() < indices.len() {
             for (id, run) in placed.runs {
                 self.release_claim(&id, &run);
@@ -181,9 +182,9 @@
         let state = self.step_state(step);
         let task = state.and_then(|state| state.tasks.get(index as usize));
         let never_failed = task.is_some_and(|task| task.failed_on.is_empty());
-        let has_tickets = state.is_some_and(|state| !state.tickets.is_empty());
+        let is_advised = state.is_some_and(|state| state.advice.is_some());
         never_failed
-            && !has_tickets
+            && !is_advised
             && !plan.gang
             && plan.required_label.is_empty()
             && plan.anti_affinity == 0
@@ -251,13 +252,13 @@
             None => EarlierRun::Never,
         };
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_default();
-        let ticket = job
-            .occurrences
-            .get(&key.occurrence)
-            .and_then(|occurrence| occurrence.steps.get(key.step as usize))
-            .and_then(|step| step.tickets.get(id))
-            .map(|(ticket, _)| ticket.clone())
-            .unwrap_or_default();
+        let step = self.step_state_at(&key.job, key.occurrence, key.step);
+        let advice = step.and_then(|step| step.advice.as_ref());
+        let ticket = self.targets.get(id).and_then(|target| {
+            let ticket = advice?.valid_ticket(target, now.boot)?;
+            Some(ticket.clone())
+        });
+        let ticket = ticket.unwrap_or_default();
         let Some(target) = self.targets.get_mut_untracked(id) else {
             return;
         };
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -41,7 +41,7 @@
         self.apply_deferred_entries(now);
         self.open_occurrences(now);
         self.end_expired_pauses(now);
-        self.forget_ended_advice();
+        self.forget_ended_advice(now);
         self.retry_stops(now);
         self.give_up_lapsed_targets(now);
         self.evacuate(now);
--- a/crates/decide/src/work/step_key.rs
+++ b/crates/decide/src/work/step_key.rs
@@ -17,4 +17,14 @@
             step: task.step,
         }
     }
+
+    /// Returns the first task of the step.
+    pub(super) fn first_task(&self) -> TaskKey {
+        TaskKey {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+            index: 0,
+        }
+    }
 }
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -3,6 +3,7 @@
     time::Duration,
 };
 
+use compact_str::CompactString;
 use model::{
     BootTime, WorkspaceId,
     work::{AttemptNumber, ResourceVector, TargetEntry, TargetMode, TaskKey},
@@ -69,6 +70,9 @@
     pub unstored_ends: BTreeSet<u64>,
     /// Value of `acked_end` in the last poll that was answered.
     pub last_acked_end: u64,
+    /// Queues for which the advice service was asked about it, and whether it was granted for any
+    /// step.
+    pub advised_queues: BTreeMap<CompactString, bool>,
 }
 
 /// State of a target as known to the owner.
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -1,8 +1,4 @@
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use compact_str::CompactString;
 use model::{
@@ -10,7 +6,7 @@
     work::{AttemptNumber, FleetPolicy, JobPlan, ResourceVector, StepPlan, TaskKey},
 };
 
-use super::{OccurrenceMap, PastRun};
+use super::{OccurrenceMap, PastRun, StepAdvice};
 
 /// Maximum number of tasks in open occurrences of a job without a started task, unless a single
 /// occurrence has more. It is about what one planning pass starts.
@@ -97,8 +93,8 @@
     pub done: u32,
     /// Number of tasks that are placed on a target.
     pub placed: u32,
-    /// Targets that the advice service allows, each with its ticket and the ticket's expiry.
-    pub tickets: BTreeMap<HostId, (CompactString, BootTime)>,
+    /// What the advice service has answered; `None` before its first answer.
+    pub advice: Option<Box<StepAdvice>>,
 }
 
 /// State of one task.
--- a/crates/decide/tests/harness/advice_fixture.rs
+++ b/crates/decide/tests/harness/advice_fixture.rs
@@ -7,7 +7,10 @@
 use decide::work::{AdviceRequest, SchedulerAction};
 use model::{
     BootTime, HostId,
-    work::{AdvicePolicy, FleetPolicy, StartOrder, StepPlan, TaskKey, WorkspacePolicy},
+    work::{
+        AdvicePolicy, FleetPolicy, StartAnswer, StartOrder, StartRefusal, StepPlan, TaskKey,
+        WorkspacePolicy,
+    },
 };
 use wire::work::{LogEntry, log_entry::Event};
 
@@ -43,6 +46,10 @@
     pub skips_abandoned: bool,
     /// Policy of the service.
     pub allows: TargetFilter,
+    /// Targets that refuse the tickets of a step.
+    pub refuses_tickets: TargetFilter,
+    /// Number of starts that were refused for their ticket.
+    pub refused_starts: usize,
     /// Requests in the order of sending, with the time.
     pub requests: Vec<(BootTime, AdviceRequest)>,
     /// Number of answers that nobody waited for.
@@ -82,6 +89,8 @@
             mode: ServiceMode::Working,
             skips_abandoned: true,
             allows: Box::new(|_, _| true),
+            refuses_tickets: Box::new(|_, _| false),
+            refused_starts: 0,
             requests: Vec::new(),
             unread_answers: 0,
             refused: 0,
@@ -224,6 +233,19 @@
 
     fn collect_starts(&mut self) {
         let now = self.now();
+        let refuses = &self.refuses_tickets;
+        let (refused, accepted) = std::mem::take(&mut self.owner.starts)
+            .into_iter()
+            .partition(|(target, start)| refuses(&start.task, target));
+        self.owner.starts = accepted;
+        let refused: Vec<(HostId, StartOrder)> = refused;
+        self.refused_starts += refused.len();
+        for (target, start) in refused {
+            let answer = StartAnswer::Refused(StartRefusal::NoTicket);
+            let (task, attempt) = (&start.task, start.attempt);
+            let scheduler = &mut self.owner.scheduler;
+            scheduler.handle_start_answer(&target, task, attempt, &answer, self.owner.now);
+        }
         let starts = self.owner.confirm_starts();
         let starts = starts
             .into_iter()
--- a/crates/decide/tests/work_advice.rs
+++ b/crates/decide/tests/work_advice.rs
@@ -2,10 +2,13 @@
 
 mod harness;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use harness::{AdviceFixture, ServiceMode, step};
-use model::work::AdvicePolicy;
+use harness::{AdviceFixture, ServiceMode, step, target};
+use model::{
+    HostId,
+    work::{AdvicePolicy, FleetPolicy, StepPlan, TargetEntry},
+};
 use rstest::rstest;
 
 /// A service that works on a request for as long as a short task runs.
@@ -117,3 +120,169 @@
     advice.run_for(Duration::from_secs(1));
     assert!(!advice.starts.is_empty());
 }
+
+/// A service that answers soon.
+const QUICK: AdvicePolicy = AdvicePolicy {
+    fixed: Duration::from_millis(20),
+    per_target: Duration::from_millis(2),
+    valid: Duration::from_secs(3),
+};
+
+/// Number of a target of the fixture.
+fn number_of(target: &HostId) -> usize {
+    target.trim_start_matches('t').parse().unwrap_or(usize::MAX)
+}
+
+/// Guards against a step that never starts because each request names the same targets, of which
+/// none is allowed.
+#[rstest]
+#[case::third_of_few(24, |number| number >= 16)]
+#[case::one_of_few(24, |number| number == 23)]
+#[case::third_of_hundred(100, |number| number >= 67)]
+#[case::one_of_hundred(100, |number| number == 99)]
+#[case::tenth_of_many(1100, |number| number >= 990)]
+#[case::one_of_many(1100, |number| number == 1099)]
+fn advice_names_other_targets_after_denial(
+    #[case] targets: usize,
+    #[case] allows: fn(usize) -> bool,
+) {
+    let mut advice = AdviceFixture::new(targets, QUICK);
+    advice.allows = Box::new(move |_, target| allows(number_of(target)));
+    advice.submit("a", "space", vec![step(2, 100)]);
+    // Naming each target once, in requests of a hundred and some shorter ones.
+    let requests = u32::try_from(targets / 100).unwrap_or_default() + 6;
+    let naming = QUICK.call_time(targets) + QUICK.fixed * requests;
+    advice.run_until_started(1, naming + LONGEST_WAIT);
+    assert_eq!(advice.started_jobs().len(), 1);
+    assert!(advice.named_targets() <= targets);
+}
+
+/// Guards against a long search among neighbours that the policy treats alike.
+#[test]
+fn advice_spreads_names_over_pool() {
+    let mut advice = AdviceFixture::new(1100, SLOW);
+    advice.allows = Box::new(|_, target| number_of(target) >= 733);
+    advice.submit("a", "space", vec![step(2, 100)]);
+    advice.run_for(LONGEST_WAIT);
+    assert_eq!(advice.started_jobs().len(), 1);
+}
+
+/// Guards against a search of the whole pool by each step of a queue, whose policy treats them
+/// alike.
+#[test]
+fn advice_of_queue_helps_its_other_steps() {
+    let mut advice = AdviceFixture::new(100, QUICK);
+    advice.allows = Box::new(|_, target| number_of(target) >= 90);
+    advice.submit("first", "space", vec![step(2, 100)]);
+    advice.run_for(Duration::from_secs(2));
+    assert_eq!(advice.started_jobs().len(), 1);
+    let before = advice.requests.len();
+    for job in 0..20 {
+        advice.submit(&format!("j{job}"), "space", vec![step(2, 100)]);
+    }
+    advice.run_for(Duration::from_secs(2));
+    assert_eq!(advice.started_jobs().len(), 21);
+    assert_eq!(advice.requests.len() - before, 20);
+}
+
+/// Guards against a step whose granted targets stay full while others, which it does not ask about,
+/// have room.
+#[test]
+fn advice_asks_about_free_targets_beside_full_ones() {
+    let mut advice = AdviceFixture::new(10, QUICK);
+    advice.submit("a", "space", vec![step(1, 16_000), step(20, 8000)]);
+    advice.run_for(Duration::from_secs(2));
+    // The other nine targets have room for two tasks each.
+    assert_eq!(advice.starts.len(), 19);
+}
+
+/// Guards against requests for a step of which no target is allowed that take the service's time
+/// from other steps.
+#[test]
+fn advice_denied_everywhere_holds_up_nothing() {
+    let mut advice = AdviceFixture::new(24, SLOW);
+    advice.allows = Box::new(|step, _| !step.job.starts_with("denied"));
+    for job in 0..40 {
+        advice.submit(&format!("denied{job}"), "space", vec![step(1, 100)]);
+    }
+    // Each target is named for each of these steps at most once in this time.
+    advice.run_for(Duration::from_secs(8));
+    let named = advice.named_targets();
+    assert!(named <= 40 * 24, "{named} targets named");
+    advice.submit("a", "space", vec![step(1, 100)]);
+    advice.submit("b", "small", vec![step(1, 100)]);
+    let limit = SLOW.call_time(24) * (40 * 2 + 2);
+    advice.run_until_started(2, limit);
+    assert_eq!(advice.started_jobs().len(), 2);
+}
+
+/// Guards against requests that name targets without the label that a step requires, and no others.
+#[test]
+fn advice_names_targets_with_required_label() {
+    let mut advice = AdviceFixture::new(24, QUICK);
+    let labelled = TargetEntry {
+        labels: vec!["special".into()],
+        ..target("special", 8000)
+    };
+    advice
+        .owner
+        .scheduler
+        .upsert_target(labelled, advice.owner.now);
+    advice.owner.report_idle("special");
+    let plan = StepPlan {
+        required_label: "special".into(),
+        ..step(1, 100)
+    };
+    advice.submit("a", "space", vec![plan]);
+    advice.run_for(Duration::from_secs(1));
+    assert_eq!(advice.starts.len(), 1);
+    assert_eq!(advice.named_targets(), 1);
+}
+
+/// Guards against tickets that are requested for steps without room and expire again and again.
+#[test]
+fn advice_for_full_pool_is_bounded() {
+    let mut advice = AdviceFixture::new(2, SLOW);
+    advice.submit("wide", "space", vec![step(2, 16_000)]);
+    advice.run_for(Duration::from_secs(1));
+    assert_eq!(advice.starts.len(), 2);
+    let before = advice.requests.len();
+    for job in 0..100 {
+        advice.submit(&format!("j{job}"), "space", vec![step(1, 8000)]);
+    }
+    advice.run_for(Duration::from_secs(10));
+    // Four steps with tickets of three seconds each.
+    let requests = advice.requests.len() - before;
+    assert!(requests <= 4 * 5, "{requests} requests");
+}
+
+/// Guards against a step that waits for tickets for good after its queue no longer has advice.
+#[test]
+fn advice_removed_from_queue_is_not_awaited() {
+    let mut advice = AdviceFixture::new(2, QUICK);
+    advice.submit("a", "space", vec![step(1, 16_000), step(2, 16_000)]);
+    advice.run_for(Duration::from_millis(500));
+    let started = advice.starts.len();
+    assert_eq!(started, 2);
+    let mut policy = FleetPolicy::clone(&advice.owner.scheduler.policy);
+    policy.queues[0].advice = None;
+    advice.owner.scheduler.set_policy(Arc::new(policy));
+    advice.run_for(Duration::from_secs(4));
+    advice.owner.add_target("new", 16_000);
+    advice.run_for(Duration::from_millis(500));
+    assert_eq!(advice.starts.len(), 3);
+}
+
+/// Guards against orders that are refused as fast as the service grants tickets, by a target that
+/// refuses each of them, while another accepts them.
+#[test]
+fn advice_refused_ticket_pauses_target() {
+    let mut advice = AdviceFixture::new(2, QUICK);
+    advice.refuses_tickets = Box::new(|_, target| number_of(target) == 0);
+    for job in 0..4 {
+        advice.submit(&format!("j{job}"), "space", vec![step(1, 100)]);
+    }
+    advice.run_for(Duration::from_secs(2));
+    assert_eq!(advice.started_jobs().len(), 4);
+    assert!(advice.refused_starts <= 4);
+}
