--- a/crates/cell/src/advice_call.rs
+++ b/crates/cell/src/advice_call.rs
@@ -4,7 +4,7 @@
 use model::event as log_event;
 use tokio::time::Instant;
 
-use crate::{event, metric, target_orders::count_order, term::Term};
+use crate::{event, metric, term::Term};
 
 /// Requests tickets for a step and passes the answer to the scheduler.
 pub(crate) async fn request_advice(term: Rc<Term>, request: AdviceRequest) {
@@ -21,7 +21,7 @@
         .request_tickets(&step, targets, timeout)
         .await;
     metric::record_duration(metric::ADVICE_SECONDS, sent.elapsed());
-    count_order("advise", answer.is_ok());
+    metric::count_order("advise", answer.is_ok());
     let took = sent.elapsed().as_millis();
     let tickets = match answer {
         Ok(tickets) => {
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -55,3 +55,9 @@
 pub(crate) fn record_duration(name: &'static str, duration: Duration) {
     metrics::histogram!(name).record(duration.as_secs_f64());
 }
+
+/// Counts an order by its outcome.
+pub(crate) fn count_order(kind: &'static str, done: bool) {
+    let outcome = if done { "done" } else { "failed" };
+    metrics::counter!(ORDERS, "kind" => kind, "outcome" => outcome).increment(1);
+}
--- a/crates/cell/src/target_orders.rs
+++ b/crates/cell/src/target_orders.rs
@@ -201,14 +201,8 @@
     done: bool,
     what: &dyn std::fmt::Debug,
 ) {
-    count_order(kind, done);
+    metric::count_order(kind, done);
     if !done {
         log_failure(term, kind, id, &format!("{what:?}"));
     }
 }
-
-/// Counts an order by its outcome.
-pub(crate) fn count_order(kind: &'static str, done: bool) {
-    let outcome = if done { "done" } else { "failed" };
-    metrics::counter!(metric::ORDERS, "kind" => kind, "outcome" => outcome).increment(1);
-}
