Keep the terms of a job whose queue is removed

Cause: what a queue sets for its jobs was looked up in the policy in force by the queue's name, each time it was needed, and each use had a default of its own for a queue that is gone: no limit of attempts (twice), the last priority, no objective, no advice, so that starts lack their ticket. The record of an accepted job had none of it, so a successor could not know better.

Change: a job has `JobTerms` (attempts, priority, objective, advice). It follows its queue while the policy has it and keeps the last ones after that. The log's record of a job carries them, by the owner's policy at acceptance, and a compacted log the last known ones. A record of an earlier version has none: the next owner that knows the queue adds them; if none ever does, a failed task is not started again, since nobody knows whether it may be. The pool already followed this rule.

Why it works: no use of a queue's settings for a job asks the policy by name any more, so that a missing queue can't stand for a missing limit.

--- a/crates/cell/src/caller_gateway.rs
+++ b/crates/cell/src/caller_gateway.rs
@@ -1,7 +1,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use compact_str::CompactString;
-use decide::work::record_of_plan;
+use decide::work::{JobTerms, record_of_plan};
 use model::{
     event as log_event,
     work::{FencingToken, FleetPolicy, JobPlan},
@@ -121,6 +121,7 @@
             job: job.to_owned(),
             queue: queue.name.to_string(),
             pool: queue.pool.to_string(),
+            terms: Some(JobTerms::of_queue(queue).to_record()),
             workspace: workspace.to_owned(),
             accepted_unix_ms: u64::try_from(accepted).unwrap_or(u64::MAX),
             ..record_of_plan(plan)
--- a/crates/cell/src/owner_service.rs
+++ b/crates/cell/src/owner_service.rs
@@ -1,6 +1,9 @@
 use std::{rc::Rc, time::Duration};
 
-use decide::{link_bounds::largest_backlog, work::plan_of_record};
+use decide::{
+    link_bounds::largest_backlog,
+    work::{JobTerms, plan_of_record},
+};
 use model::{BootTime, event as log_event};
 use tokio::time::{Instant, timeout_at};
 use wire::work::{
@@ -58,13 +61,14 @@
 }
 
 /// Accepts a job. A repeated id is the same job, whoever submits it and however often.
-async fn submit_job(term: &Rc<Term>, record: JobRecord, deadline: Instant) -> OwnerAnswer {
+async fn submit_job(term: &Rc<Term>, mut record: JobRecord, deadline: Instant) -> OwnerAnswer {
     if let Some(answer) = known_job_answer(term, &record.job, deadline).await {
         return answer;
     }
     if let Err(wait) = check_admission(term, &record) {
         return refused_answer_after(wait);
     }
+    record_terms(term, &mut record);
     let job = record.job.clone();
     term.submitting.borrow_mut().insert(job.clone());
     let outcome = term
@@ -86,6 +90,15 @@
     }
 }
 
+/// Records the terms of a job's queue by the owner's policy; that of the process which passed the
+/// job on may be older.
+fn record_terms(term: &Term, record: &mut JobRecord) {
+    let scheduler = term.scheduler.borrow();
+    if let Some(queue) = scheduler.policy.queue(&record.queue) {
+        record.terms = Some(JobTerms::of_queue(queue).to_record());
+    }
+}
+
 /// Answers whether a submission would be accepted now.
 async fn dry_run(term: &Rc<Term>, record: &JobRecord, deadline: Instant) -> OwnerAnswer {
     if let Some(answer) = known_job_answer(term, &record.job, deadline).await {
--- a/crates/decide/src/work/admission_policy.rs
+++ b/crates/decide/src/work/admission_policy.rs
@@ -5,7 +5,7 @@
     work::{JobPlan, QueuePolicy},
 };
 
-use super::{WorkScheduler, objective::longest_wait};
+use super::{JobTerms, WorkScheduler, objective::longest_wait};
 
 /// A job that is submitted now.
 #[derive(Clone, Copy, Debug)]
@@ -20,7 +20,7 @@
 impl SubmittedJob<'_> {
     /// Returns how long a job may wait for its first start and still count.
     pub(super) fn longest_wait(&self) -> Duration {
-        longest_wait(self.plan, Some(self.queue)).unwrap_or(Duration::MAX)
+        longest_wait(self.plan, JobTerms::of_queue(self.queue)).unwrap_or(Duration::MAX)
     }
 }
 
--- a/crates/decide/src/work/job_entries.rs
+++ b/crates/decide/src/work/job_entries.rs
@@ -44,6 +44,7 @@
             job: self.id.to_string(),
             queue: self.queue.to_string(),
             pool: self.pool.to_string(),
+            terms: self.terms.map(|terms| terms.to_record()),
             workspace: self.workspace.to_string(),
             accepted_unix_ms: u64::try_from(self.accepted.as_millis()).unwrap_or(u64::MAX),
             former_pools: former_pools.map(ToString::to_string).collect(),
--- a/crates/decide/src/work/job_table.rs
+++ b/crates/decide/src/work/job_table.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    StepState, TaskPlacement, TaskState, TrackedMap, WorkJob, WorkPhase, plan_of_record,
+    JobTerms, StepState, TaskPlacement, TaskState, TrackedMap, WorkJob, WorkPhase, plan_of_record,
     target_state::RunKey,
 };
 
@@ -100,6 +100,7 @@
             id: id.clone(),
             plan: Arc::new(plan_of_record(record)),
             queue: record.queue.as_str().into(),
+            terms: record.terms.as_ref().map(JobTerms::of_record),
             pool: record.pool.as_str().into(),
             recorded_pools: pools.collect(),
             workspace: record.workspace.as_str().into(),
--- a/crates/decide/src/work/objective.rs
+++ b/crates/decide/src/work/objective.rs
@@ -1,11 +1,8 @@
 use std::time::Duration;
 
-use model::{
-    BootTime,
-    work::{JobPlan, QueuePolicy},
-};
+use model::{BootTime, work::JobPlan};
 
-use super::{OccurrenceState, WorkJob};
+use super::{JobTerms, OccurrenceState, WorkJob};
 
 /// A job that misses its objective still counts until this multiple of the objective.
 const LATE_FACTOR: u32 = 3;
@@ -52,17 +49,15 @@
 }
 
 /// Returns the time within which a job should be completed.
-fn objective(plan: &JobPlan, queue: Option<&QueuePolicy>) -> Duration {
-    let (factor, slack) = queue.map_or((1.0, Duration::ZERO), |queue| {
-        (queue.slack_factor, queue.slack_time)
-    });
-    plan.critical_path().mul_f64(factor.clamp(0.0, 1000.0)) + slack
+fn objective(plan: &JobPlan, terms: JobTerms) -> Duration {
+    let factor = terms.slack_factor.clamp(0.0, 1000.0);
+    plan.critical_path().mul_f64(factor) + terms.slack_time
 }
 
 /// Returns how long a job that is submitted now may wait for its first start and still count;
 /// `None` if its queue has no objective.
-pub(super) fn longest_wait(plan: &JobPlan, queue: Option<&QueuePolicy>) -> Option<Duration> {
-    let objective = objective(plan, queue);
+pub(super) fn longest_wait(plan: &JobPlan, terms: JobTerms) -> Option<Duration> {
+    let objective = objective(plan, terms);
     let latest_end = objective.saturating_mul(LATE_FACTOR);
     (!objective.is_zero()).then(|| latest_end.saturating_sub(plan.critical_path()))
 }
@@ -72,10 +67,10 @@
 pub(super) fn rank(
     job: &WorkJob,
     occurrence: &OccurrenceState,
-    queue: Option<&QueuePolicy>,
     now: BootTime,
 ) -> (StartRank, Option<BootTime>) {
-    let priority = queue.map_or(u32::MAX, |queue| queue.priority);
+    let terms = job.terms();
+    let priority = terms.priority;
     if job.plan.is_long_running() {
         let rank = StartRank {
             class: RankClass::Lasting,
@@ -85,7 +80,7 @@
         };
         return (rank, None);
     }
-    let objective = objective(&job.plan, queue);
+    let objective = objective(&job.plan, terms);
     let base = if job.plan.repeat.is_some() {
         occurrence.due
     } else {
--- a/crates/decide/src/work/occurrence_summary.rs
+++ b/crates/decide/src/work/occurrence_summary.rs
@@ -1,6 +1,6 @@
 use model::{
     BootTime,
-    work::{FleetPolicy, ResourceVector, StepPlan},
+    work::{ResourceVector, StepPlan},
 };
 
 use super::{
@@ -33,7 +33,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct JobView<'a> {
     pub(super) job: &'a WorkJob,
-    pub(super) policy: &'a FleetPolicy,
     pub(super) now: BootTime,
 }
 
@@ -106,14 +105,13 @@
         if waiting.tasks == 0 && waiting_steps.peek().is_none() {
             return;
         }
-        let queue = view.policy.queue(&job.queue);
-        let (rank, until) = rank(job, occurrence, queue, view.now);
+        let (rank, until) = rank(job, occurrence, view.now);
         self.rerank_at = until;
         self.add_backlog(job, rank.class, waiting);
         if !job.is_pool_recorded() {
             return;
         }
-        let needs_advice = queue.is_some_and(|queue| queue.advice.is_some());
+        let needs_advice = job.terms().advice.is_some();
         for (step, plan, _) in waiting_steps {
             // Long-running tasks may be placed on a target that is draining or paused, and advice is
             // requested early. So these steps are considered regardless of free resources.
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -256,6 +256,6 @@
 
     fn advice_policy(&self, step: &StepKey) -> Option<AdvicePolicy> {
         let job = self.job_table.jobs.get(&step.job)?;
-        self.policy.queue(&job.queue)?.advice
+        job.terms().advice
     }
 }
--- a/crates/decide/src/work/scheduler_end.rs
+++ b/crates/decide/src/work/scheduler_end.rs
@@ -213,10 +213,7 @@
             // A long-running task may fail at any time by itself and is only restarted.
             return;
         }
-        let max_attempts = self
-            .policy
-            .queue(&job.queue)
-            .map_or(u32::MAX, |queue| queue.max_attempts);
+        let max_attempts = job.terms().max_attempts;
         if let Some(target) = self.targets.get_mut(&target) {
             target.count_failure(&tuning, now.boot);
         }
--- a/crates/decide/src/work/scheduler_index.rs
+++ b/crates/decide/src/work/scheduler_index.rs
@@ -5,7 +5,7 @@
 
 use model::{
     BootTime, HostId, PoolId, WorkspaceId,
-    work::{AttemptNumber, FleetPolicy, ResourceVector, TaskKey},
+    work::{AttemptNumber, ResourceVector, TaskKey},
 };
 
 use super::{
@@ -70,12 +70,7 @@
         }
     }
 
-    fn update_jobs(
-        &mut self,
-        job_table: &mut JobTable,
-        policy: &FleetPolicy,
-        now: BootTime,
-    ) -> usize {
+    fn update_jobs(&mut self, job_table: &mut JobTable, now: BootTime) -> usize {
         for (id, occurrence) in self.jobs.work.take_due_reranks(now) {
             if let Some(job) = job_table.jobs.get_mut(&id) {
                 job.occurrences.mark_changed(occurrence);
@@ -88,7 +83,7 @@
             let occurrences = job.map(|job| job.occurrences.take_changed());
             let occurrences = occurrences.unwrap_or_default();
             let job = job_table.jobs.get(id);
-            let view = job.map(|job| JobView { job, policy, now });
+            let view = job.map(|job| JobView { job, now });
             let due = &mut self.startable_pools;
             visited += self.jobs.update(id, view, &occurrences, due);
         }
@@ -100,9 +95,7 @@
     /// Updates all indexes with the changes since the last call.
     pub(super) fn sync_indexes(&mut self, now: BootTime) {
         self.sync_target_index(now);
-        let jobs = self
-            .index
-            .update_jobs(&mut self.job_table, &self.policy, now);
+        let jobs = self.index.update_jobs(&mut self.job_table, now);
         WorkCounters::add(&self.counters.index_updates, jobs as u64);
     }
 
@@ -125,8 +118,7 @@
         let targets: Vec<HostId> = self.targets.keys().cloned().collect();
         fresh.update_targets(&self.targets, &targets, now);
         for (id, job) in &self.job_table.jobs {
-            let policy = &self.policy;
-            let view = JobView { job, policy, now };
+            let view = JobView { job, now };
             let (all, due) = (
                 job.occurrences.keys().copied().collect(),
                 &mut BTreeSet::new(),
--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -116,8 +116,10 @@
     /// failure fails the job at once, but may crash before all of that is recorded.
     fn has_exhausted_attempts(&self, step: &StepKey, plan: &StepPlan) -> bool {
         let job = self.job_table.jobs.get(&step.job);
-        let queue = job.and_then(|job| self.policy.queue(&job.queue));
-        let max_attempts = queue.map_or(usize::MAX, |queue| queue.max_attempts.max(1) as usize);
+        let Some(job) = job else {
+            return false;
+        };
+        let max_attempts = job.terms().max_attempts as usize;
         let tasks = self.step_state(step).map(|state| state.tasks.as_slice());
         let mut unfinished = tasks.unwrap_or_default().iter().filter(|task| !task.done);
         !plan.long_running && unfinished.any(|task| task.failed_attempts.len() >= max_attempts)
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -6,7 +6,7 @@
     work::{AttemptNumber, FleetPolicy, JobPlan, ResourceVector, StepPlan, TaskKey},
 };
 
-use super::{OccurrenceMap, PastRun, StepAdvice};
+use super::{JobTerms, OccurrenceMap, PastRun, StepAdvice};
 
 /// Maximum number of tasks in open occurrences of a job without a started task, unless a single
 /// occurrence has more. It is about what one planning pass starts.
@@ -39,6 +39,8 @@
     pub plan: Arc<JobPlan>,
     /// Queue that it was submitted to.
     pub queue: CompactString,
+    /// Terms of its queue, as last known; `None` if neither the policy nor the log has any.
+    pub terms: Option<JobTerms>,
     /// Pool in which its tasks are started.
     pub pool: PoolId,
     /// Pools in which its tasks may have been started, as the log records them.
@@ -278,13 +280,19 @@
             })
     }
 
-    /// Sets the pool to that of the job's queue, if the policy has the queue.
+    /// Sets the pool and the terms to those of the job's queue, if the policy has the queue.
     pub(super) fn follow_policy(&mut self, policy: &FleetPolicy) {
         if let Some(queue) = policy.queue(&self.queue) {
             self.pool.clone_from(&queue.pool);
+            self.terms = Some(JobTerms::of_queue(queue));
         }
     }
 
+    /// Returns the terms on which its tasks run.
+    pub fn terms(&self) -> JobTerms {
+        self.terms.unwrap_or(JobTerms::UNRECORDED)
+    }
+
     /// Returns true if the log records that its tasks may be started in its pool.
     ///
     /// Until then no task is started there: a successor would not look for it in that pool.
--- a/crates/decide/tests/harness/scheduler_fixture.rs
+++ b/crates/decide/tests/harness/scheduler_fixture.rs
@@ -1,8 +1,8 @@
 use std::{sync::Arc, time::Duration};
 
 use decide::work::{
-    HostDrainState, LogAppend, SchedulerAction, SchedulerTime, SchedulerTuning, WorkScheduler,
-    record_of_plan,
+    HostDrainState, JobTerms, LogAppend, SchedulerAction, SchedulerTime, SchedulerTuning,
+    WorkScheduler, record_of_plan,
 };
 use model::{
     BootTime, HostId,
@@ -195,7 +195,12 @@
     }
 
     pub fn submit(&mut self, job: &str, plan: &JobPlan) {
-        let record = job_record(job, plan, self.now);
+        let policy = &self.scheduler.policy;
+        let terms = policy.queue(QUEUE).map(JobTerms::of_queue);
+        let record = JobRecord {
+            terms: terms.map(|terms| terms.to_record()),
+            ..job_record(job, plan, self.now)
+        };
         self.stored.push(LogEntry {
             event: Some(Event::Accepted(record.clone())),
         });
@@ -225,6 +230,15 @@
         self.stored = self.scheduler.job_table.compacted_entries();
     }
 
+    /// Removes all queues from the policy.
+    pub fn remove_queues(&mut self) {
+        let mut policy = FleetPolicy::clone(&self.scheduler.policy);
+        policy.revision += 1;
+        policy.queues.clear();
+        self.scheduler.set_policy(Arc::new(policy));
+        self.run_planning();
+    }
+
     /// Lets a pool run the queue from now on.
     pub fn move_queue(&mut self, pool: &str) {
         let mut policy = FleetPolicy::clone(&self.scheduler.policy);
