Withhold a start whose ticket has expired

What callers see: by reading, no case shows it.

Change: prepare_start asks the scheduler whether the ticket for the start is still valid, and otherwise withdraws it like any other that must not be sent, with the cause in the log. The step then asks again in its turn.

`advice_ticket_of_delayed_start_expires` tests the decision; the call in prepare_start has no test of its own.

--- a/crates/cell/src/start_check.rs
+++ b/crates/cell/src/start_check.rs
@@ -19,6 +19,8 @@
     DataCentreDrained,
     /// The target's clock is not known.
     ClockUnknown,
+    /// The advice service's ticket for it has expired.
+    TicketExpired,
 }
 
 impl fmt::Display for UnsentCause {
@@ -30,6 +32,7 @@
             Self::RequestsOutdated(age) => write_age(formatter, "operators' requests", *age),
             Self::DataCentreDrained => formatter.write_str("its data centre is drained"),
             Self::ClockUnknown => formatter.write_str("the target's clock is not known"),
+            Self::TicketExpired => formatter.write_str("its ticket has expired"),
         }
     }
 }
@@ -81,6 +84,9 @@
     if scheduler.is_data_centre_drained(id) {
         return Err(UnsentCause::DataCentreDrained);
     }
+    if !scheduler.has_valid_ticket(id, &order.task, term.now()) {
+        return Err(UnsentCause::TicketExpired);
+    }
     // No pause between here and the write then lets the start begin beside orders of a successor.
     match scheduler.limit_start(id, order, term.start_limit(), term.now()) {
         true => Ok(()),
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -114,6 +114,21 @@
         }
     }
 
+    /// Whether the ticket for an ordered start is still valid, if the start needs one.
+    pub fn has_valid_ticket(&self, id: &HostId, task: &TaskKey, now: SchedulerTime) -> bool {
+        let step = StepKey::of(task);
+        if self.advice_policy(&step).is_none() {
+            return true;
+        }
+        let advice = self
+            .step_state(&step)
+            .and_then(|state| state.advice.as_ref());
+        let target = self.targets.get(id);
+        advice
+            .zip(target)
+            .is_some_and(|(advice, target)| advice.valid_ticket(target, now.boot).is_some())
+    }
+
     /// Sends as many advice requests as the service can handle without delay.
     pub(super) fn send_advice_requests(&mut self, now: SchedulerTime) {
         for _ in 0..MAX_EXAMINED_STEPS {
--- a/crates/decide/tests/work_advice.rs
+++ b/crates/decide/tests/work_advice.rs
@@ -4,7 +4,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use harness::{AdviceFixture, ServiceMode, step, target};
+use harness::{AdviceFixture, SchedulerFixture, ServiceMode, step, target};
 use model::{
     HostId,
     work::{AdvicePolicy, FleetPolicy, StepPlan, TargetEntry},
@@ -286,3 +286,20 @@
     assert_eq!(advice.started_jobs().len(), 4);
     assert!(advice.refused_starts <= 4);
 }
+
+/// Guards against a start that waited for a connection until its ticket expired, and is sent only to
+/// be refused.
+#[test]
+fn advice_ticket_of_delayed_start_expires() {
+    let mut advice = AdviceFixture::new(1, QUICK);
+    advice.submit("a", "space", vec![step(1, 100)]);
+    advice.run_for(Duration::from_millis(500));
+    let (sent, target, start) = advice.starts[0].clone();
+    let is_valid = |owner: &SchedulerFixture| {
+        let scheduler = &owner.scheduler;
+        scheduler.has_valid_ticket(&target, &start.task, owner.now)
+    };
+    assert!(is_valid(&advice.owner));
+    advice.run_for(sent + QUICK.valid - advice.now());
+    assert!(!is_valid(&advice.owner));
+}
