Refuse jobs that the advice service can't advise in time

Cause: admission forecast the wait for targets and for the owner's link, not that for the advice service, though its rate is known beforehand: one call after the other, each as long as the queue's policy says.

Change: the wait for advice is that of the calls in progress and of the steps that have their turn before a new one of the workspace: its own, and as many of the others as take turns meanwhile by weight. A job is refused if it would be too late even if each of these calls named one target; Retry-After then counts calls as long as the last one. So a workspace with a long backlog gets its own jobs refused, and another's are accepted.

In the model, 100 waiting steps refuse a job of the same workspace for over 17 s, none of another one, and after that time it is accepted: `advice_backlog_refuses_job_that_waits_too_long`, which fails before (it was accepted at once).

--- a/crates/decide/src/work/advice_calls.rs
+++ b/crates/decide/src/work/advice_calls.rs
@@ -30,6 +30,7 @@
 pub(super) struct AdviceCalls {
     /// In the order in which they were sent.
     in_progress: Vec<PendingCall>,
+    last_call_time: Duration,
     consecutive_failures: u32,
     paused_until: BootTime,
 }
@@ -48,6 +49,11 @@
         self.in_progress.len()
     }
 
+    /// Returns how long the service works on the last call.
+    pub(super) fn last_call_time(&self) -> Duration {
+        self.last_call_time
+    }
+
     /// Returns true if a call for the step is in progress.
     pub(super) fn is_in_progress(&self, step: &StepKey) -> bool {
         self.in_progress.iter().any(|call| call.step == *step)
@@ -76,6 +82,7 @@
         call_time: Duration,
         now: BootTime,
     ) -> Duration {
+        self.last_call_time = call_time;
         let due_in = self.busy_time(now) + call_time;
         let due = now + due_in;
         self.in_progress.push(PendingCall { step, targets, due });
--- a/crates/decide/src/work/advice_queue.rs
+++ b/crates/decide/src/work/advice_queue.rs
@@ -120,6 +120,23 @@
         ready.count() >= MAX_READY_STEPS
     }
 
+    /// Returns how many steps go before the next one of a workspace that starts to wait now: its own,
+    /// and those of the others that have their turns meanwhile.
+    pub(super) fn steps_ahead(
+        &self,
+        workspace: &WorkspaceId,
+        weight: impl Fn(&WorkspaceId) -> u32,
+    ) -> usize {
+        let weight = |workspace: &WorkspaceId| weight(workspace).max(1) as usize;
+        let own = self.ranked.get(workspace).map_or(0, BTreeSet::len);
+        let others = self.ranked.iter().filter(|(other, _)| *other != workspace);
+        let others = others.map(|(other, ranked)| {
+            let turns = (own + 1).saturating_mul(weight(other)) / weight(workspace);
+            ranked.len().min(turns)
+        });
+        own + others.sum::<usize>()
+    }
+
     /// Charges a workspace for a call that takes the service `call_time`.
     pub(super) fn record_call(
         &mut self,
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use model::{
-    HostId, WorkspaceId,
+    BootTime, HostId, WorkspaceId,
     work::{AdvicePolicy, TaskKey},
 };
 
@@ -114,6 +114,21 @@
         }
     }
 
+    /// Returns how long a step of a workspace that starts to wait now waits for its advice, if each
+    /// call takes the service `call_time`.
+    pub(super) fn advice_wait(
+        &self,
+        call_time: Duration,
+        workspace: &WorkspaceId,
+        now: BootTime,
+    ) -> Duration {
+        let weights = &self.index.weights;
+        let weight = |workspace: &WorkspaceId| weights.get(workspace).copied().unwrap_or(1);
+        let calls = self.advice_queue.steps_ahead(workspace, weight) + 1;
+        let calls = u32::try_from(calls).unwrap_or(u32::MAX);
+        self.advice_calls.busy_time(now) + call_time.saturating_mul(calls)
+    }
+
     /// Whether the ticket for an ordered start is still valid, if the start needs one.
     pub fn has_valid_ticket(&self, id: &HostId, task: &TaskKey, now: SchedulerTime) -> bool {
         let step = StepKey::of(task);
--- a/crates/decide/tests/work_advice.rs
+++ b/crates/decide/tests/work_advice.rs
@@ -4,7 +4,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use harness::{AdviceFixture, SchedulerFixture, ServiceMode, step, target};
+use harness::{AdviceFixture, QUEUE, SchedulerFixture, ServiceMode, plan, step, target};
 use model::{
     HostId,
     work::{AdvicePolicy, FleetPolicy, StepPlan, TargetEntry},
@@ -303,3 +303,26 @@
     advice.run_for(sent + QUICK.valid - advice.now());
     assert!(!is_valid(&advice.owner));
 }
+
+/// Guards against jobs that are accepted although the service can't advise their steps while they
+/// still count, and against a refusal of those of another workspace.
+#[test]
+fn advice_backlog_refuses_job_that_waits_too_long() {
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let steps = vec![step(2, 100)];
+    let lateness = |advice: &mut AdviceFixture, workspace: &str| {
+        let (now, plan) = (advice.owner.now, plan(steps.clone()));
+        let scheduler = &mut advice.owner.scheduler;
+        scheduler.predict_lateness(&"new".into(), &plan, QUEUE, &workspace.into(), now)
+    };
+    assert_eq!(lateness(&mut advice, "space"), None);
+    for job in 0..100 {
+        advice.submit(&format!("j{job:04}"), "space", steps.clone());
+    }
+    let retry_after = lateness(&mut advice, "space").unwrap_or_default();
+    // A hundred calls of 305 ms at least, less what counts of the objective of 4.5 s.
+    assert!(retry_after > Duration::from_secs(17), "{retry_after:?}");
+    assert_eq!(lateness(&mut advice, "small"), None);
+    advice.run_for(retry_after + LONGEST_CALL);
+    assert_eq!(lateness(&mut advice, "space"), None);
+}
