Keep the limit of a workspace that the policy no longer has

What callers see: by reading, no case shows it. A policy drops a workspace with open jobs; from then on the workspace counts as one without limit, and everything of it that waits starts at once.

Cause: as with removed queues, a limit that is looked up in the policy in force by name, where a missing entry means "no limit".

Change: a job has the limit of its workspace as last known, in its record and in a compacted log. While a workspace with open jobs is missing from the policy, the limit of its jobs holds, also for a successor.

--- a/crates/cell/src/owner_service.rs
+++ b/crates/cell/src/owner_service.rs
@@ -2,7 +2,7 @@
 
 use decide::{
     link_bounds::largest_backlog,
-    work::{JobTerms, plan_of_record},
+    work::{JobTerms, plan_of_record, record_of_limit},
 };
 use model::{BootTime, event as log_event};
 use tokio::time::{Instant, timeout_at};
@@ -90,13 +90,16 @@
     }
 }
 
-/// Records the terms of a job's queue by the owner's policy; that of the process which passed the
+/// Records the terms of a job's queue and the limit of its workspace by the owner's policy; that of the process which passed the
 /// job on may be older.
 fn record_terms(term: &Term, record: &mut JobRecord) {
     let scheduler = term.scheduler.borrow();
     if let Some(queue) = scheduler.policy.queue(&record.queue) {
         record.terms = Some(JobTerms::of_queue(queue).to_record());
     }
+    if let Some(workspace) = scheduler.policy.workspace(&record.workspace) {
+        record.workspace_limit = record_of_limit(workspace.limit);
+    }
 }
 
 /// Answers whether a submission would be accepted now.
--- a/crates/decide/src/work/job_entries.rs
+++ b/crates/decide/src/work/job_entries.rs
@@ -1,7 +1,7 @@
 use model::work::ResourceVector;
 use wire::work::{JobEnd, JobPhase, JobRecord, OccurrenceEnd, StepEnds, TaskEnd, log_entry::Event};
 
-use super::{StepState, WorkJob, WorkPhase, record_of_plan};
+use super::{StepState, WorkJob, WorkPhase, record_of_limit, record_of_plan};
 
 /// Log entries of a job in a compacted log.
 impl WorkJob {
@@ -46,6 +46,7 @@
             pool: self.pool.to_string(),
             terms: self.terms.map(|terms| terms.to_record()),
             workspace: self.workspace.to_string(),
+            workspace_limit: record_of_limit(self.workspace_limit),
             accepted_unix_ms: u64::try_from(self.accepted.as_millis()).unwrap_or(u64::MAX),
             former_pools: former_pools.map(ToString::to_string).collect(),
             ..record_of_plan(&self.plan)
--- a/crates/decide/src/work/job_record.rs
+++ b/crates/decide/src/work/job_record.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use model::work::{JobPlan, RepeatPlan, ResourceVector, StepPlan};
-use wire::work::{JobRecord, StepRecord};
+use wire::work::{JobRecord, ResourceRecord, StepRecord};
 
 /// Converts a plan to its log record. The caller fills in ids and times.
 pub fn record_of_plan(plan: &JobPlan) -> JobRecord {
@@ -30,6 +30,25 @@
     }
 }
 
+/// Returns the limit of a job's workspace, as far as its record has it; zero for none.
+pub(super) fn limit_of_record(record: &JobRecord) -> ResourceVector {
+    let limit = record.workspace_limit.unwrap_or_default();
+    ResourceVector {
+        cpu: limit.cpu,
+        memory_mb: limit.memory_mb,
+        gpu: limit.gpu,
+    }
+}
+
+/// Converts the limit of a workspace to its log record; `None` if it has none.
+pub fn record_of_limit(limit: ResourceVector) -> Option<ResourceRecord> {
+    (limit != ResourceVector::default()).then_some(ResourceRecord {
+        cpu: limit.cpu,
+        memory_mb: limit.memory_mb,
+        gpu: limit.gpu,
+    })
+}
+
 fn record_of_step(step: &StepPlan) -> StepRecord {
     StepRecord {
         count: step.count,
--- a/crates/decide/src/work/job_table.rs
+++ b/crates/decide/src/work/job_table.rs
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    JobTerms, StepState, TaskPlacement, TaskState, TrackedMap, WorkJob, WorkPhase, plan_of_record,
-    target_state::RunKey,
+    JobTerms, StepState, TaskPlacement, TaskState, TrackedMap, WorkJob, WorkPhase,
+    job_record::limit_of_record, plan_of_record, target_state::RunKey,
 };
 
 /// Maximum age that is given to a job on replay, since the wall clocks of two hosts may differ by a
@@ -104,6 +104,7 @@
             pool: record.pool.as_str().into(),
             recorded_pools: pools.collect(),
             workspace: record.workspace.as_str().into(),
+            workspace_limit: limit_of_record(record),
             accepted,
             arrived: boot.saturating_sub(age),
             ..WorkJob::default()
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -75,7 +75,7 @@
 pub use host_division::PoolDivision;
 pub use host_moves::millicores_to_cores;
 pub use host_planner::{HostOrder, HostPlanner};
-pub use job_record::{plan_of_record, record_of_plan};
+pub use job_record::{plan_of_record, record_of_limit, record_of_plan};
 pub use job_table::JobTable;
 pub use job_terms::JobTerms;
 pub use objective::RankClass;
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -47,6 +47,8 @@
     pub recorded_pools: BTreeSet<PoolId>,
     /// Workspace whose limit it counts against.
     pub workspace: WorkspaceId,
+    /// Limit of its workspace, as last known; zero for none.
+    pub workspace_limit: ResourceVector,
     /// When it was accepted, since the Unix epoch.
     pub accepted: Duration,
     /// Time of acceptance on the boot clock of this process's host.
@@ -280,12 +282,16 @@
             })
     }
 
-    /// Sets the pool and the terms to those of the job's queue, if the policy has the queue.
+    /// Sets the pool and the terms to those of the job's queue, if the policy has the queue, and the
+    /// same for the limit of its workspace.
     pub(super) fn follow_policy(&mut self, policy: &FleetPolicy) {
         if let Some(queue) = policy.queue(&self.queue) {
             self.pool.clone_from(&queue.pool);
             self.terms = Some(JobTerms::of_queue(queue));
         }
+        if let Some(workspace) = policy.workspace(&self.workspace) {
+            self.workspace_limit = workspace.limit;
+        }
     }
 
     /// Returns the terms on which its tasks run.
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -175,11 +175,7 @@
         for (queue, pool) in moved_queues {
             self.record_queue_move(&queue, &pool);
         }
-        let limited = policy.workspaces.iter();
-        let limited = limited.filter(|space| space.limit != ResourceVector::default());
-        self.index.limits = limited
-            .map(|space| (space.name.clone(), space.limit))
-            .collect();
+        self.index.limits = self.workspace_limits(&policy);
         let weights = policy.workspaces.iter();
         self.index.weights = weights
             .map(|space| (space.name.clone(), space.weight))
@@ -189,6 +185,22 @@
         self.replan_needed = true;
     }
 
+    /// Limits of the workspaces that have one. A workspace with open jobs that the policy no longer
+    /// has keeps its limit.
+    fn workspace_limits(&self, policy: &FleetPolicy) -> BTreeMap<WorkspaceId, ResourceVector> {
+        let listed = policy.workspaces.iter();
+        let listed = listed.map(|space| (space.name.clone(), space.limit));
+        let mut limits: BTreeMap<_, _> = listed.collect();
+        let open = self.job_table.open.iter();
+        for job in open.filter_map(|id| self.job_table.jobs.get(id)) {
+            if !limits.contains_key(&job.workspace) {
+                limits.insert(job.workspace.clone(), job.workspace_limit);
+            }
+        }
+        limits.retain(|_, limit| *limit != ResourceVector::default());
+        limits
+    }
+
     /// Adds a job whose record has been stored.
     pub fn accept_job(&mut self, record: &JobRecord, now: SchedulerTime) {
         self.job_table.accept(record, now.unix, now.boot);
--- a/crates/decide/tests/harness/scheduler_fixture.rs
+++ b/crates/decide/tests/harness/scheduler_fixture.rs
@@ -2,7 +2,7 @@
 
 use decide::work::{
     HostDrainState, JobTerms, LogAppend, SchedulerAction, SchedulerTime, SchedulerTuning,
-    WorkScheduler, record_of_plan,
+    WorkScheduler, record_of_limit, record_of_plan,
 };
 use model::{
     BootTime, HostId,
@@ -197,8 +197,10 @@
     pub fn submit(&mut self, job: &str, plan: &JobPlan) {
         let policy = &self.scheduler.policy;
         let terms = policy.queue(QUEUE).map(JobTerms::of_queue);
+        let limit = policy.workspace(WORKSPACE);
         let record = JobRecord {
             terms: terms.map(|terms| terms.to_record()),
+            workspace_limit: limit.and_then(|space| record_of_limit(space.limit)),
             ..job_record(job, plan, self.now)
         };
         self.stored.push(LogEntry {
@@ -230,6 +232,15 @@
         self.stored = self.scheduler.job_table.compacted_entries();
     }
 
+    /// Removes all workspaces from the policy.
+    pub fn remove_workspaces(&mut self) {
+        let mut policy = FleetPolicy::clone(&self.scheduler.policy);
+        policy.revision += 1;
+        policy.workspaces.clear();
+        self.scheduler.set_policy(Arc::new(policy));
+        self.run_planning();
+    }
+
     /// Removes all queues from the policy.
     pub fn remove_queues(&mut self) {
         let mut policy = FleetPolicy::clone(&self.scheduler.policy);
--- a/crates/decide/tests/work_removed_queues.rs
+++ b/crates/decide/tests/work_removed_queues.rs
@@ -1,4 +1,4 @@
-//! A queue is removed from the policy while jobs of it are open.
+//! A queue or a workspace is removed from the policy while jobs of it are open.
 
 mod harness;
 
@@ -163,3 +163,23 @@
             .all(|(_, _, start)| start.ticket == "ticket")
     );
 }
+
+/// Guards against a workspace without limit once the policy no longer has it, also for a successor.
+#[rstest]
+#[case::whole_log(false)]
+#[case::compacted_log(true)]
+fn removed_workspace_keeps_limit(#[case] compacted: bool) {
+    let mut owner = SchedulerFixture::new(1);
+    owner.set_workspace_limit(2000);
+    owner.submit("a", &plan(vec![step(6, 1000)]));
+    owner.remove_workspaces();
+    if compacted {
+        owner.compact_log();
+    }
+    let mut successor = owner.successor(9);
+    for owner in [&mut owner, &mut successor] {
+        owner.add_target("t1", 8000);
+        owner.advance(Duration::from_millis(50));
+        assert_eq!(owner.starts.len(), 2);
+    }
+}
