Examine few targets for steps that can't get advice now

A step without a target to ask was examined ten times a second, each time with all targets of its pool: for a burst on a full pool of 1,100 targets that is more than a core.

Change: a step of a full pool is not examined while enough steps have tickets in advance, and steps that were examined in vain wait the longer for their next turn the more of them there are, up to a second.

The case of a pool that is denied everywhere holds with and without the change.

--- a/crates/decide/src/work/advice_queue.rs
+++ b/crates/decide/src/work/advice_queue.rs
@@ -15,6 +15,10 @@
 const MAX_READY_STEPS: usize = 4;
 /// Minimum time between two examinations of a step for which there is nothing to request.
 const EXAMINE_INTERVAL: Duration = Duration::from_millis(100);
+/// The same if there are more such steps than can be examined that often.
+const MAX_EXAMINE_INTERVAL: Duration = Duration::from_secs(1);
+/// Examinations of such steps in one second.
+const MAX_EXAMINATIONS: u32 = 100;
 
 /// Steps that wait for a call to the advice service.
 ///
@@ -154,7 +158,10 @@
     /// are examined.
     pub(super) fn postpone(&mut self, step: StepKey, now: BootTime) {
         self.remove(&step);
-        self.postponed.insert(step, now + EXAMINE_INTERVAL);
+        let steps = u32::try_from(self.postponed.len()).unwrap_or(u32::MAX);
+        let interval = Duration::from_secs(1).saturating_mul(steps) / MAX_EXAMINATIONS;
+        let interval = interval.clamp(EXAMINE_INTERVAL, MAX_EXAMINE_INTERVAL);
+        self.postponed.insert(step, now + interval);
     }
 
     /// Removes a step, if it waits.
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    AdviceRequest, SchedulerAction, SchedulerTime, WorkScheduler,
+    AdviceRequest, SchedulerAction, SchedulerTime, WorkCounters, WorkScheduler,
     advice_candidates::AdviceCandidates, ranked_steps::StepRank, step_advice::NamedTarget,
     step_key::StepKey,
 };
@@ -229,8 +229,17 @@
         if state.waiting_tasks() == 0 || !plan.resources.fits_in(left) {
             return RequestPurpose::None;
         }
+        // Without this, each step of a burst would examine the targets of a full pool in vain.
+        let most_free = self.index.targets.most_free(&job.pool, now.boot);
+        let has_ready = self.advice_queue.has_enough_ready(&job.pool, now.boot);
+        if has_ready && !plan.footprint().fits_in(most_free) {
+            return RequestPurpose::None;
+        }
         let of_pool = self.index.targets.of_pool(&job.pool);
-        let of_pool = of_pool.filter_map(|id| self.targets.get(id));
+        let of_pool = of_pool.filter_map(|id| {
+            WorkCounters::add(&self.counters.candidates, 1);
+            self.targets.get(id)
+        });
         let candidates = AdviceCandidates::new(plan, state, &job.queue, of_pool, now.boot);
         if candidates.is_empty() {
             return RequestPurpose::None;
@@ -239,7 +248,7 @@
         if candidates.may_start() {
             return RequestPurpose::Start(named);
         }
-        match self.advice_queue.has_enough_ready(&job.pool, now.boot) {
+        match has_ready {
             true => RequestPurpose::None,
             false => RequestPurpose::Spare(named),
         }
--- a/crates/decide/tests/work_advice.rs
+++ b/crates/decide/tests/work_advice.rs
@@ -326,3 +326,29 @@
     advice.run_for(retry_after + LONGEST_CALL);
     assert_eq!(lateness(&mut advice, "space"), None);
 }
+
+/// Guards against an owner that examines all targets again and again for steps that can't start.
+#[rstest]
+#[case::full_pool(true)]
+#[case::denied_everywhere(false)]
+fn advice_examines_few_targets_for_waiting_steps(#[case] full: bool) {
+    const POOL_TARGETS: usize = 200;
+    let mut advice = AdviceFixture::new(POOL_TARGETS, QUICK);
+    if full {
+        advice.submit("wide", "space", vec![step(200, 16_000)]);
+        advice.run_for(Duration::from_secs(4));
+        assert_eq!(advice.starts.len(), POOL_TARGETS);
+    } else {
+        advice.allows = Box::new(|_, _| false);
+    }
+    for job in 0..200 {
+        advice.submit(&format!("j{job}"), "space", vec![step(1, 8000)]);
+    }
+    advice.run_for(Duration::from_secs(2));
+    let examined = |advice: &AdviceFixture| advice.owner.scheduler.counters.candidates.get();
+    let before = examined(&advice);
+    advice.run_for(Duration::from_secs(2));
+    // Each step twice a second would be 400 times the pool's targets.
+    let passes = (examined(&advice) - before) / POOL_TARGETS as u64;
+    assert!(passes <= 400, "{passes} passes over the pool");
+}
