Take the weights of workspaces in one way, and forget expired postponements

Two places looked the weight of a workspace up with the same closure, and a step that had been examined in vain counted as such until its job ended, which made the others wait up to a second for their next turn.

--- a/crates/decide/src/work/advice_queue.rs
+++ b/crates/decide/src/work/advice_queue.rs
@@ -70,15 +70,15 @@
         self.steps.insert(key.1, queued);
     }
 
-    /// Removes the step whose turn it is; `weight` is that of a workspace.
+    /// Removes the step whose turn it is; `weights` are those of the workspaces.
     pub(super) fn pop(
         &mut self,
+        weights: &BTreeMap<WorkspaceId, u32>,
         now: BootTime,
-        weight: impl Fn(&WorkspaceId) -> u32,
     ) -> Option<StepRank> {
         let usage = |workspace: &WorkspaceId| {
             let usage = self.usages.get(workspace);
-            usage.map_or(0.0, |usage| usage.at(now)) / f64::from(weight(workspace).max(1))
+            usage.map_or(0.0, |usage| usage.at(now)) / f64::from(weight_of(workspace, weights))
         };
         let first = |ranked: &BTreeSet<StepRank>| ranked.first().cloned();
         let turns = self.ranked.iter();
@@ -114,6 +114,7 @@
     /// Records that all tasks of a step have started.
     pub(super) fn mark_started(&mut self, step: &StepKey) {
         self.ready.remove(step);
+        self.postponed.remove(step);
         self.remove(step);
     }
 
@@ -129,9 +130,9 @@
     pub(super) fn steps_ahead(
         &self,
         workspace: &WorkspaceId,
-        weight: impl Fn(&WorkspaceId) -> u32,
+        weights: &BTreeMap<WorkspaceId, u32>,
     ) -> usize {
-        let weight = |workspace: &WorkspaceId| weight(workspace).max(1) as usize;
+        let weight = |workspace: &WorkspaceId| weight_of(workspace, weights) as usize;
         let own = self.ranked.get(workspace).map_or(0, BTreeSet::len);
         let others = self.ranked.iter().filter(|(other, _)| *other != workspace);
         let others = others.map(|(other, ranked)| {
@@ -154,8 +155,7 @@
         self.usages.retain(|_, usage| usage.at(now) >= MIN_USAGE);
     }
 
-    /// Lets a step for which there is nothing to request wait no more for some time, so that others
-    /// are examined.
+    /// Skips a step for which there is nothing to request for some time, so that others are examined.
     pub(super) fn postpone(&mut self, step: StepKey, now: BootTime) {
         self.remove(&step);
         let steps = u32::try_from(self.postponed.len()).unwrap_or(u32::MAX);
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Removes the steps that no longer wait.
+    /// Removes the steps that no longer wait, and what has expired.
     pub(super) fn retain(&mut self, is_waiting: impl Fn(&StepKey) -> bool, now: BootTime) {
         let ended = self.steps.keys().filter(|step| !is_waiting(step));
         let ended: Vec<StepKey> = ended.cloned().collect();
@@ -185,8 +185,14 @@
             self.remove(step);
         }
         self.spare.retain(|(_, (_, step))| is_waiting(step));
-        self.postponed.retain(|step, _| is_waiting(step));
+        self.postponed
+            .retain(|step, until| is_waiting(step) && now < *until);
         self.ready
             .retain(|step, (_, expires_at)| is_waiting(step) && now < *expires_at);
     }
 }
+
+/// Weight of a workspace; 1 if the policy sets none.
+fn weight_of(workspace: &WorkspaceId, weights: &BTreeMap<WorkspaceId, u32>) -> u32 {
+    weights.get(workspace).copied().unwrap_or_default().max(1)
+}
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -123,8 +123,7 @@
         now: BootTime,
     ) -> Duration {
         let weights = &self.index.weights;
-        let weight = |workspace: &WorkspaceId| weights.get(workspace).copied().unwrap_or(1);
-        let calls = self.advice_queue.steps_ahead(workspace, weight) + 1;
+        let calls = self.advice_queue.steps_ahead(workspace, weights) + 1;
         let calls = u32::try_from(calls).unwrap_or(u32::MAX);
         self.advice_calls.busy_time(now) + call_time.saturating_mul(calls)
     }
@@ -150,9 +149,7 @@
             if !self.advice_calls.may_begin(now.boot) {
                 return;
             }
-            let weights = &self.index.weights;
-            let weight = |workspace: &WorkspaceId| weights.get(workspace).copied().unwrap_or(1);
-            let Some(key) = self.advice_queue.pop(now.boot, weight) else {
+            let Some(key) = self.advice_queue.pop(&self.index.weights, now.boot) else {
                 break;
             };
             match self.next_request(&key.1, now) {
