Ask about free targets before full ones that were granted before

What callers see: nothing yet; by reading the new order of names. A step whose queue has many granted but full targets named these first, eight at a time; their tickets expire about as fast as all of them are named, so a free target that other steps were denied was never reached.

Change: targets are named by what they promise: granted or unknown ones with room, then granted ones without room if the step has no ticket to wait with, then those with room that other steps were denied. A request is for a start if its first target has room.

Evidence: `advice_names_free_target_before_many_full_ones`: with 190 granted and full targets and ten free ones that another step of the queue was denied, the step does not start in 3 s without the change, and does with it.

--- a/crates/decide/src/work/advice_candidates.rs
+++ b/crates/decide/src/work/advice_candidates.rs
@@ -20,15 +20,19 @@
 /// Time that naming targets may take the service, if that is longer than the fixed part.
 const MAX_NAMING_TIME: Duration = Duration::from_millis(500);
 
-/// What is known of a target before it is named; the most promising first.
+/// What naming a target promises; the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum GrantChance {
-    /// The service has granted it for the step, or for another step of the queue.
-    Granted,
-    /// Nothing.
-    Unknown,
-    /// The service was asked for other steps of the queue and granted it for none of them.
-    Unlikely,
+enum TargetProspect {
+    /// The service has granted it for the step, or for another step of the queue, and it has room.
+    GrantedWithRoom,
+    /// Nothing is known but that it has room.
+    UnknownWithRoom,
+    /// It was granted and has no room yet; the step has no ticket to wait with.
+    GrantedInAdvance,
+    /// The service was asked for other steps of the queue and granted it for none; it has room.
+    UnlikelyWithRoom,
+    /// It has no room, and the step has a ticket to wait with, or nothing speaks for the target.
+    WithoutRoom,
     /// The service did not grant it for the step.
     Denied,
 }
@@ -39,7 +43,7 @@
     plan: &'a StepPlan,
     step: &'a StepState,
     /// The most promising first.
-    targets: Vec<(GrantChance, &'a TargetState)>,
+    targets: Vec<(TargetProspect, &'a TargetState)>,
 }
 
 impl<'a> AdviceCandidates<'a> {
@@ -51,26 +55,20 @@
         of_pool: impl Iterator<Item = &'a TargetState>,
         now: BootTime,
     ) -> Self {
-        let may_name = |target: &TargetState| {
-            let advice = step.advice.as_ref();
-            advice.is_none_or(|advice| advice.may_name(target, now))
-        };
+        let advice = step.advice.as_ref();
+        let may_name =
+            |target: &TargetState| advice.is_none_or(|advice| advice.may_name(target, now));
         let candidates = of_pool.filter(|target| {
             target.accepts_tasks(now) && suits(plan, step, target) && may_name(target)
         });
+        let has_ticket = advice.is_some_and(|advice| advice.has_valid_ticket(now));
         let mut targets: Vec<_> = candidates
-            .map(|target| (grant_chance(step, queue, target), target))
+            .map(|target| (prospect(plan, step, queue, target, has_ticket), target))
             .collect();
-        targets.sort_by_cached_key(|(chance, target)| {
-            let lacks_room = tasks_that_fit(plan, target) == 0;
+        targets.sort_by_cached_key(|(prospect, target)| {
             let off_affinity = !plan.affinity.is_empty() && plan.affinity != target.entry.rack;
-            (
-                *chance,
-                lacks_room,
-                off_affinity,
-                Reverse(target.free().cpu),
-                spread(&target.entry.target),
-            )
+            let free = Reverse(target.free().cpu);
+            (*prospect, off_affinity, free, spread(&target.entry.target))
         });
         Self {
             plan,
@@ -84,11 +82,15 @@
         self.targets.is_empty()
     }
 
-    /// Returns true if a target that was not denied before has room for a task.
+    /// Returns true if a task may start at once on the most promising target.
     pub(super) fn may_start(&self) -> bool {
-        let mut targets = self.targets.iter();
-        targets.any(|(chance, target)| {
-            *chance != GrantChance::Denied && tasks_that_fit(self.plan, target) > 0
+        use TargetProspect::{GrantedWithRoom, UnknownWithRoom, UnlikelyWithRoom};
+        let first = self.targets.first();
+        first.is_some_and(|(prospect, _)| {
+            matches!(
+                prospect,
+                GrantedWithRoom | UnknownWithRoom | UnlikelyWithRoom
+            )
         })
     }
 
@@ -104,11 +106,11 @@
         let needed_room = waiting as u64 * 2;
         let mut granted_room = 0;
         let mut named = Vec::new();
-        for (chance, target) in self.targets.iter().take(limit) {
+        for (prospect, target) in self.targets.iter().take(limit) {
             if granted_room >= needed_room && named.len() > 1 {
                 break;
             }
-            if *chance == GrantChance::Granted {
+            if *prospect == TargetProspect::GrantedWithRoom {
                 granted_room += tasks_that_fit(self.plan, target);
             }
             named.push(NamedTarget {
@@ -120,18 +122,26 @@
     }
 }
 
-fn grant_chance(step: &StepState, queue: &str, target: &TargetState) -> GrantChance {
+fn prospect(
+    plan: &StepPlan,
+    step: &StepState,
+    queue: &str,
+    target: &TargetState,
+    has_ticket: bool,
+) -> TargetProspect {
     let advice = step.advice.as_ref();
-    if advice.is_some_and(|advice| advice.was_granted(target)) {
-        return GrantChance::Granted;
-    }
     if advice.is_some_and(|advice| advice.was_denied(target)) {
-        return GrantChance::Denied;
+        return TargetProspect::Denied;
     }
-    match target.incarnation.advised_queues.get(queue) {
-        Some(true) => GrantChance::Granted,
-        Some(false) => GrantChance::Unlikely,
-        None => GrantChance::Unknown,
+    let granted_to_step = advice.is_some_and(|advice| advice.was_granted(target));
+    let granted_to_queue = target.incarnation.advised_queues.get(queue).copied();
+    let granted = granted_to_step.then_some(true).or(granted_to_queue);
+    match (granted, tasks_that_fit(plan, target) > 0) {
+        (Some(true), true) => TargetProspect::GrantedWithRoom,
+        (None, true) => TargetProspect::UnknownWithRoom,
+        (Some(false), true) => TargetProspect::UnlikelyWithRoom,
+        (Some(true), false) if !has_ticket => TargetProspect::GrantedInAdvance,
+        (_, false) => TargetProspect::WithoutRoom,
     }
 }
 
--- a/crates/decide/tests/work_advice.rs
+++ b/crates/decide/tests/work_advice.rs
@@ -352,3 +352,17 @@
     let passes = (examined(&advice) - before) / POOL_TARGETS as u64;
     assert!(passes <= 400, "{passes} passes over the pool");
 }
+
+/// Guards against requests that name full targets, which the service grants, again and again, while
+/// a free one that it would grant as well is not reached.
+#[test]
+fn advice_names_free_target_before_many_full_ones() {
+    let mut advice = AdviceFixture::new(200, SLOW);
+    advice.allows = Box::new(|step, target| step.job != "wide" || number_of(target) < 190);
+    advice.submit("wide", "space", vec![step(190, 16_000)]);
+    advice.run_for(Duration::from_secs(20));
+    assert_eq!(advice.starts.len(), 190);
+    advice.submit("a", "space", vec![step(1, 16_000)]);
+    advice.run_for(LONGEST_WAIT);
+    assert_eq!(advice.started_jobs().len(), 2);
+}
