--- a/crates/cell/tests/common/memory_ports.rs
+++ b/crates/cell/tests/common/memory_ports.rs
@@ -11,9 +11,9 @@
 use model::{
     DataCentreId, HostId, PoolId,
     work::{
-        EndKind, EndReport, FleetHost, FleetPolicy, HostOrderAnswer, MaintenanceWave, OrderAnswer,
-        OrderSender, PollAnswer, PollOrder, PoolPolicy, QueuePolicy, ResourceVector, RunReport,
-        StartAnswer, StartOrder, StopOrder, TargetAddress, TargetEntry, TargetReport,
+        AdvicePolicy, EndKind, EndReport, FleetHost, FleetPolicy, HostOrderAnswer, MaintenanceWave,
+        OrderAnswer, OrderSender, PollAnswer, PollOrder, PoolPolicy, QueuePolicy, ResourceVector,
+        RunReport, StartAnswer, StartOrder, StopOrder, TargetAddress, TargetEntry, TargetReport,
         ThrottleOrder, WaveId, WorkspacePolicy,
     },
 };
@@ -245,7 +245,8 @@
         (format!("status/{wave}"), vec![u8::from(completed)])
     }
 
-    /// The revision, then the keys of the only workspace, separated by spaces.
+    /// The revision, then the keys of the only workspace, separated by spaces; [`ADVISED`] among them
+    /// gives the queue an advice service.
     fn read_policy(&self, value: &[u8]) -> Result<FleetPolicy, String> {
         let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
         let mut words = text.split(' ');
@@ -253,6 +254,7 @@
             .next()
             .and_then(|word| word.parse().ok())
             .ok_or("no revision")?;
+        let (advised, words): (Vec<&str>, Vec<&str>) = words.partition(|word| *word == ADVISED);
         Ok(FleetPolicy {
             revision,
             queues: vec![QueuePolicy {
@@ -262,13 +264,14 @@
                 pool: "pool".into(),
                 max_attempts: 2,
                 slack_factor: 2.0,
+                advice: (!advised.is_empty()).then_some(ADVICE),
                 ..QueuePolicy::default()
             }],
             pools: vec![PoolPolicy {
                 name: "pool".into(),
                 ..PoolPolicy::default()
             }],
-            workspaces: workspaces_of_keys(words.collect()),
+            workspaces: workspaces_of_keys(words),
             max_body: 1 << 16,
         })
     }
@@ -347,16 +350,56 @@
     }
 }
 
-struct NoAdvice;
+/// Word of a policy whose queue has an advice service.
+pub const ADVISED: &str = "advised";
+/// Response times of [`MemoryAdvice`].
+pub const ADVICE: AdvicePolicy = AdvicePolicy {
+    fixed: Duration::from_millis(50),
+    per_target: Duration::from_millis(2),
+    valid: Duration::from_secs(3),
+};
+
+/// An advice service that allows all targets and handles one call after the other.
+#[derive(Clone, Default)]
+pub struct MemoryAdvice {
+    /// Number of calls.
+    pub calls: Rc<Cell<usize>>,
+    /// Calls in progress.
+    waiting: Rc<Cell<usize>>,
+    /// Maximum number of concurrent calls so far.
+    pub max_waiting: Rc<Cell<usize>>,
+    /// When all calls so far have been handled.
+    busy_until: Rc<Cell<Option<Instant>>>,
+}
 
-impl AdvicePort for NoAdvice {
+impl AdvicePort for MemoryAdvice {
     fn request_tickets(
         &self,
-        _: &str,
-        _: Vec<HostId>,
-        _: Duration,
+        step: &str,
+        targets: Vec<HostId>,
+        timeout: Duration,
     ) -> PortFuture<Result<Vec<AdviceTicket>, String>> {
-        Box::pin(async { Err("no advice here".to_owned()) })
+        let (advice, step) = (self.clone(), step.to_owned());
+        advice.calls.set(advice.calls.get() + 1);
+        advice.waiting.set(advice.waiting.get() + 1);
+        let most = advice.max_waiting.get().max(advice.waiting.get());
+        advice.max_waiting.set(most);
+        let now = Instant::now();
+        let begin = advice.busy_until.get().map_or(now, |until| until.max(now));
+        let end = begin + ADVICE.call_time(targets.len());
+        advice.busy_until.set(Some(end));
+        Box::pin(async move {
+            sleep((end - now).min(timeout)).await;
+            advice.waiting.set(advice.waiting.get() - 1);
+            if end - now > timeout {
+                return Err("timed out".to_owned());
+            }
+            let ticket = |target: HostId| AdviceTicket {
+                ticket: format!("{step}-{target}").into(),
+                target,
+            };
+            Ok(targets.into_iter().map(ticket).collect())
+        })
     }
 }
 
@@ -367,7 +410,7 @@
         codec: Rc::new(TextCodec),
         targets: Rc::new(targets.clone()),
         hosts: Rc::new(EmptyHostControl::default()),
-        advice: Rc::new(NoAdvice),
+        advice: Rc::new(MemoryAdvice::default()),
     }
 }
 
--- a/crates/cell/tests/common/mod.rs
+++ b/crates/cell/tests/common/mod.rs
@@ -12,7 +12,9 @@
 
 pub use caller_calls::{KEY, call, plan, submit};
 pub use log_capture::LogCapture;
-pub use memory_ports::{EmptyHostControl, MemoryTargets, free_address, policy_text, ports_on};
+pub use memory_ports::{
+    ADVISED, EmptyHostControl, MemoryAdvice, MemoryTargets, free_address, policy_text, ports_on,
+};
 pub use memory_store::{MemoryStore, StoreMode};
 pub use stub_owner::StubOwner;
 pub use successors::{
