--- a/crates/decide/tests/harness/scheduler_fixture.rs
+++ b/crates/decide/tests/harness/scheduler_fixture.rs
@@ -234,33 +234,30 @@
 
     /// Removes all workspaces from the policy.
     pub fn remove_workspaces(&mut self) {
-        let mut policy = FleetPolicy::clone(&self.scheduler.policy);
-        policy.revision += 1;
-        policy.workspaces.clear();
-        self.scheduler.set_policy(Arc::new(policy));
-        self.run_planning();
+        self.change_policy(|policy| policy.workspaces.clear());
     }
 
     /// Removes all queues from the policy.
     pub fn remove_queues(&mut self) {
+        self.change_policy(|policy| policy.queues.clear());
+    }
+
+    /// Lets the next revision of the policy be in force.
+    pub fn change_policy(&mut self, change: impl FnOnce(&mut FleetPolicy)) {
         let mut policy = FleetPolicy::clone(&self.scheduler.policy);
         policy.revision += 1;
-        policy.queues.clear();
+        change(&mut policy);
         self.scheduler.set_policy(Arc::new(policy));
         self.run_planning();
     }
 
     /// Lets a pool run the queue from now on.
     pub fn move_queue(&mut self, pool: &str) {
-        let mut policy = FleetPolicy::clone(&self.scheduler.policy);
-        policy.revision += 1;
-        policy.pools = [POOL, OTHER_POOL].map(pool_policy).to_vec();
-        policy
-            .queues
-            .iter_mut()
-            .for_each(|queue| queue.pool = pool.into());
-        self.scheduler.set_policy(Arc::new(policy));
-        self.run_planning();
+        self.change_policy(|policy| {
+            policy.pools = [POOL, OTHER_POOL].map(pool_policy).to_vec();
+            let queues = policy.queues.iter_mut();
+            queues.for_each(|queue| queue.pool = pool.into());
+        });
     }
 
     /// Lists a target of a pool and reports it as idle, so that it can receive tasks.
--- a/crates/decide/tests/work_advice.rs
+++ b/crates/decide/tests/work_advice.rs
@@ -2,12 +2,12 @@
 
 mod harness;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use harness::{AdviceFixture, QUEUE, SchedulerFixture, ServiceMode, plan, step, target};
 use model::{
     HostId,
-    work::{AdvicePolicy, FleetPolicy, StepPlan, TargetEntry},
+    work::{AdvicePolicy, StepPlan, TargetEntry},
 };
 use rstest::rstest;
 
@@ -264,9 +264,9 @@
     advice.run_for(Duration::from_millis(500));
     let started = advice.starts.len();
     assert_eq!(started, 2);
-    let mut policy = FleetPolicy::clone(&advice.owner.scheduler.policy);
-    policy.queues[0].advice = None;
-    advice.owner.scheduler.set_policy(Arc::new(policy));
+    advice
+        .owner
+        .change_policy(|policy| policy.queues[0].advice = None);
     advice.run_for(Duration::from_secs(4));
     advice.owner.add_target("new", 16_000);
     advice.run_for(Duration::from_millis(500));
--- a/crates/decide/tests/work_removed_queues.rs
+++ b/crates/decide/tests/work_removed_queues.rs
@@ -22,6 +22,25 @@
     }
 }
 
+/// An owner with a job whose record, of an earlier version, has no terms.
+fn owner_without_recorded_terms() -> SchedulerFixture {
+    let mut owner = SchedulerFixture::with_job(8000, vec![step(1, 1000)]);
+    for entry in &mut owner.stored {
+        if let Some(Event::Accepted(record)) = &mut entry.event {
+            record.terms = None;
+        }
+    }
+    owner
+}
+
+/// The successor of an owner, which can use the same target.
+fn successor_with_target(owner: &SchedulerFixture) -> SchedulerFixture {
+    let mut successor = owner.successor(9);
+    successor.add_target("t1", 8000);
+    successor.advance(Duration::from_millis(50));
+    successor
+}
+
 /// Lets each run of a job fail until nothing is started; returns how often its first task was.
 fn fail_all_runs(owner: &mut SchedulerFixture) -> usize {
     let mut starts_of_first = 0;
@@ -82,9 +101,7 @@
     if compacted {
         owner.compact_log();
     }
-    let mut successor = owner.successor(9);
-    successor.add_target("t1", 8000);
-    successor.advance(Duration::from_millis(50));
+    let mut successor = successor_with_target(&owner);
     assert_eq!(fail_all_runs(&mut successor), MAX_ATTEMPTS);
     assert_eq!(successor.scheduler.job_phase("a"), Some(JobPhase::Failed));
 }
@@ -93,16 +110,9 @@
 /// no terms, and the queue is gone.
 #[test]
 fn removed_queue_without_recorded_terms_has_one_attempt() {
-    let mut owner = SchedulerFixture::with_job(8000, vec![step(1, 1000)]);
-    for entry in &mut owner.stored {
-        if let Some(Event::Accepted(record)) = &mut entry.event {
-            record.terms = None;
-        }
-    }
+    let mut owner = owner_without_recorded_terms();
     owner.remove_queues();
-    let mut successor = owner.successor(9);
-    successor.add_target("t1", 8000);
-    successor.advance(Duration::from_millis(50));
+    let mut successor = successor_with_target(&owner);
     assert_eq!(fail_all_runs(&mut successor), 1);
     assert_eq!(successor.scheduler.job_phase("a"), Some(JobPhase::Failed));
 }
@@ -111,18 +121,11 @@
 /// queue, does not add to the log either.
 #[test]
 fn compacted_log_has_terms_of_known_queue() {
-    let mut owner = SchedulerFixture::with_job(8000, vec![step(1, 1000)]);
-    for entry in &mut owner.stored {
-        if let Some(Event::Accepted(record)) = &mut entry.event {
-            record.terms = None;
-        }
-    }
+    let owner = owner_without_recorded_terms();
     let mut next = owner.successor(5);
     next.compact_log();
     next.remove_queues();
-    let mut successor = next.successor(9);
-    successor.add_target("t1", 8000);
-    successor.advance(Duration::from_millis(50));
+    let mut successor = successor_with_target(&next);
     assert_eq!(fail_all_runs(&mut successor), MAX_ATTEMPTS);
 }
 
