Plan again for advice by what waits, in place of the policy's queues

A job keeps the advice of its queue after the queue was removed, but only a queue of the policy in force made each tick plan again. So after a failed call, or with expired tickets, its steps were not asked for again until something else changed: one call in 1 s of refusals in the model, and no start within the longest pause after them.

Change: the tick asks the queue of waiting steps, which also covers removed queues, and no longer looks through all queues of the policy. An owner whose queues have advice and whose steps all run does not plan at each tick any more.

--- a/crates/decide/src/work/advice_queue.rs
+++ b/crates/decide/src/work/advice_queue.rs
@@ -70,6 +70,11 @@
         self.steps.insert(key.1, queued);
     }
 
+    /// Returns true if a step waits, was postponed, or has tickets that may expire.
+    pub(super) fn has_steps(&self) -> bool {
+        !(self.steps.is_empty() && self.postponed.is_empty() && self.ready.is_empty())
+    }
+
     /// Removes the step whose turn it is; `weights` are those of the workspaces.
     pub(super) fn pop(
         &mut self,
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -115,12 +115,7 @@
             self.failure_wait_deadlines.pop_front();
             self.replan_needed = true;
         }
-        let advised = self
-            .policy
-            .queues
-            .iter()
-            .any(|queue| queue.advice.is_some());
-        self.replan_needed |= advised || !self.unplaced_since.is_empty();
+        self.replan_needed |= self.advice_queue.has_steps() || !self.unplaced_since.is_empty();
         let open = &self.job_table.open;
         self.unplaced_since
             .retain(|step, _| open.contains(&step.job));
--- a/crates/decide/tests/work_removed_queues.rs
+++ b/crates/decide/tests/work_removed_queues.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use decide::work::WorkJob;
-use harness::{AdviceFixture, SchedulerFixture, end_report, plan, step};
+use harness::{AdviceFixture, SchedulerFixture, ServiceMode, end_report, plan, step};
 use model::work::{AdvicePolicy, EndKind, JobPlan, RepeatPlan, StepPlan};
 use rstest::rstest;
 use wire::work::{JobPhase, log_entry::Event};
@@ -167,6 +167,26 @@
     );
 }
 
+/// Guards against steps that are never advised after their queue was removed: only the queues of the
+/// policy made the owner plan again once the pause after a failed call was over.
+#[test]
+fn removed_queue_asks_again_after_failed_call() {
+    let policy = AdvicePolicy {
+        fixed: Duration::from_millis(20),
+        per_target: Duration::from_millis(2),
+        valid: Duration::from_secs(3),
+    };
+    let mut advice = AdviceFixture::new(2, policy);
+    advice.mode = ServiceMode::Refusing;
+    advice.submit("a", "space", vec![step(1, 1000)]);
+    advice.owner.remove_queues();
+    advice.run_for(Duration::from_secs(1));
+    advice.mode = ServiceMode::Working;
+    // The longest pause after a failed call, and the call.
+    advice.run_for(Duration::from_millis(1100));
+    assert_eq!(advice.starts.len(), 1);
+}
+
 /// Guards against a workspace without limit once the policy no longer has it, also for a successor.
 #[rstest]
 #[case::whole_log(false)]
