Use the project's hash and one look-up of tickets for advice

The order of targets that promise the same had a hash of its own, by a hasher whose values may change with the standard library; rendezvous::score has a fixed one. A start's ticket was looked up twice with the same steps, when it is ordered and when it is sent. A comment was longer than a line.

--- a/crates/cell/src/owner_service.rs
+++ b/crates/cell/src/owner_service.rs
@@ -90,8 +90,8 @@
     }
 }
 
-/// Records the terms of a job's queue and the limit of its workspace by the owner's policy; that of the process which passed the
-/// job on may be older.
+/// Records the terms of a job's queue and the limit of its workspace by the owner's policy; that of
+/// the process which passed the job on may be older.
 fn record_terms(term: &Term, record: &mut JobRecord) {
     let scheduler = term.scheduler.borrow();
     if let Some(queue) = scheduler.policy.queue(&record.queue) {
--- a/crates/decide/src/work/advice_candidates.rs
+++ b/crates/decide/src/work/advice_candidates.rs
@@ -1,14 +1,12 @@
-use std::{
-    cmp::Reverse,
-    hash::{DefaultHasher, Hash, Hasher},
-    time::Duration,
-};
+use std::{cmp::Reverse, time::Duration};
 
 use model::{
-    BootTime, HostId,
+    BootTime,
     work::{AdvicePolicy, ResourceVector, StepPlan},
 };
 
+use crate::rendezvous;
+
 use super::{StepState, TargetState, pick::suits, step_advice::NamedTarget};
 
 /// Upper limit of the targets that a request names, as the service accepts them.
@@ -20,6 +18,10 @@
 /// Time that naming targets may take the service, if that is longer than the fixed part.
 const MAX_NAMING_TIME: Duration = Duration::from_millis(500);
 
+/// Duty whose scores order targets that promise the same. Neighbours, which a policy often treats
+/// alike, are then named in different requests.
+const SPREAD: &str = "advice";
+
 /// What naming a target promises; the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum TargetProspect {
@@ -68,7 +70,12 @@
         targets.sort_by_cached_key(|(prospect, target)| {
             let off_affinity = !plan.affinity.is_empty() && plan.affinity != target.entry.rack;
             let free = Reverse(target.free().cpu);
-            (*prospect, off_affinity, free, spread(&target.entry.target))
+            (
+                *prospect,
+                off_affinity,
+                free,
+                rendezvous::score(SPREAD, &target.entry.target),
+            )
         });
         Self {
             plan,
@@ -145,14 +152,6 @@
     }
 }
 
-/// Places a target in an order in which neighbours in a rack are apart: a policy often treats them
-/// alike.
-fn spread(id: &HostId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Number of targets that a request can name without taking the service too long.
 fn affordable(advice: AdvicePolicy) -> usize {
     let time = advice.fixed.max(MAX_NAMING_TIME).as_micros();
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -130,17 +130,19 @@
 
     /// Whether the ticket for an ordered start is still valid, if the start needs one.
     pub fn has_valid_ticket(&self, id: &HostId, task: &TaskKey, now: SchedulerTime) -> bool {
-        let step = StepKey::of(task);
-        if self.advice_policy(&step).is_none() {
-            return true;
-        }
-        let advice = self
-            .step_state(&step)
-            .and_then(|state| state.advice.as_ref());
-        let target = self.targets.get(id);
-        advice
-            .zip(target)
-            .is_some_and(|(advice, target)| advice.valid_ticket(target, now.boot).is_some())
+        self.advice_policy(&StepKey::of(task)).is_none() || self.ticket(id, task, now).is_some()
+    }
+
+    /// Returns the ticket for a start; `None` if there is none that is valid.
+    pub(super) fn ticket(
+        &self,
+        id: &HostId,
+        task: &TaskKey,
+        now: SchedulerTime,
+    ) -> Option<&CompactString> {
+        let step = self.step_state_at(&task.job, task.occurrence, task.step)?;
+        let advice = step.advice.as_ref()?;
+        advice.valid_ticket(self.targets.get(id)?, now.boot)
     }
 
     /// Sends as many advice requests as the service can handle without delay.
--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -254,13 +254,7 @@
             None => EarlierRun::Never,
         };
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_default();
-        let step = self.step_state_at(&key.job, key.occurrence, key.step);
-        let advice = step.and_then(|step| step.advice.as_ref());
-        let ticket = self.targets.get(id).and_then(|target| {
-            let ticket = advice?.valid_ticket(target, now.boot)?;
-            Some(ticket.clone())
-        });
-        let ticket = ticket.unwrap_or_default();
+        let ticket = self.ticket(id, key, now).cloned().unwrap_or_default();
         let Some(target) = self.targets.get_mut_untracked(id) else {
             return;
         };
