Name enough targets for a step when grants differ from step to step

Callers saw jobs of queues with advice wait for tens of seconds although targets were idle: most calls to the advice service brought no ticket, and each took the time of one that could have.

Cause: a request named the two or three targets that had been granted for other steps of the queue and stopped there, as their room was enough. Nothing tested whether a grant for one step says anything about another.

Change: the owner counts how often a target that was granted for one step is granted for others of the queue, and names as many as make a ticket likely (chance of a miss at most 5 %). A first request also names as many targets as add a quarter to its fixed time.

Evidence: the new test fails before, as it takes more than 1.25 requests a step.

--- a/crates/decide/src/work/advice_candidates.rs
+++ b/crates/decide/src/work/advice_candidates.rs
@@ -18,6 +18,11 @@
 /// Time that naming targets may take the service, if that is longer than the fixed part.
 const MAX_NAMING_TIME: Duration = Duration::from_millis(500);
 
+/// Chance that none of the named targets is granted, up to which no further ones are named.
+const MAX_MISS_CHANCE: f64 = 0.05;
+/// A first request may name as many targets as add this part of the fixed time to it.
+const CHEAP_NAMING_DIVISOR: u32 = 4;
+
 /// Duty whose scores order targets that promise the same. Neighbours, which a policy often treats
 /// alike, are then named in different requests.
 const SPREAD: &str = "advice";
@@ -101,24 +106,33 @@
         })
     }
 
-    /// Returns the targets to name: no more than needed if enough of them have been granted before,
+    /// Returns the targets to name: no more than needed if enough of them will probably be granted,
     /// otherwise twice as many with each answer without a ticket.
-    pub(super) fn named(&self, advice: AdvicePolicy) -> Vec<NamedTarget> {
+    ///
+    /// Of the targets that were granted for other steps of the queue, the service is expected to
+    /// grant the share `grant_rate`.
+    pub(super) fn named(&self, advice: AdvicePolicy, grant_rate: f64) -> Vec<NamedTarget> {
         let waiting = self.step.waiting_tasks() as usize;
         let misses = self.step.advice.as_ref().map_or(0, |advice| advice.misses);
-        let first = waiting.clamp(MIN_NAMED, MAX_FIRST_NAMED);
+        let cheap = targets_named_within(advice, advice.fixed / CHEAP_NAMING_DIVISOR);
+        let first = waiting.max(cheap).clamp(MIN_NAMED, MAX_FIRST_NAMED);
         let limit = first << misses.min(4);
         let limit = limit.min(affordable(advice));
         // One task may take the room that another was advised for.
-        let needed_room = waiting as u64 * 2;
-        let mut granted_room = 0;
+        let needed_room = as_float(waiting as u64 * 2);
+        let mut expected_room = 0.0;
+        let mut miss_chance = 1.0;
         let mut named = Vec::new();
         for (prospect, target) in self.targets.iter().take(limit) {
-            if granted_room >= needed_room && named.len() > 1 {
+            if expected_room >= needed_room && miss_chance <= MAX_MISS_CHANCE && named.len() > 1 {
                 break;
             }
             if *prospect == TargetProspect::GrantedWithRoom {
-                granted_room += tasks_that_fit(self.plan, target);
+                let advice = self.step.advice.as_ref();
+                let is_certain = advice.is_some_and(|advice| advice.was_granted(target));
+                let chance = if is_certain { 1.0 } else { grant_rate };
+                expected_room += as_float(tasks_that_fit(self.plan, target)) * chance;
+                miss_chance *= 1.0 - chance;
             }
             named.push(NamedTarget {
                 id: target.entry.target.clone(),
@@ -154,12 +168,16 @@
 
 /// Number of targets that a request can name without taking the service too long.
 fn affordable(advice: AdvicePolicy) -> usize {
-    let time = advice.fixed.max(MAX_NAMING_TIME).as_micros();
-    let named = time.checked_div(advice.per_target.as_micros());
-    let named = named.map_or(MAX_NAMED, |named| {
-        usize::try_from(named).unwrap_or(MAX_NAMED)
-    });
-    named.clamp(1, MAX_NAMED)
+    targets_named_within(advice, advice.fixed.max(MAX_NAMING_TIME)).max(1)
+}
+
+/// Number of targets, up to [`MAX_NAMED`], whose naming adds at most `time` to a request.
+fn targets_named_within(advice: AdvicePolicy, time: Duration) -> usize {
+    let named = time
+        .as_micros()
+        .checked_div(advice.per_target.as_micros())
+        .and_then(|named| usize::try_from(named).ok());
+    named.unwrap_or(MAX_NAMED).min(MAX_NAMED)
 }
 
 /// Number of tasks of a step for which a target has room.
@@ -179,3 +197,8 @@
     };
     fitting.min().unwrap_or(most).min(most)
 }
+
+#[expect(clippy::cast_precision_loss, reason = "numbers of tasks")]
+fn as_float(tasks: u64) -> f64 {
+    tasks as f64
+}
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -15,6 +15,7 @@
 mod demand_meter;
 mod fair_order;
 mod fleet_division;
+mod grant_rates;
 mod host_division;
 mod host_moves;
 mod host_planner;
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -50,7 +50,7 @@
         let (queue, pool) = (job.queue.clone(), job.pool.clone());
         let tickets: BTreeMap<HostId, CompactString> = tickets.into_iter().collect();
         for target in &named {
-            self.remember_advice(&queue, target, tickets.contains_key(&target.id));
+            self.remember_advice(&step, &queue, target, tickets.contains_key(&target.id));
         }
         let expires_at = now.boot + advice.valid.saturating_sub(TICKET_EXPIRY_MARGIN);
         if !tickets.is_empty() {
@@ -243,7 +243,7 @@
         if candidates.is_empty() {
             return RequestPurpose::None;
         }
-        let named = candidates.named(advice);
+        let named = candidates.named(advice, self.grant_rates.expected(&job.queue));
         if candidates.may_start() {
             return RequestPurpose::Start(named);
         }
@@ -276,14 +276,30 @@
 
     /// Remembers whether a target was granted for a step of a queue; the queue's other steps are
     /// probably treated alike.
-    fn remember_advice(&mut self, queue: &CompactString, named: &NamedTarget, granted: bool) {
-        let target = self.targets.get_mut_untracked(&named.id);
+    fn remember_advice(
+        &mut self,
+        step: &StepKey,
+        queue: &CompactString,
+        named: &NamedTarget,
+        granted: bool,
+    ) {
+        let target = self.targets.get(&named.id);
         let Some(target) = target.filter(|target| target.incarnation.number == named.incarnation)
         else {
             return;
         };
-        let queues = &mut target.incarnation.advised_queues;
-        *queues.entry(queue.clone()).or_default() |= granted;
+        let advice = self
+            .step_state(step)
+            .and_then(|state| state.advice.as_ref());
+        let granted_to_step = advice.is_some_and(|advice| advice.was_granted(target));
+        let granted_to_queue = target.incarnation.advised_queues.get(queue);
+        if granted_to_queue == Some(&true) && !granted_to_step {
+            self.grant_rates.record(queue, granted);
+        }
+        if let Some(target) = self.targets.get_mut_untracked(&named.id) {
+            let queues = &mut target.incarnation.advised_queues;
+            *queues.entry(queue.clone()).or_default() |= granted;
+        }
     }
 
     fn forget_advice(&mut self, step: &StepKey) {
--- a/crates/decide/src/work/work_scheduler.rs
+++ b/crates/decide/src/work/work_scheduler.rs
@@ -14,8 +14,8 @@
     EndOrigin, FairOrder, HostDrainState, JobTable, LogAppend, LossCause, OfferedWork, PoolCores,
     SchedulerAction, SchedulerEvent, SchedulerTuning, StartForecast, TargetState, WorkCounters,
     WorkJob, WorkPhase, advice_calls::AdviceCalls, advice_queue::AdviceQueue,
-    scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex, share_meter::ShareMeter,
-    step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
+    grant_rates::GrantRates, scheduler_evacuate::StrandedTask, scheduler_index::SchedulerIndex,
+    share_meter::ShareMeter, step_key::StepKey, target_state::RunKey, tracked_map::TrackedMap,
 };
 
 /// Upper bound of events buffered until [`WorkScheduler::take_events`]; further ones are dropped
@@ -73,6 +73,8 @@
     pub(super) advice_queue: AdviceQueue,
     /// Calls to the advice service in progress.
     pub(super) advice_calls: AdviceCalls,
+    /// How far the advice for one step of a queue holds for others.
+    pub(super) grant_rates: GrantRates,
     /// Cores of each pool, as the host planner last saw them; `None` before its first plan, and while
     /// no decision needs them.
     pub(super) pool_cores: Option<BTreeMap<PoolId, PoolCores>>,
@@ -181,6 +183,8 @@
             .map(|space| (space.name.clone(), space.weight))
             .collect();
         self.index.total_weight = self.index.weights.values().copied().map(f64::from).sum();
+        self.grant_rates
+            .retain(|queue| policy.queue(queue).is_some());
         self.policy = policy;
         self.replan_needed = true;
     }
--- /dev/null
+++ b/crates/decide/tests/work_advice_differing.rs
@@ -0,0 +1,46 @@
+//! Queues whose policy allows each step other targets.
+
+mod harness;
+
+use std::time::Duration;
+
+use decide::rendezvous;
+use harness::{AdviceFixture, step};
+use model::{HostId, work::AdvicePolicy};
+
+/// A service that works on a request for as long as a short task runs.
+const SLOW: AdvicePolicy = AdvicePolicy {
+    fixed: Duration::from_millis(300),
+    per_target: Duration::from_millis(5),
+    valid: Duration::from_secs(3),
+};
+const TARGETS: usize = 12;
+
+/// Allows one target of four, others for each job.
+fn is_allowed(job: &str, target: &HostId) -> bool {
+    rendezvous::score(job, target).is_multiple_of(4)
+}
+
+/// Guards against requests that name the few targets that were granted for other steps of a queue,
+/// although what is granted for one step says little about another.
+#[test]
+fn advice_that_differs_by_step_names_many_targets() {
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    advice.allows = Box::new(|step, target| is_allowed(&step.job, target));
+    let targets = (0..TARGETS).map(|number| HostId::from(format!("t{number:04}")));
+    let targets: Vec<HostId> = targets.collect();
+    let has_allowed = |job: &str| targets.iter().any(|target| is_allowed(job, target));
+    let jobs: Vec<String> = (0..40).map(|job| format!("j{job:04}")).collect();
+    let jobs: Vec<String> = jobs.into_iter().filter(|job| has_allowed(job)).collect();
+    for job in &jobs {
+        advice.submit(job, "space", vec![step(2, 100)]);
+        advice.run_for(Duration::from_secs(1));
+    }
+    assert_eq!(advice.started_jobs().len(), jobs.len());
+    let requests = advice.requests.len();
+    assert!(
+        requests * 4 <= jobs.len() * 5,
+        "{requests} requests for {} steps",
+        jobs.len()
+    );
+}
