Count no task that waits for advice as waiting for its pool's cores

Cause: the backlog of a pool counted all unstarted tasks. Nothing started while free cores abounded, so the forecast took the pool's start rate for zero, and each job for too late.

Change: unstarted tasks of a step that has no grant, and of the steps after it, are neither backlog nor waiting demand of the pool. How long they wait for advice is forecast by the calls to the service, as before. What the service said about an incarnation that has ended is forgotten when the step is examined again.

Evidence: the new test fails before (excess 42.5 s).

--- a/crates/decide/src/work/occurrence_summary.rs
+++ b/crates/decide/src/work/occurrence_summary.rs
@@ -147,10 +147,13 @@
 }
 
 /// Returns the demand of the unstarted tasks of an occurrence, without long-running ones.
+///
+/// Tasks that wait for advice, and those of the steps after them, do not wait for cores.
 fn waiting_demand(job: &WorkJob, occurrence: &OccurrenceState) -> WaitingDemand {
     let mut demand = WaitingDemand::default();
+    let awaits_advice = awaits_advice(job, occurrence);
     for (number, (state, plan)) in occurrence.steps.iter().zip(&job.plan.steps).enumerate() {
-        if plan.long_running {
+        if plan.long_running || (awaits_advice && !has_grants(state)) {
             continue;
         }
         let done_or_placed = u64::from(state.done) + u64::from(state.placed);
@@ -167,6 +170,18 @@
     demand
 }
 
+/// Returns true if a step that could start has not been granted any target.
+fn awaits_advice(job: &WorkJob, occurrence: &OccurrenceState) -> bool {
+    let is_waiting = |state: &StepState| (state.done + state.placed) < state.count();
+    job.terms().advice.is_some()
+        && ready_steps(job, occurrence).any(|(_, _, state)| is_waiting(state) && !has_grants(state))
+}
+
+fn has_grants(state: &StepState) -> bool {
+    let advice = state.advice.as_ref();
+    advice.is_some_and(|advice| advice.has_grants())
+}
+
 /// Returns the resources of tasks of an occurrence that are neither done nor known to run, but that
 /// a predecessor may have started.
 fn unconfirmed_usage(job: &WorkJob, occurrence: &OccurrenceState) -> ResourceVector {
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -154,6 +154,7 @@
             let Some(key) = self.advice_queue.pop(&self.index.weights, now.boot) else {
                 break;
             };
+            self.forget_outdated_advice(&key.1);
             match self.next_request(&key.1, now) {
                 RequestPurpose::Start(named) => self.request_advice(key.1, named, now),
                 RequestPurpose::Spare(_) => {
@@ -302,6 +303,24 @@
         }
     }
 
+    /// Forgets what the service has answered about incarnations of targets that have ended.
+    fn forget_outdated_advice(&mut self, step: &StepKey) {
+        let targets = &self.targets;
+        let is_current = |id: &HostId, incarnation: u64| {
+            let target = targets.get(id);
+            target.is_some_and(|target| target.incarnation.number == incarnation)
+        };
+        let state = self.step_state(step);
+        let advice = state.and_then(|state| state.advice.as_ref());
+        if !advice.is_some_and(|advice| advice.has_outdated(is_current)) {
+            return;
+        }
+        let state = self.job_table.step_mut(&step.first_task());
+        if let Some(advice) = state.and_then(|state| state.advice.as_mut()) {
+            advice.forget_outdated(is_current);
+        }
+    }
+
     fn forget_advice(&mut self, step: &StepKey) {
         if let Some(state) = self.job_table.step_mut(&step.first_task()) {
             state.advice = None;
--- a/crates/decide/src/work/step_advice.rs
+++ b/crates/decide/src/work/step_advice.rs
@@ -88,6 +88,28 @@
         tickets.any(|ticket| now < ticket.expires_at)
     }
 
+    /// Returns true if the service has granted any target that is still there, even if the ticket has
+    /// expired.
+    pub(super) fn has_grants(&self) -> bool {
+        !self.tickets.is_empty()
+    }
+
+    /// Returns true if an answer is about an incarnation for which `is_current` returns false.
+    pub(super) fn has_outdated(&self, is_current: impl Fn(&HostId, u64) -> bool) -> bool {
+        let mut tickets = self.tickets.iter();
+        let mut denials = self.denials.iter();
+        tickets.any(|(id, ticket)| !is_current(id, ticket.incarnation))
+            || denials.any(|(id, denial)| !is_current(id, denial.incarnation))
+    }
+
+    /// Forgets the answers about incarnations for which `is_current` returns false.
+    pub(super) fn forget_outdated(&mut self, is_current: impl Fn(&HostId, u64) -> bool) {
+        self.tickets
+            .retain(|id, ticket| is_current(id, ticket.incarnation));
+        self.denials
+            .retain(|id, denial| is_current(id, denial.incarnation));
+    }
+
     /// Returns the ticket for a target; `None` if there is none that is valid.
     pub(super) fn valid_ticket(
         &self,
--- a/crates/decide/tests/work_advice_differing.rs
+++ b/crates/decide/tests/work_advice_differing.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use decide::rendezvous;
-use harness::{AdviceFixture, step};
-use model::{HostId, work::AdvicePolicy};
+use harness::{AdviceFixture, QUEUE, plan, step};
+use model::{
+    HostId,
+    work::{AdvicePolicy, StepPlan},
+};
 
 /// A service that works on a request for as long as a short task runs.
 const SLOW: AdvicePolicy = AdvicePolicy {
@@ -44,3 +47,22 @@
         jobs.len()
     );
 }
+
+/// Guards against the refusal of all further jobs of a pool while a step waits there that the
+/// service grants no target.
+#[test]
+fn advice_denied_to_one_step_refuses_no_others() {
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    advice.allows = Box::new(|step, _| step.job != "denied");
+    let later = StepPlan {
+        after: vec![0],
+        ..step(4, 100)
+    };
+    let steps = vec![step(40, 100), later];
+    advice.submit("denied", "space", steps.clone());
+    advice.run_for(Duration::from_secs(12));
+    let (now, plan) = (advice.owner.now, plan(steps));
+    let scheduler = &mut advice.owner.scheduler;
+    let excess = scheduler.predict_lateness(&"new".into(), &plan, QUEUE, &"space".into(), now);
+    assert_eq!(excess, None);
+}
