Add hosts to a pool whose targets were all denied to a step

Callers saw accepted jobs of queues with advice that never started, and long-running tasks that stayed away, although hosts were on standby.

Cause: hosts are added for cores. A pool of four idle hosts had more free cores than its waiting tasks needed, so it kept these four, all of which the advice service had denied; the owner asked about them again every ten seconds.

Change: a step that was denied all targets of its pool, or long-running tasks for which too few were granted, count as a need for hosts: as many more than are there as the measured share of grants asks for, eight at a time, up to a third of the fleet.

Evidence: two of the new tests fail before (8 of 20 jobs start; 0 of 4 long-running tasks run).

--- a/crates/decide/src/work/advice_queue.rs
+++ b/crates/decide/src/work/advice_queue.rs
@@ -75,6 +75,11 @@
         !(self.steps.is_empty() && self.postponed.is_empty() && self.ready.is_empty())
     }
 
+    /// Returns the steps that wait or were postponed.
+    pub(super) fn waiting_steps(&self) -> impl Iterator<Item = &StepKey> {
+        self.postponed.keys().chain(self.steps.keys())
+    }
+
     /// Removes the step whose turn it is; `weights` are those of the workspaces.
     pub(super) fn pop(
         &mut self,
--- a/crates/decide/src/work/host_moves.rs
+++ b/crates/decide/src/work/host_moves.rs
@@ -20,6 +20,8 @@
 /// within a second, and a host that is switched off takes two seconds to start. With only two hosts
 /// of a share of twelve, a day's result was 0.002 to 0.015 lower because of late work.
 const IDLE_SHARE_DIVISOR: usize = 3;
+/// A pool gets at most this part of the fleet for steps that were denied all its targets.
+const DENIED_SHARE_DIVISOR: usize = 3;
 
 /// Capacity of one pool.
 #[derive(Clone, Copy, Debug, Default)]
@@ -213,12 +215,8 @@
 
     /// Returns the minimum number of hosts of a pool.
     pub(super) fn min_hosts(&self, pool: &PoolId) -> usize {
-        let for_anti_affinity = self
-            .anti_affinity_hosts
-            .get(pool)
-            .copied()
-            .unwrap_or_default();
-        for_anti_affinity.max(self.min_idle_hosts)
+        let required = self.required_hosts.get(pool).copied().unwrap_or_default();
+        required.max(self.min_idle_hosts)
     }
 
     fn surplus(&self, pool: &PoolId, capacities: &BTreeMap<PoolId, PoolCapacity>) -> f64 {
@@ -277,8 +275,11 @@
         for pool in &scheduler.policy.pools {
             let (present, long_running) = scheduler.core_demand(&pool.name);
             self.meter.observe(&pool.name, present, long_running, now);
-            self.anti_affinity_hosts
-                .insert(pool.name.clone(), scheduler.anti_affinity_hosts(&pool.name));
+            let for_anti_affinity = scheduler.anti_affinity_hosts(&pool.name);
+            let for_denied = scheduler.hosts_for_denied_steps(&pool.name, now);
+            let for_denied = for_denied.min(self.hosts.len() / DENIED_SHARE_DIVISOR);
+            self.required_hosts
+                .insert(pool.name.clone(), for_anti_affinity.max(for_denied));
         }
     }
 }
--- a/crates/decide/src/work/host_planner.rs
+++ b/crates/decide/src/work/host_planner.rs
@@ -66,8 +66,9 @@
     pub(super) parts: BTreeMap<PoolId, f64>,
     /// Since when a pool has been above its part and another one below.
     pub(super) unequal_since: Option<BootTime>,
-    /// Number of hosts that each pool needs for tasks with anti-affinity.
-    pub(super) anti_affinity_hosts: BTreeMap<PoolId, usize>,
+    /// Number of hosts that each pool needs for tasks with anti-affinity, and for steps that were
+    /// denied its targets.
+    pub(super) required_hosts: BTreeMap<PoolId, usize>,
 }
 
 /// State of a host.
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -9,6 +9,7 @@
 mod advice_calls;
 mod advice_candidates;
 mod advice_queue;
+mod advice_shortage;
 mod compacted_log;
 mod core_demand;
 mod decaying_sum;
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -244,7 +244,7 @@
         if candidates.is_empty() {
             return RequestPurpose::None;
         }
-        let named = candidates.named(advice, self.grant_rates.expected(&job.queue));
+        let named = candidates.named(advice, self.grant_rates.expected_of_repeated(&job.queue));
         if candidates.may_start() {
             return RequestPurpose::Start(named);
         }
@@ -293,9 +293,10 @@
             .step_state(step)
             .and_then(|state| state.advice.as_ref());
         let granted_to_step = advice.is_some_and(|advice| advice.was_granted(target));
-        let granted_to_queue = target.incarnation.advised_queues.get(queue);
-        if granted_to_queue == Some(&true) && !granted_to_step {
-            self.grant_rates.record(queue, granted);
+        if !granted_to_step {
+            let granted_to_queue = target.incarnation.advised_queues.get(queue);
+            let repeated = granted_to_queue == Some(&true);
+            self.grant_rates.record(queue, repeated, granted);
         }
         if let Some(target) = self.targets.get_mut_untracked(&named.id) {
             let queues = &mut target.incarnation.advised_queues;
--- a/crates/decide/tests/harness/fleet_fixture.rs
+++ b/crates/decide/tests/harness/fleet_fixture.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use decide::work::{HostOrder, HostPlanner, SchedulerAction};
+use decide::work::{AdviceRequest, HostOrder, HostPlanner, SchedulerAction};
 use model::{
     BootTime, HostId,
     work::{
@@ -15,7 +15,8 @@
 };
 
 use super::{
-    POOL, SchedulerFixture, end_report, run_report, scheduler_fixture::policy_with_limit, target,
+    POOL, SchedulerFixture, advice_fixture::TargetFilter, end_report, run_report,
+    scheduler_fixture::policy_with_limit, target,
 };
 
 /// Name of the standby pool, whose hosts run no targets.
@@ -48,6 +49,8 @@
     pub run_time: Option<Duration>,
     /// Hosts whose targets are up but answer no poll.
     pub silent_hosts: BTreeSet<usize>,
+    /// Policy of the advice service, which answers in the same round.
+    pub advice_allows: TargetFilter,
     stopped_tasks: BTreeMap<TaskKey, (HostId, BootTime)>,
 }
 
@@ -84,6 +87,7 @@
             longest_restart: Duration::ZERO,
             run_time: None,
             silent_hosts: BTreeSet::new(),
+            advice_allows: Box::new(|_, _| true),
             stopped_tasks: BTreeMap::new(),
         };
         for number in 0..serving + off {
@@ -235,8 +239,13 @@
             scheduler.handle_start_answer(&id, &start.task, start.attempt, &answer, now);
         }
         for order in std::mem::take(&mut self.fixture.other_actions) {
-            let SchedulerAction::Stop(id, stop) = order else {
-                continue;
+            let (id, stop) = match order {
+                SchedulerAction::Stop(id, stop) => (id, stop),
+                SchedulerAction::RequestAdvice(request) => {
+                    self.answer_advice(&request);
+                    continue;
+                }
+                _ => continue,
             };
             self.stops += 1;
             let Some(host) = host_of_target(&mut self.hosts, &id) else {
@@ -250,6 +259,15 @@
         }
     }
 
+    fn answer_advice(&mut self, request: &AdviceRequest) {
+        let targets = request.targets.iter();
+        let granted = targets.filter(|target| (self.advice_allows)(&request.step, target));
+        let tickets = granted.map(|target| (target.clone(), "ticket".into()));
+        let (tickets, now) = (tickets.collect(), self.fixture.now);
+        let scheduler = &mut self.fixture.scheduler;
+        scheduler.handle_advice(&request.step, Some(tickets), now);
+    }
+
     fn poll_targets(&mut self) {
         for number in 0..self.hosts.len() {
             let now = self.fixture.now.boot;
