Call the advice service through all processes of the cell

Cause: the owner alone called the service, which handles the calls of one machine one after the other, but those of several side by side. With 300 ms a call that is three steps a second, whatever the number of processes.

Change: while steps wait, the owner sends calls through other processes as well (a question to peers, answered with the tickets). Each process has its own line of calls with the limits, timeouts and pauses of before; the line whose turn comes first is used, one whose last call failed after all others. The forecast of the wait for advice counts the processes that answer. A process of an earlier version answers nothing and is treated as failing.

Evidence: with the owner alone the first of the new tests fails (12 of 60 steps in the time of eleven calls).

--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -184,6 +184,7 @@
             store: self.ports.store.clone(),
             owner_key: self.options.owner_key(),
             promise: self.promise.clone(),
+            advice: self.ports.advice.clone(),
         });
         // Peers are served until the process exits, because their callers wait for the answers.
         let (address, never) = (self.options.peer_address, ShutdownSignal::default());
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -60,7 +60,7 @@
     STOP_DROPPED = 1076, "stop-dropped", "A stop was not sent: its run has ended, or is to continue because others of its step are unavailable, or its target has to be polled first.";
     TARGET_MISSED = 1077, "target-missed", "A target is unreachable; carries how many runs may be there, which are recorded. Nothing is started there until it responds again.";
     SILENCE_AWAITED = 1078, "silence-awaited", "So many targets are unresponsive at once that the link may be the cause, so none of them is given up for now. Carries how many are listed.";
-    ADVICE_ANSWERED = 1079, "advice-answered", "The advice service answered for a step; carries how many targets were named and granted, and the time from the call to its answer.";
+    ADVICE_ANSWERED = 1079, "advice-answered", "The advice service answered for a step; carries how many targets were named and granted, which process called, and the time from the call to its answer.";
     LINES_DROPPED = 1080, "lines-dropped", "Log lines were dropped to limit their volume; carries how many.";
-    ADVICE_FAILED = 1081, "advice-failed", "A call to the advice service was refused or not answered in time; carries the step, how many targets were named, the time that it took and the cause.";
+    ADVICE_FAILED = 1081, "advice-failed", "A call to the advice service was refused or not answered in time; carries the step, how many targets were named, which process called, the time that it took and the cause.";
 }
--- a/crates/cell/src/member_directory.rs
+++ b/crates/cell/src/member_directory.rs
@@ -208,15 +208,29 @@
 
     /// Sends a call to another process; `None` if it does not answer in time.
     pub(crate) async fn call(&self, address: &str, call: &OwnerCall) -> Option<OwnerAnswer> {
-        match call_peer(&self.client, address, call, ASK_TIMEOUT).await {
+        match self.call_within(address, call, ASK_TIMEOUT).await {
             Ok(answer) => Some(answer),
             Err(error) => {
-                log::debug!("{error:?}");
+                log::debug!("{error}");
                 None
             }
         }
     }
 
+    /// Sends a call to another process and waits for its answer for at most `timeout`.
+    ///
+    /// # Errors
+    /// The step that failed and its cause.
+    pub(crate) async fn call_within(
+        &self,
+        address: &str,
+        call: &OwnerCall,
+        timeout: Duration,
+    ) -> Result<OwnerAnswer, String> {
+        let answer = call_peer(&self.client, address, call, timeout).await;
+        answer.map_err(|error| error.to_string())
+    }
+
     fn next_address(&self) -> Option<CompactString> {
         let peers = self.peers.borrow();
         let next_index = self
--- a/crates/cell/src/owner_service.rs
+++ b/crates/cell/src/owner_service.rs
@@ -46,7 +46,9 @@
             ..answer_of_kind(AnswerKind::Counted)
         },
         // Calls to any process are handled before this; other ones come from a newer version.
-        Some(Ask::Owner(_) | Ask::Store(_) | Ask::Release(_)) | None => refused_answer(term),
+        Some(Ask::Owner(_) | Ask::Store(_) | Ask::Release(_) | Ask::Advice(_)) | None => {
+            refused_answer(term)
+        }
     }
 }
 
--- a/crates/cell/src/peer_service.rs
+++ b/crates/cell/src/peer_service.rs
@@ -3,15 +3,15 @@
 use compact_str::CompactString;
 use link::{HttpReply, HttpRequest, HttpService, ReplyFuture};
 use model::{event as log_event, work::FencingToken};
-use ports::{LeaseId, LeaseStore};
+use ports::{AdvicePort, LeaseId, LeaseStore};
 use prost::Message;
 use store::{BootClock, Clock};
 use tokio::time::timeout;
 use wire::work::{AnswerKind, OwnerAnswer, OwnerCall, OwnerRecord, owner_call::Ask};
 
 use crate::{
-    election_promise::ElectionPromise, event, owner_service, owner_view::OwnerView,
-    peer_call::OWNER_PATH, term::Term,
+    advice_call::call_for_owner, election_promise::ElectionPromise, event, owner_service,
+    owner_view::OwnerView, peer_call::OWNER_PATH, term::Term,
 };
 
 /// The term that this process runs while it owns the cell.
@@ -29,6 +29,7 @@
     pub(crate) store: Rc<dyn LeaseStore>,
     pub(crate) owner_key: CompactString,
     pub(crate) promise: Rc<ElectionPromise>,
+    pub(crate) advice: Rc<dyn AdvicePort>,
 }
 
 impl HttpService for PeerService {
@@ -56,6 +57,10 @@
             (Some(Ask::Owner(_)), _) => owner_answer(&self.owners),
             (Some(Ask::Store(token)), term) => self.probe_store(token, term.is_some()).await,
             (Some(Ask::Release(lease)), _) => self.release_lease(lease).await,
+            (Some(Ask::Advice(call)), _) => OwnerAnswer {
+                advice: Some(call_for_owner(&*self.advice, call).await),
+                ..OwnerAnswer::default()
+            },
             (ask, Some(term)) => owner_service::handle_call(&term, OwnerCall { ask, ..call }).await,
             (_, None) => OwnerAnswer {
                 kind: AnswerKind::NotOwner.into(),
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -193,6 +193,10 @@
             let mut scheduler = term.scheduler.borrow_mut();
             scheduler.set_ownership_uncertain(!term.may_start_tasks());
             if ticked {
+                if scheduler.awaits_advice() {
+                    let peers = term.members.addresses().into_iter();
+                    scheduler.set_advice_peers(peers.collect());
+                }
                 scheduler.tick(now);
                 #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
                 metrics::gauge!(metric::OPEN_JOBS).set(scheduler.job_table.open.len() as f64);
--- a/crates/cell/tests/advice.rs
+++ b/crates/cell/tests/advice.rs
@@ -48,3 +48,34 @@
         }
     });
 }
+
+/// Guards against an owner that calls the service alone, although it handles the calls of each
+/// process in turn.
+#[test]
+fn advised_jobs_use_calls_of_all_processes() {
+    run_local(async {
+        let cell = TestCell::new();
+        let policy = format!("{} {ADVISED}", policy_text(1, KEY));
+        cell.store.put("op/terms", policy.as_bytes());
+        let start = |name: &str| {
+            let advice = MemoryAdvice::default();
+            let ports = CellPorts {
+                advice: Rc::new(advice.clone()),
+                ..ports_on(&cell.store, &cell.targets)
+            };
+            let options = CellOptions::new(name.into(), free_address(), free_address());
+            (start_cell(options, ports), advice)
+        };
+        let processes = ["one", "two", "three"].map(start);
+        let service = processes[0].0.service();
+        for job in 0..JOBS {
+            submit_until_accepted(&service, &format!("j{job}")).await;
+        }
+        for job in 0..JOBS {
+            wait_for_progress(&service, &format!("j{job}"), JobProgress::Completed).await;
+        }
+        let calls = processes.each_ref().map(|(_, advice)| advice.calls.get());
+        assert!(calls.iter().all(|calls| *calls > 0), "{calls:?}");
+        assert_eq!(calls.iter().sum::<usize>(), JOBS * STEPS);
+    });
+}
--- a/crates/decide/src/work/advice_calls.rs
+++ b/crates/decide/src/work/advice_calls.rs
@@ -1,52 +1,48 @@
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
+use compact_str::CompactString;
 use model::BootTime;
 
-use super::{step_advice::NamedTarget, step_key::StepKey};
+use super::{advice_line::AdviceLine, step_advice::NamedTarget, step_key::StepKey};
 
-/// Calls in progress with which the service stays busy between an answer and the next call.
-const PIPELINED_CALLS: usize = 2;
-/// Calls that take this long altogether keep the service busy for longer than a round trip.
-const PIPELINED_TIME: Duration = Duration::from_millis(100);
-/// Upper limit of the calls in progress: half of what the service lets wait.
-const MAX_CALLS: usize = 16;
-/// A call is given up once its answer has taken this many times as long as it should, and
-/// [`TIMEOUT_MARGIN`] longer.
-const TIMEOUT_FACTOR: u32 = 2;
-/// Minimum time that a late answer is waited for.
-const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
-/// Pause after a failed call; it doubles with each consecutive one.
-const FAILURE_PAUSE: Duration = Duration::from_millis(100);
-/// Upper limit of the pause after a failed call.
-const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(1);
+/// The process that calls the advice service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AdviceCaller {
+    /// The owner of the cell itself.
+    #[default]
+    Owner,
+    /// The process that serves peers on this address.
+    Peer(CompactString),
+}
 
-/// Calls to the advice service that are in progress.
+/// Calls to the advice service that are in progress, by the process that sends them.
 ///
-/// The service handles one call of a process after the other, so an answer is due only after those
-/// of all earlier calls. A call that is given up still takes its turn there. With as many calls in
-/// progress as keep the service busy, none waits long behind others, and none is given up unless
-/// the service is much slower than the policy says.
+/// The service handles the calls of different processes side by side, so the owner sends as many as
+/// it needs through other processes.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AdviceCalls {
-    /// In the order in which they were sent.
-    in_progress: Vec<PendingCall>,
+    lines: BTreeMap<AdviceCaller, AdviceLine>,
+    /// Processes that may be asked to send further calls, besides the owner.
+    peers: BTreeSet<CompactString>,
     last_call_time: Duration,
-    consecutive_failures: u32,
-    paused_until: BootTime,
-}
-
-#[derive(Clone, Debug)]
-struct PendingCall {
-    step: StepKey,
-    targets: Vec<NamedTarget>,
-    /// When the service should have handled it.
-    due: BootTime,
 }
 
 impl AdviceCalls {
+    /// Sets the processes that may send calls for the owner.
+    pub(super) fn set_peers(&mut self, peers: BTreeSet<CompactString>) {
+        self.lines.retain(|caller, line| match caller {
+            AdviceCaller::Owner => true,
+            AdviceCaller::Peer(address) => line.count() > 0 || peers.contains(address),
+        });
+        self.peers = peers;
+    }
+
     /// Returns the number of calls in progress.
     pub(super) fn count(&self) -> usize {
-        self.in_progress.len()
+        self.lines.values().map(AdviceLine::count).sum()
     }
 
     /// Returns how long the service works on the last call.
@@ -56,37 +52,36 @@
 
     /// Returns true if a call for the step is in progress.
     pub(super) fn is_in_progress(&self, step: &StepKey) -> bool {
-        self.in_progress.iter().any(|call| call.step == *step)
+        self.lines.values().any(|line| line.is_in_progress(step))
     }
 
-    /// Returns true if another call may be sent.
-    pub(super) fn may_begin(&self, now: BootTime) -> bool {
-        if now < self.paused_until {
-            return false;
-        }
-        let is_late = self.in_progress.first().is_some_and(|call| call.due < now);
-        match self.in_progress.len() {
-            0 => true,
-            // A service that fails or is late gets no further calls to work on.
-            _ if self.consecutive_failures > 0 || is_late => false,
-            count if count < PIPELINED_CALLS => true,
-            count => count < MAX_CALLS && self.busy_time(now) < PIPELINED_TIME,
-        }
+    /// Returns the process that should send the next call: the one whose turn at the service comes
+    /// first, those whose last call failed after all others. `None` while none may.
+    pub(super) fn next_caller(&self, now: BootTime) -> Option<AdviceCaller> {
+        let peers = self.peers.iter().cloned().map(AdviceCaller::Peer);
+        let callers = std::iter::once(AdviceCaller::Owner).chain(peers);
+        let unused = AdviceLine::default();
+        let ready = callers.filter_map(|caller| {
+            let line = self.lines.get(&caller).unwrap_or(&unused);
+            let order = (line.is_failing(), line.busy_time(now), caller);
+            line.may_begin(now).then_some(order)
+        });
+        let (_, _, caller) = ready.min()?;
+        Some(caller)
     }
 
     /// Adds a call that takes the service `call_time`. Returns its timeout.
     pub(super) fn begin(
         &mut self,
+        caller: AdviceCaller,
         step: StepKey,
         targets: Vec<NamedTarget>,
         call_time: Duration,
         now: BootTime,
     ) -> Duration {
         self.last_call_time = call_time;
-        let due_in = self.busy_time(now) + call_time;
-        let due = now + due_in;
-        self.in_progress.push(PendingCall { step, targets, due });
-        due_in * TIMEOUT_FACTOR + TIMEOUT_MARGIN
+        let line = self.lines.entry(caller).or_default();
+        line.begin(step, targets, call_time, now)
     }
 
     /// Removes the call for a step, which was answered or has failed. Returns the targets that it
@@ -97,23 +92,20 @@
         answered: bool,
         now: BootTime,
     ) -> Vec<NamedTarget> {
-        let ended = self.in_progress.iter().position(|call| call.step == *step);
-        let ended = ended.map(|index| self.in_progress.remove(index));
-        if answered {
-            self.consecutive_failures = 0;
-            self.paused_until = BootTime::ZERO;
-        } else if now >= self.paused_until {
-            let doublings = self.consecutive_failures.min(8);
-            let pause = FAILURE_PAUSE * 2_u32.pow(doublings);
-            self.consecutive_failures += 1;
-            self.paused_until = now + pause.min(MAX_FAILURE_PAUSE);
-        }
-        ended.map(|call| call.targets).unwrap_or_default()
+        let mut lines = self.lines.values_mut();
+        let line = lines.find(|line| line.is_in_progress(step));
+        line.map_or_else(Vec::new, |line| line.end(step, answered, now))
     }
 
-    /// Returns how long the service is busy with the calls in progress.
-    pub(super) fn busy_time(&self, now: BootTime) -> Duration {
-        let last = self.in_progress.last();
-        last.map_or(Duration::ZERO, |call| call.due.saturating_sub(now))
+    /// Returns how long a further call waits for its answer after `calls - 1` others, if each takes
+    /// the service `call_time`. Processes whose last call failed do not count.
+    pub(super) fn time_for(&self, calls: usize, call_time: Duration, now: BootTime) -> Duration {
+        let lines = self.lines.values();
+        let failing = lines.clone().filter(|line| line.is_failing()).count();
+        let busy: Duration = lines.map(|line| line.busy_time(now)).sum();
+        let usable = (self.peers.len() + 1).saturating_sub(failing).max(1);
+        let usable = u32::try_from(usable).unwrap_or(u32::MAX);
+        let calls = u32::try_from(calls).unwrap_or(u32::MAX);
+        (busy + call_time.saturating_mul(calls.saturating_sub(1))) / usable + call_time
     }
 }
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -8,6 +8,7 @@
 mod admission_policy;
 mod advice_calls;
 mod advice_candidates;
+mod advice_line;
 mod advice_queue;
 mod advice_shortage;
 mod compacted_log;
@@ -70,6 +71,7 @@
 mod work_job;
 mod work_scheduler;
 
+pub use advice_calls::AdviceCaller;
 pub use compacted_log::CompactedLog;
 pub use demand_meter::DemandMeter;
 pub use fair_order::FairOrder;
--- a/crates/decide/src/work/scheduler_action.rs
+++ b/crates/decide/src/work/scheduler_action.rs
@@ -6,6 +6,8 @@
 };
 use wire::work::LogEntry;
 
+use super::advice_calls::AdviceCaller;
+
 /// An action for the caller of the scheduler to execute.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SchedulerAction {
@@ -32,6 +34,8 @@
     pub step: TaskKey,
     /// The targets that it names.
     pub targets: Vec<HostId>,
+    /// The process that is to call the service.
+    pub caller: AdviceCaller,
     /// How long its answer is waited for.
     pub timeout: Duration,
 }
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use compact_str::CompactString;
 use model::{
@@ -8,8 +11,8 @@
 
 use super::{
     AdviceRequest, SchedulerAction, SchedulerTime, WorkCounters, WorkScheduler,
-    advice_candidates::AdviceCandidates, ranked_steps::StepRank, step_advice::NamedTarget,
-    step_key::StepKey,
+    advice_calls::AdviceCaller, advice_candidates::AdviceCandidates, ranked_steps::StepRank,
+    step_advice::NamedTarget, step_key::StepKey,
 };
 
 /// Maximum number of waiting steps that one pass examines for a request.
@@ -124,8 +127,17 @@
     ) -> Duration {
         let weights = &self.index.weights;
         let calls = self.advice_queue.steps_ahead(workspace, weights) + 1;
-        let calls = u32::try_from(calls).unwrap_or(u32::MAX);
-        self.advice_calls.busy_time(now) + call_time.saturating_mul(calls)
+        self.advice_calls.time_for(calls, call_time, now)
+    }
+
+    /// Whether steps wait for advice.
+    pub fn awaits_advice(&self) -> bool {
+        self.advice_queue.has_steps()
+    }
+
+    /// Sets the addresses of the processes that may call the advice service for the owner.
+    pub fn set_advice_peers(&mut self, peers: BTreeSet<CompactString>) {
+        self.advice_calls.set_peers(peers);
     }
 
     /// Whether the ticket for an ordered start is still valid, if the start needs one.
@@ -148,15 +160,15 @@
     /// Sends as many advice requests as the service can handle without delay.
     pub(super) fn send_advice_requests(&mut self, now: SchedulerTime) {
         for _ in 0..MAX_EXAMINED_STEPS {
-            if !self.advice_calls.may_begin(now.boot) {
+            let Some(caller) = self.advice_calls.next_caller(now.boot) else {
                 return;
-            }
+            };
             let Some(key) = self.advice_queue.pop(&self.index.weights, now.boot) else {
                 break;
             };
             self.forget_outdated_advice(&key.1);
             match self.next_request(&key.1, now) {
-                RequestPurpose::Start(named) => self.request_advice(key.1, named, now),
+                RequestPurpose::Start(named) => self.request_advice(caller, key.1, named, now),
                 RequestPurpose::Spare(_) => {
                     let misses = self.advice_misses(&key.1);
                     self.advice_queue.postpone(key.1.clone(), now.boot);
@@ -172,15 +184,16 @@
     /// nothing else to do.
     fn send_spare_request(&mut self, now: SchedulerTime) {
         for _ in 0..MAX_EXAMINED_STEPS {
-            if self.advice_calls.count() > 0 || !self.advice_calls.may_begin(now.boot) {
+            let caller = self.advice_calls.next_caller(now.boot);
+            let Some(caller) = caller.filter(|_| self.advice_calls.count() == 0) else {
                 return;
-            }
+            };
             let Some((_, step)) = self.advice_queue.pop_spare() else {
                 return;
             };
             match self.next_request(&step, now) {
                 RequestPurpose::Start(named) | RequestPurpose::Spare(named) => {
-                    self.request_advice(step, named, now);
+                    self.request_advice(caller, step, named, now);
                 }
                 RequestPurpose::None => {}
             }
@@ -254,7 +267,13 @@
         }
     }
 
-    fn request_advice(&mut self, step: StepKey, named: Vec<NamedTarget>, now: SchedulerTime) {
+    fn request_advice(
+        &mut self,
+        caller: AdviceCaller,
+        step: StepKey,
+        named: Vec<NamedTarget>,
+        now: SchedulerTime,
+    ) {
         let Some(advice) = self.advice_policy(&step) else {
             return;
         };
@@ -266,10 +285,12 @@
             .record_call(&job.workspace, call_time, now.boot);
         let key = step.first_task();
         let targets = named.iter().map(|target| target.id.clone()).collect();
-        let timeout = self.advice_calls.begin(step, named, call_time, now.boot);
+        let calls = &mut self.advice_calls;
+        let timeout = calls.begin(caller.clone(), step, named, call_time, now.boot);
         let request = AdviceRequest {
             step: key,
             targets,
+            caller,
             timeout,
         };
         self.actions.push(SchedulerAction::RequestAdvice(request));
--- a/crates/decide/tests/harness/advice_fixture.rs
+++ b/crates/decide/tests/harness/advice_fixture.rs
@@ -1,10 +1,10 @@
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
-use decide::work::{AdviceRequest, SchedulerAction};
+use decide::work::{AdviceCaller, AdviceRequest, SchedulerAction};
 use model::{
     BootTime, HostId,
     work::{
@@ -38,7 +38,7 @@
 /// Returns true for the targets on which a step's tasks may run.
 pub type TargetFilter = Box<dyn Fn(&TaskKey, &HostId) -> bool>;
 
-/// An owner with an advice service, which handles one call after the other.
+/// An owner with an advice service, which handles one call of each process after the other.
 pub struct AdviceFixture {
     pub owner: SchedulerFixture,
     pub mode: ServiceMode,
@@ -46,6 +46,8 @@
     pub skips_abandoned: bool,
     /// Policy of the service.
     pub allows: TargetFilter,
+    /// Processes that don't pass the calls on.
+    pub dead_callers: BTreeSet<AdviceCaller>,
     /// Targets that refuse the tickets of a step.
     pub refuses_tickets: TargetFilter,
     /// Number of starts that were refused for their ticket.
@@ -59,10 +61,17 @@
     /// Starts in the order of sending, with the time and the target.
     pub starts: Vec<(BootTime, HostId, StartOrder)>,
     policy: AdvicePolicy,
-    /// Calls at the service, each with the time at which its caller gives up.
-    calls: VecDeque<(BootTime, AdviceRequest)>,
+    /// The calls at the service by process; it handles those of one process after the other.
+    lines: BTreeMap<AdviceCaller, ServiceLine>,
     /// Calls that got no answer yet and whose caller waits.
     awaited: Vec<(BootTime, TaskKey)>,
+}
+
+/// Calls of one process at the service.
+#[derive(Default)]
+struct ServiceLine {
+    /// Each with the time at which its caller gives up.
+    calls: VecDeque<(BootTime, AdviceRequest)>,
     /// When the first call will have been handled.
     handled_at: Option<BootTime>,
 }
@@ -89,6 +98,7 @@
             mode: ServiceMode::Working,
             skips_abandoned: true,
             allows: Box::new(|_, _| true),
+            dead_callers: BTreeSet::new(),
             refuses_tickets: Box::new(|_, _| false),
             refused_starts: 0,
             requests: Vec::new(),
@@ -96,12 +106,17 @@
             refused: 0,
             starts: Vec::new(),
             policy,
-            calls: VecDeque::new(),
+            lines: BTreeMap::new(),
             awaited: Vec::new(),
-            handled_at: None,
         }
     }
 
+    /// Lets other processes call the service for the owner.
+    pub fn add_peers(&mut self, peers: &[&str]) {
+        let peers = peers.iter().copied().map(Into::into).collect();
+        self.owner.scheduler.set_advice_peers(peers);
+    }
+
     pub fn now(&self) -> BootTime {
         self.owner.now.boot
     }
@@ -149,7 +164,7 @@
 
     /// Number of calls at the service.
     pub fn calls_at_service(&self) -> usize {
-        self.calls.len()
+        self.lines.values().map(|line| line.calls.len()).sum()
     }
 
     /// Sum of the targets that the requests named.
@@ -166,13 +181,17 @@
             assert!(request.targets.len() <= MAX_NAMED);
             self.requests.push((self.now(), request.clone()));
             let gives_up_at = self.now() + request.timeout;
-            if self.mode == ServiceMode::Refusing || self.calls.len() > MAX_WAITING {
+            let is_gone = self.dead_callers.contains(&request.caller);
+            let line = self.lines.entry(request.caller.clone()).or_default();
+            if self.mode == ServiceMode::Refusing || line.calls.len() > MAX_WAITING {
                 self.refused += 1;
                 self.answer(&request.step, None);
                 continue;
             }
             self.awaited.push((gives_up_at, request.step.clone()));
-            self.calls.push_back((gives_up_at, request));
+            if !is_gone {
+                line.calls.push_back((gives_up_at, request));
+            }
         }
     }
 
@@ -191,33 +210,42 @@
         if self.mode == ServiceMode::Silent {
             return;
         }
+        let callers: Vec<AdviceCaller> = self.lines.keys().cloned().collect();
+        for caller in callers {
+            while let Some(request) = self.next_handled(&caller) {
+                self.awaited.retain(|(_, step)| *step != request.step);
+                let granted = request.targets.iter();
+                let granted = granted.filter(|target| (self.allows)(&request.step, target));
+                let tickets = granted.map(|target| (target.clone(), "ticket".into()));
+                self.answer(&request.step, Some(tickets.collect()));
+            }
+        }
+    }
+
+    /// Returns the next call of a process that was handled and whose caller still waits.
+    fn next_handled(&mut self, caller: &AdviceCaller) -> Option<AdviceRequest> {
         let now = self.now();
-        while let Some((gives_up_at, request)) = self.calls.front() {
+        let line = self.lines.get_mut(caller)?;
+        loop {
+            let (gives_up_at, request) = line.calls.front()?;
             let is_abandoned = *gives_up_at <= now;
-            let Some(handled_at) = self.handled_at else {
+            let Some(handled_at) = line.handled_at else {
                 if is_abandoned && self.skips_abandoned {
-                    self.calls.pop_front();
+                    line.calls.pop_front();
                     continue;
                 }
-                self.handled_at = Some(now + self.policy.call_time(request.targets.len()));
-                return;
+                line.handled_at = Some(now + self.policy.call_time(request.targets.len()));
+                return None;
             };
             if now < handled_at {
-                return;
+                return None;
             }
-            self.handled_at = None;
-            let Some((_, request)) = self.calls.pop_front() else {
-                return;
-            };
-            if is_abandoned {
-                self.unread_answers += 1;
-                continue;
+            line.handled_at = None;
+            let (_, request) = line.calls.pop_front()?;
+            if !is_abandoned {
+                return Some(request);
             }
-            self.awaited.retain(|(_, step)| *step != request.step);
-            let granted = request.targets.iter();
-            let granted = granted.filter(|target| (self.allows)(&request.step, target));
-            let tickets = granted.map(|target| (target.clone(), "ticket".into()));
-            self.answer(&request.step, Some(tickets.collect()));
+            self.unread_answers += 1;
         }
     }
 
--- /dev/null
+++ b/crates/decide/tests/work_advice_callers.rs
@@ -0,0 +1,81 @@
+//! Calls to the advice service that several processes send for the owner.
+
+mod harness;
+
+use std::time::Duration;
+
+use decide::work::AdviceCaller;
+use harness::{AdviceFixture, QUEUE, plan, step};
+use model::work::AdvicePolicy;
+
+/// A service that works on a request for as long as a short task runs.
+const SLOW: AdvicePolicy = AdvicePolicy {
+    fixed: Duration::from_millis(300),
+    per_target: Duration::from_millis(5),
+    valid: Duration::from_secs(3),
+};
+const TARGETS: usize = 12;
+/// Longest time that a request takes the service: one that names all targets.
+const LONGEST_CALL: Duration = Duration::from_millis(360);
+const JOBS: usize = 60;
+
+fn with_burst(peers: &[&str]) -> AdviceFixture {
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    advice.add_peers(peers);
+    for job in 0..JOBS {
+        advice.submit(&format!("j{job:04}"), "space", vec![step(2, 100)]);
+    }
+    advice
+}
+
+/// Guards against an owner that waits for its own turn at the service while that would handle the
+/// calls of other processes at the same time.
+#[test]
+fn advice_calls_of_processes_run_side_by_side() {
+    let mut advice = with_burst(&["p1", "p2", "p3", "p4", "p5"]);
+    let rounds = u32::try_from(JOBS / 6).unwrap_or_default() + 1;
+    advice.run_until_started(JOBS, LONGEST_CALL * rounds);
+    assert_eq!(advice.started_jobs().len(), JOBS);
+    assert_eq!(advice.unread_answers, 0);
+}
+
+/// Guards against calls through other processes while the owner's own turn is free.
+#[test]
+fn advice_of_few_steps_is_requested_by_owner() {
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    advice.add_peers(&["p1", "p2"]);
+    for job in 0..4 {
+        advice.submit(&format!("j{job}"), "space", vec![step(2, 100)]);
+        advice.run_for(Duration::from_secs(1));
+    }
+    let mut callers = advice.requests.iter().map(|(_, request)| &request.caller);
+    assert!(callers.all(|caller| *caller == AdviceCaller::Owner));
+}
+
+/// Guards against steps that wait again and again for a process that passes no calls on.
+#[test]
+fn advice_dead_process_delays_few_steps() {
+    let mut advice = with_burst(&["p1", "p2", "p3", "p4", "p5"]);
+    advice.dead_callers = ["p1", "p2", "p3"]
+        .map(|peer| AdviceCaller::Peer(peer.into()))
+        .into();
+    let rounds = u32::try_from(JOBS / 3).unwrap_or_default() + 1;
+    // The calls that were sent before the process was known to fail are given up first.
+    let given_up = LONGEST_CALL * 4 + Duration::from_secs(1);
+    advice.run_until_started(JOBS, LONGEST_CALL * rounds + given_up);
+    assert_eq!(advice.started_jobs().len(), JOBS);
+}
+
+/// Guards against the refusal of jobs that the service can advise in time through other processes.
+#[test]
+fn advice_wait_counts_all_processes() {
+    let mut advice = with_burst(&["p1", "p2", "p3", "p4", "p5"]);
+    let (now, plan) = (advice.owner.now, plan(vec![step(2, 100)]));
+    let scheduler = &mut advice.owner.scheduler;
+    let excess = scheduler.predict_lateness(&"new".into(), &plan, QUEUE, &"space".into(), now);
+    assert_eq!(excess, None);
+    advice.add_peers(&[]);
+    let scheduler = &mut advice.owner.scheduler;
+    let excess = scheduler.predict_lateness(&"new".into(), &plan, QUEUE, &"space".into(), now);
+    assert!(excess.is_some());
+}
