Use as many processes for advice as the service handles side by side

Callers would see most calls given up, and jobs that never start, where the advice service handles one call after the other whichever process sends it: each of seven processes would have two calls there, each waits for all others, and its caller gives up before.

Change: the owner begins alone and adds a process with each answer that is in time; it uses half as many, and adds none for 3 s, once most answers take half again as long as the calls of one process would. What a call takes while one process sends some is measured, so a service that is slower than its policy says is no reason.

--- a/crates/decide/src/work/advice_calls.rs
+++ b/crates/decide/src/work/advice_calls.rs
@@ -6,7 +6,24 @@
 use compact_str::CompactString;
 use model::BootTime;
 
-use super::{advice_line::AdviceLine, step_advice::NamedTarget, step_key::StepKey};
+use super::{
+    advice_line::{AdviceLine, PendingCall},
+    step_advice::NamedTarget,
+    step_key::StepKey,
+};
+
+/// An answer is late if it takes this many times as long as expected, and [`LATE_MARGIN`] longer.
+const LATE_FACTOR: f64 = 1.5;
+/// What messages and event loops may add to the time of a call.
+const LATE_MARGIN: Duration = Duration::from_millis(100);
+/// Share of late answers above which fewer processes are used. A single slow process does not count.
+const MAX_LATE_SHARE: f64 = 0.5;
+/// Share of late answers up to which further processes are used.
+const GROWTH_LATE_SHARE: f64 = 0.1;
+/// How long no further process is used after answers were late.
+const GROWTH_PAUSE: Duration = Duration::from_secs(3);
+/// Weight of the last answer in the averages of [`AdviceCalls`].
+const ANSWER_WEIGHT: f64 = 0.3;
 
 /// The process that calls the advice service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -21,13 +38,38 @@
 /// Calls to the advice service that are in progress, by the process that sends them.
 ///
 /// The service handles the calls of different processes side by side, so the owner sends as many as
-/// it needs through other processes.
-#[derive(Clone, Debug, Default)]
+/// it needs through other processes. It uses one more with each answer that is in time, and half as
+/// many once most answers are late: then the calls of the processes wait for each other after all, and
+/// more of them would only be given up.
+#[derive(Clone, Debug)]
 pub(super) struct AdviceCalls {
     lines: BTreeMap<AdviceCaller, AdviceLine>,
     /// Processes that may be asked to send further calls, besides the owner.
     peers: BTreeSet<CompactString>,
     last_call_time: Duration,
+    /// Upper limit of the processes that send calls at the same time.
+    max_lines: usize,
+    /// Time until which the limit does not grow.
+    growth_paused_until: BootTime,
+    /// Average time of calls while a single process sends some, as a multiple of what the policy
+    /// says.
+    pace: f64,
+    /// Share of the recent answers that were late.
+    late_share: f64,
+}
+
+impl Default for AdviceCalls {
+    fn default() -> Self {
+        Self {
+            lines: BTreeMap::new(),
+            peers: BTreeSet::new(),
+            last_call_time: Duration::ZERO,
+            max_lines: 1,
+            growth_paused_until: BootTime::ZERO,
+            pace: 1.0,
+            late_share: 0.0,
+        }
+    }
 }
 
 impl AdviceCalls {
@@ -61,8 +103,12 @@
         let peers = self.peers.iter().cloned().map(AdviceCaller::Peer);
         let callers = std::iter::once(AdviceCaller::Owner).chain(peers);
         let unused = AdviceLine::default();
+        let may_add_line = self.lines_in_use() < self.max_lines;
         let ready = callers.filter_map(|caller| {
             let line = self.lines.get(&caller).unwrap_or(&unused);
+            if line.count() == 0 && !may_add_line {
+                return None;
+            }
             let order = (line.is_failing(), line.busy_time(now), caller);
             line.may_begin(now).then_some(order)
         });
@@ -92,18 +138,58 @@
         answered: bool,
         now: BootTime,
     ) -> Vec<NamedTarget> {
+        let in_use = self.lines_in_use();
         let mut lines = self.lines.values_mut();
         let line = lines.find(|line| line.is_in_progress(step));
-        line.map_or_else(Vec::new, |line| line.end(step, answered, now))
+        let Some(call) = line.and_then(|line| line.end(step, answered, now)) else {
+            return Vec::new();
+        };
+        if answered {
+            self.adapt_to_answer(&call, in_use, now);
+        }
+        call.targets
+    }
+
+    /// Adapts the number of processes that send calls to the time that an answer took.
+    fn adapt_to_answer(&mut self, call: &PendingCall, in_use: usize, now: BootTime) {
+        let expected = call.due.saturating_sub(call.sent);
+        let took = now.saturating_sub(call.sent);
+        if in_use == 1 {
+            let ratio = took.as_secs_f64() / (expected + LATE_MARGIN).as_secs_f64();
+            self.pace += (ratio.max(1.0) - self.pace) * ANSWER_WEIGHT;
+        }
+        let is_late = took > expected.mul_f64(self.pace * LATE_FACTOR) + LATE_MARGIN;
+        let late = f64::from(u8::from(is_late));
+        self.late_share += (late - self.late_share) * ANSWER_WEIGHT;
+        if self.late_share > MAX_LATE_SHARE {
+            self.max_lines = (self.max_lines / 2).max(1);
+            self.growth_paused_until = now + GROWTH_PAUSE;
+            self.late_share = 0.0;
+            return;
+        }
+        let may_grow = self.late_share <= GROWTH_LATE_SHARE && now >= self.growth_paused_until;
+        if may_grow && in_use >= self.max_lines {
+            self.max_lines = (self.max_lines + 1).min(self.peers.len() + 1);
+        }
+    }
+
+    fn lines_in_use(&self) -> usize {
+        let lines = self.lines.values();
+        lines.filter(|line| line.count() > 0).count()
     }
 
     /// Returns how long a further call waits for its answer after `calls - 1` others, if each takes
-    /// the service `call_time`. Processes whose last call failed do not count.
+    /// the service `call_time`. Processes whose last call failed do not count, and those that are not
+    /// used because answers were late.
     pub(super) fn time_for(&self, calls: usize, call_time: Duration, now: BootTime) -> Duration {
         let lines = self.lines.values();
         let failing = lines.clone().filter(|line| line.is_failing()).count();
         let busy: Duration = lines.map(|line| line.busy_time(now)).sum();
         let usable = (self.peers.len() + 1).saturating_sub(failing).max(1);
+        let usable = match now < self.growth_paused_until {
+            true => usable.min(self.max_lines),
+            false => usable,
+        };
         let usable = u32::try_from(usable).unwrap_or(u32::MAX);
         let calls = u32::try_from(calls).unwrap_or(u32::MAX);
         (busy + call_time.saturating_mul(calls.saturating_sub(1))) / usable + call_time
--- a/crates/decide/src/work/advice_line.rs
+++ b/crates/decide/src/work/advice_line.rs
@@ -34,12 +34,14 @@
     paused_until: BootTime,
 }
 
+/// A call to the service.
 #[derive(Clone, Debug)]
-struct PendingCall {
-    step: StepKey,
-    targets: Vec<NamedTarget>,
+pub(super) struct PendingCall {
+    pub(super) step: StepKey,
+    pub(super) targets: Vec<NamedTarget>,
+    pub(super) sent: BootTime,
     /// When the service should have handled it.
-    due: BootTime,
+    pub(super) due: BootTime,
 }
 
 impl AdviceLine {
@@ -83,18 +85,22 @@
     ) -> Duration {
         let due_in = self.busy_time(now) + call_time;
         let due = now + due_in;
-        self.in_progress.push(PendingCall { step, targets, due });
+        self.in_progress.push(PendingCall {
+            step,
+            targets,
+            sent: now,
+            due,
+        });
         due_in * TIMEOUT_FACTOR + TIMEOUT_MARGIN
     }
 
-    /// Removes the call for a step, which was answered or has failed. Returns the targets that it
-    /// named.
+    /// Removes the call for a step, which was answered or has failed.
     pub(super) fn end(
         &mut self,
         step: &StepKey,
         answered: bool,
         now: BootTime,
-    ) -> Vec<NamedTarget> {
+    ) -> Option<PendingCall> {
         let ended = self.in_progress.iter().position(|call| call.step == *step);
         let ended = ended.map(|index| self.in_progress.remove(index));
         if answered {
@@ -106,7 +112,7 @@
             self.consecutive_failures += 1;
             self.paused_until = now + pause.min(MAX_FAILURE_PAUSE);
         }
-        ended.map(|call| call.targets).unwrap_or_default()
+        ended
     }
 
     /// Returns how long the service is busy with the calls in progress.
