Bound the wait for advice of all steps of accepted jobs

Callers saw jobs accepted that started only once no others came: the forecast of the wait for advice counted the steps that waited at that moment, one call each, and neither the later steps of the same jobs nor calls that bring no ticket. Steps of jobs in progress and jobs that are still in time go first, so what is too late waited until the traffic was over.

--- a/crates/decide/src/work/advice_calls.rs
+++ b/crates/decide/src/work/advice_calls.rs
@@ -22,6 +22,11 @@
 const GROWTH_LATE_SHARE: f64 = 0.1;
 /// How long no further process is used after answers were late.
 const GROWTH_PAUSE: Duration = Duration::from_secs(3);
+/// Factor by which earlier calls lose weight with each further one in the average number of calls for
+/// a step.
+const CALLS_DECAY: f64 = 0.98;
+/// Calls for steps that need one each which that average begins with.
+const CALLS_PRIOR: f64 = 5.0;
 /// Weight of the last answer in the averages of [`AdviceCalls`].
 const ANSWER_WEIGHT: f64 = 0.3;
 
@@ -56,6 +61,9 @@
     pace: f64,
     /// Share of the recent answers that were late.
     late_share: f64,
+    /// Decaying counts of calls, and of first calls for a step.
+    calls: f64,
+    first_calls: f64,
 }
 
 impl Default for AdviceCalls {
@@ -68,6 +76,8 @@
             growth_paused_until: BootTime::ZERO,
             pace: 1.0,
             late_share: 0.0,
+            calls: 0.0,
+            first_calls: 0.0,
         }
     }
 }
@@ -116,6 +126,17 @@
         Some(caller)
     }
 
+    /// Returns the average number of calls for a step.
+    pub(super) fn calls_per_step(&self) -> f64 {
+        (self.calls + CALLS_PRIOR) / (self.first_calls + CALLS_PRIOR)
+    }
+
+    /// Counts a call for a step; `is_first` if the service has not answered for it yet.
+    pub(super) fn count_call(&mut self, is_first: bool) {
+        self.calls = self.calls * CALLS_DECAY + 1.0;
+        self.first_calls = self.first_calls * CALLS_DECAY + f64::from(u8::from(is_first));
+    }
+
     /// Adds a call that takes the service `call_time`. Returns its timeout.
     pub(super) fn begin(
         &mut self,
--- a/crates/decide/src/work/advice_queue.rs
+++ b/crates/decide/src/work/advice_queue.rs
@@ -203,6 +203,6 @@
 }
 
 /// Weight of a workspace; 1 if the policy sets none.
-fn weight_of(workspace: &WorkspaceId, weights: &BTreeMap<WorkspaceId, u32>) -> u32 {
+pub(super) fn weight_of(workspace: &WorkspaceId, weights: &BTreeMap<WorkspaceId, u32>) -> u32 {
     weights.get(workspace).copied().unwrap_or_default().max(1)
 }
--- a/crates/decide/src/work/core_demand.rs
+++ b/crates/decide/src/work/core_demand.rs
@@ -12,6 +12,8 @@
     pub(super) countable: WaitingDemand,
     /// Unstarted tasks of jobs that are too late to count.
     pub(super) overdue: WaitingDemand,
+    /// Number of steps for which the advice service still has to be asked.
+    pub(super) unadvised_steps: u64,
 }
 
 /// Demand of unstarted tasks; long-running tasks are not included.
@@ -41,6 +43,7 @@
             long_running: self.long_running + other.long_running,
             countable: self.countable.plus(other.countable),
             overdue: self.overdue.plus(other.overdue),
+            unadvised_steps: self.unadvised_steps + other.unadvised_steps,
         }
     }
 
@@ -50,6 +53,7 @@
             long_running: self.long_running - other.long_running,
             countable: self.countable.minus(other.countable),
             overdue: self.overdue.minus(other.overdue),
+            unadvised_steps: self.unadvised_steps - other.unadvised_steps,
         }
     }
 }
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -6,6 +6,7 @@
 //! described in `docs/design/13-platform.md`.
 
 mod admission_policy;
+mod advice_admission;
 mod advice_calls;
 mod advice_candidates;
 mod advice_line;
--- a/crates/decide/src/work/occurrence_summary.rs
+++ b/crates/decide/src/work/occurrence_summary.rs
@@ -77,6 +77,11 @@
                 self.demand.present += cpu;
             }
         }
+        if job.terms().advice.is_some() {
+            let steps = occurrence.steps.iter();
+            let unadvised = steps.filter(|state| !state.is_done() && state.advice.is_none());
+            self.demand.unadvised_steps = unadvised.count() as u64;
+        }
     }
 
     /// Adds the unstarted tasks to the backlog and the demand of their class.
--- a/crates/decide/src/work/scheduler_admit.rs
+++ b/crates/decide/src/work/scheduler_admit.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use model::{BootTime, JobId, PoolId, WorkspaceId, work::JobPlan};
+use model::{JobId, PoolId, WorkspaceId, work::JobPlan};
 
 use super::{
     SchedulerTime, WorkScheduler,
@@ -10,9 +10,6 @@
     work_admission::WorkAdmission,
 };
 
-/// Shorter waits for advice are no reason to refuse a job.
-const MIN_ADVICE_WAIT: Duration = Duration::from_secs(2);
-
 impl WorkScheduler {
     /// Predicts whether a job submitted now would start too late to count. Returns the time after
     /// which it would no longer be too late, or `None` if the job may be accepted.
@@ -52,23 +49,6 @@
         excess.max(self.advice_excess(submitted, now.boot))
     }
 
-    /// Returns by how much a job would get the advice for its first start too late; `None` if it may
-    /// be in time.
-    ///
-    /// A job is refused only if it would be late even if each call named a single target. When it is
-    /// worth coming back depends on how long calls take.
-    fn advice_excess(&self, job: SubmittedJob<'_>, now: BootTime) -> Option<Duration> {
-        let shortest_call = job.queue.advice?.call_time(1);
-        let age = now.saturating_sub(job.first_submitted);
-        let longest = job.longest_wait().saturating_sub(age).max(MIN_ADVICE_WAIT);
-        let excess = |call_time: Duration| {
-            let wait = self.advice_wait(call_time, job.workspace, now);
-            wait.saturating_sub(longest)
-        };
-        let usual_call = self.advice_calls.last_call_time().max(shortest_call);
-        (!excess(shortest_call).is_zero()).then(|| excess(usual_call))
-    }
-
     /// Sets how many starts per second the owner's link can carry.
     pub fn set_max_start_rate(&mut self, starts_a_second: f64) {
         self.forecast.set_link_rate(starts_a_second);
--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use model::{
-    BootTime, HostId, WorkspaceId,
+    HostId,
     work::{AdvicePolicy, TaskKey},
 };
 
@@ -117,19 +117,6 @@
         }
     }
 
-    /// Returns how long a step of a workspace that starts to wait now waits for its advice, if each
-    /// call takes the service `call_time`.
-    pub(super) fn advice_wait(
-        &self,
-        call_time: Duration,
-        workspace: &WorkspaceId,
-        now: BootTime,
-    ) -> Duration {
-        let weights = &self.index.weights;
-        let calls = self.advice_queue.steps_ahead(workspace, weights) + 1;
-        self.advice_calls.time_for(calls, call_time, now)
-    }
-
     /// Whether steps wait for advice.
     pub fn awaits_advice(&self) -> bool {
         self.advice_queue.has_steps()
@@ -283,6 +270,9 @@
         let call_time = advice.call_time(named.len());
         self.advice_queue
             .record_call(&job.workspace, call_time, now.boot);
+        let state = self.step_state(&step);
+        let is_first = state.is_some_and(|state| state.advice.is_none());
+        self.advice_calls.count_call(is_first);
         let key = step.first_task();
         let targets = named.iter().map(|target| target.id.clone()).collect();
         let calls = &mut self.advice_calls;
--- a/crates/decide/src/work/start_rate_admission.rs
+++ b/crates/decide/src/work/start_rate_admission.rs
@@ -10,7 +10,7 @@
 
 /// Time within which every accepted job has to start, however little of it still counts towards its
 /// objective. Jobs that may wait longer get more time.
-const MAX_BACKLOG_DRAIN_TIME: Duration = Duration::from_secs(8);
+pub(super) const MAX_BACKLOG_DRAIN_TIME: Duration = Duration::from_secs(8);
 /// Shorter predicted waits are too uncertain to refuse a job for them.
 const MIN_PREDICTABLE_WAIT: Duration = Duration::from_secs(2);
 /// Fraction of the predicted wait that is certain: pools get more hosts while demand rises.
--- a/crates/decide/tests/harness/advice_fixture.rs
+++ b/crates/decide/tests/harness/advice_fixture.rs
@@ -8,13 +8,13 @@
 use model::{
     BootTime, HostId,
     work::{
-        AdvicePolicy, FleetPolicy, StartAnswer, StartOrder, StartRefusal, StepPlan, TaskKey,
-        WorkspacePolicy,
+        AdvicePolicy, EndKind, EndReport, FleetPolicy, StartAnswer, StartOrder, StartRefusal,
+        StepPlan, TaskKey, WorkspacePolicy,
     },
 };
 use wire::work::{LogEntry, log_entry::Event};
 
-use super::{SchedulerFixture, job_record, plan};
+use super::{SchedulerFixture, end_report, job_record, plan};
 
 /// Length of a simulation step.
 const TICK: Duration = Duration::from_millis(20);
@@ -63,6 +63,9 @@
     /// Starts in the order of sending, with the time and the target.
     pub starts: Vec<(BootTime, HostId, StartOrder)>,
     policy: AdvicePolicy,
+    /// Number of starts whose ends were reported, and of the last end on each target.
+    ended_starts: usize,
+    end_numbers: BTreeMap<HostId, u64>,
     /// The calls at the service by process; it handles those of one process after the other.
     lines: BTreeMap<AdviceCaller, ServiceLine>,
     /// Calls that got no answer yet and whose caller waits.
@@ -109,6 +112,8 @@
             refused: 0,
             starts: Vec::new(),
             policy,
+            ended_starts: 0,
+            end_numbers: BTreeMap::new(),
             lines: BTreeMap::new(),
             awaited: Vec::new(),
         }
@@ -148,6 +153,25 @@
         }
     }
 
+    /// Lets time pass in which tasks end as soon as they have started.
+    pub fn run_and_end(&mut self, time: Duration) {
+        let end = self.now() + time;
+        while self.now() < end {
+            self.run_for(TICK);
+            let mut ends: BTreeMap<HostId, Vec<EndReport>> = BTreeMap::new();
+            for (_, target, start) in self.starts.iter().skip(self.ended_starts) {
+                let number = self.end_numbers.entry(target.clone()).or_default();
+                *number += 1;
+                let report = end_report(*number, &start.task, start.attempt, EndKind::Done);
+                ends.entry(target.clone()).or_default().push(report);
+            }
+            self.ended_starts = self.starts.len();
+            for (target, ends) in ends {
+                self.owner.report(&target, Vec::new(), ends);
+            }
+        }
+    }
+
     /// Lets time pass until this many jobs have started; returns the time that it took, or `limit`.
     pub fn run_until_started(&mut self, jobs: usize, limit: Duration) -> Duration {
         let begin = self.now();
--- a/crates/decide/tests/work_advice_callers.rs
+++ b/crates/decide/tests/work_advice_callers.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use decide::work::AdviceCaller;
+use decide::{rendezvous, work::AdviceCaller};
 use harness::{AdviceFixture, QUEUE, plan, step};
-use model::work::AdvicePolicy;
+use model::work::{AdvicePolicy, StepPlan};
 use rstest::rstest;
 
 /// A service that works on a request for as long as a short task runs.
@@ -102,3 +102,32 @@
     assert_eq!(advice.started_jobs().len(), JOBS);
     assert_eq!((advice.unread_answers, advice.refused), (0, 0));
 }
+
+/// Guards against jobs that are accepted although the calls for all steps of those accepted before
+/// take longer than any job may wait: they would start only once no other ones come.
+#[test]
+fn advice_backlog_of_accepted_jobs_is_bounded() {
+    const FINISH_TIME: Duration = Duration::from_secs(14);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    advice.allows = Box::new(|step, target| rendezvous::score(&step.job, target) % 4 < 2);
+    let after = |earlier: u32| StepPlan {
+        after: vec![earlier],
+        ..step(2, 100)
+    };
+    let steps = vec![step(2, 100), after(0), after(1)];
+    let mut accepted = 0;
+    for job in 0..200 {
+        let (now, plan) = (advice.owner.now, plan(steps.clone()));
+        let (id, space) = (format!("j{job:04}"), "space".into());
+        let scheduler = &mut advice.owner.scheduler;
+        let excess = scheduler.predict_lateness(&id.as_str().into(), &plan, QUEUE, &space, now);
+        if excess.is_none() {
+            accepted += 1;
+            advice.submit(&id, "space", steps.clone());
+        }
+        advice.run_and_end(Duration::from_millis(100));
+    }
+    assert!(accepted >= 15, "{accepted}");
+    advice.run_and_end(FINISH_TIME);
+    assert_eq!(advice.started_jobs().len(), accepted);
+}
