Ask for advice for the step that has waited longest now and then

Callers saw an accepted job wait 53 s for its first start while later ones started within two: once a job is too late to be on time, every job that still is goes before it, and under lasting load the calls to the advice service never reach it.

Change: one call of eight is for the step that has waited longest, whatever its rank.

Evidence: the new test fails before.

--- a/crates/decide/src/work/advice_queue.rs
+++ b/crates/decide/src/work/advice_queue.rs
@@ -20,15 +20,25 @@
 /// Examinations of such steps in one second.
 const MAX_EXAMINATIONS: u32 = 100;
 
+/// One call of so many is for the step that has waited longest.
+const OLDEST_STEP_INTERVAL: u32 = 8;
+
 /// Steps that wait for a call to the advice service.
 ///
 /// All queues share one service. The workspace that has recently used least of its time, by weight,
 /// goes next, with its first step by rank; so a workspace with many waiting steps does not shut
-/// others out.
+/// others out. Now and then the step that has waited longest goes next, so that steps whose job is
+/// too late to count are not shut out by others for good.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AdviceQueue {
     steps: BTreeMap<StepKey, QueuedStep>,
     ranked: BTreeMap<WorkspaceId, BTreeSet<StepRank>>,
+    /// The waiting steps by the time since which their tasks wait.
+    by_age: BTreeSet<(BootTime, StepKey)>,
+    /// Since when the tasks of a step wait for advice, with interruptions by calls for it.
+    waiting_since: BTreeMap<StepKey, BootTime>,
+    /// Number of steps that had their turn.
+    turns: u32,
     /// Steps that are worth a call only if no other step waits, those with the fewest answers
     /// without a ticket first.
     spare: BTreeSet<(u32, StepRank)>,
@@ -61,6 +71,8 @@
             }
             self.remove(&key.1);
         }
+        let since = self.waiting_since.entry(key.1.clone()).or_insert(now);
+        self.by_age.insert((*since, key.1.clone()));
         let ranked = self.ranked.entry(workspace.clone()).or_default();
         ranked.insert(key.clone());
         let queued = QueuedStep {
@@ -85,6 +97,25 @@
         &mut self,
         weights: &BTreeMap<WorkspaceId, u32>,
         now: BootTime,
+    ) -> Option<StepRank> {
+        self.turns = self.turns.wrapping_add(1);
+        let next = match self.turns.is_multiple_of(OLDEST_STEP_INTERVAL) {
+            true => self.oldest(),
+            false => self.first_by_rank(weights, now),
+        }?;
+        self.remove(&next.1);
+        Some(next)
+    }
+
+    fn oldest(&self) -> Option<StepRank> {
+        let (_, step) = self.by_age.first()?;
+        self.steps.get(step).map(|queued| queued.key.clone())
+    }
+
+    fn first_by_rank(
+        &self,
+        weights: &BTreeMap<WorkspaceId, u32>,
+        now: BootTime,
     ) -> Option<StepRank> {
         let usage = |workspace: &WorkspaceId| {
             let usage = self.usages.get(workspace);
@@ -98,7 +129,6 @@
             let order = usage.total_cmp(other_usage);
             order.then_with(|| step.cmp(other))
         })?;
-        self.remove(&next.1);
         Some(next)
     }
 
@@ -126,6 +156,7 @@
         self.ready.remove(step);
         self.postponed.remove(step);
         self.remove(step);
+        self.waiting_since.remove(step);
     }
 
     /// Returns true if so many steps of a pool have tickets that further ones would expire unused.
@@ -179,6 +210,9 @@
         let Some(queued) = self.steps.remove(step) else {
             return;
         };
+        if let Some(since) = self.waiting_since.get(step) {
+            self.by_age.remove(&(*since, step.clone()));
+        }
         if let Some(ranked) = self.ranked.get_mut(&queued.workspace) {
             ranked.remove(&queued.key);
             if ranked.is_empty() {
@@ -195,6 +229,7 @@
             self.remove(step);
         }
         self.spare.retain(|(_, (_, step))| is_waiting(step));
+        self.waiting_since.retain(|step, _| is_waiting(step));
         self.postponed
             .retain(|step, until| is_waiting(step) && now < *until);
         self.ready
--- a/crates/decide/tests/work_advice_callers.rs
+++ b/crates/decide/tests/work_advice_callers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use decide::{rendezvous, work::AdviceCaller};
-use harness::{AdviceFixture, QUEUE, plan, step};
-use model::work::{AdvicePolicy, StepPlan};
+use harness::{AdviceFixture, QUEUE, plan, step, target};
+use model::work::{AdvicePolicy, StepPlan, TargetEntry};
 use rstest::rstest;
 
 /// A service that works on a request for as long as a short task runs.
@@ -131,3 +131,31 @@
     advice.run_and_end(FINISH_TIME);
     assert_eq!(advice.started_jobs().len(), accepted);
 }
+
+/// Guards against a step that is not asked about, now that there is a target for it, for as long as
+/// other jobs, which are still in time, use all of the service.
+#[test]
+fn advice_of_late_step_is_requested_under_lasting_load() {
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let labelled = StepPlan {
+        required_label: "special".into(),
+        ..step(2, 100)
+    };
+    advice.submit("late", "space", vec![labelled]);
+    for job in 0..120 {
+        advice.submit(&format!("j{job:04}"), "space", vec![step(2, 100)]);
+        advice.run_for(Duration::from_millis(200));
+        if job == 60 {
+            let special = TargetEntry {
+                labels: vec!["special".into()],
+                ..target("special", 16_000)
+            };
+            advice
+                .owner
+                .scheduler
+                .upsert_target(special, advice.owner.now);
+            advice.owner.report_idle("special");
+        }
+    }
+    assert!(advice.started_jobs().contains("late"));
+}
