--- a/crates/lacewingshore/src/args.rs
+++ b/crates/lacewingshore/src/args.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 
-use crate::exit::USAGE_CODE;
+use crate::{build_info, exit::USAGE_CODE};
 
 /// Fleet capacity and maintenance manager: run an entry host, or operate a deployment.
 ///
@@ -298,6 +298,12 @@
             .collect();
         let texts: Vec<&str> = texts.iter().map(String::as_str).collect();
         let (_, rest) = texts.split_first().unwrap_or((&"", &[]));
+        if rest == ["--version"] {
+            let (version, commit, target) =
+                (build_info::VERSION, build_info::COMMIT, build_info::TARGET);
+            println!("lacewingshore {version} commit={commit} target={target}");
+            return Err(ExitCode::SUCCESS);
+        }
         Self::from_args(&["lacewingshore"], rest).map_err(|exit| {
             if exit.status.is_ok() {
                 print!("{}", exit.output);
--- a/crates/lacewingshore/src/catalogue.rs
+++ b/crates/lacewingshore/src/catalogue.rs
@@ -3,7 +3,7 @@
 /// Events of the binary itself.
 pub mod event {
     model::event_catalogue! {
-        PROCESS_STARTED = 1, "process-started", "An entry host's process started; carries its id, data centre and version.";
+        PROCESS_STARTED = 1, "process-started", "An entry host's process started; carries its id, data centre, version, the commit that was built, and the platform that it was built for.";
         PROCESS_STOPPED = 2, "process-stopped", "The process ended after a graceful shutdown; nothing was cut off.";
         PROCESS_STOPPING = 4, "process-stopping", "The process was told to stop and shuts down gracefully.";
         START_WAITS = 5, "start-waits", "The process can't reach the store and waits; it serves once the store answers.";
--- a/crates/lacewingshore/src/command/cell.rs
+++ b/crates/lacewingshore/src/command/cell.rs
@@ -2,7 +2,9 @@
 
 use model::event as log_event;
 
-use crate::{args::CellArguments, catalogue::event, cell_serve, exit::CommandError, log_setup};
+use crate::{
+    args::CellArguments, build_info, catalogue::event, cell_serve, exit::CommandError, log_setup,
+};
 
 /// Environment variable with the path of the settings file, used without `--settings`.
 const SETTINGS_VARIABLE: &str = "LACEWINGSHORE_SETTINGS";
@@ -19,10 +21,12 @@
     log_event::info(
         &event::PROCESS_STARTED,
         format_args!(
-            "member={} data_centre={} version={}",
+            "member={} data_centre={} version={} commit={} target={}",
             settings.member,
             settings.data_centre,
-            env!("CARGO_PKG_VERSION")
+            build_info::VERSION,
+            build_info::COMMIT,
+            build_info::TARGET
         ),
     );
     let outcome = cell_serve::run(settings, path, lines.clone());
--- a/crates/lacewingshore/src/command/serve.rs
+++ b/crates/lacewingshore/src/command/serve.rs
@@ -1,6 +1,8 @@
 use model::{ServeSettings, event as log_event};
 
-use crate::{args::ServeArguments, catalogue::event, command::read_text, exit::CommandError};
+use crate::{
+    args::ServeArguments, build_info, catalogue::event, command::read_text, exit::CommandError,
+};
 use crate::{log_setup, serve};
 
 /// Runs an entry host, or only checks its settings.
@@ -17,10 +19,12 @@
     log_event::info(
         &event::PROCESS_STARTED,
         format_args!(
-            "member={} data_centre={} version={}",
+            "member={} data_centre={} version={} commit={} target={}",
             settings.member,
             settings.data_centre,
-            env!("CARGO_PKG_VERSION")
+            build_info::VERSION,
+            build_info::COMMIT,
+            build_info::TARGET
         ),
     );
     let outcome = serve::run(settings);
--- a/crates/lacewingshore/src/main.rs
+++ b/crates/lacewingshore/src/main.rs
@@ -6,6 +6,7 @@
 //! and in `docs/GETTING-STARTED.md`.
 
 mod args;
+mod build_info;
 mod catalogue;
 mod cell_serve;
 mod client;
--- a/crates/lacewingshore/tests/commands.rs
+++ b/crates/lacewingshore/tests/commands.rs
@@ -147,3 +147,14 @@
     let settings = model::ServeSettings::from_ini(&settings).expect("valid settings");
     assert_eq!(settings.bootstrap_key, digest);
 }
+
+/// Guards against reports of a fault that do not say which build they are about.
+#[test]
+fn version_names_commit_and_platform() {
+    let output = run(&["--version"]);
+    assert_eq!(code(&output), 0);
+    let line = text(&output.stdout);
+    assert!(line.starts_with("lacewingshore "), "{line}");
+    assert!(line.contains(" commit="), "{line}");
+    assert!(line.contains(std::env::consts::ARCH), "{line}");
+}
