Wait longer for an advice service that is much slower than its policy says

Callers would see jobs of such a queue never start: a service that takes more than twice the stated time and 1 s longer had each of its answers given up, however often it was asked.

Change: each call that is given up since the last answer doubles the factor of the timeout, up to 32 times the stated time. A process that is gone while others answer changes nothing.

Evidence: the new test (ten times the stated time) fails before.

--- a/crates/decide/src/work/advice_calls.rs
+++ b/crates/decide/src/work/advice_calls.rs
@@ -12,6 +12,13 @@
     step_key::StepKey,
 };
 
+/// A call is given up once its answer has taken this many times as long as it should, and
+/// [`TIMEOUT_MARGIN`] longer.
+const TIMEOUT_FACTOR: u32 = 2;
+/// Minimum time that a late answer is waited for.
+const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+/// Upper limit of the doublings of [`TIMEOUT_FACTOR`].
+const MAX_TIMEOUT_DOUBLINGS: u32 = 4;
 /// An answer is late if it takes this many times as long as expected, and [`LATE_MARGIN`] longer.
 const LATE_FACTOR: f64 = 1.5;
 /// What messages and event loops may add to the time of a call.
@@ -61,6 +68,9 @@
     pace: f64,
     /// Share of the recent answers that were late.
     late_share: f64,
+    /// Number of calls that were given up since the last answer. A service that is much slower than
+    /// its policy says would never be heard if the timeouts did not grow with it.
+    unanswered_calls: u32,
     /// Decaying counts of calls, and of first calls for a step.
     calls: f64,
     first_calls: f64,
@@ -76,6 +86,7 @@
             growth_paused_until: BootTime::ZERO,
             pace: 1.0,
             late_share: 0.0,
+            unanswered_calls: 0,
             calls: 0.0,
             first_calls: 0.0,
         }
@@ -148,7 +159,9 @@
     ) -> Duration {
         self.last_call_time = call_time;
         let line = self.lines.entry(caller).or_default();
-        line.begin(step, targets, call_time, now)
+        let due_in = line.begin(step, targets, call_time, now);
+        let doublings = self.unanswered_calls.min(MAX_TIMEOUT_DOUBLINGS);
+        due_in * (TIMEOUT_FACTOR << doublings) + TIMEOUT_MARGIN
     }
 
     /// Removes the call for a step, which was answered or has failed. Returns the targets that it
@@ -166,7 +179,10 @@
             return Vec::new();
         };
         if answered {
+            self.unanswered_calls = 0;
             self.adapt_to_answer(&call, in_use, now);
+        } else if now >= call.due {
+            self.unanswered_calls += 1;
         }
         call.targets
     }
--- a/crates/decide/src/work/advice_line.rs
+++ b/crates/decide/src/work/advice_line.rs
@@ -10,11 +10,6 @@
 const PIPELINED_TIME: Duration = Duration::from_millis(100);
 /// Upper limit of the calls in progress: half of what the service lets wait.
 const MAX_CALLS: usize = 16;
-/// A call is given up once its answer has taken this many times as long as it should, and
-/// [`TIMEOUT_MARGIN`] longer.
-const TIMEOUT_FACTOR: u32 = 2;
-/// Minimum time that a late answer is waited for.
-const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Pause after a failed call; it doubles with each consecutive one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Upper limit of the pause after a failed call.
@@ -75,7 +70,7 @@
         }
     }
 
-    /// Adds a call that takes the service `call_time`. Returns its timeout.
+    /// Adds a call that takes the service `call_time`. Returns the time until its answer is due.
     pub(super) fn begin(
         &mut self,
         step: StepKey,
@@ -91,7 +86,7 @@
             sent: now,
             due,
         });
-        due_in * TIMEOUT_FACTOR + TIMEOUT_MARGIN
+        due_in
     }
 
     /// Removes the call for a step, which was answered or has failed.
--- a/crates/decide/tests/harness/advice_fixture.rs
+++ b/crates/decide/tests/harness/advice_fixture.rs
@@ -46,6 +46,8 @@
     pub skips_abandoned: bool,
     /// Policy of the service.
     pub allows: TargetFilter,
+    /// How many times as long as the policy says the service takes.
+    pub slowness: u32,
     /// Whether the service handles one call after the other, whichever process sends them.
     pub one_line_for_all: bool,
     /// Processes that don't pass the calls on.
@@ -103,6 +105,7 @@
             mode: ServiceMode::Working,
             skips_abandoned: true,
             allows: Box::new(|_, _| true),
+            slowness: 1,
             one_line_for_all: false,
             dead_callers: BTreeSet::new(),
             refuses_tickets: Box::new(|_, _| false),
@@ -265,7 +268,8 @@
                     line.calls.pop_front();
                     continue;
                 }
-                line.handled_at = Some(now + self.policy.call_time(request.targets.len()));
+                line.handled_at =
+                    Some(now + self.policy.call_time(request.targets.len()) * self.slowness);
                 return None;
             };
             if now < handled_at {
--- a/crates/decide/tests/work_advice.rs
+++ b/crates/decide/tests/work_advice.rs
@@ -106,6 +106,17 @@
     assert_eq!(advice.unread_answers, 0);
 }
 
+/// Guards against a service that is never heard because it takes so much longer than its policy says
+/// that each call is given up before its answer.
+#[test]
+fn advice_of_service_slower_than_policy_is_heard() {
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    advice.slowness = 10;
+    advice.submit("a", "space", vec![step(2, 100)]);
+    advice.run_for(LONGEST_CALL * 10 * 8);
+    assert_eq!(advice.started_jobs().len(), 1);
+}
+
 /// Guards against a service that works for the steps of a pool without targets while those of
 /// another pool wait.
 #[test]
