Measure a job against the calls before it, not against those of its own steps

Steps that a new owner finds running counted as well, and steps that wait in other pools could hide those of a pool that needs hosts.

Only steps with waiting tasks of jobs that were accepted before count now. The conversion of counts is shared.

--- a/crates/decide/src/work/advice_calls.rs
+++ b/crates/decide/src/work/advice_calls.rs
@@ -215,10 +215,10 @@
         lines.filter(|line| line.count() > 0).count()
     }
 
-    /// Returns how long a further call waits for its answer after `calls - 1` others, if each takes
-    /// the service `call_time`. Processes whose last call failed do not count, and those that are not
-    /// used because answers were late.
-    pub(super) fn time_for(&self, calls: usize, call_time: Duration, now: BootTime) -> Duration {
+    /// Returns how long a further call waits for its answer after `earlier` calls, if each takes the
+    /// service `call_time`. Processes whose last call failed do not count, and those that are not used
+    /// because answers were late.
+    pub(super) fn time_after(&self, earlier: f64, call_time: Duration, now: BootTime) -> Duration {
         let lines = self.lines.values();
         let failing = lines.clone().filter(|line| line.is_failing()).count();
         let busy: Duration = lines.map(|line| line.busy_time(now)).sum();
@@ -228,7 +228,6 @@
             false => usable,
         };
         let usable = u32::try_from(usable).unwrap_or(u32::MAX);
-        let calls = u32::try_from(calls).unwrap_or(u32::MAX);
-        (busy + call_time.saturating_mul(calls.saturating_sub(1))) / usable + call_time
+        (busy + call_time.mul_f64(earlier)) / usable + call_time
     }
 }
--- a/crates/decide/src/work/advice_shortage.rs
+++ b/crates/decide/src/work/advice_shortage.rs
@@ -2,7 +2,7 @@
 
 use super::{StepState, WorkScheduler, pick::suits, step_key::StepKey};
 
-/// Upper limit of the steps that one pass examines.
+/// Upper limit of the steps of a pool that one pass examines.
 const MAX_EXAMINED_STEPS: usize = 32;
 /// Upper limit of the hosts that are added at a time for steps that were denied all targets.
 const MAX_ADDED_HOSTS: usize = 8;
@@ -14,19 +14,21 @@
     /// Such a step can only start on a target about which the service has not been asked, so more
     /// free cores on the present ones do not help.
     pub(super) fn hosts_for_denied_steps(&self, pool: &PoolId, now: BootTime) -> usize {
-        let steps = self.advice_queue.waiting_steps().take(MAX_EXAMINED_STEPS);
-        let added = steps.filter_map(|step| self.hosts_to_add(pool, step, now));
+        let steps = self.advice_queue.waiting_steps();
+        let of_pool = steps.filter(|step| {
+            let job = self.job_table.jobs.get(&step.job);
+            job.is_some_and(|job| job.pool == *pool)
+        });
+        let added = of_pool
+            .take(MAX_EXAMINED_STEPS)
+            .filter_map(|step| self.hosts_to_add(pool, step, now));
         let present = self.index.targets.of_pool(pool).count();
         added.max().map_or(0, |added| present + added)
     }
 
-    /// Returns how many more hosts a step needs; `None` if it does not wait in this pool, or may
-    /// start on targets that are there.
+    /// Returns how many more hosts a step needs; `None` if it may start on targets that are there.
     fn hosts_to_add(&self, pool: &PoolId, step: &StepKey, now: BootTime) -> Option<usize> {
         let job = self.job_table.jobs.get(&step.job)?;
-        if job.pool != *pool {
-            return None;
-        }
         let plan = job.plan.steps.get(step.step as usize)?;
         let state = self.step_state(step)?;
         let advice = state.advice.as_ref()?;
--- a/crates/decide/src/work/occurrence_summary.rs
+++ b/crates/decide/src/work/occurrence_summary.rs
@@ -79,7 +79,7 @@
         }
         if job.terms().advice.is_some() {
             let steps = occurrence.steps.iter();
-            let unadvised = steps.filter(|state| !state.is_done() && state.advice.is_none());
+            let unadvised = steps.filter(|state| is_waiting(state) && state.advice.is_none());
             self.demand.unadvised_steps = unadvised.count() as u64;
         }
     }
@@ -103,7 +103,6 @@
             return;
         }
         let waiting = waiting_demand(job, occurrence);
-        let is_waiting = |state: &StepState| (state.done + state.placed) < state.count();
         let mut waiting_steps = ready_steps(job, occurrence)
             .filter(|(_, _, state)| is_waiting(state))
             .peekable();
@@ -177,11 +176,15 @@
 
 /// Returns true if a step that could start has not been granted any target.
 fn awaits_advice(job: &WorkJob, occurrence: &OccurrenceState) -> bool {
-    let is_waiting = |state: &StepState| (state.done + state.placed) < state.count();
     job.terms().advice.is_some()
         && ready_steps(job, occurrence).any(|(_, _, state)| is_waiting(state) && !has_grants(state))
 }
 
+/// Returns true if a task of a step is neither done nor placed.
+fn is_waiting(state: &StepState) -> bool {
+    (state.done + state.placed) < state.count()
+}
+
 fn has_grants(state: &StepState) -> bool {
     let advice = state.advice.as_ref();
     advice.is_some_and(|advice| advice.has_grants())
--- a/crates/decide/tests/work_advice_callers.rs
+++ b/crates/decide/tests/work_advice_callers.rs
@@ -159,3 +159,18 @@
     }
     assert!(advice.started_jobs().contains("late"));
 }
+
+/// Guards against the refusal, for good, of a job with so many steps that their calls alone take
+/// longer than a backlog may.
+#[test]
+fn advice_for_many_steps_is_no_backlog() {
+    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let chain = (0..60).map(|number| StepPlan {
+        after: (number > 0).then(|| number - 1).into_iter().collect(),
+        ..step(2, 100)
+    });
+    let (now, plan) = (advice.owner.now, plan(chain.collect()));
+    let scheduler = &mut advice.owner.scheduler;
+    let excess = scheduler.predict_lateness(&"new".into(), &plan, QUEUE, &"space".into(), now);
+    assert_eq!(excess, None);
+}
