Bound the times of an advice service

A queue with decide_ms, each_ms or valid_ms far beyond any sensible value stopped the owner (overflow when adding durations), and each successor, as the terms are in the job's record.

Change: the time of a call and the validity of a ticket count as an hour at most.

--- a/crates/decide/src/work/scheduler_advice.rs
+++ b/crates/decide/src/work/scheduler_advice.rs
@@ -57,7 +57,7 @@
         for target in &named {
             self.remember_advice(&step, &queue, target, tickets.contains_key(&target.id));
         }
-        let expires_at = now.boot + usable_time(advice.valid);
+        let expires_at = now.boot + usable_time(advice.ticket_validity());
         if !tickets.is_empty() {
             self.advice_queue.set_ready(step, pool, expires_at);
         }
--- a/crates/decide/tests/work_advice_differing.rs
+++ b/crates/decide/tests/work_advice_differing.rs
@@ -10,6 +10,7 @@
     HostId,
     work::{AdvicePolicy, StepPlan},
 };
+use rstest::rstest;
 
 /// A service that works on a request for as long as a short task runs.
 const SLOW: AdvicePolicy = AdvicePolicy {
@@ -66,3 +67,39 @@
     let excess = scheduler.predict_lateness(&"new".into(), &plan, QUEUE, &"space".into(), now);
     assert_eq!(excess, None);
 }
+
+/// Guards against an owner that stops because the terms of a queue are beyond any sensible ones.
+#[rstest]
+#[case::nothing(Duration::ZERO, Duration::ZERO, Duration::ZERO)]
+#[case::endless_calls(Duration::MAX, Duration::MAX, Duration::from_secs(3))]
+#[case::endless_tickets(Duration::ZERO, Duration::ZERO, Duration::MAX)]
+#[case::endless(Duration::MAX, Duration::ZERO, Duration::MAX)]
+#[case::tiny_tickets(Duration::from_millis(20), Duration::ZERO, Duration::from_nanos(1))]
+fn advice_with_extreme_terms_ends_nothing(
+    #[case] fixed: Duration,
+    #[case] per_target: Duration,
+    #[case] valid: Duration,
+) {
+    let policy = AdvicePolicy {
+        fixed,
+        per_target,
+        valid,
+    };
+    let mut advice = AdviceFixture::new(TARGETS, policy);
+    for job in 0..3 {
+        let (now, plan) = (advice.owner.now, plan(vec![step(2, 100)]));
+        let (id, space) = (format!("j{job}"), "space".into());
+        let scheduler = &mut advice.owner.scheduler;
+        // Whether the job would be late does not matter here.
+        let _ = scheduler.predict_lateness(&id.as_str().into(), &plan, QUEUE, &space, now);
+        advice.submit(&id, "space", vec![step(2, 100)]);
+        advice.run_for(Duration::from_secs(1));
+    }
+    let other = StepPlan::default();
+    advice
+        .owner
+        .change_policy(|policy| policy.queues[0].advice = None);
+    advice.submit("other", "space", vec![StepPlan { count: 1, ..other }]);
+    advice.run_for(Duration::from_secs(1));
+    assert!(advice.started_jobs().contains("other"));
+}
--- a/crates/model/src/work/fleet_policy.rs
+++ b/crates/model/src/work/fleet_policy.rs
@@ -47,6 +47,9 @@
     pub advice: Option<AdvicePolicy>,
 }
 
+/// Upper limit of the times of an advice service.
+const MAX_ADVICE_TIME: Duration = Duration::from_secs(3600);
+
 /// Response times and validity of a queue's advice service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AdvicePolicy {
@@ -59,11 +62,17 @@
 }
 
 impl AdvicePolicy {
-    /// Returns how long the service works on a request that names this many targets.
+    /// Returns how long the service works on a request that names this many targets; an hour at most,
+    /// so that sums and multiples of it stay in range.
     pub fn call_time(&self, targets: usize) -> Duration {
         let targets = u32::try_from(targets).unwrap_or(u32::MAX);
-        self.fixed
-            .saturating_add(self.per_target.saturating_mul(targets))
+        let naming = self.per_target.saturating_mul(targets);
+        self.fixed.saturating_add(naming).min(MAX_ADVICE_TIME)
+    }
+
+    /// Returns how long a ticket is valid; an hour at most.
+    pub fn ticket_validity(&self) -> Duration {
+        self.valid.min(MAX_ADVICE_TIME)
     }
 }
 
