--- a/crates/lacewingshore/src/args.rs
+++ b/crates/lacewingshore/src/args.rs
@@ -9,7 +9,8 @@
 /// Commands that talk to a deployment need --admin or LACEWINGSHORE_ADMIN, and a key in
 /// --key-file or LACEWINGSHORE_KEY. Exit codes: 0 done, 1 failed, 2 wrong arguments,
 /// 3 invalid file or change, 4 conflict with another change, 5 not accepted yet, 6 no entry
-/// host serves, 7 key refused, 8 audit trail tampered with.
+/// host serves, 7 key refused, 8 audit trail tampered with. Alone, --version prints the version,
+/// the commit and the platform of this build.
 #[derive(FromArgs)]
 pub struct CliArguments {
     /// administration address of an entry host as http://ip:port; several are separated by
