Share the conversion of counts and the terms of the tests' advice service

One conversion for the crate, one copy of the terms in the harness, and the count only where a step needs hosts.

--- a/crates/decide/src/work/float.rs
+++ b/crates/decide/src/float.rs
@@ -1,5 +1,5 @@
 /// Converts a count to a float.
 #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-pub(super) fn as_float(count: u64) -> f64 {
+pub(crate) fn as_float(count: u64) -> f64 {
     count as f64
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claim;
 pub mod config;
 pub mod eject;
+mod float;
 pub mod job;
 pub mod lease;
 pub mod link_bounds;
--- a/crates/decide/src/placement/size_estimates.rs
+++ b/crates/decide/src/placement/size_estimates.rs
@@ -2,6 +2,8 @@
 
 use model::{ServiceId, TeamId};
 
+use crate::float::as_float;
+
 use super::JobSize;
 
 /// Weight of a new observation in an estimate.
@@ -60,11 +62,6 @@
     (held * (1.0 - WEIGHT) + WEIGHT * actual / declared).clamp(BOUNDS.0, BOUNDS.1)
 }
 
-#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
-fn as_float(value: u64) -> f64 {
-    value as f64
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/decide/src/work/advice_admission.rs
+++ b/crates/decide/src/work/advice_admission.rs
@@ -5,8 +5,10 @@
 
 use model::{BootTime, PoolId, WorkspaceId};
 
+use crate::float::as_float;
+
 use super::{
-    WorkScheduler, admission_policy::SubmittedJob, advice_queue::weight_of, float::as_float,
+    WorkScheduler, admission_policy::SubmittedJob, advice_queue::weight_of,
     start_rate_admission::MAX_BACKLOG_DRAIN_TIME,
 };
 
--- a/crates/decide/src/work/advice_candidates.rs
+++ b/crates/decide/src/work/advice_candidates.rs
@@ -5,9 +5,9 @@
     work::{AdvicePolicy, ResourceVector, StepPlan},
 };
 
-use crate::rendezvous;
+use crate::{float::as_float, rendezvous};
 
-use super::{StepState, TargetState, float::as_float, pick::suits, step_advice::NamedTarget};
+use super::{StepState, TargetState, pick::suits, step_advice::NamedTarget};
 
 /// Upper limit of the targets that a request names, as the service accepts them.
 const MAX_NAMED: usize = 100;
--- a/crates/decide/src/work/advice_shortage.rs
+++ b/crates/decide/src/work/advice_shortage.rs
@@ -22,8 +22,10 @@
         let added = of_pool
             .take(MAX_EXAMINED_STEPS)
             .filter_map(|step| self.hosts_to_add(pool, step, now));
-        let present = self.index.targets.of_pool(pool).count();
-        added.max().map_or(0, |added| present + added)
+        let Some(added) = added.max() else {
+            return 0;
+        };
+        self.index.targets.of_pool(pool).count() + added
     }
 
     /// Returns how many more hosts a step needs; `None` if it may start on targets that are there.
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -18,7 +18,6 @@
 mod demand_meter;
 mod fair_order;
 mod fleet_division;
-mod float;
 mod grant_rates;
 mod host_division;
 mod host_moves;
--- a/crates/decide/tests/harness/advice_fixture.rs
+++ b/crates/decide/tests/harness/advice_fixture.rs
@@ -16,6 +16,18 @@
 
 use super::{SchedulerFixture, end_report, job_record, plan};
 
+/// A service that works on a request for as long as a short task runs.
+pub const SLOW_ADVICE: AdvicePolicy = AdvicePolicy {
+    fixed: Duration::from_millis(300),
+    per_target: Duration::from_millis(5),
+    valid: Duration::from_secs(3),
+};
+/// A service that answers soon.
+pub const QUICK_ADVICE: AdvicePolicy = AdvicePolicy {
+    fixed: Duration::from_millis(20),
+    per_target: Duration::from_millis(2),
+    valid: Duration::from_secs(3),
+};
 /// Length of a simulation step.
 const TICK: Duration = Duration::from_millis(20);
 /// Calls that the service lets wait.
--- a/crates/decide/tests/harness/mod.rs
+++ b/crates/decide/tests/harness/mod.rs
@@ -20,7 +20,7 @@
 mod world_requests;
 mod world_target;
 
-pub use advice_fixture::{AdviceFixture, ServiceMode};
+pub use advice_fixture::{AdviceFixture, QUICK_ADVICE, SLOW_ADVICE, ServiceMode};
 pub use fleet_fixture::{FleetFixture, STANDBY};
 pub use scheduler_fixture::{
     OTHER_POOL, POOL, QUEUE, RESTARTED_AT, SchedulerFixture, WORKSPACE, end_report, job_record,
--- a/crates/decide/tests/work_advice.rs
+++ b/crates/decide/tests/work_advice.rs
@@ -4,19 +4,16 @@
 
 use std::time::Duration;
 
-use harness::{AdviceFixture, QUEUE, SchedulerFixture, ServiceMode, plan, step, target};
+use harness::{
+    AdviceFixture, QUEUE, QUICK_ADVICE, SLOW_ADVICE, SchedulerFixture, ServiceMode, plan, step,
+    target,
+};
 use model::{
     HostId,
     work::{AdvicePolicy, StepPlan, TargetEntry},
 };
 use rstest::rstest;
 
-/// A service that works on a request for as long as a short task runs.
-const SLOW: AdvicePolicy = AdvicePolicy {
-    fixed: Duration::from_millis(300),
-    per_target: Duration::from_millis(5),
-    valid: Duration::from_secs(3),
-};
 /// Targets that are listed.
 const TARGETS: usize = 12;
 /// Longest time that a request is to take the service: one that names all targets.
@@ -32,7 +29,7 @@
 #[case::many(400, true)]
 #[case::service_works_on_abandoned_calls(40, false)]
 fn advice_burst_starts_all_steps(#[case] jobs: u32, #[case] skips_abandoned: bool) {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.skips_abandoned = skips_abandoned;
     for job in 0..jobs {
         advice.submit(&format!("j{job:04}"), "space", vec![step(2, 100)]);
@@ -48,7 +45,7 @@
 /// Guards against a workspace whose steps wait behind all those of another that shares the service.
 #[test]
 fn advice_backlog_of_other_workspace_delays_little() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     for job in 0..100 {
         advice.submit(&format!("j{job:04}"), "space", vec![step(2, 100)]);
     }
@@ -62,7 +59,7 @@
 /// Guards against calls that are repeated at once while the service refuses all of them.
 #[test]
 fn advice_refused_is_asked_again_after_pause() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.mode = ServiceMode::Refusing;
     for job in 0..40 {
         advice.submit(&format!("j{job:04}"), "space", vec![step(2, 100)]);
@@ -78,7 +75,7 @@
 /// on calls whose caller has gone.
 #[test]
 fn advice_silent_service_gets_few_calls() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.mode = ServiceMode::Silent;
     advice.skips_abandoned = false;
     for job in 0..40 {
@@ -96,7 +93,7 @@
 fn advice_of_slow_service_is_waited_for() {
     let policy = AdvicePolicy {
         fixed: Duration::from_secs(4),
-        ..SLOW
+        ..SLOW_ADVICE
     };
     let mut advice = AdviceFixture::new(TARGETS, policy);
     advice.submit("a", "space", vec![step(2, 100)]);
@@ -110,7 +107,7 @@
 /// that each call is given up before its answer.
 #[test]
 fn advice_of_service_slower_than_policy_is_heard() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.slowness = 10;
     advice.submit("a", "space", vec![step(2, 100)]);
     advice.run_for(LONGEST_CALL * 10 * 8);
@@ -121,7 +118,7 @@
 /// another pool wait.
 #[test]
 fn advice_without_targets_holds_up_nothing() {
-    let mut advice = AdviceFixture::new(0, SLOW);
+    let mut advice = AdviceFixture::new(0, SLOW_ADVICE);
     for job in 0..400 {
         advice.submit(&format!("j{job:04}"), "space", vec![step(2, 100)]);
     }
@@ -132,13 +129,6 @@
     assert!(!advice.starts.is_empty());
 }
 
-/// A service that answers soon.
-const QUICK: AdvicePolicy = AdvicePolicy {
-    fixed: Duration::from_millis(20),
-    per_target: Duration::from_millis(2),
-    valid: Duration::from_secs(3),
-};
-
 /// Number of a target of the fixture.
 fn number_of(target: &HostId) -> usize {
     target.trim_start_matches('t').parse().unwrap_or(usize::MAX)
@@ -157,12 +147,12 @@
     #[case] targets: usize,
     #[case] allows: fn(usize) -> bool,
 ) {
-    let mut advice = AdviceFixture::new(targets, QUICK);
+    let mut advice = AdviceFixture::new(targets, QUICK_ADVICE);
     advice.allows = Box::new(move |_, target| allows(number_of(target)));
     advice.submit("a", "space", vec![step(2, 100)]);
     // Naming each target once, in requests of a hundred and some shorter ones.
     let requests = u32::try_from(targets / 100).unwrap_or_default() + 6;
-    let naming = QUICK.call_time(targets) + QUICK.fixed * requests;
+    let naming = QUICK_ADVICE.call_time(targets) + QUICK_ADVICE.fixed * requests;
     advice.run_until_started(1, naming + LONGEST_WAIT);
     assert_eq!(advice.started_jobs().len(), 1);
     assert!(advice.named_targets() <= targets);
@@ -171,7 +161,7 @@
 /// Guards against a long search among neighbours that the policy treats alike.
 #[test]
 fn advice_spreads_names_over_pool() {
-    let mut advice = AdviceFixture::new(1100, SLOW);
+    let mut advice = AdviceFixture::new(1100, SLOW_ADVICE);
     advice.allows = Box::new(|_, target| number_of(target) >= 733);
     advice.submit("a", "space", vec![step(2, 100)]);
     advice.run_for(LONGEST_WAIT);
@@ -182,7 +172,7 @@
 /// alike.
 #[test]
 fn advice_of_queue_helps_its_other_steps() {
-    let mut advice = AdviceFixture::new(100, QUICK);
+    let mut advice = AdviceFixture::new(100, QUICK_ADVICE);
     advice.allows = Box::new(|_, target| number_of(target) >= 90);
     advice.submit("first", "space", vec![step(2, 100)]);
     advice.run_for(Duration::from_secs(2));
@@ -200,7 +190,7 @@
 /// have room.
 #[test]
 fn advice_asks_about_free_targets_beside_full_ones() {
-    let mut advice = AdviceFixture::new(10, QUICK);
+    let mut advice = AdviceFixture::new(10, QUICK_ADVICE);
     advice.submit("a", "space", vec![step(1, 16_000), step(20, 8000)]);
     advice.run_for(Duration::from_secs(2));
     // The other nine targets have room for two tasks each.
@@ -211,7 +201,7 @@
 /// from other steps.
 #[test]
 fn advice_denied_everywhere_holds_up_nothing() {
-    let mut advice = AdviceFixture::new(24, SLOW);
+    let mut advice = AdviceFixture::new(24, SLOW_ADVICE);
     advice.allows = Box::new(|step, _| !step.job.starts_with("denied"));
     for job in 0..40 {
         advice.submit(&format!("denied{job}"), "space", vec![step(1, 100)]);
@@ -222,7 +212,7 @@
     assert!(named <= 40 * 24, "{named} targets named");
     advice.submit("a", "space", vec![step(1, 100)]);
     advice.submit("b", "small", vec![step(1, 100)]);
-    let limit = SLOW.call_time(24) * (40 * 2 + 2);
+    let limit = SLOW_ADVICE.call_time(24) * (40 * 2 + 2);
     advice.run_until_started(2, limit);
     assert_eq!(advice.started_jobs().len(), 2);
 }
@@ -230,7 +220,7 @@
 /// Guards against requests that name targets without the label that a step requires, and no others.
 #[test]
 fn advice_names_targets_with_required_label() {
-    let mut advice = AdviceFixture::new(24, QUICK);
+    let mut advice = AdviceFixture::new(24, QUICK_ADVICE);
     let labelled = TargetEntry {
         labels: vec!["special".into()],
         ..target("special", 8000)
@@ -253,7 +243,7 @@
 /// Guards against tickets that are requested for steps without room and expire again and again.
 #[test]
 fn advice_for_full_pool_is_bounded() {
-    let mut advice = AdviceFixture::new(2, SLOW);
+    let mut advice = AdviceFixture::new(2, SLOW_ADVICE);
     advice.submit("wide", "space", vec![step(2, 16_000)]);
     advice.run_for(Duration::from_secs(1));
     assert_eq!(advice.starts.len(), 2);
@@ -270,7 +260,7 @@
 /// Guards against a step that waits for tickets for good after its queue no longer has advice.
 #[test]
 fn advice_removed_from_queue_is_not_awaited() {
-    let mut advice = AdviceFixture::new(2, QUICK);
+    let mut advice = AdviceFixture::new(2, QUICK_ADVICE);
     advice.submit("a", "space", vec![step(1, 16_000), step(2, 16_000)]);
     advice.run_for(Duration::from_millis(500));
     let started = advice.starts.len();
@@ -288,7 +278,7 @@
 /// refuses each of them, while another accepts them.
 #[test]
 fn advice_refused_ticket_pauses_target() {
-    let mut advice = AdviceFixture::new(2, QUICK);
+    let mut advice = AdviceFixture::new(2, QUICK_ADVICE);
     advice.refuses_tickets = Box::new(|_, target| number_of(target) == 0);
     for job in 0..4 {
         advice.submit(&format!("j{job}"), "space", vec![step(1, 100)]);
@@ -307,7 +297,7 @@
 fn advice_with_short_validity_is_used(#[case] valid_ms: u64) {
     let policy = AdvicePolicy {
         valid: Duration::from_millis(valid_ms),
-        ..QUICK
+        ..QUICK_ADVICE
     };
     let mut advice = AdviceFixture::new(TARGETS, policy);
     for job in 0..10 {
@@ -321,7 +311,7 @@
 /// be refused.
 #[test]
 fn advice_ticket_of_delayed_start_expires() {
-    let mut advice = AdviceFixture::new(1, QUICK);
+    let mut advice = AdviceFixture::new(1, QUICK_ADVICE);
     advice.submit("a", "space", vec![step(1, 100)]);
     advice.run_for(Duration::from_millis(500));
     let (sent, target, start) = advice.starts[0].clone();
@@ -330,7 +320,7 @@
         scheduler.has_valid_ticket(&target, &start.task, owner.now)
     };
     assert!(is_valid(&advice.owner));
-    advice.run_for(sent + QUICK.valid - advice.now());
+    advice.run_for(sent + QUICK_ADVICE.valid - advice.now());
     assert!(!is_valid(&advice.owner));
 }
 
@@ -338,7 +328,7 @@
 /// still count, and against a refusal of those of another workspace.
 #[test]
 fn advice_backlog_refuses_job_that_waits_too_long() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     let steps = vec![step(2, 100)];
     let lateness = |advice: &mut AdviceFixture, workspace: &str| {
         let (now, plan) = (advice.owner.now, plan(steps.clone()));
@@ -363,7 +353,7 @@
 #[case::denied_everywhere(false)]
 fn advice_examines_few_targets_for_waiting_steps(#[case] full: bool) {
     const POOL_TARGETS: usize = 200;
-    let mut advice = AdviceFixture::new(POOL_TARGETS, QUICK);
+    let mut advice = AdviceFixture::new(POOL_TARGETS, QUICK_ADVICE);
     if full {
         advice.submit("wide", "space", vec![step(200, 16_000)]);
         advice.run_for(Duration::from_secs(4));
@@ -387,7 +377,7 @@
 /// a free one that it would grant as well is not reached.
 #[test]
 fn advice_names_free_target_before_many_full_ones() {
-    let mut advice = AdviceFixture::new(200, SLOW);
+    let mut advice = AdviceFixture::new(200, SLOW_ADVICE);
     advice.allows = Box::new(|step, target| step.job != "wide" || number_of(target) < 190);
     advice.submit("wide", "space", vec![step(190, 16_000)]);
     advice.run_for(Duration::from_secs(20));
--- a/crates/decide/tests/work_advice_callers.rs
+++ b/crates/decide/tests/work_advice_callers.rs
@@ -5,23 +5,17 @@
 use std::time::Duration;
 
 use decide::{rendezvous, work::AdviceCaller};
-use harness::{AdviceFixture, QUEUE, plan, step, target};
-use model::work::{AdvicePolicy, StepPlan, TargetEntry};
+use harness::{AdviceFixture, QUEUE, SLOW_ADVICE, plan, step, target};
+use model::work::{StepPlan, TargetEntry};
 use rstest::rstest;
 
-/// A service that works on a request for as long as a short task runs.
-const SLOW: AdvicePolicy = AdvicePolicy {
-    fixed: Duration::from_millis(300),
-    per_target: Duration::from_millis(5),
-    valid: Duration::from_secs(3),
-};
 const TARGETS: usize = 12;
 /// Longest time that a request takes the service: one that names all targets.
 const LONGEST_CALL: Duration = Duration::from_millis(360);
 const JOBS: usize = 60;
 
 fn with_burst(peers: &[&str]) -> AdviceFixture {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.add_peers(peers);
     for job in 0..JOBS {
         advice.submit(&format!("j{job:04}"), "space", vec![step(2, 100)]);
@@ -44,7 +38,7 @@
 /// Guards against calls through other processes while the owner's own turn is free.
 #[test]
 fn advice_of_few_steps_is_requested_by_owner() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.add_peers(&["p1", "p2"]);
     for job in 0..4 {
         advice.submit(&format!("j{job}"), "space", vec![step(2, 100)]);
@@ -90,7 +84,7 @@
 fn advice_of_service_with_one_line_is_not_given_up(#[case] peers: usize) {
     let peers: Vec<String> = (0..peers).map(|peer| format!("p{peer}")).collect();
     let peers: Vec<&str> = peers.iter().map(String::as_str).collect();
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.one_line_for_all = true;
     advice.skips_abandoned = false;
     advice.add_peers(&peers);
@@ -108,7 +102,7 @@
 #[test]
 fn advice_backlog_of_accepted_jobs_is_bounded() {
     const FINISH_TIME: Duration = Duration::from_secs(14);
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.allows = Box::new(|step, target| rendezvous::score(&step.job, target) % 4 < 2);
     let after = |earlier: u32| StepPlan {
         after: vec![earlier],
@@ -136,7 +130,7 @@
 /// other jobs, which are still in time, use all of the service.
 #[test]
 fn advice_of_late_step_is_requested_under_lasting_load() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     let labelled = StepPlan {
         required_label: "special".into(),
         ..step(2, 100)
@@ -164,7 +158,7 @@
 /// longer than a backlog may.
 #[test]
 fn advice_for_many_steps_is_no_backlog() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     let chain = (0..60).map(|number| StepPlan {
         after: (number > 0).then(|| number - 1).into_iter().collect(),
         ..step(2, 100)
--- a/crates/decide/tests/work_advice_differing.rs
+++ b/crates/decide/tests/work_advice_differing.rs
@@ -5,19 +5,13 @@
 use std::time::Duration;
 
 use decide::rendezvous;
-use harness::{AdviceFixture, QUEUE, plan, step};
+use harness::{AdviceFixture, QUEUE, SLOW_ADVICE, plan, step};
 use model::{
     HostId,
     work::{AdvicePolicy, StepPlan},
 };
 use rstest::rstest;
 
-/// A service that works on a request for as long as a short task runs.
-const SLOW: AdvicePolicy = AdvicePolicy {
-    fixed: Duration::from_millis(300),
-    per_target: Duration::from_millis(5),
-    valid: Duration::from_secs(3),
-};
 const TARGETS: usize = 12;
 
 /// Allows one target of four, others for each job.
@@ -29,7 +23,7 @@
 /// although what is granted for one step says little about another.
 #[test]
 fn advice_that_differs_by_step_names_many_targets() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.allows = Box::new(|step, target| is_allowed(&step.job, target));
     let targets = (0..TARGETS).map(|number| HostId::from(format!("t{number:04}")));
     let targets: Vec<HostId> = targets.collect();
@@ -53,7 +47,7 @@
 /// service grants no target.
 #[test]
 fn advice_denied_to_one_step_refuses_no_others() {
-    let mut advice = AdviceFixture::new(TARGETS, SLOW);
+    let mut advice = AdviceFixture::new(TARGETS, SLOW_ADVICE);
     advice.allows = Box::new(|step, _| step.job != "denied");
     let later = StepPlan {
         after: vec![0],
--- a/crates/decide/tests/work_advice_hosts.rs
+++ b/crates/decide/tests/work_advice_hosts.rs
@@ -5,18 +5,12 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use decide::rendezvous;
-use harness::{FleetFixture, POOL, plan, step};
+use harness::{FleetFixture, POOL, QUICK_ADVICE, plan, step};
 use model::{
     HostId,
-    work::{AdvicePolicy, PoolPolicy, StepPlan},
+    work::{PoolPolicy, StepPlan},
 };
 
-/// A service that answers soon.
-const QUICK: AdvicePolicy = AdvicePolicy {
-    fixed: Duration::from_millis(20),
-    per_target: Duration::from_millis(2),
-    valid: Duration::from_secs(3),
-};
 /// Hosts in the pool and on standby at the start.
 const SERVING: usize = 4;
 const STANDBY: usize = 44;
@@ -30,7 +24,7 @@
 fn fleet(is_allowed: fn(&str, &HostId) -> bool) -> FleetFixture {
     let mut fleet = FleetFixture::new(SERVING, STANDBY, HOST_CPU);
     fleet.fixture.change_policy(|policy| {
-        policy.queues[0].advice = Some(QUICK);
+        policy.queues[0].advice = Some(QUICK_ADVICE);
         let idle = |number| PoolPolicy {
             name: format!("idle{number}").into(),
             standby: false,
