--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -35,6 +35,7 @@
         "wave-list" => wave_list(&folder, &out, trouble),
         "late-upkeep" => late_upkeep(&folder, &out, trouble),
         "foreign-entry" => foreign_entry(&folder, &out, trouble),
+        "many-ends" => many_ends(&folder, &out, trouble),
         "gang-budget" => gang_budget(&folder, &out, trouble),
         _ => could_not_run("no such case"),
     }
@@ -327,3 +328,52 @@
     });
     world.finish(out, broken)
 }
+
+/// The owner is killed while many small tasks run, and they end before the next one asks.
+fn many_ends(folder: &Path, out: &Path, trouble: bool) -> ! {
+    let mut world = World::start(folder, 2);
+    for number in 1..=3 {
+        world.add_process(&format!("front-{number}"));
+    }
+    let owner = world.wait_ready(Duration::from_secs(10));
+    pause(1.5);
+    let id = "5c0e7a21d94b36f8";
+    // Many small tasks, which fit on one executor.
+    let body =
+        "{\"spec\":\"4000\",\"phases\":[{\"count\":760,\"cpu\":20,\"mem_mb\":16,\"est_ms\":4000}]}";
+    if !world.submit(owner, id, body) {
+        world.kill_all();
+        could_not_run("the job was not accepted");
+    }
+    pause(3.5);
+    if trouble {
+        world.kill(owner);
+        pause(0.5);
+        world.run_process(owner);
+    }
+    pause(14.0);
+    world.caller((owner + 1) % 3, "GET", id, "");
+    let runs = world.record.runs();
+    let done = |run: &&record::RunRecord| run.noted && run.ended.is_some_and(|end| end.1 == "done");
+    let mut again = Vec::new();
+    for first in runs.iter().filter(done) {
+        let end = first.ended.map_or(0, |end| end.0);
+        let later = runs
+            .iter()
+            .find(|run| run.task == first.task && run.begun > end);
+        again.extend(later.map(|later| (first.clone(), later.clone())));
+    }
+    let broken = again.first().map(|(first, later)| {
+        format!(
+            "TWICE: {} tasks were started again after an end `done` that was taken note of, the first of \
+             them {} (attempt {} on {}, then attempt {} on {})",
+            again.len(),
+            first.task,
+            first.attempt,
+            first.executor,
+            later.attempt,
+            later.executor
+        )
+    });
+    world.finish(out, broken)
+}
--- a/review/stand-3/target.rs
+++ b/review/stand-3/target.rs
@@ -72,7 +72,10 @@
     fence: u64,
     until: u64,
     running: Vec<Run>,
-    ended: Vec<(u64, String, u64, &'static str)>,
+    /// Ends that are listed: number, task, attempt, how, and the count of lapses at that time.
+    ended: Vec<(u64, String, u64, &'static str, u64)>,
+    /// How often the lease has lapsed.
+    lapses: u64,
     next_end: u64,
     closed: HashMap<String, u64>,
     pool: String,
@@ -110,6 +113,7 @@
             until: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            lapses: 0,
             next_end: 1,
             closed: HashMap::new(),
             pool: pool.to_owned(),
@@ -252,12 +256,13 @@
             *closed = run.attempt.max(*closed);
             state
                 .ended
-                .push((state.next_end, run.task, run.attempt, how));
+                .push((state.next_end, run.task, run.attempt, how, state.lapses));
             state.next_end += 1;
             self.changed.notify_all();
         }
         state.running = left;
         if lapsed {
+            state.lapses += 1;
             state.until = 0;
         }
     }
@@ -334,7 +339,11 @@
             }
             "hold" => {
                 let observed = body.get("observed").num();
-                for (_, task, attempt, _) in state.ended.iter().filter(|end| end.0 <= observed) {
+                // An end before a lapse of the lease does not count as taken note of.
+                let noted = |end: &&(u64, String, u64, &str, u64)| {
+                    end.0 <= observed && end.4 == state.lapses
+                };
+                for (_, task, attempt, ..) in state.ended.iter().filter(noted) {
                     self.record.note_end(task, *attempt);
                 }
                 state.ended.retain(|end| end.0 > observed);
@@ -431,7 +440,7 @@
         .ended
         .iter()
         .take(500)
-        .map(|(number, task, attempt, how)| {
+        .map(|(number, task, attempt, how, _)| {
             let (number, attempt) = (Json::Num(*number as f64), Json::Num(*attempt as f64));
             Json::List(vec![number, text(task), attempt, text(how), text("")])
         });
