--- a/review/stand-3/cell.rs
+++ b/review/stand-3/cell.rs
@@ -5,7 +5,10 @@
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -293,13 +296,21 @@
     )
 }
 
-/// Free addresses, all with ports of five digits, so that one can be shown as another.
+/// Free addresses for a process, with ports below those that connections get, so that they are still
+/// free when the process is started again. All have five digits, so that one can be shown as another.
 fn free_addresses(count: usize) -> Vec<String> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("bind a port"))
-        .collect();
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().expect("address").to_string())
-        .collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let offset = std::process::id() % 12 * 1000;
+    let mut found = Vec::new();
+    while found.len() < count {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = format!("127.0.0.1:{}", 20_000 + (offset + number) % 12_000);
+        if TcpListener::bind(&address).is_ok() {
+            found.push(address);
+        }
+        if number > 12_000 {
+            could_not_run("no free ports");
+        }
+    }
+    found
 }
