--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -36,6 +36,7 @@
         "late-upkeep" => late_upkeep(&folder, &out, trouble),
         "foreign-entry" => foreign_entry(&folder, &out, trouble),
         "many-ends" => many_ends(&folder, &out, trouble),
+        "hopeless-gangs" => hopeless_gangs(&folder, &out, trouble),
         "gang-budget" => gang_budget(&folder, &out, trouble),
         _ => could_not_run("no such case"),
     }
@@ -377,3 +378,78 @@
     });
     world.finish(out, broken)
 }
+
+/// A few of the jobs that come are gangs that the pool can never hold.
+fn hopeless_gangs(folder: &Path, out: &Path, trouble: bool) -> ! {
+    let mut world = World::start(folder, 6);
+    for number in 1..=3 {
+        world.add_process(&format!("front-{number}"));
+    }
+    world.wait_ready(Duration::from_secs(10));
+    pause(1.5);
+    // Two steps of two tasks, each 1.5 s on 0.3 cores.
+    let usual = "{\"spec\":\"1500\",\"phases\":[{\"count\":2,\"cpu\":300,\"mem_mb\":64,\"est_ms\":1500},\
+                 {\"count\":2,\"cpu\":300,\"mem_mb\":64,\"est_ms\":1500,\"after\":[0]}]}";
+    // The pool has six executors of 16 cores: 96 cores, and room for 9,600 such tasks.
+    let hopeless = "{\"spec\":\"gang 10000 0 1000\",\"phases\":[{\"count\":10000,\"cpu\":10,\"mem_mb\":1,\
+                    \"est_ms\":1000,\"gang\":true,\"anti_affinity\":1600}]}";
+    let mut accepted = Vec::new();
+    let mut sent = 0;
+    for number in 0..126 {
+        let id = format!("5c0e7a21d94b{number:04x}");
+        let is_hopeless = (114..120).contains(&number);
+        if is_hopeless && !trouble {
+            continue;
+        }
+        sent += usize::from(is_hopeless);
+        let body = if is_hopeless { hopeless } else { usual };
+        let answer = world.caller(number % 3, "POST", &id, body);
+        if !is_hopeless && answer.is_some_and(|answer| answer.0 == 200) {
+            accepted.push(id);
+        }
+        if !is_hopeless {
+            pause(0.015);
+        }
+    }
+    let text = format!(
+        "{} usual jobs accepted, {sent} hopeless ones sent",
+        accepted.len()
+    );
+    world.record.line(&text);
+    // `finish_s` is 14 s.
+    pause(17.0);
+    let (runs, now) = (world.record.runs(), world.record.now_ms());
+    let end = |run: &record::RunRecord| run.ended.map_or(now, |end| end.0);
+    // Accepted jobs that are not done, and have had nothing running for 3 s.
+    let mut idle = Vec::new();
+    for id in &accepted {
+        let own = || runs.iter().filter(|run| run.task.starts_with(id.as_str()));
+        let done = own().filter(|run| run.ended.is_some_and(|end| end.1 == "done"));
+        let last = own().map(end).max().unwrap_or(0);
+        if done.count() < 4 && now - last >= 3000 {
+            idle.push(id);
+        }
+    }
+    let recent = runs.iter().filter(|run| end(run) + 3000 > now);
+    let cores = recent.count() as f64 * 0.3;
+    world.record.line(&format!(
+        "{} accepted jobs are not done and have had nothing running for 3 s; in these 3 s tasks of \
+         {cores:.1} cores at most ran on 96",
+        idle.len()
+    ));
+    let mut unanswered = 0;
+    let asked = accepted.iter().rev().take(12);
+    for (number, id) in asked.enumerate() {
+        let answer = world.caller(number % 3, "GET", id, "");
+        unanswered += usize::from(answer.is_none_or(|answer| answer.0 != 200));
+    }
+    let broken = (!idle.is_empty() && cores < 48.0).then(|| {
+        format!(
+            "LOST: 17 s after the traffic {} of {} accepted jobs are not done and have had nothing running \
+             for 3 s, with {cores:.1} of 96 cores in use; {unanswered} of the last 12 were not shown when asked for",
+            idle.len(),
+            accepted.len()
+        )
+    });
+    world.finish(out, broken)
+}
