--- a/review/stand-3/control.rs
+++ b/review/stand-3/control.rs
@@ -144,11 +144,17 @@
         let state = self.state.lock().unwrap();
         let text = |text: &str| Json::Str(text.to_owned());
         let row = |machine: &Machine| {
-            let id = machine.target.id();
+            let is_down = machine.target.is_down();
+            let id = if is_down {
+                String::new()
+            } else {
+                machine.target.id()
+            };
+            let state = if is_down { "down" } else { machine.state };
             Json::Map(vec![
                 ("machine".to_owned(), text(&machine.target.machine)),
                 ("pool".to_owned(), text(&machine.target.pool())),
-                ("state".to_owned(), text(machine.state)),
+                ("state".to_owned(), text(state)),
                 ("zone".to_owned(), text("regina")),
                 (
                     "labels".to_owned(),
--- a/review/stand-3/http.rs
+++ b/review/stand-3/http.rs
@@ -10,6 +10,7 @@
 
 use crate::json::Json;
 
+#[derive(Clone)]
 pub struct Request {
     pub path: String,
     pub query: Vec<(String, String)>,
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -36,6 +36,7 @@
         "late-upkeep" => late_upkeep(&folder, &out, trouble),
         "foreign-entry" => foreign_entry(&folder, &out, trouble),
         "many-ends" => many_ends(&folder, &out, trouble),
+        "forgotten-start" => forgotten_start(&folder, &out, trouble),
         "hopeless-gangs" => hopeless_gangs(&folder, &out, trouble),
         "gang-budget" => gang_budget(&folder, &out, trouble),
         _ => could_not_run("no such case"),
@@ -453,3 +454,43 @@
     });
     world.finish(out, broken)
 }
+
+/// A start is carried out late, on an executor that has crashed and started again under its id.
+fn forgotten_start(folder: &Path, out: &Path, trouble: bool) -> ! {
+    let mut world = World::start(folder, 8);
+    for number in 1..=3 {
+        world.add_process(&format!("front-{number}"));
+    }
+    let owner = world.wait_ready(Duration::from_secs(10));
+    pause(5.0);
+    if trouble {
+        for target in &world.targets {
+            target.hold_next_start(Duration::from_millis(11_000));
+        }
+    }
+    if !world.submit(owner, "5c0e7a21d94b36f8", &job(1, 2000, 25_000)) {
+        world.kill_all();
+        could_not_run("the job was not accepted");
+    }
+    pause(0.2);
+    if trouble {
+        let held = world
+            .targets
+            .iter()
+            .find(|target| target.has_held())
+            .cloned();
+        let Some(held) = held else {
+            world.kill_all();
+            could_not_run("no start was sent");
+        };
+        for target in &world.targets {
+            target.release_starts();
+        }
+        pause(0.6);
+        held.crash(Duration::from_millis(7_000));
+    }
+    pause(16.0);
+    world.caller(owner, "GET", "5c0e7a21d94b36f8", "");
+    let broken = twice(&world);
+    world.finish(out, broken)
+}
--- a/review/stand-3/target.rs
+++ b/review/stand-3/target.rs
@@ -80,6 +80,10 @@
     closed: HashMap<String, u64>,
     pool: String,
     seq: u64,
+    /// Whether the executor has crashed and is not back yet.
+    down: bool,
+    /// For how long the next start is held up.
+    hold_next: Option<Duration>,
     /// Processes whose calls do not get here.
     apart: HashSet<usize>,
     lives: u64,
@@ -118,6 +122,8 @@
             closed: HashMap::new(),
             pool: pool.to_owned(),
             seq: 0,
+            down: false,
+            hold_next: None,
             apart: HashSet::new(),
             lives: 0,
         };
@@ -159,6 +165,10 @@
         self.state.lock().unwrap().id.clone()
     }
 
+    pub fn is_down(&self) -> bool {
+        self.state.lock().unwrap().down
+    }
+
     pub fn pool(&self) -> String {
         self.state.lock().unwrap().pool.clone()
     }
@@ -200,9 +210,58 @@
         self.changed.notify_all();
     }
 
+    /// Crashes, and starts again under the same id after `time`. The store removes the entry after
+    /// three heartbeats of silence.
+    pub fn crash(self: &Arc<Self>, time: Duration) {
+        let mut state = self.state.lock().unwrap();
+        state.down = true;
+        for run in std::mem::take(&mut state.running) {
+            self.record.end_run(run.record, "crashed");
+        }
+        state.ended.clear();
+        let id = state.id.clone();
+        drop(state);
+        self.changed.notify_all();
+        self.record.line(&format!("executor {id} crashes"));
+        let (target, entry) = (self.clone(), format!("servers/{id}"));
+        http::spawn(move || {
+            thread::sleep(BEAT * 3);
+            if target.state.lock().unwrap().down {
+                target.store.remove(&entry);
+            }
+            thread::sleep(time.saturating_sub(BEAT * 3));
+            let mut state = target.state.lock().unwrap();
+            state.born = unix_ms();
+            state.zero = Instant::now();
+            (state.fence, state.until, state.next_end) = (0, 0, 1);
+            state.closed.clear();
+            state.down = false;
+            drop(state);
+            target
+                .record
+                .line(&format!("executor {id} has started again"));
+            target.beat();
+        });
+    }
+
+    /// Holds the next start up: it gets no answer and is carried out later.
+    pub fn hold_next_start(&self, time: Duration) {
+        self.state.lock().unwrap().hold_next = Some(time);
+    }
+
+    /// Lets the next starts through.
+    pub fn release_starts(&self) {
+        self.state.lock().unwrap().hold_next = None;
+    }
+
+    /// True once a start was held up.
+    pub fn has_held(&self) -> bool {
+        self.state.lock().unwrap().hold_next.is_none()
+    }
+
     fn beat(&self) {
         let mut state = self.state.lock().unwrap();
-        if state.id.is_empty() {
+        if state.id.is_empty() || state.down {
             return;
         }
         state.seq += 1;
@@ -300,12 +359,29 @@
         Some((key, spec))
     }
 
-    fn handle(&self, request: &Request) -> Reply {
+    fn carry_out_later(self: &Arc<Self>, request: Request, time: Duration) {
+        let target = self.clone();
+        http::spawn(move || {
+            thread::sleep(time);
+            let status = match target.handle(&request) {
+                Reply::Answer(status, body) => format!("{status} {body}"),
+                Reply::Silent => "none".to_owned(),
+            };
+            target.record.line(&format!(
+                "the start that was held up is carried out on {}, its answer would be {status}",
+                target.id()
+            ));
+        });
+    }
+
+    fn handle(self: &Arc<Self>, request: &Request) -> Reply {
         let body = request.json();
         let token = body.get("fence_token").num();
         let sender = self.store.writer(token);
         let silent = |state: &State| {
-            state.id.is_empty() || sender.is_some_and(|sender| state.apart.contains(&sender))
+            state.id.is_empty()
+                || state.down
+                || sender.is_some_and(|sender| state.apart.contains(&sender))
         };
         let mut state = self.state.lock().unwrap();
         if silent(&state) {
@@ -326,7 +402,16 @@
         state.fence = token;
         let now = state.zero.elapsed().as_millis() as u64;
         match name {
-            "run-start" => self.start_run(&mut state, &body, now),
+            "run-start" => {
+                let Some(time) = state.hold_next.take() else {
+                    return self.start_run(&mut state, &body, now);
+                };
+                drop(state);
+                let text = format!("{} is held up on {id}", body.get("task").text());
+                self.record.line(&format!("start of {text}"));
+                self.carry_out_later(request.clone(), time);
+                Reply::Silent
+            }
             "run-stop" => {
                 let (task, attempt) = (body.get("task").text(), body.get("attempt").num());
                 let runs = state.running.iter_mut();
