Place a gang only where there is room for all, without visiting its members for each

Cause: a gang was placed member by member until one found no target, then released. Each candidate target counted the step's tasks on it over all members, so that a pass took the square of the gang's size times the targets, within the event loop that renews the lease. What was released counted as new room, so the next pass followed at once. The same visit of all members for each of them stood in the tick (a gang that runs), in the ends and the checkpoints of members, and in the search for exhausted attempts.

Why it works: what a pass costs grows with the targets and the tasks placed, and a gang without room changes nothing, so that nothing is tried again because of it.

--- a/crates/decide/src/work/job_table.rs
+++ b/crates/decide/src/work/job_table.rs
@@ -151,8 +151,7 @@
     /// Returns the step that a task belongs to, if its occurrence is open.
     pub fn step_mut(&mut self, key: &TaskKey) -> Option<&mut StepState> {
         let job = self.jobs.get_mut(&key.job)?;
-        let occurrence = job.occurrences.get_mut(key.occurrence)?;
-        occurrence.steps.get_mut(key.step as usize)
+        job.step_mut(key.occurrence, key.step)
     }
 
     /// Returns the placement of the task of a run; `None` if the task is not placed as that run.
@@ -254,6 +253,12 @@
         job.task_mut(key.occurrence, key.step, key.index)
     }
 
+    /// Returns a step for changes that affect no index.
+    pub(super) fn step_mut_unindexed(&mut self, key: &TaskKey) -> Option<&mut StepState> {
+        let job = self.jobs.get_mut_untracked(&key.job)?;
+        job.step_mut(key.occurrence, key.step)
+    }
+
     /// Records that a task of the job has started.
     pub(super) fn mark_started(&mut self, id: &str) {
         if self.jobs.get(id).is_some_and(|job| !job.started)
@@ -354,10 +359,8 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        if let Some(task) = job.task_mut(key.occurrence, key.step, key.index)
-            && !task.failed_attempts.contains(&end.attempt)
-        {
-            task.failed_attempts.push(end.attempt);
+        if let Some(step) = job.step_mut(key.occurrence, key.step) {
+            step.record_failure(key.index, end.attempt);
         }
     }
 
--- a/crates/decide/src/work/pick.rs
+++ b/crates/decide/src/work/pick.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use model::{
-    BootTime, HostId,
+    BootTime,
     work::{ResourceVector, StepPlan},
 };
 
@@ -12,7 +12,7 @@
 pub(super) const FAILED_TARGET_WAIT: Duration = Duration::from_millis(2400);
 
 /// Score of a target by decreasing importance; smaller is better.
-type TargetScore = (bool, bool, bool, u64, u64);
+pub(super) type TargetScore = (bool, bool, bool, u64, u64);
 
 /// Returns the best target of the pool for a task; `None` if there is none.
 ///
@@ -43,7 +43,7 @@
         .filter(|target| has_capacity(plan, step, target, now));
     let mut best: Option<(TargetScore, &TargetState)> = None;
     for target in suitable {
-        let score = score(plan, step, task, target);
+        let score = score(plan, step, failed(&target), target);
         if best
             .as_ref()
             .is_none_or(|(best_score, _)| score < *best_score)
@@ -76,7 +76,10 @@
     targets
         .filter(|target| target.can_run())
         .filter(|target| has_capacity(plan, step, target, now))
-        .min_by_key(|target| score(plan, step, task, target))
+        .min_by_key(|target| {
+            let failed = task.failed_on.contains(&target.entry.target);
+            score(plan, step, failed, target)
+        })
 }
 
 /// Returns true if one of the targets can run a task of the step that has to leave its own target.
@@ -122,31 +125,43 @@
     let has_label =
         plan.required_label.is_empty() || target.entry.labels.contains(&plan.required_label);
     let below_anti_affinity =
-        plan.anti_affinity == 0 || step_tasks_on(step, &target.entry.target) < plan.anti_affinity;
+        plan.anti_affinity == 0 || step.placed_on(&target.entry.target) < plan.anti_affinity;
     has_label && below_anti_affinity && plan.footprint().fits_in(target.entry.capacity)
 }
 
-/// Returns the number of tasks of the step that are or may be on a target.
-fn step_tasks_on(step: &StepState, target: &HostId) -> u32 {
-    let is_there = |task: &&TaskState| {
-        task.placement
-            .as_ref()
-            .is_some_and(|placement| placement.target == *target)
-    };
-    u32::try_from(step.tasks.iter().filter(is_there).count()).unwrap_or(u32::MAX)
+/// Returns how many more tasks of the step can be started on a target now. Some of them may have
+/// failed there before.
+pub(super) fn task_room(
+    plan: &StepPlan,
+    step: &StepState,
+    target: &TargetState,
+    now: BootTime,
+) -> u64 {
+    if !target.accepts_tasks(now) || !has_capacity(plan, step, target, now) {
+        return 0;
+    }
+    let by_capacity = plan.footprint().count_in(target.free());
+    match plan.anti_affinity {
+        0 => by_capacity,
+        limit => by_capacity.min(u64::from(limit - step.placed_on(&target.entry.target))),
+    }
+}
+
+/// Returns the score of a target for a task of the step that has not failed there.
+pub(super) fn score_plain(plan: &StepPlan, step: &StepState, target: &TargetState) -> TargetScore {
+    score(plan, step, false, target)
 }
 
-fn score(plan: &StepPlan, step: &StepState, task: &TaskState, target: &TargetState) -> TargetScore {
-    let failed = task.failed_on.contains(&target.entry.target);
+fn score(plan: &StepPlan, step: &StepState, failed: bool, target: &TargetState) -> TargetScore {
     let off_affinity = !plan.affinity.is_empty() && plan.affinity != target.entry.rack;
-    let lacks_siblings = plan.same_rack && lacks_siblings(step, target);
+    let lacks_siblings = plan.same_rack && step.has_tasks_only_elsewhere(&target.entry.target);
     let free = target.free().cpu;
     // Long-running tasks are spread, so that the loss of one host affects few of them. Best-effort
     // tasks are spread too, since they need what other tasks leave idle. All other tasks are
     // packed, so that large tasks fit and other hosts stay empty to be switched off, moved or
     // maintained at once.
     if is_spread(plan) {
-        let siblings = u64::from(step_tasks_on(step, &target.entry.target));
+        let siblings = u64::from(step.placed_on(&target.entry.target));
         (
             failed,
             off_affinity,
@@ -162,10 +177,3 @@
         (failed, off_affinity, lacks_siblings, free, 0)
     }
 }
-
-/// Returns true if the step has tasks, and none of them on this target.
-fn lacks_siblings(step: &StepState, target: &TargetState) -> bool {
-    let placed = step.tasks.iter().filter_map(|task| task.placement.as_ref());
-    let mut targets = placed.map(|placement| placement.target.clone()).peekable();
-    targets.peek().is_some() && targets.all(|other| other != target.entry.target)
-}
--- a/crates/decide/src/work/scheduler_end.rs
+++ b/crates/decide/src/work/scheduler_end.rs
@@ -127,18 +127,14 @@
         if self.job_table.placement_of(id, run).is_none() {
             return;
         }
-        if let Some(step) = self.job_table.step_mut(key)
-            && let Some(task) = step.tasks.get_mut(key.index as usize)
-        {
-            task.placement = None;
-            if let Some(cause) = over {
-                task.past_run = Some(Box::new(PastRun {
-                    attempt: *attempt,
-                    target: id.clone(),
-                    cause,
-                }));
-            }
-            step.placed = step.placed.saturating_sub(1);
+        let step = self.job_table.step_mut(key);
+        let task = step.and_then(|step| step.clear_placement(key.index));
+        if let (Some(task), Some(cause)) = (task, over) {
+            task.past_run = Some(Box::new(PastRun {
+                attempt: *attempt,
+                target: id.clone(),
+                cause,
+            }));
         }
     }
 
@@ -154,11 +150,16 @@
             self.record_duplicate_end(end, true, origin);
             return;
         }
-        let unconfirmed = self.unconfirmed_gang_members(&end.task);
-        if !self.job_table.mark_done(&end.task, now.boot) {
+        let task = &end.task;
+        let state = self
+            .step_state_at(&task.job, task.occurrence, task.step)
+            .and_then(|step| step.tasks.get(task.index as usize));
+        if state.is_none_or(|state| state.done) {
             self.record_duplicate_end(end, true, origin);
             return;
         }
+        let unconfirmed = self.unconfirmed_gang_members(&end.task);
+        self.job_table.mark_done(&end.task, now.boot);
         if let Some(target) = self.targets.get_mut_untracked(&origin.target) {
             target.consecutive_failures = 0;
         }
@@ -199,15 +200,19 @@
         }
         self.failure_wait_deadlines
             .push_back(now.boot + FAILED_TARGET_WAIT);
-        let Some(task) = job.task_mut(key.occurrence, key.step, counted_index) else {
+        let is_unfinished = job
+            .task(key.occurrence, key.step, counted_index)
+            .map(|task| !task.done);
+        let Some(is_unfinished) = is_unfinished else {
             return;
         };
-        if task.done || task.failed_attempts.contains(&end.attempt) {
+        let step = job.step_mut(key.occurrence, key.step);
+        let step = step.filter(|_| is_unfinished);
+        let failures = step.and_then(|step| step.record_failure(counted_index, end.attempt));
+        let Some(failures) = failures else {
             self.record_duplicate_end(end, false, origin);
             return;
-        }
-        task.failed_attempts.push(end.attempt);
-        let failures = task.failed_attempts.len();
+        };
         let target = origin.target.clone();
         if long_running {
             // A long-running task may fail at any time by itself and is only restarted.
@@ -316,11 +321,8 @@
             }
             return;
         }
-        let Some(step) = self.job_table.step_mut(key) else {
-            return;
-        };
-        for task in &mut step.tasks {
-            task.checkpoint = checkpoint.clone();
+        if let Some(step) = self.job_table.step_mut_unindexed(key) {
+            step.gang_checkpoint = checkpoint.clone();
         }
     }
 }
--- a/crates/decide/src/work/scheduler_plan.rs
+++ b/crates/decide/src/work/scheduler_plan.rs
@@ -12,9 +12,9 @@
     step_key::StepKey,
 };
 
-/// Maximum starts per planning pass; the rest follow in the next pass. It bounds the time during
-/// which the event loop handles nothing else.
-const MAX_STARTS_PER_PLAN: usize = 256;
+/// Maximum starts per planning pass, unless a gang has more members; the rest follow in the next pass.
+/// It bounds the time during which the event loop handles nothing else.
+pub(super) const MAX_STARTS_PER_PLAN: usize = 256;
 
 /// Resource amounts remembered per pool during planning because no target has that much free.
 const MAX_UNPLACEABLE_SIZES: usize = 8;
--- a/crates/decide/src/work/scheduler_tick.rs
+++ b/crates/decide/src/work/scheduler_tick.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use model::{BootTime, HostId, JobId, work::TaskKey};
+use model::{BootTime, HostId, JobId};
 use wire::work::log_entry::Event;
 
 use super::{
@@ -247,12 +247,15 @@
         let gangs = self.index.jobs.gangs.iter();
         let gangs = gangs.filter_map(|id| self.job_table.jobs.get(id));
         let gangs = gangs.filter(|job| !job.may_run_unseen(&unpolled_pools));
-        let tasks = gangs.flat_map(super::WorkJob::tasks);
-        let members: Vec<(HostId, RunKey)> = tasks
-            .filter(|(key, plan, _)| plan.gang && self.is_incomplete_gang(key))
-            .filter_map(|(key, _, task)| {
-                let place = task.placement.as_ref()?;
-                Some((place.target.clone(), (key, place.attempt)))
+        let steps = gangs.flat_map(super::WorkJob::steps);
+        let incomplete = steps.filter(|(_, plan, state)| plan.gang && state.is_partly_placed());
+        let members: Vec<(HostId, RunKey)> = incomplete
+            .flat_map(|(key, _, state)| {
+                let tasks = (0..).zip(&state.tasks);
+                tasks.filter_map(move |(index, task)| {
+                    let place = task.placement.as_ref()?;
+                    Some((place.target.clone(), (key.task(index), place.attempt)))
+                })
             })
             .collect();
         for (target, run) in members {
@@ -262,12 +265,6 @@
         }
     }
 
-    /// Whether some of a step's tasks are placed while others wait.
-    fn is_incomplete_gang(&self, key: &TaskKey) -> bool {
-        let step = self.step_state_at(&key.job, key.occurrence, key.step);
-        step.is_some_and(|step| !step.is_done() && step.placed > 0 && step.waiting_tasks() > 0)
-    }
-
     /// Stops tasks that make no progress, to start them elsewhere. Some targets answer normally
     /// while none of their tasks progress.
     fn stop_stalled_runs(&mut self, now: SchedulerTime) {
--- a/crates/decide/src/work/step_key.rs
+++ b/crates/decide/src/work/step_key.rs
@@ -20,11 +20,16 @@
 
     /// Returns the first task of the step.
     pub(super) fn first_task(&self) -> TaskKey {
+        self.task(0)
+    }
+
+    /// Returns a task of the step.
+    pub(super) fn task(&self, index: u32) -> TaskKey {
         TaskKey {
             job: self.job.clone(),
             occurrence: self.occurrence,
             step: self.step,
-            index: 0,
+            index,
         }
     }
 }
--- a/crates/decide/src/work/work_job.rs
+++ b/crates/decide/src/work/work_job.rs
@@ -3,10 +3,10 @@
 use compact_str::CompactString;
 use model::{
     BootTime, HostId, JobId, PoolId, WorkspaceId,
-    work::{AttemptNumber, FleetPolicy, JobPlan, ResourceVector, StepPlan, TaskKey},
+    work::{AttemptNumber, FleetPolicy, JobPlan, ResourceVector, StepPlan},
 };
 
-use super::{JobTerms, OccurrenceMap, PastRun, StepAdvice};
+use super::{JobTerms, OccurrenceMap, PastRun, StepState, step_key::StepKey};
 
 /// Maximum number of tasks in open occurrences of a job without a started task, unless a single
 /// occurrence has more. It is about what one planning pass starts.
@@ -88,19 +88,6 @@
     pub steps: Vec<StepState>,
 }
 
-/// State of one step.
-#[derive(Clone, Debug, Default)]
-pub struct StepState {
-    /// The tasks.
-    pub tasks: Vec<TaskState>,
-    /// Number of tasks that are done.
-    pub done: u32,
-    /// Number of tasks that are placed on a target.
-    pub placed: u32,
-    /// What the advice service has answered; `None` before its first answer.
-    pub advice: Option<Box<StepAdvice>>,
-}
-
 /// State of one task.
 #[derive(Clone, Debug, Default)]
 pub struct TaskState {
@@ -174,41 +161,6 @@
     }
 }
 
-impl StepState {
-    /// Creates a step of `count` tasks, none of which has run.
-    pub fn new(count: u32) -> Self {
-        Self {
-            tasks: vec![TaskState::default(); count as usize],
-            ..Self::default()
-        }
-    }
-
-    /// Returns true if all tasks are done.
-    pub fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-
-    /// Returns the number of tasks.
-    pub(super) fn count(&self) -> u32 {
-        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
-    }
-
-    /// Records the placement of a task.
-    pub fn set_placement(&mut self, index: u32, set_placement: TaskPlacement) {
-        if let Some(task) = self.tasks.get_mut(index as usize) {
-            task.last_attempt = task.last_attempt.max(set_placement.attempt);
-            task.placement = Some(set_placement);
-            self.placed += 1;
-        }
-    }
-
-    /// Returns the number of tasks that are neither done nor placed.
-    pub fn waiting_tasks(&self) -> u32 {
-        let waiting = |task: &&TaskState| !task.done && task.placement.is_none();
-        u32::try_from(self.tasks.iter().filter(waiting).count()).unwrap_or(u32::MAX)
-    }
-}
-
 impl OccurrenceState {
     /// Creates an occurrence of a plan that became due at `due`.
     pub fn new(plan: &JobPlan, due: BootTime) -> Self {
@@ -257,27 +209,29 @@
 
     /// Returns a task of the job for changes.
     pub fn task_mut(&mut self, occurrence: u32, step: u32, index: u32) -> Option<&mut TaskState> {
-        let occurrence = self.occurrences.get_mut(occurrence)?;
-        let step = occurrence.steps.get_mut(step as usize)?;
+        let step = self.step_mut(occurrence, step)?;
         step.tasks.get_mut(index as usize)
     }
 
-    /// Returns all tasks of its open occurrences, each with its key and the plan of its step.
-    pub fn tasks(&self) -> impl Iterator<Item = (TaskKey, &StepPlan, &TaskState)> {
+    /// Returns a step of the job for changes.
+    pub(super) fn step_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut StepState> {
+        let occurrence = self.occurrences.get_mut(occurrence)?;
+        occurrence.steps.get_mut(step as usize)
+    }
+
+    /// Returns all steps of its open occurrences, each with its key and its plan.
+    pub(super) fn steps(&self) -> impl Iterator<Item = (StepKey, &StepPlan, &StepState)> {
         self.occurrences
             .iter()
             .flat_map(move |(&occurrence, state)| {
-                let steps = (0..).zip(state.steps.iter().zip(&self.plan.steps));
-                steps.flat_map(move |(step, (tasks, plan))| {
-                    (0..).zip(&tasks.tasks).map(move |(index, task)| {
-                        let key = TaskKey {
-                            job: self.id.clone(),
-                            occurrence,
-                            step,
-                            index,
-                        };
-                        (key, plan, task)
-                    })
+                let steps = (0..).zip(self.plan.steps.iter().zip(&state.steps));
+                steps.map(move |(step, (plan, state))| {
+                    let key = StepKey {
+                        job: self.id.clone(),
+                        occurrence,
+                        step,
+                    };
+                    (key, plan, state)
                 })
             })
     }
--- a/crates/decide/tests/harness/timed_owner.rs
+++ b/crates/decide/tests/harness/timed_owner.rs
@@ -10,7 +10,7 @@
 use store::thread_processor_time;
 use wire::work::{LogEntry, log_entry::Event};
 
-use super::{end_report, job_record, policy_with_limit, target};
+use super::{end_report, job_record, policy_with_limit, run_report, target};
 
 /// Capacity of a target, in thousandths of a core.
 const CAPACITY: u64 = 8000;
@@ -187,6 +187,26 @@
         }
     }
 
+    /// Reports all running tasks, each with a checkpoint of its own.
+    pub fn report_runs(&mut self) {
+        for (id, runs) in self.runs.clone() {
+            let running = (0..).zip(&runs).map(|(number, start): (u32, _)| RunReport {
+                checkpoint: format!("{id}-{number}").into(),
+                ..run_report(start)
+            });
+            let report = TargetReport {
+                clock: self.now.boot,
+                started_at: Duration::from_secs(1),
+                running: running.collect(),
+                ended: Vec::new(),
+            };
+            let answer = PollAnswer::Seen(report);
+            self.time("report of runs", |scheduler, now| {
+                scheduler.apply_report(&id, now.boot, 0, &answer, now);
+            });
+        }
+    }
+
     /// Ends all running tasks and reports the ends.
     fn end_tasks(&mut self) {
         let ids: Vec<HostId> = self.runs.keys().cloned().collect();
--- a/crates/decide/tests/work_longest_step.rs
+++ b/crates/decide/tests/work_longest_step.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use harness::{TimedOwner, plan, step};
-use model::work::{JobPlan, StepPlan};
+use model::work::{JobPlan, ResourceVector, StepPlan};
 use rstest::rstest;
 
 /// Length of the lease on the ownership.
@@ -105,3 +105,64 @@
     next.run_rounds(2);
     check(&next);
 }
+
+/// A gang of the largest size, whose members need little.
+fn gang(count: u32) -> StepPlan {
+    StepPlan {
+        count,
+        gang: true,
+        resources: ResourceVector {
+            cpu: 10,
+            memory_mb: 1,
+            gpu: 0,
+        },
+        ..step(count, 10)
+    }
+}
+
+/// Guards against an owner that loses its lease because gangs that no pool can hold are placed member
+/// by member in each pass.
+#[rstest]
+#[case::spread(50, StepPlan { anti_affinity: 199, ..gang(10_000) })]
+#[case::spread_wide(1_100, StepPlan { anti_affinity: 9, ..gang(10_000) })]
+#[case::one_each(1_100, StepPlan { anti_affinity: 1, ..gang(10_000) })]
+#[case::large_tasks(1_100, StepPlan { resources: ResourceVector { cpu: 3_000, memory_mb: 1, gpu: 0 }, ..gang(10_000) })]
+#[case::affinity(1_100, StepPlan { anti_affinity: 9, affinity: "rack".into(), ..gang(10_000) })]
+#[case::same_rack(1_100, StepPlan { anti_affinity: 9, same_rack: true, ..gang(10_000) })]
+#[case::missing_label(1_100, StepPlan { required_label: "none".into(), ..gang(10_000) })]
+fn step_hopeless_gangs_is_short(#[case] targets: usize, #[case] step: StepPlan) {
+    let mut owner = TimedOwner::new(targets);
+    for number in 0..6 {
+        owner.submit(&format!("hopeless-{number}"), &plan(vec![step.clone()]));
+    }
+    owner.run_rounds(3);
+    owner.submit("usual", &one_task());
+    owner.run_rounds(1);
+    assert_eq!(owner.started.len(), 1);
+    check(&owner);
+    let mut next = owner.successor(9);
+    next.run_rounds(2);
+    check(&next);
+}
+
+/// Guards against an owner that loses its lease because the members of a large gang are compared with
+/// each other: when it is placed, while it runs, and when it ends.
+#[rstest]
+#[case::packed(50, gang(9_000))]
+#[case::spread(1_100, StepPlan { anti_affinity: 9, ..gang(9_000) })]
+#[case::affinity(1_100, StepPlan { anti_affinity: 9, affinity: "elsewhere".into(), ..gang(9_000) })]
+#[case::same_rack(1_100, StepPlan { anti_affinity: 9, same_rack: true, ..gang(9_000) })]
+#[case::best_effort(1_100, StepPlan { anti_affinity: 9, best_effort: true, ..gang(9_000) })]
+fn step_large_gang_is_short(#[case] targets: usize, #[case] step: StepPlan) {
+    let mut owner = TimedOwner::new(targets);
+    let after = StepPlan {
+        after: vec![0],
+        ..gang(2)
+    };
+    owner.submit("a", &plan(vec![step, after]));
+    owner.start_tasks();
+    owner.report_runs();
+    owner.run_rounds(3);
+    assert_eq!(owner.started.len(), 9_002);
+    check(&owner);
+}
--- a/crates/model/src/work/resource_vector.rs
+++ b/crates/model/src/work/resource_vector.rs
@@ -75,6 +75,17 @@
         }
     }
 
+    /// Returns how many times these amounts fit in `available`; `u64::MAX` if all are zero.
+    pub fn count_in(self, available: Self) -> u64 {
+        let count = |amount: u64, available: u64| available.checked_div(amount);
+        let counts = [
+            count(self.cpu, available.cpu),
+            count(self.memory_mb, available.memory_mb),
+            count(self.gpu, available.gpu),
+        ];
+        counts.into_iter().flatten().min().unwrap_or(u64::MAX)
+    }
+
     /// Returns true if no component exceeds that of `available`.
     pub fn fits_in(self, available: Self) -> bool {
         self.cpu <= available.cpu
