Wait for all ends of a target after a takeover, not for its first report alone

Cause: a report lists at most 500 ends. A new owner counted a target as known after one answer and started inherited tasks of which that answer showed neither run nor end.

Change: a target of a predecessor is known once a report has listed fewer ends than the limit, since its incarnation began. Starts, limits, gangs, empty hosts, forgotten targets, records of unreachable targets and the priority of polls ask for that. The limit is a parameter of the scheduler. The model's targets can list one end at a time, and it checks, when an end `done` is acknowledged, that no later attempt was started.

Why it works: a report below the limit omits nothing, the target no longer accepts the predecessor's orders by then, and each poll acknowledges what is stored, so that the next report lists the following ends.

--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -51,6 +51,7 @@
 mod scheduler_incarnation;
 mod scheduler_index;
 mod scheduler_listing;
+mod scheduler_missing;
 mod scheduler_place;
 mod scheduler_plan;
 mod scheduler_report;
--- a/crates/decide/src/work/scheduler_report.rs
+++ b/crates/decide/src/work/scheduler_report.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use model::{
     BootTime, HostId,
@@ -8,13 +8,11 @@
 use crate::call_budget::CallClass;
 
 use super::{
-    LossCause, PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TaskPlacement,
-    WorkJob, WorkScheduler,
+    LossCause, PlacementPhase, SchedulerAction, SchedulerEvent, SchedulerTime, TargetState,
+    TaskPlacement, WorkJob, WorkScheduler,
     target_state::{RunKey, lagging},
 };
 
-/// Maximum ends in one report. A full report may omit ends, among them that of a missing run.
-const MAX_ENDS_PER_REPORT: usize = 500;
 /// A poll gets priority once the granted lease has run for `grant` divided by this.
 const RENEW_FRACTION: u32 = 2;
 
@@ -33,6 +31,7 @@
             && has_clock
             && !busy
             && !target.unreachable_recorded
+            && target.is_state_known()
             && target.ackable_end() <= target.incarnation.last_acked_end
         {
             return None;
@@ -44,13 +43,11 @@
         if target.last_failure > target.last_response {
             return Some(CallClass::Probe);
         }
-        // Until it is polled, the leases of its runs expire, ends on it are unknown, and older jobs
-        // of its pool wait.
-        let unpolled = target.inherited && !target.incarnation.token_seen;
-        Some(if unpolled {
-            CallClass::Renew
-        } else {
-            CallClass::Poll
+        // Until it is polled, the leases of its runs expire, and until all ends on it are known, older
+        // jobs of its pool wait.
+        Some(match target.is_state_known() {
+            true => CallClass::Poll,
+            false => CallClass::Renew,
         })
     }
 
@@ -168,7 +165,9 @@
             self.observe_run(id, run, now);
             self.track_stalled_run(id, run);
         }
-        if report.ended.len() < MAX_ENDS_PER_REPORT {
+        // A full report may omit the end of a missing run.
+        if report.ended.len() < self.tuning.report_limit {
+            self.record_all_ends_listed(id);
             self.handle_missing_runs(id, sent, report, now);
         }
         self.set_throttles(id);
@@ -212,6 +211,19 @@
         }
     }
 
+    /// Records that the ends that a target lists are known, unless the target may still accept orders
+    /// of a predecessor.
+    fn record_all_ends_listed(&mut self, id: &HostId) {
+        let is_new = |target: &TargetState| {
+            target.incarnation.token_seen && !target.incarnation.all_ends_listed
+        };
+        if self.targets.get(id).is_some_and(is_new)
+            && let Some(target) = self.targets.get_mut(id)
+        {
+            target.incarnation.all_ends_listed = true;
+        }
+    }
+
     fn observe_run(&mut self, id: &HostId, run: &RunReport, now: SchedulerTime) {
         let key: RunKey = (run.task.clone(), run.attempt);
         if !run.checkpoint.is_empty() {
@@ -301,68 +313,6 @@
         self.stop_run(id, run, now);
     }
 
-    /// Handles runs that the report of a poll sent at `sent` lacks although they were expected
-    /// there.
-    fn handle_missing_runs(
-        &mut self,
-        id: &HostId,
-        sent: BootTime,
-        report: &TargetReport,
-        now: SchedulerTime,
-    ) {
-        let reported = report.running.iter().map(|run| (&run.task, run.attempt));
-        let reported: BTreeSet<_> = reported.collect();
-        let Some(target) = self.targets.get(id) else {
-            return;
-        };
-        let missing = target.claims.keys();
-        let missing = missing.filter(|(task, attempt)| !reported.contains(&(task, *attempt)));
-        let missing: Vec<RunKey> = missing.cloned().collect();
-        for run in missing {
-            self.handle_missing_run(id, &run, sent, now);
-        }
-    }
-
-    fn handle_missing_run(
-        &mut self,
-        id: &HostId,
-        run: &RunKey,
-        sent: BootTime,
-        now: SchedulerTime,
-    ) {
-        let (key, attempt) = run;
-        let place = self.job_table.placement_of(id, run);
-        let Some((phase, since)) = place.map(|place| (place.phase, place.since)) else {
-            // A run without a task is gone if its stop was answered before the poll.
-            let stopped = self.pending_stops.contains_key(&(id.clone(), run.clone()));
-            if !stopped {
-                self.release_claim(id, run);
-            }
-            return;
-        };
-        if since > sent {
-            return;
-        }
-        match phase {
-            PlacementPhase::Starting => {}
-            PlacementPhase::Stopping(false) => self.fence_start_again(id, run, now),
-            PlacementPhase::Unconfirmed => {
-                // The run is not there but may still start. A stop fences this start: the target
-                // refuses a start that is not newer than one stopped there.
-                self.stop_run(id, run, now);
-            }
-            PlacementPhase::Running => {
-                self.emit(SchedulerEvent::Vanished(key.clone(), *attempt, id.clone()));
-                self.release_claim(id, run);
-                self.clear_placement(id, run, Some("vanished"));
-            }
-            PlacementPhase::Stopping(true) => {
-                self.release_claim(id, run);
-                self.clear_placement(id, run, Some("stop-answered"));
-            }
-        }
-    }
-
     /// Handles a poll or an order without an answer.
     pub(super) fn mark_unresponsive(&mut self, id: &HostId, now: SchedulerTime) {
         let unresponsive_after = self.tuning.unresponsive_after;
--- a/crates/decide/src/work/scheduler_tuning.rs
+++ b/crates/decide/src/work/scheduler_tuning.rs
@@ -30,6 +30,9 @@
     /// The same on a target that runs best-effort tasks next to serving tasks: the CPU share of the
     /// former has to follow the response times of the latter.
     pub mixed_poll_wait: Duration,
+    /// Maximum number of ends in a report, as the platform specifies. A report with as many may omit
+    /// others.
+    pub report_limit: usize,
     /// Maximum time after which an unanswered order may still be executed: the longest delay that
     /// the platform specifies is twelve seconds.
     pub max_delivery_delay: Duration,
@@ -58,6 +61,7 @@
             unresponsive_after: Duration::from_millis(1800),
             look_wait: Duration::from_millis(1000),
             mixed_poll_wait: Duration::from_millis(400),
+            report_limit: 500,
             max_delivery_delay: Duration::from_secs(13),
             stop_retry_interval: Duration::from_millis(500),
             failure_pause: Duration::from_millis(500),
--- a/crates/decide/src/work/target_index.rs
+++ b/crates/decide/src/work/target_index.rs
@@ -84,7 +84,7 @@
             token_seen: target.incarnation.token_seen,
             unresponsive: target.unresponsive,
             never_reached,
-            unknown: never_reached && !target.unreachable_recorded,
+            unknown: !target.is_state_known() && !target.unreachable_recorded,
             last_failure: target.last_failure,
             draining: target.entry.mode == TargetMode::Draining
                 || target.drain != HostDrainState::None
--- a/crates/decide/src/work/target_state.rs
+++ b/crates/decide/src/work/target_state.rs
@@ -63,6 +63,9 @@
     pub clock: Option<(Duration, BootTime)>,
     /// Whether the target has seen this owner's token.
     pub token_seen: bool,
+    /// Whether a report since then has listed all ends that were not acknowledged. A report lists a
+    /// bounded number, and what came of the other runs is unknown.
+    pub all_ends_listed: bool,
     /// Highest number of an end that has been handled.
     pub last_handled_end: u64,
     /// Numbers of ends that have been handled and not acknowledged, and whose log entry is not
@@ -179,15 +182,16 @@
             && self.entry.mode == TargetMode::Ready
     }
 
-    /// Returns true if the scheduler knows what may run there. A new owner does once a poll has
-    /// been answered.
+    /// Returns true if the scheduler knows what may run there and what has ended. A new owner does
+    /// once polls have been answered and have listed all ends.
     pub fn is_state_known(&self) -> bool {
-        self.incarnation.token_seen || !self.inherited
+        let incarnation = &self.incarnation;
+        !self.inherited || (incarnation.token_seen && incarnation.all_ends_listed)
     }
 
     /// Whether the scheduler still needs this target's state.
     pub(super) fn is_needed(&self) -> bool {
-        self.listed || !self.claims.is_empty() || (self.inherited && !self.incarnation.token_seen)
+        self.listed || !self.claims.is_empty() || !self.is_state_known()
     }
 
     /// Returns true if nothing can be running there.
--- a/crates/decide/tests/harness/world.rs
+++ b/crates/decide/tests/harness/world.rs
@@ -84,6 +84,8 @@
     pub(super) ended_jobs: BTreeMap<String, BootTime>,
     pub(super) done_tasks: BTreeSet<TaskKey>,
     pub(super) acked_tasks: BTreeSet<TaskKey>,
+    /// Highest attempt of each task that was started.
+    pub(super) last_attempts: BTreeMap<TaskKey, u64>,
     /// Last fault of the store or change of the ownership.
     pub(super) last_core_disturbance: BootTime,
     /// Violations of the checked guarantees.
@@ -160,6 +162,7 @@
             ended_jobs: BTreeMap::new(),
             done_tasks: BTreeSet::new(),
             acked_tasks: BTreeSet::new(),
+            last_attempts: BTreeMap::new(),
             last_core_disturbance: BootTime::ZERO,
             violations: Vec::new(),
             history: BTreeMap::new(),
@@ -304,7 +307,11 @@
 
     fn elect(&mut self) {
         self.current_token += 7;
-        let mut scheduler = WorkScheduler::new(SchedulerTuning::default(), self.current_token);
+        let tuning = SchedulerTuning {
+            report_limit: self.faults.report_limit(),
+            ..SchedulerTuning::default()
+        };
+        let mut scheduler = WorkScheduler::new(tuning, self.current_token);
         for entry in self.log.entries() {
             scheduler.replay(entry, self.now);
         }
--- a/crates/decide/tests/harness/world_call.rs
+++ b/crates/decide/tests/harness/world_call.rs
@@ -243,6 +243,8 @@
                         order.attempt, call.target
                     ));
                     if started {
+                        let last = self.last_attempts.entry(task.clone()).or_default();
+                        *last = (*last).max(order.attempt);
                         self.check_start(&call.target, &task);
                         self.check_sole_owner(&call.target, &task, call.owner);
                         if !delayed {
@@ -253,12 +255,16 @@
                 }
                 SimRequest::Stop(order) => SimResponse::Stop(state.stop(order, now)),
                 SimRequest::Poll(order) | SimRequest::ExtraPoll(order) => {
-                    let polled = state.poll(order, now);
+                    let polled = state.poll_limited(order, self.faults.report_limit(), now);
                     let answer = polled.0;
-                    for task in polled.1 {
-                        let history = self.history.entry(task.clone()).or_default();
+                    let last_lapsed_end = state.last_lapsed_end;
+                    for end in polled.1 {
+                        let history = self.history.entry(end.task.clone()).or_default();
                         history.push(format!("{now:?} end acknowledged on {}", call.target));
-                        self.acked_tasks.insert(task);
+                        if end.number > last_lapsed_end {
+                            self.check_acked_end(&call.target, &end);
+                        }
+                        self.acked_tasks.insert(end.task);
                     }
                     SimResponse::Poll(answer)
                 }
--- a/crates/decide/tests/harness/world_check.rs
+++ b/crates/decide/tests/harness/world_check.rs
@@ -1,6 +1,9 @@
 use std::{collections::BTreeSet, time::Duration};
 
-use model::{HostId, work::TaskKey};
+use model::{
+    HostId,
+    work::{EndReport, TaskKey},
+};
 use wire::work::JobPhase;
 
 use super::world::{CAPACITY, LIMIT, SimOwner, Simulation};
@@ -54,6 +57,17 @@
         }
     }
 
+    /// Checks that a task was not started again after an end `done` that is acknowledged now.
+    pub(super) fn check_acked_end(&mut self, on: &HostId, end: &EndReport) {
+        let last = self.last_attempts.get(&end.task).copied();
+        if last.is_some_and(|last| last > end.attempt) {
+            self.violation(&format!(
+                "{} was started as attempt {last:?} before its end as attempt {} on {on} was acknowledged",
+                end.task, end.attempt
+            ));
+        }
+    }
+
     /// Checks that a task doesn't start by an order of an owner that has a successor.
     pub(super) fn check_sole_owner(&mut self, on: &HostId, key: &TaskKey, owner: u64) {
         let successor = self.current_token;
--- a/crates/decide/tests/harness/world_faults.rs
+++ b/crates/decide/tests/harness/world_faults.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use decide::work::SchedulerTuning;
 use model::HostId;
 use rand::Rng;
 
@@ -8,6 +9,9 @@
     world_list::NEW_ID,
 };
 
+/// Ends in a short report; a target often has more when an owner succeeds another.
+const SHORT_REPORT: usize = 1;
+
 /// Faults of a simulation. Each rate is a probability per second unless stated otherwise.
 #[derive(Clone, Copy, Debug)]
 pub struct WorldFaults {
@@ -38,6 +42,8 @@
     pub clock_steps: bool,
     /// Whether the log is compacted often.
     pub short_log: bool,
+    /// Whether a report lists few ends.
+    pub short_reports: bool,
     /// Whether calls in flight to a target are limited and further ones are queued.
     pub lanes: bool,
     /// Whether owners follow the host list through delayed events and reads of the store.
@@ -62,6 +68,7 @@
         queue_moves: false,
         clock_steps: false,
         short_log: false,
+        short_reports: false,
         lanes: false,
         lists: false,
     };
@@ -96,6 +103,7 @@
             queue_moves: self.queue_moves,
             clock_steps: self.clock_steps,
             short_log: self.short_log,
+            short_reports: self.short_reports,
             lanes: self.lanes,
             lists: self.lists,
             ..Self::CALM
@@ -103,6 +111,16 @@
     }
 }
 
+impl WorldFaults {
+    /// Maximum number of ends in a report.
+    pub(super) fn report_limit(self) -> usize {
+        match self.short_reports {
+            true => SHORT_REPORT,
+            false => SchedulerTuning::default().report_limit,
+        }
+    }
+}
+
 impl Default for WorldFaults {
     fn default() -> Self {
         Self::BASIC
--- a/crates/decide/tests/harness/world_target.rs
+++ b/crates/decide/tests/harness/world_target.rs
@@ -42,6 +42,9 @@
     pub fenced_attempts: BTreeMap<TaskKey, u64>,
     pub ended: Vec<EndReport>,
     pub last_end_number: u64,
+    /// Number of the last end before a moment without a lease. Tasks with such ends may have been given
+    /// up and started elsewhere.
+    pub last_lapsed_end: u64,
 }
 
 impl SimTarget {
@@ -73,6 +76,7 @@
             self.end_run(run, EndKind::Done);
         }
         if now > self.lease_until {
+            self.last_lapsed_end = self.last_end_number;
             let lapsed: Vec<(TaskKey, u64)> = self.runs.keys().cloned().collect();
             for run in lapsed {
                 self.end_run(run, EndKind::LeaseExpired);
@@ -156,8 +160,18 @@
         OrderAnswer::Done
     }
 
-    /// Answers a poll. Also returns the done tasks whose ends the poll acknowledges.
-    pub fn poll(&mut self, order: &PollOrder, now: BootTime) -> (PollAnswer, Vec<TaskKey>) {
+    /// Answers a poll with all ends. Also returns the ends `done` that the poll acknowledges.
+    pub fn poll(&mut self, order: &PollOrder, now: BootTime) -> (PollAnswer, Vec<EndReport>) {
+        self.poll_limited(order, usize::MAX, now)
+    }
+
+    /// Same as [`SimTarget::poll`], with at most `report_limit` ends in the answer.
+    pub fn poll_limited(
+        &mut self,
+        order: &PollOrder,
+        report_limit: usize,
+        now: BootTime,
+    ) -> (PollAnswer, Vec<EndReport>) {
         if self.observe_token(order.token) {
             return (PollAnswer::Fenced, Vec::new());
         }
@@ -168,10 +182,8 @@
             .ended
             .iter()
             .filter(|end| end.number <= order.acked_end);
-        let acked = acked
-            .filter(|end| end.kind == EndKind::Done)
-            .map(|end| end.task.clone());
-        let acked = acked.collect();
+        let acked = acked.filter(|end| end.kind == EndKind::Done);
+        let acked = acked.cloned().collect();
         self.ended.retain(|end| end.number > order.acked_end);
         let running = self.runs.iter().map(|((task, attempt), end)| RunReport {
             task: task.clone(),
@@ -184,7 +196,7 @@
             clock: self.clock(now),
             started_at: self.started_at,
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(report_limit).cloned().collect(),
         };
         (PollAnswer::Seen(report), acked)
     }
--- a/crates/decide/tests/work_schedule.rs
+++ b/crates/decide/tests/work_schedule.rs
@@ -52,6 +52,17 @@
     run_seeds(0..SEEDS, faults);
 }
 
+/// Guards against running a task again whose end a new owner has not read: a report lists a part of
+/// the ends.
+#[rstest]
+#[case::owners(WorldFaults { owner_kill: 0.3, short_reports: true, ..WorldFaults::CALM })]
+#[case::all(WorldFaults { owner_kill: 0.15, owner_cut: 0.15, short_reports: true, ..WorldFaults::default() })]
+#[case::everything(WorldFaults { short_reports: true, short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
+#[case::queue_moves(WorldFaults { owner_kill: 0.15, short_reports: true, queue_moves: true, short_log: true, lanes: true, lists: true, ..WorldFaults::LOG })]
+fn short_reports_keep_invariants(#[case] faults: WorldFaults) {
+    run_seeds(0..SEEDS, faults);
+}
+
 /// Guards against running a task twice: an owner is partitioned together with targets and extends
 /// their leases, while its successor gives these targets up and starts their tasks elsewhere.
 #[rstest]
