Refuse a job at once that the fleet can never hold

After one accepted job of tasks that no host can hold, all usual jobs were refused while all targets were idle.

Cause: work that waits counts as work before a new job, whether it can start or not, and such a job never ends.

Evidence: unfit_job_is_refused_and_holds_up_nothing; without the check, a usual job after six such jobs is refused for 59.7 s, with it it is accepted and completed.

Change: the owner refuses a job with a step that no host of the fleet can hold, or of which all hosts together can't hold the gang, with a Retry-After of a minute, a log line and a cause of the metric. Hosts of all pools and conditions count; nothing is refused while the hosts are unknown.

Why it works: such work is never accepted, so it never counts. What can run once hosts have moved is not refused (unfit_step_passes_what_fits).

--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -41,6 +41,7 @@
     CANCEL_KEPT = 1056, "cancel-kept", "No owner recorded the cancellation of a job in time, so this process wrote it to the store, from where the current or the next owner records it.";
     JOB_FORESEEN_LATE = 1057, "job-foreseen-late", "A job was refused because, after the work queued before it, it would start too late; carries by how much.";
     POOL_SHORT = 1058, "pool-short", "Tasks wait in a pool; carries in cores what its hosts are used for, how much the waiting tasks need, and what the pool wants, is due and holds. At most once a second for each pool.";
+    JOB_UNFIT = 1059, "job-unfit", "A job was refused because the fleet can't hold a step of it, even if nothing else runs: no host can run one of its tasks, or all hosts together can't run the members of a gang; carries the step.";
     TASK_PLACED = 1060, "task-placed", "A task was placed on a target; carries the urgency class of its job, the age of the target's last response, the free capacity there, and why the task's earlier run counts as over, with its attempt and target. after=never: it was never started; after=unseen: an earlier owner may have started it, and no poll has shown a run.";
     TASK_ENDED = 1061, "task-ended", "A run of a task ended on a target.";
     TASK_ADOPTED = 1062, "task-adopted", "A run that an earlier owner started, or that was given up too early, was found and taken over; given_up tells why this owner had counted it as over.";
--- a/crates/cell/src/owner_service.rs
+++ b/crates/cell/src/owner_service.rs
@@ -4,7 +4,7 @@
     link_bounds::largest_backlog,
     work::{JobTerms, plan_of_record, record_of_limit},
 };
-use model::{BootTime, event as log_event};
+use model::{BootTime, event as log_event, work::JobPlan};
 use tokio::time::{Instant, timeout_at};
 use wire::work::{
     AnswerKind, JobPhase, JobRecord, OwnerAnswer, OwnerCall, log_entry::Event, owner_call::Ask,
@@ -17,6 +17,9 @@
     term::Term,
 };
 
+/// When the caller of a job that the fleet can't hold may try again. Hosts that can are added rarely.
+const UNFIT_RETRY: Duration = Duration::from_secs(60);
+
 /// Handles, as the owner, the call of a process that serves callers.
 ///
 /// A call that was sent to an earlier owner has no effect here, because its sender may have been
@@ -140,22 +143,44 @@
             .increment(1);
         Err(wait)
     };
+    let plan = plan_of_record(record);
+    if is_unfit(term, record, &plan) {
+        return refused_for("unfit", UNFIT_RETRY);
+    }
     if !term.has_valid_lease() || term.log_queue.is_failing() {
         return refused_for("store", term.options.retry_after);
     }
     if has_long_backlog(term) {
         return refused_for("log", term.options.retry_after);
     }
-    predict_lateness(term, record).map_or(Ok(()), |wait| refused_for("late", wait))
+    predict_lateness(term, record, &plan).map_or(Ok(()), |wait| refused_for("late", wait))
+}
+
+/// Whether the fleet can't hold a step of a job. Accepted, such a job would never end, and others would
+/// be refused because of it.
+fn is_unfit(term: &Term, record: &JobRecord, plan: &JobPlan) -> bool {
+    let unfit = term
+        .hosts
+        .borrow()
+        .unfit_step(&term.scheduler.borrow(), plan);
+    if let Some(step) = unfit {
+        log_event::info(
+            &event::JOB_UNFIT,
+            format_args!(
+                "job={} queue={} workspace={} step={step}",
+                record.job, record.queue, record.workspace
+            ),
+        );
+    }
+    unfit.is_some()
 }
 
 /// How long it takes until a job like this one could be started in time; `None` if it could be now.
-fn predict_lateness(term: &Term, record: &JobRecord) -> Option<Duration> {
-    let plan = plan_of_record(record);
+fn predict_lateness(term: &Term, record: &JobRecord, plan: &JobPlan) -> Option<Duration> {
     let now = term.now();
     let mut scheduler = term.scheduler.borrow_mut();
     let (job, workspace) = (record.job.as_str().into(), record.workspace.as_str().into());
-    let wait = scheduler.predict_lateness(&job, &plan, &record.queue, &workspace, now)?;
+    let wait = scheduler.predict_lateness(&job, plan, &record.queue, &workspace, now)?;
     metric::record_duration(metric::EXCESS_SECONDS, wait);
     log_event::info(
         &event::JOB_FORESEEN_LATE,
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -18,6 +18,7 @@
 mod demand_meter;
 mod fair_order;
 mod fleet_division;
+mod fleet_room;
 mod grant_rates;
 mod host_division;
 mod host_moves;
