Ask for no advice for a gang whose members have yet to end

The check for room also rejected a gang of which members are placed, and then queued the step for advice, which it does not need by then (found by reading; it came with the check for room, no caller met it). Asked first now, as before. Two conditions in the handling of ends read shorter; no other change of behaviour.

--- a/crates/decide/src/work/scheduler_end.rs
+++ b/crates/decide/src/work/scheduler_end.rs
@@ -150,11 +150,10 @@
             self.record_duplicate_end(end, true, origin);
             return;
         }
-        let task = &end.task;
-        let state = self
-            .step_state_at(&task.job, task.occurrence, task.step)
-            .and_then(|step| step.tasks.get(task.index as usize));
-        if state.is_none_or(|state| state.done) {
+        let key = &end.task;
+        let job = self.job_table.jobs.get(&key.job);
+        let task = job.and_then(|job| job.task(key.occurrence, key.step, key.index));
+        if task.is_none_or(|task| task.done) {
             self.record_duplicate_end(end, true, origin);
             return;
         }
@@ -200,14 +199,12 @@
         }
         self.failure_wait_deadlines
             .push_back(now.boot + FAILED_TARGET_WAIT);
-        let is_unfinished = job
-            .task(key.occurrence, key.step, counted_index)
-            .map(|task| !task.done);
-        let Some(is_unfinished) = is_unfinished else {
+        let counted = job.task(key.occurrence, key.step, counted_index);
+        let Some(is_done) = counted.map(|task| task.done) else {
             return;
         };
         let step = job.step_mut(key.occurrence, key.step);
-        let step = step.filter(|_| is_unfinished);
+        let step = step.filter(|_| !is_done);
         let failures = step.and_then(|step| step.record_failure(counted_index, end.attempt));
         let Some(failures) = failures else {
             self.record_duplicate_end(end, false, origin);
--- a/crates/decide/src/work/scheduler_place.rs
+++ b/crates/decide/src/work/scheduler_place.rs
@@ -28,10 +28,10 @@
 }
 
 impl WorkScheduler {
-    /// Returns true if all members of a gang are waiting, and there is room for them now.
+    /// Returns true if there is room for all members of a gang now.
     ///
     /// Asks for the room of each target once, so that a gang without room costs little.
-    pub(super) fn may_place_gang(
+    pub(super) fn has_room_for_gang(
         &mut self,
         step: &StepKey,
         plan: &StepPlan,
@@ -42,10 +42,6 @@
         else {
             return false;
         };
-        // A gang starts as a whole, so its remaining members have to end first.
-        if state.done > 0 || state.placed > 0 {
-            return false;
-        }
         let members = u64::from(state.count());
         let left = self.remaining_workspace_limit(&job.workspace, unconfirmed_usage);
         if plan.resources.count_in(left) < members {
--- a/crates/decide/src/work/scheduler_start.rs
+++ b/crates/decide/src/work/scheduler_start.rs
@@ -7,8 +7,8 @@
 
 use super::{
     EarlierRun, PlacementInputs, RankClass, SchedulerAction, SchedulerEvent, SchedulerTime,
-    WorkJob, WorkPhase, WorkScheduler, ranked_steps::StepRank, scheduler_plan::MAX_STARTS_PER_PLAN,
-    step_key::StepKey, target_state::RunKey,
+    StepState, WorkJob, WorkPhase, WorkScheduler, ranked_steps::StepRank,
+    scheduler_plan::MAX_STARTS_PER_PLAN, step_key::StepKey, target_state::RunKey,
 };
 
 /// Attempt numbers that one term may give to one task before those of the next term begin. A
@@ -50,7 +50,12 @@
         if self.must_wait_for_advice(key, now) {
             return no_start;
         }
-        if plan.gang && !self.may_place_gang(step, plan, unconfirmed_usage, now) {
+        let is_untouched = |state: &StepState| state.done == 0 && state.placed == 0;
+        if plan.gang && !self.step_state(step).is_some_and(is_untouched) {
+            // A gang starts as a whole, so its remaining members have to end first.
+            return no_start;
+        }
+        if plan.gang && !self.has_room_for_gang(step, plan, unconfirmed_usage, now) {
             self.note_advised_start(key, false, now);
             return no_start;
         }
