--- a/crates/decide/tests/work_longest_step.rs
+++ b/crates/decide/tests/work_longest_step.rs
@@ -107,10 +107,9 @@
     check(&next);
 }
 
-/// A gang of the largest size, whose members need little.
+/// A gang whose members need little.
 fn gang(count: u32) -> StepPlan {
     StepPlan {
-        count,
         gang: true,
         resources: ResourceVector {
             cpu: 10,
