Model an owner whose event loop takes time, which serves less the more it is asked for

What callers saw: on a busy host most short jobs were late and hundreds failed, while targets were idle. Known red until the fix.

--- a/crates/decide/tests/harness/mod.rs
+++ b/crates/decide/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports)]
 
 mod advice_fixture;
+mod busy_owner;
 mod fleet_fixture;
 pub mod queue_load;
 mod scheduler_fixture;
@@ -21,6 +22,7 @@
 mod world_target;
 
 pub use advice_fixture::{AdviceFixture, QUICK_ADVICE, SLOW_ADVICE, ServiceMode};
+pub use busy_owner::{BusyOwner, ServedJobs};
 pub use fleet_fixture::{FleetFixture, STANDBY};
 pub use scheduler_fixture::{
     OTHER_POOL, POOL, QUEUE, RESTARTED_AT, SchedulerFixture, WORKSPACE, end_report, job_record,
