Send fewer starts while the event loop is late, and refuse what the owner can't start in time

Cause: nothing that an owner decides by depended on what its own process can handle. Starts were ordered as long as the link carried them, so the event loop was ever further behind; ends were read late, and their targets counted as busy; orders timed out in the loop and were repeated; admission forecast no wait, since cores were free.

Change: the call budget lowers its limit for starts while the event loop resumes a due task 50 ms late or more. What is not sent stays with the scheduler, which goes on selecting the most urgent. While the owner is behind, the rate of its starts forecasts the wait of a new job, which is refused with that wait if it would miss its objective.

New: owner-behind, lws_cell_start_limit, lws_cell_behind_seconds, lws_cell_processor_use.

--- a/crates/cell/src/call_limiter.rs
+++ b/crates/cell/src/call_limiter.rs
@@ -2,6 +2,7 @@
     cell::RefCell,
     collections::{BTreeMap, VecDeque},
     rc::Rc,
+    time::Duration,
 };
 
 use decide::call_budget::{CallBudget, CallClass};
@@ -44,6 +45,13 @@
         self.budget.borrow().start_room(starts)
     }
 
+    /// Adapts the limit for starts to the delay of the event loop, and returns it.
+    pub(crate) fn record_loop_delay(&self, delay: Duration) -> f64 {
+        let mut budget = self.budget.borrow_mut();
+        budget.record_loop_delay(delay, BootClock.boot_now());
+        budget.start_limit()
+    }
+
     /// Counts a call that may be sent now, or queues it.
     fn begin_or_queue(&self, class: CallClass) -> Option<oneshot::Receiver<()>> {
         if self.budget.borrow().admits(class) {
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -6,6 +6,7 @@
     CELL_STOPPED = 1002, "cell-host-stopped", "The process stopped after all connections had finished, or at the time limit.";
     SETTINGS_RELOADED = 1003, "settings-reloaded", "The settings file was read again; carries whether a change needs a restart.";
     LOOP_DELAYED = 1004, "loop-delayed", "The event loop handled nothing for a quarter of the lease or longer; carries for how long beyond the probe's interval, and the processor time that the process used meanwhile. Little of it means that the process was suspended or got no processor.";
+    OWNER_BEHIND = 1005, "owner-behind", "The owner can't handle what it is asked for: its event loop is late, or tasks wait although targets have room for them, because its link carries no more starts or answers are late. Jobs that would miss their objective are refused meanwhile. Carries for how long, the number of tasks that have not started, the limit for starts in flight and the delay of the event loop. At most once a second.";
     OWNER_SEEN = 1010, "owner-seen", "Another process owns the cell, according to the store's entry of the given revision.";
     OWNER_GONE = 1011, "owner-gone", "The cell has no owner; this process takes part in the election.";
     TERM_WON = 1012, "term-won", "This process owns the cell from now on; the token fences all earlier owners.";
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,6 +21,7 @@
 mod fleet_view;
 mod host_limits;
 mod host_loop;
+mod load_watch;
 mod log_cache;
 mod log_compact;
 mod log_page;
--- a/crates/cell/src/loop_watch.rs
+++ b/crates/cell/src/loop_watch.rs
@@ -13,16 +13,19 @@
 /// takes, nothing else is handled, no call and no renewal of the lease. Logs delays of `logged_delay`
 /// and more.
 ///
-/// A process that was suspended is late as well, but has used no processor time meanwhile.
-pub(crate) async fn watch_loop(logged_delay: Duration) {
+/// A process that was suspended is late as well, but has used no processor time meanwhile. Also measures
+/// the part of `cores`, the processor that the process may use, that it has used.
+pub(crate) async fn watch_loop(logged_delay: Duration, cores: f64) {
     loop {
         let (begun, used) = (BootClock.boot_now(), thread_processor_time());
         sleep(PROBE_INTERVAL).await;
         let elapsed = BootClock.boot_now().saturating_sub(begun);
         let delay = elapsed.saturating_sub(PROBE_INTERVAL);
         metric::record_duration(metric::LOOP_DELAY_SECONDS, delay);
+        let used = thread_processor_time().saturating_sub(used);
+        metrics::histogram!(metric::PROCESSOR_USE)
+            .record(used.as_secs_f64() / (elapsed.as_secs_f64() * cores));
         if delay >= logged_delay {
-            let used = thread_processor_time().saturating_sub(used);
             log_event::warn(
                 &event::LOOP_DELAYED,
                 format_args!(
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -18,6 +18,12 @@
 pub(crate) const EXCESS_SECONDS: &str = "lws_cell_excess_seconds";
 /// How late the event loop resumes a task that is due.
 pub(crate) const LOOP_DELAY_SECONDS: &str = "lws_cell_loop_delay_seconds";
+/// Part of the processor that the process may use that it used.
+pub(crate) const PROCESSOR_USE: &str = "lws_cell_processor_use";
+/// Calls in flight up to which the owner sends starts.
+pub(crate) const START_LIMIT: &str = "lws_cell_start_limit";
+/// For how long the owner has been behind.
+pub(crate) const BEHIND_SECONDS: &str = "lws_cell_behind_seconds";
 /// Writes of log pages, by outcome.
 pub(crate) const LOG_WRITES: &str = "lws_cell_log_writes";
 /// Orders to targets, by kind and outcome.
--- a/crates/cell/src/term_run.rs
+++ b/crates/cell/src/term_run.rs
@@ -11,6 +11,7 @@
 use crate::{
     event, event_log,
     host_loop::manage_hosts,
+    load_watch::LoadWatch,
     log_compact::{job_byte_share, measure_job_bytes},
     log_reader::read_log,
     log_writer::write_log,
@@ -61,6 +62,8 @@
     term.log_queue.refuse_pending();
     metrics::gauge!(metric::OWNER).set(0.0);
     metrics::gauge!(metric::ADVICE_CALLS).set(0.0);
+    metrics::gauge!(metric::START_LIMIT).set(0.0);
+    metrics::gauge!(metric::BEHIND_SECONDS).set(0.0);
     clear_pool_report(term);
     term.channels.borrow_mut().clear();
 }
@@ -163,13 +166,17 @@
     // never elapse while events are frequent, and timeouts would not be handled.
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut watch = LoadWatch::default();
     loop {
-        let ticked = tokio::select! {
+        let due = tokio::select! {
             biased;
-            _ = ticks.tick() => true,
-            () = term.wake.notified() => false,
-            () = term.view.changed.notified() => false,
+            due = ticks.tick() => Some(due),
+            () = term.wake.notified() => None,
+            () = term.view.changed.notified() => None,
         };
+        if let Some(due) = due {
+            watch.record_loop_delay(&term, due.elapsed(), term.now().boot);
+        }
         // Lets other responses that have already arrived be processed first, so that one plan
         // covers all of them.
         yield_now().await;
@@ -192,7 +199,7 @@
         {
             let mut scheduler = term.scheduler.borrow_mut();
             scheduler.set_ownership_uncertain(!term.may_start_tasks());
-            if ticked {
+            if due.is_some() {
                 if scheduler.awaits_advice() {
                     let peers = term.members.addresses().into_iter();
                     scheduler.set_advice_peers(peers.collect());
--- a/crates/decide/src/call_budget.rs
+++ b/crates/decide/src/call_budget.rs
@@ -20,6 +20,13 @@
 const LATE_AFTER: Duration = Duration::from_millis(150);
 /// Factor applied to the limit after a late response.
 const LATE_DECREASE: f64 = 0.7;
+/// Delay of the owner's event loop from which on it counts as late. Orders time out after half a second,
+/// in which each passes the loop several times.
+pub(crate) const LOOP_LATE_AFTER: Duration = Duration::from_millis(50);
+/// Calls in flight up to which starts are admitted however late the event loop is.
+const MIN_LOOP_CALLS: f64 = 16.0;
+/// Factor applied to the limit of the event loop when it is not late.
+const LOOP_INCREASE: f64 = 1.1;
 /// Minimum time between two such decreases, because calls that were sent together are late
 /// together.
 const DECREASE_INTERVAL: Duration = Duration::from_millis(200);
@@ -59,17 +66,22 @@
     }
 }
 
-/// Limits the calls that an owner has in flight, by the bandwidth of its link and by the latency of
-/// responses.
+/// Limits the calls that an owner has in flight, by the bandwidth of its link, by the latency of
+/// responses and by the delay of its event loop.
 ///
 /// If more calls are sent than the link carries, responses are late. The calls time out and are
-/// repeated, and the renewals of the owner's lease wait behind them.
+/// repeated, and the renewals of the owner's lease wait behind them. The same happens if the event loop
+/// can't handle what starts cause; those that are not sent stay with the scheduler, which selects the
+/// most urgent ones, and admission counts them as backlog.
 #[derive(Clone, Debug)]
 pub struct CallBudget {
     initial_limit: f64,
     max_limit: f64,
     limit: f64,
     decreased_at: BootTime,
+    /// Limit for starts by the delay of the event loop.
+    loop_limit: f64,
+    loop_decreased_at: BootTime,
     in_flight: f64,
     /// Calls in flight to targets that did not respond to the last call. They may last until they
     /// time out but take no bandwidth, so they are counted separately.
@@ -81,9 +93,12 @@
     pub fn new(bytes_per_second: f64) -> Self {
         let calls = |fill: Duration| bytes_per_second * fill.as_secs_f64() / CALL_BYTES;
         let initial_limit = calls(INITIAL_FILL).max(MIN_CALLS);
+        let max_limit = calls(MAX_FILL).max(initial_limit);
         Self {
             initial_limit,
-            max_limit: calls(MAX_FILL).max(initial_limit),
+            max_limit,
+            loop_limit: max_limit,
+            loop_decreased_at: BootTime::ZERO,
             limit: initial_limit,
             decreased_at: BootTime::ZERO,
             in_flight: 0.0,
@@ -93,7 +108,11 @@
 
     /// True if a call may be sent now.
     pub fn admits(&self, class: CallClass) -> bool {
-        let most = (self.limit * class.limit_fraction()).max(1.0);
+        let limit = match class {
+            CallClass::Start => self.start_limit(),
+            _ => self.limit,
+        };
+        let most = (limit * class.limit_fraction()).max(1.0);
         let used = match class {
             CallClass::Probe => self.probes,
             _ => self.in_flight,
@@ -111,7 +130,7 @@
             clippy::cast_sign_loss,
             reason = "a conversion from float holds to the range of the type"
         )]
-        let most = (self.limit * WAITING_STARTS_FACTOR).max(1.0) as usize;
+        let most = (self.start_limit() * WAITING_STARTS_FACTOR).max(1.0) as usize;
         most.saturating_sub(waiting)
     }
 
@@ -136,6 +155,26 @@
         }
     }
 
+    /// Adapts the limit to how late the event loop resumed a task that was due. Has to be called several
+    /// times a second.
+    pub fn record_loop_delay(&mut self, delay: Duration, now: BootTime) {
+        if delay < LOOP_LATE_AFTER {
+            self.loop_limit = (self.loop_limit * LOOP_INCREASE).min(self.max_limit);
+        } else if now.saturating_sub(self.loop_decreased_at) >= DECREASE_INTERVAL {
+            self.loop_decreased_at = now;
+            let used = self.loop_limit.min(self.in_flight);
+            self.loop_limit = (used * LATE_DECREASE).max(MIN_LOOP_CALLS);
+        }
+    }
+
+    /// Number of calls in flight up to which starts are admitted.
+    ///
+    /// A late event loop limits starts alone. They cause most of what it has to handle, while polls bring
+    /// the ends without which targets stay occupied.
+    pub fn start_limit(&self) -> f64 {
+        self.limit.min(self.loop_limit)
+    }
+
     /// Stops counting a call whose response is delayed until the target has something to report.
     pub fn release(&mut self, class: CallClass) {
         let used = self.in_flight_mut(class);
--- a/crates/decide/src/work/admission_policy.rs
+++ b/crates/decide/src/work/admission_policy.rs
@@ -5,7 +5,10 @@
     work::{JobPlan, QueuePolicy},
 };
 
-use super::{JobTerms, WorkScheduler, objective::longest_wait};
+use super::{
+    JobTerms, WorkScheduler,
+    objective::{longest_wait, longest_wait_in_time},
+};
 
 /// A job that is submitted now.
 #[derive(Clone, Copy, Debug)]
@@ -22,6 +25,12 @@
     pub(super) fn longest_wait(&self) -> Duration {
         longest_wait(self.plan, JobTerms::of_queue(self.queue)).unwrap_or(Duration::MAX)
     }
+
+    /// Returns how long a job may wait for its first start and still be in time.
+    pub(super) fn longest_wait_in_time(&self) -> Duration {
+        let terms = JobTerms::of_queue(self.queue);
+        longest_wait_in_time(self.plan, terms).unwrap_or(Duration::MAX)
+    }
 }
 
 /// Way of deciding whether a submitted job would be started in time.
--- a/crates/decide/src/work/objective.rs
+++ b/crates/decide/src/work/objective.rs
@@ -57,9 +57,17 @@
 /// Returns how long a job that is submitted now may wait for its first start and still count;
 /// `None` if its queue has no objective.
 pub(super) fn longest_wait(plan: &JobPlan, terms: JobTerms) -> Option<Duration> {
-    let objective = objective(plan, terms);
-    let latest_end = objective.saturating_mul(LATE_FACTOR);
-    (!objective.is_zero()).then(|| latest_end.saturating_sub(plan.critical_path()))
+    longest_wait_before(plan, objective(plan, terms).saturating_mul(LATE_FACTOR))
+}
+
+/// Returns how long a job that is submitted now may wait for its first start and still be in time;
+/// `None` if its queue has no objective.
+pub(super) fn longest_wait_in_time(plan: &JobPlan, terms: JobTerms) -> Option<Duration> {
+    longest_wait_before(plan, objective(plan, terms))
+}
+
+fn longest_wait_before(plan: &JobPlan, latest_end: Duration) -> Option<Duration> {
+    (!latest_end.is_zero()).then(|| latest_end.saturating_sub(plan.critical_path()))
 }
 
 /// Returns the rank of an occurrence of a job, and the time until which the rank is valid; `None`
--- a/crates/decide/src/work/scheduler_admit.rs
+++ b/crates/decide/src/work/scheduler_admit.rs
@@ -46,6 +46,7 @@
             false => &StartRateAdmission,
         };
         let excess = admission.excess(self, submitted, now.boot);
+        let excess = excess.max(self.owner_excess(submitted, now.boot));
         excess.max(self.advice_excess(submitted, now.boot))
     }
 
--- a/crates/decide/src/work/scheduler_plan.rs
+++ b/crates/decide/src/work/scheduler_plan.rs
@@ -107,7 +107,12 @@
         self.sync_indexes(now.boot);
         let has_pools = !self.index.startable_pools.is_empty();
         let is_due = self.replan_needed || has_pools || self.unfinished_plan.is_some();
-        if self.ownership_uncertain || !is_due || max_starts == 0 {
+        if self.ownership_uncertain || !is_due {
+            self.forecast.observe_held_back(false, now.boot);
+            return false;
+        }
+        if max_starts == 0 {
+            self.forecast.observe_held_back(true, now.boot);
             return false;
         }
         let is_unfinished = self.start_steps(now, max_starts);
@@ -128,7 +133,7 @@
         let Some(mut unfinished) = self.unfinished_plan.take() else {
             let mut plan = self.begin_plan();
             let end = self.run_plan(&mut plan, &mut limits, now);
-            return self.end_plan(plan, end);
+            return self.end_plan(plan, end, now);
         };
         let reserved = limits.effort / 2;
         limits.effort -= reserved;
@@ -136,20 +141,23 @@
         let end = self.run_plan(&mut plan, &mut limits, now);
         limits.effort += reserved;
         if end == PlanEnd::StartLimit {
-            self.index.startable_pools.extend(plan.pools);
             self.unfinished_plan = Some(unfinished);
-            return false;
+            return self.end_plan(plan, end, now);
         }
         if end == PlanEnd::EffortLimit {
             unfinished.pools_to_repeat.extend(plan.pools);
         }
         let mut rest = self.resume_plan(unfinished);
         let end = self.run_plan(&mut rest, &mut limits, now);
-        self.end_plan(rest, end)
+        self.end_plan(rest, end, now)
     }
 
     /// Keeps what a pass has left to do; returns true if it has to be continued.
-    fn end_plan(&mut self, plan: StartPlan, end: PlanEnd) -> bool {
+    fn end_plan(&mut self, plan: StartPlan, end: PlanEnd, now: SchedulerTime) -> bool {
+        if end != PlanEnd::EffortLimit {
+            let is_held_back = end == PlanEnd::StartLimit;
+            self.forecast.observe_held_back(is_held_back, now.boot);
+        }
         let due = &mut self.index.startable_pools;
         match end {
             PlanEnd::Complete => {
--- a/crates/decide/src/work/start_forecast.rs
+++ b/crates/decide/src/work/start_forecast.rs
@@ -12,22 +12,34 @@
 /// How long tasks must have been waiting without interruption before the count of starts shows the
 /// capacity of the pool. Before that it only shows the demand.
 const MIN_BUSY_TIME: Duration = Duration::from_secs(2);
+/// How long an owner must have been behind before the count of its starts shows what it can handle.
+const MIN_BEHIND_TIME: Duration = Duration::from_millis(750);
+/// How long after its event loop was late an owner still counts as behind. The delay varies, since fewer
+/// starts are sent because of it.
+const LATE_LOOP_GAP: Duration = Duration::from_millis(500);
+/// Time window in which starts are counted while the owner is behind.
+const BEHIND_WINDOW: Duration = Duration::from_secs(1);
 /// Upper limit of a forecast.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
 /// Forecasts how long tasks that are submitted now will wait for their start.
 ///
-/// Queues may request several times what their pool, or the owner's network link, can start.
+/// Queues may request several times what their pool, or the owner's network link or event loop, can
+/// start.
 /// Without a forecast, jobs would be accepted that start only when nobody needs them any more, and
 /// they would use resources after their callers have gone.
 #[derive(Clone, Debug, Default)]
 pub struct StartForecast {
     pools: BTreeMap<PoolId, PoolStartRate>,
+    /// Starts in all pools; busy while the owner is behind.
+    owner: PoolStartRate,
+    /// When the owner's event loop was last late.
+    late_loop_at: Option<BootTime>,
     /// Maximum starts a second on the owner's network link; zero if unknown.
     link_rate: f64,
 }
 
-/// Rate at which a pool starts waiting tasks.
+/// Rate at which a pool, or the owner, starts waiting tasks.
 #[derive(Clone, Debug, Default)]
 struct PoolStartRate {
     /// Start of the current period in which tasks have been waiting without interruption.
@@ -51,8 +63,43 @@
         }
     }
 
+    /// Records that the owner's event loop is late.
+    pub fn record_late_loop(&mut self, now: BootTime) {
+        self.late_loop_at = Some(now);
+        self.owner.busy_since.get_or_insert(now);
+    }
+
+    /// Records whether starts are held back that targets have room for. Must be called after each plan,
+    /// and several times a second.
+    pub fn observe_held_back(&mut self, is_held_back: bool, now: BootTime) {
+        let late_recently = |late: BootTime| now.saturating_sub(late) <= LATE_LOOP_GAP;
+        if is_held_back || self.late_loop_at.is_some_and(late_recently) {
+            self.owner.busy_since.get_or_insert(now);
+        } else {
+            self.owner.busy_since = None;
+        }
+    }
+
+    /// Returns for how long the owner has been behind without interruption: its event loop was late, or
+    /// starts were held back.
+    pub fn behind_time(&self, now: BootTime) -> Duration {
+        self.owner.busy_time(now)
+    }
+
+    /// Returns the expected wait of the last of `tasks` tasks that wait for any pool, while the owner is
+    /// behind; zero while it is not.
+    pub fn owner_wait(&self, tasks: u64, now: BootTime) -> Duration {
+        let behind = self.behind_time(now).min(BEHIND_WINDOW);
+        if behind < MIN_BEHIND_TIME {
+            return Duration::ZERO;
+        }
+        let starts = self.owner.starts_since(now.saturating_sub(behind));
+        time_to_start(tasks, f64::from(starts.max(1)) / behind.as_secs_f64())
+    }
+
     /// Records that a task was assigned to a target.
     pub fn record_start(&mut self, pool: &PoolId, now: BootTime) {
+        self.owner.count(now);
         self.pools.entry(pool.clone()).or_default().count(now);
     }
 
--- a/crates/decide/tests/harness/busy_owner.rs
+++ b/crates/decide/tests/harness/busy_owner.rs
@@ -52,7 +52,8 @@
 
 /// An event that the owner has to handle.
 enum LoopEvent {
-    Tick,
+    /// The tick that was due at this time.
+    Tick(BootTime),
     Submission {
         job: usize,
         attempt: u32,
@@ -62,6 +63,7 @@
     StartAnswer(HostId, StartOrder, BootTime),
     Poll(HostId),
     PollAnswer(HostId, TargetReport, u64, BootTime),
+    Plan,
     /// A target answers the poll that it holds; this takes none of the owner's time.
     TargetAnswers(HostId),
 }
@@ -99,11 +101,15 @@
     /// Events that arrive later.
     future: BTreeMap<(BootTime, u64), LoopEvent>,
     event_count: u64,
+    /// Whether a plan is among the events that have arrived.
+    plan_is_due: bool,
     waiting_starts: VecDeque<(HostId, StartOrder)>,
     targets: BTreeMap<HostId, ModelTarget>,
     /// First submission of each job.
     first_submissions: Vec<BootTime>,
     open: BTreeSet<usize>,
+    /// Jobs of which tasks have ended since the last plan.
+    ending: BTreeSet<String>,
     pub served: ServedJobs,
 }
 
@@ -124,10 +130,12 @@
             ready: VecDeque::new(),
             future: BTreeMap::new(),
             event_count: 0,
+            plan_is_due: false,
             waiting_starts: VecDeque::new(),
             targets: BTreeMap::new(),
             first_submissions: Vec::new(),
             open: BTreeSet::new(),
+            ending: BTreeSet::new(),
             served: ServedJobs::default(),
         };
         owner.scheduler.set_policy(Arc::new(policy()));
@@ -150,7 +158,7 @@
             self.schedule(at, LoopEvent::Submission { job, attempt: 0 });
             at += interval;
         }
-        self.schedule(begin, LoopEvent::Tick);
+        self.schedule(begin, LoopEvent::Tick(begin));
         while self.now < end + length {
             self.handle_next();
         }
@@ -179,7 +187,7 @@
         };
         self.now += EVENT_COST;
         match event {
-            LoopEvent::Tick => self.tick(),
+            LoopEvent::Tick(due) => self.tick(due),
             LoopEvent::Submission { job, attempt } => self.submit(job, attempt),
             LoopEvent::Start(id, order) => self.send_or_queue(id, order),
             LoopEvent::StartAnswer(id, order, sent) => self.handle_start_answer(&id, &order, sent),
@@ -187,9 +195,19 @@
             LoopEvent::PollAnswer(id, report, observed, sent) => {
                 self.handle_report(&id, report, observed, sent);
             }
+            LoopEvent::Plan => {
+                self.plan_is_due = false;
+                self.plan();
+                let ending = std::mem::take(&mut self.ending);
+                ending.iter().for_each(|job| self.note_completion(job));
+                return;
+            }
             LoopEvent::TargetAnswers(_) => {}
         }
-        self.plan();
+        // One plan covers all events that are handled before it.
+        if !std::mem::replace(&mut self.plan_is_due, true) {
+            self.ready.push_back(LoopEvent::Plan);
+        }
     }
 
     fn time(&self) -> SchedulerTime {
@@ -199,11 +217,14 @@
         }
     }
 
-    fn tick(&mut self) {
+    fn tick(&mut self, due: BootTime) {
+        let delay = self.now.saturating_sub(due + EVENT_COST);
+        self.budget.record_loop_delay(delay, self.now);
+        self.scheduler.record_loop_delay(delay, self.now);
         self.scheduler.tick(self.time());
         self.planner.plan(&mut self.scheduler, self.now);
         let next = self.now + TICK_INTERVAL;
-        self.schedule(next, LoopEvent::Tick);
+        self.schedule(next, LoopEvent::Tick(next));
     }
 
     fn submit(&mut self, job: usize, attempt: u32) {
@@ -342,7 +363,7 @@
         let answer = PollAnswer::Seen(report);
         self.scheduler
             .apply_report(id, sent, observed, &answer, time);
-        jobs.iter().for_each(|job| self.note_completion(job));
+        self.ending.extend(jobs);
         if let Some(target) = self.targets.get_mut(id) {
             target.is_polled = false;
         }
@@ -357,8 +378,6 @@
         else {
             return;
         };
-        // The entries of its ends are stored by then.
-        self.plan();
         if self.scheduler.job_phase(id) != Some(JobPhase::Completed) || !self.open.remove(&job) {
             return;
         }
@@ -441,7 +460,7 @@
 fn policy() -> FleetPolicy {
     let workspaces = (0..WORKSPACES).map(|number| WorkspacePolicy {
         name: format!("space-{number}").into(),
-        weight: 1,
+        weight: 24,
         ..WorkspacePolicy::default()
     });
     FleetPolicy {
--- a/crates/decide/tests/work_owner_limit.rs
+++ b/crates/decide/tests/work_owner_limit.rs
@@ -21,6 +21,10 @@
 fn owner_at_twice_its_limit_serves_as_much() {
     let at_limit = serve(1.0);
     let beyond = serve(2.0);
+    assert!(
+        at_limit.in_time * 10 >= at_limit.submitted * 9,
+        "{at_limit:?} at the limit"
+    );
     assert!(
         beyond.in_time * 10 >= at_limit.in_time * 8,
         "{at_limit:?} at the limit, {beyond:?} at twice the limit"
