Decide whether a log line is dropped before it is formatted, and keep warnings

What operators saw: an owner under load dropped up to 9,400 lines between two reports of it, and the lines that say why the owner is late were among them.

--- a/crates/lacewingshore/src/line_sink.rs
+++ b/crates/lacewingshore/src/line_sink.rs
@@ -6,6 +6,7 @@
 };
 
 use crossbeam_channel::{Receiver, Sender, bounded};
+use log::Level;
 use parking_lot::Mutex;
 
 /// Lines queued for a slow reader of standard output; further lines are dropped. At 200 bytes a
@@ -16,6 +17,10 @@
 const LINES_PER_SECOND: f64 = 800.0;
 /// Burst size of the rate limit, in lines.
 const BURST: f64 = 3000.0;
+/// The same two limits for warnings and errors. They say why other lines are many, so those must not
+/// take their place.
+const WARNINGS_PER_SECOND: f64 = 200.0;
+const WARNINGS_BURST: f64 = 1000.0;
 /// Delay before queued lines are written, so that one call writes many of them.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 /// Shortest interval between two reports of dropped lines.
@@ -31,14 +36,17 @@
 /// rate limit or the queue capacity are dropped and counted.
 pub struct LineSink {
     sender: Sender<String>,
-    rate_limiter: Mutex<LineRateLimiter>,
+    lines: Mutex<LineRateLimiter>,
+    warnings: Mutex<LineRateLimiter>,
+    last_report: Mutex<Instant>,
     dropped: AtomicU64,
 }
 
 struct LineRateLimiter {
+    lines_per_second: f64,
+    burst: f64,
     tokens: f64,
     last_refill: Instant,
-    last_report: Instant,
 }
 
 impl LineSink {
@@ -54,18 +62,30 @@
             .spawn(move || write_lines(&receiver))?;
         Ok(Self {
             sender,
-            rate_limiter: Mutex::new(LineRateLimiter {
-                tokens: BURST,
-                last_refill: Instant::now(),
-                last_report: Instant::now(),
-            }),
+            lines: Mutex::new(LineRateLimiter::new(LINES_PER_SECOND, BURST)),
+            warnings: Mutex::new(LineRateLimiter::new(WARNINGS_PER_SECOND, WARNINGS_BURST)),
+            last_report: Mutex::new(Instant::now()),
             dropped: AtomicU64::new(0),
         })
     }
 
-    /// Queues a line without its line break, or drops and counts it.
+    /// Whether a line of this level is within the rate limit; counts it as dropped otherwise. Asked before
+    /// the line is formatted, which costs more than all else about it.
+    pub fn admits(&self, level: Level) -> bool {
+        let rate_limiter = match level <= Level::Warn {
+            true => &self.warnings,
+            false => &self.lines,
+        };
+        let admitted = rate_limiter.lock().try_acquire();
+        if !admitted {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        admitted
+    }
+
+    /// Queues a line without its line break, or drops and counts it if the reader is slow.
     pub fn push(&self, line: String) {
-        if !self.rate_limiter.lock().try_acquire() || self.sender.try_send(line).is_err() {
+        if self.sender.try_send(line).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -73,11 +93,11 @@
     /// Returns how many lines were dropped since the last report, and resets the count; `None`
     /// if there were none, or within `REPORT_INTERVAL` of the last report.
     pub fn take_dropped(&self) -> Option<u64> {
-        let mut rate_limiter = self.rate_limiter.lock();
-        if rate_limiter.last_report.elapsed() < REPORT_INTERVAL {
+        let mut last_report = self.last_report.lock();
+        if last_report.elapsed() < REPORT_INTERVAL {
             return None;
         }
-        rate_limiter.last_report = Instant::now();
+        *last_report = Instant::now();
         Some(self.dropped.swap(0, Ordering::Relaxed)).filter(|&dropped| dropped > 0)
     }
 
@@ -92,10 +112,19 @@
 }
 
 impl LineRateLimiter {
+    fn new(lines_per_second: f64, burst: f64) -> Self {
+        Self {
+            lines_per_second,
+            burst,
+            tokens: burst,
+            last_refill: Instant::now(),
+        }
+    }
+
     fn try_acquire(&mut self) -> bool {
         let elapsed = self.last_refill.elapsed().as_secs_f64();
         self.last_refill = Instant::now();
-        self.tokens = (self.tokens + elapsed * LINES_PER_SECOND).min(BURST);
+        self.tokens = (self.tokens + elapsed * self.lines_per_second).min(self.burst);
         if self.tokens < 1.0 {
             return false;
         }
