Test that a late event loop limits starts alone, and that an overload leaves nothing behind

The model after an overload: all jobs are in time again at half of the load that the owner can handle.

--- a/crates/decide/tests/call_budget.rs
+++ b/crates/decide/tests/call_budget.rs
@@ -111,6 +111,30 @@
     assert!(fill(&mut budget, CallClass::Start) >= 400);
 }
 
+/// Guards against an owner whose event loop is ever further behind because it sends what its link carries,
+/// and against polls that wait meanwhile: without them ended tasks keep their targets occupied.
+#[test]
+fn call_budget_limits_starts_of_late_loop() {
+    let mut budget = CallBudget::new(WIDE);
+    let (starts, polls) = (
+        fill(&mut budget.clone(), CallClass::Start),
+        fill(&mut budget.clone(), CallClass::Poll),
+    );
+    (0..200).for_each(|_| budget.begin(CallClass::Start));
+    for round in 1..=20_u64 {
+        budget.record_loop_delay(ms(80), ms(1000 + 50 * round));
+    }
+    (0..200).for_each(|_| budget.release(CallClass::Start));
+    let late = fill(&mut budget.clone(), CallClass::Start);
+    assert!((1..=100).contains(&late), "{late} starts in flight");
+    assert!(budget.start_room(0) <= late);
+    assert_eq!(fill(&mut budget.clone(), CallClass::Poll), polls);
+    for round in 1..=100_u64 {
+        budget.record_loop_delay(ms(2), ms(2000 + 50 * round));
+    }
+    assert_eq!(fill(&mut budget, CallClass::Start), starts);
+}
+
 /// Guards against lists of hosts that use most of a narrow link, and against a new owner that waits
 /// between the two lists that show which incarnations have ended.
 #[test]
--- a/crates/decide/tests/harness/busy_owner.rs
+++ b/crates/decide/tests/harness/busy_owner.rs
@@ -110,7 +110,7 @@
     open: BTreeSet<usize>,
     /// Jobs of which tasks have ended since the last plan.
     ending: BTreeSet<String>,
-    pub served: ServedJobs,
+    served: ServedJobs,
 }
 
 impl BusyOwner {
@@ -143,14 +143,15 @@
             owner.add_target(number);
         }
         owner.list_hosts();
+        owner.schedule(owner.now, LoopEvent::Tick(owner.now));
         owner
     }
 
-    /// Submits jobs at an even rate for `length`, and runs until nothing of them is left to wait for.
+    /// Submits jobs at an even rate for `length`, and runs as long again. Returns what became of them.
     pub fn run(&mut self, starts_per_second: f64, length: Duration) -> ServedJobs {
         let interval = Duration::from_secs_f64(f64::from(TASKS) / starts_per_second);
-        let (begin, end) = (self.now, self.now + length);
-        let mut at = begin;
+        let end = self.now + length;
+        let mut at = self.now;
         while at < end {
             let job = self.first_submissions.len();
             self.first_submissions.push(at);
@@ -158,11 +159,10 @@
             self.schedule(at, LoopEvent::Submission { job, attempt: 0 });
             at += interval;
         }
-        self.schedule(begin, LoopEvent::Tick(begin));
         while self.now < end + length {
             self.handle_next();
         }
-        self.served
+        std::mem::take(&mut self.served)
     }
 
     fn schedule(&mut self, at: BootTime, event: LoopEvent) {
--- a/crates/decide/tests/work_owner_limit.rs
+++ b/crates/decide/tests/work_owner_limit.rs
@@ -30,3 +30,13 @@
         "{at_limit:?} at the limit, {beyond:?} at twice the limit"
     );
 }
+
+/// Guards against an owner that goes on refusing jobs, or starts them late, once it is no longer asked for
+/// more than it can handle.
+#[test]
+fn owner_after_overload_serves_all() {
+    let mut owner = BusyOwner::new();
+    owner.run(LIMIT * 2.0, LENGTH);
+    let after = owner.run(LIMIT / 2.0, LENGTH);
+    assert_eq!(after.in_time, after.submitted, "{after:?}");
+}
