--- a/crates/cell/src/cell_host.rs
+++ b/crates/cell/src/cell_host.rs
@@ -108,7 +108,6 @@
         );
         tokio::task::spawn_local(watch_loop(
             self.options.scheduler.owner_lease / LOGGED_LEASE_FRACTION,
-            self.options.limits.cores,
         ));
         self.watch();
         let registering = self
--- a/crates/cell/src/loop_watch.rs
+++ b/crates/cell/src/loop_watch.rs
@@ -14,8 +14,8 @@
 /// and more.
 ///
 /// A process that was suspended is late as well, but has used no processor time meanwhile. Also measures
-/// the part of `cores`, the processor that the process may use, that it has used.
-pub(crate) async fn watch_loop(logged_delay: Duration, cores: f64) {
+/// the part of a core that the event loop uses.
+pub(crate) async fn watch_loop(logged_delay: Duration) {
     loop {
         let (begun, used) = (BootClock.boot_now(), thread_processor_time());
         sleep(PROBE_INTERVAL).await;
@@ -24,7 +24,7 @@
         metric::record_duration(metric::LOOP_DELAY_SECONDS, delay);
         let used = thread_processor_time().saturating_sub(used);
         metrics::histogram!(metric::PROCESSOR_USE)
-            .record(used.as_secs_f64() / (elapsed.as_secs_f64() * cores));
+            .record(used.as_secs_f64() / elapsed.as_secs_f64());
         if delay >= logged_delay {
             log_event::warn(
                 &event::LOOP_DELAYED,
--- a/crates/cell/src/metric.rs
+++ b/crates/cell/src/metric.rs
@@ -18,7 +18,7 @@
 pub(crate) const EXCESS_SECONDS: &str = "lws_cell_excess_seconds";
 /// How late the event loop resumes a task that is due.
 pub(crate) const LOOP_DELAY_SECONDS: &str = "lws_cell_loop_delay_seconds";
-/// Part of the processor that the process may use that it used.
+/// Part of a core that the event loop used.
 pub(crate) const PROCESSOR_USE: &str = "lws_cell_processor_use";
 /// Calls in flight up to which the owner sends starts.
 pub(crate) const START_LIMIT: &str = "lws_cell_start_limit";
--- a/crates/decide/src/work/start_forecast.rs
+++ b/crates/decide/src/work/start_forecast.rs
@@ -25,14 +25,13 @@
 /// Forecasts how long tasks that are submitted now will wait for their start.
 ///
 /// Queues may request several times what their pool, or the owner's network link or event loop, can
-/// start.
-/// Without a forecast, jobs would be accepted that start only when nobody needs them any more, and
-/// they would use resources after their callers have gone.
+/// start. Without a forecast, jobs would be accepted that start only when nobody needs them any more,
+/// and they would use resources after their callers have gone.
 #[derive(Clone, Debug, Default)]
 pub struct StartForecast {
-    pools: BTreeMap<PoolId, PoolStartRate>,
+    pools: BTreeMap<PoolId, StartRate>,
     /// Starts in all pools; busy while the owner is behind.
-    owner: PoolStartRate,
+    owner: StartRate,
     /// When the owner's event loop was last late.
     late_loop_at: Option<BootTime>,
     /// Maximum starts a second on the owner's network link; zero if unknown.
@@ -41,7 +40,7 @@
 
 /// Rate at which a pool, or the owner, starts waiting tasks.
 #[derive(Clone, Debug, Default)]
-struct PoolStartRate {
+struct StartRate {
     /// Start of the current period in which tasks have been waiting without interruption.
     busy_since: Option<BootTime>,
     /// Number of starts in each slice of the window, newest last.
@@ -127,7 +126,7 @@
     Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
 }
 
-impl PoolStartRate {
+impl StartRate {
     fn count(&mut self, now: BootTime) {
         let old = |(began, _): &(BootTime, u32)| now.saturating_sub(*began) > WINDOW;
         while self.slices.front().is_some_and(old) {
