Lower the limit for starts less far after a single late step of the event loop

That the limit caused it is not proved.

Cause, by reading: the limit falls to what is in flight at that moment, down to 16 calls, of which four starts may wait between two passes, and took a second and more to recover.

Change: not below 64 calls, which take the loop some 50 ms, and back within half of the time.

--- a/crates/decide/src/call_budget.rs
+++ b/crates/decide/src/call_budget.rs
@@ -24,9 +24,9 @@
 /// in which each passes the loop several times.
 pub(crate) const LOOP_LATE_AFTER: Duration = Duration::from_millis(50);
 /// Calls in flight up to which starts are admitted however late the event loop is.
-const MIN_LOOP_CALLS: f64 = 16.0;
+const MIN_LOOP_CALLS: f64 = 64.0;
 /// Factor applied to the limit of the event loop when it is not late.
-const LOOP_INCREASE: f64 = 1.1;
+const LOOP_INCREASE: f64 = 1.25;
 /// Minimum time between two such decreases, because calls that were sent together are late
 /// together.
 const DECREASE_INTERVAL: Duration = Duration::from_millis(200);
