Share the rate of starts, and ask for the backlog only while the owner is behind

No change of behaviour. Found in the last reading of the change: - the rate of an owner's starts repeated the arithmetic of a pool's; both use rate_of; - each submission summed the backlog twice and asked for the workspace's share also while the owner is not behind, when the answer is always the same; each tick summed it for a line that is rarely written.

Ruled out: one probe of the event loop in place of two, since the owner's tick is due twice as often as the probe that every process has; sharing the two lowered limits of the call budget, whose bases and recoveries differ.

--- a/crates/cell/src/load_watch.rs
+++ b/crates/cell/src/load_watch.rs
@@ -20,14 +20,12 @@
     /// times a second.
     pub(crate) fn record_loop_delay(&mut self, term: &Term, delay: Duration, now: BootTime) {
         let limit = term.call_limiter.record_loop_delay(delay);
-        let load = {
-            let mut scheduler = term.scheduler.borrow_mut();
-            scheduler.record_loop_delay(delay, now);
-            scheduler.owner_load(now)
-        };
+        let mut scheduler = term.scheduler.borrow_mut();
+        scheduler.record_loop_delay(delay, now);
+        let behind = scheduler.behind_time(now);
         metrics::gauge!(metric::START_LIMIT).set(limit);
-        metrics::gauge!(metric::BEHIND_SECONDS).set(load.behind.as_secs_f64());
-        if load.behind < LOGGED_BEHIND_TIME || now < self.logged_at + LOG_INTERVAL {
+        metrics::gauge!(metric::BEHIND_SECONDS).set(behind.as_secs_f64());
+        if behind < LOGGED_BEHIND_TIME || now < self.logged_at + LOG_INTERVAL {
             return;
         }
         self.logged_at = now;
@@ -36,8 +34,8 @@
             format_args!(
                 "token={} behind_ms={} tasks={} start_limit={limit:.0} loop_delay_ms={}",
                 term.token,
-                load.behind.as_millis(),
-                load.unstarted,
+                behind.as_millis(),
+                scheduler.unstarted_tasks(),
                 delay.as_millis()
             ),
         );
--- a/crates/decide/src/call_budget.rs
+++ b/crates/decide/src/call_budget.rs
@@ -20,16 +20,16 @@
 const LATE_AFTER: Duration = Duration::from_millis(150);
 /// Factor applied to the limit after a late response.
 const LATE_DECREASE: f64 = 0.7;
+/// Minimum time between two such decreases, because calls that were sent together are late
+/// together.
+const DECREASE_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay of the owner's event loop from which on it counts as late. Orders time out after half a second,
 /// in which each passes the loop several times.
 pub(crate) const LOOP_LATE_AFTER: Duration = Duration::from_millis(50);
-/// Calls in flight up to which starts are admitted however late the event loop is.
+/// Lower bound of the limit for starts while the event loop is late.
 const MIN_LOOP_CALLS: f64 = 64.0;
-/// Factor applied to the limit of the event loop when it is not late.
+/// Factor applied to the limit for starts each time the event loop is not late.
 const LOOP_INCREASE: f64 = 1.25;
-/// Minimum time between two such decreases, because calls that were sent together are late
-/// together.
-const DECREASE_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of starts that wait to be sent, as a fraction of the limit. They keep the link busy
 /// until the scheduler's next pass, which follows each answer.
 const WAITING_STARTS_FACTOR: f64 = 0.25;
@@ -81,6 +81,7 @@
     decreased_at: BootTime,
     /// Limit for starts by the delay of the event loop.
     loop_limit: f64,
+    /// When it was last lowered.
     loop_decreased_at: BootTime,
     in_flight: f64,
     /// Calls in flight to targets that did not respond to the last call. They may last until they
--- a/crates/decide/src/work/mod.rs
+++ b/crates/decide/src/work/mod.rs
@@ -92,7 +92,6 @@
 pub use objective::RankClass;
 pub use occurrence_map::OccurrenceMap;
 pub use offered_work::OfferedWork;
-pub use owner_admission::OwnerLoad;
 pub use past_run::{EarlierRun, PastRun};
 pub use pool_survey::PoolSurvey;
 pub use scheduler_action::{AdviceRequest, EndOrigin, LogAppend, SchedulerAction};
--- a/crates/decide/src/work/start_forecast.rs
+++ b/crates/decide/src/work/start_forecast.rs
@@ -85,15 +85,12 @@
         self.owner.busy_time(now)
     }
 
-    /// Returns the expected wait of the last of `tasks` tasks that wait for any pool, while the owner is
-    /// behind; zero while it is not.
-    pub fn owner_wait(&self, tasks: u64, now: BootTime) -> Duration {
+    /// Returns how many tasks a second the owner starts while it is behind; `None` while it is not, and
+    /// until the rate is known.
+    pub fn owner_rate(&self, now: BootTime) -> Option<f64> {
         let behind = self.behind_time(now).min(BEHIND_WINDOW);
-        if behind < MIN_BEHIND_TIME {
-            return Duration::ZERO;
-        }
-        let starts = self.owner.starts_since(now.saturating_sub(behind));
-        time_to_start(tasks, f64::from(starts.max(1)) / behind.as_secs_f64())
+        let starts = || self.owner.starts_since(now.saturating_sub(behind));
+        (behind >= MIN_BEHIND_TIME).then(|| rate_of(starts(), behind))
     }
 
     /// Records that a task was assigned to a target.
@@ -120,7 +117,13 @@
     }
 }
 
-fn time_to_start(tasks: u64, starts_a_second: f64) -> Duration {
+/// Returns the starts a second. At least one start is assumed, so that forecasts are always finite.
+fn rate_of(starts: u32, time: Duration) -> f64 {
+    f64::from(starts.max(1)) / time.as_secs_f64()
+}
+
+/// Returns the wait of the last of `tasks` tasks, up to the limit of a forecast.
+pub(super) fn time_to_start(tasks: u64, starts_a_second: f64) -> Duration {
     #[expect(clippy::cast_precision_loss, reason = "an estimate")]
     let seconds = tasks as f64 / starts_a_second;
     Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
@@ -144,8 +147,7 @@
         let starts = self.starts_since(now.saturating_sub(busy));
         // Hosts that are being moved to the pool start their first tasks after some seconds.
         let known = busy >= if starts == 0 { WINDOW } else { MIN_BUSY_TIME };
-        // At least one start is assumed, so that the forecast is always finite.
-        known.then(|| f64::from(starts.max(1)) / busy.as_secs_f64())
+        known.then(|| rate_of(starts, busy))
     }
 
     fn busy_time(&self, now: BootTime) -> Duration {
